--- /dev/null
+++ b/src/caperridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/caperridge/cli/main.py
@@ -0,0 +1,49 @@
+"""The ``caperridge`` command and its exit codes.
+
+Exit codes: 0 done; 1 done, with a bad result; 2 a wrong command line; 3 findings in
+an input; 4 refused by the system; 5 not reached.
+"""
+
+import sys
+
+import typer
+
+from caperridge import __version__
+from caperridge.cli import instances, operators, standins
+from caperridge.cli.errors import CommandError
+
+app = typer.Typer(
+    name="caperridge",
+    help="Online and batch inference on one fleet.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+instances.register(app)
+operators.register(app)
+standins.register(app)
+
+
+def _version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"caperridge {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def _options(
+    version: bool = typer.Option(
+        False, "--version", callback=_version, is_eager=True, help="Show the version."
+    ),
+) -> None:
+    """Online and batch inference on one fleet."""
+
+
+def main() -> None:
+    """Run the command; what a person got wrong ends without a traceback."""
+    try:
+        app()
+    except CommandError as error:
+        typer.echo(f"caperridge: {error}", err=True)
+        sys.exit(error.code)
+    except KeyboardInterrupt:
+        sys.exit(130)
--- /dev/null
+++ b/src/caperridge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What changes lasting state; each command is one function."""
--- /dev/null
+++ b/src/caperridge/commands/accept_file.py
@@ -0,0 +1,202 @@
+"""Accepting a file of items: checked line by line and stored in parts as it comes."""
+
+import secrets
+from collections.abc import AsyncIterator
+from typing import Any
+
+import orjson
+import xxhash
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.findings import Finding
+from caperridge.platform.interface import Platform, PutRow, RowAbsent, WriteError
+from caperridge.platform.settle import transact_settled
+from caperridge.records import Record
+
+MOST_ITEMS = 110_000
+MOST_LINE_BYTES = 1_000_000
+PART_BYTES = 1_000_000
+MOST_FINDINGS = 1000
+
+
+class StoredFile(Record):
+    """A file as stored.
+
+    Attributes:
+        id: its name towards the caller.
+        caller: whom it belongs to.
+        items: lines that hold an item.
+        bytes: its size.
+        digest: of its content.
+        parts: first item of each part; part ``n`` is the object of that number.
+    """
+
+    __slots__ = ("bytes", "caller", "digest", "id", "items", "parts")
+
+    def __init__(
+        self,
+        id: str,
+        caller: str,
+        items: int,
+        bytes: int,
+        digest: str,
+        parts: list[int],
+    ) -> None:
+        self.id = id
+        self.caller = caller
+        self.items = items
+        self.bytes = bytes
+        self.digest = digest
+        self.parts = parts
+
+
+class BadFile(Record):
+    """Not accepted: every bad line with its number."""
+
+    __slots__ = ("findings",)
+
+    def __init__(self, findings: list[Finding]) -> None:
+        self.findings = findings
+
+
+async def accept_file(
+    platform: Platform, caller: str, blocks: AsyncIterator[bytes], name: str = "file"
+) -> Result[StoredFile, WriteError | BadFile]:
+    """Store a JSONL file; acknowledge only once its row is durable.
+
+    Args:
+        platform: where it is kept.
+        caller: whom it belongs to.
+        blocks: the bytes as they arrive.
+        name: what the caller calls the file, for findings.
+    """
+    file_id = "file-" + secrets.token_hex(12)
+    writer = _PartWriter(platform, file_id)
+    reader = _LineReader(name)
+    async for block in blocks:
+        for line in reader.feed(block):
+            stored = await writer.add(line)
+            if isinstance(stored, Err):
+                return stored
+    for line in reader.end():
+        stored = await writer.add(line)
+        if isinstance(stored, Err):
+            return stored
+    if not reader.findings and not writer.items:
+        reader.findings.append(Finding(name, "-", "holds no item"))
+    if reader.findings:
+        return Err(BadFile(reader.findings))
+    stored = await writer.flush()
+    if isinstance(stored, Err):
+        return stored
+    file = StoredFile(
+        file_id, caller, writer.items, writer.bytes, writer.digest(), writer.parts
+    )
+    outcome = await transact_settled(
+        platform,
+        [RowAbsent(keys.file(file_id))],
+        [PutRow(keys.file(file_id), file.to_map())],
+        token=secrets.token_hex(8),
+    )
+    return outcome.map(lambda _: file)
+
+
+class _LineReader:
+    """Splits blocks into checked lines; holds one unfinished line at the most."""
+
+    def __init__(self, name: str) -> None:
+        self.findings: list[Finding] = []
+        self._name = name
+        self._left = b""
+        self._number = 0
+        self._lines_by_custom_id: dict[str, int] = {}
+
+    def feed(self, block: bytes) -> list[bytes]:
+        lines = (self._left + block).split(b"\n")
+        self._left = lines.pop()
+        if len(self._left) > MOST_LINE_BYTES:
+            self._note(self._number + 1, "the line is too long")
+            self._left = b""
+        return [line for line in lines if self._good(line)]
+
+    def end(self) -> list[bytes]:
+        last, self._left = self._left, b""
+        return [last] if self._good(last) else []
+
+    def _good(self, line: bytes) -> bool:
+        self._number += 1
+        if not line.strip():
+            return False
+        if len(self._lines_by_custom_id) >= MOST_ITEMS:
+            self._note(self._number, f"more than {MOST_ITEMS} items")
+            return False
+        try:
+            item = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            self._note(self._number, f"is not JSON: {error}")
+            return False
+        return self._check(item)
+
+    def _check(self, item: Any) -> bool:
+        if not isinstance(item, dict):
+            self._note(self._number, "must be an object")
+            return False
+        custom_id = item.get("custom_id")
+        if not isinstance(custom_id, str) or not custom_id:
+            self._note(self._number, "custom_id must be a text")
+            return False
+        first = self._lines_by_custom_id.setdefault(custom_id, self._number)
+        if first != self._number:
+            self._note(self._number, f"custom_id stands already in line {first}")
+            return False
+        if not isinstance(item.get("body"), dict):
+            self._note(self._number, "body must be an object")
+            return False
+        if not isinstance(item.get("url"), str):
+            self._note(self._number, "url must be a text")
+            return False
+        return True
+
+    def _note(self, number: int, text: str) -> None:
+        if len(self.findings) < MOST_FINDINGS:
+            self.findings.append(Finding(self._name, f"line {number}", text))
+
+
+class _PartWriter:
+    """Stores lines in parts of about :data:`PART_BYTES`."""
+
+    def __init__(self, platform: Platform, file_id: str) -> None:
+        self.items = 0
+        self.bytes = 0
+        self.parts: list[int] = []
+        self._platform = platform
+        self._file_id = file_id
+        self._hash = xxhash.xxh3_128()
+        self._lines: list[bytes] = []
+        self._size = 0
+
+    async def add(self, line: bytes) -> Result[None, WriteError]:
+        self.items += 1
+        self._lines.append(line)
+        self._size += len(line) + 1
+        if self._size < PART_BYTES:
+            return Ok(None)
+        return await self.flush()
+
+    async def flush(self) -> Result[None, WriteError]:
+        if not self._lines:
+            return Ok(None)
+        data = b"\n".join(self._lines) + b"\n"
+        name = keys.file_part(self._file_id, len(self.parts))
+        stored = await self._platform.put_object(name, data)
+        if isinstance(stored, Err):
+            return stored
+        self.parts.append(self.items - len(self._lines))
+        self._hash.update(data)
+        self.bytes += len(data)
+        self._lines, self._size = [], 0
+        return Ok(None)
+
+    def digest(self) -> str:
+        return self._hash.hexdigest()
--- /dev/null
+++ b/src/caperridge/commands/accept_job.py
@@ -0,0 +1,80 @@
+"""Accepting a job: one row, once, however often it is sent."""
+
+import secrets
+
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.decisions.jobs import Job
+from caperridge.platform.interface import (
+    Condition,
+    Conflict,
+    Platform,
+    PutRow,
+    RowAbsent,
+    Write,
+    WriteError,
+)
+from caperridge.platform.settle import transact_settled
+from caperridge.records import Record
+
+
+class OtherBody(Record):
+    """Not accepted: the idempotency key already names a job with another body."""
+
+    __slots__ = ("job",)
+
+    def __init__(self, job: str) -> None:
+        self.job = job
+
+
+def new_job_id() -> str:
+    """Return a job id that no other job has."""
+    return "batch_" + secrets.token_hex(12)
+
+
+async def accept_job(
+    platform: Platform, job: Job, idempotency_key: str = ""
+) -> Result[Job, WriteError | OtherBody]:
+    """Insert ``job``, or return the one that the same request made before.
+
+    Args:
+        platform: where it is kept.
+        job: with a new id.
+        idempotency_key: the caller's; empty for none.
+    """
+    conditions: list[Condition] = [RowAbsent(keys.job(job.id))]
+    writes: list[Write] = [PutRow(keys.job(job.id), job.to_map())]
+    key_row = keys.request_key(job.caller, idempotency_key)
+    if idempotency_key:
+        conditions.append(RowAbsent(key_row))
+        writes.append(PutRow(key_row, {"job": job.id, "digest": job.body_digest}))
+    outcome = await transact_settled(
+        platform, conditions, writes, token=secrets.token_hex(8)
+    )
+    if isinstance(outcome, Ok):
+        return Ok(job)
+    if not isinstance(outcome.err_value, Conflict) or not idempotency_key:
+        return outcome
+    return await _resent(platform, job, key_row)
+
+
+async def _resent(
+    platform: Platform, job: Job, key_row: str
+) -> Result[Job, WriteError | OtherBody]:
+    found = await platform.read([key_row])
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value.get(key_row)
+    if row is None:
+        return Err(Conflict([key_row]))
+    if row.value["digest"] != job.body_digest:
+        return Err(OtherBody(row.value["job"]))
+    first_key = keys.job(row.value["job"])
+    found = await platform.read([first_key])
+    if isinstance(found, Err):
+        return found
+    first = found.ok_value.get(first_key)
+    if first is None:
+        return Err(Conflict([first_key]))
+    return Ok(Job.from_map(first.value))
--- /dev/null
+++ b/src/caperridge/commands/sessions.py
@@ -0,0 +1,75 @@
+"""Sessions: one row for each instance, which keeps all of its claims alive."""
+
+import secrets
+
+from result import Result
+
+from caperridge import keys
+from caperridge.platform.interface import (
+    Committed,
+    FieldEquals,
+    Platform,
+    PutRow,
+    RowAbsent,
+    RowVersion,
+    SetFields,
+    WriteError,
+)
+from caperridge.platform.settle import transact_settled
+
+ALIVE = "alive"
+LAPSED = "lapsed"
+CLOSED = "closed"
+
+
+async def open_session(
+    platform: Platform, session_id: str, instance: str, lease_s: float
+) -> Result[Committed, WriteError]:
+    """Insert the session's row; ``session_id`` is new with each start."""
+    key = keys.session(session_id)
+    value = {"state": ALIVE, "instance": instance, "lease_s": lease_s, "renewals": 0}
+    return await transact_settled(
+        platform, [RowAbsent(key)], [PutRow(key, value)], secrets.token_hex(8)
+    )
+
+
+async def renew_session(
+    platform: Platform, session_id: str, renewals: int
+) -> Result[Committed, WriteError]:
+    """Show that the session lives; refused once somebody declared it lapsed."""
+    key = keys.session(session_id)
+    return await platform.transact(
+        [FieldEquals(key, "state", ALIVE)],
+        [SetFields(key, {"renewals": renewals})],
+        secrets.token_hex(8),
+    )
+
+
+async def lapse_session(
+    platform: Platform, session_id: str, seen_version: int
+) -> Result[Committed, WriteError]:
+    """Declare the session of another instance lapsed.
+
+    Refused if it was renewed since ``seen_version``, which the one who declares it
+    must have watched for the whole lease on its own clock.
+    """
+    key = keys.session(session_id)
+    return await transact_settled(
+        platform,
+        [RowVersion(key, seen_version)],
+        [SetFields(key, {"state": LAPSED})],
+        secrets.token_hex(8),
+    )
+
+
+async def close_session(
+    platform: Platform, session_id: str
+) -> Result[Committed, WriteError]:
+    """End the own session, so that its claims are free at once."""
+    key = keys.session(session_id)
+    return await transact_settled(
+        platform,
+        [FieldEquals(key, "state", ALIVE)],
+        [SetFields(key, {"state": CLOSED})],
+        secrets.token_hex(8),
+    )
--- /dev/null
+++ b/src/caperridge/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations, and the versioned configuration made of them."""
--- /dev/null
+++ b/src/caperridge/config/model.py
@@ -0,0 +1,204 @@
+"""The configuration in force: what the declarations say, as checked records."""
+
+from typing import Any
+
+from caperridge.records import Record
+
+
+class Service(Record):
+    """A service that callers may use.
+
+    Attributes:
+        name: as in the declaration and, for plain services, in the path.
+        kind: ``engine`` or ``plain``.
+        model: the model an engine service runs; empty for plain ones.
+        version: the version of that model that should be loaded.
+        adapters: adapters that its runners should hold.
+        repeatable: whether a call may be sent twice.
+        checks_fencing: whether its targets refuse an old fencing number.
+        believes_not_run: whether its targets' "not run" answers are to be believed.
+        batch_weight: the trade: 0 favours the online tail, 1 batch throughput.
+        most_running: requests one target runs at once before it queues.
+    """
+
+    __slots__ = (
+        "adapters",
+        "batch_weight",
+        "believes_not_run",
+        "checks_fencing",
+        "kind",
+        "model",
+        "most_running",
+        "name",
+        "repeatable",
+        "version",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        kind: str = "engine",
+        model: str = "",
+        version: str = "1",
+        adapters: list[str] | None = None,
+        repeatable: bool = True,
+        checks_fencing: bool = True,
+        believes_not_run: bool = True,
+        batch_weight: float = 0.5,
+        most_running: int = 16,
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.model = model
+        self.version = version
+        self.adapters = list(adapters or [])
+        self.repeatable = repeatable
+        self.checks_fencing = checks_fencing
+        self.believes_not_run = believes_not_run
+        self.batch_weight = batch_weight
+        self.most_running = most_running
+
+
+class Model(Record):
+    """A model; ``gb_by_version`` has the size of each version in GB."""
+
+    __slots__ = ("gb_by_version", "name")
+
+    def __init__(self, name: str, gb_by_version: dict[str, float]) -> None:
+        self.name = name
+        self.gb_by_version = dict(gb_by_version)
+
+
+class Adapter(Record):
+    """An adapter of a model, with its size in GB."""
+
+    __slots__ = ("gb", "model", "name")
+
+    def __init__(self, name: str, model: str, gb: float = 0.1) -> None:
+        self.name = name
+        self.model = model
+        self.gb = gb
+
+
+class Caller(Record):
+    """A team that sends requests and jobs.
+
+    Attributes:
+        name: unique.
+        token_sha256: hex digest of its token; the token itself is not kept.
+        services: names it may use; ``*`` for all.
+        requests_per_s: rate limit; 0 for none.
+        tokens_per_s: limit on tokens asked for; 0 for none.
+        most_running: requests at once; 0 for no limit.
+        share: its weight against other callers under overload.
+    """
+
+    __slots__ = (
+        "most_running",
+        "name",
+        "requests_per_s",
+        "services",
+        "share",
+        "token_sha256",
+        "tokens_per_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        token_sha256: str,
+        services: list[str] | None = None,
+        requests_per_s: float = 0.0,
+        tokens_per_s: float = 0.0,
+        most_running: int = 0,
+        share: float = 1.0,
+    ) -> None:
+        self.name = name
+        self.token_sha256 = token_sha256
+        self.services = list(services or ["*"])
+        self.requests_per_s = requests_per_s
+        self.tokens_per_s = tokens_per_s
+        self.most_running = most_running
+        self.share = share
+
+    def may_use(self, service: str) -> bool:
+        """Return whether this caller may use ``service``."""
+        return service in self.services or "*" in self.services
+
+
+class Operator(Record):
+    """A person who may confirm intents, known by the digest of a token."""
+
+    __slots__ = ("name", "token_sha256")
+
+    def __init__(self, name: str, token_sha256: str) -> None:
+        self.name = name
+        self.token_sha256 = token_sha256
+
+
+class Configuration(Record):
+    """One version of everything declared, by name.
+
+    Version 0 is the empty configuration that a new installation starts from.
+    """
+
+    __slots__ = (
+        "adapters_by_name",
+        "callers_by_name",
+        "models_by_name",
+        "operators_by_name",
+        "services_by_name",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int = 0,
+        services_by_name: dict[str, Service] | None = None,
+        models_by_name: dict[str, Model] | None = None,
+        adapters_by_name: dict[str, Adapter] | None = None,
+        callers_by_name: dict[str, Caller] | None = None,
+        operators_by_name: dict[str, Operator] | None = None,
+    ) -> None:
+        self.version = version
+        self.services_by_name = dict(services_by_name or {})
+        self.models_by_name = dict(models_by_name or {})
+        self.adapters_by_name = dict(adapters_by_name or {})
+        self.callers_by_name = dict(callers_by_name or {})
+        self.operators_by_name = dict(operators_by_name or {})
+
+    @classmethod
+    def from_map(cls, fields: dict[str, Any]) -> "Configuration":
+        """Return the configuration that :meth:`to_map` made ``fields`` of."""
+        tables = {
+            field: {
+                name: kind.from_map(item)
+                for name, item in fields.get(field, {}).items()
+            }
+            for field, kind in KINDS_BY_FIELD.items()
+        }
+        return cls(version=fields["version"], **tables)
+
+    def service_for_model(self, model: str) -> Service | None:
+        """Return the engine service that callers mean by ``model``.
+
+        Callers may name the service, the model, or an adapter of the service.
+        """
+        found = self.services_by_name.get(model)
+        if found is not None and found.kind == "engine":
+            return found
+        for service in self.services_by_name.values():
+            if service.kind != "engine":
+                continue
+            if service.model == model or model in service.adapters:
+                return service
+        return None
+
+
+KINDS_BY_FIELD: dict[str, type[Record]] = {
+    "services_by_name": Service,
+    "models_by_name": Model,
+    "adapters_by_name": Adapter,
+    "callers_by_name": Caller,
+    "operators_by_name": Operator,
+}
--- /dev/null
+++ b/src/caperridge/decisions/plans.py
@@ -0,0 +1,90 @@
+"""Plans: what a declaration would change, as a pure function of both sides."""
+
+from typing import Any
+
+import xxhash
+
+from caperridge.config.model import KINDS_BY_FIELD, Configuration
+from caperridge.records import Record, pack
+
+
+class Change(Record):
+    """One thing that would be added, changed or removed.
+
+    Attributes:
+        action: ``add``, ``change`` or ``remove``.
+        table: e.g. ``services``.
+        name: of the thing.
+        fields: for a change, ``[before, after]`` by field.
+    """
+
+    __slots__ = ("action", "fields", "name", "table")
+
+    def __init__(
+        self,
+        action: str,
+        table: str,
+        name: str,
+        fields: dict[str, list[Any]] | None = None,
+    ) -> None:
+        self.action = action
+        self.table = table
+        self.name = name
+        self.fields = fields or {}
+
+
+class Plan(Record):
+    """What confirming would do.
+
+    Attributes:
+        base_version: the version it was made against.
+        digest: of the declaration and the base version; ``confirm`` sends it.
+        changes: in a fixed order.
+        effects: sentences on what the changes will do.
+        warnings: sentences on what an operator may not want.
+    """
+
+    __slots__ = ("base_version", "changes", "digest", "effects", "warnings")
+
+    def __init__(
+        self,
+        base_version: int,
+        digest: str,
+        changes: list[Change],
+        effects: list[str] | None = None,
+        warnings: list[str] | None = None,
+    ) -> None:
+        self.base_version = base_version
+        self.digest = digest
+        self.changes = changes
+        self.effects = effects or []
+        self.warnings = warnings or []
+
+
+def make_plan(current: Configuration, wanted: Configuration) -> Plan:
+    """Return the plan that leads from ``current`` to ``wanted``."""
+    changes: list[Change] = []
+    for field in KINDS_BY_FIELD:
+        table = field.removesuffix("_by_name")
+        changes.extend(_changes(table, getattr(current, field), getattr(wanted, field)))
+    content = pack([current.version, wanted.replace(version=0)])
+    return Plan(current.version, xxhash.xxh3_128_hexdigest(content), changes)
+
+
+def _changes(
+    table: str, before: dict[str, Record], after: dict[str, Record]
+) -> list[Change]:
+    changes: list[Change] = []
+    for name in sorted(before.keys() | after.keys()):
+        if name not in after:
+            changes.append(Change("remove", table, name))
+            continue
+        if name not in before:
+            changes.append(Change("add", table, name))
+            continue
+        if before[name] == after[name]:
+            continue
+        old, new = before[name].to_map(), after[name].to_map()
+        fields = {key: [old[key], new[key]] for key in new if old[key] != new[key]}
+        changes.append(Change("change", table, name, fields))
+    return changes
--- /dev/null
+++ b/src/caperridge/instance/messages.py
@@ -0,0 +1,42 @@
+"""The messages between the tasks of one instance."""
+
+from caperridge.config.model import Configuration
+from caperridge.platform.interface import ListedMember
+from caperridge.records import Record
+
+
+class ConfigurationApplied(Record):
+    """A higher version is in force in this instance."""
+
+    __slots__ = ("configuration",)
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+
+
+class MembersListed(Record):
+    """The platform's list was read."""
+
+    __slots__ = ("members",)
+
+    def __init__(self, members: list[ListedMember]) -> None:
+        self.members = members
+
+
+class JobsChanged(Record):
+    """Jobs were accepted or cancelled here or elsewhere; read them soon."""
+
+    __slots__ = ("cancelled",)
+
+    def __init__(self, cancelled: str = "") -> None:
+        self.cancelled = cancelled
+
+
+class OnlineLoad(Record):
+    """How many online requests this instance has in flight at a target."""
+
+    __slots__ = ("in_flight", "target")
+
+    def __init__(self, target: str, in_flight: int) -> None:
+        self.target = target
+        self.in_flight = in_flight
--- /dev/null
+++ b/src/caperridge/instance/process.py
@@ -0,0 +1,168 @@
+"""One instance: its tasks, its listeners, and how they are wired together."""
+
+import asyncio
+import time
+from typing import Any
+
+from aiohttp import web
+
+from caperridge import __version__
+from caperridge.decisions.routing import TargetBook
+from caperridge.instance.callers_http import CallersHttp
+from caperridge.instance.configuration import ConfigurationKeeper
+from caperridge.instance.dispatcher import BatchDispatcher
+from caperridge.instance.members import MembersReader
+from caperridge.instance.messages import ConfigurationApplied, MembersListed
+from caperridge.instance.metrics import Metrics
+from caperridge.instance.online import OnlineFront
+from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.session import SessionKeeper
+from caperridge.instance.traces import Traces
+from caperridge.log import logger
+from caperridge.platform.http import HttpPlatform
+from caperridge.platform.interface import Platform
+from caperridge.settings import Address, Settings
+from caperridge.targets.engine import EngineClient
+from caperridge.targets.plain import PlainClient
+
+log = logger(__name__)
+
+
+class Instance:
+    """All of one instance.
+
+    Args:
+        settings: what it was told.
+        platform: instead of the one that the settings name, for tests.
+    """
+
+    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+        self.settings = settings
+        self.platform = platform or HttpPlatform(
+            settings.platform_endpoint,
+            settings.availability_zone,
+            settings.platform_secret,
+            settings.platform_deadline_s,
+        )
+        clock = time.monotonic
+        self.metrics = Metrics()
+        self.traces = Traces()
+        self.addresses_by_listener: dict[str, Address] = {}
+        self.draining = False
+        self._engines = EngineClient()
+        self._plain_client = PlainClient()
+        book = TargetBook(settings.availability_zone)
+        self.session = SessionKeeper(
+            self.platform, settings.instance_id, settings.lease_s, clock
+        )
+        self.dispatcher = BatchDispatcher(
+            settings.instance_id,
+            settings.availability_zone,
+            self.platform,
+            self.session,
+            self._engines,
+            self.metrics,
+            clock,
+        )
+        self.online = OnlineFront(
+            book,
+            self._engines,
+            self.traces,
+            self.metrics,
+            clock,
+            self.dispatcher.tell,
+        )
+        self.plain = PlainFront(book, self._plain_client, self.traces)
+        self.configuration = ConfigurationKeeper(self.platform, self._applied)
+        self.members = MembersReader(self.platform, self._listed)
+        self._actors = [
+            self.session,
+            self.configuration,
+            self.members,
+            self.dispatcher,
+        ]
+        self._runners: list[web.AppRunner] = []
+
+    def _applied(self, message: ConfigurationApplied) -> None:
+        self.metrics.configuration_version.set(message.configuration.version)
+        self.dispatcher.tell(message)
+
+    def _listed(self, message: MembersListed) -> None:
+        self.online.book.apply_list(message.members)
+        self.dispatcher.tell(message)
+
+    def not_ready_because(self) -> list[str]:
+        """Return what keeps this instance from being ready; empty if it is."""
+        missing: list[str] = []
+        if self.draining:
+            missing.append("it is stopping")
+        if not self.configuration.known:
+            missing.append("it does not know the configuration yet")
+        if not self.members.known:
+            missing.append("it does not know the targets yet")
+        return missing
+
+    def state(self) -> dict[str, Any]:
+        """Return a dump of everything this process holds, for operators."""
+        return {
+            "instance": self.settings.instance_id,
+            "availability_zone": self.settings.availability_zone,
+            "release": __version__,
+            "not_ready_because": self.not_ready_because(),
+            "configuration_version": self.configuration.current.version,
+            "session": self.session.session_id,
+            "lease_left_s": max(0.0, self.session.left_s()),
+            "online_in_flight": self.online.in_flight,
+            "targets_by_id": {
+                target_id: state.to_map()
+                for target_id, state in self.online.book.states_by_id.items()
+            },
+            "dispatcher": self.dispatcher.state(),
+            "traces": len(self.traces),
+        }
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        await self._listen("callers", CallersHttp(self).app(), self.settings.callers)
+        await self._listen(
+            "operators", OperatorsHttp(self).app(), self.settings.operators
+        )
+        for actor in self._actors:
+            actor.start()
+        log.info(
+            "instance started",
+            instance=self.settings.instance_id,
+            **{name: str(at) for name, at in self.addresses_by_listener.items()},
+        )
+
+    async def _listen(self, name: str, app: web.Application, at: Address) -> None:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, at.host, at.port)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        self.addresses_by_listener[name] = Address(host, port)
+
+    async def drain(self) -> None:
+        """Stop as planned: not ready, wait, finish what runs, close the session."""
+        self.draining = True
+        self.dispatcher.draining = True
+        log.info("stopping: not ready", instance=self.settings.instance_id)
+        await asyncio.sleep(self.settings.balancer_s)
+        deadline = time.monotonic() + self.settings.drain_s
+        while self.online.in_flight and time.monotonic() < deadline:
+            await asyncio.sleep(0.05)
+        await self.session.close()
+
+    async def stop(self) -> None:
+        """End at once."""
+        for runner in self._runners:
+            await runner.cleanup()
+        for actor in reversed(self._actors):
+            await actor.stop()
+        await self._engines.close()
+        await self._plain_client.close()
+        if isinstance(self.platform, HttpPlatform):
+            await self.platform.close()
--- /dev/null
+++ b/src/caperridge/keys.py
@@ -0,0 +1,80 @@
+"""Names of rows and objects, in one place.
+
+Names from outside (callers, idempotency keys) enter only as digests, so that they
+cannot reach a path.
+"""
+
+import hashlib
+
+CONFIGURATION_HEAD = "configuration/head"
+JOBS = "job/"
+SESSIONS = "session/"
+
+
+def digest_of(text: str) -> str:
+    """Return a digest of a name from outside, fit for keys.
+
+    >>> len(digest_of("../../etc"))
+    32
+    """
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def token_digest(token: str) -> str:
+    """Return what is kept of a bearer token: its SHA-256 in hex."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def configuration_version(version: int) -> str:
+    """Return the row of one version in the log; sorts by version."""
+    return f"configuration/version/{version:010d}"
+
+
+def configuration_snapshot(version: int, digest: str) -> str:
+    """Return the object with the whole of one version."""
+    return f"configuration/{version:010d}-{digest}"
+
+
+def session(session_id: str) -> str:
+    """Return the row of an instance's session."""
+    return SESSIONS + session_id
+
+
+def file(file_id: str) -> str:
+    """Return the row of an uploaded file."""
+    return f"file/{file_id}"
+
+
+def file_part(file_id: str, part: int) -> str:
+    """Return the object with one part of an uploaded file."""
+    return f"file/{file_id}/{part:06d}"
+
+
+def job(job_id: str) -> str:
+    """Return the row of a job."""
+    return JOBS + job_id
+
+
+def request_key(caller: str, key: str) -> str:
+    """Return the row that makes a caller's idempotency key name one job."""
+    return f"key/{digest_of(caller)}/{digest_of(key)}"
+
+
+def chunks(job_id: str) -> str:
+    """Return the prefix of a job's chunk rows."""
+    return f"chunk/{job_id}/"
+
+
+def chunk(job_id: str, index: int) -> str:
+    """Return the row of a chunk; it appears with the first claim."""
+    return f"{chunks(job_id)}{index:06d}"
+
+
+def chunk_result(job_id: str, index: int, attempt: str) -> str:
+    """Return the object with one attempt's results of a chunk."""
+    return f"result/{job_id}/{index:06d}-{attempt}"
+
+
+def call(caller: str, service: str, key: str) -> str:
+    """Return the row that claims a keyed call to a plain service."""
+    return f"call/{digest_of(caller)}/{digest_of(service)}/{digest_of(key)}"
--- /dev/null
+++ b/src/caperridge/measure/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/src/caperridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of msgpack messages between instances."""
--- /dev/null
+++ b/src/caperridge/platform/http.py
@@ -0,0 +1,185 @@
+"""The platform over HTTP: one adapter, to be replaced where the protocol differs.
+
+A connection error before the request was sent is *not done*. Once bytes may have
+left, only an answer tells; without one a write is *unknown*.
+"""
+
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+from result import Err, Ok, Result
+
+from caperridge.platform.interface import (
+    Committed,
+    Condition,
+    Conflict,
+    ListedMember,
+    NotDone,
+    Platform,
+    ReadError,
+    Row,
+    Unknown,
+    Write,
+    WriteError,
+)
+from caperridge.platform.wire import decode_row, encode
+from caperridge.records import pack, unpack
+
+DEFAULT_DEADLINE_S = 3.0
+_HTTP_CONFLICT = 409
+_HTTP_ABSENT = 404
+
+
+class HttpPlatform(Platform):
+    """Calls the platform at ``endpoint`` on behalf of one instance.
+
+    Args:
+        endpoint: e.g. ``http://10.0.0.5:7000``.
+        availability_zone: sent along, so that the platform knows who asks.
+        secret: bearer token towards the platform; empty for none.
+        deadline_s: longest wait for one call, in seconds.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        availability_zone: str = "",
+        secret: str = "",
+        deadline_s: float = DEFAULT_DEADLINE_S,
+    ) -> None:
+        self._endpoint = endpoint.rstrip("/")
+        self._headers = {"X-Availability-Zone": availability_zone}
+        if secret:
+            self._headers["Authorization"] = f"Bearer {secret}"
+        self._timeout = aiohttp.ClientTimeout(total=deadline_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write], token: str
+    ) -> Result[Committed, WriteError]:
+        """See :meth:`Platform.transact`."""
+        body = {
+            "conditions": [encode(condition) for condition in conditions],
+            "writes": [encode(write) for write in writes],
+            "token": token,
+        }
+        answer = await self._call("POST", "/table/transact", pack(body))
+        if isinstance(answer, Err):
+            return answer
+        status, data = answer.ok_value
+        fields = unpack(data)
+        if status == _HTTP_CONFLICT:
+            rows_by_key = {
+                key: decode_row(row) if row else None
+                for key, row in fields["rows_by_key"].items()
+            }
+            return Err(Conflict(fields["failed_keys"], rows_by_key))
+        return Ok(Committed(fields["versions_by_key"]))
+
+    async def read(self, keys: list[str]) -> Result[dict[str, Row], ReadError]:
+        """See :meth:`Platform.read`."""
+        answer = await self._call("POST", "/table/read", pack({"keys": keys}))
+        if isinstance(answer, Err):
+            return answer
+        rows = [decode_row(fields) for fields in unpack(answer.ok_value[1])]
+        return Ok({row.key: row for row in rows})
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], ReadError]:
+        """See :meth:`Platform.scan`."""
+        body = pack({"prefix": prefix, "after": after, "limit": limit})
+        answer = await self._call("POST", "/table/scan", body)
+        if isinstance(answer, Err):
+            return answer
+        return Ok([decode_row(fields) for fields in unpack(answer.ok_value[1])])
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, ReadError]:
+        """See :meth:`Platform.put_object`."""
+        answer = await self._call("PUT", _object_path(name), data)
+        return answer.map(lambda _: None)
+
+    async def get_object(
+        self, name: str, start: int = 0, length: int | None = None
+    ) -> Result[bytes | None, ReadError]:
+        """See :meth:`Platform.get_object`."""
+        headers = {}
+        if start or length is not None:
+            end = "" if length is None else str(start + length - 1)
+            headers["Range"] = f"bytes={start}-{end}"
+        answer = await self._call("GET", _object_path(name), headers=headers)
+        if isinstance(answer, Err):
+            return answer
+        status, data = answer.ok_value
+        return Ok(None if status == _HTTP_ABSENT else data)
+
+    async def list_objects(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[str], ReadError]:
+        """See :meth:`Platform.list_objects`."""
+        path = f"/objects?prefix={quote(prefix)}&after={quote(after)}&limit={limit}"
+        answer = await self._call("GET", path)
+        return answer.map(lambda pair: unpack(pair[1]))
+
+    async def delete_object(self, name: str) -> Result[None, ReadError]:
+        """See :meth:`Platform.delete_object`."""
+        answer = await self._call("DELETE", _object_path(name))
+        return answer.map(lambda _: None)
+
+    async def members(self) -> Result[list[ListedMember], ReadError]:
+        """See :meth:`Platform.members`."""
+        answer = await self._call("GET", "/members")
+        if isinstance(answer, Err):
+            return answer
+        return Ok([ListedMember.from_map(m) for m in unpack(answer.ok_value[1])])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[tuple[int, bytes], Any]:
+        if self._session is None:
+            # One attempt only: the library must not repeat a write by itself.
+            connector = aiohttp.TCPConnector(limit=64)
+            self._session = aiohttp.ClientSession(
+                timeout=self._timeout, connector=connector
+            )
+        try:
+            async with self._session.request(
+                method,
+                self._endpoint + path,
+                data=body,
+                headers=self._headers | (headers or {}),
+                allow_redirects=False,
+            ) as response:
+                data = await response.read()
+                return _judge(response, data)
+        except aiohttp.ClientConnectorError as error:
+            return Err(NotDone(f"the platform was not reached: {error.strerror}"))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(Unknown(f"no answer from the platform: {type(error).__name__}"))
+
+
+def _object_path(name: str) -> str:
+    return "/objects/" + quote(name)
+
+
+def _judge(
+    response: aiohttp.ClientResponse, data: bytes
+) -> Result[tuple[int, bytes], Any]:
+    if response.status in (200, 204, 206, _HTTP_ABSENT, _HTTP_CONFLICT):
+        return Ok((response.status, data))
+    if response.status in (429, 503):
+        retry_after_s = float(response.headers.get("Retry-After", "0"))
+        return Err(NotDone(f"the platform refused: {response.status}", retry_after_s))
+    if 400 <= response.status < 500:
+        return Err(NotDone(f"the platform refused: {response.status}"))
+    return Err(Unknown(f"the platform failed: {response.status}"))
--- /dev/null
+++ b/src/caperridge/queries/__init__.py
@@ -0,0 +1,1 @@
+"""What only reads state; nothing here writes."""
--- /dev/null
+++ b/src/caperridge/records.py
@@ -0,0 +1,81 @@
+"""The base of the plain data classes that travel between layers and processes."""
+
+from collections.abc import Mapping
+from typing import Any, ClassVar, Self
+
+import msgpack
+
+
+class Record:
+    """A plain class with slots, compared and shown by its fields.
+
+    A subclass lists its fields in ``__slots__`` and takes them, in that order or by
+    name, in its constructor. Fields unknown to an older release are dropped on the
+    way in, and fields it does not send keep the default of the constructor, so two
+    releases can run side by side.
+
+    >>> class Point(Record):
+    ...     __slots__ = ("x", "y")
+    ...     def __init__(self, x: int, y: int = 0) -> None:
+    ...         self.x = x
+    ...         self.y = y
+    >>> Point.from_map({"x": 1, "colour": "red"})
+    Point(x=1, y=0)
+    """
+
+    __slots__: ClassVar[tuple[str, ...]] = ()
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return all(getattr(self, n) == getattr(other, n) for n in self.__slots__)
+
+    def __hash__(self) -> int:
+        return hash((type(self), *(getattr(self, n) for n in self.__slots__)))
+
+    def __repr__(self) -> str:
+        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in self.__slots__)
+        return f"{type(self).__name__}({fields})"
+
+    def to_map(self) -> dict[str, Any]:
+        """Return the fields by name; nested records become maps."""
+        return {name: _plain(getattr(self, name)) for name in self.__slots__}
+
+    @classmethod
+    def from_map(cls, fields: Mapping[str, Any]) -> Self:
+        """Build a record of ``fields``, ignoring names this release does not know.
+
+        Raises:
+            TypeError: a field without a default is missing.
+        """
+        return cls(**{n: fields[n] for n in cls.__slots__ if n in fields})
+
+    def replace(self, **changes: Any) -> Self:
+        """Return a copy with ``changes`` applied."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        fields.update(changes)
+        return type(self)(**fields)
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Record):
+        return value.to_map()
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
+
+
+def pack(value: Any) -> bytes:
+    """Return ``value`` (maps, lists, scalars, records) as msgpack bytes."""
+    return msgpack.packb(_plain(value), use_bin_type=True)
+
+
+def unpack(data: bytes) -> Any:
+    """Return the value that ``data``, one msgpack document, holds.
+
+    Raises:
+        ValueError: ``data`` is not one msgpack document.
+    """
+    return msgpack.unpackb(data, raw=False, strict_map_key=False)
--- /dev/null
+++ b/src/caperridge/settings.py
@@ -0,0 +1,272 @@
+"""The settings of one process: TOML in, a checked object or all findings out."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import voluptuous as vol
+
+from caperridge.findings import Finding, FindingsError
+from caperridge.records import Record
+
+
+class Address(Record):
+    """Where to listen or connect; port 0 asks the system for one."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address that ``text``, ``host:port``, names.
+
+        Raises:
+            ValueError: there is no port, or it is no number from 0 to 65535.
+
+        >>> Address.parse("127.0.0.1:80")
+        Address(host='127.0.0.1', port=80)
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or int(port) > 65535:
+            raise ValueError("must be host:port, the port from 0 to 65535")
+        return cls(host.strip("[]"), int(port))
+
+
+class TlsFiles(Record):
+    """PEM files of one listener; empty strings turn TLS off."""
+
+    __slots__ = ("authority", "certificate", "key")
+
+    def __init__(
+        self, certificate: str = "", key: str = "", authority: str = ""
+    ) -> None:
+        self.certificate = certificate
+        self.key = key
+        self.authority = authority
+
+
+class Settings(Record):
+    """What one instance is told when it starts.
+
+    Attributes:
+        instance_id: its name in the platform's list; a new one for each replacement.
+        availability_zone: where it runs.
+        region: the region of that availability zone.
+        callers: listener for callers.
+        operators: listener for operators, metrics and health.
+        peers: listener for other instances.
+        platform_endpoint: URL of the platform.
+        platform_secret: bearer token towards it.
+        platform_deadline_s: longest wait for one platform call.
+        peers_secret: shared by all instances.
+        lease_s: how long a session lasts without renewal.
+        drain_s: how long a planned stop waits for streams.
+        balancer_s: how long the balancer needs to move on after not-ready.
+        retention_s: how long finished jobs stay readable.
+        log_level: of the JSON lines.
+        first_operator_sha256: digest of the token that may confirm while the
+            configuration declares no operator yet.
+        tls_by_listener: TLS files by ``callers``, ``operators`` and ``peers``.
+    """
+
+    __slots__ = (
+        "availability_zone",
+        "balancer_s",
+        "callers",
+        "drain_s",
+        "first_operator_sha256",
+        "instance_id",
+        "lease_s",
+        "log_level",
+        "operators",
+        "peers",
+        "peers_secret",
+        "platform_deadline_s",
+        "platform_endpoint",
+        "platform_secret",
+        "region",
+        "retention_s",
+        "tls_by_listener",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        availability_zone: str,
+        platform_endpoint: str,
+        region: str = "",
+        callers: Address | None = None,
+        operators: Address | None = None,
+        peers: Address | None = None,
+        platform_secret: str = "",
+        platform_deadline_s: float = 3.0,
+        peers_secret: str = "",
+        lease_s: float = 10.0,
+        drain_s: float = 60.0,
+        balancer_s: float = 5.0,
+        retention_s: float = 30 * 86400.0,
+        log_level: str = "INFO",
+        first_operator_sha256: str = "",
+        tls_by_listener: dict[str, TlsFiles] | None = None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.availability_zone = availability_zone
+        self.platform_endpoint = platform_endpoint
+        self.region = region
+        self.callers = callers or Address("127.0.0.1", 0)
+        self.operators = operators or Address("127.0.0.1", 0)
+        self.peers = peers or Address("127.0.0.1", 0)
+        self.platform_secret = platform_secret
+        self.platform_deadline_s = platform_deadline_s
+        self.peers_secret = peers_secret
+        self.lease_s = lease_s
+        self.drain_s = drain_s
+        self.balancer_s = balancer_s
+        self.retention_s = retention_s
+        self.log_level = log_level
+        self.first_operator_sha256 = first_operator_sha256
+        self.tls_by_listener = tls_by_listener or {}
+
+
+def _address(text: Any) -> Address:
+    try:
+        return Address.parse(str(text))
+    except ValueError as error:
+        raise vol.Invalid(str(error)) from error
+
+
+_NAME = vol.All(str, vol.Match(r"^[A-Za-z0-9._-]{1,64}$", msg="must be a plain name"))
+_SECONDS = vol.All(vol.Any(int, float), vol.Range(min=0, min_included=False))
+_SECRET = {
+    vol.Exclusive("secret_file", "s"): str,
+    vol.Exclusive("secret_env", "s"): str,
+}
+_TLS = {"certificate": str, "key": str, vol.Optional("authority"): str}
+_SCHEMA = vol.Schema(
+    {
+        vol.Required("instance"): {
+            vol.Required("id"): _NAME,
+            vol.Required("availability_zone"): _NAME,
+            "region": _NAME,
+        },
+        "listen": {"callers": _address, "operators": _address, "peers": _address},
+        vol.Required("platform"): {
+            vol.Required("endpoint"): vol.All(
+                str, vol.Match(r"^https?://", msg="must be an http or https URL")
+            ),
+            "deadline_s": _SECONDS,
+            **_SECRET,
+        },
+        "peers": dict(_SECRET),
+        "operators": {
+            "first_token_sha256": vol.All(
+                str, vol.Match(r"^[0-9a-f]{64}$", msg="must be a SHA-256 in hex")
+            )
+        },
+        "lease": {"seconds": _SECONDS},
+        "stop": {"drain_s": _SECONDS, "balancer_s": _SECONDS},
+        "jobs": {"retention_s": _SECONDS},
+        "log": {"level": vol.In(["DEBUG", "INFO", "WARNING", "ERROR"])},
+        "tls": {"callers": _TLS, "operators": _TLS, "peers": _TLS},
+    }
+)
+
+
+def load(path: Path, environment: dict[str, str] | None = None) -> Settings:
+    """Return the settings in the file at ``path``.
+
+    Args:
+        path: a TOML file.
+        environment: where ``secret_env`` is looked up; the process's by default.
+
+    Raises:
+        FindingsError: with every finding, each with file, table and key.
+    """
+    environment = dict(os.environ) if environment is None else environment
+    try:
+        table = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise FindingsError([Finding(str(path), "-", str(error.strerror))]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise FindingsError([Finding(str(path), "-", str(error))]) from error
+    findings: list[Finding] = []
+    try:
+        table = _SCHEMA(table)
+    except vol.MultipleInvalid as error:
+        for invalid in error.errors:
+            key = ".".join(str(part) for part in invalid.path)
+            findings.append(Finding(str(path), key, _sentence(invalid)))
+        raise FindingsError(findings) from error
+    secrets_by_table = {
+        name: _secret(path, name, table.get(name, {}), environment, findings)
+        for name in ("platform", "peers")
+    }
+    if findings:
+        raise FindingsError(findings)
+    return _settings(table, secrets_by_table)
+
+
+def _sentence(invalid: vol.Invalid) -> str:
+    if invalid.error_message == "extra keys not allowed":
+        return "is not a known key"
+    if invalid.error_message == "required key not provided":
+        return "is missing"
+    return invalid.error_message
+
+
+def _secret(
+    path: Path,
+    name: str,
+    table: dict[str, Any],
+    environment: dict[str, str],
+    findings: list[Finding],
+) -> str:
+    if "secret_env" in table:
+        variable = table["secret_env"]
+        if variable not in environment:
+            text = f"variable {variable} is not set"
+            findings.append(Finding(str(path), f"{name}.secret_env", text))
+        return environment.get(variable, "")
+    if "secret_file" not in table:
+        return ""
+    try:
+        return (path.parent / table["secret_file"]).read_text().strip()
+    except OSError as error:
+        text = f"cannot be read: {error.strerror}"
+        findings.append(Finding(str(path), f"{name}.secret_file", text))
+        return ""
+
+
+def _settings(table: dict[str, Any], secrets_by_table: dict[str, str]) -> Settings:
+    listen = table.get("listen", {})
+    optional: dict[str, Any] = {
+        "lease_s": table.get("lease", {}).get("seconds"),
+        "drain_s": table.get("stop", {}).get("drain_s"),
+        "balancer_s": table.get("stop", {}).get("balancer_s"),
+        "retention_s": table.get("jobs", {}).get("retention_s"),
+        "log_level": table.get("log", {}).get("level"),
+        "platform_deadline_s": table["platform"].get("deadline_s"),
+        "region": table["instance"].get("region"),
+        "first_operator_sha256": table.get("operators", {}).get("first_token_sha256"),
+        "tls_by_listener": {
+            name: TlsFiles(**files) for name, files in table.get("tls", {}).items()
+        },
+    }
+    return Settings(
+        instance_id=table["instance"]["id"],
+        availability_zone=table["instance"]["availability_zone"],
+        platform_endpoint=table["platform"]["endpoint"],
+        callers=listen.get("callers"),
+        operators=listen.get("operators"),
+        peers=listen.get("peers"),
+        platform_secret=secrets_by_table["platform"],
+        peers_secret=secrets_by_table["peers"],
+        **{name: value for name, value in optional.items() if value is not None},
+    )
--- /dev/null
+++ b/src/caperridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of outside systems for tests, the demo and measurement."""
--- /dev/null
+++ b/src/caperridge/standins/plain.py
@@ -0,0 +1,115 @@
+"""A stand-in for a plain service: it counts each execution by request."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from caperridge.records import Record
+
+
+class PlainFaults(Record):
+    """The switches of a plain service.
+
+    Attributes:
+        hung: executions never end.
+        refuse_status: refuse with this status before executing; 0 for none.
+        refuse_run: the ``run`` word of that refusal, if it should carry one.
+        lose_before: drop the connection before executing.
+        lose_after: execute, then drop the connection without an answer.
+        redirect: answer 307 to itself after executing.
+        leaving: refuse with 503 and say ``leaving``.
+    """
+
+    __slots__ = (
+        "hung",
+        "leaving",
+        "lose_after",
+        "lose_before",
+        "redirect",
+        "refuse_run",
+        "refuse_status",
+    )
+
+    def __init__(
+        self,
+        hung: bool = False,
+        refuse_status: int = 0,
+        refuse_run: str = "",
+        lose_before: bool = False,
+        lose_after: bool = False,
+        redirect: bool = False,
+        leaving: bool = False,
+    ) -> None:
+        self.hung = hung
+        self.refuse_status = refuse_status
+        self.refuse_run = refuse_run
+        self.lose_before = lose_before
+        self.lose_after = lose_after
+        self.redirect = redirect
+        self.leaving = leaving
+
+
+class PlainService:
+    """Answers every path with what it was sent, and counts."""
+
+    def __init__(self) -> None:
+        self.faults = PlainFaults()
+        self.runs_by_request: dict[str, int] = {}
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Execute one request."""
+        faults = self.faults
+        if faults.leaving:
+            return _refusal(503, "leaving", "not_run")
+        if faults.refuse_status:
+            return _refusal(faults.refuse_status, "refused", faults.refuse_run)
+        if faults.lose_before:
+            _drop(request)
+            return web.Response()
+        name = request.headers.get("X-Request-Id", "")
+        body = await request.read()
+        self.runs_by_request[name] = self.runs_by_request.get(name, 0) + 1
+        if faults.hung:
+            await asyncio.sleep(3600)
+        if faults.redirect:
+            raise web.HTTPTemporaryRedirect(request.path_qs)
+        if faults.lose_after:
+            _drop(request)
+            return web.Response()
+        answer = {
+            "request": name,
+            "method": request.method,
+            "path": request.path_qs,
+            "body": body.decode(errors="replace"),
+        }
+        return web.json_response(answer)
+
+
+def make_app(service: PlainService) -> web.Application:
+    """Return the HTTP face of ``service``."""
+
+    async def set_faults(request: web.Request) -> web.Response:
+        service.faults = PlainFaults.from_map(await request.json())
+        return web.Response(status=204)
+
+    async def counters(_request: web.Request) -> web.Response:
+        return web.json_response({"runs_by_request": service.runs_by_request})
+
+    app = web.Application(client_max_size=16 * 2**20)
+    app.router.add_put("/standin/faults", set_faults)
+    app.router.add_get("/standin/counters", counters)
+    app.router.add_route("*", "/{path:.*}", service.handle)
+    return app
+
+
+def _refusal(status: int, reason: str, run: str) -> web.Response:
+    error: dict[str, Any] = {"message": reason, "code": reason}
+    if run:
+        error["run"] = run
+    return web.json_response({"error": error}, status=status)
+
+
+def _drop(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/src/caperridge/targets/events.py
@@ -0,0 +1,98 @@
+"""Checking the server-sent events of an engine's stream.
+
+Each event must carry our request id, our attempt id and the next offset. Engines put
+these first, so the check compares bytes and parses nothing else; an event in another
+form is parsed whole.
+"""
+
+import orjson
+
+_SEPARATOR = b"\n\n"
+_PREFIX = b"data: "
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class WrongEventError(Exception):
+    """An event that does not belong to this attempt, or is not the next one."""
+
+
+class EventChecker:
+    r"""Splits a stream into events and checks each against what is expected.
+
+    Args:
+        request: id of the request.
+        attempt: id of the attempt.
+        next_offset: offset of the first token that should come.
+
+    >>> checker = EventChecker("r", "a", 0)
+    >>> checker.feed(b'data: {"id":"r","attempt":"a","offset":0,"x":1}')
+    []
+    >>> checker.feed(b'\n\ndata: [DONE]\n\n')
+    [b'data: {"id":"r","attempt":"a","offset":0,"x":1}\n\n']
+    >>> checker.whole, checker.next_offset
+    (True, 1)
+    """
+
+    __slots__ = ("_attempt", "_head", "_left", "_request", "next_offset", "whole")
+
+    def __init__(self, request: str, attempt: str, next_offset: int) -> None:
+        self._request = request
+        self._attempt = attempt
+        self._head = b'data: {"id":"%s","attempt":"%s","offset":' % (
+            request.encode(),
+            attempt.encode(),
+        )
+        self._left = b""
+        self.next_offset = next_offset
+        self.whole = False
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the token events completed by ``data``, each with its separator.
+
+        Raises:
+            WrongEventError: an event is not ours or not the next one.
+        """
+        if self._left:
+            data = self._left + data
+        events = data.split(_SEPARATOR)
+        self._left = events.pop()
+        checked: list[bytes] = []
+        for event in events:
+            if event == b"data: [DONE]":
+                self.whole = True
+                continue
+            if self.whole:
+                raise WrongEventError("an event after the closing mark")
+            self._check(event)
+            checked.append(event + _SEPARATOR)
+        return checked
+
+    def _check(self, event: bytes) -> None:
+        if event.startswith(self._head):
+            start = len(self._head)
+            offset = int(event[start : event.index(b",", start)])
+        else:
+            offset = self._parse(event)
+        if offset != self.next_offset:
+            text = f"offset {offset} came where {self.next_offset} was due"
+            raise WrongEventError(text)
+        self.next_offset += 1
+
+    def _parse(self, event: bytes) -> int:
+        try:
+            fields = orjson.loads(event.removeprefix(_PREFIX))
+            request, attempt = fields["id"], fields.get("attempt")
+            offset = int(fields["offset"])
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise WrongEventError("an event that cannot be read") from error
+        if request != self._request or attempt != self._attempt:
+            raise WrongEventError("an event of another request")
+        return offset
+
+
+def text_of(event: bytes) -> str:
+    """Return the text that a checked token event carries."""
+    choice = orjson.loads(event[len(_PREFIX) :])["choices"][0]
+    if "delta" in choice:
+        return choice["delta"].get("content") or ""
+    return choice.get("text") or ""
--- /dev/null
+++ b/src/caperridge/targets/outcomes.py
@@ -0,0 +1,59 @@
+"""What can become of one attempt at a target, as typed errors."""
+
+from caperridge.records import Record
+
+
+class NotSent(Record):
+    """No byte of the request left for the target: it was certainly not run."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class TargetRefused(Record):
+    """The target answered with an error.
+
+    Attributes:
+        status: of its answer.
+        reason: its words.
+        run: ``not_run``, ``ran`` or ``unknown``, as far as it said so.
+        leaving: it said that it is leaving.
+    """
+
+    __slots__ = ("leaving", "reason", "run", "status")
+
+    def __init__(
+        self, status: int, reason: str, run: str = "unknown", leaving: bool = False
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.run = run
+        self.leaving = leaving
+
+    @property
+    def permanent(self) -> bool:
+        """Whether the same request would be refused again anywhere."""
+        return self.status in (400, 404, 413, 422)
+
+
+class Lost(Record):
+    """The connection ended, or the time, before the answer was whole."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class WrongAnswer(Record):
+    """The target answered another request than ours, or out of order."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+AttemptError = NotSent | TargetRefused | Lost | WrongAnswer
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,161 @@
+"""Fixtures shared by all tests: stand-ins on loopback and an instance before them."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from caperridge.instance.process import Instance
+from caperridge.keys import token_digest
+from caperridge.platform.interface import ListedMember
+from caperridge.settings import Settings
+from caperridge.standins import engine as engine_standin
+from caperridge.standins import plain as plain_standin
+from caperridge.standins import platform as platform_standin
+from caperridge.standins.engine import Engine
+from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.plain import PlainService
+from caperridge.standins.platform import MemoryPlatform
+
+OPERATOR = "operator-token"
+CALLER = "caller-token"
+DECLARATION = f"""
+[services.chat]
+kind = "engine"
+model = "north"
+version = "1"
+[services.billing]
+kind = "plain"
+repeatable = false
+[services.lookup]
+kind = "plain"
+[models.north]
+gb_by_version = {{ "1" = 10.0 }}
+[callers.heat]
+token_sha256 = "{token_digest(CALLER)}"
+[operators.ana]
+token_sha256 = "{token_digest(OPERATOR)}"
+"""
+
+Listen = Callable[[web.Application], Awaitable[str]]
+
+
+@pytest.fixture
+async def listen() -> AsyncIterator[Listen]:
+    """Serve applications on ports from the system; returns ``host:port``."""
+    runners: list[web.AppRunner] = []
+
+    async def serve(app: web.Application) -> str:
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    yield serve
+    for runner in runners:
+        await runner.cleanup()
+
+
+@pytest.fixture
+def memory() -> MemoryPlatform:
+    """A platform in memory."""
+    return MemoryPlatform(time.monotonic)
+
+
+class Fleet:
+    """Stand-ins and one instance, with the configuration confirmed."""
+
+    def __init__(self, memory: MemoryPlatform) -> None:
+        self.memory = memory
+        self.engines_by_id: dict[str, Engine] = {}
+        self.plain_by_id: dict[str, PlainService] = {}
+        self.members: list[ListedMember] = []
+        self.instance: Instance
+        self.http: aiohttp.ClientSession
+
+    @property
+    def callers_url(self) -> str:
+        return f"http://{self.instance.addresses_by_listener['callers']}"
+
+    @property
+    def operators_url(self) -> str:
+        return f"http://{self.instance.addresses_by_listener['operators']}"
+
+    async def post(self, path: str, body: Any, **headers: str) -> tuple[int, Any]:
+        headers["Authorization"] = f"Bearer {CALLER}"
+        url = self.callers_url + path
+        async with self.http.post(url, json=body, headers=headers) as response:
+            return response.status, await response.json()
+
+    async def get(self, path: str) -> tuple[int, Any]:
+        headers = {"Authorization": f"Bearer {CALLER}"}
+        async with self.http.get(self.callers_url + path, headers=headers) as response:
+            return response.status, await response.json()
+
+    async def operate(self, path: str, body: Any = None) -> tuple[int, Any]:
+        headers = {"Authorization": f"Bearer {OPERATOR}"}
+        method = "GET" if body is None else "POST"
+        async with self.http.request(
+            method, self.operators_url + path, json=body, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def confirm(self, declaration: str) -> int:
+        files = {"files": {"all.toml": declaration}}
+        _, answer = await self.operate("/intents", files)
+        body = files | {"digest": answer["plan"]["digest"]}
+        _, answer = await self.operate("/intents/confirm", body)
+        return answer["version"]
+
+
+async def until(holds: Callable[[], Any], seconds: float = 10.0) -> None:
+    """Wait until ``holds()`` is true; fail after ``seconds``."""
+    async with asyncio.timeout(seconds):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def fleet(memory: MemoryPlatform, listen: Listen) -> AsyncIterator[Fleet]:
+    """Two engines and two plain services before one instance, ready to serve."""
+    fleet = Fleet(memory)
+    for name in ("runner-1", "runner-2"):
+        engine = Engine(EngineCosts(step_s=0.001, sequence_s=0.0001))
+        fleet.engines_by_id[name] = engine
+        address = await listen(engine_standin.make_app(engine))
+        fleet.members.append(
+            ListedMember(name, "target", address, "oviedo", service="chat")
+        )
+    for service in ("billing", "lookup"):
+        plain = PlainService()
+        fleet.plain_by_id[service] = plain
+        address = await listen(plain_standin.make_app(plain))
+        fleet.members.append(
+            ListedMember(service, "target", address, "oviedo", service=service)
+        )
+    memory.set_members(fleet.members)
+    platform_address = await listen(platform_standin.make_app(memory))
+    fleet.instance = Instance(
+        Settings(
+            "entry-1",
+            "oviedo",
+            f"http://{platform_address}",
+            first_operator_sha256=token_digest(OPERATOR),
+            lease_s=5.0,
+            balancer_s=0.01,
+            drain_s=5.0,
+        )
+    )
+    await fleet.instance.start()
+    async with aiohttp.ClientSession() as fleet.http:
+        await until(lambda: not fleet.instance.not_ready_because())
+        await fleet.confirm(DECLARATION)
+        await until(lambda: fleet.instance.configuration.current.version == 1)
+        yield fleet
+    await fleet.instance.stop()
