Fix the interfaces between tasks and between instances in code

Cause: the dispatcher held claims, streams and headroom in one class, and nothing said what instances tell each other. Now the dispatcher claims and commits, BatchStreams runs items within the headroom, and the peer messages and the view of the members are records of their own.

--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -1,8 +1,11 @@
 """The messages between the tasks of one instance."""
 
+from typing import Any
+
 from caperridge.config.model import Configuration
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
+from caperridge.targets.outcomes import AttemptError
 
 
 class ConfigurationApplied(Record):
@@ -40,3 +43,13 @@
     def __init__(self, target: str, in_flight: int) -> None:
         self.target = target
         self.in_flight = in_flight
+
+
+class ItemEnded(Record):
+    """A batch item ended; ``error`` is None if its answer is whole."""
+
+    __slots__ = ("error", "work")
+
+    def __init__(self, work: Any, error: AttemptError | None) -> None:
+        self.work = work
+        self.error = error
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -79,6 +79,8 @@
     ) -> None:
         self.book = book
         self.in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._engines = engines
         self._traces = traces
         self._metrics = metrics
@@ -86,6 +88,10 @@
         self._load_changed = load_changed
         self._cancels: set[asyncio.Task[None]] = set()
 
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        await self._idle.wait()
+
     def admit(
         self,
         configuration: Configuration,
@@ -128,6 +134,7 @@
         first_at = last_at = 0.0
         tokens = 0
         self.in_flight += 1
+        self._idle.clear()
         try:
             async with aclosing(self._attempts(request)) as batches:
                 async for events in batches:
@@ -153,6 +160,8 @@
             raise
         finally:
             self.in_flight -= 1
+            if not self.in_flight:
+                self._idle.set()
 
     async def _attempts(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
         excluded: set[str] = set()
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -1,18 +1,26 @@
 """One instance: its tasks, its listeners, and how they are wired together."""
 
 import asyncio
+import contextlib
 import time
 from typing import Any
 
 from aiohttp import web
 
 from caperridge import __version__
+from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.members import MembersReader
-from caperridge.instance.messages import ConfigurationApplied, MembersListed
+from caperridge.instance.messages import (
+    ConfigurationApplied,
+    ItemEnded,
+    MembersListed,
+    OnlineLoad,
+)
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.operators_http import OperatorsHttp
@@ -20,6 +28,8 @@
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
+from caperridge.peers.interface import NoPeers, Peers
+from caperridge.peers.messages import OnlineNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.settings import Address, Settings
@@ -56,22 +66,27 @@
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
+        self.membership = Membership(settings.instance_id, settings.availability_zone)
+        self.peers: Peers = NoPeers()
+        self._sequence = 0
         self.dispatcher = BatchDispatcher(
-            settings.instance_id,
-            settings.availability_zone,
-            self.platform,
-            self.session,
+            self.platform, self.session, self.metrics, clock
+        )
+        self.streams = BatchStreams(
+            self.membership,
             self._engines,
             self.metrics,
             clock,
+            lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
+        self.dispatcher.streams = self.streams
         self.online = OnlineFront(
             book,
             self._engines,
             self.traces,
             self.metrics,
             clock,
-            self.dispatcher.tell,
+            self._online_load,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
@@ -86,11 +101,28 @@
 
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
-        self.dispatcher.tell(message)
+        self.streams.configuration = message.configuration
 
     def _listed(self, message: MembersListed) -> None:
+        self.membership.apply_list(message.members)
         self.online.book.apply_list(message.members)
-        self.dispatcher.tell(message)
+        self.streams.book.apply_list(message.members)
+
+    def _online_load(self, load: OnlineLoad) -> None:
+        """Tell the dispatcher of the target, here or at a peer."""
+        state = self.online.book.states_by_id.get(load.target)
+        if state is None:
+            return
+        own_id = self.settings.instance_id
+        zone = state.member.availability_zone
+        owner = self.membership.owner(load.target, zone)
+        if owner == own_id:
+            self.streams.online_changed(load.target, own_id, load.in_flight)
+            return
+        if owner is not None:
+            self._sequence += 1
+            news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
+            self.peers.send(owner, news)
 
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
@@ -151,9 +183,9 @@
         self.dispatcher.draining = True
         log.info("stopping: not ready", instance=self.settings.instance_id)
         await asyncio.sleep(self.settings.balancer_s)
-        deadline = time.monotonic() + self.settings.drain_s
-        while self.online.in_flight and time.monotonic() < deadline:
-            await asyncio.sleep(0.05)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.drain_s):
+                await self.online.wait_idle()
         await self.session.close()
 
     async def stop(self) -> None:
--- /dev/null
+++ b/src/caperridge/peers/messages.py
@@ -0,0 +1,235 @@
+"""The messages between instances.
+
+Each is a record, sent as a msgpack map with its kind under ``is``. A field that a
+release adds has a default, and a kind that a release does not know is skipped, so
+that two releases run side by side.
+"""
+
+from typing import Any
+
+from caperridge.records import Record
+
+PROTOCOL = 1
+
+
+class Hello(Record):
+    """Opens a stream in each direction; see :mod:`caperridge.peers` for the proof."""
+
+    __slots__ = (
+        "availability_zone",
+        "incarnation",
+        "instance",
+        "nonce",
+        "proof",
+        "protocol",
+        "release",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        availability_zone: str,
+        incarnation: int,
+        nonce: bytes = b"",
+        proof: bytes = b"",
+        protocol: int = PROTOCOL,
+        release: str = "",
+    ) -> None:
+        self.instance = instance
+        self.availability_zone = availability_zone
+        self.incarnation = incarnation
+        self.nonce = nonce
+        self.proof = proof
+        self.protocol = protocol
+        self.release = release
+
+
+class Heartbeat(Record):
+    """The sender lives; what it says of others is ``rumours``.
+
+    Attributes:
+        instance: the sender.
+        incarnation: raised with each start of an instance of that id.
+        sequence: raised with each heartbeat.
+        configuration_version: in force at the sender.
+        leaving: the sender is stopping as planned.
+        rumours: ``[instance, incarnation, state, sequence]`` of others.
+    """
+
+    __slots__ = (
+        "configuration_version",
+        "incarnation",
+        "instance",
+        "leaving",
+        "rumours",
+        "sequence",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        sequence: int,
+        configuration_version: int = 0,
+        leaving: bool = False,
+        rumours: list[list[Any]] | None = None,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.configuration_version = configuration_version
+        self.leaving = leaving
+        self.rumours = rumours or []
+
+
+class OnlineNews(Record):
+    """How many online requests the sender has in flight at a target now.
+
+    ``sequence`` rises with each news of the sender; an older one is ignored.
+    """
+
+    __slots__ = ("in_flight", "instance", "sequence", "target")
+
+    def __init__(
+        self, instance: str, target: str, in_flight: int, sequence: int
+    ) -> None:
+        self.instance = instance
+        self.target = target
+        self.in_flight = in_flight
+        self.sequence = sequence
+
+
+class LatencyNews(Record):
+    """What the sender's online callers saw at a target, for the batch dispatcher."""
+
+    __slots__ = ("between_tokens_s", "first_token_s", "instance", "target")
+
+    def __init__(
+        self,
+        instance: str,
+        target: str,
+        first_token_s: float,
+        between_tokens_s: float,
+    ) -> None:
+        self.instance = instance
+        self.target = target
+        self.first_token_s = first_token_s
+        self.between_tokens_s = between_tokens_s
+
+
+class JobNews(Record):
+    """A job was accepted, cancelled or ended; ``state`` as in its row."""
+
+    __slots__ = ("job", "state")
+
+    def __init__(self, job: str, state: str) -> None:
+        self.job = job
+        self.state = state
+
+
+class TargetNews(Record):
+    """A target said that it is leaving, or failed at the sender."""
+
+    __slots__ = ("incarnation", "leaving", "target")
+
+    def __init__(self, target: str, incarnation: int, leaving: bool) -> None:
+        self.target = target
+        self.incarnation = incarnation
+        self.leaving = leaving
+
+
+class ConfigurationNews(Record):
+    """A version of the configuration, as a delta or whole.
+
+    Attributes:
+        version: which it leads to.
+        base_version: what the delta applies to; 0 for a whole one.
+        data: msgpack of the delta or of the whole; empty to say only that it exists.
+    """
+
+    __slots__ = ("base_version", "data", "version")
+
+    def __init__(self, version: int, base_version: int = 0, data: bytes = b"") -> None:
+        self.version = version
+        self.base_version = base_version
+        self.data = data
+
+
+class ConfigurationAsk(Record):
+    """Asks for the configuration above ``version``."""
+
+    __slots__ = ("version",)
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+
+
+class RelayCall(Record):
+    """Asks a peer to call the platform for an instance that is cut off from it.
+
+    Attributes:
+        number: matches the answer.
+        method: of :class:`~caperridge.platform.interface.Platform`.
+        arguments: as the platform's wire form has them.
+        deadline_s: longest wait.
+    """
+
+    __slots__ = ("arguments", "deadline_s", "method", "number")
+
+    def __init__(
+        self, number: int, method: str, arguments: dict[str, Any], deadline_s: float
+    ) -> None:
+        self.number = number
+        self.method = method
+        self.arguments = arguments
+        self.deadline_s = deadline_s
+
+
+class RelayAnswer(Record):
+    """Answers a :class:`RelayCall`; ``outcome`` is ``ok`` or the error's class."""
+
+    __slots__ = ("number", "outcome", "value")
+
+    def __init__(self, number: int, outcome: str, value: Any = None) -> None:
+        self.number = number
+        self.outcome = outcome
+        self.value = value
+
+
+class TraceAsk(Record):
+    """Asks for the trace of a request, for ``explain`` at another instance."""
+
+    __slots__ = ("number", "request")
+
+    def __init__(self, number: int, request: str) -> None:
+        self.number = number
+        self.request = request
+
+
+class TraceAnswer(Record):
+    """Answers a :class:`TraceAsk`; ``trace`` is None if there is none."""
+
+    __slots__ = ("number", "trace")
+
+    def __init__(self, number: int, trace: dict[str, Any] | None) -> None:
+        self.number = number
+        self.trace = trace
+
+
+KINDS_BY_NAME: dict[str, type[Record]] = {
+    kind.__name__: kind
+    for kind in (
+        Hello,
+        Heartbeat,
+        OnlineNews,
+        LatencyNews,
+        JobNews,
+        TargetNews,
+        ConfigurationNews,
+        ConfigurationAsk,
+        RelayCall,
+        RelayAnswer,
+        TraceAsk,
+        TraceAnswer,
+    )
+}
