--- a/src/caperridge/instance/callers_http.py
+++ b/src/caperridge/instance/callers_http.py
@@ -1,42 +1,22 @@
 """The HTTP listener for callers, in the shape of the OpenAI API."""
 
-import time
-from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
-import orjson
-import xxhash
 from aiohttp import web
-from result import Err
 
-from caperridge import keys
-from caperridge.commands.accept_file import BadFile, StoredFile, accept_file
-from caperridge.commands.accept_job import OtherBody, accept_job, new_job_id
-from caperridge.commands.cancel_job import cancel_job
-from caperridge.config.model import Caller
-from caperridge.decisions.chunks import chunk_size
-from caperridge.decisions.jobs import CANCELLED, COMPLETED, OPEN, Job
-from caperridge.instance.messages import JobsChanged
-from caperridge.instance.online import OnlineRequest, whole_answer
-from caperridge.platform.interface import Conflict, NotDone
-from caperridge.queries.jobs import read_file, read_job, read_progress, stream_results
-from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
-from caperridge.targets.events import DONE_EVENT
+from caperridge.instance.completions_http import CompletionsHttp
+from caperridge.instance.http_common import answer_refusals
+from caperridge.instance.jobs_http import JobsHttp
+from caperridge.instance.plain_http import PlainHttp
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
 
 MOST_BODY_BYTES = 8 * 2**20
-COMPLETION_WINDOWS_S = {"24h": 86400.0, "12h": 43200.0, "1h": 3600.0}
-ASSUMED_ITEM_S = 1.0
-ASSUMED_AT_ONCE = 8
-OUTPUT = "-output"
-ERRORS = "-errors"
-_STATES = {OPEN: "in_progress", COMPLETED: "completed", CANCELLED: "cancelled"}
 
 
 class CallersHttp:
-    """Handlers of the callers' listener of one instance."""
+    """Assembles the callers' listener of one instance."""
 
     def __init__(self, instance: "Instance") -> None:
         self._instance = instance
@@ -46,80 +26,15 @@
         app = web.Application(
             client_max_size=MOST_BODY_BYTES, middlewares=[answer_refusals]
         )
-        router = app.router
-        router.add_post("/v1/chat/completions", self.complete)
-        router.add_post("/v1/completions", self.complete)
-        router.add_get("/v1/models", self.models)
-        router.add_post("/v1/files", self.upload)
-        router.add_get("/v1/files/{id}", self.file)
-        router.add_get("/v1/files/{id}/content", self.content)
-        router.add_post("/v1/batches", self.create_batch)
-        router.add_get("/v1/batches/{id}", self.batch)
-        router.add_post("/v1/batches/{id}/cancel", self.cancel_batch)
-        router.add_route("*", "/services/{name}/{path:.*}", self.plain)
+        app.router.add_get("/v1/models", self.models)
+        CompletionsHttp(self._instance).add_routes(app.router)
+        JobsHttp(self._instance).add_routes(app.router)
+        PlainHttp(self._instance).add_routes(app.router)
         return app
 
-    def _caller(self, request: web.Request) -> Caller:
-        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-        caller = None
-        if scheme.lower() == "bearer":
-            digest = keys.token_digest(token.strip())
-            caller = self._instance.configuration.caller(digest)
-        if caller is None:
-            raise RefusedError(Refusal("unauthorized", "no caller has this token", 401))
-        return caller
-
-    async def complete(self, request: web.Request) -> web.StreamResponse:
-        """Answer a completion, streamed or whole."""
-        caller = self._caller(request)
-        body = _json(await request.read())
-        online = self._instance.online.admit(
-            self._instance.configuration.current, caller, request.path, body
-        )
-        if body.get("stream"):
-            return await self._stream(request, online)
-        events: list[bytes] = []
-        async with aclosing(self._instance.online.events(online)) as batches:
-            async for batch in batches:
-                events.extend(batch)
-        return web.Response(
-            body=orjson.dumps(whole_answer(online, events)),
-            content_type="application/json",
-            headers={"X-Request-Id": online.id},
-        )
-
-    async def _stream(
-        self, request: web.Request, online: OnlineRequest
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-                "X-Request-Id": online.id,
-            }
-        )
-        try:
-            async with aclosing(self._instance.online.events(online)) as batches:
-                async for batch in batches:
-                    if not response.prepared:
-                        await response.prepare(request)
-                    await response.write(b"".join(batch))
-        except RefusedError as refused:
-            if not response.prepared:
-                raise
-            # The status is out already: say it in the stream, and end the stream
-            # without its closing mark, so that it cannot pass for whole.
-            body = orjson.dumps(refused.refusal.body())
-            await response.write(b"data: " + body + b"\n\n")
-            if request.transport is not None:
-                request.transport.close()
-            return response
-        await response.write(DONE_EVENT)
-        return response
-
     async def models(self, request: web.Request) -> web.Response:
         """List the models that the caller may use."""
-        caller = self._caller(request)
+        caller = self._instance.caller(request)
         data: list[dict[str, Any]] = []
         services = self._instance.configuration.current.services_by_name.values()
         for service in services:
@@ -135,273 +50,3 @@
                     }
                 )
         return web.json_response({"object": "list", "data": data})
-
-    async def upload(self, request: web.Request) -> web.Response:
-        """Store a file of items, read as it arrives."""
-        caller = self._caller(request)
-        if not request.content_type.startswith("multipart/"):
-            raise _bad("the file must come as multipart/form-data")
-        reader = await request.multipart()
-        while (part := await reader.next()) is not None:
-            if part.name != "file":
-                continue
-            name = part.filename or "file"
-            stored = await accept_file(
-                self._instance.platform, caller.name, _blocks(part), name
-            )
-            if isinstance(stored, Err):
-                raise _platform_refusal(stored.err_value, "the file")
-            return web.json_response(_file_body(stored.ok_value))
-        raise _bad("there is no part named file")
-
-    async def file(self, request: web.Request) -> web.Response:
-        """Describe an uploaded file."""
-        file = await self._file(self._caller(request), request.match_info["id"])
-        return web.json_response(_file_body(file))
-
-    async def content(self, request: web.Request) -> web.StreamResponse:
-        """Stream a job's results or errors, or an uploaded file."""
-        caller = self._caller(request)
-        file_id = request.match_info["id"]
-        response = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
-        if not file_id.startswith("batch_"):
-            return await self._uploaded(request, response, caller, file_id)
-        failed = file_id.endswith(ERRORS)
-        job_id = file_id.removesuffix(ERRORS).removesuffix(OUTPUT)
-        job = await self._job(caller, job_id)
-        platform = self._instance.platform
-        async with aclosing(stream_results(platform, job, failed)) as pieces:
-            async for piece in pieces:
-                if isinstance(piece, Err):
-                    if not response.prepared:
-                        raise _platform_refusal(piece.err_value, "the results")
-                    _abort(request)
-                    return response
-                if not response.prepared:
-                    await response.prepare(request)
-                await response.write(piece.ok_value)
-        if not response.prepared:
-            await response.prepare(request)
-        return response
-
-    async def _uploaded(
-        self,
-        request: web.Request,
-        response: web.StreamResponse,
-        caller: Caller,
-        file_id: str,
-    ) -> web.StreamResponse:
-        file = await self._file(caller, file_id)
-        for part in range(len(file.parts)):
-            name = keys.file_part(file.id, part)
-            data = await self._instance.platform.get_object(name)
-            if isinstance(data, Err):
-                if not response.prepared:
-                    raise _platform_refusal(data.err_value, "the file")
-                _abort(request)
-                return response
-            if not response.prepared:
-                await response.prepare(request)
-            await response.write(data.ok_value or b"")
-        return response
-
-    async def create_batch(self, request: web.Request) -> web.Response:
-        """Accept a job; acknowledged only once it is durable."""
-        caller = self._caller(request)
-        raw = await request.read()
-        body = _json(raw)
-        if not isinstance(body, dict):
-            raise _bad("the body must be an object")
-        file = await self._file(caller, str(body.get("input_file_id", "")))
-        window = COMPLETION_WINDOWS_S.get(str(body.get("completion_window", "24h")))
-        if window is None:
-            raise _bad(f"completion_window must be one of {[*COMPLETION_WINDOWS_S]}")
-        service = await self._service_of(caller, file)
-        now = time.time()
-        job = Job(
-            new_job_id(),
-            caller.name,
-            service,
-            str(body.get("endpoint", "/v1/chat/completions")),
-            file.id,
-            file.items,
-            chunk_size(ASSUMED_ITEM_S, ASSUMED_AT_ONCE),
-            due=now + window,
-            created=now,
-            body_digest=xxhash.xxh3_128_hexdigest(
-                orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
-            ),
-            metadata=body.get("metadata"),
-        )
-        key = request.headers.get("Idempotency-Key", "")
-        accepted = await accept_job(self._instance.platform, job, key)
-        if isinstance(accepted, Err):
-            error = accepted.err_value
-            if isinstance(error, OtherBody):
-                text = f"this idempotency key names {error.job} with another body"
-                raise RefusedError(Refusal("key_reused", text, 409))
-            raise _platform_refusal(error, "the job")
-        self._instance.dispatcher.tell(JobsChanged())
-        return await self._batch_response(accepted.ok_value)
-
-    async def _service_of(self, caller: Caller, file: StoredFile) -> str:
-        platform = self._instance.platform
-        data = await platform.get_object(keys.file_part(file.id, 0))
-        if isinstance(data, Err):
-            raise _platform_refusal(data.err_value, "the job")
-        item = orjson.loads((data.ok_value or b"").split(b"\n", 1)[0])
-        model = str(item["body"].get("model", ""))
-        service = self._instance.configuration.current.service_for_model(model)
-        if service is None or not caller.may_use(service.name):
-            text = f"there is no model {model!r} for this caller"
-            raise RefusedError(Refusal("model_not_found", text, 404))
-        return service.name
-
-    async def batch(self, request: web.Request) -> web.Response:
-        """Describe a job and its progress."""
-        job = await self._job(self._caller(request), request.match_info["id"])
-        return await self._batch_response(job)
-
-    async def cancel_batch(self, request: web.Request) -> web.Response:
-        """Cancel a job."""
-        caller = self._caller(request)
-        job = await self._job(caller, request.match_info["id"])
-        outcome = await cancel_job(self._instance.platform, job.id, time.time())
-        if isinstance(outcome, Err) and not isinstance(outcome.err_value, Conflict):
-            raise _platform_refusal(outcome.err_value, "the cancel")
-        self._instance.dispatcher.tell(JobsChanged(cancelled=job.id))
-        return await self._batch_response(await self._job(caller, job.id))
-
-    async def plain(self, request: web.Request) -> web.StreamResponse:
-        """Pass a call to a plain service."""
-        caller = self._caller(request)
-        name = request.match_info["name"]
-        service = self._instance.configuration.current.services_by_name.get(name)
-        if service is None or service.kind != "plain" or not caller.may_use(name):
-            text = f"there is no service {name!r} for this caller"
-            raise RefusedError(Refusal("service_not_found", text, 404))
-        path = "/" + request.rel_url.raw_path.split("/", 3)[3]
-        if request.rel_url.raw_query_string:
-            path += "?" + request.rel_url.raw_query_string
-        request_id, answer = await self._instance.plain.call(
-            caller,
-            service,
-            request.method,
-            path,
-            await request.read(),
-            request.headers.get("Content-Type", "application/octet-stream"),
-        )
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={"Content-Type": answer.content_type, "X-Request-Id": request_id},
-        )
-
-    async def _file(self, caller: Caller, file_id: str) -> StoredFile:
-        file = await read_file(self._instance.platform, _plain_id(file_id))
-        if isinstance(file, Err):
-            raise _platform_refusal(file.err_value, "the file")
-        if file.ok_value is None or file.ok_value.caller != caller.name:
-            raise RefusedError(Refusal("file_not_found", "there is no such file", 404))
-        return file.ok_value
-
-    async def _job(self, caller: Caller, job_id: str) -> Job:
-        job = await read_job(self._instance.platform, _plain_id(job_id))
-        if isinstance(job, Err):
-            raise _platform_refusal(job.err_value, "the job")
-        if job.ok_value is None or job.ok_value.caller != caller.name:
-            raise RefusedError(Refusal("job_not_found", "there is no such job", 404))
-        return job.ok_value
-
-    async def _batch_response(self, job: Job) -> web.Response:
-        progress = await read_progress(self._instance.platform, job)
-        if isinstance(progress, Err):
-            raise _platform_refusal(progress.err_value, "the progress")
-        done = progress.ok_value
-        body = {
-            "id": job.id,
-            "object": "batch",
-            "endpoint": job.endpoint,
-            "input_file_id": job.file,
-            "completion_window": f"{round((job.due - job.created) / 3600)}h",
-            "status": _STATES[job.state],
-            "output_file_id": job.id + OUTPUT,
-            "error_file_id": job.id + ERRORS,
-            "created_at": int(job.created),
-            "expires_at": int(job.due),
-            "completed_at": int(job.ended) if job.state == COMPLETED else None,
-            "cancelled_at": int(job.ended) if job.state == CANCELLED else None,
-            "request_counts": {
-                "total": job.items,
-                "completed": done.completed,
-                "failed": done.failed,
-            },
-            "metadata": job.metadata,
-        }
-        return web.json_response(body)
-
-
-@web.middleware
-async def answer_refusals(request: web.Request, handler: Any) -> web.StreamResponse:
-    """Turn a :class:`RefusedError` into its HTTP answer."""
-    try:
-        return await handler(request)
-    except RefusedError as refused:
-        return refused.refusal.response()
-    except web.HTTPRequestEntityTooLarge:
-        text = f"the body is larger than {MOST_BODY_BYTES} bytes"
-        return Refusal("too_large", text, 413).response()
-    except web.HTTPNotFound:
-        return Refusal("not_found", "there is no such path", 404).response()
-    except web.HTTPMethodNotAllowed:
-        return Refusal("method_not_allowed", "not with this method", 405).response()
-
-
-def _json(data: bytes) -> Any:
-    try:
-        return orjson.loads(data)
-    except orjson.JSONDecodeError as error:
-        raise _bad(f"the body is not JSON: {error}") from error
-
-
-def _bad(reason: str) -> RefusedError:
-    return RefusedError(Refusal("bad_request", reason, 400))
-
-
-def _plain_id(text: str) -> str:
-    return text if text.replace("_", "").replace("-", "").isalnum() else "-"
-
-
-def _platform_refusal(error: Any, what: str) -> RefusedError:
-    if isinstance(error, BadFile):
-        text = f"{len(error.findings)} lines are wrong"
-        return RefusedError(Refusal("bad_file", text, 400, findings=error.findings))
-    if isinstance(error, NotDone):
-        text = f"{what} cannot be handled now: {error.reason}"
-        retry = max(1.0, error.retry_after_s)
-        return RefusedError(Refusal("platform_away", text, 503, NOT_RUN, retry))
-    text = f"it is not known what became of {what}; ask again with the same key"
-    return RefusedError(Refusal("platform_unknown", text, 503, UNKNOWN, 2.0))
-
-
-def _file_body(file: StoredFile) -> dict[str, Any]:
-    return {
-        "id": file.id,
-        "object": "file",
-        "bytes": file.bytes,
-        "created_at": 0,
-        "filename": f"{file.id}.jsonl",
-        "purpose": "batch",
-        "status": "processed",
-        "items": file.items,
-    }
-
-
-async def _blocks(part: Any) -> Any:
-    while block := await part.read_chunk(65536):
-        yield bytes(block)
-
-
-def _abort(request: web.Request) -> None:
-    if request.transport is not None:
-        request.transport.abort()
--- /dev/null
+++ b/src/caperridge/instance/http_common.py
@@ -0,0 +1,80 @@
+"""What the HTTP listeners share: tokens, JSON bodies, refusals as answers."""
+
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from caperridge import keys
+from caperridge.commands.accept_file import BadFile
+from caperridge.platform.interface import NotDone
+from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
+
+
+def bearer_digest(request: web.Request) -> str:
+    """Return the digest of the request's bearer token; empty if it has none."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return ""
+    return keys.token_digest(token.strip())
+
+
+@web.middleware
+async def answer_refusals(request: web.Request, handler: Any) -> web.StreamResponse:
+    """Turn a :class:`RefusedError` into its HTTP answer."""
+    try:
+        return await handler(request)
+    except RefusedError as refused:
+        return refused.refusal.response()
+    except web.HTTPRequestEntityTooLarge:
+        return Refusal("too_large", "the body is too large", 413).response()
+    except web.HTTPNotFound:
+        return Refusal("not_found", "there is no such path", 404).response()
+    except web.HTTPMethodNotAllowed:
+        return Refusal("method_not_allowed", "not with this method", 405).response()
+
+
+def json_of(data: bytes) -> Any:
+    """Return the value of a JSON body, or refuse it."""
+    try:
+        return orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise bad_request(f"the body is not JSON: {error}") from error
+
+
+def bad_request(reason: str) -> RefusedError:
+    """Return the refusal of an input that is wrong."""
+    return RefusedError(Refusal("bad_request", reason, 400))
+
+
+def plain_id(text: str) -> str:
+    """Return ``text`` if it can be an id of ours, else one that none has."""
+    return text if text.replace("_", "").replace("-", "").isalnum() else "-"
+
+
+def platform_refusal(error: Any, what: str) -> RefusedError:
+    """Return the refusal that a failed call to the platform leads to."""
+    if isinstance(error, BadFile):
+        text = f"{len(error.findings)} lines are wrong"
+        return RefusedError(Refusal("bad_file", text, 400, findings=error.findings))
+    if isinstance(error, NotDone):
+        text = f"{what} cannot be handled now: {error.reason}"
+        retry = max(1.0, error.retry_after_s)
+        return RefusedError(Refusal("platform_away", text, 503, NOT_RUN, retry))
+    text = f"it is not known what became of {what}; ask again with the same key"
+    return RefusedError(Refusal("platform_unknown", text, 503, UNKNOWN, 2.0))
+
+
+def abort(request: web.Request) -> None:
+    """Drop the connection, so that an answer cannot pass for whole."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def json_response(value: Any, status: int = 200) -> web.Response:
+    """Return ``value`` as a JSON answer."""
+    return web.Response(
+        body=orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS, default=str),
+        status=status,
+        content_type="application/json",
+    )
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -8,12 +8,14 @@
 from aiohttp import web
 
 from caperridge import __version__
+from caperridge.config.model import Caller
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
+from caperridge.instance.http_common import bearer_digest
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
@@ -32,11 +34,13 @@
 from caperridge.peers.messages import OnlineNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
+from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
 from caperridge.targets.plain import PlainClient
 
 log = logger(__name__)
+FIRST_OPERATOR = "first-operator"
 
 
 class Instance:
@@ -124,6 +128,32 @@
             news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
             self.peers.send(owner, news)
 
+    def caller(self, request: web.Request) -> Caller:
+        """Return the caller whose token the request carries.
+
+        Raises:
+            RefusedError: no caller has it.
+        """
+        caller = self.configuration.caller(bearer_digest(request))
+        if caller is None:
+            raise RefusedError(Refusal("unauthorized", "no caller has this token", 401))
+        return caller
+
+    def operator(self, request: web.Request) -> str:
+        """Return the name of the operator whose token the request carries.
+
+        Raises:
+            RefusedError: no operator has it.
+        """
+        digest = bearer_digest(request)
+        operator = self.configuration.operator(digest)
+        if operator is not None:
+            return operator.name
+        declared = self.configuration.current.operators_by_name
+        if digest and not declared and digest == self.settings.first_operator_sha256:
+            return FIRST_OPERATOR
+        raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
+
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
