--- /dev/null
+++ b/src/caperridge/decisions/affinity.py
@@ -0,0 +1,105 @@
+"""Which prompt prefixes a target probably has cached.
+
+Each prompt is cut into blocks whose hashes are chained, so that a hash names a whole
+prefix. The history notes what was sent where and is corrected by the cache events of
+the engines, which come late and with gaps: an event only ever adds.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+BLOCK_TOKENS = 16
+CHARACTERS_A_TOKEN = 4
+MOST_BLOCKS_A_PROMPT = 64
+MOST_BLOCKS = 20_000
+MOST_HOLDERS = 4
+
+_BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_A_TOKEN
+
+
+def prefix_blocks(prompt: str) -> list[int]:
+    """Return the chained hash of each leading block of ``prompt``.
+
+    The engines publish the same hashes in their cache events. Blocks beyond the
+    first :data:`MOST_BLOCKS_A_PROMPT` add little to a choice and are left out.
+
+    >>> one, two = prefix_blocks("a" * 128), prefix_blocks("a" * 64 + "b" * 64)
+    >>> one[0] == two[0], one[1] == two[1]
+    (True, False)
+    """
+    hashes: list[int] = []
+    seed = 0
+    last_start = min(
+        len(prompt) - _BLOCK_CHARACTERS,
+        (MOST_BLOCKS_A_PROMPT - 1) * _BLOCK_CHARACTERS,
+    )
+    for start in range(0, last_start + 1, _BLOCK_CHARACTERS):
+        block = prompt[start : start + _BLOCK_CHARACTERS].encode()
+        seed = xxhash.xxh64_intdigest(block, seed)
+        hashes.append(seed)
+    return hashes
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Return about how many tokens ``prompt`` has."""
+    return len(prompt) // CHARACTERS_A_TOKEN + 1
+
+
+class PrefixHistory:
+    """The targets that hold each prefix, the least recently used going first.
+
+    Args:
+        most_blocks: prefixes remembered; about 250 bytes each.
+    """
+
+    def __init__(self, most_blocks: int = MOST_BLOCKS) -> None:
+        self._most_blocks = most_blocks
+        self._holders_by_block: OrderedDict[int, list[str]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._holders_by_block)
+
+    def note(self, target: str, blocks: Iterable[int]) -> None:
+        """Note that ``target`` got, or said that it cached, these prefixes."""
+        for block in blocks:
+            holders = self._holders_by_block.get(block)
+            if holders is None:
+                holders = self._holders_by_block[block] = []
+            self._holders_by_block.move_to_end(block)
+            if target in holders:
+                holders.remove(target)
+            holders.append(target)
+            if len(holders) > MOST_HOLDERS:
+                del holders[0]
+        while len(self._holders_by_block) > self._most_blocks:
+            self._holders_by_block.popitem(last=False)
+
+    def forget(self, target: str) -> None:
+        """Forget a target whose cache is gone with it."""
+        for block, holders in list(self._holders_by_block.items()):
+            if target not in holders:
+                continue
+            holders.remove(target)
+            if not holders:
+                del self._holders_by_block[block]
+
+    def tokens_by_target(self, blocks: Sequence[int]) -> dict[str, int]:
+        """Return how many leading tokens each target probably has cached.
+
+        A target that misses a block holds nothing behind it, whatever it says.
+        """
+        tokens: dict[str, int] = {}
+        for number, block in enumerate(blocks):
+            holders = self._holders_by_block.get(block)
+            if holders is None:
+                break
+            found = False
+            for target in holders:
+                if tokens.get(target, 0) == number * BLOCK_TOKENS:
+                    tokens[target] = (number + 1) * BLOCK_TOKENS
+                    found = True
+            if not found:
+                break
+        return tokens
--- /dev/null
+++ b/src/caperridge/decisions/ejection.py
@@ -0,0 +1,108 @@
+"""Ejecting targets that fail, for a while, and never too many of a service.
+
+Failures of one target in a row weigh by how telling they are. Enough of them eject
+the target; the time out doubles with each ejection. A returned target is on
+probation: its next failure ejects it again.
+"""
+
+from functools import singledispatch
+
+from caperridge.records import Record
+from caperridge.targets.outcomes import (
+    AttemptError,
+    Lost,
+    NotSent,
+    TargetRefused,
+    WrongAnswer,
+)
+
+STRIKES_TO_EJECT = 3
+FIRST_OUT_S = 1.0
+LONGEST_OUT_S = 30.0
+MOST_OUT_SHARE = 0.5
+
+
+@singledispatch
+def strikes_of(error: AttemptError) -> int:
+    """Return how much a failed attempt says against its target."""
+    raise NotImplementedError(type(error).__name__)
+
+
+@strikes_of.register
+def _(error: NotSent) -> int:
+    return STRIKES_TO_EJECT  # nobody listens: the next one would find nobody either
+
+
+@strikes_of.register
+def _(error: Lost) -> int:
+    return 2
+
+
+@strikes_of.register
+def _(error: WrongAnswer) -> int:
+    return STRIKES_TO_EJECT
+
+
+@strikes_of.register
+def _(error: TargetRefused) -> int:
+    if error.leaving or error.status == 429 or error.status < 500:
+        return 0
+    return 1
+
+
+class Health(Record):
+    """What speaks against one target.
+
+    Attributes:
+        strikes: failures since its last success, weighed.
+        ejections: ejections since it last recovered for good.
+        out_until: when it may come back; 0 if it is not ejected.
+        returned_at: when it last came back; 0 if it never was out.
+    """
+
+    __slots__ = ("ejections", "out_until", "returned_at", "strikes")
+
+    def __init__(
+        self,
+        strikes: int = 0,
+        ejections: int = 0,
+        out_until: float = 0.0,
+        returned_at: float = 0.0,
+    ) -> None:
+        self.strikes = strikes
+        self.ejections = ejections
+        self.out_until = out_until
+        self.returned_at = returned_at
+
+    def is_out(self, now: float) -> bool:
+        """Return whether the target is ejected at ``now``."""
+        return self.out_until > now
+
+    def succeeded(self, now: float) -> None:
+        """Note a whole answer; it ends a probation."""
+        self.strikes = 0
+        if not self.is_out(now):
+            self.ejections = 0
+
+    def failed(self, error: AttemptError) -> bool:
+        """Note a failure; return whether the target should be ejected."""
+        self.strikes += strikes_of(error)
+        return self.strikes >= STRIKES_TO_EJECT
+
+    def eject(self, now: float) -> float:
+        """Eject the target; return for how long."""
+        out_s = min(LONGEST_OUT_S, FIRST_OUT_S * 2**self.ejections)
+        self.ejections = min(self.ejections + 1, 10)
+        self.out_until = now + out_s
+        self.returned_at = self.out_until
+        self.strikes = STRIKES_TO_EJECT - 1
+        return out_s
+
+
+def may_eject(usable: int, out: int) -> bool:
+    """Return whether one more of ``usable`` targets may go, ``out`` being out.
+
+    >>> may_eject(1, 0), may_eject(2, 0), may_eject(2, 1), may_eject(6, 2)
+    (False, True, False, True)
+    """
+    return out + 1 <= usable * MOST_OUT_SHARE
--- /dev/null
+++ b/src/caperridge/decisions/limits.py
@@ -0,0 +1,174 @@
+"""Per-caller limits: requests a second, tokens a second, requests at once.
+
+A limit is declared for the whole installation. Each instance enforces its share,
+the limit divided by the live instances; see ``docs/design/online.md`` for what was
+weighed. Buckets of callers that have been idle long enough to be full are dropped.
+"""
+
+import math
+
+from caperridge.config.model import Caller
+from caperridge.records import Record
+
+BURST_S = 2.0
+SWEEP_EVERY_S = 5.0
+ROUNDING = 1e-9
+
+RATE_LIMIT = "rate_limit"
+TOKEN_LIMIT = "token_limit"
+CONCURRENCY_LIMIT = "concurrency_limit"
+
+
+class OverLimit(Record):
+    """Why a caller's request is refused.
+
+    Attributes:
+        code: which limit.
+        reason: a sentence for a person.
+        retry_after_s: when it would pass, as far as can be told.
+    """
+
+    __slots__ = ("code", "reason", "retry_after_s")
+
+    def __init__(self, code: str, reason: str, retry_after_s: float) -> None:
+        self.code = code
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Bucket:
+    """A token bucket that fills as time passes."""
+
+    __slots__ = ("at", "level", "most", "rate")
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.rate = rate
+        self.most = max(1.0, rate * BURST_S)
+        self.level = self.most
+        self.at = now
+
+    def level_at(self, now: float) -> float:
+        """Return the level that the bucket has reached."""
+        return min(self.most, self.level + self.rate * max(0.0, now - self.at))
+
+    def fill(self, rate: float, now: float) -> None:
+        """Add what came since the last look; ``rate`` holds from now on."""
+        self.level = self.level_at(now)
+        self.at = now
+        self.rate = rate
+        self.most = max(1.0, rate * BURST_S)
+
+
+class CallerState:
+    """What one caller has used lately."""
+
+    __slots__ = ("requests", "running", "tokens")
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.requests: Bucket | None = None
+        self.tokens: Bucket | None = None
+
+
+class Limits:
+    """Enforces the limits of all callers in one instance."""
+
+    def __init__(self) -> None:
+        self.states_by_caller: dict[str, CallerState] = {}
+        self._sweep_at = 0.0
+
+    def admit(
+        self, caller: Caller, tokens: int, instances: int, now: float
+    ) -> OverLimit | None:
+        """Count a request in, or return why it is over a limit.
+
+        Args:
+            caller: with its declared limits.
+            tokens: that the request may use, prompt and answer.
+            instances: live instances that share the limits.
+            now: monotonic seconds.
+        """
+        self._sweep(now)
+        instances = max(1, instances)
+        state = self.states_by_caller.get(caller.name)
+        if state is None:
+            state = self.states_by_caller[caller.name] = CallerState()
+        over = self._over(state, caller, tokens, instances, now)
+        if over is not None:
+            return over
+        state.running += 1
+        if state.requests is not None:
+            state.requests.level -= 1.0
+        if state.tokens is not None:
+            state.tokens.level -= tokens
+        return None
+
+    def ended(self, caller: str) -> None:
+        """Count a request out."""
+        state = self.states_by_caller.get(caller)
+        if state is not None and state.running > 0:
+            state.running -= 1
+
+    def running(self, caller: str) -> int:
+        """Return how many requests of ``caller`` are in flight."""
+        state = self.states_by_caller.get(caller)
+        return 0 if state is None else state.running
+
+    def _over(
+        self,
+        state: CallerState,
+        caller: Caller,
+        tokens: int,
+        instances: int,
+        now: float,
+    ) -> OverLimit | None:
+        if caller.most_running:
+            most = math.ceil(caller.most_running / instances)
+            if state.running >= most:
+                text = f"{state.running} requests of {caller.name} run at once"
+                return OverLimit(CONCURRENCY_LIMIT, text, 1.0)
+        state.requests, wait_s = _fill(
+            state.requests, caller.requests_per_s / instances, 1.0, now
+        )
+        if wait_s > 0:
+            text = f"more than {caller.requests_per_s:g} requests a second"
+            return OverLimit(RATE_LIMIT, text, wait_s)
+        state.tokens, wait_s = _fill(
+            state.tokens, caller.tokens_per_s / instances, tokens, now
+        )
+        if wait_s > 0:
+            text = f"more than {caller.tokens_per_s:g} tokens a second"
+            return OverLimit(TOKEN_LIMIT, text, wait_s)
+        return None
+
+    def _sweep(self, now: float) -> None:
+        if now < self._sweep_at:
+            return
+        self._sweep_at = now + SWEEP_EVERY_S
+        for name, state in list(self.states_by_caller.items()):
+            if state.running or _owes(state.requests, now) or _owes(state.tokens, now):
+                continue
+            del self.states_by_caller[name]
+
+
+def _owes(bucket: Bucket | None, now: float) -> bool:
+    # A dropped bucket comes back full, so it may go only once it is full.
+    return bucket is not None and bucket.level_at(now) < bucket.most
+
+
+def _fill(
+    bucket: Bucket | None, rate: float, needed: float, now: float
+) -> tuple[Bucket | None, float]:
+    """Return the filled bucket and how long until ``needed`` is in it.
+
+    A request that is larger than the bucket passes when the bucket is full and
+    leaves it in debt; otherwise it could never pass.
+    """
+    if rate <= 0:
+        return None, 0.0
+    if bucket is None:
+        bucket = Bucket(rate, now)
+    bucket.fill(rate, now)
+    missing = min(needed, bucket.most) - bucket.level
+    # Rounding must not keep a bucket that waited its time from passing.
+    return bucket, (missing / rate if missing > ROUNDING else 0.0)
--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -1,35 +1,27 @@
-"""Which target gets a request: least expected wait, the own zone first.
+"""Which target gets a request: least expected delay, the own zone first.
 
-The book knows every target of every service from the platform's list, and counts
-what this instance has in flight at each.
+The book knows every target of every service from the platform's list, what this
+instance has in flight at each, what reports and peers say, and which failed lately.
+A choice compares a few candidates, not all targets: those that probably have the
+prompt's prefix cached, its home by hash, and some at random (``measure routing``
+compares this with the full scan).
 """
 
-from collections.abc import Iterable
+import random
+from collections.abc import Collection, Iterable, Sequence
 
+from caperridge.decisions.affinity import PrefixHistory
+from caperridge.decisions.ejection import may_eject
+from caperridge.decisions.target_state import TargetReport, TargetState, Wanted
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
+from caperridge.targets.outcomes import AttemptError
 
-OTHER_ZONE_PENALTY = 2.0  # requests in flight that the way to another zone is worth
 LEAVING = "leaving"
-
-
-class TargetState(Record):
-    """What one instance knows of a target.
-
-    Attributes:
-        member: its entry in the platform's list.
-        in_flight: online requests of this instance now at it.
-        leaving: sticky for its incarnation, whoever said it first.
-    """
-
-    __slots__ = ("in_flight", "leaving", "member")
-
-    def __init__(
-        self, member: ListedMember, in_flight: int = 0, leaving: bool = False
-    ) -> None:
-        self.member = member
-        self.in_flight = in_flight
-        self.leaving = leaving
+RANDOM_OWN_ZONE = 4
+RANDOM_OTHER_ZONE = 1
+HOME_BLOCKS = 4  # leading blocks by which a prompt has a home
+SCAN_UP_TO = 12  # targets; so few are compared all
 
 
 class Weighed(Record):
@@ -42,56 +34,239 @@
         self.score = score
 
 
+class ServiceTargets:
+    """The targets of one service that are not leaving, the own zone apart."""
+
+    __slots__ = ("others", "own_zone")
+
+    def __init__(self) -> None:
+        self.own_zone: list[TargetState] = []
+        self.others: list[TargetState] = []
+
+
 class TargetBook:
-    """The targets of all services, by id."""
+    """The targets of all services, by id.
+
+    Args:
+        availability_zone: of the instance.
+        seed: of the choice of candidates; instances should differ in it.
+    """
 
-    def __init__(self, availability_zone: str) -> None:
+    def __init__(self, availability_zone: str, seed: int = 0) -> None:
         self.states_by_id: dict[str, TargetState] = {}
+        self.history = PrefixHistory()
         self._availability_zone = availability_zone
+        self._random = random.Random(seed)
+        self._targets_by_service: dict[str, ServiceTargets] = {}
 
-    def apply_list(self, members: Iterable[ListedMember]) -> None:
+    def apply_list(self, members: Iterable[ListedMember], now: float = 0.0) -> None:
         """Take over the platform's list; what is known of a target is kept."""
         listed_by_id = {m.id: m for m in members if m.kind == "target"}
+        # At the start all are new together, and none needs sparing.
+        since = now if self.states_by_id else 0.0
         for target_id in list(self.states_by_id):
             if target_id not in listed_by_id:
                 del self.states_by_id[target_id]
         for target_id, member in listed_by_id.items():
             state = self.states_by_id.get(target_id)
             if state is None or state.member.incarnation < member.incarnation:
-                state = TargetState(member)
+                if state is not None:
+                    self.history.forget(target_id)
+                state = TargetState(member, since=since)
                 self.states_by_id[target_id] = state
+            if member.incarnation < state.member.incarnation:
+                continue  # an older list came late
             state.member = member
             state.leaving = state.leaving or member.state == LEAVING
+        self._index()
 
-    def mark_leaving(self, target_id: str) -> None:
-        """Send nothing new to this incarnation of the target."""
+    def _index(self) -> None:
+        self._targets_by_service = {}
+        # In the order of ids, so that instances agree on the homes of prefixes.
+        for _, state in sorted(self.states_by_id.items()):
+            if state.leaving:
+                continue
+            targets = self._targets_by_service.setdefault(
+                state.member.service, ServiceTargets()
+            )
+            if state.member.availability_zone == self._availability_zone:
+                targets.own_zone.append(state)
+            else:
+                targets.others.append(state)
+
+    def mark_leaving(self, target_id: str, incarnation: int | None = None) -> bool:
+        """Send nothing new to this incarnation; return whether that is news.
+
+        Args:
+            target_id: which target.
+            incarnation: that is leaving; None for the one that is known.
+        """
         state = self.states_by_id.get(target_id)
-        if state is not None:
-            state.leaving = True
+        if state is None or state.leaving:
+            return False
+        if incarnation is not None and incarnation < state.member.incarnation:
+            return False
+        state.leaving = True
+        self._index()
+        return True
 
-    def weigh(self, service: str, excluded: Iterable[str] = ()) -> list[Weighed]:
-        """Return the usable targets of ``service``, the best first."""
-        weighed: list[Weighed] = []
-        for target_id, state in self.states_by_id.items():
-            if state.member.service != service or state.leaving:
+    def usable(
+        self, service: str, excluded: Collection[str] = (), now: float = 0.0
+    ) -> list[TargetState]:
+        """Return the targets that may get a request, the own zone first."""
+        targets = self._targets_by_service.get(service)
+        if targets is None:
+            return []
+        found: list[TargetState] = []
+        for state in (*targets.own_zone, *targets.others):
+            if state.health.out_until > now or state.member.id in excluded:
                 continue
-            if target_id in excluded:
+            found.append(state)
+        return found
+
+    def any_usable(self, service: str, now: float) -> bool:
+        """Return whether any target of ``service`` may get a request."""
+        targets = self._targets_by_service.get(service)
+        if targets is None:
+            return False
+        for state in (*targets.own_zone, *targets.others):
+            if state.health.out_until <= now:
+                return True
+        return False
+
+    def has_room(self, service: str, most_running: int, now: float) -> bool:
+        """Return whether some target of ``service`` could start one more soon."""
+        targets = self._targets_by_service.get(service)
+        if targets is None:
+            return False
+        for state in (*targets.own_zone, *targets.others):
+            if state.health.out_until > now:
                 continue
-            score = float(state.in_flight)
-            if state.member.availability_zone != self._availability_zone:
-                score += OTHER_ZONE_PENALTY
-            weighed.append(Weighed(target_id, score))
+            if state.has_room(most_running, now):
+                return True
+        return False
+
+    def weigh(
+        self,
+        service: str,
+        excluded: Collection[str] = (),
+        wanted: Wanted | None = None,
+        now: float = 0.0,
+    ) -> list[Weighed]:
+        """Return all usable targets of ``service``, the best first."""
+        return self._ranked(
+            self.usable(service, excluded, now), wanted or Wanted(), now
+        )
+
+    def choose(
+        self,
+        service: str,
+        excluded: Collection[str],
+        wanted: Wanted,
+        now: float,
+        blocks: Sequence[int] = (),
+    ) -> list[Weighed]:
+        """Return the compared candidates, the best first; empty if none is usable.
+
+        Args:
+            service: whose targets.
+            excluded: targets that failed this request already.
+            wanted: by the request.
+            now: on the own clock.
+            blocks: of the prompt's prefix.
+        """
+        targets = self._targets_by_service.get(service)
+        if targets is None:
+            return []
+        if len(targets.own_zone) + len(targets.others) <= SCAN_UP_TO:
+            return self.weigh(service, excluded, wanted, now)
+        candidates = self._candidates(targets, wanted, blocks)
+        usable = [
+            state
+            for state in candidates
+            if state.health.out_until <= now and state.member.id not in excluded
+        ]
+        for state in usable:
+            if state.has_room(wanted.most_running, now):
+                return self._ranked(usable, wanted, now)
+        return self.weigh(service, excluded, wanted, now)
+
+    def _candidates(
+        self, targets: ServiceTargets, wanted: Wanted, blocks: Sequence[int]
+    ) -> list[TargetState]:
+        found_by_id: dict[str, TargetState] = {}
+        for target_id in wanted.tokens_by_target:
+            state = self.states_by_id.get(target_id)
+            if state is not None and not state.leaving:
+                found_by_id[target_id] = state
+        if blocks and targets.own_zone:
+            # The home of a prefix is the same at all instances of the zone, so that
+            # they need not tell each other what they sent where.
+            home = blocks[min(HOME_BLOCKS, len(blocks)) - 1]
+            state = targets.own_zone[home % len(targets.own_zone)]
+            found_by_id[state.member.id] = state
+        for states, count in (
+            (targets.own_zone, RANDOM_OWN_ZONE),
+            (targets.others, RANDOM_OTHER_ZONE),
+        ):
+            for _ in range(count if states else 0):
+                state = states[int(self._random.random() * len(states))]
+                found_by_id[state.member.id] = state
+        return list(found_by_id.values())
+
+    def _ranked(
+        self, states: Iterable[TargetState], wanted: Wanted, now: float
+    ) -> list[Weighed]:
+        zone = self._availability_zone
+        weighed = [
+            Weighed(state.member.id, state.score(wanted, zone, now)) for state in states
+        ]
         weighed.sort(key=lambda item: (item.score, item.target))
         return weighed
 
-    def started(self, target_id: str) -> None:
+    def parts(self, target_id: str, wanted: Wanted, now: float) -> dict[str, object]:
+        """Return what a target's score was made of."""
+        state = self.states_by_id[target_id]
+        return state.parts(wanted, self._availability_zone, now)
+
+    def started(self, target_id: str, blocks: Sequence[int] = ()) -> None:
         """Count a request sent to the target."""
         state = self.states_by_id.get(target_id)
         if state is not None:
             state.in_flight += 1
+            self.history.note(target_id, blocks)
 
     def ended(self, target_id: str) -> None:
         """Count a request that left the target."""
         state = self.states_by_id.get(target_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
+
+    def succeeded(self, target_id: str, now: float) -> None:
+        """Note a whole answer of the target."""
+        state = self.states_by_id.get(target_id)
+        if state is not None:
+            state.health.succeeded(now)
+
+    def failed(self, target_id: str, error: AttemptError, now: float) -> float:
+        """Note a failed attempt; return for how long the target is ejected, or 0."""
+        state = self.states_by_id.get(target_id)
+        if state is None or state.health.is_out(now):
+            return 0.0
+        if not state.health.failed(error):
+            return 0.0
+        usable, out = 0, 0
+        targets = self._targets_by_service.get(state.member.service, ServiceTargets())
+        for other in (*targets.own_zone, *targets.others):
+            usable += 1
+            out += other.health.is_out(now)
+        if not may_eject(usable, out):
+            return 0.0
+        return state.health.eject(now)
+
+    def report(self, target_id: str, report: TargetReport) -> None:
+        """Take in what is heard of a target's load."""
+        state = self.states_by_id.get(target_id)
+        if state is None:
+            return
+        state.report = report.replace(own_then=state.in_flight)
--- /dev/null
+++ b/src/caperridge/decisions/target_state.py
@@ -0,0 +1,204 @@
+"""What one instance knows of a target, and how a target is scored with it."""
+
+from typing import Any
+
+from caperridge.decisions.ejection import Health
+from caperridge.decisions.slow_start import share_at
+from caperridge.platform.interface import ListedMember
+from caperridge.records import Record
+
+NEWS_LASTS_S = 5.0
+LATENCY_HALVES_S = 5.0
+LATENCY_GAIN = 0.3
+
+LOAD_S = 0.02  # by which one more sequence delays the others at its target
+HOLD_S = 1.0  # that a running request holds its place, roughly
+PREFILL_S = 0.00005  # for one prompt token that is not cached
+OTHER_ZONE_S = 0.04  # the way there, and that less is known of its targets
+STRIKE_S = 0.25
+LATENCY_SHARE = 0.5
+WRONG_VERSION_S = 5.0
+NO_ADAPTER_S = 1.0
+
+
+class Wanted(Record):
+    """What a request wants of a target.
+
+    Attributes:
+        tokens: of its prompt.
+        tokens_by_target: leading tokens that targets probably have cached.
+        version: of the model; empty if it does not matter.
+        adapter: empty for none.
+        most_running: requests that a target of the service runs at once.
+    """
+
+    __slots__ = ("adapter", "most_running", "tokens", "tokens_by_target", "version")
+
+    def __init__(
+        self,
+        tokens: int = 0,
+        tokens_by_target: dict[str, int] | None = None,
+        version: str = "",
+        adapter: str = "",
+        most_running: int = 16,
+    ) -> None:
+        self.tokens = tokens
+        self.tokens_by_target = tokens_by_target or {}
+        self.version = version
+        self.adapter = adapter
+        self.most_running = most_running
+
+
+class TargetReport(Record):
+    """What is heard of a target's load; it lags.
+
+    Attributes:
+        waiting: sequences that wait inside the target.
+        online: online requests of all instances there; -1 if nobody counted.
+        own_then: those of this instance when the report came.
+        at: when it came, on the own clock.
+        version: that the target says it has loaded; empty if not said.
+        adapters: that it says it has loaded; None if not said.
+    """
+
+    __slots__ = ("adapters", "at", "online", "own_then", "version", "waiting")
+
+    def __init__(
+        self,
+        waiting: int = 0,
+        online: int = -1,
+        own_then: int = 0,
+        at: float = 0.0,
+        version: str = "",
+        adapters: list[str] | None = None,
+    ) -> None:
+        self.waiting = waiting
+        self.online = online
+        self.own_then = own_then
+        self.at = at
+        self.version = version
+        self.adapters = adapters
+
+
+class TargetState(Record):
+    """What one instance knows of a target.
+
+    Attributes:
+        member: its entry in the platform's list.
+        in_flight: online requests of this instance now at it.
+        leaving: sticky for its incarnation, whoever said it first.
+        since: when it was first listed; 0 if it was there from the start.
+        health: what speaks against it.
+        report: the newest report of its load; None if there is none.
+        first_token_s: of late, by own requests and peers' word; 0 if unknown.
+        first_token_at: when that was last noted.
+    """
+
+    __slots__ = (
+        "first_token_at",
+        "first_token_s",
+        "health",
+        "in_flight",
+        "leaving",
+        "member",
+        "report",
+        "since",
+    )
+
+    def __init__(
+        self,
+        member: ListedMember,
+        in_flight: int = 0,
+        leaving: bool = False,
+        since: float = 0.0,
+        health: Health | None = None,
+        report: TargetReport | None = None,
+        first_token_s: float = 0.0,
+        first_token_at: float = 0.0,
+    ) -> None:
+        self.member = member
+        self.in_flight = in_flight
+        self.leaving = leaving
+        self.since = since
+        self.health = health or Health()
+        self.report = report
+        self.first_token_s = first_token_s
+        self.first_token_at = first_token_at
+
+    def load(self, now: float) -> int:
+        """Return the online requests at the target, as far as is known.
+
+        The own count is exact. What others have is the last word minus the own
+        share of that time, and lapses when no new word comes.
+        """
+        report = self.report
+        if report is None or report.at + NEWS_LASTS_S < now:
+            return self.in_flight
+        return self.in_flight + max(0, report.online - report.own_then)
+
+    def has_room(self, most_running: int, now: float) -> bool:
+        """Return whether one more request would start soon at the target.
+
+        A few above ``most_running`` keep the target busy while the word of an end
+        is on its way; what exceeds that waits here, where shares and deadlines count.
+        """
+        return self.load(now) < most_running + max(1, most_running // 8)
+
+    def first_token_seen(self, seconds: float, now: float) -> None:
+        """Note how long a first token took, here or at a peer."""
+        if self.first_token_s == 0.0:
+            self.first_token_s = seconds
+        self.first_token_s += LATENCY_GAIN * (seconds - self.first_token_s)
+        self.first_token_at = now
+
+    def score(self, wanted: Wanted, zone: str, now: float) -> float:
+        """Return the expected delay of a first token here, in seconds."""
+        load = self.load(now)
+        report = self.report
+        queued = load + 1 - wanted.most_running
+        if report is not None and report.at + NEWS_LASTS_S >= now:
+            queued = max(queued, report.waiting)
+        busy_s = LOAD_S * (load + 1)
+        if queued > 0:
+            busy_s += HOLD_S * queued / wanted.most_running
+        began = max(self.since, self.health.returned_at)
+        if began:
+            busy_s /= share_at(began, now)
+        score = busy_s
+        if wanted.tokens:
+            cached = wanted.tokens_by_target.get(self.member.id, 0)
+            score += PREFILL_S * (wanted.tokens - cached)
+        if self.first_token_s:
+            age_s = now - self.first_token_at
+            score += LATENCY_SHARE * self.first_token_s / (1 + age_s / LATENCY_HALVES_S)
+        if self.member.availability_zone != zone:
+            score += OTHER_ZONE_S
+        if self.health.strikes:
+            score += STRIKE_S * self.health.strikes
+        if report is not None and (wanted.version or wanted.adapter):
+            score += _missing_s(report, wanted)
+        return score
+
+    def parts(self, wanted: Wanted, zone: str, now: float) -> dict[str, Any]:
+        """Return what the score was made of, for an explanation."""
+        cached = wanted.tokens_by_target.get(self.member.id, 0)
+        return {
+            "load": self.load(now),
+            "own": self.in_flight,
+            "waiting": self.report.waiting if self.report else 0,
+            "prefill_tokens": max(0, wanted.tokens - cached),
+            "cached_tokens": cached,
+            "other_zone": self.member.availability_zone != zone,
+            "strikes": self.health.strikes,
+            "first_token_s": round(self.first_token_s, 4),
+        }
+
+
+def _missing_s(report: TargetReport, wanted: Wanted) -> float:
+    missing_s = 0.0
+    if wanted.version and report.version and report.version != wanted.version:
+        missing_s += WRONG_VERSION_S
+    known = report.adapters
+    if wanted.adapter and known is not None and wanted.adapter not in known:
+        missing_s += NO_ADAPTER_S
+    return missing_s
--- /dev/null
+++ b/src/caperridge/instance/attempts.py
@@ -0,0 +1,436 @@
+"""The attempts of one online request: chosen, watched, moved where one fails."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+
+from caperridge.decisions.patience import (
+    Patience,
+    between_events_patience,
+    first_event_patience,
+)
+from caperridge.decisions.retry_budget import RetryBudget
+from caperridge.decisions.routing import TargetBook
+from caperridge.decisions.target_state import Wanted
+from caperridge.instance.gate import Gate
+from caperridge.instance.messages import OnlineLatency, OnlineLoad, TargetLeaving
+from caperridge.instance.metrics import Metrics
+from caperridge.instance.online_request import OnlineRequest
+from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
+from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
+from caperridge.targets.events import finish_reason
+from caperridge.targets.outcomes import AttemptError, Lost, NotSent, TargetRefused
+
+MOST_ATTEMPTS = 4
+SHOWN_SCORES = 4
+PREFILL_PATIENCE_S = 0.0002  # for one token of the prompt
+UNREPEATABLE_FIRST_S = 30.0
+UNREPEATABLE_BETWEEN_S = 10.0
+LEAST_FIRST_S = 0.05
+RETRY_AFTER_S = 1.0
+
+Told = OnlineLoad | OnlineLatency | TargetLeaving
+
+
+class ServicePolicy:
+    """What is learnt of one service: its retry budget and its patience."""
+
+    __slots__ = ("between", "budget", "first")
+
+    def __init__(self) -> None:
+        self.budget = RetryBudget()
+        self.first: Patience = first_event_patience()
+        self.between: Patience = between_events_patience()
+
+
+class Progress:
+    """How far a request has come.
+
+    Attributes:
+        offset: of the next token.
+        excluded: targets that failed it.
+        may_have_run: whether a target may have run it.
+        began: whether the caller has seen a token.
+        last_event: the newest token event; empty if there is none.
+    """
+
+    __slots__ = ("began", "excluded", "last_event", "may_have_run", "offset")
+
+    def __init__(self, offset: int) -> None:
+        self.offset = offset
+        self.excluded: set[str] = set()
+        self.may_have_run = False
+        self.began = False
+        self.last_event = b""
+
+    @property
+    def run(self) -> str:
+        """The ``run`` word of a refusal now."""
+        return UNKNOWN if self.may_have_run else NOT_RUN
+
+
+class Attempts:
+    """Runs requests at targets.
+
+    Args:
+        book: the targets.
+        gate: told when a request has taken its place at a target.
+        engines: client of the engines.
+        metrics: of the instance.
+        clock: monotonic seconds.
+        tell: told of loads, latencies and leaving targets.
+    """
+
+    def __init__(
+        self,
+        book: TargetBook,
+        gate: Gate,
+        engines: EngineClient,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        tell: Callable[[Told], None],
+    ) -> None:
+        self._book = book
+        self._gate = gate
+        self._engines = engines
+        self._metrics = metrics
+        self._clock = clock
+        self._tell = tell
+        self._policies_by_service: dict[str, ServicePolicy] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    def policy(self, service: str) -> ServicePolicy:
+        """Return what is learnt of a service."""
+        return self._policies_by_service.setdefault(service, ServicePolicy())
+
+    def state(self) -> dict[str, dict[str, float]]:
+        """Return the learnt figures by service, for the dump."""
+        return {
+            name: {
+                "retry_budget": policy.budget.balance,
+                "first_event_limit_s": policy.first.limit_s(),
+                "between_events_limit_s": policy.between.limit_s(),
+            }
+            for name, policy in self._policies_by_service.items()
+        }
+
+    async def run(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
+        """Yield the checked events of the whole answer, each token once.
+
+        Raises:
+            RefusedError: no target could answer.
+        """
+        policy = self.policy(request.service.name)
+        policy.budget.deposit()
+        progress = Progress(request.resume_from)
+        error: AttemptError | None = None
+        for number in range(MOST_ATTEMPTS):
+            if number:
+                self._check_retry(request, policy, progress, error)
+            try:
+                target = self._choose(request, progress)
+                self._book.started(target, request.blocks)
+                self._tell_load(target)
+            finally:
+                self._gate.started(request.service.name, request.service.most_running)
+            try:
+                attempt = self._attempt(request, policy, progress, target, number)
+                async with aclosing(
+                    self._one(request, policy, progress, attempt, target)
+                ) as batches:
+                    async for events in batches:
+                        yield events
+                return
+            except AttemptFailed as failed:
+                error = failed.error
+                if _is_complete(error, progress):
+                    request.trace.add(
+                        "complete", "the last token says why it ends", target=target
+                    )
+                    return
+                self._judge(request, progress, target, error)
+        raise self._used_up(request, progress, error)
+
+    def _check_retry(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        error: AttemptError | None,
+    ) -> None:
+        """Raise the final refusal if there must not be another attempt."""
+        if progress.may_have_run and not request.service.repeatable:
+            raise refuse(request, "answer_lost", _reason(error), 502, progress.run)
+        if not progress.began and self._clock() >= request.deadline:
+            text = f"its deadline passed; last: {_reason(error)}"
+            raise refuse(request, "deadline_passed", text, 504, progress.run)
+        if isinstance(error, NotSent):
+            return  # it cost no target anything
+        if policy.budget.withdraw(progress.began):
+            return
+        self._metrics.budget_spent.labels(request.service.name).inc()
+        text = f"too many retries in this service; last: {_reason(error)}"
+        raise refuse(
+            request, "retry_budget_spent", text, 503, progress.run, RETRY_AFTER_S
+        )
+
+    def _used_up(
+        self, request: OnlineRequest, progress: Progress, error: AttemptError | None
+    ) -> RefusedError:
+        if progress.may_have_run:
+            text = f"{MOST_ATTEMPTS} targets failed; last: {_reason(error)}"
+            return refuse(
+                request, "attempts_used_up", text, 502, UNKNOWN, RETRY_AFTER_S
+            )
+        text = f"{MOST_ATTEMPTS} targets did not take it; last: {_reason(error)}"
+        return refuse(request, "targets_refused", text, 503, NOT_RUN, RETRY_AFTER_S)
+
+    def _choose(self, request: OnlineRequest, progress: Progress) -> str:
+        service = request.service
+        now = self._clock()
+        wanted = Wanted(
+            request.tokens,
+            self._book.history.tokens_by_target(request.blocks),
+            service.version,
+            request.adapter,
+            service.most_running,
+        )
+        weighed = self._book.choose(
+            service.name, progress.excluded, wanted, now, request.blocks
+        )
+        if not weighed:
+            text = f"no target of {service.name} can take it"
+            if progress.excluded:
+                text = f"no other target of {service.name} can take it"
+            raise refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
+        best = weighed[0].target
+        parts = self._book.parts(best, wanted, now)
+        self._metrics.routed.labels(
+            service.name, "cached" if parts["cached_tokens"] else "not_cached"
+        ).inc()
+        request.trace.add(
+            "sent",
+            "least expected delay",
+            target=best,
+            scores={w.target: round(w.score, 4) for w in weighed[:SHOWN_SCORES]},
+            weighed=len(weighed),
+            parts=parts,
+        )
+        return best
+
+    def _attempt(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        target: str,
+        number: int,
+    ) -> Attempt:
+        first_s, between_s = UNREPEATABLE_FIRST_S, UNREPEATABLE_BETWEEN_S
+        if request.service.repeatable:
+            # Each move doubles the patience: if all are slow, moving does not help.
+            first_s = policy.first.limit_s() * 2**number
+            first_s += PREFILL_PATIENCE_S * (request.tokens + progress.offset)
+            between_s = policy.between.limit_s() * 2**number
+        if not progress.began:
+            left_s = request.deadline - self._clock()
+            first_s = max(LEAST_FIRST_S, min(first_s, left_s))
+        return Attempt(
+            request.id,
+            f"{request.id}.{number}",
+            self._book.states_by_id[target].member.address,
+            request.path,
+            request.body,
+            progress.offset,
+            first_s,
+            between_s,
+        )
+
+    async def _one(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        attempt: Attempt,
+        target: str,
+    ) -> AsyncIterator[list[bytes]]:
+        watch = Watch(self._clock(), policy, attempt)
+        whole = False
+        try:
+            async with aclosing(self._engines.stream(attempt)) as batches:
+                async for events in batches:
+                    watch.events(len(events), self._clock())
+                    progress.offset += len(events)
+                    progress.began = True
+                    progress.last_event = events[-1]
+                    yield events
+                    watch.resumed(self._clock())
+            whole = True
+            self._metrics.attempts.labels(request.service.name, "whole").inc()
+            self._book.succeeded(target, self._clock())
+        except AttemptFailed as failed:
+            if isinstance(failed.error, Lost):
+                watch.lost(self._clock())
+            raise
+        finally:
+            self._book.ended(target)
+            self._tell_load(target)
+            self._gate.pump(request.service.name, request.service.most_running)
+            self._note_latency(target, watch)
+            if not whole:
+                self._cancel_later(attempt)
+
+    def _note_latency(self, target: str, watch: "Watch") -> None:
+        watch.note()
+        state = self._book.states_by_id.get(target)
+        if state is None or not watch.tokens:
+            return
+        state.first_token_seen(watch.first_s, self._clock())
+        self._tell(OnlineLatency(target, watch.first_s, watch.mean_between_s))
+
+    def _cancel_later(self, attempt: Attempt) -> None:
+        cancel = self._engines.cancel(attempt.address, attempt.attempt)
+        task = asyncio.get_running_loop().create_task(cancel)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _judge(
+        self,
+        request: OnlineRequest,
+        progress: Progress,
+        target: str,
+        error: AttemptError,
+    ) -> None:
+        """Note a failed attempt.
+
+        Raises:
+            RefusedError: the request would fail the same way anywhere.
+        """
+        kind = type(error).__name__
+        service = request.service
+        progress.excluded.add(target)
+        self._metrics.attempts.labels(service.name, kind).inc()
+        out_s = self._book.failed(target, error, self._clock())
+        request.trace.add(
+            "failed",
+            error.reason,
+            target=target,
+            kind=kind,
+            at=progress.offset,
+            ejected_s=out_s,
+        )
+        if out_s:
+            self._metrics.ejected.labels(service.name).inc()
+        if isinstance(error, TargetRefused):
+            self._refused(request, progress, target, error)
+        elif not isinstance(error, NotSent):
+            progress.may_have_run = True
+
+    def _refused(
+        self,
+        request: OnlineRequest,
+        progress: Progress,
+        target: str,
+        error: TargetRefused,
+    ) -> None:
+        if error.leaving and self._book.mark_leaving(target):
+            incarnation = self._book.states_by_id[target].member.incarnation
+            self._tell(TargetLeaving(target, incarnation))
+        if error.run != NOT_RUN or not request.service.believes_not_run:
+            progress.may_have_run = True
+        if error.permanent:
+            raise refuse(
+                request, "target_refused", error.reason, error.status, progress.run
+            )
+
+    def _tell_load(self, target: str) -> None:
+        state = self._book.states_by_id.get(target)
+        self._tell(OnlineLoad(target, state.in_flight if state else 0))
+
+
+class Watch:
+    """The times of one attempt."""
+
+    __slots__ = (
+        "_attempt",
+        "_between_s",
+        "_longest_s",
+        "_mark",
+        "_policy",
+        "_started",
+        "first_s",
+        "tokens",
+    )
+
+    def __init__(self, now: float, policy: ServicePolicy, attempt: Attempt) -> None:
+        self.first_s = 0.0
+        self.tokens = 0
+        self._started = now
+        self._mark = now
+        self._longest_s = 0.0
+        self._between_s = 0.0
+        self._policy = policy
+        self._attempt = attempt
+
+    @property
+    def mean_between_s(self) -> float:
+        """Mean time between tokens; 0 with fewer than two."""
+        return self._between_s / (self.tokens - 1) if self.tokens > 1 else 0.0
+
+    def events(self, count: int, now: float) -> None:
+        """Note that events came."""
+        passed_s = now - self._mark
+        if self.tokens:
+            self._longest_s = max(self._longest_s, passed_s)
+            self._between_s += passed_s
+        else:
+            self.first_s = passed_s
+        self.tokens += count
+        self._mark = now
+
+    def resumed(self, now: float) -> None:
+        """Note that the caller took them; its time is not the target's."""
+        self._mark = now
+
+    def lost(self, now: float) -> None:
+        """Note the wait that ran out, so that a limit set too low rises."""
+        passed_s = now - self._mark
+        if self.tokens:
+            self._longest_s = max(self._longest_s, passed_s)
+        elif passed_s >= (self._attempt.first_event_s or 0.0):
+            self._policy.first.note(passed_s)
+
+    def note(self) -> None:
+        """Hand the times to the policy of the service."""
+        if self.tokens:
+            self._policy.first.note(self.first_s)
+        if self._longest_s:
+            self._policy.between.note(self._longest_s)
+
+
+def _is_complete(error: AttemptError, progress: Progress) -> bool:
+    """Return whether only the closing mark is missing.
+
+    The last token names the reason why the answer ends: it is whole, and there is
+    nothing to resume.
+    """
+    if not isinstance(error, Lost) or not progress.last_event:
+        return False
+    return finish_reason(progress.last_event) is not None
+
+
+def _reason(error: AttemptError | None) -> str:
+    return error.reason if error is not None else ""
+
+
+def refuse(
+    request: OnlineRequest,
+    code: str,
+    reason: str,
+    status: int,
+    run: str = NOT_RUN,
+    retry_after_s: float = 0.0,
+) -> RefusedError:
+    """Return the refusal of ``request``, and note it in its trace."""
+    request.trace.add("refused", reason, code=code, run=run)
+    return RefusedError(Refusal(code, reason, status, run, retry_after_s, request.id))
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from caperridge.instance.http_common import json_of
-from caperridge.instance.online import OnlineRequest, whole_answer
+from caperridge.instance.online_request import OnlineRequest, whole_answer
 from caperridge.refusals import RefusedError
 from caperridge.targets.events import DONE_EVENT
 
@@ -31,7 +31,11 @@
         caller = self._instance.caller(request)
         body = json_of(await request.read())
         online = self._instance.online.admit(
-            self._instance.configuration.current, caller, request.path, body
+            self._instance.configuration.current,
+            caller,
+            request.path,
+            body,
+            request.headers,
         )
         if body.get("stream"):
             return await self._stream(request, online)
--- /dev/null
+++ b/src/caperridge/instance/gate.py
@@ -0,0 +1,209 @@
+"""The gate before a service: requests wait here while its targets are full."""
+
+import asyncio
+from collections.abc import Callable
+
+from caperridge.decisions.fair_queue import FairQueue, Waiting
+from caperridge.decisions.routing import TargetBook
+from caperridge.instance.metrics import Metrics
+from caperridge.instance.online_request import OnlineRequest
+from caperridge.records import Record
+
+LOOK_EVERY_S = 0.1
+RATE_GAIN = 0.1
+
+NO_TARGET = "no_target"
+QUEUE_FULL = "queue_full"
+QUEUE_TOO_LONG = "queue_too_long"
+DEADLINE_PASSED = "deadline_passed"
+
+
+class TurnedAway(Record):
+    """Why the gate does not let a request pass.
+
+    Attributes:
+        code: one of this module's.
+        reason: a sentence for a person.
+        retry_after_s: when to ask again.
+    """
+
+    __slots__ = ("code", "reason", "retry_after_s")
+
+    def __init__(self, code: str, reason: str, retry_after_s: float) -> None:
+        self.code = code
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class ServiceGate:
+    """The queue of one service.
+
+    Attributes:
+        queue: who waits.
+        waking: a request was let through but has not started yet.
+        turn_s: between two that are let through, of late; 0 if unknown.
+        turn_at: when the last one was let through while others waited.
+    """
+
+    __slots__ = ("queue", "turn_at", "turn_s", "waking")
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self.waking = False
+        self.turn_s = 0.0
+        self.turn_at = 0.0
+
+    def let_through(self, now: float) -> None:
+        """Note that one of those who wait has its turn."""
+        self.waking = True
+        if self.turn_at and len(self.queue):
+            seen_s = now - self.turn_at
+            if self.turn_s == 0.0:
+                self.turn_s = seen_s
+            self.turn_s += RATE_GAIN * (seen_s - self.turn_s)
+        self.turn_at = now if len(self.queue) else 0.0
+
+
+class Gate:
+    """The queues of one instance.
+
+    Args:
+        book: says which targets have room.
+        metrics: of the instance.
+        clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, book: TargetBook, metrics: Metrics, clock: Callable[[], float]
+    ) -> None:
+        self._book = book
+        self._metrics = metrics
+        self._clock = clock
+        self._gates_by_service: dict[str, ServiceGate] = {}
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many wait, by service."""
+        return {name: len(gate.queue) for name, gate in self._gates_by_service.items()}
+
+    async def enter(self, request: OnlineRequest) -> TurnedAway | None:
+        """Wait for room; return why the request may not pass, or None if it may.
+
+        Whoever passes calls :meth:`started` once its place at a target is counted,
+        or has given up.
+        """
+        service = request.service
+        now = self._clock()
+        gate = self._gates_by_service.setdefault(service.name, ServiceGate())
+        free = not len(gate.queue) and not gate.waking
+        if free and self._book.has_room(service.name, service.most_running, now):
+            return None
+        if not self._book.any_usable(service.name, now):
+            return self._no_target(service.name)
+        away = self._too_long(gate, request, now)
+        if away is not None:
+            return away
+        future: asyncio.Future[TurnedAway | None]
+        future = asyncio.get_running_loop().create_future()
+        caller = request.caller
+        waiting = Waiting(
+            request.id, caller.name, caller.share, request.deadline, future
+        )
+        dropped = gate.queue.push(waiting)
+        if dropped is not None:
+            away = TurnedAway(
+                QUEUE_FULL,
+                f"too many requests of {dropped.caller} wait for its share",
+                max(1.0, gate.turn_s * len(gate.queue)),
+            )
+            if dropped is waiting:
+                return away
+            _settle(dropped, away)
+        request.trace.add("queued", "all targets are full", ahead=len(gate.queue) - 1)
+        try:
+            return await self._wait(gate, request, waiting, now)
+        except asyncio.CancelledError:
+            gate.queue.remove(waiting)
+            if future.done() and not future.cancelled() and future.result() is None:
+                self.started(service.name, service.most_running)
+            raise
+
+    async def _wait(
+        self,
+        gate: ServiceGate,
+        request: OnlineRequest,
+        waiting: Waiting,
+        began: float,
+    ) -> TurnedAway | None:
+        service = request.service
+        future: asyncio.Future[TurnedAway | None] = waiting.context
+        while not future.done():
+            self.pump(service.name, service.most_running)
+            now = self._clock()
+            left_s = request.deadline - now
+            if left_s > 0:
+                await asyncio.wait([future], timeout=min(left_s, LOOK_EVERY_S))
+                now = self._clock()
+            if future.done():
+                break
+            if request.deadline <= now:
+                gate.queue.remove(waiting)
+                _settle(waiting, _too_late(gate))
+            elif not self._book.any_usable(service.name, now):
+                gate.queue.remove(waiting)
+                _settle(waiting, self._no_target(service.name))
+        waited_s = self._clock() - began
+        self._metrics.queue_wait.labels(service.name).observe(waited_s)
+        away = future.result()
+        if away is None:
+            request.trace.add("let_through", "a target has room", waited_s=waited_s)
+        return away
+
+    def started(self, service: str, most_running: int) -> None:
+        """Note that the request let through last is counted, or gave up."""
+        gate = self._gates_by_service.get(service)
+        if gate is not None:
+            gate.waking = False
+            self.pump(service, most_running)
+
+    def pump(self, service: str, most_running: int) -> None:
+        """Let the next request through if a target has room."""
+        gate = self._gates_by_service.get(service)
+        if gate is None or gate.waking or not len(gate.queue):
+            return
+        now = self._clock()
+        if not self._book.has_room(service, most_running, now):
+            return
+        best, late = gate.queue.pop(now)
+        for waiting in late:
+            _settle(waiting, _too_late(gate))
+        if best is not None:
+            gate.let_through(now)
+            _settle(best, None)
+
+    def _too_long(
+        self, gate: ServiceGate, request: OnlineRequest, now: float
+    ) -> TurnedAway | None:
+        """Refuse at once what would wait past its deadline, by the rate of late."""
+        ahead = gate.queue.ahead_of(request.caller.name, request.caller.share)
+        wait_s = gate.turn_s * (ahead + 1)
+        # With nobody ahead the rate of turns is of old, and only trying renews it.
+        if not ahead or now + wait_s <= request.deadline:
+            return None
+        text = f"it would wait {wait_s:.1f} s behind {ahead} others"
+        return TurnedAway(QUEUE_TOO_LONG, text, max(1.0, wait_s))
+
+    def _no_target(self, service: str) -> TurnedAway:
+        return TurnedAway(NO_TARGET, f"no target of {service} can take it", 1.0)
+
+
+def _too_late(gate: ServiceGate) -> TurnedAway:
+    return TurnedAway(
+        DEADLINE_PASSED,
+        "its deadline passed while all targets were full",
+        max(1.0, gate.turn_s * len(gate.queue)),
+    )
+
+
+def _settle(waiting: Waiting, away: TurnedAway | None) -> None:
+    if not waiting.context.done():
+        waiting.context.set_result(away)
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -45,6 +45,29 @@
         self.in_flight = in_flight
 
 
+class OnlineLatency(Record):
+    """What an online request of this instance saw at a target."""
+
+    __slots__ = ("between_tokens_s", "first_token_s", "target")
+
+    def __init__(
+        self, target: str, first_token_s: float, between_tokens_s: float
+    ) -> None:
+        self.target = target
+        self.first_token_s = first_token_s
+        self.between_tokens_s = between_tokens_s
+
+
+class TargetLeaving(Record):
+    """A target said itself that this incarnation of it is leaving."""
+
+    __slots__ = ("incarnation", "target")
+
+    def __init__(self, target: str, incarnation: int) -> None:
+        self.target = target
+        self.incarnation = incarnation
+
+
 class ItemEnded(Record):
     """A batch item ended; ``error`` is None if its answer is whole."""
 
--- a/src/caperridge/instance/metrics.py
+++ b/src/caperridge/instance/metrics.py
@@ -37,6 +37,37 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.refusals = Counter(
+            "caperridge_refusals",
+            "Refusals of online requests by code.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.queue_wait = Histogram(
+            "caperridge_queue_wait_seconds",
+            "Time that online requests waited because all targets were full.",
+            ["service"],
+            buckets=TTFT_BUCKETS,
+            registry=self.registry,
+        )
+        self.routed = Counter(
+            "caperridge_routed",
+            "Attempts sent, by whether a prefix was thought to be cached.",
+            ["service", "prefix"],
+            registry=self.registry,
+        )
+        self.ejected = Counter(
+            "caperridge_targets_ejected",
+            "Ejections of targets that failed.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.budget_spent = Counter(
+            "caperridge_retry_budget_spent",
+            "Requests refused because the retry budget was spent.",
+            ["service"],
+            registry=self.registry,
+        )
         self.batch_items = Counter(
             "caperridge_batch_items",
             "Batch items by service and outcome.",
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -1,59 +1,29 @@
-"""Online requests: from the caller to an engine and back, moved where one fails."""
+"""Online requests of one instance: checked, limited, queued, run, explained."""
 
 import asyncio
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import aclosing
+from functools import singledispatchmethod
 from typing import Any
 
-import orjson
-
-from caperridge.config.model import Caller, Configuration, Service
+from caperridge.config.model import Caller, Configuration
+from caperridge.decisions.limits import CONCURRENCY_LIMIT, Limits
 from caperridge.decisions.routing import TargetBook
-from caperridge.instance.messages import OnlineLoad
+from caperridge.decisions.target_state import TargetReport
+from caperridge.instance.attempts import Attempts, Told, refuse
+from caperridge.instance.gate import NO_TARGET, Gate
 from caperridge.instance.metrics import Metrics
+from caperridge.instance.online_request import (
+    BadInputError,
+    OnlineRequest,
+    check_body,
+    deadline_s,
+)
 from caperridge.instance.traces import Trace, Traces
-from caperridge.log import logger
-from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
-from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
-from caperridge.targets.events import text_of
-from caperridge.targets.outcomes import NotSent, TargetRefused
-from caperridge.targets.prompt import prompt_of
-
-log = logger(__name__)
-MOST_ATTEMPTS = 4
-STREAM_FIELDS = ("stream", "stream_options")
-
-
-class OnlineRequest:
-    """One request on its way.
-
-    Attributes:
-        id: unique, also towards the engine.
-        caller: who asks.
-        service: what answers.
-        path: of the endpoint.
-        body: as sent, without the fields that concern the stream.
-        trace: its steps.
-    """
-
-    __slots__ = ("body", "caller", "id", "path", "service", "trace")
-
-    def __init__(
-        self,
-        id: str,
-        caller: Caller,
-        service: Service,
-        path: str,
-        body: dict[str, Any],
-        trace: Trace,
-    ) -> None:
-        self.id = id
-        self.caller = caller
-        self.service = service
-        self.path = path
-        self.body = body
-        self.trace = trace
+from caperridge.peers.messages import LatencyNews, LoadNews, TargetNews
+from caperridge.refusals import NOT_RUN, Refusal, RefusedError
+from caperridge.targets.engine import EngineClient
 
 
 class OnlineFront:
@@ -65,7 +35,8 @@
         traces: where steps are kept.
         metrics: of the instance.
         clock: monotonic seconds.
-        load_changed: told of each online start and end.
+        tell: told of each online start and end, of latencies and leaving targets.
+        instances: returns how many live instances share the callers' limits.
     """
 
     def __init__(
@@ -75,18 +46,20 @@
         traces: Traces,
         metrics: Metrics,
         clock: Callable[[], float],
-        load_changed: Callable[[OnlineLoad], None],
+        tell: Callable[[Told], None],
+        instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self.book = book
         self.in_flight = 0
+        self.limits = Limits()
+        self.gate = Gate(book, metrics, clock)
+        self.attempts = Attempts(book, self.gate, engines, metrics, clock, tell)
         self._idle = asyncio.Event()
         self._idle.set()
-        self._engines = engines
         self._traces = traces
         self._metrics = metrics
         self._clock = clock
-        self._load_changed = load_changed
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._instances = instances
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
@@ -98,31 +71,43 @@
         caller: Caller,
         path: str,
         body: Any,
+        headers: Mapping[str, str] | None = None,
     ) -> OnlineRequest:
-        """Return the request if it may go on.
+        """Return the request if it may go on; it counts from now on.
+
+        The caller of this method must go on to :meth:`events` at once.
 
         Raises:
             RefusedError: with the reason.
         """
         request_id = "req-" + secrets.token_hex(10)
         trace = self._traces.open(request_id, caller.name, "online")
-        if not isinstance(body, dict) or not isinstance(body.get("model"), str):
-            raise self._refuse(
-                trace, "bad_request", "the body must be an object with a model", 400
-            )
+        try:
+            resume_from = check_body(body)
+            deadline = self._clock() + deadline_s(headers or {})
+        except BadInputError as error:
+            raise self._refuse(trace, "bad_request", str(error), 400) from None
         service = configuration.service_for_model(body["model"])
         if service is None or not caller.may_use(service.name):
             text = f"there is no model {body['model']!r} for this caller"
             raise self._refuse(trace, "model_not_found", text, 404)
-        try:
-            prompt_of(body)
-        except (AttributeError, TypeError):
-            raise self._refuse(
-                trace, "bad_request", "messages must be a list of objects", 400
-            ) from None
-        trace.add("admitted", "within the caller's limits", service=service.name)
-        plain = {k: v for k, v in body.items() if k not in STREAM_FIELDS}
-        return OnlineRequest(request_id, caller, service, path, plain, trace)
+        request = OnlineRequest(
+            request_id, caller, service, path, body, trace, resume_from, deadline
+        )
+        over = self.limits.admit(
+            caller, request.tokens_asked, self._instances(), self._clock()
+        )
+        if over is not None:
+            self._metrics.requests.labels(service.name, "refused").inc()
+            raise self._refuse(trace, over.code, over.reason, 429, over.retry_after_s)
+        trace.add(
+            "admitted",
+            "within the caller's limits",
+            service=service.name,
+            tokens=request.tokens_asked,
+            running=self.limits.running(caller.name),
+        )
+        return request
 
     async def events(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
         """Yield the checked events of the whole answer, each token once.
@@ -130,182 +115,95 @@
         Raises:
             RefusedError: no target could answer.
         """
+        service = request.service.name
         started = self._clock()
         first_at = last_at = 0.0
         tokens = 0
         self.in_flight += 1
         self._idle.clear()
         try:
-            async with aclosing(self._attempts(request)) as batches:
+            await self._enter(request)
+            async with aclosing(self.attempts.run(request)) as batches:
                 async for events in batches:
                     last_at = self._clock()
                     if not tokens:
                         first_at = last_at
-                        self._metrics.ttft.labels(request.service.name).observe(
-                            first_at - started
-                        )
+                        self._metrics.ttft.labels(service).observe(first_at - started)
                     tokens += len(events)
                     yield events
             if tokens > 1:
                 pause = (last_at - first_at) / (tokens - 1)
-                self._metrics.between_tokens.labels(request.service.name).observe(pause)
+                self._metrics.between_tokens.labels(service).observe(pause)
             request.trace.add("answered", "whole", tokens=tokens)
-            self._metrics.requests.labels(request.service.name, "answered").inc()
-        except RefusedError:
-            self._metrics.requests.labels(request.service.name, "refused").inc()
+            self._metrics.requests.labels(service, "answered").inc()
+        except RefusedError as refused:
+            self._metrics.requests.labels(service, "refused").inc()
+            self._metrics.refusals.labels(refused.refusal.code).inc()
             raise
         except (asyncio.CancelledError, GeneratorExit):
             request.trace.add("cancelled", "the caller hung up", tokens=tokens)
-            self._metrics.requests.labels(request.service.name, "hung_up").inc()
+            self._metrics.requests.labels(service, "hung_up").inc()
             raise
         finally:
+            self.limits.ended(request.caller.name)
             self.in_flight -= 1
             if not self.in_flight:
                 self._idle.set()
 
-    async def _attempts(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
-        excluded: set[str] = set()
-        offset = 0
-        may_have_run = False
-        for number in range(MOST_ATTEMPTS):
-            target = self._choose(request, excluded, may_have_run)
-            attempt = Attempt(
-                request.id,
-                f"{request.id}.{number}",
-                self.book.states_by_id[target].member.address,
-                request.path,
-                request.body,
-                offset,
-            )
-            try:
-                async with aclosing(self._one(request, attempt, target)) as batches:
-                    async for events in batches:
-                        offset += len(events)
-                        yield events
-                return
-            except AttemptFailed as failed:
-                excluded.add(target)
-                may_have_run |= self._judge(request, target, failed, offset)
-        raise self._refuse(
-            request.trace,
-            "attempts_used_up",
-            f"{MOST_ATTEMPTS} targets failed",
-            502,
-            run=UNKNOWN if may_have_run else NOT_RUN,
-            retry_after_s=1.0,
+    async def _enter(self, request: OnlineRequest) -> None:
+        away = await self.gate.enter(request)
+        if away is None:
+            return
+        status = 503 if away.code == NO_TARGET else 429
+        raise refuse(
+            request, away.code, away.reason, status, NOT_RUN, away.retry_after_s
         )
 
-    def _choose(
-        self, request: OnlineRequest, excluded: set[str], may_have_run: bool
-    ) -> str:
-        weighed = self.book.weigh(request.service.name, excluded)
-        if not weighed:
-            raise self._refuse(
-                request.trace,
-                "no_target",
-                f"no target of {request.service.name} can take it",
-                503,
-                run=UNKNOWN if may_have_run else NOT_RUN,
-                retry_after_s=1.0,
-            )
-        scores = {item.target: item.score for item in weighed[:8]}
-        request.trace.add("sent", "least expected wait", scores=scores)
-        return weighed[0].target
-
-    async def _one(
-        self, request: OnlineRequest, attempt: Attempt, target: str
-    ) -> AsyncIterator[list[bytes]]:
-        self.book.started(target)
-        self._tell(target)
-        whole = False
-        try:
-            async with aclosing(self._engines.stream(attempt)) as batches:
-                async for events in batches:
-                    yield events
-            whole = True
-            self._metrics.attempts.labels(request.service.name, "whole").inc()
-        finally:
-            self.book.ended(target)
-            self._tell(target)
-            if not whole:
-                self._cancel_later(attempt)
-
-    def _cancel_later(self, attempt: Attempt) -> None:
-        cancel = self._engines.cancel(attempt.address, attempt.attempt)
-        task = asyncio.get_running_loop().create_task(cancel)
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
-
-    def _judge(
-        self, request: OnlineRequest, target: str, failed: AttemptFailed, offset: int
-    ) -> bool:
-        """Note a failed attempt; return whether the target may have run it.
-
-        Raises:
-            RefusedError: the request would fail the same way anywhere.
-        """
-        error = failed.error
-        kind = type(error).__name__
-        self._metrics.attempts.labels(request.service.name, kind).inc()
-        request.trace.add("moved", error.reason, target=target, kind=kind, at=offset)
-        if isinstance(error, NotSent):
-            return False
-        if isinstance(error, TargetRefused):
-            if error.leaving:
-                self.book.mark_leaving(target)
-            not_run = error.run == NOT_RUN and request.service.believes_not_run
-            if error.permanent:
-                raise self._refuse(
-                    request.trace,
-                    "target_refused",
-                    error.reason,
-                    error.status,
-                    run=NOT_RUN if not_run else UNKNOWN,
-                )
-            return not not_run
-        return True
-
     def _refuse(
         self,
         trace: Trace,
         code: str,
         reason: str,
         status: int,
-        run: str = NOT_RUN,
         retry_after_s: float = 0.0,
     ) -> RefusedError:
-        trace.add("refused", reason, code=code, run=run)
+        trace.add("refused", reason, code=code, run=NOT_RUN)
+        self._metrics.refusals.labels(code).inc()
+        if code == CONCURRENCY_LIMIT:
+            reason += "; wait for one to end"
         return RefusedError(
-            Refusal(code, reason, status, run, retry_after_s, trace.request)
+            Refusal(code, reason, status, NOT_RUN, retry_after_s, trace.request)
         )
 
-    def _tell(self, target: str) -> None:
-        state = self.book.states_by_id.get(target)
-        self._load_changed(OnlineLoad(target, state.in_flight if state else 0))
-
-
-def whole_answer(request: OnlineRequest, events: list[bytes]) -> dict[str, Any]:
-    """Return the answer in one piece, of the events of its stream."""
-    text = "".join(text_of(event) for event in events)
-    last = orjson.loads(events[-1][len(b"data: ") :])
-    choice: dict[str, Any] = {
-        "index": 0,
-        "finish_reason": last["choices"][0].get("finish_reason"),
-    }
-    chat = "messages" in request.body
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {
-        "id": request.id,
-        "object": "chat.completion" if chat else "text_completion",
-        "created": last.get("created", 0),
-        "model": request.body["model"],
-        "choices": [choice],
-        "usage": {
-            "prompt_tokens": last.get("prompt_tokens", 0),
-            "completion_tokens": len(events),
-            "total_tokens": last.get("prompt_tokens", 0) + len(events),
-        },
-    }
+    @singledispatchmethod
+    def peer_told(self, message: Any) -> None:
+        """Take in what another instance says of a target; other kinds are skipped."""
+
+    @peer_told.register
+    def _(self, message: TargetNews) -> None:
+        if message.leaving:
+            self.book.mark_leaving(message.target, message.incarnation)
+
+    @peer_told.register
+    def _(self, message: LatencyNews) -> None:
+        state = self.book.states_by_id.get(message.target)
+        if state is not None:
+            state.first_token_seen(message.first_token_s, self._clock())
+
+    @peer_told.register
+    def _(self, message: LoadNews) -> None:
+        now = self._clock()
+        for target, incarnation, waiting, online in message.loads:
+            state = self.book.states_by_id.get(target)
+            if state is None or state.member.incarnation != incarnation:
+                continue
+            self.book.report(target, TargetReport(waiting, online, at=now))
+
+    def state(self) -> dict[str, Any]:
+        """Return what is queued, limited and learnt, for the dump."""
+        return {
+            "waiting_by_service": self.gate.waiting(),
+            "callers_tracked": len(self.limits.states_by_caller),
+            "prefixes_known": len(self.book.history),
+            "policies": self.attempts.state(),
+        }
--- a/src/caperridge/instance/operators_http.py
+++ b/src/caperridge/instance/operators_http.py
@@ -61,8 +61,9 @@
     async def request(self, request: web.Request) -> web.Response:
         """Explain one request."""
         self._instance.operator(request)
-        trace = self._instance.traces.find(request.match_info["id"])
+        explanations = self._instance.explanations
+        trace = await explanations.explain(request.match_info["id"])
         if trace is None:
-            text = "this instance keeps no trace of it (another may, or it is too old)"
+            text = "no instance that answered keeps a trace of it; it may be too old"
             raise RefusedError(Refusal("request_not_found", text, 404))
-        return json_response(trace.to_map())
+        return json_response(trace)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import time
+import zlib
+from functools import singledispatchmethod
 from typing import Any
 
 from aiohttp import web
@@ -22,18 +24,21 @@
     ItemEnded,
     MembersListed,
     OnlineLoad,
+    TargetLeaving,
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.operators_http import OperatorsHttp
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
+from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import OnlineNews
+from caperridge.peers.messages import LoadNews, OnlineNews, TargetNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
+from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
@@ -66,7 +71,9 @@
         self.draining = False
         self._engines = EngineClient()
         self._plain_client = PlainClient()
-        book = TargetBook(settings.availability_zone)
+        # Instances differ in the seed, so that they do not choose in step.
+        seed = zlib.crc32(settings.instance_id.encode())
+        book = TargetBook(settings.availability_zone, seed)
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
@@ -90,7 +97,17 @@
             self.traces,
             self.metrics,
             clock,
-            self._online_load,
+            self._online_told,
+            self._instances,
+        )
+        self.explanations = Explanations(self.traces, self.peers)
+        self.target_reports = TargetReports(
+            self.membership,
+            book,
+            self._engines,
+            self.streams.headroom.online,
+            self._online_told,
+            clock,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
@@ -100,19 +117,48 @@
             self.configuration,
             self.members,
             self.dispatcher,
+            self.target_reports,
         ]
         self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
+        self.target_reports.engine_services = {
+            service.name
+            for service in message.configuration.services_by_name.values()
+            if service.kind == "engine"
+        }
 
     def _listed(self, message: MembersListed) -> None:
         self.membership.apply_list(message.members)
-        self.online.book.apply_list(message.members)
+        self.online.book.apply_list(message.members, time.monotonic())
         self.streams.book.apply_list(message.members)
 
-    def _online_load(self, load: OnlineLoad) -> None:
+    def _instances(self) -> int:
+        """Return how many live instances there are, this one included."""
+        live = {
+            member.id
+            for member in self.membership.members_by_id.values()
+            if member.state == "live"
+        }
+        return len(live | {self.settings.instance_id})
+
+    @singledispatchmethod
+    def _online_told(self, message: Any) -> None:
+        """Pass on what online requests and reports say of targets."""
+
+    @_online_told.register
+    def _(self, message: TargetLeaving) -> None:
+        news = TargetNews(message.target, message.incarnation, leaving=True)
+        self.peers.send_all(news)
+
+    @_online_told.register
+    def _(self, message: LoadNews) -> None:
+        self.peers.send_zone(message)
+
+    @_online_told.register
+    def _(self, load: OnlineLoad) -> None:
         """Tell the dispatcher of the target, here or at a peer."""
         state = self.online.book.states_by_id.get(load.target)
         if state is None:
@@ -181,7 +227,9 @@
                 for target_id, state in self.online.book.states_by_id.items()
             },
             "dispatcher": self.dispatcher.state(),
+            "online": self.online.state(),
             "traces": len(self.traces),
+            "trace_bytes": self.traces.bytes,
         }
 
     async def start(self) -> None:
--- /dev/null
+++ b/src/caperridge/instance/target_reports.py
@@ -0,0 +1,139 @@
+"""The task that asks the own targets for their load and their cache events."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from caperridge.decisions.membership import Membership
+from caperridge.decisions.routing import TargetBook
+from caperridge.decisions.target_state import TargetReport, TargetState
+from caperridge.instance.actor import Actor
+from caperridge.instance.messages import TargetLeaving
+from caperridge.peers.messages import LoadNews
+from caperridge.targets.engine import EngineClient
+
+POLL_S = 1.0
+STATE_EVERY = 5  # polls
+MOST_EVENTS = 4096  # taken in at once; older ones say little
+
+
+class Polled:
+    """Where the polling of one incarnation of a target stands."""
+
+    __slots__ = ("adapters", "after", "incarnation", "version")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.after = -1
+        self.version = ""
+        self.adapters: list[str] | None = None
+
+
+class TargetReports(Actor):
+    """Polls the targets that this instance looks after, and tells its zone.
+
+    Each target is polled by one instance, found as for batch by rendezvous hash;
+    two or none for a moment only means news twice or late.
+
+    Args:
+        membership: says which targets are the own.
+        book: takes in what is heard.
+        engines: client of the engines.
+        online: returns the online requests of all instances at a target.
+        told: passes news on to the zone, and leaving targets to all.
+        clock: monotonic seconds.
+    """
+
+    idle_s = POLL_S
+
+    def __init__(
+        self,
+        membership: Membership,
+        book: TargetBook,
+        engines: EngineClient,
+        online: Callable[[str], int],
+        told: Callable[[LoadNews | TargetLeaving], None],
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self.engine_services: set[str] = set()
+        self._membership = membership
+        self._book = book
+        self._engines = engines
+        self._online = online
+        self._told = told
+        self._clock = clock
+        self._polled_by_target: dict[str, Polled] = {}
+        self._round = 0
+
+    async def idle(self) -> None:
+        """Poll the own targets at once, and pass on what they say."""
+        self._round += 1
+        own = self._own()
+        for target in list(self._polled_by_target):
+            if target not in own:
+                del self._polled_by_target[target]
+        heard = await asyncio.gather(*(self._poll(state) for state in own.values()))
+        loads = [load for load in heard if load is not None]
+        if loads:
+            self._told(LoadNews(self._membership.instance, loads))
+
+    def _own(self) -> dict[str, TargetState]:
+        services = self.engine_services
+        zone = self._membership.availability_zone
+        own: dict[str, TargetState] = {}
+        for target_id, state in self._book.states_by_id.items():
+            member = state.member
+            if member.availability_zone != zone or member.service not in services:
+                continue
+            if state.leaving:
+                continue
+            if self._membership.owner(target_id, zone) == self._membership.instance:
+                own[target_id] = state
+        return own
+
+    async def _poll(self, state: TargetState) -> list[Any] | None:
+        member = state.member
+        polled = self._polled_by_target.get(member.id)
+        if polled is None or polled.incarnation != member.incarnation:
+            polled = self._polled_by_target[member.id] = Polled(member.incarnation)
+        if self._round % STATE_EVERY == 1:
+            await self._poll_state(state, polled)
+        load = await self._engines.get(member.address, "/control/load")
+        if not isinstance(load, dict):
+            return None
+        await self._poll_events(state, polled)
+        waiting = int(load.get("waiting", 0))
+        online = self._online(member.id)
+        self._book.report(
+            member.id,
+            TargetReport(
+                waiting,
+                online,
+                at=self._clock(),
+                version=polled.version,
+                adapters=polled.adapters,
+            ),
+        )
+        return [member.id, member.incarnation, waiting, online]
+
+    async def _poll_state(self, state: TargetState, polled: Polled) -> None:
+        member = state.member
+        said = await self._engines.get(member.address, "/control/state")
+        if not isinstance(said, dict):
+            return
+        loaded = said.get("loaded")
+        if isinstance(loaded, dict):
+            polled.version = str(loaded.get("version", ""))
+            polled.adapters = loaded.get("adapters")
+        if said.get("leaving") and self._book.mark_leaving(member.id):
+            self._told(TargetLeaving(member.id, member.incarnation))
+
+    async def _poll_events(self, state: TargetState, polled: Polled) -> None:
+        path = f"/control/cache-events?after={polled.after}"
+        events = await self._engines.get(state.member.address, path)
+        if not isinstance(events, list) or not events:
+            return
+        polled.after = max(number for number, _ in events)
+        blocks = [block for _, block in events[-MOST_EVENTS:]]
+        self._book.history.note(state.member.id, blocks)
--- a/src/caperridge/instance/traces.py
+++ b/src/caperridge/instance/traces.py
@@ -1,14 +1,20 @@
-"""Traces: what happened to each recent request, step by step, in bounded memory."""
+"""Traces: what happened to each recent request, step by step, in bounded memory.
+
+A step is kept as its msgpack bytes: small, and its size is known. When all traces
+together outgrow their bound, the oldest trace goes.
+"""
 
 import time
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
-from caperridge.records import Record
+from caperridge.records import Record, pack, unpack
 
-MOST_TRACES = 2000
+MOST_BYTES = 8 * 2**20
 MOST_STEPS = 64
+TRACE_BYTES = 600  # of a trace without its steps, about
+STEP_BYTES = 40  # of a step besides its bytes, about
 
 
 class TraceStep(Record):
@@ -16,7 +22,7 @@
 
     Attributes:
         at: seconds since the epoch.
-        what: e.g. ``admitted``, ``sent``, ``moved``, ``refused``.
+        what: e.g. ``admitted``, ``sent``, ``failed``, ``refused``.
         why: a sentence for a person.
         details: e.g. the targets weighed with their scores.
     """
@@ -35,21 +41,41 @@
 class Trace:
     """The steps of one request."""
 
-    __slots__ = ("_clock", "caller", "kind", "request", "steps")
+    __slots__ = ("_packed", "_traces", "caller", "kind", "left_out", "request")
 
     def __init__(
-        self, request: str, caller: str, kind: str, clock: Callable[[], float]
+        self, request: str, caller: str, kind: str, traces: "Traces | None" = None
     ) -> None:
         self.request = request
         self.caller = caller
         self.kind = kind
-        self.steps: list[TraceStep] = []
-        self._clock = clock
+        self.left_out = 0
+        self._packed: list[bytes] = []
+        self._traces = traces
+
+    @property
+    def steps(self) -> list[TraceStep]:
+        """The steps so far, the oldest first."""
+        return [TraceStep.from_map(unpack(data)) for data in self._packed]
+
+    @property
+    def size(self) -> int:
+        """About how many bytes the trace takes."""
+        return TRACE_BYTES + sum(len(data) + STEP_BYTES for data in self._packed)
 
     def add(self, what: str, why: str, **details: Any) -> None:
-        """Append a step, unless the trace is full."""
-        if len(self.steps) < MOST_STEPS:
-            self.steps.append(TraceStep(self._clock(), what, why, details))
+        """Append a step; the last ones replace each other when the trace is full."""
+        now = time.time() if self._traces is None else self._traces.clock()
+        data = pack(TraceStep(now, what, why, details))
+        grown = len(data) + STEP_BYTES
+        if len(self._packed) >= MOST_STEPS:
+            grown = len(data) - len(self._packed[-1])
+            self._packed[-1] = data
+            self.left_out += 1
+        else:
+            self._packed.append(data)
+        if self._traces is not None:
+            self._traces.grown(self, grown)
 
     def to_map(self) -> dict[str, Any]:
         """Return the trace for ``/requests/ID``."""
@@ -58,30 +84,49 @@
             "caller": self.caller,
             "kind": self.kind,
             "steps": [step.to_map() for step in self.steps],
+            "left_out": self.left_out,
         }
 
 
 class Traces:
-    """The newest traces by request id; the oldest goes first."""
+    """The newest traces by request id; the oldest goes first.
+
+    Args:
+        most_bytes: that all traces may take.
+        clock: seconds since the epoch.
+    """
 
     def __init__(
-        self, most: int = MOST_TRACES, clock: Callable[[], float] = time.time
+        self, most_bytes: int = MOST_BYTES, clock: Callable[[], float] = time.time
     ) -> None:
+        self.clock = clock
+        self.bytes = 0
         self._by_request: OrderedDict[str, Trace] = OrderedDict()
-        self._most = most
-        self._clock = clock
+        self._most_bytes = most_bytes
 
     def open(self, request: str, caller: str, kind: str) -> Trace:
         """Start and return the trace of a request."""
-        trace = Trace(request, caller, kind, self._clock)
+        trace = Trace(request, caller, kind, self)
         self._by_request[request] = trace
-        if len(self._by_request) > self._most:
-            self._by_request.popitem(last=False)
+        self.bytes += trace.size
+        self._shrink()
         return trace
 
     def find(self, request: str) -> Trace | None:
         """Return the trace of a request if it is still kept."""
         return self._by_request.get(request)
 
+    def grown(self, trace: Trace, by: int) -> None:
+        """Count what a kept trace has grown by."""
+        if self._by_request.get(trace.request) is not trace:
+            return
+        self.bytes += by
+        self._shrink()
+
+    def _shrink(self) -> None:
+        while self.bytes > self._most_bytes and len(self._by_request) > 1:
+            _, oldest = self._by_request.popitem(last=False)
+            self.bytes -= oldest.size
+
     def __len__(self) -> int:
         return len(self._by_request)
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -117,6 +117,22 @@
         self.between_tokens_s = between_tokens_s
 
 
+class LoadNews(Record):
+    """What the sender, who looks after these targets, knows of their load.
+
+    Attributes:
+        instance: the sender.
+        loads: ``[target, incarnation, waiting, online]`` each: the sequences that
+            wait inside it, and the online requests of all instances there.
+    """
+
+    __slots__ = ("instance", "loads")
+
+    def __init__(self, instance: str, loads: list[list[Any]] | None = None) -> None:
+        self.instance = instance
+        self.loads = loads or []
+
+
 class JobNews(Record):
     """A job was accepted, cancelled or ended; ``state`` as in its row."""
 
@@ -223,6 +239,7 @@
         Heartbeat,
         OnlineNews,
         LatencyNews,
+        LoadNews,
         JobNews,
         TargetNews,
         ConfigurationNews,
--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -4,6 +4,7 @@
 be resumed from its offset when the engine is lost or batch has to yield.
 """
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
@@ -20,6 +21,8 @@
     WrongAnswer,
 )
 
+LONGEST_CONNECT_S = 1.0
+
 
 class AttemptFailed(Exception):  # noqa: N818 - read as "attempt failed"
     """One attempt failed; ``error`` says how."""
@@ -39,9 +42,20 @@
         path: e.g. ``/v1/chat/completions``.
         body: the request, without the fields that concern the stream.
         resume_from: offset of the first token still wanted.
+        first_event_s: longest wait for the first event; None for the client's.
+        between_events_s: longest wait between two events; None for the client's.
     """
 
-    __slots__ = ("address", "attempt", "body", "path", "request", "resume_from")
+    __slots__ = (
+        "address",
+        "attempt",
+        "between_events_s",
+        "body",
+        "first_event_s",
+        "path",
+        "request",
+        "resume_from",
+    )
 
     def __init__(
         self,
@@ -51,6 +65,8 @@
         path: str,
         body: dict[str, Any],
         resume_from: int = 0,
+        first_event_s: float | None = None,
+        between_events_s: float | None = None,
     ) -> None:
         self.request = request
         self.attempt = attempt
@@ -58,6 +74,8 @@
         self.path = path
         self.body = body
         self.resume_from = resume_from
+        self.first_event_s = first_event_s
+        self.between_events_s = between_events_s
 
 
 class EngineClient:
@@ -103,41 +121,73 @@
             "X-Request-Id": attempt.request,
             "X-Attempt-Id": attempt.attempt,
         }
+        first_s = attempt.first_event_s or self._first_event_s
+        loop = asyncio.get_running_loop()
+        due = loop.time() + first_s
+        # A connection that takes too long is certain not to have carried a byte, so
+        # its limit has to run out first.
         timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=2.0, sock_read=self._first_event_s
+            total=None, sock_connect=min(LONGEST_CONNECT_S, first_s * 0.8)
         )
         try:
-            async with self._open().post(
-                f"http://{attempt.address}{attempt.path}",
-                data=orjson.dumps(body),
-                headers=headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
+            async with asyncio.timeout_at(due):
+                response = await self._open().post(
+                    f"http://{attempt.address}{attempt.path}",
+                    data=orjson.dumps(body),
+                    headers=headers,
+                    timeout=timeout,
+                    allow_redirects=False,
+                )
+            try:
                 if response.status != 200:
-                    raise AttemptFailed(await _refused(response))
-                async for events in self._events(response, attempt):
+                    async with asyncio.timeout_at(due):
+                        raise AttemptFailed(await _refused(response))
+                async for events in self._events(response, attempt, due):
                     yield events
+            finally:
+                response.close()
         except aiohttp.ClientConnectorError as error:
             raise AttemptFailed(NotSent(f"no connection: {error.strerror}")) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise AttemptFailed(NotSent("no connection in time")) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except TimeoutError as error:
+            raise AttemptFailed(Lost("no event in time")) from error
+        except (aiohttp.ClientError, OSError) as error:
             raise AttemptFailed(Lost(type(error).__name__)) from error
         except WrongEventError as error:
             raise AttemptFailed(WrongAnswer(str(error))) from error
 
     async def _events(
-        self, response: aiohttp.ClientResponse, attempt: Attempt
+        self, response: aiohttp.ClientResponse, attempt: Attempt, due: float
     ) -> AsyncIterator[list[bytes]]:
+        between_s = attempt.between_events_s or self._between_events_s
+        loop = asyncio.get_running_loop()
         checker = EventChecker(attempt.request, attempt.attempt, attempt.resume_from)
-        async for data in response.content.iter_any():
+        while True:
+            async with asyncio.timeout_at(due):
+                data = await response.content.readany()
+            if not data:
+                break
             events = checker.feed(data)
             if events:
                 yield events
+                # Counted from here: whoever reads slowly is not the target's fault.
+                due = loop.time() + between_s
         if not checker.whole:
             raise AttemptFailed(Lost("the stream ended without its closing mark"))
 
+    async def get(self, address: str, path: str) -> Any:
+        """Return what the engine's control ``path`` says; None if it does not."""
+        try:
+            async with self._open().get(
+                f"http://{address}{path}", timeout=aiohttp.ClientTimeout(total=1.0)
+            ) as response:
+                if response.status != 200:
+                    return None
+                return orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, orjson.JSONDecodeError):
+            return None
+
     async def cancel(self, address: str, attempt: str) -> None:
         """Ask the engine to drop the attempt; best effort."""
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
--- a/src/caperridge/targets/events.py
+++ b/src/caperridge/targets/events.py
@@ -96,3 +96,8 @@
     if "delta" in choice:
         return choice["delta"].get("content") or ""
     return choice.get("text") or ""
+
+
+def finish_reason(event: bytes) -> str | None:
+    """Return why the answer ends with this checked event; None if it goes on."""
+    return orjson.loads(event[len(_PREFIX) :])["choices"][0].get("finish_reason")
