Tell of leaving targets and of latencies as the other tasks expect

Cause: batch headroom, plain calls and peers read the same messages; one form of each is enough. Change: OnlineLoad carries the latencies; a target's own word goes through one method of the instance; the budget takes its share and bound.

--- a/src/caperridge/decisions/retry_budget.py
+++ b/src/caperridge/decisions/retry_budget.py
@@ -1,39 +1,50 @@
-"""A retry budget: retries may add only a share to the load of a service.
+"""A retry budget: retries stay a small share of the calls, whatever fails.
 
 Without it, a fleet that fails from overload gets several times its load in retries.
 """
 
-DEPOSIT = 0.2
-MOST_BALANCE = 64.0
-FIRST_BALANCE = 32.0
+SHARE = 0.1
+MOST = 10.0
 
 
 class RetryBudget:
-    """The token bucket of one service.
+    """Each call pays in a share; each retry that may double work takes one.
 
-    A stream that has begun may overdraw it: to cut an answer that the caller reads
-    already is the worst that a refusal can do.
+    A stream that has begun may overdraw the budget: to cut an answer that the caller
+    reads already is the worst that a refusal can do.
 
-    >>> budget = RetryBudget(balance=1.0)
-    >>> budget.withdraw(begun=False), budget.withdraw(begun=False)
-    (True, False)
-    >>> budget.withdraw(begun=True)
+    >>> budget = RetryBudget(share=0.5, most=1.0)
+    >>> budget.take(), budget.take(), budget.take(begun=True)
+    (True, False, True)
+    >>> for _ in range(4):
+    ...     budget.deposit()
+    >>> budget.take()
     True
+
+    Args:
+        share: retries for each call, in the long run.
+        most: retries that may follow at once after a quiet time.
     """
 
-    __slots__ = ("balance",)
+    __slots__ = ("_most", "_share", "level")
 
-    def __init__(self, balance: float = FIRST_BALANCE) -> None:
-        self.balance = balance
+    def __init__(self, share: float = SHARE, most: float = MOST) -> None:
+        self._share = share
+        self._most = most
+        self.level = most
 
     def deposit(self) -> None:
-        """Note a first attempt."""
-        self.balance = min(MOST_BALANCE, self.balance + DEPOSIT)
+        """Note one call."""
+        self.level = min(self._most, self.level + self._share)
+
+    def take(self, begun: bool = False) -> bool:
+        """Return whether one retry is left, and take it.
 
-    def withdraw(self, begun: bool) -> bool:
-        """Take a retry out; return whether it may be made."""
-        least = -MOST_BALANCE if begun else 0.0
-        if self.balance - 1.0 < least:
+        Args:
+            begun: the caller has seen a part of the answer.
+        """
+        least = 1.0 - self._most if begun else 1.0
+        if self.level < least:
             return False
-        self.balance -= 1.0
+        self.level -= 1.0
         return True
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -13,7 +13,7 @@
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import Wanted
 from caperridge.instance.gate import Gate
-from caperridge.instance.messages import OnlineLatency, OnlineLoad, TargetLeaving
+from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online_request import OnlineRequest
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
@@ -28,8 +28,8 @@
 UNREPEATABLE_BETWEEN_S = 10.0
 LEAST_FIRST_S = 0.05
 RETRY_AFTER_S = 1.0
-
-Told = OnlineLoad | OnlineLatency | TargetLeaving
+RETRY_SHARE = 0.2
+MOST_RETRIES = 64.0  # at once; a lost runner moves all its streams together
 
 
 class ServicePolicy:
@@ -38,7 +38,7 @@
     __slots__ = ("between", "budget", "first")
 
     def __init__(self) -> None:
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(RETRY_SHARE, MOST_RETRIES)
         self.first: Patience = first_event_patience()
         self.between: Patience = between_events_patience()
 
@@ -78,7 +78,8 @@
         engines: client of the engines.
         metrics: of the instance.
         clock: monotonic seconds.
-        tell: told of loads, latencies and leaving targets.
+        load_changed: told of each online start and end.
+        target_leaving: told of a target that says itself that it is leaving.
     """
 
     def __init__(
@@ -88,14 +89,16 @@
         engines: EngineClient,
         metrics: Metrics,
         clock: Callable[[], float],
-        tell: Callable[[Told], None],
+        load_changed: Callable[[OnlineLoad], None],
+        target_leaving: Callable[[str], None],
     ) -> None:
         self._book = book
         self._gate = gate
         self._engines = engines
         self._metrics = metrics
         self._clock = clock
-        self._tell = tell
+        self._load_changed = load_changed
+        self._target_leaving = target_leaving
         self._policies_by_service: dict[str, ServicePolicy] = {}
         self._cancels: set[asyncio.Task[None]] = set()
 
@@ -107,7 +110,7 @@
         """Return the learnt figures by service, for the dump."""
         return {
             name: {
-                "retry_budget": policy.budget.balance,
+                "retry_budget": policy.budget.level,
                 "first_event_limit_s": policy.first.limit_s(),
                 "between_events_limit_s": policy.between.limit_s(),
             }
@@ -166,7 +169,7 @@
             raise refuse(request, "deadline_passed", text, 504, progress.run)
         if isinstance(error, NotSent):
             return  # it cost no target anything
-        if policy.budget.withdraw(progress.began):
+        if policy.budget.take(progress.began):
             return
         self._metrics.budget_spent.labels(request.service.name).inc()
         text = f"too many retries in this service; last: {_reason(error)}"
@@ -274,7 +277,7 @@
             raise
         finally:
             self._book.ended(target)
-            self._tell_load(target)
+            self._tell_load(target, watch)
             self._gate.pump(request.service.name, request.service.most_running)
             self._note_latency(target, watch)
             if not whole:
@@ -283,10 +286,8 @@
     def _note_latency(self, target: str, watch: "Watch") -> None:
         watch.note()
         state = self._book.states_by_id.get(target)
-        if state is None or not watch.tokens:
-            return
-        state.first_token_seen(watch.first_s, self._clock())
-        self._tell(OnlineLatency(target, watch.first_s, watch.mean_between_s))
+        if state is not None and watch.tokens:
+            state.first_token_seen(watch.first_s, self._clock())
 
     def _cancel_later(self, attempt: Attempt) -> None:
         cancel = self._engines.cancel(attempt.address, attempt.attempt)
@@ -333,9 +334,9 @@
         target: str,
         error: TargetRefused,
     ) -> None:
-        if error.leaving and self._book.mark_leaving(target):
-            incarnation = self._book.states_by_id[target].member.incarnation
-            self._tell(TargetLeaving(target, incarnation))
+        if error.leaving:
+            self._target_leaving(target)
+            self._book.mark_leaving(target)
         if error.run != NOT_RUN or not request.service.believes_not_run:
             progress.may_have_run = True
         if error.permanent:
@@ -343,9 +344,12 @@
                 request, "target_refused", error.reason, error.status, progress.run
             )
 
-    def _tell_load(self, target: str) -> None:
+    def _tell_load(self, target: str, watch: "Watch | None" = None) -> None:
         state = self._book.states_by_id.get(target)
-        self._tell(OnlineLoad(target, state.in_flight if state else 0))
+        in_flight = state.in_flight if state else 0
+        first_s = watch.first_s if watch else 0.0
+        between_s = watch.mean_between_s if watch else 0.0
+        self._load_changed(OnlineLoad(target, in_flight, first_s, between_s))
 
 
 class Watch:
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -36,38 +36,30 @@
 
 
 class OnlineLoad(Record):
-    """How many online requests this instance has in flight at a target."""
+    """How many online requests this instance has in flight at a target.
 
-    __slots__ = ("in_flight", "target")
-
-    def __init__(self, target: str, in_flight: int) -> None:
-        self.target = target
-        self.in_flight = in_flight
+    Attributes:
+        target: where they are.
+        in_flight: how many there are now.
+        first_token_s: time to the first token of the one that ended; 0 if unknown.
+        between_tokens_s: its mean time between tokens; 0 if unknown.
+    """
 
-
-class OnlineLatency(Record):
-    """What an online request of this instance saw at a target."""
-
-    __slots__ = ("between_tokens_s", "first_token_s", "target")
+    __slots__ = ("between_tokens_s", "first_token_s", "in_flight", "target")
 
     def __init__(
-        self, target: str, first_token_s: float, between_tokens_s: float
+        self,
+        target: str,
+        in_flight: int,
+        first_token_s: float = 0.0,
+        between_tokens_s: float = 0.0,
     ) -> None:
         self.target = target
+        self.in_flight = in_flight
         self.first_token_s = first_token_s
         self.between_tokens_s = between_tokens_s
 
 
-class TargetLeaving(Record):
-    """A target said itself that this incarnation of it is leaving."""
-
-    __slots__ = ("incarnation", "target")
-
-    def __init__(self, target: str, incarnation: int) -> None:
-        self.target = target
-        self.incarnation = incarnation
-
-
 class ItemEnded(Record):
     """A batch item ended; ``error`` is None if its answer is whole."""
 
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -11,8 +11,9 @@
 from caperridge.decisions.limits import CONCURRENCY_LIMIT, Limits
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport
-from caperridge.instance.attempts import Attempts, Told, refuse
+from caperridge.instance.attempts import Attempts, refuse
 from caperridge.instance.gate import NO_TARGET, Gate
+from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online_request import (
     BadInputError,
@@ -21,7 +22,7 @@
     deadline_s,
 )
 from caperridge.instance.traces import Trace, Traces
-from caperridge.peers.messages import LatencyNews, LoadNews, TargetNews
+from caperridge.peers.messages import LatencyNews, LoadNews
 from caperridge.refusals import NOT_RUN, Refusal, RefusedError
 from caperridge.targets.engine import EngineClient
 
@@ -35,7 +36,8 @@
         traces: where steps are kept.
         metrics: of the instance.
         clock: monotonic seconds.
-        tell: told of each online start and end, of latencies and leaving targets.
+        load_changed: told of each online start and end.
+        target_leaving: told of a target that says itself that it is leaving.
         instances: returns how many live instances share the callers' limits.
     """
 
@@ -46,14 +48,23 @@
         traces: Traces,
         metrics: Metrics,
         clock: Callable[[], float],
-        tell: Callable[[Told], None],
+        load_changed: Callable[[OnlineLoad], None],
+        target_leaving: Callable[[str], None],
         instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self.book = book
         self.in_flight = 0
         self.limits = Limits()
         self.gate = Gate(book, metrics, clock)
-        self.attempts = Attempts(book, self.gate, engines, metrics, clock, tell)
+        self.attempts = Attempts(
+            book,
+            self.gate,
+            engines,
+            metrics,
+            clock,
+            load_changed,
+            target_leaving,
+        )
         self._idle = asyncio.Event()
         self._idle.set()
         self._traces = traces
@@ -179,11 +190,6 @@
     def peer_told(self, message: Any) -> None:
         """Take in what another instance says of a target; other kinds are skipped."""
 
-    @peer_told.register
-    def _(self, message: TargetNews) -> None:
-        if message.leaving:
-            self.book.mark_leaving(message.target, message.incarnation)
-
     @peer_told.register
     def _(self, message: LatencyNews) -> None:
         state = self.book.states_by_id.get(message.target)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 import zlib
-from functools import singledispatchmethod
 from typing import Any
 
 from aiohttp import web
@@ -24,7 +23,6 @@
     ItemEnded,
     MembersListed,
     OnlineLoad,
-    TargetLeaving,
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
@@ -35,7 +33,7 @@
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import LoadNews, OnlineNews, TargetNews
+from caperridge.peers.messages import OnlineNews, TargetNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.queries.explain import Explanations
@@ -97,7 +95,8 @@
             self.traces,
             self.metrics,
             clock,
-            self._online_told,
+            self._online_load,
+            self._target_leaving,
             self._instances,
         )
         self.explanations = Explanations(self.traces, self.peers)
@@ -106,7 +105,8 @@
             book,
             self._engines,
             self.streams.headroom.online,
-            self._online_told,
+            self._target_leaving,
+            lambda news: self.peers.send_zone(news),
             clock,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
@@ -144,21 +144,7 @@
         }
         return len(live | {self.settings.instance_id})
 
-    @singledispatchmethod
-    def _online_told(self, message: Any) -> None:
-        """Pass on what online requests and reports say of targets."""
-
-    @_online_told.register
-    def _(self, message: TargetLeaving) -> None:
-        news = TargetNews(message.target, message.incarnation, leaving=True)
-        self.peers.send_all(news)
-
-    @_online_told.register
-    def _(self, message: LoadNews) -> None:
-        self.peers.send_zone(message)
-
-    @_online_told.register
-    def _(self, load: OnlineLoad) -> None:
+    def _online_load(self, load: OnlineLoad) -> None:
         """Tell the dispatcher of the target, here or at a peer."""
         state = self.online.book.states_by_id.get(load.target)
         if state is None:
@@ -174,6 +160,24 @@
             news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
             self.peers.send(owner, news)
 
+    def _target_leaving(self, target: str) -> None:
+        """Act on a target's own word that it is leaving, and pass it on."""
+        state = self.online.book.states_by_id.get(target)
+        if state is None or state.leaving:
+            return
+        news = TargetNews(target, state.member.incarnation, leaving=True)
+        self.target_news(news)
+        self.peers.send_all(news)
+
+    def target_news(self, news: TargetNews) -> None:
+        """Act on the word that a target is leaving, whoever said it."""
+        for book in (self.online.book, self.streams.book):
+            state = book.states_by_id.get(news.target)
+            if state is None or state.member.incarnation != news.incarnation:
+                continue
+            if news.leaving:
+                book.mark_leaving(news.target)
+
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
 
--- a/src/caperridge/instance/target_reports.py
+++ b/src/caperridge/instance/target_reports.py
@@ -8,7 +8,6 @@
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport, TargetState
 from caperridge.instance.actor import Actor
-from caperridge.instance.messages import TargetLeaving
 from caperridge.peers.messages import LoadNews
 from caperridge.targets.engine import EngineClient
 
@@ -40,7 +39,8 @@
         book: takes in what is heard.
         engines: client of the engines.
         online: returns the online requests of all instances at a target.
-        told: passes news on to the zone, and leaving targets to all.
+        target_leaving: told of a target that says itself that it is leaving.
+        news: passes news of loads on to the zone.
         clock: monotonic seconds.
     """
 
@@ -52,7 +52,8 @@
         book: TargetBook,
         engines: EngineClient,
         online: Callable[[str], int],
-        told: Callable[[LoadNews | TargetLeaving], None],
+        target_leaving: Callable[[str], None],
+        news: Callable[[LoadNews], object],
         clock: Callable[[], float],
     ) -> None:
         super().__init__()
@@ -61,7 +62,8 @@
         self._book = book
         self._engines = engines
         self._online = online
-        self._told = told
+        self._target_leaving = target_leaving
+        self._news = news
         self._clock = clock
         self._polled_by_target: dict[str, Polled] = {}
         self._round = 0
@@ -76,7 +78,7 @@
         heard = await asyncio.gather(*(self._poll(state) for state in own.values()))
         loads = [load for load in heard if load is not None]
         if loads:
-            self._told(LoadNews(self._membership.instance, loads))
+            self._news(LoadNews(self._membership.instance, loads))
 
     def _own(self) -> dict[str, TargetState]:
         services = self.engine_services
@@ -126,8 +128,8 @@
         if isinstance(loaded, dict):
             polled.version = str(loaded.get("version", ""))
             polled.adapters = loaded.get("adapters")
-        if said.get("leaving") and self._book.mark_leaving(member.id):
-            self._told(TargetLeaving(member.id, member.incarnation))
+        if said.get("leaving"):
+            self._target_leaving(member.id)
 
     async def _poll_events(self, state: TargetState, polled: Polled) -> None:
         path = f"/control/cache-events?after={polled.after}"
