--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -163,7 +163,7 @@
         between_s = attempt.between_events_s or self._between_events_s
         loop = asyncio.get_running_loop()
         checker = EventChecker(attempt.request, attempt.attempt, attempt.resume_from)
-        while True:
+        while not checker.whole:
             async with asyncio.timeout_at(due):
                 data = await response.content.readany()
             if not data:
@@ -171,6 +171,9 @@
             events = checker.feed(data)
             if events:
                 yield events
+            if checker.wrong is not None:
+                raise checker.wrong
+            if events:
                 # Counted from here: whoever reads slowly is not the target's fault.
                 due = loop.time() + between_s
         if not checker.whole:
--- a/src/caperridge/targets/events.py
+++ b/src/caperridge/targets/events.py
@@ -33,7 +33,15 @@
     (True, 1)
     """
 
-    __slots__ = ("_attempt", "_head", "_left", "_request", "next_offset", "whole")
+    __slots__ = (
+        "_attempt",
+        "_head",
+        "_left",
+        "_request",
+        "next_offset",
+        "whole",
+        "wrong",
+    )
 
     def __init__(self, request: str, attempt: str, next_offset: int) -> None:
         self._request = request
@@ -45,12 +53,14 @@
         self._left = b""
         self.next_offset = next_offset
         self.whole = False
+        self.wrong: WrongEventError | None = None
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the token events completed by ``data``, each with its separator.
 
-        Raises:
-            WrongEventError: an event is not ours or not the next one.
+        At an event that is not ours or not the next one, ``wrong`` is set; those
+        before it are returned, for they are good. What follows the closing mark is
+        nobody's and ignored.
         """
         if self._left:
             data = self._left + data
@@ -60,10 +70,12 @@
         for event in events:
             if event == b"data: [DONE]":
                 self.whole = True
-                continue
-            if self.whole:
-                raise WrongEventError("an event after the closing mark")
-            self._check(event)
+                break
+            try:
+                self._check(event)
+            except WrongEventError as error:
+                self.wrong = error
+                break
             checked.append(event + _SEPARATOR)
         return checked
 
--- /dev/null
+++ b/tests/online/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of online requests."""
