Connect instances by authenticated streams

Cause: instances knew of each other only what the platform's list says, which lags, and told each other nothing. Weighed: one stream for each pair against one for each direction: one, kept by the same rule at both ends. Queues of messages against the newest of each subject: the newest, so that a slow peer costs no memory and reads no history. Change: msgpack frames with a length, mutual HMAC proof over both hellos, a failure detector with suspicion before removal, full mesh in an availability zone and a few links between zones, news of jobs and targets flooded with memory of what was seen, news of online load repeated whenever a stream opens or the view changes.

--- /dev/null
+++ b/src/caperridge/decisions/links.py
@@ -0,0 +1,51 @@
+"""Which peers an instance keeps a stream to.
+
+All of the own availability zone, so that news of online load arrives in one hop. To
+each other zone a few, chosen by rendezvous hashing: a fixed number for each pair of
+zones however many instances they have, so the links of one instance shrink as its
+zone grows. Instances that seem dead are chosen last but not never, or two zones that
+were cut off from each other would not try again.
+"""
+
+from collections.abc import Collection, Mapping
+
+import xxhash
+
+LINKS_A_ZONE = 2
+
+
+def wanted_links(
+    instance: str,
+    availability_zone: str,
+    known_by_zone: Mapping[str, Collection[str]],
+    live: Collection[str],
+) -> set[str]:
+    """Return the peers that ``instance`` should have a stream to.
+
+    Args:
+        instance: the own id.
+        availability_zone: the own one.
+        known_by_zone: every instance that is not known to have left.
+        live: those that seem to live.
+    """
+    own_zone = set(known_by_zone.get(availability_zone, ())) | {instance}
+    live = set(live) | {instance}
+    wanted = own_zone - {instance}
+    for zone, members in known_by_zone.items():
+        if zone == availability_zone or not zone:
+            continue
+        if instance in gateways(availability_zone, zone, own_zone, live):
+            wanted.update(gateways(zone, availability_zone, members, live))
+    return wanted
+
+
+def gateways(
+    zone: str, other: str, members: Collection[str], live: Collection[str]
+) -> list[str]:
+    """Return the members of ``zone`` that keep the links to ``other``."""
+
+    def rank(member: str) -> tuple[bool, int, str]:
+        score = xxhash.xxh3_64_intdigest(f"{member}\x00{zone}\x00{other}".encode())
+        return member in live, score, member
+
+    return sorted(members, key=rank, reverse=True)[:LINKS_A_ZONE]
--- a/src/caperridge/decisions/membership.py
+++ b/src/caperridge/decisions/membership.py
@@ -1,39 +1,188 @@
-"""Which instances live, as this instance sees it."""
+"""Which instances live, as this instance sees it.
+
+The platform's list lags, so heartbeats go first where there are any: an instance that
+is heard is live although not listed yet, and one that fell silent is not although
+still listed. A listed one that was never heard counts for a while, since it may have
+just started. Of other availability zones the members of those zones tell.
+"""
 
 from collections.abc import Iterable
 
+from caperridge.decisions.failure_detector import Evidence, FailureDetector
 from caperridge.decisions.rendezvous import owner
 from caperridge.platform.interface import ListedMember
 
+LISTED_GRACE_S = 10.0
+MOST_CACHED_OWNERS = 20_000
+LEAVING = "leaving"
+
 
 class Membership:
-    """The view of one instance; it always counts itself as live.
+    """The view of one instance; it counts itself as live unless it was paused.
 
     Args:
         instance: id of this instance.
         availability_zone: where it runs.
+        heartbeats: whether peers are heard; if not, the list decides alone.
     """
 
-    def __init__(self, instance: str, availability_zone: str) -> None:
+    def __init__(
+        self, instance: str, availability_zone: str, heartbeats: bool = False
+    ) -> None:
         self.instance = instance
         self.availability_zone = availability_zone
+        self.heartbeats = heartbeats
+        self.leaving = False
+        self.superseded = False
+        self.changes = 0
         self.members_by_id: dict[str, ListedMember] = {}
+        self.zones_by_id: dict[str, str] = {}
+        self.detector = FailureDetector()
+        self._listed_at_by_id: dict[str, float] = {}
+        self._left_by_id: dict[str, tuple[int, int]] = {}
+        self._live_by_zone: dict[str, list[str]] = {}
+        self._owners_by_key: dict[tuple[str, str], str | None] = {}
+        self._now = 0.0
+        self._refresh()
 
-    def apply_list(self, members: Iterable[ListedMember]) -> None:
+    def apply_list(
+        self, members: Iterable[ListedMember], now: float | None = None
+    ) -> None:
         """Take over the platform's list of instances, which lags."""
+        self._now = self._now if now is None else now
         self.members_by_id = {m.id: m for m in members if m.kind == "instance"}
+        for instance, member in self.members_by_id.items():
+            self._listed_at_by_id.setdefault(instance, self._now)
+            self._note_leaving(member)
+        for instance in list(self._listed_at_by_id):
+            if instance not in self.members_by_id:
+                del self._listed_at_by_id[instance]
+                self._left_by_id.pop(instance, None)
+        self._refresh()
+
+    def heard(self, evidence: Evidence, availability_zone: str, now: float) -> bool:
+        """Take in evidence that a peer lives; return whether it was new."""
+        self._now = now
+        self.zones_by_id[evidence.instance] = availability_zone
+        was_held_back = self.detector.held_back
+        before = self.detector.health_by_id.get(evidence.instance)
+        counted = before is not None and before.counted
+        if not self.detector.heard(evidence, now):
+            return False
+        after = self.detector.health_by_id[evidence.instance]
+        if was_held_back or after.counted != counted:
+            self._refresh()
+        return True
+
+    def lost(self, instance: str, now: float) -> None:
+        """Suspect a peer whose stream has ended."""
+        self._now = now
+        self.detector.lost(instance, now)
+
+    def tick(self, now: float) -> list[str]:
+        """Let time pass; return the peers that were removed."""
+        self._now = now
+        removed = self.detector.tick(now)
+        self._refresh()
+        return removed
+
+    def leave(self) -> None:
+        """Own nothing from now on; this instance is stopping as planned."""
+        self.leaving = True
+        self._refresh()
+
+    def supersede(self) -> None:
+        """Own nothing from now on; a later process has this instance's id."""
+        self.superseded = True
+        self._refresh()
+
+    @property
+    def steady(self) -> bool:
+        """Whether this instance may take what rendezvous hashing gives it."""
+        return not (self.leaving or self.superseded or self.detector.held_back)
 
     def live(self, availability_zone: str) -> list[str]:
-        """Return the live instances of a zone, sorted; the own one included."""
-        found = {
-            member.id
-            for member in self.members_by_id.values()
-            if member.availability_zone == availability_zone and member.state == "live"
-        }
-        if availability_zone == self.availability_zone:
-            found.add(self.instance)
-        return sorted(found)
+        """Return the live instances of a zone, sorted; the own one if steady."""
+        return self._live_by_zone.get(availability_zone, [])
 
     def owner(self, key: str, availability_zone: str) -> str | None:
-        """Return the live instance of a zone that looks after ``key``."""
-        return owner(key, self.live(availability_zone))
+        """Return the live instance of a zone that looks after ``key``.
+
+        The answer is kept until the view changes, as each online request asks.
+        """
+        place = (key, availability_zone)
+        try:
+            return self._owners_by_key[place]
+        except KeyError:
+            pass
+        if len(self._owners_by_key) >= MOST_CACHED_OWNERS:
+            self._owners_by_key.clear()
+        found = owner(key, self.live(availability_zone))
+        self._owners_by_key[place] = found
+        return found
+
+    def zone_of(self, instance: str) -> str:
+        """Return where an instance runs; empty if that is not known."""
+        member = self.members_by_id.get(instance)
+        if member is not None:
+            return member.availability_zone
+        return self.zones_by_id.get(instance, "")
+
+    def known_by_zone(self) -> dict[str, list[str]]:
+        """Return every other instance that is not known to have left, by zone."""
+        found_by_zone: dict[str, list[str]] = {}
+        known = self.members_by_id.keys() | self.detector.health_by_id.keys()
+        for instance in sorted(known - {self.instance}):
+            if not self._has_left(instance):
+                zone = self.zone_of(instance)
+                found_by_zone.setdefault(zone, []).append(instance)
+        return found_by_zone
+
+    def _note_leaving(self, member: ListedMember) -> None:
+        """Keep "leaving" for the incarnation that it was said of."""
+        left = self._left_by_id.get(member.id)
+        if left is not None and member.incarnation > left[0]:
+            del self._left_by_id[member.id]
+            left = None
+        if member.state == LEAVING and left is None:
+            heard = self.detector.known_incarnation(member.id)
+            self._left_by_id[member.id] = (member.incarnation, heard)
+
+    def _has_left(self, instance: str) -> bool:
+        health = self.detector.health_by_id.get(instance)
+        if health is not None and health.leaving:
+            return True
+        left = self._left_by_id.get(instance)
+        if left is None:
+            return False
+        return health is None or health.incarnation <= left[1]
+
+    def _is_live(self, instance: str) -> bool:
+        if self._has_left(instance):
+            return False
+        health = self.detector.health_by_id.get(instance)
+        if health is not None:
+            return health.counted
+        if instance not in self.members_by_id:
+            return False
+        if not self.heartbeats or self.zone_of(instance) != self.availability_zone:
+            return True
+        return self._now - self._listed_at_by_id[instance] < LISTED_GRACE_S
+
+    def _refresh(self) -> None:
+        found_by_zone: dict[str, list[str]] = {}
+        known = self.members_by_id.keys() | self.detector.health_by_id.keys()
+        for instance in sorted(known | {self.instance}):
+            if instance == self.instance:
+                if self.steady:
+                    found_by_zone.setdefault(self.availability_zone, []).append(
+                        instance
+                    )
+                continue
+            if self._is_live(instance):
+                zone = self.zone_of(instance)
+                found_by_zone.setdefault(zone, []).append(instance)
+        if found_by_zone != self._live_by_zone:
+            self._live_by_zone = found_by_zone
+            self._owners_by_key.clear()
+            self.changes += 1
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -21,17 +21,18 @@
     ConfigurationApplied,
     ItemEnded,
     MembersListed,
-    OnlineLoad,
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.peer_metrics import PeerMetrics
+from caperridge.instance.peer_news import OnlineLoads, PeerNews
+from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import OnlineNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.refusals import Refusal, RefusedError
@@ -70,9 +71,16 @@
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
-        self.membership = Membership(settings.instance_id, settings.availability_zone)
-        self.peers: Peers = NoPeers()
-        self._sequence = 0
+        self.membership = Membership(
+            settings.instance_id,
+            settings.availability_zone,
+            heartbeats=bool(settings.peers_secret),
+        )
+        self.mesh: PeerMesh | None = None
+        if settings.peers_secret:
+            metrics = PeerMetrics(self.metrics.registry)
+            self.mesh = PeerMesh(settings, self.membership, metrics, clock)
+        self.peers: Peers = self.mesh or NoPeers()
         self.dispatcher = BatchDispatcher(
             self.platform, self.session, self.metrics, clock
         )
@@ -84,23 +92,34 @@
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
         self.dispatcher.streams = self.streams
+        self.online_loads = OnlineLoads(
+            self.membership, self.peers, self._zone_of, self.streams.online_changed
+        )
         self.online = OnlineFront(
             book,
             self._engines,
             self.traces,
             self.metrics,
             clock,
-            self._online_load,
+            self.online_loads.changed,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
         self.members = MembersReader(self.platform, self._listed)
+        self.peer_news = PeerNews(
+            [self.online.book, self.streams.book],
+            self.streams.online_changed,
+            self.dispatcher.tell,
+        )
         self._actors = [
             self.session,
             self.configuration,
             self.members,
             self.dispatcher,
         ]
+        if self.mesh is not None:
+            self._wire_peers(self.mesh)
+            self._actors.append(self.mesh)
         self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
@@ -108,25 +127,27 @@
         self.streams.configuration = message.configuration
 
     def _listed(self, message: MembersListed) -> None:
-        self.membership.apply_list(message.members)
+        self.membership.apply_list(message.members, time.monotonic())
         self.online.book.apply_list(message.members)
         self.streams.book.apply_list(message.members)
 
-    def _online_load(self, load: OnlineLoad) -> None:
-        """Tell the dispatcher of the target, here or at a peer."""
-        state = self.online.book.states_by_id.get(load.target)
-        if state is None:
-            return
-        own_id = self.settings.instance_id
-        zone = state.member.availability_zone
-        owner = self.membership.owner(load.target, zone)
-        if owner == own_id:
-            self.streams.online_changed(load.target, own_id, load.in_flight)
-            return
-        if owner is not None:
-            self._sequence += 1
-            news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
-            self.peers.send(owner, news)
+    def _zone_of(self, target: str) -> str | None:
+        state = self.online.book.states_by_id.get(target)
+        return None if state is None else state.member.availability_zone
+
+    def _wire_peers(self, mesh: PeerMesh) -> None:
+        """Connect the peers' news with the tasks that it concerns."""
+        news = self.peer_news
+        news.listen(mesh)
+        mesh.configuration_version = lambda: self.configuration.current.version
+
+        def opened(instance: str) -> None:
+            news.opened(instance)
+            self.online_loads.repeat(instance)
+
+        mesh.peer_opened = opened
+        mesh.peer_removed = news.removed
+        mesh.view_changed = self.online_loads.repeat
 
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
@@ -163,6 +184,8 @@
             missing.append("it does not know the configuration yet")
         if not self.members.known:
             missing.append("it does not know the targets yet")
+        if self.membership.superseded:
+            missing.append("a later process has its id")
         return missing
 
     def state(self) -> dict[str, Any]:
@@ -181,6 +204,7 @@
                 for target_id, state in self.online.book.states_by_id.items()
             },
             "dispatcher": self.dispatcher.state(),
+            "peers": self.mesh.state() if self.mesh is not None else None,
             "traces": len(self.traces),
         }
 
@@ -190,6 +214,9 @@
         await self._listen(
             "operators", OperatorsHttp(self).app(), self.settings.operators
         )
+        if self.mesh is not None:
+            at = await self.mesh.open(self.settings.peers)
+            self.addresses_by_listener["peers"] = at
         for actor in self._actors:
             actor.start()
         log.info(
@@ -211,6 +238,8 @@
         """Stop as planned: not ready, wait, finish what runs, close the session."""
         self.draining = True
         self.dispatcher.draining = True
+        if self.mesh is not None:
+            self.mesh.leave()
         log.info("stopping: not ready", instance=self.settings.instance_id)
         await asyncio.sleep(self.settings.balancer_s)
         with contextlib.suppress(TimeoutError):
--- /dev/null
+++ b/src/caperridge/peers/frames.py
@@ -0,0 +1,69 @@
+"""Messages as frames: a length of four bytes, then one msgpack map."""
+
+import asyncio
+import struct
+from typing import Any
+
+from caperridge.peers.messages import KINDS_BY_NAME
+from caperridge.records import Record, pack, unpack
+
+MOST_FRAME_BYTES = 8 * 2**20
+MOST_HELLO_BYTES = 4096
+_LENGTH = struct.Struct(">I")
+_KIND = "is"
+
+
+class FrameError(Exception):
+    """What came cannot be a frame; the stream is of no further use."""
+
+
+class MessageError(Exception):
+    """One frame is no message; the stream can go on."""
+
+
+def encode(message: Record) -> bytes:
+    """Return ``message`` as one frame.
+
+    Raises:
+        MessageError: it is larger than a frame may be.
+    """
+    body = pack({_KIND: type(message).__name__, **message.to_map()})
+    if len(body) > MOST_FRAME_BYTES:
+        raise MessageError(f"{type(message).__name__} has {len(body)} bytes")
+    return _LENGTH.pack(len(body)) + body
+
+
+def decode(body: bytes) -> Record | None:
+    """Return the message in the body of a frame; None if its kind is not known.
+
+    Raises:
+        MessageError: it is no message, or lacks a field.
+    """
+    try:
+        fields: Any = unpack(body)
+    except (ValueError, TypeError) as error:
+        raise MessageError("a frame holds no msgpack") from error
+    if not isinstance(fields, dict) or not isinstance(fields.get(_KIND), str):
+        raise MessageError("a frame holds no map with a kind")
+    kind = KINDS_BY_NAME.get(fields[_KIND])
+    if kind is None:
+        return None
+    try:
+        return kind.from_map(fields)
+    except TypeError as error:
+        raise MessageError(f"{fields[_KIND]}: {error}") from error
+
+
+async def read_body(
+    reader: asyncio.StreamReader, most_bytes: int = MOST_FRAME_BYTES
+) -> bytes:
+    """Return the body of the next frame.
+
+    Raises:
+        FrameError: it is larger than ``most_bytes``.
+        asyncio.IncompleteReadError: the stream ended.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > most_bytes:
+        raise FrameError(f"a frame of {length} bytes; at most {most_bytes} are read")
+    return await reader.readexactly(length)
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -13,13 +13,27 @@
 
 
 class Hello(Record):
-    """Opens a stream in each direction; see :mod:`caperridge.peers` for the proof."""
+    """Opens a stream in each direction; see :mod:`caperridge.peers.handshake`.
+
+    Attributes:
+        instance: who says hello.
+        availability_zone: where it runs.
+        incarnation: raised with each start of an instance of that id.
+        nonce: fresh for each stream; the other's proof must cover it.
+        proof: that the sender knows the secret; empty in the first of three.
+        protocol: of the messages.
+        release: of the program.
+        port: of the sender's own listener for peers.
+        known_incarnation: the highest of the addressee that the sender knows.
+    """
 
     __slots__ = (
         "availability_zone",
         "incarnation",
         "instance",
+        "known_incarnation",
         "nonce",
+        "port",
         "proof",
         "protocol",
         "release",
@@ -34,6 +48,8 @@
         proof: bytes = b"",
         protocol: int = PROTOCOL,
         release: str = "",
+        port: int = 0,
+        known_incarnation: int = 0,
     ) -> None:
         self.instance = instance
         self.availability_zone = availability_zone
@@ -42,6 +58,8 @@
         self.proof = proof
         self.protocol = protocol
         self.release = release
+        self.port = port
+        self.known_incarnation = known_incarnation
 
 
 class Heartbeat(Record):
--- /dev/null
+++ b/src/caperridge/peers/stream.py
@@ -0,0 +1,160 @@
+"""One authenticated stream to one peer."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from caperridge.log import logger
+from caperridge.peers.frames import (
+    FrameError,
+    MessageError,
+    decode,
+    encode,
+    read_body,
+)
+from caperridge.peers.messages import Hello
+from caperridge.peers.outbox import Outbox
+from caperridge.records import Record
+
+log = logger(__name__)
+SILENCE_S = 15.0
+WRITE_S = 5.0
+MOST_AT_ONCE_BYTES = 256 * 2**10
+
+
+class PeerStream:
+    """Reads and writes the messages of one stream until either end closes it.
+
+    Args:
+        reader: of the connection, after the handshake.
+        writer: of the connection.
+        hello: what the other end said.
+        dialed: whether this end opened the connection.
+        received: told of each message; called on the loop, must not block.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        hello: Hello,
+        dialed: bool,
+        received: Callable[["PeerStream", Record], None],
+    ) -> None:
+        self.hello = hello
+        self.dialed = dialed
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.unreadable = 0
+        self.unknown_kinds = 0
+        self.closed = False
+        host = writer.get_extra_info("peername")[0]
+        self.address = f"{host}:{hello.port}" if hello.port else ""
+        self._reader = reader
+        self._writer = writer
+        self._received = received
+        self._outbox = Outbox()
+        self._wake = asyncio.Event()
+        self._counted = (0, 0, 0)
+
+    @property
+    def instance(self) -> str:
+        """The id of the peer."""
+        return self.hello.instance
+
+    @property
+    def dropped(self) -> int:
+        """How many messages found no room."""
+        return self._outbox.dropped
+
+    def send(self, message: Record) -> bool:
+        """Queue ``message``; False if the stream is closed or has no room."""
+        if self.closed or not self._outbox.put(message):
+            return False
+        self._wake.set()
+        return True
+
+    def take_counts(self) -> tuple[int, int, int]:
+        """Return bytes in, bytes out and messages dropped since the last call."""
+        before = self._counted
+        self._counted = (self.bytes_in, self.bytes_out, self.dropped)
+        bytes_in, bytes_out, dropped = self._counted
+        return bytes_in - before[0], bytes_out - before[1], dropped - before[2]
+
+    def close(self) -> None:
+        """End the stream; :meth:`run` returns soon after."""
+        self.closed = True
+        self._wake.set()
+        self._writer.close()
+
+    async def run(self) -> None:
+        """Read and write until the stream ends."""
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(self._read()), loop.create_task(self._write())]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.close()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(WRITE_S):
+                    await self._writer.wait_closed()
+
+    async def _read(self) -> None:
+        with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+            while True:
+                async with asyncio.timeout(SILENCE_S):
+                    body = await self._next_body()
+                if body is None:
+                    return
+                self.bytes_in += len(body) + 4
+                self._take(body)
+
+    async def _next_body(self) -> bytes | None:
+        try:
+            return await read_body(self._reader)
+        except FrameError as error:
+            log.warning("stream dropped", peer=self.instance, reason=str(error))
+            return None
+
+    def _take(self, body: bytes) -> None:
+        try:
+            message = decode(body)
+        except MessageError as error:
+            self.unreadable += 1
+            log.warning("message skipped", peer=self.instance, reason=str(error))
+            return
+        if message is None:
+            self.unknown_kinds += 1
+            return
+        self._received(self, message)
+
+    async def _write(self) -> None:
+        with contextlib.suppress(TimeoutError, OSError):
+            while not self.closed:
+                await self._wake.wait()
+                self._wake.clear()
+                for data in self._frames():
+                    self._writer.write(data)
+                    self.bytes_out += len(data)
+                    async with asyncio.timeout(WRITE_S):
+                        await self._writer.drain()
+
+    def _frames(self) -> list[bytes]:
+        """Return what waits, in pieces of bounded size rather than one a message."""
+        pieces: list[bytes] = []
+        piece = bytearray()
+        for message in self._outbox.take():
+            try:
+                piece += encode(message)
+            except MessageError as error:
+                log.error("message not sent", peer=self.instance, reason=str(error))
+                continue
+            if len(piece) >= MOST_AT_ONCE_BYTES:
+                pieces.append(bytes(piece))
+                piece = bytearray()
+        if piece:
+            pieces.append(bytes(piece))
+        return pieces
--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -65,7 +65,9 @@
         platform_endpoint: URL of the platform.
         platform_secret: bearer token towards it.
         platform_deadline_s: longest wait for one platform call.
-        peers_secret: shared by all instances.
+        peers_secret: shared by all instances; without one there are no peers.
+        peer_seeds: listeners of peers to try beside those in the platform's list,
+            for a start while the platform is away.
         lease_s: how long a session lasts without renewal.
         drain_s: how long a planned stop waits for streams.
         balancer_s: how long the balancer needs to move on after not-ready.
@@ -86,6 +88,7 @@
         "lease_s",
         "log_level",
         "operators",
+        "peer_seeds",
         "peers",
         "peers_secret",
         "platform_deadline_s",
@@ -115,6 +118,7 @@
         log_level: str = "INFO",
         first_operator_sha256: str = "",
         tls_by_listener: dict[str, TlsFiles] | None = None,
+        peer_seeds: list[Address] | None = None,
     ) -> None:
         self.instance_id = instance_id
         self.availability_zone = availability_zone
@@ -133,6 +137,7 @@
         self.log_level = log_level
         self.first_operator_sha256 = first_operator_sha256
         self.tls_by_listener = tls_by_listener or {}
+        self.peer_seeds = peer_seeds or []
 
 
 def _address(text: Any) -> Address:
@@ -164,7 +169,7 @@
             "deadline_s": _SECONDS,
             **_SECRET,
         },
-        "peers": dict(_SECRET),
+        "peers": {"seeds": [_address], **_SECRET},
         "operators": {
             "first_token_sha256": vol.All(
                 str, vol.Match(r"^[0-9a-f]{64}$", msg="must be a SHA-256 in hex")
@@ -255,6 +260,7 @@
         "platform_deadline_s": table["platform"].get("deadline_s"),
         "region": table["instance"].get("region"),
         "first_operator_sha256": table.get("operators", {}).get("first_token_sha256"),
+        "peer_seeds": table.get("peers", {}).get("seeds"),
         "tls_by_listener": {
             name: TlsFiles(**files) for name, files in table.get("tls", {}).items()
         },
--- /dev/null
+++ b/tests/peers/conftest.py
@@ -0,0 +1,56 @@
+"""Fixtures: several instances in one process, on one platform in memory."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+
+from caperridge.instance.process import Instance
+from caperridge.platform.interface import ListedMember
+from caperridge.settings import Settings
+from caperridge.standins.platform import MemoryPlatform
+
+SECRET = "for-tests"
+StartInstance = Callable[..., Awaitable[Instance]]
+
+
+class Mesh:
+    """Starts instances and lists them at the platform."""
+
+    def __init__(self, memory: MemoryPlatform) -> None:
+        self.memory = memory
+        self.instances_by_id: dict[str, Instance] = {}
+        self.members_by_id: dict[str, ListedMember] = {}
+
+    async def start(
+        self,
+        name: str,
+        zone: str = "oviedo",
+        secret: str = SECRET,
+        listed: bool = True,
+        **settings: object,
+    ) -> Instance:
+        instance = Instance(
+            Settings(name, zone, "http://none", peers_secret=secret, **settings),
+            self.memory,
+        )
+        await instance.start()
+        self.instances_by_id[name] = instance
+        if listed:
+            address = str(instance.addresses_by_listener["peers"])
+            self.list_member(ListedMember(name, "instance", address, zone))
+        return instance
+
+    def list_member(self, member: ListedMember) -> None:
+        self.members_by_id[member.id] = member
+        self.memory.set_members(list(self.members_by_id.values()))
+
+    async def stop(self, name: str) -> None:
+        await self.instances_by_id.pop(name).stop()
+
+
+@pytest.fixture
+async def mesh(memory: MemoryPlatform) -> AsyncIterator[Mesh]:
+    mesh = Mesh(memory)
+    yield mesh
+    for name in list(mesh.instances_by_id):
+        await mesh.stop(name)
