Let batch room follow bursts, learnt step times and the trade

Cause: a fixed headroom of two places and a bare count of online requests neither followed bursts nor knew late, lost or doubled news. Change: the dispatcher of a runner counts online requests by sender and sequence, with expiry; it keeps places for what arrives within the measured reaction time, holds a freed place a moment, and fills a runner only as far as the step time it has learnt lets online tokens come as the trade says. A new owner runs no batch for SETTLE_S. Senders repeat what is in flight and tell a new owner; latencies that online callers see go the same way. Found by the tests: an expired count stayed in the burst estimate for ever, and simultaneous arrivals reserved all of a small runner for ten seconds (the reserve is now capped by the trade).

--- /dev/null
+++ b/src/caperridge/decisions/batch_share.py
@@ -0,0 +1,81 @@
+"""How many streams may run at a target before online callers notice batch.
+
+Batch lengthens each step, and so the time between online tokens. Online traffic alone
+already makes its tail slow when it bursts. Outside bursts batch may therefore fill
+the target up to that level; the trade of the service allows some more.
+"""
+
+from caperridge.decisions.step_time import Line
+from caperridge.records import Record
+
+TAIL_SLOWDOWN = 1.02
+THROUGHPUT_SLOWDOWN = 1.30
+GUARD_STEPS = 2.5
+GUARD_PENALTY = 1
+GUARD_MOST = 8
+GUARD_RECOVERS_S = 2.0
+BASELINE_RISES = 0.02  # of the way to a slower sample, for each one seen
+
+
+def acceptable_slowdown(batch_weight: float) -> float:
+    """Return how much longer than at its own tail an online step may be.
+
+    The trade rises slowly at first, so that the middle still favours the tail.
+
+    >>> acceptable_slowdown(0.0), acceptable_slowdown(0.5), acceptable_slowdown(1.0)
+    (1.02, 1.09, 1.3)
+    """
+    span = THROUGHPUT_SLOWDOWN - TAIL_SLOWDOWN
+    return round(TAIL_SLOWDOWN + span * batch_weight**2, 6)
+
+
+def most_streams(line: Line | None, tail_online: int, batch_weight: float) -> float:
+    """Return how many streams, online and batch, may run in one step.
+
+    Args:
+        line: the step time learnt; None if it is not known.
+        tail_online: the concurrency at which online made its slowest tokens.
+        batch_weight: the trade of the service.
+
+    >>> most_streams(Line(0.025, 0.0005), 10, 0.0)
+    11.2
+    """
+    if line is None or line.stream_s <= 0 or tail_online <= 0:
+        return float("inf")
+    longest_s = line.at(tail_online) * acceptable_slowdown(batch_weight)
+    return round((longest_s - line.base_s) / line.stream_s, 3)
+
+
+class FirstTokenGuard(Record):
+    """Takes room from batch when online first tokens come later than they should.
+
+    A first token needs the rest of a step, its own step, and its prefill. Where it
+    takes some steps more, the request queued in the engine: somebody else fills it,
+    e.g. a second dispatcher. Each such sight costs batch a stream; time gives it back.
+    """
+
+    __slots__ = ("baseline_s", "changed_at", "penalty")
+
+    def __init__(
+        self, baseline_s: float = 0.0, penalty: int = 0, changed_at: float = 0.0
+    ) -> None:
+        self.baseline_s = baseline_s
+        self.penalty = penalty
+        self.changed_at = changed_at
+
+    def seen(self, first_token_s: float, step_s: float, now: float) -> None:
+        """Note the time to the first token of an online request."""
+        if not self.baseline_s or first_token_s < self.baseline_s:
+            self.baseline_s = first_token_s
+            return
+        late = first_token_s > self.baseline_s + GUARD_STEPS * step_s
+        self.baseline_s += BASELINE_RISES * (first_token_s - self.baseline_s)
+        if not late:
+            return
+        self.penalty = min(GUARD_MOST, self.taken(now) + GUARD_PENALTY)
+        self.changed_at = now
+
+    def taken(self, now: float) -> int:
+        """Return how many streams batch has to do without."""
+        recovered = int((now - self.changed_at) / GUARD_RECOVERS_S)
+        return max(0, self.penalty - recovered)
--- /dev/null
+++ b/src/caperridge/decisions/burst.py
@@ -0,0 +1,138 @@
+"""What bursts of online requests a target has seen of late.
+
+Three figures are kept: how many requests ran at most within a short time, which
+keeps a freed slot from going to batch and back; how many arrived at most within the
+time that preemption takes, which is the room to keep free; and the concurrency at
+which the slowest tokens were made, which is what online callers put up with anyway.
+"""
+
+from collections import deque
+
+HOLD_S = 0.25
+MEMORY_S = 10.0
+HALF_LIFE_S = 30.0
+TAIL = 0.95
+_RENORMALISE_AT = 1e9
+
+
+class RecentMost:
+    """The greatest value within a window that moves with the clock.
+
+    >>> most = RecentMost(10.0)
+    >>> most.note(5, now=0.0)
+    >>> most.note(3, now=4.0)
+    >>> most.value(9.0), most.value(11.0), most.value(20.0)
+    (5, 3, 0)
+    """
+
+    __slots__ = ("_falling", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._falling: deque[tuple[float, int]] = deque()
+
+    def note(self, value: int, now: float) -> None:
+        """Add a value."""
+        while self._falling and self._falling[-1][1] <= value:
+            self._falling.pop()
+        self._falling.append((now, value))
+
+    def value(self, now: float) -> int:
+        """Return the greatest value of the window; 0 if there is none."""
+        while self._falling and self._falling[0][0] < now - self._window_s:
+            self._falling.popleft()
+        return self._falling[0][1] if self._falling else 0
+
+
+class BurstEstimate:
+    """Follows the online requests at one target.
+
+    Args:
+        hold_s: how long a freed slot is held for the next online request.
+        memory_s: how long a burst of arrivals is remembered.
+
+    Attributes:
+        online: requests at the target by the last note.
+    """
+
+    __slots__ = (
+        "_arrivals",
+        "_most_arrivals",
+        "_most_online",
+        "_noted_at",
+        "_scale",
+        "_weights_by_online",
+        "online",
+    )
+
+    def __init__(self, hold_s: float = HOLD_S, memory_s: float = MEMORY_S) -> None:
+        self.online = 0
+        self._noted_at = 0.0
+        self._most_online = RecentMost(hold_s)
+        self._most_arrivals = RecentMost(memory_s)
+        self._arrivals: deque[float] = deque()
+        self._weights_by_online: dict[int, float] = {}
+        self._scale = 1.0
+
+    def note(self, online: int, reaction_s: float, now: float) -> None:
+        """Note that ``online`` requests run now.
+
+        Args:
+            online: at the target, of all instances.
+            reaction_s: how long it takes until a preempted slot is free.
+            now: monotonic seconds.
+        """
+        self._weigh(now)
+        if online < self.online:
+            # The level that ended now counts as seen up to now.
+            self._most_online.note(self.online, now)
+        for _ in range(online - self.online):
+            self._arrivals.append(now)
+        while self._arrivals and self._arrivals[0] < now - reaction_s:
+            self._arrivals.popleft()
+        if online > self.online:
+            self._most_arrivals.note(len(self._arrivals), now)
+        self.online = online
+
+    def most_online(self, now: float) -> int:
+        """Return the most requests that ran at once within the hold time."""
+        return max(self.online, self._most_online.value(now))
+
+    def most_arrivals(self, now: float) -> int:
+        """Return the most arrivals remembered within one reaction time."""
+        return self._most_arrivals.value(now)
+
+    def tail_online(self, now: float) -> int:
+        """Return the concurrency below which 95 in 100 online tokens were made."""
+        self._weigh(now)
+        left = TAIL * sum(self._weights_by_online.values())
+        for online, weight in sorted(self._weights_by_online.items()):
+            left -= weight
+            if left <= 0:
+                return online
+        return self.online
+
+    def _weigh(self, now: float) -> None:
+        """Count the time since the last note towards its level.
+
+        Tokens made are as the requests that make them, and the time. Instead of
+        letting all weights fall, new ones rise.
+        """
+        elapsed = max(0.0, now - self._noted_at)
+        self._noted_at = max(now, self._noted_at)
+        self._scale *= 2 ** (min(elapsed, 10 * HALF_LIFE_S) / HALF_LIFE_S)
+        if self.online:
+            weight = self.online * elapsed * self._scale
+            known = self._weights_by_online.get(self.online, 0.0)
+            self._weights_by_online[self.online] = known + weight
+        if self._scale > _RENORMALISE_AT:
+            self._renormalise()
+
+    def _renormalise(self) -> None:
+        for online in list(self._weights_by_online):
+            weight = self._weights_by_online[online] / self._scale
+            if weight < 1e-6:
+                del self._weights_by_online[online]
+                continue
+            self._weights_by_online[online] = weight
+        self._scale = 1.0
--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -1,55 +1,207 @@
-"""How many batch streams a target may run beside its online requests."""
+"""How many batch streams a target may run beside its online requests.
 
-from caperridge.records import Record
+The state of the targets that this instance dispatches batch for. Online requests
+take what they need at once; batch gets what is left, less the room that arrivals
+need until preemption has taken effect, and no more than lets online tokens come as
+they should.
+"""
 
-LEAST_FREE = 2
+from typing import Any
 
+from caperridge.decisions.batch_share import FirstTokenGuard, most_streams
+from caperridge.decisions.burst import BurstEstimate
+from caperridge.decisions.online_counts import OnlineCounts
+from caperridge.decisions.preemption import BatchStream, first_to_go
+from caperridge.decisions.step_time import StepTime
 
-class BatchStream(Record):
-    """A batch stream that runs at a target; ``tokens`` is its progress so far."""
+__all__ = ["SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
 
-    __slots__ = ("attempt", "target", "tokens")
+SETTLE_S = 2.0
+FIRST_REACTION_S = 0.02
+REACTION_WEIGHT = 0.2
+LEAST_FREE = 1
+MOST_FREE = 0.25  # of a target, where the trade is all for the online tail
 
-    def __init__(self, attempt: str, target: str, tokens: int = 0) -> None:
-        self.attempt = attempt
-        self.target = target
-        self.tokens = tokens
 
+class RunnerHeadroom:
+    """What is known of one target; see :class:`Headroom`."""
 
-class Headroom:
-    """Knows the online load of each target and what batch may take of the rest."""
+    __slots__ = ("burst", "counts", "guard", "owned_since", "reaction_s", "steps")
 
     def __init__(self) -> None:
-        self._online_by_sender_by_target: dict[str, dict[str, int]] = {}
+        self.counts = OnlineCounts()
+        self.burst = BurstEstimate()
+        self.steps = StepTime()
+        self.guard = FirstTokenGuard()
+        self.reaction_s = FIRST_REACTION_S
+        self.owned_since: float | None = None
+
+    def online(self, now: float) -> int:
+        """Return the online requests known, and let the estimate follow them.
+
+        They change by news, by a sender's end, and by news that expires.
+        """
+        online = self.counts.total(now)
+        if online != self.burst.online:
+            self.burst.note(online, self.reaction_s, now)
+        return online
+
+
+class Headroom:
+    """Knows the online load of each target and what batch may take of the rest.
+
+    A dispatcher that has just become the owner of a target knows nothing of its
+    online load, and its predecessor may not know yet that it was followed. It runs
+    no batch there for ``settle_s``: by then the online senders have told it, and the
+    predecessor has stopped, if the views of the two differ for no longer than that.
+
+    Args:
+        settle_s: see above.
+    """
+
+    def __init__(self, settle_s: float = SETTLE_S) -> None:
+        self._settle_s = settle_s
+        self._runners_by_target: dict[str, RunnerHeadroom] = {}
+
+    def runner(self, target: str) -> RunnerHeadroom:
+        """Return what is known of ``target``."""
+        runner = self._runners_by_target.get(target)
+        if runner is None:
+            runner = RunnerHeadroom()
+            self._runners_by_target[target] = runner
+        return runner
+
+    def gained(self, target: str, now: float, alone: bool = False) -> None:
+        """Become the dispatcher of ``target``; ``alone``: there is no other yet."""
+        self.runner(target).owned_since = now - self._settle_s if alone else now
+
+    def lost(self, target: str) -> None:
+        """No longer be the dispatcher of ``target``: what is known goes stale."""
+        self._runners_by_target.pop(target, None)
 
     def online_changed(
-        self, target: str, sender: str, in_flight: int, now: float
-    ) -> None:
-        """Note the online requests that ``sender`` has at ``target``."""
-        senders = self._online_by_sender_by_target.setdefault(target, {})
-        if in_flight:
-            senders[sender] = in_flight
-        else:
-            senders.pop(sender, None)
+        self, target: str, sender: str, in_flight: int, now: float, sequence: int = 0
+    ) -> bool:
+        """Note the online requests that ``sender`` has at ``target``.
+
+        Returns:
+            Whether the news was newer than what was known.
+        """
+        runner = self.runner(target)
+        if not runner.counts.changed(sender, in_flight, sequence, now):
+            return False
+        runner.online(now)
+        return True
 
     def sender_gone(self, sender: str) -> None:
         """Forget what an instance that is no longer live had in flight."""
-        for senders in self._online_by_sender_by_target.values():
-            senders.pop(sender, None)
+        for runner in self._runners_by_target.values():
+            runner.counts.gone(sender)
 
-    def online(self, target: str) -> int:
+    def step_seen(self, target: str, batch: int, step_s: float, now: float) -> None:
+        """Note the time between two tokens of one stream at ``target``.
+
+        Args:
+            target: where it runs.
+            batch: batch streams that ran beside the online requests.
+            step_s: the time.
+            now: monotonic seconds.
+        """
+        runner = self.runner(target)
+        runner.steps.observe(runner.online(now) + batch, step_s, now)
+
+    def first_token_seen(self, target: str, first_token_s: float, now: float) -> None:
+        """Note the time to the first token of an online request at ``target``."""
+        runner = self.runner(target)
+        line = runner.steps.line(now)
+        if line is not None:
+            step_s = line.at(runner.online(now))
+            runner.guard.seen(first_token_s, step_s, now)
+
+    def reaction_seen(self, target: str, reaction_s: float) -> None:
+        """Note how long it took until a preempted slot was free."""
+        runner = self.runner(target)
+        runner.reaction_s += REACTION_WEIGHT * (reaction_s - runner.reaction_s)
+
+    def online(self, target: str, now: float) -> int:
         """Return the online requests known to be at ``target``."""
-        return sum(self._online_by_sender_by_target.get(target, {}).values())
+        return self.runner(target).online(now)
+
+    def allowed(
+        self, target: str, most_running: int, batch_weight: float, now: float
+    ) -> int:
+        """Return how many batch streams ``target`` may keep running at ``now``."""
+        runner = self.runner(target)
+        return self._left(runner, runner.online(now), most_running, batch_weight, now)
+
+    def startable(
+        self, target: str, most_running: int, batch_weight: float, now: float
+    ) -> int:
+        """Return up to how many batch streams ``target`` may be filled at ``now``.
 
-    def allowed(self, target: str, most_running: int, now: float) -> int:
-        """Return how many batch streams ``target`` may run at ``now``."""
-        return max(0, most_running - LEAST_FREE - self.online(target))
+        A slot that online has just freed is held a moment for its next request;
+        otherwise a stream would start only to give way again.
+        """
+        runner = self.runner(target)
+        online = max(runner.online(now), runner.burst.most_online(now))
+        return self._left(runner, online, most_running, batch_weight, now)
 
     def to_preempt(
-        self, target: str, most_running: int, running: list[BatchStream], now: float
+        self,
+        target: str,
+        most_running: int,
+        batch_weight: float,
+        running: list[BatchStream],
+        now: float,
     ) -> list[BatchStream]:
-        """Return the streams to cancel at once, the least progress first."""
-        excess = len(running) - self.allowed(target, most_running, now)
-        if excess <= 0:
-            return []
-        return sorted(running, key=lambda stream: stream.tokens)[:excess]
+        """Return the streams to cancel at once, the cheapest to redo first."""
+        allowed = self.allowed(target, most_running, batch_weight, now)
+        return first_to_go(running, len(running) - allowed)
+
+    def state(self, now: float) -> dict[str, Any]:
+        """Return what is known by target, for the dump."""
+        shown: dict[str, Any] = {}
+        for target, runner in self._runners_by_target.items():
+            line = runner.steps.line(now)
+            shown[target] = {
+                "online": runner.online(now),
+                "senders": runner.counts.senders(),
+                "held_for_online": runner.burst.most_online(now),
+                "most_arrivals": runner.burst.most_arrivals(now),
+                "tail_online": runner.burst.tail_online(now),
+                "step": None if line is None else line.to_map(),
+                "taken_by_guard": runner.guard.taken(now),
+                "reaction_ms": round(runner.reaction_s * 1000, 2),
+                "settled": self._settled(runner, now),
+            }
+        return shown
+
+    def _settled(self, runner: RunnerHeadroom, now: float) -> bool:
+        since = runner.owned_since
+        return since is not None and now - since >= self._settle_s
+
+    def _left(
+        self,
+        runner: RunnerHeadroom,
+        online: int,
+        most_running: int,
+        batch_weight: float,
+        now: float,
+    ) -> int:
+        if not self._settled(runner, now):
+            return 0
+        reserve = _reserve(runner.burst.most_arrivals(now), most_running, batch_weight)
+        full = most_running - reserve - runner.guard.taken(now)
+        tail = runner.burst.tail_online(now)
+        noticed = most_streams(runner.steps.line(now), tail, batch_weight)
+        return max(0, int(min(full, noticed)) - online)
+
+
+def _reserve(most_arrivals: int, most_running: int, batch_weight: float) -> int:
+    """Return the places kept free for what arrives before preemption takes effect.
+
+    >>> _reserve(1, 16, 0.5), _reserve(9, 16, 0.5), _reserve(9, 16, 1.0)
+    (1, 2, 1)
+    """
+    most = int(most_running * MOST_FREE * (1 - batch_weight))
+    return max(LEAST_FREE, min(most, most_arrivals))
--- /dev/null
+++ b/src/caperridge/decisions/step_time.py
@@ -0,0 +1,100 @@
+"""How long a step of a target takes by how many streams run in it, as learnt.
+
+Every token that any stream of the target gets is one observation. Steps that also
+prefill a prompt are longer; a median for each level leaves them out. The levels are
+then fitted by a line, since a decode step grows about linearly with its streams.
+"""
+
+from collections import deque
+
+from caperridge.records import Record
+
+SAMPLES = 32  # kept for each level
+LEAST_SAMPLES = 4  # before a level counts
+OLDEST_S = 300.0
+FIT_EVERY_S = 0.25
+
+
+class Line(Record):
+    """``base_s + stream_s * streams``."""
+
+    __slots__ = ("base_s", "stream_s")
+
+    def __init__(self, base_s: float, stream_s: float) -> None:
+        self.base_s = base_s
+        self.stream_s = stream_s
+
+    def at(self, streams: float) -> float:
+        """Return the length of a step with ``streams``."""
+        return self.base_s + self.stream_s * streams
+
+
+class StepTime:
+    """Learns the step time of one target.
+
+    >>> steps = StepTime()
+    >>> for streams in (1, 5, 9):
+    ...     for _ in range(20):
+    ...         steps.observe(streams, 0.010 + 0.001 * streams, now=1.0)
+    >>> line = steps.line(now=1.0)
+    >>> round(line.base_s, 4), round(line.stream_s, 4)
+    (0.01, 0.001)
+    """
+
+    __slots__ = ("_changed", "_fit_due", "_line", "_samples_by_streams")
+
+    def __init__(self) -> None:
+        self._samples_by_streams: dict[int, deque[tuple[float, float]]] = {}
+        self._changed = False
+        self._fit_due = 0.0
+        self._line: Line | None = None
+
+    def observe(self, streams: int, step_s: float, now: float) -> None:
+        """Add the time between two tokens while ``streams`` ran."""
+        samples = self._samples_by_streams.get(streams)
+        if samples is None:
+            samples = deque(maxlen=SAMPLES)
+            self._samples_by_streams[streams] = samples
+        samples.append((now, step_s))
+        self._changed = True
+
+    def line(self, now: float) -> Line | None:
+        """Return the fitted line; None before two levels are known."""
+        if self._changed and now >= self._fit_due:
+            self._changed = False
+            self._fit_due = now + FIT_EVERY_S
+            self._line = self._fit(now)
+        return self._line
+
+    def _fit(self, now: float) -> Line | None:
+        points: list[tuple[int, float, int]] = []
+        for streams, samples in list(self._samples_by_streams.items()):
+            while samples and samples[0][0] < now - OLDEST_S:
+                samples.popleft()
+            if not samples:
+                del self._samples_by_streams[streams]
+                continue
+            if len(samples) >= LEAST_SAMPLES:
+                points.append((streams, _median(samples), len(samples)))
+        if len(points) < 2:
+            return self._line
+        return _least_squares(points)
+
+
+def _median(samples: deque[tuple[float, float]]) -> float:
+    ordered = sorted(step_s for _, step_s in samples)
+    return ordered[len(ordered) // 2]
+
+
+def _least_squares(points: list[tuple[int, float, int]]) -> Line:
+    """Return the line through ``(streams, step_s, weight)``, never a falling one."""
+    total = sum(weight for _, _, weight in points)
+    mean_streams = sum(streams * weight for streams, _, weight in points) / total
+    mean_step = sum(step_s * weight for _, step_s, weight in points) / total
+    spread = sum(w * (streams - mean_streams) ** 2 for streams, _, w in points)
+    both = sum(
+        w * (streams - mean_streams) * (step_s - mean_step)
+        for streams, step_s, w in points
+    )
+    stream_s = max(0.0, both / spread)
+    return Line(max(0.0, mean_step - stream_s * mean_streams), stream_s)
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -13,61 +13,41 @@
 from caperridge.config.model import Configuration, Service
 from caperridge.decisions.headroom import BatchStream, Headroom
 from caperridge.decisions.membership import Membership
+from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.item_work import ItemWork
 from caperridge.instance.metrics import Metrics
 from caperridge.log import logger
 from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
 from caperridge.targets.events import text_of
-from caperridge.targets.outcomes import AttemptError
+from caperridge.targets.outcomes import AttemptError, TargetRefused
+
+__all__ = ["BatchStreams", "Finished", "ItemWork"]
 
 log = logger(__name__)
+OWNERS_EVERY_S = 0.25
+FAILED_HOLD_S = 1.0
+RAMP_STARTS = 4  # a target is filled in about so many rounds, one for each step
+LEAST_PAUSE_S = 0.005
+LONGEST_REACTION_S = 0.5
 
+Finished = Callable[[ItemWork, AttemptError | None], None]
 
-class ItemWork:
-    """One batch item to be run.
 
-    Attributes:
-        request: unique for the item, e.g. ``batch_1.17``.
-        job: id of its job.
-        service: name of the service.
-        path: of the endpoint.
-        body: what is sent.
-        texts: the tokens so far, kept over preemption and loss of a target.
-        attempts: attempts at targets so far.
-        context: the dispatcher's own; returned untouched.
-    """
+class RunningItem:
+    """An item that runs at a target, and the task that reads its stream."""
 
-    __slots__ = (
-        "attempts",
-        "body",
-        "context",
-        "job",
-        "path",
-        "request",
-        "service",
-        "texts",
-    )
+    __slots__ = ("stream", "task", "work")
 
-    def __init__(
-        self,
-        request: str,
-        job: str,
-        service: str,
-        path: str,
-        body: dict[str, Any],
-        context: Any = None,
-    ) -> None:
-        self.request = request
-        self.job = job
-        self.service = service
-        self.path = path
-        self.body = body
-        self.context = context
-        self.texts: list[str] = []
-        self.attempts = 0
+    def __init__(self, stream: BatchStream, work: ItemWork) -> None:
+        self.stream = stream
+        self.work = work
+        self.task: asyncio.Task[None] | None = None
 
-
-Finished = Callable[[ItemWork, AttemptError | None], None]
+    @property
+    def ending(self) -> bool:
+        """Whether its last token is in the making: its place is free one step on."""
+        return self.work.tokens_left == 1
 
 
 class BatchStreams:
@@ -92,27 +72,42 @@
         self.headroom = Headroom()
         self.book = TargetBook(membership.availability_zone)
         self.configuration = Configuration()
-        self._membership = membership
+        self.finished = finished
+        self.own = OwnTargets(membership)
         self._engines = engines
         self._metrics = metrics
         self._clock = clock
-        self._finished = finished
         self._waiting_by_service: dict[str, deque[ItemWork]] = {}
-        self._running_by_attempt: dict[str, tuple[BatchStream, ItemWork]] = {}
-        self._tasks_by_attempt: dict[str, asyncio.Task[None]] = {}
+        self._running_by_attempt: dict[str, RunningItem] = {}
+        self._running_by_target: dict[str, dict[str, RunningItem]] = {}
+        self._not_before_by_target: dict[str, float] = {}
+        self._owners_due = 0.0
+        self._wake: asyncio.TimerHandle | None = None
         self._cancels: set[asyncio.Task[None]] = set()
 
     def room(self, service: str) -> int:
-        """Return how many more items of ``service`` could start now."""
+        """Return how many more items of ``service`` are wanted.
+
+        As many as may run are wanted in waiting as well, so that a place that
+        becomes free does not have to wait for the next claim.
+        """
         found = self.configuration.services_by_name.get(service)
         if found is None:
             return 0
-        free = sum(self._free(target, found) for target in self._own_targets(service))
-        return max(0, free - len(self._waiting_by_service.get(service, ())))
+        self._refresh_owners()
+        places = sum(
+            self._startable(target, found)
+            for target in self.own.by_service.get(service, ())
+        )
+        return max(0, places - len(self._waiting_by_service.get(service, ())))
 
     def submit(self, work: ItemWork) -> None:
         """Take an item; ``finished`` is told when it ends."""
-        self._waiting_by_service.setdefault(work.service, deque()).append(work)
+        waiting = self._waiting_by_service.setdefault(work.service, deque())
+        if work.texts:
+            waiting.appendleft(work)
+        else:
+            waiting.append(work)
         self.fill()
 
     def cancel_job(self, job: str) -> None:
@@ -121,8 +116,8 @@
             kept = [work for work in waiting if work.job != job]
             waiting.clear()
             waiting.extend(kept)
-        for attempt, (_, work) in list(self._running_by_attempt.items()):
-            if work.job == job:
+        for attempt, running in list(self._running_by_attempt.items()):
+            if running.work.job == job:
                 self._stop(attempt)
 
     def drop_all(self) -> None:
@@ -131,40 +126,100 @@
         for attempt in list(self._running_by_attempt):
             self._stop(attempt)
 
-    def online_changed(self, target: str, sender: str, in_flight: int) -> None:
-        """Note online load; preempt at once where it needs the room."""
+    def online_changed(
+        self, target: str, sender: str, in_flight: int, sequence: int = 0
+    ) -> None:
+        """Note online load; preempt at once where it needs the room.
+
+        Args:
+            target: where the requests are.
+            sender: the instance that has them.
+            in_flight: how many it has there now.
+            sequence: rises with each news of a peer; 0 for this instance's own.
+        """
         now = self._clock()
-        self.headroom.online_changed(target, sender, in_flight, now)
-        service = self._service_of(target)
-        if service is None:
-            return
-        running = [
-            s for s, _ in self._running_by_attempt.values() if s.target == target
-        ]
-        for stream in self.headroom.to_preempt(
-            target, service.most_running, running, now
-        ):
-            _, work = self._running_by_attempt[stream.attempt]
-            self._stop(stream.attempt)
-            self._metrics.preempted.labels(work.service).inc()
-            self._waiting_by_service.setdefault(work.service, deque()).appendleft(work)
+        if self.headroom.online_changed(target, sender, in_flight, now, sequence):
+            self._preempt(target, now)
+            self._wake_after(LEAST_PAUSE_S)
+
+    def latency_seen(
+        self, target: str, first_token_s: float, between_tokens_s: float
+    ) -> None:
+        """Note what an online caller saw at ``target``; 0 for what is not known."""
+        now = self._clock()
+        if between_tokens_s > 0:
+            running = len(self._running_by_target.get(target, ()))
+            self.headroom.step_seen(target, running, between_tokens_s, now)
+        if first_token_s > 0:
+            self.headroom.first_token_seen(target, first_token_s, now)
+            self._preempt(target, now)
+
+    def sender_gone(self, sender: str) -> None:
+        """Forget the online load of an instance that is no longer live."""
+        self.headroom.sender_gone(sender)
         self.fill()
 
     def fill(self) -> None:
-        """Start what fits."""
+        """Start what fits: at most a share of a target's room with each step."""
+        self._refresh_owners()
+        now = self._clock()
+        soonest = float("inf")
         for name, waiting in self._waiting_by_service.items():
             service = self.configuration.services_by_name.get(name)
             if service is None:
                 continue
-            for target in self._own_targets(name):
-                while waiting and self._free(target, service) > 0:
-                    self._start(waiting.popleft(), target)
+            for target in self.own.by_service.get(name, ()):
+                if not waiting:
+                    break
+                due = self._not_before_by_target.get(target, 0.0)
+                if now >= due:
+                    due = self._fill_target(target, service, waiting, now)
+                soonest = min(soonest, due)
+        if soonest < float("inf"):
+            self._wake_after(soonest - now)
 
     def state(self) -> dict[str, Any]:
         """Return what runs and waits, for the dump."""
         waiting = {name: len(items) for name, items in self._waiting_by_service.items()}
-        running = [stream.to_map() for stream, _ in self._running_by_attempt.values()]
-        return {"waiting_by_service": waiting, "running": running}
+        running = [item.stream.to_map() for item in self._running_by_attempt.values()]
+        return {
+            "waiting_by_service": waiting,
+            "running": running,
+            "own_targets_by_service": self.own.by_service,
+            "headroom_by_target": self.headroom.state(self._clock()),
+        }
+
+    def _refresh_owners(self) -> None:
+        now = self._clock()
+        if now < self._owners_due:
+            return
+        self._owners_due = now + OWNERS_EVERY_S
+        changes = self.own.refresh(self.book.states_by_id)
+        for peer in changes.peers_gone:
+            self.headroom.sender_gone(peer)
+        for target in changes.gained:
+            self.headroom.gained(target, now, self.own.alone)
+        for target in changes.lost:
+            self.headroom.lost(target)
+            for attempt in list(self._running_by_target.get(target, ())):
+                self._requeue(attempt)
+
+    def _preempt(self, target: str, now: float) -> None:
+        service = self._service_of(target)
+        running = self._running_by_target.get(target)
+        if service is None or not running:
+            return
+        streams = [item.stream for item in running.values()]
+        for stream in self.headroom.to_preempt(
+            target, service.most_running, service.batch_weight, streams, now
+        ):
+            self._running_by_attempt[stream.attempt].work.preemptions += 1
+            self._metrics.preempted.labels(service.name).inc()
+            self._requeue(stream.attempt)
+
+    def _requeue(self, attempt: str) -> None:
+        work = self._stop(attempt)
+        self._waiting_by_service.setdefault(work.service, deque()).appendleft(work)
 
     def _service_of(self, target: str) -> Service | None:
         state = self.book.states_by_id.get(target)
@@ -172,35 +227,58 @@
             return None
         return self.configuration.services_by_name.get(state.member.service)
 
-    def _own_targets(self, service: str) -> list[str]:
-        own: list[str] = []
-        zone = self._membership.availability_zone
-        for target_id, state in self.book.states_by_id.items():
-            member = state.member
-            if member.service != service or state.leaving:
-                continue
-            if member.availability_zone != zone:
-                continue
-            if self._membership.owner(target_id, zone) == self._membership.instance:
-                own.append(target_id)
-        return own
-
-    def _free(self, target: str, service: Service) -> int:
-        running = sum(
-            1 for s, _ in self._running_by_attempt.values() if s.target == target
+    def _startable(self, target: str, service: Service) -> int:
+        return self.headroom.startable(
+            target, service.most_running, service.batch_weight, self._clock()
         )
-        allowed = self.headroom.allowed(target, service.most_running, self._clock())
-        return allowed - running
+
+    def _fill_target(
+        self, target: str, service: Service, waiting: deque[ItemWork], now: float
+    ) -> float:
+        """Start some items at ``target``; return when to come back for more."""
+        running = self._running_by_target.get(target, {})
+        staying = sum(1 for item in running.values() if not item.ending)
+        room = self._startable(target, service) - staying
+        if room <= 0:
+            return float("inf")
+        starts = max(1, -(-room // RAMP_STARTS))
+        for _ in range(min(starts, len(waiting))):
+            self._start(waiting.popleft(), target)
+        line = self.headroom.runner(target).steps.line(now)
+        pause = LEAST_PAUSE_S if line is None else line.at(len(running))
+        due = now + max(LEAST_PAUSE_S, pause)
+        self._not_before_by_target[target] = due
+        return due
+
+    def _wake_after(self, seconds: float) -> None:
+        """Fill again in ``seconds``, or sooner if that is due already."""
+        loop = asyncio.get_running_loop()
+        at = loop.time() + max(LEAST_PAUSE_S, seconds)
+        if self._wake is not None:
+            if self._wake.when() <= at:
+                return
+            self._wake.cancel()
+        self._wake = loop.call_at(at, self._woken)
+
+    def _woken(self) -> None:
+        self._wake = None
+        self.fill()
 
     def _start(self, work: ItemWork, target: str) -> None:
+        if work.tokens_left == 0:
+            # All tokens came, but not the closing mark that says so: get it again.
+            work.texts.pop()
         work.attempts += 1
+        work.last_target = target
         attempt = f"{work.request}.{work.attempts}"
-        stream = BatchStream(attempt, target, len(work.texts))
-        self._running_by_attempt[attempt] = (stream, work)
-        task = asyncio.get_running_loop().create_task(self._run(stream, work))
-        self._tasks_by_attempt[attempt] = task
+        stream = BatchStream(attempt, target, len(work.texts), work.preemptions)
+        item = RunningItem(stream, work)
+        self._running_by_attempt[attempt] = item
+        self._running_by_target.setdefault(target, {})[attempt] = item
+        item.task = asyncio.get_running_loop().create_task(self._run(item))
 
-    async def _run(self, stream: BatchStream, work: ItemWork) -> None:
+    async def _run(self, item: RunningItem) -> None:
+        work, stream = item.work, item.stream
         attempt = Attempt(
             work.request,
             stream.attempt,
@@ -212,26 +290,61 @@
         error: AttemptError | None = None
         try:
             async with aclosing(self._engines.stream(attempt)) as batches:
-                async for events in batches:
-                    work.texts.extend(text_of(event) for event in events)
-                    stream.tokens = len(work.texts)
+                await self._read(item, batches)
         except AttemptFailed as failed:
             error = failed.error
-        if self._running_by_attempt.pop(stream.attempt, None) is None:
+        if stream.attempt not in self._running_by_attempt:
             return
-        self._tasks_by_attempt.pop(stream.attempt, None)
-        self._finished(work, error)
+        self._forget(item)
+        if error is not None and not _permanent(error):
+            # Another target may do; this one gets a moment to come back.
+            until = self._clock() + FAILED_HOLD_S
+            self._not_before_by_target[stream.target] = until
+        self.finished(work, error)
         self.fill()
 
-    def _stop(self, attempt: str) -> None:
-        stream, _ = self._running_by_attempt.pop(attempt)
-        task = self._tasks_by_attempt.pop(attempt)
-        task.cancel()
-        state = self.book.states_by_id.get(stream.target)
-        if state is None:
-            return
+    async def _read(self, item: RunningItem, batches: Any) -> None:
+        work, stream = item.work, item.stream
+        running = self._running_by_target[stream.target]
+        last_at, last_beside = 0.0, -1
+        async for events in batches:
+            if stream.attempt not in self._running_by_attempt:
+                return
+            work.texts.extend(text_of(event) for event in events)
+            stream.tokens = len(work.texts)
+            now = self._clock()
+            beside = self.headroom.online(stream.target, now) + len(running)
+            if beside == last_beside:
+                step_s = (now - last_at) / len(events)
+                self.headroom.step_seen(stream.target, len(running), step_s, now)
+            last_at, last_beside = now, beside
+            if item.ending:
+                self._wake_after(0.0)
+
+    def _forget(self, item: RunningItem) -> None:
+        del self._running_by_attempt[item.stream.attempt]
+        del self._running_by_target[item.stream.target][item.stream.attempt]
+
+    def _stop(self, attempt: str) -> ItemWork:
+        item = self._running_by_attempt[attempt]
+        self._forget(item)
+        if item.task is not None:
+            item.task.cancel()
+        state = self.book.states_by_id.get(item.stream.target)
+        if state is not None:
+            cancel = self._cancel(state.member.address, item.stream)
+            task = asyncio.get_running_loop().create_task(cancel)
+            self._cancels.add(task)
+            task.add_done_callback(self._cancels.discard)
+        return item.work
+
+    async def _cancel(self, address: str, stream: BatchStream) -> None:
         # Closing the connection ends the attempt too; the order only makes it sooner.
-        cancel = self._engines.cancel(state.member.address, attempt)
-        cancel_task = asyncio.get_running_loop().create_task(cancel)
-        self._cancels.add(cancel_task)
-        cancel_task.add_done_callback(self._cancels.discard)
+        started = self._clock()
+        await self._engines.cancel(address, stream.attempt)
+        took = min(LONGEST_REACTION_S, self._clock() - started)
+        self.headroom.reaction_seen(stream.target, took)
+
+
+def _permanent(error: AttemptError) -> bool:
+    return isinstance(error, TargetRefused) and error.permanent
--- /dev/null
+++ b/src/caperridge/instance/item_work.py
@@ -0,0 +1,59 @@
+"""A batch item on its way through the batch streams of one instance."""
+
+from typing import Any
+
+
+class ItemWork:
+    """One batch item to be run.
+
+    Attributes:
+        request: unique for the item, e.g. ``batch_1.17``.
+        job: id of its job.
+        service: name of the service.
+        path: of the endpoint.
+        body: what is sent.
+        texts: the tokens so far, kept over preemption and loss of a target.
+        attempts: attempts at targets so far.
+        preemptions: how often it gave way to online requests.
+        last_target: where it ran last; its prompt may still be cached there.
+        context: the dispatcher's own; returned untouched.
+    """
+
+    __slots__ = (
+        "attempts",
+        "body",
+        "context",
+        "job",
+        "last_target",
+        "path",
+        "preemptions",
+        "request",
+        "service",
+        "texts",
+    )
+
+    def __init__(
+        self,
+        request: str,
+        job: str,
+        service: str,
+        path: str,
+        body: dict[str, Any],
+        context: Any = None,
+    ) -> None:
+        self.request = request
+        self.job = job
+        self.service = service
+        self.path = path
+        self.body = body
+        self.context = context
+        self.texts: list[str] = []
+        self.attempts = 0
+        self.preemptions = 0
+        self.last_target = ""
+
+    @property
+    def tokens_left(self) -> int | None:
+        """How many tokens may still come; None if the body sets no limit."""
+        most = self.body.get("max_tokens")
+        return None if not isinstance(most, int) else most - len(self.texts)
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -36,13 +36,28 @@
 
 
 class OnlineLoad(Record):
-    """How many online requests this instance has in flight at a target."""
-
-    __slots__ = ("in_flight", "target")
-
-    def __init__(self, target: str, in_flight: int) -> None:
+    """How many online requests this instance has in flight at a target.
+
+    Attributes:
+        target: where they are.
+        in_flight: how many there are now.
+        first_token_s: time to the first token of the one that ended; 0 if unknown.
+        between_tokens_s: its mean time between tokens; 0 if unknown.
+    """
+
+    __slots__ = ("between_tokens_s", "first_token_s", "in_flight", "target")
+
+    def __init__(
+        self,
+        target: str,
+        in_flight: int,
+        first_token_s: float = 0.0,
+        between_tokens_s: float = 0.0,
+    ) -> None:
         self.target = target
         self.in_flight = in_flight
+        self.first_token_s = first_token_s
+        self.between_tokens_s = between_tokens_s
 
 
 class ItemEnded(Record):
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -218,15 +218,23 @@
         self.book.started(target)
         self._tell(target)
         whole = False
+        sent_at = self._clock()
+        first_at = last_at = 0.0
+        tokens = 0
         try:
             async with aclosing(self._engines.stream(attempt)) as batches:
                 async for events in batches:
+                    last_at = self._clock()
+                    first_at = first_at or last_at
+                    tokens += len(events)
                     yield events
             whole = True
             self._metrics.attempts.labels(request.service.name, "whole").inc()
         finally:
             self.book.ended(target)
-            self._tell(target)
+            first_token_s = max(0.0, first_at - sent_at)
+            pause = (last_at - first_at) / (tokens - 1) if tokens > 1 else 0.0
+            self._tell(target, first_token_s, pause)
             if not whole:
                 self._cancel_later(attempt)
 
@@ -279,9 +287,14 @@
             Refusal(code, reason, status, run, retry_after_s, trace.request)
         )
 
-    def _tell(self, target: str) -> None:
+    def _tell(
+        self, target: str, first_token_s: float = 0.0, between_tokens_s: float = 0.0
+    ) -> None:
         state = self.book.states_by_id.get(target)
-        self._load_changed(OnlineLoad(target, state.in_flight if state else 0))
+        in_flight = state.in_flight if state else 0
+        self._load_changed(
+            OnlineLoad(target, in_flight, first_token_s, between_tokens_s)
+        )
 
 
 def whole_answer(request: OnlineRequest, events: list[bytes]) -> dict[str, Any]:
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -21,17 +21,16 @@
     ConfigurationApplied,
     ItemEnded,
     MembersListed,
-    OnlineLoad,
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
+from caperridge.instance.online_news import OnlineReporter
 from caperridge.instance.operators_http import OperatorsHttp
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import OnlineNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.refusals import Refusal, RefusedError
@@ -72,7 +71,6 @@
         )
         self.membership = Membership(settings.instance_id, settings.availability_zone)
         self.peers: Peers = NoPeers()
-        self._sequence = 0
         self.dispatcher = BatchDispatcher(
             self.platform, self.session, self.metrics, clock
         )
@@ -84,13 +82,16 @@
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
         self.dispatcher.streams = self.streams
+        self.online_news = OnlineReporter(
+            book, self.membership, self.streams, lambda: self.peers, clock
+        )
         self.online = OnlineFront(
             book,
             self._engines,
             self.traces,
             self.metrics,
             clock,
-            self._online_load,
+            self.online_news.changed,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
@@ -100,6 +101,7 @@
             self.configuration,
             self.members,
             self.dispatcher,
+            self.online_news,
         ]
         self._runners: list[web.AppRunner] = []
 
@@ -112,22 +114,6 @@
         self.online.book.apply_list(message.members)
         self.streams.book.apply_list(message.members)
 
-    def _online_load(self, load: OnlineLoad) -> None:
-        """Tell the dispatcher of the target, here or at a peer."""
-        state = self.online.book.states_by_id.get(load.target)
-        if state is None:
-            return
-        own_id = self.settings.instance_id
-        zone = state.member.availability_zone
-        owner = self.membership.owner(load.target, zone)
-        if owner == own_id:
-            self.streams.online_changed(load.target, own_id, load.in_flight)
-            return
-        if owner is not None:
-            self._sequence += 1
-            news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
-            self.peers.send(owner, news)
-
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
 
--- /dev/null
+++ b/tests/headroom/test_batch_streams.py
@@ -0,0 +1,174 @@
+"""Batch streams before a real engine stand-in: they yield, and lose nothing."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from caperridge.instance.batch_streams import BatchStreams
+from caperridge.instance.item_work import ItemWork
+from caperridge.measure.fleet import SERVICE, FleetShape, StandinFleet, running_fleet
+from caperridge.measure.load import LoadFigures, one_request
+from caperridge.peers.messages import OnlineNews
+from caperridge.platform.interface import ListedMember
+from caperridge.standins.engine_model import EngineCosts, answer_text
+from conftest import until
+
+MOST_RUNNING = 6
+COSTS = EngineCosts(step_s=0.004, sequence_s=0.0001, most_running=MOST_RUNNING)
+TOKENS = 40
+
+
+class Saturated:
+    """A fleet with one instance and one engine that batch fills."""
+
+    def __init__(self, fleet: StandinFleet) -> None:
+        self.fleet = fleet
+        self.engine = fleet.engines_by_id["runner-1"]
+        self.instance = fleet.instances_by_id["entry-1"]
+        self.streams: BatchStreams = self.instance.streams
+        self.works: list[ItemWork] = []
+        self.errors_by_request: dict[str, Any] = {}
+        self.streams.finished = self._finished
+
+    def _finished(self, work: ItemWork, error: Any) -> None:
+        assert work.request not in self.errors_by_request
+        self.errors_by_request[work.request] = error
+
+    def submit(self, count: int) -> None:
+        for number in range(count):
+            body = {"model": SERVICE, "prompt": f"log {number}", "max_tokens": TOKENS}
+            work = ItemWork(f"j.{number}", "j", SERVICE, "/v1/completions", body)
+            self.works.append(work)
+            self.streams.submit(work)
+
+    @property
+    def at_engine(self) -> int:
+        model = self.engine.model
+        return len(model.running_by_attempt) + len(model.waiting)
+
+    def batch_running(self) -> int:
+        return len(self.streams.state()["running"])
+
+    def preempted(self) -> int:
+        return sum(work.preemptions for work in self.works)
+
+    def check_whole(self) -> None:
+        assert set(self.errors_by_request.values()) == {None}
+        for number, work in enumerate(self.works):
+            assert "".join(work.texts) == answer_text(f"log {number}", TOKENS)
+
+    async def online(self, count: int, tokens: int = 10) -> LoadFigures:
+        figures = LoadFigures()
+        url = self.fleet.callers_urls()[0]
+        requests = []
+        for number in range(count):
+            body = {"model": SERVICE, "prompt": f"q {number}", "max_tokens": tokens}
+            requests.append(one_request(self.fleet.http, url, body, figures))
+        await asyncio.gather(*requests)
+        return figures
+
+
+@asynccontextmanager
+async def saturated(items: int = 20) -> AsyncIterator[Saturated]:
+    async with running_fleet(FleetShape(engines=1, costs=COSTS)) as fleet:
+        found = Saturated(fleet)
+        found.submit(items)
+        await until(lambda: found.batch_running() >= MOST_RUNNING - 1)
+        yield found
+
+
+async def test_online_preempts_batch_and_batch_completes_whole() -> None:
+    async with saturated() as found:
+        figures = await found.online(5)
+        assert (figures.answered, figures.failed) == (5, 0)
+        assert found.preempted() >= 4
+        await until(lambda: len(found.errors_by_request) == len(found.works))
+        found.check_whole()
+
+
+async def test_the_engine_never_queues_an_online_request_for_a_place() -> None:
+    async with saturated() as found:
+        waits: list[int] = []
+        submit = found.engine.submit
+
+        def watch(sequence: Any) -> Any:
+            queue = submit(sequence)
+            if sequence.request.startswith("req-"):
+                asyncio.get_running_loop().call_later(0.03, look, sequence.attempt)
+            return queue
+
+        def look(attempt: str) -> None:
+            waits.append(sum(s.attempt == attempt for s in found.engine.model.waiting))
+
+        found.engine.submit = watch
+        await found.online(4, tokens=20)
+        assert waits == [0, 0, 0, 0]
+
+
+async def news_of_a_peer(found: Saturated) -> None:
+    for sequence, in_flight in enumerate([1, 3, 5], 1):
+        news = OnlineNews("entry-9", "runner-1", in_flight, sequence)
+        found.streams.online_changed(
+            news.target, news.instance, news.in_flight, news.sequence
+        )
+    assert found.batch_running() == 0
+
+
+async def news_of_the_lease(found: Saturated) -> None:
+    items = list(found.works)
+    found.streams.drop_all()
+    assert found.batch_running() == 0
+    for work in items:
+        if work.request not in found.errors_by_request:
+            found.streams.submit(work)
+
+
+async def a_cut_stream(found: Saturated) -> None:
+    found.engine.faults.cut_after = 3
+    await asyncio.sleep(0.1)
+    found.engine.faults.cut_after = 0
+
+
+async def the_runner_goes_to_a_peer(found: Saturated) -> None:
+    members = list(found.fleet.members_by_id.values())
+    names = iter(f"entry-{n}" for n in range(2, 99))
+    membership = found.instance.membership
+    while membership.owner("runner-1", "oviedo") == "entry-1":
+        peer = ListedMember(next(names), "instance", "127.0.0.1:1", "oviedo")
+        members.append(peer)
+        membership.apply_list(members)
+    found.fleet.platform.set_members(members)
+    await until(lambda: found.batch_running() == 0)
+    found.fleet.platform.set_members(list(found.fleet.members_by_id.values()))
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [news_of_a_peer, news_of_the_lease, a_cut_stream, the_runner_goes_to_a_peer],
+)
+async def test_a_disturbed_item_has_each_token_once(
+    disturb: Callable[[Saturated], Any],
+) -> None:
+    async with saturated() as found:
+        # An item that ends with an error goes back in, as the dispatcher does it.
+        finished = found.streams.finished
+
+        def again(work: ItemWork, error: Any) -> None:
+            finished(work, None) if error is None else found.streams.submit(work)
+
+        found.streams.finished = again
+        await disturb(found)
+        await until(lambda: len(found.errors_by_request) == len(found.works), 15.0)
+        found.check_whole()
+
+
+async def test_a_cancelled_job_leaves_nothing_at_the_engine() -> None:
+    async with saturated() as found:
+        found.streams.cancel_job("j")
+        await until(lambda: found.at_engine == 0)
+        await asyncio.sleep(0.05)
+        assert found.at_engine == 0
+        assert found.streams.state()["waiting_by_service"] == {SERVICE: 0}
