--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -24,9 +24,10 @@
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
+from caperridge.instance.online_news import OnlineReporter
 from caperridge.instance.operators_http import OperatorsHttp
 from caperridge.instance.peer_metrics import PeerMetrics
-from caperridge.instance.peer_news import OnlineLoads, PeerNews
+from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
@@ -92,8 +93,8 @@
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
         self.dispatcher.streams = self.streams
-        self.online_loads = OnlineLoads(
-            self.membership, self.peers, self._zone_of, self.streams.online_changed
+        self.online_news = OnlineReporter(
+            book, self.membership, self.streams, self.peers, clock
         )
         self.online = OnlineFront(
             book,
@@ -101,14 +102,14 @@
             self.traces,
             self.metrics,
             clock,
-            self.online_loads.changed,
+            self.online_news.changed,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
         self.members = MembersReader(self.platform, self._listed)
         self.peer_news = PeerNews(
             [self.online.book, self.streams.book],
-            self.streams.online_changed,
+            self.streams,
             self.dispatcher.tell,
         )
         self._actors = [
@@ -116,6 +117,7 @@
             self.configuration,
             self.members,
             self.dispatcher,
+            self.online_news,
         ]
         if self.mesh is not None:
             self._wire_peers(self.mesh)
@@ -131,23 +133,14 @@
         self.online.book.apply_list(message.members)
         self.streams.book.apply_list(message.members)
 
-    def _zone_of(self, target: str) -> str | None:
-        state = self.online.book.states_by_id.get(target)
-        return None if state is None else state.member.availability_zone
-
     def _wire_peers(self, mesh: PeerMesh) -> None:
         """Connect the peers' news with the tasks that it concerns."""
         news = self.peer_news
         news.listen(mesh)
         mesh.configuration_version = lambda: self.configuration.current.version
-
-        def opened(instance: str) -> None:
-            news.opened(instance)
-            self.online_loads.repeat(instance)
-
-        mesh.peer_opened = opened
+        mesh.peer_opened = news.opened
         mesh.peer_removed = news.removed
-        mesh.view_changed = self.online_loads.repeat
+        mesh.view_changed = self.online_news.repeat
 
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
