--- a/src/caperridge/commands/accept_job.py
+++ b/src/caperridge/commands/accept_job.py
@@ -1,6 +1,7 @@
 """Accepting a job: one row, once, however often it is sent."""
 
 import secrets
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -12,6 +13,7 @@
     Platform,
     PutRow,
     RowAbsent,
+    Unknown,
     Write,
     WriteError,
 )
@@ -44,7 +46,10 @@
         idempotency_key: the caller's; empty for none.
     """
     conditions: list[Condition] = [RowAbsent(keys.job(job.id))]
-    writes: list[Write] = [PutRow(keys.job(job.id), job.to_map())]
+    writes: list[Write] = [
+        PutRow(keys.job(job.id), job.to_map()),
+        PutRow(keys.open_job(job.id), job.to_map()),
+    ]
     key_row = keys.request_key(job.caller, idempotency_key)
     if idempotency_key:
         conditions.append(RowAbsent(key_row))
@@ -54,9 +59,27 @@
     )
     if isinstance(outcome, Ok):
         return Ok(job)
-    if not isinstance(outcome.err_value, Conflict) or not idempotency_key:
+    if not isinstance(outcome.err_value, Conflict):
         return outcome
-    return await _resent(platform, job, key_row)
+    if idempotency_key:
+        return await _resent(platform, job, key_row)
+    return await _settled_late(platform, job, outcome)
+
+
+async def _settled_late(
+    platform: Platform, job: Job, conflict: Result[Any, WriteError]
+) -> Result[Job, WriteError | OtherBody]:
+    """Tell whether the conflict is with our own first try.
+
+    Its write token may be gone from the rows by now: others may have worked on the
+    job already. The id is ours alone, so the row's being there tells.
+    """
+    found = await platform.read([keys.job(job.id)])
+    if isinstance(found, Err):
+        return Err(Unknown("the platform's answer was lost and cannot be read back"))
+    if keys.job(job.id) in found.ok_value:
+        return Ok(job)
+    return conflict
 
 
 async def _resent(
--- /dev/null
+++ b/src/caperridge/commands/announce_job.py
@@ -0,0 +1,59 @@
+"""Telling every instance that a job changed, through one small row.
+
+The row holds the newest changes. Whoever polls it learns of a change for one read,
+and need not scan the jobs. It is a hint: a change that could not be announced is
+found by the next scan of the open jobs.
+"""
+
+import secrets
+from typing import Any
+
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.platform.interface import (
+    Condition,
+    Conflict,
+    Platform,
+    PutRow,
+    ReadError,
+    RowAbsent,
+    RowVersion,
+)
+
+KEPT = 64
+TRIES = 4
+
+
+async def announce_job(
+    platform: Platform, job_id: str, state: str
+) -> Result[None, ReadError]:
+    """Append a change to the row; conflicts with other announcements are retried.
+
+    Args:
+        platform: where the row is.
+        job_id: which job; for a lapsed session, its id.
+        state: of the job now, or ``lapsed``.
+    """
+    key = keys.JOB_CHANGES
+    for _ in range(TRIES):
+        found = await platform.read([key])
+        if isinstance(found, Err):
+            return found
+        row = found.ok_value.get(key)
+        condition: Condition = RowAbsent(key)
+        changes: list[Any] = []
+        number = 1
+        if row is not None:
+            condition = RowVersion(key, row.version)
+            changes = row.value["changes"]
+            number = row.value["number"] + 1
+        value = {"number": number, "changes": [*changes[1 - KEPT :], [job_id, state]]}
+        outcome = await platform.transact(
+            [condition], [PutRow(key, value)], secrets.token_hex(8)
+        )
+        if isinstance(outcome, Ok):
+            break
+        if not isinstance(outcome.err_value, Conflict):
+            return outcome
+    return Ok(None)
--- a/src/caperridge/commands/chunk_claims.py
+++ b/src/caperridge/commands/chunk_claims.py
@@ -1,72 +1,169 @@
-"""Claiming, committing and releasing chunks."""
+"""Claiming, splitting and committing chunks, several in one transaction."""
 
 import secrets
+from functools import singledispatch
 
 from result import Result
 
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE
 from caperridge.decisions.chunks import Chunk
-from caperridge.decisions.jobs import CLAIMED, DONE, OPEN, ChunkState
+from caperridge.decisions.claims import (
+    Action,
+    ClaimNew,
+    SeenChunk,
+    Split,
+    TakeOver,
+    died_state,
+)
+from caperridge.decisions.jobs import CLAIMED, DONE, FREE, OPEN, ChunkState
 from caperridge.platform.interface import (
     Committed,
     Condition,
     FieldEquals,
     Platform,
     PutRow,
-    Row,
     RowAbsent,
     RowVersion,
+    Write,
     WriteError,
 )
 from caperridge.platform.settle import transact_settled
+from caperridge.records import Record
+
+
+class FinishedChunk(Record):
+    """A chunk whose results are stored, and the row that makes them count."""
+
+    __slots__ = ("chunk", "done")
 
+    def __init__(self, chunk: Chunk, done: ChunkState) -> None:
+        self.chunk = chunk
+        self.done = done
 
-async def claim_chunk(
-    platform: Platform, chunk: Chunk, seen: Row | None, session_id: str
+    @property
+    def key(self) -> str:
+        """The key of its row."""
+        return keys.chunk(self.chunk.job, self.chunk.start)
+
+
+async def claim_chunks(
+    platform: Platform, actions: list[Action], session_id: str
 ) -> Result[Committed, WriteError]:
-    """Claim a chunk that nobody holds; durable before any of its items starts.
+    """Carry out a plan, all of it or nothing; durable before any item starts.
+
+    Refused if one of the chunks changed since it was read, a job is no longer open,
+    or the own session was declared lapsed.
 
     Args:
-        platform: where the claim is kept.
-        chunk: which one.
-        seen: its row as read, free or of a session that ended; None if there is none.
+        platform: where the claims are kept.
+        actions: as planned, of one or more jobs.
         session_id: the own session.
     """
-    key = keys.chunk(chunk.job, chunk.index)
-    attempts = 1 if seen is None else seen.value["attempts"] + 1
-    free: Condition = RowAbsent(key) if seen is None else RowVersion(key, seen.version)
-    conditions = [
-        free,
-        FieldEquals(keys.job(chunk.job), "state", OPEN),
-        FieldEquals(keys.session(session_id), "state", ALIVE),
+    conditions: list[Condition] = [
+        FieldEquals(keys.session(session_id), "state", ALIVE)
     ]
-    state = ChunkState(CLAIMED, session_id, attempts)
-    return await transact_settled(
-        platform, conditions, [PutRow(key, state.to_map())], secrets.token_hex(8)
-    )
+    for job_id in sorted({action.chunk.job for action in actions}):
+        conditions.append(FieldEquals(keys.job(job_id), "state", OPEN))
+    writes: list[Write] = []
+    for action in actions:
+        conditions.extend(_conditions(action))
+        writes.extend(_writes(action, session_id))
+    return await transact_settled(platform, conditions, writes, secrets.token_hex(8))
 
 
-async def commit_chunk(
-    platform: Platform,
-    chunk: Chunk,
-    session_id: str,
-    done: ChunkState,
+async def commit_chunks(
+    platform: Platform, finished: list[FinishedChunk], session_id: str
 ) -> Result[Committed, WriteError]:
-    """Make the results of a chunk the ones that count.
+    """Make the results of chunks the ones that count, all of them or none.
+
+    Refused if a claim is no longer ours, our session was declared lapsed, or a job
+    was cancelled.
 
-    Refused if the claim is no longer ours, our session was declared lapsed, or the
-    job was cancelled.
+    Args:
+        platform: where the claims are kept.
+        finished: the chunks, each with its row as it should be.
+        session_id: the own session.
     """
-    key = keys.chunk(chunk.job, chunk.index)
     conditions: list[Condition] = [
-        FieldEquals(key, "session", session_id),
-        FieldEquals(key, "state", CLAIMED),
-        FieldEquals(key, "attempts", done.attempts),
-        FieldEquals(keys.job(chunk.job), "state", OPEN),
-        FieldEquals(keys.session(session_id), "state", ALIVE),
+        FieldEquals(keys.session(session_id), "state", ALIVE)
     ]
-    assert done.state == DONE
-    return await transact_settled(
-        platform, conditions, [PutRow(key, done.to_map())], secrets.token_hex(8)
-    )
+    for job_id in sorted({chunk.chunk.job for chunk in finished}):
+        conditions.append(FieldEquals(keys.job(job_id), "state", OPEN))
+    writes: list[Write] = []
+    for chunk in finished:
+        assert chunk.done.state == DONE
+        conditions.append(FieldEquals(chunk.key, "session", session_id))
+        conditions.append(FieldEquals(chunk.key, "state", CLAIMED))
+        conditions.append(FieldEquals(chunk.key, "attempts", chunk.done.attempts))
+        writes.append(PutRow(chunk.key, chunk.done.to_map()))
+    return await transact_settled(platform, conditions, writes, secrets.token_hex(8))
+
+
+def claimed_state(action: Action, session_id: str) -> ChunkState | None:
+    """Return the row that ``action`` leaves, with us as its holder; None if none."""
+    if isinstance(action, ClaimNew):
+        return ChunkState(action.chunk.end, CLAIMED, session_id)
+    if isinstance(action, TakeOver):
+        before = action.seen.state
+        return ChunkState(
+            action.chunk.end,
+            CLAIMED,
+            session_id,
+            attempts=before.attempts + 1,
+            deaths=died_state(action.seen, action.died),
+            previous=_previous(action.seen),
+        )
+    return None
+
+
+@singledispatch
+def _conditions(action: Action) -> list[Condition]:
+    raise NotImplementedError(type(action).__name__)
+
+
+@_conditions.register
+def _(action: ClaimNew) -> list[Condition]:
+    return [RowAbsent(keys.chunk(action.chunk.job, action.chunk.start))]
+
+
+@_conditions.register
+def _(action: TakeOver) -> list[Condition]:
+    key = keys.chunk(action.chunk.job, action.chunk.start)
+    return [RowVersion(key, action.seen.version)]
+
+
+@_conditions.register
+def _(action: Split) -> list[Condition]:
+    first, *rest = action.parts
+    conditions: list[Condition] = [
+        RowVersion(keys.chunk(first.job, first.start), action.seen.version)
+    ]
+    conditions.extend(RowAbsent(keys.chunk(part.job, part.start)) for part in rest)
+    return conditions
+
+
+def _writes(action: Action, session_id: str) -> list[Write]:
+    if not isinstance(action, Split):
+        key = keys.chunk(action.chunk.job, action.chunk.start)
+        state = claimed_state(action, session_id)
+        assert state is not None
+        return [PutRow(key, state.to_map())]
+    writes: list[Write] = []
+    for part in action.parts:
+        # One death is carried over, so that the next one splits the part again.
+        state = ChunkState(
+            part.end,
+            FREE,
+            attempts=action.seen.state.attempts,
+            deaths=1,
+            previous=_previous(action.seen),
+        )
+        writes.append(PutRow(keys.chunk(part.job, part.start), state.to_map()))
+    return writes
+
+
+def _previous(seen: SeenChunk) -> str:
+    if seen.state.state == FREE:
+        return seen.state.previous
+    return seen.state.session
--- a/src/caperridge/commands/complete_job.py
+++ b/src/caperridge/commands/complete_job.py
@@ -8,6 +8,7 @@
 from caperridge.decisions.jobs import COMPLETED, OPEN
 from caperridge.platform.interface import (
     Committed,
+    DeleteRow,
     FieldEquals,
     Platform,
     SetFields,
@@ -17,13 +18,27 @@
 
 
 async def complete_job(
-    platform: Platform, job_id: str, now: float
+    platform: Platform, job_id: str, now: float, completed: int, failed: int
 ) -> Result[Committed, WriteError]:
-    """Mark the job completed; whoever sees its last chunk done may do it."""
+    """Mark the job completed; whoever sees its last chunk done may do it.
+
+    Args:
+        platform: where it is kept.
+        job_id: which job.
+        now: seconds since the epoch, kept as its end.
+        completed: its items with an answer.
+        failed: its items that failed for good.
+    """
     key = keys.job(job_id)
+    fields = {
+        "state": COMPLETED,
+        "ended": now,
+        "completed": completed,
+        "failed": failed,
+    }
     return await transact_settled(
         platform,
         [FieldEquals(key, "state", OPEN)],
-        [SetFields(key, {"state": COMPLETED, "ended": now})],
+        [SetFields(key, fields), DeleteRow(keys.open_job(job_id))],
         secrets.token_hex(8),
     )
--- a/src/caperridge/decisions/chunks.py
+++ b/src/caperridge/decisions/chunks.py
@@ -1,47 +1,70 @@
-"""Chunks: the parts of a job that are claimed and committed as one."""
+"""Chunks: ranges of a job's items that are claimed and committed as one.
+
+A job is cut into lanes of fixed size. Within a lane chunks are claimed from its start
+onwards, each as long as its claimer wants, and a chunk's row is named by its first
+item. The next chunk of a lane can thus only start where the last one ended, and two
+claimers can never hold overlapping ranges.
+"""
 
 from caperridge.records import Record
 
-MOST_CHUNK_ITEMS = 500
-WANTED_CHUNK_S = 20.0
+LANE_ITEMS = 500
+WANTED_CHUNK_S = 10.0
+LEAST_CHUNK_S = 2.0
+FIRST_ROUNDS = 2
 
 
 class Chunk(Record):
     """The items ``start`` up to, not with, ``end`` of a job."""
 
-    __slots__ = ("end", "index", "job", "start")
+    __slots__ = ("end", "job", "start")
 
-    def __init__(self, job: str, index: int, start: int, end: int) -> None:
+    def __init__(self, job: str, start: int, end: int) -> None:
         self.job = job
-        self.index = index
         self.start = start
         self.end = end
 
+    @property
+    def items(self) -> int:
+        """How many items it has."""
+        return self.end - self.start
 
-def chunk_size(item_s: float, at_once: int) -> int:
-    """Return how many items make about :data:`WANTED_CHUNK_S` of work.
 
-    Args:
-        item_s: seconds that one item takes.
-        at_once: items of a chunk that run side by side.
+def chunk_items(items_per_s: float, slots: int, remaining: int, instances: int) -> int:
+    """Return how many items the next chunk should have.
 
-    >>> chunk_size(item_s=2.0, at_once=8)
-    80
-    """
-    wanted = int(WANTED_CHUNK_S * at_once / max(item_s, 0.001))
-    return max(1, min(MOST_CHUNK_ITEMS, wanted))
+    About :data:`WANTED_CHUNK_S` of work; less towards the end of a job, so that its
+    last chunks end together on all instances.
 
+    Args:
+        items_per_s: of the service on this instance; 0 if not known yet.
+        slots: items that run side by side here.
+        remaining: items of the job that nobody has claimed.
+        instances: that may share the rest.
 
-def chunk_count(items: int, size: int) -> int:
-    """Return how many chunks of ``size`` cover ``items``."""
-    return -(-items // size)
+    >>> chunk_items(items_per_s=20.0, slots=8, remaining=100_000, instances=3)
+    200
+    >>> chunk_items(items_per_s=20.0, slots=8, remaining=300, instances=3)
+    50
+    >>> chunk_items(items_per_s=0.0, slots=8, remaining=100_000, instances=3)
+    16
+    """
+    if items_per_s <= 0:
+        return max(1, min(LANE_ITEMS, FIRST_ROUNDS * slots))
+    share = remaining // (2 * max(1, instances))
+    least = int(items_per_s * LEAST_CHUNK_S)
+    wanted = min(int(items_per_s * WANTED_CHUNK_S), max(share, least))
+    return max(1, min(LANE_ITEMS, wanted))
 
 
-def chunk_at(job: str, index: int, items: int, size: int) -> Chunk:
-    """Return chunk ``index`` of a job.
+def split(chunk: Chunk, pieces: int) -> list[Chunk]:
+    """Return ``chunk`` in at most ``pieces`` parts of nearly equal size.
 
-    >>> chunk_at("j", 1, items=15, size=10)
-    Chunk(end=15, index=1, job='j', start=10)
+    >>> [(c.start, c.end) for c in split(Chunk("j", 0, 5), 2)]
+    [(0, 3), (3, 5)]
     """
-    start = index * size
-    return Chunk(job, index, start, min(items, start + size))
+    size = -(-chunk.items // pieces)
+    parts: list[Chunk] = []
+    for start in range(chunk.start, chunk.end, size):
+        parts.append(Chunk(chunk.job, start, min(chunk.end, start + size)))
+    return parts
--- /dev/null
+++ b/src/caperridge/decisions/job_board.py
@@ -0,0 +1,128 @@
+"""The open jobs as one instance knows them, and how much to claim of which."""
+
+from caperridge.decisions.job_order import JobLoad, order_jobs
+from caperridge.decisions.jobs import Job
+from caperridge.decisions.rates import RateMeter
+from caperridge.records import Record
+
+AHEAD_S = 3.0
+MOST_IN_HAND = 4000
+NO_ROOM = "no target of this instance has room"
+
+
+class Want(Record):
+    """How many items of a service to claim, and of which jobs first.
+
+    Attributes:
+        items: how many.
+        slots: items that run side by side here.
+        items_per_s: of the service here; 0 if not known.
+        loads: its open jobs in order.
+    """
+
+    __slots__ = ("items", "items_per_s", "loads", "slots")
+
+    def __init__(
+        self, items: int, slots: int, items_per_s: float, loads: list[JobLoad]
+    ) -> None:
+        self.items = items
+        self.slots = slots
+        self.items_per_s = items_per_s
+        self.loads = loads
+
+
+class JobBoard:
+    """Keeps the open jobs, their rest, why they wait, and the pace of each service.
+
+    Args:
+        instance: id of the instance; ties in the order are drawn from it.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self.jobs_by_id: dict[str, Job] = {}
+        self._instance = instance
+        self._remaining_by_job: dict[str, int] = {}
+        self._reasons_by_job: dict[str, str] = {}
+        self._meters_by_service: dict[str, RateMeter] = {}
+
+    def services(self) -> set[str]:
+        """Return the services that have an open job."""
+        return {job.service for job in self.jobs_by_id.values()}
+
+    def meter(self, service: str) -> RateMeter:
+        """Return the meter of a service."""
+        return self._meters_by_service.setdefault(service, RateMeter())
+
+    def add(self, job: Job) -> None:
+        """Note an open job."""
+        self.jobs_by_id[job.id] = job
+
+    def replace(self, jobs: list[Job]) -> list[str]:
+        """Take over the list of all open jobs; return the ids of those that ended."""
+        open_by_id = {job.id: job for job in jobs}
+        ended = [job_id for job_id in self.jobs_by_id if job_id not in open_by_id]
+        self.jobs_by_id = open_by_id
+        return ended
+
+    def remove(self, job_id: str) -> None:
+        """Forget a job that has ended."""
+        self.jobs_by_id.pop(job_id, None)
+        self._remaining_by_job.pop(job_id, None)
+        self._reasons_by_job.pop(job_id, None)
+
+    def claim_ended(
+        self,
+        service: str,
+        reasons_by_job: dict[str, str],
+        remaining_by_job: dict[str, int],
+    ) -> None:
+        """Note what a round of claims found."""
+        self._remaining_by_job.update(remaining_by_job)
+        for job_id, job in self.jobs_by_id.items():
+            if job.service == service:
+                self._reasons_by_job[job_id] = reasons_by_job.get(job_id, "")
+
+    def reason(self, job_id: str) -> str:
+        """Return why nothing more of a job was claimed; empty if something was."""
+        return self._reasons_by_job.get(job_id, "")
+
+    def want(
+        self,
+        service: str,
+        room: int,
+        in_hand_by_job: dict[str, int],
+        now: float,
+        wall: float,
+    ) -> Want | None:
+        """Return what to claim of a service; None for nothing.
+
+        Args:
+            service: which one.
+            room: items that could start at once.
+            in_hand_by_job: items claimed here that have not ended.
+            now: monotonic seconds.
+            wall: seconds since the epoch.
+        """
+        in_hand = sum(in_hand_by_job.values())
+        rate = self.meter(service).per_s(now)
+        ahead = min(MOST_IN_HAND, room + int(rate * AHEAD_S))
+        if in_hand == 0 and room == 0:
+            self._all_wait(service, NO_ROOM)
+            return None
+        if room == 0 and in_hand >= ahead:
+            self._all_wait(service, "")
+            return None
+        loads: list[JobLoad] = []
+        for job in self.jobs_by_id.values():
+            if job.service != service:
+                continue
+            remaining = self._remaining_by_job.get(job.id, job.items)
+            loads.append(JobLoad(job, in_hand_by_job.get(job.id, 0), remaining))
+        ordered = order_jobs(loads, self._instance, rate, wall)
+        slots = max(1, min(in_hand, MOST_IN_HAND) + room)
+        return Want(max(room, ahead - in_hand), slots, rate, ordered)
+
+    def _all_wait(self, service: str, reason: str) -> None:
+        for job_id, job in self.jobs_by_id.items():
+            if job.service == service:
+                self._reasons_by_job[job_id] = reason
--- a/src/caperridge/decisions/jobs.py
+++ b/src/caperridge/decisions/jobs.py
@@ -23,26 +23,30 @@
         endpoint: path of the items, e.g. ``/v1/chat/completions``.
         file: id of the file with the items.
         items: how many.
-        chunk_items: items of one chunk.
+        lane_items: items of one lane; see :mod:`caperridge.decisions.chunks`.
         state: ``open``, ``cancelled`` or ``completed``.
         due: when it should be done, seconds since the epoch.
         created: when it was accepted, seconds since the epoch.
         ended: when it was cancelled or completed; 0 before.
         body_digest: of what was asked, to tell a resend from another request.
         metadata: what the caller attached.
+        completed: items with an answer; 0 until the job is completed.
+        failed: items that failed for good; 0 until the job is completed.
     """
 
     __slots__ = (
         "body_digest",
         "caller",
-        "chunk_items",
+        "completed",
         "created",
         "due",
         "ended",
         "endpoint",
+        "failed",
         "file",
         "id",
         "items",
+        "lane_items",
         "metadata",
         "service",
         "state",
@@ -56,13 +60,15 @@
         endpoint: str,
         file: str,
         items: int,
-        chunk_items: int,
+        lane_items: int,
         state: str = OPEN,
         due: float = 0.0,
         created: float = 0.0,
         ended: float = 0.0,
         body_digest: str = "",
         metadata: dict[str, Any] | None = None,
+        completed: int = 0,
+        failed: int = 0,
     ) -> None:
         self.id = id
         self.caller = caller
@@ -70,41 +76,62 @@
         self.endpoint = endpoint
         self.file = file
         self.items = items
-        self.chunk_items = chunk_items
+        self.lane_items = lane_items
         self.state = state
         self.due = due
         self.created = created
         self.ended = ended
         self.body_digest = body_digest
         self.metadata = metadata or {}
+        self.completed = completed
+        self.failed = failed
 
 
 class ChunkState(Record):
-    """The row of a chunk.
+    """The row of a chunk, named by its first item.
 
     Attributes:
-        state: ``claimed``, ``free`` again, or ``done``.
+        end: the item after its last one.
+        state: ``claimed``, ``free`` after a split, or ``done``.
         session: who claims it.
         attempts: claims so far, this one included; durable before any work starts.
+        deaths: holders whose session lapsed while they held it.
+        previous: the session that held it before; its checkpoint may have results.
         result: object with the results, once done.
         completed: items with an answer, once done.
         failed: items that failed for good, once done.
     """
 
-    __slots__ = ("attempts", "completed", "failed", "result", "session", "state")
+    __slots__ = (
+        "attempts",
+        "completed",
+        "deaths",
+        "end",
+        "failed",
+        "previous",
+        "result",
+        "session",
+        "state",
+    )
 
     def __init__(
         self,
+        end: int,
         state: str,
         session: str = "",
         attempts: int = 1,
+        deaths: int = 0,
+        previous: str = "",
         result: str = "",
         completed: int = 0,
         failed: int = 0,
     ) -> None:
+        self.end = end
         self.state = state
         self.session = session
         self.attempts = attempts
+        self.deaths = deaths
+        self.previous = previous
         self.result = result
         self.completed = completed
         self.failed = failed
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -1,87 +1,125 @@
-"""The batch dispatcher: claims chunks, hands their items out, commits the results."""
+"""The batch dispatcher: keeps the batch streams filled and collects what they end.
+
+It owns the chunks in hand. Reading jobs, claiming and committing are tasks of their
+own, so that a slow platform never holds up what is running.
+"""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-import orjson
-from result import Err
-
-from caperridge import keys
-from caperridge.commands.chunk_claims import claim_chunk, commit_chunk
-from caperridge.commands.complete_job import complete_job
-from caperridge.commands.sessions import ALIVE
-from caperridge.decisions.chunks import Chunk, chunk_at, chunk_count
-from caperridge.decisions.jobs import DONE, ChunkState, ItemResult, Job
+from caperridge.decisions.claims import must_fail
+from caperridge.decisions.item_failures import GiveUp, after_failure
+from caperridge.decisions.job_board import JobBoard
+from caperridge.decisions.jobs import ItemResult, Job
+from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
+from caperridge.instance.batch_messages import (
+    CheckpointWanted,
+    ChunkClaimed,
+    ChunkSettled,
+    ClaimEnded,
+    ClaimWanted,
+    CommitWanted,
+    JobEnded,
+    JobsListed,
+    SessionsLapsed,
+)
 from caperridge.instance.batch_streams import BatchStreams, ItemWork
+from caperridge.instance.chunk_work import (
+    ChunkWork,
+    ItemPlace,
+    failed_result,
+    whole_result,
+)
+from caperridge.instance.claimer import ChunkClaimer
+from caperridge.instance.committer import ChunkCommitter
+from caperridge.instance.item_retries import ItemRetries
+from caperridge.instance.job_items import pack_checkpoint
+from caperridge.instance.jobs_reader import JobsReader
 from caperridge.instance.messages import ItemEnded, JobsChanged
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.session import SessionKeeper
+from caperridge.instance.session_watcher import SessionWatcher
 from caperridge.log import logger
-from caperridge.platform.interface import Platform, Row
-from caperridge.queries.jobs import chunk_rows, open_jobs, read_file, read_items
-from caperridge.targets.outcomes import TargetRefused
+from caperridge.platform.interface import Platform
+from caperridge.targets.outcomes import AttemptError
 
 log = logger(__name__)
-RETRY_S = 0.5
-JOBS_EVERY_S = 1.0
-
-
-class ChunkWork:
-    """A chunk that this instance has claimed and works on."""
-
-    __slots__ = ("attempts", "chunk", "job", "results_by_index", "session")
-
-    def __init__(self, job: Job, chunk: Chunk, session: str, attempts: int) -> None:
-        self.job = job
-        self.chunk = chunk
-        self.session = session
-        self.attempts = attempts
-        self.results_by_index: dict[int, ItemResult] = {}
-
-
-class ItemPlace:
-    """Where an item belongs: its chunk, its index in the job and its own id."""
-
-    __slots__ = ("custom_id", "index", "work")
-
-    def __init__(self, work: ChunkWork, index: int, custom_id: str) -> None:
-        self.work = work
-        self.index = index
-        self.custom_id = custom_id
+CHECKPOINT_S = 2.0
+KILLS_ITS_HOLDER = "the instances that worked on it alone were lost, each time"
 
 
 class BatchDispatcher(Actor):
-    """Claims chunks while its batch streams have room, and commits them.
+    """Claims chunks ahead of its batch streams and has them committed.
 
     Args:
         platform: where jobs and claims are.
         session: whose lease keeps the claims.
+        membership: of this instance.
         metrics: of the instance.
+        lease_s: of all sessions.
         clock: monotonic seconds.
     """
 
-    idle_s = 0.2
+    idle_s = 0.1
 
     def __init__(
         self,
         platform: Platform,
         session: SessionKeeper,
+        membership: Membership,
         metrics: Metrics,
+        lease_s: float,
         clock: Callable[[], float],
     ) -> None:
         super().__init__()
         self.streams: BatchStreams
         self.draining = False
-        self._platform = platform
         self._session = session
         self._metrics = metrics
         self._clock = clock
-        self._work_by_key: dict[str, ChunkWork] = {}
-        self._jobs_due = 0.0
+        self._works_by_key: dict[str, ChunkWork] = {}
+        self._board = JobBoard(membership.instance)
+        self._claiming: set[str] = set()
+        self._retries = ItemRetries()
+        self._parked = False
+        self._session_id = ""
+        self._quiet = asyncio.Event()
+        self._unsaved = 0
+        self._checkpoint_at = 0.0
+        self._reader = JobsReader(platform, membership.instance, clock, self.tell)
+        self._claimer = ChunkClaimer(platform, membership.instance, clock, self.tell)
+        self._committer = ChunkCommitter(
+            platform, session, membership.instance, clock, self.tell
+        )
+        watcher = SessionWatcher(platform, membership, lease_s, clock)
+        self._parts: list[Actor] = [
+            self._reader,
+            self._claimer,
+            self._committer,
+            watcher,
+        ]
+
+    def start(self) -> None:
+        """Start this task and its parts."""
+        for part in self._parts:
+            part.start()
+        super().start()
+
+    async def stop(self) -> None:
+        """Stop this task and its parts."""
+        await super().stop()
+        for part in self._parts:
+            await part.stop()
+        self.streams.drop_all()
+
+    def may_start(self) -> bool:
+        """Return whether an item may start at a target now."""
+        return self._session.left_s() > 0 and not self.draining
 
     @singledispatchmethod
     async def handle(self, message: Any) -> None:
@@ -90,181 +128,232 @@
 
     @handle.register
     async def _(self, message: JobsChanged) -> None:
-        self._jobs_due = 0.0
-        if not message.cancelled:
+        self._reader.poll_soon()
+        if message.cancelled:
+            self._end_job(message.cancelled)
+
+    @handle.register
+    async def _(self, message: JobEnded) -> None:
+        self._end_job(message.job)
+
+    @handle.register
+    async def _(self, message: JobsListed) -> None:
+        for job_id in self._board.replace(message.jobs):
+            self._end_job(job_id)
+
+    @handle.register
+    async def _(self, message: Job) -> None:
+        self._board.add(message)
+
+    @handle.register
+    async def _(self, message: SessionsLapsed) -> None:
+        self._claimer.tell(message)
+
+    @handle.register
+    async def _(self, message: ChunkClaimed) -> None:
+        if message.session != self._session.session_id:
+            return
+        work = ChunkWork(message.job, message.chunk, message.state, message.session)
+        work.add_items(message.lines, message.saved)
+        self._works_by_key[work.key] = work
+        if must_fail(message.chunk, message.state.deaths):
+            for item in list(work.items_by_index.values()):
+                place: ItemPlace = item.context
+                self._end_item(
+                    work,
+                    failed_result(place, "lost_holders", KILLS_ITS_HOLDER, 500),
+                )
             return
-        self.streams.cancel_job(message.cancelled)
-        for key, work in list(self._work_by_key.items()):
-            if work.job.id == message.cancelled:
-                del self._work_by_key[key]
+        if not work.items_by_index:
+            self._finish(work)
+            return
+        self._board.meter(work.job.service).started(self._clock())
+        if self._parked:
+            return
+        for item in list(work.items_by_index.values()):
+            self.streams.submit(item)
+
+    @handle.register
+    async def _(self, message: ClaimEnded) -> None:
+        self._claiming.discard(message.service)
+        self._board.claim_ended(
+            message.service, message.reasons_by_job, message.remaining_by_job
+        )
+
+    @handle.register
+    async def _(self, message: ChunkSettled) -> None:
+        self._claimer.tell(message)
 
     @handle.register
     async def _(self, message: ItemEnded) -> None:
+        if self.draining and not self.streams.state()["running"]:
+            self._quiet.set()
         place: ItemPlace = message.work.context
-        error = message.error
-        if error is not None and not (
-            isinstance(error, TargetRefused) and error.permanent
-        ):
-            self.streams.submit(message.work)
+        work = place.work
+        if self._works_by_key.get(work.key) is not work:
+            return
+        self._retries.ended(message.work)
+        if message.error is None:
+            self._end_item(work, whole_result(message.work))
+            return
+        self._failed(message.work, message.error)
+
+    def _failed(self, item: ItemWork, error: AttemptError) -> None:
+        place: ItemPlace = item.context
+        self._metrics.attempts.labels(item.service, type(error).__name__).inc()
+        if not self.may_start():
+            # It was not tried: it waits for the lease, or for the next holder.
             return
-        result = _result(message.work, place, error)
-        place.work.results_by_index[place.index] = result
+        verdict = after_failure(error, item.request, place.faults, place.failures)
+        if isinstance(verdict, GiveUp):
+            result = failed_result(place, verdict.code, verdict.reason, verdict.status)
+            self._end_item(place.work, result)
+            return
+        place.failures += 1
+        place.faults = verdict.faults
+        self._retries.add(item, self._clock() + verdict.delay_s, verdict.alone)
+
+    def _end_item(self, work: ChunkWork, result: ItemResult) -> None:
+        work.ended(result)
+        self._unsaved += 1
+        service = work.job.service
+        self._board.meter(service).ended(1, self._clock())
         outcome = "failed" if result.error else "completed"
-        self._metrics.batch_items.labels(place.work.job.service, outcome).inc()
-        chunk = place.work.chunk
-        if len(place.work.results_by_index) == chunk.end - chunk.start:
-            await self._commit(place.work)
+        self._metrics.batch_items.labels(service, outcome).inc()
+        if not work.items_by_index:
+            self._finish(work)
+
+    def _finish(self, work: ChunkWork) -> None:
+        del self._works_by_key[work.key]
+        failed = work.failed()
+        self._committer.tell(
+            CommitWanted(
+                work.chunk,
+                work.state,
+                work.session,
+                work.result_data(),
+                len(work.results_by_index) - failed,
+                failed,
+            )
+        )
+
+    def _end_job(self, job_id: str) -> None:
+        self._board.remove(job_id)
+        self.streams.cancel_job(job_id)
+        self._retries.cancel_job(job_id)
+        for key, work in list(self._works_by_key.items()):
+            if work.job.id == job_id:
+                del self._works_by_key[key]
 
     async def idle(self) -> None:
-        """Claim what there is room for."""
-        if self._session.left_s() <= 0:
-            self._work_by_key.clear()
-            self.streams.drop_all()
+        """Follow the lease, and claim what there is room for."""
+        self._follow_lease()
+        if not self.may_start():
             return
+        now = self._clock()
+        for item in self._retries.due(now):
+            self.streams.submit(item)
         self.streams.fill()
-        if not self.draining and self._clock() >= self._jobs_due:
-            self._jobs_due = self._clock() + JOBS_EVERY_S
-            await self._claim()
-
-    async def _claim(self) -> None:
-        jobs = await open_jobs(self._platform)
-        if isinstance(jobs, Err):
+        if self._reader.known:
+            for service in self._board.services():
+                self._want(service)
+        if self._unsaved and now >= self._checkpoint_at:
+            self._checkpoint_at = now + CHECKPOINT_S
+            self._committer.tell(self._checkpoint())
+
+    def _follow_lease(self) -> None:
+        session = self._session.session_id
+        if session and session != self._session_id:
+            # A new one: what the old one claimed is free for others.
+            self._session_id = session
+            self._works_by_key.clear()
+            self._retries.clear()
+            self.streams.drop_all()
+        if not self._session.holds(session):
+            if not self._parked:
+                log.warning("the lease has ended; batch work stops", session=session)
+                self.streams.drop_all()
+            self._parked = True
             return
-        for job in jobs.ok_value:
-            room = self.streams.room(job.service)
-            if room > 0:
-                await self._claim_of(job, room)
-
-    async def _claim_of(self, job: Job, wanted: int) -> None:
-        rows = await chunk_rows(self._platform, job.id)
-        if isinstance(rows, Err):
+        if not self._parked:
             return
-        done = 0
-        for index in range(chunk_count(job.items, job.chunk_items)):
-            row = rows.ok_value.get(keys.chunk(job.id, index))
-            if row is not None and row.value["state"] == DONE:
-                done += 1
-                continue
-            if wanted <= 0 or not await self._claimable(row):
-                continue
-            chunk = chunk_at(job.id, index, job.items, job.chunk_items)
-            if await self._claim_one(job, chunk, row):
-                wanted -= chunk.end - chunk.start
-        if done == chunk_count(job.items, job.chunk_items):
-            await complete_job(self._platform, job.id, time.time())
-
-    async def _claimable(self, row: Row | None) -> bool:
-        if row is None:
-            return True
-        if row.value["session"] == self._session.session_id:
-            return False
-        key = keys.session(row.value["session"])
-        found = await self._platform.read([key])
-        if isinstance(found, Err):
-            return False
-        session = found.ok_value.get(key)
-        return session is None or session.value["state"] != ALIVE
-
-    async def _claim_one(self, job: Job, chunk: Chunk, row: Row | None) -> bool:
-        session_id = self._session.session_id
-        file = await read_file(self._platform, job.file)
-        if isinstance(file, Err) or file.ok_value is None:
-            return False
-        lines = await read_items(self._platform, file.ok_value, chunk)
-        if isinstance(lines, Err):
-            return False
-        claimed = await claim_chunk(self._platform, chunk, row, session_id)
-        if isinstance(claimed, Err):
-            return False
-        attempts = 1 if row is None else row.value["attempts"] + 1
-        work = ChunkWork(job, chunk, session_id, attempts)
-        self._work_by_key[keys.chunk(job.id, chunk.index)] = work
-        for index, line in enumerate(lines.ok_value, chunk.start):
-            item = orjson.loads(line)
-            self.streams.submit(
-                ItemWork(
-                    f"{job.id}.{index}",
-                    job.id,
-                    job.service,
-                    job.endpoint,
-                    item["body"],
-                    ItemPlace(work, index, item["custom_id"]),
-                )
-            )
-        return True
-
-    async def _commit(self, work: ChunkWork) -> None:
-        results = [result for _, result in sorted(work.results_by_index.items())]
-        data = b"".join(result_line(work.job, result) for result in results)
-        name = keys.chunk_result(
-            work.job.id, work.chunk.index, f"{work.session}-{work.attempts}"
+        self._parked = False
+        self._retries.clear()
+        # Nobody took our chunks: go on, with the tokens that were kept.
+        for work in self._works_by_key.values():
+            for item in work.items_by_index.values():
+                self.streams.submit(item)
+
+    def _want(self, service: str) -> None:
+        if service in self._claiming:
+            return
+        want = self._board.want(
+            service,
+            self.streams.room(service),
+            self._in_hand(service),
+            self._clock(),
+            time.time(),
         )
-        failed = sum(1 for result in results if result.error)
-        done = ChunkState(
-            DONE, work.session, work.attempts, name, len(results) - failed, failed
+        if want is None:
+            return
+        in_hand = set(self._works_by_key) | set(self._committer.waiting_by_key)
+        self._claiming.add(service)
+        self._claimer.tell(
+            ClaimWanted(service, self._session.session_id, want, in_hand)
         )
-        while self._session.holds(work.session):
-            stored = await self._platform.put_object(name, data)
-            if isinstance(stored, Err):
-                await asyncio.sleep(RETRY_S)
+
+    def _in_hand(self, service: str) -> dict[str, int]:
+        in_hand_by_job: dict[str, int] = {}
+        for work in self._works_by_key.values():
+            if work.job.service != service:
                 continue
-            outcome = await commit_chunk(self._platform, work.chunk, work.session, done)
-            log.info(
-                "chunk committed" if not isinstance(outcome, Err) else "chunk refused",
-                job=work.job.id,
-                chunk=work.chunk.index,
-            )
-            break
-        self._work_by_key.pop(keys.chunk(work.job.id, work.chunk.index), None)
-        self._jobs_due = 0.0
+            count = in_hand_by_job.get(work.job.id, 0)
+            in_hand_by_job[work.job.id] = count + len(work.items_by_index)
+        return in_hand_by_job
+
+    def _checkpoint(self) -> CheckpointWanted:
+        self._unsaved = 0
+        results: list[tuple[str, dict[str, Any]]] = []
+        for work in self._works_by_key.values():
+            for result in work.results_by_index.values():
+                results.append((work.job.id, result.to_map()))
+        return CheckpointWanted(self._session.session_id, pack_checkpoint(results))
+
+    async def release(self, wait_s: float) -> None:
+        """Stop as planned: let running items end, then save what is not committed.
+
+        Args:
+            wait_s: longest wait for items that run.
+        """
+        self.draining = True
+        self._quiet.clear()
+        if self.streams.state()["running"]:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._quiet.wait(), wait_s)
+        await asyncio.sleep(2 * self.idle_s)
+        self._committer.tell(self._checkpoint())
+        await asyncio.sleep(2 * self._committer.idle_s)
+        await self._committer.flush()
+
+    def why(self, job_id: str) -> str:
+        """Return why nothing more of a job runs here; empty if something does."""
+        if not self._reader.known:
+            return "the platform is away"
+        if self._session.left_s() <= 0:
+            return "the lease of this instance has ended"
+        return self._board.reason(job_id)
 
     def state(self) -> dict[str, Any]:
         """Return the dispatcher's state for the dump."""
-        results_by_chunk = {
-            key: len(work.results_by_index) for key, work in self._work_by_key.items()
+        open_by_chunk = {
+            key: len(work.items_by_index) for key, work in self._works_by_key.items()
         }
-        return {"results_by_chunk": results_by_chunk, "streams": self.streams.state()}
-
-
-def _result(
-    work: ItemWork, place: ItemPlace, error: TargetRefused | None
-) -> ItemResult:
-    if error is None:
-        return ItemResult(place.index, place.custom_id, 200, _answer(work))
-    reason = {"code": "target_refused", "message": error.reason}
-    return ItemResult(place.index, place.custom_id, error.status, None, reason)
-
-
-def _answer(work: ItemWork) -> dict[str, Any]:
-    text = "".join(work.texts)
-    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
-    chat = "messages" in work.body
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {
-        "id": work.request,
-        "object": "chat.completion" if chat else "text_completion",
-        "model": work.body.get("model", ""),
-        "choices": [choice],
-        "usage": {"completion_tokens": len(work.texts)},
-    }
-
-
-def result_line(job: Job, result: ItemResult) -> bytes:
-    """Return one line of a result object; ``error`` comes first for filtering."""
-    response = None
-    if result.error is None:
-        response = {
-            "status_code": result.status,
-            "request_id": f"{job.id}.{result.index}",
-            "body": result.body,
+        return {
+            "items_open_by_chunk": open_by_chunk,
+            "chunks_to_commit": len(self._committer.waiting_by_key),
+            "retries": self._retries.state(),
+            "waits_because_by_job": {
+                job_id: self.why(job_id) for job_id in self._board.jobs_by_id
+            },
+            "streams": self.streams.state(),
         }
-    line = {
-        "error": result.error,
-        "id": f"{job.id}.{result.index}",
-        "custom_id": result.custom_id,
-        "response": response,
-    }
-    return orjson.dumps(line) + b"\n"
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -13,9 +13,11 @@
 from caperridge import keys
 from caperridge.commands.accept_file import StoredFile, accept_file
 from caperridge.commands.accept_job import OtherBody, accept_job, new_job_id
+from caperridge.commands.announce_job import announce_job
 from caperridge.commands.cancel_job import cancel_job
 from caperridge.config.model import Caller
-from caperridge.decisions.chunks import chunk_size
+from caperridge.decisions.chunks import LANE_ITEMS
+from caperridge.decisions.job_order import expected_finish
 from caperridge.decisions.jobs import CANCELLED, COMPLETED, OPEN, Job
 from caperridge.instance.http_common import (
     abort,
@@ -25,6 +27,7 @@
     platform_refusal,
 )
 from caperridge.instance.messages import JobsChanged
+from caperridge.peers.messages import JobNews
 from caperridge.platform.interface import Conflict
 from caperridge.queries.jobs import read_file, read_job, read_progress, stream_results
 from caperridge.refusals import Refusal, RefusedError
@@ -33,8 +36,6 @@
     from caperridge.instance.process import Instance
 
 COMPLETION_WINDOWS_S = {"24h": 86400.0, "12h": 43200.0, "1h": 3600.0}
-ASSUMED_ITEM_S = 1.0
-ASSUMED_AT_ONCE = 8
 OUTPUT = "-output"
 ERRORS = "-errors"
 _STATES = {OPEN: "in_progress", COMPLETED: "completed", CANCELLED: "cancelled"}
@@ -148,7 +149,7 @@
             str(body.get("endpoint", "/v1/chat/completions")),
             file.id,
             file.items,
-            chunk_size(ASSUMED_ITEM_S, ASSUMED_AT_ONCE),
+            LANE_ITEMS,
             due=now + window,
             created=now,
             body_digest=xxhash.xxh3_128_hexdigest(
@@ -164,6 +165,7 @@
                 text = f"this idempotency key names {error.job} with another body"
                 raise RefusedError(Refusal("key_reused", text, 409))
             raise platform_refusal(error, "the job")
+        await self._announce(accepted.ok_value.id, OPEN)
         self._instance.dispatcher.tell(JobsChanged())
         return await self._batch_response(accepted.ok_value)
 
@@ -193,8 +195,14 @@
         if isinstance(outcome, Err) and not isinstance(outcome.err_value, Conflict):
             raise platform_refusal(outcome.err_value, "the cancel")
         self._instance.dispatcher.tell(JobsChanged(cancelled=job.id))
+        await self._announce(job.id, CANCELLED)
         return await self._batch_response(await self._job(caller, job.id))
 
+    async def _announce(self, job_id: str, state: str) -> None:
+        """Spread the news; the next scan finds what does not arrive."""
+        self._instance.peers.send_all(JobNews(job_id, state))
+        await announce_job(self._instance.platform, job_id, state)
+
     async def _file(self, caller: Caller, file_id: str) -> StoredFile:
         file = await read_file(self._instance.platform, plain_id(file_id))
         if isinstance(file, Err):
@@ -235,6 +243,14 @@
                 "failed": done.failed,
             },
             "metadata": job.metadata,
+            "waiting_because": self._instance.dispatcher.why(job.id)
+            if job.state == OPEN
+            else None,
+            "expected_finish_at": expected_finish(
+                job, done.completed + done.failed, time.time()
+            )
+            if job.state == OPEN
+            else None,
         }
         return web.json_response(body)
 
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -16,6 +16,7 @@
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
@@ -49,9 +50,15 @@
     Args:
         settings: what it was told.
         platform: instead of the one that the settings name, for tests.
+        engines: instead of the client over HTTP, for experiments.
     """
 
-    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform | None = None,
+        engines: EngineClient | None = None,
+    ) -> None:
         self.settings = settings
         self.platform = platform or HttpPlatform(
             settings.platform_endpoint,
@@ -64,7 +71,7 @@
         self.traces = Traces()
         self.addresses_by_listener: dict[str, Address] = {}
         self.draining = False
-        self._engines = EngineClient()
+        self._engines = engines or EngineClient()
         self._plain_client = PlainClient()
         book = TargetBook(settings.availability_zone)
         self.session = SessionKeeper(
@@ -74,11 +81,16 @@
         self.peers: Peers = NoPeers()
         self._sequence = 0
         self.dispatcher = BatchDispatcher(
-            self.platform, self.session, self.metrics, clock
+            self.platform,
+            self.session,
+            self.membership,
+            self.metrics,
+            settings.lease_s,
+            clock,
         )
         self.streams = BatchStreams(
             self.membership,
-            self._engines,
+            LeaseGuard(self._engines, self.dispatcher.may_start),
             self.metrics,
             clock,
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
@@ -210,12 +222,12 @@
     async def drain(self) -> None:
         """Stop as planned: not ready, wait, finish what runs, close the session."""
         self.draining = True
-        self.dispatcher.draining = True
         log.info("stopping: not ready", instance=self.settings.instance_id)
         await asyncio.sleep(self.settings.balancer_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_s):
                 await self.online.wait_idle()
+        await self.dispatcher.release(self.settings.drain_s)
         await self.session.close()
 
     async def stop(self) -> None:
--- a/src/caperridge/instance/session.py
+++ b/src/caperridge/instance/session.py
@@ -1,24 +1,26 @@
 """The task that keeps this instance's session alive and knows how long it lasts."""
 
+import random
 import secrets
 from collections.abc import Callable
 
 from result import Err, Ok
 
 from caperridge.commands.sessions import close_session, open_session, renew_session
+from caperridge.decisions.leases import Lease
 from caperridge.instance.actor import Actor
 from caperridge.log import logger
-from caperridge.platform.interface import Conflict, Platform
+from caperridge.platform.interface import Conflict, NotDone, Platform, WriteError
 
 log = logger(__name__)
-RENEWALS_A_LEASE = 3
 
 
 class SessionKeeper(Actor):
-    """Owns the session; a lapsed one is replaced by a new one.
+    """Owns the session; one that was declared lapsed is replaced by a new one.
 
-    The lease counts on the own monotonic clock from before the renewal was sent, so
-    the holder believes in it for less time than anybody else does.
+    A session whose lease ended on the own clock is kept: nobody may have declared it
+    lapsed, e.g. because the platform was away for all. If the next renewal succeeds,
+    its claims are still ours and the work goes on where it stopped.
 
     Args:
         platform: where the session row is.
@@ -27,6 +29,8 @@
         clock: monotonic seconds.
     """
 
+    idle_s = 0.1
+
     def __init__(
         self,
         platform: Platform,
@@ -36,52 +40,62 @@
     ) -> None:
         super().__init__()
         self.session_id = ""
-        self.idle_s = lease_s / RENEWALS_A_LEASE
         self._platform = platform
         self._instance = instance
-        self._lease_s = lease_s
         self._clock = clock
-        self._until = float("-inf")
+        self._lease = Lease(lease_s)
         self._renewals = 0
+        self._closed = False
+        self._random = random.Random(instance)
 
     def left_s(self) -> float:
         """Return how much of the lease is left, in seconds; not above 0: none."""
-        return self._until - self._clock()
+        return self._lease.left_s(self._clock())
 
     def holds(self, session_id: str) -> bool:
         """Return whether ``session_id`` is the own session and its lease lasts."""
         return session_id == self.session_id and self.left_s() > 0
 
     async def idle(self) -> None:
-        """Renew, or open a new session where the old one is gone."""
-        before = self._clock()
+        """Renew when due, or open a new session where the old one is gone."""
+        sent = self._clock()
+        if self._closed or not self._lease.due(sent):
+            return
         if not self.session_id:
-            await self._open(before)
+            await self._open(sent)
             return
         self._renewals += 1
         outcome = await renew_session(self._platform, self.session_id, self._renewals)
         if isinstance(outcome, Ok):
-            self._until = before + self._lease_s
+            self._lease.renewed(sent)
             return
         if isinstance(outcome.err_value, Conflict):
             log.warning("the session was declared lapsed", session=self.session_id)
             self.session_id = ""
-            self._until = float("-inf")
-            await self._open(self._clock())
+            self._lease.lost()
+            return
+        self._not_renewed(outcome.err_value)
 
-    async def _open(self, before: float) -> None:
+    async def _open(self, sent: float) -> None:
         session_id = f"{self._instance}-{secrets.token_hex(6)}"
         outcome = await open_session(
-            self._platform, session_id, self._instance, self._lease_s
+            self._platform, session_id, self._instance, self._lease.lease_s
         )
         if isinstance(outcome, Err):
+            self._not_renewed(outcome.err_value)
             return
         self.session_id = session_id
-        self._until = before + self._lease_s
+        self._lease.renewed(sent)
+
+    def _not_renewed(self, error: WriteError) -> None:
+        retry_after_s = error.retry_after_s if isinstance(error, NotDone) else 0.0
+        jitter = self._random.random()
+        self._lease.not_renewed(self._clock(), retry_after_s, jitter)
 
     async def close(self) -> None:
         """End the session, so that what it still claims is free at once."""
-        if self.session_id:
-            await close_session(self._platform, self.session_id)
-            self.session_id = ""
-            self._until = float("-inf")
+        self._closed = True
+        session_id, self.session_id = self.session_id, ""
+        self._lease.lost()
+        if session_id:
+            await close_session(self._platform, session_id)
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -8,7 +8,11 @@
 
 CONFIGURATION_HEAD = "configuration/head"
 JOBS = "job/"
+OPEN_JOBS = "open/"
+JOB_CHANGES = "jobs/changes"
+FILES = "file/"
 SESSIONS = "session/"
+CHECKPOINTS = "checkpoint/"
 
 
 def digest_of(text: str) -> str:
@@ -55,6 +59,11 @@
     return JOBS + job_id
 
 
+def open_job(job_id: str) -> str:
+    """Return the row that lists a job as open; it goes when the job ends."""
+    return OPEN_JOBS + job_id
+
+
 def request_key(caller: str, key: str) -> str:
     """Return the row that makes a caller's idempotency key name one job."""
     return f"key/{digest_of(caller)}/{digest_of(key)}"
@@ -65,14 +74,34 @@
     return f"chunk/{job_id}/"
 
 
-def chunk(job_id: str, index: int) -> str:
-    """Return the row of a chunk; it appears with the first claim."""
-    return f"{chunks(job_id)}{index:06d}"
+def chunk(job_id: str, start: int) -> str:
+    """Return the row of a chunk by its first item; it appears with the first claim."""
+    return f"{chunks(job_id)}{start:06d}"
+
 
+def results(job_id: str) -> str:
+    """Return the prefix of a job's result objects."""
+    return f"result/{job_id}/"
 
-def chunk_result(job_id: str, index: int, attempt: str) -> str:
+
+def chunk_result(job_id: str, start: int, attempt: str) -> str:
     """Return the object with one attempt's results of a chunk."""
-    return f"result/{job_id}/{index:06d}-{attempt}"
+    return f"{results(job_id)}{start:06d}-{attempt}"
+
+
+def checkpoint(session_id: str) -> str:
+    """Return the object with a session's results that are not committed yet."""
+    return CHECKPOINTS + session_id
+
+
+def started_items(job_id: str) -> str:
+    """Return the prefix of the rows of a job's calls that may not be repeated."""
+    return f"started/{job_id}/"
+
+
+def started_item(job_id: str, index: int) -> str:
+    """Return the row that precedes the one call of an item."""
+    return f"{started_items(job_id)}{index:06d}"
 
 
 def call(caller: str, service: str, key: str) -> str:
--- a/src/caperridge/platform/settle.py
+++ b/src/caperridge/platform/settle.py
@@ -6,6 +6,8 @@
 transaction has a condition that its own effect makes false.
 """
 
+import asyncio
+
 from result import Err, Ok, Result
 
 from caperridge.platform.interface import (
@@ -20,6 +22,7 @@
 )
 
 MOST_TRIES = 4
+PAUSE_S = 0.05
 
 
 async def transact_settled(
@@ -40,9 +43,10 @@
     """
     outcome = await platform.transact(conditions, writes, token)
     doubtful = isinstance(outcome, Err) and isinstance(outcome.err_value, Unknown)
-    for _ in range(tries - 1):
+    for number in range(tries - 1):
         if not doubtful:
             return outcome
+        await asyncio.sleep(PAUSE_S * 2**number)
         outcome = await platform.transact(conditions, writes, token)
         if isinstance(outcome, Ok):
             return outcome
--- a/src/caperridge/queries/jobs.py
+++ b/src/caperridge/queries/jobs.py
@@ -6,8 +6,9 @@
 
 from caperridge import keys
 from caperridge.commands.accept_file import StoredFile
-from caperridge.decisions.chunks import Chunk, chunk_count
-from caperridge.decisions.jobs import DONE, OPEN, ChunkState, Job
+from caperridge.commands.sessions import LAPSED
+from caperridge.decisions.claims import JobView, SeenChunk
+from caperridge.decisions.jobs import CLAIMED, COMPLETED, DONE, ChunkState, Job
 from caperridge.platform.interface import NotDone, Platform, ReadError, Row
 from caperridge.records import Record
 
@@ -17,17 +18,15 @@
 class Progress(Record):
     """How far a job is: items by what became of them, and chunks by state."""
 
-    __slots__ = ("chunks", "chunks_claimed", "chunks_done", "completed", "failed")
+    __slots__ = ("chunks_claimed", "chunks_done", "completed", "failed")
 
     def __init__(
         self,
-        chunks: int,
         chunks_done: int = 0,
         chunks_claimed: int = 0,
         completed: int = 0,
         failed: int = 0,
     ) -> None:
-        self.chunks = chunks
         self.chunks_done = chunks_done
         self.chunks_claimed = chunks_claimed
         self.completed = completed
@@ -46,38 +45,59 @@
 
 async def open_jobs(platform: Platform) -> Result[list[Job], ReadError]:
     """Return every open job."""
-    rows = await scan_all(platform, keys.JOBS)
-    if isinstance(rows, Err):
-        return rows
-    jobs: list[Job] = []
-    for row in rows.ok_value:
-        if row.value["state"] == OPEN:
-            jobs.append(Job.from_map(row.value))
-    return Ok(jobs)
+    rows = await scan_all(platform, keys.OPEN_JOBS)
+    return rows.map(lambda found: [Job.from_map(row.value) for row in found])
 
 
-async def chunk_rows(
-    platform: Platform, job_id: str
-) -> Result[dict[str, Row], ReadError]:
-    """Return the rows of the job's chunks that were ever claimed, by key."""
-    rows = await scan_all(platform, keys.chunks(job_id))
-    return rows.map(lambda found: {row.key: row for row in found})
+async def read_changes(
+    platform: Platform, after: int | None
+) -> Result[tuple[int, list[list[str]] | None], ReadError]:
+    """Return the number of the newest change of a job, and the changes since.
 
+    Args:
+        platform: where they are.
+        after: number of the last change known; None for none.
 
-async def read_progress(platform: Platform, job: Job) -> Result[Progress, ReadError]:
-    """Return how far ``job`` is."""
-    rows = await chunk_rows(platform, job.id)
+    Returns:
+        The changes are pairs of id and state; None if some are no longer kept.
+    """
+    found = await platform.read([keys.JOB_CHANGES])
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value.get(keys.JOB_CHANGES)
+    number = row.value["number"] if row else 0
+    changes = row.value["changes"] if row else []
+    if after is None or number - after > len(changes):
+        return Ok((number, None))
+    return Ok((number, changes[len(changes) - (number - after) :]))
+
+
+async def read_view(platform: Platform, job: Job) -> Result[JobView, ReadError]:
+    """Return the chunks of ``job`` that were ever claimed."""
+    rows = await scan_all(platform, keys.chunks(job.id))
     if isinstance(rows, Err):
         return rows
-    progress = Progress(chunk_count(job.items, job.chunk_items))
-    for row in rows.ok_value.values():
-        state = ChunkState.from_map(row.value)
-        if state.state != DONE:
+    seen_by_start: dict[int, SeenChunk] = {}
+    for row in rows.ok_value:
+        start = int(row.key.rpartition("/")[2])
+        seen_by_start[start] = SeenChunk(ChunkState.from_map(row.value), row.version)
+    return Ok(JobView(job, seen_by_start))
+
+
+async def read_progress(platform: Platform, job: Job) -> Result[Progress, ReadError]:
+    """Return how far ``job`` is; one that is completed needs no read."""
+    if job.state == COMPLETED:
+        return Ok(Progress(completed=job.completed, failed=job.failed))
+    view = await read_view(platform, job)
+    if isinstance(view, Err):
+        return view
+    progress = Progress()
+    progress.completed, progress.failed = view.ok_value.counts()
+    for seen in view.ok_value.seen_by_start.values():
+        if seen.state.state == DONE:
+            progress.chunks_done += 1
+        elif seen.state.state == CLAIMED:
             progress.chunks_claimed += 1
-            continue
-        progress.chunks_done += 1
-        progress.completed += state.completed
-        progress.failed += state.failed
     return Ok(progress)
 
 
@@ -93,25 +113,6 @@
     return Ok(StoredFile.from_map(row.value) if row else None)
 
 
-async def read_items(
-    platform: Platform, file: StoredFile, chunk: Chunk
-) -> Result[list[bytes], ReadError]:
-    """Return the lines of the chunk's items, in order."""
-    lines: list[bytes] = []
-    for part, first in enumerate(file.parts):
-        last = file.parts[part + 1] if part + 1 < len(file.parts) else file.items
-        if last <= chunk.start or first >= chunk.end:
-            continue
-        data = await platform.get_object(keys.file_part(file.id, part))
-        if isinstance(data, Err):
-            return data
-        if data.ok_value is None:
-            return Err(NotDone(f"part {part} of {file.id} is missing"))
-        found = data.ok_value.splitlines()
-        lines.extend(found[max(0, chunk.start - first) : chunk.end - first])
-    return Ok(lines)
-
-
 async def stream_results(
     platform: Platform, job: Job, failed: bool
 ) -> AsyncIterator[Result[bytes, ReadError]]:
@@ -122,19 +123,22 @@
         job: whose.
         failed: yield the failed items rather than the completed ones.
     """
-    rows = await chunk_rows(platform, job.id)
-    if isinstance(rows, Err):
-        yield rows
+    view = await read_view(platform, job)
+    if isinstance(view, Err):
+        yield view
         return
-    for _key, row in sorted(rows.ok_value.items()):
-        state = ChunkState.from_map(row.value)
+    for start, seen in sorted(view.ok_value.seen_by_start.items()):
+        state = seen.state
         if state.state != DONE or not (state.failed if failed else state.completed):
             continue
         data = await platform.get_object(state.result)
         if isinstance(data, Err):
             yield data
             return
-        lines = (data.ok_value or b"").splitlines(keepends=True)
+        if data.ok_value is None:
+            yield Err(NotDone(f"the results from item {start} are missing"))
+            return
+        lines = data.ok_value.splitlines(keepends=True)
         # A failed item's line says so in its first member.
         wanted = [line for line in lines if line.startswith(b'{"error":null') != failed]
         yield Ok(b"".join(wanted))
@@ -152,3 +156,18 @@
         if len(page.ok_value) < PAGE:
             return Ok(rows)
         after = page.ok_value[-1].key
+
+
+async def session_states(
+    platform: Platform, session_ids: set[str]
+) -> Result[dict[str, str], ReadError]:
+    """Return the state of each session by id; one without a row counts as lapsed."""
+    wanted = sorted(session_ids)
+    found = await platform.read([keys.session(session_id) for session_id in wanted])
+    if isinstance(found, Err):
+        return found
+    states_by_id: dict[str, str] = {}
+    for session_id in wanted:
+        row = found.ok_value.get(keys.session(session_id))
+        states_by_id[session_id] = row.value["state"] if row else LAPSED
+    return Ok(states_by_id)
