--- a/src/caperridge/decisions/chunks.py
+++ b/src/caperridge/decisions/chunks.py
@@ -10,7 +10,7 @@
 
 LANE_ITEMS = 500
 WANTED_CHUNK_S = 10.0
-LEAST_CHUNK_S = 2.0
+LEAST_CHUNK_S = 0.5
 FIRST_ROUNDS = 2
 
 
--- a/src/caperridge/instance/batch_messages.py
+++ b/src/caperridge/instance/batch_messages.py
@@ -138,10 +138,11 @@
 
 
 class CheckpointWanted(Record):
-    """The results of a session that are not committed, packed."""
+    """Results of a session that are not committed, packed, and where they go."""
 
-    __slots__ = ("data", "session")
+    __slots__ = ("data", "session", "slot")
 
-    def __init__(self, session: str, data: bytes) -> None:
+    def __init__(self, session: str, slot: int, data: bytes) -> None:
         self.session = session
+        self.slot = slot
         self.data = data
--- /dev/null
+++ b/src/caperridge/instance/checkpoints.py
@@ -0,0 +1,69 @@
+"""Results that are saved before their chunk is committed, so they are not redone.
+
+Each checkpoint holds what ended since the last one. The objects of a session are
+:data:`SLOTS` slots that are written in turn; the first of each turn holds everything
+that is not committed, so that the others may be written over. A reader takes all
+slots: a result that is older than it need be is still right.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from caperridge.instance.batch_messages import CheckpointWanted
+from caperridge.instance.chunk_work import ChunkWork
+from caperridge.records import pack
+
+SLOTS = 8
+EVERY_S = 5.0
+EVERY_ITEMS = 100
+
+
+class Checkpoints:
+    """Decides when to save what.
+
+    At 13 items a second and instance, 390 instances write 78 objects a second.
+    """
+
+    def __init__(self) -> None:
+        self._new: list[tuple[str, dict[str, Any]]] = []
+        self._slot = 0
+        self._since = 0.0
+
+    def ended(self, job: str, result: dict[str, Any], now: float) -> None:
+        """Note the result of an item."""
+        if not self._new:
+            self._since = now
+        self._new.append((job, result))
+
+    def due(self, now: float) -> bool:
+        """Return whether enough ended, or long enough ago."""
+        if len(self._new) >= EVERY_ITEMS:
+            return True
+        return bool(self._new) and now - self._since >= EVERY_S
+
+    def reset(self) -> None:
+        """Begin anew: the session is another one."""
+        self._new = []
+        self._slot = 0
+
+    def take(self, session: str, works: Iterable[ChunkWork]) -> CheckpointWanted:
+        """Return the next checkpoint.
+
+        Args:
+            session: the own session.
+            works: the chunks in hand.
+        """
+        results, self._new = self._new, []
+        slot = self._slot
+        self._slot = (slot + 1) % SLOTS
+        if slot == 0:
+            results = _all(works)
+        return CheckpointWanted(session, slot, pack(results))
+
+
+def _all(works: Iterable[ChunkWork]) -> list[tuple[str, dict[str, Any]]]:
+    results: list[tuple[str, dict[str, Any]]] = []
+    for work in works:
+        for result in work.results_by_index.values():
+            results.append((work.job.id, result.to_map()))
+    return results
--- a/src/caperridge/instance/chunk_work.py
+++ b/src/caperridge/instance/chunk_work.py
@@ -63,7 +63,7 @@
     @property
     def key(self) -> str:
         """The key of its row."""
-        return keys.chunk(self.chunk.job, self.chunk.start)
+        return chunk_key(self.chunk)
 
     def add_items(self, lines: list[bytes], saved: dict[int, dict[str, Any]]) -> None:
         """Take the items; those with a saved result need not run again."""
@@ -100,6 +100,11 @@
         return sum(1 for result in self.results_by_index.values() if result.error)
 
 
+def chunk_key(chunk: Chunk) -> str:
+    """Return the key of a chunk's row."""
+    return keys.chunk(chunk.job, chunk.start)
+
+
 def whole_result(work: ItemWork) -> ItemResult:
     """Return the result of an item whose answer is whole."""
     text = "".join(work.texts)
--- a/src/caperridge/instance/claimer.py
+++ b/src/caperridge/instance/claimer.py
@@ -167,7 +167,9 @@
                 if isinstance(action, Split):
                     cached.refresh_at = 0.0
                     continue
-                self._took(cached.view, action, wanted.session, versions_by_key)
+                self._took(
+                    cached.view, action, wanted.session, versions_by_key, wanted.in_hand
+                )
                 chunk = action.chunk
                 claimed += chunk.items
                 state = cached.view.seen_by_start[chunk.start].state
@@ -211,12 +213,14 @@
         action: Action,
         session: str,
         versions_by_key: dict[str, int],
+        in_hand: set[str],
     ) -> None:
         state = claimed_state(action, session)
         assert state is not None
         key = keys.chunk(view.job.id, action.chunk.start)
         version = versions_by_key.get(key, 0)
         view.seen_by_start[action.chunk.start] = SeenChunk(state, version)
+        in_hand.add(key)
 
     async def _lines(
         self, job: Job, actions: list[Action]
--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -54,7 +54,7 @@
         super().__init__()
         self.waiting_by_key: dict[str, CommitWanted] = {}
         self._stored: dict[str, FinishedChunk] = {}
-        self._checkpoint: CheckpointWanted | None = None
+        self._checkpoints_by_slot: dict[int, CheckpointWanted] = {}
         self._platform = platform
         self._session = session
         self._clock = clock
@@ -70,7 +70,10 @@
 
     @handle.register
     async def _(self, message: CheckpointWanted) -> None:
-        self._checkpoint = message
+        if message.slot == 0:
+            # A whole one stands for all before it.
+            self._checkpoints_by_slot.clear()
+        self._checkpoints_by_slot[message.slot] = message
 
     @handle.register
     async def _(self, message: CommitWanted) -> None:
@@ -88,8 +91,8 @@
         batch = list(self.waiting_by_key)[:MOST_AT_ONCE]
         if batch and self._session.left_s() > 0:
             await self._commit(batch)
-        if self._checkpoint is not None:
-            await self._write_checkpoint()
+        for wanted in list(self._checkpoints_by_slot.values()):
+            await self._write_checkpoint(wanted)
 
     async def flush(self) -> None:
         """Try once more to commit what is finished and to save the rest."""
@@ -166,15 +169,13 @@
         )
         self._tell(ChunkSettled(wanted.chunk, state, reason))
 
-    async def _write_checkpoint(self) -> None:
-        wanted = self._checkpoint
-        assert wanted is not None
-        name = keys.checkpoint(wanted.session)
+    async def _write_checkpoint(self, wanted: CheckpointWanted) -> None:
+        name = keys.checkpoint(wanted.session, wanted.slot)
         outcome = await self._platform.put_object(name, wanted.data)
         if isinstance(outcome, Err):
             self._wait()
-        elif self._checkpoint is wanted:
-            self._checkpoint = None
+        elif self._checkpoints_by_slot.get(wanted.slot) is wanted:
+            del self._checkpoints_by_slot[wanted.slot]
 
     def _wait(self) -> None:
         # Jitter: all instances find the platform back at the same time.
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -29,16 +29,17 @@
     SessionsLapsed,
 )
 from caperridge.instance.batch_streams import BatchStreams, ItemWork
+from caperridge.instance.checkpoints import Checkpoints
 from caperridge.instance.chunk_work import (
     ChunkWork,
     ItemPlace,
+    chunk_key,
     failed_result,
     whole_result,
 )
 from caperridge.instance.claimer import ChunkClaimer
 from caperridge.instance.committer import ChunkCommitter
 from caperridge.instance.item_retries import ItemRetries
-from caperridge.instance.job_items import pack_checkpoint
 from caperridge.instance.jobs_reader import JobsReader
 from caperridge.instance.messages import ItemEnded, JobsChanged
 from caperridge.instance.metrics import Metrics
@@ -49,7 +50,6 @@
 from caperridge.targets.outcomes import AttemptError
 
 log = logger(__name__)
-CHECKPOINT_S = 2.0
 KILLS_ITS_HOLDER = "the instances that worked on it alone were lost, each time"
 
 
@@ -85,12 +85,12 @@
         self._works_by_key: dict[str, ChunkWork] = {}
         self._board = JobBoard(membership.instance)
         self._claiming: set[str] = set()
+        self._finishing_by_key: dict[str, ChunkWork] = {}
         self._retries = ItemRetries()
         self._parked = False
         self._session_id = ""
         self._quiet = asyncio.Event()
-        self._unsaved = 0
-        self._checkpoint_at = 0.0
+        self._checkpoints = Checkpoints()
         self._reader = JobsReader(platform, membership.instance, clock, self.tell)
         self._claimer = ChunkClaimer(platform, membership.instance, clock, self.tell)
         self._committer = ChunkCommitter(
@@ -182,6 +182,7 @@
 
     @handle.register
     async def _(self, message: ChunkSettled) -> None:
+        self._finishing_by_key.pop(chunk_key(message.chunk), None)
         self._claimer.tell(message)
 
     @handle.register
@@ -215,9 +216,10 @@
 
     def _end_item(self, work: ChunkWork, result: ItemResult) -> None:
         work.ended(result)
-        self._unsaved += 1
         service = work.job.service
-        self._board.meter(service).ended(1, self._clock())
+        now = self._clock()
+        self._checkpoints.ended(work.job.id, result.to_map(), now)
+        self._board.meter(service).ended(1, now)
         outcome = "failed" if result.error else "completed"
         self._metrics.batch_items.labels(service, outcome).inc()
         if not work.items_by_index:
@@ -225,6 +227,8 @@
 
     def _finish(self, work: ChunkWork) -> None:
         del self._works_by_key[work.key]
+        # In hand until the claimer knows the outcome, or it would be claimed again.
+        self._finishing_by_key[work.key] = work
         failed = work.failed()
         self._committer.tell(
             CommitWanted(
@@ -257,8 +261,7 @@
         if self._reader.known:
             for service in self._board.services():
                 self._want(service)
-        if self._unsaved and now >= self._checkpoint_at:
-            self._checkpoint_at = now + CHECKPOINT_S
+        if self._checkpoints.due(now):
             self._committer.tell(self._checkpoint())
 
     def _follow_lease(self) -> None:
@@ -268,6 +271,7 @@
             self._session_id = session
             self._works_by_key.clear()
             self._retries.clear()
+            self._checkpoints.reset()
             self.streams.drop_all()
         if not self._session.holds(session):
             if not self._parked:
@@ -296,7 +300,7 @@
         )
         if want is None:
             return
-        in_hand = set(self._works_by_key) | set(self._committer.waiting_by_key)
+        in_hand = {*self._works_by_key, *self._finishing_by_key}
         self._claiming.add(service)
         self._claimer.tell(
             ClaimWanted(service, self._session.session_id, want, in_hand)
@@ -312,12 +316,8 @@
         return in_hand_by_job
 
     def _checkpoint(self) -> CheckpointWanted:
-        self._unsaved = 0
-        results: list[tuple[str, dict[str, Any]]] = []
-        for work in self._works_by_key.values():
-            for result in work.results_by_index.values():
-                results.append((work.job.id, result.to_map()))
-        return CheckpointWanted(self._session.session_id, pack_checkpoint(results))
+        works = [*self._works_by_key.values(), *self._finishing_by_key.values()]
+        return self._checkpoints.take(self._session.session_id, works)
 
     async def release(self, wait_s: float) -> None:
         """Stop as planned: let running items end, then save what is not committed.
--- a/src/caperridge/instance/job_items.py
+++ b/src/caperridge/instance/job_items.py
@@ -52,16 +52,18 @@
     async def saved(
         self, session: str, chunk: Chunk
     ) -> Result[dict[int, dict[str, Any]], ReadError]:
-        """Return the chunk's results, by index, in the checkpoint of ``session``."""
-        data = await self._platform.get_object(keys.checkpoint(session))
-        if isinstance(data, Err):
-            return data
-        if data.ok_value is None:
-            return Ok({})
+        """Return the chunk's results, by index, in the checkpoints of ``session``."""
+        names = await self._platform.list_objects(keys.checkpoints(session))
+        if isinstance(names, Err):
+            return names
         saved: dict[int, dict[str, Any]] = {}
-        for job, result in unpack(data.ok_value):
-            if job == chunk.job and chunk.start <= result["index"] < chunk.end:
-                saved[result["index"]] = result
+        for name in names.ok_value:
+            data = await self._platform.get_object(name)
+            if isinstance(data, Err):
+                return data
+            for job, result in unpack(data.ok_value or pack([])):
+                if job == chunk.job and chunk.start <= result["index"] < chunk.end:
+                    saved[result["index"]] = result
         return Ok(saved)
 
     async def _file(self, file_id: str) -> Result[StoredFile, ReadError]:
@@ -90,8 +92,3 @@
         if len(self._parts_by_name) > MOST_PARTS:
             self._parts_by_name.popitem(last=False)
         return Ok(self._parts_by_name[name])
-
-
-def pack_checkpoint(results: list[tuple[str, dict[str, Any]]]) -> bytes:
-    """Return the checkpoint of ``results``, pairs of a job's id and a result."""
-    return pack(results)
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -89,9 +89,14 @@
     return f"{results(job_id)}{start:06d}-{attempt}"
 
 
-def checkpoint(session_id: str) -> str:
-    """Return the object with a session's results that are not committed yet."""
-    return CHECKPOINTS + session_id
+def checkpoints(session_id: str) -> str:
+    """Return the prefix of a session's results that are not committed yet."""
+    return f"{CHECKPOINTS}{session_id}/"
+
+
+def checkpoint(session_id: str, slot: int) -> str:
+    """Return one object of those results; slots are written again and again."""
+    return f"{checkpoints(session_id)}{slot:02d}"
 
 
 def started_items(job_id: str) -> str:
