--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -4,7 +4,6 @@
 import secrets
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import aclosing
-from functools import singledispatchmethod
 from typing import Any
 
 from caperridge.config.model import Caller, Configuration
@@ -22,7 +21,7 @@
     deadline_s,
 )
 from caperridge.instance.traces import Trace, Traces
-from caperridge.peers.messages import LatencyNews, LoadNews
+from caperridge.peers.messages import LoadNews
 from caperridge.refusals import NOT_RUN, Refusal, RefusedError
 from caperridge.targets.engine import EngineClient
 
@@ -186,18 +185,8 @@
             Refusal(code, reason, status, NOT_RUN, retry_after_s, trace.request)
         )
 
-    @singledispatchmethod
-    def peer_told(self, message: Any) -> None:
-        """Take in what another instance says of a target; other kinds are skipped."""
-
-    @peer_told.register
-    def _(self, message: LatencyNews) -> None:
-        state = self.book.states_by_id.get(message.target)
-        if state is not None:
-            state.first_token_seen(message.first_token_s, self._clock())
-
-    @peer_told.register
-    def _(self, message: LoadNews) -> None:
+    def loads_told(self, message: LoadNews) -> None:
+        """Take in what a peer knows of the load of its targets."""
         now = self._clock()
         for target, incarnation, waiting, online in message.loads:
             state = self.book.states_by_id.get(target)
--- /dev/null
+++ b/src/caperridge/instance/peer_news.py
@@ -0,0 +1,82 @@
+"""What this instance makes of the news that its peers send."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from caperridge.decisions.jobs import CANCELLED
+from caperridge.decisions.routing import TargetBook
+from caperridge.instance.batch_streams import BatchStreams
+from caperridge.instance.messages import JobsChanged
+from caperridge.peers.interface import Peers
+from caperridge.peers.messages import (
+    JobNews,
+    LatencyNews,
+    OnlineNews,
+    TargetNews,
+)
+from caperridge.records import Record
+
+
+class PeerNews:
+    """Hands each piece of news to the part that it concerns.
+
+    Args:
+        books: of targets; each is told that a target is leaving.
+        streams: the own batch streams.
+        jobs_changed: the batch dispatcher.
+    """
+
+    def __init__(
+        self,
+        books: list[TargetBook],
+        streams: BatchStreams,
+        jobs_changed: Callable[[JobsChanged], object],
+    ) -> None:
+        self._books = books
+        self._streams = streams
+        self._jobs_changed = jobs_changed
+
+    def listen(self, peers: Peers) -> None:
+        """Have ``peers`` tell of every kind that is handled here."""
+        for kind in (OnlineNews, LatencyNews, JobNews, TargetNews):
+            peers.register(kind, self.take)
+
+    def opened(self, sender: str) -> None:
+        """Forget what a peer said on an earlier stream, perhaps as another process."""
+        self._streams.sender_gone(sender)
+
+    removed = opened
+
+    def take(self, sender: str, message: Record) -> None:
+        """Act on ``message``, which came from ``sender``."""
+        self._take(message, sender)
+
+    @singledispatchmethod
+    def _take(self, message: Record, sender: str) -> None:
+        raise NotImplementedError(type(message).__name__)
+
+    @_take.register
+    def _(self, message: OnlineNews, sender: str) -> None:
+        self._streams.online_changed(
+            message.target, sender, message.in_flight, message.sequence
+        )
+
+    @_take.register
+    def _(self, message: LatencyNews, sender: str) -> None:
+        self._streams.latency_seen(
+            message.target, message.first_token_s, message.between_tokens_s
+        )
+
+    @_take.register
+    def _(self, message: JobNews, sender: str) -> None:
+        cancelled = message.job if message.state == CANCELLED else ""
+        self._jobs_changed(JobsChanged(cancelled))
+
+    @_take.register
+    def _(self, message: TargetNews, sender: str) -> None:
+        if not message.leaving:
+            return
+        for book in self._books:
+            state = book.states_by_id.get(message.target)
+            if state is not None and state.member.incarnation == message.incarnation:
+                book.mark_leaving(message.target)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -17,23 +17,27 @@
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
     ItemEnded,
     MembersListed,
-    OnlineLoad,
 )
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
+from caperridge.instance.online_news import OnlineReporter
 from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.peer_metrics import PeerMetrics
+from caperridge.instance.peer_news import PeerNews
+from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import OnlineNews, TargetNews
+from caperridge.peers.messages import LoadNews, TargetNews, TraceAnswer, TraceAsk
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.queries.explain import Explanations
@@ -52,9 +56,15 @@
     Args:
         settings: what it was told.
         platform: instead of the one that the settings name, for tests.
+        engines: instead of the client over HTTP, for experiments.
     """
 
-    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform | None = None,
+        engines: EngineClient | None = None,
+    ) -> None:
         self.settings = settings
         self.platform = platform or HttpPlatform(
             settings.platform_endpoint,
@@ -67,7 +77,7 @@
         self.traces = Traces()
         self.addresses_by_listener: dict[str, Address] = {}
         self.draining = False
-        self._engines = EngineClient()
+        self._engines = engines or EngineClient()
         self._plain_client = PlainClient()
         # Instances differ in the seed, so that they do not choose in step.
         seed = zlib.crc32(settings.instance_id.encode())
@@ -75,27 +85,42 @@
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
-        self.membership = Membership(settings.instance_id, settings.availability_zone)
-        self.peers: Peers = NoPeers()
-        self._sequence = 0
+        self.membership = Membership(
+            settings.instance_id,
+            settings.availability_zone,
+            heartbeats=bool(settings.peers_secret),
+        )
+        self.mesh: PeerMesh | None = None
+        if settings.peers_secret:
+            metrics = PeerMetrics(self.metrics.registry)
+            self.mesh = PeerMesh(settings, self.membership, metrics, clock)
+        self.peers: Peers = self.mesh or NoPeers()
         self.dispatcher = BatchDispatcher(
-            self.platform, self.session, self.metrics, clock
+            self.platform,
+            self.session,
+            self.membership,
+            self.metrics,
+            settings.lease_s,
+            clock,
         )
         self.streams = BatchStreams(
             self.membership,
-            self._engines,
+            LeaseGuard(self._engines, self.dispatcher.may_start),
             self.metrics,
             clock,
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
         self.dispatcher.streams = self.streams
+        self.online_news = OnlineReporter(
+            book, self.membership, self.streams, self.peers, clock
+        )
         self.online = OnlineFront(
             book,
             self._engines,
             self.traces,
             self.metrics,
             clock,
-            self._online_load,
+            self.online_news.changed,
             self._target_leaving,
             self._instances,
         )
@@ -104,21 +129,30 @@
             self.membership,
             book,
             self._engines,
-            self.streams.headroom.online,
+            lambda target: self.streams.headroom.online(target, clock()),
             self._target_leaving,
-            lambda news: self.peers.send_zone(news),
+            self.peers.send_zone,
             clock,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
         self.members = MembersReader(self.platform, self._listed)
+        self.peer_news = PeerNews(
+            [self.online.book, self.streams.book],
+            self.streams,
+            self.dispatcher.tell,
+        )
         self._actors = [
             self.session,
             self.configuration,
             self.members,
             self.dispatcher,
             self.target_reports,
+            self.online_news,
         ]
+        if self.mesh is not None:
+            self._wire_peers(self.mesh)
+            self._actors.append(self.mesh)
         self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
@@ -131,10 +165,22 @@
         }
 
     def _listed(self, message: MembersListed) -> None:
-        self.membership.apply_list(message.members)
+        self.membership.apply_list(message.members, time.monotonic())
         self.online.book.apply_list(message.members, time.monotonic())
         self.streams.book.apply_list(message.members)
 
+    def _wire_peers(self, mesh: PeerMesh) -> None:
+        """Connect the peers' news with the tasks that it concerns."""
+        news = self.peer_news
+        news.listen(mesh)
+        mesh.configuration_version = lambda: self.configuration.current.version
+        mesh.peer_opened = news.opened
+        mesh.peer_removed = news.removed
+        mesh.view_changed = self.online_news.repeat
+        mesh.register(LoadNews, lambda _, news: self.online.loads_told(news))
+        mesh.register(TraceAsk, self.explanations.asked)
+        mesh.register(TraceAnswer, self.explanations.answered)
+
     def _instances(self) -> int:
         """Return how many live instances there are, this one included."""
         live = {
@@ -144,22 +190,6 @@
         }
         return len(live | {self.settings.instance_id})
 
-    def _online_load(self, load: OnlineLoad) -> None:
-        """Tell the dispatcher of the target, here or at a peer."""
-        state = self.online.book.states_by_id.get(load.target)
-        if state is None:
-            return
-        own_id = self.settings.instance_id
-        zone = state.member.availability_zone
-        owner = self.membership.owner(load.target, zone)
-        if owner == own_id:
-            self.streams.online_changed(load.target, own_id, load.in_flight)
-            return
-        if owner is not None:
-            self._sequence += 1
-            news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
-            self.peers.send(owner, news)
-
     def _target_leaving(self, target: str) -> None:
         """Act on a target's own word that it is leaving, and pass it on."""
         state = self.online.book.states_by_id.get(target)
@@ -213,6 +243,8 @@
             missing.append("it does not know the configuration yet")
         if not self.members.known:
             missing.append("it does not know the targets yet")
+        if self.membership.superseded:
+            missing.append("a later process has its id")
         return missing
 
     def state(self) -> dict[str, Any]:
@@ -231,6 +263,7 @@
                 for target_id, state in self.online.book.states_by_id.items()
             },
             "dispatcher": self.dispatcher.state(),
+            "peers": self.mesh.state() if self.mesh is not None else None,
             "online": self.online.state(),
             "traces": len(self.traces),
             "trace_bytes": self.traces.bytes,
@@ -242,6 +275,9 @@
         await self._listen(
             "operators", OperatorsHttp(self).app(), self.settings.operators
         )
+        if self.mesh is not None:
+            at = await self.mesh.open(self.settings.peers)
+            self.addresses_by_listener["peers"] = at
         for actor in self._actors:
             actor.start()
         log.info(
@@ -262,12 +298,14 @@
     async def drain(self) -> None:
         """Stop as planned: not ready, wait, finish what runs, close the session."""
         self.draining = True
-        self.dispatcher.draining = True
+        if self.mesh is not None:
+            self.mesh.leave()
         log.info("stopping: not ready", instance=self.settings.instance_id)
         await asyncio.sleep(self.settings.balancer_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.drain_s):
                 await self.online.wait_idle()
+        await self.dispatcher.release(self.settings.drain_s)
         await self.session.close()
 
     async def stop(self) -> None:
--- a/src/caperridge/queries/explain.py
+++ b/src/caperridge/queries/explain.py
@@ -65,7 +65,7 @@
         found = trace.to_map() if trace is not None else None
         self.peers.send(sender, TraceAnswer(message.number, found))
 
-    def answered(self, message: TraceAnswer) -> None:
+    def answered(self, _sender: str, message: TraceAnswer) -> None:
         """Take in the answer of a peer."""
         asked = self._asked_by_number.get(message.number)
         if asked is None or asked.answer.done():
--- a/tests/online/test_requests.py
+++ b/tests/online/test_requests.py
@@ -170,7 +170,7 @@
     answer = asyncio.create_task(asking.explain("r1"))
     await until(lambda: here.sent)
     knowing.asked("entry-1", TraceAsk(here.sent[0].number, "r1"))
-    asking.answered(TraceAnswer(here.sent[0].number, None))
-    asking.answered(there.sent[0])
+    asking.answered("entry-2", TraceAnswer(here.sent[0].number, None))
+    asking.answered("entry-2", there.sent[0])
     assert (await answer)["steps"][0]["what"] == "answered"
-    asking.answered(there.sent[0])  # a late second one finds nobody
+    asking.answered("entry-2", there.sent[0])  # a late second one finds nobody
