--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -51,13 +51,23 @@
     Args:
         availability_zone: of the instance.
         seed: of the choice of candidates; instances should differ in it.
+        random_own_zone: candidates of the own zone that are drawn at random.
+        scan_up_to: so many targets are compared all.
     """
 
-    def __init__(self, availability_zone: str, seed: int = 0) -> None:
+    def __init__(
+        self,
+        availability_zone: str,
+        seed: int = 0,
+        random_own_zone: int = RANDOM_OWN_ZONE,
+        scan_up_to: int = SCAN_UP_TO,
+    ) -> None:
         self.states_by_id: dict[str, TargetState] = {}
         self.history = PrefixHistory()
         self._availability_zone = availability_zone
         self._random = random.Random(seed)
+        self._random_own_zone = random_own_zone
+        self._scan_up_to = scan_up_to
         self._targets_by_service: dict[str, ServiceTargets] = {}
 
     def apply_list(self, members: Iterable[ListedMember], now: float = 0.0) -> None:
@@ -182,7 +192,7 @@
         targets = self._targets_by_service.get(service)
         if targets is None:
             return []
-        if len(targets.own_zone) + len(targets.others) <= SCAN_UP_TO:
+        if len(targets.own_zone) + len(targets.others) <= self._scan_up_to:
             return self.weigh(service, excluded, wanted, now)
         candidates = self._candidates(targets, wanted, blocks)
         usable = [
@@ -210,7 +220,7 @@
             state = targets.own_zone[home % len(targets.own_zone)]
             found_by_id[state.member.id] = state
         for states, count in (
-            (targets.own_zone, RANDOM_OWN_ZONE),
+            (targets.own_zone, self._random_own_zone),
             (targets.others, RANDOM_OTHER_ZONE),
         ):
             for _ in range(count if states else 0):
--- a/tests/online/test_policy_machine.py
+++ b/tests/online/test_policy_machine.py
@@ -191,11 +191,11 @@
         self.pump()
 
     @precondition(lambda self: self.running)
-    @rule()
-    def fails_everywhere(self) -> None:
+    @rule(how=st.sampled_from(["busy, not run", "refused connection"]))
+    def fails_everywhere(self, how: str) -> None:
         request = self.running[-1]
         while request in self.running:
-            self.fail(request, "busy, not run")
+            self.fail(request, how)
         self.pump()
 
     def fail(self, request: Running, how: str) -> None:
