Let the word of a load report fade, and compare two at random

Change: a report's word fades towards the usual load (0.2 s), what this instance sent since is taken to have been sent by others too, two targets are drawn at random instead of four, and a prefix has a home by hash only until it was seen.

--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -19,8 +19,9 @@
 from caperridge.targets.outcomes import AttemptError
 
 LEAVING = "leaving"
-RANDOM_OWN_ZONE = 4
+RANDOM_OWN_ZONE = 2
 RANDOM_OTHER_ZONE = 1
+USUAL_GAIN = 0.02
 HOME_BLOCKS = 4  # leading blocks by which a prompt has a home
 SCAN_UP_TO = 12  # targets; so few are compared all
 
@@ -69,6 +70,7 @@
         self._random_own_zone = random_own_zone
         self._scan_up_to = scan_up_to
         self._targets_by_service: dict[str, ServiceTargets] = {}
+        self._usual_by_service: dict[str, float] = {}
 
     def apply_list(self, members: Iterable[ListedMember], now: float = 0.0) -> None:
         """Take over the platform's list; what is known of a target is kept."""
@@ -213,9 +215,10 @@
             state = self.states_by_id.get(target_id)
             if state is not None and not state.leaving:
                 found_by_id[target_id] = state
-        if blocks and targets.own_zone:
+        if blocks and targets.own_zone and not found_by_id:
             # The home of a prefix is the same at all instances of the zone, so that
-            # they need not tell each other what they sent where.
+            # they need not tell each other what they sent where. Only for prefixes
+            # not seen yet: all instances would fill the homes of the common ones.
             home = blocks[min(HOME_BLOCKS, len(blocks)) - 1]
             state = targets.own_zone[home % len(targets.own_zone)]
             found_by_id[state.member.id] = state
@@ -282,4 +285,9 @@
         state = self.states_by_id.get(target_id)
         if state is None:
             return
-        state.report = report.replace(own_then=state.in_flight)
+        others = max(0, report.online - state.in_flight)
+        service = state.member.service
+        usual = self._usual_by_service.get(service, float(others))
+        usual += USUAL_GAIN * (others - usual)
+        self._usual_by_service[service] = usual
+        state.report = report.replace(own_then=state.in_flight, usual=usual)
--- a/src/caperridge/decisions/target_state.py
+++ b/src/caperridge/decisions/target_state.py
@@ -1,5 +1,6 @@
 """What one instance knows of a target, and how a target is scored with it."""
 
+from math import exp
 from typing import Any
 
 from caperridge.decisions.ejection import Health
@@ -8,6 +9,9 @@
 from caperridge.records import Record
 
 NEWS_LASTS_S = 5.0
+FADES_S = 0.2  # by `measure routing`, with reports a second apart
+OTHERS_FOLLOW = 10
+MOST_FOLLOW = 3.0  # times the usual load
 LATENCY_HALVES_S = 5.0
 LATENCY_GAIN = 0.3
 
@@ -56,12 +60,21 @@
         waiting: sequences that wait inside the target.
         online: online requests of all instances there; -1 if nobody counted.
         own_then: those of this instance when the report came.
+        usual: requests of others that targets of the service have on average.
         at: when it came, on the own clock.
         version: that the target says it has loaded; empty if not said.
         adapters: that it says it has loaded; None if not said.
     """
 
-    __slots__ = ("adapters", "at", "online", "own_then", "version", "waiting")
+    __slots__ = (
+        "adapters",
+        "at",
+        "online",
+        "own_then",
+        "usual",
+        "version",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -71,7 +84,9 @@
         at: float = 0.0,
         version: str = "",
         adapters: list[str] | None = None,
+        usual: float = 0.0,
     ) -> None:
+        self.usual = usual
         self.waiting = waiting
         self.online = online
         self.own_then = own_then
@@ -136,6 +151,26 @@
             return self.in_flight
         return self.in_flight + max(0, report.online - report.own_then)
 
+    def expected_load(self, now: float) -> float:
+        """Return the online requests that are probably at the target by now.
+
+        A report says what was. Whoever trusts it to the end sends everything, with
+        all others, to what looked idle then. So its word fades towards the usual
+        load, and what this instance has sent there since, others have too.
+        """
+        report = self.report
+        if report is None:
+            return self.in_flight
+        age_s = now - report.at
+        if age_s > NEWS_LASTS_S:
+            return self.in_flight
+        others = max(0, report.online - report.own_then)
+        expected = report.usual + (others - report.usual) * exp(-age_s / FADES_S)
+        since = self.in_flight - report.own_then
+        if since > 0:
+            expected += min(OTHERS_FOLLOW * since, MOST_FOLLOW * report.usual)
+        return self.in_flight + expected
+
     def has_room(self, most_running: int, now: float) -> bool:
         """Return whether one more request would start soon at the target.
 
@@ -153,7 +188,7 @@
 
     def score(self, wanted: Wanted, zone: str, now: float) -> float:
         """Return the expected delay of a first token here, in seconds."""
-        load = self.load(now)
+        load = self.expected_load(now)
         report = self.report
         queued = load + 1 - wanted.most_running
         if report is not None and report.at + NEWS_LASTS_S >= now:
@@ -183,7 +218,7 @@
         """Return what the score was made of, for an explanation."""
         cached = wanted.tokens_by_target.get(self.member.id, 0)
         return {
-            "load": self.load(now),
+            "load": round(self.expected_load(now), 2),
             "own": self.in_flight,
             "waiting": self.report.waiting if self.report else 0,
             "prefill_tokens": max(0, wanted.tokens - cached),
--- a/src/caperridge/measure/routing.py
+++ b/src/caperridge/measure/routing.py
@@ -249,7 +249,7 @@
         zone = Simulation(arm, OWN_ZONE, 23, 0.7, options.seed)
         figures[f"{arm.name}_112"] = zone.run(5000, 2000).to_map()
     for arm in ARMS:
-        if arm.name not in ("scan", "four"):
+        if arm.name not in ("scan", "two"):
             continue
         fleet = Simulation(arm, 1900, 4, 0.7, options.seed)
         figures[f"{arm.name}_1900"] = fleet.run(1500, 500).to_map()
