--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -246,12 +246,23 @@
         state = self.states_by_id[target_id]
         return state.parts(wanted, self._availability_zone, now)
 
-    def started(self, target_id: str, blocks: Sequence[int] = ()) -> None:
+    def started(
+        self, target_id: str, blocks: Sequence[int] = (), now: float = 0.0
+    ) -> None:
         """Count a request sent to the target."""
         state = self.states_by_id.get(target_id)
+        if state is None:
+            return
+        if not state.in_flight:
+            state.heard_at = now
+        state.in_flight += 1
+        self.history.note(target_id, blocks)
+
+    def heard(self, target_id: str, now: float) -> None:
+        """Note that events came from the target."""
+        state = self.states_by_id.get(target_id)
         if state is not None:
-            state.in_flight += 1
-            self.history.note(target_id, blocks)
+            state.heard_at = now
 
     def ended(self, target_id: str) -> None:
         """Count a request that left the target."""
--- a/src/caperridge/decisions/target_state.py
+++ b/src/caperridge/decisions/target_state.py
@@ -20,6 +20,9 @@
 PREFILL_S = 0.00005  # for one prompt token that is not cached
 OTHER_ZONE_S = 0.04  # the way there, and that less is known of its targets
 STRIKE_S = 0.25
+SILENT_S = 0.1  # between events of a target is usual while it prefills
+SILENCE_WEIGHT = 4.0
+MOST_SILENCE_S = 2.0
 LATENCY_SHARE = 0.5
 WRONG_VERSION_S = 5.0
 NO_ADAPTER_S = 1.0
@@ -107,12 +110,14 @@
         report: the newest report of its load; None if there is none.
         first_token_s: of late, by own requests and peers' word; 0 if unknown.
         first_token_at: when that was last noted.
+        heard_at: when an event last came from it, or it got its first request.
     """
 
     __slots__ = (
         "first_token_at",
         "first_token_s",
         "health",
+        "heard_at",
         "in_flight",
         "leaving",
         "member",
@@ -130,6 +135,7 @@
         report: TargetReport | None = None,
         first_token_s: float = 0.0,
         first_token_at: float = 0.0,
+        heard_at: float = 0.0,
     ) -> None:
         self.member = member
         self.in_flight = in_flight
@@ -139,6 +145,7 @@
         self.report = report
         self.first_token_s = first_token_s
         self.first_token_at = first_token_at
+        self.heard_at = heard_at
 
     def load(self, now: float) -> int:
         """Return the online requests at the target, as far as is known.
@@ -186,16 +193,19 @@
         self.first_token_s += LATENCY_GAIN * (seconds - self.first_token_s)
         self.first_token_at = now
 
-    def score(self, wanted: Wanted, zone: str, now: float) -> float:
-        """Return the expected delay of a first token here, in seconds."""
-        load = self.expected_load(now)
+    def expected_wait_s(self, most_running: int, now: float) -> float:
+        """Return how long a request would wait inside the target before it starts."""
+        queued = self.expected_load(now) + 1 - most_running
         report = self.report
-        queued = load + 1 - wanted.most_running
         if report is not None and report.at + NEWS_LASTS_S >= now:
             queued = max(queued, report.waiting)
-        busy_s = LOAD_S * (load + 1)
-        if queued > 0:
-            busy_s += HOLD_S * queued / wanted.most_running
+        return HOLD_S * max(0.0, queued) / most_running
+
+    def score(self, wanted: Wanted, zone: str, now: float) -> float:
+        """Return the expected delay of a first token here, in seconds."""
+        report = self.report
+        busy_s = LOAD_S * (self.expected_load(now) + 1)
+        busy_s += self.expected_wait_s(wanted.most_running, now)
         began = max(self.since, self.health.returned_at)
         if began:
             busy_s /= share_at(began, now)
@@ -208,6 +218,11 @@
             score += LATENCY_SHARE * self.first_token_s / (1 + age_s / LATENCY_HALVES_S)
         if self.member.availability_zone != zone:
             score += OTHER_ZONE_S
+        if self.in_flight and self.heard_at:
+            # All its streams are silent: it may hang, long before any limit runs out.
+            silent_s = now - self.heard_at - SILENT_S
+            if silent_s > 0:
+                score += min(MOST_SILENCE_S, silent_s * SILENCE_WEIGHT)
         if self.health.strikes:
             score += STRIKE_S * self.health.strikes
         if report is not None and (wanted.version or wanted.adapter):
@@ -225,6 +240,7 @@
             "cached_tokens": cached,
             "other_zone": self.member.availability_zone != zone,
             "strikes": self.health.strikes,
+            "silent_s": round(now - self.heard_at, 3) if self.in_flight else 0.0,
             "first_token_s": round(self.first_token_s, 4),
         }
 
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -24,6 +24,7 @@
 
 SHOWN_SCORES = 4
 PREFILL_PATIENCE_S = 0.0002  # for one token of the prompt
+EXPECTED_PATIENCE = 3.0  # times the expected wait
 UNREPEATABLE_FIRST_S = 30.0
 UNREPEATABLE_BETWEEN_S = 10.0
 LEAST_FIRST_S = 0.05
@@ -103,7 +104,7 @@
         while True:
             try:
                 target = self._choose(request, progress)
-                self._book.started(target, request.blocks)
+                self._book.started(target, request.blocks, self._clock())
                 self._tell_load(target)
             finally:
                 self._gate.started(request.service.name, request.service.most_running)
@@ -190,12 +191,16 @@
         progress: Progress,
         target: str,
     ) -> Attempt:
+        state = self._book.states_by_id[target]
         number = progress.attempts
         first_s, between_s = UNREPEATABLE_FIRST_S, UNREPEATABLE_BETWEEN_S
         if request.service.repeatable:
             # Each move doubles the patience: if all are slow, moving does not help.
             first_s = policy.first.limit_s() * 2**number
             first_s += PREFILL_PATIENCE_S * (request.tokens + progress.offset)
+            # Where a wait is expected, its length says nothing against the target.
+            wait_s = state.expected_wait_s(request.service.most_running, self._clock())
+            first_s += EXPECTED_PATIENCE * wait_s
             between_s = policy.between.limit_s() * 2**number
         if not progress.began:
             left_s = request.deadline - self._clock()
@@ -203,7 +208,7 @@
         return Attempt(
             request.id,
             f"{request.id}.{number}",
-            self._book.states_by_id[target].member.address,
+            state.member.address,
             request.path,
             request.body,
             progress.offset,
@@ -224,7 +229,9 @@
         try:
             async with aclosing(self._engines.stream(attempt)) as batches:
                 async for events in batches:
-                    watch.events(len(events), self._clock())
+                    now = self._clock()
+                    watch.events(len(events), now)
+                    self._book.heard(target, now)
                     progress.advanced(events)
                     yield events
                     watch.resumed(self._clock())
--- a/src/caperridge/instance/online_request.py
+++ b/src/caperridge/instance/online_request.py
@@ -13,7 +13,7 @@
 
 STREAM_FIELDS = ("stream", "stream_options", "resume_from")
 ASSUMED_TOKENS = 256  # of an answer whose request does not limit it
-DEFAULT_DEADLINE_S = 30.0
+DEFAULT_DEADLINE_S = 10.0
 LONGEST_DEADLINE_S = 600.0
 
 
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -131,6 +131,7 @@
 
     def __init__(self, engines: EngineClient, http: aiohttp.ClientSession) -> None:
         self.address = ""
+        self.engines = engines
         self.http = http
         self.headers: dict[str, str] = {}
         self.members: list[ListedMember] = []
--- a/tests/online/test_requests.py
+++ b/tests/online/test_requests.py
@@ -4,12 +4,21 @@
 
 import pytest
 
+from caperridge.config.model import Caller
+from caperridge.decisions.affinity import BLOCK_TOKENS, prefix_blocks
+from caperridge.decisions.fair_queue import FairQueue, Waiting
+from caperridge.decisions.limits import Limits
+from caperridge.decisions.membership import Membership
+from caperridge.decisions.target_state import TargetReport, Wanted
+from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.peers.interface import NoPeers
-from caperridge.peers.messages import TraceAnswer, TraceAsk
+from caperridge.peers.messages import LoadNews, TraceAnswer, TraceAsk
 from caperridge.queries.explain import Explanations
 from caperridge.records import Record
 from caperridge.standins.engine import Engine
+from caperridge.standins.engine_model import prefix_blocks as standin_blocks
+from caperridge.targets.outcomes import NotSent
 from conftest import Listen, until
 from online.conftest import TOKENS, FaultyTarget, Front
 
@@ -174,3 +183,114 @@
     asking.answered("entry-2", there.sent[0])
     assert (await answer)["steps"][0]["what"] == "answered"
     asking.answered("entry-2", there.sent[0])  # a late second one finds nobody
+
+
+def test_a_silent_target_is_avoided_before_any_limit_runs_out(front: Front) -> None:
+    for name in ("a", "b"):
+        front.add(name, f"{name}:1")
+    front.book.started("a", now=10.0)
+    front.book.started("b", now=10.0)
+    front.book.started("b", now=10.0)
+    assert front.book.weigh("chat", now=10.0)[0].target == "a"
+    front.book.heard("b", 10.5)
+    assert front.book.weigh("chat", now=10.5)[0].target == "b"
+    front.book.heard("a", 10.5)
+    assert front.book.weigh("chat", now=10.5)[0].target == "a"
+
+
+def test_a_returned_target_is_spared_at_first(front: Front) -> None:
+    for name in ("a", "b"):
+        front.add(name, f"{name}:1")
+    assert front.book.failed("a", NotSent("x"), 10.0) == 1.0
+    front.book.started("b")
+    front.book.started("b")
+    assert [item.target for item in front.book.weigh("chat", now=10.5)] == ["b"]
+    assert front.book.weigh("chat", now=11.1)[0].target == "b"
+    front.book.succeeded("a", 12.0)
+    assert front.book.weigh("chat", now=22.0)[0].target == "a"
+
+
+@pytest.mark.parametrize(
+    ("report", "wanted"),
+    [
+        (TargetReport(version="1", at=10.0), Wanted(version="2")),
+        (TargetReport(adapters=["faces"], at=10.0), Wanted(adapter="tags")),
+        (TargetReport(waiting=9, at=10.0), Wanted()),
+        (TargetReport(online=9, at=10.0), Wanted()),
+    ],
+    ids=["version", "adapter", "waiting", "load of others"],
+)
+def test_a_report_counts_against_a_target(
+    front: Front, report: TargetReport, wanted: Wanted
+) -> None:
+    for name in ("a", "b"):
+        front.add(name, f"{name}:1")
+    assert front.book.weigh("chat", (), wanted, 10.0)[0].target == "a"
+    front.book.report("a", report)
+    assert front.book.weigh("chat", (), wanted, 10.0)[0].target == "b"
+
+
+def test_cache_events_correct_the_own_history(front: Front) -> None:
+    for name in ("a", "b"):
+        front.add(name, f"{name}:1")
+    blocks = prefix_blocks("the log of substation 17 " * 20)
+    assert blocks == standin_blocks("the log of substation 17 " * 20)
+    front.book.started("a", blocks[:2])
+    front.book.history.note("b", blocks[1:])  # the event of the first block was lost
+    known = front.book.history.tokens_by_target(blocks)
+    assert known == {"a": 2 * BLOCK_TOKENS}
+    front.book.history.note("b", blocks[:1])
+    known = front.book.history.tokens_by_target(blocks)
+    assert known["b"] == len(blocks) * BLOCK_TOKENS
+
+
+def test_buckets_of_idle_callers_are_dropped() -> None:
+    limits = Limits()
+    for number in range(1000):
+        team = Caller(f"team-{number}", "0" * 64, requests_per_s=10.0)
+        assert limits.admit(team, 1, 1, now=0.0) is None
+        limits.ended(team.name)
+    limits.admit(Caller("last", "0" * 64), 1, 1, now=100.0)
+    assert list(limits.states_by_caller) == ["last"]
+
+
+def test_a_full_queue_is_shared_by_weight() -> None:
+    queue = FairQueue(most_waiting=40)
+    for number in range(60):
+        queue.push(Waiting(f"h{number}", "heavy", 3.0, 1e9))
+        queue.push(Waiting(f"l{number}", "light", 1.0, 1e9))
+    served = [queue.pop(0.0)[0].caller for _ in range(20)]
+    assert served.count("heavy") == pytest.approx(15, abs=1)
+    assert {queue.pop(0.0)[0].caller for _ in range(20)} == {"heavy", "light"}
+
+
+async def test_the_own_targets_are_polled_and_a_leaving_one_is_told_of(
+    front: Front, good: tuple[Engine, str]
+) -> None:
+    engine, address = good
+    engine.faults.report_lag_s = engine.faults.event_lag_s = 0.0
+    engine.faults.event_gaps = 0.0
+    front.add("good", address)
+    prompt = "the log of substation 17 " * 20
+    await front.ask(stream=False, prompt=prompt)
+    front.book.history.forget("good")
+    news: list[LoadNews] = []
+    reports = TargetReports(
+        Membership("entry-1", "oviedo"),
+        front.book,
+        front.engines,
+        lambda target: 3,
+        front.leaving.append,
+        news.append,
+        asyncio.get_running_loop().time,
+    )
+    reports.engine_services = {"chat"}
+    engine.faults.leaving = True
+    await reports.idle()
+    assert news[0].loads == [["good", 1, 0, 3]]
+    assert front.book.states_by_id["good"].report.online == 3
+    assert front.book.history.tokens_by_target(prefix_blocks(prompt))["good"] > 0
+    assert front.leaving == ["good"]
+    front.book.states_by_id["good"].report = None
+    front.online.loads_told(news[0])
+    assert front.book.states_by_id["good"].load(front.online._clock()) == 3
