--- a/src/caperridge/commands/confirm_intent.py
+++ b/src/caperridge/commands/confirm_intent.py
@@ -7,19 +7,26 @@
 
 from caperridge import keys
 from caperridge.config.model import Configuration
-from caperridge.decisions.plans import Plan, make_plan
+from caperridge.decisions.configuration_order import PackedDelta, make_delta
+from caperridge.decisions.plans import Plan, base_of, make_plan
 from caperridge.platform.interface import (
     Conflict,
+    NotDone,
     Platform,
     PutRow,
     RowAbsent,
     RowVersion,
+    Unknown,
     WriteError,
 )
 from caperridge.platform.settle import transact_settled
-from caperridge.queries.configuration import read_head
+from caperridge.queries.configuration import Head, LogEntry, read_entry, read_head
 from caperridge.records import Record, pack
 
+SNAPSHOT_EVERY = 50  # versions; a fresh instance reads no more deltas than this
+MOST_INLINE_BYTES = 32 * 1024  # a larger delta is an object of its own
+PUT_TRIES = 3
+
 
 class HeadMoved(Record):
     """Not done: the configuration changed since the plan; ``plan`` is a new one."""
@@ -30,63 +37,213 @@
         self.plan = plan
 
 
-async def confirm_intent(
-    platform: Platform,
-    wanted: Configuration,
-    digest: str,
-    operator: str,
-) -> Result[Configuration, WriteError | HeadMoved]:
-    """Make ``wanted`` the next version if the plan with ``digest`` still holds.
+class Confirmed(Record):
+    """The plan is a version now, confirmed by this call or by an earlier one.
 
-    Args:
-        platform: where the log of versions is.
+    Attributes:
+        version: which.
+        operator: who confirmed it.
+        already: an earlier call did; its answer may have been lost.
+        configuration: the version itself; None if an earlier call confirmed it.
+        delta: what leads to it; None likewise.
+    """
+
+    __slots__ = ("already", "configuration", "delta", "operator", "version")
+
+    def __init__(
+        self,
+        version: int,
+        operator: str,
+        already: bool = False,
+        configuration: Configuration | None = None,
+        delta: PackedDelta | None = None,
+    ) -> None:
+        self.version = version
+        self.operator = operator
+        self.already = already
+        self.configuration = configuration
+        self.delta = delta
+
+
+ConfirmError = WriteError | HeadMoved
+
+
+class Intent(Record):
+    """What an operator confirms.
+
+    Attributes:
         wanted: the declared configuration; its version is ignored.
         digest: of the plan that the operator saw.
         operator: who confirms; kept in the log.
+        at: now, in seconds since the epoch; kept in the log.
+        rollback_to: the version whose content ``wanted`` is; 0 if it was declared.
     """
-    read = await read_head(platform)
+
+    __slots__ = ("at", "digest", "operator", "rollback_to", "wanted")
+
+    def __init__(
+        self,
+        wanted: Configuration,
+        digest: str,
+        operator: str,
+        at: float = 0.0,
+        rollback_to: int = 0,
+    ) -> None:
+        self.wanted = wanted
+        self.digest = digest
+        self.operator = operator
+        self.at = at
+        self.rollback_to = rollback_to
+
+
+async def confirm_intent(
+    platform: Platform, intent: Intent, known: Configuration | None = None
+) -> Result[Confirmed, ConfirmError]:
+    """Make the intent the next version if its plan still holds.
+
+    Asked again after a lost answer, it says what became of the first call: the log
+    keeps the plan's digest, and a digest names one base version.
+
+    Args:
+        platform: where the log of versions is.
+        intent: the plan's declaration and digest.
+        known: a version already here, so that less has to be read.
+    """
+    earlier = await _confirmed_before(platform, intent)
+    if isinstance(earlier, Err):
+        return earlier
+    if earlier.ok_value is not None:
+        return Ok(earlier.ok_value)
+    read = await read_head(platform, known)
     if isinstance(read, Err):
-        return read
+        return Err(_nothing_written(read.err_value))
     head = read.ok_value
-    plan = make_plan(head.configuration, wanted)
-    if plan.digest != digest:
+    plan = make_plan(head.configuration, intent.wanted)
+    if plan.digest != intent.digest:
         return Err(HeadMoved(plan))
+    if not plan.changes and head.row_version:
+        # Nothing differs: no version of its own, so that a pipeline may run again.
+        return Ok(Confirmed(head.configuration.version, intent.operator, True))
+    entry = await _store(platform, head, intent, len(plan.changes))
+    if isinstance(entry, Err):
+        return entry
+    outcome = await _commit(platform, head, entry.ok_value)
+    if isinstance(outcome, Ok):
+        return Ok(_confirmed(head, intent))
+    if not isinstance(outcome.err_value, Conflict):
+        return outcome
+    return await _after_conflict(platform, intent)
+
+
+async def _confirmed_before(
+    platform: Platform, intent: Intent
+) -> Result[Confirmed | None, ConfirmError]:
+    base = base_of(intent.digest)
+    if base is None:
+        return Ok(None)
+    found = await read_entry(platform, base + 1)
+    if isinstance(found, Err):
+        # Nothing was written by this call; an earlier one is still in doubt.
+        return Err(_nothing_written(found.err_value))
+    entry = found.ok_value
+    if entry is None or entry.plan != intent.digest:
+        return Ok(None)
+    return Ok(Confirmed(entry.version, entry.operator, already=True))
+
+
+async def _store(
+    platform: Platform, head: Head, intent: Intent, changes: int
+) -> Result[LogEntry, WriteError]:
+    """Put what the new version needs into the object store; return its log entry."""
     version = head.configuration.version + 1
-    confirmed = wanted.replace(version=version)
+    confirmed = intent.wanted.replace(version=version)
+    entry = LogEntry(
+        version,
+        intent.digest,
+        intent.operator,
+        head.snapshot,
+        head.snapshot_version,
+        pack(make_delta(head.configuration, confirmed)),
+        at=intent.at,
+        changes=changes,
+        rollback_to=intent.rollback_to,
+    )
+    if len(entry.delta) > MOST_INLINE_BYTES:
+        digest = xxhash.xxh3_128_hexdigest(entry.delta)
+        entry.delta_object = keys.configuration_delta(version, digest)
+        stored = await _put(platform, entry.delta_object, entry.delta)
+        if isinstance(stored, Err):
+            return stored
+        entry.delta = b""
+    if head.snapshot and version - head.snapshot_version < SNAPSHOT_EVERY:
+        return Ok(entry)
     data = pack(confirmed)
-    content_digest = xxhash.xxh3_128_hexdigest(data)
-    snapshot = keys.configuration_snapshot(version, content_digest)
-    stored = await platform.put_object(snapshot, data)
-    if isinstance(stored, Err):
-        # Nothing refers to the object yet, so nothing has changed.
-        return stored
-    row = {"version": version, "snapshot": snapshot, "operator": operator}
-    row["plan"] = digest
+    digest = xxhash.xxh3_128_hexdigest(data)
+    entry.snapshot = keys.configuration_snapshot(version, digest)
+    entry.snapshot_version = version
+    stored = await _put(platform, entry.snapshot, data)
+    return stored if isinstance(stored, Err) else Ok(entry)
+
+
+async def _put(platform: Platform, name: str, data: bytes) -> Result[None, NotDone]:
+    """Put an object that nothing refers to yet, named by its content.
+
+    An unknown outcome therefore changes nothing: the put is repeated, and given up
+    as not done.
+    """
+    error: NotDone | Unknown = NotDone("the object store was not asked")
+    for _ in range(PUT_TRIES):
+        stored = await platform.put_object(name, data)
+        if isinstance(stored, Ok):
+            return stored
+        error = stored.err_value
+    return Err(_nothing_written(error))
+
+
+def _nothing_written(error: NotDone | Unknown) -> NotDone:
+    return error if isinstance(error, NotDone) else NotDone(error.reason)
+
+
+async def _commit(
+    platform: Platform, head: Head, entry: LogEntry
+) -> Result[object, WriteError]:
     condition = (
         RowVersion(keys.CONFIGURATION_HEAD, head.row_version)
         if head.row_version
         else RowAbsent(keys.CONFIGURATION_HEAD)
     )
-    outcome = await transact_settled(
+    row = entry.to_map()
+    # The head says where to read on; the delta itself stands in the log only.
+    pointer = {**row, "delta": b""}
+    return await transact_settled(
         platform,
         [condition],
         [
-            PutRow(keys.CONFIGURATION_HEAD, row),
-            PutRow(keys.configuration_version(version), row),
+            PutRow(keys.CONFIGURATION_HEAD, pointer),
+            PutRow(keys.configuration_version(entry.version), row),
         ],
         token=secrets.token_hex(8),
     )
-    if isinstance(outcome, Ok):
-        return Ok(confirmed)
-    if not isinstance(outcome.err_value, Conflict):
-        return outcome
-    return await _moved(platform, wanted)
 
 
-async def _moved(
-    platform: Platform, wanted: Configuration
-) -> Result[Configuration, WriteError | HeadMoved]:
+def _confirmed(head: Head, intent: Intent) -> Confirmed:
+    version = head.configuration.version + 1
+    configuration = intent.wanted.replace(version=version)
+    data = pack(make_delta(head.configuration, configuration))
+    delta = PackedDelta(version - 1, version, data)
+    return Confirmed(version, intent.operator, False, configuration, delta)
+
+
+async def _after_conflict(
+    platform: Platform, intent: Intent
+) -> Result[Confirmed, ConfirmError]:
+    """Say who won: an equal plan confirmed elsewhere, or another change."""
+    earlier = await _confirmed_before(platform, intent)
+    if isinstance(earlier, Err):
+        return earlier
+    if earlier.ok_value is not None:
+        return Ok(earlier.ok_value)
     read = await read_head(platform)
     if isinstance(read, Err):
-        return read
-    return Err(HeadMoved(make_plan(read.ok_value.configuration, wanted)))
+        return Err(_nothing_written(read.err_value))
+    return Err(HeadMoved(make_plan(read.ok_value.configuration, intent.wanted)))
--- a/src/caperridge/config/declarations.py
+++ b/src/caperridge/config/declarations.py
@@ -10,10 +10,9 @@
 
 import voluptuous as vol
 
-from caperridge.config.model import (
-    KINDS_BY_FIELD,
-    Configuration,
-)
+from caperridge.config.checks import check, did_you_mean
+from caperridge.config.model import KINDS_BY_FIELD, Configuration
+from caperridge.config.places import Places
 from caperridge.findings import Finding, FindingsError
 
 _NAME = vol.All(str, vol.Match(r"^[A-Za-z0-9._-]{1,64}$", msg="must be a plain name"))
@@ -35,8 +34,10 @@
                 "believes_not_run": bool,
                 "batch_weight": vol.All(vol.Any(int, float), vol.Range(min=0, max=1)),
                 "most_running": vol.All(int, vol.Range(min=1)),
+                "batch_runners": vol.All(int, vol.Range(min=0)),
             }
         },
+        "weight_stores": {_NAME: {vol.Required("gb_per_s"): _POSITIVE}},
         "models": {_NAME: {vol.Required("gb_by_version"): {_NAME: _POSITIVE}}},
         "adapters": {_NAME: {vol.Required("model"): _NAME, "gb": _POSITIVE}},
         "callers": {
@@ -65,52 +66,72 @@
     """
     findings: list[Finding] = []
     maps_by_table: dict[str, dict[str, Any]] = {}
+    places_by_key: dict[str, Places] = {}
     for file, text in sorted(texts_by_file.items()):
-        table = _read(file, text, findings)
-        for name, items in table.items():
-            _merge(file, name, items, maps_by_table, findings)
+        places = Places(file, text)
+        for table, items in _read(places, text, findings).items():
+            known = maps_by_table.setdefault(table, {})
+            for name, item in items.items():
+                key = f"{table}.{name}"
+                if name in known:
+                    first = places_by_key[key].of([table, name])
+                    told = f"is declared twice, first in {first}"
+                    findings.append(Finding(places.of([table, name]), key, told))
+                    continue
+                known[name] = item
+                places_by_key[key] = places
     if findings:
         raise FindingsError(findings)
+
+    def place(key: str) -> str:
+        path = _path(key, places_by_key)
+        return places_by_key[f"{path[0]}.{path[1]}"].of(path)
+
     configuration = _build(maps_by_table)
-    findings = check(configuration)
+    findings = check(configuration, place)
     if findings:
         raise FindingsError(findings)
     return configuration
 
 
-def _read(file: str, text: str, findings: list[Finding]) -> dict[str, Any]:
+def _path(key: str, places_by_key: Mapping[str, Places]) -> list[str]:
+    """Split a dotted key whose second part, a name, may hold dots itself."""
+    table, _, rest = key.partition(".")
+    name, _, field = rest.rpartition(".")
+    if f"{table}.{name}" in places_by_key:
+        return [table, name, field]
+    return [table, rest]
+
+
+def _read(places: Places, text: str, findings: list[Finding]) -> dict[str, Any]:
     try:
         return _SCHEMA(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
-        findings.append(Finding(file, "-", str(error)))
+        findings.append(Finding(places.of([]), "-", str(error)))
     except vol.MultipleInvalid as error:
         for invalid in error.errors:
-            key = ".".join(str(part) for part in invalid.path)
-            findings.append(Finding(file, key, _sentence(invalid)))
+            path = [str(part) for part in invalid.path]
+            sentence = _sentence(invalid, path)
+            findings.append(Finding(places.of(path), ".".join(path), sentence))
     return {}
 
 
-def _sentence(invalid: vol.Invalid) -> str:
+def _sentence(invalid: vol.Invalid, path: list[str]) -> str:
     if invalid.error_message == "extra keys not allowed":
-        return "is not a known key"
+        return "is not a known key" + did_you_mean(path[-1], _known_keys(path))
     if invalid.error_message == "required key not provided":
         return "is missing"
     return invalid.error_message
 
 
-def _merge(
-    file: str,
-    table: str,
-    items: dict[str, Any],
-    maps_by_table: dict[str, dict[str, Any]],
-    findings: list[Finding],
-) -> None:
-    known = maps_by_table.setdefault(table, {})
-    for name, item in items.items():
-        if name in known:
-            findings.append(Finding(file, f"{table}.{name}", "is declared twice"))
-            continue
-        known[name] = item
+def _known_keys(path: list[str]) -> list[str]:
+    """Return what may stand where the last part of ``path`` stands."""
+    if len(path) == 1:
+        return [str(table) for table in _SCHEMA.schema]
+    kind = KINDS_BY_FIELD.get(f"{path[0]}_by_name")
+    if kind is None or len(path) != 3:
+        return []
+    return [field for field in kind.__slots__ if field != "name"]
 
 
 def _build(maps_by_table: dict[str, dict[str, Any]]) -> Configuration:
@@ -121,31 +142,3 @@
             name: kind.from_map({"name": name, **item}) for name, item in items.items()
         }
     return Configuration(**tables)
-
-
-def check(configuration: Configuration) -> list[Finding]:
-    """Return what is wrong between the parts: names that lead nowhere."""
-    findings: list[Finding] = []
-    for name, service in configuration.services_by_name.items():
-        if service.kind != "engine":
-            continue
-        model = configuration.models_by_name.get(service.model)
-        place = f"services.{name}"
-        if model is None:
-            text = f"model {service.model!r} is not declared"
-            findings.append(Finding("declarations", f"{place}.model", text))
-            continue
-        if service.version not in model.gb_by_version:
-            text = f"version {service.version!r} of {model.name!r} is not declared"
-            findings.append(Finding("declarations", f"{place}.version", text))
-        for adapter in service.adapters:
-            if adapter not in configuration.adapters_by_name:
-                text = f"adapter {adapter!r} is not declared"
-                findings.append(Finding("declarations", f"{place}.adapters", text))
-    for name, caller in configuration.callers_by_name.items():
-        for service_name in caller.services:
-            if service_name == "*" or service_name in configuration.services_by_name:
-                continue
-            text = f"service {service_name!r} is not declared"
-            findings.append(Finding("declarations", f"callers.{name}.services", text))
-    return findings
--- a/src/caperridge/config/model.py
+++ b/src/caperridge/config/model.py
@@ -4,6 +4,9 @@
 
 from caperridge.records import Record
 
+DEFAULT_STORE = "default"
+DEFAULT_GB_PER_S = 1.0
+
 
 class Service(Record):
     """A service that callers may use.
@@ -19,10 +22,12 @@
         believes_not_run: whether its targets' "not run" answers are to be believed.
         batch_weight: the trade: 0 favours the online tail, 1 batch throughput.
         most_running: requests one target runs at once before it queues.
+        batch_runners: how many of its runners take batch only; the rest take both.
     """
 
     __slots__ = (
         "adapters",
+        "batch_runners",
         "batch_weight",
         "believes_not_run",
         "checks_fencing",
@@ -46,6 +51,7 @@
         believes_not_run: bool = True,
         batch_weight: float = 0.5,
         most_running: int = 16,
+        batch_runners: int = 0,
     ) -> None:
         self.name = name
         self.kind = kind
@@ -57,6 +63,20 @@
         self.believes_not_run = believes_not_run
         self.batch_weight = batch_weight
         self.most_running = most_running
+        self.batch_runners = batch_runners
+
+
+class WeightStore(Record):
+    """Where weights are loaded from, named as its region; ``default`` for all others.
+
+    Its rate is shared by all runners that load at once.
+    """
+
+    __slots__ = ("gb_per_s", "name")
+
+    def __init__(self, name: str, gb_per_s: float) -> None:
+        self.name = name
+        self.gb_per_s = gb_per_s
 
 
 class Model(Record):
@@ -149,6 +169,7 @@
         "operators_by_name",
         "services_by_name",
         "version",
+        "weight_stores_by_name",
     )
 
     def __init__(
@@ -159,6 +180,7 @@
         adapters_by_name: dict[str, Adapter] | None = None,
         callers_by_name: dict[str, Caller] | None = None,
         operators_by_name: dict[str, Operator] | None = None,
+        weight_stores_by_name: dict[str, WeightStore] | None = None,
     ) -> None:
         self.version = version
         self.services_by_name = dict(services_by_name or {})
@@ -166,6 +188,7 @@
         self.adapters_by_name = dict(adapters_by_name or {})
         self.callers_by_name = dict(callers_by_name or {})
         self.operators_by_name = dict(operators_by_name or {})
+        self.weight_stores_by_name = dict(weight_stores_by_name or {})
 
     @classmethod
     def from_map(cls, fields: dict[str, Any]) -> "Configuration":
@@ -179,6 +202,12 @@
         }
         return cls(version=fields["version"], **tables)
 
+    def weight_store(self, region: str) -> WeightStore:
+        """Return the weight store of a region."""
+        stores = self.weight_stores_by_name
+        fallback = WeightStore(DEFAULT_STORE, DEFAULT_GB_PER_S)
+        return stores.get(region) or stores.get(DEFAULT_STORE) or fallback
+
     def service_for_model(self, model: str) -> Service | None:
         """Return the engine service that callers mean by ``model``.
 
@@ -201,4 +230,5 @@
     "adapters_by_name": Adapter,
     "callers_by_name": Caller,
     "operators_by_name": Operator,
+    "weight_stores_by_name": WeightStore,
 }
--- /dev/null
+++ b/src/caperridge/decisions/configuration_order.py
@@ -0,0 +1,152 @@
+"""The order of configurations: deltas between versions, and only upward.
+
+A version is applied if it is higher than the one in force. A delta applies to one
+base version; what lies between makes a gap, which is asked for.
+"""
+
+from collections import OrderedDict
+from enum import Enum
+from typing import Any
+
+from caperridge.config.model import KINDS_BY_FIELD, Configuration
+from caperridge.records import Record
+
+MOST_DELTAS = 64  # kept in memory, to answer peers that are a little behind
+MOST_DELTA_BYTES = 2**20
+
+
+class Delta(Record):
+    """What leads from one version to a later one.
+
+    Attributes:
+        base_version: what it applies to.
+        version: what it leads to.
+        set_by_field: for each table of the configuration, things by name as maps.
+        removed_by_field: for each table, the names that go.
+    """
+
+    __slots__ = ("base_version", "removed_by_field", "set_by_field", "version")
+
+    def __init__(
+        self,
+        base_version: int,
+        version: int,
+        set_by_field: dict[str, dict[str, dict[str, Any]]] | None = None,
+        removed_by_field: dict[str, list[str]] | None = None,
+    ) -> None:
+        self.base_version = base_version
+        self.version = version
+        self.set_by_field = set_by_field or {}
+        self.removed_by_field = removed_by_field or {}
+
+
+class PackedDelta(Record):
+    """A delta as bytes, so that fields of another release are passed on unharmed."""
+
+    __slots__ = ("base_version", "data", "version")
+
+    def __init__(self, base_version: int, version: int, data: bytes) -> None:
+        self.base_version = base_version
+        self.version = version
+        self.data = data
+
+
+class Offer(Enum):
+    """What became of a version that was offered."""
+
+    APPLIED = "applied"
+    OLD = "old"
+    GAP = "gap"
+
+
+def make_delta(before: Configuration, after: Configuration) -> Delta:
+    """Return what leads from ``before`` to ``after``."""
+    delta = Delta(before.version, after.version)
+    for field in KINDS_BY_FIELD:
+        old, new = getattr(before, field), getattr(after, field)
+        changed = {
+            name: item.to_map() for name, item in new.items() if old.get(name) != item
+        }
+        if changed:
+            delta.set_by_field[field] = changed
+        removed = sorted(old.keys() - new.keys())
+        if removed:
+            delta.removed_by_field[field] = removed
+    return delta
+
+
+def apply_delta(base: Configuration, delta: Delta) -> Configuration:
+    """Return the version that ``delta`` leads to; unchanged things are shared.
+
+    Tables that this release does not know are left out.
+
+    Raises:
+        ValueError: ``base`` is not the version that the delta applies to.
+    """
+    if base.version != delta.base_version:
+        text = f"a delta on {delta.base_version} does not apply to {base.version}"
+        raise ValueError(text)
+    tables: dict[str, Any] = {}
+    for field, kind in KINDS_BY_FIELD.items():
+        changed = delta.set_by_field.get(field, {})
+        removed = delta.removed_by_field.get(field, [])
+        if not changed and not removed:
+            tables[field] = getattr(base, field)
+            continue
+        table = dict(getattr(base, field))
+        for name in removed:
+            table.pop(name, None)
+        for name, item in changed.items():
+            table[name] = kind.from_map(item)
+        tables[field] = table
+    return Configuration(version=delta.version, **tables)
+
+
+class ConfigurationOrder:
+    """The version in force at one instance; it never goes down."""
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+        self._deltas_by_base: OrderedDict[int, PackedDelta] = OrderedDict()
+        self._delta_bytes = 0
+
+    def offer(self, configuration: Configuration) -> Offer:
+        """Take over a whole version if it is higher."""
+        if configuration.version <= self.current.version:
+            return Offer.OLD
+        self.current = configuration
+        return Offer.APPLIED
+
+    def offer_delta(self, delta: Delta, packed: PackedDelta) -> Offer:
+        """Take over what ``delta`` leads to if it is higher and its base is here."""
+        if delta.version <= self.current.version:
+            return Offer.OLD
+        if delta.base_version != self.current.version:
+            return Offer.GAP
+        self.current = apply_delta(self.current, delta)
+        self.keep(packed)
+        return Offer.APPLIED
+
+    def keep(self, packed: PackedDelta) -> None:
+        """Keep a delta for peers that are behind; the oldest make room."""
+        if packed.base_version in self._deltas_by_base:
+            return
+        self._deltas_by_base[packed.base_version] = packed
+        self._delta_bytes += len(packed.data)
+        while (
+            len(self._deltas_by_base) > MOST_DELTAS
+            or self._delta_bytes > MOST_DELTA_BYTES
+        ):
+            _, dropped = self._deltas_by_base.popitem(last=False)
+            self._delta_bytes -= len(dropped.data)
+
+    def chain(self, version: int) -> list[PackedDelta] | None:
+        """Return the deltas from ``version`` to the one in force; None: not kept."""
+        found: list[PackedDelta] = []
+        while version < self.current.version:
+            packed = self._deltas_by_base.get(version)
+            if packed is None:
+                return None
+            found.append(packed)
+            version = packed.version
+        return found
--- /dev/null
+++ b/src/caperridge/decisions/loaded_book.py
@@ -0,0 +1,65 @@
+"""What each target holds, as its orderer says; routing leaves out what cannot serve."""
+
+from caperridge.config.model import Service
+from caperridge.decisions.reconcile import BATCH, Loaded
+from caperridge.records import Record
+
+
+class LoadedState(Record):
+    """What was last told of a target.
+
+    Attributes:
+        fence: the orderer's fencing number.
+        sequence: raised with each news of that orderer.
+        loaded: what the target holds.
+        held: it is about to load, and should get nothing new.
+    """
+
+    __slots__ = ("fence", "held", "loaded", "sequence")
+
+    def __init__(
+        self, fence: int, sequence: int, loaded: Loaded, held: bool = False
+    ) -> None:
+        self.fence = fence
+        self.sequence = sequence
+        self.loaded = loaded
+        self.held = held
+
+
+class LoadedBook:
+    """By target; one that nobody told of is taken to serve."""
+
+    def __init__(self) -> None:
+        self.states_by_target: dict[str, LoadedState] = {}
+
+    def apply(self, target: str, state: LoadedState) -> bool:
+        """Take over news; return whether it was newer than what was known."""
+        known = self.states_by_target.get(target)
+        if known is not None:
+            older = (state.fence, state.sequence) <= (known.fence, known.sequence)
+            if older:
+                return False
+        self.states_by_target[target] = state
+        return True
+
+    def forget_all_but(self, targets: set[str]) -> None:
+        """Forget targets that are no longer listed."""
+        for target in list(self.states_by_target):
+            if target not in targets:
+                del self.states_by_target[target]
+
+    def closed_to_online(self, service: Service) -> set[str]:
+        """Return the targets that should get no online request of ``service``."""
+        closed: set[str] = set()
+        for target, state in self.states_by_target.items():
+            if state.held or state.loaded.role == BATCH:
+                closed.add(target)
+                continue
+            if state.loaded.model and state.loaded.model != service.model:
+                closed.add(target)
+        return closed
+
+    def closed_to_batch(self, target: str) -> bool:
+        """Return whether a target should get no new batch item."""
+        state = self.states_by_target.get(target)
+        return state is not None and state.held
--- a/src/caperridge/decisions/plans.py
+++ b/src/caperridge/decisions/plans.py
@@ -38,7 +38,8 @@
 
     Attributes:
         base_version: the version it was made against.
-        digest: of the declaration and the base version; ``confirm`` sends it.
+        digest: the base version and a digest of the declaration, ``17-5f…``;
+            ``confirm`` sends it, and the log keeps it.
         changes: in a fixed order.
         effects: sentences on what the changes will do.
         warnings: sentences on what an operator may not want.
@@ -63,12 +64,37 @@
 
 def make_plan(current: Configuration, wanted: Configuration) -> Plan:
     """Return the plan that leads from ``current`` to ``wanted``."""
+    changes = changes_between(current, wanted)
+    content = xxhash.xxh3_128_hexdigest(pack(_canonical(wanted)))
+    return Plan(current.version, f"{current.version}-{content}", changes)
+
+
+def base_of(digest: str) -> int | None:
+    """Return the version that the plan with ``digest`` was made against.
+
+    >>> base_of("17-5f"), base_of("no digest")
+    (17, None)
+    """
+    base, dash, _content = digest.partition("-")
+    return int(base) if dash and base.isdecimal() else None
+
+
+def _canonical(wanted: Configuration) -> list[Any]:
+    """Return the content in an order that does not depend on the declaration's."""
+    content: list[Any] = []
+    for field in sorted(KINDS_BY_FIELD):
+        items = getattr(wanted, field)
+        content.append([field, [items[name] for name in sorted(items)]])
+    return content
+
+
+def changes_between(before: Configuration, after: Configuration) -> list[Change]:
+    """Return what differs between two versions, in a fixed order."""
     changes: list[Change] = []
     for field in KINDS_BY_FIELD:
         table = field.removesuffix("_by_name")
-        changes.extend(_changes(table, getattr(current, field), getattr(wanted, field)))
-    content = pack([current.version, wanted.replace(version=0)])
-    return Plan(current.version, xxhash.xxh3_128_hexdigest(content), changes)
+        changes.extend(_changes(table, getattr(before, field), getattr(after, field)))
+    return changes
 
 
 def _changes(
--- a/src/caperridge/decisions/rendezvous.py
+++ b/src/caperridge/decisions/rendezvous.py
@@ -19,7 +19,12 @@
     best: str | None = None
     best_score = -1
     for member in members:
-        score = xxhash.xxh3_64_intdigest(f"{member}\x00{key}".encode())
-        if score > best_score or (score == best_score and member > (best or "")):
-            best, best_score = member, score
+        own = score(key, member)
+        if own > best_score or (own == best_score and member > (best or "")):
+            best, best_score = member, own
     return best
+
+
+def score(key: str, member: str) -> int:
+    """Return how well ``member`` fits ``key``; the highest looks after it."""
+    return xxhash.xxh3_64_intdigest(f"{member}\x00{key}".encode())
--- a/src/caperridge/instance/configuration.py
+++ b/src/caperridge/instance/configuration.py
@@ -1,19 +1,48 @@
-"""The task that keeps this instance's configuration at the highest version known."""
+"""The task that keeps this instance's configuration at the highest version known.
 
+One reader in each availability zone polls the head of the log often and pushes what
+is new to its peers; every other instance polls slowly, in case the reader is wrong,
+paused or cut off. A confirm is pushed at once by the instance that took it.
+"""
+
+import asyncio
+import contextlib
+import random
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-from result import Err
+from result import Err, Result
 
 from caperridge.config.model import Caller, Configuration, Operator
+from caperridge.decisions.configuration_order import (
+    ConfigurationOrder,
+    Delta,
+    Offer,
+    PackedDelta,
+)
+from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
-from caperridge.instance.messages import ConfigurationApplied
+from caperridge.instance.messages import (
+    ConfigurationApplied,
+    ConfigurationAsked,
+    ConfigurationConfirmed,
+    ConfigurationHeard,
+    HeadRead,
+)
 from caperridge.log import logger
-from caperridge.platform.interface import Platform
-from caperridge.queries.configuration import read_head
+from caperridge.peers.interface import NoPeers, Peers
+from caperridge.peers.messages import ConfigurationAsk, ConfigurationNews
+from caperridge.platform.interface import Platform, ReadError
+from caperridge.queries.configuration import Head, read_head
+from caperridge.records import pack, unpack
 
 log = logger(__name__)
+READER_KEY = "configuration/reader"
+READER_POLL_S = 0.5
+POLL_S = 5.0  # of everybody else, less up to a quarter
+SETTLE_S = 1.0  # a fresh instance waits so long for higher answers of other peers
+ANYTHING = -1  # asked for by an instance that knows no version, not even the empty one
 
 
 class ConfigurationKeeper(Actor):
@@ -22,19 +51,40 @@
     Args:
         platform: polled for the head.
         applied: told of each version that comes into force.
+        membership: says who reads for the zone.
+        peers: told of new versions, and asked for them.
     """
 
+    idle_s = READER_POLL_S
+
     def __init__(
-        self, platform: Platform, applied: Callable[[ConfigurationApplied], None]
+        self,
+        platform: Platform,
+        applied: Callable[[ConfigurationApplied], None],
+        membership: Membership | None = None,
+        peers: Peers | None = None,
     ) -> None:
         super().__init__()
-        self.current = Configuration()
         self.known = False
+        self.peers = peers or NoPeers()
+        self._order = ConfigurationOrder()
         self._platform = platform
         self._applied = applied
+        self._membership = membership or Membership("-", "-")
+        self._random = random.Random(self._membership.instance)
+        self._poll_due = float("-inf")
+        self._poll: asyncio.Task[None] | None = None
+        self._heard_at: float | None = None
+        self._unread = False
+        self._whole: tuple[int, bytes] = (0, b"")
         self._callers_by_digest: dict[str, Caller] = {}
         self._operators_by_digest: dict[str, Operator] = {}
 
+    @property
+    def current(self) -> Configuration:
+        """The version in force."""
+        return self._order.current
+
     def caller(self, token_digest: str) -> Caller | None:
         """Return the caller with this token digest."""
         return self._callers_by_digest.get(token_digest)
@@ -46,9 +96,13 @@
     def apply(self, configuration: Configuration) -> bool:
         """Take over ``configuration`` if it is higher; return whether it was."""
         self.known = True
-        if configuration.version <= self.current.version:
+        if self._order.offer(configuration) is not Offer.APPLIED:
             return False
-        self.current = configuration
+        self._took()
+        return True
+
+    def _took(self) -> None:
+        configuration = self.current
         self._callers_by_digest = {
             caller.token_sha256: caller
             for caller in configuration.callers_by_name.values()
@@ -59,7 +113,6 @@
         }
         log.info("configuration in force", version=configuration.version)
         self._applied(ConfigurationApplied(configuration))
-        return True
 
     @singledispatchmethod
     async def handle(self, message: Any) -> None:
@@ -67,12 +120,142 @@
         raise NotImplementedError(type(message).__name__)
 
     @handle.register
-    async def _(self, message: ConfigurationApplied) -> None:
-        self.apply(message.configuration)
+    async def _(self, message: ConfigurationConfirmed) -> None:
+        self._order.keep(message.delta)
+        if self.apply(message.configuration):
+            self.peers.send_all(self._news(message.delta))
+
+    @handle.register
+    async def _(self, message: HeadRead) -> None:
+        head = message.head
+        same = head.configuration.version == self.current.version
+        if self._unread and same and head.configuration is not self.current:
+            # What peers told may lack fields that their release does not know.
+            self._order.current = head.configuration
+            self._unread = False
+            self.known = True
+            self._took()
+            return
+        if not self.apply(head.configuration):
+            return
+        self._unread = False
+        for delta in head.deltas:
+            self._order.keep(delta)
+            self.peers.send_zone(self._news(delta))
+        if not head.deltas:
+            self.peers.send_zone(ConfigurationNews(head.configuration.version))
+
+    @handle.register
+    async def _(self, message: ConfigurationAsked) -> None:
+        if not self.known or message.version >= self.current.version > 0:
+            return
+        chain = None
+        if message.version != ANYTHING:
+            chain = self._order.chain(message.version)
+        if chain is None:
+            self.peers.send(message.instance, self._whole_news())
+            return
+        for delta in chain:
+            self.peers.send(message.instance, self._news(delta))
+
+    @handle.register
+    async def _(self, message: ConfigurationHeard) -> None:
+        news = message.news
+        if not news.data:
+            if news.version > self.current.version:
+                self._ask(message.instance)
+            return
+        try:
+            offer = self._offer(news)
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            log.warning("news that cannot be read", peer=message.instance, why=error)
+            return
+        if offer is Offer.GAP:
+            self._ask(message.instance)
+            return
+        if self._heard_at is None:
+            self._heard_at = asyncio.get_running_loop().time()
+        if offer is not Offer.APPLIED:
+            return
+        self._took()
+        zone = self._membership.availability_zone
+        if message.instance not in self._membership.live(zone):
+            # It came over one of the few links between zones: pass it on here.
+            self.peers.send_zone(news)
+
+    def _offer(self, news: ConfigurationNews) -> Offer:
+        fields = unpack(news.data)
+        if not news.base_version:
+            offer = self._order.offer(Configuration.from_map(fields))
+            self._unread = self._unread or offer is Offer.APPLIED
+            return offer
+        packed = PackedDelta(news.base_version, news.version, news.data)
+        return self._order.offer_delta(Delta.from_map(fields), packed)
+
+    def _ask(self, instance: str) -> None:
+        version = self.current.version if self.known else ANYTHING
+        self.peers.send(instance, ConfigurationAsk(version))
+
+    def _news(self, delta: PackedDelta) -> ConfigurationNews:
+        if not delta.base_version:
+            return self._whole_news()
+        return ConfigurationNews(delta.version, delta.base_version, delta.data)
+
+    def _whole_news(self) -> ConfigurationNews:
+        version = self.current.version
+        if self._whole[0] != version or not self._whole[1]:
+            self._whole = (version, pack(self.current))
+        return ConfigurationNews(version, 0, self._whole[1])
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance polls for its zone."""
+        membership = self._membership
+        zone = membership.availability_zone
+        return membership.owner(READER_KEY, zone) == membership.instance
 
     async def idle(self) -> None:
-        """Poll the head."""
-        read = await read_head(self._platform, self.current)
+        """Poll the head when it is due; ask peers while nothing is known."""
+        now = asyncio.get_running_loop().time()
+        self._whole = (0, b"")
+        if not self.known:
+            self._settle(now)
+        if self._poll is not None and not self._poll.done():
+            return
+        if now < self._poll_due and not self.is_reader and self.known:
+            return
+        self._poll_due = now + POLL_S * (1.0 - self._random.random() / 4)
+        # A task of its own: a platform that hangs must not hold up what peers say.
+        poll = self._read(None if self._unread else self.current)
+        self._poll = asyncio.get_running_loop().create_task(poll)
+
+    def _settle(self, now: float) -> None:
+        """While the platform is away, rely on what the peers know."""
+        if self._heard_at is not None and now >= self._heard_at + SETTLE_S:
+            self.known = True
+            log.info("configuration from peers", version=self.current.version)
+            return
+        self.peers.send_all(ConfigurationAsk(ANYTHING))
+
+    async def _read(self, known: Configuration | None) -> None:
+        read: Result[Head, ReadError] = await read_head(self._platform, known)
         if isinstance(read, Err):
             return
-        self.apply(read.ok_value.configuration)
+        self.tell(HeadRead(read.ok_value))
+
+    async def stop(self) -> None:
+        """End the task and a poll under way."""
+        await super().stop()
+        if self._poll is not None:
+            self._poll.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._poll
+
+    def state(self) -> dict[str, Any]:
+        """Return what operators want to see of it."""
+        return {
+            "version": self.current.version,
+            "known": self.known,
+            "reader": self.is_reader,
+            "from_peers_only": self._unread,
+        }
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -3,7 +3,10 @@
 from typing import Any
 
 from caperridge.config.model import Configuration
+from caperridge.decisions.configuration_order import PackedDelta
+from caperridge.peers.messages import ConfigurationNews, LoadedNews
 from caperridge.platform.interface import ListedMember
+from caperridge.queries.configuration import Head
 from caperridge.records import Record
 from caperridge.targets.outcomes import AttemptError
 
@@ -17,6 +20,54 @@
         self.configuration = configuration
 
 
+class ConfigurationConfirmed(Record):
+    """This instance confirmed a version; ``delta`` is what leads to it."""
+
+    __slots__ = ("configuration", "delta")
+
+    def __init__(self, configuration: Configuration, delta: PackedDelta) -> None:
+        self.configuration = configuration
+        self.delta = delta
+
+
+class ConfigurationHeard(Record):
+    """A peer told of a version of the configuration."""
+
+    __slots__ = ("instance", "news")
+
+    def __init__(self, instance: str, news: ConfigurationNews) -> None:
+        self.instance = instance
+        self.news = news
+
+
+class ConfigurationAsked(Record):
+    """A peer asked for the configuration above ``version``."""
+
+    __slots__ = ("instance", "version")
+
+    def __init__(self, instance: str, version: int) -> None:
+        self.instance = instance
+        self.version = version
+
+
+class HeadRead(Record):
+    """The head of the configuration's log was read from the platform."""
+
+    __slots__ = ("head",)
+
+    def __init__(self, head: Head) -> None:
+        self.head = head
+
+
+class LoadedHeard(Record):
+    """A peer told what a target holds."""
+
+    __slots__ = ("news",)
+
+    def __init__(self, news: LoadedNews) -> None:
+        self.news = news
+
+
 class MembersListed(Record):
     """The platform's list was read."""
 
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -26,6 +26,7 @@
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.orderer import Orderer
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.traces import Traces
@@ -37,6 +38,7 @@
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
+from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
 
 log = logger(__name__)
@@ -93,11 +95,23 @@
             self._online_load,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
-        self.configuration = ConfigurationKeeper(self.platform, self._applied)
+        self.configuration = ConfigurationKeeper(
+            self.platform, self._applied, self.membership, self.peers
+        )
         self.members = MembersReader(self.platform, self._listed)
+        self._order_client = OrderClient()
+        self.orderer = Orderer(
+            self.platform,
+            self.session,
+            self.membership,
+            self._order_client,
+            clock,
+            settings.lease_s,
+        )
         self._actors = [
             self.session,
             self.configuration,
+            self.orderer,
             self.members,
             self.dispatcher,
         ]
@@ -106,11 +120,13 @@
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
+        self.orderer.tell(message)
 
     def _listed(self, message: MembersListed) -> None:
         self.membership.apply_list(message.members)
         self.online.book.apply_list(message.members)
         self.streams.book.apply_list(message.members)
+        self.orderer.tell(message)
 
     def _online_load(self, load: OnlineLoad) -> None:
         """Tell the dispatcher of the target, here or at a peer."""
@@ -154,6 +170,10 @@
             return FIRST_OPERATOR
         raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
 
+    def versions_of_peers(self) -> dict[str, int]:
+        """Return the configuration's version that each heartbeat told, by instance."""
+        return {}
+
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
@@ -180,7 +200,9 @@
                 target_id: state.to_map()
                 for target_id, state in self.online.book.states_by_id.items()
             },
+            "configuration": self.configuration.state(),
             "dispatcher": self.dispatcher.state(),
+            "orderer": self.orderer.state(),
             "traces": len(self.traces),
         }
 
@@ -225,6 +247,7 @@
         for actor in reversed(self._actors):
             await actor.stop()
         await self._engines.close()
+        await self._order_client.close()
         await self._plain_client.close()
         if isinstance(self.platform, HttpPlatform):
             await self.platform.close()
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -35,6 +35,21 @@
     return f"configuration/{version:010d}-{digest}"
 
 
+def configuration_delta(version: int, digest: str) -> str:
+    """Return the object with a delta that is too large for its row."""
+    return f"configuration/delta/{version:010d}-{digest}"
+
+
+def order(target_id: str) -> str:
+    """Return the row that says who orders a target, and under which number."""
+    return f"order/{target_id}"
+
+
+def loading(store: str) -> str:
+    """Return the row with the loads that share one weight store."""
+    return f"loading/{store}"
+
+
 def session(session_id: str) -> str:
     """Return the row of an instance's session."""
     return SESSIONS + session_id
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -138,6 +138,34 @@
         self.leaving = leaving
 
 
+class LoadedNews(Record):
+    """What a target holds, from its orderer; older than ``fence, sequence``: ignored.
+
+    Attributes:
+        target: which one.
+        fence: number of the orderer.
+        sequence: raised with each news of that orderer.
+        loaded: ``model``, ``version``, ``adapters`` and ``role``.
+        held: it is about to load, and should get nothing new.
+    """
+
+    __slots__ = ("fence", "held", "loaded", "sequence", "target")
+
+    def __init__(
+        self,
+        target: str,
+        fence: int,
+        sequence: int,
+        loaded: dict[str, Any] | None = None,
+        held: bool = False,
+    ) -> None:
+        self.target = target
+        self.fence = fence
+        self.sequence = sequence
+        self.loaded = loaded or {}
+        self.held = held
+
+
 class ConfigurationNews(Record):
     """A version of the configuration, as a delta or whole.
 
@@ -225,6 +253,7 @@
         LatencyNews,
         JobNews,
         TargetNews,
+        LoadedNews,
         ConfigurationNews,
         ConfigurationAsk,
         RelayCall,
--- a/src/caperridge/queries/configuration.py
+++ b/src/caperridge/queries/configuration.py
@@ -1,39 +1,222 @@
-"""Reading the configuration: the head of the log and the snapshot it names."""
+"""Reading the configuration: the head of the log, its deltas and its snapshots.
+
+The head names the newest version and the newest snapshot. A reader that knows a
+version not below that snapshot reads only the log's rows above it; any other reads
+the snapshot and the rows above that.
+"""
+
+from typing import Any
 
 from result import Err, Ok, Result
 
 from caperridge import keys
 from caperridge.config.model import Configuration
-from caperridge.platform.interface import NotDone, Platform, ReadError
+from caperridge.decisions.configuration_order import Delta, PackedDelta, apply_delta
+from caperridge.platform.interface import NotDone, Platform, ReadError, Row
 from caperridge.records import Record, unpack
 
 
 class Head(Record):
-    """The newest version; ``row_version`` is 0 if nothing was ever confirmed."""
+    """The newest version; ``row_version`` is 0 if nothing was ever confirmed.
+
+    Attributes:
+        configuration: the newest version itself.
+        row_version: of the head's row, for the condition of the next confirm.
+        snapshot: object with the newest whole version that is stored.
+        snapshot_version: which one that is.
+        deltas: those that were read on the way, in order.
+    """
 
-    __slots__ = ("configuration", "row_version")
+    __slots__ = (
+        "configuration",
+        "deltas",
+        "row_version",
+        "snapshot",
+        "snapshot_version",
+    )
 
-    def __init__(self, configuration: Configuration, row_version: int) -> None:
+    def __init__(
+        self,
+        configuration: Configuration,
+        row_version: int,
+        snapshot: str = "",
+        snapshot_version: int = 0,
+        deltas: list[PackedDelta] | None = None,
+    ) -> None:
         self.configuration = configuration
         self.row_version = row_version
+        self.snapshot = snapshot
+        self.snapshot_version = snapshot_version
+        self.deltas = deltas or []
+
+
+class LogEntry(Record):
+    """One version in the log.
+
+    Attributes:
+        version: its number.
+        plan: digest of the plan that was confirmed.
+        operator: who confirmed it.
+        snapshot: object with the newest whole version at that time.
+        snapshot_version: which one that is.
+        delta: msgpack of the delta from the version before; empty if in an object.
+        delta_object: the object's name, for a large delta.
+        at: when it was confirmed, in seconds since the epoch.
+        changes: how many things it changed.
+        rollback_to: the version it went back to; 0 if it was declared.
+    """
+
+    __slots__ = (
+        "at",
+        "changes",
+        "delta",
+        "delta_object",
+        "operator",
+        "plan",
+        "rollback_to",
+        "snapshot",
+        "snapshot_version",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        plan: str,
+        operator: str,
+        snapshot: str,
+        snapshot_version: int,
+        delta: bytes = b"",
+        delta_object: str = "",
+        at: float = 0.0,
+        changes: int = 0,
+        rollback_to: int = 0,
+    ) -> None:
+        self.version = version
+        self.plan = plan
+        self.operator = operator
+        self.snapshot = snapshot
+        self.snapshot_version = snapshot_version
+        self.delta = delta
+        self.delta_object = delta_object
+        self.at = at
+        self.changes = changes
+        self.rollback_to = rollback_to
+
+    def summary(self) -> dict[str, Any]:
+        """Return what an operator wants to see of it."""
+        return {
+            "version": self.version,
+            "operator": self.operator,
+            "at": self.at,
+            "changes": self.changes,
+            "plan": self.plan,
+            "rollback_to": self.rollback_to,
+        }
 
 
 async def read_head(
     platform: Platform, known: Configuration | None = None
 ) -> Result[Head, ReadError]:
-    """Return the head; ``known`` is used instead of its snapshot if still newest."""
+    """Return the head; only what is above ``known`` is read where possible."""
     found = await platform.read([keys.CONFIGURATION_HEAD])
     if isinstance(found, Err):
         return found
     row = found.ok_value.get(keys.CONFIGURATION_HEAD)
     if row is None:
         return Ok(Head(Configuration(), 0))
-    if known is not None and known.version == row.value["version"]:
-        return Ok(Head(known, row.version))
-    snapshot = await platform.get_object(row.value["snapshot"])
-    if isinstance(snapshot, Err):
-        return snapshot
-    if snapshot.ok_value is None:
-        return Err(NotDone("the snapshot of the configuration is missing"))
-    configuration = Configuration.from_map(unpack(snapshot.ok_value))
-    return Ok(Head(configuration, row.version))
+    entry = LogEntry.from_map(row.value)
+    read = await _build(platform, entry, known)
+    if isinstance(read, Err):
+        return read
+    configuration, deltas = read.ok_value
+    return Ok(
+        Head(configuration, row.version, entry.snapshot, entry.snapshot_version, deltas)
+    )
+
+
+async def read_entry(
+    platform: Platform, version: int
+) -> Result[LogEntry | None, ReadError]:
+    """Return the log's entry of ``version``, or None if there is none."""
+    key = keys.configuration_version(version)
+    found = await platform.read([key])
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value.get(key)
+    return Ok(LogEntry.from_map(row.value) if row else None)
+
+
+async def read_version(
+    platform: Platform, version: int
+) -> Result[Configuration | None, ReadError]:
+    """Return one version out of the log, or None if it was never confirmed."""
+    if version == 0:
+        return Ok(Configuration())
+    entry = await read_entry(platform, version)
+    if isinstance(entry, Err):
+        return entry
+    if entry.ok_value is None:
+        return Ok(None)
+    read = await _build(platform, entry.ok_value, None)
+    return read.map(lambda found: found[0])
+
+
+async def read_history(
+    platform: Platform, newest: int, limit: int
+) -> Result[list[LogEntry], ReadError]:
+    """Return up to ``limit`` entries of the log from ``newest`` down."""
+    wanted = range(newest, max(0, newest - limit), -1)
+    found = await platform.read([keys.configuration_version(v) for v in wanted])
+    if isinstance(found, Err):
+        return found
+    entries: list[LogEntry] = []
+    for version in wanted:
+        row = found.ok_value.get(keys.configuration_version(version))
+        if row is not None:
+            entries.append(LogEntry.from_map(row.value))
+    return Ok(entries)
+
+
+async def _build(
+    platform: Platform, entry: LogEntry, known: Configuration | None
+) -> Result[tuple[Configuration, list[PackedDelta]], ReadError]:
+    """Return the version of ``entry`` and the deltas that were needed."""
+    base = known
+    if base is None or not entry.snapshot_version <= base.version <= entry.version:
+        snapshot = await platform.get_object(entry.snapshot)
+        if isinstance(snapshot, Err):
+            return snapshot
+        if snapshot.ok_value is None:
+            return Err(NotDone("the snapshot of the configuration is missing"))
+        base = Configuration.from_map(unpack(snapshot.ok_value))
+    versions = range(base.version + 1, entry.version + 1)
+    if not versions:
+        return Ok((base, []))
+    rows = await platform.read([keys.configuration_version(v) for v in versions])
+    if isinstance(rows, Err):
+        return rows
+    deltas: list[PackedDelta] = []
+    for version in versions:
+        row = rows.ok_value.get(keys.configuration_version(version))
+        data = await _delta_data(platform, version, row)
+        if isinstance(data, Err):
+            return data
+        base = apply_delta(base, Delta.from_map(unpack(data.ok_value)))
+        deltas.append(PackedDelta(version - 1, version, data.ok_value))
+    return Ok((base, deltas))
+
+
+async def _delta_data(
+    platform: Platform, version: int, row: Row | None
+) -> Result[bytes, ReadError]:
+    missing = Err(NotDone(f"the delta of version {version} is missing"))
+    if row is None:
+        return missing
+    entry = LogEntry.from_map(row.value)
+    if not entry.delta_object:
+        return Ok(entry.delta)
+    data = await platform.get_object(entry.delta_object)
+    if isinstance(data, Err):
+        return data
+    return missing if data.ok_value is None else Ok(data.ok_value)
--- /dev/null
+++ b/src/caperridge/queries/facts.py
@@ -0,0 +1,36 @@
+"""What a plan's effects are told by: the targets, the open jobs, and who asks."""
+
+from collections.abc import Iterable
+
+from result import Ok
+
+from caperridge.decisions.effects import Facts, Runner
+from caperridge.decisions.loaded_book import LoadedBook
+from caperridge.platform.interface import ListedMember, Platform
+from caperridge.queries.jobs import open_jobs
+
+
+async def read_facts(
+    platform: Platform,
+    operator: str,
+    targets: Iterable[ListedMember],
+    book: LoadedBook,
+) -> Facts:
+    """Return the facts as this instance knows them.
+
+    Args:
+        platform: asked for the open jobs.
+        operator: who asks for the plan.
+        targets: from the platform's list.
+        book: what they were last said to hold.
+    """
+    runners: list[Runner] = []
+    for member in targets:
+        if member.state == "leaving":
+            continue
+        state = book.states_by_target.get(member.id)
+        loaded = state.loaded if state is not None else None
+        runners.append(Runner(member.id, member.service, member.region, loaded))
+    runners.sort(key=lambda runner: runner.id)
+    jobs = await open_jobs(platform)
+    return Facts(operator, runners, jobs.ok_value if isinstance(jobs, Ok) else None)
--- /dev/null
+++ b/src/caperridge/queries/orders.py
@@ -0,0 +1,57 @@
+"""Reading who orders a target, and which loads are under way."""
+
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.decisions.load_pacing import Load, loads_of
+from caperridge.decisions.order_leases import OrderRow, SessionSeen
+from caperridge.platform.interface import Platform, ReadError, Row
+from caperridge.records import Record
+
+
+class OrderSeen(Record):
+    """The row of a target as read, and the session of its holder."""
+
+    __slots__ = ("holder", "order", "row")
+
+    def __init__(
+        self, row: Row | None, order: OrderRow | None, holder: SessionSeen
+    ) -> None:
+        self.row = row
+        self.order = order
+        self.holder = holder
+
+
+async def read_order(platform: Platform, target: str) -> Result[OrderSeen, ReadError]:
+    """Return who orders ``target``."""
+    key = keys.order(target)
+    found = await platform.read([key])
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value.get(key)
+    if row is None:
+        return Ok(OrderSeen(None, None, SessionSeen()))
+    order = OrderRow.from_map(row.value)
+    if not order.holder:
+        return Ok(OrderSeen(row, order, SessionSeen()))
+    session_key = keys.session(order.holder)
+    sessions = await platform.read([session_key])
+    if isinstance(sessions, Err):
+        return sessions
+    session = sessions.ok_value.get(session_key)
+    holder = SessionSeen()
+    if session is not None:
+        holder = SessionSeen(session.value["state"], session.version)
+    return Ok(OrderSeen(row, order, holder))
+
+
+async def read_loads(
+    platform: Platform, store: str
+) -> Result[tuple[Row | None, list[Load]], ReadError]:
+    """Return the loads under way at a weight store, with their row."""
+    key = keys.loading(store)
+    found = await platform.read([key])
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value.get(key)
+    return Ok((row, loads_of(row.value if row else None)))
--- a/src/caperridge/standins/engine.py
+++ b/src/caperridge/standins/engine.py
@@ -22,6 +22,8 @@
     prompt_tokens,
     token_text,
 )
+from caperridge.standins.loader import Loader
+from caperridge.standins.weights import WeightStore
 from caperridge.targets.prompt import prompt_of
 
 DEFAULT_MOST_TOKENS = 16
@@ -98,10 +100,17 @@
         costs: of its model.
         seed: of the gaps in its cache events.
         gb_per_s: rate at which it loads weights when no store is given.
+        store: where it loads weights from.
+        preloaded: whether it starts with weights, rather than with none.
     """
 
     def __init__(
-        self, costs: EngineCosts | None = None, seed: int = 0, gb_per_s: float = 100.0
+        self,
+        costs: EngineCosts | None = None,
+        seed: int = 0,
+        gb_per_s: float = 100.0,
+        store: WeightStore | None = None,
+        preloaded: bool = True,
     ) -> None:
         self.model = EngineModel(costs or EngineCosts())
         self.faults = EngineFaults()
@@ -111,7 +120,8 @@
         self.obeyed: list[dict[str, Any]] = []
         self.desired: dict[str, Any] = {}
         self.killed = asyncio.Event()
-        self._gb_per_s = gb_per_s
+        self.loader = Loader(gb_per_s, store, preloaded)
+        self.cut_by_load = 0
         self._random = random.Random(seed)
         self._queues_by_attempt: dict[str, asyncio.Queue[int | None]] = {}
         self._work = asyncio.Event()
@@ -129,6 +139,7 @@
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
+        await self.loader.stop()
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -206,6 +217,8 @@
         self.fence = max(self.fence, fence)
         self.desired = desired
         self.obeyed.append({"fence": fence, "desired": desired})
+        if self.loader.follow(desired):
+            self.cut_by_load += len(self._queues_by_attempt)
         return True
 
 
@@ -245,6 +258,8 @@
         faults = self._engine.faults
         if faults.leaving:
             return _refusal(503, "leaving", "not_run")
+        if not self._engine.loader.serving:
+            return _refusal(503, "loading", "not_run")
         if faults.refuse_status:
             return _refusal(faults.refuse_status, "refused", faults.refuse_run)
         prompt = prompt_of(body)
@@ -322,7 +337,8 @@
             {
                 "fence": engine.fence,
                 "desired": engine.desired,
-                "loaded": engine.desired,
+                "loaded": engine.loader.loaded,
+                "loading": engine.loader.loading,
                 "leaving": engine.faults.leaving,
             }
         )
@@ -347,6 +363,7 @@
                 "runs_by_request": engine.runs_by_request,
                 "tokens_produced": engine.tokens_produced,
                 "obeyed": engine.obeyed,
+                "cut_by_load": engine.cut_by_load,
             }
         )
 
--- /dev/null
+++ b/src/caperridge/targets/orders.py
@@ -0,0 +1,128 @@
+"""Orders to engines, and what they say of themselves."""
+
+from typing import Any
+
+import aiohttp
+from result import Err, Ok, Result
+
+from caperridge.decisions.reconcile import Loaded, Observed
+from caperridge.records import Record
+
+DEADLINE_S = 2.0
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+
+
+class TargetAway(Record):
+    """No answer; an order may have been obeyed all the same."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class OldFence(Record):
+    """The target has seen a higher fencing number and did not obey."""
+
+    __slots__ = ("fence",)
+
+    def __init__(self, fence: int) -> None:
+        self.fence = fence
+
+
+class OrderClient:
+    """Talks to the control side of engines; one for each instance.
+
+    Args:
+        deadline_s: longest wait for one call, in seconds.
+    """
+
+    def __init__(self, deadline_s: float = DEADLINE_S) -> None:
+        self.deadline_s = deadline_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def observe(self, address: str) -> Result[Observed, TargetAway]:
+        """Return what the engine at ``address`` holds and was told."""
+        answer = await self._call("GET", address, "state")
+        if isinstance(answer, Err):
+            return answer
+        status, fields = answer.ok_value
+        if status != _HTTP_OK:
+            return Err(TargetAway(f"status {status}"))
+        return Ok(_observed(fields))
+
+    async def running(self, address: str) -> Result[int, TargetAway]:
+        """Return how many requests the engine reports, which lags."""
+        answer = await self._call("GET", address, "load")
+        if isinstance(answer, Err):
+            return answer
+        status, fields = answer.ok_value
+        if status != _HTTP_OK:
+            return Err(TargetAway(f"status {status}"))
+        return Ok(int(fields.get("running", 0)) + int(fields.get("waiting", 0)))
+
+    async def order(
+        self, address: str, fence: int, desired: Loaded, gb: float
+    ) -> Result[None, TargetAway | OldFence]:
+        """Tell the engine what it should hold.
+
+        Args:
+            address: ``host:port`` of the engine.
+            fence: number of this orderer.
+            desired: the whole state, not a step.
+            gb: how much there is to load, for the engine's own plans.
+        """
+        body = {"fence": fence, "desired": {**desired.to_map(), "gb": gb}}
+        answer = await self._call("POST", address, "order", body)
+        if isinstance(answer, Err):
+            return answer
+        status, fields = answer.ok_value
+        if status == _HTTP_CONFLICT:
+            return Err(OldFence(int(fields.get("fence", 0))))
+        if status != _HTTP_OK:
+            return Err(TargetAway(f"status {status}"))
+        return Ok(None)
+
+    async def _call(
+        self, method: str, address: str, path: str, body: Any = None
+    ) -> Result[tuple[int, dict[str, Any]], TargetAway]:
+        if self._session is None:
+            # No kept-alive connection: the library would repeat a call on a stale one.
+            connector = aiohttp.TCPConnector(force_close=True)
+            self._session = aiohttp.ClientSession(connector=connector)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}/control/{path}",
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=self.deadline_s),
+                allow_redirects=False,
+            ) as response:
+                fields = await response.json(content_type=None)
+                if not isinstance(fields, dict):
+                    return Err(TargetAway("an answer that is no object"))
+                return Ok((response.status, fields))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            return Err(TargetAway(type(error).__name__))
+
+
+def _observed(fields: dict[str, Any]) -> Observed:
+    return Observed(
+        _loaded(fields.get("loaded")),
+        _loaded(fields.get("desired")),
+        int(fields.get("fence", 0)),
+        bool(fields.get("loading")),
+        bool(fields.get("leaving")),
+    )
+
+
+def _loaded(fields: Any) -> Loaded | None:
+    if not isinstance(fields, dict) or not fields:
+        return None
+    return Loaded.from_map(fields)
