--- a/src/caperridge/instance/configuration.py
+++ b/src/caperridge/instance/configuration.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
@@ -53,6 +54,7 @@
         applied: told of each version that comes into force.
         membership: says who reads for the zone.
         peers: told of new versions, and asked for them.
+        clock: monotonic seconds.
     """
 
     idle_s = READER_POLL_S
@@ -63,6 +65,7 @@
         applied: Callable[[ConfigurationApplied], None],
         membership: Membership | None = None,
         peers: Peers | None = None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self.known = False
@@ -71,6 +74,7 @@
         self._platform = platform
         self._applied = applied
         self._membership = membership or Membership("-", "-")
+        self._clock = clock
         self._random = random.Random(self._membership.instance)
         self._poll_due = float("-inf")
         self._poll: asyncio.Task[None] | None = None
@@ -174,7 +178,7 @@
             self._ask(message.instance)
             return
         if self._heard_at is None:
-            self._heard_at = asyncio.get_running_loop().time()
+            self._heard_at = self._clock()
         if offer is not Offer.APPLIED:
             return
         self._took()
@@ -216,7 +220,7 @@
 
     async def idle(self) -> None:
         """Poll the head when it is due; ask peers while nothing is known."""
-        now = asyncio.get_running_loop().time()
+        now = self._clock()
         self._whole = (0, b"")
         if not self.known:
             self._settle(now)
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration and of intents."""
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orders to targets."""
