--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -20,6 +20,8 @@
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
+    ConfigurationAsked,
+    ConfigurationHeard,
     ItemEnded,
     MembersListed,
 )
@@ -27,6 +29,7 @@
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.online_news import OnlineReporter
 from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.orderer import Orderer
 from caperridge.instance.peer_metrics import PeerMetrics
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
@@ -35,11 +38,13 @@
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
+from caperridge.peers.messages import ConfigurationAsk, ConfigurationNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
+from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
 
 log = logger(__name__)
@@ -117,16 +122,28 @@
             self.online_news.changed,
         )
         self.plain = PlainFront(book, self._plain_client, self.traces)
-        self.configuration = ConfigurationKeeper(self.platform, self._applied)
+        self.configuration = ConfigurationKeeper(
+            self.platform, self._applied, self.membership, self.peers
+        )
         self.members = MembersReader(self.platform, self._listed)
         self.peer_news = PeerNews(
             [self.online.book, self.streams.book],
             self.streams,
             self.dispatcher.tell,
         )
+        self._order_client = OrderClient()
+        self.orderer = Orderer(
+            self.platform,
+            self.session,
+            self.membership,
+            self._order_client,
+            clock,
+            settings.lease_s,
+        )
         self._actors = [
             self.session,
             self.configuration,
+            self.orderer,
             self.members,
             self.dispatcher,
             self.online_news,
@@ -139,17 +156,28 @@
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
+        self.orderer.tell(message)
 
     def _listed(self, message: MembersListed) -> None:
         self.membership.apply_list(message.members, time.monotonic())
         self.online.book.apply_list(message.members)
         self.streams.book.apply_list(message.members)
+        self.orderer.tell(message)
 
     def _wire_peers(self, mesh: PeerMesh) -> None:
         """Connect the peers' news with the tasks that it concerns."""
         news = self.peer_news
         news.listen(mesh)
         mesh.configuration_version = lambda: self.configuration.current.version
+        keeper = self.configuration
+        mesh.register(
+            ConfigurationNews,
+            lambda peer, news: keeper.tell(ConfigurationHeard(peer, news)),
+        )
+        mesh.register(
+            ConfigurationAsk,
+            lambda peer, ask: keeper.tell(ConfigurationAsked(peer, ask.version)),
+        )
         mesh.peer_opened = news.opened
         mesh.peer_removed = news.removed
         mesh.view_changed = self.online_news.repeat
@@ -180,6 +208,10 @@
             return FIRST_OPERATOR
         raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
 
+    def versions_of_peers(self) -> dict[str, int]:
+        """Return the configuration's version that each heartbeat told, by instance."""
+        return {}
+
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
@@ -208,8 +240,10 @@
                 target_id: state.to_map()
                 for target_id, state in self.online.book.states_by_id.items()
             },
+            "configuration": self.configuration.state(),
             "dispatcher": self.dispatcher.state(),
             "peers": self.mesh.state() if self.mesh is not None else None,
+            "orderer": self.orderer.state(),
             "traces": len(self.traces),
         }
 
@@ -259,6 +293,7 @@
         for actor in reversed(self._actors):
             await actor.stop()
         await self._engines.close()
+        await self._order_client.close()
         await self._plain_client.close()
         if isinstance(self.platform, HttpPlatform):
             await self.platform.close()
