Send a plain call once on the wire, and claim keyed calls before they run

Cause: aiohttp sends a request again by itself when the connection breaks before an answer and the method is idempotent by its name, on a fresh connection too; one connection for each call does not keep it from that. A call whose answer was lost therefore ran twice, for services declared not repeatable as well. Calls with an idempotency key had no claim at all, and a repeatable call whose attempts were all lost was refused with run: not_run.

Change: a client middleware turns the loss into an error that the library lets pass. Keyed calls are claimed by a row before they are sent, sent by the row's writer alone, and recorded; everyone else only reads. No cookies are kept between callers, answers are bounded, hop-by-hop headers and the caller's token stay here.

Conclusion: what may be repeated is decided by the declaration only.

--- /dev/null
+++ b/src/caperridge/decisions/plain_calls.py
@@ -0,0 +1,251 @@
+"""What becomes of a call to a plain service: its claim, its attempts, its answer.
+
+A call with the caller's idempotency key to a service that may not be repeated is
+claimed by a row before it is sent. The row's writer is the only one who ever sends
+the call; everybody else only reads the row, so at most one run follows from it.
+"""
+
+import xxhash
+
+from caperridge.decisions.retry_budget import RetryBudget
+from caperridge.records import Record
+from caperridge.refusals import NOT_RUN, UNKNOWN
+
+RUNNING = "running"
+DONE = "done"
+LOST = "lost"
+
+MOST_ATTEMPTS = 3
+# Longer than any call lasts, and than clocks of instances differ by.
+MOST_RUNNING_S = 120.0
+COME_BACK_S = 1.0
+# A call whose claim cannot be looked up may have run under the same key before.
+UNCLAIMED_RUN = UNKNOWN
+
+
+class CallClaim(Record):
+    """The row of a keyed call.
+
+    Attributes:
+        state: ``running``; ``done`` with its answer; ``lost`` without one.
+        request: id of the request that may send the call, the only one.
+        digest: of method, path and body, to tell a resend from another call.
+        session: of the instance that sends it.
+        started: seconds since the epoch.
+        ended: the same; 0 while it runs.
+        status: of the answer.
+        headers: of the answer, as ``[name, value]``.
+        body: of the answer, unless ``stored`` names the object that has it.
+        stored: name of that object.
+        reason: how it was lost.
+    """
+
+    __slots__ = (
+        "body",
+        "digest",
+        "ended",
+        "headers",
+        "reason",
+        "request",
+        "session",
+        "started",
+        "state",
+        "status",
+        "stored",
+    )
+
+    def __init__(
+        self,
+        state: str,
+        request: str,
+        digest: str,
+        session: str,
+        started: float,
+        ended: float = 0.0,
+        status: int = 0,
+        headers: list[list[str]] | None = None,
+        body: bytes = b"",
+        stored: str = "",
+        reason: str = "",
+    ) -> None:
+        self.state = state
+        self.request = request
+        self.digest = digest
+        self.session = session
+        self.started = started
+        self.ended = ended
+        self.status = status
+        self.headers = headers or []
+        self.body = body
+        self.stored = stored
+        self.reason = reason
+
+
+class OtherCall(Record):
+    """The key names a call with another method, path or body."""
+
+    __slots__ = ()
+
+
+class AnswerRecorded(Record):
+    """The call ran, and this is its answer."""
+
+    __slots__ = ("claim",)
+
+    def __init__(self, claim: CallClaim) -> None:
+        self.claim = claim
+
+
+class StillRunning(Record):
+    """The first of the requests is under way."""
+
+    __slots__ = ("request",)
+
+    def __init__(self, request: str) -> None:
+        self.request = request
+
+
+class OutcomeUnknown(Record):
+    """The call may have run; nobody will ever know or send it again."""
+
+    __slots__ = ("reason", "request")
+
+    def __init__(self, request: str, reason: str) -> None:
+        self.request = request
+        self.reason = reason
+
+
+ResendAction = OtherCall | AnswerRecorded | StillRunning | OutcomeUnknown
+
+
+def call_digest(method: str, path: str, body: bytes) -> str:
+    """Return a digest that two calls share only if they ask for the same.
+
+    >>> call_digest("PUT", "/a", b"b") == call_digest("PUT", "/ab", b"")
+    False
+    """
+    head = f"{method}\n{path}\n".encode()
+    return xxhash.xxh3_128_hexdigest(head + body)
+
+
+def on_resend(
+    claim: CallClaim, digest: str, holder_alive: bool, now: float
+) -> ResendAction:
+    """Return what a request gets that finds its key claimed; never another run.
+
+    Args:
+        claim: as read.
+        digest: of the call that was sent now.
+        holder_alive: whether the claim's session still lasts.
+        now: seconds since the epoch.
+    """
+    if claim.digest != digest:
+        return OtherCall()
+    if claim.state == DONE:
+        return AnswerRecorded(claim)
+    if claim.state == LOST:
+        return OutcomeUnknown(claim.request, claim.reason)
+    if not holder_alive:
+        return OutcomeUnknown(claim.request, "the instance that sent it is gone")
+    if now - claim.started > MOST_RUNNING_S:
+        return OutcomeUnknown(claim.request, "its outcome was never recorded")
+    return StillRunning(claim.request)
+
+
+class Answer(Record):
+    """Give the caller the target's answer."""
+
+    __slots__ = ()
+
+
+class Move(Record):
+    """Try another target."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class GiveUp(Record):
+    """Refuse now; ``run`` is true of all attempts together."""
+
+    __slots__ = ("code", "reason", "run", "status")
+
+    def __init__(self, code: str, reason: str, status: int, run: str) -> None:
+        self.code = code
+        self.reason = reason
+        self.status = status
+        self.run = run
+
+
+class CallCourse:
+    """The attempts of one call so far.
+
+    Args:
+        repeatable: whether it may be sent again after it may have run.
+        believes_not_run: whether the targets' ``not_run`` counts.
+        budget: shared by the calls of one instance; attempts that may double the
+            work of a target are paid from it.
+    """
+
+    __slots__ = ("_believes", "_budget", "_repeatable", "attempts", "may_have_run")
+
+    def __init__(
+        self, repeatable: bool, believes_not_run: bool, budget: RetryBudget
+    ) -> None:
+        self.attempts = 0
+        self.may_have_run = False
+        self._repeatable = repeatable
+        self._believes = believes_not_run
+        self._budget = budget
+
+    def not_sent(self, reason: str) -> Move | GiveUp:
+        """No byte left for the target."""
+        self.attempts += 1
+        return self._next(reason)
+
+    def lost(self, reason: str) -> Move | GiveUp:
+        """The target may have run it, and there is no whole answer."""
+        self.attempts += 1
+        self.may_have_run = True
+        if not self._repeatable:
+            return self._lost(reason)
+        if not self._budget.take():
+            return self._lost(f"{reason}; too many calls fail to try again")
+        return self._next(reason)
+
+    def answered(self, status: int, run: str) -> Answer | Move | GiveUp:
+        """The target answered; ``run`` is its word on a refusal, or empty."""
+        self.attempts += 1
+        if status not in (429, 503):
+            return Answer()
+        if run == NOT_RUN and self._believes:
+            return self._next("the target says not run")
+        self.may_have_run = True
+        last = self.attempts >= MOST_ATTEMPTS
+        if not self._repeatable or last or not self._budget.take():
+            return Answer()
+        return Move(f"the target refused with {status}")
+
+    def no_target(self) -> GiveUp:
+        """No target is left to try."""
+        if self.may_have_run:
+            return self._lost("no other target can take it")
+        return GiveUp("no_target", "no target can take it now", 503, NOT_RUN)
+
+    def too_large(self, reason: str) -> GiveUp:
+        """The target answered more than is passed on."""
+        self.attempts += 1
+        return GiveUp("answer_too_large", reason, 502, UNKNOWN)
+
+    def _next(self, reason: str) -> Move | GiveUp:
+        if self.attempts < MOST_ATTEMPTS:
+            return Move(reason)
+        if self.may_have_run:
+            return self._lost(reason)
+        text = f"{self.attempts} targets did not take it; the last: {reason}"
+        return GiveUp("attempts_used_up", text, 503, NOT_RUN)
+
+    def _lost(self, reason: str) -> GiveUp:
+        return GiveUp("answer_lost", reason, 502, UNKNOWN)
--- a/src/caperridge/instance/plain_calls.py
+++ b/src/caperridge/instance/plain_calls.py
@@ -1,95 +1,196 @@
 """Calls to plain services; those that may not be repeated run at most once."""
 
 import secrets
+from collections.abc import Callable, Mapping
 
 import orjson
-from result import Err
+from result import Err, Result
 
 from caperridge.config.model import Caller, Service
+from caperridge.decisions.plain_calls import (
+    COME_BACK_S,
+    Answer,
+    CallCourse,
+    GiveUp,
+    Move,
+)
+from caperridge.decisions.retry_budget import RetryBudget
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.plain_headers import towards_target
 from caperridge.instance.traces import Trace, Traces
-from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
+from caperridge.records import Record
+from caperridge.refusals import NOT_RUN, Refusal, RefusedError
 from caperridge.targets.outcomes import NotSent
-from caperridge.targets.plain import PlainAnswer, PlainClient
+from caperridge.targets.plain import (
+    AnswerTooLarge,
+    PlainAnswer,
+    PlainCall,
+    PlainClient,
+    PlainError,
+)
 
-MOST_ATTEMPTS = 3
+
+class PlainRequest(Record):
+    """One call on its way.
+
+    Attributes:
+        id: unique, also towards the target.
+        caller: who asks.
+        service: what answers.
+        key: the caller's idempotency key; empty for none.
+        call: what goes to the target.
+        trace: its steps.
+    """
+
+    __slots__ = ("call", "caller", "id", "key", "service", "trace")
+
+    def __init__(
+        self,
+        id: str,
+        caller: Caller,
+        service: Service,
+        key: str,
+        call: PlainCall,
+        trace: Trace,
+    ) -> None:
+        self.id = id
+        self.caller = caller
+        self.service = service
+        self.key = key
+        self.call = call
+        self.trace = trace
+
+    def refuse(
+        self, code: str, reason: str, status: int, run: str, retry_after_s: float = 0.0
+    ) -> RefusedError:
+        """Return the refusal of this request, noted in its trace."""
+        self.trace.add("refused", reason, code=code, run=run)
+        return RefusedError(Refusal(code, reason, status, run, retry_after_s, self.id))
 
 
 class PlainFront:
-    """Answers calls to plain services of one instance.
+    """Sends calls to the targets of plain services, within what may be repeated.
 
     Args:
         book: the targets, shared with the online front.
         client: of the services.
         traces: where steps are kept.
+        leaving: told of a target that says it is leaving.
     """
 
-    def __init__(self, book: TargetBook, client: PlainClient, traces: Traces) -> None:
+    def __init__(
+        self,
+        book: TargetBook,
+        client: PlainClient,
+        traces: Traces,
+        leaving: Callable[[str], None],
+    ) -> None:
         self._book = book
         self._client = client
         self._traces = traces
+        self._leaving = leaving
+        self._budgets_by_service: dict[str, RetryBudget] = {}
 
-    async def call(
+    def open(
         self,
         caller: Caller,
         service: Service,
         method: str,
         path: str,
+        headers: Mapping[str, str],
         body: bytes,
-        content_type: str,
-    ) -> tuple[str, PlainAnswer]:
-        """Return the request id and the answer of one target.
+    ) -> PlainRequest:
+        """Return a new request with what the target gets of it."""
+        request_id = "req-" + secrets.token_hex(10)
+        trace = self._traces.open(request_id, caller.name, "plain")
+        passed = towards_target(headers, request_id, caller.name)
+        key = headers.get("Idempotency-Key", "")
+        call = PlainCall(method, path, passed, body)
+        return PlainRequest(request_id, caller, service, key, call, trace)
+
+    async def send(self, request: PlainRequest) -> PlainAnswer:
+        """Return the answer of one target.
 
         Raises:
             RefusedError: none answered; says whether one may have run it.
         """
-        request = "req-" + secrets.token_hex(10)
-        trace = self._traces.open(request, caller.name, "plain")
-        headers = {"X-Request-Id": request, "Content-Type": content_type}
+        service = request.service
+        budget = self._budgets_by_service.setdefault(service.name, RetryBudget())
+        budget.deposit()
+        course = CallCourse(service.repeatable, service.believes_not_run, budget)
         excluded: set[str] = set()
-        for _ in range(MOST_ATTEMPTS):
+        while True:
             weighed = self._book.weigh(service.name, excluded)
             if not weighed:
-                break
+                raise _given_up(request, course.no_target())
             target = weighed[0].target
-            trace.add("sent", "least in flight", target=target)
-            address = self._book.states_by_id[target].member.address
-            self._book.started(target)
-            try:
-                answer = await self._client.call(address, method, path, body, headers)
-            finally:
-                self._book.ended(target)
-            if not isinstance(answer, Err):
-                refused = _refused_not_run(service, answer.ok_value)
-                if not refused:
-                    trace.add("answered", f"status {answer.ok_value.status}")
-                    return request, answer.ok_value
-                trace.add("moved", "the target says not run", target=target)
-                excluded.add(target)
-                continue
-            error = answer.err_value
             excluded.add(target)
-            trace.add("moved", error.reason, target=target, kind=type(error).__name__)
-            if isinstance(error, NotSent):
-                continue
-            if not service.repeatable:
-                raise self._refuse(trace, "answer_lost", error.reason, 502, UNKNOWN)
-        raise self._refuse(trace, "no_target", "no target took it", 503, NOT_RUN)
-
-    def _refuse(
-        self, trace: Trace, code: str, reason: str, status: int, run: str
-    ) -> RefusedError:
-        trace.add("refused", reason, code=code, run=run)
-        retry_after_s = 1.0 if run == NOT_RUN else 0.0
-        return RefusedError(
-            Refusal(code, reason, status, run, retry_after_s, trace.request)
-        )
+            request.trace.add("sent", "least expected wait", target=target)
+            outcome = await self._attempt(target, request.call)
+            action = self._judge(course, target, outcome)
+            if isinstance(action, GiveUp):
+                raise _given_up(request, action)
+            if isinstance(action, Answer):
+                answer = outcome.ok_value
+                request.trace.add("answered", f"status {answer.status}")
+                return answer
+            request.trace.add("moved", action.reason, target=target)
+
+    async def _attempt(
+        self, target: str, call: PlainCall
+    ) -> Result[PlainAnswer, PlainError]:
+        address = self._book.states_by_id[target].member.address
+        self._book.started(target)
+        try:
+            return await self._client.call(address, call)
+        finally:
+            self._book.ended(target)
+
+    def _judge(
+        self,
+        course: CallCourse,
+        target: str,
+        outcome: Result[PlainAnswer, PlainError],
+    ) -> Answer | Move | GiveUp:
+        if isinstance(outcome, Err):
+            return _judge_error(course, outcome.err_value)
+        answer = outcome.ok_value
+        word = _target_word(answer)
+        if word.leaving:
+            self._leaving(target)
+        return course.answered(answer.status, word.run)
+
+
+class TargetWord(Record):
+    """What a target's refusal says of itself."""
+
+    __slots__ = ("leaving", "run")
+
+    def __init__(self, run: str = "", leaving: bool = False) -> None:
+        self.run = run
+        self.leaving = leaving
+
+
+def _judge_error(course: CallCourse, error: PlainError) -> Move | GiveUp:
+    if isinstance(error, NotSent):
+        return course.not_sent(error.reason)
+    if isinstance(error, AnswerTooLarge):
+        return course.too_large(error.reason)
+    return course.lost(error.reason)
+
+
+def _given_up(request: PlainRequest, action: GiveUp) -> RefusedError:
+    retry_after_s = COME_BACK_S if action.run == NOT_RUN else 0.0
+    return request.refuse(
+        action.code, action.reason, action.status, action.run, retry_after_s
+    )
 
 
-def _refused_not_run(service: Service, answer: PlainAnswer) -> bool:
-    if answer.status not in (429, 503) or not service.believes_not_run:
-        return False
+def _target_word(answer: PlainAnswer) -> TargetWord:
+    if answer.status not in (429, 503):
+        return TargetWord()
     try:
-        return orjson.loads(answer.body)["error"]["run"] == NOT_RUN
-    except (orjson.JSONDecodeError, KeyError, TypeError):
-        return False
+        error = orjson.loads(answer.body)["error"]
+        return TargetWord(str(error.get("run", "")), error.get("code") == "leaving")
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
+        return TargetWord()
--- a/src/caperridge/instance/plain_http.py
+++ b/src/caperridge/instance/plain_http.py
@@ -4,11 +4,15 @@
 
 from aiohttp import web
 
+from caperridge.instance.http_common import bad_request
+from caperridge.instance.plain_headers import towards_caller
 from caperridge.refusals import Refusal, RefusedError
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
 
+MOST_KEY = 256
+
 
 class PlainHttp:
     """Handlers of calls to plain services of one instance."""
@@ -22,25 +26,37 @@
 
     async def call(self, request: web.Request) -> web.StreamResponse:
         """Pass a call to a plain service."""
-        caller = self._instance.caller(request)
+        instance = self._instance
+        caller = instance.caller(request)
         name = request.match_info["name"]
-        service = self._instance.configuration.current.services_by_name.get(name)
+        service = instance.configuration.current.services_by_name.get(name)
         if service is None or service.kind != "plain" or not caller.may_use(name):
             text = f"there is no service {name!r} for this caller"
             raise RefusedError(Refusal("service_not_found", text, 404))
-        path = "/" + request.rel_url.raw_path.split("/", 3)[3]
-        if request.rel_url.raw_query_string:
-            path += "?" + request.rel_url.raw_query_string
-        request_id, answer = await self._instance.plain.call(
+        if len(request.headers.get("Idempotency-Key", "")) > MOST_KEY:
+            raise bad_request(f"an idempotency key has {MOST_KEY} characters at most")
+        plain = instance.plain.open(
             caller,
             service,
             request.method,
-            path,
+            _path(request),
+            request.headers,
             await request.read(),
-            request.headers.get("Content-Type", "application/octet-stream"),
         )
+        if plain.key and not service.repeatable:
+            answer = await instance.keyed_calls.call(plain)
+        else:
+            answer = await instance.plain.send(plain)
         return web.Response(
             status=answer.status,
             body=answer.body,
-            headers={"Content-Type": answer.content_type, "X-Request-Id": request_id},
+            headers=towards_caller(answer.headers, plain.id),
         )
+
+
+def _path(request: web.Request) -> str:
+    """Return path and query below the service, encoded as the caller sent them."""
+    path = "/" + request.rel_url.raw_path.split("/", 3)[3]
+    if request.rel_url.raw_query_string:
+        path += "?" + request.rel_url.raw_query_string
+    return path
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -16,6 +16,7 @@
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
@@ -31,7 +32,7 @@
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import OnlineNews
+from caperridge.peers.messages import OnlineNews, TargetNews
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.refusals import Refusal, RefusedError
@@ -92,7 +93,10 @@
             clock,
             self._online_load,
         )
-        self.plain = PlainFront(book, self._plain_client, self.traces)
+        self.plain = PlainFront(
+            book, self._plain_client, self.traces, self._target_leaving
+        )
+        self.keyed_calls = KeyedCalls(self.plain, self.platform, self.session)
         self.configuration = ConfigurationKeeper(self.platform, self._applied)
         self.members = MembersReader(self.platform, self._listed)
         self._actors = [
@@ -128,6 +132,24 @@
             news = OnlineNews(own_id, load.target, load.in_flight, self._sequence)
             self.peers.send(owner, news)
 
+    def _target_leaving(self, target: str) -> None:
+        """Act on a target's own word that it is leaving, and pass it on."""
+        state = self.online.book.states_by_id.get(target)
+        if state is None or state.leaving:
+            return
+        news = TargetNews(target, state.member.incarnation, leaving=True)
+        self.target_news(news)
+        self.peers.send_all(news)
+
+    def target_news(self, news: TargetNews) -> None:
+        """Act on the word that a target is leaving, whoever said it."""
+        for book in (self.online.book, self.streams.book):
+            state = book.states_by_id.get(news.target)
+            if state is None or state.member.incarnation != news.incarnation:
+                continue
+            if news.leaving:
+                book.mark_leaving(news.target)
+
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
 
--- a/src/caperridge/targets/plain.py
+++ b/src/caperridge/targets/plain.py
@@ -1,30 +1,109 @@
-"""The client of plain services: one attempt, never repeated by the library."""
+"""The client of plain services: one request on the wire for each call.
+
+The HTTP library sends a call again by itself if the connection breaks before an
+answer and the method is idempotent by its name (GET, HEAD, PUT, DELETE, OPTIONS), on
+a fresh connection too. Whether a call may be repeated is for the declaration to say,
+so :func:`loss_is_final` hands the loss on as an error that the library lets pass.
+"""
 
 import aiohttp
+import yarl
+from multidict import CIMultiDict
 from result import Err, Ok, Result
 
 from caperridge.records import Record
 from caperridge.targets.outcomes import AttemptError, Lost, NotSent
 
 DEADLINE_S = 30.0
+CONNECT_S = 2.0
+MOST_ANSWER_BYTES = 16 * 2**20
+# What the library would add by itself; a service gets what its caller sent.
+ADDED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+
+class PlainCall(Record):
+    """One call as it goes to a service.
+
+    Attributes:
+        method: of HTTP.
+        path: with the query, encoded as the caller sent it.
+        headers: those that pass; see :mod:`caperridge.instance.plain_headers`.
+        body: whole.
+    """
+
+    __slots__ = ("body", "headers", "method", "path")
+
+    def __init__(
+        self, method: str, path: str, headers: CIMultiDict[str], body: bytes = b""
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
 
 
 class PlainAnswer(Record):
-    """What a plain service answered."""
+    """What a plain service answered, whatever its status."""
 
-    __slots__ = ("body", "content_type", "status")
+    __slots__ = ("body", "headers", "status")
 
-    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+    def __init__(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
         self.status = status
-        self.content_type = content_type
+        self.headers = headers
         self.body = body
 
 
+class AnswerTooLarge(Record):
+    """The target answered, with more bytes than are passed on."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+PlainError = AttemptError | AnswerTooLarge
+
+
+class LostOnTheWayError(aiohttp.ClientError):
+    """The connection broke with the request under way."""
+
+
+async def loss_is_final(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the library from sending ``request`` again after a broken connection.
+
+    Raises:
+        LostOnTheWayError: instead of the errors that the library answers by a repeat.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        # No connection, so no byte has left; the library does not repeat these.
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise LostOnTheWayError(type(error).__name__) from error
+
+
 class PlainClient:
-    """Calls plain services; a connection serves one call, redirects are answers."""
+    """Calls plain services; a connection serves one call, redirects are answers.
+
+    Args:
+        deadline_s: longest wait for a whole answer, in seconds.
+        connect_s: longest wait for a connection.
+        most_answer_bytes: a longer body is an error.
+    """
 
-    def __init__(self, deadline_s: float = DEADLINE_S) -> None:
-        self._timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=2.0)
+    def __init__(
+        self,
+        deadline_s: float = DEADLINE_S,
+        connect_s: float = CONNECT_S,
+        most_answer_bytes: int = MOST_ANSWER_BYTES,
+    ) -> None:
+        self.deadline_s = deadline_s
+        self._timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=connect_s)
+        self._most_answer_bytes = most_answer_bytes
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -32,33 +111,52 @@
         if self._session is not None:
             await self._session.close()
 
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                # A jar would give one caller's cookies to another.
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                middlewares=(loss_is_final,),
+            )
+        return self._session
+
     async def call(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: dict[str, str],
-    ) -> Result[PlainAnswer, AttemptError]:
+        self, address: str, call: PlainCall
+    ) -> Result[PlainAnswer, PlainError]:
         """Send one request and return its answer, whatever its status."""
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(connector=connector)
         try:
-            async with self._session.request(
-                method,
-                f"http://{address}{path}",
-                data=body or None,
-                headers=headers,
+            async with self._open().request(
+                call.method,
+                yarl.URL(f"http://{address}{call.path}", encoded=True),
+                data=call.body or None,
+                headers=call.headers,
+                skip_auto_headers=ADDED_HEADERS,
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as response:
-                content = await response.read()
-                kind = response.headers.get("Content-Type", "application/octet-stream")
-                return Ok(PlainAnswer(response.status, kind, content))
+                body = await self._body(response)
+                if body is None:
+                    text = f"the answer has over {self._most_answer_bytes} bytes"
+                    return Err(AnswerTooLarge(text))
+                headers = CIMultiDict(response.headers)
+                return Ok(PlainAnswer(response.status, headers, body))
         except aiohttp.ClientConnectorError as error:
             return Err(NotSent(f"no connection: {error.strerror}"))
         except aiohttp.ConnectionTimeoutError:
             return Err(NotSent("no connection in time"))
+        except LostOnTheWayError as error:
+            return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
+
+    async def _body(self, response: aiohttp.ClientResponse) -> bytes | None:
+        pieces: list[bytes] = []
+        size = 0
+        async for piece in response.content.iter_any():
+            size += len(piece)
+            if size > self._most_answer_bytes:
+                return None
+            pieces.append(piece)
+        return b"".join(pieces)
--- /dev/null
+++ b/tests/plain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plain services."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes under kills and freezes."""
