--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -16,6 +16,7 @@
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
@@ -38,7 +39,11 @@
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import ConfigurationAsk, ConfigurationNews
+from caperridge.peers.messages import (
+    ConfigurationAsk,
+    ConfigurationNews,
+    TargetNews,
+)
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
 from caperridge.refusals import Refusal, RefusedError
@@ -121,7 +126,10 @@
             clock,
             self.online_news.changed,
         )
-        self.plain = PlainFront(book, self._plain_client, self.traces)
+        self.plain = PlainFront(
+            book, self._plain_client, self.traces, self._target_leaving
+        )
+        self.keyed_calls = KeyedCalls(self.plain, self.platform, self.session)
         self.configuration = ConfigurationKeeper(
             self.platform, self._applied, self.membership, self.peers
         )
@@ -182,6 +190,15 @@
         mesh.peer_removed = news.removed
         mesh.view_changed = self.online_news.repeat
 
+    def _target_leaving(self, target: str) -> None:
+        """Act on a target's own word that it is leaving, and pass it on."""
+        state = self.online.book.states_by_id.get(target)
+        if state is None or state.leaving:
+            return
+        news = TargetNews(target, state.member.incarnation, leaving=True)
+        self.peer_news.take(self.settings.instance_id, news)
+        self.peers.send_all(news)
+
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
 
