--- a/src/caperridge/decisions/retry_budget.py
+++ b/src/caperridge/decisions/retry_budget.py
@@ -1,4 +1,7 @@
-"""A retry budget: retries stay a small share of the calls, whatever fails."""
+"""A retry budget: retries stay a small share of the calls, whatever fails.
+
+Without it, a fleet that fails from overload gets several times its load in retries.
+"""
 
 SHARE = 0.1
 MOST = 10.0
@@ -7,10 +10,13 @@
 class RetryBudget:
     """Each call pays in a share; each retry that may double work takes one.
 
+    A stream that has begun may overdraw the budget: to cut an answer that the caller
+    reads already is the worst that a refusal can do.
+
     >>> budget = RetryBudget(share=0.5, most=1.0)
-    >>> budget.take(), budget.take()
-    (True, False)
-    >>> for _ in range(2):
+    >>> budget.take(), budget.take(), budget.take(begun=True)
+    (True, False, True)
+    >>> for _ in range(4):
     ...     budget.deposit()
     >>> budget.take()
     True
@@ -20,20 +26,25 @@
         most: retries that may follow at once after a quiet time.
     """
 
-    __slots__ = ("_level", "_most", "_share")
+    __slots__ = ("_most", "_share", "level")
 
     def __init__(self, share: float = SHARE, most: float = MOST) -> None:
         self._share = share
         self._most = most
-        self._level = most
+        self.level = most
 
     def deposit(self) -> None:
         """Note one call."""
-        self._level = min(self._most, self._level + self._share)
+        self.level = min(self._most, self.level + self._share)
+
+    def take(self, begun: bool = False) -> bool:
+        """Return whether one retry is left, and take it.
 
-    def take(self) -> bool:
-        """Return whether one retry is left, and take it."""
-        if self._level < 1.0:
+        Args:
+            begun: the caller has seen a part of the answer.
+        """
+        least = 1.0 - self._most if begun else 1.0
+        if self.level < least:
             return False
-        self._level -= 1.0
+        self.level -= 1.0
         return True
--- /dev/null
+++ b/src/caperridge/instance/attempts.py
@@ -0,0 +1,373 @@
+"""The attempts of one online request: chosen, watched, moved where one fails."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+
+from caperridge.decisions.patience import (
+    Patience,
+    between_events_patience,
+    first_event_patience,
+)
+from caperridge.decisions.progress import Progress
+from caperridge.decisions.retry_budget import RetryBudget
+from caperridge.decisions.routing import TargetBook
+from caperridge.decisions.target_state import Wanted
+from caperridge.instance.gate import Gate
+from caperridge.instance.messages import OnlineLoad
+from caperridge.instance.metrics import Metrics
+from caperridge.instance.online_request import OnlineRequest
+from caperridge.refusals import NOT_RUN, Refusal, RefusedError
+from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
+from caperridge.targets.events import finish_reason
+from caperridge.targets.outcomes import AttemptError, Lost, NotSent, TargetRefused
+
+SHOWN_SCORES = 4
+PREFILL_PATIENCE_S = 0.0002  # for one token of the prompt
+UNREPEATABLE_FIRST_S = 30.0
+UNREPEATABLE_BETWEEN_S = 10.0
+LEAST_FIRST_S = 0.05
+RETRY_AFTER_S = 1.0
+RETRY_SHARE = 0.2
+MOST_RETRIES = 64.0  # at once; a lost runner moves all its streams together
+
+
+class ServicePolicy:
+    """What is learnt of one service: its retry budget and its patience."""
+
+    __slots__ = ("between", "budget", "first")
+
+    def __init__(self) -> None:
+        self.budget = RetryBudget(RETRY_SHARE, MOST_RETRIES)
+        self.first: Patience = first_event_patience()
+        self.between: Patience = between_events_patience()
+
+
+class Attempts:
+    """Runs requests at targets.
+
+    Args:
+        book: the targets.
+        gate: told when a request has taken its place at a target.
+        engines: client of the engines.
+        metrics: of the instance.
+        clock: monotonic seconds.
+        load_changed: told of each online start and end.
+        target_leaving: told of a target that says itself that it is leaving.
+    """
+
+    def __init__(
+        self,
+        book: TargetBook,
+        gate: Gate,
+        engines: EngineClient,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        load_changed: Callable[[OnlineLoad], None],
+        target_leaving: Callable[[str], None],
+    ) -> None:
+        self._book = book
+        self._gate = gate
+        self._engines = engines
+        self._metrics = metrics
+        self._clock = clock
+        self._load_changed = load_changed
+        self._target_leaving = target_leaving
+        self._policies_by_service: dict[str, ServicePolicy] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    def policy(self, service: str) -> ServicePolicy:
+        """Return what is learnt of a service."""
+        return self._policies_by_service.setdefault(service, ServicePolicy())
+
+    def state(self) -> dict[str, dict[str, float]]:
+        """Return the learnt figures by service, for the dump."""
+        return {
+            name: {
+                "retry_budget": policy.budget.level,
+                "first_event_limit_s": policy.first.limit_s(),
+                "between_events_limit_s": policy.between.limit_s(),
+            }
+            for name, policy in self._policies_by_service.items()
+        }
+
+    async def run(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
+        """Yield the checked events of the whole answer, each token once.
+
+        Raises:
+            RefusedError: no target could answer.
+        """
+        policy = self.policy(request.service.name)
+        policy.budget.deposit()
+        progress = Progress(request.resume_from)
+        while True:
+            try:
+                target = self._choose(request, progress)
+                self._book.started(target, request.blocks)
+                self._tell_load(target)
+            finally:
+                self._gate.started(request.service.name, request.service.most_running)
+            try:
+                attempt = self._attempt(request, policy, progress, target)
+                async with aclosing(
+                    self._one(request, policy, progress, attempt, target)
+                ) as batches:
+                    async for events in batches:
+                        yield events
+                return
+            except AttemptFailed as failed:
+                error = failed.error
+            if _is_complete(error, progress):
+                text = "the last token says why it ends"
+                request.trace.add("complete", text, target=target)
+                return
+            self._note_failure(request, progress, target, error)
+            self._check_retry(request, policy, progress, error)
+
+    def _check_retry(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        error: AttemptError,
+    ) -> None:
+        """Raise the final refusal if there must not be another attempt."""
+        stop = progress.stop(
+            error, request.service.repeatable, request.deadline, self._clock()
+        )
+        if stop is not None:
+            again_s = 0.0 if stop.code == "target_refused" else RETRY_AFTER_S
+            raise refuse(
+                request, stop.code, stop.reason, stop.status, progress.run, again_s
+            )
+        if isinstance(error, NotSent):
+            return  # it cost no target anything
+        if policy.budget.take(progress.began):
+            return
+        self._metrics.budget_spent.labels(request.service.name).inc()
+        text = f"too many retries in this service; last: {error.reason}"
+        raise refuse(
+            request, "retry_budget_spent", text, 503, progress.run, RETRY_AFTER_S
+        )
+
+    def _choose(self, request: OnlineRequest, progress: Progress) -> str:
+        service = request.service
+        now = self._clock()
+        wanted = Wanted(
+            request.tokens,
+            self._book.history.tokens_by_target(request.blocks),
+            service.version,
+            request.adapter,
+            service.most_running,
+        )
+        weighed = self._book.choose(
+            service.name, progress.excluded, wanted, now, request.blocks
+        )
+        if not weighed:
+            text = f"no target of {service.name} can take it"
+            if progress.excluded:
+                text = f"no other target of {service.name} can take it"
+            raise refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
+        best = weighed[0].target
+        parts = self._book.parts(best, wanted, now)
+        self._metrics.routed.labels(
+            service.name, "cached" if parts["cached_tokens"] else "not_cached"
+        ).inc()
+        request.trace.add(
+            "sent",
+            "least expected delay",
+            target=best,
+            scores={w.target: round(w.score, 4) for w in weighed[:SHOWN_SCORES]},
+            weighed=len(weighed),
+            parts=parts,
+        )
+        return best
+
+    def _attempt(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        target: str,
+    ) -> Attempt:
+        number = progress.attempts
+        first_s, between_s = UNREPEATABLE_FIRST_S, UNREPEATABLE_BETWEEN_S
+        if request.service.repeatable:
+            # Each move doubles the patience: if all are slow, moving does not help.
+            first_s = policy.first.limit_s() * 2**number
+            first_s += PREFILL_PATIENCE_S * (request.tokens + progress.offset)
+            between_s = policy.between.limit_s() * 2**number
+        if not progress.began:
+            left_s = request.deadline - self._clock()
+            first_s = max(LEAST_FIRST_S, min(first_s, left_s))
+        return Attempt(
+            request.id,
+            f"{request.id}.{number}",
+            self._book.states_by_id[target].member.address,
+            request.path,
+            request.body,
+            progress.offset,
+            first_s,
+            between_s,
+        )
+
+    async def _one(
+        self,
+        request: OnlineRequest,
+        policy: ServicePolicy,
+        progress: Progress,
+        attempt: Attempt,
+        target: str,
+    ) -> AsyncIterator[list[bytes]]:
+        watch = Watch(self._clock(), policy, attempt)
+        whole = False
+        try:
+            async with aclosing(self._engines.stream(attempt)) as batches:
+                async for events in batches:
+                    watch.events(len(events), self._clock())
+                    progress.advanced(events)
+                    yield events
+                    watch.resumed(self._clock())
+            whole = True
+            self._metrics.attempts.labels(request.service.name, "whole").inc()
+            self._book.succeeded(target, self._clock())
+        except AttemptFailed as failed:
+            if isinstance(failed.error, Lost):
+                watch.lost(self._clock())
+            raise
+        finally:
+            self._book.ended(target)
+            self._tell_load(target, watch)
+            self._gate.pump(request.service.name, request.service.most_running)
+            self._note_latency(target, watch)
+            if not whole:
+                self._cancel_later(attempt)
+
+    def _note_latency(self, target: str, watch: "Watch") -> None:
+        watch.note()
+        state = self._book.states_by_id.get(target)
+        if state is not None and watch.tokens:
+            state.first_token_seen(watch.first_s, self._clock())
+
+    def _cancel_later(self, attempt: Attempt) -> None:
+        cancel = self._engines.cancel(attempt.address, attempt.attempt)
+        task = asyncio.get_running_loop().create_task(cancel)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _note_failure(
+        self,
+        request: OnlineRequest,
+        progress: Progress,
+        target: str,
+        error: AttemptError,
+    ) -> None:
+        kind = type(error).__name__
+        service = request.service
+        progress.failed(target, error, service.believes_not_run)
+        self._metrics.attempts.labels(service.name, kind).inc()
+        out_s = self._book.failed(target, error, self._clock())
+        if out_s:
+            self._metrics.ejected.labels(service.name).inc()
+        request.trace.add(
+            "failed",
+            error.reason,
+            target=target,
+            kind=kind,
+            at=progress.offset,
+            ejected_s=out_s,
+        )
+        if isinstance(error, TargetRefused) and error.leaving:
+            self._target_leaving(target)
+            self._book.mark_leaving(target)
+
+    def _tell_load(self, target: str, watch: "Watch | None" = None) -> None:
+        state = self._book.states_by_id.get(target)
+        in_flight = state.in_flight if state else 0
+        first_s = watch.first_s if watch else 0.0
+        between_s = watch.mean_between_s if watch else 0.0
+        self._load_changed(OnlineLoad(target, in_flight, first_s, between_s))
+
+
+class Watch:
+    """The times of one attempt."""
+
+    __slots__ = (
+        "_attempt",
+        "_between_s",
+        "_longest_s",
+        "_mark",
+        "_policy",
+        "_started",
+        "first_s",
+        "tokens",
+    )
+
+    def __init__(self, now: float, policy: ServicePolicy, attempt: Attempt) -> None:
+        self.first_s = 0.0
+        self.tokens = 0
+        self._started = now
+        self._mark = now
+        self._longest_s = 0.0
+        self._between_s = 0.0
+        self._policy = policy
+        self._attempt = attempt
+
+    @property
+    def mean_between_s(self) -> float:
+        """Mean time between tokens; 0 with fewer than two."""
+        return self._between_s / (self.tokens - 1) if self.tokens > 1 else 0.0
+
+    def events(self, count: int, now: float) -> None:
+        """Note that events came."""
+        passed_s = now - self._mark
+        if self.tokens:
+            self._longest_s = max(self._longest_s, passed_s)
+            self._between_s += passed_s
+        else:
+            self.first_s = passed_s
+        self.tokens += count
+        self._mark = now
+
+    def resumed(self, now: float) -> None:
+        """Note that the caller took them; its time is not the target's."""
+        self._mark = now
+
+    def lost(self, now: float) -> None:
+        """Note the wait that ran out, so that a limit set too low rises."""
+        passed_s = now - self._mark
+        if self.tokens:
+            self._longest_s = max(self._longest_s, passed_s)
+        elif passed_s >= (self._attempt.first_event_s or 0.0):
+            self._policy.first.note(passed_s)
+
+    def note(self) -> None:
+        """Hand the times to the policy of the service."""
+        if self.tokens:
+            self._policy.first.note(self.first_s)
+        if self._longest_s:
+            self._policy.between.note(self._longest_s)
+
+
+def _is_complete(error: AttemptError, progress: Progress) -> bool:
+    """Return whether only the closing mark is missing.
+
+    The last token names the reason why the answer ends: it is whole, and there is
+    nothing to resume.
+    """
+    if not isinstance(error, Lost) or not progress.last_event:
+        return False
+    return finish_reason(progress.last_event) is not None
+
+
+def refuse(
+    request: OnlineRequest,
+    code: str,
+    reason: str,
+    status: int,
+    run: str = NOT_RUN,
+    retry_after_s: float = 0.0,
+) -> RefusedError:
+    """Return the refusal of ``request``, and note it in its trace."""
+    request.trace.add("refused", reason, code=code, run=run)
+    return RefusedError(Refusal(code, reason, status, run, retry_after_s, request.id))
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+import zlib
 from typing import Any
 
 from aiohttp import web
@@ -36,16 +37,21 @@
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.session import SessionKeeper
+from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import (
     ConfigurationAsk,
     ConfigurationNews,
+    LoadNews,
     TargetNews,
+    TraceAnswer,
+    TraceAsk,
 )
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
+from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
@@ -85,7 +91,9 @@
         self.draining = False
         self._engines = engines or EngineClient()
         self._plain_client = PlainClient()
-        book = TargetBook(settings.availability_zone)
+        # Instances differ in the seed, so that they do not choose in step.
+        seed = zlib.crc32(settings.instance_id.encode())
+        book = TargetBook(settings.availability_zone, seed)
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
@@ -125,6 +133,18 @@
             self.metrics,
             clock,
             self.online_news.changed,
+            self._target_leaving,
+            self._instances,
+        )
+        self.explanations = Explanations(self.traces, self.peers)
+        self.target_reports = TargetReports(
+            self.membership,
+            book,
+            self._engines,
+            lambda target: self.streams.headroom.online(target, clock()),
+            self._target_leaving,
+            self.peers.send_zone,
+            clock,
         )
         self.plain = PlainFront(
             book, self._plain_client, self.traces, self._target_leaving
@@ -154,6 +174,7 @@
             self.orderer,
             self.members,
             self.dispatcher,
+            self.target_reports,
             self.online_news,
         ]
         if self.mesh is not None:
@@ -165,10 +186,15 @@
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
         self.orderer.tell(message)
+        self.target_reports.engine_services = {
+            service.name
+            for service in message.configuration.services_by_name.values()
+            if service.kind == "engine"
+        }
 
     def _listed(self, message: MembersListed) -> None:
         self.membership.apply_list(message.members, time.monotonic())
-        self.online.book.apply_list(message.members)
+        self.online.book.apply_list(message.members, time.monotonic())
         self.streams.book.apply_list(message.members)
         self.orderer.tell(message)
 
@@ -189,6 +215,18 @@
         mesh.peer_opened = news.opened
         mesh.peer_removed = news.removed
         mesh.view_changed = self.online_news.repeat
+        mesh.register(LoadNews, lambda _, news: self.online.loads_told(news))
+        mesh.register(TraceAsk, self.explanations.asked)
+        mesh.register(TraceAnswer, self.explanations.answered)
+
+    def _instances(self) -> int:
+        """Return how many live instances there are, this one included."""
+        live = {
+            member.id
+            for member in self.membership.members_by_id.values()
+            if member.state == "live"
+        }
+        return len(live | {self.settings.instance_id})
 
     def _target_leaving(self, target: str) -> None:
         """Act on a target's own word that it is leaving, and pass it on."""
@@ -261,7 +299,9 @@
             "dispatcher": self.dispatcher.state(),
             "peers": self.mesh.state() if self.mesh is not None else None,
             "orderer": self.orderer.state(),
+            "online": self.online.state(),
             "traces": len(self.traces),
+            "trace_bytes": self.traces.bytes,
         }
 
     async def start(self) -> None:
