Watch all streams with one timer, and compare each event with the one due

Cause: the profile of the relay showed a timer set and cancelled for each read (the HTTP library's read limit), and an event split off, copied and taken apart.

The limit between two events, which was never applied, holds from the first event on. The checker compares each event with the whole start that the next one must have, and only another one is parsed. An offset that is no whole number, and an event that is no object, are now findings rather than accepted or a crash.

--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -4,6 +4,7 @@
 be resumed from its offset when the engine is lost or batch has to yield.
 """
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
@@ -19,6 +20,11 @@
     TargetRefused,
     WrongAnswer,
 )
+from caperridge.targets.silence import SilenceWatch
+
+REFUSAL_S = 5.0
+# Reads have their own watch: see targets/silence.py.
+CONNECT_ONLY = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
 
 
 class AttemptFailed(Exception):  # noqa: N818 - read as "attempt failed"
@@ -74,9 +80,11 @@
         self._first_event_s = first_event_s
         self._between_events_s = between_events_s
         self._session: aiohttp.ClientSession | None = None
+        self._silence = SilenceWatch()
 
     async def close(self) -> None:
         """Close all connections."""
+        self._silence.close()
         if self._session is not None:
             await self._session.close()
 
@@ -103,19 +111,20 @@
             "X-Request-Id": attempt.request,
             "X-Attempt-Id": attempt.attempt,
         }
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=2.0, sock_read=self._first_event_s
-        )
         try:
-            async with self._open().post(
-                f"http://{attempt.address}{attempt.path}",
-                data=orjson.dumps(body),
-                headers=headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
+            async with asyncio.timeout(self._first_event_s):
+                response = await self._open().post(
+                    f"http://{attempt.address}{attempt.path}",
+                    data=orjson.dumps(body),
+                    headers=headers,
+                    timeout=CONNECT_ONLY,
+                    allow_redirects=False,
+                )
+            async with response:
                 if response.status != 200:
-                    raise AttemptFailed(await _refused(response))
+                    async with asyncio.timeout(REFUSAL_S):
+                        refused = await _refused(response)
+                    raise AttemptFailed(refused)
                 async for events in self._events(response, attempt):
                     yield events
         except aiohttp.ClientConnectorError as error:
@@ -131,10 +140,21 @@
         self, response: aiohttp.ClientResponse, attempt: Attempt
     ) -> AsyncIterator[list[bytes]]:
         checker = EventChecker(attempt.request, attempt.attempt, attempt.resume_from)
-        async for data in response.content.iter_any():
-            events = checker.feed(data)
-            if events:
-                yield events
+        content, clock = response.content, asyncio.get_running_loop().time
+        silent = TimeoutError("nothing came for too long")
+        watched = self._silence.add(
+            self._first_event_s, lambda: content.set_exception(silent)
+        )
+        try:
+            # A method of the reader costs less for each read than its iterator.
+            while data := await content.readany():
+                watched.heard_at = clock()
+                events = checker.feed(data)
+                if events:
+                    watched.limit_s = self._between_events_s
+                    yield events
+        finally:
+            self._silence.remove(watched)
         if not checker.whole:
             raise AttemptFailed(Lost("the stream ended without its closing mark"))
 
--- a/src/caperridge/targets/events.py
+++ b/src/caperridge/targets/events.py
@@ -33,7 +33,15 @@
     (True, 1)
     """
 
-    __slots__ = ("_attempt", "_head", "_left", "_request", "next_offset", "whole")
+    __slots__ = (
+        "_attempt",
+        "_expected",
+        "_head",
+        "_left",
+        "_request",
+        "next_offset",
+        "whole",
+    )
 
     def __init__(self, request: str, attempt: str, next_offset: int) -> None:
         self._request = request
@@ -44,6 +52,7 @@
         )
         self._left = b""
         self.next_offset = next_offset
+        self._expected = b"%b%d," % (self._head, next_offset)
         self.whole = False
 
     def feed(self, data: bytes) -> list[bytes]:
@@ -54,39 +63,47 @@
         """
         if self._left:
             data = self._left + data
-        events = data.split(_SEPARATOR)
-        self._left = events.pop()
         checked: list[bytes] = []
-        for event in events:
-            if event == b"data: [DONE]":
-                self.whole = True
-                continue
+        start = 0
+        while (end := data.find(_SEPARATOR, start)) >= 0:
+            after = end + len(_SEPARATOR)
             if self.whole:
                 raise WrongEventError("an event after the closing mark")
-            self._check(event)
-            checked.append(event + _SEPARATOR)
+            if data.startswith(self._expected, start):
+                self._advance()
+                checked.append(data[start:after])
+            elif data[start:after] == DONE_EVENT:
+                self.whole = True
+            else:
+                self._check(data[start:end])
+                checked.append(data[start:after])
+            start = after
+        self._left = data[start:]
         return checked
 
+    def _advance(self) -> None:
+        self.next_offset += 1
+        self._expected = b"%b%d," % (self._head, self.next_offset)
+
     def _check(self, event: bytes) -> None:
-        if event.startswith(self._head):
-            start = len(self._head)
-            offset = int(event[start : event.index(b",", start)])
-        else:
-            offset = self._parse(event)
+        """Check an event that does not start as the next one would."""
+        offset = self._parse(event)
         if offset != self.next_offset:
             text = f"offset {offset} came where {self.next_offset} was due"
             raise WrongEventError(text)
-        self.next_offset += 1
+        self._advance()
 
     def _parse(self, event: bytes) -> int:
         try:
             fields = orjson.loads(event.removeprefix(_PREFIX))
             request, attempt = fields["id"], fields.get("attempt")
-            offset = int(fields["offset"])
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            offset = fields["offset"]
+        except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
             raise WrongEventError("an event that cannot be read") from error
         if request != self._request or attempt != self._attempt:
             raise WrongEventError("an event of another request")
+        if type(offset) is not int:
+            raise WrongEventError("an event whose offset is no whole number")
         return offset
 
 
--- /dev/null
+++ b/tests/targets/test_silence.py
@@ -0,0 +1,23 @@
+"""Streams on which nothing comes are ended, and only those."""
+
+from caperridge.targets.silence import SilenceWatch
+
+
+async def test_only_the_silent_stream_is_ended_and_only_once() -> None:
+    watch = SilenceWatch()
+    ended: list[str] = []
+    silent = watch.add(1.0, lambda: ended.append("silent"))
+    heard = watch.add(1.0, lambda: ended.append("heard"))
+    gone = watch.add(1.0, lambda: ended.append("gone"))
+    start = silent.heard_at
+    heard.heard_at = gone.heard_at = start
+    watch.remove(gone)
+    watch.sweep(start + 1.0)
+    assert ended == []
+    heard.heard_at = start + 1.0
+    watch.sweep(start + 1.5)
+    watch.sweep(start + 1.9)
+    assert ended == ["silent"]
+    watch.sweep(start + 2.5)
+    assert ended == ["silent", "heard"]
+    watch.close()
