--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(VENV) dist build out
+
+measure: $(VENV)/.installed
+	$(BIN)/caperridge measure all --out out/measure
--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -6,6 +6,7 @@
 """
 
 import importlib
+import importlib.util
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -24,6 +25,22 @@
     "routing": "caperridge.measure.routing",
 }
 
+SUMMARIES_BY_NAME = {
+    "batch": "Batch throughput, and what each mechanism takes of it.",
+    "configuration": "From confirm to in force everywhere, and what it costs.",
+    "control": "Processor time, memory and traffic of an instance's control.",
+    "matching": "Rules for giving waiting chunks to idle targets, compared.",
+    "online-tail": "Harm that batch work does to the tail of online requests.",
+    "recovery": "From a loss to full service again.",
+    "relay": "Tokens a second forwarded by one core, and first-token time added.",
+    "routing": "Rules for choosing a target, compared.",
+}
+
+
+def exists(name: str) -> bool:
+    """Return whether the experiment of that name is built."""
+    return importlib.util.find_spec(MODULES_BY_NAME[name]) is not None
+
 
 def load(name: str) -> Run:
     """Return the experiment of that name.
--- a/src/caperridge/measure/relay.py
+++ b/src/caperridge/measure/relay.py
@@ -14,6 +14,7 @@
 import socket
 import statistics
 import sys
+import threading
 import time
 from typing import Any
 
@@ -27,6 +28,7 @@
 from caperridge.measure.histograms import summary
 from caperridge.measure.options import Options
 from caperridge.measure.paced_engine import PacedEngine
+from caperridge.measure.plain_relay import start_plain_relay
 from caperridge.measure.threads import LoopThread, serve, wait_for
 from caperridge.platform.interface import ListedMember
 from caperridge.settings import Settings
@@ -49,8 +51,10 @@
 EVENTS_A_WRITE = (1, 4, 16, 64)
 READ_EVERY_S = 0.05
 MOST_WAIT_S = 30.0
-OWN_SECONDS = 25.0
+OWN_SECONDS = 30.0
+LEAST_WRITES = 30
 PROBES = 500
+LEAST_PROBES = 100
 PROBES_S = 60.0
 PROBE_PAUSE_S = 0.002
 PROBE_STREAMS = 40
@@ -63,11 +67,20 @@
 READ_BYTES = 2**20
 
 
+class Interrupted(Exception):  # noqa: N818 - read as "the run was interrupted"
+    """Nobody waits for the figures any more."""
+
+
 class RelayBench:
-    """One instance, one engine and one platform, each in a thread of its own."""
+    """One instance with its platform, and one engine, each in a thread of its own.
+
+    Args:
+        stopping: set when the run should end early.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, stopping: threading.Event) -> None:
         self.engine = PacedEngine()
+        self.stopping = stopping
         self._runners: list[web.AppRunner] = []
         self._standins = LoopThread("stand-ins")
         self.loop = LoopThread("instance")
@@ -79,6 +92,10 @@
         ready = wait_for(lambda: not self.instance.not_ready_because(), 10.0)
         if not ready:
             raise RuntimeError("the instance did not become ready")
+        # In the same thread, so that both are measured by the same clock.
+        self._plain, self.plain_address = self.loop.call(
+            start_plain_relay(self.engine_address)
+        )
 
     @staticmethod
     async def _start(engine_address: str) -> Instance:
@@ -94,8 +111,18 @@
         await instance.start()
         return instance
 
+    def pause(self, seconds: float) -> None:
+        """Wait.
+
+        Raises:
+            Interrupted: the run should end.
+        """
+        if self.stopping.wait(seconds):
+            raise Interrupted
+
     def stop(self) -> None:
         """End all threads."""
+        self._plain.close()
         self.loop.call(self.instance.stop())
         self.loop.stop()
         for runner in self._runners:
@@ -169,17 +196,17 @@
 
 
 def run_round(
-    bench: RelayBench, requests: int, writes: int, events_a_write: int
+    bench: RelayBench, address: str, requests: int, writes: int, events_a_write: int
 ) -> dict[str, Any]:
-    """Relay ``requests`` streams at once; return tokens, seconds, processor time."""
+    """Relay streams, all at once; return tokens, seconds and processor time."""
     bench.engine.step_s = STEP_S
     bench.engine.events_a_write = events_a_write
     tokens = 1 + (writes - 1) * events_a_write
     cpu, begun = bench.loop.cpu_s(), time.monotonic()
-    calls = [Call(bench.address, tokens) for _ in range(requests)]
+    calls = [Call(address, tokens) for _ in range(requests)]
     until = begun + MOST_WAIT_S
     while not all(call.ended for call in calls) and time.monotonic() < until:
-        time.sleep(READ_EVERY_S)
+        bench.pause(READ_EVERY_S)
         for call in calls:
             call.read()
     cpu, wall = bench.loop.cpu_s() - cpu, time.monotonic() - begun
@@ -197,14 +224,20 @@
     }
 
 
-def throughput(bench: RelayBench, scale: float) -> dict[str, Any]:
-    """Return the processor time of a request, a read and an event, and the arms."""
-    run_round(bench, STREAMS, 10, 1)
-    short = run_round(bench, STREAMS * 3, 1, 1)
+def throughput(bench: RelayBench, address: str, writes: int) -> dict[str, Any]:
+    """Return the processor time of a request, a read and an event, and the arms.
+
+    Args:
+        bench: with everything that runs.
+        address: of the relay to measure.
+        writes: of each stream, and so about its reads.
+    """
+    run_round(bench, address, STREAMS, 10, 1)
+    short = run_round(bench, address, STREAMS * 3, 1, 1)
     a_request_s = short["cpu_s"] / short["requests"]
     arms: list[dict[str, Any]] = []
     for events_a_write in EVENTS_A_WRITE:
-        arm = run_round(bench, STREAMS, max(20, int(WRITES * scale)), events_a_write)
+        arm = run_round(bench, address, STREAMS, writes, events_a_write)
         reads = arm["requests"] * arm["writes_a_stream"]
         arm["a_read_us"] = (arm["cpu_s"] - a_request_s * arm["requests"]) / reads * 1e6
         arm["tokens_per_core_s"] = 1e6 * events_a_write / arm["a_read_us"]
@@ -246,7 +279,7 @@
             call.wait_end()
             call.close()
             histograms_by_way[way].record_value(max(1, int(taken * 1e6)))
-            time.sleep(PROBE_PAUSE_S)
+            bench.pause(PROBE_PAUSE_S)
     finally:
         sys.setswitchinterval(switch_s)
         for call in calls:
@@ -258,16 +291,17 @@
     }
 
 
-def measure(options: Options) -> dict[str, Any]:
+def measure(options: Options, stopping: threading.Event) -> dict[str, Any]:
     """Run all arms; blocks its thread."""
     scale = options.seconds / OWN_SECONDS if options.seconds else 1.0
-    bench = RelayBench()
+    writes = max(LEAST_WRITES, int(WRITES * scale))
+    bench = RelayBench(stopping)
     try:
-        cost = throughput(bench, scale)
-        ttft = first_token(bench, max(50, int(PROBES * scale)))
+        cost = throughput(bench, bench.address, writes)
+        bound = throughput(bench, bench.plain_address, writes)
+        ttft = first_token(bench, max(LEAST_PROBES, int(PROBES * scale)))
     finally:
         bench.stop()
-    paced = cost["arms"][1]
     added = {
         f"added_ttft_{name}_ms": (
             ttft["relayed_ttft_us"][name] - ttft["direct_ttft_us"][name]
@@ -275,19 +309,29 @@
         / 1000
         for name in ("p50", "p99")
     }
+    rate_by_events = _rates(cost)
     return {
-        "tokens_per_core_s": paced["tokens_per_core_s"],
-        "tokens_per_core_s_by_events_a_read": {
-            str(arm["events_a_write"]): arm["tokens_per_core_s"]
-            for arm in cost["arms"][1:]
-        },
+        "tokens_per_core_s": rate_by_events["1"],
         **added,
+        "tokens_per_core_s_by_events_a_read": rate_by_events,
+        "plain_relay_tokens_per_core_s_by_events_a_read": _rates(bound),
         "streams_not_whole": sum(arm["streams_not_whole"] for arm in cost["arms"]),
         **cost,
+        "plain_relay": bound,
         "first_token": ttft,
     }
 
 
+def _rates(cost: dict[str, Any]) -> dict[str, float]:
+    return {
+        str(arm["events_a_write"]): arm["tokens_per_core_s"] for arm in cost["arms"][1:]
+    }
+
+
 async def run(options: Options) -> dict[str, Any]:
     """Measure the relay of one instance."""
-    return await asyncio.to_thread(measure, options)
+    stopping = threading.Event()
+    try:
+        return await asyncio.to_thread(measure, options, stopping)
+    finally:
+        stopping.set()
