--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -22,6 +22,7 @@
     "online-tail": "caperridge.measure.online_tail",
     "recovery": "caperridge.measure.recovery",
     "relay": "caperridge.measure.relay",
+    "roles": "caperridge.measure.roles",
     "routing": "caperridge.measure.routing",
 }
 
@@ -33,6 +34,7 @@
     "online-tail": "Harm that batch work does to the tail of online requests.",
     "recovery": "From a loss to full service again.",
     "relay": "Tokens a second forwarded by one core, and first-token time added.",
+    "roles": "What the roles of an instance hold and ask for, by size.",
     "routing": "Rules for choosing a target, compared.",
 }
 
