Play the main job with its faults in one process

Cause: nobody could watch the whole path under faults. Stand-ins for platform, weight store, plain service and six engines, three instances and two callers run on loopback; each act is narrated, and each result is compared with what was sent.

The engine stand-in can be killed: its connections break and new ones are refused. Records of libraries (aiohttp) go through logbook too, so every line is JSON.

--- a/src/caperridge/cli/main.py
+++ b/src/caperridge/cli/main.py
@@ -9,7 +9,7 @@
 import typer
 
 from caperridge import __version__
-from caperridge.cli import instances, measure, operators, standins
+from caperridge.cli import demo, instances, measure, operators, standins
 from caperridge.cli.errors import CommandError
 
 app = typer.Typer(
@@ -22,6 +22,7 @@
 operators.register(app)
 standins.register(app)
 measure.register(app)
+demo.register(app)
 
 
 def _version(wanted: bool) -> None:
--- a/src/caperridge/log.py
+++ b/src/caperridge/log.py
@@ -5,6 +5,7 @@
 
 import logbook
 import orjson
+from logbook.compat import redirect_logging
 
 __all__ = ["JsonLinesHandler", "logger", "setup"]
 
@@ -32,7 +33,11 @@
 
 
 def setup(level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send every record of at least ``level`` to ``stream`` (standard error)."""
+    """Send every record of at least ``level`` to ``stream`` (standard error).
+
+    Records of libraries, which use the standard library's loggers, go the same way.
+    """
     handler = JsonLinesHandler(stream or sys.stderr, level=level.upper(), bubble=False)
     logbook.NullHandler().push_application()
     handler.push_application()
+    redirect_logging(set_root_logger_level=False)
--- a/src/caperridge/standins/engine.py
+++ b/src/caperridge/standins/engine.py
@@ -36,6 +36,7 @@
 
     Attributes:
         hung: steps stop; connections stay open.
+        killed: every connection breaks; see :meth:`Engine.kill`.
         slow: steps take this many times as long.
         refuse_status: answer every request with this status; 0 for none.
         refuse_run: the ``run`` word of that refusal, if it should carry one.
@@ -56,6 +57,7 @@
         "event_lag_s",
         "hung",
         "ignore_fencing",
+        "killed",
         "leaving",
         "lose_body",
         "refuse_run",
@@ -78,6 +80,7 @@
         report_lag_s: float = 0.5,
         event_lag_s: float = 1.0,
         event_gaps: float = 0.05,
+        killed: bool = False,
     ) -> None:
         self.hung = hung
         self.slow = slow
@@ -91,6 +94,7 @@
         self.report_lag_s = report_lag_s
         self.event_lag_s = event_lag_s
         self.event_gaps = event_gaps
+        self.killed = killed
 
 
 class Engine:
@@ -122,6 +126,7 @@
         self.killed = asyncio.Event()
         self.loader = Loader(gb_per_s, store, preloaded)
         self.cut_by_load = 0
+        self.transports: set[asyncio.Transport] = set()
         self._random = random.Random(seed)
         self._queues_by_attempt: dict[str, asyncio.Queue[int | None]] = {}
         self._work = asyncio.Event()
@@ -210,6 +215,15 @@
         ripe = now - self.faults.event_lag_s
         return [[n, b] for at, n, b in self._events[after + 1 :] if at <= ripe]
 
+    def kill(self) -> None:
+        """Die: break every connection, refuse new ones, forget what runs."""
+        self.faults.killed = True
+        self.killed.set()
+        for transport in list(self.transports):
+            transport.abort()
+        for attempt in list(self._queues_by_attempt):
+            self.cancel(attempt)
+
     def order(self, fence: int, desired: dict[str, Any]) -> bool:
         """Obey an order unless its fencing number is old; return whether obeyed."""
         if fence < self.fence and not self.faults.ignore_fencing:
@@ -225,7 +239,7 @@
 def make_app(engine: Engine) -> web.Application:
     """Return the HTTP face of ``engine``."""
     face = _Face(engine)
-    app = web.Application(client_max_size=16 * 2**20)
+    app = web.Application(client_max_size=16 * 2**20, middlewares=[_killable(engine)])
     app.router.add_post("/v1/chat/completions", face.complete)
     app.router.add_post("/v1/completions", face.complete)
     app.router.add_post("/control/cancel", face.cancel)
@@ -247,6 +261,27 @@
     return app
 
 
+def _killable(engine: Engine) -> Any:
+    @web.middleware
+    async def killable(request: web.Request, handler: Any) -> web.StreamResponse:
+        if request.path.startswith("/standin/"):
+            return await handler(request)
+        if engine.faults.killed:
+            _drop(request)
+            raise asyncio.CancelledError
+        transport = request.transport
+        engine.transports.add(transport)
+        try:
+            return await handler(request)
+        except ConnectionResetError as error:
+            # The other side hung up, or the engine was killed: nobody to answer.
+            raise asyncio.CancelledError from error
+        finally:
+            engine.transports.discard(transport)
+
+    return killable
+
+
 class _Face:
     """Translates between HTTP and the engine."""
 
@@ -266,8 +301,8 @@
         if POISON in prompt:
             return _refusal(400, "this prompt can never be answered", "not_run")
         if KILLER in prompt:
-            self._engine.killed.set()
-            await asyncio.sleep(3600)
+            self._engine.kill()
+            raise asyncio.CancelledError
         sequence = _sequence(request, body, prompt)
         queue = self._engine.submit(sequence)
         try:
