Add jobs, files and token to the command line, TLS, and findings that help

Cause: a caller could use a job only by writing HTTP; a misspelt key was called unknown without saying what was probably meant; a file that a setting names was looked at only once all keys were right; no listener spoke TLS.

--- a/src/caperridge/cli/errors.py
+++ b/src/caperridge/cli/errors.py
@@ -1,9 +1,23 @@
-"""What ends a command early, each with its exit code."""
+"""What ends a command early, each with its exit code.
+
+==== ======================================================================
+code meaning
+==== ======================================================================
+0    done
+1    done, with a bad result: failed items, a cancelled job, a wrong answer
+2    a wrong command line
+3    findings in an input: settings, declarations, a file
+4    refused by the system; the reason is on standard error
+5    not reached, or the connection broke
+130  interrupted with Ctrl-C
+==== ======================================================================
+"""
 
 BAD_RESULT = 1
 FINDINGS = 3
 REFUSED = 4
 NOT_REACHED = 5
+INTERRUPTED = 130
 
 
 class CommandError(Exception):
--- a/src/caperridge/cli/main.py
+++ b/src/caperridge/cli/main.py
@@ -1,16 +1,12 @@
-"""The ``caperridge`` command and its exit codes.
-
-Exit codes: 0 done; 1 done, with a bad result; 2 a wrong command line; 3 findings in
-an input; 4 refused by the system; 5 not reached.
-"""
+"""The ``caperridge`` command; its exit codes stand in :mod:`caperridge.cli.errors`."""
 
 import sys
 
 import typer
 
 from caperridge import __version__
-from caperridge.cli import demo, instances, measure, operators, standins
-from caperridge.cli.errors import CommandError
+from caperridge.cli import demo, instances, jobs, measure, operators, standins, tokens
+from caperridge.cli.errors import INTERRUPTED, CommandError
 
 app = typer.Typer(
     name="caperridge",
@@ -20,6 +16,8 @@
 )
 instances.register(app)
 operators.register(app)
+jobs.register(app)
+tokens.register(app)
 standins.register(app)
 measure.register(app)
 demo.register(app)
@@ -48,4 +46,4 @@
         typer.echo(f"caperridge: {error}", err=True)
         sys.exit(error.code)
     except KeyboardInterrupt:
-        sys.exit(130)
+        sys.exit(INTERRUPTED)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -46,6 +46,7 @@
 from caperridge.targets.engine import EngineClient
 from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
+from caperridge.tls import server_context
 
 log = logger(__name__)
 FIRST_OPERATOR = "first-operator"
@@ -72,6 +73,7 @@
             settings.availability_zone,
             settings.platform_secret,
             settings.platform_deadline_s,
+            settings.platform_authority,
         )
         clock = time.monotonic
         self.metrics = Metrics()
@@ -268,7 +270,9 @@
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, at.host, at.port)
+        files = self.settings.tls_by_listener.get(name)
+        context = server_context(files) if files else None
+        site = web.TCPSite(runner, at.host, at.port, ssl_context=context)
         await site.start()
         host, port = runner.addresses[0][:2]
         self.addresses_by_listener[name] = Address(host, port)
--- a/src/caperridge/platform/http.py
+++ b/src/caperridge/platform/http.py
@@ -4,6 +4,7 @@
 left, only an answer tells; without one a write is *unknown*.
 """
 
+from ssl import SSLContext
 from typing import Any
 from urllib.parse import quote
 
@@ -25,6 +26,7 @@
 )
 from caperridge.platform.wire import decode_row, encode
 from caperridge.records import pack, unpack
+from caperridge.tls import client_context
 
 DEFAULT_DEADLINE_S = 3.0
 _HTTP_CONFLICT = 409
@@ -39,6 +41,7 @@
         availability_zone: sent along, so that the platform knows who asks.
         secret: bearer token towards the platform; empty for none.
         deadline_s: longest wait for one call, in seconds.
+        authority: file of the certificates to trust; empty for the system's.
     """
 
     def __init__(
@@ -47,12 +50,16 @@
         availability_zone: str = "",
         secret: str = "",
         deadline_s: float = DEFAULT_DEADLINE_S,
+        authority: str = "",
     ) -> None:
         self._endpoint = endpoint.rstrip("/")
         self._headers = {"X-Availability-Zone": availability_zone}
         if secret:
             self._headers["Authorization"] = f"Bearer {secret}"
         self._timeout = aiohttp.ClientTimeout(total=deadline_s)
+        # Made at the start: reading files is no work for the event loop.
+        secure = endpoint.startswith("https:")
+        self._ssl: SSLContext | bool = client_context(authority) if secure else True
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -148,7 +155,7 @@
     ) -> Result[tuple[int, bytes], Any]:
         if self._session is None:
             # One attempt only: the library must not repeat a write by itself.
-            connector = aiohttp.TCPConnector(limit=64)
+            connector = aiohttp.TCPConnector(limit=64, ssl=self._ssl)
             self._session = aiohttp.ClientSession(
                 timeout=self._timeout, connector=connector
             )
--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -7,8 +7,9 @@
 
 import voluptuous as vol
 
-from caperridge.findings import Finding, FindingsError
+from caperridge.findings import Finding, FindingsError, invalid_findings
 from caperridge.records import Record
+from caperridge.tls import TlsFiles, client_context, server_context
 
 
 class Address(Record):
@@ -39,19 +40,6 @@
         return cls(host.strip("[]"), int(port))
 
 
-class TlsFiles(Record):
-    """PEM files of one listener; empty strings turn TLS off."""
-
-    __slots__ = ("authority", "certificate", "key")
-
-    def __init__(
-        self, certificate: str = "", key: str = "", authority: str = ""
-    ) -> None:
-        self.certificate = certificate
-        self.key = key
-        self.authority = authority
-
-
 class Settings(Record):
     """What one instance is told when it starts.
 
@@ -65,6 +53,8 @@
         platform_endpoint: URL of the platform.
         platform_secret: bearer token towards it.
         platform_deadline_s: longest wait for one platform call.
+        platform_authority: file of the certificates to trust in the platform's;
+            empty for the system's.
         peers_secret: shared by all instances; without one there are no peers.
         peer_seeds: listeners of peers to try beside those in the platform's list,
             for a start while the platform is away.
@@ -91,6 +81,7 @@
         "peer_seeds",
         "peers",
         "peers_secret",
+        "platform_authority",
         "platform_deadline_s",
         "platform_endpoint",
         "platform_secret",
@@ -119,6 +110,7 @@
         first_operator_sha256: str = "",
         tls_by_listener: dict[str, TlsFiles] | None = None,
         peer_seeds: list[Address] | None = None,
+        platform_authority: str = "",
     ) -> None:
         self.instance_id = instance_id
         self.availability_zone = availability_zone
@@ -138,6 +130,7 @@
         self.first_operator_sha256 = first_operator_sha256
         self.tls_by_listener = tls_by_listener or {}
         self.peer_seeds = peer_seeds or []
+        self.platform_authority = platform_authority
 
 
 def _address(text: Any) -> Address:
@@ -167,6 +160,7 @@
                 str, vol.Match(r"^https?://", msg="must be an http or https URL")
             ),
             "deadline_s": _SECONDS,
+            "authority": str,
             **_SECRET,
         },
         "peers": {"seeds": [_address], **_SECRET},
@@ -202,28 +196,66 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise FindingsError([Finding(str(path), "-", str(error))]) from error
     findings: list[Finding] = []
+    checked: dict[str, Any] = {}
     try:
-        table = _SCHEMA(table)
+        checked = _SCHEMA(table)
     except vol.MultipleInvalid as error:
-        for invalid in error.errors:
-            key = ".".join(str(part) for part in invalid.path)
-            findings.append(Finding(str(path), key, _sentence(invalid)))
-        raise FindingsError(findings) from error
+        findings = invalid_findings(str(path), error, _SCHEMA)
+    # Files and variables are looked at also where a key is wrong: all at once.
     secrets_by_table = {
-        name: _secret(path, name, table.get(name, {}), environment, findings)
+        name: _secret(path, name, _table(table, name), environment, findings)
         for name in ("platform", "peers")
     }
+    authority = _authority(path, _table(table, "platform"), findings)
+    tls_by_listener = _tls(path, _table(table, "tls"), findings)
     if findings:
         raise FindingsError(findings)
-    return _settings(table, secrets_by_table)
+    settings = _settings(checked, secrets_by_table)
+    settings.tls_by_listener = tls_by_listener
+    settings.platform_authority = authority
+    return settings
 
 
-def _sentence(invalid: vol.Invalid) -> str:
-    if invalid.error_message == "extra keys not allowed":
-        return "is not a known key"
-    if invalid.error_message == "required key not provided":
-        return "is missing"
-    return invalid.error_message
+def _table(table: dict[str, Any], name: str) -> dict[str, Any]:
+    found = table.get(name, {})
+    return found if isinstance(found, dict) else {}
+
+
+def _authority(path: Path, table: dict[str, Any], findings: list[Finding]) -> str:
+    if not isinstance(table.get("authority"), str):
+        return ""
+    authority = str(path.parent / table["authority"])
+    try:
+        client_context(authority)
+    except OSError as error:
+        text = f"cannot be used: {error.strerror or error}"
+        findings.append(Finding(str(path), "platform.authority", text))
+    return authority
+
+
+def _tls(
+    path: Path, table: dict[str, Any], findings: list[Finding]
+) -> dict[str, TlsFiles]:
+    """Return the TLS files by listener, tried out, relative to the settings file."""
+    files_by_listener: dict[str, TlsFiles] = {}
+    for name, fields in table.items():
+        if not isinstance(fields, dict) or not {"certificate", "key"} <= fields.keys():
+            continue
+        found = {key: str(path.parent / str(at)) for key, at in fields.items()}
+        missing = [key for key, at in found.items() if not Path(at).is_file()]
+        for key in missing:
+            text = f"there is no file {found[key]}"
+            findings.append(Finding(str(path), f"tls.{name}.{key}", text))
+        files = TlsFiles.from_map(found)
+        files_by_listener[name] = files
+        if missing:
+            continue
+        try:
+            server_context(files)
+        except OSError as error:
+            text = f"cannot be used: {error.strerror or error}"
+            findings.append(Finding(str(path), f"tls.{name}", text))
+    return files_by_listener
 
 
 def _secret(
@@ -233,18 +265,18 @@
     environment: dict[str, str],
     findings: list[Finding],
 ) -> str:
-    if "secret_env" in table:
+    if isinstance(table.get("secret_env"), str):
         variable = table["secret_env"]
         if variable not in environment:
             text = f"variable {variable} is not set"
             findings.append(Finding(str(path), f"{name}.secret_env", text))
         return environment.get(variable, "")
-    if "secret_file" not in table:
+    if not isinstance(table.get("secret_file"), str):
         return ""
     try:
         return (path.parent / table["secret_file"]).read_text().strip()
-    except OSError as error:
-        text = f"cannot be read: {error.strerror}"
+    except (OSError, UnicodeDecodeError) as error:
+        text = f"cannot be read: {getattr(error, 'strerror', error)}"
         findings.append(Finding(str(path), f"{name}.secret_file", text))
         return ""
 
@@ -261,9 +293,6 @@
         "region": table["instance"].get("region"),
         "first_operator_sha256": table.get("operators", {}).get("first_token_sha256"),
         "peer_seeds": table.get("peers", {}).get("seeds"),
-        "tls_by_listener": {
-            name: TlsFiles(**files) for name, files in table.get("tls", {}).items()
-        },
     }
     return Settings(
         instance_id=table["instance"]["id"],
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line and its inputs."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests of the stand-ins."""
