Build one file that runs without unpacking anything

Cause: instances have no disk and a machine that is replaced starts the program for the first time. shiv unpacks 48 MB and takes 1.72 s for that start. Weighed: shiv, and a zip archive whose extension modules are loaded from anonymous files in memory; pex is not in the lock and was not tried. Change: make binary builds the archive of the hashed lock alone (--no-deps, since hdrhistogram asks for setuptools, which no lock pins).

--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,22 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# One file of the hashed lock and this project, nothing else; docs/design/binary.md.
+binary: $(VENV)/.installed
+	rm -rf build dist
+	$(BIN)/python -m pip install --quiet --no-deps --require-hashes \
+	  --only-binary :all: --no-compile --target build/site -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+	  --no-compile --target build/site --upgrade .
+	$(BIN)/python binary/build.py build/site dist/caperridge
+	dist/caperridge --version
+
+# Every experiment that is there, one line of JSON each.
+measure: $(VENV)/.installed
+	for name in $$($(BIN)/python -c \
+	  'from caperridge.measure.registry import MODULES_BY_NAME; \
+	  print(*MODULES_BY_NAME)'); do \
+	  $(BIN)/caperridge measure $$name --json || exit 1; done
+
 clean:
 	rm -rf $(VENV) dist build out
