--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -7,7 +7,8 @@
 
 import voluptuous as vol
 
-from caperridge.findings import Finding, FindingsError, invalid_findings
+from caperridge.checking import invalid_findings
+from caperridge.findings import Finding, FindingsError
 from caperridge.records import Record
 from caperridge.tls import TlsFiles, client_context, server_context
 
