Judge who lives by heartbeats, with suspicion before removal

Cause: the view of who lives was the platform's list alone, so an owner that died kept its keys until the list caught up, and one that was paused acted on. Weighed: removal by vote of several peers (more messages, and two views remain anyway); plain timeouts (one bad link removes a healthy instance). Taken: evidence of life is a pair of incarnation and sequence; a suspect is asked after in the next heartbeat and whoever saw a newer one answers. Change: failure detector, heartbeats and links as pure modules; a peer that comes back after a removal waits longer each time; a paused process blames nobody and holds back; leaving sticks to the incarnation; a second process with the same id stands back. Also, to be proved next: the platform reached through a peer, and the list of members read by one instance of a zone at a time and shared.

--- a/src/caperridge/decisions/failure_detector.py
+++ b/src/caperridge/decisions/failure_detector.py
@@ -183,8 +183,8 @@
         self.held_back = True
         self._resumed_at = now
         for health in self.health_by_id.values():
-            health.heard_at += gap
-            health.since += gap
+            health.heard_at = min(now, health.heard_at + gap)
+            health.since = min(now, health.since + gap)
 
 
 def _newer(evidence: Evidence, health: PeerHealth) -> bool:
--- /dev/null
+++ b/src/caperridge/decisions/heartbeats.py
@@ -0,0 +1,99 @@
+"""What an instance says in its heartbeats, and what it makes of others'.
+
+A heartbeat asks after those that its sender suspects, and answers for those that
+others suspect, so that a single bad link removes nobody. It also tells an instance
+that another process has its id: a predecessor whose clock was ahead, if the instance
+has just started, and a successor otherwise.
+"""
+
+from caperridge.decisions.failure_detector import LIVE, SUSPECT, Evidence
+from caperridge.decisions.membership import Membership
+from caperridge.peers.messages import Heartbeat
+
+START_S = 10.0
+MOST_ASKED = 64
+
+
+class Heartbeats:
+    """The heartbeats of one instance.
+
+    Args:
+        membership: fed with what is heard.
+        incarnation: of this process; above that of any earlier one with its id.
+        started_at: when the process started, on the clock that ``now`` is of.
+    """
+
+    def __init__(
+        self, membership: Membership, incarnation: int, started_at: float
+    ) -> None:
+        self.incarnation = incarnation
+        self._membership = membership
+        self._started_at = started_at
+        self._sequence = 0
+        self._asked: set[str] = set()
+
+    def next(self, configuration_version: int = 0) -> Heartbeat:
+        """Return the next heartbeat, for every peer."""
+        self._sequence += 1
+        heartbeat = self.repeated(configuration_version)
+        self._asked.clear()
+        return heartbeat
+
+    def repeated(self, configuration_version: int = 0) -> Heartbeat:
+        """Return the last heartbeat again, for a peer that was not there."""
+        return Heartbeat(
+            self._membership.instance,
+            self.incarnation,
+            self._sequence,
+            configuration_version,
+            self._membership.leaving,
+            self._rumours(),
+        )
+
+    def take(self, heartbeat: Heartbeat, availability_zone: str, now: float) -> None:
+        """Take in the heartbeat of a peer that runs in ``availability_zone``."""
+        evidence = Evidence(
+            heartbeat.instance,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            heartbeat.leaving,
+        )
+        self._membership.heard(evidence, availability_zone, now)
+        for rumour in heartbeat.rumours:
+            self._take_rumour(*rumour[:4], now=now)
+
+    def check_own(self, known: int, now: float) -> None:
+        """Go above a predecessor's incarnation, or give way to a successor's."""
+        if known <= self.incarnation or self._membership.superseded:
+            return
+        if now - self._started_at < START_S:
+            self.incarnation = known + 1
+            return
+        self._membership.supersede()
+
+    def _take_rumour(
+        self, instance: str, incarnation: int, state: str, sequence: int, now: float
+    ) -> None:
+        if instance == self._membership.instance:
+            self.check_own(incarnation, now)
+            return
+        if state == SUSPECT:
+            if len(self._asked) < MOST_ASKED:
+                self._asked.add(instance)
+            return
+        if state == LIVE:
+            zone = self._membership.zone_of(instance)
+            evidence = Evidence(instance, incarnation, sequence)
+            self._membership.heard(evidence, zone, now)
+
+    def _rumours(self) -> list[list[str | int]]:
+        detector = self._membership.detector
+        rumours: list[list[str | int]] = []
+        for instance in detector.suspects():
+            health = detector.health_by_id[instance]
+            rumours.append([instance, health.incarnation, SUSPECT, health.sequence])
+        for instance in sorted(self._asked):
+            health = detector.health_by_id.get(instance)
+            if health is not None and health.state == LIVE and not health.leaving:
+                rumours.append([instance, health.incarnation, LIVE, health.sequence])
+        return rumours
--- a/src/caperridge/decisions/membership.py
+++ b/src/caperridge/decisions/membership.py
@@ -8,11 +8,18 @@
 
 from collections.abc import Iterable
 
-from caperridge.decisions.failure_detector import Evidence, FailureDetector
+from caperridge.decisions.failure_detector import (
+    DEAD,
+    Evidence,
+    FailureDetector,
+    PeerHealth,
+)
 from caperridge.decisions.rendezvous import owner
 from caperridge.platform.interface import ListedMember
 
 LISTED_GRACE_S = 10.0
+UNLISTED_S = 300.0
+ELSEWHERE_S = 30.0
 MOST_CACHED_OWNERS = 20_000
 LEAVING = "leaving"
 
@@ -39,6 +46,7 @@
         self.zones_by_id: dict[str, str] = {}
         self.detector = FailureDetector()
         self._listed_at_by_id: dict[str, float] = {}
+        self._introduced_at_by_id: dict[str, float] = {}
         self._left_by_id: dict[str, tuple[int, int]] = {}
         self._live_by_zone: dict[str, list[str]] = {}
         self._owners_by_key: dict[tuple[str, str], str | None] = {}
@@ -65,12 +73,11 @@
         self._now = now
         self.zones_by_id[evidence.instance] = availability_zone
         was_held_back = self.detector.held_back
-        before = self.detector.health_by_id.get(evidence.instance)
-        counted = before is not None and before.counted
         if not self.detector.heard(evidence, now):
             return False
-        after = self.detector.health_by_id[evidence.instance]
-        if was_held_back or after.counted != counted:
+        instance = evidence.instance
+        counted = instance in self.live(self.zone_of(instance))
+        if was_held_back or self._is_live(instance) != counted:
             self._refresh()
         return True
 
@@ -83,6 +90,7 @@
         """Let time pass; return the peers that were removed."""
         self._now = now
         removed = self.detector.tick(now)
+        self._forget_unlisted()
         self._refresh()
         return removed
 
@@ -105,6 +113,10 @@
         """Return the live instances of a zone, sorted; the own one if steady."""
         return self._live_by_zone.get(availability_zone, [])
 
+    def live_by_zone(self) -> dict[str, list[str]]:
+        """Return the live instances of every zone; not to be changed."""
+        return self._live_by_zone
+
     def owner(self, key: str, availability_zone: str) -> str | None:
         """Return the live instance of a zone that looks after ``key``.
 
@@ -121,6 +133,12 @@
         self._owners_by_key[place] = found
         return found
 
+    def introduced(self, instance: str, availability_zone: str) -> None:
+        """Learn from a peer of an instance that is not listed yet."""
+        if instance != self.instance and instance not in self.zones_by_id:
+            self.zones_by_id[instance] = availability_zone
+            self._introduced_at_by_id[instance] = self._now
+
     def zone_of(self, instance: str) -> str:
         """Return where an instance runs; empty if that is not known."""
         member = self.members_by_id.get(instance)
@@ -131,7 +149,7 @@
     def known_by_zone(self) -> dict[str, list[str]]:
         """Return every other instance that is not known to have left, by zone."""
         found_by_zone: dict[str, list[str]] = {}
-        known = self.members_by_id.keys() | self.detector.health_by_id.keys()
+        known = self.members_by_id.keys() | self.zones_by_id.keys()
         for instance in sorted(known - {self.instance}):
             if not self._has_left(instance):
                 zone = self.zone_of(instance)
@@ -148,6 +166,22 @@
             heard = self.detector.known_incarnation(member.id)
             self._left_by_id[member.id] = (member.incarnation, heard)
 
+    def _forget_unlisted(self) -> None:
+        """Forget instances that are not listed and were not heard for long."""
+        for instance in list(self.zones_by_id):
+            if instance in self.members_by_id:
+                continue
+            health = self.detector.health_by_id.get(instance)
+            if health is None:
+                last_at = self._introduced_at_by_id.get(instance, self._now)
+            elif health.state == DEAD:
+                last_at = health.since
+            else:
+                continue
+            if self._now - last_at >= UNLISTED_S:
+                del self.zones_by_id[instance]
+                self._introduced_at_by_id.pop(instance, None)
+
     def _has_left(self, instance: str) -> bool:
         health = self.detector.health_by_id.get(instance)
         if health is not None and health.leaving:
@@ -161,14 +195,23 @@
         if self._has_left(instance):
             return False
         health = self.detector.health_by_id.get(instance)
-        if health is not None:
+        elsewhere = self.zone_of(instance) != self.availability_zone
+        if health is not None and not (elsewhere and self._stale(health)):
             return health.counted
         if instance not in self.members_by_id:
             return False
-        if not self.heartbeats or self.zone_of(instance) != self.availability_zone:
+        if elsewhere or not self.heartbeats:
             return True
         return self._now - self._listed_at_by_id[instance] < LISTED_GRACE_S
 
+    def _stale(self, health: PeerHealth) -> bool:
+        """Return whether silence from another zone says nothing any more.
+
+        Only a few streams lead there and they move, so after a while the list, which
+        lags but goes on, knows better.
+        """
+        return health.state == DEAD and self._now - health.since >= ELSEWHERE_S
+
     def _refresh(self) -> None:
         found_by_zone: dict[str, list[str]] = {}
         known = self.members_by_id.keys() | self.detector.health_by_id.keys()
--- a/src/caperridge/instance/online_news.py
+++ b/src/caperridge/instance/online_news.py
@@ -8,13 +8,13 @@
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.messages import OnlineLoad
-from caperridge.peers.interface import Peers
+from caperridge.peers.interface import PeerListener, Peers
 from caperridge.peers.messages import LatencyNews, OnlineNews
 
 LATENCY_EVERY_S = 0.25
 
 
-class OnlineReporter(Actor):
+class OnlineReporter(Actor, PeerListener):
     """Sends news of online load to whoever dispatches batch for the target.
 
     A change is told at once, without a way through the mailbox: a batch stream has
@@ -65,6 +65,14 @@
         """Repeat what is in flight, and tell a new owner."""
         self.repeat()
 
+    def opened(self, instance: str) -> None:
+        """Tell a peer that has just been reached."""
+        self.repeat()
+
+    def view_changed(self) -> None:
+        """Tell those who look after a target now."""
+        self.repeat()
+
     def repeat(self) -> None:
         """Tell again of every target with requests in flight, e.g. in a new view."""
         for target_id, state in list(self._book.states_by_id.items()):
@@ -93,7 +101,7 @@
             return
         self._sequence += 1
         news = OnlineNews(own_id, target, in_flight, self._sequence)
-        self._peers.send(owner, news)
+        self._peers.send_towards(owner, news)
 
     def _tell_latency(self, load: OnlineLoad, owner: str) -> None:
         own_id = self._membership.instance
--- a/src/caperridge/instance/peer_dialer.py
+++ b/src/caperridge/instance/peer_dialer.py
@@ -14,16 +14,18 @@
 log = logger(__name__)
 AWAIT_CALL_S = 2.0
 FORGET_S = 60.0
+LASTING_S = 5.0
 
 
 class Dialing:
     """The tries to reach one peer."""
 
-    __slots__ = ("due", "failures", "task")
+    __slots__ = ("due", "failures", "reached_at", "task")
 
     def __init__(self, due: float) -> None:
         self.due = due
         self.failures = 0
+        self.reached_at = due
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -55,19 +57,22 @@
         self._chance = chance
         self._dialing_by_key: dict[str, Dialing] = {}
 
-    def want(self, instance: str, address: str, now: float) -> None:
+    def want(
+        self, instance: str, address: str, now: float, eager: bool = False
+    ) -> None:
         """Try to reach a peer, unless it is too early.
 
         Args:
             instance: whom to expect; empty for a seed.
             address: its listener for peers.
             now: monotonic seconds.
+            eager: the other end does not know that there should be a stream.
         """
         key = instance or address
         dialing = self._dialing_by_key.get(key)
         if dialing is None:
             # The lower id calls first, so that both do not call at once.
-            waits = instance and self._instance > instance
+            waits = instance and self._instance > instance and not eager
             dialing = Dialing(now + AWAIT_CALL_S if waits else now)
             self._dialing_by_key[key] = dialing
         if now < dialing.due or dialing.busy:
@@ -86,9 +91,20 @@
         if dialing.failures == 1:
             log.info("peer not reached", peer=message.key, reason=message.reason)
 
-    def reached(self, instance: str) -> None:
-        """Forget the failures of a peer that there is a stream to."""
-        self._dialing_by_key.pop(instance, None)
+    def reached(self, instance: str, now: float) -> None:
+        """Note that there is a stream to a peer, whoever opened it."""
+        dialing = self._dialing_by_key.setdefault(instance, Dialing(now))
+        dialing.reached_at = now
+
+    def ended(self, instance: str, now: float) -> None:
+        """Note that a stream ended; one that lasted wipes out earlier failures."""
+        dialing = self._dialing_by_key.get(instance)
+        if dialing is None:
+            return
+        if now - dialing.reached_at >= LASTING_S:
+            dialing.failures = 0
+        dialing.failures += 1
+        dialing.due = now + wait_s(dialing.failures, self._chance.random())
 
     def forget_old(self, now: float) -> None:
         """Forget tries that nobody wants any more."""
--- a/src/caperridge/instance/peer_news.py
+++ b/src/caperridge/instance/peer_news.py
@@ -4,10 +4,11 @@
 from functools import singledispatchmethod
 
 from caperridge.decisions.jobs import CANCELLED
+from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.messages import JobsChanged
-from caperridge.peers.interface import Peers
+from caperridge.peers.interface import PeerListener, Peers
 from caperridge.peers.messages import (
     JobNews,
     LatencyNews,
@@ -17,13 +18,15 @@
 from caperridge.records import Record
 
 
-class PeerNews:
+class PeerNews(PeerListener):
     """Hands each piece of news to the part that it concerns.
 
     Args:
         books: of targets; each is told that a target is leaving.
         streams: the own batch streams.
         jobs_changed: the batch dispatcher.
+        membership: says who dispatches for a target.
+        peers: the streams to other instances.
     """
 
     def __init__(
@@ -31,21 +34,25 @@
         books: list[TargetBook],
         streams: BatchStreams,
         jobs_changed: Callable[[JobsChanged], object],
+        membership: Membership,
+        peers: Peers,
     ) -> None:
         self._books = books
         self._streams = streams
         self._jobs_changed = jobs_changed
-
-    def listen(self, peers: Peers) -> None:
-        """Have ``peers`` tell of every kind that is handled here."""
+        self._membership = membership
+        self._peers = peers
         for kind in (OnlineNews, LatencyNews, JobNews, TargetNews):
             peers.register(kind, self.take)
+        peers.listen(self)
 
-    def opened(self, sender: str) -> None:
+    def opened(self, instance: str) -> None:
         """Forget what a peer said on an earlier stream, perhaps as another process."""
-        self._streams.sender_gone(sender)
+        self._streams.sender_gone(instance)
 
-    removed = opened
+    def removed(self, instance: str) -> None:
+        """Forget what a dead peer said."""
+        self._streams.sender_gone(instance)
 
     def take(self, sender: str, message: Record) -> None:
         """Act on ``message``, which came from ``sender``."""
@@ -57,10 +64,26 @@
 
     @_take.register
     def _(self, message: OnlineNews, sender: str) -> None:
+        if sender == message.instance and self._passed_on(message):
+            return
         self._streams.online_changed(
-            message.target, sender, message.in_flight, message.sequence
+            message.target, message.instance, message.in_flight, message.sequence
         )
 
+    def _passed_on(self, message: OnlineNews) -> bool:
+        """Pass news on, once, to the dispatcher that this instance knows of.
+
+        The sender may be in another zone, or see other instances live than this one.
+        """
+        state = self._books[0].states_by_id.get(message.target)
+        if state is None:
+            return False
+        zone = state.member.availability_zone
+        owner = self._membership.owner(message.target, zone)
+        if owner in (None, self._membership.instance, message.instance):
+            return False
+        return self._peers.send(owner, message)
+
     @_take.register
     def _(self, message: LatencyNews, sender: str) -> None:
         self._streams.latency_seen(
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 import zlib
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -36,6 +37,7 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
@@ -51,6 +53,7 @@
 )
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
+from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
@@ -79,7 +82,7 @@
         engines: EngineClient | None = None,
     ) -> None:
         self.settings = settings
-        self.platform = platform or HttpPlatform(
+        self._direct = platform or HttpPlatform(
             settings.platform_endpoint,
             settings.availability_zone,
             settings.platform_secret,
@@ -91,14 +94,6 @@
         self.traces = Traces()
         self.addresses_by_listener: dict[str, Address] = {}
         self.draining = False
-        self._engines = engines or EngineClient()
-        self._plain_client = PlainClient()
-        # Instances differ in the seed, so that they do not choose in step.
-        seed = zlib.crc32(settings.instance_id.encode())
-        book = TargetBook(settings.availability_zone, seed)
-        self.session = SessionKeeper(
-            self.platform, settings.instance_id, settings.lease_s, clock
-        )
         self.membership = Membership(
             settings.instance_id,
             settings.availability_zone,
@@ -109,6 +104,18 @@
             metrics = PeerMetrics(self.metrics.registry)
             self.mesh = PeerMesh(settings, self.membership, metrics, clock)
         self.peers: Peers = self.mesh or NoPeers()
+        self.platform = self._direct
+        self.relay_server: RelayServer | None = None
+        if self.mesh is not None:
+            self.platform = self._wire_relay(self.mesh, clock)
+        self._engines = engines or EngineClient()
+        self._plain_client = PlainClient()
+        # Instances differ in the seed, so that they do not choose in step.
+        seed = zlib.crc32(settings.instance_id.encode())
+        book = TargetBook(settings.availability_zone, seed)
+        self.session = SessionKeeper(
+            self.platform, settings.instance_id, settings.lease_s, clock
+        )
         self.dispatcher = BatchDispatcher(
             self.platform,
             self.session,
@@ -155,11 +162,13 @@
         self.configuration = ConfigurationKeeper(
             self.platform, self._applied, self.membership, self.peers
         )
-        self.members = MembersReader(self.platform, self._listed)
+        self.members = self._members_reader()
         self.peer_news = PeerNews(
             [self.online.book, self.streams.book],
             self.streams,
             self.dispatcher.tell,
+            self.membership,
+            self.peers,
         )
         self._order_client = OrderClient()
         self.orderer = Orderer(
@@ -200,11 +209,32 @@
         self.streams.book.apply_list(message.members)
         self.orderer.tell(message)
 
+    def _members_reader(self) -> MembersReader:
+        if self.mesh is None:
+            return MembersReader(self.platform, self._listed)
+        zone = self.settings.availability_zone
+        return MembersReader(
+            self.platform,
+            self._listed,
+            self.mesh,
+            lambda: len(self.membership.live(zone)),
+            self.mesh.introductions,
+            self.mesh.introduce,
+        )
+
+    def _wire_relay(self, mesh: PeerMesh, clock: Callable[[], float]) -> Platform:
+        """Return the platform, reached through a peer where it must be."""
+        relayed = RelayedPlatform(self._direct, clock)
+        relayed.way = RelayClient(
+            mesh, self.membership, self.settings.platform_deadline_s, clock
+        )
+        self.relay_server = RelayServer(self._direct, mesh)
+        return relayed
+
     def _wire_peers(self, mesh: PeerMesh) -> None:
         """Connect the peers' news with the tasks that it concerns."""
-        news = self.peer_news
-        news.listen(mesh)
         mesh.configuration_version = lambda: self.configuration.current.version
+        mesh.listen(self.online_news)
         keeper = self.configuration
         mesh.register(
             ConfigurationNews,
@@ -214,9 +244,6 @@
             ConfigurationAsk,
             lambda peer, ask: keeper.tell(ConfigurationAsked(peer, ask.version)),
         )
-        mesh.peer_opened = news.opened
-        mesh.peer_removed = news.removed
-        mesh.view_changed = self.online_news.repeat
         mesh.register(LoadNews, lambda _, news: self.online.loads_told(news))
         mesh.register(TraceAsk, self.explanations.asked)
         mesh.register(TraceAnswer, self.explanations.answered)
@@ -267,7 +294,7 @@
 
     def versions_of_peers(self) -> dict[str, int]:
         """Return the configuration's version that each heartbeat told, by instance."""
-        return {}
+        return {} if self.mesh is None else dict(self.mesh.versions_by_id)
 
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
@@ -356,5 +383,9 @@
         await self._engines.close()
         await self._order_client.close()
         await self._plain_client.close()
-        if isinstance(self.platform, HttpPlatform):
+        if self.relay_server is not None:
+            await self.relay_server.stop()
+        if isinstance(self.platform, RelayedPlatform):
             await self.platform.close()
+        if isinstance(self._direct, HttpPlatform):
+            await self._direct.close()
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -258,6 +258,37 @@
         self.value = value
 
 
+class ListNews(Record):
+    """What changed in the platform's list of members, or all of it.
+
+    Attributes:
+        members: new or changed, as maps.
+        removed: ids that are gone.
+        whole: nothing else is in the list.
+        introduced: ``[instance, zone, address]`` of instances not listed yet.
+    """
+
+    __slots__ = ("introduced", "members", "removed", "whole")
+
+    def __init__(
+        self,
+        members: list[dict[str, Any]],
+        removed: list[str] | None = None,
+        whole: bool = False,
+        introduced: list[list[str]] | None = None,
+    ) -> None:
+        self.members = members
+        self.removed = removed or []
+        self.whole = whole
+        self.introduced = introduced or []
+
+
+class ListAsk(Record):
+    """Asks a peer for all of the platform's list, as the platform is away."""
+
+    __slots__ = ()
+
+
 class TraceAsk(Record):
     """Asks for the trace of a request, for ``explain`` at another instance."""
 
@@ -293,6 +324,8 @@
         ConfigurationAsk,
         RelayCall,
         RelayAnswer,
+        ListNews,
+        ListAsk,
         TraceAsk,
         TraceAnswer,
     )
--- a/src/caperridge/peers/outbox.py
+++ b/src/caperridge/peers/outbox.py
@@ -14,6 +14,8 @@
     Heartbeat,
     JobNews,
     LatencyNews,
+    ListAsk,
+    LoadedNews,
     OnlineNews,
     TargetNews,
 )
@@ -53,6 +55,11 @@
     return TargetNews, message.target
 
 
+@subject.register
+def _(message: LoadedNews) -> Any:
+    return LoadedNews, message.target
+
+
 @subject.register
 def _(message: ConfigurationNews) -> Any:
     # A delta does not replace the one that it builds on, so each version counts.
@@ -64,6 +71,11 @@
     return ConfigurationAsk
 
 
+@subject.register
+def _(message: ListAsk) -> Any:
+    return ListAsk
+
+
 class Outbox:
     """Messages in order of first arrival; a newer one takes an older one's place."""
 
--- a/src/caperridge/peers/stream.py
+++ b/src/caperridge/peers/stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import Any
 
 from caperridge.log import logger
 from caperridge.peers.frames import (
@@ -74,6 +75,21 @@
         self._wake.set()
         return True
 
+    def to_map(self) -> dict[str, Any]:
+        """Return the stream for the dump."""
+        return {
+            "address": self.address,
+            "availability_zone": self.hello.availability_zone,
+            "bytes_in": self.bytes_in,
+            "bytes_out": self.bytes_out,
+            "dialed": self.dialed,
+            "dropped": self.dropped,
+            "protocol": self.hello.protocol,
+            "release": self.hello.release,
+            "unknown_kinds": self.unknown_kinds,
+            "unreadable": self.unreadable,
+        }
+
     def take_counts(self) -> tuple[int, int, int]:
         """Return bytes in, bytes out and messages dropped since the last call."""
         before = self._counted
--- a/src/caperridge/platform/http.py
+++ b/src/caperridge/platform/http.py
@@ -170,9 +170,11 @@
                 data = await response.read()
                 return _judge(response, data)
         except aiohttp.ClientConnectorError as error:
-            return Err(NotDone(f"the platform was not reached: {error.strerror}"))
+            reason = f"the platform was not reached: {error.strerror}"
+            return Err(NotDone(reason, reached=False))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(Unknown(f"no answer from the platform: {type(error).__name__}"))
+            reason = f"no answer from the platform: {type(error).__name__}"
+            return Err(Unknown(reason, reached=False))
 
 
 def _object_path(name: str) -> str:
--- a/src/caperridge/platform/interface.py
+++ b/src/caperridge/platform/interface.py
@@ -128,22 +128,32 @@
     Attributes:
         reason: a sentence for a person.
         retry_after_s: when to ask again, in seconds; 0 if it gave none.
+        reached: whether the platform itself said so.
     """
 
-    __slots__ = ("reason", "retry_after_s")
+    __slots__ = ("reached", "reason", "retry_after_s")
 
-    def __init__(self, reason: str, retry_after_s: float = 0.0) -> None:
+    def __init__(
+        self, reason: str, retry_after_s: float = 0.0, reached: bool = True
+    ) -> None:
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.reached = reached
 
 
 class Unknown(Record):
-    """The answer was lost; the effect may or may not have happened or yet happen."""
+    """The answer was lost; the effect may or may not have happened or yet happen.
+
+    Attributes:
+        reason: a sentence for a person.
+        reached: whether the platform gave any sign of life.
+    """
 
-    __slots__ = ("reason",)
+    __slots__ = ("reached", "reason")
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, reached: bool = True) -> None:
         self.reason = reason
+        self.reached = reached
 
 
 class ListedMember(Record):
--- /dev/null
+++ b/src/caperridge/platform/relay.py
@@ -0,0 +1,209 @@
+"""The platform, directly or, while this instance is cut off from it, through a peer.
+
+What is said of an outcome stays true: a call that may have left is *unknown* unless an
+answer came. Only a call that certainly had no effect, or may be repeated without harm,
+is tried again the other way.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from result import Ok, Result
+
+from caperridge.log import logger
+from caperridge.platform.interface import (
+    Committed,
+    Condition,
+    ListedMember,
+    NotDone,
+    Platform,
+    ReadError,
+    Row,
+    Unknown,
+    Write,
+    WriteError,
+)
+from caperridge.platform.wire import encode
+
+log = logger(__name__)
+PROBE_S = 1.0
+Call = Callable[[], Any]
+
+
+class RelayWay(ABC):
+    """Calls the platform through some peer."""
+
+    @abstractmethod
+    async def call(self, method: str, arguments: dict[str, Any]) -> Result[Any, Any]:
+        """Return the outcome; ``NotDone`` if there was nobody to ask."""
+
+    @abstractmethod
+    def needed(self, cut_off: bool) -> None:
+        """Learn whether relaying is needed, so as to keep streams for it."""
+
+
+class RelayedPlatform(Platform):
+    """Tries the direct way, then a peer.
+
+    Args:
+        direct: the platform as this instance reaches it.
+        clock: monotonic seconds.
+    """
+
+    def __init__(self, direct: Platform, clock: Callable[[], float]) -> None:
+        self.direct = direct
+        self.cut_off = False
+        self.relayed = 0
+        self.way: RelayWay | None = None
+        self._clock = clock
+        self._probe_due = 0.0
+        self._probe: asyncio.Task[None] | None = None
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write], token: str
+    ) -> Result[Committed, WriteError]:
+        """See :meth:`Platform.transact`; never sent twice in one call."""
+        arguments = {
+            "conditions": [encode(condition) for condition in conditions],
+            "writes": [encode(write) for write in writes],
+            "token": token,
+        }
+        return await self._call(
+            "transact",
+            arguments,
+            lambda: self.direct.transact(conditions, writes, token),
+            repeatable=False,
+        )
+
+    async def read(self, keys: list[str]) -> Result[dict[str, Row], ReadError]:
+        """See :meth:`Platform.read`."""
+        return await self._call("read", {"keys": keys}, lambda: self.direct.read(keys))
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], ReadError]:
+        """See :meth:`Platform.scan`."""
+        arguments = {"prefix": prefix, "after": after, "limit": limit}
+        return await self._call(
+            "scan", arguments, lambda: self.direct.scan(prefix, after, limit)
+        )
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, ReadError]:
+        """See :meth:`Platform.put_object`; the same bytes may be put twice."""
+        arguments = {"name": name, "data": data}
+        return await self._call(
+            "put_object", arguments, lambda: self.direct.put_object(name, data)
+        )
+
+    async def get_object(
+        self, name: str, start: int = 0, length: int | None = None
+    ) -> Result[bytes | None, ReadError]:
+        """See :meth:`Platform.get_object`."""
+        arguments = {"name": name, "start": start, "length": length}
+        return await self._call(
+            "get_object",
+            arguments,
+            lambda: self.direct.get_object(name, start, length),
+        )
+
+    async def list_objects(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[str], ReadError]:
+        """See :meth:`Platform.list_objects`."""
+        arguments = {"prefix": prefix, "after": after, "limit": limit}
+        return await self._call(
+            "list_objects",
+            arguments,
+            lambda: self.direct.list_objects(prefix, after, limit),
+        )
+
+    async def delete_object(self, name: str) -> Result[None, ReadError]:
+        """See :meth:`Platform.delete_object`."""
+        return await self._call(
+            "delete_object", {"name": name}, lambda: self.direct.delete_object(name)
+        )
+
+    async def members(self) -> Result[list[ListedMember], ReadError]:
+        """See :meth:`Platform.members`."""
+        return await self._call("members", {}, lambda: self.direct.members())
+
+    async def close(self) -> None:
+        """End the probe that may be under way."""
+        if self._probe is not None:
+            self._probe.cancel()
+            await asyncio.gather(self._probe, return_exceptions=True)
+
+    async def _call(
+        self,
+        method: str,
+        arguments: dict[str, Any],
+        direct: Call,
+        repeatable: bool = True,
+    ) -> Result[Any, Any]:
+        if self.way is None:
+            return await direct()
+        if self.cut_off:
+            self._probe_if_due()
+            outcome = await self._relay(method, arguments)
+            if not _untouched(outcome):
+                return outcome
+        outcome = await direct()
+        was_cut_off = self.cut_off
+        self._note(outcome)
+        if was_cut_off or _reached(outcome):
+            return outcome
+        if not (repeatable or _untouched(outcome)):
+            # It may have taken effect: the caller settles that, by the relay then.
+            return outcome
+        relayed = await self._relay(method, arguments)
+        return outcome if _untouched(relayed) else relayed
+
+    async def _relay(self, method: str, arguments: dict[str, Any]) -> Result[Any, Any]:
+        assert self.way is not None
+        outcome = await self.way.call(method, arguments)
+        if _reached(outcome):
+            self.relayed += 1
+        return outcome
+
+    def _note(self, outcome: Result[Any, Any]) -> None:
+        cut_off = not _reached(outcome)
+        if cut_off == self.cut_off:
+            return
+        self.cut_off = cut_off
+        self._probe_due = self._clock() + PROBE_S
+        if cut_off:
+            log.warning("the platform is not reached: relaying through peers")
+        else:
+            log.info("the platform is reached again")
+        if self.way is not None:
+            self.way.needed(cut_off)
+
+    def _probe_if_due(self) -> None:
+        """Find out, beside the calls, whether the direct way is open again."""
+        if self._clock() < self._probe_due:
+            return
+        if self._probe is not None and not self._probe.done():
+            return
+        self._probe_due = self._clock() + PROBE_S
+        self._probe = asyncio.get_running_loop().create_task(self._try_direct())
+
+    async def _try_direct(self) -> None:
+        self._note(await self.direct.read([]))
+
+
+def _reached(outcome: Result[Any, Any]) -> bool:
+    """Return whether the platform gave any sign of life."""
+    if isinstance(outcome, Ok):
+        return True
+    error = outcome.err_value
+    return not isinstance(error, NotDone | Unknown) or error.reached
+
+
+def _untouched(outcome: Result[Any, Any]) -> bool:
+    """Return whether the call certainly came nowhere near the platform."""
+    if isinstance(outcome, Ok):
+        return False
+    error = outcome.err_value
+    return isinstance(error, NotDone) and not error.reached
--- /dev/null
+++ b/src/caperridge/platform/relay_wire.py
@@ -0,0 +1,131 @@
+"""How platform calls and their outcomes look in the messages of a relay."""
+
+from functools import singledispatch
+from typing import Any
+
+from result import Err, Ok, Result
+
+from caperridge.platform.interface import (
+    Committed,
+    Conflict,
+    ListedMember,
+    NotDone,
+    Platform,
+    Unknown,
+)
+from caperridge.platform.wire import decode_condition, decode_row, decode_write
+from caperridge.records import Record
+
+OK = "ok"
+METHODS = (
+    "transact",
+    "read",
+    "scan",
+    "put_object",
+    "get_object",
+    "list_objects",
+    "delete_object",
+    "members",
+)
+
+
+class RelayError(Exception):
+    """A relayed call or its outcome cannot be understood."""
+
+
+async def perform(
+    platform: Platform, method: str, arguments: dict[str, Any]
+) -> Result[Any, Any]:
+    """Make the call that a peer asked for.
+
+    Raises:
+        RelayError: there is no such call, or its arguments do not fit.
+    """
+    if method not in METHODS:
+        raise RelayError(f"there is no call {method!r}")
+    try:
+        if method == "transact":
+            arguments = {
+                "conditions": [decode_condition(c) for c in arguments["conditions"]],
+                "writes": [decode_write(w) for w in arguments["writes"]],
+                "token": arguments["token"],
+            }
+        call = getattr(platform, method)(**arguments)
+    except (TypeError, KeyError) as error:
+        raise RelayError(f"{method}: {error}") from error
+    return await call
+
+
+def encode_outcome(outcome: Result[Any, Any]) -> tuple[str, Any]:
+    """Return the outcome's class and its value, ready for msgpack."""
+    if isinstance(outcome, Ok):
+        return OK, outcome.ok_value
+    error: Record = outcome.err_value
+    return type(error).__name__, error
+
+
+def decode_outcome(method: str, outcome: str, value: Any) -> Result[Any, Any]:
+    """Return the outcome that :func:`encode_outcome` told of.
+
+    Raises:
+        RelayError: it makes no sense.
+    """
+    try:
+        if outcome == OK:
+            return Ok(_value(method, value))
+        if outcome == Conflict.__name__:
+            rows_by_key = {
+                key: decode_row(row) if row else None
+                for key, row in value["rows_by_key"].items()
+            }
+            return Err(Conflict(value["failed_keys"], rows_by_key))
+        if outcome == NotDone.__name__:
+            return Err(NotDone.from_map(value))
+        if outcome == Unknown.__name__:
+            return Err(Unknown.from_map(value))
+    except (TypeError, KeyError, AttributeError) as error:
+        raise RelayError(f"{method}: {error}") from error
+    raise RelayError(f"{method}: unknown outcome {outcome!r}")
+
+
+def _value(method: str, value: Any) -> Any:
+    if method == "transact":
+        return Committed.from_map(value)
+    if method == "read":
+        return {key: decode_row(row) for key, row in value.items()}
+    if method == "scan":
+        return [decode_row(row) for row in value]
+    if method == "members":
+        return [ListedMember.from_map(member) for member in value]
+    return value
+
+
+@singledispatch
+def size_of(value: Any) -> int:
+    """Return roughly how many bytes ``value`` takes in a message."""
+    return 9
+
+
+@size_of.register
+def _(value: bytes) -> int:
+    return len(value) + 5
+
+
+@size_of.register
+def _(value: str) -> int:
+    return len(value) + 5
+
+
+@size_of.register
+def _(value: list) -> int:
+    return 5 + sum(size_of(item) for item in value)
+
+
+@size_of.register
+def _(value: dict) -> int:
+    return 5 + sum(size_of(key) + size_of(item) for key, item in value.items())
+
+
+@size_of.register
+def _(value: Record) -> int:
+    return size_of(value.to_map())
--- /dev/null
+++ b/tests/peers/test_frames.py
@@ -0,0 +1,234 @@
+"""Frames and the handshake: round trips, other releases and faults in tables."""
+
+import asyncio
+import struct
+from typing import Any
+
+import pytest
+
+from caperridge.peers import handshake, messages
+from caperridge.peers.frames import (
+    MOST_FRAME_BYTES,
+    MOST_HELLO_BYTES,
+    FrameError,
+    MessageError,
+    decode,
+    encode,
+    read_body,
+)
+from caperridge.peers.outbox import Outbox
+from caperridge.records import Record, pack
+
+EXAMPLES: list[Record] = [
+    messages.Hello("e-1", "oviedo", 3, b"n" * 16, b"p", 1, "0.1", 7000, 2),
+    messages.Heartbeat("e-1", 3, 9, 4, True, [["e-2", 1, "suspect", 5]]),
+    messages.OnlineNews("e-1", "r-1", 2, 8),
+    messages.LatencyNews("e-1", "r-1", 0.2, 0.03),
+    messages.JobNews("batch_1", "cancelled"),
+    messages.TargetNews("r-1", 2, True),
+    messages.LoadedNews("r-1", 2, 3, {"model": "north"}, True),
+    messages.ConfigurationNews(5, 4, b"\x00\xff"),
+    messages.ConfigurationAsk(4),
+    messages.RelayCall(1, "read", {"keys": ["a"]}, 3.0),
+    messages.RelayAnswer(1, "ok", {"a": b"\xff"}),
+    messages.ListNews([{"id": "r-1"}], ["r-2"], True, [["e-9", "oviedo", "h:1"]]),
+    messages.ListAsk(),
+    messages.TraceAsk(1, "req-1"),
+    messages.TraceAnswer(1, None),
+]
+
+
+def test_every_kind_has_an_example() -> None:
+    assert {type(e).__name__ for e in EXAMPLES} == set(messages.KINDS_BY_NAME)
+
+
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
+def test_a_message_survives_the_way_and_fields_of_a_later_release(
+    message: Record,
+) -> None:
+    frame = encode(message)
+    assert struct.unpack(">I", frame[:4]) == (len(frame) - 4,)
+    assert decode(frame[4:]) == message
+    later = {"is": type(message).__name__, "colour": "red", **message.to_map()}
+    assert decode(pack(later)) == message
+
+
+@pytest.mark.parametrize(
+    ("fields", "found"),
+    [
+        ({"is": "Gossip", "x": 1}, None),
+        (
+            {"is": "Heartbeat", "instance": "e", "incarnation": 1, "sequence": 2},
+            messages.Heartbeat("e", 1, 2),
+        ),
+        (
+            {
+                "is": "Hello",
+                "instance": "e",
+                "availability_zone": "z",
+                "incarnation": 1,
+            },
+            messages.Hello("e", "z", 1),
+        ),
+    ],
+)
+def test_another_release_is_understood(fields: Any, found: Record | None) -> None:
+    assert decode(pack(fields)) == found
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        b"\x93\x01",
+        b"GET / HTTP",
+        pack([1, 2]),
+        pack({"x": 1}),
+        pack({"is": 7}),
+        pack({"is": "JobNews", "job": "j"}),
+        pack({"is": "Heartbeat"}),
+    ],
+)
+def test_garbage_is_no_message(body: bytes) -> None:
+    with pytest.raises(MessageError):
+        decode(body)
+
+
+def test_a_message_too_large_for_a_frame_is_not_sent() -> None:
+    with pytest.raises(MessageError):
+        encode(messages.ConfigurationNews(1, 0, bytes(MOST_FRAME_BYTES)))
+
+
+async def test_an_announced_giant_is_not_awaited() -> None:
+    reader = asyncio.StreamReader()
+    reader.feed_data(struct.pack(">I", MOST_FRAME_BYTES + 1))
+    with pytest.raises(FrameError):
+        await read_body(reader)
+
+
+class Pipe:
+    """A writer whose bytes the other end reads; records what passed."""
+
+    def __init__(self) -> None:
+        self.reader = asyncio.StreamReader()
+        self.passed: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        self.passed.append(data)
+        self.reader.feed_data(data)
+
+    async def drain(self) -> None:
+        """Nothing to wait for."""
+
+
+def hello(instance: str, **changes: Any) -> messages.Hello:
+    return messages.Hello(instance, "oviedo", 1, **changes)
+
+
+async def shake(
+    dialer: messages.Hello,
+    listener: messages.Hello,
+    dialer_secret: str = "s",
+    listener_secret: str = "s",
+) -> tuple[Any, Any, Pipe]:
+    there, back = Pipe(), Pipe()
+    async with asyncio.timeout(5):
+        called = asyncio.ensure_future(
+            handshake.listen(there.reader, back, lambda _: listener, listener_secret)
+        )
+        called.add_done_callback(lambda _: back.reader.feed_eof())
+        try:
+            said = await handshake.dial(back.reader, there, dialer, dialer_secret)
+        except (handshake.HandshakeError, EOFError) as error:
+            said = error
+        there.reader.feed_eof()
+        answer = (await asyncio.gather(called, return_exceptions=True))[0]
+    return said, answer, there
+
+
+async def test_both_ends_learn_who_the_other_is() -> None:
+    said, called, _ = await shake(hello("a", port=1), hello("b", port=2))
+    assert (said.instance, said.port) == ("b", 2)
+    assert (called.instance, called.port) == ("a", 1)
+
+
+@pytest.mark.parametrize(
+    ("dialer", "listener", "secrets"),
+    [
+        (hello("a"), hello("b"), ("wrong", "s")),
+        (hello("a"), hello("b"), ("s", "wrong")),
+        (hello("a"), hello("a"), ("s", "s")),
+        (hello("a", protocol=0), hello("b"), ("s", "s")),
+        (messages.Hello("a", 7, 1), hello("b"), ("s", "s")),
+    ],
+)
+async def test_an_unproven_or_impossible_peer_is_refused(
+    dialer: messages.Hello, listener: messages.Hello, secrets: tuple[str, str]
+) -> None:
+    said, called, _ = await shake(dialer, listener, *secrets)
+    assert isinstance(said, Exception) or isinstance(called, Exception)
+    assert isinstance(called, handshake.HandshakeError | EOFError)
+
+
+async def test_a_recorded_handshake_is_of_no_use() -> None:
+    _, _, recorded = await shake(hello("a"), hello("b"))
+    there, back = Pipe(), Pipe()
+    for data in recorded.passed:
+        there.write(data)
+    with pytest.raises(handshake.HandshakeError, match="proof"):
+        await handshake.listen(there.reader, back, lambda _: hello("b"), "s")
+
+
+async def test_a_reflected_proof_is_of_no_use() -> None:
+    """A listener that mirrors the dialer's own hello proves nothing."""
+    there, back = Pipe(), Pipe()
+    dialing = asyncio.ensure_future(handshake.dial(back.reader, there, hello("a"), "s"))
+    await asyncio.sleep(0)
+    first = decode(there.passed[0][4:])
+    own = handshake.fresh(hello("b"))
+    proof = handshake.prove("s", handshake.DIALER, own, first)
+    back.write(encode(own.replace(proof=proof)))
+    with pytest.raises(handshake.HandshakeError, match="proof"):
+        await dialing
+
+
+@pytest.mark.parametrize("field", ["instance", "availability_zone", "incarnation"])
+def test_a_proof_covers_who_the_sender_is(field: str) -> None:
+    mine, other = handshake.fresh(hello("a")), handshake.fresh(hello("b"))
+    proof = handshake.prove("s", handshake.DIALER, mine, other)
+    changed = mine.replace(**{field: 9 if field == "incarnation" else "x"})
+    with pytest.raises(handshake.HandshakeError):
+        handshake.check("s", handshake.DIALER, changed, proof, other)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack(">I", MOST_HELLO_BYTES + 1),
+        encode(messages.JobNews("j", "open")),
+        struct.pack(">I", 2) + b"\xc1\xc1",
+    ],
+)
+async def test_what_is_no_hello_is_refused(data: bytes) -> None:
+    there = Pipe()
+    there.write(data)
+    there.reader.feed_eof()
+    with pytest.raises((handshake.HandshakeError, EOFError)):
+        await handshake.listen(there.reader, Pipe(), lambda _: hello("b"), "s")
+
+
+def test_newer_news_takes_the_place_of_older_and_room_is_bounded() -> None:
+    outbox = Outbox(most=3)
+    for number in range(5):
+        assert outbox.put(messages.OnlineNews("e", "r-1", number, number))
+    assert outbox.put(messages.RelayCall(1, "read", {}, 1.0))
+    assert outbox.put(messages.RelayCall(2, "read", {}, 1.0))
+    assert not outbox.put(messages.OnlineNews("e", "r-2", 1, 9))
+    assert outbox.put(messages.OnlineNews("e", "r-1", 7, 10))
+    assert outbox.dropped == 1
+    taken = outbox.take()
+    assert taken[0] == messages.OnlineNews("e", "r-1", 7, 10)
+    assert [type(m).__name__ for m in taken] == ["OnlineNews", "RelayCall", "RelayCall"]
+    assert outbox.take() == []
