Prove the relay to the platform and measure what control costs

Cause: an instance cut off from the platform alone must reach it through a peer, and nothing showed what heartbeats, news and the list cost an instance. Weighed for the relay: two hops over a gateway of the own zone (needs protection against circles) against a stream of its own to another zone while cut off: the stream. A write whose answer was lost is not sent again by the relay: it stays unknown and its caller settles it by its token, through the relay then. Weighed for the list: one reader a zone by rendezvous hashing (one node carries 160 KB/s at the target size, and has to be replaced) against all polling in turn and sharing what changed: in turn.

--- /dev/null
+++ b/src/caperridge/measure/control.py
@@ -0,0 +1,188 @@
+"""What control costs an instance: processor, bytes and memory, idle and changing.
+
+Whole instances run in one process; each arm's processor time and bytes are divided by
+their number. Slopes over the peers of a zone and its runners are fitted by least
+squares and carried to the target size. What the arms can't hold (the list of the whole
+fleet, links to other zones) is measured by itself and added.
+"""
+
+import asyncio
+import time
+import tracemalloc
+from typing import Any
+
+from caperridge.decisions.links import LINKS_A_ZONE
+from caperridge.instance.members import POLL_S
+from caperridge.measure.control_fleet import (
+    HTTP_CALL_BYTES,
+    ControlFleet,
+    rss_mb,
+)
+from caperridge.measure.options import Options
+from caperridge.platform.interface import ListedMember
+from caperridge.records import pack, unpack
+
+SIZES = (3, 6, 12, 24)
+RUNNERS = (6, 28, 112)
+RUNNERS_FIXED = 28
+COUNT_FIXED = 12
+WINDOW_S = 3.0
+NEWS_PER_S = 34.0  # 17 online requests a second, told of at start and end
+LISTS_PER_S = 0.5
+
+TARGET_COUNT = 23
+TARGET_ZONES = 17
+TARGET_INSTANCES = 390
+TARGET_RUNNERS = 1900
+TARGET_RUNNERS_ZONE = 112
+LIMIT_CPU_SHARE = 0.024
+LIMIT_BYTES_PER_S = 17_000
+LIMIT_MB = 64
+
+
+async def run(options: Options) -> dict[str, Any]:
+    """Measure every arm; return arms, slopes and the target's figures."""
+    window_s = options.seconds / 14 if options.seconds else WINDOW_S
+    base_mb = rss_mb()
+    arms: list[dict[str, Any]] = []
+    for count in SIZES:
+        arms += await _measure(count, RUNNERS_FIXED, window_s, options.seed)
+    for runners in RUNNERS:
+        if runners != RUNNERS_FIXED:
+            arms += await _measure(COUNT_FIXED, runners, window_s, options.seed)
+    slopes = {name: _slopes(arms, name) for name in ("idle", "changing")}
+    whole_list = _whole_list()
+    target = _target(slopes["changing"], whole_list, base_mb)
+    return {
+        "arms": arms,
+        "slopes": slopes,
+        "whole_list": whole_list,
+        "base_rss_mb": round(base_mb, 1),
+        "target": target,
+        "limits": {
+            "cpu_share": LIMIT_CPU_SHARE,
+            "bytes_per_s": LIMIT_BYTES_PER_S,
+            "rss_mb": LIMIT_MB,
+        },
+    }
+
+
+async def _measure(
+    count: int, runners: int, window_s: float, seed: int
+) -> list[dict[str, Any]]:
+    """Return the idle and the changing arm of one fleet."""
+    tracemalloc.start()
+    fleet = ControlFleet(count, runners, seed)
+    await fleet.start()
+    state_mb = tracemalloc.get_traced_memory()[0] / 2**20 / count
+    tracemalloc.stop()
+    try:
+        arms: list[dict[str, Any]] = []
+        for name, news_per_s, lists_per_s in (
+            ("idle", 0.0, 0.0),
+            ("changing", NEWS_PER_S, LISTS_PER_S),
+        ):
+            cpu_s, bytes_before = time.process_time(), fleet.bytes_so_far()
+            started = time.monotonic()
+            await fleet.change(window_s, news_per_s, lists_per_s)
+            seconds = (time.monotonic() - started) * count
+            arms.append(
+                {
+                    "name": name,
+                    "instances": count,
+                    "runners": runners,
+                    "cpu_share": (time.process_time() - cpu_s) / seconds,
+                    "bytes_per_s": (fleet.bytes_so_far() - bytes_before) / seconds,
+                    "state_mb": state_mb,
+                }
+            )
+        return arms
+    finally:
+        await fleet.stop()
+        await asyncio.sleep(0)
+
+
+def _slopes(arms: list[dict[str, Any]], name: str) -> dict[str, dict[str, float]]:
+    """Return base and slopes over peers and runners, for each figure."""
+    own = [arm for arm in arms if arm["name"] == name]
+    by_peers = [arm for arm in own if arm["runners"] == RUNNERS_FIXED]
+    by_runners = [arm for arm in own if arm["instances"] == COUNT_FIXED]
+    slopes: dict[str, dict[str, float]] = {}
+    for figure in ("cpu_share", "bytes_per_s", "state_mb"):
+        peers = [(arm["instances"] - 1, arm[figure]) for arm in by_peers]
+        runners = [(arm["runners"], arm[figure]) for arm in by_runners]
+        base, a_peer = _fit(peers)
+        _, a_runner = _fit(runners)
+        slopes[figure] = {
+            "base": base - a_runner * RUNNERS_FIXED,
+            "a_peer": a_peer,
+            "a_runner": a_runner,
+        }
+    return slopes
+
+
+def _fit(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return intercept and slope of the least squares line through ``points``.
+
+    >>> _fit([(0, 1.0), (1, 3.0), (2, 5.0)])
+    (1.0, 2.0)
+    """
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y - slope * mean_x, slope
+
+
+def _whole_list() -> dict[str, float]:
+    """Return what one reading of the whole fleet's list costs."""
+    members = [
+        ListedMember(
+            f"zone-{n % TARGET_ZONES}-{n:04}",
+            "instance" if n < TARGET_INSTANCES else "target",
+            f"10.{n % 200}.{n % 250}.7:7000",
+            f"zone-{n % TARGET_ZONES}",
+            "region-1",
+            service="" if n < TARGET_INSTANCES else "album-captions",
+        )
+        for n in range(TARGET_INSTANCES + TARGET_RUNNERS)
+    ]
+    data = pack(members)
+    cpu_s = time.process_time()
+    read = [ListedMember.from_map(fields) for fields in unpack(data)]
+    cpu_s = time.process_time() - cpu_s
+    tracemalloc.start()
+    held = [ListedMember.from_map(fields) for fields in unpack(data)]
+    state_mb = tracemalloc.get_traced_memory()[0] / 2**20
+    tracemalloc.stop()
+    del held
+    return {
+        "members": len(read),
+        "bytes": len(data) + HTTP_CALL_BYTES,
+        "cpu_s": cpu_s,
+        "state_mb": state_mb,
+        "readings_per_s": 1 / (POLL_S * TARGET_COUNT),
+    }
+
+
+def _target(
+    slopes: dict[str, dict[str, float]],
+    whole_list: dict[str, float],
+    base_mb: float,
+) -> dict[str, float]:
+    """Carry the changing arm's slopes to the target size."""
+    links = (TARGET_ZONES - 1) * LINKS_A_ZONE**2 / TARGET_COUNT
+    peers = TARGET_COUNT - 1 + links
+    carried = {
+        figure: fitted["base"]
+        + fitted["a_peer"] * peers
+        + fitted["a_runner"] * TARGET_RUNNERS_ZONE
+        for figure, fitted in slopes.items()
+    }
+    readings = whole_list["readings_per_s"]
+    carried["cpu_share"] += whole_list["cpu_s"] * readings
+    carried["bytes_per_s"] += whole_list["bytes"] * readings
+    carried["state_mb"] += whole_list["state_mb"]
+    carried["rss_mb"] = base_mb + carried["state_mb"]
+    carried["streams"] = peers
+    return carried
--- /dev/null
+++ b/src/caperridge/measure/control_fleet.py
@@ -0,0 +1,156 @@
+"""Several whole instances in one process, for measuring what control costs each."""
+
+import asyncio
+import random
+import resource
+from typing import Any
+
+from result import Ok, Result
+
+from caperridge.instance.messages import OnlineLoad
+from caperridge.instance.process import Instance
+from caperridge.peers.interface import PeerListener
+from caperridge.platform.interface import ListedMember, Platform, ReadError
+from caperridge.records import pack, unpack
+from caperridge.settings import Settings
+from caperridge.standins.platform import MemoryPlatform
+
+ZONE = "zone-0"
+HTTP_CALL_BYTES = 450  # lines and headers of one call and its answer, as seen on a wire
+CONNECT_S = 15.0
+PAGE_BYTES = resource.getpagesize()
+
+
+class WirePlatform(MemoryPlatform):
+    """The platform in memory, with each call's bytes counted and its list decoded.
+
+    There is no HTTP in between: the time that the platform itself takes is not to be
+    counted, and an instance's share of HTTP is small beside decoding the list.
+    """
+
+    def __init__(self, shared: MemoryPlatform) -> None:
+        super().__init__(lambda: 0.0)
+        self.bytes = 0
+        self._shared = shared
+        self._packed: tuple[int, bytes] = (0, b"")
+        for name in ("transact", "read", "scan", "put_object", "get_object"):
+            setattr(self, name, self._counted(name))
+
+    def _counted(self, name: str) -> Any:
+        call = getattr(self._shared, name)
+
+        async def counted(*arguments: Any, **named: Any) -> Result[Any, Any]:
+            outcome = await call(*arguments, **named)
+            value = outcome.ok_value if isinstance(outcome, Ok) else outcome.err_value
+            said = pack([list(arguments), named])
+            self.bytes += HTTP_CALL_BYTES + len(said) + len(pack(value))
+            return outcome
+
+        return counted
+
+    async def members(self) -> Result[list[ListedMember], ReadError]:
+        """Return the list as it comes from the wire."""
+        listed = self._shared.current_members()
+        if self._packed[0] != id(listed[0]) + len(listed):
+            self._packed = (id(listed[0]) + len(listed), pack(listed))
+        data = self._packed[1]
+        self.bytes += HTTP_CALL_BYTES + len(data)
+        return Ok([ListedMember.from_map(fields) for fields in unpack(data)])
+
+
+class ControlFleet(PeerListener):
+    """``count`` instances of one availability zone before ``runners`` targets."""
+
+    def __init__(self, count: int, runners: int, seed: int) -> None:
+        self.memory = MemoryPlatform(asyncio.get_running_loop().time)
+        self.instances: list[Instance] = []
+        self.platforms: list[WirePlatform] = []
+        self._count = count
+        self._connected = asyncio.Event()
+        self._random = random.Random(seed)
+        self._members_by_id = {
+            f"runner-{n:03}": ListedMember(
+                f"runner-{n:03}", "target", f"10.0.0.{n}:80", ZONE, service="chat"
+            )
+            for n in range(runners)
+        }
+
+    async def start(self) -> None:
+        """Start the instances and wait until each is connected to all others."""
+        for number in range(self._count):
+            name = f"entry-{number:03}"
+            platform: Platform = WirePlatform(self.memory)
+            self.platforms.append(platform)
+            instance = Instance(
+                Settings(name, ZONE, "http://none", peers_secret="measure"), platform
+            )
+            await instance.start()
+            self.instances.append(instance)
+            instance.peers.listen(self)
+            address = str(instance.addresses_by_listener["peers"])
+            member = ListedMember(name, "instance", address, ZONE)
+            self._members_by_id[name] = member
+        self.memory.set_members(list(self._members_by_id.values()))
+        async with asyncio.timeout(CONNECT_S):
+            await self._connected.wait()
+
+    def opened(self, instance: str) -> None:
+        """Note when each instance is connected to all others."""
+        others = self._count - 1
+        if all(len(i.peers.connected()) == others for i in self.instances):
+            self._connected.set()
+
+    async def stop(self) -> None:
+        """End every instance."""
+        for instance in self.instances:
+            await instance.stop()
+
+    def bytes_so_far(self) -> int:
+        """Return the bytes of all peer streams, in and out, and to the platform."""
+        total = sum(platform.bytes for platform in self.platforms)
+        for instance in self.instances:
+            for stream in instance.state()["peers"]["streams_by_id"].values():
+                total += stream["bytes_in"] + stream["bytes_out"]
+        return total
+
+    async def change(
+        self, seconds: float, news_per_s: float, lists_per_s: float
+    ) -> None:
+        """Make online load and the list of members change for ``seconds``.
+
+        Args:
+            seconds: how long.
+            news_per_s: changes of online load a second of each instance.
+            lists_per_s: changes of the list a second.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        runners = [i for i, m in self._members_by_id.items() if m.kind == "target"]
+        pause_s = 0.05
+        news_due = lists_due = 0.0
+        while loop.time() < end:
+            news_due += news_per_s * pause_s
+            lists_due += lists_per_s * pause_s
+            while news_due >= 1 and runners:
+                news_due -= 1
+                for instance in self.instances:
+                    load = OnlineLoad(
+                        self._random.choice(runners), self._random.randrange(4)
+                    )
+                    instance.online_loads.changed(load)
+            if lists_due >= 1 and runners:
+                lists_due -= 1
+                self._replace_one(self._random.choice(runners))
+            await asyncio.sleep(pause_s)
+
+    def _replace_one(self, runner: str) -> None:
+        before = self._members_by_id[runner]
+        after = before.replace(incarnation=before.incarnation + 1)
+        self._members_by_id[runner] = after
+        self.memory.set_members(list(self._members_by_id.values()))
+
+
+def rss_mb() -> float:
+    """Return the resident memory of this process now."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES / 2**20
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -1,16 +1,15 @@
 """Fixtures: several instances in one process, on one platform in memory."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 
 import pytest
 
 from caperridge.instance.process import Instance
-from caperridge.platform.interface import ListedMember
-from caperridge.settings import Settings
+from caperridge.platform.interface import ListedMember, Platform
+from caperridge.settings import Address, Settings
 from caperridge.standins.platform import MemoryPlatform
 
 SECRET = "for-tests"
-StartInstance = Callable[..., Awaitable[Instance]]
 
 
 class Mesh:
@@ -27,12 +26,13 @@
         zone: str = "oviedo",
         secret: str = SECRET,
         listed: bool = True,
-        **settings: object,
+        platform: Platform | None = None,
+        seeds: list[Address] | None = None,
     ) -> Instance:
-        instance = Instance(
-            Settings(name, zone, "http://none", peers_secret=secret, **settings),
-            self.memory,
+        settings = Settings(
+            name, zone, "http://none", peers_secret=secret, peer_seeds=seeds
         )
+        instance = Instance(settings, platform or self.memory)
         await instance.start()
         self.instances_by_id[name] = instance
         if listed:
--- /dev/null
+++ b/tests/peers/test_relay.py
@@ -0,0 +1,337 @@
+"""The platform through a peer: outcome classes in tables, and end to end."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+
+from caperridge.decisions.membership import Membership
+from caperridge.decisions.relay_choice import FIRST_SIT_OUT_S, RelayChoice
+from caperridge.instance.relay import (
+    MOST_CALLS_IN,
+    MOST_RELAYED_BYTES,
+    RelayClient,
+    RelayServer,
+)
+from caperridge.peers.interface import NoPeers
+from caperridge.peers.messages import RelayAnswer, RelayCall
+from caperridge.platform.interface import (
+    Committed,
+    Conflict,
+    FieldEquals,
+    ListedMember,
+    NotDone,
+    Platform,
+    PutRow,
+    Row,
+    RowAbsent,
+    Unknown,
+)
+from caperridge.platform.relay import PROBE_S, RelayedPlatform, RelayWay
+from caperridge.platform.relay_wire import (
+    RelayError,
+    decode_outcome,
+    encode_outcome,
+    perform,
+)
+from caperridge.records import Record, pack, unpack
+from caperridge.standins.platform import MemoryPlatform
+from conftest import until
+from peers.conftest import Mesh
+
+CUT = Err(NotDone("not reached", reached=False))
+SILENT = Err(Unknown("no answer", reached=False))
+THROTTLED = Err(NotDone("throttled", 0.2))
+FAILED = Err(Unknown("the platform failed"))
+DONE = Ok(Committed({"k": 1}))
+CONFLICT = Err(Conflict(["k"], {"k": Row("k", {"x": 1}, 3, "t"), "l": None}))
+
+
+class Scripted(MemoryPlatform):
+    """Answers every call with the outcome it was told; counts them."""
+
+    def __init__(self, outcome: Result[Any, Any]) -> None:
+        super().__init__(lambda: 0.0)
+        self.outcome = outcome
+        self.calls = 0
+
+    async def transact(self, *_: Any) -> Any:
+        self.calls += 1
+        return self.outcome
+
+    async def read(self, *_: Any) -> Any:
+        self.calls += 1
+        return self.outcome
+
+
+class ScriptedWay(RelayWay):
+    """A relay that answers with the outcome it was told."""
+
+    def __init__(self, outcome: Result[Any, Any]) -> None:
+        self.outcome = outcome
+        self.calls = 0
+        self.told: list[bool] = []
+
+    async def call(self, method: str, arguments: dict[str, Any]) -> Any:
+        self.calls += 1
+        return self.outcome
+
+    def needed(self, cut_off: bool) -> None:
+        self.told.append(cut_off)
+
+
+@pytest.mark.parametrize(
+    ("direct", "way", "write", "read"),
+    [
+        (DONE, CUT, DONE, DONE),
+        (CONFLICT, DONE, CONFLICT, CONFLICT),
+        (THROTTLED, DONE, THROTTLED, THROTTLED),
+        (FAILED, DONE, FAILED, FAILED),
+        (CUT, DONE, DONE, DONE),
+        (CUT, CONFLICT, CONFLICT, CONFLICT),
+        (CUT, SILENT, SILENT, SILENT),
+        (CUT, CUT, CUT, CUT),
+        # A write that may have left is in doubt, whatever a relay would say.
+        (SILENT, DONE, SILENT, DONE),
+        (SILENT, CUT, SILENT, SILENT),
+    ],
+)
+async def test_the_outcome_stays_true(
+    direct: Any, way: Any, write: Any, read: Any
+) -> None:
+    for call, expected in (("transact", write), ("read", read)):
+        platform = RelayedPlatform(Scripted(direct), lambda: 0.0)
+        platform.way = ScriptedWay(way)
+        arguments = ([], [], "t") if call == "transact" else (["k"],)
+        assert await getattr(platform, call)(*arguments) == expected
+        assert platform.direct.calls == 1
+        await platform.close()
+
+
+async def test_while_cut_off_the_relay_is_asked_first_and_the_direct_way_probed() -> (
+    None
+):
+    now = [0.0]
+    direct, way = Scripted(CUT), ScriptedWay(DONE)
+    platform = RelayedPlatform(direct, lambda: now[0])
+    platform.way = way
+    for _ in range(5):
+        assert await platform.transact([], [], "t") == DONE
+    assert (direct.calls, way.calls, way.told) == (1, 5, [True])
+    direct.outcome = DONE
+    now[0] += PROBE_S
+    assert await platform.transact([], [], "t") == DONE
+    await until(lambda: not platform.cut_off)
+    assert way.told == [True, False]
+    calls = way.calls
+    assert await platform.transact([], [], "t") == DONE
+    assert way.calls == calls
+    await platform.close()
+
+
+CALLS = [
+    ("transact", [RowAbsent("k")], [PutRow("k", {"a": b"\x00"})], "t"),
+    ("transact", [FieldEquals("none", "a", 1)], [], "t"),
+    ("put_object", "o", b"\x00\xff"),
+    ("read", ["k"]),
+    ("scan", "k"),
+    ("get_object", "o", 1, 1),
+    ("get_object", "none"),
+    ("list_objects", "o"),
+    ("members",),
+    ("delete_object", "o"),
+]
+
+
+class Loop(RelayWay):
+    """A relay over nothing but the wire form."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+
+    async def call(self, method: str, arguments: dict[str, Any]) -> Any:
+        outcome = await perform(self.platform, method, unpack(pack(arguments)))
+        kind, value = encode_outcome(outcome)
+        return decode_outcome(method, kind, unpack(pack(value)))
+
+    def needed(self, cut_off: bool) -> None:
+        """Nothing to do."""
+
+
+async def test_each_call_through_a_relay_is_as_the_direct_one() -> None:
+    direct, far = MemoryPlatform(lambda: 0.0), MemoryPlatform(lambda: 0.0)
+    for memory in (direct, far):
+        memory.set_members([ListedMember("r-1", "target", "h:1", "oviedo")])
+    relayed = RelayedPlatform(Scripted(CUT), lambda: 0.0)
+    relayed.way = Loop(far)
+    relayed.cut_off = True
+    for method, *arguments in CALLS:
+        expected = await getattr(direct, method)(*arguments)
+        assert await getattr(relayed, method)(*arguments) == expected
+    await relayed.close()
+
+
+@pytest.mark.parametrize(
+    ("method", "arguments"),
+    [("close", {}), ("__init__", {}), ("read", {}), ("transact", {"token": "t"})],
+)
+async def test_a_call_that_makes_no_sense_is_not_made(
+    method: str, arguments: dict[str, Any]
+) -> None:
+    with pytest.raises(RelayError):
+        await perform(MemoryPlatform(lambda: 0.0), method, arguments)
+
+
+class Peered(NoPeers):
+    """Peers without sockets; keeps what was sent."""
+
+    def __init__(self, *connected: str) -> None:
+        self.ids = list(connected)
+        self.sent: list[tuple[str, Record]] = []
+
+    def send(self, instance: str, message: Record) -> bool:
+        self.sent.append((instance, message))
+        return instance in self.ids
+
+    def connected(self) -> list[str]:
+        return self.ids
+
+
+def client(peers: Peered, deadline_s: float = 5.0) -> RelayClient:
+    return RelayClient(peers, Membership("a", "oviedo"), deadline_s, lambda: 0.0)
+
+
+async def test_a_stream_that_ends_leaves_the_outcome_unknown() -> None:
+    peers = Peered("b")
+    relay = client(peers)
+    call = asyncio.ensure_future(relay.call("transact", {}))
+    await until(lambda: peers.sent)
+    relay.closed("b")
+    assert (await call).err_value == Unknown(
+        "the stream to the relay ended", reached=False
+    )
+
+
+async def test_an_answer_of_another_peer_or_call_is_not_taken() -> None:
+    peers = Peered("b")
+    relay = client(peers)
+    call = asyncio.ensure_future(relay.call("read", {}))
+    await until(lambda: peers.sent)
+    number = peers.sent[0][1].number
+    relay.answered("c", RelayAnswer(number, "ok", {}))
+    relay.answered("b", RelayAnswer(number + 1, "ok", {}))
+    await asyncio.sleep(0)
+    assert not call.done()
+    relay.answered("b", RelayAnswer(number, "ok", {}))
+    assert await call == Ok({})
+    relay.answered("b", RelayAnswer(number, "ok", {}))
+
+
+async def test_a_peer_that_cannot_help_is_followed_by_another() -> None:
+    peers = Peered("b", "c")
+    relay = client(peers)
+    call = asyncio.ensure_future(relay.call("read", {}))
+    await until(lambda: len(peers.sent) == 1)
+    kind, value = encode_outcome(CUT)
+    relay.answered("b", RelayAnswer(peers.sent[0][1].number, kind, value.to_map()))
+    await until(lambda: len(peers.sent) == 2)
+    assert peers.sent[1][0] == "c"
+    relay.answered("c", RelayAnswer(peers.sent[1][1].number, "ok", {}))
+    assert await call == Ok({})
+
+
+async def test_no_peer_or_too_large_a_call_is_not_done() -> None:
+    assert (await client(Peered()).call("read", {})) == Err(
+        NotDone("no peer reaches the platform", reached=False)
+    )
+    too_large = {"name": "o", "data": bytes(MOST_RELAYED_BYTES)}
+    outcome = await client(Peered("b")).call("put_object", too_large)
+    assert isinstance(outcome.err_value, NotDone)
+
+
+async def test_a_busy_relay_refuses_and_its_calls_end_in_time() -> None:
+    memory = MemoryPlatform(lambda: 0.0)
+    memory.faults.slow_s = 60.0
+    peers = Peered("b")
+    server = RelayServer(memory, peers)
+    for number in range(MOST_CALLS_IN + 1):
+        server.called("b", RelayCall(number, "read", {"keys": []}, 0.05))
+    answer = peers.sent[0][1]
+    assert (answer.number, answer.outcome) == (MOST_CALLS_IN, "NotDone")
+    await until(lambda: len(peers.sent) == MOST_CALLS_IN + 1)
+    assert {m.outcome for _, m in peers.sent[1:]} == {"Unknown"}
+    await server.stop()
+
+
+def test_a_relay_elsewhere_is_preferred_and_a_failed_one_sits_out() -> None:
+    choice = RelayChoice("a", "oviedo")
+    zones = {"b": "oviedo", "c": "bilbao", "d": "santander"}
+    assert choice.pick(zones, {}, [], 0.0) == "c"
+    assert choice.pick(zones, {"c": 1}, [], 0.0) == "d"
+    choice.failed("c", 0.0)
+    assert choice.pick(zones, {}, ["d"], 0.0) == "b"
+    assert choice.pick(zones, {}, [], FIRST_SIT_OUT_S) == "c"
+    opened = choice.to_open({"oviedo": ["a"], "bilbao": ["c"], "santander": ["d"]})
+    assert sorted(opened) == ["c", "d"]
+
+
+class CutPlatform(MemoryPlatform):
+    """One instance's way to a shared platform; may be cut."""
+
+    def __init__(self, shared: MemoryPlatform) -> None:
+        super().__init__(lambda: 0.0)
+        self.shared = shared
+        self.cut = False
+
+    def __getattribute__(self, name: str) -> Any:
+        if name not in ("transact", "read", "scan", "members", "get_object"):
+            return object.__getattribute__(self, name)
+        if self.cut:
+            return self._refuse
+        return getattr(self.shared, name)
+
+    async def _refuse(self, *_: Any, **__: Any) -> Any:
+        return CUT
+
+
+async def test_an_instance_cut_off_from_the_platform_reaches_it_elsewhere(
+    mesh: Mesh,
+) -> None:
+    way = CutPlatform(mesh.memory)
+    first = await mesh.start("entry-1", "oviedo", platform=way)
+    await mesh.start("entry-2", "bilbao")
+    await until(lambda: first.peers.connected() == ["entry-2"])
+    way.cut = True
+    done = await first.platform.transact([RowAbsent("k")], [PutRow("k", {})], "t")
+    assert done == Ok(Committed({"k": 1}))
+    assert mesh.memory.rows_by_key["k"].token == "t"
+    assert first.platform.cut_off
+    way.cut = False
+    await until(lambda: not first.platform.cut_off)
+
+
+async def test_a_fresh_instance_of_a_cut_off_zone_learns_all_from_a_seed(
+    mesh: Mesh,
+) -> None:
+    ways = [CutPlatform(mesh.memory) for _ in range(4)]
+    mesh.memory.set_members([])
+    target = ListedMember("runner-1", "target", "h:1", "oviedo", service="chat")
+    mesh.list_member(target)
+    first = await mesh.start("entry-1", platform=ways[0])
+    second = await mesh.start("entry-2", platform=ways[1])
+    await until(lambda: first.peers.connected() == ["entry-2"])
+    for way in ways:
+        way.cut = True
+    seeds = [first.addresses_by_listener["peers"]]
+    fresh = [
+        await mesh.start(f"entry-{n}", platform=ways[n - 1], listed=False, seeds=seeds)
+        for n in (3, 4)
+    ]
+    for instance in fresh:
+        await until(lambda i=instance: "runner-1" in i.online.book.states_by_id)
+        await until(lambda i=instance: len(i.peers.connected()) == 3)
+    assert second.peers.connected() == ["entry-1", "entry-3", "entry-4"]
+    names = ["entry-1", "entry-2", "entry-3", "entry-4"]
+    for instance in mesh.instances_by_id.values():
+        await until(lambda i=instance: i.membership.live("oviedo") == names)
