Measure control with online requests that last

Cause: the reporter of online load now repeats what is in flight each second, which the measurement did not show, as its load came and went at once. Change: each instance of the changing arm holds up to 68 requests (17 a second of 4 s).

--- a/src/caperridge/measure/control_fleet.py
+++ b/src/caperridge/measure/control_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import resource
+from collections import deque
 from typing import Any
 
 from result import Ok, Result
@@ -18,6 +19,7 @@
 ZONE = "zone-0"
 HTTP_CALL_BYTES = 450  # lines and headers of one call and its answer, as seen on a wire
 CONNECT_S = 15.0
+MOST_IN_FLIGHT = 68  # 17 requests a second of 4 s each
 PAGE_BYTES = resource.getpagesize()
 
 
@@ -66,6 +68,7 @@
         self.instances: list[Instance] = []
         self.platforms: list[WirePlatform] = []
         self._count = count
+        self._active: list[deque[str]] = [deque() for _ in range(count)]
         self._connected = asyncio.Event()
         self._random = random.Random(seed)
         self._members_by_id = {
@@ -133,16 +136,29 @@
             lists_due += lists_per_s * pause_s
             while news_due >= 1 and runners:
                 news_due -= 1
-                for instance in self.instances:
-                    load = OnlineLoad(
-                        self._random.choice(runners), self._random.randrange(4)
-                    )
-                    instance.online_loads.changed(load)
+                for instance, active in zip(self.instances, self._active, strict=True):
+                    self._start_or_end(instance, active, runners)
             if lists_due >= 1 and runners:
                 lists_due -= 1
                 self._replace_one(self._random.choice(runners))
             await asyncio.sleep(pause_s)
 
+    def _start_or_end(
+        self, instance: Instance, active: deque[str], runners: list[str]
+    ) -> None:
+        """Start an online request at an instance, or end its oldest one."""
+        book = instance.online.book
+        if len(active) < MOST_IN_FLIGHT:
+            target = self._random.choice(runners)
+            active.append(target)
+            book.started(target)
+        else:
+            target = active.popleft()
+            book.ended(target)
+        state = book.states_by_id.get(target)
+        if state is not None:
+            instance.online_news.changed(OnlineLoad(target, state.in_flight))
+
     def _replace_one(self, runner: str) -> None:
         before = self._members_by_id[runner]
         after = before.replace(incarnation=before.incarnation + 1)
