Send peers only what differs from the defaults, and counts gathered

Weighed: arrays in place of maps (a release could no longer add or drop a field), a smaller heartbeat rate (slower removal). Taken: fields with their default are left out, a heartbeat does not repeat what the hello of its stream has said, and the online news that waits for a peer goes in one message.

--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -60,6 +60,7 @@
         super().__init__()
         incarnation = time.time_ns() // 1_000_000
         self._heartbeats = Heartbeats(membership, incarnation, clock())
+        self._said_incarnation = incarnation
         self.configuration_version: Callable[[], int] = lambda: 0
         self.versions_by_id: dict[str, int] = {}
         self._listeners: list[PeerListener] = []
@@ -213,7 +214,8 @@
         evidence = Evidence(hello.instance, hello.incarnation, 0)
         self._membership.heard(evidence, hello.availability_zone, self._clock())
         log.info("peer connected", peer=hello.instance, release=hello.release)
-        stream.send(self._heartbeats.repeated(self.configuration_version()))
+        version = self.configuration_version()
+        stream.send(self._short(self._heartbeats.repeated(version)))
         for listener in self._listeners:
             listener.opened(stream.instance)
 
@@ -250,10 +252,13 @@
 
     @take.register
     def _(self, message: Heartbeat, stream: PeerStream) -> None:
-        if message.instance == stream.instance:
-            zone = stream.hello.availability_zone
-            self.versions_by_id[message.instance] = message.configuration_version
-            self._heartbeats.take(message, zone, self._clock())
+        hello = stream.hello
+        if message.instance not in ("", hello.instance):
+            return
+        message.instance = hello.instance
+        message.incarnation = message.incarnation or hello.incarnation
+        self.versions_by_id[hello.instance] = message.configuration_version
+        self._heartbeats.take(message, hello.availability_zone, self._clock())
 
     async def idle(self) -> None:
         """Let time pass: heartbeats, suspicion, missing streams."""
@@ -290,7 +295,14 @@
 
     def _send_heartbeats(self) -> None:
         version = self.configuration_version()
-        self._streams.send_all(self._heartbeats.next(version))
+        self._streams.send_all(self._short(self._heartbeats.next(version)))
+
+    def _short(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Return ``heartbeat`` without what the hello of each stream has said."""
+        heartbeat.instance = ""
+        if heartbeat.incarnation == self._said_incarnation:
+            heartbeat.incarnation = 0
+        return heartbeat
 
     def _dial_missing(self, now: float) -> None:
         if self._membership.superseded:
--- a/src/caperridge/peers/connect.py
+++ b/src/caperridge/peers/connect.py
@@ -92,7 +92,7 @@
         except BaseException:
             writer.close()
             raise
-        return PeerStream(reader, writer, said, True, self._received)
+        return PeerStream(reader, writer, said, True, self._received, own.instance)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -115,7 +115,8 @@
             return
         finally:
             self._handshakes -= 1
-        self._opened(PeerStream(reader, writer, said, False, self._received))
+        own = self._own_to(said.instance).instance
+        self._opened(PeerStream(reader, writer, said, False, self._received, own))
 
     def _context(self, purpose: ssl.Purpose) -> ssl.SSLContext | None:
         """Return a context in which both ends show a certificate."""
--- a/src/caperridge/peers/frames.py
+++ b/src/caperridge/peers/frames.py
@@ -1,6 +1,8 @@
 """Messages as frames: a length of four bytes, then one msgpack map."""
 
 import asyncio
+import functools
+import inspect
 import struct
 from typing import Any
 
@@ -22,17 +24,34 @@
 
 
 def encode(message: Record) -> bytes:
-    """Return ``message`` as one frame.
+    """Return ``message`` as one frame, without the fields that have their default.
 
     Raises:
         MessageError: it is larger than a frame may be.
     """
-    body = pack({_KIND: type(message).__name__, **message.to_map()})
+    fields: dict[str, Any] = {_KIND: type(message).__name__}
+    defaults = _defaults(type(message))
+    for name in message.__slots__:
+        value = getattr(message, name)
+        if name not in defaults or defaults[name] != value:
+            fields[name] = value
+    body = pack(fields)
     if len(body) > MOST_FRAME_BYTES:
         raise MessageError(f"{type(message).__name__} has {len(body)} bytes")
     return _LENGTH.pack(len(body)) + body
 
 
+@functools.cache
+def _defaults(kind: type[Record]) -> dict[str, Any]:
+    """Return the fields that a constructor without them would set, as it sets them."""
+    parameters = inspect.signature(kind).parameters.values()
+    needed = [p.name for p in parameters if p.default is inspect.Parameter.empty]
+    sample = kind(**dict.fromkeys(needed))
+    return {
+        name: getattr(sample, name) for name in kind.__slots__ if name not in needed
+    }
+
+
 def decode(body: bytes) -> Record | None:
     """Return the message in the body of a frame; None if its kind is not known.
 
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -66,8 +66,9 @@
     """The sender lives; what it says of others is ``rumours``.
 
     Attributes:
-        instance: the sender.
-        incarnation: raised with each start of an instance of that id.
+        instance: the sender; empty for the one that said hello on this stream.
+        incarnation: raised with each start of an instance of that id; 0: as in the
+            hello.
         sequence: raised with each heartbeat.
         configuration_version: in force at the sender.
         leaving: the sender is stopping as planned.
@@ -85,9 +86,9 @@
 
     def __init__(
         self,
-        instance: str,
-        incarnation: int,
-        sequence: int,
+        instance: str = "",
+        incarnation: int = 0,
+        sequence: int = 0,
         configuration_version: int = 0,
         leaving: bool = False,
         rumours: list[list[Any]] | None = None,
@@ -109,7 +110,7 @@
     __slots__ = ("in_flight", "instance", "sequence", "target")
 
     def __init__(
-        self, instance: str, target: str, in_flight: int, sequence: int
+        self, instance: str, target: str, in_flight: int = 0, sequence: int = 0
     ) -> None:
         self.instance = instance
         self.target = target
@@ -117,6 +118,22 @@
         self.sequence = sequence
 
 
+class OnlineCounts(Record):
+    """Several :class:`OnlineNews` of one sender in one message.
+
+    Attributes:
+        counts: ``[target, in_flight, sequence]`` of each; the sequence is given as the
+            difference from that of the one before.
+        instance: whose requests they are; empty for the sender's.
+    """
+
+    __slots__ = ("counts", "instance")
+
+    def __init__(self, counts: list[list[Any]], instance: str = "") -> None:
+        self.counts = counts
+        self.instance = instance
+
+
 class LatencyNews(Record):
     """What the sender's online callers saw at a target, for the batch dispatcher."""
 
@@ -315,6 +332,7 @@
         Hello,
         Heartbeat,
         OnlineNews,
+        OnlineCounts,
         LatencyNews,
         LoadNews,
         JobNews,
--- a/src/caperridge/peers/stream.py
+++ b/src/caperridge/peers/stream.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from caperridge.log import logger
+from caperridge.peers.batching import gather, scatter
 from caperridge.peers.frames import (
     FrameError,
     MessageError,
@@ -13,7 +14,7 @@
     encode,
     read_body,
 )
-from caperridge.peers.messages import Hello
+from caperridge.peers.messages import Hello, OnlineCounts
 from caperridge.peers.outbox import Outbox
 from caperridge.records import Record
 
@@ -32,6 +33,7 @@
         hello: what the other end said.
         dialed: whether this end opened the connection.
         received: told of each message; called on the loop, must not block.
+        own: id of the instance at this end.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         hello: Hello,
         dialed: bool,
         received: Callable[["PeerStream", Record], None],
+        own: str = "",
     ) -> None:
         self.hello = hello
         self.dialed = dialed
@@ -54,6 +57,7 @@
         self._reader = reader
         self._writer = writer
         self._received = received
+        self._own = own
         self._outbox = Outbox()
         self._wake = asyncio.Event()
         self._counted = (0, 0, 0)
@@ -138,7 +142,11 @@
     def _take(self, body: bytes) -> None:
         try:
             message = decode(body)
-        except MessageError as error:
+            if isinstance(message, OnlineCounts):
+                for news in scatter(message, self.instance):
+                    self._received(self, news)
+                return
+        except (MessageError, ValueError, TypeError) as error:
             self.unreadable += 1
             log.warning("message skipped", peer=self.instance, reason=str(error))
             return
@@ -162,7 +170,7 @@
         """Return what waits, in pieces of bounded size rather than one a message."""
         pieces: list[bytes] = []
         piece = bytearray()
-        for message in self._outbox.take():
+        for message in gather(self._outbox.take(), self._own):
             try:
                 piece += encode(message)
             except MessageError as error:
