Hold a freed place for as long as giving it back would cost

Cause: a place that online freed was held 0.25 s, five steps; arrivals of a burst were remembered for 10 s. Change: hold one to three steps by the trade (as long as a wasted start would cost), remember arrivals for 2 s, fill in one to four rounds by the trade.

--- a/src/caperridge/decisions/burst.py
+++ b/src/caperridge/decisions/burst.py
@@ -8,8 +8,8 @@
 
 from collections import deque
 
-HOLD_S = 0.25
-MEMORY_S = 10.0
+LONGEST_HOLD_S = 1.0
+MEMORY_S = 2.0
 HALF_LIFE_S = 30.0
 TAIL = 0.95
 _RENORMALISE_AT = 1e9
@@ -23,6 +23,9 @@
     >>> most.note(3, now=4.0)
     >>> most.value(9.0), most.value(11.0), most.value(20.0)
     (5, 3, 0)
+
+    Args:
+        window_s: the longest window that may be asked for.
     """
 
     __slots__ = ("_falling", "_window_s")
@@ -37,18 +40,21 @@
             self._falling.pop()
         self._falling.append((now, value))
 
-    def value(self, now: float) -> int:
-        """Return the greatest value of the window; 0 if there is none."""
+    def value(self, now: float, window_s: float | None = None) -> int:
+        """Return the greatest value of the window, or of a shorter one; or 0."""
         while self._falling and self._falling[0][0] < now - self._window_s:
             self._falling.popleft()
-        return self._falling[0][1] if self._falling else 0
+        since = now - (self._window_s if window_s is None else window_s)
+        for at, value in self._falling:
+            if at >= since:
+                return value
+        return 0
 
 
 class BurstEstimate:
     """Follows the online requests at one target.
 
     Args:
-        hold_s: how long a freed slot is held for the next online request.
         memory_s: how long a burst of arrivals is remembered.
 
     Attributes:
@@ -65,10 +71,10 @@
         "online",
     )
 
-    def __init__(self, hold_s: float = HOLD_S, memory_s: float = MEMORY_S) -> None:
+    def __init__(self, memory_s: float = MEMORY_S) -> None:
         self.online = 0
         self._noted_at = 0.0
-        self._most_online = RecentMost(hold_s)
+        self._most_online = RecentMost(LONGEST_HOLD_S)
         self._most_arrivals = RecentMost(memory_s)
         self._arrivals: deque[float] = deque()
         self._weights_by_online: dict[int, float] = {}
@@ -94,9 +100,9 @@
             self._most_arrivals.note(len(self._arrivals), now)
         self.online = online
 
-    def most_online(self, now: float) -> int:
-        """Return the most requests that ran at once within the hold time."""
-        return max(self.online, self._most_online.value(now))
+    def most_online(self, now: float, hold_s: float) -> int:
+        """Return the most requests that ran at once within ``hold_s``."""
+        return max(self.online, self._most_online.value(now, hold_s))
 
     def most_arrivals(self, now: float) -> int:
         """Return the most arrivals remembered within one reaction time."""
--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -19,6 +19,9 @@
 SETTLE_S = 2.0
 FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
+FIRST_STEP_S = 0.03
+MOST_HOLD_STEPS = 3.0
+HOLD_STEPS_SPAN = 2.0
 LEAST_FREE = 1
 MOST_FREE = 0.25  # of a target, where the trade is all for the online tail
 
@@ -46,6 +49,12 @@
             self.burst.note(online, self.reaction_s, now)
         return online
 
+    def hold_s(self, batch_weight: float, now: float) -> float:
+        """Return how long a place that online freed is held for its next request."""
+        line = self.steps.line(now)
+        step_s = FIRST_STEP_S if line is None else line.at(self.online(now))
+        return step_s * (MOST_HOLD_STEPS - batch_weight * HOLD_STEPS_SPAN)
+
 
 class Headroom:
     """Knows the online load of each target and what batch may take of the rest.
@@ -140,10 +149,12 @@
         """Return up to how many batch streams ``target`` may be filled at ``now``.
 
         A slot that online has just freed is held a moment for its next request;
-        otherwise a stream would start only to give way again.
+        otherwise a stream would start only to give way again. To hold it for as long
+        as that would cost, some steps, is at most twice as bad as knowing the future.
         """
         runner = self.runner(target)
-        online = max(runner.online(now), runner.burst.most_online(now))
+        hold_s = runner.hold_s(batch_weight, now)
+        online = max(runner.online(now), runner.burst.most_online(now, hold_s))
         return self._left(runner, online, most_running, batch_weight, now)
 
     def to_preempt(
@@ -166,7 +177,6 @@
             shown[target] = {
                 "online": runner.online(now),
                 "senders": runner.counts.senders(),
-                "held_for_online": runner.burst.most_online(now),
                 "most_arrivals": runner.burst.most_arrivals(now),
                 "tail_online": runner.burst.tail_online(now),
                 "step": None if line is None else line.to_map(),
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import aclosing
@@ -27,7 +28,8 @@
 log = logger(__name__)
 OWNERS_EVERY_S = 0.25
 FAILED_HOLD_S = 1.0
-RAMP_STARTS = 4  # a target is filled in about so many rounds, one for each step
+MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
+ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
 LEAST_PAUSE_S = 0.005
 LONGEST_REACTION_S = 0.5
 
@@ -241,7 +243,8 @@
         room = self._startable(target, service) - staying
         if room <= 0:
             return float("inf")
-        starts = max(1, -(-room // RAMP_STARTS))
+        rounds = MOST_ROUNDS - ROUNDS_SPAN * service.batch_weight
+        starts = math.ceil(room / rounds)
         for _ in range(min(starts, len(waiting))):
             self._start(waiting.popleft(), target)
         line = self.headroom.runner(target).steps.line(now)
