Measure online-tail with 24 places; fewer places kept, lighter prior

Change: places kept for arrivals are one or two at most but for the tail's end; a place that is only held wakes the filling by itself; the prior of a step's slope is half a hundredth with a weight of 1000 samples; the measure counts one prefill for each prompt in what could be done at best, and has runners of 24 places with 0.5 hundredths a stream.

--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -6,6 +6,7 @@
 they should.
 """
 
+import math
 from typing import Any
 
 from caperridge.decisions.batch_share import FirstTokenGuard, most_streams
@@ -20,10 +21,8 @@
 FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
 FIRST_STEP_S = 0.03
-MOST_HOLD_STEPS = 3.0
-HOLD_STEPS_SPAN = 2.0
-LEAST_FREE = 1
-MOST_FREE = 0.25  # of a target, where the trade is all for the online tail
+MOST_HOLD_STEPS = 2.0
+MOST_FREE = 0.125  # of a target, where the trade is all for the online tail
 
 
 class RunnerHeadroom:
@@ -51,9 +50,13 @@
 
     def hold_s(self, batch_weight: float, now: float) -> float:
         """Return how long a place that online freed is held for its next request."""
+        step_s = self.step_s(self.online(now), now)
+        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
+
+    def step_s(self, streams: int, now: float) -> float:
+        """Return how long a step with ``streams`` takes, as far as is known."""
         line = self.steps.line(now)
-        step_s = FIRST_STEP_S if line is None else line.at(self.online(now))
-        return step_s * (MOST_HOLD_STEPS - batch_weight * HOLD_STEPS_SPAN)
+        return FIRST_STEP_S if line is None else line.at(streams)
 
 
 class Headroom:
@@ -132,6 +135,11 @@
         runner = self.runner(target)
         runner.reaction_s += REACTION_WEIGHT * (reaction_s - runner.reaction_s)
 
+    def step_s(self, target: str, batch: int, now: float) -> float:
+        """Return how long a step of ``target`` takes with ``batch`` streams."""
+        runner = self.runner(target)
+        return runner.step_s(runner.online(now) + batch, now)
+
     def online(self, target: str, now: float) -> int:
         """Return the online requests known to be at ``target``."""
         return self.runner(target).online(now)
@@ -210,8 +218,13 @@
 def _reserve(most_arrivals: int, most_running: int, batch_weight: float) -> int:
     """Return the places kept free for what arrives before preemption takes effect.
 
-    >>> _reserve(1, 16, 0.5), _reserve(9, 16, 0.5), _reserve(9, 16, 1.0)
-    (1, 2, 1)
+    Each costs batch a place all the time, and saves an online request one step where
+    it comes just before one. So there are few, but for the tail's end of the trade.
+
+    >>> [_reserve(9, 16, weight) for weight in (0.0, 0.5, 1.0)]
+    [2, 1, 0]
+    >>> _reserve(0, 16, 0.0)
+    1
     """
-    most = int(most_running * MOST_FREE * (1 - batch_weight))
-    return max(LEAST_FREE, min(most, most_arrivals))
+    most = math.ceil(most_running * MOST_FREE * (1 - batch_weight) ** 2)
+    return min(most, max(1, most_arrivals))
--- a/src/caperridge/decisions/step_time.py
+++ b/src/caperridge/decisions/step_time.py
@@ -15,8 +15,8 @@
 LEAST_SAMPLES = 4  # before a level counts
 OLDEST_S = 300.0
 FIT_EVERY_S = 0.25
-USUAL_SLOPE = 0.01  # of a step, for each stream
-USUAL_WEIGHT = 200.0  # as of so many samples, each one stream off the mean
+USUAL_SLOPE = 0.005  # of a step, for each stream
+USUAL_WEIGHT = 1000.0  # as of so many samples, each one stream off the mean
 
 
 class Line(Record):
@@ -37,12 +37,12 @@
     """Learns the step time of one target.
 
     >>> steps = StepTime()
-    >>> for streams in (1, 9, 17):
+    >>> for streams in (1, 33, 65):
     ...     for _ in range(30):
-    ...         steps.observe(streams, 0.010 + 0.001 * streams, now=1.0)
+    ...         steps.observe(streams, 0.040 + 0.001 * streams, now=1.0)
     >>> line = steps.line(now=1.0)
     >>> round(line.base_s, 3), round(line.stream_s, 3)
-    (0.01, 0.001)
+    (0.04, 0.001)
     """
 
     __slots__ = ("_changed", "_fit_due", "_line", "_samples_by_streams")
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -229,6 +229,11 @@
             return None
         return self.configuration.services_by_name.get(state.member.service)
 
+    def _allowed(self, target: str, service: Service) -> int:
+        return self.headroom.allowed(
+            target, service.most_running, service.batch_weight, self._clock()
+        )
+
     def _startable(self, target: str, service: Service) -> int:
         return self.headroom.startable(
             target, service.most_running, service.batch_weight, self._clock()
@@ -240,18 +245,18 @@
         """Start some items at ``target``; return when to come back for more."""
         running = self._running_by_target.get(target, {})
         staying = sum(1 for item in running.values() if not item.ending)
+        step_s = max(LEAST_PAUSE_S, self.headroom.step_s(target, len(running), now))
         room = self._startable(target, service) - staying
         if room <= 0:
-            return float("inf")
+            # A place that is only held comes free without any further event.
+            held = self._allowed(target, service) > staying
+            return now + step_s if held else float("inf")
         rounds = MOST_ROUNDS - ROUNDS_SPAN * service.batch_weight
         starts = math.ceil(room / rounds)
         for _ in range(min(starts, len(waiting))):
             self._start(waiting.popleft(), target)
-        line = self.headroom.runner(target).steps.line(now)
-        pause = LEAST_PAUSE_S if line is None else line.at(len(running))
-        due = now + max(LEAST_PAUSE_S, pause)
-        self._not_before_by_target[target] = due
-        return due
+        self._not_before_by_target[target] = now + step_s
+        return now + step_s
 
     def _wake_after(self, seconds: float) -> None:
         """Fill again in ``seconds``, or sooner if that is due already."""
--- a/src/caperridge/measure/online_tail.py
+++ b/src/caperridge/measure/online_tail.py
@@ -4,8 +4,8 @@
 each arm: ``shared`` (batch takes every place, nothing gives way), ``partitioned`` (a
 fixed split), ``caperridge`` as declared by default, and both ends of its trade.
 
-``batch_share_of_idle`` is the batch tokens made over those that full engines could
-have made beside the online tokens, prefill left aside.
+``batch_share_of_idle`` is the batch tokens made over those that engines could have
+made beside the online requests, were each step full and each prompt prefilled once.
 """
 
 import asyncio
@@ -17,19 +17,20 @@
 from caperridge.measure.fleet import FleetShape, StandinFleet, running_fleet
 from caperridge.measure.load import LoadFigures, LoadShape, LoopWatch, run_load
 from caperridge.measure.options import Options
-from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.engine_model import EngineCosts, prompt_tokens
 
-# A decode step is bound by reading the weights: 16 streams make it a sixth longer.
-# Steps are long, so that what this process itself needs for 32 streams stays small.
-COSTS = EngineCosts(step_s=0.040, sequence_s=0.0004, prefill_s=0.00005, most_running=16)
+# A decode step is bound by reading the weights; each stream adds half a hundredth.
+# Steps are long, so that what this process itself needs for 48 streams stays small.
+COSTS = EngineCosts(step_s=0.040, sequence_s=0.0002, prefill_s=0.00005, most_running=24)
 ENGINES = 2
-REQUESTS_PER_S = 12.0
+REQUESTS_PER_S = 7.5
 BURST_EVERY_S = 2.5
 BURST_S = 1.0
-LONG_S = 10.0  # of the two arms that the first figures compare
+LONG_S = 12.5  # of the two arms that the first figures compare
 SHORT_S = 5.0
 SETTLE_S = 1.2
-PARTITION = 8
+PARTITION = 12
+PROMPT = "?" * 200
 
 
 class FixedHeadroom(Headroom):
@@ -126,14 +127,15 @@
         REQUESTS_PER_S,
         burst_every_s=BURST_EVERY_S,
         burst_s=BURST_S,
-        least_tokens=4,
-        most_tokens=12,
+        prompt_characters=len(PROMPT),
+        least_tokens=8,
+        most_tokens=24,
     )
     async with running_fleet(shape) as fleet:
         if arm.places:
             for instance in fleet.instances_by_id.values():
                 instance.streams.headroom = FixedHeadroom(arm.places)
-        feed = BatchFeed(fleet, seed=seed)
+        feed = BatchFeed(fleet, prompt_characters=len(PROMPT), seed=seed)
         if arm.batch:
             feed.start()
             await asyncio.sleep(SETTLE_S)
@@ -158,8 +160,9 @@
     load: LoadFigures, feed: BatchFeed, items: int, batch_tokens: int, elapsed: float
 ) -> dict[str, Any]:
     full = COSTS.most_running
-    best_per_s = ENGINES * full / (COSTS.step_s + COSTS.sequence_s * full)
-    idle_tokens = best_per_s * elapsed - load.tokens
+    prefill_s = (load.answered + items) * prompt_tokens(PROMPT) * COSTS.prefill_s
+    best_per_s = full / (COSTS.step_s + COSTS.sequence_s * full)
+    idle_tokens = best_per_s * (ENGINES * elapsed - prefill_s) - load.tokens
     return {
         "ttft_p50_ms": load.first_token.percentile_ms(50),
         "ttft_p95_ms": load.first_token.percentile_ms(95),
