--- a/src/caperridge/decisions/batch_share.py
+++ b/src/caperridge/decisions/batch_share.py
@@ -5,6 +5,8 @@
 the target up to that level; the trade of the service allows some more.
 """
 
+import math
+
 from caperridge.decisions.step_time import Line
 from caperridge.records import Record
 
@@ -29,23 +31,44 @@
     return round(TAIL_SLOWDOWN + span * batch_weight**2, 6)
 
 
-def most_streams(line: Line | None, tail_online: int, batch_weight: float) -> float:
+def most_streams(
+    line: Line | None, tail_online: int, full: int, batch_weight: float
+) -> float:
     """Return how many streams, online and batch, may run in one step.
 
     Args:
         line: the step time learnt; None if it is not known.
         tail_online: the concurrency at which online made its slowest tokens.
+        full: places of the target.
         batch_weight: the trade of the service.
 
-    >>> most_streams(Line(0.025, 0.0005), 10, 0.0)
+    >>> most_streams(Line(0.025, 0.0005), 10, 10, 0.0)
     11.2
     """
     if line is None or line.stream_s <= 0 or tail_online <= 0:
-        return float("inf")
-    longest_s = line.at(tail_online) * acceptable_slowdown(batch_weight)
+        return math.inf
+    alone = tail_alone(line, tail_online, full)
+    longest_s = line.at(alone) * acceptable_slowdown(batch_weight)
     return round((longest_s - line.base_s) / line.stream_s, 3)
 
 
+def tail_alone(line: Line, tail_online: int, full: int) -> float:
+    """Return the concurrency that online would have had at its tail without batch.
+
+    Longer steps keep each request longer, so batch raises the concurrency that it is
+    measured by; without this correction it would allow itself more and more. By
+    Little's law the concurrency is as the step time.
+
+    >>> tail_alone(Line(0.04, 0.002), 20, 24)
+    16.667
+    >>> tail_alone(Line(0.04, 0.002), 20, 20)
+    20.0
+    """
+    beside = max(0, full - tail_online)
+    alone = tail_online * line.base_s / (line.base_s + line.stream_s * beside)
+    return round(alone, 3)
+
+
 class FirstTokenGuard(Record):
     """Takes room from batch when online first tokens come later than they should.
 
--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -14,6 +14,7 @@
 from caperridge.decisions.online_counts import OnlineCounts
 from caperridge.decisions.preemption import BatchStream, first_to_go
 from caperridge.decisions.step_time import StepTime
+from caperridge.records import Record
 
 __all__ = ["SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
 
@@ -21,6 +22,9 @@
 FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
 FIRST_STEP_S = 0.03
+LEAST_PAUSE_S = 0.005
+MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
+ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
 MOST_HOLD_STEPS = 2.0
 MOST_FREE = 0.125  # of a target, where the trade is all for the online tail
 
@@ -28,7 +32,15 @@
 class RunnerHeadroom:
     """What is known of one target; see :class:`Headroom`."""
 
-    __slots__ = ("burst", "counts", "guard", "owned_since", "reaction_s", "steps")
+    __slots__ = (
+        "burst",
+        "counts",
+        "guard",
+        "owned_since",
+        "peers",
+        "reaction_s",
+        "steps",
+    )
 
     def __init__(self) -> None:
         self.counts = OnlineCounts()
@@ -37,6 +49,7 @@
         self.guard = FirstTokenGuard()
         self.reaction_s = FIRST_REACTION_S
         self.owned_since: float | None = None
+        self.peers = True
 
     def online(self, now: float) -> int:
         """Return the online requests known, and let the estimate follow them.
@@ -59,6 +72,16 @@
         return FIRST_STEP_S if line is None else line.at(streams)
 
 
+class Starts(Record):
+    """How many streams to start now, and in how long to ask again."""
+
+    __slots__ = ("again_s", "count")
+
+    def __init__(self, count: int, again_s: float) -> None:
+        self.count = count
+        self.again_s = again_s
+
+
 class Headroom:
     """Knows the online load of each target and what batch may take of the rest.
 
@@ -84,8 +107,15 @@
         return runner
 
     def gained(self, target: str, now: float, alone: bool = False) -> None:
-        """Become the dispatcher of ``target``; ``alone``: there is no other yet."""
-        self.runner(target).owned_since = now - self._settle_s if alone else now
+        """Become the dispatcher of ``target``; ``alone``: no other instance lives."""
+        runner = self.runner(target)
+        runner.owned_since = now - self._settle_s if alone else now
+        runner.peers = not alone
+
+    def peers_changed(self, alone: bool) -> None:
+        """Note whether other instances live, whose news comes with a delay."""
+        for runner in self._runners_by_target.values():
+            runner.peers = not alone
 
     def lost(self, target: str) -> None:
         """No longer be the dispatcher of ``target``: what is known goes stale."""
@@ -102,6 +132,7 @@
         runner = self.runner(target)
         if not runner.counts.changed(sender, in_flight, sequence, now):
             return False
+        runner.peers = runner.peers or sequence > 0
         runner.online(now)
         return True
 
@@ -165,6 +196,39 @@
         online = max(runner.online(now), runner.burst.most_online(now, hold_s))
         return self._left(runner, online, most_running, batch_weight, now)
 
+    def to_start(
+        self,
+        target: str,
+        most_running: int,
+        batch_weight: float,
+        running: int,
+        ending: int,
+        now: float,
+    ) -> "Starts":
+        """Return how many batch streams to start at ``target`` now.
+
+        Prompts that are prefilled together make one long step for online callers,
+        so a target is filled over some steps, fewer the more the trade is for
+        throughput.
+
+        Args:
+            target: to be filled.
+            most_running: places of the target.
+            batch_weight: the trade of its service.
+            running: batch streams at it.
+            ending: those of them whose last token is in the making.
+            now: monotonic seconds.
+        """
+        staying = running - ending
+        step_s = max(LEAST_PAUSE_S, self.step_s(target, running, now))
+        room = self.startable(target, most_running, batch_weight, now) - staying
+        if room > 0:
+            rounds = MOST_ROUNDS - ROUNDS_SPAN * batch_weight
+            return Starts(math.ceil(room / rounds), step_s)
+        # A place that is only held comes free without any further event.
+        held = self.allowed(target, most_running, batch_weight, now) > staying
+        return Starts(0, step_s if held else math.inf)
+
     def to_preempt(
         self,
         target: str,
@@ -208,23 +272,28 @@
     ) -> int:
         if not self._settled(runner, now):
             return 0
-        reserve = _reserve(runner.burst.most_arrivals(now), most_running, batch_weight)
+        reserve = 0
+        if runner.peers:
+            arrivals = runner.burst.most_arrivals(now)
+            reserve = _reserve(arrivals, most_running, batch_weight)
         full = most_running - reserve - runner.guard.taken(now)
         tail = runner.burst.tail_online(now)
-        noticed = most_streams(runner.steps.line(now), tail, batch_weight)
+        line = runner.steps.line(now)
+        noticed = most_streams(line, tail, most_running, batch_weight)
         return max(0, int(min(full, noticed)) - online)
 
 
 def _reserve(most_arrivals: int, most_running: int, batch_weight: float) -> int:
     """Return the places kept free for what arrives before preemption takes effect.
 
-    Each costs batch a place all the time, and saves an online request one step where
-    it comes just before one. So there are few, but for the tail's end of the trade.
+    An online request of this instance finds its place freed before it. One of a peer
+    may arrive before the peer's news has had effect, so one place is always kept for
+    those; more where bursts ask for it and the trade favours the tail.
 
-    >>> [_reserve(9, 16, weight) for weight in (0.0, 0.5, 1.0)]
-    [2, 1, 0]
-    >>> _reserve(0, 16, 0.0)
+    >>> [_reserve(9, 24, weight) for weight in (0.0, 0.5, 1.0)]
+    [3, 1, 1]
+    >>> _reserve(0, 24, 0.0)
     1
     """
     most = math.ceil(most_running * MOST_FREE * (1 - batch_weight) ** 2)
-    return min(most, max(1, most_arrivals))
+    return max(1, min(most, most_arrivals))
--- a/src/caperridge/decisions/own_targets.py
+++ b/src/caperridge/decisions/own_targets.py
@@ -45,16 +45,19 @@
         self._live: list[str] = []
         self._owners_by_target: dict[str, str | None] = {}
         self._own: set[str] = set()
+        self._alone = True
 
     @property
     def alone(self) -> bool:
-        """Whether no other instance of the zone is live."""
-        return len(self._live) <= 1
+        """Whether no other instance is live, here or in another zone."""
+        return self._alone
 
     def refresh(self, states_by_id: Mapping[str, TargetState]) -> OwnershipChanges:
         """Work out the own targets; return what changed."""
         zone = self._membership.availability_zone
         live = self._membership.live(zone)
+        others = set(self._membership.members_by_id) - {self._membership.instance}
+        self._alone = not others and len(live) <= 1
         gone = sorted(set(self._live) - set(live))
         if live != self._live:
             self._live = live
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -5,14 +5,13 @@
 """
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import Callable
 from contextlib import aclosing
 from typing import Any
 
 from caperridge.config.model import Configuration, Service
-from caperridge.decisions.headroom import BatchStream, Headroom
+from caperridge.decisions.headroom import LEAST_PAUSE_S, BatchStream, Headroom
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.routing import TargetBook
@@ -28,9 +27,6 @@
 log = logger(__name__)
 OWNERS_EVERY_S = 0.25
 FAILED_HOLD_S = 1.0
-MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
-ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
-LEAST_PAUSE_S = 0.005
 LONGEST_REACTION_S = 0.5
 
 Finished = Callable[[ItemWork, AttemptError | None], None]
@@ -196,9 +192,12 @@
         if now < self._owners_due:
             return
         self._owners_due = now + OWNERS_EVERY_S
+        alone = self.own.alone
         changes = self.own.refresh(self.book.states_by_id)
         for peer in changes.peers_gone:
             self.headroom.sender_gone(peer)
+        if alone != self.own.alone:
+            self.headroom.peers_changed(self.own.alone)
         for target in changes.gained:
             self.headroom.gained(target, now, self.own.alone)
         for target in changes.lost:
@@ -229,11 +228,6 @@
             return None
         return self.configuration.services_by_name.get(state.member.service)
 
-    def _allowed(self, target: str, service: Service) -> int:
-        return self.headroom.allowed(
-            target, service.most_running, service.batch_weight, self._clock()
-        )
-
     def _startable(self, target: str, service: Service) -> int:
         return self.headroom.startable(
             target, service.most_running, service.batch_weight, self._clock()
@@ -244,19 +238,20 @@
     ) -> float:
         """Start some items at ``target``; return when to come back for more."""
         running = self._running_by_target.get(target, {})
-        staying = sum(1 for item in running.values() if not item.ending)
-        step_s = max(LEAST_PAUSE_S, self.headroom.step_s(target, len(running), now))
-        room = self._startable(target, service) - staying
-        if room <= 0:
-            # A place that is only held comes free without any further event.
-            held = self._allowed(target, service) > staying
-            return now + step_s if held else float("inf")
-        rounds = MOST_ROUNDS - ROUNDS_SPAN * service.batch_weight
-        starts = math.ceil(room / rounds)
-        for _ in range(min(starts, len(waiting))):
+        ending = sum(1 for item in running.values() if item.ending)
+        starts = self.headroom.to_start(
+            target,
+            service.most_running,
+            service.batch_weight,
+            len(running),
+            ending,
+            now,
+        )
+        for _ in range(min(starts.count, len(waiting))):
             self._start(waiting.popleft(), target)
-        self._not_before_by_target[target] = now + step_s
-        return now + step_s
+        if starts.count:
+            self._not_before_by_target[target] = now + starts.again_s
+        return now + starts.again_s
 
     def _wake_after(self, seconds: float) -> None:
         """Fill again in ``seconds``, or sooner if that is due already."""
--- a/src/caperridge/measure/online_tail.py
+++ b/src/caperridge/measure/online_tail.py
@@ -15,7 +15,14 @@
 from caperridge.decisions.headroom import BatchStream, Headroom
 from caperridge.measure.batch_feed import BatchFeed
 from caperridge.measure.fleet import FleetShape, StandinFleet, running_fleet
-from caperridge.measure.load import LoadFigures, LoadShape, LoopWatch, run_load
+from caperridge.measure.load import (
+    LoadFigures,
+    LoadShape,
+    LoopWatch,
+    run_load,
+    schedule,
+)
+from caperridge.measure.modelled_runner import ModelledRunner, ModelShape
 from caperridge.measure.options import Options
 from caperridge.standins.engine_model import EngineCosts, prompt_tokens
 
@@ -31,6 +38,14 @@
 SETTLE_S = 1.2
 PARTITION = 12
 PROMPT = "?" * 200
+MODELLED_S = 150.0
+MODELLED_ARMS = (
+    ("caperridge", 0.5, 0.0),
+    ("caperridge_tail", 0.0, 0.0),
+    ("caperridge_throughput", 1.0, 0.0),
+    ("caperridge_by_peers", 0.5, 0.004),
+)
+MEAN_ITEM_TOKENS = 80
 
 
 class FixedHeadroom(Headroom):
@@ -103,34 +118,75 @@
 
 
 async def run(options: Options) -> dict[str, Any]:
-    """Run every arm, one after the other; about 50 s."""
+    """Run every arm, one after the other; about 55 s."""
     figures: dict[str, Any] = {}
     for arm in ARMS:
         seconds = options.seconds or arm.seconds
         figures[arm.name] = await run_arm(arm, options.seed, seconds)
-    alone = figures["alone"]
     for arm in ARMS[1:]:
-        own = figures[arm.name]
-        for name in ("ttft_p50", "ttft_p95", "ttft_p99", "itl_p50", "itl_p95"):
-            ratio = own[f"{name}_ms"] / alone[f"{name}_ms"]
-            own[f"{name}_ratio"] = round(ratio, 3)
+        figures[arm.name] |= ratios(figures[arm.name], figures["alone"])
     for name in ("ttft_p99_ratio", "itl_p95_ratio", "batch_share_of_idle"):
         figures[name] = figures["caperridge"][name]
+    figures["modelled"] = modelled(options.seed)
     return figures
 
 
-async def run_arm(arm: Arm, seed: int, seconds: float) -> dict[str, Any]:
-    """Run one arm in a fleet of its own."""
-    shape = FleetShape(ENGINES, costs=COSTS, batch_weight=arm.batch_weight)
-    load = LoadShape(
+def ratios(own: dict[str, Any], alone: dict[str, Any]) -> dict[str, float]:
+    """Return the latencies of an arm over those of online alone."""
+    found: dict[str, float] = {}
+    for name in ("ttft_p50", "ttft_p95", "ttft_p99", "itl_p50", "itl_p95"):
+        found[f"{name}_ratio"] = round(own[f"{name}_ms"] / alone[f"{name}_ms"], 3)
+    return found
+
+
+def modelled(seed: int) -> dict[str, Any]:
+    """Return the same by the engine model, with what this process adds left out.
+
+    One runner has its share of the load. The news is of the own process, or of a
+    peer and comes later than the request.
+    """
+    load = load_shape(MODELLED_S, REQUESTS_PER_S / ENGINES)
+    tokens = sum(arrival.tokens for arrival in schedule(load, seed))
+    figures: dict[str, Any] = {}
+    alone = ModelledRunner(ModelShape(COSTS, load, item_tokens=None, seed=seed)).run()
+    for name, weight, news_s in MODELLED_ARMS:
+        shape = ModelShape(COSTS, load, weight, news_s=news_s, seed=seed)
+        runner = ModelledRunner(shape)
+        own = runner.run()
+        items = runner.batch_tokens / MEAN_ITEM_TOKENS
+        idle = idle_tokens(1, MODELLED_S, own["online_answers"], items, tokens)
+        own["batch_share_of_idle"] = round(runner.batch_tokens / idle, 3)
+        figures[name] = own | ratios(own, alone)
+    return figures
+
+
+def load_shape(seconds: float, requests_per_s: float) -> LoadShape:
+    """Return the online load."""
+    return LoadShape(
         seconds,
-        REQUESTS_PER_S,
+        requests_per_s,
         burst_every_s=BURST_EVERY_S,
         burst_s=BURST_S,
         prompt_characters=len(PROMPT),
         least_tokens=8,
         most_tokens=24,
     )
+
+
+def idle_tokens(
+    engines: int, seconds: float, answers: int, items: float, tokens: int
+) -> float:
+    """Return the batch tokens that full engines could have made beside online."""
+    full = COSTS.most_running
+    prefill_s = (answers + items) * prompt_tokens(PROMPT) * COSTS.prefill_s
+    best_per_s = full / (COSTS.step_s + COSTS.sequence_s * full)
+    return best_per_s * (engines * seconds - prefill_s) - tokens
+
+
+async def run_arm(arm: Arm, seed: int, seconds: float) -> dict[str, Any]:
+    """Run one arm in a fleet of its own."""
+    shape = FleetShape(ENGINES, costs=COSTS, batch_weight=arm.batch_weight)
+    load = load_shape(seconds, REQUESTS_PER_S)
     async with running_fleet(shape) as fleet:
         if arm.places:
             for instance in fleet.instances_by_id.values():
@@ -159,10 +215,7 @@
 def _figures(
     load: LoadFigures, feed: BatchFeed, items: int, batch_tokens: int, elapsed: float
 ) -> dict[str, Any]:
-    full = COSTS.most_running
-    prefill_s = (load.answered + items) * prompt_tokens(PROMPT) * COSTS.prefill_s
-    best_per_s = full / (COSTS.step_s + COSTS.sequence_s * full)
-    idle_tokens = best_per_s * (ENGINES * elapsed - prefill_s) - load.tokens
+    idle = idle_tokens(ENGINES, elapsed, load.answered, items, load.tokens)
     return {
         "ttft_p50_ms": load.first_token.percentile_ms(50),
         "ttft_p95_ms": load.first_token.percentile_ms(95),
@@ -176,5 +229,5 @@
         "batch_items_per_s": round(items / elapsed, 2),
         "batch_tokens_per_s": round(batch_tokens / elapsed, 1),
         "batch_preemptions": feed.preemptions,
-        "batch_share_of_idle": round(batch_tokens / idle_tokens, 3),
+        "batch_share_of_idle": round(batch_tokens / idle, 3),
     }
--- a/tests/headroom/test_batch_streams.py
+++ b/tests/headroom/test_batch_streams.py
@@ -109,7 +109,7 @@
 
 
 async def news_of_a_peer(found: Saturated) -> None:
-    for sequence, in_flight in enumerate([1, 3, 5], 1):
+    for sequence, in_flight in enumerate([1, 3, MOST_RUNNING], 1):
         news = OnlineNews("entry-9", "runner-1", in_flight, sequence)
         found.streams.online_changed(
             news.target, news.instance, news.in_flight, news.sequence
