--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -6,6 +6,7 @@
 they should.
 """
 
+import math
 from typing import Any
 
 from caperridge.decisions.batch_share import FirstTokenGuard, most_streams
@@ -13,20 +14,33 @@
 from caperridge.decisions.online_counts import OnlineCounts
 from caperridge.decisions.preemption import BatchStream, first_to_go
 from caperridge.decisions.step_time import StepTime
+from caperridge.records import Record
 
 __all__ = ["SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
 
 SETTLE_S = 2.0
 FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
-LEAST_FREE = 1
-MOST_FREE = 0.25  # of a target, where the trade is all for the online tail
+FIRST_STEP_S = 0.03
+LEAST_PAUSE_S = 0.005
+MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
+ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
+MOST_HOLD_STEPS = 2.0
+MOST_FREE = 0.125  # of a target, where the trade is all for the online tail
 
 
 class RunnerHeadroom:
     """What is known of one target; see :class:`Headroom`."""
 
-    __slots__ = ("burst", "counts", "guard", "owned_since", "reaction_s", "steps")
+    __slots__ = (
+        "burst",
+        "counts",
+        "guard",
+        "owned_since",
+        "peers",
+        "reaction_s",
+        "steps",
+    )
 
     def __init__(self) -> None:
         self.counts = OnlineCounts()
@@ -35,6 +49,7 @@
         self.guard = FirstTokenGuard()
         self.reaction_s = FIRST_REACTION_S
         self.owned_since: float | None = None
+        self.peers = True
 
     def online(self, now: float) -> int:
         """Return the online requests known, and let the estimate follow them.
@@ -46,6 +61,26 @@
             self.burst.note(online, self.reaction_s, now)
         return online
 
+    def hold_s(self, batch_weight: float, now: float) -> float:
+        """Return how long a place that online freed is held for its next request."""
+        step_s = self.step_s(self.online(now), now)
+        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
+
+    def step_s(self, streams: int, now: float) -> float:
+        """Return how long a step with ``streams`` takes, as far as is known."""
+        line = self.steps.line(now)
+        return FIRST_STEP_S if line is None else line.at(streams)
+
+
+class Starts(Record):
+    """How many streams to start now, and in how long to ask again."""
+
+    __slots__ = ("again_s", "count")
+
+    def __init__(self, count: int, again_s: float) -> None:
+        self.count = count
+        self.again_s = again_s
+
 
 class Headroom:
     """Knows the online load of each target and what batch may take of the rest.
@@ -72,8 +107,15 @@
         return runner
 
     def gained(self, target: str, now: float, alone: bool = False) -> None:
-        """Become the dispatcher of ``target``; ``alone``: there is no other yet."""
-        self.runner(target).owned_since = now - self._settle_s if alone else now
+        """Become the dispatcher of ``target``; ``alone``: no other instance lives."""
+        runner = self.runner(target)
+        runner.owned_since = now - self._settle_s if alone else now
+        runner.peers = not alone
+
+    def peers_changed(self, alone: bool) -> None:
+        """Note whether other instances live, whose news comes with a delay."""
+        for runner in self._runners_by_target.values():
+            runner.peers = not alone
 
     def lost(self, target: str) -> None:
         """No longer be the dispatcher of ``target``: what is known goes stale."""
@@ -90,6 +132,7 @@
         runner = self.runner(target)
         if not runner.counts.changed(sender, in_flight, sequence, now):
             return False
+        runner.peers = runner.peers or sequence > 0
         runner.online(now)
         return True
 
@@ -123,6 +166,11 @@
         runner = self.runner(target)
         runner.reaction_s += REACTION_WEIGHT * (reaction_s - runner.reaction_s)
 
+    def step_s(self, target: str, batch: int, now: float) -> float:
+        """Return how long a step of ``target`` takes with ``batch`` streams."""
+        runner = self.runner(target)
+        return runner.step_s(runner.online(now) + batch, now)
+
     def online(self, target: str, now: float) -> int:
         """Return the online requests known to be at ``target``."""
         return self.runner(target).online(now)
@@ -140,12 +188,47 @@
         """Return up to how many batch streams ``target`` may be filled at ``now``.
 
         A slot that online has just freed is held a moment for its next request;
-        otherwise a stream would start only to give way again.
+        otherwise a stream would start only to give way again. To hold it for as long
+        as that would cost, some steps, is at most twice as bad as knowing the future.
         """
         runner = self.runner(target)
-        online = max(runner.online(now), runner.burst.most_online(now))
+        hold_s = runner.hold_s(batch_weight, now)
+        online = max(runner.online(now), runner.burst.most_online(now, hold_s))
         return self._left(runner, online, most_running, batch_weight, now)
 
+    def to_start(
+        self,
+        target: str,
+        most_running: int,
+        batch_weight: float,
+        running: int,
+        ending: int,
+        now: float,
+    ) -> "Starts":
+        """Return how many batch streams to start at ``target`` now.
+
+        Prompts that are prefilled together make one long step for online callers,
+        so a target is filled over some steps, fewer the more the trade is for
+        throughput.
+
+        Args:
+            target: to be filled.
+            most_running: places of the target.
+            batch_weight: the trade of its service.
+            running: batch streams at it.
+            ending: those of them whose last token is in the making.
+            now: monotonic seconds.
+        """
+        staying = running - ending
+        step_s = max(LEAST_PAUSE_S, self.step_s(target, running, now))
+        room = self.startable(target, most_running, batch_weight, now) - staying
+        if room > 0:
+            rounds = MOST_ROUNDS - ROUNDS_SPAN * batch_weight
+            return Starts(math.ceil(room / rounds), step_s)
+        # A place that is only held comes free without any further event.
+        held = self.allowed(target, most_running, batch_weight, now) > staying
+        return Starts(0, step_s if held else math.inf)
+
     def to_preempt(
         self,
         target: str,
@@ -166,7 +249,6 @@
             shown[target] = {
                 "online": runner.online(now),
                 "senders": runner.counts.senders(),
-                "held_for_online": runner.burst.most_online(now),
                 "most_arrivals": runner.burst.most_arrivals(now),
                 "tail_online": runner.burst.tail_online(now),
                 "step": None if line is None else line.to_map(),
@@ -190,18 +272,28 @@
     ) -> int:
         if not self._settled(runner, now):
             return 0
-        reserve = _reserve(runner.burst.most_arrivals(now), most_running, batch_weight)
+        reserve = 0
+        if runner.peers:
+            arrivals = runner.burst.most_arrivals(now)
+            reserve = _reserve(arrivals, most_running, batch_weight)
         full = most_running - reserve - runner.guard.taken(now)
         tail = runner.burst.tail_online(now)
-        noticed = most_streams(runner.steps.line(now), tail, batch_weight)
+        line = runner.steps.line(now)
+        noticed = most_streams(line, tail, most_running, batch_weight)
         return max(0, int(min(full, noticed)) - online)
 
 
 def _reserve(most_arrivals: int, most_running: int, batch_weight: float) -> int:
     """Return the places kept free for what arrives before preemption takes effect.
 
-    >>> _reserve(1, 16, 0.5), _reserve(9, 16, 0.5), _reserve(9, 16, 1.0)
-    (1, 2, 1)
+    An online request of this instance finds its place freed before it. One of a peer
+    may arrive before the peer's news has had effect, so one place is always kept for
+    those; more where bursts ask for it and the trade favours the tail.
+
+    >>> [_reserve(9, 24, weight) for weight in (0.0, 0.5, 1.0)]
+    [3, 1, 1]
+    >>> _reserve(0, 24, 0.0)
+    1
     """
-    most = int(most_running * MOST_FREE * (1 - batch_weight))
-    return max(LEAST_FREE, min(most, most_arrivals))
+    most = math.ceil(most_running * MOST_FREE * (1 - batch_weight) ** 2)
+    return max(1, min(most, most_arrivals))
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from caperridge.config.model import Configuration, Service
-from caperridge.decisions.headroom import BatchStream, Headroom
+from caperridge.decisions.headroom import LEAST_PAUSE_S, BatchStream, Headroom
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.routing import TargetBook
@@ -27,8 +27,6 @@
 log = logger(__name__)
 OWNERS_EVERY_S = 0.25
 FAILED_HOLD_S = 1.0
-RAMP_STARTS = 4  # a target is filled in about so many rounds, one for each step
-LEAST_PAUSE_S = 0.005
 LONGEST_REACTION_S = 0.5
 
 Finished = Callable[[ItemWork, AttemptError | None], None]
@@ -194,9 +192,12 @@
         if now < self._owners_due:
             return
         self._owners_due = now + OWNERS_EVERY_S
+        alone = self.own.alone
         changes = self.own.refresh(self.book.states_by_id)
         for peer in changes.peers_gone:
             self.headroom.sender_gone(peer)
+        if alone != self.own.alone:
+            self.headroom.peers_changed(self.own.alone)
         for target in changes.gained:
             self.headroom.gained(target, now, self.own.alone)
         for target in changes.lost:
@@ -237,18 +238,20 @@
     ) -> float:
         """Start some items at ``target``; return when to come back for more."""
         running = self._running_by_target.get(target, {})
-        staying = sum(1 for item in running.values() if not item.ending)
-        room = self._startable(target, service) - staying
-        if room <= 0:
-            return float("inf")
-        starts = max(1, -(-room // RAMP_STARTS))
-        for _ in range(min(starts, len(waiting))):
+        ending = sum(1 for item in running.values() if item.ending)
+        starts = self.headroom.to_start(
+            target,
+            service.most_running,
+            service.batch_weight,
+            len(running),
+            ending,
+            now,
+        )
+        for _ in range(min(starts.count, len(waiting))):
             self._start(waiting.popleft(), target)
-        line = self.headroom.runner(target).steps.line(now)
-        pause = LEAST_PAUSE_S if line is None else line.at(len(running))
-        due = now + max(LEAST_PAUSE_S, pause)
-        self._not_before_by_target[target] = due
-        return due
+        if starts.count:
+            self._not_before_by_target[target] = now + starts.again_s
+        return now + starts.again_s
 
     def _wake_after(self, seconds: float) -> None:
         """Fill again in ``seconds``, or sooner if that is due already."""
