--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 import zlib
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -17,10 +18,13 @@
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
+    ConfigurationAsked,
+    ConfigurationHeard,
     ItemEnded,
     MembersListed,
 )
@@ -28,23 +32,35 @@
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.online_news import OnlineReporter
 from caperridge.instance.operators_http import OperatorsHttp
+from caperridge.instance.orderer import Orderer
 from caperridge.instance.peer_metrics import PeerMetrics
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import LoadNews, TargetNews, TraceAnswer, TraceAsk
+from caperridge.peers.messages import (
+    ConfigurationAsk,
+    ConfigurationNews,
+    LoadNews,
+    TargetNews,
+    TraceAnswer,
+    TraceAsk,
+)
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import Platform
+from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Address, Settings
 from caperridge.targets.engine import EngineClient
+from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
+from caperridge.tls import server_context
 
 log = logger(__name__)
 FIRST_OPERATOR = "first-operator"
@@ -66,25 +82,18 @@
         engines: EngineClient | None = None,
     ) -> None:
         self.settings = settings
-        self.platform = platform or HttpPlatform(
+        self._direct = platform or HttpPlatform(
             settings.platform_endpoint,
             settings.availability_zone,
             settings.platform_secret,
             settings.platform_deadline_s,
+            settings.platform_authority,
         )
         clock = time.monotonic
         self.metrics = Metrics()
         self.traces = Traces()
         self.addresses_by_listener: dict[str, Address] = {}
         self.draining = False
-        self._engines = engines or EngineClient()
-        self._plain_client = PlainClient()
-        # Instances differ in the seed, so that they do not choose in step.
-        seed = zlib.crc32(settings.instance_id.encode())
-        book = TargetBook(settings.availability_zone, seed)
-        self.session = SessionKeeper(
-            self.platform, settings.instance_id, settings.lease_s, clock
-        )
         self.membership = Membership(
             settings.instance_id,
             settings.availability_zone,
@@ -95,6 +104,18 @@
             metrics = PeerMetrics(self.metrics.registry)
             self.mesh = PeerMesh(settings, self.membership, metrics, clock)
         self.peers: Peers = self.mesh or NoPeers()
+        self.platform = self._direct
+        self.relay_server: RelayServer | None = None
+        if self.mesh is not None:
+            self.platform = self._wire_relay(self.mesh, clock)
+        self._engines = engines or EngineClient()
+        self._plain_client = PlainClient()
+        # Instances differ in the seed, so that they do not choose in step.
+        seed = zlib.crc32(settings.instance_id.encode())
+        book = TargetBook(settings.availability_zone, seed)
+        self.session = SessionKeeper(
+            self.platform, settings.instance_id, settings.lease_s, clock
+        )
         self.dispatcher = BatchDispatcher(
             self.platform,
             self.session,
@@ -134,17 +155,34 @@
             self.peers.send_zone,
             clock,
         )
-        self.plain = PlainFront(book, self._plain_client, self.traces)
-        self.configuration = ConfigurationKeeper(self.platform, self._applied)
-        self.members = MembersReader(self.platform, self._listed)
+        self.plain = PlainFront(
+            book, self._plain_client, self.traces, self._target_leaving
+        )
+        self.keyed_calls = KeyedCalls(self.plain, self.platform, self.session)
+        self.configuration = ConfigurationKeeper(
+            self.platform, self._applied, self.membership, self.peers
+        )
+        self.members = self._members_reader()
         self.peer_news = PeerNews(
             [self.online.book, self.streams.book],
             self.streams,
             self.dispatcher.tell,
+            self.membership,
+            self.peers,
+        )
+        self._order_client = OrderClient()
+        self.orderer = Orderer(
+            self.platform,
+            self.session,
+            self.membership,
+            self._order_client,
+            clock,
+            settings.lease_s,
         )
         self._actors = [
             self.session,
             self.configuration,
+            self.orderer,
             self.members,
             self.dispatcher,
             self.target_reports,
@@ -158,6 +196,7 @@
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
+        self.orderer.tell(message)
         self.target_reports.engine_services = {
             service.name
             for service in message.configuration.services_by_name.values()
@@ -168,15 +207,43 @@
         self.membership.apply_list(message.members, time.monotonic())
         self.online.book.apply_list(message.members, time.monotonic())
         self.streams.book.apply_list(message.members)
+        self.orderer.tell(message)
+
+    def _members_reader(self) -> MembersReader:
+        if self.mesh is None:
+            return MembersReader(self.platform, self._listed)
+        zone = self.settings.availability_zone
+        return MembersReader(
+            self.platform,
+            self._listed,
+            self.mesh,
+            lambda: len(self.membership.live(zone)),
+            self.mesh.introductions,
+            self.mesh.introduce,
+        )
+
+    def _wire_relay(self, mesh: PeerMesh, clock: Callable[[], float]) -> Platform:
+        """Return the platform, reached through a peer where it must be."""
+        relayed = RelayedPlatform(self._direct, clock)
+        relayed.way = RelayClient(
+            mesh, self.membership, self.settings.platform_deadline_s, clock
+        )
+        self.relay_server = RelayServer(self._direct, mesh)
+        return relayed
 
     def _wire_peers(self, mesh: PeerMesh) -> None:
         """Connect the peers' news with the tasks that it concerns."""
-        news = self.peer_news
-        news.listen(mesh)
         mesh.configuration_version = lambda: self.configuration.current.version
-        mesh.peer_opened = news.opened
-        mesh.peer_removed = news.removed
-        mesh.view_changed = self.online_news.repeat
+        mesh.listen(self.online_news)
+        keeper = self.configuration
+        mesh.register(
+            ConfigurationNews,
+            lambda peer, news: keeper.tell(ConfigurationHeard(peer, news)),
+        )
+        mesh.register(
+            ConfigurationAsk,
+            lambda peer, ask: keeper.tell(ConfigurationAsked(peer, ask.version)),
+        )
         mesh.register(LoadNews, lambda _, news: self.online.loads_told(news))
         mesh.register(TraceAsk, self.explanations.asked)
         mesh.register(TraceAnswer, self.explanations.answered)
@@ -196,18 +263,9 @@
         if state is None or state.leaving:
             return
         news = TargetNews(target, state.member.incarnation, leaving=True)
-        self.target_news(news)
+        self.peer_news.take(self.settings.instance_id, news)
         self.peers.send_all(news)
 
-    def target_news(self, news: TargetNews) -> None:
-        """Act on the word that a target is leaving, whoever said it."""
-        for book in (self.online.book, self.streams.book):
-            state = book.states_by_id.get(news.target)
-            if state is None or state.member.incarnation != news.incarnation:
-                continue
-            if news.leaving:
-                book.mark_leaving(news.target)
-
     def caller(self, request: web.Request) -> Caller:
         """Return the caller whose token the request carries.
 
@@ -234,6 +292,10 @@
             return FIRST_OPERATOR
         raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
 
+    def versions_of_peers(self) -> dict[str, int]:
+        """Return the configuration's version that each heartbeat told, by instance."""
+        return {} if self.mesh is None else dict(self.mesh.versions_by_id)
+
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
@@ -262,8 +324,10 @@
                 target_id: state.to_map()
                 for target_id, state in self.online.book.states_by_id.items()
             },
+            "configuration": self.configuration.state(),
             "dispatcher": self.dispatcher.state(),
             "peers": self.mesh.state() if self.mesh is not None else None,
+            "orderer": self.orderer.state(),
             "online": self.online.state(),
             "traces": len(self.traces),
             "trace_bytes": self.traces.bytes,
@@ -290,7 +354,9 @@
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, at.host, at.port)
+        files = self.settings.tls_by_listener.get(name)
+        context = server_context(files) if files else None
+        site = web.TCPSite(runner, at.host, at.port, ssl_context=context)
         await site.start()
         host, port = runner.addresses[0][:2]
         self.addresses_by_listener[name] = Address(host, port)
@@ -315,6 +381,11 @@
         for actor in reversed(self._actors):
             await actor.stop()
         await self._engines.close()
+        await self._order_client.close()
         await self._plain_client.close()
-        if isinstance(self.platform, HttpPlatform):
+        if self.relay_server is not None:
+            await self.relay_server.stop()
+        if isinstance(self.platform, RelayedPlatform):
             await self.platform.close()
+        if isinstance(self._direct, HttpPlatform):
+            await self._direct.close()
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -66,8 +66,9 @@
     """The sender lives; what it says of others is ``rumours``.
 
     Attributes:
-        instance: the sender.
-        incarnation: raised with each start of an instance of that id.
+        instance: the sender; empty for the one that said hello on this stream.
+        incarnation: raised with each start of an instance of that id; 0: as in the
+            hello.
         sequence: raised with each heartbeat.
         configuration_version: in force at the sender.
         leaving: the sender is stopping as planned.
@@ -85,9 +86,9 @@
 
     def __init__(
         self,
-        instance: str,
-        incarnation: int,
-        sequence: int,
+        instance: str = "",
+        incarnation: int = 0,
+        sequence: int = 0,
         configuration_version: int = 0,
         leaving: bool = False,
         rumours: list[list[Any]] | None = None,
@@ -109,7 +110,7 @@
     __slots__ = ("in_flight", "instance", "sequence", "target")
 
     def __init__(
-        self, instance: str, target: str, in_flight: int, sequence: int
+        self, instance: str, target: str, in_flight: int = 0, sequence: int = 0
     ) -> None:
         self.instance = instance
         self.target = target
@@ -117,6 +118,22 @@
         self.sequence = sequence
 
 
+class OnlineCounts(Record):
+    """Several :class:`OnlineNews` of one sender in one message.
+
+    Attributes:
+        counts: ``[target, in_flight, sequence]`` of each; the sequence is given as the
+            difference from that of the one before.
+        instance: whose requests they are; empty for the sender's.
+    """
+
+    __slots__ = ("counts", "instance")
+
+    def __init__(self, counts: list[list[Any]], instance: str = "") -> None:
+        self.counts = counts
+        self.instance = instance
+
+
 class LatencyNews(Record):
     """What the sender's online callers saw at a target, for the batch dispatcher."""
 
@@ -172,6 +189,34 @@
         self.leaving = leaving
 
 
+class LoadedNews(Record):
+    """What a target holds, from its orderer; older than ``fence, sequence``: ignored.
+
+    Attributes:
+        target: which one.
+        fence: number of the orderer.
+        sequence: raised with each news of that orderer.
+        loaded: ``model``, ``version``, ``adapters`` and ``role``.
+        held: it is about to load, and should get nothing new.
+    """
+
+    __slots__ = ("fence", "held", "loaded", "sequence", "target")
+
+    def __init__(
+        self,
+        target: str,
+        fence: int,
+        sequence: int,
+        loaded: dict[str, Any] | None = None,
+        held: bool = False,
+    ) -> None:
+        self.target = target
+        self.fence = fence
+        self.sequence = sequence
+        self.loaded = loaded or {}
+        self.held = held
+
+
 class ConfigurationNews(Record):
     """A version of the configuration, as a delta or whole.
 
@@ -230,6 +275,37 @@
         self.value = value
 
 
+class ListNews(Record):
+    """What changed in the platform's list of members, or all of it.
+
+    Attributes:
+        members: new or changed, as maps.
+        removed: ids that are gone.
+        whole: nothing else is in the list.
+        introduced: ``[instance, zone, address]`` of instances not listed yet.
+    """
+
+    __slots__ = ("introduced", "members", "removed", "whole")
+
+    def __init__(
+        self,
+        members: list[dict[str, Any]],
+        removed: list[str] | None = None,
+        whole: bool = False,
+        introduced: list[list[str]] | None = None,
+    ) -> None:
+        self.members = members
+        self.removed = removed or []
+        self.whole = whole
+        self.introduced = introduced or []
+
+
+class ListAsk(Record):
+    """Asks a peer for all of the platform's list, as the platform is away."""
+
+    __slots__ = ()
+
+
 class TraceAsk(Record):
     """Asks for the trace of a request, for ``explain`` at another instance."""
 
@@ -256,14 +332,18 @@
         Hello,
         Heartbeat,
         OnlineNews,
+        OnlineCounts,
         LatencyNews,
         LoadNews,
         JobNews,
         TargetNews,
+        LoadedNews,
         ConfigurationNews,
         ConfigurationAsk,
         RelayCall,
         RelayAnswer,
+        ListNews,
+        ListAsk,
         TraceAsk,
         TraceAnswer,
     )
--- a/src/caperridge/standins/engine.py
+++ b/src/caperridge/standins/engine.py
@@ -22,6 +22,8 @@
     prompt_tokens,
     token_text,
 )
+from caperridge.standins.loader import Loader
+from caperridge.standins.weights import WeightStore
 from caperridge.targets.prompt import prompt_of
 
 DEFAULT_MOST_TOKENS = 16
@@ -34,6 +36,7 @@
 
     Attributes:
         hung: steps stop; connections stay open.
+        killed: every connection breaks; see :meth:`Engine.kill`.
         slow: steps take this many times as long.
         refuse_status: answer every request with this status; 0 for none.
         refuse_run: the ``run`` word of that refusal, if it should carry one.
@@ -54,6 +57,7 @@
         "event_lag_s",
         "hung",
         "ignore_fencing",
+        "killed",
         "leaving",
         "lose_body",
         "refuse_run",
@@ -76,6 +80,7 @@
         report_lag_s: float = 0.5,
         event_lag_s: float = 1.0,
         event_gaps: float = 0.05,
+        killed: bool = False,
     ) -> None:
         self.hung = hung
         self.slow = slow
@@ -89,6 +94,7 @@
         self.report_lag_s = report_lag_s
         self.event_lag_s = event_lag_s
         self.event_gaps = event_gaps
+        self.killed = killed
 
 
 class Engine:
@@ -98,10 +104,17 @@
         costs: of its model.
         seed: of the gaps in its cache events.
         gb_per_s: rate at which it loads weights when no store is given.
+        store: where it loads weights from.
+        preloaded: whether it starts with weights, rather than with none.
     """
 
     def __init__(
-        self, costs: EngineCosts | None = None, seed: int = 0, gb_per_s: float = 100.0
+        self,
+        costs: EngineCosts | None = None,
+        seed: int = 0,
+        gb_per_s: float = 100.0,
+        store: WeightStore | None = None,
+        preloaded: bool = True,
     ) -> None:
         self.model = EngineModel(costs or EngineCosts())
         self.faults = EngineFaults()
@@ -111,7 +124,9 @@
         self.obeyed: list[dict[str, Any]] = []
         self.desired: dict[str, Any] = {}
         self.killed = asyncio.Event()
-        self._gb_per_s = gb_per_s
+        self.loader = Loader(gb_per_s, store, preloaded)
+        self.cut_by_load = 0
+        self.transports: set[asyncio.Transport] = set()
         self._random = random.Random(seed)
         self._queues_by_attempt: dict[str, asyncio.Queue[int | None]] = {}
         self._work = asyncio.Event()
@@ -129,6 +144,7 @@
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
+        await self.loader.stop()
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -199,6 +215,15 @@
         ripe = now - self.faults.event_lag_s
         return [[n, b] for at, n, b in self._events[after + 1 :] if at <= ripe]
 
+    def kill(self) -> None:
+        """Die: break every connection, refuse new ones, forget what runs."""
+        self.faults.killed = True
+        self.killed.set()
+        for transport in list(self.transports):
+            transport.abort()
+        for attempt in list(self._queues_by_attempt):
+            self.cancel(attempt)
+
     def order(self, fence: int, desired: dict[str, Any]) -> bool:
         """Obey an order unless its fencing number is old; return whether obeyed."""
         if fence < self.fence and not self.faults.ignore_fencing:
@@ -206,13 +231,15 @@
         self.fence = max(self.fence, fence)
         self.desired = desired
         self.obeyed.append({"fence": fence, "desired": desired})
+        if self.loader.follow(desired):
+            self.cut_by_load += len(self._queues_by_attempt)
         return True
 
 
 def make_app(engine: Engine) -> web.Application:
     """Return the HTTP face of ``engine``."""
     face = _Face(engine)
-    app = web.Application(client_max_size=16 * 2**20)
+    app = web.Application(client_max_size=16 * 2**20, middlewares=[_killable(engine)])
     app.router.add_post("/v1/chat/completions", face.complete)
     app.router.add_post("/v1/completions", face.complete)
     app.router.add_post("/control/cancel", face.cancel)
@@ -234,6 +261,27 @@
     return app
 
 
+def _killable(engine: Engine) -> Any:
+    @web.middleware
+    async def killable(request: web.Request, handler: Any) -> web.StreamResponse:
+        if request.path.startswith("/standin/"):
+            return await handler(request)
+        if engine.faults.killed:
+            _drop(request)
+            raise asyncio.CancelledError
+        transport = request.transport
+        engine.transports.add(transport)
+        try:
+            return await handler(request)
+        except ConnectionResetError as error:
+            # The other side hung up, or the engine was killed: nobody to answer.
+            raise asyncio.CancelledError from error
+        finally:
+            engine.transports.discard(transport)
+
+    return killable
+
+
 class _Face:
     """Translates between HTTP and the engine."""
 
@@ -245,14 +293,16 @@
         faults = self._engine.faults
         if faults.leaving:
             return _refusal(503, "leaving", "not_run")
+        if not self._engine.loader.serving:
+            return _refusal(503, "loading", "not_run")
         if faults.refuse_status:
             return _refusal(faults.refuse_status, "refused", faults.refuse_run)
         prompt = prompt_of(body)
         if POISON in prompt:
             return _refusal(400, "this prompt can never be answered", "not_run")
         if KILLER in prompt:
-            self._engine.killed.set()
-            await asyncio.sleep(3600)
+            self._engine.kill()
+            raise asyncio.CancelledError
         sequence = _sequence(request, body, prompt)
         queue = self._engine.submit(sequence)
         try:
@@ -322,7 +372,8 @@
             {
                 "fence": engine.fence,
                 "desired": engine.desired,
-                "loaded": engine.desired,
+                "loaded": engine.loader.loaded,
+                "loading": engine.loader.loading,
                 "leaving": engine.faults.leaving,
             }
         )
@@ -347,6 +398,7 @@
                 "runs_by_request": engine.runs_by_request,
                 "tokens_produced": engine.tokens_produced,
                 "obeyed": engine.obeyed,
+                "cut_by_load": engine.cut_by_load,
             }
         )
 
--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -20,6 +21,7 @@
     TargetRefused,
     WrongAnswer,
 )
+from caperridge.targets.silence import SilenceWatch
 
 LONGEST_CONNECT_S = 1.0
 
@@ -92,9 +94,11 @@
         self._first_event_s = first_event_s
         self._between_events_s = between_events_s
         self._session: aiohttp.ClientSession | None = None
+        self._silence = SilenceWatch()
 
     async def close(self) -> None:
         """Close all connections."""
+        self._silence.close()
         if self._session is not None:
             await self._session.close()
 
@@ -125,7 +129,7 @@
         loop = asyncio.get_running_loop()
         due = loop.time() + first_s
         # A connection that takes too long is certain not to have carried a byte, so
-        # its limit has to run out first.
+        # its limit has to run out first. Reads have a watch: see targets/silence.py.
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=min(LONGEST_CONNECT_S, first_s * 0.8)
         )
@@ -163,19 +167,28 @@
         between_s = attempt.between_events_s or self._between_events_s
         loop = asyncio.get_running_loop()
         checker = EventChecker(attempt.request, attempt.attempt, attempt.resume_from)
-        while not checker.whole:
-            async with asyncio.timeout_at(due):
-                data = await response.content.readany()
-            if not data:
-                break
-            events = checker.feed(data)
-            if events:
-                yield events
-            if checker.wrong is not None:
-                raise checker.wrong
-            if events:
-                # Counted from here: whoever reads slowly is not the target's fault.
-                due = loop.time() + between_s
+        content, clock = response.content, loop.time
+        silent = TimeoutError("nothing came for too long")
+        watched = self._silence.add(
+            due - clock(), lambda: content.set_exception(silent)
+        )
+        try:
+            while not checker.whole:
+                # A method of the reader costs less for each read than its iterator.
+                data = await content.readany()
+                if not data:
+                    break
+                events = checker.feed(data)
+                if events:
+                    # Whoever reads slowly is not the target's fault.
+                    watched.limit_s = math.inf
+                    yield events
+                    watched.heard_at = clock()
+                    watched.limit_s = between_s
+                if checker.wrong is not None:
+                    raise checker.wrong
+        finally:
+            self._silence.remove(watched)
         if not checker.whole:
             raise AttemptFailed(Lost("the stream ended without its closing mark"))
 
--- a/src/caperridge/targets/events.py
+++ b/src/caperridge/targets/events.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         "_attempt",
+        "_expected",
         "_head",
         "_left",
         "_request",
@@ -52,6 +53,7 @@
         )
         self._left = b""
         self.next_offset = next_offset
+        self._expected = b"%b%d," % (self._head, next_offset)
         self.whole = False
         self.wrong: WrongEventError | None = None
 
@@ -64,41 +66,49 @@
         """
         if self._left:
             data = self._left + data
-        events = data.split(_SEPARATOR)
-        self._left = events.pop()
         checked: list[bytes] = []
-        for event in events:
-            if event == b"data: [DONE]":
+        start = 0
+        while (end := data.find(_SEPARATOR, start)) >= 0 and not self.whole:
+            after = end + len(_SEPARATOR)
+            if data.startswith(self._expected, start):
+                self._advance()
+                checked.append(data[start:after])
+            elif data[start:after] == DONE_EVENT:
                 self.whole = True
-                break
-            try:
-                self._check(event)
-            except WrongEventError as error:
-                self.wrong = error
-                break
-            checked.append(event + _SEPARATOR)
+            else:
+                try:
+                    self._check(data[start:end])
+                except WrongEventError as error:
+                    self.wrong = error
+                    break
+                checked.append(data[start:after])
+            start = after
+        self._left = data[start:]
         return checked
 
+    def _advance(self) -> None:
+        self.next_offset += 1
+        self._expected = b"%b%d," % (self._head, self.next_offset)
+
     def _check(self, event: bytes) -> None:
-        if event.startswith(self._head):
-            start = len(self._head)
-            offset = int(event[start : event.index(b",", start)])
-        else:
-            offset = self._parse(event)
+        """Check an event that does not start as the next one would."""
+        offset = self._parse(event)
         if offset != self.next_offset:
             text = f"offset {offset} came where {self.next_offset} was due"
             raise WrongEventError(text)
-        self.next_offset += 1
+        self._advance()
 
     def _parse(self, event: bytes) -> int:
         try:
             fields = orjson.loads(event.removeprefix(_PREFIX))
             request, attempt = fields["id"], fields.get("attempt")
-            offset = int(fields["offset"])
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            offset = fields["offset"]
+        except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
             raise WrongEventError("an event that cannot be read") from error
         if request != self._request or attempt != self._attempt:
             raise WrongEventError("an event of another request")
+        if type(offset) is not int:
+            raise WrongEventError("an event whose offset is no whole number")
         return offset
 
 
