Prove that one orderer is obeyed and a version is switched while others serve

Found and fixed: an orderer whose lease ran out during an outage forgot what it held although its session was renewed later, so nobody could take the target; a service with one online and one batch runner could never switch the online one, so batch runners now stand in until one of the others holds the version.

--- a/src/caperridge/decisions/reconcile.py
+++ b/src/caperridge/decisions/reconcile.py
@@ -4,7 +4,7 @@
 does no harm: the next look at the target says what is still to do.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from enum import Enum
 
 from caperridge.config.model import Configuration, Service
@@ -78,15 +78,33 @@
     return Loaded(service.model, service.version, adapters, role)
 
 
-def role_of(target_id: str, service: Service, target_ids: Iterable[str]) -> str:
+def role_of(
+    target_id: str, service: Service, loaded_by_target: Mapping[str, Loaded | None]
+) -> str:
     """Return the role of one of a service's targets.
 
     The batch runners are those with the highest hash, so that few change their role
-    when a target comes or goes. One runner is always left to online.
+    when a target comes or goes. One runner is always left to online; and while none
+    of those for online holds the wanted version, the batch runners stand in, since
+    otherwise the last one could never be switched.
+
+    Args:
+        target_id: which of them.
+        service: as declared.
+        loaded_by_target: all its targets, with what they are known to hold.
     """
-    ranked = sorted(target_ids, key=lambda t: (score(service.name, t), t), reverse=True)
+    ranked = sorted(
+        loaded_by_target, key=lambda t: (score(service.name, t), t), reverse=True
+    )
     most = min(service.batch_runners, max(0, len(ranked) - 1))
-    return BATCH if target_id in ranked[:most] else MIXED
+    if target_id not in ranked[:most]:
+        return MIXED
+    wanted = Loaded(service.model, service.version)
+    for other in ranked[most:]:
+        loaded = loaded_by_target[other]
+        if loaded is not None and _same_weights(loaded, wanted):
+            return BATCH
+    return MIXED
 
 
 def gb_between(
--- a/src/caperridge/instance/orderer.py
+++ b/src/caperridge/instance/orderer.py
@@ -46,7 +46,7 @@
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import LoadedNews
-from caperridge.platform.interface import ListedMember, Platform
+from caperridge.platform.interface import Conflict, ListedMember, Platform
 from caperridge.queries.orders import read_order
 from caperridge.targets.orders import OldFence, OrderClient
 
@@ -68,6 +68,7 @@
         "loading",
         "member",
         "told_at",
+        "touched",
         "unlisted",
         "why",
     )
@@ -80,6 +81,7 @@
         self.loading = False
         self.unlisted = False  # a former orderer may have left its load in the list
         self.told_at = float("-inf")
+        self.touched = False  # its row may name a session of this instance
         self.why = ""
 
 
@@ -170,9 +172,8 @@
     async def idle(self) -> None:
         """Look at the targets that are due."""
         if self._session.left_s() <= 0:
-            # What was held is lost with the lease; it is taken again, with a new
-            # number, once there is a session.
-            self._ordered_by_id.clear()
+            # Nothing may be ordered. What is held stays noted: the session may yet be
+            # renewed, and then its rows still name it.
             return
         await self._adopt()
         now = self._clock()
@@ -195,13 +196,16 @@
             listed = self._targets_by_id.get(target_id)
             if listed is not None and self._mine(listed):
                 continue
-            session_id = self._session.session_id
-            if ordered.lease.held_by(session_id):
-                released = await release_target(self._platform, target_id, session_id)
-                if isinstance(released, Err):
-                    continue
+            if ordered.touched and not await self._release(target_id):
+                continue
             del self._ordered_by_id[target_id]
 
+    async def _release(self, target_id: str) -> bool:
+        """Give up the row of a target if it names the own session."""
+        session_id = self._session.session_id
+        released = await release_target(self._platform, target_id, session_id)
+        return not isinstance(released, Err) or isinstance(released.err_value, Conflict)
+
     async def _look(self, ordered: Ordered) -> None:
         ordered.due = self._clock() + SOON_S
         service = self._service_of(ordered.member)
@@ -232,12 +236,14 @@
         await self._order(ordered, desired, gb)
 
     def _desired(self, member: ListedMember, service: Service) -> Loaded:
-        zone_targets = [
-            target.id
-            for target in self._targets_by_id.values()
-            if target.service == service.name and target.state != "leaving"
-        ]
-        role = role_of(member.id, service, zone_targets)
+        loaded_by_target: dict[str, Loaded | None] = {}
+        for target in self._targets_by_id.values():
+            if target.service != service.name or target.state == "leaving":
+                continue
+            state = self.book.states_by_target.get(target.id)
+            known = state is not None and not state.held
+            loaded_by_target[target.id] = state.loaded if known else None
+        role = role_of(member.id, service, loaded_by_target)
         return desired_of(self._configuration, service, role)
 
     async def _hold(self, ordered: Ordered) -> bool:
@@ -259,6 +265,7 @@
         if not isinstance(decision, TakeOver):
             ordered.why = "another instance orders it"
             return False
+        ordered.touched = True
         row = OrderRow(session_id, decision.fence, self._lease_s)
         taken = await take_target(self._platform, target_id, seen.row, row)
         if isinstance(taken, Err):
--- /dev/null
+++ b/tests/orders/test_order_machine.py
@@ -0,0 +1,127 @@
+"""A state machine over orderers: one is obeyed, and the target ends as desired."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from orders.world import Member, World, declared
+
+PICK = st.integers(0, 9)
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Orderers are paused, replaced and robbed of sessions while versions change."""
+
+    checks = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.world = World(targets=2, checks=self.checks)
+        for _ in range(3):
+            self.world.start()
+        self.run(self.world.run(3.0))
+
+    def teardown(self) -> None:
+        self.heal()
+        self.runner.close()
+
+    def run(self, work: Any) -> Any:
+        return self.runner.run(work)
+
+    def pick(self, pick: int) -> Member:
+        members = list(self.world.members_by_name.values())
+        return members[pick % len(members)]
+
+    @rule(version=st.sampled_from("123"), batch=st.integers(0, 1))
+    def declare(self, version: str, batch: int) -> None:
+        self.world.wanted = declared(version, self.checks, batch)
+        self.run(self.world.spread())
+
+    @rule(pick=PICK, paused=st.booleans())
+    def pause(self, pick: int, paused: bool) -> None:
+        self.pick(pick).paused = paused
+
+    @rule(pick=PICK, delays=st.booleans())
+    def delay_orders(self, pick: int, delays: bool) -> None:
+        self.pick(pick).client.delays = delays
+
+    @rule()
+    def late_orders_arrive(self) -> None:
+        self.world.arrive()
+
+    @rule(pick=PICK)
+    def end_session(self, pick: int) -> None:
+        self.world.end_session(self.pick(pick))
+
+    @rule(pick=PICK, version=st.sampled_from("123"))
+    def rob(self, pick: int, version: str) -> None:
+        """Another takes over at once, while the holder believes in its lease."""
+        holder = self.pick(pick)
+        holder.paused = True
+        self.world.end_session(holder)
+        self.declare(version, 0)
+        self.run(self.world.run(4.0))
+
+    @rule(pick=PICK, alone=st.booleans())
+    def view(self, pick: int, alone: bool) -> None:
+        self.pick(pick).alone = alone
+
+    @rule(outage=st.booleans())
+    def platform(self, outage: bool) -> None:
+        self.world.memory.faults.outage = outage
+
+    @rule(pick=PICK)
+    def replace(self, pick: int) -> None:
+        del self.world.members_by_name[self.pick(pick).name]
+        self.world.start()
+
+    @rule(seconds=st.sampled_from([0.5, 2.0, 6.0, 15.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.run(self.world.run(seconds))
+
+    def heal(self) -> None:
+        self.world.arrive()
+        self.world.memory.faults.outage = False
+        for member in self.world.members_by_name.values():
+            member.paused = member.alone = member.client.delays = False
+        # A lease to wait out, lost loads to give up, and two loads, one by one.
+        self.run(self.world.run(300.0, step_s=1.0))
+        service = self.world.wanted.services_by_name["chat"]
+        for target in self.world.targets_by_id.values():
+            observed = target.observe()
+            assert observed.loaded == observed.desired or observed.desired is None
+            assert target.loaded.version == service.version
+        roles = [t.loaded.role for t in self.world.targets_by_id.values()]
+        assert roles.count("batch") == service.batch_runners
+
+    @invariant()
+    def a_checking_target_obeys_no_older_number(self) -> None:
+        for target in self.world.targets_by_id.values():
+            fences = [fence for fence, _ in target.orders]
+            assert not self.checks or fences == sorted(fences)
+
+
+class UncheckedMachine(OrderMachine):
+    """The same with targets that obey whoever speaks last."""
+
+    checks = False
+
+
+@pytest.mark.parametrize("machine", [OrderMachine, UncheckedMachine])
+def test_orders_hold(machine: type[OrderMachine]) -> None:
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
+        ),
+    )
--- /dev/null
+++ b/tests/orders/world.py
@@ -0,0 +1,268 @@
+"""Orderers before targets in memory, with pauses and late orders."""
+
+import asyncio
+from typing import Any
+
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.config.model import Adapter, Configuration, Model, Service
+from caperridge.decisions.membership import Membership
+from caperridge.decisions.reconcile import Loaded, Observed
+from caperridge.instance.messages import (
+    ConfigurationApplied,
+    LoadedHeard,
+    MembersListed,
+)
+from caperridge.instance.orderer import Orderer
+from caperridge.instance.session import SessionKeeper
+from caperridge.peers.interface import NoPeers
+from caperridge.platform.interface import ListedMember, NotDone
+from caperridge.records import Record
+from caperridge.standins.platform import MemoryPlatform
+from caperridge.targets.orders import OldFence, OrderClient, TargetAway
+
+LEASE_S = 10.0
+ZONE = "oviedo"
+GB = 10.0
+
+
+def declared(version: str = "1", checks: bool = True, batch: int = 0) -> Configuration:
+    """One service of one model, at a version."""
+    service = Service(
+        "chat",
+        model="north",
+        version=version,
+        adapters=["billing"],
+        checks_fencing=checks,
+        batch_runners=batch,
+    )
+    model = Model("north", {"1": GB, "2": GB, "3": GB})
+    return Configuration(
+        int(version),
+        {"chat": service},
+        {"north": model},
+        {"billing": Adapter("billing", "north", 0.5)},
+    )
+
+
+class Target:
+    """A runner that loads at the pace of the clock."""
+
+    def __init__(self, world: "World", checks: bool) -> None:
+        self.world = world
+        self.checks = checks
+        self.fence = 0
+        self.desired: Loaded | None = None
+        self.loaded = Loaded("north", "1", ["billing"])
+        self.busy_until = 0.0
+        self.running = 0
+        self.cut = 0
+        self.orders: list[tuple[int, str]] = []
+
+    def obey(self, sender: str, fence: int, desired: Loaded, gb: float) -> bool:
+        if fence < self.fence and self.checks:
+            return False
+        self.observe()
+        self.fence = max(fence, self.fence)
+        self.orders.append((fence, sender))
+        if desired.version != self.loaded.version:
+            self.cut += self.running
+        self.desired = desired
+        self.busy_until = self.world.now + gb
+        return True
+
+    def observe(self) -> Observed:
+        loading = self.world.now < self.busy_until
+        if not loading and self.desired is not None:
+            self.loaded = self.desired
+        return Observed(self.loaded, self.desired, self.fence, loading)
+
+    @property
+    def serves(self) -> bool:
+        return not self.observe().loading and self.loaded.role != "batch"
+
+
+class Client(OrderClient):
+    """Reaches targets at once, unless its owner is paused in the middle of it."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        super().__init__()
+        self._world = world
+        self._name = name
+        self.delays = False
+        self.away = False
+
+    async def observe(self, address: str) -> Result[Observed, TargetAway]:
+        if self.away:
+            return Err(TargetAway("cut off"))
+        return Ok(self._world.targets_by_id[address].observe())
+
+    async def running(self, address: str) -> Result[int, TargetAway]:
+        return Ok(self._world.targets_by_id[address].running)
+
+    async def order(
+        self, address: str, fence: int, desired: Loaded, gb: float
+    ) -> Result[None, TargetAway | OldFence]:
+        self._world.note_order(self._name, address, fence)
+        target = self._world.targets_by_id[address]
+        if self.delays:
+            self._world.late.append((target, self._name, fence, desired, gb))
+            return Err(TargetAway("no answer in time"))
+        if target.obey(self._name, fence, desired, gb):
+            return Ok(None)
+        return Err(OldFence(target.fence))
+
+
+class Bus(NoPeers):
+    """Tells every member that is not paused."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self._world = world
+        self._name = name
+
+    def send_all(self, message: Record) -> int:
+        for member in self._world.members_by_name.values():
+            if member.name != self._name and not member.paused:
+                member.orderer.tell(LoadedHeard(message))
+        return 0
+
+
+class Member:
+    """One instance with its session and its orderer."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self.name = name
+        self.paused = False
+        self.alone = False  # sees nobody else, and so takes every target for its own
+        self.client = Client(world, name)
+        self.session = SessionKeeper(world.memory, name, LEASE_S, world.clock)
+        self.membership = Membership(name, ZONE)
+        self.renewed = float("-inf")
+        self.orderer = Orderer(
+            world.memory,
+            self.session,
+            self.membership,
+            self.client,
+            world.clock,
+            LEASE_S,
+            world.clock,
+        )
+        self.orderer.hold_s = 0.5
+        self.orderer.peers = Bus(world, name)
+
+    async def run(self, now: float) -> None:
+        if now >= self.renewed + LEASE_S / 3:
+            self.renewed = now
+            await self.session.idle()
+        while not self.orderer._mailbox.empty():
+            await self.orderer.handle(self.orderer._mailbox.get_nowait())
+        await self.orderer.idle()
+
+
+class YieldingPlatform(MemoryPlatform):
+    """Lets others run before each call, so that calls of several mix."""
+
+    async def _enter(self, *args: Any) -> NotDone | None:
+        await asyncio.sleep(0)
+        return await super()._enter(*args)
+
+
+class World:
+    """Instances of one zone, their targets, the platform, and the clock."""
+
+    def __init__(self, targets: int = 2, checks: bool = True) -> None:
+        self.now = 100.0
+        self.memory = YieldingPlatform(self.clock)
+        self.checks = checks
+        self.members_by_name: dict[str, Member] = {}
+        self.targets_by_id = {f"r{n}": Target(self, checks) for n in range(targets)}
+        self.late: list[Any] = []
+        self.holders_by_fence: dict[tuple[str, int], str] = {}
+        self.last_by_target: dict[str, str] = {}
+        self.released: set[str] = set()
+        self.wanted = declared(checks=checks)
+        self.started = 0
+        self.fewest_serving = targets
+
+    def clock(self) -> float:
+        return self.now
+
+    def start(self) -> Member:
+        self.started += 1
+        member = Member(self, f"entry-{self.started}")
+        self.members_by_name[member.name] = member
+        return member
+
+    def listed(self, seen_by: "Member") -> list[ListedMember]:
+        listed = [
+            ListedMember(name, "instance", "-", ZONE)
+            for name, member in self.members_by_name.items()
+            if not member.paused and not (seen_by.alone and member is not seen_by)
+        ]
+        listed += [
+            ListedMember(name, "target", name, ZONE, service="chat")
+            for name in self.targets_by_id
+        ]
+        return listed
+
+    async def spread(self) -> None:
+        """Let all that are not paused know the list and the configuration."""
+        for member in self.members_by_name.values():
+            if member.paused:
+                continue
+            listed = self.listed(member)
+            member.membership.apply_list(listed)
+            await member.orderer.handle(MembersListed(listed))
+            await member.orderer.handle(ConfigurationApplied(self.wanted))
+
+    async def run(self, seconds: float, step_s: float = 0.5) -> None:
+        await self.spread()
+        for _ in range(int(seconds / step_s)):
+            self.now += step_s
+            running = [m for m in self.members_by_name.values() if not m.paused]
+            await asyncio.gather(*(member.run(self.now) for member in running))
+            serving = sum(target.serves for target in self.targets_by_id.values())
+            self.fewest_serving = min(self.fewest_serving, serving)
+
+    def arrive(self) -> None:
+        """Let orders that were under way arrive."""
+        for target, sender, fence, desired, gb in self.late:
+            target.obey(sender, fence, desired, gb)
+        self.late.clear()
+
+    def note_order(self, sender: str, target: str, fence: int) -> None:
+        """Check an order at the moment it leaves."""
+        member = self.members_by_name[sender]
+        assert member.session.left_s() > member.client.deadline_s
+        session = f"{sender}:{member.session.session_id}"
+        key = (target, fence)
+        assert self.holders_by_fence.setdefault(key, session) == session
+        former = self.last_by_target.get(target)
+        self.last_by_target[target] = sender
+        if former in (None, sender) or former not in self.members_by_name:
+            return
+        if self.checks or target in self._released_by(former):
+            return
+        left_s = self.members_by_name[former].session.left_s()
+        assert left_s <= 0, "the former holder may still order"
+
+    def _released_by(self, former: str) -> set[str]:
+        """Return the targets that ``former`` does not count as its own any more."""
+        orderer = self.members_by_name[former].orderer
+        session = orderer._session.session_id
+        return {
+            target
+            for target in self.targets_by_id
+            if target not in orderer._ordered_by_id
+            or not orderer._ordered_by_id[target].lease.held_by(session)
+        }
+
+    def end_session(self, member: Member) -> None:
+        """Somebody ends the session while its holder believes in it."""
+        row = self.memory.rows_by_key.get(keys.session(member.session.session_id))
+        if row is not None:
+            value = row.value | {"state": "closed"}
+            self.memory.rows_by_key[row.key] = row.replace(
+                value=value, version=row.version + 1
+            )
