--- a/src/caperridge/commands/sessions.py
+++ b/src/caperridge/commands/sessions.py
@@ -34,13 +34,17 @@
 
 
 async def renew_session(
-    platform: Platform, session_id: str, renewals: int
+    platform: Platform, session_id: str, renewals: int, configuration_version: int = 0
 ) -> Result[Committed, WriteError]:
-    """Show that the session lives; refused once somebody declared it lapsed."""
+    """Show that the session lives; refused once somebody declared it lapsed.
+
+    It also shows the configuration in force at its holder, for operators who wait.
+    """
     key = keys.session(session_id)
+    fields = {"renewals": renewals, "configuration_version": configuration_version}
     return await platform.transact(
         [FieldEquals(key, "state", ALIVE)],
-        [SetFields(key, {"renewals": renewals})],
+        [SetFields(key, fields)],
         secrets.token_hex(8),
     )
 
--- a/src/caperridge/decisions/loaded_book.py
+++ b/src/caperridge/decisions/loaded_book.py
@@ -48,16 +48,14 @@
             if target not in targets:
                 del self.states_by_target[target]
 
-    def closed_to_online(self, service: Service) -> set[str]:
-        """Return the targets that should get no online request of ``service``."""
-        closed: set[str] = set()
-        for target, state in self.states_by_target.items():
-            if state.held or state.loaded.role == BATCH:
-                closed.add(target)
-                continue
-            if state.loaded.model and state.loaded.model != service.model:
-                closed.add(target)
-        return closed
+    def closed_to_online(self, target: str, service: Service) -> bool:
+        """Return whether a target should get no online request of its service."""
+        state = self.states_by_target.get(target)
+        if state is None:
+            return False
+        if state.held or state.loaded.role == BATCH:
+            return True
+        return bool(state.loaded.model) and state.loaded.model != service.model
 
     def closed_to_batch(self, target: str) -> bool:
         """Return whether a target should get no new batch item."""
--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -59,6 +59,16 @@
         self._availability_zone = availability_zone
         self._random = random.Random(seed)
         self._targets_by_service: dict[str, ServiceTargets] = {}
+        self._closed: set[str] = set()
+
+    def close(self, targets: set[str]) -> None:
+        """Leave out ``targets``, which load or hold something else, where others serve.
+
+        They are back with the next call that does not name them.
+        """
+        if targets != self._closed:
+            self._closed = targets
+            self._index()
 
     def apply_list(self, members: Iterable[ListedMember], now: float = 0.0) -> None:
         """Take over the platform's list; what is known of a target is kept."""
@@ -83,13 +93,14 @@
 
     def _index(self) -> None:
         self._targets_by_service = {}
+        states = [s for _, s in sorted(self.states_by_id.items()) if not s.leaving]
+        serving = {s.member.service for s in states if s.member.id not in self._closed}
         # In the order of ids, so that instances agree on the homes of prefixes.
-        for _, state in sorted(self.states_by_id.items()):
-            if state.leaving:
+        for state in states:
+            service = state.member.service
+            if state.member.id in self._closed and service in serving:
                 continue
-            targets = self._targets_by_service.setdefault(
-                state.member.service, ServiceTargets()
-            )
+            targets = self._targets_by_service.setdefault(service, ServiceTargets())
             if state.member.availability_zone == self._availability_zone:
                 targets.own_zone.append(state)
             else:
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -73,6 +73,7 @@
         self.book = TargetBook(membership.availability_zone)
         self.configuration = Configuration()
         self.finished = finished
+        self._closed: set[str] = set()
         self.own = OwnTargets(membership)
         self._engines = engines
         self._metrics = metrics
@@ -189,6 +190,13 @@
             "headroom_by_target": self.headroom.state(self._clock()),
         }
 
+    def close(self, targets: set[str]) -> None:
+        """Start nothing at ``targets``, which are about to load; go on elsewhere."""
+        for target in targets - self._closed:
+            for attempt in list(self._running_by_target.get(target, ())):
+                self._requeue(attempt)
+        self._closed = targets
+
     def _refresh_owners(self) -> None:
         now = self._clock()
         if now < self._owners_due:
@@ -228,6 +236,8 @@
         return self.configuration.services_by_name.get(state.member.service)
 
     def _startable(self, target: str, service: Service) -> int:
+        if target in self._closed:
+            return 0
         return self.headroom.startable(
             target, service.most_running, service.batch_weight, self._clock()
         )
--- a/src/caperridge/instance/orderer.py
+++ b/src/caperridge/instance/orderer.py
@@ -113,6 +113,7 @@
         super().__init__()
         self.book = LoadedBook()
         self.peers: Peers = NoPeers()
+        self.changed: Callable[[], None] = lambda: None
         self.drain_s = DRAIN_S
         self.hold_s = HOLD_S
         self._platform = platform
@@ -151,7 +152,13 @@
         news = message.news
         loaded = Loaded.from_map(news.loaded)
         state = LoadedState(news.fence, news.sequence, loaded, news.held)
-        self.book.apply(news.target, state)
+        known = self.book.states_by_target.get(news.target)
+        if not self.book.apply(news.target, state):
+            return
+        if known is None or known.loaded != loaded or known.held != news.held:
+            # Zones have few links between them: whoever hears it first passes it on.
+            self.peers.send_all(news)
+            self.changed()
 
     def _look_soon(self) -> None:
         for ordered in self._ordered_by_id.values():
@@ -353,6 +360,7 @@
         ordered.told_at = now
         self._sequence += 1
         self.book.apply(target_id, LoadedState(fence, self._sequence, loaded, held))
+        self.changed()
         self.peers.send_all(
             LoadedNews(target_id, fence, self._sequence, loaded.to_map(), held)
         )
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -74,6 +74,8 @@
         super().__init__()
         self.incarnation = time.time_ns() // 1_000_000
         self.configuration_version: Callable[[], int] = lambda: 0
+        self.versions_by_id: dict[str, int] = {}
+        self.version_heard: Callable[[str, int], None] = lambda instance, version: None
         self.peer_opened: Callable[[str], None] = lambda instance: None
         self.peer_removed: Callable[[str], None] = lambda instance: None
         self.view_changed: Callable[[], None] = lambda: None
@@ -255,6 +257,8 @@
             message.instance, message.incarnation, message.sequence, message.leaving
         )
         self._membership.heard(evidence, stream.hello.availability_zone, now)
+        self.versions_by_id[message.instance] = message.configuration_version
+        self.version_heard(message.instance, message.configuration_version)
         for rumour in message.rumours:
             self._take_rumour(*rumour[:4])
 
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -25,6 +25,7 @@
     ConfigurationAsked,
     ConfigurationHeard,
     ItemEnded,
+    LoadedHeard,
     MembersListed,
 )
 from caperridge.instance.metrics import Metrics
@@ -44,6 +45,7 @@
 from caperridge.peers.messages import (
     ConfigurationAsk,
     ConfigurationNews,
+    LoadedNews,
     LoadNews,
     TargetNews,
     TraceAnswer,
@@ -170,6 +172,9 @@
             clock,
             settings.lease_s,
         )
+        self.orderer.peers = self.peers
+        self.orderer.changed = self._loaded_changed
+        self.session.configuration_version = lambda: self.configuration.current.version
         self._actors = [
             self.session,
             self.configuration,
@@ -188,6 +193,7 @@
         self.metrics.configuration_version.set(message.configuration.version)
         self.streams.configuration = message.configuration
         self.orderer.tell(message)
+        self._loaded_changed()
         self.target_reports.engine_services = {
             service.name
             for service in message.configuration.services_by_name.values()
@@ -214,6 +220,8 @@
             ConfigurationAsk,
             lambda peer, ask: keeper.tell(ConfigurationAsked(peer, ask.version)),
         )
+        mesh.version_heard = self._version_heard
+        mesh.register(LoadedNews, lambda _, news: self.orderer.tell(LoadedHeard(news)))
         mesh.peer_opened = news.opened
         mesh.peer_removed = news.removed
         mesh.view_changed = self.online_news.repeat
@@ -221,6 +229,24 @@
         mesh.register(TraceAsk, self.explanations.asked)
         mesh.register(TraceAnswer, self.explanations.answered)
 
+    def _version_heard(self, instance: str, version: int) -> None:
+        """A heartbeat tells of a version whose news may have been lost."""
+        if version > self.configuration.current.version:
+            news = ConfigurationNews(version)
+            self.configuration.tell(ConfigurationHeard(instance, news))
+
+    def _loaded_changed(self) -> None:
+        """Leave out targets that load or hold something else."""
+        services_by_name = self.configuration.current.services_by_name
+        book = self.orderer.book
+        closed: set[str] = set()
+        for target_id, state in self.online.book.states_by_id.items():
+            service = services_by_name.get(state.member.service)
+            if service is not None and book.closed_to_online(target_id, service):
+                closed.add(target_id)
+        self.online.book.close(closed)
+        self.streams.close({t for t in closed if book.closed_to_batch(t)})
+
     def _instances(self) -> int:
         """Return how many live instances there are, this one included."""
         live = {
@@ -267,7 +293,7 @@
 
     def versions_of_peers(self) -> dict[str, int]:
         """Return the configuration's version that each heartbeat told, by instance."""
-        return {}
+        return self.mesh.versions_by_id if self.mesh is not None else {}
 
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
--- a/src/caperridge/instance/session.py
+++ b/src/caperridge/instance/session.py
@@ -40,6 +40,7 @@
     ) -> None:
         super().__init__()
         self.session_id = ""
+        self.configuration_version: Callable[[], int] = lambda: 0
         self._platform = platform
         self._instance = instance
         self._clock = clock
@@ -65,7 +66,12 @@
             await self._open(sent)
             return
         self._renewals += 1
-        outcome = await renew_session(self._platform, self.session_id, self._renewals)
+        outcome = await renew_session(
+            self._platform,
+            self.session_id,
+            self._renewals,
+            self.configuration_version(),
+        )
         if isinstance(outcome, Ok):
             self._lease.renewed(sent)
             return
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -151,10 +151,11 @@
     assert not book.apply("r1", LoadedState(1, 9, NORTH_2))
     assert not book.apply("r1", LoadedState(2, 5, NORTH_2))
     service = Service("chat", model="north")
-    assert book.closed_to_online(service) == {"r1"}
+    assert book.closed_to_online("r1", service)
+    assert not book.closed_to_online("r2", service)
     assert book.closed_to_batch("r1")
     assert book.apply("r1", LoadedState(3, 1, NORTH_2))
-    assert book.closed_to_online(service) == set()
+    assert not book.closed_to_online("r1", service)
     book.forget_all_but({"r2"})
     assert not book.states_by_target
 
