--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -63,6 +63,7 @@
         self._said_incarnation = incarnation
         self.configuration_version: Callable[[], int] = lambda: 0
         self.versions_by_id: dict[str, int] = {}
+        self.version_heard: Callable[[str, int], None] = lambda instance, version: None
         self._listeners: list[PeerListener] = []
         self._changes_told = 0
         self._settings = settings
@@ -258,6 +259,7 @@
         message.instance = hello.instance
         message.incarnation = message.incarnation or hello.incarnation
         self.versions_by_id[hello.instance] = message.configuration_version
+        self.version_heard(hello.instance, message.configuration_version)
         self._heartbeats.take(message, hello.availability_zone, self._clock())
 
     async def idle(self) -> None:
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -26,6 +26,7 @@
     messages.OnlineNews("e-1", "r-1", 2, 8),
     messages.OnlineCounts([["r-1", 2, 8], ["r-2", 0, 1]], "e-9"),
     messages.LatencyNews("e-1", "r-1", 0.2, 0.03),
+    messages.LoadNews("e-1", [["r-1", 2, 3, 4]]),
     messages.JobNews("batch_1", "cancelled"),
     messages.TargetNews("r-1", 2, True),
     messages.LoadedNews("r-1", 2, 3, {"model": "north"}, True),
