Keep what is known of a target that the list drops for a while

Cause: a target that vanished from the lagging list and came back with the same incarnation was live again though it had said that it is leaving, and requests still in flight there were no longer counted. A cached prefix could open a target that is closed for new requests. Change: the states of up to 2,048 vanished targets are kept and taken up again; holders of a prefix must be open. Ruled out: keeping only the incarnations that left, which loses the counts.

--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
 from itertools import chain
 
@@ -22,6 +23,7 @@
 RANDOM_OWN_ZONE = 2
 RANDOM_OTHER_ZONE = 1
 USUAL_GAIN = 0.02
+MOST_GONE = 2048
 HOME_BLOCKS = 4  # leading blocks by which a prompt has a home
 SCAN_UP_TO = 12  # targets; so few are compared all
 
@@ -71,6 +73,8 @@
         self._scan_up_to = scan_up_to
         self._targets_by_service: dict[str, ServiceTargets] = {}
         self._usual_by_service: dict[str, float] = {}
+        self._open_ids: set[str] = set()
+        self._gone_by_id: OrderedDict[str, TargetState] = OrderedDict()
         self._closed: set[str] = set()
 
     def close(self, targets: set[str]) -> None:
@@ -89,9 +93,16 @@
         since = now if self.states_by_id else 0.0
         for target_id in list(self.states_by_id):
             if target_id not in listed_by_id:
-                del self.states_by_id[target_id]
+                # Kept for a while: the list may drop a target and show it again,
+                # and it is still leaving then, and still has our requests.
+                self._gone_by_id[target_id] = self.states_by_id.pop(target_id)
+        while len(self._gone_by_id) > MOST_GONE:
+            self._gone_by_id.popitem(last=False)
         for target_id, member in listed_by_id.items():
-            state = self.states_by_id.get(target_id)
+            state = self._state(target_id)
+            if state is not None:
+                self._gone_by_id.pop(target_id, None)
+                self.states_by_id[target_id] = state
             if state is None or state.member.incarnation < member.incarnation:
                 if state is not None:
                     self.history.forget(target_id)
@@ -103,8 +114,13 @@
             state.leaving = state.leaving or member.state == LEAVING
         self._index()
 
+    def _state(self, target_id: str) -> TargetState | None:
+        state = self.states_by_id.get(target_id)
+        return self._gone_by_id.get(target_id) if state is None else state
+
     def _index(self) -> None:
         self._targets_by_service = {}
+        self._open_ids = set()
         states = [s for _, s in sorted(self.states_by_id.items()) if not s.leaving]
         serving = {s.member.service for s in states if s.member.id not in self._closed}
         # In the order of ids, so that instances agree on the homes of prefixes.
@@ -112,6 +128,7 @@
             service = state.member.service
             if state.member.id in self._closed and service in serving:
                 continue
+            self._open_ids.add(state.member.id)
             targets = self._targets_by_service.setdefault(service, ServiceTargets())
             if state.member.availability_zone == self._availability_zone:
                 targets.own_zone.append(state)
@@ -125,7 +142,7 @@
             target_id: which target.
             incarnation: that is leaving; None for the one that is known.
         """
-        state = self.states_by_id.get(target_id)
+        state = self._state(target_id)
         if state is None or state.leaving:
             return False
         if incarnation is not None and incarnation < state.member.incarnation:
@@ -223,9 +240,8 @@
     ) -> list[TargetState]:
         found_by_id: dict[str, TargetState] = {}
         for target_id in wanted.tokens_by_target:
-            state = self.states_by_id.get(target_id)
-            if state is not None and not state.leaving:
-                found_by_id[target_id] = state
+            if target_id in self._open_ids:
+                found_by_id[target_id] = self.states_by_id[target_id]
         if blocks and targets.own_zone and not found_by_id:
             # The home of a prefix is the same at all instances of the zone, so that
             # they need not tell each other what they sent where. Only for prefixes
@@ -277,7 +293,7 @@
 
     def ended(self, target_id: str) -> None:
         """Count a request that left the target."""
-        state = self.states_by_id.get(target_id)
+        state = self._state(target_id)
         if state is not None and state.in_flight > 0:
             state.in_flight -= 1
 
--- a/tests/online/test_policy_machine.py
+++ b/tests/online/test_policy_machine.py
@@ -242,6 +242,15 @@
         for request in lost:
             self.end(request)
 
+    @rule(name=st.sampled_from(TARGETS))
+    def list_drops_and_shows_again(self, name: str) -> None:
+        rest = [m for m in self.members.values() if m.id != name]
+        self.book.apply_list(rest, self.now)
+        for request in self.running[:1]:
+            if request.target == name:
+                self.fail(request, "lost")
+        self.book.apply_list(self.members.values(), self.now)
+
     @rule(name=st.sampled_from(TARGETS), leaving=st.booleans())
     def late_list(self, name: str, leaving: bool) -> None:
         name = self.known(name)
--- a/tests/online/test_requests.py
+++ b/tests/online/test_requests.py
@@ -9,11 +9,13 @@
 from caperridge.decisions.fair_queue import FairQueue, Waiting
 from caperridge.decisions.limits import Limits
 from caperridge.decisions.membership import Membership
+from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport, Wanted
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.peers.interface import NoPeers
 from caperridge.peers.messages import LoadNews, TraceAnswer, TraceAsk
+from caperridge.platform.interface import ListedMember
 from caperridge.queries.explain import Explanations
 from caperridge.records import Record
 from caperridge.standins.engine import Engine
@@ -294,3 +296,21 @@
     front.book.states_by_id["good"].report = None
     front.online.loads_told(news[0])
     assert front.book.states_by_id["good"].load(front.online._clock()) == 3
+
+
+def test_a_cached_prefix_does_not_open_a_closed_or_leaving_target() -> None:
+    book = TargetBook("oviedo", scan_up_to=0)
+    names = ("a", "b", "c")
+    book.apply_list(
+        ListedMember(name, "target", f"{name}:1", "oviedo", service="chat")
+        for name in names
+    )
+    blocks = prefix_blocks("the log of substation 17 " * 20)
+    for name in ("a", "b"):
+        book.history.note(name, blocks)
+    book.close({"a"})
+    book.mark_leaving("b")
+    wanted = Wanted(100, book.history.tokens_by_target(blocks))
+    for _ in range(20):
+        weighed = book.choose("chat", (), wanted, 10.0, blocks)
+        assert [item.target for item in weighed] == ["c"]
