--- a/src/caperridge/decisions/plain_calls.py
+++ b/src/caperridge/decisions/plain_calls.py
@@ -224,9 +224,13 @@
             return self._next("the target says not run")
         self.may_have_run = True
         last = self.attempts >= MOST_ATTEMPTS
-        if not self._repeatable or last or not self._budget.take():
-            return Answer()
-        return Move(f"the target refused with {status}")
+        if self._repeatable and not last and self._budget.take():
+            return Move(f"the target refused with {status}")
+        if run == NOT_RUN:
+            # Its word does not count, so it must not reach the caller either.
+            text = f"the target refused with {status}"
+            return GiveUp("target_refused", text, status, UNKNOWN)
+        return Answer()
 
     def no_target(self) -> GiveUp:
         """No target is left to try."""
--- a/src/caperridge/instance/keyed_calls.py
+++ b/src/caperridge/instance/keyed_calls.py
@@ -43,7 +43,7 @@
 from caperridge.targets.plain import PlainAnswer
 
 log = logger(__name__)
-RECORD_S = 2.0  # how long an answer waits for its record before it is given anyway
+RECORD_S = 2.0
 RETRY_S = 0.5
 MOST_TRIES = 120
 
@@ -56,6 +56,7 @@
         platform: where claims and answers are kept.
         session: whose lease shows that this instance still works on its calls.
         clock: seconds since the epoch.
+        record_s: how long an answer waits for its record before it is given anyway.
     """
 
     def __init__(
@@ -64,7 +65,9 @@
         platform: Platform,
         session: SessionKeeper,
         clock: Callable[[], float] = time.time,
+        record_s: float = RECORD_S,
     ) -> None:
+        self.record_s = record_s
         self._front = front
         self._platform = platform
         self._session = session
@@ -203,7 +206,7 @@
     async def _bounded(self, write: Callable[[], object]) -> None:
         """Try ``write`` for a while here, then on and on in the background."""
         task = self._later(write)
-        await asyncio.wait({task}, timeout=RECORD_S)
+        await asyncio.wait({task}, timeout=self.record_s)
 
     def _later(self, write: Callable[[], object]) -> asyncio.Task[object]:
         task = asyncio.get_running_loop().create_task(_until_settled(write))
--- a/src/caperridge/instance/plain_calls.py
+++ b/src/caperridge/instance/plain_calls.py
@@ -86,7 +86,7 @@
         leaving: Callable[[str], None],
     ) -> None:
         self._book = book
-        self._client = client
+        self.client = client
         self._traces = traces
         self._leaving = leaving
         self._budgets_by_service: dict[str, RetryBudget] = {}
@@ -119,8 +119,12 @@
         budget.deposit()
         course = CallCourse(service.repeatable, service.believes_not_run, budget)
         excluded: set[str] = set()
+        refusal: PlainAnswer | None = None
         while True:
             weighed = self._book.weigh(service.name, excluded)
+            if not weighed and refusal is not None:
+                # The service is overloaded; its own word says more than ours.
+                return refusal
             if not weighed:
                 raise _given_up(request, course.no_target())
             target = weighed[0].target
@@ -135,6 +139,7 @@
                 request.trace.add("answered", f"status {answer.status}")
                 return answer
             request.trace.add("moved", action.reason, target=target)
+            refusal = _own_word(outcome)
 
     async def _attempt(
         self, target: str, call: PlainCall
@@ -142,7 +147,7 @@
         address = self._book.states_by_id[target].member.address
         self._book.started(target)
         try:
-            return await self._client.call(address, call)
+            return await self.client.call(address, call)
         finally:
             self._book.ended(target)
 
@@ -186,6 +191,15 @@
     )
 
 
+def _own_word(
+    outcome: Result[PlainAnswer, PlainError],
+) -> PlainAnswer | None:
+    """Return a refusal that may be passed on: one that does not say ``not_run``."""
+    if isinstance(outcome, Err) or _target_word(outcome.ok_value).run == NOT_RUN:
+        return None
+    return outcome.ok_value
+
+
 def _target_word(answer: PlainAnswer) -> TargetWord:
     if answer.status not in (429, 503):
         return TargetWord()
--- a/src/caperridge/standins/plain.py
+++ b/src/caperridge/standins/plain.py
@@ -16,16 +16,20 @@
         refuse_status: refuse with this status before executing; 0 for none.
         refuse_run: the ``run`` word of that refusal, if it should carry one.
         lose_before: drop the connection before executing.
+        lose_during: execute, then drop the connection in the middle of the body.
         lose_after: execute, then drop the connection without an answer.
+        late_s: answer so many seconds after executing.
         redirect: answer 307 to itself after executing.
         leaving: refuse with 503 and say ``leaving``.
     """
 
     __slots__ = (
         "hung",
+        "late_s",
         "leaving",
         "lose_after",
         "lose_before",
+        "lose_during",
         "redirect",
         "refuse_run",
         "refuse_status",
@@ -40,6 +44,8 @@
         lose_after: bool = False,
         redirect: bool = False,
         leaving: bool = False,
+        lose_during: bool = False,
+        late_s: float = 0.0,
     ) -> None:
         self.hung = hung
         self.refuse_status = refuse_status
@@ -48,6 +54,8 @@
         self.lose_after = lose_after
         self.redirect = redirect
         self.leaving = leaving
+        self.lose_during = lose_during
+        self.late_s = late_s
 
 
 class PlainService:
@@ -56,6 +64,8 @@
     def __init__(self) -> None:
         self.faults = PlainFaults()
         self.runs_by_request: dict[str, int] = {}
+        self.runs_by_key: dict[str, int] = {}
+        self.runs = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Execute one request."""
@@ -69,22 +79,33 @@
             return web.Response()
         name = request.headers.get("X-Request-Id", "")
         body = await request.read()
-        self.runs_by_request[name] = self.runs_by_request.get(name, 0) + 1
+        self._count(name, request.headers.get("Idempotency-Key", ""))
         if faults.hung:
             await asyncio.sleep(3600)
+        if faults.late_s:
+            await asyncio.sleep(faults.late_s)
         if faults.redirect:
             raise web.HTTPTemporaryRedirect(request.path_qs)
         if faults.lose_after:
             _drop(request)
             return web.Response()
+        if faults.lose_during:
+            return await _half(request)
         answer = {
             "request": name,
             "method": request.method,
             "path": request.path_qs,
             "body": body.decode(errors="replace"),
+            "headers": dict(request.headers),
         }
         return web.json_response(answer)
 
+    def _count(self, request: str, key: str) -> None:
+        self.runs += 1
+        self.runs_by_request[request] = self.runs_by_request.get(request, 0) + 1
+        if key:
+            self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+
 
 def make_app(service: PlainService) -> web.Application:
     """Return the HTTP face of ``service``."""
@@ -94,7 +115,13 @@
         return web.Response(status=204)
 
     async def counters(_request: web.Request) -> web.Response:
-        return web.json_response({"runs_by_request": service.runs_by_request})
+        return web.json_response(
+            {
+                "runs": service.runs,
+                "runs_by_key": service.runs_by_key,
+                "runs_by_request": service.runs_by_request,
+            }
+        )
 
     app = web.Application(client_max_size=16 * 2**20)
     app.router.add_put("/standin/faults", set_faults)
@@ -110,6 +137,14 @@
     return web.json_response({"error": error}, status=status)
 
 
+async def _half(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={"Content-Length": "100"})
+    await response.prepare(request)
+    await response.write(b"x" * 50)
+    _drop(request)
+    return response
+
+
 def _drop(request: web.Request) -> None:
     if request.transport is not None:
         request.transport.abort()
