--- a/src/caperridge/cli/errors.py
+++ b/src/caperridge/cli/errors.py
@@ -9,6 +9,7 @@
 3    findings in an input: settings, declarations, a file
 4    refused by the system; the reason is on standard error
 5    not reached, or the connection broke
+6    a stop that cut requests; the log names them
 130  interrupted with Ctrl-C
 ==== ======================================================================
 """
@@ -17,6 +18,7 @@
 FINDINGS = 3
 REFUSED = 4
 NOT_REACHED = 5
+CUT = 6
 INTERRUPTED = 130
 
 
--- a/src/caperridge/cli/instances.py
+++ b/src/caperridge/cli/instances.py
@@ -9,7 +9,7 @@
 import typer
 
 from caperridge import log, settings
-from caperridge.cli.errors import FINDINGS, NOT_REACHED, CommandError
+from caperridge.cli.errors import CUT, FINDINGS, NOT_REACHED, CommandError
 from caperridge.findings import FindingsError
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="A TOML file.")]
@@ -44,12 +44,15 @@
     loaded = load(path)
     log.setup(loaded.log_level)
     try:
-        asyncio.run(_serve(loaded))
+        cut = asyncio.run(_serve(loaded))
     except OSError as error:
         raise CommandError(str(error), NOT_REACHED) from error
+    if cut:
+        raise CommandError(f"the stop cut {cut} requests; the log names them", CUT)
 
 
-async def _serve(loaded: settings.Settings) -> None:
+async def _serve(loaded: settings.Settings) -> int:
+    """Return how many requests the stop cut."""
     from caperridge.instance.process import Instance
 
     instance = Instance(loaded)
@@ -59,11 +62,15 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     await instance.start()
     await signals.get()
-    drain = loop.create_task(instance.drain())
+    drain = loop.create_task(instance.drain.run())
     second = loop.create_task(signals.get())
     await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
+    sooner = not drain.done()
     for task in (drain, second):
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
+    if sooner:
+        await instance.drain.end_now()
     await instance.stop()
+    return len(instance.drain.cut)
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from caperridge.instance.http_common import json_of
+from caperridge.instance.in_flight import count_tokens
 from caperridge.instance.online_request import OnlineRequest, whole_answer
 from caperridge.refusals import RefusedError
 from caperridge.targets.events import DONE_EVENT
@@ -65,6 +66,7 @@
                     if not response.prepared:
                         await response.prepare(request)
                     await response.write(b"".join(batch))
+                    count_tokens(request, len(batch))
         except RefusedError as refused:
             if not response.prepared:
                 raise
--- a/src/caperridge/instance/operators_http.py
+++ b/src/caperridge/instance/operators_http.py
@@ -45,7 +45,12 @@
         missing = self._instance.not_ready_because()
         status = 503 if missing else 200
         return web.json_response(
-            {"ready": not missing, "because": missing}, status=status
+            {
+                "ready": not missing,
+                "because": missing,
+                "stage": self._instance.drain.stage,
+            },
+            status=status,
         )
 
     async def metrics(self, _request: web.Request) -> web.Response:
--- a/src/caperridge/instance/plain_calls.py
+++ b/src/caperridge/instance/plain_calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services; those that may not be repeated run at most once."""
 
 import secrets
+import time
 from collections.abc import Callable, Mapping
 
 import orjson
@@ -76,6 +77,7 @@
         client: of the services.
         traces: where steps are kept.
         leaving: told of a target that says it is leaving.
+        clock: monotonic seconds.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         book: TargetBook,
         client: PlainClient,
         traces: Traces,
-        leaving: Callable[[str], None],
+        leaving: Callable[[str], object],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._book = book
         self.client = client
         self._traces = traces
         self._leaving = leaving
+        self._clock = clock
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def open(
@@ -121,7 +125,7 @@
         excluded: set[str] = set()
         refusal: PlainAnswer | None = None
         while True:
-            weighed = self._book.weigh(service.name, excluded)
+            weighed = self._book.weigh(service.name, excluded, now=self._clock())
             if not weighed and refusal is not None:
                 # The service is overloaded; its own word says more than ours.
                 return refusal
@@ -158,8 +162,12 @@
         outcome: Result[PlainAnswer, PlainError],
     ) -> Answer | Move | GiveUp:
         if isinstance(outcome, Err):
-            return _judge_error(course, outcome.err_value)
+            error = outcome.err_value
+            if not isinstance(error, AnswerTooLarge):
+                self._book.failed(target, error, self._clock())
+            return _judge_error(course, error)
         answer = outcome.ok_value
+        self._book.succeeded(target, self._clock())
         word = _target_word(answer)
         if word.leaving:
             self._leaving(target)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -1,7 +1,5 @@
 """One instance: its tasks, its listeners, and how they are wired together."""
 
-import asyncio
-import contextlib
 import time
 import zlib
 from collections.abc import Callable
@@ -17,7 +15,9 @@
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
+from caperridge.instance.drain import Drain
 from caperridge.instance.http_common import bearer_digest
+from caperridge.instance.in_flight import ENTRY, InFlight
 from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.members import MembersReader
@@ -66,6 +66,7 @@
 
 log = logger(__name__)
 FIRST_OPERATOR = "first-operator"
+CUT_AFTER_S = 0.5  # what still runs at the very end is cancelled after this
 
 
 class Instance:
@@ -95,7 +96,8 @@
         self.metrics = Metrics()
         self.traces = Traces()
         self.addresses_by_listener: dict[str, Address] = {}
-        self.draining = False
+        self.in_flight = InFlight()
+        self.drain = Drain(self)
         self.membership = Membership(
             settings.instance_id,
             settings.availability_zone,
@@ -301,6 +303,8 @@
         caller = self.configuration.caller(bearer_digest(request))
         if caller is None:
             raise RefusedError(Refusal("unauthorized", "no caller has this token", 401))
+        if ENTRY in request:
+            request[ENTRY].caller = caller.name
         return caller
 
     def operator(self, request: web.Request) -> str:
@@ -325,7 +329,7 @@
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
-        if self.draining:
+        if self.drain.stopping:
             missing.append("it is stopping")
         if not self.configuration.known:
             missing.append("it does not know the configuration yet")
@@ -357,11 +361,14 @@
             "online": self.online.state(),
             "traces": len(self.traces),
             "trace_bytes": self.traces.bytes,
+            "stop": self.drain.state(),
         }
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
-        await self._listen("callers", CallersHttp(self).app(), self.settings.callers)
+        callers = CallersHttp(self).app()
+        self.in_flight.add_to(callers)
+        await self._listen("callers", callers, self.settings.callers)
         await self._listen(
             "operators", OperatorsHttp(self).app(), self.settings.operators
         )
@@ -377,7 +384,12 @@
         )
 
     async def _listen(self, name: str, app: web.Application, at: Address) -> None:
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=CUT_AFTER_S,
+        )
         await runner.setup()
         self._runners.append(runner)
         files = self.settings.tls_by_listener.get(name)
@@ -387,19 +399,6 @@
         host, port = runner.addresses[0][:2]
         self.addresses_by_listener[name] = Address(host, port)
 
-    async def drain(self) -> None:
-        """Stop as planned: not ready, wait, finish what runs, close the session."""
-        self.draining = True
-        if self.mesh is not None:
-            self.mesh.leave()
-        log.info("stopping: not ready", instance=self.settings.instance_id)
-        await asyncio.sleep(self.settings.balancer_s)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.settings.drain_s):
-                await self.online.wait_idle()
-        await self.dispatcher.release(self.settings.drain_s)
-        await self.session.close()
-
     async def stop(self) -> None:
         """End at once."""
         for runner in self._runners:
--- a/src/caperridge/log.py
+++ b/src/caperridge/log.py
@@ -21,6 +21,8 @@
             "logger": record.channel,
             "message": record.message,
         }
+        # The fields that a call of the logger names are its keyword arguments.
+        line.update(record.kwargs)
         line.update(record.extra)
         if record.exc_info:
             line["exception"] = record.formatted_exception
--- a/tests/plain/test_fault_table.py
+++ b/tests/plain/test_fault_table.py
@@ -111,7 +111,8 @@
     assert ((answer.status, answer.run), rig.runs) == (seen, runs)
     rig.set_faults(ALL)
     if name == "leaving":
-        rig.instance.online.book.states_by_id["billing-2"].leaving = False
+        new = [member.replace(incarnation=2) for member in rig.members]
+        rig.instance.online.book.apply_list(new)
     again = await rig.call("billing", key="k1")
     assert (again.status, again.run) == resent
     if answer.status == again.status == 200:
--- a/tests/plain/test_keyed_machine.py
+++ b/tests/plain/test_keyed_machine.py
@@ -1,6 +1,7 @@
 """Keyed calls against an oracle that counts runs, with faults at every write."""
 
 from typing import Any
+from unittest.mock import patch
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -34,6 +35,7 @@
     StillRunning,
     on_resend,
 )
+from caperridge.platform import settle
 from caperridge.platform.interface import Unknown
 from caperridge.queries.plain_calls import holder_alive
 from plain.conftest import ClaimFaults
@@ -43,12 +45,13 @@
 
 
 def done(coroutine: Any) -> Any:
-    """Run a coroutine that never waits."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stopped:
-        return stopped.value
-    raise AssertionError("the coroutine waits")
+    """Run a coroutine that waits for nothing but pauses of no length."""
+    with patch.object(settle, "PAUSE_S", 0):
+        while True:
+            try:
+                coroutine.send(None)
+            except StopIteration as stopped:
+                return stopped.value
 
 
 class LatePlatform(ClaimFaults):
