--- a/src/caperridge/instance/plain_calls.py
+++ b/src/caperridge/instance/plain_calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services; those that may not be repeated run at most once."""
 
 import secrets
+import time
 from collections.abc import Callable, Mapping
 
 import orjson
@@ -76,6 +77,7 @@
         client: of the services.
         traces: where steps are kept.
         leaving: told of a target that says it is leaving.
+        clock: monotonic seconds.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         book: TargetBook,
         client: PlainClient,
         traces: Traces,
-        leaving: Callable[[str], None],
+        leaving: Callable[[str], object],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._book = book
-        self._client = client
+        self.client = client
         self._traces = traces
         self._leaving = leaving
+        self._clock = clock
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def open(
@@ -119,8 +123,12 @@
         budget.deposit()
         course = CallCourse(service.repeatable, service.believes_not_run, budget)
         excluded: set[str] = set()
+        refusal: PlainAnswer | None = None
         while True:
-            weighed = self._book.weigh(service.name, excluded)
+            weighed = self._book.weigh(service.name, excluded, now=self._clock())
+            if not weighed and refusal is not None:
+                # The service is overloaded; its own word says more than ours.
+                return refusal
             if not weighed:
                 raise _given_up(request, course.no_target())
             target = weighed[0].target
@@ -135,6 +143,7 @@
                 request.trace.add("answered", f"status {answer.status}")
                 return answer
             request.trace.add("moved", action.reason, target=target)
+            refusal = _own_word(outcome)
 
     async def _attempt(
         self, target: str, call: PlainCall
@@ -142,7 +151,7 @@
         address = self._book.states_by_id[target].member.address
         self._book.started(target)
         try:
-            return await self._client.call(address, call)
+            return await self.client.call(address, call)
         finally:
             self._book.ended(target)
 
@@ -153,8 +162,12 @@
         outcome: Result[PlainAnswer, PlainError],
     ) -> Answer | Move | GiveUp:
         if isinstance(outcome, Err):
-            return _judge_error(course, outcome.err_value)
+            error = outcome.err_value
+            if not isinstance(error, AnswerTooLarge):
+                self._book.failed(target, error, self._clock())
+            return _judge_error(course, error)
         answer = outcome.ok_value
+        self._book.succeeded(target, self._clock())
         word = _target_word(answer)
         if word.leaving:
             self._leaving(target)
@@ -186,6 +199,15 @@
     )
 
 
+def _own_word(
+    outcome: Result[PlainAnswer, PlainError],
+) -> PlainAnswer | None:
+    """Return a refusal that may be passed on: one that does not say ``not_run``."""
+    if isinstance(outcome, Err) or _target_word(outcome.ok_value).run == NOT_RUN:
+        return None
+    return outcome.ok_value
+
+
 def _target_word(answer: PlainAnswer) -> TargetWord:
     if answer.status not in (429, 503):
         return TargetWord()
