Work out the capacity page from recorded runs

Cause: what the target size takes was a row of guesses.

The tables of docs/CAPACITY.md are pure functions of the runs recorded in docs/measurements; 'measure capacity' rewrites them and a test fails when they are stale.

--- a/src/caperridge/cli/measure.py
+++ b/src/caperridge/cli/measure.py
@@ -11,6 +11,7 @@
 from caperridge.cli.errors import BAD_RESULT, FINDINGS, CommandError
 from caperridge.findings import FindingsError
 from caperridge.measure import registry
+from caperridge.measure.capacity_page import MarkMissingError, fill
 from caperridge.measure.compare import check_run, compare, table
 from caperridge.measure.options import Options
 from caperridge.measure.plots import PlotsMissingError, draw_all
@@ -161,3 +162,34 @@
     if findings:
         raise CommandError(str(FindingsError(findings)), FINDINGS)
     return value
+
+
+@app.command("capacity")
+def capacity(
+    page: Annotated[Path, typer.Option(help="The page to rewrite.")] = Path(
+        "docs/CAPACITY.md"
+    ),
+    runs: Annotated[
+        Path, typer.Option("--from", help="Directory of recorded runs.")
+    ] = Path("docs/measurements"),
+    check: Annotated[
+        bool, typer.Option("--check", help="Only say whether it is stale.")
+    ] = False,
+) -> None:
+    """Recompute the tables of the capacity page from recorded runs."""
+    recorded = {path.stem: _read(path) for path in sorted(runs.glob("*.json"))}
+    if not recorded:
+        raise CommandError(f"{runs}: there is no recorded run", FINDINGS)
+    try:
+        before = page.read_text()
+        filled = fill(before, recorded)
+        if filled != before and not check:
+            page.write_text(filled)
+    except OSError as error:
+        raise CommandError(f"{page}: {error.strerror}", FINDINGS) from error
+    except MarkMissingError as error:
+        raise CommandError(f"{page}: has no place for {error}", FINDINGS) from error
+    if filled != before and check:
+        raise CommandError(f"{page}: is stale", BAD_RESULT)
+    state = "is as the runs say" if filled == before else "rewritten"
+    typer.echo(f"{page}: {state}")
--- a/src/caperridge/measure/relay.py
+++ b/src/caperridge/measure/relay.py
@@ -40,6 +40,7 @@
 kind = "engine"
 model = "north"
 version = "1"
+most_running = 100000
 [models.north]
 gb_by_version = {{ "1" = 10.0 }}
 [callers.load]
