--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -67,6 +67,10 @@
                         await response.prepare(request)
                     await response.write(b"".join(batch))
                     count_tokens(request, len(batch))
+            await response.write(DONE_EVENT)
+        except ConnectionResetError:
+            # The caller hung up between two events: nobody is left to answer.
+            return response
         except RefusedError as refused:
             if not response.prepared:
                 raise
@@ -76,6 +80,4 @@
             await response.write(b"data: " + body + b"\n\n")
             if request.transport is not None:
                 request.transport.close()
-            return response
-        await response.write(DONE_EVENT)
         return response
