--- a/src/caperridge/measure/capacity.py
+++ b/src/caperridge/measure/capacity.py
@@ -11,7 +11,10 @@
 
 from caperridge.decisions.chunks import LANE_ITEMS, WANTED_CHUNK_S
 from caperridge.decisions.leases import RENEWALS_A_LEASE
+from caperridge.instance.configuration import POLL_S as HEAD_POLL_S
+from caperridge.instance.configuration import READER_POLL_S
 from caperridge.instance.jobs_reader import POLL_S, SCAN_S
+from caperridge.instance.orderer import LOOK_S
 from caperridge.records import Record
 from caperridge.settings import Settings
 
@@ -42,6 +45,10 @@
 ROWS_A_READ = 100
 WATCHES_A_LEASE = 4
 CLAIMED_AT_ONCE = 2
+ROWS_A_CHANGE = 2  # the head and the version
+ROWS_A_SWITCH = 2  # an orderer takes a target and releases it
+JITTER = 1 / 8  # polls are earlier by up to a quarter
+MODELS = 13
 
 _defaults = Settings("-", "-", "http://-")
 LEASE_S = _defaults.lease_s
@@ -119,6 +126,20 @@
         "KiB",
         "100 to 14,000 callers",
     ),
+    Slope(
+        "configuration reader: a change applied, of 14,000 callers",
+        "configuration",
+        "with_14000_callers.apply_delta_s",
+        "s of processor time",
+        "14,000 callers",
+    ),
+    Slope(
+        "configuration reader: a change in force everywhere, at p99",
+        "configuration",
+        "in_force_p99_s",
+        "s",
+        "the instances of the run",
+    ),
     Slope(
         "chunk holder: a thousand items",
         "batch",
@@ -235,8 +256,6 @@
     chunk = chunks_per_s()
     writes = a_chunk(recorded, "table_writes_per_1000_items")
     reads = a_chunk(recorded, "table_reads_per_1000_items")
-    config_writes = figure(recorded, "configuration", "table_writes_a_change")
-    config_reads = figure(recorded, "configuration", "table_reads_per_s_at_target")
     return [
         Load(f"session renewed every {renewal_s:g} s", INSTANCES / renewal_s, 0.0),
         Load(
@@ -257,8 +276,8 @@
         ),
         Load(
             "configuration: changes, and polls of the head",
-            worked(lambda w: w * CHANGES_A_DAY / DAY_S, config_writes),
-            config_reads,
+            ROWS_A_CHANGE * CHANGES_A_DAY / DAY_S,
+            ZONES / READER_POLL_S + (INSTANCES - ZONES) / (HEAD_POLL_S * (1 - JITTER)),
         ),
     ]
 
@@ -285,6 +304,11 @@
             2 * INSTANCES / QUARTER_S,
             INSTANCES * (scan_reads + watch_reads + 2) / QUARTER_S,
         ),
+        Load(
+            f"a new version of a model: {math.ceil(RUNNERS / MODELS)} targets ordered",
+            ROWS_A_SWITCH * RUNNERS / MODELS / QUARTER_S,
+            RUNNERS / MODELS / QUARTER_S,
+        ),
         Load(
             "platform back after an hour: all sessions and claims anew",
             back(INSTANCES),
@@ -313,6 +337,11 @@
     )
 
 
+def looks_per_s() -> float:
+    """Return the looks at targets that an instance takes in a second."""
+    return RUNNERS / INSTANCES / LOOK_S
+
+
 def streams_an_instance() -> float:
     """Return the streams open at once in an instance at the peak."""
     return TOKENS_PER_S * BETWEEN_TOKENS_S / INSTANCES
--- a/src/caperridge/measure/capacity_page.py
+++ b/src/caperridge/measure/capacity_page.py
@@ -86,6 +86,10 @@
     callers = worked(
         lambda k: k * c.CALLERS / 1024, of("roles", "slopes.held_kib_a_caller")
     )
+    change_cpu = worked(
+        lambda seconds: seconds * 100 * c.CHANGES_A_DAY / c.DAY_S,
+        of("configuration", "with_14000_callers.apply_delta_s"),
+    )
     relay = worked(lambda share: share * 100, c.core_share(recorded, c.INSTANCES))
     member_cpu = worked(lambda s: s * 100, of("control", "target.cpu_share"))
     member_kb = worked(lambda b: b / 1000, of("control", "target.bytes_per_s"))
@@ -134,20 +138,14 @@
             "configuration reader",
             f"{c.CALLERS:,} callers",
             f"{c.CHANGES_A_DAY / c.DAY_S * 3600:.0f} changes an hour",
-            text(
-                worked(
-                    lambda ms: ms / 10 * c.CHANGES_A_DAY / c.DAY_S,
-                    of("roles", "by_callers.2.to_and_from_map_ms"),
-                ),
-                "% of a core, if each change came whole",
-            ),
+            text(change_cpu, "% of a core"),
             text(callers, "MiB"),
             "a log of versions; one reader in each zone, deltas to its peers",
         ],
         [
             "orderer",
             f"{runners:.1f} targets",
-            text(of("configuration", "order_looks_per_s_at_target"), "looks/s"),
+            f"{c.looks_per_s():.2f} looks/s at targets",
             NOT_MEASURED,
             NOT_MEASURED,
             "one orderer for each target, by rendezvous hashing and a fenced row",
