--- a/Makefile
+++ b/Makefile
@@ -37,15 +37,9 @@
 	$(BIN)/python binary/build.py build/site dist/caperridge
 	dist/caperridge --version
 
-# Every experiment that is there, one line of JSON each.
-measure: $(VENV)/.installed
-	for name in $$($(BIN)/python -c \
-	  'from caperridge.measure.registry import MODULES_BY_NAME; \
-	  print(*MODULES_BY_NAME)'); do \
-	  $(BIN)/caperridge measure $$name --json || exit 1; done
-
 clean:
 	rm -rf $(VENV) dist build out
 
+# A short run of every experiment; JSON, reports and plots in out/measure.
 measure: $(VENV)/.installed
 	$(BIN)/caperridge measure all --out out/measure
