--- a/src/caperridge/measure/capacity.py
+++ b/src/caperridge/measure/capacity.py
@@ -98,6 +98,13 @@
         "ms",
         "800 tokens/s beside it",
     ),
+    Slope(
+        "front: an open stream",
+        "roles",
+        "slopes.held_kib_a_stream",
+        "KiB",
+        "50 to 200 streams",
+    ),
     Slope(
         "router: a choice",
         "routing",
--- a/src/caperridge/measure/capacity_page.py
+++ b/src/caperridge/measure/capacity_page.py
@@ -86,6 +86,10 @@
     callers = worked(
         lambda k: k * c.CALLERS / 1024, of("roles", "slopes.held_kib_a_caller")
     )
+    streams = worked(
+        lambda k: k * c.streams_an_instance() / 1024,
+        of("roles", "slopes.held_kib_a_stream"),
+    )
     change_cpu = worked(
         lambda seconds: seconds * 100 * c.CHANGES_A_DAY / c.DAY_S,
         of("configuration", "with_14000_callers.apply_delta_s"),
@@ -107,7 +111,7 @@
             f"{c.streams_an_instance():.0f} streams",
             f"{requests:.0f} requests and {tokens:,.0f} tokens/s",
             text(relay, "% of a core"),
-            NOT_MEASURED,
+            text(streams, "MiB"),
             "events passed on as bytes, each compared with the one due",
         ],
         [
--- a/src/caperridge/measure/relay.py
+++ b/src/caperridge/measure/relay.py
@@ -72,6 +72,20 @@
     """Nobody waits for the figures any more."""
 
 
+async def instance_before(engine_address: str, platform: MemoryPlatform) -> Instance:
+    """Start an instance that knows one engine and one caller."""
+    platform.set_members(
+        [ListedMember("runner-1", "target", engine_address, "one", service="chat")]
+    )
+    settings = Settings("measured-1", "one", "http://127.0.0.1:1")
+    instance = Instance(settings, platform)
+    configuration = parse({"measure.toml": DECLARATION})
+    configuration.version = 1
+    instance.configuration.apply(configuration)
+    await instance.start()
+    return instance
+
+
 class RelayBench:
     """One instance with its platform, and one engine, each in a thread of its own.
 
@@ -88,7 +102,9 @@
         self.engine_address = self._standins.call(
             serve(self.engine.make_app(), self._runners)
         )
-        self.instance: Instance = self.loop.call(self._start(self.engine_address))
+        self.instance: Instance = self.loop.call(
+            instance_before(self.engine_address, MemoryPlatform(time.monotonic))
+        )
         self.address = str(self.instance.addresses_by_listener["callers"])
         ready = wait_for(lambda: not self.instance.not_ready_because(), 10.0)
         if not ready:
@@ -98,20 +114,6 @@
             start_plain_relay(self.engine_address)
         )
 
-    @staticmethod
-    async def _start(engine_address: str) -> Instance:
-        platform = MemoryPlatform(time.monotonic)
-        platform.set_members(
-            [ListedMember("runner-1", "target", engine_address, "one", service="chat")]
-        )
-        settings = Settings("measured-1", "one", "http://127.0.0.1:1")
-        instance = Instance(settings, platform)
-        configuration = parse({"measure.toml": DECLARATION})
-        configuration.version = 1
-        instance.configuration.apply(configuration)
-        await instance.start()
-        return instance
-
     def pause(self, seconds: float) -> None:
         """Wait.
 
--- a/src/caperridge/measure/roles.py
+++ b/src/caperridge/measure/roles.py
@@ -24,6 +24,7 @@
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
 from caperridge.measure.options import Options
+from caperridge.measure.stream_memory import by_streams
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record, pack
 from caperridge.settings import Settings
@@ -291,7 +292,9 @@
     book = books()
     targets = await by_targets(seconds)
     jobs = await by_jobs(seconds)
+    streams = await by_streams()
     slopes = {
+        "held_kib_a_stream": slope(streams, "streams", "held_kib"),
         "held_kib_a_caller": slope(callers, "callers", "held_kib"),
         "packed_kib_a_caller": slope(callers, "callers", "packed_kib"),
         "held_kib_a_target": slope(book, "targets", "held_kib"),
@@ -308,5 +311,6 @@
         "by_targets": targets,
         "by_jobs": jobs,
         "by_callers": callers,
+        "by_streams": streams,
         "books": book,
     }
