--- a/src/caperridge/commands/accept_file.py
+++ b/src/caperridge/commands/accept_file.py
@@ -11,7 +11,7 @@
 from caperridge import keys
 from caperridge.findings import Finding
 from caperridge.platform.interface import Platform, PutRow, RowAbsent, WriteError
-from caperridge.platform.settle import transact_settled
+from caperridge.platform.settle import put_settled, transact_settled
 from caperridge.records import Record
 
 MOST_ITEMS = 110_000
@@ -189,7 +189,7 @@
             return Ok(None)
         data = b"\n".join(self._lines) + b"\n"
         name = keys.file_part(self._file_id, len(self.parts))
-        stored = await self._platform.put_object(name, data)
+        stored = await put_settled(self._platform, name, data)
         if isinstance(stored, Err):
             return stored
         self.parts.append(self.items - len(self._lines))
--- a/src/caperridge/instance/checkpoints.py
+++ b/src/caperridge/instance/checkpoints.py
@@ -15,7 +15,7 @@
 
 SLOTS = 8
 EVERY_S = 5.0
-EVERY_ITEMS = 100
+EVERY_ITEMS = 50
 
 
 class Checkpoints:
--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -19,6 +19,7 @@
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
 from caperridge.platform.interface import Conflict, Platform
+from caperridge.platform.settle import put_settled
 from caperridge.records import Record
 
 log = logger(__name__)
@@ -92,7 +93,9 @@
         if batch and self._session.left_s() > 0:
             await self._commit(batch)
         for wanted in list(self._checkpoints_by_slot.values()):
-            await self._write_checkpoint(wanted)
+            # In order: a slot may be written over only after the whole one is there.
+            if not await self._write_checkpoint(wanted):
+                break
 
     async def flush(self) -> None:
         """Try once more to commit what is finished and to save the rest."""
@@ -132,8 +135,7 @@
         name = keys.chunk_result(
             wanted.chunk.job, wanted.chunk.start, f"{wanted.session}-{state.attempts}"
         )
-        # A put may be repeated: the name is this attempt's own.
-        outcome = await self._platform.put_object(name, wanted.data)
+        outcome = await put_settled(self._platform, name, wanted.data)
         if isinstance(outcome, Err):
             return False
         done = state.replace(
@@ -169,13 +171,15 @@
         )
         self._tell(ChunkSettled(wanted.chunk, state, reason))
 
-    async def _write_checkpoint(self, wanted: CheckpointWanted) -> None:
+    async def _write_checkpoint(self, wanted: CheckpointWanted) -> bool:
         name = keys.checkpoint(wanted.session, wanted.slot)
-        outcome = await self._platform.put_object(name, wanted.data)
+        outcome = await put_settled(self._platform, name, wanted.data)
         if isinstance(outcome, Err):
             self._wait()
-        elif self._checkpoints_by_slot.get(wanted.slot) is wanted:
+            return False
+        if self._checkpoints_by_slot.get(wanted.slot) is wanted:
             del self._checkpoints_by_slot[wanted.slot]
+        return True
 
     def _wait(self) -> None:
         # Jitter: all instances find the platform back at the same time.
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -156,6 +156,9 @@
         work = ChunkWork(message.job, message.chunk, message.state, message.session)
         work.add_items(message.lines, message.saved)
         self._works_by_key[work.key] = work
+        for saved in message.saved.values():
+            # Saved again under our session, for whoever comes after us.
+            self._checkpoints.ended(work.job.id, saved, self._clock())
         if must_fail(message.chunk, message.state.deaths):
             for item in list(work.items_by_index.values()):
                 place: ItemPlace = item.context
--- a/src/caperridge/platform/settle.py
+++ b/src/caperridge/platform/settle.py
@@ -16,6 +16,7 @@
     Conflict,
     DeleteRow,
     Platform,
+    ReadError,
     Unknown,
     Write,
     WriteError,
@@ -57,6 +58,26 @@
     return outcome
 
 
+async def put_settled(
+    platform: Platform, name: str, data: bytes, tries: int = MOST_TRIES
+) -> Result[None, ReadError]:
+    """Put an object, again if the answer was lost: the same bytes may be put twice.
+
+    Args:
+        platform: where to.
+        name: of the object, which only this content is ever put under.
+        data: its bytes.
+        tries: how often the platform is asked before the outcome stays unknown.
+    """
+    outcome = await platform.put_object(name, data)
+    for number in range(tries - 1):
+        if isinstance(outcome, Ok) or not isinstance(outcome.err_value, Unknown):
+            return outcome
+        await asyncio.sleep(PAUSE_S * 2**number)
+        outcome = await platform.put_object(name, data)
+    return outcome
+
+
 async def _read_back(
     platform: Platform,
     writes: list[Write],
