Close what hostile input could reach, and put fields on log lines

Change: an allow-list of endpoints, limits, plain ids in ASCII, refusals logged with request, code and run, one context of TLS for peers instead of two ways to make it. Ruled out: comparing tokens in constant time one by one; they are looked up by digest.

--- a/src/caperridge/commands/accept_file.py
+++ b/src/caperridge/commands/accept_file.py
@@ -18,6 +18,7 @@
 MOST_LINE_BYTES = 1_000_000
 PART_BYTES = 1_000_000
 MOST_FINDINGS = 1000
+MOST_CUSTOM_ID = 512
 
 
 class StoredFile(Record):
@@ -146,6 +147,10 @@
         if not isinstance(custom_id, str) or not custom_id:
             self._note(self._number, "custom_id must be a text")
             return False
+        if len(custom_id) > MOST_CUSTOM_ID:
+            text = f"custom_id is longer than {MOST_CUSTOM_ID} characters"
+            self._note(self._number, text)
+            return False
         first = self._lines_by_custom_id.setdefault(custom_id, self._number)
         if first != self._number:
             self._note(self._number, f"custom_id stands already in line {first}")
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -1,5 +1,7 @@
 """What the HTTP listeners share: tokens, JSON bodies, refusals as answers."""
 
+import asyncio
+import re
 from typing import Any
 
 import orjson
@@ -7,33 +9,74 @@
 
 from caperridge import keys
 from caperridge.commands.accept_file import BadFile
+from caperridge.log import logger
 from caperridge.platform.interface import NotDone
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
 
+log = logger(__name__)
+MOST_HEADER = 256
+MOST_REASON = 600
+OWN_HEADERS = ("Idempotency-Key", "X-Request-Id")
+_PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,80}")
+
 
 def bearer_digest(request: web.Request) -> str:
-    """Return the digest of the request's bearer token; empty if it has none."""
+    """Return the digest of the request's bearer token; empty if it has none.
+
+    Tokens are looked up by digest: how long that takes says nothing of a token.
+    """
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-    if scheme.lower() != "bearer":
+    token = token.strip()
+    if scheme.lower() != "bearer" or not token:
         return ""
-    return keys.token_digest(token.strip())
+    return keys.token_digest(token)
 
 
 @web.middleware
 async def answer_refusals(request: web.Request, handler: Any) -> web.StreamResponse:
-    """Turn a :class:`RefusedError` into its HTTP answer."""
+    """Turn a refusal into its HTTP answer, and whatever else goes wrong into one."""
     try:
+        _check_headers(request)
         return await handler(request)
     except RefusedError as refused:
-        return refusal_response(refused.refusal)
+        return _answer(request, refused.refusal)
     except web.HTTPRequestEntityTooLarge:
-        return refusal_response(Refusal("too_large", "the body is too large", 413))
+        return _answer(request, Refusal("too_large", "the body is too large", 413))
     except web.HTTPNotFound:
-        return refusal_response(Refusal("not_found", "there is no such path", 404))
+        return _answer(request, Refusal("not_found", "there is no such path", 404))
     except web.HTTPMethodNotAllowed:
-        return refusal_response(
-            Refusal("method_not_allowed", "not with this method", 405)
-        )
+        refusal = Refusal("method_not_allowed", "not with this method", 405)
+        return _answer(request, refusal)
+    except ConnectionResetError as error:
+        # The other side hung up; there is nobody to answer.
+        raise asyncio.CancelledError from error
+    except web.HTTPException:
+        raise
+    except Exception:
+        log.exception("a request could not be handled", path=request.path)
+        text = "the instance failed; its log says how"
+        return _answer(request, Refusal("internal", text, 500, UNKNOWN))
+
+
+def _check_headers(request: web.Request) -> None:
+    for name in OWN_HEADERS:
+        if len(request.headers.get(name, "")) > MOST_HEADER:
+            raise bad_request(f"{name} is longer than {MOST_HEADER} characters")
+
+
+def _answer(request: web.Request, refusal: Refusal) -> web.Response:
+    # What callers send stands in reasons; it must not come back at any length.
+    refusal.reason = refusal.reason[:MOST_REASON]
+    log.info(
+        "request refused",
+        request=refusal.request_id,
+        code=refusal.code,
+        run=refusal.run,
+        status=refusal.status,
+        path=request.path[:MOST_HEADER],
+        why=refusal.reason,
+    )
+    return refusal_response(refusal)
 
 
 def refusal_response(refusal: Refusal) -> web.Response:
@@ -58,7 +101,7 @@
 
 def plain_id(text: str) -> str:
     """Return ``text`` if it can be an id of ours, else one that none has."""
-    return text if text.replace("_", "").replace("-", "").isalnum() else "-"
+    return text if _PLAIN_ID.fullmatch(text) else "-"
 
 
 def platform_refusal(error: Any, what: str) -> RefusedError:
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -36,6 +36,9 @@
     from caperridge.instance.process import Instance
 
 COMPLETION_WINDOWS_S = {"24h": 86400.0, "12h": 43200.0, "1h": 3600.0}
+ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
+MOST_METADATA = 16
+MOST_METADATA_TEXT = 512
 OUTPUT = "-output"
 ERRORS = "-errors"
 _STATES = {OPEN: "in_progress", COMPLETED: "completed", CANCELLED: "cancelled"}
@@ -134,6 +137,7 @@
         body = json_of(raw)
         if not isinstance(body, dict):
             raise bad_request("the body must be an object")
+        _check_batch(body)
         file = await self._file(caller, str(body.get("input_file_id", "")))
         window = COMPLETION_WINDOWS_S.get(str(body.get("completion_window", "24h")))
         if window is None:
@@ -255,6 +259,20 @@
         return web.json_response(body)
 
 
+def _check_batch(body: dict[str, Any]) -> None:
+    """Refuse an endpoint that is none of ours, and metadata without measure."""
+    if body.get("endpoint", ENDPOINTS[0]) not in ENDPOINTS:
+        # It becomes part of a URL, so nothing else may pass.
+        raise bad_request(f"endpoint must be one of {[*ENDPOINTS]}")
+    metadata = body.get("metadata") or {}
+    if not isinstance(metadata, dict) or len(metadata) > MOST_METADATA:
+        raise bad_request(f"metadata must be an object of up to {MOST_METADATA} fields")
+    for value in (*metadata.keys(), *metadata.values()):
+        if not isinstance(value, str) or len(value) > MOST_METADATA_TEXT:
+            text = f"must be texts of up to {MOST_METADATA_TEXT} characters"
+            raise bad_request(f"metadata's fields {text}")
+
+
 def _file_body(file: StoredFile) -> dict[str, Any]:
     return {
         "id": file.id,
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -1,5 +1,6 @@
 """One instance: its tasks, its listeners, and how they are wired together."""
 
+import hmac
 import time
 import zlib
 from collections.abc import Callable
@@ -318,7 +319,8 @@
         if operator is not None:
             return operator.name
         declared = self.configuration.current.operators_by_name
-        if digest and not declared and digest == self.settings.first_operator_sha256:
+        first = self.settings.first_operator_sha256
+        if digest and not declared and hmac.compare_digest(digest, first):
             return FIRST_OPERATOR
         raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
 
--- a/src/caperridge/log.py
+++ b/src/caperridge/log.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON object a line on standard error, through logbook."""
 
+import json
 import sys
 from typing import Any, TextIO
 
@@ -9,9 +10,18 @@
 
 __all__ = ["JsonLinesHandler", "logger", "setup"]
 
+_OPTIONS = orjson.OPT_NON_STR_KEYS
+
 
 class JsonLinesHandler(logbook.StreamHandler):
-    """Writes each record as one JSON line; ``extra`` fields become members."""
+    r"""Writes each record as one JSON line; named arguments become its members.
+
+    Values from outside are escaped as JSON, so that none can begin a line.
+
+    >>> with JsonLinesHandler(sys.stdout).applicationbound():
+    ...     logger("a").info("sent", request="r\nx")  # doctest: +ELLIPSIS
+    {"time":"...","level":"info","logger":"a","message":"sent","request":"r\nx"}
+    """
 
     def format(self, record: logbook.LogRecord) -> str:
         """Return ``record`` as one JSON line without its newline."""
@@ -21,12 +31,19 @@
             "logger": record.channel,
             "message": record.message,
         }
-        # The fields that a call of the logger names are its keyword arguments.
-        line.update(record.kwargs)
-        line.update(record.extra)
         if record.exc_info:
             line["exception"] = record.formatted_exception
-        return orjson.dumps(line, default=str).decode()
+        for name, value in (*record.kwargs.items(), *record.extra.items()):
+            line.setdefault(name, value)
+        return _json(line)
+
+
+def _json(line: dict[str, Any]) -> str:
+    try:
+        return orjson.dumps(line, option=_OPTIONS, default=str).decode()
+    except TypeError:
+        # A huge number, or a text that is no UTF-8: rare, and no reason to fail.
+        return json.dumps(line, default=str)
 
 
 def logger(name: str) -> logbook.Logger:
--- a/src/caperridge/peers/connect.py
+++ b/src/caperridge/peers/connect.py
@@ -9,7 +9,8 @@
 from caperridge.peers.messages import Hello
 from caperridge.peers.stream import PeerStream
 from caperridge.records import Record
-from caperridge.settings import Address, TlsFiles
+from caperridge.settings import Address
+from caperridge.tls import TlsFiles, peer_context
 
 log = logger(__name__)
 CONNECT_S = 3.0
@@ -119,13 +120,4 @@
         self._opened(PeerStream(reader, writer, said, False, self._received, own))
 
     def _context(self, purpose: ssl.Purpose) -> ssl.SSLContext | None:
-        """Return a context in which both ends show a certificate."""
-        if self._tls is None or not self._tls.certificate:
-            return None
-        authority = self._tls.authority or self._tls.certificate
-        context = ssl.create_default_context(purpose, cafile=authority)
-        context.load_cert_chain(self._tls.certificate, self._tls.key)
-        # Peers are dialed by IP number; who they are is shown by the handshake.
-        context.check_hostname = False
-        context.verify_mode = ssl.CERT_REQUIRED
-        return context
+        return None if self._tls is None else peer_context(self._tls, purpose)
--- a/src/caperridge/tls.py
+++ b/src/caperridge/tls.py
@@ -52,22 +52,24 @@
     return context
 
 
-def peer_context(files: TlsFiles) -> ssl.SSLContext:
-    """Return the context with which an instance connects to its peers.
+def peer_context(files: TlsFiles, purpose: ssl.Purpose) -> ssl.SSLContext:
+    """Return the context of one end of a stream between instances.
 
-    Peers are known by address, and addresses change with each replacement. So the
-    certificate must be signed by the authority, but its name is not compared; the
-    shared secret still proves that the other side is a peer.
+    Both ends show a certificate, signed by the authority if there is one, else the
+    very one that all share. Names are not compared: peers are known by address, and
+    addresses change with each replacement. The shared secret proves the rest.
+
+    Args:
+        files: of this instance.
+        purpose: ``SERVER_AUTH`` where it connects, ``CLIENT_AUTH`` where it listens.
 
     Raises:
         OSError: a file cannot be read, or is no PEM file that fits the other.
     """
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    authority = files.authority or files.certificate
+    context = ssl.create_default_context(purpose, cafile=authority)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.check_hostname = False
     context.load_cert_chain(files.certificate, files.key)
-    if files.authority:
-        context.load_verify_locations(files.authority)
-    else:
-        context.load_verify_locations(files.certificate)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
     return context
--- a/tests/product/test_tls.py
+++ b/tests/product/test_tls.py
@@ -15,6 +15,8 @@
 from caperridge.tls import TlsFiles, client_context, peer_context, server_context
 from product.conftest import Authority
 
+TO_PEER = ssl.Purpose.SERVER_AUTH
+
 
 @pytest.mark.parametrize("listener", ["callers", "operators"])
 async def test_a_listener_speaks_tls_where_the_settings_say_so(
@@ -67,7 +69,7 @@
         writer.close()
 
     listening = await asyncio.start_server(
-        greet, "127.0.0.1", 0, ssl=server_context(server)
+        greet, "127.0.0.1", 0, ssl=peer_context(server, ssl.Purpose.CLIENT_AUTH)
     )
     host, port = listening.sockets[0].getsockname()[:2]
     try:
@@ -88,7 +90,7 @@
     server = authority.issue("one", with_authority=True)
     peer = authority.issue("two", with_authority=True)
     stranger = make_authority("other").issue("three", with_authority=True)
-    assert await _greets(server, peer_context(peer))
-    assert not await _greets(server, peer_context(stranger))
+    assert await _greets(server, peer_context(peer, TO_PEER))
+    assert not await _greets(server, peer_context(stranger, TO_PEER))
     assert not await _greets(server, client_context(authority.file))
     assert not await _greets(server, None)
