Complete the engine's stand-in and hold it to a contract

Faults, answers and the engine without its HTTP face are modules of their own. The hint for a misspelt key exists once.

--- a/src/caperridge/checking.py
+++ b/src/caperridge/checking.py
@@ -1,6 +1,7 @@
 """Turning what a schema found wrong into findings with their place."""
 
 import difflib
+from collections.abc import Iterable
 from typing import Any
 
 import voluptuous as vol
@@ -8,6 +9,18 @@
 from caperridge.findings import Finding
 
 
+def did_you_mean(word: str, known: Iterable[str]) -> str:
+    """Return a hint to append to a message, or nothing.
+
+    >>> did_you_mean("modle", ["model", "kind"])
+    "; did you mean 'model'?"
+    >>> did_you_mean("x", ["model", "kind"])
+    ''
+    """
+    close = difflib.get_close_matches(word, list(known), n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
 def invalid_findings(
     source: str, error: vol.MultipleInvalid, schema: vol.Schema
 ) -> list[Finding]:
@@ -38,10 +51,8 @@
     if invalid.error_message != "extra keys not allowed":
         return invalid.error_message
     wrong = str(invalid.path[-1])
-    near = difflib.get_close_matches(wrong, _known_keys(schema.schema, invalid.path))
-    if not near:
-        return "is not a known key"
-    return f"is not a known key; did you mean {near[0]!r}?"
+    known = _known_keys(schema.schema, invalid.path)
+    return "is not a known key" + did_you_mean(wrong, known)
 
 
 def _known_keys(schema: Any, path: list[Any]) -> list[str]:
--- a/src/caperridge/config/checks.py
+++ b/src/caperridge/config/checks.py
@@ -1,8 +1,8 @@
 """What is wrong between the parts of a configuration: names that lead nowhere."""
 
-import difflib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
+from caperridge.checking import did_you_mean
 from caperridge.config.model import Configuration, Service
 from caperridge.findings import Finding
 
@@ -10,18 +10,6 @@
 """Returns the file and line of a dotted key."""
 
 
-def did_you_mean(word: str, known: Iterable[str]) -> str:
-    """Return a hint to append to a message, or nothing.
-
-    >>> did_you_mean("modle", ["model", "kind"])
-    "; did you mean 'model'?"
-    >>> did_you_mean("x", ["model", "kind"])
-    ''
-    """
-    close = difflib.get_close_matches(word, list(known), n=1)
-    return f"; did you mean {close[0]!r}?" if close else ""
-
-
 def check(
     configuration: Configuration, place: Place = lambda _key: "declarations"
 ) -> list[Finding]:
--- a/src/caperridge/config/declarations.py
+++ b/src/caperridge/config/declarations.py
@@ -10,7 +10,8 @@
 
 import voluptuous as vol
 
-from caperridge.config.checks import check, did_you_mean
+from caperridge.checking import did_you_mean
+from caperridge.config.checks import check
 from caperridge.config.model import KINDS_BY_FIELD, Configuration
 from caperridge.config.places import Places
 from caperridge.findings import Finding, FindingsError
--- /dev/null
+++ b/src/caperridge/standins/engine_answers.py
@@ -0,0 +1,61 @@
+"""How the engine's stand-in writes its answers, in the form of the OpenAI API."""
+
+from typing import Any
+
+import orjson
+
+from caperridge.standins.engine_model import Sequence, prompt_tokens, token_text
+
+
+def event(body: dict[str, Any], sequence: Sequence, offset: int, cross: bool) -> bytes:
+    """Return one SSE event; ids and offset come first, so that a reader may stop."""
+    digest = "crossed!" if cross else sequence.digest
+    text = token_text(digest, offset)
+    last = offset + 1 >= sequence.most_tokens
+    choice: dict[str, Any] = {"index": 0}
+    if "messages" in body:
+        choice["delta"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    choice["finish_reason"] = "length" if last else None
+    fields = {
+        "id": "crossed" if cross else sequence.request,
+        "attempt": "crossed" if cross else sequence.attempt,
+        "offset": offset,
+        "object": "chat.completion.chunk" if "messages" in body else "text_completion",
+        "created": 0,
+        "model": body.get("model", ""),
+        "choices": [choice],
+    }
+    if last:
+        fields["usage"] = _usage(sequence, offset + 1)
+    return b"data: " + orjson.dumps(fields) + b"\n\n"
+
+
+def whole_body(
+    body: dict[str, Any], sequence: Sequence, text: str, tokens: int
+) -> dict[str, Any]:
+    """Return an answer in one piece."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
+    if "messages" in body:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": sequence.request,
+        "attempt": sequence.attempt,
+        "object": "chat.completion" if "messages" in body else "text_completion",
+        "created": 0,
+        "model": body.get("model", ""),
+        "choices": [choice],
+        "usage": _usage(sequence, tokens),
+    }
+
+
+def _usage(sequence: Sequence, tokens: int) -> dict[str, int]:
+    asked = prompt_tokens(sequence.prompt)
+    return {
+        "prompt_tokens": asked,
+        "completion_tokens": tokens,
+        "total_tokens": asked + tokens,
+    }
--- /dev/null
+++ b/src/caperridge/standins/running_engine.py
@@ -0,0 +1,188 @@
+"""The engine's stand-in without its HTTP face: what runs, and what it was ordered."""
+
+import asyncio
+import contextlib
+import random
+from collections import OrderedDict, deque
+from typing import Any
+
+from caperridge.records import Record
+from caperridge.standins.engine_faults import EngineFaults
+from caperridge.standins.engine_model import EngineCosts, EngineModel, Sequence
+from caperridge.standins.loader import Loader
+from caperridge.standins.weights import WeightStore
+
+MOST_KV = 256
+
+
+class KvCache(Record):
+    """What an engine computed for a sequence: of which prompt, and how far."""
+
+    __slots__ = ("digest", "produced")
+
+    def __init__(self, digest: str, produced: int) -> None:
+        self.digest = digest
+        self.produced = produced
+
+    def fits(self, sequence: Sequence) -> bool:
+        """Return whether ``sequence`` goes on where this one was."""
+        return (self.digest, self.produced) == (sequence.digest, sequence.produced)
+
+
+class Engine:
+    """One running engine.
+
+    Args:
+        costs: of its model.
+        seed: of the gaps in its cache events.
+        gb_per_s: rate at which it loads weights when no store is given.
+        store: where it loads weights from.
+        preloaded: whether it starts with weights, rather than with none.
+    """
+
+    def __init__(
+        self,
+        costs: EngineCosts | None = None,
+        seed: int = 0,
+        gb_per_s: float = 100.0,
+        store: WeightStore | None = None,
+        preloaded: bool = True,
+    ) -> None:
+        self.model = EngineModel(costs or EngineCosts())
+        self.faults = EngineFaults()
+        self.runs_by_request: dict[str, int] = {}
+        self.tokens_produced = 0
+        self.fence = 0
+        self.obeyed: list[dict[str, Any]] = []
+        self.desired: dict[str, Any] = {}
+        self.killed = asyncio.Event()
+        self.loader = Loader(gb_per_s, store, preloaded)
+        self.cut_by_load = 0
+        self.transports: set[asyncio.Transport] = set()
+        self._random = random.Random(seed)
+        self._queues_by_attempt: dict[str, asyncio.Queue[int | None]] = {}
+        self._kv_by_attempt: OrderedDict[str, KvCache] = OrderedDict()
+        self._work = asyncio.Event()
+        self._reports: deque[tuple[float, dict[str, Any]]] = deque(maxlen=1000)
+        self._events: list[tuple[float, int, int]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start stepping; needs a running loop."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop stepping."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await self.loader.stop()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            if self.faults.hung:
+                await asyncio.sleep(0.01)
+                continue
+            step = self.model.step()
+            self._report(loop.time())
+            if step is None:
+                self._work.clear()
+                await self._work.wait()
+                due = loop.time()
+                continue
+            # Steps keep to a schedule, so that a late wake-up is made good.
+            due = max(due + step.duration_s * self.faults.slow, loop.time() - 0.1)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            self._emit(step.emitted, step.finished)
+
+    def _emit(self, emitted: list[Sequence], finished: list[Sequence]) -> None:
+        self.tokens_produced += len(emitted)
+        for sequence in emitted:
+            queue = self._queues_by_attempt.get(sequence.attempt)
+            if queue is not None:
+                queue.put_nowait(sequence.produced - 1)
+        for sequence in finished:
+            queue = self._queues_by_attempt.get(sequence.attempt)
+            if queue is not None:
+                queue.put_nowait(None)
+
+    def _report(self, now: float) -> None:
+        report = {
+            "running": len(self.model.running_by_attempt),
+            "waiting": len(self.model.waiting),
+        }
+        self._reports.append((now, report))
+        for block in self.model.added_blocks:
+            if self._random.random() >= self.faults.event_gaps:
+                self._events.append((now, len(self._events), block))
+        self.model.added_blocks.clear()
+
+    def submit(self, sequence: Sequence) -> asyncio.Queue[int | None]:
+        """Admit ``sequence``; offsets of its tokens arrive in the queue, then None."""
+        queue: asyncio.Queue[int | None] = asyncio.Queue()
+        self._queues_by_attempt[sequence.attempt] = queue
+        runs = self.runs_by_request.get(sequence.request, 0)
+        self.runs_by_request[sequence.request] = runs + 1
+        kv = self._kv_by_attempt.get(sequence.attempt)
+        sequence.kv_ready = kv is not None and kv.fits(sequence)
+        self.model.submit(sequence)
+        self._work.set()
+        return queue
+
+    def cancel(self, attempt: str) -> bool:
+        """Cancel the attempt; return whether it was there."""
+        self._queues_by_attempt.pop(attempt, None)
+        running = self.model.running_by_attempt.get(attempt)
+        if running is not None:
+            # What it computed stays for a while, so that it can be exported.
+            self.import_kv(attempt, KvCache(running.digest, running.produced))
+        return self.model.cancel(attempt)
+
+    def export_kv(self, attempt: str) -> KvCache | None:
+        """Return the KV cache of a sequence that runs or was cancelled lately."""
+        running = self.model.running_by_attempt.get(attempt)
+        if running is not None:
+            return KvCache(running.digest, running.produced)
+        return self._kv_by_attempt.get(attempt)
+
+    def import_kv(self, attempt: str, kv: KvCache) -> None:
+        """Keep a KV cache for the attempt that will come; the oldest goes first."""
+        self._kv_by_attempt[attempt] = kv
+        while len(self._kv_by_attempt) > MOST_KV:
+            self._kv_by_attempt.popitem(last=False)
+
+    def load_report(self, now: float) -> dict[str, Any]:
+        """Return the newest report that is at least ``report_lag_s`` old."""
+        shown = {"running": 0, "waiting": 0}
+        for at, report in self._reports:
+            if at <= now - self.faults.report_lag_s:
+                shown = report
+        return shown
+
+    def cache_events(self, after: int, now: float) -> list[list[int]]:
+        """Return ``[number, block]`` of the events after ``after`` that may be seen."""
+        ripe = now - self.faults.event_lag_s
+        return [[n, b] for at, n, b in self._events[after + 1 :] if at <= ripe]
+
+    def kill(self) -> None:
+        """Die: break every connection, refuse new ones, forget what runs."""
+        self.faults.killed = True
+        self.killed.set()
+        for transport in list(self.transports):
+            transport.abort()
+        for attempt in list(self._queues_by_attempt):
+            self.cancel(attempt)
+
+    def order(self, fence: int, desired: dict[str, Any]) -> bool:
+        """Obey an order unless its fencing number is old; return whether obeyed."""
+        if fence < self.fence and not self.faults.ignore_fencing:
+            return False
+        self.fence = max(self.fence, fence)
+        self.desired = desired
+        self.obeyed.append({"fence": fence, "desired": desired})
+        if self.loader.follow(desired):
+            self.cut_by_load += len(self._queues_by_attempt)
+        return True
