--- a/src/caperridge/demo/story.py
+++ b/src/caperridge/demo/story.py
@@ -15,17 +15,12 @@
 from caperridge.demo.fleet import Fleet, until
 from caperridge.demo.online import OnlineCaller
 from caperridge.demo.tally import Tally, quantile
+from caperridge.records import Record
 from caperridge.standins.plain import PlainFaults
 from caperridge.standins.platform import Faults
 
-LOGS = 800
-STORIES = 800
-UNWANTED = 400
 ANSWER_TOKENS = 16
 BATCH_TOKENS = 24
-BURST = 48
-OUTAGE_S = 3.0
-PAUSE_S = 1.5
 JOB_DEADLINE_S = 30.0
 LOST_RUNNER = "runner-oviedo-1"
 REPLACED = "instance-bilbao-1"
@@ -34,15 +29,48 @@
 Tell = Callable[[str], None]
 
 
+class Pace(Record):
+    """How much happens in the demo, and how fast.
+
+    Attributes:
+        logs: items of the heat network's job.
+        stories: items of the photo albums' job.
+        unwanted: items of the job that is cancelled.
+        burst: captions asked for at once.
+        outage_s: how long the platform is away.
+        pause_s: between two acts.
+    """
+
+    __slots__ = ("burst", "logs", "outage_s", "pause_s", "stories", "unwanted")
+
+    def __init__(
+        self,
+        logs: int = 900,
+        stories: int = 900,
+        unwanted: int = 400,
+        burst: int = 48,
+        outage_s: float = 3.0,
+        pause_s: float = 1.5,
+    ) -> None:
+        self.logs = logs
+        self.stories = stories
+        self.unwanted = unwanted
+        self.burst = burst
+        self.outage_s = outage_s
+        self.pause_s = pause_s
+
+
 class Story:
     """One run of the demo.
 
     Args:
         tell: called with each line of the narration.
+        pace: how much happens and how fast.
     """
 
-    def __init__(self, tell: Tell) -> None:
+    def __init__(self, tell: Tell, pace: Pace | None = None) -> None:
         self.tally = Tally()
+        self._pace = pace or Pace()
         self._tell = tell
         self._started = time.monotonic()
         self._fleet = Fleet()
@@ -82,7 +110,7 @@
             self._bill,
         ]
         for act in acts:
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(self._pace.pause_s)
             await act()
         await self._finish(steady)
 
@@ -128,9 +156,11 @@
         self._frames = OnlineCaller(
             self._http, FRAMES, url, deployment.caption, ANSWER_TOKENS, self.tally
         )
-        logs = [deployment.maintenance_log(n) for n in range(LOGS)]
-        stories = [deployment.album_story(n) for n in range(STORIES)]
-        unwanted = [f"{deployment.album_story(n)} Twice." for n in range(UNWANTED)]
+        logs = [deployment.maintenance_log(n) for n in range(self._pace.logs)]
+        stories = [deployment.album_story(n) for n in range(self._pace.stories)]
+        unwanted = [
+            f"{deployment.album_story(n)} Twice." for n in range(self._pace.unwanted)
+        ]
         self._logs = self._job(HEAT, "maintenance-logs", logs)
         self._stories = self._job(FRAMES, "weekly-stories", stories)
         self._unwanted = self._job(FRAMES, "stories-by-mistake", unwanted)
@@ -143,9 +173,10 @@
         for job in (self._logs, self._stories, self._unwanted):
             await job.submit()
         await self._logs.resend()
+        pace = self._pace
         self._say(
-            f"Night work arrives: {LOGS} maintenance logs and {STORIES} album "
-            f"stories, and {UNWANTED} more that somebody will regret."
+            f"Night work arrives: {pace.logs} maintenance logs and {pace.stories} "
+            f"album stories, and {pace.unwanted} more that somebody will regret."
         )
         same = self._logs.resent_ids == {self._logs.id}
         self._say(
@@ -155,13 +186,13 @@
 
     async def _burst(self) -> None:
         before = len(self.tally.first_tokens_s)
-        self._frames.burst(BURST)
-        await until(lambda: len(self.tally.first_tokens_s) >= before + BURST)
+        self._frames.burst(self._pace.burst)
+        await until(lambda: len(self.tally.first_tokens_s) >= before + self._pace.burst)
         answered = self.tally.first_tokens_s[before:]
         worst_ms = quantile(answered, 0.99) * 1000
         self._say(
-            f"A wedding! {BURST} photos land at once and batch steps aside: 99 in "
-            f"100 captions begin within {worst_ms:.0f} ms."
+            f"A wedding! {self._pace.burst} photos land at once and batch steps "
+            f"aside: 99 in 100 captions begin within {worst_ms:.0f} ms."
         )
 
     async def _cancel(self) -> None:
@@ -173,7 +204,7 @@
         stopped = self._tokens_of(self._unwanted) == before
         self._say(
             f"The mistaken job is cancelled after {counts['completed']} of "
-            f"{UNWANTED} stories; "
+            f"{self._pace.unwanted} stories; "
             + ("no runner starts another." if stopped else "it is still running!")
         )
 
@@ -205,12 +236,12 @@
     async def _platform_outage(self) -> None:
         before = len(self.tally.first_tokens_s)
         self._fleet.memory.faults = Faults(outage=True)
-        await asyncio.sleep(OUTAGE_S)
+        await asyncio.sleep(self._pace.outage_s)
         answered = len(self.tally.first_tokens_s) - before
         self._fleet.memory.faults = Faults()
         self._say(
-            f"The platform is away for {OUTAGE_S:.0f} s: {answered} online answers "
-            "begin all the same, and batch waits to commit."
+            f"The platform is away for {self._pace.outage_s:g} s: {answered} online "
+            "answers begin all the same, and batch waits to commit."
         )
 
     async def _bill(self) -> None:
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -39,6 +39,7 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.readiness import ReadinessLog
 from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.target_reports import TargetReports
@@ -199,6 +200,7 @@
         if self.mesh is not None:
             self._wire_peers(self.mesh)
             self._actors.append(self.mesh)
+        self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
         self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
--- a/tests/cli/test_jobs_commands.py
+++ b/tests/cli/test_jobs_commands.py
@@ -115,6 +115,7 @@
     (["jobs", "submit", "/dev/null"], {}, 3, "holds no item"),
     (["jobs", "submit"], {}, 3, "either a FILE or --file-id"),
     (["jobs", "submit", "--file-id", "file-none"], {}, 4, "file_not_found"),
+    (["standin", "engine", "--listen", "nine"], {}, 3, "must be host:port"),
     (["jobs", "submti"], {}, 2, "submti"),
     (["measure", "nothing"], {}, 2, "No such command 'nothing'"),
     (["check", "--settings", "absent.toml"], {}, 3, "absent.toml: -: No such file"),
