Name request, attempt, target and job on the line of each failed attempt

Cause: the log said nothing of an attempt that failed; only the trace of the one instance did. The demo tells how many batch streams made room and what a cancel caught.

--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -144,6 +144,15 @@
         instances = self.instances_by_id.values()
         return {instance.configuration.current.version for instance in instances}
 
+    def preempted(self) -> float:
+        """Return how many batch streams made room for online requests so far."""
+        total = 0.0
+        for instance in self._all_instances:
+            for metric in instance.metrics.preempted.collect():
+                samples = metric.samples
+                total += sum(s.value for s in samples if s.name.endswith("_total"))
+        return total
+
     def _list(self, member: ListedMember) -> None:
         self._members_by_id[member.id] = member
         self.memory.set_members(list(self._members_by_id.values()))
--- a/src/caperridge/demo/story.py
+++ b/src/caperridge/demo/story.py
@@ -186,29 +186,31 @@
 
     async def _burst(self) -> None:
         before = len(self.tally.first_tokens_s)
+        preempted = self._fleet.preempted()
         self._frames.burst(self._pace.burst)
         await until(lambda: len(self.tally.first_tokens_s) >= before + self._pace.burst)
         answered = self.tally.first_tokens_s[before:]
         worst_ms = quantile(answered, 0.99) * 1000
         self._say(
             f"A wedding! {self._pace.burst} photos land at once and batch steps "
-            f"aside: 99 in 100 captions begin within {worst_ms:.0f} ms."
+            f"aside ({self._fleet.preempted() - preempted:.0f} of its streams wait): "
+            f"99 in 100 captions begin within {worst_ms:.0f} ms."
         )
 
     async def _cancel(self) -> None:
         await self._unwanted.cancel()
         await asyncio.sleep(1.0)
-        before = self._tokens_of(self._unwanted)
+        before = self._begun(self._unwanted)
         await asyncio.sleep(0.5)
         counts = (await self._unwanted.status())["request_counts"]
-        stopped = self._tokens_of(self._unwanted) == before
+        stopped = self._begun(self._unwanted) == before
         self._say(
-            f"The mistaken job is cancelled after {counts['completed']} of "
-            f"{self._pace.unwanted} stories; "
+            f"The mistaken job is cancelled with {before} of {self._pace.unwanted} "
+            f"stories begun and {counts['completed']} done; "
             + ("no runner starts another." if stopped else "it is still running!")
         )
 
-    def _tokens_of(self, job: BatchJob) -> int:
+    def _begun(self, job: BatchJob) -> int:
         started = 0
         for engine in self._fleet.engines_by_id.values():
             for request, runs in engine.runs_by_request.items():
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -13,6 +13,7 @@
 from caperridge.decisions.retry_budget import RetryBudget
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import Wanted
+from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.gate import Gate
 from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.metrics import Metrics
@@ -117,6 +118,7 @@
                 return
             except AttemptFailed as failed:
                 error = failed.error
+                log_failure(attempt, target, error)
             if _is_complete(error, progress):
                 text = "the last token says why it ends"
                 request.trace.add("complete", text, target=target)
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -15,6 +15,7 @@
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.item_work import ItemWork
 from caperridge.instance.metrics import Metrics
 from caperridge.log import logger
@@ -306,6 +307,7 @@
                 await self._read(item, batches)
         except AttemptFailed as failed:
             error = failed.error
+            log_failure(attempt, stream.target, error, work.job)
         if stream.attempt not in self._running_by_attempt:
             return
         self._forget(item)
