--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -1,5 +1,6 @@
 """One instance: its tasks, its listeners, and how they are wired together."""
 
+import hmac
 import time
 import zlib
 from collections.abc import Callable
@@ -38,6 +39,7 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.readiness import ReadinessLog
 from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.target_reports import TargetReports
@@ -198,6 +200,7 @@
         if self.mesh is not None:
             self._wire_peers(self.mesh)
             self._actors.append(self.mesh)
+        self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
         self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
@@ -318,7 +321,8 @@
         if operator is not None:
             return operator.name
         declared = self.configuration.current.operators_by_name
-        if digest and not declared and digest == self.settings.first_operator_sha256:
+        first = self.settings.first_operator_sha256
+        if digest and not declared and hmac.compare_digest(digest, first):
             return FIRST_OPERATOR
         raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
 
