--- a/src/caperridge/commands/accept_file.py
+++ b/src/caperridge/commands/accept_file.py
@@ -11,13 +11,14 @@
 from caperridge import keys
 from caperridge.findings import Finding
 from caperridge.platform.interface import Platform, PutRow, RowAbsent, WriteError
-from caperridge.platform.settle import transact_settled
+from caperridge.platform.settle import put_settled, transact_settled
 from caperridge.records import Record
 
 MOST_ITEMS = 110_000
 MOST_LINE_BYTES = 1_000_000
 PART_BYTES = 1_000_000
 MOST_FINDINGS = 1000
+MOST_CUSTOM_ID = 512
 
 
 class StoredFile(Record):
@@ -146,6 +147,10 @@
         if not isinstance(custom_id, str) or not custom_id:
             self._note(self._number, "custom_id must be a text")
             return False
+        if len(custom_id) > MOST_CUSTOM_ID:
+            text = f"custom_id is longer than {MOST_CUSTOM_ID} characters"
+            self._note(self._number, text)
+            return False
         first = self._lines_by_custom_id.setdefault(custom_id, self._number)
         if first != self._number:
             self._note(self._number, f"custom_id stands already in line {first}")
@@ -189,7 +194,7 @@
             return Ok(None)
         data = b"\n".join(self._lines) + b"\n"
         name = keys.file_part(self._file_id, len(self.parts))
-        stored = await self._platform.put_object(name, data)
+        stored = await put_settled(self._platform, name, data)
         if isinstance(stored, Err):
             return stored
         self.parts.append(self.items - len(self._lines))
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from caperridge.instance.http_common import json_of
+from caperridge.instance.in_flight import count_tokens
 from caperridge.instance.online_request import OnlineRequest, whole_answer
 from caperridge.refusals import RefusedError
 from caperridge.targets.events import DONE_EVENT
@@ -65,6 +66,11 @@
                     if not response.prepared:
                         await response.prepare(request)
                     await response.write(b"".join(batch))
+                    count_tokens(request, len(batch))
+            await response.write(DONE_EVENT)
+        except ConnectionResetError:
+            # The caller hung up between two events: nobody is left to answer.
+            return response
         except RefusedError as refused:
             if not response.prepared:
                 raise
@@ -74,6 +80,4 @@
             await response.write(b"data: " + body + b"\n\n")
             if request.transport is not None:
                 request.transport.close()
-            return response
-        await response.write(DONE_EVENT)
         return response
