--- a/tests/online/test_drain.py
+++ b/tests/online/test_drain.py
@@ -13,7 +13,7 @@
     ask = asyncio.create_task(fleet.post("/v1/completions", BODY))
     while not fleet.instance.online.in_flight:
         await asyncio.sleep(0.001)
-    drained = asyncio.create_task(fleet.instance.drain())
+    drained = asyncio.create_task(fleet.instance.drain.run())
     await asyncio.sleep(0)
     assert fleet.instance.not_ready_because()
     status, _ = await fleet.post("/v1/completions", BODY | {"max_tokens": 2})
