--- a/src/caperridge/measure/recovery.py
+++ b/src/caperridge/measure/recovery.py
@@ -78,7 +78,7 @@
 async def instance_replaced(fleet: StandinFleet) -> None:
     """Stop an instance as planned, and start another."""
     instance = fleet.instances_by_id["entry-1"]
-    drained = asyncio.get_running_loop().create_task(instance.drain())
+    drained = asyncio.get_running_loop().create_task(instance.drain.run())
     # The balancer moves on because the instance is not ready.
     await asyncio.sleep(instance.settings.balancer_s / 2)
     del fleet.instances_by_id["entry-1"]
