--- /dev/null
+++ b/src/caperridge/commands/sweep_job.py
@@ -0,0 +1,76 @@
+"""Removing what is past its retention, in steps that may stop anywhere.
+
+A job's row goes last: as long as it stands, the next sweep finds what is left.
+"""
+
+import secrets
+
+from result import Err, Ok, Result
+
+from caperridge import keys
+from caperridge.platform.interface import DeleteRow, Platform, WriteError
+
+MOST_ROWS = 50
+
+
+async def sweep_objects(
+    platform: Platform, prefix: str, kept: set[str], most: int
+) -> Result[int, WriteError]:
+    """Delete up to ``most`` objects with ``prefix`` but for those in ``kept``."""
+    listed = await platform.list_objects(prefix)
+    if isinstance(listed, Err):
+        return listed
+    deleted = 0
+    for name in listed.ok_value:
+        if name in kept:
+            continue
+        if deleted >= most:
+            break
+        outcome = await platform.delete_object(name)
+        if isinstance(outcome, Err):
+            return outcome
+        deleted += 1
+    return Ok(deleted)
+
+
+async def sweep_rows(platform: Platform, prefix: str) -> Result[int, WriteError]:
+    """Delete up to :data:`MOST_ROWS` rows with ``prefix``; return how many."""
+    rows = await platform.scan(prefix, "", MOST_ROWS)
+    if isinstance(rows, Err):
+        return rows
+    if not rows.ok_value:
+        return Ok(0)
+    # A delete that took effect unseen is found done by the next sweep.
+    outcome = await platform.transact(
+        [], [DeleteRow(row.key) for row in rows.ok_value], secrets.token_hex(8)
+    )
+    return outcome.map(lambda _: len(rows.ok_value))
+
+
+async def sweep_job(
+    platform: Platform, job_id: str, most: int
+) -> Result[int, WriteError]:
+    """Remove a part of a job past its retention; 0 once nothing is left of it."""
+    outcome = await sweep_objects(platform, keys.results(job_id), set(), most)
+    if isinstance(outcome, Err) or outcome.ok_value:
+        return outcome
+    outcome = await sweep_rows(platform, keys.chunks(job_id))
+    if isinstance(outcome, Err) or outcome.ok_value:
+        return outcome
+    removed = await platform.transact(
+        [], [DeleteRow(keys.job(job_id))], secrets.token_hex(8)
+    )
+    return removed.map(lambda _: 0)
+
+
+async def sweep_session(platform: Platform, session_id: str) -> Result[int, WriteError]:
+    """Remove a session that ended long ago, and its checkpoints first."""
+    outcome = await sweep_objects(
+        platform, keys.checkpoints(session_id), set(), MOST_ROWS
+    )
+    if isinstance(outcome, Err):
+        return outcome
+    removed = await platform.transact(
+        [], [DeleteRow(keys.session(session_id))], secrets.token_hex(8)
+    )
+    return removed.map(lambda _: 1)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -40,6 +40,7 @@
 from caperridge.instance.plain_calls import PlainFront
 from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
+from caperridge.instance.sweeper import Sweeper
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
 from caperridge.log import logger
@@ -192,6 +193,13 @@
             self.orderer,
             self.members,
             self.dispatcher,
+            Sweeper(
+                self.platform,
+                self.membership,
+                settings.retention_s,
+                clock,
+                time.time,
+            ),
             self.target_reports,
             self.online_news,
         ]
