--- a/src/caperridge/decisions/plain_calls.py
+++ b/src/caperridge/decisions/plain_calls.py
@@ -19,6 +19,7 @@
 # Longer than any call lasts, and than clocks of instances differ by.
 MOST_RUNNING_S = 120.0
 COME_BACK_S = 1.0
+KEPT_S = 7 * 86400.0  # how long a key is remembered
 # A call whose claim cannot be looked up may have run under the same key before.
 UNCLAIMED_RUN = UNKNOWN
 
@@ -152,6 +153,16 @@
     return StillRunning(claim.request)
 
 
+def may_forget(claim: CallClaim, now: float) -> bool:
+    """Return whether the key was remembered for long enough.
+
+    Args:
+        claim: as read.
+        now: seconds since the epoch.
+    """
+    return now - max(claim.started, claim.ended) > KEPT_S
+
+
 class Answer(Record):
     """Give the caller the target's answer."""
 
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -13,6 +13,7 @@
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.batch_streams import BatchStreams
+from caperridge.instance.call_sweeper import CallSweeper
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
@@ -21,6 +22,7 @@
 from caperridge.instance.in_flight import ENTRY, InFlight
 from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
+from caperridge.instance.listeners import Listeners
 from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
@@ -60,15 +62,13 @@
 from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
-from caperridge.settings import Address, Settings
+from caperridge.settings import Settings
 from caperridge.targets.engine import EngineClient
 from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
-from caperridge.tls import server_context
 
 log = logger(__name__)
 FIRST_OPERATOR = "first-operator"
-CUT_AFTER_S = 0.5  # what still runs at the very end is cancelled after this
 
 
 class Instance:
@@ -97,7 +97,8 @@
         clock = time.monotonic
         self.metrics = Metrics()
         self.traces = Traces()
-        self.addresses_by_listener: dict[str, Address] = {}
+        self._listeners = Listeners()
+        self.addresses_by_listener = self._listeners.addresses_by_name
         self.in_flight = InFlight()
         self.drain = Drain(self)
         self.membership = Membership(
@@ -196,12 +197,12 @@
             self.dispatcher,
             self.target_reports,
             self.online_news,
+            CallSweeper(self.platform, self.membership),
         ]
         if self.mesh is not None:
             self._wire_peers(self.mesh)
             self._actors.append(self.mesh)
         self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
-        self._runners: list[web.AppRunner] = []
 
     def _applied(self, message: ConfigurationApplied) -> None:
         self.metrics.configuration_version.set(message.configuration.version)
@@ -370,12 +371,13 @@
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
-        callers = CallersHttp(self).app()
-        self.in_flight.add_to(callers)
-        await self._listen("callers", callers, self.settings.callers)
-        await self._listen(
-            "operators", OperatorsHttp(self).app(), self.settings.operators
-        )
+        apps = {"callers": CallersHttp(self).app()}
+        self.in_flight.add_to(apps["callers"])
+        apps["operators"] = OperatorsHttp(self).app()
+        for name, app in apps.items():
+            at = getattr(self.settings, name)
+            files = self.settings.tls_by_listener.get(name)
+            await self._listeners.open(name, app, at, files)
         if self.mesh is not None:
             at = await self.mesh.open(self.settings.peers)
             self.addresses_by_listener["peers"] = at
@@ -387,26 +389,9 @@
             **{name: str(at) for name, at in self.addresses_by_listener.items()},
         )
 
-    async def _listen(self, name: str, app: web.Application, at: Address) -> None:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=CUT_AFTER_S,
-        )
-        await runner.setup()
-        self._runners.append(runner)
-        files = self.settings.tls_by_listener.get(name)
-        context = server_context(files) if files else None
-        site = web.TCPSite(runner, at.host, at.port, ssl_context=context)
-        await site.start()
-        host, port = runner.addresses[0][:2]
-        self.addresses_by_listener[name] = Address(host, port)
-
     async def stop(self) -> None:
         """End at once."""
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.close()
         for actor in reversed(self._actors):
             await actor.stop()
         await self._engines.close()
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -12,6 +12,7 @@
 JOB_CHANGES = "jobs/changes"
 FILES = "file/"
 SESSIONS = "session/"
+CALLS = "call/"
 CHECKPOINTS = "checkpoint/"
 
 
@@ -126,4 +127,4 @@
 
 def call(caller: str, service: str, key: str) -> str:
     """Return the row that claims a keyed call to a plain service."""
-    return f"call/{digest_of(caller)}/{digest_of(service)}/{digest_of(key)}"
+    return f"{CALLS}{digest_of(caller)}/{digest_of(service)}/{digest_of(key)}"
