--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -8,7 +8,6 @@
 
 from aiohttp import web
 
-from caperridge import __version__
 from caperridge.config.model import Caller
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
@@ -17,7 +16,8 @@
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
-from caperridge.instance.drain import Drain
+from caperridge.instance.drain import PlannedStop
+from caperridge.instance.dump import dump
 from caperridge.instance.http_common import bearer_digest
 from caperridge.instance.in_flight import ENTRY, InFlight
 from caperridge.instance.keyed_calls import KeyedCalls
@@ -100,7 +100,7 @@
         self._listeners = Listeners()
         self.addresses_by_listener = self._listeners.addresses_by_name
         self.in_flight = InFlight()
-        self.drain = Drain(self)
+        self.planned_stop = PlannedStop(self)
         self.membership = Membership(
             settings.instance_id,
             settings.availability_zone,
@@ -334,7 +334,7 @@
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
-        if self.drain.stopping:
+        if self.planned_stop.stopping:
             missing.append("it is stopping")
         if not self.configuration.known:
             missing.append("it does not know the configuration yet")
@@ -346,28 +346,11 @@
 
     def state(self) -> dict[str, Any]:
         """Return a dump of everything this process holds, for operators."""
-        return {
-            "instance": self.settings.instance_id,
-            "availability_zone": self.settings.availability_zone,
-            "release": __version__,
-            "not_ready_because": self.not_ready_because(),
-            "configuration_version": self.configuration.current.version,
-            "session": self.session.session_id,
-            "lease_left_s": max(0.0, self.session.left_s()),
-            "online_in_flight": self.online.in_flight,
-            "targets_by_id": {
-                target_id: state.to_map()
-                for target_id, state in self.online.book.states_by_id.items()
-            },
-            "configuration": self.configuration.state(),
-            "dispatcher": self.dispatcher.state(),
-            "peers": self.mesh.state() if self.mesh is not None else None,
-            "orderer": self.orderer.state(),
-            "online": self.online.state(),
-            "traces": len(self.traces),
-            "trace_bytes": self.traces.bytes,
-            "stop": self.drain.state(),
-        }
+        return dump(self)
+
+    async def drain(self) -> None:
+        """Stop as planned; see :mod:`caperridge.instance.drain`."""
+        await self.planned_stop.run()
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
