--- a/src/caperridge/demo/story.py
+++ b/src/caperridge/demo/story.py
@@ -229,10 +229,10 @@
         )
 
     async def _replace_instance(self) -> None:
-        await self._fleet.replace_instance(REPLACED, SUCCESSOR)
+        cut = await self._fleet.replace_instance(REPLACED, SUCCESSOR)
         self._say(
             f"{REPLACED} is replaced by {SUCCESSOR}: it finished what it had begun "
-            "and left; nobody was cut off."
+            f"and left; {cut or 'nobody'} was cut off."
         )
 
     async def _platform_outage(self) -> None:
--- a/tests/cli/test_processes.py
+++ b/tests/cli/test_processes.py
@@ -55,8 +55,9 @@
     process.send_signal(number)
     ended = await end_of(process)
     assert ended.code == 0
-    assert "stopping: not ready" in ended.err
-    assert all(json.loads(line) for line in ended.err.splitlines())
+    lines = [json.loads(line) for line in ended.err.splitlines()]
+    stages = [line["stage"] for line in lines if line["message"] == "stopping"]
+    assert (stages[0], stages[-1]) == ("not_ready", "stopped")
     assert ended.out == ""
 
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -101,6 +101,20 @@
     assert offsets == [left["produced"], left["produced"] + 1]
 
 
+FITS = [("p", 3, True), ("p", 4, False), ("another", 3, False)]
+
+
+@pytest.mark.parametrize(("prompt", "produced", "fits"), FITS)
+async def test_a_kv_cache_serves_only_where_it_fits(
+    client: Client, prompt: str, produced: int, fits: bool
+) -> None:
+    kv = {"digest": answer_digest("p"), "produced": 3}
+    await client.call("PUT", "/kv/second", kv)
+    sequence = Sequence("second", "r", prompt, 10, produced)
+    client.engine.submit(sequence)
+    assert sequence.kv_ready == fits
+
+
 @pytest.mark.parametrize(
     ("kv_ready", "produced", "prefilled"),
     [(True, 3, 0), (False, 3, 203), (False, 0, 200)],
