Prove headroom and preemption against an oracle

A state machine drives one dispatcher with news that is lost, late, doubled or out of order, senders that go, steps and first tokens; tables cover the hand-over between two dispatchers (bound: two at once only for as long as their views differ beyond SETTLE_S, at most twice the places), the return of places within 0.5 s of a burst, and an engine stand-in that batch fills.

--- a/tests/headroom/test_batch_streams.py
+++ b/tests/headroom/test_batch_streams.py
@@ -17,7 +17,7 @@
 from conftest import until
 
 MOST_RUNNING = 6
-COSTS = EngineCosts(step_s=0.004, sequence_s=0.0001, most_running=MOST_RUNNING)
+COSTS = EngineCosts(step_s=0.008, sequence_s=0.0001, most_running=MOST_RUNNING)
 TOKENS = 40
 
 
@@ -142,6 +142,7 @@
         membership.apply_list(members)
     found.fleet.platform.set_members(members)
     await until(lambda: found.batch_running() == 0)
+    assert any(0 < len(work.texts) < TOKENS for work in found.works)
     found.fleet.platform.set_members(list(found.fleet.members_by_id.values()))
 
 
@@ -160,7 +161,11 @@
             finished(work, None) if error is None else found.streams.submit(work)
 
         found.streams.finished = again
+        await until(lambda: sum(len(work.texts) > 4 for work in found.works) >= 4)
+        had = [len(work.texts) for work in found.works]
         await disturb(found)
+        for work, tokens in zip(found.works, had, strict=True):
+            assert len(work.texts) >= tokens
         await until(lambda: len(found.errors_by_request) == len(found.works), 15.0)
         found.check_whole()
 
@@ -171,4 +176,6 @@
         await until(lambda: found.at_engine == 0)
         await asyncio.sleep(0.05)
         assert found.at_engine == 0
+        readers = [str(task.get_coro()) for task in asyncio.all_tasks()]
+        assert not [reader for reader in readers if "BatchStreams._run" in reader]
         assert found.streams.state()["waiting_by_service"] == {SERVICE: 0}
--- /dev/null
+++ b/tests/headroom/test_headroom.py
@@ -0,0 +1,150 @@
+"""Headroom at a hand-moved clock: bursts, hand-over, starvation, guard."""
+
+import pytest
+
+from caperridge.decisions.batch_share import GUARD_MOST, FirstTokenGuard
+from caperridge.decisions.headroom import SETTLE_S, Headroom
+from caperridge.decisions.membership import Membership
+from caperridge.decisions.own_targets import OwnTargets
+from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream, first_to_go
+from caperridge.decisions.routing import TargetState
+from caperridge.platform.interface import ListedMember
+
+TARGET = "runner-1"
+MOST = 16
+STEP_S = 0.03
+BACK_S = 0.5  # batch has its places again so soon after a burst
+
+
+def fill(headroom: Headroom, running: int, weight: float, now: float) -> int:
+    starts = headroom.to_start(TARGET, MOST, weight, running, 0, now)
+    return running + starts.count
+
+
+def preempted(headroom: Headroom, running: int, weight: float, now: float) -> int:
+    streams = [BatchStream(str(n), TARGET) for n in range(running)]
+    return len(headroom.to_preempt(TARGET, MOST, weight, streams, now))
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.5, 1.0])
+def test_batch_has_its_places_back_soon_after_a_burst(weight: float) -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    running = 0
+    for step in range(20):
+        running = fill(headroom, running, weight, step * STEP_S)
+    assert running == MOST
+    now = 1.0
+    for online in range(1, MOST + 1):
+        headroom.online_changed(TARGET, "entry-1", online, now)
+        running -= preempted(headroom, running, weight, now)
+        assert running + online <= MOST
+        now += 0.01
+    now += 3.0
+    headroom.online_changed(TARGET, "entry-1", 0, now)
+    ended = now
+    while now < ended + BACK_S:
+        running = fill(headroom, running, weight, now)
+        now += STEP_S
+    assert running == MOST
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.5])
+def test_a_place_just_freed_is_held_and_then_given_to_batch(weight: float) -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    for online in (4, 3):
+        headroom.online_changed(TARGET, "entry-1", online, 1.0)
+    assert headroom.startable(TARGET, MOST, weight, 1.0) == MOST - 4
+    assert headroom.allowed(TARGET, MOST, weight, 1.0) == MOST - 3
+    assert headroom.to_start(TARGET, MOST, weight, MOST - 4, 0, 1.0).again_s < 0.1
+    assert headroom.startable(TARGET, MOST, weight, 1.5) == MOST - 3
+
+
+def test_a_place_is_kept_for_requests_of_peers() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=False)
+    now = SETTLE_S
+    assert headroom.allowed(TARGET, MOST, 1.0, now) == MOST - 1
+    headroom.online_changed(TARGET, "entry-2", 3, now, sequence=1)
+    assert headroom.allowed(TARGET, MOST, 1.0, now) == MOST - 1 - 3
+
+
+@pytest.mark.parametrize(
+    ("old_learns_s", "new_learns_s", "most_at_once"),
+    [
+        pytest.param(10.0, 10.0, MOST, id="both at once"),
+        pytest.param(10.0, 11.5, MOST, id="nobody for a moment"),
+        pytest.param(11.9, 10.0, MOST, id="both within the time to settle"),
+        pytest.param(14.0, 10.0, 2 * MOST, id="both for longer than that"),
+    ],
+)
+def test_what_two_dispatchers_or_none_may_do_is_bounded(
+    old_learns_s: float, new_learns_s: float, most_at_once: int
+) -> None:
+    old, new = Headroom(), Headroom()
+    old.gained(TARGET, 0.0)
+    old_running = new_running = 0
+    both_s, most, learnt = 0.0, 0, False
+    for tick in range(600):
+        now = tick * STEP_S
+        if now >= old_learns_s:
+            old.lost(TARGET)
+            old_running = 0
+        else:
+            old_running = fill(old, old_running, 0.5, now)
+        if now >= new_learns_s and not learnt:
+            learnt = True
+            new.gained(TARGET, now)
+        new_running = fill(new, new_running, 0.5, now)
+        most = max(most, old_running + new_running)
+        if old_running and new_running:
+            both_s += STEP_S
+    assert most <= most_at_once
+    assert both_s <= max(0.0, old_learns_s - new_learns_s - SETTLE_S) + STEP_S
+    assert new_running == MOST - 1
+
+
+def test_no_item_gives_way_for_ever() -> None:
+    streams = [BatchStream(f"item-{n}", TARGET, tokens=n) for n in range(6)]
+    for _ in range(200):
+        for stream in streams:
+            stream.tokens += 5
+        victim = first_to_go(streams, 1)[0]
+        # It starts again elsewhere and comes back behind all others.
+        victim.preemptions += 1
+        victim.tokens = 0
+    counts = [stream.preemptions for stream in streams]
+    assert max(counts) - min(counts) <= PROTECTED_AFTER
+
+
+def test_late_first_tokens_take_places_from_batch_and_time_gives_them_back() -> None:
+    guard = FirstTokenGuard()
+    guard.seen(0.05, STEP_S, 0.0)
+    guard.seen(0.06, STEP_S, 0.0)
+    assert guard.taken(0.0) == 0
+    for _ in range(20):
+        guard.seen(0.05 + 10 * STEP_S, STEP_S, 1.0)
+    assert 2 <= guard.taken(1.0) <= GUARD_MOST
+    assert guard.taken(100.0) == 0
+
+
+def test_own_targets_follow_the_live_instances() -> None:
+    targets = [ListedMember(f"r{n}", "target", "a:1", "oviedo") for n in range(40)]
+    states_by_id = {member.id: TargetState(member) for member in targets}
+    peers = [ListedMember(f"e{n}", "instance", "a:1", "oviedo") for n in (1, 2)]
+    memberships = [Membership(f"e{n}", "oviedo") for n in (1, 2)]
+    owns = [OwnTargets(membership) for membership in memberships]
+    assert len(owns[0].refresh(states_by_id).gained) == 40
+    for membership in memberships:
+        membership.apply_list(peers)
+    changes = owns[0].refresh(states_by_id)
+    owns[1].refresh(states_by_id)
+    assert changes.lost
+    assert not owns[0].alone
+    for target in states_by_id:
+        assert owns[0].owns(target) != owns[1].owns(target)
+    memberships[0].apply_list(peers[:1])
+    changes = owns[0].refresh(states_by_id)
+    assert changes.peers_gone == ["e2"]
+    assert set(changes.gained) == {t for t in states_by_id if owns[1].owns(t)}
--- /dev/null
+++ b/tests/headroom/test_headroom_machine.py
@@ -0,0 +1,207 @@
+"""Headroom and preemption fuzzed against a simple oracle."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from caperridge.decisions.headroom import SETTLE_S, Headroom
+from caperridge.decisions.online_counts import EXPIRES_S
+from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream
+
+TARGET = "runner-1"
+OWN = "entry-1"
+PEERS = ("entry-2", "entry-3")
+LONG_AGO = -1000.0
+
+
+class News:
+    """One message of a peer on its way; it may be lost, late or doubled."""
+
+    def __init__(self, sender: str, in_flight: int, sequence: int) -> None:
+        self.sender = sender
+        self.in_flight = in_flight
+        self.sequence = sequence
+
+
+class HeadroomMachine(RuleBasedStateMachine):
+    """One runner, its dispatcher, and online senders whose news goes astray."""
+
+    @initialize(
+        most_running=st.integers(2, 12),
+        weight=st.sampled_from([0.0, 0.3, 0.5, 1.0]),
+        alone=st.booleans(),
+    )
+    def begin(self, most_running: int, weight: float, alone: bool) -> None:
+        self.now = 100.0
+        self.most_running = most_running
+        self.weight = weight
+        self.headroom = Headroom()
+        self.headroom.gained(TARGET, self.now, alone)
+        self.settled_at = self.now if alone else self.now + SETTLE_S
+        self.in_flight_by_sender = dict.fromkeys((OWN, *PEERS), 0)
+        self.sequence_by_sender = dict.fromkeys(PEERS, 0)
+        self.on_the_way: list[News] = []
+        # What an all-knowing dispatcher would have: count, sequence, time heard.
+        self.heard_by_sender: dict[str, tuple[int, int, float]] = {}
+        self.batch: list[BatchStream] = []
+        self.started = 0
+
+    def _change(self, sender: str, by: int) -> None:
+        self.in_flight_by_sender[sender] += by
+        self._tell(sender)
+
+    def _tell(self, sender: str) -> None:
+        in_flight = self.in_flight_by_sender[sender]
+        if sender == OWN:
+            self.headroom.online_changed(TARGET, OWN, in_flight, self.now)
+            self._preempt()
+            return
+        self.sequence_by_sender[sender] += 1
+        news = News(sender, in_flight, self.sequence_by_sender[sender])
+        self.on_the_way.append(news)
+
+    def _hear(self, news: News) -> None:
+        known = self.heard_by_sender.get(news.sender, (0, 0, LONG_AGO))
+        fresh = news.sequence > known[1] or self.now - known[2] >= EXPIRES_S
+        taken = self.headroom.online_changed(
+            TARGET, news.sender, news.in_flight, self.now, news.sequence
+        )
+        assert taken == fresh
+        if fresh:
+            heard = (news.in_flight, news.sequence, self.now)
+            self.heard_by_sender[news.sender] = heard
+        self._preempt()
+
+    def _oracle_online(self) -> int:
+        total = self.in_flight_by_sender[OWN]
+        for in_flight, _, heard_at in self.heard_by_sender.values():
+            if self.now - heard_at < EXPIRES_S:
+                total += in_flight
+        return total
+
+    def _allowed(self) -> int:
+        return self.headroom.allowed(TARGET, self.most_running, self.weight, self.now)
+
+    def _preempt(self) -> None:
+        victims = self.headroom.to_preempt(
+            TARGET, self.most_running, self.weight, self.batch, self.now
+        )
+        for victim in victims:
+            self.batch.remove(victim)
+        self._check_order(victims)
+        assert len(self.batch) <= self._allowed()
+
+    def _check_order(self, victims: list[BatchStream]) -> None:
+        for victim in victims:
+            for kept in self.batch:
+                if victim.preemptions >= PROTECTED_AFTER:
+                    assert kept.preemptions >= victim.preemptions
+                elif kept.preemptions < PROTECTED_AFTER:
+                    assert kept.tokens >= victim.tokens
+
+    @rule(sender=st.sampled_from([OWN, *PEERS]))
+    def online_starts(self, sender: str) -> None:
+        self._change(sender, +1)
+
+    @rule(sender=st.sampled_from([OWN, *PEERS]))
+    def online_ends(self, sender: str) -> None:
+        if self.in_flight_by_sender[sender]:
+            self._change(sender, -1)
+
+    @rule(data=st.data(), again=st.booleans())
+    @precondition(lambda self: self.on_the_way)
+    def news_arrives_in_any_order(self, data: Any, again: bool) -> None:
+        news = data.draw(st.sampled_from(self.on_the_way))
+        if not again:
+            self.on_the_way.remove(news)
+        self._hear(news)
+
+    @rule()
+    @precondition(lambda self: self.on_the_way)
+    def news_is_lost(self) -> None:
+        self.on_the_way.pop(0)
+
+    @rule()
+    def peers_repeat_what_is_in_flight(self) -> None:
+        for sender in PEERS:
+            if self.in_flight_by_sender[sender]:
+                self._tell(sender)
+
+    @rule(sender=st.sampled_from(PEERS))
+    def a_peer_is_gone(self, sender: str) -> None:
+        self.in_flight_by_sender[sender] = 0
+        self.headroom.sender_gone(sender)
+        self.heard_by_sender.pop(sender, None)
+        self.on_the_way = [n for n in self.on_the_way if n.sender != sender]
+
+    @rule(seconds=st.sampled_from([0.001, 0.05, 0.5, 4.0]))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(step_s=st.sampled_from([0.01, 0.03, 0.06]), count=st.integers(1, 8))
+    def steps_are_seen(self, step_s: float, count: int) -> None:
+        for _ in range(count):
+            self.headroom.step_seen(TARGET, len(self.batch), step_s, self.now)
+
+    @rule(first_token_s=st.sampled_from([0.02, 0.5, 3.0]))
+    def a_first_token_is_seen(self, first_token_s: float) -> None:
+        self.headroom.first_token_seen(TARGET, first_token_s, self.now)
+        self._preempt()
+
+    @rule(preemptions=st.integers(0, PROTECTED_AFTER + 2))
+    def batch_fills(self, preemptions: int) -> None:
+        starts = self.headroom.to_start(
+            TARGET, self.most_running, self.weight, len(self.batch), 0, self.now
+        )
+        if starts.count:
+            assert self.now >= self.settled_at
+        for _ in range(starts.count):
+            self.started += 1
+            stream = BatchStream(f"a{self.started}", TARGET, 0, preemptions)
+            self.batch.append(stream)
+        assert len(self.batch) <= max(self._allowed(), len(self.batch) - starts.count)
+
+    @rule(tokens=st.integers(1, 20))
+    def batch_goes_on(self, tokens: int) -> None:
+        for stream in self.batch[::2]:
+            stream.tokens += tokens
+
+    @rule()
+    def all_news_arrives(self) -> None:
+        for news in sorted(self.on_the_way, key=lambda n: n.sequence):
+            self._hear(news)
+        self.on_the_way.clear()
+        for sender in PEERS:
+            # The newest word may have been lost; the repeat makes that good.
+            self._tell(sender)
+            self._hear(self.on_the_way.pop())
+        online = sum(self.in_flight_by_sender.values())
+        assert self.headroom.online(TARGET, self.now) == online
+        assert not self.batch or len(self.batch) + online <= self.most_running
+
+    @invariant()
+    def what_is_known_is_what_was_heard(self) -> None:
+        assert self.headroom.online(TARGET, self.now) == self._oracle_online()
+
+    @invariant()
+    def allowed_is_within_bounds(self) -> None:
+        allowed = self._allowed()
+        startable = self.headroom.startable(
+            TARGET, self.most_running, self.weight, self.now
+        )
+        assert 0 <= startable <= allowed <= self.most_running
+        assert allowed == 0 or allowed + self._oracle_online() <= self.most_running
+
+
+TestHeadroom = HeadroomMachine.TestCase
+TestHeadroom.settings = settings(
+    max_examples=120, stateful_step_count=40, deadline=None, derandomize=True
+)
