Fix: a runner with more online requests than places could stop the dispatcher

Cause: found while comparing KV import by the model with prompts of 1,000 tokens: prefill that comes with many streams looked like a slope without a base, and a tail above the places divided by zero. Change: the fit keeps a base of a tenth of the mean step, and the tail is taken as it is where batch has no place beside it. Tests cause both, and failed before. See docs/design/headroom.

--- a/src/caperridge/decisions/batch_share.py
+++ b/src/caperridge/decisions/batch_share.py
@@ -64,7 +64,9 @@
     >>> tail_alone(Line(0.04, 0.002), 20, 20)
     20.0
     """
-    beside = max(0, full - tail_online)
+    beside = full - tail_online
+    if beside <= 0:
+        return float(tail_online)
     alone = tail_online * line.base_s / (line.base_s + line.stream_s * beside)
     return round(alone, 3)
 
--- a/src/caperridge/decisions/step_time.py
+++ b/src/caperridge/decisions/step_time.py
@@ -15,6 +15,7 @@
 LEAST_SAMPLES = 4  # before a level counts
 OLDEST_S = 300.0
 FIT_EVERY_S = 0.25
+LEAST_BASE = 0.1  # of the mean step
 USUAL_SLOPE = 0.005  # of a step, for each stream
 USUAL_WEIGHT = 1000.0  # as of so many samples, each one stream off the mean
 
@@ -102,4 +103,7 @@
     )
     usual = USUAL_WEIGHT * USUAL_SLOPE * mean_step
     stream_s = max(0.0, (both + usual) / (spread + USUAL_WEIGHT))
-    return Line(max(0.0, mean_step - stream_s * mean_streams), stream_s)
+    # Long prompts come with many streams and look like a slope; a step has a base.
+    steepest = (1 - LEAST_BASE) * mean_step / max(1.0, mean_streams)
+    stream_s = min(stream_s, steepest)
+    return Line(mean_step - stream_s * mean_streams, stream_s)
--- a/tests/headroom/test_step_time.py
+++ b/tests/headroom/test_step_time.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from caperridge.decisions.step_time import StepTime
+from caperridge.decisions.batch_share import most_streams, tail_alone
+from caperridge.decisions.step_time import Line, StepTime
 
 
 @pytest.mark.parametrize(
@@ -41,3 +42,23 @@
     line = steps.line(now=1000.0)
     assert line is not None
     assert line.stream_s == pytest.approx(0.001, rel=0.1)
+
+
+def test_prefill_that_grows_with_the_streams_leaves_a_base() -> None:
+    steps = StepTime()
+    for _ in range(40):
+        for streams in range(1, 40):
+            steps.observe(streams, 0.001 * streams**2, now=1.0)
+    line = steps.line(now=1.0)
+    assert line is not None
+    assert line.base_s > 0
+
+
+@pytest.mark.parametrize("tail_online", [1, 24, 60])
+@pytest.mark.parametrize("base_s", [0.0, 0.04])
+def test_the_share_is_defined_for_any_line_and_load(
+    tail_online: int, base_s: float
+) -> None:
+    line = Line(base_s, 0.001)
+    assert 0 <= tail_alone(line, tail_online, 24) <= tail_online
+    assert most_streams(line, tail_online, 24, 0.5) >= 0
