--- a/src/caperridge/commands/confirm_intent.py
+++ b/src/caperridge/commands/confirm_intent.py
@@ -1,5 +1,6 @@
 """Confirming a plan: the one way in which the configuration changes."""
 
+import asyncio
 import secrets
 
 import xxhash
@@ -118,7 +119,8 @@
     if isinstance(read, Err):
         return Err(_nothing_written(read.err_value))
     head = read.ok_value
-    plan = make_plan(head.configuration, intent.wanted)
+    # Thousands of callers take tenths of a second: not on the loop of requests.
+    plan = await asyncio.to_thread(make_plan, head.configuration, intent.wanted)
     if plan.digest != intent.digest:
         return Err(HeadMoved(plan))
     if not plan.changes and head.row_version:
@@ -127,9 +129,13 @@
     entry = await _store(platform, head, intent, len(plan.changes))
     if isinstance(entry, Err):
         return entry
-    outcome = await _commit(platform, head, entry.ok_value)
+    entry_row, delta = entry.ok_value
+    outcome = await _commit(platform, head, entry_row)
     if isinstance(outcome, Ok):
-        return Ok(_confirmed(head, intent))
+        configuration = intent.wanted.replace(version=entry_row.version)
+        return Ok(
+            Confirmed(entry_row.version, intent.operator, False, configuration, delta)
+        )
     if not isinstance(outcome.err_value, Conflict):
         return outcome
     return await _after_conflict(platform, intent)
@@ -153,8 +159,8 @@
 
 async def _store(
     platform: Platform, head: Head, intent: Intent, changes: int
-) -> Result[LogEntry, WriteError]:
-    """Put what the new version needs into the object store; return its log entry."""
+) -> Result[tuple[LogEntry, PackedDelta], WriteError]:
+    """Store what the new version needs; return its log entry and its delta."""
     version = head.configuration.version + 1
     confirmed = intent.wanted.replace(version=version)
     entry = LogEntry(
@@ -163,11 +169,12 @@
         intent.operator,
         head.snapshot,
         head.snapshot_version,
-        pack(make_delta(head.configuration, confirmed)),
+        await asyncio.to_thread(_pack_delta, head.configuration, confirmed),
         at=intent.at,
         changes=changes,
         rollback_to=intent.rollback_to,
     )
+    packed = PackedDelta(version - 1, version, entry.delta)
     if len(entry.delta) > MOST_INLINE_BYTES:
         digest = xxhash.xxh3_128_hexdigest(entry.delta)
         entry.delta_object = keys.configuration_delta(version, digest)
@@ -176,13 +183,17 @@
             return stored
         entry.delta = b""
     if head.snapshot and version - head.snapshot_version < SNAPSHOT_EVERY:
-        return Ok(entry)
-    data = pack(confirmed)
+        return Ok((entry, packed))
+    data = await asyncio.to_thread(pack, confirmed)
     digest = xxhash.xxh3_128_hexdigest(data)
     entry.snapshot = keys.configuration_snapshot(version, digest)
     entry.snapshot_version = version
     stored = await _put(platform, entry.snapshot, data)
-    return stored if isinstance(stored, Err) else Ok(entry)
+    return stored if isinstance(stored, Err) else Ok((entry, packed))
+
+
+def _pack_delta(before: Configuration, after: Configuration) -> bytes:
+    return pack(make_delta(before, after))
 
 
 async def _put(platform: Platform, name: str, data: bytes) -> Result[None, NotDone]:
@@ -226,14 +237,6 @@
     )
 
 
-def _confirmed(head: Head, intent: Intent) -> Confirmed:
-    version = head.configuration.version + 1
-    configuration = intent.wanted.replace(version=version)
-    data = pack(make_delta(head.configuration, configuration))
-    delta = PackedDelta(version - 1, version, data)
-    return Confirmed(version, intent.operator, False, configuration, delta)
-
-
 async def _after_conflict(
     platform: Platform, intent: Intent
 ) -> Result[Confirmed, ConfirmError]:
--- a/src/caperridge/instance/intents_http.py
+++ b/src/caperridge/instance/intents_http.py
@@ -178,7 +178,7 @@
         facts = await read_facts(
             instance.platform, operator, targets, instance.orderer.book
         )
-        return describe(plan, head, wanted, facts)
+        return await asyncio.to_thread(describe, plan, head, wanted, facts)
 
 
 async def _body(request: web.Request) -> dict[str, Any]:
--- a/src/caperridge/records.py
+++ b/src/caperridge/records.py
@@ -69,7 +69,14 @@
 
 def pack(value: Any) -> bytes:
     """Return ``value`` (maps, lists, scalars, records) as msgpack bytes."""
-    return msgpack.packb(_plain(value), use_bin_type=True)
+    return msgpack.packb(value, default=_fields, use_bin_type=True)
+
+
+def _fields(value: Any) -> Any:
+    """Return what stands for ``value`` in msgpack; it packs what is inside itself."""
+    if isinstance(value, Record):
+        return {name: getattr(value, name) for name in value.__slots__}
+    raise TypeError(f"{type(value).__name__} cannot be packed")
 
 
 def unpack(data: bytes) -> Any:
