Let an old release that confirms leave one content everywhere

Ruled out: refusing the confirm, which leaves operators stuck when a release is rolled back; copying unknown fields through the older release, whose plan could not show them. Planted and found on a copy: the delta sent all the same.

--- a/src/caperridge/commands/confirm_intent.py
+++ b/src/caperridge/commands/confirm_intent.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
-from caperridge.config.model import Configuration
+from caperridge.config.model import FORMAT, Configuration
 from caperridge.decisions.configuration_order import PackedDelta, make_delta
 from caperridge.decisions.plans import Plan, base_of, make_plan
 from caperridge.platform.interface import (
@@ -46,7 +46,7 @@
         operator: who confirmed it.
         already: an earlier call did; its answer may have been lost.
         configuration: the version itself; None if an earlier call confirmed it.
-        delta: what leads to it; None likewise.
+        delta: what leads to it; None likewise, and if it has to be read whole.
     """
 
     __slots__ = ("already", "configuration", "delta", "operator", "version")
@@ -159,7 +159,7 @@
 
 async def _store(
     platform: Platform, head: Head, intent: Intent, changes: int
-) -> Result[tuple[LogEntry, PackedDelta], WriteError]:
+) -> Result[tuple[LogEntry, PackedDelta | None], WriteError]:
     """Store what the new version needs; return its log entry and its delta."""
     version = head.configuration.version + 1
     confirmed = intent.wanted.replace(version=version)
@@ -173,6 +173,7 @@
         at=intent.at,
         changes=changes,
         rollback_to=intent.rollback_to,
+        format=FORMAT,
     )
     packed = PackedDelta(version - 1, version, entry.delta)
     if len(entry.delta) > MOST_INLINE_BYTES:
@@ -182,14 +183,20 @@
         if isinstance(stored, Err):
             return stored
         entry.delta = b""
-    if head.snapshot and version - head.snapshot_version < SNAPSHOT_EVERY:
+    newer = head.format > FORMAT
+    due = not head.snapshot or version - head.snapshot_version >= SNAPSHOT_EVERY
+    if not due and not newer:
         return Ok((entry, packed))
     data = await asyncio.to_thread(pack, confirmed)
     digest = xxhash.xxh3_128_hexdigest(data)
     entry.snapshot = keys.configuration_snapshot(version, digest)
     entry.snapshot_version = version
     stored = await _put(platform, entry.snapshot, data)
-    return stored if isinstance(stored, Err) else Ok((entry, packed))
+    if isinstance(stored, Err):
+        return stored
+    # The delta says nothing of what only the newer release knows, and those who know
+    # it must not keep it: everybody has to start from this snapshot.
+    return Ok((entry, None if newer else packed))
 
 
 def _pack_delta(before: Configuration, after: Configuration) -> bytes:
--- a/src/caperridge/config/model.py
+++ b/src/caperridge/config/model.py
@@ -4,6 +4,7 @@
 
 from caperridge.records import Record
 
+FORMAT = 1  # raised by a release that adds a table or a field to a declaration
 DEFAULT_STORE = "default"
 DEFAULT_GB_PER_S = 1.0
 
--- a/src/caperridge/instance/configuration.py
+++ b/src/caperridge/instance/configuration.py
@@ -125,9 +125,15 @@
 
     @handle.register
     async def _(self, message: ConfigurationConfirmed) -> None:
-        self._order.keep(message.delta)
-        if self.apply(message.configuration):
-            self.peers.send_all(self._news(message.delta))
+        version = message.configuration.version
+        news = ConfigurationNews(version)
+        if message.delta is not None:
+            self._order.keep(message.delta)
+        if not self.apply(message.configuration):
+            return
+        if message.delta is not None:
+            news = self._news(message.delta)
+        self.peers.send_all(news)
 
     @handle.register
     async def _(self, message: HeadRead) -> None:
--- a/src/caperridge/instance/intents_http.py
+++ b/src/caperridge/instance/intents_http.py
@@ -11,7 +11,7 @@
 from caperridge.commands.confirm_intent import Confirmed, HeadMoved, Intent
 from caperridge.commands.confirm_intent import confirm_intent as confirm_command
 from caperridge.config import declarations
-from caperridge.config.model import Configuration
+from caperridge.config.model import FORMAT, Configuration
 from caperridge.decisions.effects import describe
 from caperridge.decisions.plans import Plan, changes_between, make_plan
 from caperridge.findings import FindingsError
@@ -70,6 +70,10 @@
         head = current if isinstance(read, Err) else read.ok_value.configuration
         plan = await asyncio.to_thread(make_plan, head, asked.wanted)
         plan = await self._described(plan, head, asked.wanted, operator)
+        if isinstance(read, Ok) and read.ok_value.format > FORMAT:
+            text = f"version {head.version} was confirmed by a newer release: what"
+            text += " this release does not know is dropped; confirm at a newer one"
+            plan.warnings.append(text)
         if away:
             text = f"the platform is away: planned against version {head.version},"
             plan.warnings.append(f"{text} which may not be the newest")
@@ -97,7 +101,7 @@
         return json_response(body, status=409)
 
     def _took(self, confirmed: Confirmed) -> dict[str, Any]:
-        if confirmed.configuration is not None and confirmed.delta is not None:
+        if confirmed.configuration is not None:
             message = ConfigurationConfirmed(confirmed.configuration, confirmed.delta)
             self._instance.configuration.tell(message)
         return {
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -21,11 +21,14 @@
 
 
 class ConfigurationConfirmed(Record):
-    """This instance confirmed a version; ``delta`` is what leads to it."""
+    """This instance confirmed a version.
+
+    ``delta`` is what leads to it, or None if everybody has to read it whole.
+    """
 
     __slots__ = ("configuration", "delta")
 
-    def __init__(self, configuration: Configuration, delta: PackedDelta) -> None:
+    def __init__(self, configuration: Configuration, delta: PackedDelta | None) -> None:
         self.configuration = configuration
         self.delta = delta
 
--- a/src/caperridge/queries/configuration.py
+++ b/src/caperridge/queries/configuration.py
@@ -24,12 +24,14 @@
         row_version: of the head's row, for the condition of the next confirm.
         snapshot: object with the newest whole version that is stored.
         snapshot_version: which one that is.
+        format: of the release that confirmed it.
         deltas: those that were read on the way, in order.
     """
 
     __slots__ = (
         "configuration",
         "deltas",
+        "format",
         "row_version",
         "snapshot",
         "snapshot_version",
@@ -42,8 +44,10 @@
         snapshot: str = "",
         snapshot_version: int = 0,
         deltas: list[PackedDelta] | None = None,
+        format: int = 0,
     ) -> None:
         self.configuration = configuration
+        self.format = format
         self.row_version = row_version
         self.snapshot = snapshot
         self.snapshot_version = snapshot_version
@@ -64,6 +68,7 @@
         at: when it was confirmed, in seconds since the epoch.
         changes: how many things it changed.
         rollback_to: the version it went back to; 0 if it was declared.
+        format: of the release that confirmed it.
     """
 
     __slots__ = (
@@ -71,6 +76,7 @@
         "changes",
         "delta",
         "delta_object",
+        "format",
         "operator",
         "plan",
         "rollback_to",
@@ -91,8 +97,10 @@
         at: float = 0.0,
         changes: int = 0,
         rollback_to: int = 0,
+        format: int = 0,
     ) -> None:
         self.version = version
+        self.format = format
         self.plan = plan
         self.operator = operator
         self.snapshot = snapshot
@@ -131,7 +139,14 @@
         return read
     configuration, deltas = read.ok_value
     return Ok(
-        Head(configuration, row.version, entry.snapshot, entry.snapshot_version, deltas)
+        Head(
+            configuration,
+            row.version,
+            entry.snapshot,
+            entry.snapshot_version,
+            deltas,
+            entry.format,
+        )
     )
 
 
--- a/tests/configuration/test_order.py
+++ b/tests/configuration/test_order.py
@@ -4,7 +4,7 @@
 from result import Err, Ok
 
 from caperridge.commands.confirm_intent import SNAPSHOT_EVERY, HeadMoved
-from caperridge.config.model import Caller, Configuration
+from caperridge.config.model import FORMAT, Caller, Configuration
 from caperridge.decisions.configuration_order import (
     MOST_DELTAS,
     ConfigurationOrder,
@@ -266,6 +266,24 @@
     assert member.version == 1
 
 
+async def test_an_old_release_that_confirms_leaves_one_content(world: World) -> None:
+    """What only a newer release knows goes everywhere, not at some instances."""
+    await world.run(1)
+    one, other = list(world.members_by_name.values())[:2]
+    await world.confirm(one, with_callers("a"))
+    row = world.memory.rows_by_key["configuration/head"]
+    newer = row.value | {"format": FORMAT + 1}
+    world.memory.rows_by_key[row.key] = row.replace(value=newer)
+    await world.run(1)
+    # What only the newer release has, at its own instance.
+    other.keeper._order.current = with_callers("a", "newer").replace(version=1)
+    outcome = await world.confirm(one, with_callers("a", "b"))
+    assert outcome.unwrap().delta is None
+    await world.run(6)
+    for member in world.members_by_name.values():
+        assert sorted(member.keeper.current.callers_by_name) == ["a", "b"]
+
+
 async def test_news_cross_a_zone_that_has_one_link(world: World) -> None:
     await world.run(2)
     santander = world.start("santander")
