Never take both runners of a service away, and prove a switch under load

Cause, found by a switch under load: a load that was entered while a runner held nothing yet was taken for the entry of a later one that takes it away from online, so both runners of a service were switched at once (requests were moved and answered, but three streams were cut). Found by the state machine with empty targets: an orderer that lost its target and got it back went on with an entry that others had replaced. Change: an entry counts only for what it was made for; it is forgotten with the hold; and the list is read once more just before an order that takes a runner away. Planted and found on a copy: the entry used for any step (by the first-load test). Not found with the second look at the list in place: the entry kept with the hold lost.

--- a/src/caperridge/instance/load_gate.py
+++ b/src/caperridge/instance/load_gate.py
@@ -79,6 +79,13 @@
                 return [other.id]
         return []
 
+    async def lists(self, store: WeightStore, target_id: str) -> bool:
+        """Return whether the list is known to hold a load of a target."""
+        read = await read_loads(self._platform, store.name)
+        if isinstance(read, Err):
+            return False
+        return any(load.target == target_id for load in read.ok_value[1])
+
     async def end(self, store: WeightStore, target_id: str) -> bool:
         """Take a target's load out of the list; return whether it is out."""
         read = await read_loads(self._platform, store.name)
--- a/src/caperridge/instance/orderer.py
+++ b/src/caperridge/instance/orderer.py
@@ -65,7 +65,7 @@
         "due",
         "held_since",
         "lease",
-        "loading",
+        "load",
         "member",
         "told_at",
         "touched",
@@ -78,7 +78,7 @@
         self.lease = OrderLease(checks_fencing)
         self.due = float("-inf")
         self.held_since: float | None = None
-        self.loading = False
+        self.load: Load | None = None  # as entered into its weight store's list
         self.unlisted = False  # a former orderer may have left its load in the list
         self.told_at = float("-inf")
         self.touched = False  # its row may name a session of this instance
@@ -240,6 +240,8 @@
             return
         if out and not await self._drained(ordered, observed):
             return
+        if out and not await self._still_listed(ordered):
+            return
         await self._order(ordered, desired, gb)
 
     def _desired(self, member: ListedMember, service: Service) -> Loaded:
@@ -258,6 +260,8 @@
         session_id = self._session.session_id
         if ordered.lease.held_by(session_id):
             return True
+        # Another may have ordered it meanwhile: what was begun has to begin again.
+        ordered.load, ordered.held_since, ordered.unlisted = None, None, False
         target_id = ordered.member.id
         read = await read_order(self._platform, target_id)
         if isinstance(read, Err):
@@ -285,7 +289,8 @@
         self, ordered: Ordered, service: Service, gb: float, out: bool
     ) -> bool:
         """Enter the load into the list of its weight store, if it may begin."""
-        if ordered.loading:
+        entered = ordered.load
+        if entered is not None and (entered.out or not out):
             return True
         member = ordered.member
         others = [
@@ -298,7 +303,7 @@
         ordered.why = await self._gate.begin(store, load, member, service, others)
         if ordered.why:
             return False
-        ordered.loading = True
+        ordered.load = load
         ordered.unlisted = False
         return True
 
@@ -319,6 +324,14 @@
         ordered.why = f"{running.ok_value} requests still run there"
         return running.ok_value == 0
 
+    async def _still_listed(self, ordered: Ordered) -> bool:
+        """Return whether the load was not given up by others meanwhile."""
+        store = self._configuration.weight_store(ordered.member.region)
+        if await self._gate.lists(store, ordered.member.id):
+            return True
+        ordered.load = None
+        return False
+
     async def _order(self, ordered: Ordered, desired: Loaded, gb: float) -> None:
         lease = ordered.lease
         session_id = self._session.session_id
@@ -344,7 +357,7 @@
             store = self._configuration.weight_store(ordered.member.region)
             if not await self._gate.end(store, ordered.member.id):
                 return
-        ordered.loading, ordered.unlisted = False, True
+        ordered.load, ordered.unlisted = None, True
         ordered.why = ""
         ordered.due = self._clock() + LOOK_S
 
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -275,3 +275,15 @@
     await release_target(world.memory, "r9", one.session.session_id)
     late = OrderRow(other.session.session_id, 2, LEASE_S)
     assert isinstance(await take_target(world.memory, "r9", seen, late), Err)
+
+
+@pytest.mark.parametrize("members", [1, 2])
+async def test_a_version_that_changes_during_the_first_load(members: int) -> None:
+    for steps in range(1, 40, 2):
+        world = World(targets=2, empty=True)
+        for _ in range(members):
+            world.start()
+        await world.run(steps * 0.5)
+        world.wanted = declared("2")
+        await world.run(60.0, step_s=1.0)
+        assert {t.loaded.version for t in world.targets_by_id.values()} == {"2"}
--- /dev/null
+++ b/tests/orders/test_switch_under_load.py
@@ -0,0 +1,40 @@
+"""A version is switched under load, and no request is refused."""
+
+import asyncio
+
+from conftest import DECLARATION, Fleet, until
+
+CHAT = {
+    "model": "chat",
+    "max_tokens": 8,
+    "messages": [{"role": "user", "content": "alarm?"}],
+}
+SWITCHED = DECLARATION.replace('version = "1"', 'version = "2"').replace(
+    '"1" = 10.0', '"1" = 10.0, "2" = 20.0'
+)
+
+
+async def ask_until(fleet: Fleet, stop: asyncio.Event) -> list[int]:
+    """Ask one question after the other; return the statuses."""
+    statuses: list[int] = []
+    while not stop.is_set():
+        status, _ = await fleet.post("/v1/chat/completions", CHAT)
+        statuses.append(status)
+        await asyncio.sleep(0.005)
+    return statuses
+
+
+async def test_a_switch_refuses_no_request(fleet: Fleet) -> None:
+    engines = list(fleet.engines_by_id.values())
+    await until(lambda: all(engine.loader.loaded for engine in engines))
+    stop = asyncio.Event()
+    callers = [asyncio.create_task(ask_until(fleet, stop)) for _ in range(6)]
+    await fleet.confirm(SWITCHED)
+    await until(
+        lambda: all(engine.loader.loaded["version"] == "2" for engine in engines), 60.0
+    )
+    stop.set()
+    statuses = [status for caller in callers for status in await caller]
+    assert set(statuses) == {200}
+    assert sum(engine.cut_by_load for engine in engines) == 0
+    assert fleet.instance.online.book.any_usable("chat")
