Let instance.drain be the staged stop again, as its users call it

Change: instance.drain is the staged stop, its message is "stopping" with the stage as a field. The dump stays a module of its own.

--- a/src/caperridge/cli/instances.py
+++ b/src/caperridge/cli/instances.py
@@ -62,7 +62,7 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     await instance.start()
     await signals.get()
-    drain = loop.create_task(instance.drain())
+    drain = loop.create_task(instance.drain.run())
     second = loop.create_task(signals.get())
     await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
     sooner = not drain.done()
@@ -71,6 +71,6 @@
         with contextlib.suppress(asyncio.CancelledError):
             await task
     if sooner:
-        await instance.planned_stop.end_now()
+        await instance.drain.end_now()
     await instance.stop()
-    return len(instance.planned_stop.cut)
+    return len(instance.drain.cut)
--- a/src/caperridge/instance/drain.py
+++ b/src/caperridge/instance/drain.py
@@ -28,7 +28,7 @@
 )
 
 
-class PlannedStop:
+class Drain:
     """Stops one instance as planned.
 
     Attributes:
@@ -110,4 +110,4 @@
 
     def _enter(self, stage: str, **details: Any) -> None:
         self.stage = stage
-        log.info(f"stopping: {stage.replace('_', ' ')}", stage=stage, **details)
+        log.info("stopping", stage=stage, **details)
--- a/src/caperridge/instance/dump.py
+++ b/src/caperridge/instance/dump.py
@@ -30,5 +30,5 @@
         "online": instance.online.state(),
         "traces": len(instance.traces),
         "trace_bytes": instance.traces.bytes,
-        "stop": instance.planned_stop.state(),
+        "stop": instance.drain.state(),
     }
--- a/src/caperridge/instance/operators_http.py
+++ b/src/caperridge/instance/operators_http.py
@@ -48,7 +48,7 @@
             {
                 "ready": not missing,
                 "because": missing,
-                "stage": self._instance.planned_stop.stage,
+                "stage": self._instance.drain.stage,
             },
             status=status,
         )
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -16,7 +16,7 @@
 from caperridge.instance.callers_http import CallersHttp
 from caperridge.instance.configuration import ConfigurationKeeper
 from caperridge.instance.dispatcher import BatchDispatcher
-from caperridge.instance.drain import PlannedStop
+from caperridge.instance.drain import Drain
 from caperridge.instance.dump import dump
 from caperridge.instance.http_common import bearer_digest
 from caperridge.instance.in_flight import ENTRY, InFlight
@@ -101,7 +101,7 @@
         self._listeners = Listeners()
         self.addresses_by_listener = self._listeners.addresses_by_name
         self.in_flight = InFlight()
-        self.planned_stop = PlannedStop(self)
+        self.drain = Drain(self)
         self.membership = Membership(
             settings.instance_id,
             settings.availability_zone,
@@ -342,7 +342,7 @@
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
         missing: list[str] = []
-        if self.planned_stop.stopping:
+        if self.drain.stopping:
             missing.append("it is stopping")
         if not self.configuration.known:
             missing.append("it does not know the configuration yet")
@@ -356,10 +356,6 @@
         """Return a dump of everything this process holds, for operators."""
         return dump(self)
 
-    async def drain(self) -> None:
-        """Stop as planned; see :mod:`caperridge.instance.drain`."""
-        await self.planned_stop.run()
-
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         apps = {"callers": CallersHttp(self).app()}
--- a/tests/plain/test_stopping.py
+++ b/tests/plain/test_stopping.py
@@ -31,14 +31,14 @@
     rig.set_faults("all", late_s=0.2)
     call = asyncio.ensure_future(rig.call("billing", key="k1"))
     await until(lambda: rig.runs == 1)
-    stop = asyncio.ensure_future(rig.instance.drain())
-    await until(lambda: rig.instance.planned_stop.stage == "finishing")
+    stop = asyncio.ensure_future(rig.instance.drain.run())
+    await until(lambda: rig.instance.drain.stage == "finishing")
     assert "it is stopping" in rig.instance.not_ready_because()
-    (listed,) = rig.instance.planned_stop.state()["in_flight"]
+    (listed,) = rig.instance.drain.state()["in_flight"]
     assert (listed["caller"], listed["path"]) == ("heat", "/services/billing/check")
     assert (await call).status == 200
     await stop
-    assert (rig.instance.planned_stop.stage, rig.instance.planned_stop.cut) == (
+    assert (rig.instance.drain.stage, rig.instance.drain.cut) == (
         "stopped",
         [],
     )
@@ -58,14 +58,14 @@
     url = rig.callers_url + "/v1/files"
     upload = asyncio.ensure_future(rig.http.post(url, data=form, headers=HEADERS))
     await until(rig.instance.in_flight.listed)
-    stop = asyncio.ensure_future(rig.instance.drain())
-    await until(lambda: rig.instance.planned_stop.stage == "finishing")
+    stop = asyncio.ensure_future(rig.instance.drain.run())
+    await until(lambda: rig.instance.drain.stage == "finishing")
     go_on.set()
     async with await upload as response:
         assert response.status == 200
         assert response.headers["Connection"] == "close"
     await stop
-    assert rig.instance.planned_stop.cut == []
+    assert rig.instance.drain.cut == []
 
 
 async def test_what_does_not_end_in_time_is_cut_and_named(rig) -> None:
@@ -73,7 +73,7 @@
     rig.set_faults("all", late_s=0.2)
     call = asyncio.ensure_future(rig.call("lookup"))
     await until(lambda: rig.runs == 1)
-    await rig.instance.drain()
-    (cut,) = rig.instance.planned_stop.cut
+    await rig.instance.drain.run()
+    (cut,) = rig.instance.drain.cut
     assert (cut.caller, cut.path) == ("heat", "/services/lookup/check")
     await call
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -34,9 +34,9 @@
             self.lines.append(line.decode())
 
     def logged(self, message: str) -> list[dict[str, Any]]:
-        """Return the log lines whose message begins like this."""
+        """Return the log lines with this message."""
         records = [json.loads(line) for line in self.lines if line.startswith("{")]
-        return [record for record in records if record["message"].startswith(message)]
+        return [record for record in records if record["message"] == message]
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
