Read the stages of a stop by their field, and call the stop as it is called now

Cause: the message of a stage changed while the test and the demo were under way; the field did not. An import that a merge dropped is back.

--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -106,14 +106,14 @@
         """Start ``successor``, stop ``name`` as planned; return what that cut."""
         instance = self.instances_by_id[name]
         await self.start_instance(successor, instance.settings.availability_zone)
-        drain = asyncio.get_running_loop().create_task(instance.drain.run())
+        drain = asyncio.get_running_loop().create_task(instance.drain())
         await asyncio.sleep(BALANCER_S / 2)
         del self.instances_by_id[name]
         await drain
         await instance.stop()
         self._all_instances.remove(instance)
         self._unlist(name)
-        return len(instance.drain.cut)
+        return len(instance.planned_stop.cut)
 
     async def kill_engine(self, name: str) -> None:
         """Kill a runner: its connections break and new ones are refused."""
--- a/tests/cli/test_processes.py
+++ b/tests/cli/test_processes.py
@@ -56,7 +56,7 @@
     ended = await end_of(process)
     assert ended.code == 0
     lines = [json.loads(line) for line in ended.err.splitlines()]
-    stages = [line["stage"] for line in lines if line["message"] == "stopping"]
+    stages = [line["stage"] for line in lines if "stage" in line]
     assert (stages[0], stages[-1]) == ("not_ready", "stopped")
     assert ended.out == ""
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -14,6 +14,7 @@
     EngineCosts,
     EngineModel,
     Sequence,
+    answer_digest,
     answer_text,
 )
 from conftest import Listen, until
