--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -106,7 +106,7 @@
         """Start ``successor``, stop ``name`` as planned; return what that cut."""
         instance = self.instances_by_id[name]
         await self.start_instance(successor, instance.settings.availability_zone)
-        drain = asyncio.get_running_loop().create_task(instance.drain())
+        drain = asyncio.get_running_loop().create_task(instance.drain.run())
         await asyncio.sleep(BALANCER_S / 2)
         del self.instances_by_id[name]
         await drain
