Hold every module to 400 lines

Cause: modules grow with each part that is wired in. The layering check finds the next one that grows too long, together with all other findings.

--- a/tests/layering.py
+++ b/tests/layering.py
@@ -6,6 +6,7 @@
 
 from caperridge.findings import Finding
 
+MOST_LINES = 400
 LIBRARIES_OF_DECISIONS = {
     "abc",
     "bisect",
@@ -76,6 +77,9 @@
     def add(line: int, message: str) -> None:
         findings.append(Finding(module, str(line), message))
 
+    lines = text.count("\n")
+    if lines > MOST_LINES:
+        add(lines, f"has {lines} lines; at most {MOST_LINES}")
     tree = ast.parse(text)
     imports = list(_imports(module, tree))
     for line, name in imports:
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -5,7 +5,7 @@
 import pytest
 
 import caperridge
-from layering import findings_in, findings_of
+from layering import MOST_LINES, findings_in, findings_of
 
 DECISION = "caperridge.decisions.planted"
 QUERY = "caperridge.queries.planted"
@@ -42,6 +42,7 @@
     (INSTANCE, "import subprocess\n", "starts processes"),
     (INSTANCE, "from os import fork\n", "starts processes"),
     (INSTANCE, "import os\nos.fork()\n", "starts processes"),
+    (INSTANCE, "\n" * (MOST_LINES + 1), "lines"),
 ]
 
 ALLOWED = [
@@ -50,6 +51,7 @@
     (DECISION, "from caperridge.decisions.rendezvous import owner\n"),
     (QUERY, "from caperridge.commands.accept_file import StoredFile\n"),
     (COMMAND, "async def f(p):\n    await p.put_object('x', b'')\n"),
+    (INSTANCE, "\n" * MOST_LINES),
     ("caperridge.cli.planted", "print(1)\n"),
     ("caperridge.measure.planted", "from caperridge.standins import engine\n"),
     ("caperridge.demo.planted", "from caperridge.measure import options\n"),
