--- a/src/caperridge/measure/plots.py
+++ b/src/caperridge/measure/plots.py
@@ -4,10 +4,17 @@
 from pathlib import Path
 from typing import Any
 
+from caperridge.measure.capacity import (
+    CONTROL_CORE_SHARE,
+    CONTROL_KB_PER_S,
+    CONTROL_MB,
+)
+
 # Okabe and Ito: told apart also by those who see few colours.
 BLUE, ORANGE, GREEN, BLACK = "#0072B2", "#D55E00", "#009E73", "#000000"
 SIZE_INCHES = (7.0, 4.2)
 DOTS_AN_INCH = 150
+TAIL_TICKS_MS = (50, 100, 200, 500, 1000, 2000, 5000)
 
 
 class PlotsMissingError(Exception):
@@ -110,6 +117,52 @@
     axes.set_title("First token, direct and through one instance")
 
 
+def _tail_against_batch(axes: Any, figures: dict[str, Any]) -> None:
+    """Each arm is a point: what batch got, against what online suffered."""
+    arms = {
+        name: arm
+        for name, arm in figures.items()
+        if isinstance(arm, dict) and "batch_share_of_idle" in arm
+    }
+    axes.set_yscale("log")
+    ordered = sorted(arms.items(), key=lambda item: item[1]["batch_share_of_idle"])
+    for number, (name, arm) in enumerate(ordered):
+        ours = name.startswith("caperridge")
+        x, y = arm["batch_share_of_idle"] * 100, arm["ttft_p99_ms"]
+        axes.plot(x, y, "o" if ours else "s", color=BLUE if ours else ORANGE)
+        # Neighbours lie close: their labels go above and below in turn.
+        axes.annotate(
+            name.replace("_", " "),
+            (x, y),
+            xytext=(0, 8 if number % 2 else -16),
+            textcoords="offset points",
+            ha="center",
+        )
+    axes.minorticks_off()
+    axes.set_yticks(TAIL_TICKS_MS, [f"{tick:,}" for tick in TAIL_TICKS_MS])
+    axes.margins(x=0.12, y=0.2)
+    axes.set_xlabel("idle capacity that batch got (%)")
+    axes.set_ylabel("online first token at p99 (ms)")
+    axes.set_title("Online tail against batch throughput, by policy")
+
+
+def _control_shares(axes: Any, figures: dict[str, Any]) -> None:
+    target = figures["target"]
+    shares_by_name = {
+        "processor (2.4% of a core)": target["cpu_share"] / CONTROL_CORE_SHARE,
+        "memory (64 MB)": target["rss_mb"] / CONTROL_MB,
+        "traffic (17 KB/s)": target["bytes_per_s"] / 1000 / CONTROL_KB_PER_S,
+    }
+    percents = [100 * share for share in shares_by_name.values()]
+    bars(axes, list(shares_by_name), {"share": percents})
+    axes.axhline(100, color=BLACK, linewidth=1.5, linestyle="--")
+    axes.set_ylim(0, max(115, *percents) * 1.05)
+    axes.set_ylabel("share of the limit (%)")
+    axes.set_title("Control of one instance, carried to the target size")
+
+
 DRAW_BY_PLOT_BY_EXPERIMENT: dict[str, dict[str, Draw]] = {
+    "control": {"limits": _control_shares},
+    "online-tail": {"tail-and-batch": _tail_against_batch},
     "relay": {"cost": _relay_cost, "first-token": _relay_first_token},
 }
