--- a/src/caperridge/targets/silence.py
+++ b/src/caperridge/targets/silence.py
@@ -42,15 +42,21 @@
         watched = Watched(loop.time(), limit_s, end)
         self._watched.add(watched)
         if self._timer is None:
-            self._timer = loop.call_later(SWEEP_S, self._sweep, loop)
+            self._set_timer(loop)
         return watched
 
     def remove(self, watched: Watched) -> None:
         """Watch the stream no longer."""
         self._watched.discard(watched)
 
-    def sweep(self, now: float) -> None:
-        """End every stream that has been silent for too long at ``now``."""
+    def sweep(self, now: float, due: float) -> None:
+        """End every stream that has been silent for too long at ``now``.
+
+        A sweep that comes long after it was ``due`` ends none: the process was
+        paused, and what came meanwhile has not been read yet.
+        """
+        if now - due > SWEEP_S:
+            return
         for watched in list(self._watched):
             if now - watched.heard_at <= watched.limit_s:
                 continue
@@ -64,8 +70,12 @@
             self._timer.cancel()
             self._timer = None
 
-    def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
+    def _set_timer(self, loop: asyncio.AbstractEventLoop) -> None:
+        due = loop.time() + SWEEP_S
+        self._timer = loop.call_at(due, self._sweep, loop, due)
+
+    def _sweep(self, loop: asyncio.AbstractEventLoop, due: float) -> None:
         self._timer = None
-        self.sweep(loop.time())
+        self.sweep(loop.time(), due)
         if self._watched:
-            self._timer = loop.call_later(SWEEP_S, self._sweep, loop)
+            self._set_timer(loop)
--- a/tests/targets/test_silence.py
+++ b/tests/targets/test_silence.py
@@ -12,12 +12,23 @@
     start = silent.heard_at
     heard.heard_at = gone.heard_at = start
     watch.remove(gone)
-    watch.sweep(start + 1.0)
+    watch.sweep(start + 1.0, start + 1.0)
     assert ended == []
     heard.heard_at = start + 1.0
-    watch.sweep(start + 1.5)
-    watch.sweep(start + 1.9)
+    watch.sweep(start + 1.5, start + 1.5)
+    watch.sweep(start + 1.9, start + 1.9)
     assert ended == ["silent"]
-    watch.sweep(start + 2.5)
+    watch.sweep(start + 2.5, start + 2.5)
     assert ended == ["silent", "heard"]
     watch.close()
+
+
+async def test_a_sweep_after_a_pause_of_the_process_ends_nothing() -> None:
+    watch = SilenceWatch()
+    ended: list[str] = []
+    start = watch.add(1.0, lambda: ended.append("silent")).heard_at
+    watch.sweep(start + 9.0, due=start + 0.25)
+    assert ended == []
+    watch.sweep(start + 9.3, due=start + 9.25)
+    assert ended == ["silent"]
+    watch.close()
