--- a/src/caperridge/measure/capacity.py
+++ b/src/caperridge/measure/capacity.py
@@ -108,7 +108,7 @@
     Slope(
         "router: a choice",
         "routing",
-        "four_1900.decision_us_p50",
+        "two_1900.decision_us_p50",
         "µs of processor time",
         "112 and 1,900 targets",
     ),
--- a/src/caperridge/measure/capacity_page.py
+++ b/src/caperridge/measure/capacity_page.py
@@ -78,7 +78,7 @@
     runners = c.RUNNERS / c.INSTANCES
     router_cpu = worked(
         lambda us: us * requests / 1e4,
-        of("routing", "four_1900.decision_us_p50"),
+        of("routing", "two_1900.decision_us_p50"),
     )
     book = worked(
         lambda k: k * c.RUNNERS / 1024, of("roles", "slopes.held_kib_a_target")
