--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -113,7 +113,7 @@
         await instance.stop()
         self._all_instances.remove(instance)
         self._unlist(name)
-        return len(instance.planned_stop.cut)
+        return len(instance.drain.cut)
 
     async def kill_engine(self, name: str) -> None:
         """Kill a runner: its connections break and new ones are refused."""
