Save timers: one for each task, none for each message

A task made and cancelled a timer for each message, a stream two more, and the wanted links and metrics were worked out twice a second. Ruled out: taking messages past the mailbox (tasks would share state). Change: a task has one timer, which puts a message into its mailbox; a stream's silence is looked at every 2 s and a write is timed only if the system did not take it all; links are worked out when the view changes or after 2 s, the view at most once a second unless something happened.

--- a/src/caperridge/decisions/membership.py
+++ b/src/caperridge/decisions/membership.py
@@ -20,6 +20,7 @@
 LISTED_GRACE_S = 10.0
 UNLISTED_S = 300.0
 ELSEWHERE_S = 30.0
+REFRESH_S = 1.0
 MOST_CACHED_OWNERS = 20_000
 LEAVING = "leaving"
 
@@ -51,6 +52,7 @@
         self._live_by_zone: dict[str, list[str]] = {}
         self._owners_by_key: dict[tuple[str, str], str | None] = {}
         self._now = 0.0
+        self._refresh_due = float("-inf")
         self._refresh()
 
     def apply_list(
@@ -89,9 +91,12 @@
     def tick(self, now: float) -> list[str]:
         """Let time pass; return the peers that were removed."""
         self._now = now
+        held_back = self.detector.held_back
         removed = self.detector.tick(now)
-        self._forget_unlisted()
-        self._refresh()
+        if removed or held_back != self.detector.held_back or now >= self._refresh_due:
+            self._refresh_due = now + REFRESH_S
+            self._forget_unlisted()
+            self._refresh()
         return removed
 
     def leave(self) -> None:
--- a/src/caperridge/instance/actor.py
+++ b/src/caperridge/instance/actor.py
@@ -9,6 +9,15 @@
 log = logger(__name__)
 
 
+class _Due:
+    """Tells a task that the time to be idle has come, unless it has passed since."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+
+
 class Actor:
     """One task with a mailbox; messages are handled one at a time, in order.
 
@@ -56,20 +65,32 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         due = loop.time()
-        while True:
-            message = None
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout_at(due):
-                    message = await self._mailbox.get()
-            try:
-                if message is not None:
-                    await self.handle(message)
-                if loop.time() >= due:
-                    due = loop.time() + self.idle_s
-                    await self.idle()
-            except Exception:
-                # One bad message must not end the task that all others rely on.
-                log.exception("a message could not be handled", actor=str(self))
+        timer = loop.call_at(due, self._wake, due)
+        try:
+            while True:
+                message = await self._mailbox.get()
+                woken = isinstance(message, _Due)
+                try:
+                    if not woken:
+                        await self.handle(message)
+                    if loop.time() >= due or (woken and message.at == due):
+                        timer.cancel()
+                        due = loop.time() + self.idle_s
+                        timer = loop.call_at(due, self._wake, due)
+                        await self.idle()
+                except Exception:
+                    # One bad message must not end the task that all others rely on.
+                    log.exception("a message could not be handled", actor=str(self))
+        finally:
+            timer.cancel()
+
+    def _wake(self, due: float) -> None:
+        """Put the time to be idle into the mailbox; one timer costs less than many.
+
+        A full mailbox needs no such message: the time is looked at after each one.
+        """
+        with contextlib.suppress(asyncio.QueueFull):
+            self._mailbox.put_nowait(_Due(due))
 
     def __str__(self) -> str:
         return type(self).__name__
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -31,6 +31,8 @@
 HEARTBEAT_S = 1.0
 TICK_S = 0.5
 REPEAT_S = 10.0
+MEASURE_S = 2.0
+WANTED_S = 2.0
 KEEP_UNWANTED_S = 30.0
 MOST_DEMANDED = 8
 DEMANDED_S = 60.0
@@ -92,6 +94,10 @@
         self._demanded_until_by_id: dict[str, float] = {}
         self._heartbeat_due = 0.0
         self._repeat_due = 0.0
+        self._measure_due = 0.0
+        self._wanted: set[str] = set()
+        self._wanted_due = 0.0
+        self._wanted_of = -1
 
     # What the rest of the instance uses.
 
@@ -283,7 +289,9 @@
             self._heartbeat_due = now + HEARTBEAT_S
             self._send_heartbeats()
         self._dial_missing(now)
-        self._measure()
+        if now >= self._measure_due:
+            self._measure_due = now + MEASURE_S
+            self._measure(now)
 
     def _hello_to(self, instance: str) -> Hello:
         return Hello(
@@ -309,14 +317,13 @@
     def _dial_missing(self, now: float) -> None:
         if self._membership.superseded:
             return
-        known_by_zone = self._membership.known_by_zone()
-        zones = known_by_zone.keys() | {self._settings.availability_zone}
-        live = {i for zone in zones for i in self._membership.live(zone)}
-        wanted = wanted_links(
-            self._instance, self._settings.availability_zone, known_by_zone, live
-        )
+        changes = self._membership.changes
+        if changes != self._wanted_of or now >= self._wanted_due:
+            self._wanted_of = changes
+            self._wanted_due = now + WANTED_S
+            self._wanted = self._find_wanted()
         demanded = self._demanded(now)
-        wanted |= demanded
+        wanted = self._wanted | demanded
         for instance in wanted - self._streams.by_id.keys():
             address = self._address_of(instance)
             if address:
@@ -328,6 +335,16 @@
         self._dialer.forget_old(now)
         self._close_unwanted(wanted, now)
 
+    def _find_wanted(self) -> set[str]:
+        membership = self._membership
+        live = {i for ids in membership.live_by_zone().values() for i in ids}
+        return wanted_links(
+            self._instance,
+            self._settings.availability_zone,
+            membership.known_by_zone(),
+            live,
+        )
+
     def _demanded(self, now: float) -> set[str]:
         for instance, until in list(self._demanded_until_by_id.items()):
             if now >= until:
@@ -361,8 +378,9 @@
         self._metrics.bytes_out.inc(bytes_out)
         self._metrics.dropped.inc(dropped)
 
-    def _measure(self) -> None:
+    def _measure(self, now: float) -> None:
         for stream in self._streams:
+            stream.check(now)
             self._count(stream)
         membership = self._membership
         self._metrics.connected.set(len(self._streams.by_id))
--- a/src/caperridge/peers/stream.py
+++ b/src/caperridge/peers/stream.py
@@ -61,6 +61,8 @@
         self._outbox = Outbox()
         self._wake = asyncio.Event()
         self._counted = (0, 0, 0)
+        self._seen_bytes_in = -1
+        self._seen_at = 0.0
 
     @property
     def instance(self) -> str:
@@ -101,6 +103,15 @@
         bytes_in, bytes_out, dropped = self._counted
         return bytes_in - before[0], bytes_out - before[1], dropped - before[2]
 
+    def check(self, now: float) -> None:
+        """Close the stream if nothing came for long; ``now`` is monotonic."""
+        if self.bytes_in != self._seen_bytes_in:
+            self._seen_bytes_in = self.bytes_in
+            self._seen_at = now
+        elif now - self._seen_at >= SILENCE_S:
+            log.warning("stream dropped", peer=self.instance, reason="it is silent")
+            self.close()
+
     def close(self) -> None:
         """End the stream; :meth:`run` returns soon after."""
         self.closed = True
@@ -123,10 +134,9 @@
                     await self._writer.wait_closed()
 
     async def _read(self) -> None:
-        with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
-                async with asyncio.timeout(SILENCE_S):
-                    body = await self._next_body()
+                body = await self._next_body()
                 if body is None:
                     return
                 self.bytes_in += len(body) + 4
@@ -163,8 +173,10 @@
                 for data in self._frames():
                     self._writer.write(data)
                     self.bytes_out += len(data)
-                    async with asyncio.timeout(WRITE_S):
-                        await self._writer.drain()
+                    if self._writer.transport.get_write_buffer_size():
+                        # Mostly the system takes it all, and a timer is saved.
+                        async with asyncio.timeout(WRITE_S):
+                            await self._writer.drain()
 
     def _frames(self) -> list[bytes]:
         """Return what waits, in pieces of bounded size rather than one a message."""
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -18,6 +18,7 @@
     read_body,
 )
 from caperridge.peers.outbox import Outbox
+from caperridge.peers.stream import SILENCE_S, PeerStream
 from caperridge.records import Record, pack, unpack
 
 EXAMPLES: list[Record] = [
@@ -272,3 +273,29 @@
     assert taken[0] == messages.OnlineNews("e", "r-1", 7, 10)
     assert [type(m).__name__ for m in taken] == ["OnlineNews", "RelayCall", "RelayCall"]
     assert outbox.take() == []
+
+
+class Transport:
+    """As much of a writer as an idle stream needs."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def get_extra_info(self, name: str) -> tuple[str, int]:
+        return ("127.0.0.1", 7)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+async def test_a_silent_stream_is_closed_and_a_talking_one_is_not() -> None:
+    writer = Transport()
+    stream = PeerStream(asyncio.StreamReader(), writer, hello("a"), True, print)
+    stream.check(100.0)
+    stream.check(100.0 + SILENCE_S - 1)
+    stream.bytes_in += 1
+    stream.check(100.0 + SILENCE_S)
+    assert not writer.closed
+    stream.check(100.0 + 2 * SILENCE_S)
+    assert writer.closed
+    assert not stream.send(messages.ListAsk())
