--- a/src/caperridge/instance/peer_dialer.py
+++ b/src/caperridge/instance/peer_dialer.py
@@ -51,6 +51,7 @@
         tell: Callable[[Opened | DialFailed], bool],
         chance: random.Random,
     ) -> None:
+        self.failures = 0
         self._instance = instance
         self._connector = connector
         self._tell = tell
@@ -83,6 +84,7 @@
 
     def failed(self, message: DialFailed, now: float) -> None:
         """Note a failed try; the next one waits longer."""
+        self.failures += 1
         dialing = self._dialing_by_key.get(message.key)
         if dialing is None:
             return
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -193,6 +193,7 @@
             "superseded": self._membership.superseded,
             "pauses": self._membership.detector.pauses,
             "refused_handshakes": self._connector.refused,
+            "failed_dials": self._dialer.failures,
             "dropped": self.dropped,
             "streams_by_id": self._streams.to_map(),
             "health_by_id": {i: h.to_map() for i, h in sorted(health_by_id.items())},
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -6,7 +6,7 @@
 
 from caperridge.instance.process import Instance
 from caperridge.platform.interface import ListedMember, Platform
-from caperridge.settings import Address, Settings
+from caperridge.settings import Address, Settings, TlsFiles
 from caperridge.standins.platform import MemoryPlatform
 
 SECRET = "for-tests"
@@ -28,9 +28,15 @@
         listed: bool = True,
         platform: Platform | None = None,
         seeds: list[Address] | None = None,
+        tls: TlsFiles | None = None,
     ) -> Instance:
         settings = Settings(
-            name, zone, "http://none", peers_secret=secret, peer_seeds=seeds
+            name,
+            zone,
+            "http://none",
+            peers_secret=secret,
+            peer_seeds=seeds,
+            tls_by_listener={"peers": tls} if tls else None,
         )
         instance = Instance(settings, platform or self.memory)
         await instance.start()
