--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -78,7 +78,7 @@
     assert ("value" in sent) == ("value" in fields)
 
 
-def test_a_message_does_not_name_its_sender_who_said_hello() -> None:
+async def test_a_message_does_not_name_its_sender_who_said_hello() -> None:
     heard: list[Record] = []
     stream = PeerStream(
         asyncio.StreamReader(),
