--- a/src/caperridge/decisions/links.py
+++ b/src/caperridge/decisions/links.py
@@ -11,6 +11,8 @@
 
 import xxhash
 
+from caperridge.decisions.membership import Membership
+
 LINKS_A_ZONE = 2
 
 
@@ -39,6 +41,16 @@
     return wanted
 
 
+def links_in(membership: Membership) -> set[str]:
+    """Return the peers that the instance with this view should have a stream to."""
+    return wanted_links(
+        membership.instance,
+        membership.availability_zone,
+        membership.known_by_zone(),
+        {i for ids in membership.live_by_zone().values() for i in ids},
+    )
+
+
 def gateways(
     zone: str, other: str, members: Collection[str], live: Collection[str]
 ) -> list[str]:
--- a/src/caperridge/instance/members.py
+++ b/src/caperridge/instance/members.py
@@ -75,6 +75,10 @@
         for kind in (ListNews, ListAsk):
             self._peers.register(kind, self._from_peer)
 
+    def poll_soon(self) -> None:
+        """Read the list at the next turn, e.g. as it is known to have changed."""
+        self._polls_left_s = 0.0
+
     def _from_peer(self, sender: str, message: Record) -> None:
         self.tell(FromPeer(sender, message))
 
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -11,7 +11,7 @@
 from caperridge import __version__
 from caperridge.decisions.failure_detector import Evidence
 from caperridge.decisions.heartbeats import Heartbeats
-from caperridge.decisions.links import wanted_links
+from caperridge.decisions.links import links_in
 from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
 from caperridge.instance.peer_dialer import Dialer
@@ -283,6 +283,7 @@
                 listener.view_changed()
         if now >= self._repeat_due:
             self._repeat_due = now + REPEAT_S
+            self._forget_gone()
             for listener in self._listeners:
                 listener.regularly()
         if now >= self._heartbeat_due:
@@ -320,7 +321,7 @@
         if changes != self._wanted_of or now >= self._wanted_due:
             self._wanted_of = changes
             self._wanted_due = now + WANTED_S
-            self._wanted = self._find_wanted()
+            self._wanted = links_in(self._membership)
         demanded = self._demanded(now)
         wanted = self._wanted | demanded
         for instance in wanted - self._streams.by_id.keys():
@@ -334,15 +335,18 @@
         self._dialer.forget_old(now)
         self._close_unwanted(wanted, now)
 
-    def _find_wanted(self) -> set[str]:
+    def _forget_gone(self) -> None:
+        """Forget what is kept by id of instances that nobody knows any more."""
         membership = self._membership
-        live = {i for ids in membership.live_by_zone().values() for i in ids}
-        return wanted_links(
-            self._instance,
-            self._settings.availability_zone,
-            membership.known_by_zone(),
-            live,
-        )
+        known = membership.members_by_id.keys() | membership.zones_by_id.keys()
+        known |= self._streams.by_id.keys()
+        for kept in (
+            self._addresses_by_id,
+            self._unwanted_since_by_id,
+            self.versions_by_id,
+        ):
+            for instance in kept.keys() - known:
+                del kept[instance]
 
     def _demanded(self, now: float) -> set[str]:
         for instance, until in list(self._demanded_until_by_id.items()):
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -49,6 +49,8 @@
     def list_member(self, member: ListedMember) -> None:
         self.members_by_id[member.id] = member
         self.memory.set_members(list(self.members_by_id.values()))
+        for instance in self.instances_by_id.values():
+            instance.members.poll_soon()
 
     async def stop(self, name: str) -> None:
         await self.instances_by_id.pop(name).stop()
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -63,3 +63,17 @@
     first.mesh.leave()
     await until(lambda: second.membership.live("oviedo") == NAMES[1:])
     assert first.membership.live("oviedo") == NAMES[1:]
+
+
+async def test_what_is_kept_of_an_instance_that_is_gone_is_forgotten(
+    mesh: Mesh,
+) -> None:
+    first = await mesh.start("entry-1")
+    await mesh.start("entry-2")
+    await until(lambda: first.versions_of_peers().keys() == {"entry-2"})
+    await mesh.stop("entry-2")
+    await until(lambda: not first.peers.connected())
+    first.membership.members_by_id.pop("entry-2", None)
+    first.membership.zones_by_id.pop("entry-2")
+    first.mesh._forget_gone()
+    assert first.versions_of_peers() == {}
