--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -18,6 +18,7 @@
     read_body,
 )
 from caperridge.peers.outbox import Outbox
+from caperridge.peers.stream import SILENCE_S, PeerStream
 from caperridge.records import Record, pack, unpack
 
 EXAMPLES: list[Record] = [
@@ -29,6 +30,7 @@
     messages.LoadNews("e-1", [["r-1", 2, 3, 4]]),
     messages.JobNews("batch_1", "cancelled"),
     messages.TargetNews("r-1", 2, True),
+    messages.LoadNews("e-1", [["r-1", 1, 2, 3]]),
     messages.LoadedNews("r-1", 2, 3, {"model": "north"}, True),
     messages.ConfigurationNews(5, 4, b"\x00\xff"),
     messages.ConfigurationAsk(4),
@@ -76,6 +78,23 @@
     assert ("value" in sent) == ("value" in fields)
 
 
+async def test_a_message_does_not_name_its_sender_who_said_hello() -> None:
+    heard: list[Record] = []
+    stream = PeerStream(
+        asyncio.StreamReader(),
+        Transport(),
+        hello("e-1"),
+        True,
+        lambda _, message: heard.append(message),
+    )
+    own = messages.LatencyNews("e-1", "r-1", 0.2, 0.0)
+    of_another = messages.LatencyNews("e-2", "r-1", 0.2, 0.0)
+    for message in (own, of_another):
+        stream._take(encode(message, "e-1")[4:])
+    assert heard == [own, of_another]
+    assert "instance" not in unpack(encode(own, "e-1")[4:])
+
+
 def test_online_news_is_gathered_by_sender_and_scattered_again() -> None:
     own = [messages.OnlineNews("e-1", f"r-{n}", n, 1000 + n) for n in range(3)]
     passed_on = messages.OnlineNews("e-2", "r-9", 4, 7)
@@ -271,3 +290,29 @@
     assert taken[0] == messages.OnlineNews("e", "r-1", 7, 10)
     assert [type(m).__name__ for m in taken] == ["OnlineNews", "RelayCall", "RelayCall"]
     assert outbox.take() == []
+
+
+class Transport:
+    """As much of a writer as an idle stream needs."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def get_extra_info(self, name: str) -> tuple[str, int]:
+        return ("127.0.0.1", 7)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+async def test_a_silent_stream_is_closed_and_a_talking_one_is_not() -> None:
+    writer = Transport()
+    stream = PeerStream(asyncio.StreamReader(), writer, hello("a"), True, print)
+    stream.check(100.0)
+    stream.check(100.0 + SILENCE_S - 1)
+    stream.bytes_in += 1
+    stream.check(100.0 + SILENCE_S)
+    assert not writer.closed
+    stream.check(100.0 + 2 * SILENCE_S)
+    assert writer.closed
+    assert not stream.send(messages.ListAsk())
