Write what was held through an outage as soon as the lease is renewed

Items with two attempts belonged to the instance killed 1.5 s after the outage: its committer was still backing off, up to 3 s. Ruled out: double claims (each takeover was of a lapsed session), missing saved results (takers read them).

Change: a renewal that succeeds after the lease had ended lets the committer try again within 0.2 s. An item refused for the lease in the moment before the dispatcher parks is kept for a retry; it could be forgotten until the chunk changed hands.

--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -97,6 +97,11 @@
             if not await self._write_checkpoint(wanted):
                 break
 
+    def platform_is_back(self) -> None:
+        """Try again soon: what is held here is lost if the instance is lost now."""
+        self._pause_s = FIRST_PAUSE_S
+        self._next_at = self._clock() + FIRST_PAUSE_S * self._random.random()
+
     async def flush(self) -> None:
         """Try once more to commit what is finished and to save the rest."""
         self._next_at = 0.0
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -206,7 +206,9 @@
         place: ItemPlace = item.context
         self._metrics.attempts.labels(item.service, type(error).__name__).inc()
         if not self.may_start():
-            # It was not tried: it waits for the lease, or for the next holder.
+            # It was not tried. It waits here in case the lease is renewed before the
+            # dispatcher parks; parking, or the next holder, takes care of the rest.
+            self._retries.add(item, self._clock(), alone=False)
             return
         verdict = after_failure(error, item.request, place.faults, place.failures)
         if isinstance(verdict, GiveUp):
@@ -286,6 +288,7 @@
             return
         self._parked = False
         self._retries.clear()
+        self._committer.platform_is_back()
         # Nobody took our chunks: go on, with the tokens that were kept.
         for work in self._works_by_key.values():
             for item in work.items_by_index.values():
