Send each call to the platform once on the wire

Cause: aiohttp repeats PUT, GET and DELETE by itself when the connection breaks before an answer, so a put, get, list or delete of objects could reach the platform twice while the platform layer counted one try.

Ruled out: one connection for each call, as plain services have; the library repeats on a fresh connection too, and the platform's connections are worth keeping.

Change: the middleware of PlainClient moves to no_repeat.py and serves HttpPlatform too. What is tried again is decided by platform/settle.py alone.

Test: a raw server that drops the connection, fresh or reused, counts heads.

--- a/src/caperridge/platform/http.py
+++ b/src/caperridge/platform/http.py
@@ -11,6 +11,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from caperridge.no_repeat import loss_is_final
 from caperridge.platform.interface import (
     Committed,
     Condition,
@@ -157,7 +158,9 @@
             # One attempt only: the library must not repeat a write by itself.
             connector = aiohttp.TCPConnector(limit=64, ssl=self._ssl)
             self._session = aiohttp.ClientSession(
-                timeout=self._timeout, connector=connector
+                timeout=self._timeout,
+                connector=connector,
+                middlewares=(loss_is_final,),
             )
         try:
             async with self._session.request(
--- a/src/caperridge/targets/plain.py
+++ b/src/caperridge/targets/plain.py
@@ -1,16 +1,11 @@
-"""The client of plain services: one request on the wire for each call.
-
-The HTTP library sends a call again by itself if the connection breaks before an
-answer and the method is idempotent by its name (GET, HEAD, PUT, DELETE, OPTIONS), on
-a fresh connection too. Whether a call may be repeated is for the declaration to say,
-so :func:`loss_is_final` hands the loss on as an error that the library lets pass.
-"""
+"""The client of plain services: one request on the wire for each call."""
 
 import aiohttp
 import yarl
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 
+from caperridge.no_repeat import LostOnTheWayError, loss_is_final
 from caperridge.records import Record
 from caperridge.targets.outcomes import AttemptError, Lost, NotSent
 
@@ -65,27 +60,6 @@
 PlainError = AttemptError | AnswerTooLarge
 
 
-class LostOnTheWayError(aiohttp.ClientError):
-    """The connection broke with the request under way."""
-
-
-async def loss_is_final(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep the library from sending ``request`` again after a broken connection.
-
-    Raises:
-        LostOnTheWayError: instead of the errors that the library answers by a repeat.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        # No connection, so no byte has left; the library does not repeat these.
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise LostOnTheWayError(type(error).__name__) from error
-
-
 class PlainClient:
     """Calls plain services; a connection serves one call, redirects are answers.
 
--- a/tests/plain/test_no_hidden_repeat.py
+++ b/tests/plain/test_no_hidden_repeat.py
@@ -7,6 +7,8 @@
 from multidict import CIMultiDict
 from result import Err, Ok
 
+from caperridge.platform.http import HttpPlatform
+from caperridge.platform.interface import Unknown
 from caperridge.targets.outcomes import Lost, NotSent
 from caperridge.targets.plain import AnswerTooLarge, PlainCall, PlainClient
 from conftest import until
@@ -45,6 +47,37 @@
     assert (server.connections, len(server.heads)) == (1, 1)
 
 
+@pytest.mark.parametrize("reused", [False, True], ids=["fresh", "reused"])
+@pytest.mark.parametrize("ask", ["put", "get", "list", "delete", "members", "read"])
+async def test_the_platform_is_asked_once(raw, ask, reused) -> None:
+    async def script(reader, writer) -> None:
+        if reused and not server.heads:
+            head = await server.head(reader)
+            size = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+            await reader.readexactly(size)
+            writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+            await writer.drain()
+        await server.head(reader)
+
+    server = await raw(script)
+    platform = HttpPlatform(f"http://{server.address}")
+    if reused:
+        assert isinstance(await platform.put_object("first", b"1"), Ok)
+    call = {
+        "put": lambda: platform.put_object("a", b"1"),
+        "get": lambda: platform.get_object("a"),
+        "list": lambda: platform.list_objects("a"),
+        "delete": lambda: platform.delete_object("a"),
+        "members": platform.members,
+        "read": lambda: platform.read(["a"]),
+    }[ask]
+    outcome = await call()
+    await platform.close()
+    assert isinstance(outcome.err_value, Unknown)
+    await asyncio.sleep(0.05)
+    assert (server.connections, len(server.heads)) == (1, 1 + reused)
+
+
 @pytest.mark.parametrize("method", METHODS)
 async def test_a_connection_serves_one_call(raw, client, method) -> None:
     async def script(reader, writer) -> None:
