Log ten refusals of a code a second, and the number of the others

Each refusal wrote one INFO line, so that a burst that is shed, or a flood of wrong tokens, cost a line of some 250 bytes each: at 1,000 a second 250 KB/s of the same text.

Weighed: DEBUG for refusals (nothing to see by default), sampling by chance (a single refusal may be lost), a bound for each code and second with a line that says how many were left out. The last keeps every refusal of a quiet hour. Only the log is bounded; metrics and traces keep all.

Also: caperridge_lease_left_seconds was registered and never set; it reads the session's lease when asked now.

tests/online builds its listener by the same function as the process, since the log belongs to the application.

--- a/src/caperridge/instance/callers_http.py
+++ b/src/caperridge/instance/callers_http.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from caperridge.instance.completions_http import CompletionsHttp
-from caperridge.instance.http_common import answer_refusals
+from caperridge.instance.http_common import app_with_refusals
 from caperridge.instance.jobs_http import JobsHttp
 from caperridge.instance.plain_http import PlainHttp
 
@@ -23,9 +23,7 @@
 
     def app(self) -> web.Application:
         """Return the application with its routes."""
-        app = web.Application(
-            client_max_size=MOST_BODY_BYTES, middlewares=[answer_refusals]
-        )
+        app = app_with_refusals(MOST_BODY_BYTES)
         app.router.add_get("/v1/models", self.models)
         CompletionsHttp(self._instance).add_routes(app.router)
         JobsHttp(self._instance).add_routes(app.router)
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -9,6 +9,7 @@
 
 from caperridge import keys
 from caperridge.commands.accept_file import BadFile
+from caperridge.instance.refusal_log import RefusalLog
 from caperridge.log import logger
 from caperridge.platform.interface import NotDone
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
@@ -17,6 +18,7 @@
 MOST_HEADER = 256
 MOST_REASON = 600
 OWN_HEADERS = ("Idempotency-Key", "X-Request-Id")
+REFUSAL_LOG = web.AppKey("refusal_log", RefusalLog)
 _PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,80}")
 
 
@@ -32,6 +34,15 @@
     return keys.token_digest(token)
 
 
+def app_with_refusals(most_body_bytes: int) -> web.Application:
+    """Return an application without routes whose refusals are answered and logged."""
+    app = web.Application(
+        client_max_size=most_body_bytes, middlewares=[answer_refusals]
+    )
+    app[REFUSAL_LOG] = RefusalLog()
+    return app
+
+
 @web.middleware
 async def answer_refusals(request: web.Request, handler: Any) -> web.StreamResponse:
     """Turn a refusal into its HTTP answer, and whatever else goes wrong into one."""
@@ -67,15 +78,7 @@
 def _answer(request: web.Request, refusal: Refusal) -> web.Response:
     # What callers send stands in reasons; it must not come back at any length.
     refusal.reason = refusal.reason[:MOST_REASON]
-    log.info(
-        "request refused",
-        request=refusal.request_id,
-        code=refusal.code,
-        run=refusal.run,
-        status=refusal.status,
-        path=request.path[:MOST_HEADER],
-        why=refusal.reason,
-    )
+    request.app[REFUSAL_LOG].write(refusal, request.path[:MOST_HEADER])
     return refusal_response(refusal)
 
 
--- a/src/caperridge/instance/metrics.py
+++ b/src/caperridge/instance/metrics.py
@@ -1,5 +1,7 @@
 """The metrics of one instance."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 TTFT_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 3.0, 6.0)
@@ -87,6 +89,10 @@
         )
         self.lease_left = Gauge(
             "caperridge_lease_left_seconds",
-            "What is left of the session's lease on the own clock.",
+            "What is left of the lease on the own clock; 0 if it has ended.",
             registry=self.registry,
         )
+
+    def watch_lease(self, left_s: Callable[[], float]) -> None:
+        """Read what is left of the lease whenever the metrics are asked for."""
+        self.lease_left.set_function(lambda: max(0.0, left_s()))
--- a/src/caperridge/instance/operators_http.py
+++ b/src/caperridge/instance/operators_http.py
@@ -6,7 +6,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from caperridge import __version__
-from caperridge.instance.http_common import answer_refusals, json_response
+from caperridge.instance.http_common import app_with_refusals, json_response
 from caperridge.instance.intents_http import IntentsHttp
 from caperridge.refusals import Refusal, RefusedError
 
@@ -24,9 +24,7 @@
 
     def app(self) -> web.Application:
         """Return the application with its routes."""
-        app = web.Application(
-            client_max_size=MOST_DECLARATION_BYTES, middlewares=[answer_refusals]
-        )
+        app = app_with_refusals(MOST_DECLARATION_BYTES)
         router = app.router
         router.add_get("/healthz", self.healthz)
         router.add_get("/readyz", self.readyz)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -124,6 +124,7 @@
         self.session = SessionKeeper(
             self.platform, settings.instance_id, settings.lease_s, clock
         )
+        self.metrics.watch_lease(self.session.left_s)
         self.dispatcher = BatchDispatcher(
             self.platform,
             self.session,
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -13,7 +13,7 @@
 from caperridge.decisions.patience import Patience
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.completions_http import CompletionsHttp
-from caperridge.instance.http_common import answer_refusals
+from caperridge.instance.http_common import app_with_refusals
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.traces import Traces
@@ -173,7 +173,7 @@
         return self.team
 
     def app(self) -> web.Application:
-        app = web.Application(middlewares=[answer_refusals])
+        app = app_with_refusals(2**20)
         CompletionsHttp(self).add_routes(app.router)
         return app
 
--- a/tests/product/test_logs.py
+++ b/tests/product/test_logs.py
@@ -1,5 +1,6 @@
 """What the log says of a request, an attempt, a target and a job."""
 
+import asyncio
 import io
 import json
 from collections.abc import Iterator
@@ -10,7 +11,9 @@
 import pytest
 
 from caperridge import log
+from caperridge.instance.refusal_log import RefusalLog
 from caperridge.log import JsonLinesHandler
+from caperridge.refusals import Refusal
 from conftest import CALLER, Fleet, until
 
 
@@ -48,6 +51,25 @@
     assert (refused["code"], refused["run"]) == ("model_not_found", "not_run")
 
 
+async def test_many_refusals_leave_a_few_lines_and_their_number(
+    stream: io.StringIO,
+) -> None:
+    refusals = RefusalLog(most_lines=3, period_s=0.05)
+    for number in range(8):
+        refusals.write(Refusal("queue_full", "r", 429, request_id=str(number)), "/v1")
+    refusals.write(Refusal("bad_request", "r", 400), "/v1")
+    refused = lines_of(stream, "request refused")
+    assert [line["request"] for line in refused] == ["0", "1", "2", ""]
+    await until(lambda: lines_of(stream, "refusals left out"))
+    (left_out,) = lines_of(stream, "refusals left out")
+    assert (left_out["code"], left_out["left_out"]) == ("queue_full", 5)
+    # The next period has lines of its own, and counts anew.
+    refusals.write(Refusal("queue_full", "r", 429, request_id="9"), "/v1")
+    assert lines_of(stream, "request refused")[-1]["request"] == "9"
+    await asyncio.sleep(0.1)
+    assert len(lines_of(stream, "refusals left out")) == 1
+
+
 async def test_a_failed_item_names_its_job(fleet: Fleet, stream: io.StringIO) -> None:
     for engine in fleet.engines_by_id.values():
         engine.faults.cut_after = 2
