--- a/src/caperridge/measure/online_tail.py
+++ b/src/caperridge/measure/online_tail.py
@@ -36,6 +36,7 @@
 BURST_S = 1.0
 LONG_S = 7.5  # of the two arms that the first figures compare
 SHORT_S = 5.0
+OWN_SECONDS = 30.0  # of all arms together
 SETTLE_S = 1.0
 PARTITION = 12
 PROMPT = "?" * 200
@@ -122,7 +123,8 @@
     """Run every arm, one after the other; about 55 s."""
     figures: dict[str, Any] = {}
     for arm in ARMS:
-        seconds = options.seconds or arm.seconds
+        # An arm without a burst would say nothing of the tail.
+        seconds = max(BURST_EVERY_S, arm.seconds * options.scale(OWN_SECONDS))
         figures[arm.name] = await run_arm(arm, options.seed, seconds)
     for arm in ARMS[1:]:
         figures[arm.name] |= ratios(figures[arm.name], figures["alone"])
--- a/src/caperridge/measure/recovery.py
+++ b/src/caperridge/measure/recovery.py
@@ -26,6 +26,8 @@
 
 BEFORE_S = 2.0
 AFTER_S = 4.0
+LEAST_AFTER_S = 3.0  # the slowest event is over by then
+OWN_SECONDS = 30.0  # of all events together
 LIST_LAG_S = 2.0
 REQUESTS_PER_S = 25.0
 TOKENS = 60
@@ -107,7 +109,7 @@
 async def run(options: Options) -> dict[str, Any]:
     """Measure each event."""
     figures: dict[str, Any] = {}
-    after_s = options.seconds or AFTER_S
+    after_s = max(LEAST_AFTER_S, AFTER_S * options.scale(OWN_SECONDS))
     for name, event in EVENTS.items():
         # With fewer runners of its own, the zone sends to the other one too.
         own, other = (3, 2) if event is zone_cut_off else (4, 0)
--- a/src/caperridge/measure/relay.py
+++ b/src/caperridge/measure/relay.py
@@ -296,7 +296,7 @@
 
 def measure(options: Options, stopping: threading.Event) -> dict[str, Any]:
     """Run all arms; blocks its thread."""
-    scale = options.seconds / OWN_SECONDS if options.seconds else 1.0
+    scale = options.scale(OWN_SECONDS)
     writes = max(LEAST_WRITES, int(WRITES * scale))
     bench = RelayBench(stopping)
     try:
