--- a/tests/product/conftest.py
+++ b/tests/product/conftest.py
@@ -12,6 +12,7 @@
 from cryptography.x509.oid import NameOID
 
 from caperridge.tls import TlsFiles
+from cli.conftest import run_here  # noqa: F401 - a fixture for the tests here
 
 LOOPBACK = ipaddress.ip_address("127.0.0.1")
 DAY = datetime.timedelta(days=1)
