--- a/src/caperridge/instance/dump.py
+++ b/src/caperridge/instance/dump.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from caperridge import __version__
+from caperridge.platform.relay import RelayedPlatform
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
@@ -26,9 +27,20 @@
         "configuration": instance.configuration.state(),
         "dispatcher": instance.dispatcher.state(),
         "peers": instance.mesh.state() if instance.mesh is not None else None,
+        **_platform(instance),
         "orderer": instance.orderer.state(),
         "online": instance.online.state(),
         "traces": len(instance.traces),
         "trace_bytes": instance.traces.bytes,
         "stop": instance.drain.state(),
     }
+
+
+def _platform(instance: "Instance") -> dict[str, Any]:
+    platform = instance.platform
+    if not isinstance(platform, RelayedPlatform):
+        return {}
+    return {
+        "platform_cut_off": platform.cut_off,
+        "platform_relayed": platform.relayed,
+    }
--- a/src/caperridge/instance/members.py
+++ b/src/caperridge/instance/members.py
@@ -21,7 +21,7 @@
 from caperridge.records import Record
 
 log = logger(__name__)
-POLL_S = 2.0
+POLL_S = 3.0
 FIRST_POLLS_S = 1.0
 JITTER = 0.5
 
@@ -75,6 +75,10 @@
         for kind in (ListNews, ListAsk):
             self._peers.register(kind, self._from_peer)
 
+    def poll_soon(self) -> None:
+        """Read the list at the next turn, e.g. as it is known to have changed."""
+        self._polls_left_s = 0.0
+
     def _from_peer(self, sender: str, message: Record) -> None:
         self.tell(FromPeer(sender, message))
 
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -11,7 +11,7 @@
 from caperridge import __version__
 from caperridge.decisions.failure_detector import Evidence
 from caperridge.decisions.heartbeats import Heartbeats
-from caperridge.decisions.links import wanted_links
+from caperridge.decisions.links import links_in
 from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
 from caperridge.instance.peer_dialer import Dialer
@@ -31,6 +31,8 @@
 HEARTBEAT_S = 1.0
 TICK_S = 0.5
 REPEAT_S = 10.0
+MEASURE_S = 2.0
+WANTED_S = 2.0
 KEEP_UNWANTED_S = 30.0
 MOST_DEMANDED = 8
 DEMANDED_S = 60.0
@@ -92,6 +94,10 @@
         self._demanded_until_by_id: dict[str, float] = {}
         self._heartbeat_due = 0.0
         self._repeat_due = 0.0
+        self._measure_due = 0.0
+        self._wanted: set[str] = set()
+        self._wanted_due = 0.0
+        self._wanted_of = -1
 
     # What the rest of the instance uses.
 
@@ -187,6 +193,7 @@
             "superseded": self._membership.superseded,
             "pauses": self._membership.detector.pauses,
             "refused_handshakes": self._connector.refused,
+            "failed_dials": self._dialer.failures,
             "dropped": self.dropped,
             "streams_by_id": self._streams.to_map(),
             "health_by_id": {i: h.to_map() for i, h in sorted(health_by_id.items())},
@@ -254,9 +261,8 @@
     @take.register
     def _(self, message: Heartbeat, stream: PeerStream) -> None:
         hello = stream.hello
-        if message.instance not in ("", hello.instance):
+        if message.instance != hello.instance:
             return
-        message.instance = hello.instance
         message.incarnation = message.incarnation or hello.incarnation
         self.versions_by_id[hello.instance] = message.configuration_version
         self.version_heard(hello.instance, message.configuration_version)
@@ -277,13 +283,16 @@
                 listener.view_changed()
         if now >= self._repeat_due:
             self._repeat_due = now + REPEAT_S
+            self._forget_gone()
             for listener in self._listeners:
                 listener.regularly()
         if now >= self._heartbeat_due:
             self._heartbeat_due = now + HEARTBEAT_S
             self._send_heartbeats()
         self._dial_missing(now)
-        self._measure()
+        if now >= self._measure_due:
+            self._measure_due = now + MEASURE_S
+            self._measure(now)
 
     def _hello_to(self, instance: str) -> Hello:
         return Hello(
@@ -301,7 +310,6 @@
 
     def _short(self, heartbeat: Heartbeat) -> Heartbeat:
         """Return ``heartbeat`` without what the hello of each stream has said."""
-        heartbeat.instance = ""
         if heartbeat.incarnation == self._said_incarnation:
             heartbeat.incarnation = 0
         return heartbeat
@@ -309,14 +317,13 @@
     def _dial_missing(self, now: float) -> None:
         if self._membership.superseded:
             return
-        known_by_zone = self._membership.known_by_zone()
-        zones = known_by_zone.keys() | {self._settings.availability_zone}
-        live = {i for zone in zones for i in self._membership.live(zone)}
-        wanted = wanted_links(
-            self._instance, self._settings.availability_zone, known_by_zone, live
-        )
+        changes = self._membership.changes
+        if changes != self._wanted_of or now >= self._wanted_due:
+            self._wanted_of = changes
+            self._wanted_due = now + WANTED_S
+            self._wanted = links_in(self._membership)
         demanded = self._demanded(now)
-        wanted |= demanded
+        wanted = self._wanted | demanded
         for instance in wanted - self._streams.by_id.keys():
             address = self._address_of(instance)
             if address:
@@ -328,6 +335,19 @@
         self._dialer.forget_old(now)
         self._close_unwanted(wanted, now)
 
+    def _forget_gone(self) -> None:
+        """Forget what is kept by id of instances that nobody knows any more."""
+        membership = self._membership
+        known = membership.members_by_id.keys() | membership.zones_by_id.keys()
+        known |= self._streams.by_id.keys()
+        for kept in (
+            self._addresses_by_id,
+            self._unwanted_since_by_id,
+            self.versions_by_id,
+        ):
+            for instance in kept.keys() - known:
+                del kept[instance]
+
     def _demanded(self, now: float) -> set[str]:
         for instance, until in list(self._demanded_until_by_id.items()):
             if now >= until:
@@ -361,8 +381,9 @@
         self._metrics.bytes_out.inc(bytes_out)
         self._metrics.dropped.inc(dropped)
 
-    def _measure(self) -> None:
+    def _measure(self, now: float) -> None:
         for stream in self._streams:
+            stream.check(now)
             self._count(stream)
         membership = self._membership
         self._metrics.connected.set(len(self._streams.by_id))
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -43,6 +43,14 @@
     assert sorted(heard) == ["batch_1", "batch_1", "batch_2", "batch_2"]
 
 
+async def test_news_of_a_job_is_passed_on_to_who_was_not_told(mesh: Mesh) -> None:
+    instances = await started(mesh)
+    heard: list[str] = []
+    instances[2].peers.register(JobNews, lambda sender, news: heard.append(sender))
+    assert instances[0].peers.send("entry-2", JobNews("batch_1", "open"))
+    await until(lambda: heard == ["entry-2"])
+
+
 async def test_a_peer_with_another_secret_is_refused(mesh: Mesh) -> None:
     first = await mesh.start("entry-1")
     stranger = await mesh.start("entry-2", secret="another")
@@ -55,3 +63,17 @@
     first.mesh.leave()
     await until(lambda: second.membership.live("oviedo") == NAMES[1:])
     assert first.membership.live("oviedo") == NAMES[1:]
+
+
+async def test_what_is_kept_of_an_instance_that_is_gone_is_forgotten(
+    mesh: Mesh,
+) -> None:
+    first = await mesh.start("entry-1")
+    await mesh.start("entry-2")
+    await until(lambda: first.versions_of_peers().keys() == {"entry-2"})
+    await mesh.stop("entry-2")
+    await until(lambda: not first.peers.connected())
+    first.membership.members_by_id.pop("entry-2", None)
+    first.membership.zones_by_id.pop("entry-2")
+    first.mesh._forget_gone()
+    assert first.versions_of_peers() == {}
