--- a/src/caperridge/measure/routing.py
+++ b/src/caperridge/measure/routing.py
@@ -15,6 +15,7 @@
 from caperridge.decisions.patience import first_event_patience
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport, Wanted
+from caperridge.measure.admission import admission
 from caperridge.measure.options import Options
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
@@ -283,7 +284,7 @@
 
 async def run(options: Options) -> dict[str, Any]:
     """Compare the arms on 112 targets and on 1,900."""
-    figures: dict[str, Any] = {}
+    figures: dict[str, Any] = {"admission": admission()}
     for arm in ARMS:
         zone = Simulation(arm, OWN_ZONE, 23, 0.7, options.seed)
         seen = zone.run(5000, 2000)
