Divide a limit on requests at once in whole shares that add up to it

Cause: each instance rounded its share up, so a limit of 100 was exceeded by 15 % at 23 instances and one of 10 by 20 % at 3. And each admission went over the whole list of instances to count them.

Weighed: places at some instances only (a caller can't choose where its connections end), an owner (a hop), counting through peers (late, a message for each start and end). Chosen: whole shares, the rest at other instances for each caller; a limit below the number of instances keeps one at each, and is still exceeded up to that number. The seat is worked out once for each list.

--- a/src/caperridge/decisions/limits.py
+++ b/src/caperridge/decisions/limits.py
@@ -5,9 +5,8 @@
 weighed. Buckets of callers that have been idle long enough to be full are dropped.
 """
 
-import math
-
 from caperridge.config.model import Caller
+from caperridge.decisions.limit_share import Seat, share_at_once
 from caperridge.records import Record
 
 BURST_S = 2.0
@@ -78,22 +77,21 @@
         self._sweep_at = 0.0
 
     def admit(
-        self, caller: Caller, tokens: int, instances: int, now: float
+        self, caller: Caller, tokens: int, seat: Seat, now: float
     ) -> OverLimit | None:
         """Count a request in, or return why it is over a limit.
 
         Args:
             caller: with its declared limits.
             tokens: that the request may use, prompt and answer.
-            instances: live instances that share the limits.
+            seat: of this instance among those that share the limits.
             now: monotonic seconds.
         """
         self._sweep(now)
-        instances = max(1, instances)
         state = self.states_by_caller.get(caller.name)
         if state is None:
             state = self.states_by_caller[caller.name] = CallerState()
-        over = self._over(state, caller, tokens, instances, now)
+        over = self._over(state, caller, tokens, seat, now)
         if over is not None:
             return over
         state.running += 1
@@ -119,22 +117,22 @@
         state: CallerState,
         caller: Caller,
         tokens: int,
-        instances: int,
+        seat: Seat,
         now: float,
     ) -> OverLimit | None:
         if caller.most_running:
-            most = math.ceil(caller.most_running / instances)
+            most = share_at_once(caller.name, caller.most_running, seat)
             if state.running >= most:
                 text = f"{state.running} requests of {caller.name} run at once"
                 return OverLimit(CONCURRENCY_LIMIT, text, 1.0)
         state.requests, wait_s = _fill(
-            state.requests, caller.requests_per_s / instances, 1.0, now
+            state.requests, caller.requests_per_s / seat.instances, 1.0, now
         )
         if wait_s > 0:
             text = f"more than {caller.requests_per_s:g} requests a second"
             return OverLimit(RATE_LIMIT, text, wait_s)
         state.tokens, wait_s = _fill(
-            state.tokens, caller.tokens_per_s / instances, tokens, now
+            state.tokens, caller.tokens_per_s / seat.instances, tokens, now
         )
         if wait_s > 0:
             text = f"more than {caller.tokens_per_s:g} tokens a second"
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from caperridge.config.model import Caller, Configuration
+from caperridge.decisions.limit_share import Seat
 from caperridge.decisions.limits import CONCURRENCY_LIMIT, Limits
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport
@@ -37,7 +38,7 @@
         clock: monotonic seconds.
         load_changed: told of each online start and end.
         target_leaving: told of a target that says itself that it is leaving.
-        instances: returns how many live instances share the callers' limits.
+        seat: returns the place among the instances that share the limits.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         clock: Callable[[], float],
         load_changed: Callable[[OnlineLoad], None],
         target_leaving: Callable[[str], None],
-        instances: Callable[[], int] = lambda: 1,
+        seat: Callable[[], Seat] = Seat,
     ) -> None:
         self.book = book
         self.in_flight = 0
@@ -69,7 +70,7 @@
         self._traces = traces
         self._metrics = metrics
         self._clock = clock
-        self._instances = instances
+        self._seat = seat
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight."""
@@ -105,7 +106,7 @@
             request_id, caller, service, path, body, trace, resume_from, deadline
         )
         over = self.limits.admit(
-            caller, request.tokens_asked, self._instances(), self._clock()
+            caller, request.tokens_asked, self._seat(), self._clock()
         )
         if over is not None:
             self._metrics.requests.labels(service.name, "refused").inc()
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from caperridge.config.model import Caller
+from caperridge.decisions.limit_share import Seat, seat_of
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.batch_streams import BatchStreams
@@ -59,7 +60,7 @@
     TraceAsk,
 )
 from caperridge.platform.http import HttpPlatform
-from caperridge.platform.interface import Platform
+from caperridge.platform.interface import ListedMember, Platform
 from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
 from caperridge.refusals import Refusal, RefusedError
@@ -144,6 +145,8 @@
         self.online_news = OnlineReporter(
             book, self.membership, self.streams, self.peers, clock
         )
+        self._seated: dict[str, ListedMember] | None = None
+        self._seat_now = Seat()
         self.online = OnlineFront(
             book,
             self._engines,
@@ -152,7 +155,7 @@
             clock,
             self.online_news.changed,
             self._target_leaving,
-            self._instances,
+            self._seat,
         )
         self.explanations = Explanations(self.traces, self.peers)
         self.target_reports = TargetReports(
@@ -289,14 +292,14 @@
         self.online.book.close(closed)
         self.streams.close({t for t in closed if book.closed_to_batch(t)})
 
-    def _instances(self) -> int:
-        """Return how many live instances there are, this one included."""
-        live = {
-            member.id
-            for member in self.membership.members_by_id.values()
-            if member.state == "live"
-        }
-        return len(live | {self.settings.instance_id})
+    def _seat(self) -> Seat:
+        """Return the place of this instance among the live ones."""
+        members = self.membership.members_by_id
+        if members is not self._seated:  # replaced with each list
+            live = [member.id for member in members.values() if member.state == "live"]
+            self._seated = members
+            self._seat_now = seat_of(self.settings.instance_id, live)
+        return self._seat_now
 
     def _target_leaving(self, target: str) -> None:
         """Act on a target's own word that it is leaving, and pass it on."""
--- a/src/caperridge/measure/admission.py
+++ b/src/caperridge/measure/admission.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from caperridge.config.model import Caller
+from caperridge.decisions.limit_share import Seat
 from caperridge.decisions.limits import Limits
 
 CALLERS = 14_000
@@ -22,13 +23,13 @@
     tracemalloc.start()
     limits = Limits()
     for caller in callers:
-        limits.admit(caller, 100, 23, 0.0)
+        limits.admit(caller, 100, Seat(23), 0.0)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began = time.perf_counter()
     for turn in range(REQUESTS_A_CALLER):
         for number, caller in enumerate(callers):
-            limits.admit(caller, 100, 23, turn + number / CALLERS)
+            limits.admit(caller, 100, Seat(23), turn + number / CALLERS)
     took_s = time.perf_counter() - began
     return {
         "callers": CALLERS,
@@ -46,9 +47,9 @@
     for limit in (2, 10, 100):
         caller = Caller("greedy", DIGEST, most_running=limit)
         running = 0
-        for _ in range(instances):
+        for place in range(instances):
             limits = Limits()
-            while limits.admit(caller, 1, instances, 0.0) is None:
+            while limits.admit(caller, 1, Seat(instances, place), 0.0) is None:
                 running += 1
         found[f"running_{limit}"] = round(running / limit, 2)
         caller = Caller("greedy", DIGEST, requests_per_s=limit)
@@ -56,7 +57,7 @@
         for _ in range(instances):
             limits, now = Limits(), 0.0
             while now < BURSTS_S:
-                over = limits.admit(caller, 1, instances, now)
+                over = limits.admit(caller, 1, Seat(instances), now)
                 admitted += over is None
                 now += over.retry_after_s if over is not None else 0.0
         found[f"rate_{limit}"] = round(admitted / (limit * BURSTS_S), 2)
--- a/tests/online/test_policy_machine.py
+++ b/tests/online/test_policy_machine.py
@@ -19,6 +19,7 @@
 
 from caperridge.config.model import Caller
 from caperridge.decisions.fair_queue import FairQueue, Waiting
+from caperridge.decisions.limit_share import Seat
 from caperridge.decisions.limits import BURST_S, Limits
 from caperridge.decisions.progress import MOST_ATTEMPTS, Progress
 from caperridge.decisions.routing import TargetBook
@@ -111,7 +112,7 @@
     def arrives(
         self, caller: str, tokens: int, patience_s: float, repeatable: bool
     ) -> None:
-        over = self.limits.admit(CALLERS[caller], tokens, INSTANCES, self.now)
+        over = self.limits.admit(CALLERS[caller], tokens, Seat(INSTANCES), self.now)
         if over is not None:
             assert over.retry_after_s > 0
             return
--- a/tests/online/test_requests.py
+++ b/tests/online/test_requests.py
@@ -7,6 +7,7 @@
 from caperridge.config.model import Caller
 from caperridge.decisions.affinity import BLOCK_TOKENS, prefix_blocks
 from caperridge.decisions.fair_queue import FairQueue, Waiting
+from caperridge.decisions.limit_share import Seat, seat_of, share_at_once
 from caperridge.decisions.limits import Limits
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
@@ -251,9 +252,9 @@
     limits = Limits()
     for number in range(1000):
         team = Caller(f"team-{number}", "0" * 64, requests_per_s=10.0)
-        assert limits.admit(team, 1, 1, now=0.0) is None
+        assert limits.admit(team, 1, Seat(), now=0.0) is None
         limits.ended(team.name)
-    limits.admit(Caller("last", "0" * 64), 1, 1, now=100.0)
+    limits.admit(Caller("last", "0" * 64), 1, Seat(), now=100.0)
     assert list(limits.states_by_caller) == ["last"]
 
 
@@ -378,3 +379,16 @@
     for at in turns_at:
         rate.turn(at, waiting=True)
     assert least_s <= rate.turn_s(now) <= most_s
+
+
+@pytest.mark.parametrize(("instances", "limit"), [(3, 10), (23, 24), (23, 100), (3, 3)])
+def test_shares_of_a_limit_add_up_to_it(instances: int, limit: int) -> None:
+    names = [f"entry-{n}" for n in range(instances)]
+    shares = [share_at_once("heat", limit, seat_of(n, names)) for n in names]
+    assert sum(shares) == limit
+    assert max(shares) - min(shares) <= 1
+
+
+def test_a_limit_below_the_instances_is_one_at_each() -> None:
+    shares = [share_at_once("heat", 2, Seat(23, place)) for place in range(23)]
+    assert set(shares) == {1}
