Be ready only with the targets of the declared services

Cause: an instance that read a list which was still empty was ready and refused what others served. Waiting without end was ruled out, as a service may have no targets. The reasons moved out of the process's module.

--- a/src/caperridge/instance/members.py
+++ b/src/caperridge/instance/members.py
@@ -46,6 +46,8 @@
         readers: how many instances share the reading.
         introductions: instances that are connected but not listed.
         introduce: told of those that a peer knows.
+        complete: whether the list seems to hold what it should; until then it is read
+            as often as at the start.
     """
 
     idle_s = 0.5
@@ -58,6 +60,7 @@
         readers: Callable[[], int] = lambda: 1,
         introductions: Callable[[], list[list[str]]] = lambda: [],
         introduce: Callable[[str, str, str], None] = lambda *_: None,
+        complete: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
         self.known = False
@@ -68,6 +71,7 @@
         self._readers = readers
         self._introductions = introductions
         self._introduce = introduce
+        self._complete = complete
         self._members_by_id: dict[str, ListedMember] = {}
         self._polls_left_s = 0.0
         self._heard = 0
@@ -134,7 +138,7 @@
         self._apply(members_by_id)
 
     def _pause_s(self) -> float:
-        if not self.known:
+        if not (self.known and self._complete()):
             return FIRST_POLLS_S
         mean_s = POLL_S * max(1, self._readers())
         return mean_s * (1 + JITTER * (2 * self._random.random() - 1))
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -41,7 +41,11 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
-from caperridge.instance.readiness import ReadinessLog
+from caperridge.instance.readiness import (
+    ReadinessLog,
+    awaited_targets_of,
+    not_ready_because,
+)
 from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.sweeper import Sweeper
@@ -211,6 +215,7 @@
         if self.mesh is not None:
             self._wire_peers(self.mesh)
             self._actors.append(self.mesh)
+        self.awaited_targets = awaited_targets_of(self, clock)
         self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
 
     def _applied(self, message: ConfigurationApplied) -> None:
@@ -241,6 +246,7 @@
             lambda: len(self.membership.live(zone)),
             self.mesh.introductions,
             self.mesh.introduce,
+            lambda: not self.awaited_targets.missing(),
         )
 
     def _wire_relay(self, mesh: PeerMesh, clock: Callable[[], float]) -> Platform:
@@ -342,16 +348,7 @@
 
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
-        missing: list[str] = []
-        if self.drain.stopping:
-            missing.append("it is stopping")
-        if not self.configuration.known:
-            missing.append("it does not know the configuration yet")
-        if not self.members.known:
-            missing.append("it does not know the targets yet")
-        if self.membership.superseded:
-            missing.append("a later process has its id")
-        return missing
+        return not_ready_because(self)
 
     def state(self) -> dict[str, Any]:
         """Return a dump of everything this process holds, for operators."""
--- /dev/null
+++ b/tests/peers/test_readiness.py
@@ -0,0 +1,54 @@
+"""When an instance is ready: a table, and one that starts with an empty list."""
+
+import pytest
+
+from caperridge.instance.readiness import AWAIT_TARGETS_S, AwaitedTargets
+from caperridge.platform.interface import ListedMember
+from conftest import until
+from peers.conftest import Mesh
+
+END = AWAIT_TARGETS_S
+
+
+@pytest.mark.parametrize(
+    ("steps", "missing"),
+    [
+        # Each step: when, the declared services, those listed; then what is awaited.
+        ([(0, None, set()), (END, None, set())], []),
+        ([(0, {"a"}, None)], []),
+        ([(0, {"a"}, set())], ["a"]),
+        ([(0, {"a", "b"}, {"b", "c"})], ["a"]),
+        ([(0, {"a"}, {"a"})], []),
+        ([(0, {"a"}, set()), (END - 0.1, {"a"}, set())], ["a"]),
+        ([(0, {"a"}, set()), (END, {"a"}, set())], []),
+        # Time counts from the first list on, and what was once awaited stays settled.
+        ([(0, {"a"}, None), (END, {"a"}, set())], ["a"]),
+        ([(0, {"a"}, {"a"}), (1, {"a", "b"}, set())], []),
+        ([(0, set(), set()), (1, {"a"}, set())], []),
+    ],
+)
+def test_targets_of_declared_services_are_awaited_for_a_while(
+    steps: list[tuple[float, set[str] | None, set[str] | None]], missing: list[str]
+) -> None:
+    at = [steps[0]]
+    awaited = AwaitedTargets(lambda: at[0][1], lambda: at[0][2], lambda: at[0][0])
+    found: list[str] = []
+    for step in steps:
+        at[0] = step
+        found = awaited.missing()
+    assert found == missing
+
+
+async def test_one_that_reads_an_empty_list_is_ready_with_the_first_targets(
+    mesh: Mesh,
+) -> None:
+    instance = await mesh.start("entry-1", listed=False)
+    awaited = instance.awaited_targets
+    awaited._declared = lambda: {"chat"}
+    awaited._clock = lambda: 0.0
+    await until(lambda: instance.members.known)
+    reasons = instance.not_ready_because()
+    assert "it does not know any target of chat yet" in reasons
+    target = ListedMember("runner-1", "target", "h:1", "oviedo", service="chat")
+    mesh.list_member(target)
+    await until(lambda: not instance.not_ready_because())
