Leave a batch stream to end whose last token is in the making

Change: streams that are ending count neither as running nor as victims. Planted and seen to fail: victims taken from the ending streams too.

--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -237,9 +237,14 @@
         running: list[BatchStream],
         now: float,
     ) -> list[BatchStream]:
-        """Return the streams to cancel at once, the cheapest to redo first."""
+        """Return the streams to cancel at once, the cheapest to redo first.
+
+        A stream whose last token is in the making frees its place by the next step,
+        as a cancel would: it is left to end.
+        """
         allowed = self.allowed(target, most_running, batch_weight, now)
-        return first_to_go(running, len(running) - allowed)
+        staying = [stream for stream in running if not stream.ending]
+        return first_to_go(staying, len(staying) - allowed)
 
     def state(self, now: float) -> dict[str, Any]:
         """Return what is known by target, for the dump."""
--- a/src/caperridge/decisions/preemption.py
+++ b/src/caperridge/decisions/preemption.py
@@ -20,17 +20,24 @@
         target: where it runs.
         tokens: its progress so far.
         preemptions: how often its item gave way before.
+        ending: its last token is in the making: its place is free one step on.
     """
 
-    __slots__ = ("attempt", "preemptions", "target", "tokens")
+    __slots__ = ("attempt", "ending", "preemptions", "target", "tokens")
 
     def __init__(
-        self, attempt: str, target: str, tokens: int = 0, preemptions: int = 0
+        self,
+        attempt: str,
+        target: str,
+        tokens: int = 0,
+        preemptions: int = 0,
+        ending: bool = False,
     ) -> None:
         self.attempt = attempt
         self.target = target
         self.tokens = tokens
         self.preemptions = preemptions
+        self.ending = ending
 
 
 def first_to_go(running: Iterable[BatchStream], count: int) -> list[BatchStream]:
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -43,11 +43,6 @@
         self.work = work
         self.task: asyncio.Task[None] | None = None
 
-    @property
-    def ending(self) -> bool:
-        """Whether its last token is in the making: its place is free one step on."""
-        return self.work.tokens_left == 1
-
 
 class BatchStreams:
     """The batch streams of one instance.
@@ -249,7 +244,7 @@
     ) -> float:
         """Start some items at ``target``; return when to come back for more."""
         running = self._running_by_target.get(target, {})
-        ending = sum(1 for item in running.values() if item.ending)
+        ending = sum(1 for item in running.values() if item.stream.ending)
         starts = self.headroom.to_start(
             target,
             service.most_running,
@@ -333,7 +328,8 @@
                 step_s = (now - last_at) / len(events)
                 self.headroom.step_seen(stream.target, len(running), step_s, now)
             last_at, last_beside = now, beside
-            if item.ending:
+            stream.ending = work.tokens_left == 1
+            if stream.ending:
                 self._wake_after(0.0)
 
     def _forget(self, item: RunningItem) -> None:
--- a/src/caperridge/measure/modelled_runner.py
+++ b/src/caperridge/measure/modelled_runner.py
@@ -241,6 +241,7 @@
             stream, item, last = found
             item.tokens += 1
             stream.tokens = item.tokens
+            stream.ending = item.tokens + 1 == item.most
             self.batch_tokens += 1
             beside = self._known + batch
             if last and last[1] == beside:
--- a/tests/headroom/test_headroom.py
+++ b/tests/headroom/test_headroom.py
@@ -49,6 +49,17 @@
     assert running == MOST
 
 
+def test_a_stream_that_frees_its_place_by_itself_is_left_to_end() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    streams = [BatchStream(str(n), TARGET, tokens=n) for n in range(MOST)]
+    streams[0].ending = True
+    headroom.online_changed(TARGET, "entry-1", 1, 1.0)
+    assert headroom.to_preempt(TARGET, MOST, 0.5, streams, 1.0) == []
+    headroom.online_changed(TARGET, "entry-1", 2, 1.0)
+    assert headroom.to_preempt(TARGET, MOST, 0.5, streams, 1.0) == [streams[1]]
+
+
 @pytest.mark.parametrize("weight", [0.0, 0.5])
 def test_a_place_just_freed_is_held_and_then_given_to_batch(weight: float) -> None:
     headroom = Headroom()
