Learn a step's time once a step, not once a stream

Cause: a level keeps 32 samples, and with 24 streams those were of the last one or two steps. Change: samples of one step count once.

--- a/src/caperridge/decisions/step_time.py
+++ b/src/caperridge/decisions/step_time.py
@@ -1,10 +1,11 @@
 """How long a step of a target takes by how many streams run in it, as learnt.
 
-Every token that any stream of the target gets is one observation. Steps that also
-prefill a prompt are longer; a median for each level leaves them out. The levels are
-then fitted by a line, since a decode step grows about linearly with its streams.
-Levels that lie close together say little about the slope and much about noise, so
-the fit leans to a slope that is usual for engines until levels far apart are known.
+Each step in which any stream of the target gets a token is one observation. Steps
+that also prefill a prompt are longer; a median for each level leaves them out. The
+levels are then fitted by a line, since a decode step grows about linearly with its
+streams. Levels that lie close together say little about the slope and much about
+noise, so the fit leans to a slope that is usual for engines until levels far apart
+are known.
 """
 
 from collections import deque
@@ -13,6 +14,7 @@
 
 SAMPLES = 32  # kept for each level
 LEAST_SAMPLES = 4  # before a level counts
+SAME_STEP = 0.5  # of a step: what comes sooner after a sample is of the same step
 OLDEST_S = 300.0
 FIT_EVERY_S = 0.25
 LEAST_BASE = 0.1  # of the mean step
@@ -39,9 +41,9 @@
 
     >>> steps = StepTime()
     >>> for streams in (1, 33, 65):
-    ...     for _ in range(30):
-    ...         steps.observe(streams, 0.040 + 0.001 * streams, now=1.0)
-    >>> line = steps.line(now=1.0)
+    ...     for number in range(30):
+    ...         steps.observe(streams, 0.040 + 0.001 * streams, now=number)
+    >>> line = steps.line(now=30.0)
     >>> round(line.base_s, 3), round(line.stream_s, 3)
     (0.04, 0.001)
     """
@@ -55,11 +57,17 @@
         self._line: Line | None = None
 
     def observe(self, streams: int, step_s: float, now: float) -> None:
-        """Add the time between two tokens while ``streams`` ran."""
+        """Add the time between two tokens while ``streams`` ran.
+
+        All streams of a step report it. It counts once, so that the samples of a
+        level are of many steps and not of the last one.
+        """
         samples = self._samples_by_streams.get(streams)
         if samples is None:
             samples = deque(maxlen=SAMPLES)
             self._samples_by_streams[streams] = samples
+        if samples and now - samples[-1][0] < SAME_STEP * step_s:
+            return
         samples.append((now, step_s))
         self._changed = True
 
--- a/tests/headroom/test_step_time.py
+++ b/tests/headroom/test_step_time.py
@@ -21,12 +21,12 @@
 ) -> None:
     rng = random.Random(5)
     steps = StepTime()
-    for _ in range(40):
+    for number in range(40):
         for streams in levels:
             prefill = 0.01 if rng.random() < 0.2 else 0.0
             step_s = 0.040 + slope_s * streams + prefill + rng.gauss(0, 0.002)
-            steps.observe(streams, step_s, now=1.0)
-    line = steps.line(now=1.0)
+            steps.observe(streams, step_s, now=number)
+    line = steps.line(now=40.0)
     assert line is not None
     for streams in levels:
         assert line.at(streams) == pytest.approx(0.040 + slope_s * streams, rel=0.08)
@@ -36,24 +36,36 @@
 def test_what_is_old_is_forgotten() -> None:
     steps = StepTime()
     for now, slope_s in ((0.0, 0.003), (1000.0, 0.001)):
-        for _ in range(40):
+        for number in range(40):
             for streams in range(1, 17):
-                steps.observe(streams, 0.02 + slope_s * streams, now)
-    line = steps.line(now=1000.0)
+                steps.observe(streams, 0.02 + slope_s * streams, now + number)
+    line = steps.line(now=1040.0)
     assert line is not None
     assert line.stream_s == pytest.approx(0.001, rel=0.1)
 
 
 def test_prefill_that_grows_with_the_streams_leaves_a_base() -> None:
     steps = StepTime()
-    for _ in range(40):
+    for number in range(40):
         for streams in range(1, 40):
-            steps.observe(streams, 0.001 * streams**2, now=1.0)
-    line = steps.line(now=1.0)
+            steps.observe(streams, 0.001 * streams**2, now=2.0 * number)
+    line = steps.line(now=80.0)
     assert line is not None
     assert line.base_s > 0
 
 
+def test_a_slow_step_counts_once_however_many_streams_report_it() -> None:
+    steps = StepTime()
+    for number in range(30):
+        for streams in (4, 20):
+            steps.observe(streams, 0.040 + 0.0002 * streams, now=float(number))
+    for _ in range(20):
+        steps.observe(20, 0.055, now=30.0)  # one step with a long prompt
+    line = steps.line(now=31.0)
+    assert line is not None
+    assert line.at(20) == pytest.approx(0.044, rel=0.001)
+
+
 @pytest.mark.parametrize("tail_online", [1, 24, 60])
 @pytest.mark.parametrize("base_s", [0.0, 0.04])
 def test_the_share_is_defined_for_any_line_and_load(
