Keep a place for peers' requests only while peers send some

Cause of the lower share with news of peers: the kept place. So it stays where peers send: a queued request breaks the promise. The first request of a peer after that may wait a step.

--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -23,6 +23,7 @@
 REACTION_WEIGHT = 0.2
 FIRST_STEP_S = 0.03
 LEAST_PAUSE_S = 0.005
+PEERS_KEEP_S = 30.0  # places are kept so long after the last request of a peer
 MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
 ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
 MOST_HOLD_STEPS = 2.0
@@ -38,6 +39,7 @@
         "guard",
         "owned_since",
         "peers",
+        "peers_until",
         "reaction_s",
         "steps",
     )
@@ -50,6 +52,15 @@
         self.reaction_s = FIRST_REACTION_S
         self.owned_since: float | None = None
         self.peers = True
+        self.peers_until = 0.0
+
+    def peers_send(self, now: float) -> bool:
+        """Return whether requests of peers are to be reckoned with.
+
+        Their news may have effect after they arrive. The first one after a long
+        quiet may wait a step for that; runners without online requests keep nothing.
+        """
+        return self.peers and now < self.peers_until
 
     def online(self, now: float) -> int:
         """Return the online requests known, and let the estimate follow them.
@@ -111,6 +122,7 @@
         runner = self.runner(target)
         runner.owned_since = now - self._settle_s if alone else now
         runner.peers = not alone
+        runner.peers_until = now + PEERS_KEEP_S
 
     def peers_changed(self, alone: bool) -> None:
         """Note whether other instances live, whose news comes with a delay."""
@@ -132,7 +144,10 @@
         runner = self.runner(target)
         if not runner.counts.changed(sender, in_flight, sequence, now):
             return False
-        runner.peers = runner.peers or sequence > 0
+        if sequence > 0:
+            runner.peers = True
+        if sequence > 0 and in_flight > 0:
+            runner.peers_until = now + PEERS_KEEP_S
         runner.online(now)
         return True
 
@@ -278,7 +293,7 @@
         if not self._settled(runner, now):
             return 0
         reserve = 0
-        if runner.peers:
+        if runner.peers_send(now):
             arrivals = runner.burst.most_arrivals(now)
             reserve = _reserve(arrivals, most_running, batch_weight)
         full = most_running - reserve - runner.guard.taken(now)
--- a/tests/headroom/test_headroom.py
+++ b/tests/headroom/test_headroom.py
@@ -3,7 +3,7 @@
 import pytest
 
 from caperridge.decisions.batch_share import GUARD_MOST, FirstTokenGuard
-from caperridge.decisions.headroom import SETTLE_S, Headroom
+from caperridge.decisions.headroom import PEERS_KEEP_S, SETTLE_S, Headroom
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream, first_to_go
@@ -81,6 +81,18 @@
     assert headroom.allowed(TARGET, MOST, 1.0, now) == MOST - 1 - 3
 
 
+def test_no_place_is_kept_where_peers_have_sent_nothing_for_long() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=False)
+    headroom.online_changed(TARGET, "entry-2", 1, 10.0, sequence=1)
+    headroom.online_changed(TARGET, "entry-2", 0, 11.0, sequence=2)
+    quiet = 10.0 + PEERS_KEEP_S
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet - 0.1) == MOST - 1
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet) == MOST
+    headroom.online_changed(TARGET, "entry-2", 1, quiet + 1, sequence=3)
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet + 1) == MOST - 1 - 1
+
+
 @pytest.mark.parametrize(
     ("old_learns_s", "new_learns_s", "most_at_once"),
     [
