--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -9,80 +9,21 @@
 import math
 from typing import Any
 
-from caperridge.decisions.batch_share import FirstTokenGuard, most_streams
-from caperridge.decisions.burst import BurstEstimate
-from caperridge.decisions.online_counts import OnlineCounts
+from caperridge.decisions.batch_share import most_streams
 from caperridge.decisions.preemption import BatchStream, first_to_go
-from caperridge.decisions.step_time import StepTime
+from caperridge.decisions.runner_headroom import PEERS_KEEP_S, RunnerHeadroom
 from caperridge.records import Record
 
-__all__ = ["SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
+__all__ = ["PEERS_KEEP_S", "SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
 
 SETTLE_S = 2.0
-FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
-FIRST_STEP_S = 0.03
 LEAST_PAUSE_S = 0.005
-PEERS_KEEP_S = 30.0  # places are kept so long after the last request of a peer
 MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
 ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
-MOST_HOLD_STEPS = 2.0
 MOST_FREE = 0.125  # of a target, where the trade is all for the online tail
 
 
-class RunnerHeadroom:
-    """What is known of one target; see :class:`Headroom`."""
-
-    __slots__ = (
-        "burst",
-        "counts",
-        "guard",
-        "owned_since",
-        "peers",
-        "peers_until",
-        "reaction_s",
-        "steps",
-    )
-
-    def __init__(self) -> None:
-        self.counts = OnlineCounts()
-        self.burst = BurstEstimate()
-        self.steps = StepTime()
-        self.guard = FirstTokenGuard()
-        self.reaction_s = FIRST_REACTION_S
-        self.owned_since: float | None = None
-        self.peers = True
-        self.peers_until = 0.0
-
-    def peers_send(self, now: float) -> bool:
-        """Return whether requests of peers are to be reckoned with.
-
-        Their news may have effect after they arrive. The first one after a long
-        quiet may wait a step for that; runners without online requests keep nothing.
-        """
-        return self.peers and now < self.peers_until
-
-    def online(self, now: float) -> int:
-        """Return the online requests known, and let the estimate follow them.
-
-        They change by news, by a sender's end, and by news that expires.
-        """
-        online = self.counts.total(now)
-        if online != self.burst.online:
-            self.burst.note(online, self.reaction_s, now)
-        return online
-
-    def hold_s(self, batch_weight: float, now: float) -> float:
-        """Return how long a place that online freed is held for its next request."""
-        step_s = self.step_s(self.online(now), now)
-        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
-
-    def step_s(self, streams: int, now: float) -> float:
-        """Return how long a step with ``streams`` takes, as far as is known."""
-        line = self.steps.line(now)
-        return FIRST_STEP_S if line is None else line.at(streams)
-
-
 class Starts(Record):
     """How many streams to start now, and in how long to ask again."""
 
--- /dev/null
+++ b/src/caperridge/decisions/runner_headroom.py
@@ -0,0 +1,64 @@
+"""What a batch dispatcher knows of one target: its online load, bursts and steps."""
+
+from caperridge.decisions.batch_share import FirstTokenGuard
+from caperridge.decisions.burst import BurstEstimate
+from caperridge.decisions.online_counts import OnlineCounts
+from caperridge.decisions.step_time import StepTime
+
+FIRST_REACTION_S = 0.02
+FIRST_STEP_S = 0.03
+MOST_HOLD_STEPS = 2.0
+PEERS_KEEP_S = 30.0  # places are kept so long after the last request of a peer
+
+
+class RunnerHeadroom:
+    """What is known of one target; see :mod:`caperridge.decisions.headroom`."""
+
+    __slots__ = (
+        "burst",
+        "counts",
+        "guard",
+        "owned_since",
+        "peers",
+        "peers_until",
+        "reaction_s",
+        "steps",
+    )
+
+    def __init__(self) -> None:
+        self.counts = OnlineCounts()
+        self.burst = BurstEstimate()
+        self.steps = StepTime()
+        self.guard = FirstTokenGuard()
+        self.reaction_s = FIRST_REACTION_S
+        self.owned_since: float | None = None
+        self.peers = True
+        self.peers_until = 0.0
+
+    def peers_send(self, now: float) -> bool:
+        """Return whether requests of peers are to be reckoned with.
+
+        Their news may have effect after they arrive. The first one after a long
+        quiet may wait a step for that; runners without online requests keep nothing.
+        """
+        return self.peers and now < self.peers_until
+
+    def online(self, now: float) -> int:
+        """Return the online requests known, and let the estimate follow them.
+
+        They change by news, by a sender's end, and by news that expires.
+        """
+        online = self.counts.total(now)
+        if online != self.burst.online:
+            self.burst.note(online, self.reaction_s, now)
+        return online
+
+    def hold_s(self, batch_weight: float, now: float) -> float:
+        """Return how long a place that online freed is held for its next request."""
+        step_s = self.step_s(self.online(now), now)
+        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
+
+    def step_s(self, streams: int, now: float) -> float:
+        """Return how long a step with ``streams`` takes, as far as is known."""
+        line = self.steps.line(now)
+        return FIRST_STEP_S if line is None else line.at(streams)
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -18,6 +18,7 @@
 from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.item_work import ItemWork
 from caperridge.instance.metrics import Metrics
+from caperridge.instance.running_items import RunningItem, RunningItems
 from caperridge.log import logger
 from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
 from caperridge.targets.events import text_of
@@ -28,22 +29,10 @@
 log = logger(__name__)
 OWNERS_EVERY_S = 0.25
 FAILED_HOLD_S = 1.0
-LONGEST_REACTION_S = 0.5
 
 Finished = Callable[[ItemWork, AttemptError | None], None]
 
 
-class RunningItem:
-    """An item that runs at a target, and the task that reads its stream."""
-
-    __slots__ = ("stream", "task", "work")
-
-    def __init__(self, stream: BatchStream, work: ItemWork) -> None:
-        self.stream = stream
-        self.work = work
-        self.task: asyncio.Task[None] | None = None
-
-
 class BatchStreams:
     """The batch streams of one instance.
 
@@ -73,12 +62,10 @@
         self._metrics = metrics
         self._clock = clock
         self._waiting_by_service: dict[str, deque[ItemWork]] = {}
-        self._running_by_attempt: dict[str, RunningItem] = {}
-        self._running_by_target: dict[str, dict[str, RunningItem]] = {}
+        self._running = RunningItems(engines, clock, self.headroom.reaction_seen)
         self._not_before_by_target: dict[str, float] = {}
         self._owners_due = 0.0
         self._wake: asyncio.TimerHandle | None = None
-        self._cancels: set[asyncio.Task[None]] = set()
 
     def room(self, service: str) -> int:
         """Return how many more items of ``service`` are wanted.
@@ -111,15 +98,15 @@
             kept = [work for work in waiting if work.job != job]
             waiting.clear()
             waiting.extend(kept)
-        for attempt, running in list(self._running_by_attempt.items()):
-            if running.work.job == job:
-                self._stop(attempt)
+        for item in self._running.listed():
+            if item.work.job == job:
+                self._stop(item)
 
     def drop_all(self) -> None:
         """Stop and forget everything, e.g. when the lease is lost."""
         self._waiting_by_service.clear()
-        for attempt in list(self._running_by_attempt):
-            self._stop(attempt)
+        for item in self._running.listed():
+            self._stop(item)
 
     def online_changed(
         self, target: str, sender: str, in_flight: int, sequence: int = 0
@@ -143,7 +130,7 @@
         """Note what an online caller saw at ``target``; 0 for what is not known."""
         now = self._clock()
         if between_tokens_s > 0:
-            running = len(self._running_by_target.get(target, ()))
+            running = self._running.count(target)
             self.headroom.step_seen(target, running, between_tokens_s, now)
         if first_token_s > 0:
             self.headroom.first_token_seen(target, first_token_s, now)
@@ -176,7 +163,7 @@
     def state(self) -> dict[str, Any]:
         """Return what runs and waits, for the dump."""
         waiting = {name: len(items) for name, items in self._waiting_by_service.items()}
-        running = [item.stream.to_map() for item in self._running_by_attempt.values()]
+        running = [item.stream.to_map() for item in self._running.listed()]
         return {
             "waiting_by_service": waiting,
             "running": running,
@@ -187,8 +174,7 @@
     def close(self, targets: set[str]) -> None:
         """Start nothing at ``targets``, which are about to load; go on elsewhere."""
         for target in targets - self._closed:
-            for attempt in list(self._running_by_target.get(target, ())):
-                self._requeue(attempt)
+            self._requeue_all(target)
         self._closed = targets
 
     def _refresh_owners(self) -> None:
@@ -206,24 +192,30 @@
             self.headroom.gained(target, now, self.own.alone)
         for target in changes.lost:
             self.headroom.lost(target)
-            for attempt in list(self._running_by_target.get(target, ())):
-                self._requeue(attempt)
+            self._requeue_all(target)
 
     def _preempt(self, target: str, now: float) -> None:
         service = self._service_of(target)
-        running = self._running_by_target.get(target)
-        if service is None or not running:
+        if service is None or not self._running.count(target):
             return
-        streams = [item.stream for item in running.values()]
+        items_by_attempt = {
+            item.stream.attempt: item for item in self._running.at(target)
+        }
+        streams = [item.stream for item in items_by_attempt.values()]
         for stream in self.headroom.to_preempt(
             target, service.most_running, service.batch_weight, streams, now
         ):
-            self._running_by_attempt[stream.attempt].work.preemptions += 1
+            item = items_by_attempt[stream.attempt]
+            item.work.preemptions += 1
             self._metrics.preempted.labels(service.name).inc()
-            self._requeue(stream.attempt)
+            self._requeue(item)
+
+    def _requeue_all(self, target: str) -> None:
+        for item in self._running.at(target):
+            self._requeue(item)
 
-    def _requeue(self, attempt: str) -> None:
-        work = self._stop(attempt)
+    def _requeue(self, item: RunningItem) -> None:
+        work = self._stop(item)
         self._waiting_by_service.setdefault(work.service, deque()).appendleft(work)
 
     def _service_of(self, target: str) -> Service | None:
@@ -243,8 +235,8 @@
         self, target: str, service: Service, waiting: deque[ItemWork], now: float
     ) -> float:
         """Start some items at ``target``; return when to come back for more."""
-        running = self._running_by_target.get(target, {})
-        ending = sum(1 for item in running.values() if item.stream.ending)
+        running = self._running.at(target)
+        ending = sum(1 for item in running if item.stream.ending)
         starts = self.headroom.to_start(
             target,
             service.most_running,
@@ -282,8 +274,7 @@
         attempt = f"{work.request}.{work.attempts}"
         stream = BatchStream(attempt, target, len(work.texts), work.preemptions)
         item = RunningItem(stream, work)
-        self._running_by_attempt[attempt] = item
-        self._running_by_target.setdefault(target, {})[attempt] = item
+        self._running.add(item)
         item.task = asyncio.get_running_loop().create_task(self._run(item))
 
     async def _run(self, item: RunningItem) -> None:
@@ -303,9 +294,9 @@
         except AttemptFailed as failed:
             error = failed.error
             log_failure(attempt, stream.target, error, work.job)
-        if stream.attempt not in self._running_by_attempt:
+        if stream.attempt not in self._running:
             return
-        self._forget(item)
+        self._running.forget(item)
         if error is not None and not _permanent(error):
             # Another target may do; this one gets a moment to come back.
             until = self._clock() + FAILED_HOLD_S
@@ -315,46 +306,27 @@
 
     async def _read(self, item: RunningItem, batches: Any) -> None:
         work, stream = item.work, item.stream
-        running = self._running_by_target[stream.target]
         last_at, last_beside = 0.0, -1
         async for events in batches:
-            if stream.attempt not in self._running_by_attempt:
+            if stream.attempt not in self._running:
                 return
             work.texts.extend(text_of(event) for event in events)
             stream.tokens = len(work.texts)
             now = self._clock()
-            beside = self.headroom.online(stream.target, now) + len(running)
+            running = self._running.count(stream.target)
+            beside = self.headroom.online(stream.target, now) + running
             if beside == last_beside:
                 step_s = (now - last_at) / len(events)
-                self.headroom.step_seen(stream.target, len(running), step_s, now)
+                self.headroom.step_seen(stream.target, running, step_s, now)
             last_at, last_beside = now, beside
             stream.ending = work.tokens_left == 1
             if stream.ending:
                 self._wake_after(0.0)
 
-    def _forget(self, item: RunningItem) -> None:
-        del self._running_by_attempt[item.stream.attempt]
-        del self._running_by_target[item.stream.target][item.stream.attempt]
-
-    def _stop(self, attempt: str) -> ItemWork:
-        item = self._running_by_attempt[attempt]
-        self._forget(item)
-        if item.task is not None:
-            item.task.cancel()
+    def _stop(self, item: RunningItem) -> ItemWork:
         state = self.book.states_by_id.get(item.stream.target)
-        if state is not None:
-            cancel = self._cancel(state.member.address, item.stream)
-            task = asyncio.get_running_loop().create_task(cancel)
-            self._cancels.add(task)
-            task.add_done_callback(self._cancels.discard)
-        return item.work
-
-    async def _cancel(self, address: str, stream: BatchStream) -> None:
-        # Closing the connection ends the attempt too; the order only makes it sooner.
-        started = self._clock()
-        await self._engines.cancel(address, stream.attempt)
-        took = min(LONGEST_REACTION_S, self._clock() - started)
-        self.headroom.reaction_seen(stream.target, took)
+        address = None if state is None else state.member.address
+        return self._running.stop(item, address)
 
 
 def _permanent(error: AttemptError) -> bool:
--- a/tests/headroom/test_batch_streams.py
+++ b/tests/headroom/test_batch_streams.py
@@ -89,7 +89,9 @@
         found.check_whole()
 
 
-async def test_the_engine_never_queues_an_online_request_for_a_place() -> None:
+async def test_an_online_request_has_its_place_at_the_engine_within_a_few_steps() -> (
+    None
+):
     async with saturated() as found:
         waits: list[int] = []
         submit = found.engine.submit
