Hold a place that online freed for one step more

Cause: in bursts batch took freed places and gave them back at the next arrival; each time its tokens so far were prefilled again beside online prompts. Change: held for 3, 2, 1 steps at weights 0, 0.5, 1, instead of 2, 1, 0.

--- a/src/caperridge/decisions/runner_headroom.py
+++ b/src/caperridge/decisions/runner_headroom.py
@@ -7,7 +7,8 @@
 
 FIRST_REACTION_S = 0.02
 FIRST_STEP_S = 0.03
-MOST_HOLD_STEPS = 2.0
+MOST_HOLD_STEPS = 3.0
+HOLD_STEPS_SPAN = 2.0  # fewer steps the more the trade is for throughput
 PEERS_KEEP_S = 30.0  # places are kept so long after the last request of a peer
 
 
@@ -56,7 +57,7 @@
     def hold_s(self, batch_weight: float, now: float) -> float:
         """Return how long a place that online freed is held for its next request."""
         step_s = self.step_s(self.online(now), now)
-        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
+        return step_s * (MOST_HOLD_STEPS - HOLD_STEPS_SPAN * batch_weight)
 
     def step_s(self, streams: int, now: float) -> float:
         """Return how long a step with ``streams`` takes, as far as is known."""
