Start no batch for a step after an online arrival

Cause: prompts that are prefilled in one step add up, and that step is the tail. Change: at weight 0.5 batch starts nothing for one step after an arrival (two at 0, none at 1), but is not put off for more than six steps, so that arrivals without end cannot keep it out.

--- a/src/caperridge/decisions/burst.py
+++ b/src/caperridge/decisions/burst.py
@@ -6,6 +6,7 @@
 which the slowest tokens were made, which is what online callers put up with anyway.
 """
 
+import math
 from collections import deque
 
 LONGEST_HOLD_S = 1.0
@@ -59,6 +60,7 @@
 
     Attributes:
         online: requests at the target by the last note.
+        arrived_at: when the last request arrived.
     """
 
     __slots__ = (
@@ -68,11 +70,13 @@
         "_noted_at",
         "_scale",
         "_weights_by_online",
+        "arrived_at",
         "online",
     )
 
     def __init__(self, memory_s: float = MEMORY_S) -> None:
         self.online = 0
+        self.arrived_at = -math.inf
         self._noted_at = 0.0
         self._most_online = RecentMost(LONGEST_HOLD_S)
         self._most_arrivals = RecentMost(memory_s)
@@ -97,6 +101,7 @@
         while self._arrivals and self._arrivals[0] < now - reaction_s:
             self._arrivals.popleft()
         if online > self.online:
+            self.arrived_at = now
             self._most_arrivals.note(len(self._arrivals), now)
         self.online = online
 
--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -178,7 +178,12 @@
         staying = running - ending
         step_s = max(LEAST_PAUSE_S, self.step_s(target, running, now))
         room = self.startable(target, most_running, batch_weight, now) - staying
+        runner = self.runner(target)
+        pause_s = runner.pause_s(batch_weight, now)
+        if room > 0 and pause_s > 0:
+            return Starts(0, max(LEAST_PAUSE_S, pause_s))
         if room > 0:
+            runner.filled_at = now
             rounds = MOST_ROUNDS - ROUNDS_SPAN * batch_weight
             return Starts(math.ceil(room / rounds), step_s)
         # A place that is only held comes free without any further event.
--- a/src/caperridge/decisions/runner_headroom.py
+++ b/src/caperridge/decisions/runner_headroom.py
@@ -1,5 +1,7 @@
 """What a batch dispatcher knows of one target: its online load, bursts and steps."""
 
+import math
+
 from caperridge.decisions.batch_share import FirstTokenGuard
 from caperridge.decisions.burst import BurstEstimate
 from caperridge.decisions.online_counts import OnlineCounts
@@ -9,6 +11,8 @@
 FIRST_STEP_S = 0.03
 MOST_HOLD_STEPS = 3.0
 HOLD_STEPS_SPAN = 2.0  # fewer steps the more the trade is for throughput
+MOST_PAUSE_STEPS = 2.0  # after an arrival; none where the trade is for throughput
+MOST_PUT_OFF_STEPS = 6.0
 PEERS_KEEP_S = 30.0  # places are kept so long after the last request of a peer
 
 
@@ -18,6 +22,7 @@
     __slots__ = (
         "burst",
         "counts",
+        "filled_at",
         "guard",
         "owned_since",
         "peers",
@@ -33,6 +38,7 @@
         self.guard = FirstTokenGuard()
         self.reaction_s = FIRST_REACTION_S
         self.owned_since: float | None = None
+        self.filled_at = -math.inf
         self.peers = True
         self.peers_until = 0.0
 
@@ -59,6 +65,18 @@
         step_s = self.step_s(self.online(now), now)
         return step_s * (MOST_HOLD_STEPS - HOLD_STEPS_SPAN * batch_weight)
 
+    def pause_s(self, batch_weight: float, now: float) -> float:
+        """Return how long to start nothing, since an online prompt is prefilled.
+
+        Prompts in one step add up; a step later the stream disturbs less. Arrivals
+        without end must not keep batch out, so it is put off for some steps at most.
+        """
+        step_s = self.step_s(self.online(now), now)
+        if now - self.filled_at >= MOST_PUT_OFF_STEPS * step_s:
+            return 0.0
+        pause_s = step_s * MOST_PAUSE_STEPS * (1 - batch_weight)
+        return max(0.0, self.burst.arrived_at + pause_s - now)
+
     def step_s(self, streams: int, now: float) -> float:
         """Return how long a step with ``streams`` takes, as far as is known."""
         line = self.steps.line(now)
--- a/tests/headroom/test_headroom.py
+++ b/tests/headroom/test_headroom.py
@@ -1,5 +1,7 @@
 """Headroom at a hand-moved clock: bursts, hand-over, starvation, guard."""
 
+from itertools import pairwise
+
 import pytest
 
 from caperridge.decisions.batch_share import GUARD_MOST, FirstTokenGuard
@@ -8,6 +10,7 @@
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream, first_to_go
 from caperridge.decisions.routing import TargetState
+from caperridge.decisions.runner_headroom import MOST_PUT_OFF_STEPS
 from caperridge.platform.interface import ListedMember
 
 TARGET = "runner-1"
@@ -128,6 +131,25 @@
     assert new_running == MOST - 1
 
 
+def test_a_start_is_put_off_beside_an_online_prompt_but_not_for_ever() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    running, online, started_at = 0, 0, []
+    for step in range(60):
+        now = 1.0 + step * STEP_S
+        before = running
+        online = 1 - online  # a request comes with every other step
+        headroom.online_changed(TARGET, "entry-1", online, now)
+        running = fill(headroom, running, 0.0, now)
+        if running > before:
+            started_at.append(now)
+        if running >= MOST // 2:
+            running = 0  # all end, so that there is always room
+    waits = [after - at for at, after in pairwise(started_at)]
+    assert min(waits) > 2 * STEP_S  # without the pause it would fill with each step
+    assert max(waits) <= (MOST_PUT_OFF_STEPS + 1) * STEP_S
+
+
 def test_no_item_gives_way_for_ever() -> None:
     streams = [BatchStream(f"item-{n}", TARGET, tokens=n) for n in range(6)]
     for _ in range(200):
