--- a/src/caperridge/decisions/headroom.py
+++ b/src/caperridge/decisions/headroom.py
@@ -9,69 +9,21 @@
 import math
 from typing import Any
 
-from caperridge.decisions.batch_share import FirstTokenGuard, most_streams
-from caperridge.decisions.burst import BurstEstimate
-from caperridge.decisions.online_counts import OnlineCounts
+from caperridge.decisions.batch_share import most_streams
 from caperridge.decisions.preemption import BatchStream, first_to_go
-from caperridge.decisions.step_time import StepTime
+from caperridge.decisions.runner_headroom import PEERS_KEEP_S, RunnerHeadroom
 from caperridge.records import Record
 
-__all__ = ["SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
+__all__ = ["PEERS_KEEP_S", "SETTLE_S", "BatchStream", "Headroom", "RunnerHeadroom"]
 
 SETTLE_S = 2.0
-FIRST_REACTION_S = 0.02
 REACTION_WEIGHT = 0.2
-FIRST_STEP_S = 0.03
 LEAST_PAUSE_S = 0.005
 MOST_ROUNDS = 4  # a target is filled in about so many, one for each step
 ROUNDS_SPAN = 3  # fewer rounds the more the trade is for throughput
-MOST_HOLD_STEPS = 2.0
 MOST_FREE = 0.125  # of a target, where the trade is all for the online tail
 
 
-class RunnerHeadroom:
-    """What is known of one target; see :class:`Headroom`."""
-
-    __slots__ = (
-        "burst",
-        "counts",
-        "guard",
-        "owned_since",
-        "peers",
-        "reaction_s",
-        "steps",
-    )
-
-    def __init__(self) -> None:
-        self.counts = OnlineCounts()
-        self.burst = BurstEstimate()
-        self.steps = StepTime()
-        self.guard = FirstTokenGuard()
-        self.reaction_s = FIRST_REACTION_S
-        self.owned_since: float | None = None
-        self.peers = True
-
-    def online(self, now: float) -> int:
-        """Return the online requests known, and let the estimate follow them.
-
-        They change by news, by a sender's end, and by news that expires.
-        """
-        online = self.counts.total(now)
-        if online != self.burst.online:
-            self.burst.note(online, self.reaction_s, now)
-        return online
-
-    def hold_s(self, batch_weight: float, now: float) -> float:
-        """Return how long a place that online freed is held for its next request."""
-        step_s = self.step_s(self.online(now), now)
-        return step_s * MOST_HOLD_STEPS * (1 - batch_weight)
-
-    def step_s(self, streams: int, now: float) -> float:
-        """Return how long a step with ``streams`` takes, as far as is known."""
-        line = self.steps.line(now)
-        return FIRST_STEP_S if line is None else line.at(streams)
-
-
 class Starts(Record):
     """How many streams to start now, and in how long to ask again."""
 
@@ -111,6 +63,7 @@
         runner = self.runner(target)
         runner.owned_since = now - self._settle_s if alone else now
         runner.peers = not alone
+        runner.peers_until = now + PEERS_KEEP_S
 
     def peers_changed(self, alone: bool) -> None:
         """Note whether other instances live, whose news comes with a delay."""
@@ -132,7 +85,10 @@
         runner = self.runner(target)
         if not runner.counts.changed(sender, in_flight, sequence, now):
             return False
-        runner.peers = runner.peers or sequence > 0
+        if sequence > 0:
+            runner.peers = True
+        if sequence > 0 and in_flight > 0:
+            runner.peers_until = now + PEERS_KEEP_S
         runner.online(now)
         return True
 
@@ -222,7 +178,12 @@
         staying = running - ending
         step_s = max(LEAST_PAUSE_S, self.step_s(target, running, now))
         room = self.startable(target, most_running, batch_weight, now) - staying
+        runner = self.runner(target)
+        pause_s = runner.pause_s(batch_weight, now)
+        if room > 0 and pause_s > 0:
+            return Starts(0, max(LEAST_PAUSE_S, pause_s))
         if room > 0:
+            runner.filled_at = now
             rounds = MOST_ROUNDS - ROUNDS_SPAN * batch_weight
             return Starts(math.ceil(room / rounds), step_s)
         # A place that is only held comes free without any further event.
@@ -237,9 +198,14 @@
         running: list[BatchStream],
         now: float,
     ) -> list[BatchStream]:
-        """Return the streams to cancel at once, the cheapest to redo first."""
+        """Return the streams to cancel at once, the cheapest to redo first.
+
+        A stream whose last token is in the making frees its place by the next step,
+        as a cancel would: it is left to end.
+        """
         allowed = self.allowed(target, most_running, batch_weight, now)
-        return first_to_go(running, len(running) - allowed)
+        staying = [stream for stream in running if not stream.ending]
+        return first_to_go(staying, len(staying) - allowed)
 
     def state(self, now: float) -> dict[str, Any]:
         """Return what is known by target, for the dump."""
@@ -273,7 +239,7 @@
         if not self._settled(runner, now):
             return 0
         reserve = 0
-        if runner.peers:
+        if runner.peers_send(now):
             arrivals = runner.burst.most_arrivals(now)
             reserve = _reserve(arrivals, most_running, batch_weight)
         full = most_running - reserve - runner.guard.taken(now)
