Share the reading of jobs inside an availability zone

Cause: every instance polled the row of job changes and scanned the open jobs, so the table's reads grew with the instances and not with the zones.

Ruled out: sending whole lists of open jobs (over half a megabyte at 1,900 jobs, to each peer, each scan); a lease for the reader (a row more, and nothing depends on there being only one); taking over the versions of sessions that a peer saw (late news would make a session seem to stand still for longer than it did).

Change: the reader of a zone, by rendezvous hashing, tells its zone the changes that it read, with the numbers of the row, and after a scan a digest of the open jobs. The others read for themselves every 20 s, when they heard nothing for 6 s, after a gap or a hint without news, and scan when the digest is not their own. The watcher of sessions, of which each zone had one already, says that it watches; one that hears nothing of it for a lease watches too, from its own first look on.

--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -46,6 +46,7 @@
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.session_watcher import SessionWatcher
 from caperridge.log import logger
+from caperridge.peers.interface import Peers
 from caperridge.platform.interface import Platform
 from caperridge.targets.outcomes import AttemptError
 
@@ -63,6 +64,7 @@
         metrics: of the instance.
         lease_s: of all sessions.
         clock: monotonic seconds.
+        peers: with whom the reading of jobs is shared.
     """
 
     idle_s = 0.1
@@ -75,6 +77,7 @@
         metrics: Metrics,
         lease_s: float,
         clock: Callable[[], float],
+        peers: Peers | None = None,
     ) -> None:
         super().__init__()
         self.streams: BatchStreams
@@ -91,12 +94,12 @@
         self._session_id = ""
         self._quiet = asyncio.Event()
         self._checkpoints = Checkpoints()
-        self._reader = JobsReader(platform, membership.instance, clock, self.tell)
+        self._reader = JobsReader(platform, membership, clock, self.tell, peers)
         self._claimer = ChunkClaimer(platform, membership.instance, clock, self.tell)
         self._committer = ChunkCommitter(
             platform, session, membership.instance, clock, self.tell
         )
-        watcher = SessionWatcher(platform, membership, lease_s, clock)
+        watcher = SessionWatcher(platform, membership, lease_s, clock, peers)
         self._parts: list[Actor] = [
             self._reader,
             self._claimer,
--- a/src/caperridge/instance/jobs_reader.py
+++ b/src/caperridge/instance/jobs_reader.py
@@ -1,33 +1,44 @@
-"""The task that knows which jobs are open."""
+"""The task that knows which jobs are open, by itself or from its zone's reader."""
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from result import Err
 
 from caperridge.commands.sessions import LAPSED
-from caperridge.decisions.jobs import OPEN
+from caperridge.decisions.job_reads import (
+    NO_DIGEST,
+    Changes,
+    Heard,
+    JobReads,
+    digest_of_jobs,
+)
+from caperridge.decisions.jobs import COMPLETED, OPEN, Job
+from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_messages import JobEnded, JobsListed, SessionsLapsed
+from caperridge.log import logger
+from caperridge.peers.interface import NoPeers, Peers
+from caperridge.peers.messages import JobsRead
 from caperridge.platform.interface import Platform
 from caperridge.queries.jobs import open_jobs, read_changes, read_job
-from caperridge.records import Record
+from caperridge.records import Record, pack
 
-POLL_S = 1.0
-SCAN_S = 30.0
+log = logger(__name__)
+READ_JOBS = "read-jobs"
+MOST_SHARED_BYTES = 64_000
 
 
 class JobsReader(Actor):
-    """Polls the row of changes, and now and then scans the open jobs.
-
-    At 390 instances a poll of one row each second is 390 reads a second; scans of
-    1,900 jobs every 30 s are 260.
+    """Polls the row of changes and scans the open jobs, for its zone if it is its turn.
 
     Args:
         platform: where the jobs are.
-        instance: seeds the jitter.
+        membership: says who reads for the zone; the instance's id seeds the jitter.
         clock: monotonic seconds.
         tell: takes what was found.
+        peers: with whom the reading is shared.
     """
 
     idle_s = 0.2
@@ -35,63 +46,133 @@
     def __init__(
         self,
         platform: Platform,
-        instance: str,
+        membership: Membership,
         clock: Callable[[], float],
         tell: Callable[[Record], bool],
+        peers: Peers | None = None,
     ) -> None:
         super().__init__()
         self.known = False
         self._platform = platform
+        self._membership = membership
         self._clock = clock
         self._tell = tell
-        self._random = random.Random(instance)
-        self._number: int | None = None
-        self._poll_at = 0.0
-        self._scan_at = 0.0
+        self._peers = peers or NoPeers()
+        self._reads = JobReads(random.Random(membership.instance))
+        self._peers.register(JobsRead, lambda _, news: self.tell(news))
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance reads for its zone."""
+        zone = self._membership.availability_zone
+        return self._membership.owner(READ_JOBS, zone) == self._membership.instance
 
     def poll_soon(self) -> None:
-        """Poll at the next tick: somebody says that there is news."""
-        self._poll_at = 0.0
+        """Note that somebody says that there is news."""
+        self._reads.hint(self._clock(), self.is_reader)
+
+    async def handle(self, message: Any) -> None:
+        """Take what a reader of the zone found."""
+        now = self._clock()
+        # Read whole before anything counts as taken: a later release may differ.
+        jobs_by_id: dict[str, Job] = {}
+        for fields in message.jobs:
+            job = Job.from_map(fields)
+            jobs_by_id[job.id] = job
+        told = Changes(message.base, message.number, message.changes)
+        heard, changes = self._reads.heard(now, told)
+        if heard is Heard.STALE:
+            return
+        self.known = True
+        for subject, state in changes:
+            if state == OPEN and subject not in jobs_by_id:
+                self._reads.unread(now)
+                continue
+            self._take(subject, state, jobs_by_id.get(subject))
+        self._reads.compare(now, message.number, message.digest)
+        if message.digest != NO_DIGEST:
+            # A lapse that could not be announced is found as often as by a scan.
+            self._tell(SessionsLapsed())
 
     async def idle(self) -> None:
         """Poll or scan if it is time."""
-        now = self._clock()
-        if now < self._poll_at:
+        now, reader = self._clock(), self.is_reader
+        if not self._reads.poll_due(now, reader):
             return
-        self._poll_at = now + POLL_S * (0.75 + self._random.random() / 2)
-        changes = await read_changes(self._platform, self._number)
-        if isinstance(changes, Err):
+        self._reads.tried(now)
+        before = self._reads.number
+        read = await read_changes(self._platform, before)
+        if isinstance(read, Err):
             self.known = False
             return
         self.known = True
-        number, news = changes.ok_value
-        if news is None or now >= self._scan_at:
-            await self._scan(number)
+        number, changes = read.ok_value
+        went_back = before is not None and number < before
+        if changes is None or went_back or self._reads.scan_due(now, reader):
+            await self._scan(number, reader)
             return
-        for subject, state in news:
-            await self._take(subject, state)
-        self._number = number
+        await self._take_all(Changes(before or 0, number, changes), reader)
 
-    async def _scan(self, number: int) -> None:
+    async def _scan(self, number: int, reader: bool) -> None:
         jobs = await open_jobs(self._platform)
         if isinstance(jobs, Err):
+            self._reads.unread(self._clock())
             return
         # The number was read before the scan: what came between is seen twice.
-        self._number = number
-        self._scan_at = self._clock() + SCAN_S * (0.75 + self._random.random() / 2)
+        open_ids = {job.id for job in jobs.ok_value}
+        self._reads.scanned(self._clock(), number, open_ids)
         self._tell(JobsListed(jobs.ok_value))
         self._tell(SessionsLapsed())
+        if not reader:
+            return
+        after = await read_changes(self._platform, number)
+        if isinstance(after, Err) or after.ok_value[0] != number:
+            # A digest of jobs that change just now would make the zone scan.
+            return
+        self._reads.share_due(self._clock(), news=True)
+        digest = digest_of_jobs(open_ids)
+        self._peers.send_zone(JobsRead(number, number, digest=digest))
+
+    async def _take_all(self, found: Changes, reader: bool) -> None:
+        shared: list[list[str]] = []
+        jobs: list[Job] = []
+        for subject, state in found.changes:
+            job: Job | None = None
+            if state == OPEN:
+                read = await read_job(self._platform, subject)
+                if isinstance(read, Err):
+                    # The next poll sees these changes again.
+                    return
+                job = read.ok_value
+                state = job.state if job is not None else COMPLETED
+            self._take(subject, state, job)
+            shared.append([subject, state])
+            if job is not None and state == OPEN:
+                jobs.append(job)
+        self._reads.polled(found.number)
+        if reader and self._reads.share_due(self._clock(), news=bool(shared)):
+            news = JobsRead(found.number, found.base, shared, _bounded(jobs))
+            self._peers.send_zone(news)
 
-    async def _take(self, subject: str, state: str) -> None:
+    def _take(self, subject: str, state: str, job: Job | None) -> None:
         if state == LAPSED:
             self._tell(SessionsLapsed())
             return
-        if state != OPEN:
+        if state != OPEN or job is None:
+            self._reads.open_ids.discard(subject)
             self._tell(JobEnded(subject))
             return
-        job = await read_job(self._platform, subject)
-        if isinstance(job, Err):
-            self._scan_at = 0.0
-            return
-        if job.ok_value is not None and job.ok_value.state == OPEN:
-            self._tell(job.ok_value)
+        self._reads.open_ids.add(subject)
+        self._tell(job)
+
+
+def _bounded(jobs: list[Job]) -> list[dict[str, Any]]:
+    """Return the jobs that fit into a message; who lacks one scans."""
+    left = MOST_SHARED_BYTES
+    fitting: list[dict[str, Any]] = []
+    for job in jobs:
+        left -= len(pack(job))
+        if left < 0:
+            break
+        fitting.append(job.to_map())
+    return fitting
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -132,6 +132,7 @@
             self.metrics,
             settings.lease_s,
             clock,
+            self.peers,
         )
         self.streams = BatchStreams(
             self.membership,
--- a/src/caperridge/measure/capacity.py
+++ b/src/caperridge/measure/capacity.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from caperridge.decisions.chunks import LANE_ITEMS, WANTED_CHUNK_S
+from caperridge.decisions.job_reads import POLL_S, SCAN_S
 from caperridge.decisions.leases import RENEWALS_A_LEASE
 from caperridge.instance.configuration import POLL_S as HEAD_POLL_S
 from caperridge.instance.configuration import READER_POLL_S
-from caperridge.instance.jobs_reader import POLL_S, SCAN_S
 from caperridge.instance.orderer import LOOK_S
 from caperridge.records import Record
 from caperridge.settings import Settings
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -181,6 +181,41 @@
         self.state = state
 
 
+class JobsRead(Record):
+    """What the zone's reader found in the row of job changes, or that nothing changed.
+
+    Attributes:
+        number: of the newest change.
+        base: number of the last change before ``changes``; higher than what the
+            receiver knows is a gap.
+        changes: ``[subject, state]`` of each, at most as many as the row keeps.
+        jobs: the jobs that were found open, as maps; some may be left out.
+        digest: of the ids of all open jobs at ``number``; 0 for none.
+    """
+
+    __slots__ = ("base", "changes", "digest", "jobs", "number")
+
+    def __init__(
+        self,
+        number: int,
+        base: int = 0,
+        changes: list[list[str]] | None = None,
+        jobs: list[dict[str, Any]] | None = None,
+        digest: int = 0,
+    ) -> None:
+        self.number = number
+        self.base = base
+        self.changes = changes or []
+        self.jobs = jobs or []
+        self.digest = digest
+
+
+class SessionsWatched(Record):
+    """The sender looked at all sessions and watches them for its zone."""
+
+    __slots__ = ()
+
+
 class TargetNews(Record):
     """A target said that it is leaving, or failed at the sender."""
 
@@ -339,6 +374,8 @@
         LatencyNews,
         LoadNews,
         JobNews,
+        JobsRead,
+        SessionsWatched,
         TargetNews,
         LoadedNews,
         ConfigurationNews,
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -29,6 +29,8 @@
     messages.LatencyNews("e-1", "r-1", 0.2, 0.03),
     messages.LoadNews("e-1", [["r-1", 2, 3, 4]]),
     messages.JobNews("batch_1", "cancelled"),
+    messages.JobsRead(7, 5, [["j", "open"], ["s", "lapsed"]], [{"id": "j"}], 2**63),
+    messages.SessionsWatched(),
     messages.TargetNews("r-1", 2, True),
     messages.LoadNews("e-1", [["r-1", 1, 2, 3]]),
     messages.LoadedNews("r-1", 2, 3, {"model": "north"}, True),
