Measure and work out the table reads that a zone shares

Found on the way: its line for sessions was wrong. One instance of each zone scans them, not every instance, so it was 27 reads a second and not 624.

Change: `measure reads` runs idle instances of one zone with and without peers, in one run.

--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -360,6 +360,7 @@
         return {
             "items_open_by_chunk": open_by_chunk,
             "chunks_to_commit": len(self._committer.waiting_by_key),
+            "jobs": self._reader.state(),
             "retries": self._retries.state(),
             "waits_because_by_job": {
                 job_id: self.why(job_id) for job_id in self._board.jobs_by_id
--- a/src/caperridge/instance/jobs_reader.py
+++ b/src/caperridge/instance/jobs_reader.py
@@ -165,6 +165,15 @@
         self._reads.open_ids.add(subject)
         self._tell(job)
 
+    def state(self) -> dict[str, Any]:
+        """Return what operators want to see of it."""
+        return {
+            "reader": self.is_reader,
+            "known": self.known,
+            "number": self._reads.number,
+            "open": len(self._reads.open_ids),
+        }
+
 
 def _bounded(jobs: list[Job]) -> list[dict[str, Any]]:
     """Return the jobs that fit into a message; who lacks one scans."""
--- a/src/caperridge/measure/capacity.py
+++ b/src/caperridge/measure/capacity.py
@@ -10,7 +10,12 @@
 from typing import Any
 
 from caperridge.decisions.chunks import LANE_ITEMS, WANTED_CHUNK_S
-from caperridge.decisions.job_reads import POLL_S, SCAN_S
+from caperridge.decisions.job_reads import (
+    OWN_POLL_S,
+    OWN_SCAN_S,
+    POLL_S,
+    SCAN_S,
+)
 from caperridge.decisions.leases import RENEWALS_A_LEASE
 from caperridge.instance.configuration import POLL_S as HEAD_POLL_S
 from caperridge.instance.configuration import READER_POLL_S
@@ -182,6 +187,27 @@
         "ms of processor time a second",
         "0 to 1,900 targets",
     ),
+    Slope(
+        "reads: one more idle instance that reads for itself",
+        "reads",
+        "slopes.alone_1900.an_instance",
+        "table reads a second",
+        "3 to 12 instances of a zone, 1,900 open jobs",
+    ),
+    Slope(
+        "reads: one more idle instance whose zone has a reader",
+        "reads",
+        "slopes.shared_1900.an_instance",
+        "table reads a second",
+        "3 to 12 instances of a zone, 1,900 open jobs",
+    ),
+    Slope(
+        "reads: a zone, beside its instances",
+        "reads",
+        "slopes.shared_1900.a_zone",
+        "table reads a second",
+        "3 to 12 instances of a zone, 1,900 open jobs",
+    ),
     Slope(
         "all: one idle process, stand-ins and platform with it",
         "roles",
@@ -260,21 +286,28 @@
     watch_s = LEASE_S / WATCHES_A_LEASE
     scan_reads = math.ceil(JOBS_A_DAY / ROWS_A_READ)
     watch_reads = math.ceil(INSTANCES / ROWS_A_READ)
+    others = INSTANCES - ZONES
     chunk = chunks_per_s()
     writes = a_chunk(recorded, "table_writes_per_1000_items")
     reads = a_chunk(recorded, "table_reads_per_1000_items")
     return [
         Load(f"session renewed every {renewal_s:g} s", INSTANCES / renewal_s, 0.0),
         Load(
-            f"sessions scanned every {watch_s:g} s",
+            f"sessions scanned every {watch_s:g} s by one of each zone",
+            0.0,
+            ZONES * watch_reads / watch_s,
+        ),
+        Load(
+            f"row of job changes polled every {POLL_S:g} s by a zone's reader, "
+            f"{OWN_POLL_S:g} s by others",
             0.0,
-            INSTANCES * watch_reads / watch_s,
+            ZONES / POLL_S + others / OWN_POLL_S,
         ),
-        Load(f"row of job changes polled every {POLL_S:g} s", 0.0, INSTANCES / POLL_S),
         Load(
-            f"open jobs scanned every {SCAN_S:g} s",
+            f"open jobs scanned every {SCAN_S:g} s by a zone's reader, "
+            f"{OWN_SCAN_S:g} s by others",
             0.0,
-            INSTANCES * scan_reads / SCAN_S,
+            ZONES * (scan_reads + 1) / SCAN_S + others * scan_reads / OWN_SCAN_S,
         ),
         Load(
             f"chunks of {chunk_items():.0f} items claimed, saved and committed",
@@ -284,7 +317,7 @@
         Load(
             "configuration: changes, and polls of the head",
             ROWS_A_CHANGE * CHANGES_A_DAY / DAY_S,
-            ZONES / READER_POLL_S + (INSTANCES - ZONES) / (HEAD_POLL_S * (1 - JITTER)),
+            ZONES / READER_POLL_S + others / (HEAD_POLL_S * (1 - JITTER)),
         ),
     ]
 
@@ -309,7 +342,7 @@
         Load(
             f"{INSTANCES} instances replaced: close, open, first scans",
             2 * INSTANCES / QUARTER_S,
-            INSTANCES * (scan_reads + watch_reads + 2) / QUARTER_S,
+            INSTANCES * (scan_reads + 2) / QUARTER_S,
         ),
         Load(
             f"a new version of a model: {math.ceil(RUNNERS / MODELS)} targets ordered",
--- a/tests/measure/test_capacity.py
+++ b/tests/measure/test_capacity.py
@@ -71,6 +71,16 @@
     assert claims.writes == pytest.approx(117.0, abs=0.5)
 
 
+def test_the_reader_of_a_zone_reads_for_all_of_it() -> None:
+    sessions, changes, jobs = capacity.steady({})[1:4]
+    # 17 zones, 4 pages of sessions every 2.5 s.
+    assert sessions.reads == pytest.approx(17 * 4 / 2.5)
+    # 17 readers a second, and 373 others every 20 s.
+    assert changes.reads == pytest.approx(17 + 373 / 20)
+    # 19 pages of jobs and a second look every 30 s; others every 600 s.
+    assert jobs.reads == pytest.approx(17 * 20 / 30 + 373 * 19 / 600)
+
+
 def test_the_sum_says_what_is_missing() -> None:
     loads = [capacity.Load("a", 1.0, 2.0), capacity.Load("b", None, 3.0)]
     assert capacity.total(loads) == capacity.Load(
