Serve stand-ins on loopback by one piece

The demo's fleet, the fleet of the experiments, the fixture of the tests and the TLS tests each set up runners, sites and ports by themselves, with small differences (access log, time to shut down). standins/loopback.py does it for all of them.

The waiting loops stay apart: the demo wants an answer, the tests an error and a limit of their own.

--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -5,8 +5,6 @@
 import time
 from collections.abc import Callable
 
-from aiohttp import web
-
 from caperridge.demo.deployment import (
     BILLING,
     OPERATOR,
@@ -24,6 +22,7 @@
 from caperridge.standins import weights as weights_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.loopback import LoopbackServers
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
 from caperridge.standins.weights import WeightStore
@@ -50,19 +49,22 @@
         self.instances_by_id: dict[str, Instance] = {}
         self._all_instances: list[Instance] = []
         self._members_by_id: dict[str, ListedMember] = {}
-        self._runners_by_id: dict[str, web.AppRunner] = {}
+        self._servers = LoopbackServers()
         self._platform_url = ""
         self._turn = 0
 
     async def start(self) -> None:
         """Start the stand-ins, then one instance for each zone."""
-        address = await self._listen("platform", platform_standin.make_app(self.memory))
+        app = platform_standin.make_app(self.memory)
+        address = await self._servers.serve("platform", app)
         self._platform_url = f"http://{address}"
-        await self._listen("weights", weights_standin.make_app(WeightStore()))
+        await self._servers.serve("weights", weights_standin.make_app(WeightStore()))
         for zone in ZONES:
             for number in range(1, RUNNERS_A_ZONE + 1):
                 await self._start_engine(f"runner-{zone}-{number}", zone)
-        address = await self._listen("billing", plain_standin.make_app(self.billing))
+        address = await self._servers.serve(
+            "billing", plain_standin.make_app(self.billing)
+        )
         self._list(ListedMember(BILLING, "target", address, ZONES[0], service=BILLING))
         for zone in ZONES:
             await self.start_instance(f"instance-{zone}-1", zone)
@@ -71,13 +73,12 @@
         """Stop the instances, then the stand-ins."""
         for instance in self._all_instances:
             await instance.stop()
-        for runner in self._runners_by_id.values():
-            await runner.cleanup()
+        await self._servers.stop_all()
 
     async def _start_engine(self, name: str, zone: str) -> None:
         engine = Engine(COSTS, seed=len(self.engines_by_id))
         self.engines_by_id[name] = engine
-        address = await self._listen(name, engine_standin.make_app(engine))
+        address = await self._servers.serve(name, engine_standin.make_app(engine))
         self._list(ListedMember(name, "target", address, zone, service=SERVICE))
 
     async def start_instance(self, name: str, zone: str) -> Instance:
@@ -119,10 +120,7 @@
         """Kill a runner: its connections break and new ones are refused."""
         engine = self.engines_by_id[name]
         engine.kill()
-        runner = self._runners_by_id.pop(name)
-        for site in list(runner.sites):
-            await site.stop()
-        await runner.cleanup()
+        await self._servers.stop(name)
 
     def unlist_engine(self, name: str) -> None:
         """Take a runner off the platform's list, as the platform does in the end."""
@@ -162,16 +160,6 @@
         del self._members_by_id[name]
         self.memory.set_members(list(self._members_by_id.values()))
 
-    async def _listen(self, name: str, app: web.Application) -> str:
-        runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
-        )
-        await runner.setup()
-        self._runners_by_id[name] = runner
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        host, port = runner.addresses[0][:2]
-        return f"{host}:{port}"
-
 
 async def until(holds: Callable[[], object], seconds: float = 20.0) -> bool:
     """Wait until ``holds()`` is true; return whether it was in time."""
--- a/src/caperridge/measure/fleet.py
+++ b/src/caperridge/measure/fleet.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
@@ -19,6 +18,7 @@
 from caperridge.standins import platform as platform_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.loopback import LoopbackServers
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
 
@@ -99,13 +99,13 @@
         self.instances_by_id: dict[str, Instance] = {}
         self.members_by_id: dict[str, ListedMember] = {}
         self.http: aiohttp.ClientSession
-        self._runners_by_id: dict[str, web.AppRunner] = {}
+        self._servers = LoopbackServers()
 
     async def start(self) -> None:
         """Start all of the shape, and confirm the declaration."""
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         app = platform_standin.make_app(self.platform)
-        self.platform_url = f"http://{await self._serve('platform', app)}"
+        self.platform_url = f"http://{await self._servers.serve('platform', app)}"
         for number in range(1, self.shape.engines + 1):
             await self.add_engine(f"runner-{number}")
         for number in range(1, self.shape.instances + 1):
@@ -118,8 +118,7 @@
         """Stop everything."""
         for instance_id in list(self.instances_by_id):
             await self.remove_instance(instance_id)
-        for member_id in list(self._runners_by_id):
-            await self._runners_by_id.pop(member_id).cleanup()
+        await self._servers.stop_all()
         await self.http.close()
 
     def declaration(self, batch_weight: float | None = None) -> str:
@@ -138,7 +137,7 @@
         """Start one more engine and list it."""
         engine = Engine(costs or self.shape.costs)
         self.engines_by_id[engine_id] = engine
-        address = await self._serve(engine_id, engine_standin.make_app(engine))
+        address = await self._servers.serve(engine_id, engine_standin.make_app(engine))
         self._list(
             ListedMember(engine_id, "target", address, availability_zone), service
         )
@@ -149,7 +148,7 @@
         plain = PlainService()
         plain_id = f"{service}-{len(self.plain_by_id) + 1}"
         self.plain_by_id[plain_id] = plain
-        address = await self._serve(plain_id, plain_standin.make_app(plain))
+        address = await self._servers.serve(plain_id, plain_standin.make_app(plain))
         self._list(
             ListedMember(plain_id, "target", address, availability_zone), service
         )
@@ -189,7 +188,7 @@
         """End an engine at once; ``listed`` leaves it in the platform's list."""
         if not listed:
             self.unlist(engine_id)
-        await self._runners_by_id.pop(engine_id).cleanup()
+        await self._servers.stop(engine_id)
 
     def unlist(self, member_id: str) -> None:
         """Take a member out of the platform's list."""
@@ -246,16 +245,6 @@
         self.members_by_id[member.id] = member.replace(service=service)
         self.platform.set_members(list(self.members_by_id.values()))
 
-    async def _serve(self, member_id: str, app: web.Application) -> str:
-        runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
-        )
-        await runner.setup()
-        self._runners_by_id[member_id] = runner
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        host, port = runner.addresses[0][:2]
-        return f"{host}:{port}"
-
 
 @asynccontextmanager
 async def running_fleet(shape: FleetShape) -> AsyncIterator[StandinFleet]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """Fixtures shared by all tests: stand-ins on loopback and an instance before them."""
 
 import asyncio
+import itertools
+import ssl
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -18,6 +20,7 @@
 from caperridge.standins import platform as platform_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.loopback import LoopbackServers
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
 
@@ -41,25 +44,20 @@
 token_sha256 = "{token_digest(OPERATOR)}"
 """
 
-Listen = Callable[[web.Application], Awaitable[str]]
+Listen = Callable[..., Awaitable[str]]
 
 
 @pytest.fixture
 async def listen() -> AsyncIterator[Listen]:
     """Serve applications on ports from the system; returns ``host:port``."""
-    runners: list[web.AppRunner] = []
+    servers = LoopbackServers()
+    names = itertools.count()
 
-    async def serve(app: web.Application) -> str:
-        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
-        await runner.setup()
-        runners.append(runner)
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        host, port = runner.addresses[0][:2]
-        return f"{host}:{port}"
+    async def serve(app: web.Application, tls: ssl.SSLContext | None = None) -> str:
+        return await servers.serve(str(next(names)), app, tls)
 
     yield serve
-    for runner in runners:
-        await runner.cleanup()
+    await servers.stop_all()
 
 
 @pytest.fixture
--- a/tests/product/test_tls.py
+++ b/tests/product/test_tls.py
@@ -6,13 +6,13 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
 
 from caperridge.instance.process import Instance
 from caperridge.platform.http import HttpPlatform
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform, make_app
 from caperridge.tls import TlsFiles, client_context, peer_context, server_context
+from conftest import Listen
 from product.conftest import Authority
 
 TO_PEER = ssl.Purpose.SERVER_AUTH
@@ -44,23 +44,18 @@
 
 
 async def test_the_platform_is_reached_by_tls(
-    authority: Authority, memory: MemoryPlatform
+    authority: Authority, memory: MemoryPlatform, listen: Listen
 ) -> None:
-    runner = web.AppRunner(make_app(memory))
-    await runner.setup()
     context = server_context(authority.issue("platform"))
-    site = web.TCPSite(runner, "127.0.0.1", 0, ssl_context=context)
-    await site.start()
-    host, port = runner.addresses[0][:2]
-    trusting = HttpPlatform(f"https://{host}:{port}", authority=authority.file)
-    doubting = HttpPlatform(f"https://{host}:{port}")
+    url = f"https://{await listen(make_app(memory), context)}"
+    trusting = HttpPlatform(url, authority=authority.file)
+    doubting = HttpPlatform(url)
     try:
         assert (await trusting.members()).is_ok()
         assert (await doubting.members()).is_err()
     finally:
         await trusting.close()
         await doubting.close()
-        await runner.cleanup()
 
 
 async def _greets(server: TlsFiles, client: ssl.SSLContext | None) -> bool:
--- a/tests/product/test_tls_whole.py
+++ b/tests/product/test_tls_whole.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 
 import pytest
-from aiohttp import web
 
 from caperridge.cli.errors import NOT_REACHED
 from caperridge.instance.process import Instance
@@ -25,16 +24,11 @@
 
 @pytest.fixture
 async def platform_url(
-    memory: MemoryPlatform, authority: Authority
-) -> AsyncIterator[str]:
+    memory: MemoryPlatform, authority: Authority, listen: Listen
+) -> str:
     """The platform over TLS."""
-    runner = web.AppRunner(make_app(memory), handler_cancellation=True)
-    await runner.setup()
     context = server_context(authority.issue("platform"))
-    await web.TCPSite(runner, "127.0.0.1", 0, ssl_context=context).start()
-    host, port = runner.addresses[0][:2]
-    yield f"https://{host}:{port}"
-    await runner.cleanup()
+    return f"https://{await listen(make_app(memory), context)}"
 
 
 def with_tls(name: str, platform_url: str, authority: Authority) -> Instance:
