Draw modelled and freed places, and let Ctrl-C end every experiment

An experiment that only computes (routing, matching) went on for 30 s and more after Ctrl-C: asyncio's handler cancels the main task, which never awaits. A batch run that is interrupted stops its bed.

'measure all' runs control and roles first: they take the process's memory for that of an instance, and after batch and configuration that was 216% of the limit for control.

Arms with more figures than a table has columns are turned, one column an arm, where they were a list of sixty pairs before. Plots of parts that a run lacks are left out.

--- a/src/caperridge/cli/measure.py
+++ b/src/caperridge/cli/measure.py
@@ -1,7 +1,11 @@
 """The commands that run experiments, compare runs and recompute the capacity page."""
 
 import asyncio
+import signal
+import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -81,7 +85,7 @@
     """Run every experiment, one after the other; by default a short run of each."""
     _prepare(out)
     outcomes_by_name: dict[str, str] = {}
-    for name in filter(registry.exists, registry.MODULES_BY_NAME):
+    for name in registry.in_order():
         typer.echo(f"{name} ...", err=True)
         try:
             figures = _run(name, Options(seed, seconds))
@@ -120,10 +124,34 @@
     except ModuleNotFoundError as error:
         raise CommandError(f"{name} is not built yet", FINDINGS) from error
     begun = time.monotonic()
-    figures = asyncio.run(experiment(options))
+    with _interruptible():
+        figures = asyncio.run(experiment(options))
     return with_run(name, options, time.monotonic() - begun, figures)
 
 
+@contextmanager
+def _interruptible() -> Iterator[None]:
+    """Let Ctrl-C end an experiment that only computes.
+
+    The event loop's own handler cancels the main task, which such an experiment does
+    not notice before its end.
+    """
+    ours = threading.current_thread() is threading.main_thread()
+    # A shell that ignores the signal for its background jobs keeps its way.
+    if not ours or signal.getsignal(signal.SIGINT) is not signal.default_int_handler:
+        yield
+        return
+    signal.signal(signal.SIGINT, _interrupt)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
+def _interrupt(_number: int, _frame: Any) -> None:
+    raise KeyboardInterrupt
+
+
 def _prepare(out: Path | None) -> None:
     """Make the directory before the run, so that a bad path costs no time."""
     if out is None:
--- a/src/caperridge/measure/batch.py
+++ b/src/caperridge/measure/batch.py
@@ -122,8 +122,20 @@
 
 async def _arm(arm: Arm, seed: int, best: float) -> dict[str, Any]:
     bed = Bed(seed)
-    await bed.start()
-    jobs = await _accept(bed.memory, arm)
+    try:
+        await bed.start()
+        jobs = await _accept(bed.memory, arm)
+        figures = await _run_arm(bed, arm, jobs, best)
+    finally:
+        await bed.stop()
+    checked = await _check(bed.memory, jobs)
+    needed = checked.pop("tokens")
+    produced = figures.pop("produced")
+    redone = round(produced / max(1, needed) - 1, 5)
+    return checked | {"redone_share": redone} | figures
+
+
+async def _run_arm(bed: Bed, arm: Arm, jobs: list[Job], best: float) -> dict[str, Any]:
     # As if they had been accepted over this instance; the others find them by polling.
     bed.instances_by_zone[ZONES[0]].dispatcher.tell(JobsChanged())
     before = bed.memory.counters.replace()
@@ -137,13 +149,10 @@
         bed.memory.faults = bed.memory.faults.replace(outage=False, lose_answers=0.0)
     after = bed.memory.counters.replace()
     produced = sum(e.tokens_produced for e in bed.engines_by_address.values())
-    await bed.stop()
-    figures = await _check(bed.memory, jobs)
-    needed = figures.pop("tokens")
     thousands = arm.items / 1000
-    figures |= {
+    return {
         "ended": ended,
-        "redone_share": round(produced / max(1, needed) - 1, 5),
+        "produced": produced,
         "table_writes_per_1000_items": round(
             (after.row_writes - before.row_writes) / thousands, 2
         ),
@@ -157,7 +166,6 @@
         "items_per_s": round(arm.items / passed, 1),
         "capacity_share": round(arm.items / passed / best, 3),
     }
-    return figures
 
 
 async def _accept(memory: MemoryPlatform, arm: Arm) -> list[Job]:
--- a/src/caperridge/measure/plots.py
+++ b/src/caperridge/measure/plots.py
@@ -39,6 +39,9 @@
         raise PlotsMissingError from error
     paths: list[Path] = []
     for plot, draw in DRAW_BY_PLOT_BY_EXPERIMENT.get(name, {}).items():
+        part = PART_BY_PLOT.get(plot)
+        if part is not None and part not in figures:
+            continue
         figure, axes = pyplot.subplots(figsize=SIZE_INCHES, layout="constrained")
         axes.spines[["top", "right"]].set_visible(False)
         axes.grid(axis="y", color="#dddddd")
@@ -146,6 +149,55 @@
     axes.set_title("Online tail against batch throughput, by policy")
 
 
+def _modelled_trade(axes: Any, figures: dict[str, Any]) -> None:
+    """Each arm has a point for either latency, above what batch got."""
+    arms_by_name = figures["modelled"]
+    series = (
+        ("first token at p99", "ttft_p99_ratio", BLUE, "o"),
+        ("between tokens at p95", "itl_p95_ratio", ORANGE, "s"),
+    )
+    ordered = sorted(arms_by_name, key=lambda n: arms_by_name[n]["batch_share_of_idle"])
+    shares = [100 * arms_by_name[name]["batch_share_of_idle"] for name in ordered]
+    for label, field, colour, marker in series:
+        ratios = [arms_by_name[name][field] for name in ordered]
+        axes.plot(shares, ratios, marker, color=colour, label=label, markersize=7)
+    top = 1.0
+    for number, (name, share) in enumerate(zip(ordered, shares, strict=True)):
+        highest = max(arms_by_name[name][field] for _, field, _, _ in series)
+        top = max(top, highest)
+        # Neighbours lie close: one label stands higher than the next.
+        axes.annotate(
+            name.replace("caperridge", "").strip("_").replace("_", " ") or "declared",
+            (share, highest),
+            xytext=(0, 8 if number % 2 else 24),
+            textcoords="offset points",
+            ha="center",
+        )
+    axes.axhline(1.0, color=BLACK, linewidth=1.0, linestyle="--")
+    axes.set_ylim(0.99, top + 0.03)
+    axes.margins(x=0.15)
+    axes.legend(frameon=False, loc="upper left")
+    axes.set_xlabel("idle capacity that batch got (%)")
+    axes.set_ylabel("latency over that of online alone")
+    axes.set_title("Harm and throughput by the engine model, by declared trade")
+
+
+def _freed_place(axes: Any, figures: dict[str, Any]) -> None:
+    arms = figures["freed_place"]
+    labels = {"own": "request at the dispatcher", "by_peer": "request at a peer"}
+    there = [name for name in labels if arms.get(name, {}).get("preempted")]
+    values = {
+        "median": [arms[name]["after_p50_ms"] for name in there],
+        "latest": [arms[name]["after_most_ms"] for name in there],
+    }
+    if there:
+        bars(axes, [labels[name] for name in there], values)
+    axes.axhline(0.0, color=BLACK, linewidth=1.0)
+    axes.margins(y=0.2)
+    axes.set_ylabel("place freed after the request came (ms)")
+    axes.set_title("When a batch stream's place is free; below 0: before")
+
+
 def _control_shares(axes: Any, figures: dict[str, Any]) -> None:
     target = figures["target"]
     shares_by_name = {
@@ -163,6 +215,12 @@
 
 DRAW_BY_PLOT_BY_EXPERIMENT: dict[str, dict[str, Draw]] = {
     "control": {"limits": _control_shares},
-    "online-tail": {"tail-and-batch": _tail_against_batch},
+    "online-tail": {
+        "tail-and-batch": _tail_against_batch,
+        "modelled": _modelled_trade,
+        "freed-place": _freed_place,
+    },
     "relay": {"cost": _relay_cost, "first-token": _relay_first_token},
 }
+# Plots of a part that not every run has.
+PART_BY_PLOT = {"modelled": "modelled", "freed-place": "freed_place"}
--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -27,6 +27,10 @@
     "routing": "caperridge.measure.routing",
 }
 
+# All experiments of a run share one process. These take its memory for that of an
+# instance, so they come before what others leave behind.
+BEFORE_OTHERS = ("control", "roles")
+
 SUMMARIES_BY_NAME = {
     "batch": "Batch throughput, and what each mechanism takes of it.",
     "configuration": "From confirm to in force everywhere, and what it costs.",
@@ -46,6 +50,12 @@
     return importlib.util.find_spec(MODULES_BY_NAME[name]) is not None
 
 
+def in_order() -> list[str]:
+    """Return the names of all experiments that are built, as one run takes them."""
+    others = [name for name in MODULES_BY_NAME if name not in BEFORE_OTHERS]
+    return [name for name in (*BEFORE_OTHERS, *others) if exists(name)]
+
+
 def load(name: str) -> Run:
     """Return the experiment of that name.
 
--- a/src/caperridge/measure/report.py
+++ b/src/caperridge/measure/report.py
@@ -118,6 +118,8 @@
         columns = list(dict.fromkeys(key for row in rows for key in row))
         if len(columns) <= MOST_COLUMNS:
             return _table(columns, [[row.get(c) for c in columns] for row in rows])
+        if len(rows) < MOST_COLUMNS:
+            return _turned(value, columns, rows)
     pairs = list(numbers(value))
     if not pairs:
         return [f"`{value}`", ""]
@@ -127,6 +129,13 @@
     return table
 
 
+def _turned(value: Any, columns: list[str], rows: list[dict[str, Any]]) -> list[str]:
+    """Return the table with a line for each figure, and a column for each row."""
+    names = list(value) if isinstance(value, dict) else list(range(len(rows)))
+    lines = [[c, *(row.get(c) for row in rows)] for c in columns if c]
+    return _table(["figure", *map(str, names)], lines)
+
+
 def _rows(value: Any) -> list[dict[str, Any]] | None:
     """Return ``value`` as the rows of a table, if it has that shape."""
     if isinstance(value, dict) and value and all(map(_flat, value.values())):
--- a/tests/measure/test_tool.py
+++ b/tests/measure/test_tool.py
@@ -1,6 +1,7 @@
 """The measure tool: what it runs, writes, compares and refuses."""
 
 import json
+import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,8 @@
 from caperridge.cli.main import app
 from caperridge.measure import registry
 from caperridge.measure.options import Options
+from caperridge.measure.plots import draw_all
+from caperridge.measure.report import markdown, with_run
 
 Call = Callable[..., Result]
 
@@ -82,6 +85,48 @@
     assert result.exception.code == BAD_RESULT
 
 
+def test_what_measures_its_own_memory_runs_before_the_others() -> None:
+    names = registry.in_order()
+    assert names[:2] == ["control", "roles"]
+    assert sorted(names) == sorted(registry.MODULES_BY_NAME)
+
+
+def test_arms_with_many_figures_stand_side_by_side() -> None:
+    fields = {f"field_{number}": number for number in range(20)}
+    figures = {"arms": {"a": fields, "b": fields | {"only_b": 7}}}
+    text = markdown(with_run("batch", Options(), 1.0, figures))
+    assert "| figure | a | b |" in text
+    assert "| field_19 | 19 | 19 |" in text
+    assert "| only_b | - | 7 |" in text
+
+
+def test_a_part_that_a_run_lacks_is_not_drawn(tmp_path: Path) -> None:
+    arm = {"batch_share_of_idle": 0.5, "ttft_p99_ms": 100.0}
+    modelled = {"a": {"batch_share_of_idle": 0.5}}
+    modelled["a"] |= {"ttft_p99_ratio": 1.1, "itl_p95_ratio": 1.2}
+    short = draw_all("online-tail", {"alone": arm}, tmp_path)
+    whole = draw_all("online-tail", {"alone": arm, "modelled": modelled}, tmp_path)
+    assert [path.name for path in short] == ["online-tail-tail-and-batch.png"]
+    assert [path.name for path in whole][1:] == ["online-tail-modelled.png"]
+
+
+def test_an_experiment_that_only_computes_ends_with_ctrl_c(
+    call: Call, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    went_on = []
+
+    async def computing(options: Options) -> dict[str, Any]:
+        signal.raise_signal(signal.SIGINT)
+        went_on.append(options)
+        return {}
+
+    monkeypatch.setattr(registry, "load", lambda name: computing)
+    before = signal.getsignal(signal.SIGINT)
+    assert call("relay").exit_code != 0
+    assert went_on == []
+    assert signal.getsignal(signal.SIGINT) is before
+
+
 def test_a_name_that_is_none_is_refused(call: Call) -> None:
     result = call("nothing")
     assert result.exit_code == 2
