Say in fewer words what was not reached or not found

'Cannot connect to host ... ssl:default [Connect call failed (...)]' is 'Connection refused' now; a directory that is not there is not said to hold no file; a finding about a whole file has no '-' for a key. The id given to explain is quoted in the path.

--- a/src/caperridge/cli/client.py
+++ b/src/caperridge/cli/client.py
@@ -1,6 +1,7 @@
 """HTTP calls of the command line, with errors a person can act on."""
 
 import asyncio
+import errno
 import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -96,7 +97,7 @@
                     raise RefusedCommand(body, response.status)
                 yield response
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            text = f"{url} was not reached: {error or type(error).__name__}"
+            text = f"{url} was not reached: {_why(error)}"
             raise CommandError(text, NOT_REACHED) from error
 
 
@@ -120,6 +121,8 @@
     Raises:
         CommandError: it is no directory, holds no TOML file, or one is no text.
     """
+    if not directory.is_dir():
+        raise CommandError(f"{directory}: there is no such directory", FINDINGS)
     files = sorted(directory.glob("*.toml"))
     if not files:
         raise CommandError(f"{directory}: holds no TOML file", FINDINGS)
@@ -160,6 +163,15 @@
     return "\n".join(lines)
 
 
+def _why(error: Exception) -> str:
+    """Return why a call failed, without what aiohttp says of itself."""
+    if type(error) is aiohttp.ClientConnectorError:
+        system = error.os_error
+        known = system.errno in errno.errorcode
+        return os.strerror(system.errno) if known else str(system)
+    return str(error) or type(error).__name__
+
+
 def _json(data: bytes) -> Any:
     try:
         return orjson.loads(data)
--- a/src/caperridge/cli/operators.py
+++ b/src/caperridge/cli/operators.py
@@ -5,6 +5,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import typer
 
@@ -161,7 +162,7 @@
 
 def explain(request_id: str, at: At, token: Token, as_json: Json = False) -> None:
     """Show each step of a request with its reason."""
-    trace = client.call("GET", f"{at}/requests/{request_id}", token)
+    trace = client.call("GET", f"{at}/requests/{quote(request_id, safe='')}", token)
     if as_json:
         typer.echo(json.dumps(trace))
         return
--- a/src/caperridge/findings.py
+++ b/src/caperridge/findings.py
@@ -2,13 +2,16 @@
 
 from caperridge.records import Record
 
+WHOLE = "-"
+
 
 class Finding(Record):
     """One thing wrong in an input.
 
     Attributes:
         source: the file, request or object it was found in.
-        key: the dotted path, line number or column inside ``source``.
+        key: the dotted path, line number or column inside ``source``; ``WHOLE`` if
+            it is about all of it.
         message: what is wrong, in a sentence for a person.
     """
 
@@ -20,6 +23,8 @@
         self.message = message
 
     def __str__(self) -> str:
+        if self.key == WHOLE:
+            return f"{self.source}: {self.message}"
         return f"{self.source}: {self.key}: {self.message}"
 
 
