Run some of the tests at a time on wish, and mend what the tour showed

make test ARGS='-n 4' runs four at a time; by itself it stays serial, so that a busy machine changes nothing in the verdict.

The tour of the README was run as written against the stand-ins. An instance that had never had a lease logged that it had ended: it names the lease that ended now, and says nothing at the start.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/caperridge demo
 
 test: $(VENV)/.installed-dev
-	$(BIN)/pytest
+	$(BIN)/pytest $(ARGS)
 
 lint: $(VENV)/.installed-dev
 	$(BIN)/ruff format --check .
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -280,7 +280,9 @@
             self.streams.drop_all()
         if not self._session.holds(session):
             if not self._parked:
-                log.warning("the lease has ended; batch work stops", session=session)
+                if self._session_id:  # at the start there was none yet
+                    was = self._session_id
+                    log.warning("the lease has ended; batch work stops", session=was)
                 self.streams.drop_all()
             self._parked = True
             return
--- a/tests/product/test_operators_pages.py
+++ b/tests/product/test_operators_pages.py
@@ -1,6 +1,7 @@
 """The operators' pages name every metric and every code of a refusal, and no other."""
 
 import ast
+import json
 import re
 from collections.abc import Iterator
 from pathlib import Path
@@ -9,6 +10,7 @@
 
 from caperridge.instance.dump import dump
 from caperridge.instance.process import Instance
+from caperridge.measure.report import numbers
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform
 
@@ -105,3 +107,26 @@
     quoted = re.findall(r"`((?!caperridge )[a-z][a-z;:]+(?: [a-z:;]+)+)`", page)
     assert "peer removed" in quoted
     assert [text for text in quoted if text not in texts] == []
+
+
+SIZING_FIELDS = {
+    "relay": ["cpu_us_a_request", "arms.1.a_read_us"],
+    "roles": [
+        "resident_mib_of_one",
+        "slopes.held_kib_a_caller",
+        "slopes.held_kib_a_target",
+        "by_instances",
+    ],
+}
+
+
+@pytest.mark.parametrize("experiment", sorted(SIZING_FIELDS))
+def test_the_figures_named_for_sizing_are_in_a_run(experiment: str) -> None:
+    page = (PAGES / "sizing.md").read_text()
+    run = json.loads(
+        (ROOT / "docs" / "measurements" / f"{experiment}.json").read_text()
+    )
+    paths = {path for path, _ in numbers(run)}
+    for field in SIZING_FIELDS[experiment]:
+        assert field in page
+        assert any(f"{path}.".startswith(f"{field}.") for path in paths), field
