--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -29,7 +29,13 @@
 from caperridge.instance.messages import JobsChanged
 from caperridge.peers.messages import JobNews
 from caperridge.platform.interface import Conflict
-from caperridge.queries.jobs import read_file, read_job, read_progress, stream_results
+from caperridge.queries.jobs import (
+    Progress,
+    read_file,
+    read_job,
+    read_progress,
+    stream_results,
+)
 from caperridge.refusals import Refusal, RefusedError
 
 if TYPE_CHECKING:
@@ -171,7 +177,7 @@
             raise platform_refusal(error, "the job")
         await self._announce(accepted.ok_value.id, OPEN)
         self._instance.dispatcher.tell(JobsChanged())
-        return await self._batch_response(accepted.ok_value)
+        return await self._changed_response(accepted.ok_value)
 
     async def _service_of(self, caller: Caller, file: StoredFile) -> str:
         platform = self._instance.platform
@@ -195,12 +201,17 @@
         """Cancel a job."""
         caller = self._instance.caller(request)
         job = await self._job(caller, request.match_info["id"])
-        outcome = await cancel_job(self._instance.platform, job.id, time.time())
+        now = time.time()
+        outcome = await cancel_job(self._instance.platform, job.id, now)
         if isinstance(outcome, Err) and not isinstance(outcome.err_value, Conflict):
             raise platform_refusal(outcome.err_value, "the cancel")
         self._instance.dispatcher.tell(JobsChanged(cancelled=job.id))
         await self._announce(job.id, CANCELLED)
-        return await self._batch_response(await self._job(caller, job.id))
+        if isinstance(outcome, Err):
+            return await self._batch_response(await self._job(caller, job.id))
+        if job.state == OPEN:
+            job = job.replace(state=CANCELLED, ended=now)
+        return await self._changed_response(job)
 
     async def _announce(self, job_id: str, state: str) -> None:
         """Spread the news; the next scan finds what does not arrive."""
@@ -227,7 +238,26 @@
         progress = await read_progress(self._instance.platform, job)
         if isinstance(progress, Err):
             raise platform_refusal(progress.err_value, "the progress")
-        done = progress.ok_value
+        return self._described(job, progress.ok_value)
+
+    async def _changed_response(self, job: Job) -> web.Response:
+        """Describe a job that was just accepted or cancelled.
+
+        A platform that goes away now must not turn what took effect into a refusal;
+        the counts are left out then.
+        """
+        progress = await read_progress(self._instance.platform, job)
+        return self._described(job, progress.ok())
+
+    def _described(self, job: Job, done: Progress | None) -> web.Response:
+        ended = done.completed + done.failed if done is not None else 0
+        counts = None
+        if done is not None:
+            counts = {
+                "total": job.items,
+                "completed": done.completed,
+                "failed": done.failed,
+            }
         body = {
             "id": job.id,
             "object": "batch",
@@ -241,18 +271,12 @@
             "expires_at": int(job.due),
             "completed_at": int(job.ended) if job.state == COMPLETED else None,
             "cancelled_at": int(job.ended) if job.state == CANCELLED else None,
-            "request_counts": {
-                "total": job.items,
-                "completed": done.completed,
-                "failed": done.failed,
-            },
+            "request_counts": counts,
             "metadata": job.metadata,
             "waiting_because": self._instance.dispatcher.why(job.id)
             if job.state == OPEN
             else None,
-            "expected_finish_at": expected_finish(
-                job, done.completed + done.failed, time.time()
-            )
+            "expected_finish_at": expected_finish(job, ended, time.time())
             if job.state == OPEN
             else None,
         }
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -179,7 +179,7 @@
             self.membership,
             self.peers,
         )
-        self._order_client = OrderClient()
+        self._order_client = OrderClient(lease_s=settings.lease_s)
         self.orderer = Orderer(
             self.platform,
             self.session,
--- a/src/caperridge/targets/orders.py
+++ b/src/caperridge/targets/orders.py
@@ -1,5 +1,6 @@
 """Orders to engines, and what they say of themselves."""
 
+import math
 from typing import Any
 
 import aiohttp
@@ -9,6 +10,7 @@
 from caperridge.records import Record
 
 DEADLINE_S = 2.0
+MOST_OF_LEASE = 0.25  # a lease is renewed well before so little is left
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
 
@@ -36,10 +38,14 @@
 
     Args:
         deadline_s: longest wait for one call, in seconds.
+        lease_s: of the own session. An order leaves only while more of the lease is
+            left than it may take, so a short lease needs a shorter wait.
     """
 
-    def __init__(self, deadline_s: float = DEADLINE_S) -> None:
-        self.deadline_s = deadline_s
+    def __init__(
+        self, deadline_s: float = DEADLINE_S, lease_s: float = math.inf
+    ) -> None:
+        self.deadline_s = min(deadline_s, lease_s * MOST_OF_LEASE)
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/promises/__init__.py
@@ -0,0 +1,1 @@
+"""The promises of the system, proved whole under failure."""
