--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -42,7 +42,11 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
-from caperridge.instance.readiness import ReadinessLog
+from caperridge.instance.readiness import (
+    ReadinessLog,
+    awaited_targets_of,
+    not_ready_because,
+)
 from caperridge.instance.relay import RelayClient, RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.sweeper import Sweeper
@@ -133,6 +137,7 @@
             self.metrics,
             settings.lease_s,
             clock,
+            self.peers,
         )
         self.streams = BatchStreams(
             self.membership,
@@ -182,7 +187,7 @@
             self.membership,
             self.peers,
         )
-        self._order_client = OrderClient()
+        self._order_client = OrderClient(lease_s=settings.lease_s)
         self.orderer = Orderer(
             self.platform,
             self.session,
@@ -214,6 +219,7 @@
         if self.mesh is not None:
             self._wire_peers(self.mesh)
             self._actors.append(self.mesh)
+        self.awaited_targets = awaited_targets_of(self, clock)
         self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
 
     def _applied(self, message: ConfigurationApplied) -> None:
@@ -244,6 +250,7 @@
             lambda: len(self.membership.live(zone)),
             self.mesh.introductions,
             self.mesh.introduce,
+            lambda: not self.awaited_targets.missing(),
         )
 
     def _wire_relay(self, mesh: PeerMesh, clock: Callable[[], float]) -> Platform:
@@ -345,16 +352,7 @@
 
     def not_ready_because(self) -> list[str]:
         """Return what keeps this instance from being ready; empty if it is."""
-        missing: list[str] = []
-        if self.drain.stopping:
-            missing.append("it is stopping")
-        if not self.configuration.known:
-            missing.append("it does not know the configuration yet")
-        if not self.members.known:
-            missing.append("it does not know the targets yet")
-        if self.membership.superseded:
-            missing.append("a later process has its id")
-        return missing
+        return not_ready_because(self)
 
     def state(self) -> dict[str, Any]:
         """Return a dump of everything this process holds, for operators."""
--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -21,12 +21,17 @@
     "matching": "caperridge.measure.matching",
     "online-tail": "caperridge.measure.online_tail",
     "plain": "caperridge.measure.plain",
+    "reads": "caperridge.measure.reads",
     "recovery": "caperridge.measure.recovery",
     "relay": "caperridge.measure.relay",
     "roles": "caperridge.measure.roles",
     "routing": "caperridge.measure.routing",
 }
 
+# All experiments of a run share one process. These take its memory for that of an
+# instance, so they come before what others leave behind.
+BEFORE_OTHERS = ("control", "roles")
+
 SUMMARIES_BY_NAME = {
     "batch": "Batch throughput, and what each mechanism takes of it.",
     "configuration": "From confirm to in force everywhere, and what it costs.",
@@ -34,6 +39,7 @@
     "matching": "Rules for giving waiting chunks to idle targets, compared.",
     "online-tail": "Harm that batch work does to the tail of online requests.",
     "plain": "What claiming a keyed call to a plain service adds to it.",
+    "reads": "Reads of the table by idle instances, shared in a zone and not.",
     "recovery": "From a loss to full service again.",
     "relay": "Tokens a second forwarded by one core, and first-token time added.",
     "roles": "What the roles of an instance hold and ask for, by size.",
@@ -46,6 +52,12 @@
     return importlib.util.find_spec(MODULES_BY_NAME[name]) is not None
 
 
+def in_order() -> list[str]:
+    """Return the names of all experiments that are built, as one run takes them."""
+    others = [name for name in MODULES_BY_NAME if name not in BEFORE_OTHERS]
+    return [name for name in (*BEFORE_OTHERS, *others) if exists(name)]
+
+
 def load(name: str) -> Run:
     """Return the experiment of that name.
 
--- a/tests/headroom/test_headroom.py
+++ b/tests/headroom/test_headroom.py
@@ -1,13 +1,16 @@
 """Headroom at a hand-moved clock: bursts, hand-over, starvation, guard."""
 
+from itertools import pairwise
+
 import pytest
 
 from caperridge.decisions.batch_share import GUARD_MOST, FirstTokenGuard
-from caperridge.decisions.headroom import SETTLE_S, Headroom
+from caperridge.decisions.headroom import PEERS_KEEP_S, SETTLE_S, Headroom
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream, first_to_go
 from caperridge.decisions.routing import TargetState
+from caperridge.decisions.runner_headroom import MOST_PUT_OFF_STEPS
 from caperridge.platform.interface import ListedMember
 
 TARGET = "runner-1"
@@ -49,6 +52,17 @@
     assert running == MOST
 
 
+def test_a_stream_that_frees_its_place_by_itself_is_left_to_end() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    streams = [BatchStream(str(n), TARGET, tokens=n) for n in range(MOST)]
+    streams[0].ending = True
+    headroom.online_changed(TARGET, "entry-1", 1, 1.0)
+    assert headroom.to_preempt(TARGET, MOST, 0.5, streams, 1.0) == []
+    headroom.online_changed(TARGET, "entry-1", 2, 1.0)
+    assert headroom.to_preempt(TARGET, MOST, 0.5, streams, 1.0) == [streams[1]]
+
+
 @pytest.mark.parametrize("weight", [0.0, 0.5])
 def test_a_place_just_freed_is_held_and_then_given_to_batch(weight: float) -> None:
     headroom = Headroom()
@@ -70,6 +84,18 @@
     assert headroom.allowed(TARGET, MOST, 1.0, now) == MOST - 1 - 3
 
 
+def test_no_place_is_kept_where_peers_have_sent_nothing_for_long() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=False)
+    headroom.online_changed(TARGET, "entry-2", 1, 10.0, sequence=1)
+    headroom.online_changed(TARGET, "entry-2", 0, 11.0, sequence=2)
+    quiet = 10.0 + PEERS_KEEP_S
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet - 0.1) == MOST - 1
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet) == MOST
+    headroom.online_changed(TARGET, "entry-2", 1, quiet + 1, sequence=3)
+    assert headroom.allowed(TARGET, MOST, 1.0, quiet + 1) == MOST - 1 - 1
+
+
 @pytest.mark.parametrize(
     ("old_learns_s", "new_learns_s", "most_at_once"),
     [
@@ -105,6 +131,25 @@
     assert new_running == MOST - 1
 
 
+def test_a_start_is_put_off_beside_an_online_prompt_but_not_for_ever() -> None:
+    headroom = Headroom()
+    headroom.gained(TARGET, 0.0, alone=True)
+    running, online, started_at = 0, 0, []
+    for step in range(60):
+        now = 1.0 + step * STEP_S
+        before = running
+        online = 1 - online  # a request comes with every other step
+        headroom.online_changed(TARGET, "entry-1", online, now)
+        running = fill(headroom, running, 0.0, now)
+        if running > before:
+            started_at.append(now)
+        if running >= MOST // 2:
+            running = 0  # all end, so that there is always room
+    waits = [after - at for at, after in pairwise(started_at)]
+    assert min(waits) > 2 * STEP_S  # without the pause it would fill with each step
+    assert max(waits) <= (MOST_PUT_OFF_STEPS + 1) * STEP_S
+
+
 def test_no_item_gives_way_for_ever() -> None:
     streams = [BatchStream(f"item-{n}", TARGET, tokens=n) for n in range(6)]
     for _ in range(200):
