--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -83,6 +83,11 @@
         )
         return max(0, places - len(self._waiting_by_service.get(service, ())))
 
+    @property
+    def running(self) -> bool:
+        """Whether an item runs at a target."""
+        return bool(self._running_by_attempt)
+
     def submit(self, work: ItemWork) -> None:
         """Take an item; ``finished`` is told when it ends."""
         waiting = self._waiting_by_service.setdefault(work.service, deque())
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -193,7 +193,7 @@
 
     @handle.register
     async def _(self, message: ItemEnded) -> None:
-        if self.draining and not self.streams.state()["running"]:
+        if self.draining and not self.streams.running:
             self._quiet.set()
         place: ItemPlace = message.work.context
         work = place.work
@@ -338,7 +338,7 @@
         """
         self.draining = True
         self._quiet.clear()
-        if self.streams.state()["running"]:
+        if self.streams.running:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._quiet.wait(), wait_s)
         await asyncio.sleep(2 * self.idle_s)
--- /dev/null
+++ b/tests/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of batch jobs."""
