Save the faults of batch items beside the results, for the next holder

An item that makes engines fault counted its faults in memory only: each change of its holder, a planned stop too, began at zero, so nothing bounded its attempts over a rolling replacement. Faults now go into the checkpoints, within 0.5 s of the fault, and the next holder goes on counting; an item that may have broken two targets runs alone there from the start.

Mutations that the tests find: saved faults not taken over; faults left out of the whole checkpoint.

--- a/src/caperridge/decisions/jobs.py
+++ b/src/caperridge/decisions/jobs.py
@@ -137,6 +137,45 @@
         self.failed = failed
 
 
+class ItemFaults(Record):
+    """How many faults that may be its own an item has had, while it has no result."""
+
+    __slots__ = ("faults", "index")
+
+    def __init__(self, index: int, faults: int) -> None:
+        self.index = index
+        self.faults = faults
+
+
+class SavedItems(Record):
+    """What an earlier holder of a chunk saved of its items.
+
+    Attributes:
+        results_by_index: of the items that have ended, as maps of ``ItemResult``.
+        faults_by_index: of items that have had faults.
+    """
+
+    __slots__ = ("faults_by_index", "results_by_index")
+
+    def __init__(
+        self,
+        results_by_index: dict[int, dict[str, Any]] | None = None,
+        faults_by_index: dict[int, int] | None = None,
+    ) -> None:
+        self.results_by_index = results_by_index or {}
+        self.faults_by_index = faults_by_index or {}
+
+    def add(self, saved: dict[str, Any]) -> None:
+        """Take one entry of a checkpoint, of either kind."""
+        index = saved["index"]
+        if "faults" not in saved:
+            self.results_by_index[index] = saved
+            return
+        # Slots are read in any order, and faults only ever become more.
+        known = self.faults_by_index.get(index, 0)
+        self.faults_by_index[index] = max(known, saved["faults"])
+
+
 class ItemResult(Record):
     """What became of one item, as the result object holds it, a JSON line each."""
 
--- a/src/caperridge/instance/batch_messages.py
+++ b/src/caperridge/instance/batch_messages.py
@@ -2,7 +2,7 @@
 
 from caperridge.decisions.chunks import Chunk
 from caperridge.decisions.job_board import Want
-from caperridge.decisions.jobs import ChunkState, Job
+from caperridge.decisions.jobs import ChunkState, Job, SavedItems
 from caperridge.records import Record
 
 
@@ -51,7 +51,7 @@
         state: its row, with us as its holder.
         session: that claims it.
         lines: its items.
-        saved: results of an earlier holder by index, as maps of ``ItemResult``.
+        saved: what an earlier holder saved of the items.
     """
 
     __slots__ = ("chunk", "job", "lines", "saved", "session", "state")
@@ -63,7 +63,7 @@
         state: ChunkState,
         session: str,
         lines: list[bytes],
-        saved: dict[int, dict],
+        saved: SavedItems,
     ) -> None:
         self.job = job
         self.chunk = chunk
--- a/src/caperridge/instance/checkpoints.py
+++ b/src/caperridge/instance/checkpoints.py
@@ -1,4 +1,7 @@
-"""Results that are saved before their chunk is committed, so they are not redone.
+"""What is saved of chunks before they are committed: results, and faults of items.
+
+Results need not be redone then, and an item that breaks its targets is failed after a
+bounded number of attempts, however often its holder changes.
 
 Each checkpoint holds what ended since the last one. The objects of a session are
 :data:`SLOTS` slots that are written in turn; the first of each turn holds everything
@@ -9,6 +12,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from caperridge.decisions.jobs import ItemFaults
 from caperridge.instance.batch_messages import CheckpointWanted
 from caperridge.instance.chunk_work import ChunkWork
 from caperridge.records import pack
@@ -16,6 +20,7 @@
 SLOTS = 8
 EVERY_S = 5.0
 EVERY_ITEMS = 50
+FAULTS_S = 0.5  # sooner: what a lost instance forgot of them is tried again
 
 
 class Checkpoints:
@@ -28,6 +33,13 @@
         self._new: list[tuple[str, dict[str, Any]]] = []
         self._slot = 0
         self._since = 0.0
+        self._fault_since: float | None = None
+
+    def failed(self, job: str, faults: ItemFaults, now: float) -> None:
+        """Note the faults of an item that is to be tried again."""
+        self.ended(job, faults.to_map(), now)
+        if self._fault_since is None:
+            self._fault_since = now
 
     def ended(self, job: str, result: dict[str, Any], now: float) -> None:
         """Note the result of an item."""
@@ -39,12 +51,15 @@
         """Return whether enough ended, or long enough ago."""
         if len(self._new) >= EVERY_ITEMS:
             return True
+        if self._fault_since is not None and now - self._fault_since >= FAULTS_S:
+            return True
         return bool(self._new) and now - self._since >= EVERY_S
 
     def reset(self) -> None:
         """Begin anew: the session is another one."""
         self._new = []
         self._slot = 0
+        self._fault_since = None
 
     def take(self, session: str, works: Iterable[ChunkWork]) -> CheckpointWanted:
         """Return the next checkpoint.
@@ -54,6 +69,7 @@
             works: the chunks in hand.
         """
         results, self._new = self._new, []
+        self._fault_since = None
         slot = self._slot
         self._slot = (slot + 1) % SLOTS
         if slot == 0:
@@ -66,4 +82,6 @@
     for work in works:
         for result in work.results_by_index.values():
             results.append((work.job.id, result.to_map()))
+        for faults in work.faults():
+            results.append((work.job.id, faults.to_map()))
     return results
--- a/src/caperridge/instance/chunk_work.py
+++ b/src/caperridge/instance/chunk_work.py
@@ -6,7 +6,13 @@
 
 from caperridge import keys
 from caperridge.decisions.chunks import Chunk
-from caperridge.decisions.jobs import ChunkState, ItemResult, Job
+from caperridge.decisions.jobs import (
+    ChunkState,
+    ItemFaults,
+    ItemResult,
+    Job,
+    SavedItems,
+)
 from caperridge.instance.batch_streams import ItemWork
 
 
@@ -65,13 +71,16 @@
         """The key of its row."""
         return chunk_key(self.chunk)
 
-    def add_items(self, lines: list[bytes], saved: dict[int, dict[str, Any]]) -> None:
+    def add_items(self, lines: list[bytes], saved: SavedItems) -> None:
         """Take the items; those with a saved result need not run again."""
         for index, line in enumerate(lines, self.chunk.start):
-            if index in saved:
-                self.results_by_index[index] = ItemResult.from_map(saved[index])
+            result = saved.results_by_index.get(index)
+            if result is not None:
+                self.results_by_index[index] = ItemResult.from_map(result)
                 continue
             item = orjson.loads(line)
+            place = ItemPlace(self, index, item["custom_id"])
+            place.faults = saved.faults_by_index.get(index, 0)
             # Two holders of a chunk must not share ids of attempts at a target.
             request = f"{self.job.id}.{index}-{self.state.attempts}"
             self.items_by_index[index] = ItemWork(
@@ -80,9 +89,18 @@
                 self.job.service,
                 self.job.endpoint,
                 item["body"],
-                ItemPlace(self, index, item["custom_id"]),
+                place,
             )
 
+    def faults(self) -> list[ItemFaults]:
+        """Return the faults of the items that have had some and no result."""
+        found: list[ItemFaults] = []
+        for index, item in self.items_by_index.items():
+            place: ItemPlace = item.context
+            if place.faults:
+                found.append(ItemFaults(index, place.faults))
+        return found
+
     def ended(self, result: ItemResult) -> None:
         """Note the result of an item."""
         self.items_by_index.pop(result.index, None)
--- a/src/caperridge/instance/claimer.py
+++ b/src/caperridge/instance/claimer.py
@@ -22,7 +22,7 @@
     TakeOver,
     plan_claims,
 )
-from caperridge.decisions.jobs import CLAIMED, Job
+from caperridge.decisions.jobs import CLAIMED, Job, SavedItems
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_messages import (
     ChunkClaimed,
@@ -180,7 +180,7 @@
                         state,
                         wanted.session,
                         lines.ok_value[chunk.start],
-                        saved.ok_value.get(chunk.start, {}),
+                        saved.ok_value.get(chunk.start, SavedItems()),
                     )
                 )
             if claimed >= left:
@@ -235,10 +235,8 @@
             lines_by_start[action.chunk.start] = lines.ok_value
         return Ok(lines_by_start)
 
-    async def _saved(
-        self, actions: list[Action]
-    ) -> Result[dict[int, dict[int, dict[str, Any]]], Any]:
-        saved_by_start: dict[int, dict[int, dict[str, Any]]] = {}
+    async def _saved(self, actions: list[Action]) -> Result[dict[int, SavedItems], Any]:
+        saved_by_start: dict[int, SavedItems] = {}
         for action in actions:
             if not isinstance(action, TakeOver):
                 continue
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from caperridge.decisions.claims import must_fail
-from caperridge.decisions.item_failures import GiveUp, after_failure
+from caperridge.decisions.item_failures import SUSPECT_FAULTS, GiveUp, after_failure
 from caperridge.decisions.job_board import JobBoard
-from caperridge.decisions.jobs import ItemResult, Job
+from caperridge.decisions.jobs import ItemFaults, ItemResult, Job
 from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_messages import (
@@ -159,9 +159,12 @@
         work = ChunkWork(message.job, message.chunk, message.state, message.session)
         work.add_items(message.lines, message.saved)
         self._works_by_key[work.key] = work
-        for saved in message.saved.values():
-            # Saved again under our session, for whoever comes after us.
-            self._checkpoints.ended(work.job.id, saved, self._clock())
+        # Saved again under our session, for whoever comes after us.
+        now = self._clock()
+        for saved in message.saved.results_by_index.values():
+            self._checkpoints.ended(work.job.id, saved, now)
+        for faults in work.faults():
+            self._checkpoints.failed(work.job.id, faults, now)
         if must_fail(message.chunk, message.state.deaths):
             for item in list(work.items_by_index.values()):
                 place: ItemPlace = item.context
@@ -173,11 +176,9 @@
         if not work.items_by_index:
             self._finish(work)
             return
-        self._board.meter(work.job.service).started(self._clock())
-        if self._parked:
-            return
-        for item in list(work.items_by_index.values()):
-            self.streams.submit(item)
+        self._board.meter(work.job.service).started(now)
+        if not self._parked:
+            self._submit_all(work)
 
     @handle.register
     async def _(self, message: ClaimEnded) -> None:
@@ -219,7 +220,10 @@
             self._end_item(place.work, result)
             return
         place.failures += 1
-        place.faults = verdict.faults
+        if verdict.faults > place.faults:
+            place.faults = verdict.faults
+            faults = ItemFaults(place.index, place.faults)
+            self._checkpoints.failed(place.work.job.id, faults, self._clock())
         self._retries.add(item, self._clock() + verdict.delay_s, verdict.alone)
 
     def _end_item(self, work: ChunkWork, result: ItemResult) -> None:
@@ -296,8 +300,16 @@
         self._committer.platform_is_back()
         # Nobody took our chunks: go on, with the tokens that were kept.
         for work in self._works_by_key.values():
-            for item in work.items_by_index.values():
-                self.streams.submit(item)
+            self._submit_all(work)
+
+    def _submit_all(self, work: ChunkWork) -> None:
+        """Let the items of ``work`` run; those that broke targets one by one."""
+        for item in list(work.items_by_index.values()):
+            place: ItemPlace = item.context
+            if place.faults >= SUSPECT_FAULTS:
+                self._retries.add(item, self._clock(), alone=True)
+                continue
+            self.streams.submit(item)
 
     def _want(self, service: str) -> None:
         if service in self._claiming:
--- a/src/caperridge/instance/job_items.py
+++ b/src/caperridge/instance/job_items.py
@@ -1,14 +1,13 @@
 """Reads the items of chunks and what earlier holders saved, with a small cache."""
 
 from collections import OrderedDict
-from typing import Any
 
 from result import Err, Ok, Result
 
 from caperridge import keys
 from caperridge.commands.accept_file import StoredFile
 from caperridge.decisions.chunks import Chunk
-from caperridge.decisions.jobs import Job
+from caperridge.decisions.jobs import Job, SavedItems
 from caperridge.platform.interface import NotDone, Platform, ReadError
 from caperridge.queries.jobs import read_file
 from caperridge.records import pack, unpack
@@ -49,21 +48,19 @@
             return Err(NotDone(f"{job.file} has other items than its row says"))
         return Ok(lines)
 
-    async def saved(
-        self, session: str, chunk: Chunk
-    ) -> Result[dict[int, dict[str, Any]], ReadError]:
-        """Return the chunk's results, by index, in the checkpoints of ``session``."""
+    async def saved(self, session: str, chunk: Chunk) -> Result[SavedItems, ReadError]:
+        """Return what ``session`` saved of the items of the chunk."""
         names = await self._platform.list_objects(keys.checkpoints(session))
         if isinstance(names, Err):
             return names
-        saved: dict[int, dict[str, Any]] = {}
+        saved = SavedItems()
         for name in names.ok_value:
             data = await self._platform.get_object(name)
             if isinstance(data, Err):
                 return data
-            for job, result in unpack(data.ok_value or pack([])):
-                if job == chunk.job and chunk.start <= result["index"] < chunk.end:
-                    saved[result["index"]] = result
+            for job, entry in unpack(data.ok_value or pack([])):
+                if job == chunk.job and chunk.start <= entry["index"] < chunk.end:
+                    saved.add(entry)
         return Ok(saved)
 
     async def _file(self, file_id: str) -> Result[StoredFile, ReadError]:
