--- a/src/caperridge/instance/claimer.py
+++ b/src/caperridge/instance/claimer.py
@@ -58,6 +58,24 @@
         self.refresh_at = float("inf")
 
 
+class Claims:
+    """What was asked for, and what was read of the chunks before claiming them."""
+
+    __slots__ = ("job", "lines_by_start", "saved_by_start", "wanted")
+
+    def __init__(
+        self,
+        job: Job,
+        wanted: ClaimWanted,
+        lines_by_start: dict[int, list[bytes]],
+        saved_by_start: dict[int, SavedItems],
+    ) -> None:
+        self.job = job
+        self.wanted = wanted
+        self.lines_by_start = lines_by_start
+        self.saved_by_start = saved_by_start
+
+
 class ChunkClaimer(Actor):
     """Claims chunks when it is told that there is room.
 
@@ -162,31 +180,46 @@
                     return claimed, ""
                 continue
             cached.pause_s = FIRST_REFRESH_S
-            versions_by_key = outcome.ok_value.versions_by_key
-            for action in actions:
-                if isinstance(action, Split):
-                    cached.refresh_at = 0.0
-                    continue
-                self._took(
-                    cached.view, action, wanted.session, versions_by_key, wanted.in_hand
-                )
-                chunk = action.chunk
-                claimed += chunk.items
-                state = cached.view.seen_by_start[chunk.start].state
-                self._tell(
-                    ChunkClaimed(
-                        job,
-                        chunk,
-                        state,
-                        wanted.session,
-                        lines.ok_value[chunk.start],
-                        saved.ok_value.get(chunk.start, SavedItems()),
-                    )
-                )
+            claims = Claims(job, wanted, lines.ok_value, saved.ok_value)
+            claimed += self._hand_over(
+                cached, actions, claims, outcome.ok_value.versions_by_key
+            )
             if claimed >= left:
                 break
         return claimed, ""
 
+    def _hand_over(
+        self,
+        cached: CachedView,
+        actions: list[Action],
+        claims: Claims,
+        versions_by_key: dict[str, int],
+    ) -> int:
+        """Tell of the chunks that are ours now; return how many items they have."""
+        wanted = claims.wanted
+        items = 0
+        for action in actions:
+            if isinstance(action, Split):
+                # Its parts are free: they are seen with the next look at the rows.
+                cached.refresh_at = 0.0
+                continue
+            self._took(
+                cached.view, action, wanted.session, versions_by_key, wanted.in_hand
+            )
+            chunk = action.chunk
+            items += chunk.items
+            self._tell(
+                ChunkClaimed(
+                    claims.job,
+                    chunk,
+                    cached.view.seen_by_start[chunk.start].state,
+                    wanted.session,
+                    claims.lines_by_start[chunk.start],
+                    claims.saved_by_start.get(chunk.start, SavedItems()),
+                )
+            )
+        return items
+
     def _plan(self, view: JobView, wanted: ClaimWanted, left: int) -> list[Action]:
         def abandoned(seen: SeenChunk, start: int) -> bool | None:
             session = seen.state.session
