Count the configuration and the search for owners in measure control

Cause: the configuration of 14,000 callers and its changes were left out of control's figures, and the windows of 3 s caught polls each 2 s by chance. Change: both are measured by themselves and carried; windows of 4 s.

--- a/src/caperridge/config/model.py
+++ b/src/caperridge/config/model.py
@@ -136,7 +136,8 @@
     ) -> None:
         self.name = name
         self.token_sha256 = token_sha256
-        self.services = list(services or ["*"])
+        # Not copied, as thousands of callers may share one list; nobody changes it.
+        self.services = services or ["*"]
         self.requests_per_s = requests_per_s
         self.tokens_per_s = tokens_per_s
         self.most_running = most_running
@@ -157,6 +158,30 @@
         self.token_sha256 = token_sha256
 
 
+class _Shared:
+    """Values that many callers have alike, kept once for all of them."""
+
+    __slots__ = ("_lists_by_names", "_numbers")
+
+    def __init__(self) -> None:
+        self._numbers: dict[float, float] = {}
+        self._lists_by_names: dict[tuple[str, ...], list[str]] = {}
+
+    def fields(self, name: str, item: dict[str, Any]) -> dict[str, Any]:
+        """Return ``item`` with the values that are held already."""
+        fields = {field: self._one(value) for field, value in item.items()}
+        if fields.get("name") == name:
+            fields["name"] = name
+        return fields
+
+    def _one(self, value: Any) -> Any:
+        if isinstance(value, float):
+            return self._numbers.setdefault(value, value)
+        if isinstance(value, list) and all(isinstance(one, str) for one in value):
+            return self._lists_by_names.setdefault(tuple(value), value)
+        return value
+
+
 class Configuration(Record):
     """One version of everything declared, by name.
 
@@ -194,9 +219,10 @@
     @classmethod
     def from_map(cls, fields: dict[str, Any]) -> "Configuration":
         """Return the configuration that :meth:`to_map` made ``fields`` of."""
+        shared = _Shared()
         tables = {
             field: {
-                name: kind.from_map(item)
+                name: kind.from_map(shared.fields(name, item))
                 for name, item in fields.get(field, {}).items()
             }
             for field, kind in KINDS_BY_FIELD.items()
--- a/src/caperridge/measure/control.py
+++ b/src/caperridge/measure/control.py
@@ -3,9 +3,9 @@
 Whole instances run in one process; each arm's processor time and bytes are divided by
 their number. Slopes over the peers of a zone and the targets that an instance looks
 after are fitted by least squares and carried to the target size. What the arms can't
-hold (the list of the whole fleet) is measured by itself and added; links to other
-zones count as further peers. Not in the figures: the time that HTTP takes an instance,
-and the configuration of 14,000 callers, which ``measure configuration`` is for.
+hold (the list of the whole fleet, the configuration of 14,000 callers and its changes)
+is measured by itself and added; links to other zones count as further peers. Not in the
+figures: the time that serving HTTP takes an instance.
 """
 
 import asyncio
@@ -14,29 +14,28 @@
 from typing import Any
 
 from caperridge.decisions.links import LINKS_A_ZONE
-from caperridge.instance.members import POLL_S
 from caperridge.measure.control_fleet import (
-    HTTP_CALL_BYTES,
     ControlFleet,
     rss_mb,
 )
+from caperridge.measure.control_wholes import (
+    TARGET_COUNT,
+    TARGET_RUNNERS_ZONE,
+    TARGET_ZONES,
+    owner_lookup_us,
+    whole_configuration,
+    whole_list,
+)
 from caperridge.measure.options import Options
-from caperridge.platform.interface import ListedMember
-from caperridge.records import pack, unpack
 
 SIZES = (3, 6, 12, 24)
 RUNNERS = (12, 56, 112)
 COUNT_FIXED = 12
 RUNNERS_AN_INSTANCE = 112 / 24
-WINDOW_S = 3.0
+WINDOW_S = 4.0  # a multiple of most pauses between polls
 NEWS_PER_S = 34.0  # 17 online requests a second, told of at start and end
 LISTS_PER_S = 0.5
 
-TARGET_COUNT = 23
-TARGET_ZONES = 17
-TARGET_INSTANCES = 390
-TARGET_RUNNERS = 1900
-TARGET_RUNNERS_ZONE = 112
 LIMIT_CPU_SHARE = 0.024
 LIMIT_BYTES_PER_S = 17_000
 LIMIT_MB = 64
@@ -52,12 +51,15 @@
     for count, runners in dict.fromkeys(places):
         arms += await _measure(count, runners, window_s, options.seed)
     slopes = {name: _slopes(arms, name) for name in ("idle", "changing")}
-    whole_list = _whole_list()
-    target = _target(slopes["changing"], whole_list, base_mb)
+    listed = whole_list()
+    configuration = whole_configuration()
+    target = _target(slopes["changing"], listed, configuration, base_mb)
     return {
         "arms": arms,
         "slopes": slopes,
-        "whole_list": whole_list,
+        "whole_list": listed,
+        "whole_configuration": configuration,
+        "owner_lookup_us": owner_lookup_us(),
         "base_rss_mb": round(base_mb, 1),
         "target": target,
         "limits": {
@@ -143,40 +145,10 @@
     return mean_y - slope * mean_x, slope
 
 
-def _whole_list() -> dict[str, float]:
-    """Return what one reading of the whole fleet's list costs."""
-    members = [
-        ListedMember(
-            f"zone-{n % TARGET_ZONES}-{n:04}",
-            "instance" if n < TARGET_INSTANCES else "target",
-            f"10.{n % 200}.{n % 250}.7:7000",
-            f"zone-{n % TARGET_ZONES}",
-            "region-1",
-            service="" if n < TARGET_INSTANCES else "album-captions",
-        )
-        for n in range(TARGET_INSTANCES + TARGET_RUNNERS)
-    ]
-    data = pack(members)
-    cpu_s = time.process_time()
-    read = [ListedMember.from_map(fields) for fields in unpack(data)]
-    cpu_s = time.process_time() - cpu_s
-    tracemalloc.start()
-    held = [ListedMember.from_map(fields) for fields in unpack(data)]
-    state_mb = tracemalloc.get_traced_memory()[0] / 2**20
-    tracemalloc.stop()
-    del held
-    return {
-        "members": len(read),
-        "bytes": len(data) + HTTP_CALL_BYTES,
-        "cpu_s": cpu_s,
-        "state_mb": state_mb,
-        "readings_per_s": 1 / (POLL_S * TARGET_COUNT),
-    }
-
-
 def _target(
     slopes: dict[str, dict[str, float]],
-    whole_list: dict[str, float],
+    listed: dict[str, float],
+    configuration: dict[str, float],
     base_mb: float,
 ) -> dict[str, float]:
     """Carry the changing arm's slopes to the target size."""
@@ -188,10 +160,14 @@
         + fitted["a_target"] * TARGET_RUNNERS_ZONE / TARGET_COUNT
         for figure, fitted in slopes.items()
     }
-    readings = whole_list["readings_per_s"]
-    carried["cpu_share"] += whole_list["cpu_s"] * readings
-    carried["bytes_per_s"] += whole_list["bytes"] * readings
-    carried["state_mb"] += whole_list["state_mb"]
+    readings = listed["readings_per_s"]
+    carried["cpu_share"] += listed["cpu_s"] * readings
+    carried["bytes_per_s"] += listed["bytes"] * readings
+    changes = configuration["changes_per_s"]
+    carried["cpu_share"] += configuration["cpu_s"] * changes
+    # Each peer is sent a change or sends it.
+    carried["bytes_per_s"] += configuration["delta_bytes"] * changes * peers
+    carried["state_mb"] += listed["state_mb"] + configuration["state_mb"]
     carried["rss_mb"] = base_mb + carried["state_mb"]
     carried["streams"] = peers
     return carried
--- a/tests/configuration/test_order.py
+++ b/tests/configuration/test_order.py
@@ -36,6 +36,17 @@
     assert list(delta.set_by_field["callers_by_name"]) == ["c"]
 
 
+def test_callers_that_come_from_the_wire_share_what_they_have_alike() -> None:
+    callers = {n: Caller(n, TOKEN, ["chat"], 5.0, share=2.5) for n in ("a", "b")}
+    sent = Configuration(1, callers_by_name=callers)
+    read = Configuration.from_map(unpack(pack(sent)))
+    assert read == sent
+    a, b = (read.callers_by_name[name] for name in ("a", "b"))
+    assert a.services is b.services
+    assert a.requests_per_s is b.requests_per_s
+    assert [a.name] == [n for n in read.callers_by_name if n is a.name]
+
+
 def test_an_old_release_skips_tables_and_fields_it_does_not_know() -> None:
     delta = Delta(0, 1, {"moods_by_name": {"x": {}}})
     delta.set_by_field["callers_by_name"] = {
