--- a/tests/peers/cuts.py
+++ b/tests/peers/cuts.py
@@ -12,7 +12,7 @@
 from caperridge.settings import Address
 from caperridge.standins import engine as engine_standin
 from caperridge.standins.engine import Engine
-from caperridge.standins.engine_model import EngineCosts
+from caperridge.standins.engine_model import EngineCosts, answer_text
 from caperridge.standins.platform import MemoryPlatform
 from conftest import CALLER, OPERATOR, Listen, until
 from peers.conftest import Mesh
@@ -57,6 +57,7 @@
         self.engines_by_zone: dict[str, Engine] = {}
         self.versions_by_process: dict[Instance, list[int]] = {}
         self._listen = listen
+        self._asked = 0
         self._cut: set[frozenset[str]] = set()
         self._zones_by_address: dict[str, str] = {}
 
@@ -147,9 +148,14 @@
         return response.status, orjson.loads(data)
 
     async def ask(self, instance: Instance) -> int:
-        """Return the status of an online request."""
-        body = {"model": "chat", "prompt": "alarm?", "max_tokens": 3}
-        return (await self.call(instance, "/v1/completions", body))[0]
+        """Return the status of an online request; an answer must be its own, whole."""
+        self._asked += 1
+        prompt = f"alarm {self._asked}?"
+        body = {"model": "chat", "prompt": prompt, "max_tokens": 3}
+        status, answer = await self.call(instance, "/v1/completions", body)
+        if status == 200:
+            assert answer["choices"][0]["text"] == answer_text(prompt, 3)
+        return status
 
     async def confirm(self, instance: Instance, declaration: str) -> tuple[int, Any]:
         body: dict[str, Any] = {"files": {"all.toml": declaration}}
--- a/tests/peers/test_compact.py
+++ b/tests/peers/test_compact.py
@@ -68,6 +68,9 @@
         assert back.name(out.name(name)) == name
     assert out.name(names[MOST_NAMES - 1]) == MOST_NAMES - 1
     assert out.name(names[MOST_NAMES]) == names[MOST_NAMES]
+    for number in (MOST_NAMES, -1):
+        with pytest.raises(ValueError, match="no number of a name"):
+            back.name(number)
 
 
 @pytest.mark.parametrize(
--- a/tests/peers/test_cuts.py
+++ b/tests/peers/test_cuts.py
@@ -81,6 +81,10 @@
     assert (await zones.confirm(bilbao[1], TWO))[0] == 200
     await zones.until_version(2, oviedo + bilbao)
     assert await zones.results(bilbao[1], job) == IN_ORDER
+    status, second = await zones.submit(bilbao[0], ITEMS, tokens=2000)
+    path = f"/v1/batches/{second['id']}"
+    assert (await zones.call(bilbao[1], f"{path}/cancel", {}))[0] == 200
+    assert (await zones.call(oviedo[0], path))[1]["status"] == "cancelled"
     for instance in bilbao:
         assert await zones.ask(instance) == 200
         assert instance.session.left_s() > 0
@@ -110,6 +114,9 @@
     for instance in bilbao:
         assert await zones.ask(instance) == 200
     assert refused(await zones.submit(bilbao[0], 1)) == AWAY
+    path = f"/v1/batches/{job['id']}"
+    assert refused(await zones.call(bilbao[0], path)) == AWAY
+    assert refused(await zones.call(bilbao[0], f"{path}/cancel", {})) == AWAY
     confirmed = await zones.confirm(bilbao[0], TWO)
     assert refused(confirmed) == AWAY
     assert "nothing was changed" in confirmed[1]["error"]["message"]
--- a/tests/peers/test_readiness.py
+++ b/tests/peers/test_readiness.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from caperridge.instance.members import FIRST_POLLS_S, MembersReader
 from caperridge.instance.readiness import AWAIT_TARGETS_S, AwaitedTargets
 from caperridge.platform.interface import ListedMember
+from caperridge.standins.platform import MemoryPlatform
 from conftest import until
 from peers.conftest import Mesh
 
@@ -52,3 +54,15 @@
     target = ListedMember("runner-1", "target", "h:1", "oviedo", service="chat")
     mesh.list_member(target)
     await until(lambda: not instance.not_ready_because())
+
+
+@pytest.mark.parametrize(("complete", "polls"), [(False, 20), (True, 2)])
+async def test_a_list_that_lacks_targets_is_read_as_often_as_at_the_start(
+    memory: MemoryPlatform, complete: bool, polls: int
+) -> None:
+    reader = MembersReader(
+        memory, lambda _: None, readers=lambda: 23, complete=lambda: complete
+    )
+    for _ in range(int(20 * FIRST_POLLS_S / reader.idle_s)):
+        await reader.idle()
+    assert reader.polls == polls
