--- a/src/caperridge/config/model.py
+++ b/src/caperridge/config/model.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import msgpack
+
 from caperridge.records import Record
 
 FORMAT = 1  # raised by a release that adds a table or a field to a declaration
@@ -136,7 +138,8 @@
     ) -> None:
         self.name = name
         self.token_sha256 = token_sha256
-        self.services = list(services or ["*"])
+        # Not copied, as thousands of callers may share one list; nobody changes it.
+        self.services = services or ["*"]
         self.requests_per_s = requests_per_s
         self.tokens_per_s = tokens_per_s
         self.most_running = most_running
@@ -157,6 +160,30 @@
         self.token_sha256 = token_sha256
 
 
+class _Shared:
+    """Values that many callers have alike, kept once for all of them."""
+
+    __slots__ = ("_lists_by_names", "_numbers")
+
+    def __init__(self) -> None:
+        self._numbers: dict[float, float] = {}
+        self._lists_by_names: dict[tuple[str, ...], list[str]] = {}
+
+    def fields(self, name: str, item: dict[str, Any]) -> dict[str, Any]:
+        """Return ``item`` with the values that are held already."""
+        fields = {field: self._one(value) for field, value in item.items()}
+        if fields.get("name") == name:
+            fields["name"] = name
+        return fields
+
+    def _one(self, value: Any) -> Any:
+        if isinstance(value, float):
+            return self._numbers.setdefault(value, value)
+        if isinstance(value, list) and all(isinstance(one, str) for one in value):
+            return self._lists_by_names.setdefault(tuple(value), value)
+        return value
+
+
 class Configuration(Record):
     """One version of everything declared, by name.
 
@@ -194,15 +221,51 @@
     @classmethod
     def from_map(cls, fields: dict[str, Any]) -> "Configuration":
         """Return the configuration that :meth:`to_map` made ``fields`` of."""
+        shared = _Shared()
         tables = {
             field: {
-                name: kind.from_map(item)
+                name: kind.from_map(shared.fields(name, item))
                 for name, item in fields.get(field, {}).items()
             }
             for field, kind in KINDS_BY_FIELD.items()
         }
         return cls(version=fields["version"], **tables)
 
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "Configuration":
+        """Return the configuration that is packed in ``data``.
+
+        It is read thing by thing: the maps of thousands of callers together would take
+        more memory than what is made of them, and the heap keeps what it once took.
+
+        Raises:
+            ValueError: ``data`` is no packed configuration.
+            TypeError: a thing in it lacks a field.
+        """
+        unpacker = msgpack.Unpacker(raw=False, strict_map_key=False)
+        unpacker.feed(data)
+        shared = _Shared()
+        fields: dict[str, Any] = {}
+        try:
+            for _ in range(unpacker.read_map_header()):
+                field = unpacker.unpack()
+                kind = KINDS_BY_FIELD.get(field)
+                if kind is None:
+                    fields[field] = unpacker.unpack()
+                    continue
+                table = fields[field] = {}
+                for _ in range(unpacker.read_map_header()):
+                    name = unpacker.unpack()
+                    item = shared.fields(name, unpacker.unpack())
+                    table[name] = kind.from_map(item)
+            version = fields["version"]
+        except (msgpack.UnpackException, AttributeError, KeyError) as error:
+            raise ValueError("this is no packed configuration") from error
+        if unpacker.tell() != len(data):
+            raise ValueError("something follows the packed configuration")
+        tables = {field: fields.get(field, {}) for field in KINDS_BY_FIELD}
+        return cls(version=version, **tables)
+
     def weight_store(self, region: str) -> WeightStore:
         """Return the weight store of a region."""
         stores = self.weight_stores_by_name
