Be patient with the only target there is

Cause: a model switch under load ended a request with 503 'no other target can take it'. While one of two runners loads, the other is the only one; on a busy machine its first event came later than the learnt patience, so the request gave it up although it had nowhere to go. Ruled out: a refusal by the orderer (the target was open) and the routing filter (the runner was listed).

Change: with no alternative the patience is at least 2 s, about the time to the first token that is promised; with one, nothing changes.

--- a/src/caperridge/decisions/progress.py
+++ b/src/caperridge/decisions/progress.py
@@ -23,6 +23,7 @@
 
     Attributes:
         offset: of the next token.
+        alone: whether there was no other target to move to at the last choice.
         attempts: that failed.
         excluded: targets that failed it.
         may_have_run: whether a target may have run it.
@@ -31,6 +32,7 @@
     """
 
     __slots__ = (
+        "alone",
         "attempts",
         "began",
         "excluded",
@@ -41,6 +43,7 @@
 
     def __init__(self, offset: int = 0) -> None:
         self.offset = offset
+        self.alone = False
         self.attempts = 0
         self.excluded: set[str] = set()
         self.may_have_run = False
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -29,6 +29,7 @@
 UNREPEATABLE_FIRST_S = 30.0
 UNREPEATABLE_BETWEEN_S = 10.0
 LEAST_FIRST_S = 0.05
+ALONE_S = 2.0  # least patience with a target that has no alternative
 RETRY_AFTER_S = 1.0
 RETRY_SHARE = 0.2
 MOST_RETRIES = 64.0  # at once; a lost runner moves all its streams together
@@ -187,6 +188,7 @@
                 text = f"no other target of {service.name} can take it"
             raise refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
         best = weighed[0].target
+        progress.alone = len(weighed) == 1 and self._is_only(best, request, progress)
         parts = self._book.parts(best, wanted, now)
         self._metrics.routed.labels(
             service.name, "cached" if parts["cached_tokens"] else "not_cached"
@@ -201,6 +203,12 @@
         )
         return best
 
+    def _is_only(self, target: str, request: OnlineRequest, progress: Progress) -> bool:
+        wanted = Wanted(request.tokens)
+        excluded = progress.excluded | {target}
+        name = request.service.name
+        return not self._book.weigh(name, excluded, wanted, self._clock())
+
     def _attempt(
         self,
         request: OnlineRequest,
@@ -219,6 +227,10 @@
             wait_s = state.expected_wait_s(request.service.most_running, self._clock())
             first_s += EXPECTED_PATIENCE * wait_s
             between_s = policy.between.limit_s() * 2**number
+        if progress.alone:
+            # Where there is nowhere to move to, to give a slow target up early only
+            # turns a late answer into none.
+            first_s, between_s = max(first_s, ALONE_S), max(between_s, ALONE_S)
         if not progress.began:
             left_s = request.deadline - self._clock()
             first_s = max(LEAST_FIRST_S, min(first_s, left_s))
