--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -4,14 +4,14 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
-from caperridge.decisions.patience import (
-    Patience,
-    between_events_patience,
-    first_event_patience,
-)
 from caperridge.decisions.progress import Progress
-from caperridge.decisions.retry_budget import RetryBudget
 from caperridge.decisions.routing import TargetBook
+from caperridge.decisions.service_policy import (
+    UNREPEATABLE_BETWEEN_S,
+    UNREPEATABLE_FIRST_S,
+    Limits,
+    ServicePolicy,
+)
 from caperridge.decisions.target_state import Wanted
 from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.gate import NO_TARGET, Gate
@@ -24,26 +24,8 @@
 from caperridge.targets.outcomes import AttemptError, Lost, NotSent, TargetRefused
 
 SHOWN_SCORES = 4
-PREFILL_PATIENCE_S = 0.0002  # for one token of the prompt
-EXPECTED_PATIENCE = 3.0  # times the expected wait
-UNREPEATABLE_FIRST_S = 30.0
-UNREPEATABLE_BETWEEN_S = 10.0
 LEAST_FIRST_S = 0.05
-ALONE_S = 2.0  # least patience with a target that has no alternative
 RETRY_AFTER_S = 1.0
-RETRY_SHARE = 0.2
-MOST_RETRIES = 64.0  # at once; a lost runner moves all its streams together
-
-
-class ServicePolicy:
-    """What is learnt of one service: its retry budget and its patience."""
-
-    __slots__ = ("between", "budget", "first")
-
-    def __init__(self) -> None:
-        self.budget = RetryBudget(RETRY_SHARE, MOST_RETRIES)
-        self.first: Patience = first_event_patience()
-        self.between: Patience = between_events_patience()
 
 
 class Attempts:
@@ -218,22 +200,17 @@
     ) -> Attempt:
         state = self._book.states_by_id[target]
         number = progress.attempts
-        first_s, between_s = UNREPEATABLE_FIRST_S, UNREPEATABLE_BETWEEN_S
+        limits = Limits(UNREPEATABLE_FIRST_S, UNREPEATABLE_BETWEEN_S)
         if request.service.repeatable:
-            # Each move doubles the patience: if all are slow, moving does not help.
-            first_s = policy.first.limit_s() * 2**number
-            first_s += PREFILL_PATIENCE_S * (request.tokens + progress.offset)
-            # Where a wait is expected, its length says nothing against the target.
-            wait_s = state.expected_wait_s(request.service.most_running, self._clock())
-            first_s += EXPECTED_PATIENCE * wait_s
-            between_s = policy.between.limit_s() * 2**number
-        if progress.alone:
-            # Where there is nowhere to move to, to give a slow target up early only
-            # turns a late answer into none.
-            first_s, between_s = max(first_s, ALONE_S), max(between_s, ALONE_S)
+            limits = policy.limits(
+                number,
+                request.tokens + progress.offset,
+                state.expected_wait_s(request.service.most_running, self._clock()),
+                progress.alone,
+            )
         if not progress.began:
             left_s = request.deadline - self._clock()
-            first_s = max(LEAST_FIRST_S, min(first_s, left_s))
+            limits.first_s = max(LEAST_FIRST_S, min(limits.first_s, left_s))
         return Attempt(
             request.id,
             f"{request.id}.{number}",
@@ -241,8 +218,8 @@
             request.path,
             request.body,
             progress.offset,
-            first_s,
-            between_s,
+            limits.first_s,
+            limits.between_s,
         )
 
     async def _one(
