--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -19,6 +19,8 @@
 from caperridge.instance.item_work import ItemWork
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.running_items import RunningItem, RunningItems
+from caperridge.instance.waiting_items import WaitingItems
+from caperridge.instance.wake import Wake
 from caperridge.log import logger
 from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
 from caperridge.targets.events import text_of
@@ -61,11 +63,11 @@
         self._engines = engines
         self._metrics = metrics
         self._clock = clock
-        self._waiting_by_service: dict[str, deque[ItemWork]] = {}
-        self._running = RunningItems(engines, clock, self.headroom.reaction_seen)
+        self._waiting = WaitingItems()
+        self._running = RunningItems(engines, clock, self._reaction_seen)
         self._not_before_by_target: dict[str, float] = {}
         self._owners_due = 0.0
-        self._wake: asyncio.TimerHandle | None = None
+        self._wake = Wake(self.fill)
 
     def room(self, service: str) -> int:
         """Return how many more items of ``service`` are wanted.
@@ -81,7 +83,7 @@
             self._startable(target, found)
             for target in self.own.by_service.get(service, ())
         )
-        return max(0, places - len(self._waiting_by_service.get(service, ())))
+        return max(0, places - self._waiting.count(service))
 
     @property
     def running(self) -> bool:
@@ -90,26 +92,19 @@
 
     def submit(self, work: ItemWork) -> None:
         """Take an item; ``finished`` is told when it ends."""
-        waiting = self._waiting_by_service.setdefault(work.service, deque())
-        if work.texts:
-            waiting.appendleft(work)
-        else:
-            waiting.append(work)
+        self._waiting.add(work)
         self.fill()
 
     def cancel_job(self, job: str) -> None:
         """Stop and forget every item of ``job``, without telling ``finished``."""
-        for waiting in self._waiting_by_service.values():
-            kept = [work for work in waiting if work.job != job]
-            waiting.clear()
-            waiting.extend(kept)
+        self._waiting.drop_job(job)
         for item in self._running.listed():
             if item.work.job == job:
                 self._stop(item)
 
     def drop_all(self) -> None:
         """Stop and forget everything, e.g. when the lease is lost."""
-        self._waiting_by_service.clear()
+        self._waiting.clear()
         for item in self._running.listed():
             self._stop(item)
 
@@ -127,7 +122,7 @@
         now = self._clock()
         if self.headroom.online_changed(target, sender, in_flight, now, sequence):
             self._preempt(target, now)
-            self._wake_after(LEAST_PAUSE_S)
+            self._wake.after(LEAST_PAUSE_S)
 
     def latency_seen(
         self, target: str, first_token_s: float, between_tokens_s: float
@@ -151,7 +146,7 @@
         self._refresh_owners()
         now = self._clock()
         soonest = float("inf")
-        for name, waiting in self._waiting_by_service.items():
+        for name, waiting in self._waiting.works_by_service.items():
             service = self.configuration.services_by_name.get(name)
             if service is None:
                 continue
@@ -163,14 +158,13 @@
                     due = self._fill_target(target, service, waiting, now)
                 soonest = min(soonest, due)
         if soonest < float("inf"):
-            self._wake_after(soonest - now)
+            self._wake.after(max(LEAST_PAUSE_S, soonest - now))
 
     def state(self) -> dict[str, Any]:
         """Return what runs and waits, for the dump."""
-        waiting = {name: len(items) for name, items in self._waiting_by_service.items()}
         running = [item.stream.to_map() for item in self._running.listed()]
         return {
-            "waiting_by_service": waiting,
+            "waiting_by_service": self._waiting.counts(),
             "running": running,
             "own_targets_by_service": self.own.by_service,
             "headroom_by_target": self.headroom.state(self._clock()),
@@ -221,7 +215,7 @@
 
     def _requeue(self, item: RunningItem) -> None:
         work = self._stop(item)
-        self._waiting_by_service.setdefault(work.service, deque()).appendleft(work)
+        self._waiting.put_back(work)
 
     def _service_of(self, target: str) -> Service | None:
         state = self.book.states_by_id.get(target)
@@ -256,20 +250,6 @@
             self._not_before_by_target[target] = now + starts.again_s
         return now + starts.again_s
 
-    def _wake_after(self, seconds: float) -> None:
-        """Fill again in ``seconds``, or sooner if that is due already."""
-        loop = asyncio.get_running_loop()
-        at = loop.time() + max(LEAST_PAUSE_S, seconds)
-        if self._wake is not None:
-            if self._wake.when() <= at:
-                return
-            self._wake.cancel()
-        self._wake = loop.call_at(at, self._woken)
-
-    def _woken(self) -> None:
-        self._wake = None
-        self.fill()
-
     def _start(self, work: ItemWork, target: str) -> None:
         if work.tokens_left == 0:
             # All tokens came, but not the closing mark that says so: get it again.
@@ -326,7 +306,10 @@
             last_at, last_beside = now, beside
             stream.ending = work.tokens_left == 1
             if stream.ending:
-                self._wake_after(0.0)
+                self._wake.after(LEAST_PAUSE_S)
+
+    def _reaction_seen(self, target: str, reaction_s: float) -> None:
+        self.headroom.reaction_seen(target, reaction_s)
 
     def _stop(self, item: RunningItem) -> ItemWork:
         state = self.book.states_by_id.get(item.stream.target)
