Fit the end-to-end tests to the streams and the tests that came meanwhile

What runs is kept by RunningItems now, which says how many. The tests of batch are no package: their shared parts are modules of their own, as the ones that came with the shared reads.

--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -86,7 +86,7 @@
     @property
     def running(self) -> bool:
         """Whether an item runs at a target."""
-        return bool(self._running.listed())
+        return len(self._running) > 0
 
     def submit(self, work: ItemWork) -> None:
         """Take an item; ``finished`` is told when it ends."""
--- a/src/caperridge/instance/running_items.py
+++ b/src/caperridge/instance/running_items.py
@@ -49,6 +49,10 @@
         """Return whether ``attempt`` still runs."""
         return attempt in self._items_by_attempt
 
+    def __len__(self) -> int:
+        """Return how many run."""
+        return len(self._items_by_attempt)
+
     def add(self, item: RunningItem) -> None:
         """Note that ``item`` runs."""
         stream = item.stream
--- a/tests/batch/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of batch jobs."""
--- a/tests/batch/conftest.py
+++ b/tests/batch/job_pair.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import orjson
-import pytest
 
 from caperridge.commands.accept_file import accept_file
 from caperridge.commands.accept_job import accept_job, new_job_id
@@ -94,12 +93,3 @@
                 assert result["custom_id"] not in results_by_id
                 results_by_id[result["custom_id"]] = result
         return results_by_id
-
-
-@pytest.fixture
-async def pair(fleet: Fleet, listen: Listen) -> AsyncIterator[Pair]:
-    """Two instances that both may run batch."""
-    pair = Pair(fleet)
-    await pair.start(listen)
-    yield pair
-    await pair.two.stop()
--- a/tests/batch/test_batch_machine.py
+++ b/tests/batch/test_batch_machine.py
@@ -1,6 +1,7 @@
 """Any order of claims, pauses, deaths, lost answers and outages against an oracle."""
 
 import pytest
+from batch_world import LEASE_S, World
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -12,7 +13,6 @@
 )
 from result import Err, Ok
 
-from batch.batch_world import LEASE_S, World
 from caperridge.commands.accept_job import OtherBody, accept_job, new_job_id
 from caperridge.commands.cancel_job import cancel_job
 from caperridge.decisions.jobs import COMPLETED, Job
--- a/tests/batch/test_jobs_end_to_end.py
+++ b/tests/batch/test_jobs_end_to_end.py
@@ -4,13 +4,13 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from job_pair import LANE_ITEMS, Pair
 
-from batch.conftest import LANE_ITEMS, Pair
 from caperridge.decisions.jobs import CANCELLED, COMPLETED, Job
 from caperridge.queries.jobs import read_progress
 from caperridge.standins.engine import KILLER, Engine
 from caperridge.standins.engine_model import answer_text
-from conftest import Fleet, until
+from conftest import Fleet, Listen, until
 
 ITEMS = 1000
 TOKENS = 40
@@ -22,6 +22,15 @@
     return [*pair.fleet.engines_by_id.values(), pair.engine]
 
 
+@pytest.fixture
+async def pair(fleet: Fleet, listen: Listen) -> AsyncIterator[Pair]:
+    """Two instances that both may run batch."""
+    pair = Pair(fleet)
+    await pair.start(listen)
+    yield pair
+    await pair.two.stop()
+
+
 @pytest.fixture
 async def restarted(pair: Pair) -> AsyncIterator[list[Engine]]:
     """All engines, started again when they were killed, as a supervisor would."""
