Take authentication and the peers' wiring out of process.py

Ruled out: a container of all parts that the listeners ask; the listeners of tests stand on an object with caller() and operator(), and that interface is worth keeping.

Change: authentication.py knows callers and operators by their tokens, wiring_peers.py connects peers, relay and the list; process.py keeps construction, start and stop. No behaviour changes.

--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -1,17 +1,13 @@
 """One instance: its tasks, its listeners, and how they are wired together."""
 
-import hmac
 import time
 import zlib
-from collections.abc import Callable
 from typing import Any
 
-from aiohttp import web
-
-from caperridge.config.model import Caller
 from caperridge.decisions.limit_share import Seat, seat_of
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.authentication import Authentication
 from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.call_sweeper import CallSweeper
 from caperridge.instance.callers_http import CallersHttp
@@ -19,18 +15,13 @@
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.drain import Drain
 from caperridge.instance.dump import dump
-from caperridge.instance.http_common import bearer_digest
-from caperridge.instance.in_flight import ENTRY, InFlight
+from caperridge.instance.in_flight import InFlight
 from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.listeners import Listeners
-from caperridge.instance.members import MembersReader
 from caperridge.instance.messages import (
     ConfigurationApplied,
-    ConfigurationAsked,
-    ConfigurationHeard,
     ItemEnded,
-    LoadedHeard,
     MembersListed,
 )
 from caperridge.instance.metrics import Metrics
@@ -47,34 +38,31 @@
     awaited_targets_of,
     not_ready_because,
 )
-from caperridge.instance.relay import RelayClient, RelayServer
+from caperridge.instance.relay import RelayServer
 from caperridge.instance.session import SessionKeeper
 from caperridge.instance.sweeper import Sweeper
 from caperridge.instance.target_reports import TargetReports
 from caperridge.instance.traces import Traces
+from caperridge.instance.wiring_peers import (
+    listen_to_peers,
+    members_reader,
+    relayed_platform,
+)
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import (
-    ConfigurationAsk,
-    ConfigurationNews,
-    LoadedNews,
-    LoadNews,
     TargetNews,
-    TraceAnswer,
-    TraceAsk,
 )
 from caperridge.platform.http import HttpPlatform
 from caperridge.platform.interface import ListedMember, Platform
 from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
-from caperridge.refusals import Refusal, RefusedError
 from caperridge.settings import Settings
 from caperridge.targets.engine import EngineClient
 from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
 
 log = logger(__name__)
-FIRST_OPERATOR = "first-operator"
 
 
 class Instance:
@@ -120,7 +108,8 @@
         self.platform = self._direct
         self.relay_server: RelayServer | None = None
         if self.mesh is not None:
-            self.platform = self._wire_relay(self.mesh, clock)
+            self.platform = relayed_platform(self, self._direct, self.mesh, clock)
+            self.relay_server = RelayServer(self._direct, self.mesh)
         self._engines = engines or EngineClient()
         self._plain_client = PlainClient()
         # Instances differ in the seed, so that they do not choose in step.
@@ -179,7 +168,10 @@
         self.configuration = ConfigurationKeeper(
             self.platform, self._applied, self.membership, self.peers
         )
-        self.members = self._members_reader()
+        known = Authentication(self.configuration, settings.first_operator_sha256)
+        self.caller = known.caller
+        self.operator = known.operator
+        self.members = members_reader(self, self._listed)
         self.peer_news = PeerNews(
             [self.online.book, self.streams.book],
             self.streams,
@@ -217,7 +209,7 @@
             CallSweeper(self.platform, self.membership),
         ]
         if self.mesh is not None:
-            self._wire_peers(self.mesh)
+            listen_to_peers(self, self.mesh)
             self._actors.append(self.mesh)
         self.awaited_targets = awaited_targets_of(self, clock)
         self._actors.append(ReadinessLog(settings.instance_id, self.not_ready_because))
@@ -239,54 +231,6 @@
         self.streams.book.apply_list(message.members)
         self.orderer.tell(message)
 
-    def _members_reader(self) -> MembersReader:
-        if self.mesh is None:
-            return MembersReader(self.platform, self._listed)
-        zone = self.settings.availability_zone
-        return MembersReader(
-            self.platform,
-            self._listed,
-            self.mesh,
-            lambda: len(self.membership.live(zone)),
-            self.mesh.introductions,
-            self.mesh.introduce,
-            lambda: not self.awaited_targets.missing(),
-        )
-
-    def _wire_relay(self, mesh: PeerMesh, clock: Callable[[], float]) -> Platform:
-        """Return the platform, reached through a peer where it must be."""
-        relayed = RelayedPlatform(self._direct, clock)
-        relayed.way = RelayClient(
-            mesh, self.membership, self.settings.platform_deadline_s, clock
-        )
-        self.relay_server = RelayServer(self._direct, mesh)
-        return relayed
-
-    def _wire_peers(self, mesh: PeerMesh) -> None:
-        """Connect the peers' news with the tasks that it concerns."""
-        mesh.configuration_version = lambda: self.configuration.current.version
-        mesh.listen(self.online_news)
-        keeper = self.configuration
-        mesh.register(
-            ConfigurationNews,
-            lambda peer, news: keeper.tell(ConfigurationHeard(peer, news)),
-        )
-        mesh.register(
-            ConfigurationAsk,
-            lambda peer, ask: keeper.tell(ConfigurationAsked(peer, ask.version)),
-        )
-        mesh.version_heard = self._version_heard
-        mesh.register(LoadedNews, lambda _, news: self.orderer.tell(LoadedHeard(news)))
-        mesh.register(LoadNews, lambda _, news: self.online.loads_told(news))
-        mesh.register(TraceAsk, self.explanations.asked)
-        mesh.register(TraceAnswer, self.explanations.answered)
-
-    def _version_heard(self, instance: str, version: int) -> None:
-        """A heartbeat tells of a version whose news may have been lost."""
-        if version > self.configuration.current.version:
-            news = ConfigurationNews(version)
-            self.configuration.tell(ConfigurationHeard(instance, news))
-
     def _loaded_changed(self) -> None:
         """Leave out targets that load or hold something else."""
         services_by_name = self.configuration.current.services_by_name
@@ -317,35 +261,6 @@
         self.peer_news.take(self.settings.instance_id, news)
         self.peers.send_all(news)
 
-    def caller(self, request: web.Request) -> Caller:
-        """Return the caller whose token the request carries.
-
-        Raises:
-            RefusedError: no caller has it.
-        """
-        caller = self.configuration.caller(bearer_digest(request))
-        if caller is None:
-            raise RefusedError(Refusal("unauthorized", "no caller has this token", 401))
-        if ENTRY in request:
-            request[ENTRY].caller = caller.name
-        return caller
-
-    def operator(self, request: web.Request) -> str:
-        """Return the name of the operator whose token the request carries.
-
-        Raises:
-            RefusedError: no operator has it.
-        """
-        digest = bearer_digest(request)
-        operator = self.configuration.operator(digest)
-        if operator is not None:
-            return operator.name
-        declared = self.configuration.current.operators_by_name
-        first = self.settings.first_operator_sha256
-        if digest and not declared and hmac.compare_digest(digest, first):
-            return FIRST_OPERATOR
-        raise RefusedError(Refusal("unauthorized", "no operator has this token", 401))
-
     def versions_of_peers(self) -> dict[str, int]:
         """Return the configuration's version that each heartbeat told, by instance."""
         return {} if self.mesh is None else dict(self.mesh.versions_by_id)
