Check declarations and settings with the same words

Cause: declarations.py had its own copies of the sentence for a failed check and of the search for known keys, with the same results.

Change: invalid_findings takes a function for the place of a key, so that it serves files with line numbers too; both callers use it. A validator that stands for all names of a table is no longer offered as a known key.

--- a/src/caperridge/checking.py
+++ b/src/caperridge/checking.py
@@ -1,7 +1,7 @@
 """Turning what a schema found wrong into findings with their place."""
 
 import difflib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import voluptuous as vol
@@ -22,12 +22,12 @@
 
 
 def invalid_findings(
-    source: str, error: vol.MultipleInvalid, schema: vol.Schema
+    place: Callable[[list[str]], str], error: vol.MultipleInvalid, schema: vol.Schema
 ) -> list[Finding]:
     """Return the findings of a failed check, each with its dotted key.
 
     Args:
-        source: the file or request that was checked.
+        place: returns where the key at the end of a path stands, e.g. file and line.
         error: what voluptuous raised.
         schema: that it was checked with, to say which key was probably meant.
 
@@ -35,13 +35,14 @@
     >>> try:
     ...     schema({"listen": {"calers": "x"}})
     ... except vol.MultipleInvalid as error:
-    ...     print(*invalid_findings("a.toml", error, schema))
+    ...     print(*invalid_findings(lambda _: "a.toml", error, schema))
     a.toml: listen.calers: is not a known key; did you mean 'callers'?
     """
     findings: list[Finding] = []
     for invalid in error.errors:
-        key = ".".join(str(part) for part in invalid.path) or "-"
-        findings.append(Finding(source, key, _sentence(invalid, schema)))
+        path = [str(part) for part in invalid.path]
+        key = ".".join(path) or "-"
+        findings.append(Finding(place(path), key, _sentence(invalid, schema)))
     return findings
 
 
@@ -63,4 +64,6 @@
         by_name = {str(key): below for key, below in schema.items()}
         # A table whose keys are names of the user's has one validator as its key.
         schema = by_name.get(str(part), next(iter(schema.values()), None))
-    return [str(key) for key in schema] if isinstance(schema, dict) else []
+    if not isinstance(schema, dict):
+        return []
+    return [str(key) for key in schema if isinstance(key, str | vol.Marker)]
--- a/src/caperridge/config/declarations.py
+++ b/src/caperridge/config/declarations.py
@@ -10,7 +10,7 @@
 
 import voluptuous as vol
 
-from caperridge.checking import did_you_mean
+from caperridge.checking import invalid_findings
 from caperridge.config.checks import check
 from caperridge.config.model import KINDS_BY_FIELD, Configuration
 from caperridge.config.places import Places
@@ -110,31 +110,10 @@
     except tomllib.TOMLDecodeError as error:
         findings.append(Finding(places.of([]), "-", str(error)))
     except vol.MultipleInvalid as error:
-        for invalid in error.errors:
-            path = [str(part) for part in invalid.path]
-            sentence = _sentence(invalid, path)
-            findings.append(Finding(places.of(path), ".".join(path), sentence))
+        findings.extend(invalid_findings(places.of, error, _SCHEMA))
     return {}
 
 
-def _sentence(invalid: vol.Invalid, path: list[str]) -> str:
-    if invalid.error_message == "extra keys not allowed":
-        return "is not a known key" + did_you_mean(path[-1], _known_keys(path))
-    if invalid.error_message == "required key not provided":
-        return "is missing"
-    return invalid.error_message
-
-
-def _known_keys(path: list[str]) -> list[str]:
-    """Return what may stand where the last part of ``path`` stands."""
-    if len(path) == 1:
-        return [str(table) for table in _SCHEMA.schema]
-    kind = KINDS_BY_FIELD.get(f"{path[0]}_by_name")
-    if kind is None or len(path) != 3:
-        return []
-    return [field for field in kind.__slots__ if field != "name"]
-
-
 def _build(maps_by_table: dict[str, dict[str, Any]]) -> Configuration:
     tables: dict[str, Any] = {}
     for field, kind in KINDS_BY_FIELD.items():
--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -201,7 +201,7 @@
     try:
         checked = _SCHEMA(table)
     except vol.MultipleInvalid as error:
-        findings = invalid_findings(str(path), error, _SCHEMA)
+        findings = invalid_findings(lambda _: str(path), error, _SCHEMA)
     # Files and variables are looked at also where a key is wrong: all at once.
     secrets_by_table = {
         name: _secret(path, name, _table(table, name), environment, findings)
