Run batch items of plain services, at most once where they may not be repeated

Ruled out: the chunk's own claim as the claim of its items (a lost holder would leave up to 500 unknown); a row for each item (1,000 writes per 1,000 items); reading what was started before claiming the chunk (a holder could still add to it).

Change: a row lists up to 32 items as started, under the condition that session, job and chunk claim all still hold; a successor claims the chunk first, then reads the rows of its lane, and ends those items as unknown. Results that cannot be had again reach a checkpoint after 0.25 s instead of 5 s. A planned stop takes back what was not sent. Online calls go first: batch leaves a quarter of most_running and what is known to be online, and instances now tell each other of online plain calls as of engine requests. Item urls cannot leave their service or reach another host.

Planted mutations, each on a scratch copy, and the tests that failed: sent although the start was not durable 5, the call without a start 13, an unknown outcome tried again 3, started rows not read 6, a start not conditional on the claim 4 (the state machine and the tables, in all five); the job's state not looked at 1, `sent` forgotten 1, a `not_run` that is not believed 1 (tables only).

--- /dev/null
+++ b/src/caperridge/commands/started_items.py
@@ -0,0 +1,111 @@
+"""Saying durably that items are started, before their one call, and taking it back."""
+
+import secrets
+
+from result import Result
+
+from caperridge import keys
+from caperridge.commands.sessions import ALIVE
+from caperridge.decisions.jobs import CLAIMED, OPEN
+from caperridge.platform.interface import (
+    Committed,
+    Condition,
+    DeleteRow,
+    FieldEquals,
+    Platform,
+    PutRow,
+    RowAbsent,
+    Write,
+    WriteError,
+)
+from caperridge.platform.settle import transact_settled
+from caperridge.records import Record
+
+
+class HeldChunk(Record):
+    """A chunk as its holder claimed it.
+
+    Attributes:
+        job: id of the job.
+        lane: first item of its lane.
+        start: its own first item.
+        attempts: of its row; another claim has another number.
+        session: of the holder.
+    """
+
+    __slots__ = ("attempts", "job", "lane", "session", "start")
+
+    def __init__(
+        self, job: str, lane: int, start: int, attempts: int, session: str
+    ) -> None:
+        self.job = job
+        self.lane = lane
+        self.start = start
+        self.attempts = attempts
+        self.session = session
+
+    @property
+    def key(self) -> str:
+        """The key of its row."""
+        return keys.chunk(self.job, self.start)
+
+    def conditions(self) -> list[Condition]:
+        """Return what holds as long as its holder may start items of it."""
+        return [
+            FieldEquals(keys.session(self.session), "state", ALIVE),
+            FieldEquals(keys.job(self.job), "state", OPEN),
+            FieldEquals(self.key, "session", self.session),
+            FieldEquals(self.key, "state", CLAIMED),
+            FieldEquals(self.key, "attempts", self.attempts),
+        ]
+
+
+class StartedRow(Record):
+    """The row for some items of one chunk that are started together."""
+
+    __slots__ = ("chunk", "indexes", "key")
+
+    def __init__(self, chunk: HeldChunk, indexes: list[int]) -> None:
+        self.chunk = chunk
+        self.indexes = indexes
+        name = f"{indexes[0]:06d}-{secrets.token_hex(6)}"
+        self.key = keys.started_row(chunk.job, chunk.lane, name)
+
+
+async def start_items(
+    platform: Platform, rows: list[StartedRow]
+) -> Result[Committed, WriteError]:
+    """Make it durable that the items are started; only then may they be sent.
+
+    Refused if a chunk is no longer its holder's, or a job has ended.
+
+    Args:
+        platform: where the rows are kept.
+        rows: of any chunks.
+    """
+    conditions: list[Condition] = []
+    writes: list[Write] = []
+    for row in rows:
+        conditions.append(RowAbsent(row.key))
+        for condition in row.chunk.conditions():
+            if condition not in conditions:
+                conditions.append(condition)
+        writes.append(PutRow(row.key, {"indexes": row.indexes}))
+    return await transact_settled(platform, conditions, writes, secrets.token_hex(8))
+
+
+async def give_back_items(
+    platform: Platform, row: StartedRow, sent: list[int]
+) -> Result[Committed, WriteError]:
+    """Take back what was started but never sent, so that the next holder may send it.
+
+    Args:
+        platform: where the row is kept.
+        row: as it was written.
+        sent: those of its items that may have been sent.
+    """
+    write: Write = PutRow(row.key, {"indexes": sent}) if sent else DeleteRow(row.key)
+    # A lost answer needs no settling: a row that stays only makes items unknown.
+    return await platform.transact(
+        row.chunk.conditions(), [write], secrets.token_hex(8)
+    )
--- a/src/caperridge/commands/sweep_job.py
+++ b/src/caperridge/commands/sweep_job.py
@@ -54,9 +54,10 @@
     outcome = await sweep_objects(platform, keys.results(job_id), set(), most)
     if isinstance(outcome, Err) or outcome.ok_value:
         return outcome
-    outcome = await sweep_rows(platform, keys.chunks(job_id))
-    if isinstance(outcome, Err) or outcome.ok_value:
-        return outcome
+    for prefix in (keys.chunks(job_id), keys.started_items(job_id)):
+        outcome = await sweep_rows(platform, prefix)
+        if isinstance(outcome, Err) or outcome.ok_value:
+            return outcome
     removed = await platform.transact(
         [], [DeleteRow(keys.job(job_id))], secrets.token_hex(8)
     )
--- a/src/caperridge/instance/checkpoints.py
+++ b/src/caperridge/instance/checkpoints.py
@@ -21,6 +21,7 @@
 EVERY_S = 5.0
 EVERY_ITEMS = 50
 FAULTS_S = 0.5  # sooner: what a lost instance forgot of them is tried again
+IRREPLACEABLE_S = 0.25  # sooner still: what is lost of them can never be had again
 
 
 class Checkpoints:
@@ -32,34 +33,33 @@
     def __init__(self) -> None:
         self._new: list[tuple[str, dict[str, Any]]] = []
         self._slot = 0
-        self._since = 0.0
-        self._fault_since: float | None = None
+        self._due = 0.0
 
     def failed(self, job: str, faults: ItemFaults, now: float) -> None:
         """Note the faults of an item that is to be tried again."""
-        self.ended(job, faults.to_map(), now)
-        if self._fault_since is None:
-            self._fault_since = now
+        self._note(job, faults.to_map(), now + FAULTS_S)
 
-    def ended(self, job: str, result: dict[str, Any], now: float) -> None:
-        """Note the result of an item."""
-        if not self._new:
-            self._since = now
-        self._new.append((job, result))
+    def ended(
+        self, job: str, result: dict[str, Any], now: float, irreplaceable: bool = False
+    ) -> None:
+        """Note the result of an item; one that cannot be had again is saved sooner."""
+        due = now + (IRREPLACEABLE_S if irreplaceable else EVERY_S)
+        self._note(job, result, due)
+
+    def _note(self, job: str, fields: dict[str, Any], due: float) -> None:
+        self._due = min(self._due, due) if self._new else due
+        self._new.append((job, fields))
 
     def due(self, now: float) -> bool:
         """Return whether enough ended, or long enough ago."""
         if len(self._new) >= EVERY_ITEMS:
             return True
-        if self._fault_since is not None and now - self._fault_since >= FAULTS_S:
-            return True
-        return bool(self._new) and now - self._since >= EVERY_S
+        return bool(self._new) and now >= self._due
 
     def reset(self) -> None:
         """Begin anew: the session is another one."""
         self._new = []
         self._slot = 0
-        self._fault_since = None
 
     def take(self, session: str, works: Iterable[ChunkWork]) -> CheckpointWanted:
         """Return the next checkpoint.
@@ -69,7 +69,6 @@
             works: the chunks in hand.
         """
         results, self._new = self._new, []
-        self._fault_since = None
         slot = self._slot
         self._slot = (slot + 1) % SLOTS
         if slot == 0:
--- a/src/caperridge/instance/chunk_work.py
+++ b/src/caperridge/instance/chunk_work.py
@@ -1,10 +1,12 @@
 """The chunks an instance works on, and what their results look like."""
 
+from functools import singledispatch
 from typing import Any
 
 import orjson
 
 from caperridge import keys
+from caperridge.commands.started_items import HeldChunk
 from caperridge.decisions.chunks import Chunk
 from caperridge.decisions.jobs import (
     ChunkState,
@@ -13,7 +15,8 @@
     Job,
     SavedItems,
 )
-from caperridge.instance.batch_streams import ItemWork
+from caperridge.instance.item_work import ItemWork, PlainItemWork
+from caperridge.instance.plain_item_calls import METHODS, PREFIX
 
 
 class ItemPlace:
@@ -81,16 +84,31 @@
             item = orjson.loads(line)
             place = ItemPlace(self, index, item["custom_id"])
             place.faults = saved.faults_by_index.get(index, 0)
-            # Two holders of a chunk must not share ids of attempts at a target.
-            request = f"{self.job.id}.{index}-{self.state.attempts}"
-            self.items_by_index[index] = ItemWork(
-                request,
-                self.job.id,
-                self.job.service,
-                self.job.endpoint,
-                item["body"],
-                place,
+            self.items_by_index[index] = self._work(item, place)
+
+    def _work(self, item: dict[str, Any], place: ItemPlace) -> ItemWork:
+        job = self.job
+        # Two holders of a chunk must not share ids of attempts at a target.
+        request = f"{job.id}.{place.index}-{self.state.attempts}"
+        if not job.endpoint.startswith(PREFIX):
+            return ItemWork(
+                request, job.id, job.service, job.endpoint, item["body"], place
             )
+        lane = self.chunk.start - self.chunk.start % job.lane_items
+        return PlainItemWork(
+            request,
+            job.id,
+            job.service,
+            item["url"],
+            str(item.get("method", METHODS[0])),
+            job.caller,
+            item["body"],
+            place.index,
+            HeldChunk(
+                job.id, lane, self.chunk.start, self.state.attempts, self.session
+            ),
+            place,
+        )
 
     def faults(self) -> list[ItemFaults]:
         """Return the faults of the items that have had some and no result."""
@@ -123,8 +141,9 @@
     return keys.chunk(chunk.job, chunk.start)
 
 
-def whole_result(work: ItemWork) -> ItemResult:
-    """Return the result of an item whose answer is whole."""
+@singledispatch
+def ended_result(work: ItemWork) -> ItemResult:
+    """Return the result of an item that came to its end at a target."""
     text = "".join(work.texts)
     choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
     chat = "messages" in work.body
@@ -143,6 +162,17 @@
     return ItemResult(place.index, place.custom_id, 200, body)
 
 
+@ended_result.register
+def _(work: PlainItemWork) -> ItemResult:
+    place: ItemPlace = work.context
+    final = work.final
+    assert final is not None
+    error = None
+    if final.code:
+        error = {"code": final.code, "message": final.reason, "run": final.run}
+    return ItemResult(place.index, place.custom_id, final.status, work.answer, error)
+
+
 def failed_result(place: ItemPlace, code: str, reason: str, status: int) -> ItemResult:
     """Return the result of an item that failed for good."""
     error = {"code": code, "message": reason}
@@ -152,7 +182,7 @@
 def result_line(job: Job, result: ItemResult) -> bytes:
     """Return one line of a result object; ``error`` comes first for filtering."""
     response = None
-    if result.error is None:
+    if result.error is None or result.body is not None:
         response = {
             "status_code": result.status,
             "request_id": f"{job.id}.{result.index}",
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -28,18 +28,19 @@
     JobsListed,
     SessionsLapsed,
 )
-from caperridge.instance.batch_streams import BatchStreams, ItemWork
 from caperridge.instance.checkpoints import Checkpoints
 from caperridge.instance.chunk_work import (
     ChunkWork,
     ItemPlace,
     chunk_key,
+    ended_result,
     failed_result,
-    whole_result,
 )
 from caperridge.instance.claimer import ChunkClaimer
 from caperridge.instance.committer import ChunkCommitter
 from caperridge.instance.item_retries import ItemRetries
+from caperridge.instance.item_runners import ItemRunners
+from caperridge.instance.item_work import ItemWork
 from caperridge.instance.jobs_reader import JobsReader
 from caperridge.instance.messages import ItemEnded, JobsChanged
 from caperridge.instance.metrics import Metrics
@@ -80,7 +81,7 @@
         peers: Peers | None = None,
     ) -> None:
         super().__init__()
-        self.streams: BatchStreams
+        self.streams: ItemRunners
         self.draining = False
         self._session = session
         self._metrics = metrics
@@ -202,7 +203,8 @@
             return
         self._retries.ended(message.work)
         if message.error is None:
-            self._end_item(work, whole_result(message.work))
+            result = ended_result(message.work)
+            self._end_item(work, result, message.work.irreplaceable)
             return
         self._failed(message.work, message.error)
 
@@ -226,11 +228,13 @@
             self._checkpoints.failed(place.work.job.id, faults, self._clock())
         self._retries.add(item, self._clock() + verdict.delay_s, verdict.alone)
 
-    def _end_item(self, work: ChunkWork, result: ItemResult) -> None:
+    def _end_item(
+        self, work: ChunkWork, result: ItemResult, irreplaceable: bool = False
+    ) -> None:
         work.ended(result)
         service = work.job.service
         now = self._clock()
-        self._checkpoints.ended(work.job.id, result.to_map(), now)
+        self._checkpoints.ended(work.job.id, result.to_map(), now, irreplaceable)
         self._board.meter(service).ended(1, now)
         outcome = "failed" if result.error else "completed"
         self._metrics.batch_items.labels(service, outcome).inc()
@@ -356,6 +360,7 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._quiet.wait(), wait_s)
         await asyncio.sleep(2 * self.idle_s)
+        await self.streams.release()
         self._committer.tell(self._checkpoint())
         await asyncio.sleep(2 * self._committer.idle_s)
         await self._committer.flush()
--- a/src/caperridge/instance/item_work.py
+++ b/src/caperridge/instance/item_work.py
@@ -2,6 +2,9 @@
 
 from typing import Any
 
+from caperridge.commands.started_items import HeldChunk, StartedRow
+from caperridge.decisions.plain_items import Final
+
 
 class ItemWork:
     """One batch item to be run.
@@ -52,8 +55,70 @@
         self.preemptions = 0
         self.last_target = ""
 
+    @property
+    def irreplaceable(self) -> bool:
+        """Whether its result is gone for good if it is not saved."""
+        return False
+
     @property
     def tokens_left(self) -> int | None:
         """How many tokens may still come; None if the body sets no limit."""
         most = self.body.get("max_tokens")
         return None if not isinstance(most, int) else most - len(self.texts)
+
+
+class PlainItemWork(ItemWork):
+    """One batch item for a plain service.
+
+    Attributes:
+        url: as the item says; checked before it is sent.
+        method: of HTTP, as the item says.
+        caller: whose job it is.
+        index: in the job.
+        chunk: under whose claim it runs.
+        row: that says durably that it is started; None before.
+        sent: it may have reached a target.
+        final: how it ended; None before.
+        answer: body of the answer, if there is one.
+    """
+
+    __slots__ = (
+        "answer",
+        "caller",
+        "chunk",
+        "final",
+        "index",
+        "method",
+        "row",
+        "sent",
+        "url",
+    )
+
+    def __init__(
+        self,
+        request: str,
+        job: str,
+        service: str,
+        url: str,
+        method: str,
+        caller: str,
+        body: dict[str, Any],
+        index: int,
+        chunk: HeldChunk,
+        context: Any = None,
+    ) -> None:
+        super().__init__(request, job, service, url, body, context)
+        self.url = url
+        self.method = method
+        self.caller = caller
+        self.index = index
+        self.chunk = chunk
+        self.row: StartedRow | None = None
+        self.sent = False
+        self.final: Final | None = None
+        self.answer: Any = None
+
+    @property
+    def irreplaceable(self) -> bool:
+        """Whether its result is gone for good if it is not saved."""
+        return self.row is not None
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -27,6 +27,7 @@
     platform_refusal,
 )
 from caperridge.instance.messages import JobsChanged
+from caperridge.instance.plain_item_calls import PREFIX, service_path
 from caperridge.peers.messages import JobNews
 from caperridge.platform.interface import Conflict
 from caperridge.queries.jobs import (
@@ -85,9 +86,8 @@
 
     async def file(self, request: web.Request) -> web.Response:
         """Describe an uploaded file."""
-        file = await self._file(
-            self._instance.caller(request), request.match_info["id"]
-        )
+        caller = self._instance.caller(request)
+        file = await self._file(caller, request.match_info["id"])
         return web.json_response(_file_body(file))
 
     async def content(self, request: web.Request) -> web.StreamResponse:
@@ -150,13 +150,17 @@
             raise bad_request(
                 f"completion_window must be one of {[*COMPLETION_WINDOWS_S]}"
             )
-        service = await self._service_of(caller, file)
+        endpoint = str(body.get("endpoint", ENDPOINTS[0]))
+        if endpoint.startswith(PREFIX):
+            service = self._plain_service(caller, endpoint)
+        else:
+            service = await self._service_of(caller, file)
         now = time.time()
         job = Job(
             new_job_id(),
             caller.name,
             service,
-            str(body.get("endpoint", "/v1/chat/completions")),
+            endpoint,
             file.id,
             file.items,
             LANE_ITEMS,
@@ -179,6 +183,17 @@
         self._instance.dispatcher.tell(JobsChanged())
         return await self._changed_response(accepted.ok_value)
 
+    def _plain_service(self, caller: Caller, endpoint: str) -> str:
+        found = service_path(endpoint)
+        if found is None:
+            raise bad_request(f"endpoint must be {PREFIX}NAME/ of a plain service")
+        name = found.service
+        service = self._instance.configuration.current.services_by_name.get(name)
+        if service is None or service.kind != "plain" or not caller.may_use(name):
+            text = f"there is no service {name!r} for this caller"
+            raise RefusedError(Refusal("service_not_found", text, 404))
+        return name
+
     async def _service_of(self, caller: Caller, file: StoredFile) -> str:
         platform = self._instance.platform
         data = await platform.get_object(keys.file_part(file.id, 0))
@@ -285,9 +300,11 @@
 
 def _check_batch(body: dict[str, Any]) -> None:
     """Refuse an endpoint that is none of ours, and metadata without measure."""
-    if body.get("endpoint", ENDPOINTS[0]) not in ENDPOINTS:
+    endpoint = str(body.get("endpoint", ENDPOINTS[0]))
+    if endpoint not in ENDPOINTS and not endpoint.startswith(PREFIX):
         # It becomes part of a URL, so nothing else may pass.
-        raise bad_request(f"endpoint must be one of {[*ENDPOINTS]}")
+        text = f"endpoint must be one of {[*ENDPOINTS]}, or {PREFIX}NAME/"
+        raise bad_request(text)
     metadata = body.get("metadata") or {}
     if not isinstance(metadata, dict) or len(metadata) > MOST_METADATA:
         raise bad_request(f"metadata must be an object of up to {MOST_METADATA} fields")
--- a/src/caperridge/instance/plain_calls.py
+++ b/src/caperridge/instance/plain_calls.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable, Mapping
 
-import orjson
 from result import Err, Result
 
 from caperridge.config.model import Caller, Service
@@ -17,7 +16,8 @@
 )
 from caperridge.decisions.retry_budget import RetryBudget
 from caperridge.decisions.routing import TargetBook
-from caperridge.instance.plain_headers import towards_target
+from caperridge.instance.messages import OnlineLoad
+from caperridge.instance.plain_headers import target_word, towards_target
 from caperridge.instance.traces import Trace, Traces
 from caperridge.records import Record
 from caperridge.refusals import NOT_RUN, Refusal, RefusedError
@@ -77,6 +77,7 @@
         client: of the services.
         traces: where steps are kept.
         leaving: told of a target that says it is leaving.
+        load_changed: told of each call's start and end, as batch gives way to them.
         clock: monotonic seconds.
     """
 
@@ -86,12 +87,14 @@
         client: PlainClient,
         traces: Traces,
         leaving: Callable[[str], object],
+        load_changed: Callable[[OnlineLoad], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._book = book
         self.client = client
         self._traces = traces
         self._leaving = leaving
+        self._load_changed = load_changed
         self._clock = clock
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
@@ -148,12 +151,14 @@
     async def _attempt(
         self, target: str, call: PlainCall
     ) -> Result[PlainAnswer, PlainError]:
-        address = self._book.states_by_id[target].member.address
+        state = self._book.states_by_id[target]
         self._book.started(target)
+        self._load_changed(OnlineLoad(target, state.in_flight))
         try:
-            return await self.client.call(address, call)
+            return await self.client.call(state.member.address, call)
         finally:
             self._book.ended(target)
+            self._load_changed(OnlineLoad(target, state.in_flight))
 
     def _judge(
         self,
@@ -168,22 +173,12 @@
             return _judge_error(course, error)
         answer = outcome.ok_value
         self._book.succeeded(target, self._clock())
-        word = _target_word(answer)
+        word = target_word(answer.status, answer.body)
         if word.leaving:
             self._leaving(target)
         return course.answered(answer.status, word.run)
 
 
-class TargetWord(Record):
-    """What a target's refusal says of itself."""
-
-    __slots__ = ("leaving", "run")
-
-    def __init__(self, run: str = "", leaving: bool = False) -> None:
-        self.run = run
-        self.leaving = leaving
-
-
 def _judge_error(course: CallCourse, error: PlainError) -> Move | GiveUp:
     if isinstance(error, NotSent):
         return course.not_sent(error.reason)
@@ -203,16 +198,8 @@
     outcome: Result[PlainAnswer, PlainError],
 ) -> PlainAnswer | None:
     """Return a refusal that may be passed on: one that does not say ``not_run``."""
-    if isinstance(outcome, Err) or _target_word(outcome.ok_value).run == NOT_RUN:
+    if isinstance(outcome, Err):
         return None
-    return outcome.ok_value
-
-
-def _target_word(answer: PlainAnswer) -> TargetWord:
-    if answer.status not in (429, 503):
-        return TargetWord()
-    try:
-        error = orjson.loads(answer.body)["error"]
-        return TargetWord(str(error.get("run", "")), error.get("code") == "leaving")
-    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
-        return TargetWord()
+    answer = outcome.ok_value
+    said = target_word(answer.status, answer.body)
+    return None if said.run == NOT_RUN else answer
--- a/src/caperridge/instance/plain_headers.py
+++ b/src/caperridge/instance/plain_headers.py
@@ -1,9 +1,12 @@
-"""Which headers pass between a caller and a plain service."""
+"""What passes between a caller and a plain service, and what its refusal says."""
 
 from collections.abc import Iterable, Mapping
 
+import orjson
 from multidict import CIMultiDict
 
+from caperridge.records import Record
+
 # Headers of one connection; they never pass (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -76,6 +79,31 @@
     return headers
 
 
+class TargetWord(Record):
+    """What a target's refusal says of itself."""
+
+    __slots__ = ("leaving", "run")
+
+    def __init__(self, run: str = "", leaving: bool = False) -> None:
+        self.run = run
+        self.leaving = leaving
+
+
+def target_word(status: int, body: bytes) -> TargetWord:
+    """Return what an answer says of itself if it is a refusal for now; else nothing.
+
+    >>> target_word(503, b'{"error": {"run": "not_run"}}').run
+    'not_run'
+    """
+    if status not in (429, 503):
+        return TargetWord()
+    try:
+        error = orjson.loads(body)["error"]
+        return TargetWord(str(error.get("run", "")), error.get("code") == "leaving")
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError):
+        return TargetWord()
+
+
 def _without(headers: Mapping[str, str], names: frozenset[str]) -> CIMultiDict[str]:
     named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
     passed: CIMultiDict[str] = CIMultiDict()
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -16,6 +16,7 @@
 from caperridge.instance.drain import Drain
 from caperridge.instance.dump import dump
 from caperridge.instance.in_flight import InFlight
+from caperridge.instance.item_runners import ItemRunners
 from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
 from caperridge.instance.listeners import Listeners
@@ -33,6 +34,8 @@
 from caperridge.instance.peer_news import PeerNews
 from caperridge.instance.peers import PeerMesh
 from caperridge.instance.plain_calls import PlainFront
+from caperridge.instance.plain_items import MOST_RESULT_BYTES, PlainItems
+from caperridge.instance.plain_targets import OwnPlainTargets
 from caperridge.instance.readiness import (
     ReadinessLog,
     awaited_targets_of,
@@ -135,7 +138,15 @@
             clock,
             lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
         )
-        self.dispatcher.streams = self.streams
+        self.plain_items = PlainItems(
+            self.platform,
+            PlainClient(most_answer_bytes=MOST_RESULT_BYTES),
+            OwnPlainTargets(self.streams, clock),
+            self.dispatcher.may_start,
+            clock,
+            lambda work, error: self.dispatcher.tell(ItemEnded(work, error)),
+        )
+        self.dispatcher.streams = ItemRunners(self.streams, self.plain_items)
         self.online_news = OnlineReporter(
             book, self.membership, self.streams, self.peers, clock
         )
@@ -162,7 +173,11 @@
             clock,
         )
         self.plain = PlainFront(
-            book, self._plain_client, self.traces, self._target_leaving
+            book,
+            self._plain_client,
+            self.traces,
+            self._target_leaving,
+            self.online_news.changed,
         )
         self.keyed_calls = KeyedCalls(self.plain, self.platform, self.session)
         self.configuration = ConfigurationKeeper(
@@ -296,6 +311,7 @@
     async def stop(self) -> None:
         """End at once."""
         await self._listeners.close()
+        await self.plain_items.close()
         for actor in reversed(self._actors):
             await actor.stop()
         await self._engines.close()
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -120,9 +120,14 @@
     return f"started/{job_id}/"
 
 
-def started_item(job_id: str, index: int) -> str:
-    """Return the row that precedes the one call of an item."""
-    return f"{started_items(job_id)}{index:06d}"
+def started_lane(job_id: str, lane: int) -> str:
+    """Return the prefix of those rows for one lane, named by its first item."""
+    return f"{started_items(job_id)}{lane:06d}/"
+
+
+def started_row(job_id: str, lane: int, name: str) -> str:
+    """Return one row, which precedes the calls of the items that it lists."""
+    return started_lane(job_id, lane) + name
 
 
 def call(caller: str, service: str, key: str) -> str:
--- a/src/caperridge/measure/plain.py
+++ b/src/caperridge/measure/plain.py
@@ -1,4 +1,4 @@
-"""What a claim adds to a call to a plain service, by latency of the platform.
+"""What a claim adds to a call to a plain service, and what a job of them costs.
 
 Keyed and unkeyed calls to a service that may not be repeated go in turn, one at a
 time, through one instance, so that both arms see the same noise. The baseline is a
@@ -18,6 +18,7 @@
 )
 from caperridge.measure.load import Latencies
 from caperridge.measure.options import Options
+from caperridge.measure.plain_batch import arms_by_service
 
 PLATFORM_S = (0.0, 0.005, 0.02)
 SECONDS = 9.0
@@ -41,6 +42,8 @@
             arms = await _arms(fleet, address, seconds, options.seed)
             figures["arms_by_platform_ms"][str(slow_s * 1000)] = arms
         fleet.platform.faults = fleet.platform.faults.replace(slow_s=0.0)
+        await fleet.add_plain("lookup")
+        figures["batch_by_service"] = await arms_by_service(fleet)
         figures["most_runs_of_a_key"] = max(
             fleet.plain_by_id[member].runs_by_key.values()
         )
