Save results of plain items during a drain, and tidy the plain modules

Cause: a draining instance wrote no checkpoint until it handed over, so results of calls that may not be repeated were lost with it if it was killed in that time. Giving back what was started could wait for a platform that is away as long as settling takes.

Change: checkpoints are written as long as the lease lasts, draining or not; giving back waits 2 s for starts under way at most; a named type for row writes.

--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -270,17 +270,18 @@
     async def idle(self) -> None:
         """Follow the lease, and claim what there is room for."""
         self._follow_lease()
+        now = self._clock()
+        # While draining too: what ends then may be the last that is heard of it.
+        if self._session.left_s() > 0 and self._checkpoints.due(now):
+            self._committer.tell(self._checkpoint())
         if not self.may_start():
             return
-        now = self._clock()
         for item in self._retries.due(now):
             self.streams.submit(item)
         self.streams.fill()
         if self._reader.known:
             for service in self._board.services():
                 self._want(service)
-        if self._checkpoints.due(now):
-            self._committer.tell(self._checkpoint())
 
     def _follow_lease(self) -> None:
         session = self._session.session_id
--- a/src/caperridge/instance/drain.py
+++ b/src/caperridge/instance/drain.py
@@ -23,9 +23,8 @@
 CLOSING = "closing"
 STOPPED = "stopped"
 CLOSE_S = 1.0
-HAND_OVER_S = (
-    10.0  # batch that runs on longer is begun again elsewhere, from its offset
-)
+# Batch that runs on longer is begun again elsewhere, from its offset.
+HAND_OVER_S = 10.0
 
 
 class Drain:
--- a/src/caperridge/instance/keyed_calls.py
+++ b/src/caperridge/instance/keyed_calls.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from result import Err
+from result import Err, Result
 
 from caperridge import keys
 from caperridge.commands.plain_claims import (
@@ -37,7 +37,13 @@
 from caperridge.instance.plain_headers import kept, of_pairs
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
-from caperridge.platform.interface import Conflict, NotDone, Platform
+from caperridge.platform.interface import (
+    Committed,
+    Conflict,
+    NotDone,
+    Platform,
+    WriteError,
+)
 from caperridge.queries.plain_calls import holder_alive, recorded_body
 from caperridge.refusals import NOT_RUN, RAN, UNKNOWN, RefusedError
 from caperridge.targets.plain import PlainAnswer
@@ -47,6 +53,9 @@
 RETRY_S = 0.5
 MOST_TRIES = 120
 
+RowWrite = Callable[[], Awaitable[Result[Committed, WriteError]]]
+"""Writes the outcome of a call to its row; may be tried again and again."""
+
 
 class KeyedCalls:
     """Sends each keyed call of one instance at most once.
@@ -132,7 +141,7 @@
             headers=kept(answer.headers),
             body=answer.body,
         )
-        await self._settle(row, done)
+        await self._bounded(lambda: record_answer(self._platform, row, done))
         return answer
 
     async def _not_claimed(
@@ -200,21 +209,18 @@
             lambda: record_lost(self._platform, row, claim.request, refusal.reason, now)
         )
 
-    async def _settle(self, row: str, done: CallClaim) -> None:
-        await self._bounded(lambda: record_answer(self._platform, row, done))
-
-    async def _bounded(self, write: Callable[[], object]) -> None:
+    async def _bounded(self, write: RowWrite) -> None:
         """Try ``write`` for a while here, then on and on in the background."""
         task = self._later(write)
         await asyncio.wait({task}, timeout=self.record_s)
 
-    def _later(self, write: Callable[[], object]) -> asyncio.Task[object]:
+    def _later(self, write: RowWrite) -> asyncio.Task[object]:
         task = asyncio.get_running_loop().create_task(_until_settled(write))
         self._keep(task)
         return task
 
 
-async def _until_settled(write: Callable[[], object]) -> None:
+async def _until_settled(write: RowWrite) -> None:
     for _ in range(MOST_TRIES):
         outcome = await write()
         if not isinstance(outcome, Err):
--- a/src/caperridge/instance/plain_items.py
+++ b/src/caperridge/instance/plain_items.py
@@ -42,6 +42,7 @@
 WAITING_ROUNDS = 4  # calls are short, and the next claim takes some time
 FAILED_HOLD_S = 1.0
 CLAIM_HOLD_S = 0.5
+GIVE_BACK_S = 2.0
 MOST_RESULT_BYTES = 16 * 1024
 
 Finished = Callable[[ItemWork, AttemptError | None], None]
@@ -178,7 +179,9 @@
 
     async def release(self) -> None:
         """Give back what was started durably but not sent; nothing starts any more."""
-        await asyncio.gather(*self._claims_by_service.values())
+        if self._claims_by_service:
+            # What they start is given back as well; a platform that is away is not.
+            await asyncio.wait(self._claims_by_service.values(), timeout=GIVE_BACK_S)
         started = list(self._started_by_request.values())
         self.drop_all()
         unsent_by_row: dict[str, list[PlainItemWork]] = {}
