Take the news of what targets hold out of the orderer

Change: the second is instance/loaded_news.py. No behaviour changes; that a target is told of anew once it is ordered here again is kept by forgetting when it was told of. Ruled out: taking out the way to a load (pacing, draining), which shares the state of each target with the looks at it.

--- a/src/caperridge/instance/orderer.py
+++ b/src/caperridge/instance/orderer.py
@@ -18,7 +18,7 @@
 from caperridge.commands.sessions import lapse_session
 from caperridge.config.model import Configuration, Service
 from caperridge.decisions.load_pacing import Load
-from caperridge.decisions.loaded_book import LoadedBook, LoadedState
+from caperridge.decisions.loaded_book import LoadedBook
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.order_leases import (
     DeclareLapsed,
@@ -37,6 +37,7 @@
 )
 from caperridge.instance.actor import Actor
 from caperridge.instance.load_gate import LoadGate
+from caperridge.instance.loaded_news import LoadedTeller
 from caperridge.instance.messages import (
     ConfigurationApplied,
     LoadedHeard,
@@ -45,7 +46,6 @@
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.peers.messages import LoadedNews
 from caperridge.platform.interface import Conflict, ListedMember, Platform
 from caperridge.queries.orders import read_order
 from caperridge.targets.orders import OldFence, OrderClient
@@ -54,7 +54,6 @@
 LOOK_S = 10.0  # between looks at a target that holds what it should
 SOON_S = 0.5  # between looks at one that does not
 DRAIN_S = 30.0  # longest wait for the streams of a runner that is to be switched
-TELL_S = 60.0  # peers are told again, since news may be lost
 HOLD_S = 1.0  # until everybody has heard that it should get nothing new
 
 
@@ -67,7 +66,6 @@
         "lease",
         "load",
         "member",
-        "told_at",
         "touched",
         "unlisted",
         "why",
@@ -80,7 +78,6 @@
         self.held_since: float | None = None
         self.load: Load | None = None  # as entered into its weight store's list
         self.unlisted = False  # a former orderer may have left its load in the list
-        self.told_at = float("-inf")
         self.touched = False  # its row may name a session of this instance
         self.why = ""
 
@@ -127,7 +124,12 @@
         self._configuration = Configuration()
         self._targets_by_id: dict[str, ListedMember] = {}
         self._ordered_by_id: dict[str, Ordered] = {}
-        self._sequence = 0
+        self._teller = LoadedTeller(
+            self.book,
+            lambda news: self.peers.send_all(news),
+            lambda: self.changed(),
+            clock,
+        )
 
     @singledispatchmethod
     async def handle(self, message: Any) -> None:
@@ -149,16 +151,7 @@
 
     @handle.register
     async def _(self, message: LoadedHeard) -> None:
-        news = message.news
-        loaded = Loaded.from_map(news.loaded)
-        state = LoadedState(news.fence, news.sequence, loaded, news.held)
-        known = self.book.states_by_target.get(news.target)
-        if not self.book.apply(news.target, state):
-            return
-        if known is None or known.loaded != loaded or known.held != news.held:
-            # Zones have few links between them: whoever hears it first passes it on.
-            self.peers.send_all(news)
-            self.changed()
+        self._teller.heard(message.news)
 
     def _look_soon(self) -> None:
         for ordered in self._ordered_by_id.values():
@@ -206,6 +199,7 @@
             if ordered.touched and not await self._release(target_id):
                 continue
             del self._ordered_by_id[target_id]
+            self._teller.forget(target_id)
 
     async def _release(self, target_id: str) -> bool:
         """Give up the row of a target if it names the own session."""
@@ -362,21 +356,7 @@
         ordered.due = self._clock() + LOOK_S
 
     def _tell(self, ordered: Ordered, loaded: Loaded, held: bool) -> None:
-        target_id = ordered.member.id
-        known = self.book.states_by_target.get(target_id)
-        fence = ordered.lease.fence
-        now = self._clock()
-        told = known is not None and known.fence == fence
-        told = told and now < ordered.told_at + TELL_S
-        if told and known.loaded == loaded and known.held == held:
-            return
-        ordered.told_at = now
-        self._sequence += 1
-        self.book.apply(target_id, LoadedState(fence, self._sequence, loaded, held))
-        self.changed()
-        self.peers.send_all(
-            LoadedNews(target_id, fence, self._sequence, loaded.to_map(), held)
-        )
+        self._teller.tell(ordered.member.id, ordered.lease.fence, loaded, held)
 
     def state(self) -> dict[str, Any]:
         """Return what the orderer knows, for the dump."""
