--- a/src/caperridge/commands/accept_file.py
+++ b/src/caperridge/commands/accept_file.py
@@ -1,7 +1,13 @@
-"""Accepting a file of items: checked line by line and stored in parts as it comes."""
+"""Accepting a file of items: checked line by line and stored in parts as it comes.
+
+The file's row says first that it is being uploaded, then that it is stored, and last
+that it is being deleted. It is there before the first part and goes after the last, so
+no part is without a row, and a sweep that gave up on an upload makes its end conflict.
+"""
 
 import secrets
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import orjson
@@ -10,7 +16,15 @@
 
 from caperridge import keys
 from caperridge.findings import Finding
-from caperridge.platform.interface import Platform, PutRow, RowAbsent, WriteError
+from caperridge.platform.interface import (
+    Committed,
+    FieldEquals,
+    NotDone,
+    Platform,
+    PutRow,
+    RowAbsent,
+    WriteError,
+)
 from caperridge.platform.settle import put_settled, transact_settled
 from caperridge.records import Record
 
@@ -19,6 +33,10 @@
 PART_BYTES = 1_000_000
 MOST_FINDINGS = 1000
 MOST_CUSTOM_ID = 512
+MOST_UPLOAD_S = 12 * 3600.0
+UPLOADING = "uploading"
+STORED = "stored"
+DELETING = "deleting"
 
 
 class StoredFile(Record):
@@ -31,9 +49,23 @@
         bytes: its size.
         digest: of its content.
         parts: first item of each part; part ``n`` is the object of that number.
+        created: when its upload began, in seconds since the epoch.
+        used: when the newest job was accepted that refers to it; 0 for none. It
+            changes the row, which is what a sweep under way is refused by.
+        state: ``uploading``, ``stored`` or ``deleting``.
     """
 
-    __slots__ = ("bytes", "caller", "digest", "id", "items", "parts")
+    __slots__ = (
+        "bytes",
+        "caller",
+        "created",
+        "digest",
+        "id",
+        "items",
+        "parts",
+        "state",
+        "used",
+    )
 
     def __init__(
         self,
@@ -43,6 +75,9 @@
         bytes: int,
         digest: str,
         parts: list[int],
+        created: float = 0.0,
+        used: float = 0.0,
+        state: str = STORED,
     ) -> None:
         self.id = id
         self.caller = caller
@@ -50,6 +85,9 @@
         self.bytes = bytes
         self.digest = digest
         self.parts = parts
+        self.created = created
+        self.used = used
+        self.state = state
 
 
 class BadFile(Record):
@@ -62,7 +100,11 @@
 
 
 async def accept_file(
-    platform: Platform, caller: str, blocks: AsyncIterator[bytes], name: str = "file"
+    platform: Platform,
+    caller: str,
+    blocks: AsyncIterator[bytes],
+    name: str = "file",
+    wall: Callable[[], float] = time.time,
 ) -> Result[StoredFile, WriteError | BadFile]:
     """Store a JSONL file; acknowledge only once its row is durable.
 
@@ -71,9 +113,11 @@
         caller: whom it belongs to.
         blocks: the bytes as they arrive.
         name: what the caller calls the file, for findings.
+        wall: seconds since the epoch, for its retention.
     """
     file_id = "file-" + secrets.token_hex(12)
-    writer = _PartWriter(platform, file_id)
+    uploading = StoredFile(file_id, caller, 0, 0, "", [], wall(), state=UPLOADING)
+    writer = _PartWriter(platform, uploading, wall)
     reader = _LineReader(name)
     async for block in blocks:
         for line in reader.feed(block):
@@ -91,12 +135,16 @@
     stored = await writer.flush()
     if isinstance(stored, Err):
         return stored
-    file = StoredFile(
-        file_id, caller, writer.items, writer.bytes, writer.digest(), writer.parts
+    file = uploading.replace(
+        items=writer.items,
+        bytes=writer.bytes,
+        digest=writer.digest(),
+        parts=writer.parts,
+        state=STORED,
     )
     outcome = await transact_settled(
         platform,
-        [RowAbsent(keys.file(file_id))],
+        [FieldEquals(keys.file(file_id), "state", UPLOADING)],
         [PutRow(keys.file(file_id), file.to_map())],
         token=secrets.token_hex(8),
     )
@@ -169,14 +217,17 @@
 
 
 class _PartWriter:
-    """Stores lines in parts of about :data:`PART_BYTES`."""
+    """Stores lines in parts of about :data:`PART_BYTES`, after the file's row."""
 
-    def __init__(self, platform: Platform, file_id: str) -> None:
+    def __init__(
+        self, platform: Platform, uploading: StoredFile, wall: Callable[[], float]
+    ) -> None:
         self.items = 0
         self.bytes = 0
         self.parts: list[int] = []
         self._platform = platform
-        self._file_id = file_id
+        self._uploading = uploading
+        self._wall = wall
         self._hash = xxhash.xxh3_128()
         self._lines: list[bytes] = []
         self._size = 0
@@ -192,8 +243,15 @@
     async def flush(self) -> Result[None, WriteError]:
         if not self._lines:
             return Ok(None)
+        if self._wall() - self._uploading.created > MOST_UPLOAD_S:
+            # Long before the sweep gives it up, so that no part comes after it.
+            return Err(NotDone("the upload took too long"))
+        if not self.parts:
+            opened = await self._open()
+            if isinstance(opened, Err):
+                return opened
         data = b"\n".join(self._lines) + b"\n"
-        name = keys.file_part(self._file_id, len(self.parts))
+        name = keys.file_part(self._uploading.id, len(self.parts))
         stored = await put_settled(self._platform, name, data)
         if isinstance(stored, Err):
             return stored
@@ -203,5 +261,14 @@
         self._lines, self._size = [], 0
         return Ok(None)
 
+    async def _open(self) -> Result[Committed, WriteError]:
+        key = keys.file(self._uploading.id)
+        return await transact_settled(
+            self._platform,
+            [RowAbsent(key)],
+            [PutRow(key, self._uploading.to_map())],
+            token=secrets.token_hex(8),
+        )
+
     def digest(self) -> str:
         return self._hash.hexdigest()
--- a/src/caperridge/commands/accept_job.py
+++ b/src/caperridge/commands/accept_job.py
@@ -6,13 +6,16 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
+from caperridge.commands.accept_file import STORED
 from caperridge.decisions.jobs import Job
 from caperridge.platform.interface import (
     Condition,
     Conflict,
+    FieldEquals,
     Platform,
     PutRow,
     RowAbsent,
+    SetFields,
     Unknown,
     Write,
     WriteError,
@@ -40,15 +43,24 @@
 ) -> Result[Job, WriteError | OtherBody]:
     """Insert ``job``, or return the one that the same request made before.
 
+    Refused if its file is not stored any more. A row keeps the file for the job, and
+    the file's own row changes, so that a sweep that has just looked is refused.
+
     Args:
         platform: where it is kept.
         job: with a new id.
         idempotency_key: the caller's; empty for none.
     """
-    conditions: list[Condition] = [RowAbsent(keys.job(job.id))]
+    file = keys.file(job.file)
+    conditions: list[Condition] = [
+        RowAbsent(keys.job(job.id)),
+        FieldEquals(file, "state", STORED),
+    ]
     writes: list[Write] = [
         PutRow(keys.job(job.id), job.to_map()),
         PutRow(keys.open_job(job.id), job.to_map()),
+        PutRow(keys.job_of_file(job.file, job.id), {}),
+        SetFields(file, {"used": job.created}),
     ]
     key_row = keys.request_key(job.caller, idempotency_key)
     if idempotency_key:
--- a/src/caperridge/commands/sweep_job.py
+++ b/src/caperridge/commands/sweep_job.py
@@ -8,7 +8,15 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
-from caperridge.platform.interface import DeleteRow, Platform, WriteError
+from caperridge.commands.accept_file import DELETING
+from caperridge.platform.interface import (
+    DeleteRow,
+    FieldEquals,
+    Platform,
+    RowVersion,
+    SetFields,
+    WriteError,
+)
 
 MOST_ROWS = 50
 
@@ -48,7 +56,7 @@
 
 
 async def sweep_job(
-    platform: Platform, job_id: str, most: int
+    platform: Platform, job_id: str, file_id: str, most: int
 ) -> Result[int, WriteError]:
     """Remove a part of a job past its retention; 0 once nothing is left of it."""
     outcome = await sweep_objects(platform, keys.results(job_id), set(), most)
@@ -57,12 +65,50 @@
     outcome = await sweep_rows(platform, keys.chunks(job_id))
     if isinstance(outcome, Err) or outcome.ok_value:
         return outcome
+    rows = [keys.job_of_file(file_id, job_id), keys.job(job_id)]
     removed = await platform.transact(
-        [], [DeleteRow(keys.job(job_id))], secrets.token_hex(8)
+        [], [DeleteRow(key) for key in rows], secrets.token_hex(8)
     )
     return removed.map(lambda _: 0)
 
 
+async def give_up_file(
+    platform: Platform, file_id: str, seen_version: int
+) -> Result[bool, WriteError]:
+    """Mark a file as being deleted, unless a job refers to it.
+
+    Refused if its row changed since ``seen_version``: a job was accepted, or the
+    upload ended.
+    """
+    jobs = await platform.scan(keys.jobs_of_file(file_id), "", 1)
+    if isinstance(jobs, Err):
+        return jobs
+    if jobs.ok_value:
+        return Ok(False)
+    key = keys.file(file_id)
+    marked = await platform.transact(
+        [RowVersion(key, seen_version)],
+        [SetFields(key, {"state": DELETING})],
+        secrets.token_hex(8),
+    )
+    return marked.map(lambda _: True)
+
+
+async def sweep_file(
+    platform: Platform, file_id: str, most: int
+) -> Result[int, WriteError]:
+    """Remove parts of a file that was given up, and its row last; return how many."""
+    outcome = await sweep_objects(platform, keys.file(file_id) + "/", set(), most)
+    if isinstance(outcome, Err) or outcome.ok_value >= most:
+        return outcome
+    removed = await platform.transact(
+        [FieldEquals(keys.file(file_id), "state", DELETING)],
+        [DeleteRow(keys.file(file_id))],
+        secrets.token_hex(8),
+    )
+    return removed.map(lambda _: outcome.ok_value)
+
+
 async def sweep_session(platform: Platform, session_id: str) -> Result[int, WriteError]:
     """Remove a session that ended long ago, and its checkpoints first."""
     outcome = await sweep_objects(
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -302,7 +302,7 @@
         "id": file.id,
         "object": "file",
         "bytes": file.bytes,
-        "created_at": 0,
+        "created_at": int(file.created),
         "filename": f"{file.id}.jsonl",
         "purpose": "batch",
         "status": "processed",
--- a/src/caperridge/instance/sweeper.py
+++ b/src/caperridge/instance/sweeper.py
@@ -5,8 +5,15 @@
 from result import Err
 
 from caperridge import keys
+from caperridge.commands.accept_file import DELETING, UPLOADING, StoredFile
 from caperridge.commands.sessions import ALIVE
-from caperridge.commands.sweep_job import sweep_job, sweep_objects, sweep_session
+from caperridge.commands.sweep_job import (
+    give_up_file,
+    sweep_file,
+    sweep_job,
+    sweep_objects,
+    sweep_session,
+)
 from caperridge.decisions.jobs import COMPLETED, OPEN, Job
 from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
@@ -20,19 +27,21 @@
 PAGE_ROWS = 100
 MOST_DELETES = 20
 SESSION_KEPT_S = 3600.0
+UPLOAD_KEPT_S = 86_400.0
 MOST_CLEANED = 10_000
 
 
 class Sweeper(Actor):
-    """Goes round the jobs and sessions, one page a tick.
+    """Goes round the jobs, sessions and uploaded files, one page of each a tick.
 
     One instance of each availability zone sweeps; that two do it at once is harmless.
-    A tick deletes at most about 20 objects: 4 a second and zone.
+    A tick deletes at most about 20 objects of jobs and as many of files: 8 a second
+    and zone.
 
     Args:
         platform: what is swept.
         membership: says who sweeps.
-        retention_s: how long ended jobs stay readable.
+        retention_s: how long ended jobs stay readable, and files that no job uses.
         clock: monotonic seconds.
         wall: seconds since the epoch.
     """
@@ -55,14 +64,16 @@
         self._wall = wall
         self._jobs_after = ""
         self._sessions_after = ""
+        self._files_after = ""
         self._ended_since_by_session: dict[str, float] = {}
         self._cleaned: set[str] = set()
 
     async def idle(self) -> None:
-        """Look at the next page of jobs and of sessions."""
+        """Look at the next page of jobs, of sessions and of files."""
         zone = self._membership.availability_zone
         if self._membership.owner(SWEEP, zone) != self._membership.instance:
             return
+        await self._sweep_files()
         jobs = await self._platform.scan(keys.JOBS, self._jobs_after, PAGE_ROWS)
         if isinstance(jobs, Err):
             return
@@ -81,7 +92,7 @@
         if job.state == OPEN:
             return 0
         if job.ended + self._retention_s < self._wall():
-            outcome = await sweep_job(self._platform, job.id, most)
+            outcome = await sweep_job(self._platform, job.id, job.file, most)
             return 1 if isinstance(outcome, Err) else max(1, outcome.ok_value)
         if job.state != COMPLETED or job.id in self._cleaned:
             return 0
@@ -103,6 +114,32 @@
             self._cleaned.add(job.id)
         return max(1, outcome.ok_value)
 
+    async def _sweep_files(self) -> None:
+        rows = await self._platform.scan(keys.FILES, self._files_after, PAGE_ROWS)
+        if isinstance(rows, Err):
+            return
+        left = MOST_DELETES
+        for row in rows.ok_value:
+            if left <= 0:
+                # The rest of the page is for the next tick.
+                return
+            left -= await self._sweep_file(row, left)
+            self._files_after = row.key
+        if len(rows.ok_value) < PAGE_ROWS:
+            self._files_after = ""
+
+    async def _sweep_file(self, row: Row, most: int) -> int:
+        file = StoredFile.from_map(row.value)
+        if file.state != DELETING:
+            kept_s = UPLOAD_KEPT_S if file.state == UPLOADING else self._retention_s
+            if file.created + kept_s >= self._wall():
+                return 0
+            given_up = await give_up_file(self._platform, file.id, row.version)
+            if isinstance(given_up, Err) or not given_up.ok_value:
+                return 1
+        outcome = await sweep_file(self._platform, file.id, most)
+        return 1 if isinstance(outcome, Err) else max(1, outcome.ok_value)
+
     async def _sweep_sessions(self) -> None:
         rows = await self._platform.scan(keys.SESSIONS, self._sessions_after, PAGE_ROWS)
         if isinstance(rows, Err):
--- a/src/caperridge/keys.py
+++ b/src/caperridge/keys.py
@@ -70,6 +70,16 @@
     return f"file/{file_id}/{part:06d}"
 
 
+def jobs_of_file(file_id: str) -> str:
+    """Return the prefix of the rows that name the jobs of an uploaded file."""
+    return f"file-job/{file_id}/"
+
+
+def job_of_file(file_id: str, job_id: str) -> str:
+    """Return the row that keeps a file for one job; it goes with the job."""
+    return jobs_of_file(file_id) + job_id
+
+
 def job(job_id: str) -> str:
     """Return the row of a job."""
     return JOBS + job_id
--- a/src/caperridge/queries/jobs.py
+++ b/src/caperridge/queries/jobs.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
-from caperridge.commands.accept_file import StoredFile
+from caperridge.commands.accept_file import STORED, StoredFile
 from caperridge.commands.sessions import LAPSED
 from caperridge.decisions.claims import JobView, SeenChunk
 from caperridge.decisions.jobs import CLAIMED, COMPLETED, DONE, ChunkState, Job
@@ -104,13 +104,14 @@
 async def read_file(
     platform: Platform, file_id: str
 ) -> Result[StoredFile | None, ReadError]:
-    """Return what is stored of a file, or None."""
+    """Return what is stored of a file, or None if it is not there as a whole."""
     key = keys.file(file_id)
     found = await platform.read([key])
     if isinstance(found, Err):
         return found
     row = found.ok_value.get(key)
-    return Ok(StoredFile.from_map(row.value) if row else None)
+    file = StoredFile.from_map(row.value) if row else None
+    return Ok(file if file is not None and file.state == STORED else None)
 
 
 async def stream_results(
--- a/tests/batch/batch_world.py
+++ b/tests/batch/batch_world.py
@@ -8,12 +8,13 @@
 
 from caperridge import keys
 from caperridge.commands import chunk_claims, sessions
+from caperridge.commands.accept_file import STORED
 from caperridge.commands.complete_job import complete_job
 from caperridge.decisions.chunks import Chunk
 from caperridge.decisions.claims import SeenChunk, Split, must_fail, plan_claims
 from caperridge.decisions.jobs import DONE, OPEN, ChunkState, Job
 from caperridge.decisions.leases import Lease, SessionWatch
-from caperridge.platform.interface import Conflict, NotDone, Unknown
+from caperridge.platform.interface import Conflict, NotDone, PutRow, Unknown
 from caperridge.queries.jobs import open_jobs, read_view, scan_all, session_states
 from caperridge.standins.platform import MemoryPlatform
 
@@ -73,6 +74,8 @@
         self.attempts_by_key: dict[str, int] = {}
         self.results_by_item: dict[tuple[str, int], str] = {}
         self._loop = asyncio.new_event_loop()
+        stored = PutRow(keys.file("f"), {"state": STORED})
+        self.do(self.platform.transact([], [stored], "file"))
 
     def close(self) -> None:
         self._loop.close()
