Keep the pace of reads while a wanted scan cannot be had

Cause: a scan that was wanted soon stayed due while the platform was away, so the row of changes was polled at each tick, five times a second, and later news could put the scan off to the next own poll.

Change: that a scan is wanted and when to read next are kept apart; a failed read sets the next one a second away.

Tests: the pace while cut off, and later news after a job that did not fit.

--- a/src/caperridge/decisions/job_reads.py
+++ b/src/caperridge/decisions/job_reads.py
@@ -88,7 +88,7 @@
         self._fast_at = float("-inf")
         self._slow_at = float("-inf")
         self._soon_at: float | None = None
-        self._scan_soon_at: float | None = None
+        self._scan_wanted = False
         self._scanned_at = float("-inf")
         self._scan_share = 1.0
         self._shared_at = float("-inf")
@@ -104,13 +104,11 @@
             return True
         if self._soon_at is not None and now >= self._soon_at:
             return True
-        if self._scan_soon_at is not None and now >= self._scan_soon_at:
-            return True
         return now >= self._slow_at
 
     def scan_due(self, now: float, reader: bool) -> bool:
         """Return whether a poll is to be followed by a scan of the open jobs."""
-        if self._scan_soon_at is not None and now >= self._scan_soon_at:
+        if self._scan_wanted:
             return True
         every_s = SCAN_S if self.alone(now, reader) else OWN_SCAN_S
         return now - self._scanned_at >= every_s * self._scan_share
@@ -129,6 +127,11 @@
         self._slow_at = now + OWN_POLL_S * self._draw()
         self._soon_at = None
 
+    def failed(self, now: float) -> None:
+        """Note that a poll or scan failed; what was wanted soon still is."""
+        if self._scan_wanted:
+            self._read_by(now + POLL_S * self._draw())
+
     def polled(self, number: int) -> None:
         """Note that every change up to ``number`` was taken."""
         self.number = number
@@ -139,7 +142,7 @@
         self.open_ids = open_ids
         self._scanned_at = now
         self._scan_share = self._draw()
-        self._scan_soon_at = None
+        self._scan_wanted = False
 
     def share_due(self, now: float, news: bool) -> bool:
         """Return whether the reader is to tell its zone; if so, it is taken as told."""
@@ -165,7 +168,8 @@
             return Heard.SAME, []
         fresh = told.changes[self.number - told.base :]
         self.number = told.number
-        self._soon_at = None
+        if not self._scan_wanted:
+            self._soon_at = None
         return Heard.NEW, fresh
 
     def compare(self, now: float, number: int, digest: int) -> None:
@@ -177,7 +181,8 @@
 
     def unread(self, now: float) -> None:
         """Scan soon, as something is known to be missing."""
-        self._scan_soon_at = now + SOON_S * self._random.random()
+        self._scan_wanted = True
+        self._read_by(now + SOON_S * self._random.random())
 
     def _read_by(self, at: float) -> None:
         if self._soon_at is None or at < self._soon_at:
--- a/src/caperridge/instance/jobs_reader.py
+++ b/src/caperridge/instance/jobs_reader.py
@@ -104,6 +104,7 @@
         read = await read_changes(self._platform, before)
         if isinstance(read, Err):
             self.known = False
+            self._reads.failed(self._clock())
             return
         self.known = True
         number, changes = read.ok_value
--- a/tests/batch/test_job_reads.py
+++ b/tests/batch/test_job_reads.py
@@ -22,7 +22,7 @@
     Heard,
     JobReads,
 )
-from caperridge.decisions.jobs import OPEN
+from caperridge.decisions.jobs import COMPLETED, OPEN
 from caperridge.instance import jobs_reader
 
 MOST = 1 + JITTER
@@ -178,6 +178,20 @@
     world.check(HEALTHY_S + SOON_S)
 
 
+def test_later_news_does_not_put_off_reading_what_did_not_fit(
+    world: ReadsWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world.put("old", OPEN)
+    world.advance(HEALTHY_S)
+    monkeypatch.setattr(jobs_reader, "MOST_SHARED_BYTES", 0)
+    for name, state in (("new", OPEN), ("old", COMPLETED)):
+        world.put(name, state)
+        world.nodes[0].reader.poll_soon()
+        world.advance(TICK_S)
+    world.advance(SOON_S + TICK_S)
+    assert all(node.open_ids == {"new"} for node in world.nodes)
+
+
 @pytest.mark.parametrize(
     ("told", "heard", "fresh"),
     [
@@ -200,6 +214,22 @@
     assert reads.number == (told.number if heard is Heard.NEW else 5)
 
 
+@pytest.mark.parametrize("number", [0, 1])
+def test_a_scan_that_is_wanted_is_not_asked_for_faster_while_the_platform_is_away(
+    world: ReadsWorld, number: int
+) -> None:
+    node = world.nodes[number]
+    node.view.cut = True
+    node.reader._reads.unread(world.now)
+    node.view.reads.clear()
+    world.advance(60.0)
+    assert 30 <= node.view.reads["read"] <= 60 / (POLL_S * (1 - JITTER)) + 2
+    world.put("j", OPEN, announced=False)
+    world.heal(node)
+    world.advance(HEALTHY_S)
+    assert "j" in node.open_ids
+
+
 def test_lapses_are_passed_on(world: ReadsWorld) -> None:
     before = [node.lapses for node in world.nodes]
     world.announce_lapse("i9-x")
