--- a/tests/batch/test_job_reads.py
+++ b/tests/batch/test_job_reads.py
@@ -7,8 +7,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from reads_world import COUNT, TICK_S, ReadsWorld
 
+from batch.reads_world import COUNT, TICK_S, ReadsWorld
 from caperridge.commands.announce_job import KEPT
 from caperridge.decisions.job_reads import (
     JITTER,
--- a/tests/batch/test_session_watcher.py
+++ b/tests/batch/test_session_watcher.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 import pytest
-from reads_world import ReadsWorld
 
+from batch.reads_world import ReadsWorld
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE, LAPSED, open_session, renew_session
 from caperridge.decisions.leases import MARGIN_SHARE
