Tell the dispatcher whether any runner of items is busy

Change: both runners say whether an item runs. Failed before: test_stopping (3), test_drain, and the planned stops under processes, cli, product and promises.

--- a/src/caperridge/instance/item_runners.py
+++ b/src/caperridge/instance/item_runners.py
@@ -19,6 +19,11 @@
         self._streams = streams
         self._plain = plain
 
+    @property
+    def running(self) -> bool:
+        """Whether an item runs at a target."""
+        return self._streams.running or self._plain.running
+
     def room(self, service: str) -> int:
         """Return how many more items of ``service`` are wanted."""
         found = self._streams.configuration.services_by_name.get(service)
--- a/src/caperridge/instance/plain_items.py
+++ b/src/caperridge/instance/plain_items.py
@@ -101,6 +101,11 @@
         self._fill_handle: asyncio.Handle | None = None
         self._starts = ItemStarts(platform)
 
+    @property
+    def running(self) -> bool:
+        """Whether an item runs at a target."""
+        return bool(self._running_by_request)
+
     async def close(self) -> None:
         """End what runs, and start nothing more."""
         self._closed = True
