--- a/tests/product/test_operators_pages.py
+++ b/tests/product/test_operators_pages.py
@@ -115,6 +115,7 @@
         "resident_mib_of_one",
         "slopes.held_kib_a_caller",
         "slopes.held_kib_a_target",
+        "slopes.held_kib_a_stream",
         "by_instances",
     ],
 }
