--- a/src/caperridge/demo/story.py
+++ b/src/caperridge/demo/story.py
@@ -14,7 +14,8 @@
 from caperridge.demo.deployment import BILLING, FRAMES, HEAT, OPERATOR
 from caperridge.demo.fleet import Fleet, until
 from caperridge.demo.online import OnlineCaller
-from caperridge.demo.tally import Tally, quantile
+from caperridge.demo.tally import Tally
+from caperridge.measure.samples import quantile
 from caperridge.records import Record
 from caperridge.standins.plain import PlainFaults
 from caperridge.standins.platform import Faults
--- a/src/caperridge/demo/tally.py
+++ b/src/caperridge/demo/tally.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from caperridge.measure.samples import quantile
+
 PERCENT_99 = 0.99
 
 
@@ -50,15 +52,3 @@
             "ttft_p99_ms": round(quantile(self.first_tokens_s, PERCENT_99) * 1000, 1),
             "batch_items_per_s": round(rate, 1),
         }
-
-
-def quantile(values: list[float], share: float) -> float:
-    """Return the value that ``share`` of ``values`` do not exceed; 0 for none.
-
-    >>> quantile([3.0, 1.0, 2.0], 0.5)
-    2.0
-    """
-    if not values:
-        return 0.0
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/src/caperridge/measure/configuration.py
+++ b/src/caperridge/measure/configuration.py
@@ -24,6 +24,7 @@
 from caperridge.keys import token_digest
 from caperridge.measure.fleet import OPERATOR, FleetShape, StandinFleet, until
 from caperridge.measure.options import Options
+from caperridge.measure.samples import quantile
 from caperridge.queries.configuration import read_history, read_version
 from caperridge.standins.platform import MemoryPlatform
 
@@ -248,8 +249,8 @@
         return {
             "instances": self._size,
             "changes": len(self.sent_at_by_version) - 1,
-            "in_force_p50_s": round(_quantile(times, 0.5), 4),
-            "in_force_p99_s": round(_quantile(times, 0.99), 4),
+            "in_force_p50_s": round(quantile(times, 0.5), 4),
+            "in_force_p99_s": round(quantile(times, 0.99), 4),
             "in_force_max_s": round(times[-1], 4),
             "never_in_force": missing,
             "reverts": self.applied.reverts,
@@ -330,7 +331,3 @@
         "apply_delta_s": round(apply_s, 4),
         "make_plan_s": round(plan_s, 4),
     }
-
-
-def _quantile(ordered: list[float], share: float) -> float:
-    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- a/src/caperridge/measure/roles.py
+++ b/src/caperridge/measure/roles.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import gc
-import os
 import statistics
 import time
 import tracemalloc
@@ -24,6 +23,7 @@
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
 from caperridge.measure.options import Options
+from caperridge.measure.samples import resident_mib
 from caperridge.measure.stream_memory import by_streams
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record, pack
@@ -74,13 +74,6 @@
         self.row_writes = row_writes
 
 
-def resident_mib() -> float:
-    """Return the resident memory of this process."""
-    with open("/proc/self/statm") as statm:
-        pages = int(statm.read().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
 @asynccontextmanager
 async def idle_instances(
     count: int, targets: int, callers: int = 1
--- a/src/caperridge/measure/routing.py
+++ b/src/caperridge/measure/routing.py
@@ -17,6 +17,7 @@
 from caperridge.decisions.target_state import TargetReport, Wanted
 from caperridge.measure.admission import admission
 from caperridge.measure.options import Options
+from caperridge.measure.samples import quantile
 from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
 
@@ -126,12 +127,12 @@
         """Return the figures."""
         mean_load = sum(self.loads) / len(self.loads)
         return {
-            "decision_us_p50": round(_percentile(self.decision_s, 0.5) * 1e6, 1),
-            "decision_us_p99": round(_percentile(self.decision_s, 0.99) * 1e6, 1),
-            "ttft_p50_ms": round(_percentile(self.first_s, 0.5) * 1e3, 1),
-            "ttft_p95_ms": round(_percentile(self.first_s, 0.95) * 1e3, 1),
-            "ttft_p99_ms": round(_percentile(self.first_s, 0.99) * 1e3, 1),
-            "load_p99_over_mean": round(_percentile(self.loads, 0.99) / mean_load, 2),
+            "decision_us_p50": round(quantile(self.decision_s, 0.5) * 1e6, 1),
+            "decision_us_p99": round(quantile(self.decision_s, 0.99) * 1e6, 1),
+            "ttft_p50_ms": round(quantile(self.first_s, 0.5) * 1e3, 1),
+            "ttft_p95_ms": round(quantile(self.first_s, 0.95) * 1e3, 1),
+            "ttft_p99_ms": round(quantile(self.first_s, 0.99) * 1e3, 1),
+            "load_p99_over_mean": round(quantile(self.loads, 0.99) / mean_load, 2),
             "prefix_hit_share": round(self.hit_tokens / self.prompt_tokens, 3),
         }
 
@@ -241,11 +242,6 @@
     return count * BLOCK_TOKENS
 
 
-def _percentile(values: list[Any], share: float) -> float:
-    ordered = sorted(values)
-    return float(ordered[min(len(ordered) - 1, int(len(ordered) * share))])
-
-
 def hedging(first_s: list[float], seed: int) -> dict[str, Any]:
     """Compare moving away at a limit with a second request at the 95th percentile.
 
@@ -258,7 +254,7 @@
     for one in first_s:
         patience.note(one)
     limit_s = patience.limit_s()
-    hedge_s = _percentile(first_s, 0.95)
+    hedge_s = quantile(first_s, 0.95)
     firsts = [NEVER_S if rng.random() < HUNG_SHARE else one for one in first_s]
     others = rng.sample(first_s, len(first_s))
     figures: dict[str, Any] = {}
@@ -275,8 +271,8 @@
             seen.append(second if name == "move" else min(first, second))
         figures[name] = {
             "at_ms": round(at_s * 1e3, 1),
-            "ttft_p99_ms": round(_percentile(seen, 0.99) * 1e3, 1),
-            "ttft_p999_ms": round(_percentile(seen, 0.999) * 1e3, 1),
+            "ttft_p99_ms": round(quantile(seen, 0.99) * 1e3, 1),
+            "ttft_p999_ms": round(quantile(seen, 0.999) * 1e3, 1),
             "extra_requests_share": round(extra / len(seen), 4),
         }
     return figures
