--- a/Makefile
+++ b/Makefile
@@ -35,12 +35,14 @@
 	$(BIN)/ruff check --fix .
 
 # One file of the hashed lock and this project, nothing else; docs/design/binary.md.
+# hdrhistogram's metadata asks for setuptools, but nothing imports it at run time.
 binary: $(VENV)/.installed-dev
 	rm -rf build dist
 	$(BIN)/python -m pip install --quiet --no-deps --require-hashes \
 	  --only-binary :all: --no-compile --target build/site -r requirements.txt
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
 	  --no-compile --target build/site --upgrade .
+	rm -rf build/site/setuptools* build/site/_distutils_hack
 	$(BIN)/python binary/build.py build/site dist/caperridge
 	dist/caperridge --version
 
