Draw only the modelled arms that have both figures

The modelled part has gained an entry that is no arm, which ended 'measure all' in the plot. control keeps its own reading of the resident memory, which has changed since.

--- a/src/caperridge/measure/control_fleet.py
+++ b/src/caperridge/measure/control_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import resource
 from collections import deque
 from typing import Any
 
@@ -22,6 +23,7 @@
 CONNECT_S = 15.0
 SEEN = (0.2, 0.03)  # seconds to the first token and between tokens
 MOST_IN_FLIGHT = 68  # 17 requests a second of 4 s each
+PAGE_BYTES = resource.getpagesize()
 
 
 class WirePlatform(MemoryPlatform):
@@ -187,3 +189,9 @@
         after = before.replace(incarnation=before.incarnation + 1)
         self._members_by_id[runner] = after
         self.memory.set_members(list(self._members_by_id.values()))
+
+
+def rss_mb() -> float:
+    """Return the resident memory of this process now."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES / 2**20
--- a/src/caperridge/measure/plots.py
+++ b/src/caperridge/measure/plots.py
@@ -151,7 +151,11 @@
 
 def _modelled_trade(axes: Any, figures: dict[str, Any]) -> None:
     """Each arm has a point for either latency, above what batch got."""
-    arms_by_name = figures["modelled"]
+    arms_by_name = {
+        name: arm
+        for name, arm in figures["modelled"].items()
+        if isinstance(arm, dict) and "batch_share_of_idle" in arm
+    }
     series = (
         ("first token at p99", "ttft_p99_ratio", BLUE, "o"),
         ("between tokens at p95", "itl_p95_ratio", ORANGE, "s"),
