Give chunks back when the last target of their service is gone

Cause: an instance whose runners left, or went to another dispatcher, kept its claims while its session lived, and the job stood still (seen for more than 30 s with three instances and a leaving runner). Ruled out: the lapse of the session, which never comes while the holder lives; other instances claimed all that was free.

Measured: the new test waits in vain without the change (planted: never due) and passes with it.

--- a/src/caperridge/commands/chunk_claims.py
+++ b/src/caperridge/commands/chunk_claims.py
@@ -100,6 +100,44 @@
     return await transact_settled(platform, conditions, writes, secrets.token_hex(8))
 
 
+class ReturnedChunk(Record):
+    """A chunk that its holder gives back, with the row that its claim left."""
+
+    __slots__ = ("chunk", "claimed")
+
+    def __init__(self, chunk: Chunk, claimed: ChunkState) -> None:
+        self.chunk = chunk
+        self.claimed = claimed
+
+    @property
+    def key(self) -> str:
+        """The key of its row."""
+        return keys.chunk(self.chunk.job, self.chunk.start)
+
+
+async def return_chunks(
+    platform: Platform, returned: list[ReturnedChunk], session_id: str
+) -> Result[Committed, WriteError]:
+    """Give claims back, all of them or none; others may then claim the chunks.
+
+    Refused if one of the claims is no longer ours.
+
+    Args:
+        platform: where the claims are kept.
+        returned: the chunks, each with its row as claimed.
+        session_id: the own session.
+    """
+    conditions: list[Condition] = []
+    writes: list[Write] = []
+    for chunk in returned:
+        conditions.append(FieldEquals(chunk.key, "session", session_id))
+        conditions.append(FieldEquals(chunk.key, "state", CLAIMED))
+        conditions.append(FieldEquals(chunk.key, "attempts", chunk.claimed.attempts))
+        free = chunk.claimed.replace(state=FREE, session="", previous=session_id)
+        writes.append(PutRow(chunk.key, free.to_map()))
+    return await transact_settled(platform, conditions, writes, secrets.token_hex(8))
+
+
 def claimed_state(action: Action, session_id: str) -> ChunkState | None:
     """Return the row that ``action`` leaves, with us as its holder; None if none."""
     if isinstance(action, ClaimNew):
--- /dev/null
+++ b/src/caperridge/decisions/unserved.py
@@ -0,0 +1,40 @@
+"""Which services this instance can no longer work for, so that others should."""
+
+from collections.abc import Mapping
+
+UNSERVED_S = 3.0  # views of who dispatches for a target differ for less than that
+
+
+class UnservedServices:
+    """Since when an instance that holds chunks of a service has no target of it.
+
+    >>> unserved = UnservedServices()
+    >>> unserved.due({"chat": False, "tags": True}, now=0.0)
+    []
+    >>> unserved.due({"chat": False, "tags": True}, now=UNSERVED_S)
+    ['chat']
+    """
+
+    __slots__ = ("_since_by_service",)
+
+    def __init__(self) -> None:
+        self._since_by_service: dict[str, float] = {}
+
+    def due(self, served_by_service: Mapping[str, bool], now: float) -> list[str]:
+        """Return the services whose chunks are to be given back.
+
+        Args:
+            served_by_service: whether there is a target, by services with chunks.
+            now: monotonic seconds.
+        """
+        due: list[str] = []
+        since_by_service: dict[str, float] = {}
+        for service, served in served_by_service.items():
+            if served:
+                continue
+            since = self._since_by_service.get(service, now)
+            since_by_service[service] = since
+            if now - since >= UNSERVED_S:
+                due.append(service)
+        self._since_by_service = since_by_service
+        return due
--- a/src/caperridge/instance/batch_messages.py
+++ b/src/caperridge/instance/batch_messages.py
@@ -137,6 +137,17 @@
         self.reason = reason
 
 
+class ReturnWanted(Record):
+    """A chunk that cannot be worked on here is to be given back, once it is saved."""
+
+    __slots__ = ("chunk", "session", "state")
+
+    def __init__(self, chunk: Chunk, state: ChunkState, session: str) -> None:
+        self.chunk = chunk
+        self.state = state
+        self.session = session
+
+
 class CheckpointWanted(Record):
     """Results of a session that are not committed, packed, and where they go."""
 
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -85,6 +85,11 @@
         )
         return max(0, places - self._waiting.count(service))
 
+    def serves(self, service: str) -> bool:
+        """Return whether this instance dispatches for a target of ``service``."""
+        self._refresh_owners()
+        return bool(self.own.by_service.get(service))
+
     @property
     def running(self) -> bool:
         """Whether an item runs at a target."""
--- a/src/caperridge/instance/chunk_work.py
+++ b/src/caperridge/instance/chunk_work.py
@@ -1,5 +1,6 @@
 """The chunks an instance works on, and what their results look like."""
 
+from collections.abc import Iterable
 from functools import singledispatch
 from typing import Any
 
@@ -195,3 +196,14 @@
         "response": response,
     }
     return orjson.dumps(line) + b"\n"
+
+
+def items_in_hand(works: Iterable[ChunkWork], service: str) -> dict[str, int]:
+    """Return how many items of ``service`` have not ended, by job."""
+    items_by_job: dict[str, int] = {}
+    for work in works:
+        if work.job.service != service:
+            continue
+        count = items_by_job.get(work.job.id, 0)
+        items_by_job[work.job.id] = count + len(work.items_by_index)
+    return items_by_job
--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -8,13 +8,19 @@
 from result import Err, Ok
 
 from caperridge import keys
-from caperridge.commands.chunk_claims import FinishedChunk, commit_chunks
+from caperridge.commands.chunk_claims import (
+    FinishedChunk,
+    ReturnedChunk,
+    commit_chunks,
+    return_chunks,
+)
 from caperridge.decisions.jobs import DONE
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_messages import (
     CheckpointWanted,
     ChunkSettled,
     CommitWanted,
+    ReturnWanted,
 )
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
@@ -54,6 +60,7 @@
     ) -> None:
         super().__init__()
         self.waiting_by_key: dict[str, CommitWanted] = {}
+        self._returns_by_key: dict[str, ReturnWanted] = {}
         self._stored: dict[str, FinishedChunk] = {}
         self._checkpoints_by_slot: dict[int, CheckpointWanted] = {}
         self._platform = platform
@@ -82,6 +89,11 @@
         self.waiting_by_key[key] = message
         self._stored.pop(key, None)
 
+    @handle.register
+    async def _(self, message: ReturnWanted) -> None:
+        key = keys.chunk(message.chunk.job, message.chunk.start)
+        self._returns_by_key[key] = message
+
     async def idle(self) -> None:
         """Store and commit what there is."""
         if self._clock() < self._next_at:
@@ -95,7 +107,10 @@
         for wanted in list(self._checkpoints_by_slot.values()):
             # In order: a slot may be written over only after the whole one is there.
             if not await self._write_checkpoint(wanted):
-                break
+                return
+        if self._returns_by_key:
+            # Only now: whoever claims them next reads what was saved of them.
+            await self._return()
 
     def platform_is_back(self) -> None:
         """Try again soon: what is held here is lost if the instance is lost now."""
@@ -132,6 +147,29 @@
             return
         self._wait()
 
+    async def _return(self) -> None:
+        wanted_by_key = dict(list(self._returns_by_key.items())[:MOST_AT_ONCE])
+        session = self._session.session_id
+        returned = [
+            ReturnedChunk(wanted.chunk, wanted.state)
+            for wanted in wanted_by_key.values()
+            if wanted.session == session
+        ]
+        if returned and self._session.left_s() > 0:
+            outcome = await return_chunks(self._platform, returned, session)
+            if isinstance(outcome, Err):
+                error = outcome.err_value
+                if not isinstance(error, Conflict):
+                    self._wait()
+                    return
+                # The others are given back with the next tick.
+                failed = set(error.failed_keys)
+                wanted_by_key = {k: w for k, w in wanted_by_key.items() if k in failed}
+        for key, wanted in wanted_by_key.items():
+            del self._returns_by_key[key]
+            log.info("chunk given back", job=wanted.chunk.job, start=wanted.chunk.start)
+            self._tell(ChunkSettled(wanted.chunk, None, "given back"))
+
     async def _store(self, key: str) -> bool:
         if key in self._stored:
             return True
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -16,6 +16,7 @@
 from caperridge.decisions.job_board import JobBoard
 from caperridge.decisions.jobs import ItemFaults, ItemResult, Job
 from caperridge.decisions.membership import Membership
+from caperridge.decisions.unserved import UnservedServices
 from caperridge.instance.actor import Actor
 from caperridge.instance.batch_messages import (
     CheckpointWanted,
@@ -26,6 +27,7 @@
     CommitWanted,
     JobEnded,
     JobsListed,
+    ReturnWanted,
     SessionsLapsed,
 )
 from caperridge.instance.checkpoints import Checkpoints
@@ -35,6 +37,7 @@
     chunk_key,
     ended_result,
     failed_result,
+    items_in_hand,
 )
 from caperridge.instance.claimer import ChunkClaimer
 from caperridge.instance.committer import ChunkCommitter
@@ -91,6 +94,7 @@
         self._claiming: set[str] = set()
         self._finishing_by_key: dict[str, ChunkWork] = {}
         self._retries = ItemRetries()
+        self._unserved = UnservedServices()
         self._parked = False
         self._session_id = ""
         self._quiet = asyncio.Event()
@@ -279,10 +283,25 @@
         for item in self._retries.due(now):
             self.streams.submit(item)
         self.streams.fill()
+        held = {work.job.service for work in self._works_by_key.values()}
+        served = {service: self.streams.serves(service) for service in held}
+        for service in self._unserved.due(served, now):
+            self._give_back(service)
         if self._reader.known:
             for service in self._board.services():
                 self._want(service)
 
+    def _give_back(self, service: str) -> None:
+        works = [w for w in self._works_by_key.values() if w.job.service == service]
+        self._committer.tell(self._checkpoint())
+        for work in works:
+            self.streams.cancel_job(work.job.id)
+            self._retries.cancel_job(work.job.id)
+            del self._works_by_key[work.key]
+            # In hand until the row is free, or it would be claimed again before.
+            self._finishing_by_key[work.key] = work
+            self._committer.tell(ReturnWanted(work.chunk, work.state, work.session))
+
     def _follow_lease(self) -> None:
         session = self._session.session_id
         if session and session != self._session_id:
@@ -324,26 +343,16 @@
         want = self._board.want(
             service,
             self.streams.room(service),
-            self._in_hand(service),
+            items_in_hand(self._works_by_key.values(), service),
             self._clock(),
             time.time(),
         )
         if want is None:
             return
         in_hand = {*self._works_by_key, *self._finishing_by_key}
+        session = self._session.session_id
         self._claiming.add(service)
-        self._claimer.tell(
-            ClaimWanted(service, self._session.session_id, want, in_hand)
-        )
-
-    def _in_hand(self, service: str) -> dict[str, int]:
-        in_hand_by_job: dict[str, int] = {}
-        for work in self._works_by_key.values():
-            if work.job.service != service:
-                continue
-            count = in_hand_by_job.get(work.job.id, 0)
-            in_hand_by_job[work.job.id] = count + len(work.items_by_index)
-        return in_hand_by_job
+        self._claimer.tell(ClaimWanted(service, session, want, in_hand))
 
     def _checkpoint(self) -> CheckpointWanted:
         works = [*self._works_by_key.values(), *self._finishing_by_key.values()]
--- a/src/caperridge/instance/item_runners.py
+++ b/src/caperridge/instance/item_runners.py
@@ -31,6 +31,13 @@
             return self._plain.room(service)
         return self._streams.room(service)
 
+    def serves(self, service: str) -> bool:
+        """Return whether items of ``service`` can run here at all."""
+        found = self._streams.configuration.services_by_name.get(service)
+        if found is None:
+            return False
+        return found.kind == "plain" or self._streams.serves(service)
+
     def submit(self, work: ItemWork) -> None:
         """Take an item; it comes back when it ends."""
         if isinstance(work, PlainItemWork):
--- a/tests/batch/test_jobs_end_to_end.py
+++ b/tests/batch/test_jobs_end_to_end.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from job_pair import LANE_ITEMS, Pair
+from job_pair import LANE_ITEMS, OTHER_ENGINE, Pair
 
 from caperridge.decisions.jobs import CANCELLED, COMPLETED, Job
 from caperridge.queries.jobs import read_progress
@@ -138,3 +138,24 @@
     await until(lambda: not pair.two.dispatcher.state()["items_open_by_chunk"])
     await until(lambda: not running(pair.engine))
     assert set(await pair.results(job)) == done
+
+
+async def test_a_holder_that_loses_its_last_target_gives_its_chunks_back(
+    pair: Pair, fleet: Fleet
+) -> None:
+    job, _ = await begun_and_slow(pair)
+    held = pair.two.dispatcher.state()["items_open_by_chunk"]
+    assert held
+    members = fleet.memory.current_members()
+    fleet.memory.set_members(
+        [
+            member.replace(state="leaving") if member.id == OTHER_ENGINE else member
+            for member in members
+        ]
+    )
+    await until(lambda: not pair.two.dispatcher.state()["items_open_by_chunk"])
+    for engine in fleet.engines_by_id.values():
+        engine.faults.slow = 1.0
+    await pair.ended(job, COMPLETED)
+    assert pair.two.session.left_s() > 0
+    assert len(await pair.results(job)) == ITEMS
