--- a/src/caperridge/instance/members.py
+++ b/src/caperridge/instance/members.py
@@ -73,6 +73,7 @@
         self._introduce = introduce
         self._complete = complete
         self._members_by_id: dict[str, ListedMember] = {}
+        self._shared_ids: set[str] = set()
         self._polls_left_s = 0.0
         self._heard = 0
         self._random = random.Random()
@@ -133,10 +134,23 @@
         if heard != self._heard and self.known:
             # A peer was quicker, and its list may be the newer one.
             return
-        members_by_id = {member.id: member for member in members.ok_value}
+        members_by_id = self._by_id(members.ok_value)
         self._share(members_by_id)
         self._apply(members_by_id)
 
+    def _by_id(self, members: list[ListedMember]) -> dict[str, ListedMember]:
+        members_by_id: dict[str, ListedMember] = {}
+        shared: set[str] = set()
+        for member in members:
+            if member.id in members_by_id:
+                shared.add(member.id)
+            members_by_id[member.id] = member
+        for member_id in sorted(shared - self._shared_ids):
+            # Said once: only one of them can be used until the list is put right.
+            log.warning("two members of the platform's list have one id", id=member_id)
+        self._shared_ids = shared
+        return members_by_id
+
     def _pause_s(self) -> float:
         if not (self.known and self._complete()):
             return FIRST_POLLS_S
--- a/tests/peers/test_readiness.py
+++ b/tests/peers/test_readiness.py
@@ -1,5 +1,6 @@
 """When an instance is ready: a table, and one that starts with an empty list."""
 
+import logbook
 import pytest
 
 from caperridge.instance.members import FIRST_POLLS_S, MembersReader
@@ -66,3 +67,20 @@
     for _ in range(int(20 * FIRST_POLLS_S / reader.idle_s)):
         await reader.idle()
     assert reader.polls == polls
+
+
+async def test_an_id_that_two_members_share_is_said_once(
+    memory: MemoryPlatform,
+) -> None:
+    twice = [
+        ListedMember("a", "target", "h:1", "oviedo", service="chat"),
+        ListedMember("a", "instance", "h:2", "oviedo"),
+    ]
+    memory.set_members(twice)
+    reader = MembersReader(memory, lambda _: None, complete=lambda: False)
+    with logbook.TestHandler() as logs:
+        for _ in range(int(3 * FIRST_POLLS_S / reader.idle_s)):
+            await reader.idle()
+    said = [record for record in logs.records if "have one id" in record.message]
+    assert reader.polls > 1
+    assert len(said) == 1
