--- a/src/caperridge/instance/session_watcher.py
+++ b/src/caperridge/instance/session_watcher.py
@@ -19,7 +19,7 @@
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import SessionsWatched
 from caperridge.platform.interface import Platform
-from caperridge.queries.jobs import scan_all
+from caperridge.queries.rows import scan_all
 from caperridge.records import Record
 
 log = logger(__name__)
--- a/src/caperridge/queries/configuration.py
+++ b/src/caperridge/queries/configuration.py
@@ -13,6 +13,7 @@
 from caperridge.config.model import Configuration
 from caperridge.decisions.configuration_order import Delta, PackedDelta, apply_delta
 from caperridge.platform.interface import NotDone, Platform, ReadError, Row
+from caperridge.queries.rows import read_record
 from caperridge.records import Record, unpack
 
 
@@ -154,12 +155,7 @@
     platform: Platform, version: int
 ) -> Result[LogEntry | None, ReadError]:
     """Return the log's entry of ``version``, or None if there is none."""
-    key = keys.configuration_version(version)
-    found = await platform.read([key])
-    if isinstance(found, Err):
-        return found
-    row = found.ok_value.get(key)
-    return Ok(LogEntry.from_map(row.value) if row else None)
+    return await read_record(platform, keys.configuration_version(version), LogEntry)
 
 
 async def read_version(
--- a/src/caperridge/queries/jobs.py
+++ b/src/caperridge/queries/jobs.py
@@ -9,11 +9,10 @@
 from caperridge.commands.sessions import LAPSED
 from caperridge.decisions.claims import JobView, SeenChunk
 from caperridge.decisions.jobs import CLAIMED, COMPLETED, DONE, ChunkState, Job
-from caperridge.platform.interface import NotDone, Platform, ReadError, Row
+from caperridge.platform.interface import NotDone, Platform, ReadError
+from caperridge.queries.rows import read_record, scan_all
 from caperridge.records import Record
 
-PAGE = 1000
-
 
 class Progress(Record):
     """How far a job is: items by what became of them, and chunks by state."""
@@ -35,12 +34,7 @@
 
 async def read_job(platform: Platform, job_id: str) -> Result[Job | None, ReadError]:
     """Return the job, or None if there is none of that id."""
-    key = keys.job(job_id)
-    found = await platform.read([key])
-    if isinstance(found, Err):
-        return found
-    row = found.ok_value.get(key)
-    return Ok(Job.from_map(row.value) if row else None)
+    return await read_record(platform, keys.job(job_id), Job)
 
 
 async def open_jobs(platform: Platform) -> Result[list[Job], ReadError]:
@@ -145,20 +139,6 @@
         yield Ok(b"".join(wanted))
 
 
-async def scan_all(platform: Platform, prefix: str) -> Result[list[Row], ReadError]:
-    """Return every row with ``prefix``, page by page."""
-    rows: list[Row] = []
-    after = ""
-    while True:
-        page = await platform.scan(prefix, after, PAGE)
-        if isinstance(page, Err):
-            return page
-        rows.extend(page.ok_value)
-        if len(page.ok_value) < PAGE:
-            return Ok(rows)
-        after = page.ok_value[-1].key
-
-
 async def session_states(
     platform: Platform, session_ids: set[str]
 ) -> Result[dict[str, str], ReadError]:
--- a/src/caperridge/queries/started_items.py
+++ b/src/caperridge/queries/started_items.py
@@ -4,7 +4,7 @@
 
 from caperridge import keys
 from caperridge.platform.interface import Platform, ReadError
-from caperridge.queries.jobs import scan_all
+from caperridge.queries.rows import scan_all
 
 
 async def started_indexes(
