Let the tests take Ctrl-C also where a shell has it ignored

Cause: in a fresh clone, run as a background job of a shell, three tests of Ctrl-C failed. Such jobs start with SIGINT ignored, and so do the processes that the tests start. Ruled out: the clone itself and the rest of the suite, which passed; the same three fail in any clone under 'trap "" INT' and pass without.

Change: the suite takes SIGINT back for its own run.

Measured: the three fail before and pass after under 'trap "" INT'.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import itertools
+import signal
 import ssl
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any
 
 import aiohttp
@@ -47,6 +48,14 @@
 Listen = Callable[..., Awaitable[str]]
 
 
+@pytest.fixture(scope="session", autouse=True)
+def interrupts() -> Iterator[None]:
+    """Take Ctrl-C as at a terminal; a shell's background jobs start with it ignored."""
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, before)
+
+
 @pytest.fixture
 async def listen() -> AsyncIterator[Listen]:
     """Serve applications on ports from the system; returns ``host:port``."""
