--- a/src/caperridge/commands/accept_file.py
+++ b/src/caperridge/commands/accept_file.py
@@ -16,7 +16,8 @@
 
 from caperridge import keys
 from caperridge.findings import Finding
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Committed,
     FieldEquals,
     NotDone,
@@ -25,8 +26,7 @@
     RowAbsent,
     WriteError,
 )
-from caperridge.platform.settle import put_settled, transact_settled
-from caperridge.records import Record
+from caperridge.store.settle import put_settled, transact_settled
 
 MOST_ITEMS = 110_000
 MOST_LINE_BYTES = 1_000_000
--- a/src/caperridge/commands/accept_job.py
+++ b/src/caperridge/commands/accept_job.py
@@ -8,7 +8,8 @@
 from caperridge import keys
 from caperridge.commands.accept_file import STORED
 from caperridge.decisions.jobs import Job
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Condition,
     Conflict,
     FieldEquals,
@@ -20,8 +21,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
-from caperridge.records import Record
+from caperridge.store.settle import transact_settled
 
 
 class OtherBody(Record):
--- a/src/caperridge/commands/announce_job.py
+++ b/src/caperridge/commands/announce_job.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Condition,
     Conflict,
     Platform,
--- a/src/caperridge/commands/cancel_job.py
+++ b/src/caperridge/commands/cancel_job.py
@@ -6,7 +6,7 @@
 
 from caperridge import keys
 from caperridge.decisions.jobs import CANCELLED, OPEN
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     Conflict,
     DeleteRow,
@@ -15,7 +15,7 @@
     SetFields,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
+from caperridge.store.settle import transact_settled
 
 
 async def cancel_job(
--- a/src/caperridge/commands/chunk_claims.py
+++ b/src/caperridge/commands/chunk_claims.py
@@ -17,7 +17,8 @@
     died_state,
 )
 from caperridge.decisions.jobs import CLAIMED, DONE, FREE, OPEN, ChunkState
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Committed,
     Condition,
     FieldEquals,
@@ -28,8 +29,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
-from caperridge.records import Record
+from caperridge.store.settle import transact_settled
 
 
 class FinishedChunk(Record):
--- a/src/caperridge/commands/complete_job.py
+++ b/src/caperridge/commands/complete_job.py
@@ -6,7 +6,7 @@
 
 from caperridge import keys
 from caperridge.decisions.jobs import COMPLETED, OPEN
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     DeleteRow,
     FieldEquals,
@@ -14,7 +14,7 @@
     SetFields,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
+from caperridge.store.settle import transact_settled
 
 
 async def complete_job(
--- a/src/caperridge/commands/confirm_intent.py
+++ b/src/caperridge/commands/confirm_intent.py
@@ -10,7 +10,9 @@
 from caperridge.config.model import FORMAT, Configuration
 from caperridge.decisions.configuration_order import PackedDelta, make_delta
 from caperridge.decisions.plans import Plan, base_of, make_plan
-from caperridge.platform.interface import (
+from caperridge.queries.configuration import Head, LogEntry, read_entry, read_head
+from caperridge.records import Record, pack
+from caperridge.store.interface import (
     Conflict,
     NotDone,
     Platform,
@@ -20,9 +22,7 @@
     Unknown,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
-from caperridge.queries.configuration import Head, LogEntry, read_entry, read_head
-from caperridge.records import Record, pack
+from caperridge.store.settle import transact_settled
 
 SNAPSHOT_EVERY = 50  # versions; a fresh instance reads no more deltas than this
 MOST_INLINE_BYTES = 32 * 1024  # a larger delta is an object of its own
--- a/src/caperridge/commands/forget_call.py
+++ b/src/caperridge/commands/forget_call.py
@@ -5,7 +5,7 @@
 from result import Err, Result
 
 from caperridge.decisions.plain_calls import CallClaim
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     Condition,
     DeleteRow,
--- a/src/caperridge/commands/orders.py
+++ b/src/caperridge/commands/orders.py
@@ -8,7 +8,7 @@
 from caperridge.commands.sessions import ALIVE
 from caperridge.decisions.load_pacing import Load
 from caperridge.decisions.order_leases import OrderRow
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     Condition,
     FieldEquals,
@@ -20,7 +20,7 @@
     SetFields,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
+from caperridge.store.settle import transact_settled
 
 
 async def take_target(
--- a/src/caperridge/commands/plain_claims.py
+++ b/src/caperridge/commands/plain_claims.py
@@ -7,7 +7,8 @@
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE
 from caperridge.decisions.plain_calls import DONE, LOST, RUNNING, CallClaim
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Committed,
     Conflict,
     DeleteRow,
@@ -21,8 +22,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
-from caperridge.records import Record
+from caperridge.store.settle import transact_settled
 
 MOST_ROW_BYTES = 16 * 1024
 
--- a/src/caperridge/commands/sessions.py
+++ b/src/caperridge/commands/sessions.py
@@ -5,7 +5,7 @@
 from result import Result
 
 from caperridge import keys
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     FieldEquals,
     Platform,
@@ -15,7 +15,7 @@
     SetFields,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
+from caperridge.store.settle import transact_settled
 
 ALIVE = "alive"
 LAPSED = "lapsed"
--- a/src/caperridge/commands/started_items.py
+++ b/src/caperridge/commands/started_items.py
@@ -7,7 +7,8 @@
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE
 from caperridge.decisions.jobs import CLAIMED, OPEN
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Committed,
     Condition,
     DeleteRow,
@@ -18,8 +19,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.settle import transact_settled
-from caperridge.records import Record
+from caperridge.store.settle import transact_settled
 
 
 class HeldChunk(Record):
--- a/src/caperridge/commands/sweep_job.py
+++ b/src/caperridge/commands/sweep_job.py
@@ -9,7 +9,7 @@
 
 from caperridge import keys
 from caperridge.commands.accept_file import DELETING
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     DeleteRow,
     FieldEquals,
     Platform,
--- a/src/caperridge/decisions/membership.py
+++ b/src/caperridge/decisions/membership.py
@@ -15,7 +15,7 @@
     PeerHealth,
 )
 from caperridge.decisions.rendezvous import owner
-from caperridge.platform.interface import ListedMember
+from caperridge.store.interface import ListedMember
 
 LISTED_GRACE_S = 10.0
 UNLISTED_S = 300.0
--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -15,8 +15,8 @@
 from caperridge.decisions.affinity import PrefixHistory
 from caperridge.decisions.ejection import may_eject
 from caperridge.decisions.target_state import TargetReport, TargetState, Wanted
-from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
+from caperridge.store.interface import ListedMember
 from caperridge.targets.outcomes import AttemptError
 
 LEAVING = "leaving"
--- a/src/caperridge/decisions/target_state.py
+++ b/src/caperridge/decisions/target_state.py
@@ -5,8 +5,8 @@
 
 from caperridge.decisions.ejection import Health
 from caperridge.decisions.slow_start import share_at
-from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
+from caperridge.store.interface import ListedMember
 
 NEWS_LASTS_S = 5.0
 FADES_S = 0.2  # by `measure routing`, with reports a second apart
--- a/src/caperridge/demo/fleet.py
+++ b/src/caperridge/demo/fleet.py
@@ -14,7 +14,6 @@
 )
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember
 from caperridge.settings import Settings
 from caperridge.standins import engine as engine_standin
 from caperridge.standins import plain as plain_standin
@@ -26,6 +25,7 @@
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
 from caperridge.standins.weights import WeightStore
+from caperridge.store.interface import ListedMember
 
 LEASE_S = 6.0
 BALANCER_S = 0.5
--- /dev/null
+++ b/src/caperridge/gateway/edge.py
@@ -0,0 +1,312 @@
+"""The listener for callers: requests, jobs, and reads of their results."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from caperridge.gateway.configuration import ConfigurationInForce
+from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.forwarding import Forwarder
+from caperridge.gateway.inbound import GivenUp, InboundRequest, Reply
+from caperridge.gateway.jobs.edge import JobsEdge
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.routes import BATCH, Route
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# Sent while the configuration is not known yet.
+STARTING_RETRY_AFTER_S = 0.5
+KEEPALIVE_S = 75.0
+BODY_LIMIT_BYTES = 64 * 2**20
+
+
+class AiohttpReply(Reply):
+    """Answers through the HTTP library.
+
+    Args:
+        request: that is answered.
+        closing: whether the connection ends after this answer.
+    """
+
+    def __init__(self, request: web.Request, closing: Callable[[], bool]) -> None:
+        self._request = request
+        self._closing = closing
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        """See :attr:`Reply.begun`."""
+        return self.response is not None
+
+    async def whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
+        """See :meth:`Reply.whole`."""
+        response = web.Response(status=status, body=body, headers=headers)
+        self._mark(response)
+        self.response = response
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
+        """See :meth:`Reply.begin`."""
+        response = web.StreamResponse(status=status, headers=headers)
+        self._mark(response)
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """See :meth:`Reply.write`."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """See :meth:`Reply.end`."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """Close the connection, so that a begun answer does not look whole."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _mark(self, response: web.StreamResponse) -> None:
+        if self._closing():
+            response.force_close()
+            response.headers["Connection"] = "close"
+
+
+class Edge:
+    """Takes callers' requests to whoever serves them.
+
+    Args:
+        configuration: in force.
+        forwarder: for online requests.
+        jobs: for jobs and reads.
+        dialect: names of headers and paths.
+        metrics: counted into.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationInForce,
+        forwarder: Forwarder,
+        jobs: JobsEdge,
+        dialect: Dialect,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._configuration = configuration
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self._dialect = dialect
+        self._metrics = metrics
+        self.closing = False
+        self.running = 0
+        self._became_idle = asyncio.Event()
+
+    async def idle(self, until: float) -> None:
+        """Wait until nothing runs, or until ``until`` on the loop's clock."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                while self.running:
+                    self._became_idle.clear()
+                    await self._became_idle.wait()
+
+    def application(self) -> web.Application:
+        """Return what serves all paths."""
+        application = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        application.router.add_route("*", "/{path:.*}", self.handle)
+        return application
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        self.running += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.running -= 1
+            self._became_idle.set()
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        arrived = asyncio.get_running_loop().time()
+        table = self._configuration.table
+        if table is None:
+            return self._refuse(
+                request, 503, "no configuration is known yet", STARTING_RETRY_AFTER_S
+            )
+        path = request.raw_path
+        paths = self._dialect.paths
+        if path.startswith(paths.jobs) or path.startswith(paths.bodies):
+            return await self._read(request)
+        route = table.find(request.host, path)
+        if route is None:
+            log.info(
+                "no route",
+                request=request.headers.get(self._dialect.headers.request, ""),
+                host=request.host,
+                path=path,
+                version=table.version,
+            )
+            return self._refuse(request, 404, "no route takes it")
+        body = await request.read()
+        if route.kind == BATCH:
+            return await self._job(request, route, body, arrived)
+        return await self._online(request, route, body, arrived)
+
+    async def _online(
+        self, request: web.Request, route: Route, body: bytes, arrived: float
+    ) -> web.StreamResponse:
+        names = self._dialect.headers
+        id = request.headers.get(names.request, "")
+        within_s = min(route.timeout_s, _deadline_s(request, names.deadline))
+        resume = request.headers.get(names.resume, "")
+        inbound = InboundRequest(
+            id=id,
+            method=request.method,
+            path=request.raw_path,
+            headers=CIMultiDict(request.headers),
+            body=body,
+            route=route,
+            arrived=arrived,
+            deadline=arrived + within_s,
+            resume_after=int(resume) if resume.isdigit() else 0,
+        )
+        reply = AiohttpReply(request, lambda: self.closing)
+        try:
+            given_up = await self._forwarder.carry(inbound, reply)
+        except asyncio.CancelledError:
+            self._metrics.requests.labels(route.kind, "left").inc()
+            log.info("caller left", request=id, route=route.name)
+            raise
+        except (ConnectionError, OSError) as error:
+            self._metrics.requests.labels(route.kind, "left").inc()
+            log.info("caller left", request=id, route=route.name, reason=str(error))
+            reply.break_off()
+            return reply.response or web.Response(status=499)
+        loop = asyncio.get_running_loop()
+        took_s = round(loop.time() - arrived, 4)
+        if given_up is None:
+            assert reply.response is not None
+            self._metrics.requests.labels(route.kind, "answered").inc()
+            log.info("request answered", request=id, route=route.name, took_s=took_s)
+            return reply.response
+        self._metrics.requests.labels(route.kind, _outcome(given_up)).inc()
+        log.warning(
+            "request given up",
+            request=id,
+            route=route.name,
+            reason=given_up.reason,
+            not_run=given_up.not_run,
+            begun=reply.begun,
+            took_s=took_s,
+        )
+        if reply.begun:
+            reply.break_off()
+            return reply.response
+        return self._given_up(request, given_up)
+
+    def _given_up(self, request: web.Request, given_up: GivenUp) -> web.Response:
+        if given_up.not_run:
+            return self._refuse(request, 503, given_up.reason, given_up.retry_after_s)
+        status = 504 if given_up.timed_out else 502
+        return self._refuse(request, status, given_up.reason)
+
+    async def _job(
+        self, request: web.Request, route: Route, body: bytes, arrived: float
+    ) -> web.StreamResponse:
+        id = request.headers.get(self._dialect.headers.request, "")
+        if request.method != "POST" or not id:
+            return self._refuse(request, 400, "a job is sent by POST with an id")
+        try:
+            job = self._dialect.job(body)
+        except DecodeError as error:
+            return self._refuse(request, 400, str(error))
+        answer = await self._jobs.accept(route, request.host, id, job, arrived)
+        return self._answer(request, answer.status, answer.reason, answer.retry_after_s)
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        paths = self._dialect.paths
+        bodies = request.path.startswith(paths.bodies)
+        id = request.path.removeprefix(paths.bodies if bodies else paths.jobs)
+        handler = self._read_body if bodies else self._read_results
+        if request.method == "DELETE" and not bodies:
+            handler = self._cancel
+        elif request.method != "GET":
+            return self._refuse(request, 405, "not to be done with this path")
+        return await handler(request, id)
+
+    async def _read_results(self, request: web.Request, id: str) -> web.StreamResponse:
+        position = request.query.get(self._dialect.paths.position, "0")
+        wait_ms = request.headers.get(self._dialect.headers.wait, "0")
+        if not position.isdigit():
+            return self._refuse(request, 400, "a position is a number")
+        wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
+        answer = await self._jobs.results(id, int(position), wait_s)
+        if answer.page is None:
+            return self._answer(
+                request, answer.status, answer.reason, answer.retry_after_s
+            )
+        return self._sent(
+            request,
+            web.Response(
+                body=self._dialect.results(answer.page),
+                content_type="application/json",
+            ),
+        )
+
+    async def _read_body(self, request: web.Request, id: str) -> web.StreamResponse:
+        item = request.query.get(self._dialect.paths.item, "")
+        answer = await self._jobs.body(id, item)
+        if answer.body is None:
+            return self._answer(
+                request, answer.status, answer.reason, answer.retry_after_s
+            )
+        return self._sent(request, web.Response(body=answer.body))
+
+    async def _cancel(self, request: web.Request, id: str) -> web.StreamResponse:
+        answer = await self._jobs.cancel(id)
+        return self._answer(request, answer.status, answer.reason, answer.retry_after_s)
+
+    def _refuse(
+        self, request: web.Request, status: int, reason: str, retry_after_s: float = 0.0
+    ) -> web.Response:
+        if status >= 500:
+            self._metrics.requests.labels("own", str(status)).inc()
+        return self._answer(request, status, reason, retry_after_s)
+
+    def _answer(
+        self, request: web.Request, status: int, reason: str, retry_after_s: float
+    ) -> web.Response:
+        response = web.json_response({"reason": reason}, status=status)
+        id = request.headers.get(self._dialect.headers.request)
+        if id is not None:
+            response.headers[self._dialect.headers.request] = id
+        if retry_after_s > 0:
+            response.headers["Retry-After"] = f"{retry_after_s:.2f}"
+        return self._sent(request, response)
+
+    def _sent(self, request: web.Request, response: web.Response) -> web.Response:
+        if self.closing:
+            response.force_close()
+            response.headers["Connection"] = "close"
+        return response
+
+
+Handler = Callable[[web.Request, str], Awaitable[web.StreamResponse]]
+
+
+def _outcome(given_up: GivenUp) -> str:
+    if given_up.timed_out:
+        return "timed_out"
+    return "refused" if given_up.not_run else "failed"
+
+
+def _deadline_s(request: web.Request, name: str) -> float:
+    """Return how long the caller waits, in seconds; very long if it does not say."""
+    try:
+        return float(request.headers[name]) / 1000
+    except (KeyError, ValueError):
+        return float("inf")
--- /dev/null
+++ b/src/caperridge/gateway/events.py
@@ -0,0 +1,84 @@
+"""Cutting a stream of server-sent events into whole events with rising ids."""
+
+from caperridge.records import Record
+
+_ENDS = (b"\n\n", b"\r\n\r\n")
+_ID = b"id:"
+_DATA = b"data:"
+
+
+class Event(Record):
+    """One event.
+
+    Attributes:
+        id: its number in the stream; -1 if it has none.
+        raw: as it came, with the blank line at its end.
+    """
+
+    __slots__ = ("id", "raw")
+
+    def __init__(self, id: int, raw: bytes) -> None:
+        self.id = id
+        self.raw = raw
+
+    def data(self) -> bytes:
+        r"""Return the value of its data lines.
+
+        >>> Event(1, b"id: 1\ndata: a\ndata: b\n\n").data()
+        b'a\nb'
+        """
+        lines: list[bytes] = []
+        for line in self.raw.splitlines():
+            if line.startswith(_DATA):
+                lines.append(line[len(_DATA) :].removeprefix(b" "))
+        return b"\n".join(lines)
+
+
+class EventSplitter:
+    r"""Takes bytes as they come and gives whole events.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\ndata: a")
+    []
+    >>> splitter.feed(b"\n\nid: 2")
+    [Event(id=1, raw=b'id: 1\ndata: a\n\n')]
+    >>> splitter.rest
+    b'id: 2'
+    """
+
+    __slots__ = ("rest",)
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that ``data`` completes."""
+        pending = self.rest + data
+        events: list[Event] = []
+        while True:
+            end = _end_of_event(pending)
+            if end < 0:
+                break
+            events.append(Event(_id_of(pending[:end]), pending[:end]))
+            pending = pending[end:]
+        self.rest = pending
+        return events
+
+
+def _end_of_event(pending: bytes) -> int:
+    """Return the length of the first whole event; -1 if there is none."""
+    ends: list[int] = []
+    for mark in _ENDS:
+        at = pending.find(mark)
+        if at >= 0:
+            ends.append(at + len(mark))
+    return min(ends, default=-1)
+
+
+def _id_of(raw: bytes) -> int:
+    for line in raw.splitlines():
+        if not line.startswith(_ID):
+            continue
+        text = line[len(_ID) :].strip()
+        return int(text) if text.isdigit() else -1
+    return -1
--- /dev/null
+++ b/src/caperridge/gateway/fleet.py
@@ -0,0 +1,94 @@
+"""What this instance knows of the targets: list, counts and who can be reached."""
+
+import random
+from collections.abc import Callable
+
+from caperridge.decisions.ejection import Health
+from caperridge.gateway.occupancy import Occupancy
+from caperridge.gateway.targets import Target, TargetList
+from caperridge.log import logger
+from caperridge.targets.outcomes import AttemptError, NotSent
+
+log = logger(__name__)
+
+
+class Fleet:
+    """The targets with what speaks for and against using each.
+
+    Args:
+        instance: own id.
+        zone: own availability zone.
+        chance: breaks ties.
+    """
+
+    def __init__(self, instance: str, zone: str, chance: random.Random) -> None:
+        self.zone = zone
+        self.chance = chance
+        self.targets = TargetList()
+        self.occupancy = Occupancy(instance)
+        self.known = False
+        self.unreachable: dict[str, str] = {}
+        self._health_by_target: dict[str, Health] = {}
+        self._changed: list[Callable[[], None]] = []
+
+    def on_change(self, call: Callable[[], None]) -> None:
+        """Have ``call`` called when counts or targets have changed."""
+        self._changed.append(call)
+
+    def changed(self) -> None:
+        """Tell everyone who asked that counts or targets have changed."""
+        for call in self._changed:
+            call()
+
+    def usable(
+        self, service: str, now: float, excluded: frozenset[str] = frozenset()
+    ) -> list[Target]:
+        """Return the targets of ``service`` that may get a request.
+
+        When all of them are ejected, being ejected says nothing about any one.
+        """
+        listed = [
+            target
+            for target in self.targets.of_service(service)
+            if target.id not in excluded
+        ]
+        sound = [target for target in listed if not self._is_out(target.id, now)]
+        return sound or listed
+
+    def succeeded(self, target: str, now: float) -> None:
+        """Note a whole answer of ``target``."""
+        health = self._health_by_target.get(target)
+        if health is not None:
+            health.succeeded(now)
+
+    def failed(self, target: Target, error: AttemptError, now: float) -> None:
+        """Note what became of an attempt; eject the target if that is enough."""
+        health = self._health_by_target.setdefault(target.id, Health())
+        if not health.failed(error):
+            return
+        out_s = health.eject(now)
+        if isinstance(error, NotSent):
+            self.unreachable[target.id] = target.address
+        log.warning(
+            "target ejected", target=target.id, out_s=out_s, reason=error.reason
+        )
+
+    def reached(self, target: str) -> None:
+        """Note that an unreachable target accepts connections again."""
+        self.unreachable.pop(target, None)
+        if self._health_by_target.pop(target, None) is not None:
+            log.info("target is back", target=target)
+            self.changed()
+
+    def forget_gone(self) -> None:
+        """Drop what is known of targets that are no longer listed."""
+        for id in list(self._health_by_target):
+            if id not in self.targets.by_id:
+                del self._health_by_target[id]
+                self.unreachable.pop(id, None)
+
+    def _is_out(self, target: str, now: float) -> bool:
+        if target in self.unreachable:
+            return True
+        health = self._health_by_target.get(target)
+        return health is not None and health.is_out(now)
--- /dev/null
+++ b/src/caperridge/gateway/forwarding.py
@@ -0,0 +1,339 @@
+"""Carrying one online request to a target and its answer back.
+
+A request that may not run twice is sent on only as long as it has certainly not run.
+One that may is moved when its target breaks, falls silent or fails; a stream goes on
+behind the last event that its caller got.
+"""
+
+import asyncio
+
+from result import Err, Result
+
+from caperridge.gateway.dialect import Dialect, passed_on
+from caperridge.gateway.events import Event, EventSplitter
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.inbound import Carriage, GivenUp, InboundRequest, Reply
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.placement import place_online
+from caperridge.gateway.targets import Target
+from caperridge.gateway.upstream import (
+    Answer,
+    BrokenAnswerError,
+    Outbound,
+    TargetClient,
+)
+from caperridge.log import logger
+from caperridge.refusals import NOT_RUN
+from caperridge.targets.outcomes import (
+    AttemptError,
+    Lost,
+    NotSent,
+    TargetRefused,
+    WrongAnswer,
+)
+
+log = logger(__name__)
+
+# Offers that a request may get beside those that ran it: each was refused unrun.
+MOST_OFFERS = 8
+# Runs of one request that broke at their targets; a few in a row are bad luck, more
+# are the request's own doing.
+MOST_RUNS = 4
+# A target with a free slot sends its first event after some 50 ms, one with a full
+# queue after some 500 ms; callers leave after 2 s of silence.
+FIRST_EVENT_SILENCE_S = 1.2
+EVENT_SILENCE_S = 0.7
+# Sent to a caller that finds all queues full: about the length of a short run.
+BUSY_RETRY_AFTER_S = 0.6
+NO_TARGET_RETRY_AFTER_S = 0.5
+EVENT_STREAM = "text/event-stream"
+MOST_ANSWER_BYTES = 16 * 2**20
+
+
+class Forwarder:
+    """Carries requests; one for an instance."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        client: TargetClient,
+        dialect: Dialect,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._fleet = fleet
+        self._client = client
+        self._dialect = dialect
+        self._metrics = metrics
+        names = dialect.headers
+        self._own_headers = frozenset(
+            {names.deadline.lower(), names.incarnation.lower(), names.resume.lower()}
+        )
+
+    async def carry(self, request: InboundRequest, reply: Reply) -> GivenUp | None:
+        """Answer ``request`` through ``reply``; return why if that was not possible.
+
+        After a refusal nothing of an answer has gone out unless ``reply.begun``.
+        """
+        carriage = Carriage(request.resume_after)
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await self._carry(request, reply, carriage)
+        except TimeoutError:
+            reason = "its time is over"
+            return GivenUp(reason, not carriage.sent_at_least_once, timed_out=True)
+
+    async def _carry(
+        self, request: InboundRequest, reply: Reply, carriage: Carriage
+    ) -> GivenUp | None:
+        while True:
+            target = self._place(request, carriage)
+            if isinstance(target, GivenUp):
+                return target
+            error = await self._offer(request, reply, carriage, target)
+            if error is None:
+                return None
+            self._note(request, target, carriage, error)
+            given_up = self._after(request, reply, carriage, error)
+            if given_up is not None:
+                return given_up
+
+    def _place(self, request: InboundRequest, carriage: Carriage) -> Target | GivenUp:
+        service = request.route.service_for(request.id)
+        now = asyncio.get_running_loop().time()
+        refused = frozenset(carriage.refused_by)
+        targets = self._fleet.usable(service, now, refused)
+        targets = targets or self._fleet.usable(service, now)
+        not_run = not carriage.sent_at_least_once
+        if not targets:
+            return GivenUp("no target of its service", not_run, NO_TARGET_RETRY_AFTER_S)
+        if carriage.offers >= MOST_OFFERS:
+            return GivenUp("too many refusals", not_run, BUSY_RETRY_AFTER_S)
+        target = place_online(
+            targets, self._fleet.occupancy, self._fleet.zone, self._fleet.chance
+        )
+        if target is None:
+            return GivenUp("all queues are full", not_run, BUSY_RETRY_AFTER_S)
+        return target
+
+    async def _offer(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        target: Target,
+    ) -> AttemptError | None:
+        """Send the request to ``target``; None if its answer has gone out whole."""
+        carriage.offers += 1
+        sent_before = carriage.sent_at_least_once
+        count = self._fleet.occupancy.at(target.id)
+        log.debug(
+            "request placed",
+            request=request.id,
+            target=target.id,
+            online=count.online,
+            items=count.items,
+            slots=target.slots,
+            offer=carriage.offers,
+        )
+        self._fleet.occupancy.add(target.id, online=1)
+        self._fleet.changed()
+        try:
+            # Until the outcome is known it may run.
+            carriage.sent_at_least_once = True
+            outbound = self._outbound(request, carriage, target)
+            opened = await self._opened(request, carriage, target, outbound)
+            if isinstance(opened, Err):
+                error = opened.err_value
+                if _certainly_not_run(error):
+                    carriage.sent_at_least_once = sent_before
+                return error
+            carriage.runs += 1
+            answer = opened.ok_value
+            try:
+                return await self._relay(request, reply, carriage, answer)
+            finally:
+                answer.close()
+        finally:
+            self._fleet.occupancy.add(target.id, online=-1)
+            self._fleet.changed()
+
+    async def _opened(
+        self,
+        request: InboundRequest,
+        carriage: Carriage,
+        target: Target,
+        outbound: Outbound,
+    ) -> Result[Answer, AttemptError]:
+        if not request.route.idempotent:
+            return await self._client.open(target, outbound)
+        try:
+            async with asyncio.timeout(FIRST_EVENT_SILENCE_S):
+                return await self._client.open(target, outbound)
+        except TimeoutError:
+            carriage.left += 1
+            return Err(Lost("no answer began"))
+
+    def _outbound(
+        self, request: InboundRequest, carriage: Carriage, target: Target
+    ) -> Outbound:
+        names = self._dialect.headers
+        headers = passed_on(request.headers, self._own_headers)
+        left_s = request.deadline - asyncio.get_running_loop().time()
+        headers[names.deadline] = str(max(1, int(left_s * 1000)))
+        headers[names.incarnation] = target.id
+        if carriage.last_event:
+            headers[names.resume] = str(carriage.last_event)
+        return Outbound(request.id, request.method, request.path, headers, request.body)
+
+    async def _relay(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        kind = answer.headers.get("Content-Type", "").partition(";")[0].strip().lower()
+        if answer.status == 200 and kind == EVENT_STREAM:
+            return await self._relay_events(request, reply, carriage, answer)
+        return await self._relay_whole(request, reply, carriage, answer)
+
+    async def _relay_whole(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            async for piece in answer.pieces():
+                pieces.append(piece)
+                size += len(piece)
+                if size > MOST_ANSWER_BYTES:
+                    return WrongAnswer("an answer that is too large")
+        except BrokenAnswerError as error:
+            return Lost(str(error))
+        failed = answer.status >= 500
+        again = failed and request.route.idempotent and _may_move(request, carriage)
+        if again or reply.begun:
+            return TargetRefused(answer.status, "it failed", "ran")
+        headers = passed_on(answer.headers, frozenset())
+        await reply.whole(answer.status, headers, b"".join(pieces))
+        return None
+
+    async def _relay_events(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        splitter = EventSplitter()
+        pieces = answer.pieces()
+        movable = request.route.idempotent
+        silence_s = FIRST_EVENT_SILENCE_S
+        try:
+            while True:
+                within = asyncio.timeout(silence_s if movable else None)
+                async with within:
+                    piece = await anext(pieces, None)
+                if piece is None:
+                    break
+                good, wrong = _next_events(splitter.feed(piece), carriage)
+                if good:
+                    await self._pass_on(request, reply, answer, good)
+                    silence_s = EVENT_SILENCE_S
+                if wrong:
+                    carriage.left += 1
+                    return WrongAnswer("an event out of order")
+        except BrokenAnswerError as error:
+            return Lost(str(error))
+        except TimeoutError:
+            if not within.expired():
+                raise  # the request's own deadline
+            carriage.left += 1
+            return Lost("it fell silent")
+        if splitter.rest:
+            return Lost("it ended within an event")
+        if not reply.begun:
+            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
+        await reply.end()
+        return None
+
+    async def _pass_on(
+        self, request: InboundRequest, reply: Reply, answer: Answer, data: bytes
+    ) -> None:
+        if not reply.begun:
+            loop = asyncio.get_running_loop()
+            self._metrics.first_event.labels(request.route.kind).observe(
+                loop.time() - request.arrived
+            )
+            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
+        await reply.write(data)
+
+    def _note(
+        self,
+        request: InboundRequest,
+        target: Target,
+        carriage: Carriage,
+        error: AttemptError,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        carriage.refused_by.add(target.id)
+        self._metrics.attempts.labels(type(error).__name__).inc()
+        log.info(
+            "attempt failed",
+            request=request.id,
+            target=target.id,
+            error=type(error).__name__,
+            reason=error.reason,
+            status=getattr(error, "status", 0),
+            offer=carriage.offers,
+            last_event=carriage.last_event,
+        )
+        if not _certainly_not_run(error) or isinstance(error, NotSent):
+            self._fleet.failed(target, error, now)
+
+    def _after(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        error: AttemptError,
+    ) -> GivenUp | None:
+        """Return why the request is given up; None if it goes to another target."""
+        if _certainly_not_run(error):
+            return None
+        if not request.route.idempotent:
+            return GivenUp(f"lost at its target: {error.reason}", not_run=False)
+        if not _may_move(request, carriage):
+            return GivenUp(f"out of attempts: {error.reason}", not_run=False)
+        return None
+
+
+def _certainly_not_run(error: AttemptError) -> bool:
+    if isinstance(error, TargetRefused):
+        return error.run == NOT_RUN
+    return isinstance(error, NotSent)
+
+
+def _may_move(request: InboundRequest, carriage: Carriage) -> bool:
+    """Whether another target may run it; a run that ended by itself does not count."""
+    return carriage.left < request.route.most_attempts and carriage.runs < MOST_RUNS
+
+
+def _next_events(events: list[Event], carriage: Carriage) -> tuple[bytes, bool]:
+    """Return the events that come next, joined, and whether one did not.
+
+    An event without a number is passed on as it is.
+    """
+    good: list[bytes] = []
+    for event in events:
+        expected = carriage.last_event + 1
+        if event.id >= 0 and carriage.last_event and event.id != expected:
+            return b"".join(good), True
+        if event.id >= 0:
+            carriage.last_event = event.id
+        good.append(event.raw)
+    return b"".join(good), False
--- /dev/null
+++ b/src/caperridge/gateway/jobs/claims.py
@@ -0,0 +1,175 @@
+"""Becoming the holder of a job.
+
+The claim is one write of the job's head, conditional on the head as it was read: of
+two instances that try at once, one succeeds. What earlier holders kept is taken over.
+"""
+
+from result import Err
+
+from caperridge.gateway.jobs.codec import (
+    UnreadableError,
+    from_bytes,
+    job_from_bytes,
+    to_bytes,
+)
+from caperridge.gateway.jobs.held_job import HeldJob
+from caperridge.gateway.jobs.keys import (
+    JOBS,
+    head_key,
+    is_head,
+    is_progress,
+    is_result,
+    number_of,
+)
+from caperridge.gateway.jobs.model import (
+    ItemProgress,
+    ItemResult,
+    JobEntry,
+    JobHead,
+    JobItem,
+)
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.rows import ABSENT, RowStore, StoredRow, Transaction
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+
+class Ended(Record):
+    """No more results will come, as ``head`` says."""
+
+    __slots__ = ("head",)
+
+    def __init__(self, head: JobHead) -> None:
+        self.head = head
+
+
+class HeldBy(Record):
+    """An instance that is heard from works on the job: ``holder``, its incarnation."""
+
+    __slots__ = ("holder",)
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+
+
+class Unclaimed(Record):
+    """The store did not answer, or another claim came first; try again later."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+Claim = HeldJob | Ended | HeldBy | Unclaimed
+
+
+class JobClaimer:
+    """Claims jobs for one instance.
+
+    Args:
+        store: that keeps them.
+        mesh: tells which holders live.
+    """
+
+    def __init__(self, store: RowStore, mesh: Mesh) -> None:
+        self._store = store
+        self._mesh = mesh
+
+    async def claim(self, entry: JobEntry, items: list[JobItem] | None) -> Claim:
+        """Become the holder of a job.
+
+        Args:
+            entry: of the job.
+            items: if this instance just accepted the job, so that nothing is read.
+        """
+        rows: list[StoredRow] = []
+        if items is None:
+            found = await self._read_part(entry.id)
+            if found is None:
+                return Unclaimed("its rows cannot be read")
+            rows = found
+        head_row = next((row for row in rows if is_head(row.key)), None)
+        head = JobHead("", entry.total)
+        if head_row is not None:
+            try:
+                head = from_bytes(JobHead, head_row.value)
+            except UnreadableError as error:
+                log.error("head skipped", job=entry.id, reason=str(error))
+                return Unclaimed("its head cannot be read")
+        if head.finished:
+            return Ended(head)
+        if head.holder not in ("", self._mesh.incarnation):
+            if self._mesh.incarnation_alive(head.holder):
+                return HeldBy(head.holder)
+        if items is None:
+            items = await self._read_items(entry)
+            if items is None:
+                return Unclaimed("its items cannot be read")
+        version = head_row.version if head_row is not None else ABSENT
+        job = HeldJob(entry, head, version, items)
+        _restore(job, rows)
+        return await self._taken(job)
+
+    async def _taken(self, job: HeldJob) -> Claim:
+        id = job.entry.id
+        before = job.head
+        head = before.replace(holder=self._mesh.incarnation, turn=before.turn + 1)
+        key = head_key(id)
+        claim = Transaction({key: job.version}, {key: to_bytes(head)})
+        answer = await self._store.transact(claim)
+        if isinstance(answer, Err):
+            # If it took effect all the same, the next look finds the head ours.
+            error = type(answer.err_value).__name__
+            log.info("claim failed", job=id, error=error, version=job.version)
+            return Unclaimed(error)
+        job.head = head
+        job.version = answer.ok_value.version
+        log.info(
+            "job held",
+            job=id,
+            before=before.holder,
+            listed=head.listed,
+            total=head.total,
+            version=job.version,
+        )
+        return job
+
+    async def _read_part(self, job: str) -> list[StoredRow] | None:
+        rows: list[StoredRow] = []
+        first = ""
+        while True:
+            answer = await self._store.read(JOBS, job, first=first)
+            if isinstance(answer, Err):
+                return None
+            rows += answer.ok_value.rows
+            if not answer.ok_value.truncated:
+                return rows
+            first = rows[-1].key.key + "\x00"
+
+    async def _read_items(self, entry: JobEntry) -> list[JobItem] | None:
+        answer = await self._store.get_object(entry.object)
+        if isinstance(answer, Err) or answer.ok_value is None:
+            return None
+        try:
+            return job_from_bytes(answer.ok_value).items
+        except UnreadableError as error:
+            log.error("items skipped", job=entry.id, reason=str(error))
+            return None
+
+
+def _restore(job: HeldJob, rows: list[StoredRow]) -> None:
+    """Take over what earlier holders kept; a row that cannot be read is skipped."""
+    results: list[ItemResult] = []
+    for row in rows:
+        try:
+            if is_progress(row.key):
+                progress = from_bytes(ItemProgress, row.value)
+                job.restore_progress(number_of(row.key), progress)
+            elif is_result(row.key):
+                results.append(from_bytes(ItemResult, row.value))
+        except UnreadableError as error:
+            log.error("row skipped", job=job.entry.id, reason=str(error))
+    job.restore_results(results)
--- /dev/null
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -0,0 +1,282 @@
+"""What callers ask of jobs: taking one, reading it, ending it; at any instance."""
+
+import asyncio
+from collections import OrderedDict
+
+from result import Err
+
+from caperridge.gateway.jobs.acceptance import (
+    AcceptanceUnknown,
+    Accepted,
+    JobAcceptance,
+)
+from caperridge.gateway.jobs.codec import (
+    UnreadableError,
+    from_bytes,
+    job_from_bytes,
+    to_bytes,
+)
+from caperridge.gateway.jobs.index import JobIndex
+from caperridge.gateway.jobs.keeper import JobKeeper
+from caperridge.gateway.jobs.keys import (
+    INDEX,
+    JOBS,
+    RESULTS_END,
+    entry_key,
+    head_key,
+    result_key,
+)
+from caperridge.gateway.jobs.model import (
+    ItemResult,
+    JobEntry,
+    JobHead,
+    JobRequest,
+    ResultsPage,
+)
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.routes import Route
+from caperridge.gateway.rows import ABSENT, Refused, RowStore, StoredRow, Transaction
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+# Callers give up an acceptance after their deadline; beyond this, an answer is late.
+ACCEPT_S = 3.5
+CANCEL_S = 3.0
+RETRY_AFTER_S = 0.3
+PAUSE_S = 0.1
+MOST_PAGE_BYTES = 900_000
+CACHED_JOBS = 8
+# A read that waits looks at the store this often even if nobody tells of a result.
+LOOK_S = 1.0
+
+
+class JobAnswer(Record):
+    """What a caller gets: a status, and where it is 200 what was asked for."""
+
+    __slots__ = ("body", "page", "reason", "retry_after_s", "status")
+
+    def __init__(
+        self,
+        status: int,
+        reason: str = "",
+        retry_after_s: float = 0.0,
+        page: ResultsPage | None = None,
+        body: bytes | None = None,
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.page = page
+        self.body = body
+
+
+NO_SUCH_JOB = JobAnswer(404, "no such job")
+NOT_SURE = JobAnswer(503, "the store does not answer", RETRY_AFTER_S)
+
+
+class JobsEdge:
+    """Answers callers about jobs.
+
+    Args:
+        store: keeps them.
+        index: of all jobs.
+        acceptance: of new ones.
+        keeper: of those held here.
+        metrics: counted into.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        index: JobIndex,
+        acceptance: JobAcceptance,
+        keeper: JobKeeper,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._store = store
+        self._index = index
+        self._acceptance = acceptance
+        self._keeper = keeper
+        self._metrics = metrics
+        self._jobs_by_object: OrderedDict[str, JobRequest] = OrderedDict()
+
+    async def accept(
+        self, route: Route, host: str, id: str, job: JobRequest, arrived: float
+    ) -> JobAnswer:
+        """Keep a job for good and begin to work on it."""
+        deadline = arrived + ACCEPT_S
+        outcome = await self._acceptance.accept(route, host, id, job, deadline)
+        loop = asyncio.get_running_loop()
+        log.info(
+            "job sent",
+            job=id,
+            route=route.name,
+            items=len(job.items),
+            tokens=job.tokens,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            took_s=round(loop.time() - arrived, 3),
+        )
+        self._metrics.jobs.labels(type(outcome).__name__).inc()
+        if isinstance(outcome, Accepted):
+            if not outcome.again and not self._keeper.leaving:
+                self._keeper.accepted(outcome.entry, job.items)
+            return JobAnswer(202, "accepted")
+        if isinstance(outcome, AcceptanceUnknown):
+            return JobAnswer(504, outcome.reason)
+        status = 429 if outcome.full else 503
+        return JobAnswer(status, outcome.reason, outcome.retry_after_s)
+
+    async def results(self, id: str, first: int, wait_s: float) -> JobAnswer:
+        """Return the results from position ``first`` on; wait for one if asked to."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while True:
+            entry = await self._entry(id)
+            if isinstance(entry, JobAnswer):
+                return entry
+            event = self._keeper.wait_for(id)
+            found = await self._listed(entry, first)
+            if found is None:
+                return NOT_SURE
+            left_s = until - loop.time()
+            if found or left_s <= 0 or not entry.open:
+                page = ResultsPage(entry.total, first, found)
+                return JobAnswer(200, page=page)
+            try:
+                async with asyncio.timeout(min(left_s, LOOK_S)):
+                    await event.wait()
+            except TimeoutError:
+                if until - loop.time() <= 0:
+                    return JobAnswer(200, page=ResultsPage(entry.total, first, []))
+
+    async def body(self, id: str, item: str) -> JobAnswer:
+        """Return the body of an item."""
+        entry = await self._entry(id)
+        if isinstance(entry, JobAnswer):
+            return entry
+        job = await self._items(entry)
+        if job is None:
+            return NOT_SURE
+        for one in job.items:
+            if one.id == item:
+                return JobAnswer(200, body=one.body)
+        return JobAnswer(404, "no such item")
+
+    async def cancel(self, id: str) -> JobAnswer:
+        """End a job; what is listed stays."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CANCEL_S
+        entry = await self._entry(id)
+        if isinstance(entry, JobAnswer):
+            return entry
+        while loop.time() < deadline:
+            ended = await self._ended(entry)
+            if ended:
+                log.info("job cancelled", job=id)
+                self._keeper.cancelled(id)
+                return JobAnswer(200, "ended")
+            await asyncio.sleep(PAUSE_S)
+        return JobAnswer(504, "the store does not answer")
+
+    async def _ended(self, entry: JobEntry) -> bool:
+        """Write the cancellation into the job's head; False to try again."""
+        key = head_key(entry.id)
+        answer = await self._store.read(
+            JOBS, entry.id, first=key.key, end=key.key + "\x00"
+        )
+        if isinstance(answer, Err):
+            return False
+        rows = answer.ok_value.rows
+        head = JobHead("", entry.total)
+        version = ABSENT
+        if rows:
+            try:
+                head = from_bytes(JobHead, rows[0].value)
+            except UnreadableError as error:
+                log.error("head skipped", job=entry.id, reason=str(error))
+                return False
+            version = rows[0].version
+        if head.finished:
+            return True
+        ended = to_bytes(head.replace(cancelled=True, turn=head.turn + 1))
+        written = await self._store.transact(Transaction({key: version}, {key: ended}))
+        if not isinstance(written, Err):
+            return True
+        refused = written.err_value
+        if not isinstance(refused, Refused):
+            return False
+        row = refused.row(key)
+        return row is not None and row.value == ended
+
+    async def _entry(self, id: str) -> JobEntry | JobAnswer:
+        """Return a job's entry, or why there is none."""
+        entry = self._index.entries_by_job.get(id)
+        if entry is not None:
+            return entry
+        key = entry_key(id)
+        answer = await self._store.read(INDEX, first=key.key, end=key.key + "\x00")
+        if isinstance(answer, Err):
+            return NOT_SURE
+        for row in answer.ok_value.rows:
+            self._index.take_row(row)
+        return self._index.entries_by_job.get(id, NO_SUCH_JOB)
+
+    async def _listed(self, entry: JobEntry, first: int) -> list[ItemResult] | None:
+        """Return the results from ``first`` on, up to the size of a page."""
+        known = self._keeper.listed_by_id.get(entry.id)
+        held = self._keeper.held_by_id.get(entry.id)
+        if held is not None and not held.lost and known is not None and first >= known:
+            return []
+        answer = await self._store.read(
+            JOBS,
+            entry.id,
+            first=result_key(entry.id, first).key,
+            end=RESULTS_END,
+        )
+        if isinstance(answer, Err):
+            return None
+        return await self._decoded(entry, first, answer.ok_value.rows)
+
+    async def _decoded(
+        self, entry: JobEntry, first: int, rows: list[StoredRow]
+    ) -> list[ItemResult] | None:
+        results: list[ItemResult] = []
+        size = 0
+        for offset, row in enumerate(rows):
+            if row.key != result_key(entry.id, first + offset):
+                break
+            try:
+                result = from_bytes(ItemResult, row.value)
+            except UnreadableError as error:
+                log.error("result skipped", job=entry.id, reason=str(error))
+                break
+            if result.object:
+                answer = await self._store.get_object(result.object)
+                if isinstance(answer, Err) or answer.ok_value is None:
+                    return results or None
+                result = result.replace(text=answer.ok_value, object="")
+            size += len(result.text)
+            if results and size > MOST_PAGE_BYTES:
+                break
+            results.append(result)
+        return results
+
+    async def _items(self, entry: JobEntry) -> JobRequest | None:
+        job = self._jobs_by_object.get(entry.object)
+        if job is not None:
+            return job
+        answer = await self._store.get_object(entry.object)
+        if isinstance(answer, Err) or answer.ok_value is None:
+            return None
+        try:
+            job = job_from_bytes(answer.ok_value)
+        except UnreadableError as error:
+            log.error("items skipped", job=entry.id, reason=str(error))
+            return None
+        self._jobs_by_object[entry.object] = job
+        while len(self._jobs_by_object) > CACHED_JOBS:
+            self._jobs_by_object.popitem(last=False)
+        return job
--- /dev/null
+++ b/src/caperridge/gateway/jobs/index.py
@@ -0,0 +1,64 @@
+"""The index of jobs as this instance knows it."""
+
+from collections.abc import Callable
+
+from caperridge.gateway.jobs.codec import UnreadableError, from_bytes
+from caperridge.gateway.jobs.keys import INDEX, entry_key, gate_key, job_of_entry
+from caperridge.gateway.jobs.model import JobEntry
+from caperridge.gateway.rows import ABSENT, StoredRow
+from caperridge.gateway.table_copy import TableCopy
+from caperridge.log import logger
+
+log = logger(__name__)
+
+
+class JobIndex:
+    """Reads the copy of the index; entries are decoded once."""
+
+    def __init__(self) -> None:
+        self.copy = TableCopy(INDEX)
+        self.entries_by_job: dict[str, JobEntry] = {}
+        self._changed: list[Callable[[], None]] = []
+
+    def on_change(self, call: Callable[[], None]) -> None:
+        """Have ``call`` called when entries have changed."""
+        self._changed.append(call)
+
+    def take(self, rows: list[StoredRow]) -> None:
+        """Decode rows that were news in the copy."""
+        for row in rows:
+            job = job_of_entry(row.key)
+            if job is None:
+                continue
+            if row.removed:
+                self.entries_by_job.pop(job, None)
+                continue
+            try:
+                self.entries_by_job[job] = from_bytes(JobEntry, row.value)
+            except UnreadableError as error:
+                log.error("entry of a job skipped", job=job, reason=str(error))
+        for call in self._changed:
+            call()
+
+    def take_row(self, row: StoredRow) -> None:
+        """Take one row that was just written or read."""
+        if self.copy.take_row(row):
+            self.take([row])
+
+    def version_of(self, job: str) -> int:
+        """Return the version of a job's entry; ``ABSENT`` if it has none."""
+        row = self.copy.rows_by_key.get(entry_key(job))
+        return row.version if row is not None else ABSENT
+
+    def gate_version(self, route: str) -> int:
+        """Return the version of a route's gate; ``ABSENT`` if it has none."""
+        row = self.copy.rows_by_key.get(gate_key(route))
+        return row.version if row is not None else ABSENT
+
+    def waiting_tokens(self, route: str) -> int:
+        """Return the tokens of unfinished items on ``route``, at the most."""
+        return sum(
+            entry.waiting_tokens
+            for entry in self.entries_by_job.values()
+            if entry.route == route and entry.open
+        )
--- /dev/null
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -0,0 +1,228 @@
+"""Running items at targets: output is gathered and goes on behind its last event."""
+
+import asyncio
+
+from multidict import CIMultiDict
+from result import Err
+
+from caperridge.gateway.dialect import Dialect
+from caperridge.gateway.events import EventSplitter
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.jobs.held_job import (
+    DONE,
+    LISTED,
+    PENDING,
+    RUNNING,
+    HeldJob,
+    ItemState,
+)
+from caperridge.gateway.jobs.model import ItemProgress
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.routes import Route
+from caperridge.gateway.targets import Target
+from caperridge.gateway.upstream import (
+    Answer,
+    BrokenAnswerError,
+    Outbound,
+    TargetClient,
+)
+from caperridge.log import logger
+from caperridge.refusals import NOT_RUN
+from caperridge.targets.outcomes import (
+    AttemptError,
+    Lost,
+    NotSent,
+    TargetRefused,
+    WrongAnswer,
+)
+
+log = logger(__name__)
+
+# Longer than any queue an item may meet; a target that says nothing for so long has
+# most likely gone dark.
+FIRST_EVENT_S = 3.0
+EVENT_S = 1.2
+AGAIN_AFTER_S = 0.05
+FAILED_AGAIN_AFTER_S = 0.3
+UNPROCESSABLE = 422
+
+
+class ItemRuns:
+    """Starts and ends runs of items.
+
+    Args:
+        fleet: counts and targets.
+        client: of targets.
+        dialect: names of headers.
+        metrics: counted into.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        client: TargetClient,
+        dialect: Dialect,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._fleet = fleet
+        self._client = client
+        self._dialect = dialect
+        self._metrics = metrics
+
+    def start(
+        self, job: HeldJob, state: ItemState, route: Route, target: Target
+    ) -> None:
+        """Run an item at ``target``."""
+        state.status = RUNNING
+        state.target = target.id
+        self._fleet.occupancy.add(target.id, items=1)
+        self._fleet.changed()
+        run = self._run(job, state, route, target)
+        state.task = asyncio.get_running_loop().create_task(run)
+
+    async def _run(
+        self, job: HeldJob, state: ItemState, route: Route, target: Target
+    ) -> None:
+        error: AttemptError | None = None
+        cancelled = True
+        from_event = state.progress.event
+        try:
+            error = await self._attempt(job, state, target)
+            cancelled = False
+        finally:
+            self._fleet.occupancy.add(target.id, items=-1)
+            state.target = ""
+            state.task = None
+            if state.status == RUNNING:
+                state.status = PENDING
+            self._settle(job, state, route, target, error, cancelled, from_event)
+            self._fleet.changed()
+
+    def _settle(
+        self,
+        job: HeldJob,
+        state: ItemState,
+        route: Route,
+        target: Target,
+        error: AttemptError | None,
+        cancelled: bool,
+        from_event: int,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        outcome = _outcome(error, cancelled)
+        self._metrics.items.labels(outcome).inc()
+        log.info(
+            "item run ended",
+            job=job.entry.id,
+            item=state.item.id,
+            target=target.id,
+            outcome=outcome,
+            reason=error.reason if error is not None else "",
+            from_event=from_event,
+            event=state.progress.event,
+            failures=state.progress.failures,
+        )
+        if cancelled or state.status in (DONE, LISTED):
+            return
+        if error is None:
+            self._fleet.succeeded(target.id, now)
+            job.complete(state)
+            return
+        state.not_before = now + AGAIN_AFTER_S
+        if isinstance(error, TargetRefused) and error.run != NOT_RUN:
+            self._failed(job, state, route, error, now)
+            return
+        if not isinstance(error, TargetRefused):
+            self._fleet.failed(target, error, now)
+
+    def _failed(
+        self,
+        job: HeldJob,
+        state: ItemState,
+        route: Route,
+        error: TargetRefused,
+        now: float,
+    ) -> None:
+        """Count an attempt that the target says failed."""
+        failures = state.progress.failures + 1
+        state.progress = ItemProgress(
+            state.progress.event, state.progress.text, failures
+        )
+        state.not_before = now + FAILED_AGAIN_AFTER_S
+        if error.status == UNPROCESSABLE or failures >= route.most_attempts:
+            job.bury(state)
+
+    async def _attempt(
+        self, job: HeldJob, state: ItemState, target: Target
+    ) -> AttemptError | None:
+        """Run the item once; None if its output is whole."""
+        outbound = self._outbound(job, state, target)
+        try:
+            async with asyncio.timeout(FIRST_EVENT_S):
+                opened = await self._client.open(target, outbound)
+        except TimeoutError:
+            return Lost("no answer began")
+        if isinstance(opened, Err):
+            return opened.err_value
+        answer = opened.ok_value
+        try:
+            if answer.status != 200:
+                return TargetRefused(answer.status, "it failed", "ran")
+            return await self._gather(state, answer)
+        finally:
+            answer.close()
+
+    async def _gather(self, state: ItemState, answer: Answer) -> AttemptError | None:
+        splitter = EventSplitter()
+        pieces = answer.pieces()
+        silence_s = FIRST_EVENT_S
+        try:
+            while True:
+                async with asyncio.timeout(silence_s):
+                    piece = await anext(pieces, None)
+                if piece is None:
+                    break
+                for event in splitter.feed(piece):
+                    if event.id != state.progress.event + 1:
+                        return WrongAnswer("an event out of order")
+                    state.progress = _with_event(state.progress, event.data())
+                    silence_s = EVENT_S
+        except BrokenAnswerError as error:
+            return Lost(str(error))
+        except TimeoutError:
+            return Lost("it fell silent")
+        if splitter.rest or not state.progress.event:
+            return Lost("it ended within an event")
+        return None
+
+    def _outbound(self, job: HeldJob, state: ItemState, target: Target) -> Outbound:
+        names = self._dialect.headers
+        headers: CIMultiDict[str] = CIMultiDict(
+            [(name, value) for name, value in state.item.headers]
+        )
+        headers["Host"] = job.entry.host
+        headers[names.request] = state.item.id
+        headers[names.incarnation] = target.id
+        headers.pop(names.resume, None)
+        if state.progress.event:
+            headers[names.resume] = str(state.progress.event)
+        return Outbound(
+            state.item.id, "POST", state.item.path, headers, state.item.body
+        )
+
+
+def _with_event(progress: ItemProgress, data: bytes) -> ItemProgress:
+    text = progress.text + b"\n" + data if progress.event else data
+    return ItemProgress(progress.event + 1, text, progress.failures)
+
+
+def _outcome(error: AttemptError | None, cancelled: bool) -> str:
+    if cancelled:
+        return "cancelled"
+    if error is None:
+        return "completed"
+    if isinstance(error, TargetRefused):
+        return "not_run" if error.run == NOT_RUN else f"failed_{error.status}"
+    if isinstance(error, NotSent):
+        return "not_sent"
+    return "lost"
--- /dev/null
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -0,0 +1,292 @@
+"""Holding jobs: taking them, running their items in free slots, and handing them on.
+
+A job is held by the instance that accepted it. When that one is gone, the live
+instances agree by hashing on who takes it over, and the claim is conditional on the
+head as it was read: two that both try end with one holder.
+"""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from result import Err
+
+from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.configuration import ConfigurationInForce
+from caperridge.gateway.jobs.claims import Ended, HeldBy, JobClaimer, Unclaimed
+from caperridge.gateway.jobs.codec import to_bytes
+from caperridge.gateway.jobs.held_job import HeldJob
+from caperridge.gateway.jobs.index import JobIndex
+from caperridge.gateway.jobs.keeping import PROGRESS_S, JobWriter
+from caperridge.gateway.jobs.keys import entry_key
+from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem
+from caperridge.gateway.jobs.slots import ItemSlots
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.messages import JobNews
+from caperridge.gateway.rows import RowStore, StoredRow, Transaction
+from caperridge.log import logger
+
+log = logger(__name__)
+
+CHECK_S = 0.3
+# Spreads the instances that see the same free slot, so that mostly one takes it.
+START_SPREAD_S = 0.006
+# An instance whose stream ended may be cut off rather than gone; its own next write
+# of progress would be lost work for both.
+TAKEOVER_AFTER_S = 1.6
+# The slack of an index entry's tokens: it is rewritten at once only when its route
+# is this full.
+CROWDED_SHARE = 0.25
+STORE_PAUSE_S = 0.3
+
+
+class JobKeeper:
+    """Holds jobs for one instance."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        index: JobIndex,
+        configuration: ConfigurationInForce,
+        mesh: Mesh,
+        writer: JobWriter,
+        claimer: JobClaimer,
+        slots: ItemSlots,
+        chance: random.Random,
+    ) -> None:
+        self._store = store
+        self._index = index
+        self._configuration = configuration
+        self._mesh = mesh
+        self._writer = writer
+        self._claimer = claimer
+        self._slots = slots
+        self._chance = chance
+        self.held_by_id: dict[str, HeldJob] = {}
+        self.listed_by_id: dict[str, int] = {}
+        self.leaving = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._claiming: set[str] = set()
+        self._orphan_since_by_id: dict[str, float] = {}
+        self._holder_by_id: dict[str, str] = {}
+        self._retry_at_by_id: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._news: dict[str, asyncio.Event] = {}
+        mesh.register(JobNews, self._told)
+
+    # What the edge asks.
+
+    def accepted(self, entry: JobEntry, items: list[JobItem]) -> None:
+        """Hold a job that this instance just accepted."""
+        if entry.id not in self.held_by_id and entry.id not in self._claiming:
+            self._spawn(self._claim(entry, items))
+
+    def cancelled(self, job: str) -> None:
+        """Stop a job whose cancellation is in the store."""
+        self._mesh.send_all(JobNews(job, "", 0, cancelled=True))
+        self._end_cancelled(job)
+
+    def wait_for(self, job: str) -> asyncio.Event:
+        """Return an event that is set when the job's next result is listed."""
+        return self._news.setdefault(job, asyncio.Event())
+
+    def poke(self) -> None:
+        """Look soon at what may start or has to give way."""
+        self._wake.set()
+
+    # The tasks.
+
+    async def run(self) -> None:
+        """Start items, cancel them for online requests, and claim orphans."""
+        loop = asyncio.get_running_loop()
+        next_check = loop.time()
+        while True:
+            try:
+                async with asyncio.timeout_at(next_check):
+                    await self._wake.wait()
+            except TimeoutError:
+                next_check = loop.time() + CHECK_S
+                self._claim_orphans(loop.time())
+            self._wake.clear()
+            jobs = list(self.held_by_id.values())
+            self._slots.give_way(jobs)
+            if self.leaving:
+                continue
+            instances = 1 + len(self._mesh.alive())
+            if self._slots.start_some(jobs, instances, loop.time()):
+                await asyncio.sleep(self._chance.random() * START_SPREAD_S)
+                self._wake.set()
+
+    async def hand_over(self) -> None:
+        """Stop all runs, keep their progress, and give the jobs up."""
+        self.leaving = True
+        jobs = list(self.held_by_id.values())
+        for job in jobs:
+            job.releasing = True
+            job.stop_runs()
+            job.wake.set()
+        tasks = [task for task in self._tasks if not task.done()]
+        if tasks:
+            await asyncio.wait(tasks, timeout=STORE_PAUSE_S * 10)
+
+    # Claims.
+
+    def _claim_orphans(self, now: float) -> None:
+        """Claim open jobs whose holder is gone and which fall to this instance."""
+        if self.leaving or not self._index.copy.known:
+            return
+        live = [m.id for m in self._mesh.alive() if not m.leaving]
+        live.append(self._mesh.instance)
+        for id, entry in self._index.entries_by_job.items():
+            if not entry.open or id in self.held_by_id or id in self._claiming:
+                self._orphan_since_by_id.pop(id, None)
+                continue
+            holder = self._holder_by_id.get(id)
+            if holder and self._mesh.incarnation_alive(holder):
+                self._orphan_since_by_id.pop(id, None)
+                continue
+            since = self._orphan_since_by_id.setdefault(id, now)
+            patience_s = 0.0 if holder == "" else TAKEOVER_AFTER_S
+            if now - since < patience_s or now < self._retry_at_by_id.get(id, 0.0):
+                continue
+            if owner(id, live) == self._mesh.instance:
+                self._spawn(self._claim(entry, None))
+
+    async def _claim(self, entry: JobEntry, items: list[JobItem] | None) -> None:
+        """Become the holder of a job, then keep it until it ends."""
+        self._claiming.add(entry.id)
+        try:
+            job = await self._claimer.claim(entry, items)
+        finally:
+            self._claiming.discard(entry.id)
+        if isinstance(job, Ended):
+            await self._close(entry, job.head)
+            return
+        if isinstance(job, HeldBy):
+            self._holder_by_id[entry.id] = job.holder
+            return
+        if isinstance(job, Unclaimed):
+            now = asyncio.get_running_loop().time()
+            self._retry_at_by_id[entry.id] = now + STORE_PAUSE_S
+            return
+        self._orphan_since_by_id.pop(entry.id, None)
+        self._told_all(job)
+        self.held_by_id[entry.id] = job
+        self.poke()
+        try:
+            await self._keep(job)
+        finally:
+            self.held_by_id.pop(entry.id, None)
+            job.stop_runs()
+
+    # Keeping.
+
+    async def _keep(self, job: HeldJob) -> None:
+        """Write results as they come and progress now and then, until it ends."""
+        while not job.finished:
+            try:
+                async with asyncio.timeout(PROGRESS_S):
+                    await job.wake.wait()
+            except TimeoutError:
+                if not any(state.has_news for state in job.states):
+                    continue
+            job.wake.clear()
+            await asyncio.sleep(0)  # let runs that were cancelled end
+            holder = "" if job.releasing else self._mesh.incarnation
+            if not await self._writer.write(job, holder):
+                break
+            self._told_all(job)
+            if job.unlisted:
+                job.wake.set()
+            elif job.releasing:
+                return
+            await self._lower_tokens(job)
+        if job.head.finished:
+            await self._close(job.entry, job.head)
+
+    async def _lower_tokens(self, job: HeldJob) -> None:
+        """Rewrite what waits in the index if that makes room others may need."""
+        table = self._configuration.table
+        route = table.batch_route(job.entry.route) if table is not None else None
+        if route is None or route.batch is None or job.head.finished:
+            return
+        limit = route.batch.most_waiting_tokens
+        waiting = self._index.waiting_tokens(route.name)
+        if limit <= 0 or waiting < limit * CROWDED_SHARE:
+            return
+        await self._rewrite(job.entry.id, job.waiting_tokens, still_open=True)
+
+    async def _close(self, entry: JobEntry, head: JobHead) -> None:
+        """Mark a finished job in the index, so that nobody looks at it again."""
+        log.info(
+            "job finished",
+            job=entry.id,
+            listed=head.listed,
+            total=head.total,
+            cancelled=head.cancelled,
+        )
+        closed = False
+        while not closed:
+            closed = await self._rewrite(entry.id, 0, still_open=False)
+            if not closed:
+                await asyncio.sleep(STORE_PAUSE_S)
+
+    async def _rewrite(self, id: str, tokens: int, still_open: bool) -> bool:
+        """Rewrite a job's entry; True if it says so now."""
+        entry = self._index.entries_by_job.get(id)
+        if entry is None or (not entry.open and not still_open):
+            return True
+        changed = entry.replace(waiting_tokens=tokens, open=still_open and entry.open)
+        key = entry_key(id)
+        version = self._index.version_of(id)
+        value = to_bytes(changed)
+        answer = await self._store.transact(Transaction({key: version}, {key: value}))
+        if not isinstance(answer, Err):
+            self._index.take_row(StoredRow(key, value, answer.ok_value.version))
+            return True
+        row = getattr(answer.err_value, "row", lambda _: None)(key)
+        if row is not None:
+            self._index.take_row(row)
+        return False
+
+    # News.
+
+    def _told_all(self, job: HeldJob) -> None:
+        id = job.entry.id
+        self._mesh.send_all(JobNews(id, job.head.holder, job.head.listed))
+        self._note(id, job.head.holder, job.head.listed)
+
+    def _told(self, peer: str, news: JobNews) -> None:
+        if news.cancelled:
+            self._end_cancelled(news.job)
+            return
+        self._note(news.job, news.holder, news.listed)
+        if news.holder == "":
+            self._wake.set()
+
+    def _note(self, job: str, holder: str, listed: int) -> None:
+        self._holder_by_id[job] = holder
+        if listed > self.listed_by_id.get(job, 0):
+            self.listed_by_id[job] = listed
+            event = self._news.pop(job, None)
+            if event is not None:
+                event.set()
+
+    def _end_cancelled(self, job: str) -> None:
+        held = self.held_by_id.get(job)
+        if held is not None:
+            held.lost = True
+            held.head = held.head.replace(cancelled=True)
+            held.stop_runs()
+            held.wake.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a job's task failed", reason=repr(task.exception()))
--- /dev/null
+++ b/src/caperridge/gateway/jobs/keys.py
@@ -0,0 +1,87 @@
+"""Names of tables, rows and objects of jobs.
+
+The index lists all jobs; it has one part, so that accepting a job can be conditional
+on the sum of what waits on its route. All that decides one job has a part of its own.
+"""
+
+from caperridge.gateway.rows import RowKey
+
+INDEX = "job-index"
+JOBS = "jobs"
+_ENTRY = "job:"
+_GATE = "gate:"
+_HEAD = "head"
+_PROGRESS = "p:"
+_RESULT = "r:"
+_RESULTS_END = "r;"
+
+
+def entry_key(job: str) -> RowKey:
+    """Return the key of a job in the index."""
+    return RowKey(INDEX, "", _ENTRY + job)
+
+
+def job_of_entry(key: RowKey) -> str | None:
+    """Return the job whose entry has ``key``; None if it is no entry.
+
+    >>> job_of_entry(entry_key("a1"))
+    'a1'
+    """
+    return key.key[len(_ENTRY) :] if key.key.startswith(_ENTRY) else None
+
+
+def gate_key(route: str) -> RowKey:
+    """Return the key of the row that each acceptance on ``route`` writes."""
+    return RowKey(INDEX, "", _GATE + route)
+
+
+def head_key(job: str) -> RowKey:
+    """Return the key of a job's head."""
+    return RowKey(JOBS, job, _HEAD)
+
+
+def progress_key(job: str, item: int) -> RowKey:
+    """Return the key of what is kept of an unfinished item."""
+    return RowKey(JOBS, job, f"{_PROGRESS}{item:06d}")
+
+
+def result_key(job: str, position: int) -> RowKey:
+    """Return the key of the result at ``position``."""
+    return RowKey(JOBS, job, f"{_RESULT}{position:06d}")
+
+
+RESULTS_END = _RESULTS_END
+
+
+def number_of(key: RowKey) -> int:
+    """Return the item or position in ``key``.
+
+    >>> number_of(result_key("a1", 12))
+    12
+    """
+    return int(key.key.partition(":")[2])
+
+
+def is_head(key: RowKey) -> bool:
+    """Whether ``key`` is that of a head."""
+    return key.key == _HEAD
+
+
+def is_progress(key: RowKey) -> bool:
+    """Whether ``key`` is that of an item's progress."""
+    return key.key.startswith(_PROGRESS)
+
+
+def is_result(key: RowKey) -> bool:
+    """Whether ``key`` is that of a result."""
+    return key.key.startswith(_RESULT)
+
+
+def items_object(job: str, nonce: str) -> str:
+    """Return the name of the object that holds a job's items."""
+    return f"items-{job}-{nonce}"
+
+
+def text_object(job: str, item: int, incarnation: str) -> str:
+    """Return the name of the object that holds a result's text."""
+    return f"text-{job}-{item}-{incarnation}"
--- /dev/null
+++ b/src/caperridge/gateway/jobs/model.py
@@ -0,0 +1,172 @@
+"""What a job, its items and its results are; kept in the store as msgpack."""
+
+from caperridge.records import Record
+
+COMPLETED = "completed"
+DEAD = "dead"
+
+
+class JobItem(Record):
+    """One request of a job.
+
+    Attributes:
+        id: unique in the job; the request's id at a target.
+        path: that it is sent to, with POST.
+        headers: as pairs, in order.
+        body: its bytes.
+        tokens: of its prompt and at most to be generated, together.
+    """
+
+    __slots__ = ("body", "headers", "id", "path", "tokens")
+
+    def __init__(
+        self, id: str, path: str, headers: list[list[str]], body: bytes, tokens: int
+    ) -> None:
+        self.id = id
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.tokens = tokens
+
+
+class JobRequest(Record):
+    """A job as a caller sends it."""
+
+    __slots__ = ("items",)
+
+    def __init__(self, items: list[JobItem]) -> None:
+        self.items = items
+
+    @property
+    def tokens(self) -> int:
+        """Sum over the items."""
+        return sum(item.tokens for item in self.items)
+
+
+class JobEntry(Record):
+    """A job's row in the index of all jobs.
+
+    Attributes:
+        id: given by the caller.
+        route: name of the route that took it.
+        host: that it was sent to.
+        total: number of items.
+        sent_s: when it was accepted, on the store's clock.
+        waiting_tokens: of items that are not done; never rises.
+        object: name of the object that holds the items.
+        open: more results may come.
+    """
+
+    __slots__ = (
+        "host",
+        "id",
+        "object",
+        "open",
+        "route",
+        "sent_s",
+        "total",
+        "waiting_tokens",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        route: str,
+        host: str,
+        total: int,
+        sent_s: float,
+        waiting_tokens: int,
+        object: str,
+        open: bool = True,
+    ) -> None:
+        self.id = id
+        self.route = route
+        self.host = host
+        self.total = total
+        self.sent_s = sent_s
+        self.waiting_tokens = waiting_tokens
+        self.object = object
+        self.open = open
+
+
+class JobHead(Record):
+    """Who works on a job and how far it is; every write of it has a condition on it.
+
+    Attributes:
+        holder: incarnation of the instance that works on it; empty if none.
+        total: number of items.
+        listed: number of results.
+        cancelled: its caller ended it.
+        turn: raised with each write, so that a lost answer can be told from another
+            holder's write.
+    """
+
+    __slots__ = ("cancelled", "holder", "listed", "total", "turn")
+
+    def __init__(
+        self,
+        holder: str,
+        total: int,
+        listed: int = 0,
+        cancelled: bool = False,
+        turn: int = 0,
+    ) -> None:
+        self.holder = holder
+        self.total = total
+        self.listed = listed
+        self.cancelled = cancelled
+        self.turn = turn
+
+    @property
+    def finished(self) -> bool:
+        """No more results will come."""
+        return self.cancelled or self.listed >= self.total
+
+
+class ItemProgress(Record):
+    """What is kept of an unfinished item.
+
+    Attributes:
+        event: number of the last event in ``text``; 0 before the first.
+        text: data of the events up to there, joined by line feeds.
+        failures: attempts that the target said failed.
+    """
+
+    __slots__ = ("event", "failures", "text")
+
+    def __init__(self, event: int = 0, text: bytes = b"", failures: int = 0) -> None:
+        self.event = event
+        self.text = text
+        self.failures = failures
+
+
+class ItemResult(Record):
+    """A result at its position.
+
+    Attributes:
+        item: id of the item.
+        state: ``COMPLETED`` or ``DEAD``.
+        text: data of all events, joined by line feeds; empty if it is kept apart.
+        object: name of the object that holds a text too large for a row.
+    """
+
+    __slots__ = ("item", "object", "state", "text")
+
+    def __init__(
+        self, item: str, state: str, text: bytes = b"", object: str = ""
+    ) -> None:
+        self.item = item
+        self.state = state
+        self.text = text
+        self.object = object
+
+
+class ResultsPage(Record):
+    """Results from one position on."""
+
+    __slots__ = ("first", "results", "total")
+
+    def __init__(self, total: int, first: int, results: list[ItemResult]) -> None:
+        self.total = total
+        self.first = first
+        self.results = results
--- /dev/null
+++ b/src/caperridge/gateway/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between instances: each sends on those it opened, and hears on the others."""
--- /dev/null
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -0,0 +1,240 @@
+"""The peers: who they are, who is heard from, and sending to them."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from caperridge.gateway.mesh.messages import Hello
+from caperridge.gateway.mesh.streams import OutStream, encode, read_message
+from caperridge.log import logger
+from caperridge.peers.framing import FrameError, MessageError
+from caperridge.records import Record
+
+log = logger(__name__)
+
+# Peers beat every 0.4 s; three in a row are lost only when something is wrong.
+SILENCE_S = 1.4
+REDIAL_S = 0.3
+# An instance that nobody lists and that was not heard from for so long is forgotten.
+FORGET_S = 30.0
+
+Handler = Callable[[str, Record], None]
+
+
+class Member:
+    """One other instance.
+
+    Attributes:
+        id: of the instance.
+        address: that its peers connect to.
+        zone: its availability zone; empty if not known.
+        incarnation: of its life as last heard; empty if never.
+        heard_at: when its last message came; -inf if none did or its stream ended.
+        lost_at: when it was first found to be silent; None while it is heard.
+        leaving: it said that it takes no new work.
+    """
+
+    def __init__(self, id: str, address: str, zone: str, now: float) -> None:
+        self.id = id
+        self.address = address
+        self.zone = zone
+        self.incarnation = ""
+        self.heard_at = float("-inf")
+        self.lost_at: float | None = now
+        self.leaving = False
+        self.listed_at = now
+
+
+class Mesh:
+    """Streams to and from all peers.
+
+    Args:
+        instance: own id.
+        incarnation: of this life of the process.
+        zone: own availability zone.
+        address: that peers connect to.
+        seeds: addresses to begin with.
+    """
+
+    def __init__(
+        self, instance: str, incarnation: str, zone: str, address: str, seeds: list[str]
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.zone = zone
+        self.address = address
+        self.members_by_id: dict[str, Member] = {}
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._streams_by_address: dict[str, OutStream] = {}
+        self._dialers_by_address: dict[str, asyncio.Task[None]] = {}
+        self._handlers_by_kind: dict[type[Record], Handler] = {}
+        self._appeared: list[Callable[[Member], None]] = []
+        self._lost: list[Callable[[Member], None]] = []
+        self._server: asyncio.Server | None = None
+        self._readers: set[asyncio.Task[None]] = set()
+
+    def register(self, kind: type[Record], handler: Handler) -> None:
+        """Have ``handler`` told of each message of ``kind``, with its sender's id."""
+        self._handlers_by_kind[kind] = handler
+
+    def on_appear(self, call: Callable[[Member], None]) -> None:
+        """Have ``call`` called when a member begins to be heard from."""
+        self._appeared.append(call)
+
+    def on_lose(self, call: Callable[[Member], None]) -> None:
+        """Have ``call`` called when a member is not heard from any more."""
+        self._lost.append(call)
+
+    async def start(self) -> None:
+        """Listen, and connect to the seeds."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accepted, host, int(port))
+        for seed in self._seeds:
+            self._dial(seed)
+
+    async def stop(self) -> None:
+        """Close all streams."""
+        if self._server is not None:
+            self._server.close()
+        tasks = [*self._dialers_by_address.values(), *self._readers]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def alive(self) -> list[Member]:
+        """Return the members that are heard from."""
+        return [m for m in self.members_by_id.values() if m.lost_at is None]
+
+    def incarnation_alive(self, incarnation: str) -> bool:
+        """Whether this life of an instance is the own one or is heard from."""
+        if incarnation == self.incarnation:
+            return True
+        return any(member.incarnation == incarnation for member in self.alive())
+
+    def send(self, instance: str, message: Record) -> bool:
+        """Queue ``message`` for one peer; False if there is no stream to it."""
+        member = self.members_by_id.get(instance)
+        stream = self._streams_by_address.get(member.address) if member else None
+        return stream is not None and stream.send(encode(message))
+
+    def send_all(self, message: Record) -> None:
+        """Queue ``message`` for every peer that there is a stream to."""
+        data = encode(message)
+        for stream in self._streams_by_address.values():
+            if stream.connected:
+                stream.send(data)
+
+    def learn(self, id: str, address: str, zone: str) -> None:
+        """Take note of an instance that is listed somewhere."""
+        if id == self.instance:
+            return
+        now = asyncio.get_running_loop().time()
+        member = self.members_by_id.get(id)
+        if member is None:
+            member = Member(id, address, zone, now)
+            self.members_by_id[id] = member
+        if member.address != address and member.lost_at is not None:
+            member.address = address
+            member.zone = zone
+        member.listed_at = now
+        self._dial(member.address)
+
+    def check(self) -> None:
+        """Find members that have fallen silent; forget those long gone."""
+        now = asyncio.get_running_loop().time()
+        for member in list(self.members_by_id.values()):
+            if member.lost_at is None and now - member.heard_at > SILENCE_S:
+                self._lose(member, "it is silent")
+            if member.lost_at is None:
+                continue
+            if now - max(member.lost_at, member.listed_at) > FORGET_S:
+                del self.members_by_id[member.id]
+                self._hang_up(member.address)
+
+    def hello(self) -> Hello:
+        """Return what this instance says first."""
+        members = [[m.id, m.address, m.zone] for m in self.members_by_id.values()]
+        return Hello(self.instance, self.incarnation, self.zone, self.address, members)
+
+    def _dial(self, address: str) -> None:
+        if address == self.address or address in self._dialers_by_address:
+            return
+        stream = OutStream(address, self.hello)
+        self._streams_by_address[address] = stream
+        task = asyncio.get_running_loop().create_task(self._keep(stream))
+        self._dialers_by_address[address] = task
+
+    def _hang_up(self, address: str) -> None:
+        self._streams_by_address.pop(address, None)
+        task = self._dialers_by_address.pop(address, None)
+        if task is not None:
+            task.cancel()
+
+    async def _keep(self, stream: OutStream) -> None:
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                await stream.run_once()
+            await asyncio.sleep(REDIAL_S)
+
+    async def _accepted(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._readers.add(task)
+        member: Member | None = None
+        try:
+            hello = await read_message(reader)
+            if not isinstance(hello, Hello):
+                return
+            member = self._greeted(hello)
+            while True:
+                message = await read_message(reader)
+                self._heard(member, message)
+        except (asyncio.IncompleteReadError, OSError):
+            pass  # the stream ended; what follows from it is below
+        except (FrameError, MessageError) as error:
+            log.warning("stream dropped", reason=str(error))
+        finally:
+            self._readers.discard(task)
+            writer.close()
+            if member is not None and member.lost_at is None:
+                current = self.members_by_id.get(member.id)
+                if current is member and member.incarnation == hello.incarnation:
+                    self._lose(member, "its stream ended")
+
+    def _greeted(self, hello: Hello) -> Member:
+        self.learn(hello.instance, hello.address, hello.availability_zone)
+        member = self.members_by_id[hello.instance]
+        if member.address != hello.address:
+            self._hang_up(member.address)
+            member.address = hello.address
+            self._dial(member.address)
+        if member.lost_at is None and member.incarnation != hello.incarnation:
+            self._lose(member, "it was started again")
+        member.zone = hello.availability_zone
+        member.incarnation = hello.incarnation
+        member.leaving = False
+        for id, address, zone in hello.members:
+            self.learn(id, address, zone)
+        self._heard(member, None)
+        return member
+
+    def _heard(self, member: Member, message: Record | None) -> None:
+        member.heard_at = asyncio.get_running_loop().time()
+        if member.lost_at is not None:
+            member.lost_at = None
+            log.info("peer heard", peer=member.id, incarnation=member.incarnation)
+            for call in self._appeared:
+                call(member)
+        if message is None:
+            return
+        handler = self._handlers_by_kind.get(type(message))
+        if handler is not None:
+            handler(member.id, message)
+
+    def _lose(self, member: Member, reason: str) -> None:
+        member.lost_at = asyncio.get_running_loop().time()
+        log.warning("peer lost", peer=member.id, reason=reason)
+        for call in self._lost:
+            call(member)
--- /dev/null
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -0,0 +1,156 @@
+"""What instances tell each other; all of it may be lost, late or doubled."""
+
+from typing import Any
+
+from caperridge.records import Record
+
+
+class Hello(Record):
+    """First on each stream: who speaks, and whom it knows.
+
+    Attributes:
+        instance: id.
+        incarnation: of this life of the process.
+        availability_zone: where it runs.
+        address: that peers connect to.
+        members: id, address and zone of every instance it knows.
+    """
+
+    __slots__ = ("address", "availability_zone", "incarnation", "instance", "members")
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        availability_zone: str,
+        address: str,
+        members: list[list[str]],
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.availability_zone = availability_zone
+        self.address = address
+        self.members = members
+
+
+class Heartbeat(Record):
+    """Regularly: all counts, and the versions of the tables that are copied.
+
+    Attributes:
+        counts: target, online requests and items.
+        versions: newest change by table.
+        leaving: the instance takes no new work.
+    """
+
+    __slots__ = ("counts", "leaving", "versions")
+
+    def __init__(
+        self, counts: list[list[Any]], versions: dict[str, int], leaving: bool = False
+    ) -> None:
+        self.counts = counts
+        self.versions = versions
+        self.leaving = leaving
+
+
+class Counts(Record):
+    """Counts that changed: target, online requests and items."""
+
+    __slots__ = ("counts",)
+
+    def __init__(self, counts: list[list[Any]]) -> None:
+        self.counts = counts
+
+
+class TableNews(Record):
+    """The speaker's copy of ``table`` has a change of ``version``."""
+
+    __slots__ = ("table", "version")
+
+    def __init__(self, table: str, version: int) -> None:
+        self.table = table
+        self.version = version
+
+
+class TableAsk(Record):
+    """Asks for the speaker's whole copy of ``table``."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table: str) -> None:
+        self.table = table
+
+
+class TableWhole(Record):
+    """A whole copy: part, key, value and version of each row."""
+
+    __slots__ = ("rows", "table", "version")
+
+    def __init__(self, table: str, version: int, rows: list[list[Any]]) -> None:
+        self.table = table
+        self.version = version
+        self.rows = rows
+
+
+class JobNews(Record):
+    """How far a job is.
+
+    Attributes:
+        job: id.
+        holder: incarnation that works on it; empty if it was given up.
+        listed: results in the store.
+        cancelled: its caller ended it.
+    """
+
+    __slots__ = ("cancelled", "holder", "job", "listed")
+
+    def __init__(
+        self, job: str, holder: str, listed: int, cancelled: bool = False
+    ) -> None:
+        self.job = job
+        self.holder = holder
+        self.listed = listed
+        self.cancelled = cancelled
+
+
+class StoreAsk(Record):
+    """Asks to call the store for an instance that it turns away.
+
+    Attributes:
+        number: that the answer carries.
+        call: name of a method of the store.
+        arguments: of that method, in order.
+    """
+
+    __slots__ = ("arguments", "call", "number")
+
+    def __init__(self, number: int, call: str, arguments: list[Any]) -> None:
+        self.number = number
+        self.call = call
+        self.arguments = arguments
+
+
+class StoreAnswer(Record):
+    """What the store answered; ``outcome`` names the type, ``fields`` holds it."""
+
+    __slots__ = ("fields", "number", "outcome")
+
+    def __init__(self, number: int, outcome: str, fields: Any) -> None:
+        self.number = number
+        self.outcome = outcome
+        self.fields = fields
+
+
+KINDS_BY_NAME = {
+    kind.__name__: kind
+    for kind in (
+        Hello,
+        Heartbeat,
+        Counts,
+        TableNews,
+        TableAsk,
+        TableWhole,
+        JobNews,
+        StoreAsk,
+        StoreAnswer,
+    )
+}
--- /dev/null
+++ b/src/caperridge/gateway/metrics.py
@@ -0,0 +1,72 @@
+"""The metrics of a gateway instance, in a registry of their own."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+FIRST_EVENT_BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+STORE_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0)
+
+
+class GatewayMetrics:
+    """All of them; labels are few words each, never a caller's."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        self.requests = Counter(
+            "caperridge_gateway_requests",
+            "Callers' requests by kind of route and outcome.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.first_event = Histogram(
+            "caperridge_gateway_first_event_seconds",
+            "From the arrival of a request to its first event.",
+            ["kind"],
+            buckets=FIRST_EVENT_BUCKETS,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "caperridge_gateway_failed_attempts",
+            "Attempts at targets that failed, by error.",
+            ["error"],
+            registry=self.registry,
+        )
+        self.items = Counter(
+            "caperridge_gateway_items",
+            "Runs of items by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.jobs = Counter(
+            "caperridge_gateway_jobs",
+            "Jobs that were sent, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "caperridge_gateway_store_calls",
+            "Calls of the store by kind and outcome.",
+            ["call", "outcome"],
+            registry=self.registry,
+        )
+        self.store_seconds = Histogram(
+            "caperridge_gateway_store_seconds",
+            "How long calls of the store took.",
+            ["call"],
+            buckets=STORE_BUCKETS,
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            "caperridge_gateway_configuration_version",
+            "Version of the configuration in force here.",
+            registry=self.registry,
+        )
+        self.peers_alive = Gauge(
+            "caperridge_gateway_peers_alive",
+            "Peers that were heard from lately.",
+            registry=self.registry,
+        )
+        self.waiting_items = Gauge(
+            "caperridge_gateway_waiting_items",
+            "Items of jobs held here that wait for a slot.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/caperridge/gateway/news.py
@@ -0,0 +1,128 @@
+"""News between instances: counts at targets, and versions of the copied tables."""
+
+import asyncio
+
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.messages import (
+    Counts,
+    Heartbeat,
+    TableAsk,
+    TableNews,
+    TableWhole,
+)
+from caperridge.gateway.occupancy import NOTHING, Count
+from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.watcher import PEER_PATIENCE_S, TableWatcher
+
+
+class PeerNews:
+    """Sends and takes news.
+
+    Args:
+        mesh: of peers.
+        fleet: whose counts are told.
+        watchers: of the tables whose copies peers may ask for.
+    """
+
+    def __init__(self, mesh: Mesh, fleet: Fleet, watchers: list[TableWatcher]) -> None:
+        self.leaving = False
+        self._mesh = mesh
+        self._fleet = fleet
+        self._watchers_by_table = {watcher.copy.table: watcher for watcher in watchers}
+        self._flushing = False
+        self._told_versions: dict[str, int] = {}
+        mesh.register(Counts, self._counts)
+        mesh.register(Heartbeat, self._heartbeat)
+        mesh.register(TableNews, self._table_news)
+        mesh.register(TableAsk, self._table_ask)
+        mesh.register(TableWhole, self._table_whole)
+        mesh.on_appear(lambda _: self.beat())
+
+    def beat(self) -> None:
+        """Tell every peer all counts and versions."""
+        counts = [
+            [target, count.online, count.items]
+            for target, count in self._fleet.occupancy.own_counts().items()
+        ]
+        versions = {
+            table: watcher.copy.version
+            for table, watcher in self._watchers_by_table.items()
+        }
+        self._mesh.send_all(Heartbeat(counts, versions, self.leaving))
+
+    def counts_changed(self) -> None:
+        """Tell the counts that changed at the end of this turn of the loop."""
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def table_changed(self, table: str) -> None:
+        """Tell peers that the copy of ``table`` has news."""
+        version = self._watchers_by_table[table].copy.version
+        if version > self._told_versions.get(table, 0):
+            self._told_versions[table] = version
+            self._mesh.send_all(TableNews(table, version))
+
+    def _flush(self) -> None:
+        self._flushing = False
+        occupancy = self._fleet.occupancy
+        counts = []
+        for target in occupancy.take_changed():
+            count = occupancy.own_at(target)
+            counts.append([target, count.online, count.items])
+        if counts:
+            self._mesh.send_all(Counts(counts))
+
+    def _counts(self, peer: str, news: Counts) -> None:
+        for target, online, items in news.counts:
+            self._fleet.occupancy.told(peer, target, Count(online, items))
+        self._fleet.changed()
+
+    def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
+        member = self._mesh.members_by_id.get(peer)
+        if member is not None:
+            member.leaving = beat.leaving
+        counts = {
+            target: Count(online, items) if online or items else NOTHING
+            for target, online, items in beat.counts
+        }
+        self._fleet.occupancy.told_all(peer, counts)
+        self._fleet.changed()
+        for table, version in beat.versions.items():
+            self._peer_has(peer, table, version)
+
+    def _table_news(self, peer: str, news: TableNews) -> None:
+        self._peer_has(peer, news.table, news.version)
+
+    def _peer_has(self, peer: str, table: str, version: int) -> None:
+        watcher = self._watchers_by_table.get(table)
+        if watcher is None or version <= watcher.copy.version:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(PEER_PATIENCE_S, self._ask_if_behind, peer, table, version)
+
+    def _ask_if_behind(self, peer: str, table: str, version: int) -> None:
+        if self._watchers_by_table[table].copy.version < version:
+            self._mesh.send(peer, TableAsk(table))
+
+    def _table_ask(self, peer: str, ask: TableAsk) -> None:
+        watcher = self._watchers_by_table.get(ask.table)
+        if watcher is None or not watcher.copy.known:
+            return
+        rows = [
+            [key.part, key.key, row.value, row.version]
+            for key, row in watcher.copy.rows_by_key.items()
+        ]
+        version = watcher.copy.read_version
+        self._mesh.send(peer, TableWhole(ask.table, version, rows))
+
+    def _table_whole(self, peer: str, whole: TableWhole) -> None:
+        watcher = self._watchers_by_table.get(whole.table)
+        if watcher is None:
+            return
+        rows = [
+            StoredRow(RowKey(whole.table, part, key), value, version)
+            for part, key, value, version in whole.rows
+        ]
+        watcher.take_from_peer(rows, whole.version, peer)
--- /dev/null
+++ b/src/caperridge/gateway/occupancy.py
@@ -0,0 +1,106 @@
+"""How many requests run at each target, by the word of all instances.
+
+Every instance tells its peers how many online requests and items it has at a target
+whenever that changes. The counts are absolute, so news may be lost or doubled.
+"""
+
+from caperridge.records import Record
+
+
+class Count(Record):
+    """Requests at one target: ``online`` ones and ``items`` of jobs."""
+
+    __slots__ = ("items", "online")
+
+    def __init__(self, online: int = 0, items: int = 0) -> None:
+        self.online = online
+        self.items = items
+
+    @property
+    def total(self) -> int:
+        """All of them."""
+        return self.online + self.items
+
+
+NOTHING = Count()
+
+
+class Occupancy:
+    """Own counts and those of peers, with their sum for each target."""
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self._counts_by_instance: dict[str, dict[str, Count]] = {own: {}}
+        self._sums_by_target: dict[str, Count] = {}
+        self._changed: set[str] = set()
+
+    def add(self, target: str, online: int = 0, items: int = 0) -> None:
+        """Change the own counts at ``target`` by these differences."""
+        before = self._counts_by_instance[self.own].get(target, NOTHING)
+        count = Count(before.online + online, before.items + items)
+        self._put(self.own, target, count)
+        self._changed.add(target)
+
+    def told(self, instance: str, target: str, count: Count) -> None:
+        """Take what a peer says it has at ``target``."""
+        if instance != self.own:
+            self._put(instance, target, count)
+
+    def told_all(self, instance: str, counts_by_target: dict[str, Count]) -> None:
+        """Take all that a peer has; what is missing is nothing."""
+        if instance == self.own:
+            return
+        for target in list(self._counts_by_instance.get(instance, ())):
+            if target not in counts_by_target:
+                self._put(instance, target, NOTHING)
+        for target, count in counts_by_target.items():
+            self._put(instance, target, count)
+
+    def forget(self, instance: str) -> None:
+        """Drop what a peer said that is not heard from any more."""
+        self.told_all(instance, {})
+        if instance != self.own:
+            self._counts_by_instance.pop(instance, None)
+
+    def at(self, target: str) -> Count:
+        """Return the sum of all instances at ``target``."""
+        return self._sums_by_target.get(target, NOTHING)
+
+    def own_at(self, target: str) -> Count:
+        """Return what this instance has at ``target``."""
+        return self._counts_by_instance[self.own].get(target, NOTHING)
+
+    def own_counts(self) -> dict[str, Count]:
+        """Return what this instance has, by target."""
+        return dict(self._counts_by_instance[self.own])
+
+    def items_by_instance(self, target: str) -> dict[str, int]:
+        """Return who has items at ``target``, and how many."""
+        found: dict[str, int] = {}
+        for instance, counts in self._counts_by_instance.items():
+            items = counts.get(target, NOTHING).items
+            if items > 0:
+                found[instance] = items
+        return found
+
+    def take_changed(self) -> set[str]:
+        """Return the targets whose own counts changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def _put(self, instance: str, target: str, count: Count) -> None:
+        counts = self._counts_by_instance.setdefault(instance, {})
+        before = counts.get(target, NOTHING)
+        if count.total:
+            counts[target] = count
+        else:
+            counts.pop(target, None)
+        total = self._sums_by_target.get(target, NOTHING)
+        after = Count(
+            total.online - before.online + count.online,
+            total.items - before.items + count.items,
+        )
+        if after.total:
+            self._sums_by_target[target] = after
+        else:
+            self._sums_by_target.pop(target, None)
--- /dev/null
+++ b/src/caperridge/gateway/process.py
@@ -0,0 +1,313 @@
+"""One gateway instance: its parts, wired, and its start and stop."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+from typing import Any
+
+from caperridge.gateway.clock import StoreClock
+from caperridge.gateway.configuration import ConfigurationInForce
+from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.edge import Edge
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.forwarding import Forwarder
+from caperridge.gateway.jobs.acceptance import JobAcceptance
+from caperridge.gateway.jobs.claims import JobClaimer
+from caperridge.gateway.jobs.edge import JobsEdge
+from caperridge.gateway.jobs.index import JobIndex
+from caperridge.gateway.jobs.item_runs import ItemRuns
+from caperridge.gateway.jobs.keeper import JobKeeper
+from caperridge.gateway.jobs.keeping import JobWriter
+from caperridge.gateway.jobs.slots import ItemSlots
+from caperridge.gateway.listeners import (
+    Listener,
+    metrics_application,
+    ready_application,
+)
+from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.news import PeerNews
+from caperridge.gateway.observed_store import ObservedStore
+from caperridge.gateway.registry import InstanceRegistry
+from caperridge.gateway.rows import RowStore, StoredRow
+from caperridge.gateway.settings import Settings
+from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.upstream import TargetClient
+from caperridge.gateway.watcher import StoreReach, TableWatcher
+from caperridge.log import logger
+
+log = logger(__name__)
+
+TICK_S = 0.4
+PROBE_S = 0.5
+# The balancer asks every second and takes an instance out after two misses.
+LEAVING_S = 2.6
+# Left for closing connections before the kill.
+SPARE_S = 0.7
+
+
+class GatewayInstance:
+    """Everything of one instance.
+
+    Args:
+        settings: of the instance.
+        dialect: of the wire.
+        store: that keeps what lasts.
+    """
+
+    def __init__(self, settings: Settings, dialect: Dialect, store: RowStore) -> None:
+        self.settings = settings
+        self._dialect = dialect
+        chance = random.Random(secrets.randbits(64))
+        incarnation = f"{settings.instance}/{secrets.token_hex(4)}"
+        self.metrics = GatewayMetrics()
+        self.configuration = ConfigurationInForce()
+        self.fleet = Fleet(settings.instance, settings.availability_zone, chance)
+        self.clock = StoreClock()
+        store = ObservedStore(store, self.clock, self.metrics)
+        self._store = store
+        self.reach = StoreReach()
+        self.index = JobIndex()
+        self.mesh = Mesh(
+            settings.instance,
+            incarnation,
+            settings.availability_zone,
+            settings.peers,
+            settings.seeds,
+        )
+        self.client = TargetClient(dialect)
+        runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
+        slots = ItemSlots(
+            self.configuration, self.fleet, self.clock, runs, self.metrics, chance
+        )
+        self.keeper = JobKeeper(
+            store,
+            self.index,
+            self.configuration,
+            self.mesh,
+            JobWriter(store, incarnation, settings.row_bytes),
+            JobClaimer(store, self.mesh),
+            slots,
+            chance,
+        )
+        acceptance = JobAcceptance(store, self.index, self.clock, chance)
+        jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
+        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
+        self.edge = Edge(self.configuration, forwarder, jobs, dialect, self.metrics)
+        self._watchers = self._make_watchers(dialect)
+        self.news = PeerNews(self.mesh, self.fleet, self._watchers)
+        self.registry = InstanceRegistry(store, self.mesh)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[Listener] = []
+        self._wire()
+
+    def _make_watchers(self, dialect: Dialect) -> list[TableWatcher]:
+        takers = {
+            dialect.configuration_table: self._configuration_rows,
+            dialect.targets_table: self._target_rows,
+        }
+        watchers = [
+            TableWatcher(self._store, TableCopy(table), self.reach, taker)
+            for table, taker in takers.items()
+        ]
+        watchers.append(
+            TableWatcher(self._store, self.index.copy, self.reach, self._index_rows)
+        )
+        return watchers
+
+    def _wire(self) -> None:
+        self.reach.on_return(self.fleet.targets.store_returned)
+        self.fleet.on_change(self.keeper.poke)
+        self.fleet.on_change(self.news.counts_changed)
+        self.configuration.on_change(self.keeper.poke)
+        self.index.on_change(self.keeper.poke)
+        self.mesh.on_lose(self._peer_lost)
+
+    # Rows that were news.
+
+    def _configuration_rows(self, rows: list[StoredRow], source: str) -> None:
+        for row in rows:
+            if row.key.key != self._dialect.configuration_key or row.removed:
+                continue
+            try:
+                table = self._dialect.configuration(row.value)
+            except DecodeError as error:
+                log.error("configuration skipped", reason=str(error), source=source)
+                continue
+            if self.configuration.offer(table, source):
+                self.metrics.configuration_version.set(table.version)
+        self.news.table_changed(self._dialect.configuration_table)
+
+    def _target_rows(self, rows: list[StoredRow], source: str) -> None:
+        now = asyncio.get_running_loop().time()
+        targets = self.fleet.targets
+        for row in rows:
+            id = row.key.key
+            if row.removed:
+                targets.remove(id, now)
+                log.info("target gone", target=id, source=source, version=row.version)
+                continue
+            try:
+                target = self._dialect.target(id, row.value)
+            except DecodeError as error:
+                log.error("target skipped", target=id, reason=str(error))
+                continue
+            if targets.by_id.get(id) != target:
+                log.info(
+                    "target listed",
+                    target=id,
+                    draining=target.draining,
+                    address=target.address,
+                    source=source,
+                    version=row.version,
+                )
+            targets.put(target)
+        self.fleet.known = True
+        self.fleet.forget_gone()
+        self.fleet.changed()
+        self.news.table_changed(self._dialect.targets_table)
+
+    def _index_rows(self, rows: list[StoredRow], source: str) -> None:
+        self.index.take(rows)
+        self.news.table_changed(self.index.copy.table)
+
+    def _peer_lost(self, member: Member) -> None:
+        self.fleet.occupancy.forget(member.id)
+        self.fleet.changed()
+
+    # Start and stop.
+
+    @property
+    def ready(self) -> bool:
+        """Whether the instance takes callers."""
+        known = self.configuration.table is not None and self.fleet.known
+        return known and not self.edge.closing
+
+    async def start(self) -> None:
+        """Listen and begin to learn; returns at once."""
+        settings = self.settings
+        await self.mesh.start()
+        self._listeners = [
+            _listener(
+                ready_application(lambda: self.ready, self.state), settings.ready
+            ),
+            _listener(self.edge.application(), settings.callers),
+        ]
+        if settings.metrics_port:
+            application = metrics_application(self.metrics.registry)
+            self._listeners.append(
+                Listener(application, "0.0.0.0", settings.metrics_port)
+            )
+        for listener in self._listeners:
+            await listener.start()
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(watcher.run()) for watcher in self._watchers]
+        self._tasks += [
+            loop.create_task(self.keeper.run()),
+            loop.create_task(self.registry.run()),
+            loop.create_task(self._tick()),
+            loop.create_task(self._probe()),
+        ]
+        log.info(
+            "instance started",
+            instance=settings.instance,
+            availability_zone=settings.availability_zone,
+            callers=settings.callers,
+            incarnation=self.mesh.incarnation,
+        )
+
+    async def stop(self, grace_s: float) -> int:
+        """Leave without cutting anything; return how many requests were cut."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + grace_s - SPARE_S
+        log.info("instance stops", running=self.edge.running)
+        self.edge.closing = True
+        self.news.leaving = True
+        self.news.beat()
+        handing_over = loop.create_task(self.keeper.hand_over())
+        await asyncio.sleep(LEAVING_S)
+        self._listeners[1].close_door()
+        await self.edge.idle(end)
+        cut = self.edge.running
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(max(end, loop.time() + 0.05)):
+                await handing_over
+        await self.registry.leave()
+        log.info("instance stopped", cut=cut)
+        return cut
+
+    async def close(self) -> None:
+        """End all tasks and connections at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.mesh.stop()
+        await self.client.close()
+        for listener in self._listeners:
+            await listener.stop()
+
+    async def _tick(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            self.mesh.check()
+            self.news.beat()
+            gone = self.fleet.targets.expire(now)
+            if gone:
+                log.info("targets gone after an outage", targets=gone)
+                self.fleet.changed()
+            self.metrics.peers_alive.set(len(self.mesh.alive()))
+            await asyncio.sleep(TICK_S)
+
+    async def _probe(self) -> None:
+        """Find out when targets that could not be reached can be again."""
+        while True:
+            await asyncio.sleep(PROBE_S)
+            for id, address in list(self.fleet.unreachable.items()):
+                if id not in self.fleet.targets.by_id:
+                    self.fleet.unreachable.pop(id, None)
+                elif await self.client.reaches(address):
+                    self.fleet.reached(id)
+
+    def state(self) -> dict[str, Any]:
+        """Return what this instance believes, for people."""
+        table = self.configuration.table
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.mesh.incarnation,
+            "ready": self.ready,
+            "configuration": table.version if table is not None else None,
+            "store_reached": self.reach.reached,
+            "running": self.edge.running,
+            "peers": {
+                member.id: {
+                    "address": member.address,
+                    "incarnation": member.incarnation,
+                    "alive": member.lost_at is None,
+                }
+                for member in self.mesh.members_by_id.values()
+            },
+            "targets": {
+                id: {
+                    "address": target.address,
+                    "draining": target.draining,
+                    "online": self.fleet.occupancy.at(id).online,
+                    "items": self.fleet.occupancy.at(id).items,
+                    "unreachable": id in self.fleet.unreachable,
+                }
+                for id, target in self.fleet.targets.by_id.items()
+            },
+            "jobs_held": {
+                id: {
+                    "total": job.head.total,
+                    "listed": job.head.listed,
+                    "running": len(job.running()),
+                }
+                for id, job in self.keeper.held_by_id.items()
+            },
+        }
+
+
+def _listener(application: Any, address: str) -> Listener:
+    host, _, port = address.rpartition(":")
+    return Listener(application, host, int(port))
--- /dev/null
+++ b/src/caperridge/gateway/rows.py
@@ -0,0 +1,166 @@
+"""The store as the gateway needs it: versioned rows, changes, and objects.
+
+A transaction checks versions of rows and then writes, all or nothing, in one part.
+Every call ends done, not done, or unknown: an unknown one may still take effect
+seconds later if its conditions hold then, so whatever is decided after it needs a
+condition that it would break.
+"""
+
+from abc import ABC, abstractmethod
+
+from result import Result
+
+from caperridge.records import Record
+from caperridge.store.interface import NotDone, Unknown
+
+ABSENT = 0
+
+
+class RowKey(Record):
+    """Name of a row; a transaction's rows share their ``part``."""
+
+    __slots__ = ("key", "part", "table")
+
+    def __init__(self, table: str, part: str, key: str) -> None:
+        self.table = table
+        self.part = part
+        self.key = key
+
+
+class StoredRow(Record):
+    """One row as read; ``version`` is that of the transaction that wrote it.
+
+    ``removed`` is set in a change that took the row away.
+    """
+
+    __slots__ = ("key", "removed", "value", "version")
+
+    def __init__(
+        self, key: RowKey, value: bytes, version: int, removed: bool = False
+    ) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+        self.removed = removed
+
+
+class RowsRead(Record):
+    """Rows in order of their keys, as of one moment.
+
+    Attributes:
+        rows: those found, up to the limit.
+        truncated: there are more.
+        version: the newest of the store then.
+        now_s: the store's steady clock then, in seconds.
+    """
+
+    __slots__ = ("now_s", "rows", "truncated", "version")
+
+    def __init__(
+        self, rows: list[StoredRow], truncated: bool, version: int, now_s: float
+    ) -> None:
+        self.rows = rows
+        self.truncated = truncated
+        self.version = version
+        self.now_s = now_s
+
+
+class Transaction(Record):
+    """What has to hold and what is written, in one part.
+
+    Attributes:
+        versions: version that each row must have, by key; ``ABSENT`` for none.
+        writes: new values by key.
+        removes: rows to drop.
+    """
+
+    __slots__ = ("removes", "versions", "writes")
+
+    def __init__(
+        self,
+        versions: dict[RowKey, int],
+        writes: dict[RowKey, bytes],
+        removes: list[RowKey] | None = None,
+    ) -> None:
+        self.versions = versions
+        self.writes = writes
+        self.removes = removes or []
+
+
+class Done(Record):
+    """The transaction took effect; ``version`` is that of all rows it wrote."""
+
+    __slots__ = ("now_s", "version")
+
+    def __init__(self, version: int, now_s: float) -> None:
+        self.version = version
+        self.now_s = now_s
+
+
+class Refused(Record):
+    """Not done: a version differed. ``rows`` are those of the conditions, if there."""
+
+    __slots__ = ("rows",)
+
+    def __init__(self, rows: list[StoredRow]) -> None:
+        self.rows = rows
+
+    def row(self, key: RowKey) -> StoredRow | None:
+        """Return the row ``key`` as it is; None if it is not there."""
+        for row in self.rows:
+            if row.key == key and not row.removed:
+                return row
+        return None
+
+
+class HistoryGone(Record):
+    """The store no longer knows the changes since that version."""
+
+    __slots__ = ()
+
+
+StoreError = NotDone | Unknown
+TransactionError = Refused | NotDone | Unknown
+ChangesError = HistoryGone | NotDone | Unknown
+
+
+class RowStore(ABC):
+    """Rows, changes and objects that outlive every instance."""
+
+    @abstractmethod
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = 500,
+    ) -> Result[RowsRead, StoreError]:
+        """Return rows from key ``first`` up to, without it, ``end``."""
+
+    @abstractmethod
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Done, TransactionError]:
+        """Apply ``transaction`` whole or not at all."""
+
+    @abstractmethod
+    async def changes(
+        self, table: str, since: int, wait_s: float
+    ) -> Result[RowsRead, ChangesError]:
+        """Return the rows of all parts of ``table`` that changed after ``since``.
+
+        Waits for a change for up to ``wait_s``.
+        """
+
+    @abstractmethod
+    async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
+        """Keep ``data`` under ``name``; keeping the same again is no error."""
+
+    @abstractmethod
+    async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
+        """Return the object; None if there is none."""
+
+    @abstractmethod
+    async def drop_object(self, name: str) -> Result[None, StoreError]:
+        """Remove the object if it is there."""
--- /dev/null
+++ b/src/caperridge/gateway/settings.py
@@ -0,0 +1,144 @@
+"""Settings of a gateway instance: one TOML file, checked as a whole."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import voluptuous as vol
+
+from caperridge.checking import invalid_findings
+from caperridge.findings import WHOLE, Finding, FindingsError
+from caperridge.records import Record
+
+_ADDRESS = vol.All(str, vol.Match(r"^[0-9.]+:[0-9]+$", msg="must be IP:PORT"))
+_POSITIVE = vol.All(vol.Any(int, float), vol.Range(min=0, min_included=False))
+
+SCHEMA = vol.Schema(
+    {
+        vol.Required("instance"): {
+            vol.Required("id"): vol.All(str, vol.Length(min=1)),
+            vol.Required("availability_zone"): str,
+            vol.Required("metrics_port"): vol.All(int, vol.Range(0, 65535)),
+            "log_level": vol.Any("DEBUG", "INFO", "WARNING", "ERROR"),
+        },
+        vol.Required("listen"): {
+            vol.Required("callers"): _ADDRESS,
+            vol.Required("ready"): _ADDRESS,
+            vol.Required("peers"): _ADDRESS,
+        },
+        vol.Required("peers"): {vol.Required("seeds"): [_ADDRESS]},
+        vol.Required("store"): {
+            vol.Required("address"): _ADDRESS,
+            vol.Required("row_bytes"): _POSITIVE,
+            vol.Required("object_bytes"): _POSITIVE,
+        },
+        vol.Required("stopping"): {vol.Required("grace_s"): _POSITIVE},
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+
+
+class Settings(Record):
+    """What one instance is told about itself and its surroundings.
+
+    Attributes:
+        instance: id, unique in the system; a restarted instance keeps it.
+        availability_zone: where it runs.
+        metrics_port: TCP port of the metrics, on all addresses; 0 for none.
+        callers: ``IP:PORT`` that callers connect to.
+        ready: ``IP:PORT`` that answers whether the instance takes callers.
+        peers: ``IP:PORT`` that other instances connect to.
+        seeds: ``IP:PORT`` of peers to begin with; some may be gone.
+        store: ``IP:PORT`` of the platform's store.
+        row_bytes: largest value of a row there, encoded.
+        object_bytes: largest object there.
+        grace_s: seconds between being told to stop and being killed.
+        log_level: least level that is logged.
+    """
+
+    __slots__ = (
+        "availability_zone",
+        "callers",
+        "grace_s",
+        "instance",
+        "log_level",
+        "metrics_port",
+        "object_bytes",
+        "peers",
+        "ready",
+        "row_bytes",
+        "seeds",
+        "store",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        availability_zone: str,
+        metrics_port: int,
+        callers: str,
+        ready: str,
+        peers: str,
+        seeds: list[str],
+        store: str,
+        row_bytes: int,
+        object_bytes: int,
+        grace_s: float,
+        log_level: str = "INFO",
+    ) -> None:
+        self.instance = instance
+        self.availability_zone = availability_zone
+        self.metrics_port = metrics_port
+        self.callers = callers
+        self.ready = ready
+        self.peers = peers
+        self.seeds = seeds
+        self.store = store
+        self.row_bytes = row_bytes
+        self.object_bytes = object_bytes
+        self.grace_s = grace_s
+        self.log_level = log_level
+
+
+def load(path: Path) -> Settings:
+    """Return the settings in ``path``.
+
+    Raises:
+        FindingsError: it cannot be read, or with everything that is wrong in it.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise FindingsError([Finding(str(path), WHOLE, str(error))]) from error
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> Settings:
+    """Return the settings in ``text``; ``source`` names it in findings.
+
+    Unknown keys are skipped: another release may have written them.
+
+    Raises:
+        FindingsError: with everything that is wrong.
+    """
+    try:
+        table: dict[str, Any] = SCHEMA(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise FindingsError([Finding(source, WHOLE, str(error))]) from error
+    except vol.MultipleInvalid as error:
+        findings = invalid_findings(lambda _: source, error, SCHEMA)
+        raise FindingsError(findings) from error
+    return Settings(
+        instance=table["instance"]["id"],
+        availability_zone=table["instance"]["availability_zone"],
+        metrics_port=table["instance"]["metrics_port"],
+        callers=table["listen"]["callers"],
+        ready=table["listen"]["ready"],
+        peers=table["listen"]["peers"],
+        seeds=table["peers"]["seeds"],
+        store=table["store"]["address"],
+        row_bytes=int(table["store"]["row_bytes"]),
+        object_bytes=int(table["store"]["object_bytes"]),
+        grace_s=float(table["stopping"]["grace_s"]),
+        log_level=table["instance"].get("log_level", "INFO"),
+    )
--- /dev/null
+++ b/src/caperridge/gateway/table_copy.py
@@ -0,0 +1,74 @@
+"""A local copy of one table of the store, which never goes back.
+
+It is fed with whole reads, changes and the copies of peers, in any order and doubled.
+Reads may be stale, so a whole read that is older than the copy takes nothing away.
+"""
+
+from collections.abc import Iterable
+
+from caperridge.gateway.rows import RowKey, StoredRow
+
+
+class TableCopy:
+    """Rows by key with the version that wrote each.
+
+    Attributes:
+        table: name of the table.
+        version: of the newest change that the copy includes.
+        read_version: up to which changes were heard; changes are asked for from here.
+    """
+
+    def __init__(self, table: str) -> None:
+        self.table = table
+        self.version = 0
+        self.read_version = -1
+        self.rows_by_key: dict[RowKey, StoredRow] = {}
+        self._removed_versions_by_key: dict[RowKey, int] = {}
+
+    @property
+    def known(self) -> bool:
+        """Whether a whole copy was ever had."""
+        return self.read_version >= 0
+
+    def take_whole(self, rows: Iterable[StoredRow], version: int) -> list[StoredRow]:
+        """Take a whole read as of ``version``; return what it changed.
+
+        Rows that were written after it stay, whatever it says.
+        """
+        listed = {row.key: row for row in rows}
+        changed = [row for row in listed.values() if self._put(row)]
+        for key, row in list(self.rows_by_key.items()):
+            if key in listed or row.version > version:
+                continue
+            gone = StoredRow(key, b"", version, removed=True)
+            if self._put(gone):
+                changed.append(gone)
+        self.read_version = max(self.read_version, version)
+        return changed
+
+    def take_changes(self, rows: Iterable[StoredRow], version: int) -> list[StoredRow]:
+        """Take changes that reach up to ``version``; return those that were news."""
+        changed = [row for row in rows if self._put(row)]
+        self.read_version = max(self.read_version, version)
+        return changed
+
+    def take_row(self, row: StoredRow) -> bool:
+        """Take one row that was written or seen apart; return whether it was news."""
+        return self._put(row)
+
+    def part(self, part: str) -> list[StoredRow]:
+        """Return the rows of ``part``."""
+        return [row for key, row in self.rows_by_key.items() if key.part == part]
+
+    def _put(self, row: StoredRow) -> bool:
+        before = self.rows_by_key.get(row.key)
+        known = before.version if before else self._removed_versions_by_key.get(row.key)
+        if known is not None and row.version <= known:
+            return False
+        self.version = max(self.version, row.version)
+        if row.removed:
+            self._removed_versions_by_key[row.key] = row.version
+            return self.rows_by_key.pop(row.key, None) is not None
+        self._removed_versions_by_key.pop(row.key, None)
+        self.rows_by_key[row.key] = row
+        return True
--- /dev/null
+++ b/src/caperridge/gateway/upstream.py
@@ -0,0 +1,181 @@
+"""The client of targets: one connection for each attempt, never used again.
+
+A target may send a late or surplus answer on a kept connection, or bytes after a
+whole one; on a connection of its own none of that reaches another request.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yarl
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from caperridge.gateway.dialect import Dialect
+from caperridge.gateway.targets import Target
+from caperridge.no_repeat import LostOnTheWayError, loss_is_final
+from caperridge.records import Record
+from caperridge.refusals import NOT_RUN
+from caperridge.targets.outcomes import (
+    AttemptError,
+    Lost,
+    NotSent,
+    TargetRefused,
+    WrongAnswer,
+)
+from caperridge.targets.plain import ADDED_HEADERS
+
+# Availability zones are some milliseconds apart and a connection takes one more; a
+# target that is away answers nothing, and its caller has 300 ms.
+CONNECT_S = 0.2
+READ_BYTES = 64 * 2**10
+
+
+class Outbound(Record):
+    """One request as it goes to a target.
+
+    Attributes:
+        request: its id, which the answer must carry.
+        method: of HTTP.
+        path: with the query, encoded as the caller sent it.
+        headers: all of them.
+        body: whole.
+    """
+
+    __slots__ = ("body", "headers", "method", "path", "request")
+
+    def __init__(
+        self,
+        request: str,
+        method: str,
+        path: str,
+        headers: CIMultiDict[str],
+        body: bytes,
+    ) -> None:
+        self.request = request
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+
+class BrokenAnswerError(Exception):
+    """The answer ended before it was whole."""
+
+
+class Answer:
+    """An answer whose head has come; its body is read from :meth:`pieces`."""
+
+    __slots__ = ("_protocol", "_response", "headers", "status")
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        # Kept here, for the response lets go of it at the end of the body.
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
+        self.status = response.status
+        self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises:
+            BrokenAnswerError: the connection ended before the body did.
+        """
+        try:
+            while piece := await self._response.content.readany():
+                yield piece
+        except (aiohttp.ClientError, OSError) as error:
+            raise BrokenAnswerError(type(error).__name__) from error
+        if self._unframed and self._was_reset():
+            raise BrokenAnswerError("an answer without a length was reset")
+
+    def close(self) -> None:
+        """Close the connection; the target drops the request if it still runs."""
+        self._response.close()
+
+    @property
+    def _unframed(self) -> bool:
+        return (
+            "Content-Length" not in self.headers
+            and "chunked" not in self.headers.get("Transfer-Encoding", "").lower()
+        )
+
+    def _was_reset(self) -> bool:
+        return self._protocol is not None and self._protocol.exception() is not None
+
+
+class TargetClient:
+    """Sends requests to targets and tells what became of each attempt."""
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect = dialect
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def open(
+        self, target: Target, outbound: Outbound, connect_s: float = CONNECT_S
+    ) -> Result[Answer, AttemptError]:
+        """Send ``outbound`` and return the answer once its head has come.
+
+        Cancelling this closes the connection.
+        """
+        try:
+            response = await self._open().request(
+                outbound.method,
+                yarl.URL(f"http://{target.address}{outbound.path}", encoded=True),
+                data=outbound.body or None,
+                headers=outbound.headers,
+                skip_auto_headers=ADDED_HEADERS,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Err(NotSent(type(error).__name__))
+        except LostOnTheWayError as error:
+            return Err(Lost(str(error)))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(Lost(type(error).__name__))
+        return self._checked(outbound, Answer(response))
+
+    async def reaches(self, address: str, within_s: float = CONNECT_S) -> bool:
+        """Return whether something accepts connections at ``address``."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(within_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+        return True
+
+    def _checked(
+        self, outbound: Outbound, answer: Answer
+    ) -> Result[Answer, AttemptError]:
+        names = self._dialect.headers
+        if self._dialect.client_error_not_run(answer.status, answer.headers):
+            answer.close()
+            return Err(TargetRefused(answer.status, "it has not run it", NOT_RUN))
+        if answer.headers.get(names.request) != outbound.request:
+            answer.close()
+            return Err(WrongAnswer("an answer with the id of another request"))
+        return Ok(answer)
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                read_bufsize=READ_BYTES,
+                middlewares=(loss_is_final,),
+            )
+        return self._session
--- /dev/null
+++ b/src/caperridge/gateway/watcher.py
@@ -0,0 +1,134 @@
+"""Keeping a copy of a table up to date, by the store and by peers."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from caperridge.gateway.rows import HistoryGone, RowsRead, RowStore, StoredRow
+from caperridge.gateway.table_copy import TableCopy
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# How long the store may hold the answer to a watch. Longer saves calls; a dead
+# connection is noticed only after it.
+WATCH_S = 2.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.6
+# A version that a peer has is asked for when the store has not told it by then.
+PEER_PATIENCE_S = 0.04
+
+Changed = Callable[[list[StoredRow], str], None]
+
+
+class StoreReach:
+    """Whether the store answers this instance, as its watches find."""
+
+    def __init__(self) -> None:
+        self.reached = False
+        self.away_since: float | None = None
+        self._returned: list[Callable[[float], None]] = []
+
+    def on_return(self, call: Callable[[float], None]) -> None:
+        """Have ``call`` called with the time when the store answers again."""
+        self._returned.append(call)
+
+    def answered(self) -> None:
+        """Note that the store answered."""
+        if self.reached:
+            return
+        now = asyncio.get_running_loop().time()
+        away_s = round(now - self.away_since, 2) if self.away_since else 0.0
+        self.reached = True
+        log.info("store reached", away_s=away_s)
+        if self.away_since is not None:
+            for call in self._returned:
+                call(now)
+        self.away_since = None
+
+    def failed(self, reason: str) -> None:
+        """Note that the store did not answer."""
+        if self.away_since is None:
+            self.away_since = asyncio.get_running_loop().time()
+        if self.reached:
+            log.warning("store lost", reason=reason)
+        self.reached = False
+
+
+class TableWatcher:
+    """One task that keeps one table's copy.
+
+    Args:
+        store: asked directly.
+        copy: kept up to date.
+        reach: told how the store does.
+        changed: called with rows that were news and who told of them.
+    """
+
+    def __init__(
+        self, store: RowStore, copy: TableCopy, reach: StoreReach, changed: Changed
+    ) -> None:
+        self.copy = copy
+        self._store = store
+        self._reach = reach
+        self._changed = changed
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        whole = True
+        while True:
+            answer = await (self._read() if whole else self._watch())
+            if isinstance(answer, Err):
+                error = answer.err_value
+                if isinstance(error, HistoryGone):
+                    log.info("history gone", table=self.copy.table)
+                    whole = True
+                    continue
+                self._reach.failed(error.reason)
+                await asyncio.sleep(pause_s)
+                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                continue
+            pause_s = FIRST_PAUSE_S
+            whole = False
+
+    def take_from_peer(self, rows: list[StoredRow], version: int, peer: str) -> None:
+        """Take a whole copy that a peer has."""
+        news = self.copy.take_whole(rows, version)
+        if news:
+            self._changed(news, peer)
+
+    async def _read(self) -> Err | None:
+        rows: list[StoredRow] = []
+        first = ""
+        version = 0
+        while True:
+            answer = await self._store.read(self.copy.table, first=first)
+            if isinstance(answer, Err):
+                return answer
+            page: RowsRead = answer.ok_value
+            version = version or page.version
+            rows += page.rows
+            if not page.truncated:
+                break
+            first = page.rows[-1].key.key + "\x00"
+        self._reach.answered()
+        known = self.copy.known
+        news = self.copy.take_whole(rows, version)
+        if news or not known:
+            self._changed(news, "store")
+        return None
+
+    async def _watch(self) -> Err | None:
+        answer = await self._store.changes(
+            self.copy.table, self.copy.read_version, WATCH_S
+        )
+        if isinstance(answer, Err):
+            return answer
+        self._reach.answered()
+        page: RowsRead = answer.ok_value
+        news = self.copy.take_changes(page.rows, page.version)
+        if news:
+            self._changed(news, "store")
+        return None
--- a/src/caperridge/instance/call_sweeper.py
+++ b/src/caperridge/instance/call_sweeper.py
@@ -10,7 +10,7 @@
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.plain_calls import CallClaim, may_forget
 from caperridge.instance.actor import Actor
-from caperridge.platform.interface import Platform
+from caperridge.store.interface import Platform
 
 SWEEP = "sweep-calls"
 PAGE = 200
--- a/src/caperridge/instance/claimer.py
+++ b/src/caperridge/instance/claimer.py
@@ -33,9 +33,9 @@
     SessionsLapsed,
 )
 from caperridge.instance.job_items import JobItems
-from caperridge.platform.interface import Conflict, Platform
 from caperridge.queries.jobs import read_view, session_states
 from caperridge.records import Record
+from caperridge.store.interface import Conflict, Platform
 
 MOST_VIEWS = 16
 MOST_TRIES = 3
--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -24,9 +24,9 @@
 )
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
-from caperridge.platform.interface import Conflict, Platform
-from caperridge.platform.settle import put_settled
 from caperridge.records import Record
+from caperridge.store.interface import Conflict, Platform
+from caperridge.store.settle import put_settled
 
 log = logger(__name__)
 MOST_AT_ONCE = 16
--- a/src/caperridge/instance/configuration.py
+++ b/src/caperridge/instance/configuration.py
@@ -34,9 +34,9 @@
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import ConfigurationAsk, ConfigurationNews
-from caperridge.platform.interface import Platform, ReadError
 from caperridge.queries.configuration import Head, read_head
 from caperridge.records import pack, unpack
+from caperridge.store.interface import Platform, ReadError
 
 log = logger(__name__)
 READER_KEY = "configuration/reader"
--- a/src/caperridge/instance/dispatcher.py
+++ b/src/caperridge/instance/dispatcher.py
@@ -51,7 +51,7 @@
 from caperridge.instance.session_watcher import SessionWatcher
 from caperridge.log import logger
 from caperridge.peers.interface import Peers
-from caperridge.platform.interface import Platform
+from caperridge.store.interface import Platform
 from caperridge.targets.outcomes import AttemptError
 
 log = logger(__name__)
--- a/src/caperridge/instance/dump.py
+++ b/src/caperridge/instance/dump.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from caperridge import __version__
-from caperridge.platform.relay import RelayedPlatform
+from caperridge.store.relay import RelayedPlatform
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -11,8 +11,8 @@
 from caperridge.commands.accept_file import BadFile
 from caperridge.instance.refusal_log import RefusalLog
 from caperridge.log import logger
-from caperridge.platform.interface import NotDone
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
+from caperridge.store.interface import NotDone
 
 log = logger(__name__)
 MOST_HEADER = 256
--- a/src/caperridge/instance/intents_http.py
+++ b/src/caperridge/instance/intents_http.py
@@ -17,11 +17,11 @@
 from caperridge.findings import FindingsError
 from caperridge.instance.http_common import json_response
 from caperridge.instance.messages import ConfigurationConfirmed
-from caperridge.platform.interface import NotDone
 from caperridge.queries.configuration import read_head, read_history, read_version
 from caperridge.queries.facts import read_facts
 from caperridge.queries.in_force import merge, read_versions
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
+from caperridge.store.interface import NotDone
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
--- a/src/caperridge/instance/item_starts.py
+++ b/src/caperridge/instance/item_starts.py
@@ -4,8 +4,8 @@
 
 from caperridge.commands.started_items import HeldChunk, StartedRow, start_items
 from caperridge.instance.item_work import PlainItemWork
-from caperridge.platform.interface import Conflict, Platform, WriteError
 from caperridge.queries.started_items import started_indexes
+from caperridge.store.interface import Conflict, Platform, WriteError
 
 MOST_CHUNKS = 64
 
--- a/src/caperridge/instance/job_items.py
+++ b/src/caperridge/instance/job_items.py
@@ -8,9 +8,9 @@
 from caperridge.commands.accept_file import StoredFile
 from caperridge.decisions.chunks import Chunk
 from caperridge.decisions.jobs import Job, SavedItems
-from caperridge.platform.interface import NotDone, Platform, ReadError
 from caperridge.queries.jobs import read_file
 from caperridge.records import pack, unpack
+from caperridge.store.interface import NotDone, Platform, ReadError
 
 MOST_FILES = 16
 MOST_PARTS = 4
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -29,7 +29,6 @@
 from caperridge.instance.messages import JobsChanged
 from caperridge.instance.plain_item_calls import PREFIX, service_path
 from caperridge.peers.messages import JobNews
-from caperridge.platform.interface import Conflict
 from caperridge.queries.jobs import (
     Progress,
     read_file,
@@ -38,6 +37,7 @@
     stream_results,
 )
 from caperridge.refusals import Refusal, RefusedError
+from caperridge.store.interface import Conflict
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
--- a/src/caperridge/instance/jobs_reader.py
+++ b/src/caperridge/instance/jobs_reader.py
@@ -21,9 +21,9 @@
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import JobsRead
-from caperridge.platform.interface import Platform
 from caperridge.queries.jobs import open_jobs, read_changes, read_job
 from caperridge.records import Record, pack
+from caperridge.store.interface import Platform
 
 log = logger(__name__)
 READ_JOBS = "read-jobs"
--- a/src/caperridge/instance/keyed_calls.py
+++ b/src/caperridge/instance/keyed_calls.py
@@ -37,15 +37,15 @@
 from caperridge.instance.plain_headers import kept, of_pairs
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
-from caperridge.platform.interface import (
+from caperridge.queries.plain_calls import holder_alive, recorded_body
+from caperridge.refusals import NOT_RUN, RAN, UNKNOWN, RefusedError
+from caperridge.store.interface import (
     Committed,
     Conflict,
     NotDone,
     Platform,
     WriteError,
 )
-from caperridge.queries.plain_calls import holder_alive, recorded_body
-from caperridge.refusals import NOT_RUN, RAN, UNKNOWN, RefusedError
 from caperridge.targets.plain import PlainAnswer
 
 log = logger(__name__)
--- a/src/caperridge/instance/load_gate.py
+++ b/src/caperridge/instance/load_gate.py
@@ -8,8 +8,8 @@
 from caperridge.config.model import Service, WeightStore
 from caperridge.decisions.load_pacing import Load, may_begin, under_way
 from caperridge.decisions.reconcile import serves_online
-from caperridge.platform.interface import ListedMember, Platform
 from caperridge.queries.orders import read_loads
+from caperridge.store.interface import ListedMember, Platform
 from caperridge.targets.orders import OrderClient
 
 PLATFORM_AWAY = "the platform is away"
--- a/src/caperridge/instance/members.py
+++ b/src/caperridge/instance/members.py
@@ -17,8 +17,8 @@
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import ListAsk, ListNews
-from caperridge.platform.interface import ListedMember, Platform
 from caperridge.records import Record
+from caperridge.store.interface import ListedMember, Platform
 
 log = logger(__name__)
 POLL_S = 3.0
--- a/src/caperridge/instance/messages.py
+++ b/src/caperridge/instance/messages.py
@@ -5,9 +5,9 @@
 from caperridge.config.model import Configuration
 from caperridge.decisions.configuration_order import PackedDelta
 from caperridge.peers.messages import ConfigurationNews, LoadedNews
-from caperridge.platform.interface import ListedMember
 from caperridge.queries.configuration import Head
 from caperridge.records import Record
+from caperridge.store.interface import ListedMember
 from caperridge.targets.outcomes import AttemptError
 
 
--- a/src/caperridge/instance/orderer.py
+++ b/src/caperridge/instance/orderer.py
@@ -46,8 +46,8 @@
 from caperridge.instance.session import SessionKeeper
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
-from caperridge.platform.interface import Conflict, ListedMember, Platform
 from caperridge.queries.orders import read_order
+from caperridge.store.interface import Conflict, ListedMember, Platform
 from caperridge.targets.orders import OldFence, OrderClient
 
 log = logger(__name__)
--- a/src/caperridge/instance/plain_items.py
+++ b/src/caperridge/instance/plain_items.py
@@ -27,8 +27,8 @@
 from caperridge.instance.item_work import ItemWork, PlainItemWork
 from caperridge.instance.plain_headers import target_word
 from caperridge.instance.plain_item_calls import call_of, result_body
-from caperridge.platform.interface import Platform
 from caperridge.refusals import UNKNOWN
+from caperridge.store.interface import Platform
 from caperridge.targets.outcomes import AttemptError, NotSent
 from caperridge.targets.plain import (
     AnswerTooLarge,
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -56,11 +56,11 @@
 from caperridge.peers.messages import (
     TargetNews,
 )
-from caperridge.platform.http import HttpPlatform
-from caperridge.platform.interface import ListedMember, Platform
-from caperridge.platform.relay import RelayedPlatform
 from caperridge.queries.explain import Explanations
 from caperridge.settings import Settings
+from caperridge.store.http import HttpPlatform
+from caperridge.store.interface import ListedMember, Platform
+from caperridge.store.relay import RelayedPlatform
 from caperridge.targets.engine import EngineClient
 from caperridge.targets.orders import OrderClient
 from caperridge.targets.plain import PlainClient
--- a/src/caperridge/instance/relay.py
+++ b/src/caperridge/instance/relay.py
@@ -12,16 +12,16 @@
 from caperridge.log import logger
 from caperridge.peers.interface import PeerListener, Peers
 from caperridge.peers.messages import RelayAnswer, RelayCall
-from caperridge.platform.interface import NotDone, Platform, Unknown
-from caperridge.platform.relay import RelayWay
-from caperridge.platform.relay_wire import (
+from caperridge.records import Record
+from caperridge.store.interface import NotDone, Platform, Unknown
+from caperridge.store.relay import RelayWay
+from caperridge.store.relay_wire import (
     RelayError,
     decode_outcome,
     encode_outcome,
     perform,
     size_of,
 )
-from caperridge.records import Record
 
 log = logger(__name__)
 MOST_RELAYED_BYTES = 4 * 2**20
--- a/src/caperridge/instance/session.py
+++ b/src/caperridge/instance/session.py
@@ -10,7 +10,7 @@
 from caperridge.decisions.leases import Lease
 from caperridge.instance.actor import Actor
 from caperridge.log import logger
-from caperridge.platform.interface import Conflict, NotDone, Platform, WriteError
+from caperridge.store.interface import Conflict, NotDone, Platform, WriteError
 
 log = logger(__name__)
 
--- a/src/caperridge/instance/session_watcher.py
+++ b/src/caperridge/instance/session_watcher.py
@@ -18,9 +18,9 @@
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import SessionsWatched
-from caperridge.platform.interface import Platform
 from caperridge.queries.rows import scan_all
 from caperridge.records import Record
+from caperridge.store.interface import Platform
 
 log = logger(__name__)
 WATCH = "watch-sessions"
--- a/src/caperridge/instance/sweeper.py
+++ b/src/caperridge/instance/sweeper.py
@@ -18,8 +18,8 @@
 from caperridge.decisions.membership import Membership
 from caperridge.instance.actor import Actor
 from caperridge.log import logger
-from caperridge.platform.interface import Platform, Row
 from caperridge.queries.jobs import read_view
+from caperridge.store.interface import Platform, Row
 
 log = logger(__name__)
 SWEEP = "sweep"
--- a/src/caperridge/instance/wiring_peers.py
+++ b/src/caperridge/instance/wiring_peers.py
@@ -20,8 +20,8 @@
     TraceAnswer,
     TraceAsk,
 )
-from caperridge.platform.interface import Platform
-from caperridge.platform.relay import RelayedPlatform
+from caperridge.store.interface import Platform
+from caperridge.store.relay import RelayedPlatform
 
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
--- a/src/caperridge/measure/batch.py
+++ b/src/caperridge/measure/batch.py
@@ -29,12 +29,12 @@
     Bed,
 )
 from caperridge.measure.options import Options
-from caperridge.platform.interface import Platform
 from caperridge.queries.jobs import read_job, stream_results
 from caperridge.records import Record
 from caperridge.standins.engine import POISON
 from caperridge.standins.engine_model import Sequence, answer_text
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import Platform
 
 ITEMS = 20_000
 JOBS = 5
--- a/src/caperridge/measure/batch_bed.py
+++ b/src/caperridge/measure/batch_bed.py
@@ -15,11 +15,11 @@
 from caperridge.config.model import Caller, Configuration, Service
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember, NotDone, Platform
 from caperridge.settings import Settings
 from caperridge.standins.engine import POISON, Engine
 from caperridge.standins.engine_model import EngineCosts, Sequence, token_text
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone, Platform
 from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
 from caperridge.targets.outcomes import TargetRefused
 from caperridge.targets.prompt import prompt_of
--- a/src/caperridge/measure/control_fleet.py
+++ b/src/caperridge/measure/control_fleet.py
@@ -11,10 +11,10 @@
 from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.process import Instance
 from caperridge.peers.interface import PeerListener
-from caperridge.platform.interface import ListedMember, Platform, ReadError
 from caperridge.records import pack, unpack
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, Platform, ReadError
 from caperridge.targets.engine import EngineClient
 
 ZONE = "zone-0"
--- a/src/caperridge/measure/control_wholes.py
+++ b/src/caperridge/measure/control_wholes.py
@@ -11,9 +11,9 @@
 from caperridge.instance.members import POLL_S
 from caperridge.keys import token_digest
 from caperridge.measure.control_fleet import HTTP_CALL_BYTES
-from caperridge.platform.interface import ListedMember
 from caperridge.records import pack, unpack
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 
 TARGET_COUNT = 23
 TARGET_ZONES = 17
--- a/src/caperridge/measure/fleet.py
+++ b/src/caperridge/measure/fleet.py
@@ -10,7 +10,6 @@
 
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
 from caperridge.settings import Settings
 from caperridge.standins import engine as engine_standin
@@ -21,6 +20,7 @@
 from caperridge.standins.loopback import LoopbackServers
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 
 OPERATOR = "operator-token"
 CALLER = "caller-token"
--- a/src/caperridge/measure/reads.py
+++ b/src/caperridge/measure/reads.py
@@ -17,9 +17,9 @@
 from caperridge.measure.options import Options
 from caperridge.measure.roles import slope
 from caperridge.peers.interface import PeerListener
-from caperridge.platform.interface import ListedMember, PutRow
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, PutRow
 
 SIZES = (3, 6, 12)
 OPEN_JOBS = (0, 1900)
--- a/src/caperridge/measure/relay.py
+++ b/src/caperridge/measure/relay.py
@@ -30,9 +30,9 @@
 from caperridge.measure.paced_engine import PacedEngine
 from caperridge.measure.plain_relay import start_plain_relay
 from caperridge.measure.threads import LoopThread, serve, wait_for
-from caperridge.platform.interface import ListedMember
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 
 TOKEN = "measured"
 DECLARATION = f"""
--- a/src/caperridge/measure/roles.py
+++ b/src/caperridge/measure/roles.py
@@ -25,10 +25,10 @@
 from caperridge.measure.options import Options
 from caperridge.measure.samples import resident_mib
 from caperridge.measure.stream_memory import by_streams
-from caperridge.platform.interface import ListedMember
 from caperridge.records import Record, pack
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 
 ZONE = "one"
 TOKEN = "measured"
--- a/src/caperridge/measure/routing.py
+++ b/src/caperridge/measure/routing.py
@@ -18,8 +18,8 @@
 from caperridge.measure.admission import admission
 from caperridge.measure.options import Options
 from caperridge.measure.samples import quantile
-from caperridge.platform.interface import ListedMember
 from caperridge.records import Record
+from caperridge.store.interface import ListedMember
 
 OWN_ZONE = 112
 MOST_RUNNING = 16
--- a/src/caperridge/peers/codec.py
+++ b/src/caperridge/peers/codec.py
@@ -9,7 +9,8 @@
     read_compact,
     with_names,
 )
-from caperridge.peers.frames import MessageError, encode, frame, read_fields
+from caperridge.peers.frames import encode, read_fields
+from caperridge.peers.framing import MessageError, frame
 from caperridge.records import Record, unpack
 
 
--- a/src/caperridge/peers/frames.py
+++ b/src/caperridge/peers/frames.py
@@ -1,32 +1,21 @@
-"""Messages as frames: a length of four bytes, then one msgpack map.
+"""Messages as frames, see :mod:`caperridge.peers.framing`, of one msgpack map each.
 
 Some have a shorter form, see :mod:`caperridge.peers.compact`.
 """
 
-import asyncio
 import functools
 import inspect
-import struct
 from typing import Any
 
+from caperridge.peers.framing import MessageError, frame
 from caperridge.peers.messages import KINDS_BY_NAME
 from caperridge.records import Record, pack, unpack
 
-MOST_FRAME_BYTES = 8 * 2**20
 MOST_HELLO_BYTES = 4096
-_LENGTH = struct.Struct(">I")
 _KIND = "is"
 SPEAKER = "instance"
 
 
-class FrameError(Exception):
-    """What came cannot be a frame; the stream is of no further use."""
-
-
-class MessageError(Exception):
-    """One frame is no message; the stream can go on."""
-
-
 def encode(message: Record, own: str = "") -> bytes:
     """Return ``message`` as one frame, without the fields that have their default.
 
@@ -49,17 +38,6 @@
     return frame(pack(fields), type(message).__name__)
 
 
-def frame(body: bytes, kind: str) -> bytes:
-    """Return ``body``, a message of ``kind``, as one frame.
-
-    Raises:
-        MessageError: it is larger than a frame may be.
-    """
-    if len(body) > MOST_FRAME_BYTES:
-        raise MessageError(f"{kind} has {len(body)} bytes")
-    return _LENGTH.pack(len(body)) + body
-
-
 @functools.cache
 def _defaults(kind: type[Record]) -> dict[str, Any]:
     """Return the fields that a constructor without them would set, as it sets them."""
@@ -99,18 +77,3 @@
         return kind.from_map(fields)
     except TypeError as error:
         raise MessageError(f"{fields[_KIND]}: {error}") from error
-
-
-async def read_body(
-    reader: asyncio.StreamReader, most_bytes: int = MOST_FRAME_BYTES
-) -> bytes:
-    """Return the body of the next frame.
-
-    Raises:
-        FrameError: it is larger than ``most_bytes``.
-        asyncio.IncompleteReadError: the stream ended.
-    """
-    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > most_bytes:
-        raise FrameError(f"a frame of {length} bytes; at most {most_bytes} are read")
-    return await reader.readexactly(length)
--- a/src/caperridge/peers/handshake.py
+++ b/src/caperridge/peers/handshake.py
@@ -12,14 +12,8 @@
 import secrets
 from collections.abc import Callable
 
-from caperridge.peers.frames import (
-    MOST_HELLO_BYTES,
-    FrameError,
-    MessageError,
-    decode,
-    encode,
-    read_body,
-)
+from caperridge.peers.frames import MOST_HELLO_BYTES, decode, encode
+from caperridge.peers.framing import FrameError, MessageError, read_body
 from caperridge.peers.messages import Hello
 from caperridge.records import pack
 
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -286,7 +286,7 @@
 
     Attributes:
         number: matches the answer.
-        method: of :class:`~caperridge.platform.interface.Platform`.
+        method: of :class:`~caperridge.store.interface.Platform`.
         arguments: as the platform's wire form has them.
         deadline_s: longest wait.
     """
--- a/src/caperridge/peers/stream.py
+++ b/src/caperridge/peers/stream.py
@@ -8,7 +8,8 @@
 from caperridge.log import logger
 from caperridge.peers.batching import gather, scatter
 from caperridge.peers.codec import Codec, NamesError
-from caperridge.peers.frames import SPEAKER, FrameError, MessageError, read_body
+from caperridge.peers.frames import SPEAKER
+from caperridge.peers.framing import FrameError, MessageError, read_body
 from caperridge.peers.messages import Hello, OnlineCounts
 from caperridge.peers.outbox import Outbox
 from caperridge.records import Record
--- /dev/null
+++ b/src/caperridge/platform/dialect.py
@@ -0,0 +1,167 @@
+"""The platform's words for requests, configuration, targets and jobs.
+
+Some of its names serve several calls and say little there; a comment beside a field
+tells what it holds.
+"""
+
+import base64
+import binascii
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from caperridge.gateway.dialect import DecodeError, Dialect, HeaderNames, JobsPaths
+from caperridge.gateway.jobs.model import COMPLETED, JobItem, JobRequest, ResultsPage
+from caperridge.gateway.routes import (
+    BATCH,
+    SAFE,
+    STREAMING,
+    UNSAFE,
+    BatchTerms,
+    CallerLimits,
+    Route,
+    RoutingTable,
+    Service,
+    Share,
+)
+from caperridge.gateway.targets import Target
+
+_KINDS = {"safe": SAFE, "unsafe": UNSAFE, "streaming": STREAMING, "batch": BATCH}
+_COMPLETED = "completed"
+_DEAD = "dead_letter"
+_MISDIRECTED = 421
+
+
+class PlatformDialect(Dialect):
+    """See :class:`caperridge.gateway.dialect.Dialect`."""
+
+    headers = HeaderNames(
+        request="X-Request-Id",
+        deadline="X-Deadline-Ms",
+        incarnation="X-Expect-Instance",  # a target's id, not one of our instances
+        not_run="X-Not-Executed",
+        signature="X-Response-Stamp",
+        resume="Last-Event-Id",
+        wait="X-Wait-Ms",
+    )
+    paths = JobsPaths(
+        jobs="/lots/",
+        bodies="/items/",  # followed by the job's id, not the item's
+        position="sinceRev",  # a position among results, not a version
+        item="id",
+    )
+    configuration_table = "op"
+    configuration_key = "config"
+    targets_table = "servers"
+
+    def configuration(self, value: bytes) -> RoutingTable:
+        """See :meth:`Dialect.configuration`."""
+        try:
+            fields = orjson.loads(value)
+            limits = fields["limits"]
+            return RoutingTable(
+                int(fields["version"]),
+                [_route(route) for route in fields["routes"]],
+                [_service(service) for service in fields["services"]],
+                CallerLimits(
+                    header_bytes=int(limits["maxHeaderBytes"]),
+                    body_bytes=int(limits["maxBodyBytes"]),
+                    header_s=limits["headerTimeoutMs"] / 1000,
+                    idle_s=limits["idleTimeoutMs"] / 1000,
+                ),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise DecodeError(f"no configuration: {error!r}") from error
+
+    def target(self, id: str, value: bytes) -> Target:
+        """See :meth:`Dialect.target`."""
+        try:
+            fields = orjson.loads(value)
+            return Target(
+                id=id,
+                service=fields["service"],
+                address=fields["address"],
+                availability_zone=fields["zone"],
+                slots=int(fields["slots"]),
+                draining=fields["state"] != "ready",
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            raise DecodeError(f"no target: {error!r}") from error
+
+    def job(self, body: bytes) -> JobRequest:
+        """See :meth:`Dialect.job`."""
+        try:
+            return JobRequest([_item(item) for item in orjson.loads(body)["requests"]])
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise DecodeError(f"no job: {error!r}") from error
+
+    def results(self, page: ResultsPage) -> bytes:
+        """See :meth:`Dialect.results`."""
+        results = [
+            {
+                "id": result.item,
+                "state": _COMPLETED if result.state == COMPLETED else _DEAD,
+                "message": result.text.decode("utf-8", "replace"),
+            }
+            for result in page.results
+        ]
+        answer = {
+            "total": page.total,
+            "results": results,
+            # The position after the last one listed here.
+            "nextToken": page.first + len(results),
+        }
+        return orjson.dumps(answer)
+
+    def client_error_not_run(self, status: int, headers: Mapping[str, str]) -> bool:
+        """See :meth:`Dialect.client_error_not_run`."""
+        return status == _MISDIRECTED or self.headers.not_run in headers
+
+
+def _route(fields: dict[str, Any]) -> Route:
+    kind = _KINDS[fields["kind"]]
+    batch = None
+    if kind == BATCH:
+        batch = BatchTerms(
+            due_s=fields["runTargetMs"] / 1000,
+            most_waiting_tokens=int(fields.get("maxQueuedTokens", 0)),
+            retention_s=float(fields["retentionS"]),
+        )
+    return Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        path_prefix=fields["pathPrefix"],
+        kind=kind,
+        shares=_shares(fields),
+        timeout_s=fields["timeoutMs"] / 1000,
+        objective_s=fields.get("targetLatencyMs", 0) / 1000,
+        rank=int(fields.get("priority", 0)),
+        most_attempts=int(fields.get("maxAttempts", 1)),
+        resumable=bool(fields.get("resumable")),
+        event_gap_s=fields.get("gapTargetMs", 0) / 1000,
+        batch=batch,
+    )
+
+
+def _shares(fields: dict[str, Any]) -> list[Share]:
+    split = fields.get("trafficSplit")
+    if split:
+        return [Share(share["service"], float(share["weight"])) for share in split]
+    return [Share(fields["service"], 1.0)]
+
+
+def _service(fields: dict[str, Any]) -> Service:
+    engine = fields.get("engine") or {}
+    return Service(
+        fields["name"], fields.get("healthPath", "/"), int(engine.get("slots", 1))
+    )
+
+
+def _item(fields: dict[str, Any]) -> JobItem:
+    try:
+        body = base64.b64decode(fields["body"], validate=True)
+    except binascii.Error as error:
+        raise ValueError(f"a body is no base64: {error}") from error
+    headers = [[name, str(value)] for name, value in fields["headers"].items()]
+    return JobItem(fields["id"], fields["path"], headers, body, int(fields["tokens"]))
--- /dev/null
+++ b/src/caperridge/platform/serve.py
@@ -0,0 +1,42 @@
+"""Starts one instance on the users' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from caperridge import log
+from caperridge.findings import FindingsError
+from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.settings import Settings, load
+from caperridge.platform.dialect import PlatformDialect
+from caperridge.platform.store import HttpRowStore
+
+SETTINGS_VARIABLE = "CAPERRIDGE_CONFIG"
+EXIT_FINDINGS = 3
+
+
+def main() -> None:
+    """Run until SIGTERM; exits with 3 and every finding if the settings are wrong."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load(Path(path))
+    except FindingsError as error:
+        sys.exit(f"caperridge: {error}")
+    log.setup(settings.log_level, sys.stdout)
+    asyncio.run(_serve(settings))
+
+
+async def _serve(settings: Settings) -> None:
+    store = HttpRowStore(settings.store)
+    instance = GatewayInstance(settings, PlatformDialect(), store)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await instance.start()
+    await stop.wait()
+    await instance.stop(settings.grace_s)
+    await instance.close()
+    await store.close()
--- /dev/null
+++ b/src/caperridge/platform/store.py
@@ -0,0 +1,214 @@
+"""The platform's store as rows and objects, over HTTP."""
+
+import base64
+from typing import Any
+
+import aiohttp
+import orjson
+from result import Err, Ok, Result
+
+from caperridge.gateway.rows import (
+    ChangesError,
+    Done,
+    HistoryGone,
+    Refused,
+    RowKey,
+    RowsRead,
+    RowStore,
+    StoredRow,
+    StoreError,
+    Transaction,
+    TransactionError,
+)
+from caperridge.no_repeat import LostOnTheWayError, loss_is_final
+from caperridge.store.interface import NotDone, Unknown
+
+# The store answers in 4 to 25 ms; slow days take 60 times as long.
+CALL_S = 2.0
+CONNECT_S = 0.5
+# A watch whose answer is this late has a dead connection.
+WATCH_SLACK_S = 0.7
+_NOT_DONE = frozenset({429, 503, 507})
+
+
+class HttpRowStore(RowStore):
+    """Calls the store directly.
+
+    Args:
+        address: ``IP:PORT`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = 500,
+    ) -> Result[RowsRead, StoreError]:
+        """See :meth:`RowStore.read`."""
+        query = {"table": table, "part": part, "limit": str(limit)}
+        if first:
+            query["from"] = first
+        if end:
+            query["targetVersion"] = end  # the store's name for the key after the last
+        answer = await self._call("GET", "/rows-get", query=query)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status != 200:
+            return Err(_refusal(status))
+        return _rows(body)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Done, TransactionError]:
+        """See :meth:`RowStore.transact`."""
+        request = {
+            # The version each row must have, whatever the name suggests.
+            "expectedRev": [
+                {**_name(key), "schemaVersion": version}
+                for key, version in transaction.versions.items()
+            ],
+            "writes": [
+                {**_name(key), "value": base64.b64encode(value).decode()}
+                for key, value in transaction.writes.items()
+            ],
+            "remove": [_name(key) for key in transaction.removes],
+        }
+        answer = await self._call("POST", "/rows-tx", body=orjson.dumps(request))
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 412:
+            try:
+                rows = [_row(fields) for fields in orjson.loads(body).get("rows", [])]
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                return Err(NotDone(f"a refusal of the store is unreadable: {error}"))
+            return Err(Refused(rows))
+        if status != 200:
+            return Err(_refusal(status))
+        try:
+            fields = orjson.loads(body)
+            return Ok(Done(int(fields["schemaVersion"]), fields["nowMs"] / 1000))
+        except (ValueError, KeyError, TypeError) as error:
+            return Err(Unknown(f"an answer of the store is unreadable: {error}"))
+
+    async def changes(
+        self, table: str, since: int, wait_s: float
+    ) -> Result[RowsRead, ChangesError]:
+        """See :meth:`RowStore.changes`."""
+        query = {
+            "table": table,
+            "sinceRev": str(since),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        answer = await self._call(
+            "GET", "/rows-feed", query=query, within_s=wait_s + WATCH_SLACK_S
+        )
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 410:
+            return Err(HistoryGone())
+        if status != 200:
+            return Err(_refusal(status))
+        return _rows(body)
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
+        """See :meth:`RowStore.put_object`."""
+        answer = await self._call("PUT", f"/blob-put/{name}", body=data)
+        if isinstance(answer, Err):
+            return answer
+        status, _ = answer.ok_value
+        return Ok(None) if status < 300 else Err(_refusal(status))
+
+    async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
+        """See :meth:`RowStore.get_object`."""
+        answer = await self._call("GET", f"/blob-get/{name}")
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == 404:
+            return Ok(None)
+        return Ok(body) if status == 200 else Err(_refusal(status))
+
+    async def drop_object(self, name: str) -> Result[None, StoreError]:
+        """See :meth:`RowStore.drop_object`."""
+        answer = await self._call("DELETE", f"/blob-drop/{name}")
+        if isinstance(answer, Err):
+            return answer
+        status, _ = answer.ok_value
+        return Ok(None) if status < 300 or status == 404 else Err(_refusal(status))
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                middlewares=(loss_is_final,),
+            )
+        return self._session
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: bytes | None = None,
+        within_s: float = CALL_S,
+    ) -> Result[tuple[int, bytes], StoreError]:
+        headers = {"Content-Type": "application/json"} if path == "/rows-tx" else None
+        try:
+            async with self._open().request(
+                method,
+                self._base + path,
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=within_s, sock_connect=CONNECT_S),
+                allow_redirects=False,
+            ) as response:
+                return Ok((response.status, await response.read()))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Err(NotDone(f"no connection: {error}", reached=False))
+        except LostOnTheWayError as error:
+            return Err(Unknown(str(error), reached=False))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(Unknown(type(error).__name__, reached=False))
+
+
+def _refusal(status: int) -> StoreError:
+    reason = f"the store answered {status}"
+    return NotDone(reason) if status in _NOT_DONE else Unknown(reason)
+
+
+def _name(key: RowKey) -> dict[str, Any]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _row(fields: dict[str, Any]) -> StoredRow:
+    removed = bool(fields.get("removed"))
+    key = RowKey(fields["table"], fields.get("part", ""), fields["key"])
+    value = base64.b64decode(fields.get("value") or "")
+    return StoredRow(key, value, int(fields.get("schemaVersion", 0)), removed)
+
+
+def _rows(body: bytes) -> Result[RowsRead, StoreError]:
+    try:
+        fields = orjson.loads(body)
+        rows = [_row(row) for row in fields["rows"]]
+        version = int(fields["schemaVersion"])
+        now_s = float(fields.get("nowMs", 0.0)) / 1000
+        return Ok(RowsRead(rows, bool(fields.get("truncated")), version, now_s))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(Unknown(f"rows of the store are unreadable: {error}"))
--- a/src/caperridge/queries/configuration.py
+++ b/src/caperridge/queries/configuration.py
@@ -12,9 +12,9 @@
 from caperridge import keys
 from caperridge.config.model import Configuration
 from caperridge.decisions.configuration_order import Delta, PackedDelta, apply_delta
-from caperridge.platform.interface import NotDone, Platform, ReadError, Row
 from caperridge.queries.rows import read_record
 from caperridge.records import Record, unpack
+from caperridge.store.interface import NotDone, Platform, ReadError, Row
 
 
 class Head(Record):
--- a/src/caperridge/queries/facts.py
+++ b/src/caperridge/queries/facts.py
@@ -6,8 +6,8 @@
 
 from caperridge.decisions.effects import Facts, Runner
 from caperridge.decisions.loaded_book import LoadedBook
-from caperridge.platform.interface import ListedMember, Platform
 from caperridge.queries.jobs import open_jobs
+from caperridge.store.interface import ListedMember, Platform
 
 
 async def read_facts(
--- a/src/caperridge/queries/in_force.py
+++ b/src/caperridge/queries/in_force.py
@@ -4,9 +4,9 @@
 
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE
-from caperridge.platform.interface import Platform, ReadError
 from caperridge.queries.rows import scan_all
 from caperridge.records import Record
+from caperridge.store.interface import Platform, ReadError
 
 
 class InForce(Record):
--- a/src/caperridge/queries/jobs.py
+++ b/src/caperridge/queries/jobs.py
@@ -9,9 +9,9 @@
 from caperridge.commands.sessions import LAPSED
 from caperridge.decisions.claims import JobView, SeenChunk
 from caperridge.decisions.jobs import CLAIMED, COMPLETED, DONE, ChunkState, Job
-from caperridge.platform.interface import NotDone, Platform, ReadError
 from caperridge.queries.rows import read_record, scan_all
 from caperridge.records import Record
+from caperridge.store.interface import NotDone, Platform, ReadError
 
 
 class Progress(Record):
--- a/src/caperridge/queries/orders.py
+++ b/src/caperridge/queries/orders.py
@@ -5,8 +5,8 @@
 from caperridge import keys
 from caperridge.decisions.load_pacing import Load, loads_of
 from caperridge.decisions.order_leases import OrderRow, SessionSeen
-from caperridge.platform.interface import Platform, ReadError, Row
 from caperridge.records import Record
+from caperridge.store.interface import Platform, ReadError, Row
 
 
 class OrderSeen(Record):
--- a/src/caperridge/queries/plain_calls.py
+++ b/src/caperridge/queries/plain_calls.py
@@ -5,7 +5,7 @@
 from caperridge import keys
 from caperridge.commands.sessions import ALIVE
 from caperridge.decisions.plain_calls import CallClaim
-from caperridge.platform.interface import NotDone, Platform, ReadError
+from caperridge.store.interface import NotDone, Platform, ReadError
 
 
 async def holder_alive(platform: Platform, claim: CallClaim) -> Result[bool, ReadError]:
--- a/src/caperridge/queries/rows.py
+++ b/src/caperridge/queries/rows.py
@@ -4,8 +4,8 @@
 
 from result import Err, Ok, Result
 
-from caperridge.platform.interface import Platform, ReadError, Row
 from caperridge.records import Record
+from caperridge.store.interface import Platform, ReadError, Row
 
 PAGE = 1000
 
--- a/src/caperridge/queries/started_items.py
+++ b/src/caperridge/queries/started_items.py
@@ -3,8 +3,8 @@
 from result import Err, Ok, Result
 
 from caperridge import keys
-from caperridge.platform.interface import Platform, ReadError
 from caperridge.queries.rows import scan_all
+from caperridge.store.interface import Platform, ReadError
 
 
 async def started_indexes(
--- a/src/caperridge/standins/platform.py
+++ b/src/caperridge/standins/platform.py
@@ -9,7 +9,9 @@
 from result import Err, Ok, Result
 from sortedcontainers import SortedDict
 
-from caperridge.platform.interface import (
+from caperridge.records import pack, unpack
+from caperridge.standins.platform_faults import Bucket, Counters, Faults
+from caperridge.store.interface import (
     Committed,
     Condition,
     Conflict,
@@ -28,9 +30,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.wire import decode_condition, decode_write
-from caperridge.records import pack, unpack
-from caperridge.standins.platform_faults import Bucket, Counters, Faults
+from caperridge.store.wire import decode_condition, decode_write
 
 ROWS_A_SCAN_READ = 100  # a scan counts as one read for each so many rows
 
--- /dev/null
+++ b/src/caperridge/store/__init__.py
@@ -0,0 +1,1 @@
+"""The narrow interface to the platform and its HTTP adapter."""
--- a/src/caperridge/platform/http.py
+++ b/src/caperridge/store/http.py
@@ -12,7 +12,8 @@
 from result import Err, Ok, Result
 
 from caperridge.no_repeat import loss_is_final
-from caperridge.platform.interface import (
+from caperridge.records import pack, unpack
+from caperridge.store.interface import (
     Committed,
     Condition,
     Conflict,
@@ -25,8 +26,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.wire import decode_row, encode
-from caperridge.records import pack, unpack
+from caperridge.store.wire import decode_row, encode
 from caperridge.tls import client_context
 
 DEFAULT_DEADLINE_S = 3.0
--- a/src/caperridge/platform/interface.py
+++ b/src/caperridge/store/interface.py
@@ -3,7 +3,7 @@
 Rows have a string key, a map of fields, and a version that the platform raises on
 each write. A transaction checks its conditions and applies its writes together or
 not at all. Every call has a deadline and one of three outcomes: done, not done, or
-unknown (the platform may have applied it; see :mod:`caperridge.platform.settle`).
+unknown (the platform may have applied it; see :mod:`caperridge.store.settle`).
 """
 
 from abc import ABC, abstractmethod
--- a/src/caperridge/platform/relay.py
+++ b/src/caperridge/store/relay.py
@@ -13,7 +13,7 @@
 from result import Ok, Result
 
 from caperridge.log import logger
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     Condition,
     ListedMember,
@@ -25,7 +25,7 @@
     Write,
     WriteError,
 )
-from caperridge.platform.wire import encode
+from caperridge.store.wire import encode
 
 log = logger(__name__)
 PROBE_S = 1.0
--- a/src/caperridge/platform/relay_wire.py
+++ b/src/caperridge/store/relay_wire.py
@@ -5,7 +5,8 @@
 
 from result import Err, Ok, Result
 
-from caperridge.platform.interface import (
+from caperridge.records import Record
+from caperridge.store.interface import (
     Committed,
     Conflict,
     ListedMember,
@@ -13,8 +14,7 @@
     Platform,
     Unknown,
 )
-from caperridge.platform.wire import decode_condition, decode_row, decode_write
-from caperridge.records import Record
+from caperridge.store.wire import decode_condition, decode_row, decode_write
 
 OK = "ok"
 METHODS = (
--- a/src/caperridge/platform/settle.py
+++ b/src/caperridge/store/settle.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Committed,
     Condition,
     Conflict,
--- a/src/caperridge/platform/wire.py
+++ b/src/caperridge/store/wire.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from caperridge.platform.interface import (
+from caperridge.store.interface import (
     Condition,
     DeleteRow,
     FieldEquals,
--- a/tests/batch/batch_world.py
+++ b/tests/batch/batch_world.py
@@ -14,9 +14,9 @@
 from caperridge.decisions.claims import SeenChunk, Split, must_fail, plan_claims
 from caperridge.decisions.jobs import DONE, OPEN, ChunkState, Job
 from caperridge.decisions.leases import Lease, SessionWatch
-from caperridge.platform.interface import Conflict, NotDone, PutRow, Unknown
 from caperridge.queries.jobs import open_jobs, read_view, scan_all, session_states
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import Conflict, NotDone, PutRow, Unknown
 
 LEASE_S = 10.0
 KILLER = 3
--- a/tests/batch/job_pair.py
+++ b/tests/batch/job_pair.py
@@ -13,12 +13,12 @@
 from caperridge.decisions.jobs import OPEN, Job
 from caperridge.instance.process import Instance
 from caperridge.measure.batch_bed import Gate, GatedPlatform
-from caperridge.platform.interface import ListedMember
 from caperridge.queries.jobs import read_job, stream_results
 from caperridge.settings import Settings
 from caperridge.standins import engine as engine_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import EngineCosts
+from caperridge.store.interface import ListedMember
 from conftest import Fleet, Listen, until
 
 LANE_ITEMS = 10
--- a/tests/batch/reads_world.py
+++ b/tests/batch/reads_world.py
@@ -16,9 +16,9 @@
 from caperridge.instance.batch_messages import JobEnded, JobsListed, SessionsLapsed
 from caperridge.instance.jobs_reader import JobsReader
 from caperridge.peers.interface import Handler, NoPeers
-from caperridge.platform.interface import DeleteRow, NotDone, PutRow
 from caperridge.records import Record
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import DeleteRow, NotDone, PutRow
 
 TICK_S = 0.5
 COUNT = 4
--- a/tests/batch/test_batch_machine.py
+++ b/tests/batch/test_batch_machine.py
@@ -16,8 +16,8 @@
 from caperridge.commands.accept_job import OtherBody, accept_job, new_job_id
 from caperridge.commands.cancel_job import cancel_job
 from caperridge.decisions.jobs import COMPLETED, Job
-from caperridge.platform import settle
-from caperridge.platform.interface import Conflict
+from caperridge.store import settle
+from caperridge.store.interface import Conflict
 
 NODES = st.integers(0, 2)
 MOST_KILLS = 12
--- a/tests/batch/test_files.py
+++ b/tests/batch/test_files.py
@@ -13,9 +13,9 @@
 from caperridge.decisions.jobs import COMPLETED, OPEN, Job
 from caperridge.decisions.membership import Membership
 from caperridge.instance.sweeper import UPLOAD_KEPT_S, Sweeper
-from caperridge.platform.interface import Conflict, NotDone, PutRow
 from caperridge.queries.jobs import read_file
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import Conflict, NotDone, PutRow
 
 KEPT_S = 1000.0
 PARTS = 45
--- a/tests/batch/test_sweeper.py
+++ b/tests/batch/test_sweeper.py
@@ -8,8 +8,8 @@
 from caperridge.decisions.jobs import CANCELLED, COMPLETED, DONE, OPEN, ChunkState, Job
 from caperridge.decisions.membership import Membership
 from caperridge.instance.sweeper import SESSION_KEPT_S, Sweeper
-from caperridge.platform.interface import PutRow
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import PutRow
 
 RETENTION_S = 1000.0
 
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -11,8 +11,8 @@
 from caperridge.commands.confirm_intent import HeadMoved
 from caperridge.config.model import Configuration
 from caperridge.decisions.plans import make_plan
-from caperridge.platform.interface import Unknown
 from caperridge.queries.configuration import read_version
+from caperridge.store.interface import Unknown
 from configuration.world import Member, World, with_callers
 
 ZONES = ("oviedo", "bilbao")
--- a/tests/configuration/test_order.py
+++ b/tests/configuration/test_order.py
@@ -17,9 +17,9 @@
 from caperridge.decisions.plans import make_plan
 from caperridge.instance.messages import ConfigurationAsked, ConfigurationHeard
 from caperridge.peers.messages import ConfigurationNews
-from caperridge.platform.interface import NotDone, Unknown
 from caperridge.queries.configuration import read_head, read_history, read_version
 from caperridge.records import pack, unpack
+from caperridge.store.interface import NotDone, Unknown
 from configuration.world import TOKEN, World, with_callers
 
 
--- a/tests/configuration/world.py
+++ b/tests/configuration/world.py
@@ -22,9 +22,9 @@
 )
 from caperridge.peers.interface import NoPeers
 from caperridge.peers.messages import ConfigurationAsk
-from caperridge.platform.interface import ListedMember, NotDone, Unknown
 from caperridge.records import Record
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone, Unknown
 
 TOKEN = "0" * 64
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,6 @@
 
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember
 from caperridge.settings import Settings
 from caperridge.standins import engine as engine_standin
 from caperridge.standins import plain as plain_standin
@@ -24,6 +23,7 @@
 from caperridge.standins.loopback import LoopbackServers
 from caperridge.standins.plain import PlainService
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 
 OPERATOR = "operator-token"
 CALLER = "caller-token"
