--- a/tests/headroom/test_batch_streams.py
+++ b/tests/headroom/test_batch_streams.py
@@ -12,8 +12,8 @@
 from caperridge.measure.fleet import SERVICE, FleetShape, StandinFleet, running_fleet
 from caperridge.measure.load import LoadFigures, one_request
 from caperridge.peers.messages import OnlineNews
-from caperridge.platform.interface import ListedMember
 from caperridge.standins.engine_model import EngineCosts, answer_text
+from caperridge.store.interface import ListedMember
 from conftest import until
 
 MOST_RUNNING = 6
--- a/tests/headroom/test_headroom.py
+++ b/tests/headroom/test_headroom.py
@@ -11,7 +11,7 @@
 from caperridge.decisions.preemption import PROTECTED_AFTER, BatchStream, first_to_go
 from caperridge.decisions.routing import TargetState
 from caperridge.decisions.runner_headroom import MOST_PUT_OFF_STEPS
-from caperridge.platform.interface import ListedMember
+from caperridge.store.interface import ListedMember
 
 TARGET = "runner-1"
 MOST = 16
--- a/tests/layering.py
+++ b/tests/layering.py
@@ -32,7 +32,7 @@
     "caperridge.findings",
     "caperridge.keys",
     "caperridge.peers.messages",
-    "caperridge.platform.interface",
+    "caperridge.store.interface",
     "caperridge.records",
     "caperridge.refusals",
     "caperridge.targets.outcomes",
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -17,9 +17,9 @@
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.traces import Traces
-from caperridge.platform.interface import ListedMember
 from caperridge.standins.engine import Engine, make_app
 from caperridge.standins.engine_model import EngineCosts
+from caperridge.store.interface import ListedMember
 from caperridge.targets.engine import EngineClient
 from conftest import Listen
 
--- a/tests/online/test_policy_machine.py
+++ b/tests/online/test_policy_machine.py
@@ -24,8 +24,8 @@
 from caperridge.decisions.progress import MOST_ATTEMPTS, Progress
 from caperridge.decisions.routing import TargetBook
 from caperridge.decisions.target_state import TargetReport, Wanted
-from caperridge.platform.interface import ListedMember
 from caperridge.refusals import NOT_RUN
+from caperridge.store.interface import ListedMember
 from caperridge.targets.outcomes import Lost, NotSent, TargetRefused, WrongAnswer
 
 MOST_WAITING = 3
--- a/tests/online/test_requests.py
+++ b/tests/online/test_requests.py
@@ -17,11 +17,11 @@
 from caperridge.instance.traces import Traces
 from caperridge.peers.interface import NoPeers
 from caperridge.peers.messages import LoadNews, TraceAnswer, TraceAsk
-from caperridge.platform.interface import ListedMember
 from caperridge.queries.explain import Explanations
 from caperridge.records import Record
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import prefix_blocks as standin_blocks
+from caperridge.store.interface import ListedMember
 from caperridge.targets.outcomes import NotSent
 from conftest import Listen, until
 from online.conftest import TOKENS, FaultyTarget, Front
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -26,7 +26,7 @@
     role_of,
     serves_online,
 )
-from caperridge.platform.interface import Conflict
+from caperridge.store.interface import Conflict
 from orders.world import GB, LEASE_S, World, declared
 
 NORTH_1 = Loaded("north", "1", ["billing"])
--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -17,9 +17,9 @@
 from caperridge.instance.orderer import Orderer
 from caperridge.instance.session import SessionKeeper
 from caperridge.peers.interface import NoPeers
-from caperridge.platform.interface import ListedMember, NotDone
 from caperridge.records import Record
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone
 from caperridge.targets.orders import OldFence, OrderClient, TargetAway
 
 LEASE_S = 10.0
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -6,9 +6,9 @@
 
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember, Platform
 from caperridge.settings import Address, Settings, TlsFiles
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, Platform
 from conftest import OPERATOR
 
 SECRET = "for-tests"
--- a/tests/peers/cuts.py
+++ b/tests/peers/cuts.py
@@ -8,12 +8,12 @@
 from result import Err
 
 from caperridge.instance.process import Instance
-from caperridge.platform.interface import ListedMember, NotDone, Platform
 from caperridge.settings import Address
 from caperridge.standins import engine as engine_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.engine_model import EngineCosts, answer_text
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone, Platform
 from conftest import CALLER, OPERATOR, Listen, until
 from peers.conftest import Mesh
 
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -8,13 +8,11 @@
 
 from caperridge.peers import handshake, messages
 from caperridge.peers.batching import gather, scatter
-from caperridge.peers.frames import (
+from caperridge.peers.frames import MOST_HELLO_BYTES, decode, encode
+from caperridge.peers.framing import (
     MOST_FRAME_BYTES,
-    MOST_HELLO_BYTES,
     FrameError,
     MessageError,
-    decode,
-    encode,
     read_body,
 )
 from caperridge.peers.outbox import Outbox
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -28,7 +28,7 @@
     LISTED_GRACE_S,
     Membership,
 )
-from caperridge.platform.interface import ListedMember
+from caperridge.store.interface import ListedMember
 
 ZONE = "oviedo"
 TICK = 0.5
--- a/tests/peers/test_news.py
+++ b/tests/peers/test_news.py
@@ -20,9 +20,9 @@
     TargetNews,
 )
 from caperridge.peers.streams import Streams
-from caperridge.platform.interface import ListedMember, NotDone
 from caperridge.records import Record
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone
 
 ZONE = "oviedo"
 
--- a/tests/peers/test_readiness.py
+++ b/tests/peers/test_readiness.py
@@ -5,8 +5,8 @@
 
 from caperridge.instance.members import FIRST_POLLS_S, MembersReader
 from caperridge.instance.readiness import AWAIT_TARGETS_S, AwaitedTargets
-from caperridge.platform.interface import ListedMember
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember
 from conftest import until
 from peers.conftest import Mesh
 
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -16,7 +16,9 @@
 )
 from caperridge.peers.interface import NoPeers
 from caperridge.peers.messages import RelayAnswer, RelayCall
-from caperridge.platform.interface import (
+from caperridge.records import Record, pack, unpack
+from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import (
     Committed,
     Conflict,
     FieldEquals,
@@ -28,15 +30,13 @@
     RowAbsent,
     Unknown,
 )
-from caperridge.platform.relay import PROBE_S, RelayedPlatform, RelayWay
-from caperridge.platform.relay_wire import (
+from caperridge.store.relay import PROBE_S, RelayedPlatform, RelayWay
+from caperridge.store.relay_wire import (
     RelayError,
     decode_outcome,
     encode_outcome,
     perform,
 )
-from caperridge.records import Record, pack, unpack
-from caperridge.standins.platform import MemoryPlatform
 from conftest import until
 from peers.conftest import Mesh
 from peers.cuts import CUT, CutPlatform
--- a/tests/plain/conftest.py
+++ b/tests/plain/conftest.py
@@ -12,12 +12,12 @@
 
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember, NotDone, RowAbsent, Unknown
 from caperridge.records import Record
 from caperridge.settings import Settings
 from caperridge.standins import plain as plain_standin
 from caperridge.standins.plain import PlainFaults, PlainService
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import ListedMember, NotDone, RowAbsent, Unknown
 from caperridge.targets.plain import PlainClient
 from conftest import CALLER, DECLARATION, OPERATOR, Fleet, until
 
--- a/tests/plain/items_world.py
+++ b/tests/plain/items_world.py
@@ -17,8 +17,8 @@
 from caperridge.decisions.plain_items import Final
 from caperridge.instance.item_work import PlainItemWork
 from caperridge.instance.plain_items import PlainItems
-from caperridge.platform.interface import NotDone, PutRow, SetFields, Unknown
 from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.interface import NotDone, PutRow, SetFields, Unknown
 from caperridge.targets.outcomes import Lost, NotSent
 from caperridge.targets.plain import PlainAnswer, PlainCall
 
--- a/tests/plain/test_fault_table.py
+++ b/tests/plain/test_fault_table.py
@@ -6,7 +6,7 @@
 
 from caperridge.commands.sessions import lapse_session
 from caperridge.keys import session
-from caperridge.platform.interface import PutRow, RowAbsent
+from caperridge.store.interface import PutRow, RowAbsent
 from conftest import until
 
 OK = (200, "")
--- a/tests/plain/test_keyed_machine.py
+++ b/tests/plain/test_keyed_machine.py
@@ -35,9 +35,9 @@
     StillRunning,
     on_resend,
 )
-from caperridge.platform import settle
-from caperridge.platform.interface import Unknown
 from caperridge.queries.plain_calls import holder_alive
+from caperridge.store import settle
+from caperridge.store.interface import Unknown
 from plain.conftest import ClaimFaults
 
 KEYS = st.sampled_from(["k1", "k1", "k2"])
--- a/tests/plain/test_no_hidden_repeat.py
+++ b/tests/plain/test_no_hidden_repeat.py
@@ -7,8 +7,8 @@
 from multidict import CIMultiDict
 from result import Err, Ok
 
-from caperridge.platform.http import HttpPlatform
-from caperridge.platform.interface import Unknown
+from caperridge.store.http import HttpPlatform
+from caperridge.store.interface import Unknown
 from caperridge.targets.outcomes import Lost, NotSent
 from caperridge.targets.plain import AnswerTooLarge, PlainCall, PlainClient
 from conftest import until
--- a/tests/plain/test_plain_items.py
+++ b/tests/plain/test_plain_items.py
@@ -20,8 +20,8 @@
 from caperridge.instance import plain_items
 from caperridge.instance.plain_item_calls import service_path
 from caperridge.instance.process import Instance
-from caperridge.platform import settle
 from caperridge.settings import Settings
+from caperridge.store import settle
 from conftest import CALLER, until
 from plain.items_world import World
 
--- a/tests/product/test_tls.py
+++ b/tests/product/test_tls.py
@@ -8,9 +8,9 @@
 import pytest
 
 from caperridge.instance.process import Instance
-from caperridge.platform.http import HttpPlatform
 from caperridge.settings import Settings
 from caperridge.standins.platform import MemoryPlatform, make_app
+from caperridge.store.http import HttpPlatform
 from caperridge.tls import TlsFiles, client_context, peer_context, server_context
 from conftest import Listen
 from product.conftest import Authority
--- a/tests/product/test_tls_whole.py
+++ b/tests/product/test_tls_whole.py
@@ -9,11 +9,11 @@
 from caperridge.cli.errors import NOT_REACHED
 from caperridge.instance.process import Instance
 from caperridge.keys import token_digest
-from caperridge.platform.interface import ListedMember
 from caperridge.settings import Settings
 from caperridge.standins import engine as engine_standin
 from caperridge.standins.engine import Engine
 from caperridge.standins.platform import MemoryPlatform, make_app
+from caperridge.store.interface import ListedMember
 from caperridge.tls import TlsFiles, server_context
 from cli.conftest import Run
 from conftest import CALLER, DECLARATION, OPERATOR, Listen, until
--- a/tests/promises/test_late_holder.py
+++ b/tests/promises/test_late_holder.py
@@ -7,7 +7,7 @@
 
 from caperridge import keys
 from caperridge.decisions.jobs import DONE
-from caperridge.platform.interface import Conflict, PutRow
+from caperridge.store.interface import Conflict, PutRow
 from promises.conftest import PATIENCE_S, Fleet, until
 
 ITEMS = 24
--- a/tests/platform/test_platform_contract.py
+++ b/tests/store/test_platform_contract.py
@@ -7,9 +7,11 @@
 import pytest
 from result import Err, Ok, Result
 
-from caperridge.platform import settle
-from caperridge.platform.http import HttpPlatform
-from caperridge.platform.interface import (
+from caperridge.standins import platform as platform_standin
+from caperridge.standins.platform import MemoryPlatform
+from caperridge.store import settle
+from caperridge.store.http import HttpPlatform
+from caperridge.store.interface import (
     Conflict,
     DeleteRow,
     FieldEquals,
@@ -22,9 +24,7 @@
     SetFields,
     Unknown,
 )
-from caperridge.platform.settle import put_settled, transact_settled
-from caperridge.standins import platform as platform_standin
-from caperridge.standins.platform import MemoryPlatform
+from caperridge.store.settle import put_settled, transact_settled
 
 
 class Pair:
