--- a/src/caperridge/gateway/jobs/claims.py
+++ b/src/caperridge/gateway/jobs/claims.py
@@ -101,9 +101,9 @@
                 return Unclaimed("its head cannot be read")
         if head.finished:
             return Ended(head)
-        if head.holder not in ("", self._mesh.incarnation):
-            if self._mesh.incarnation_alive(head.holder):
-                return HeldBy(head.holder)
+        others = head.holder not in ("", self._mesh.incarnation)
+        if others and self._mesh.incarnation_alive(head.holder):
+            return HeldBy(head.holder)
         if items is None:
             items = await self._read_items(entry)
             if items is None:
