Keep serving until callers have left before a stop, and take SIGHUP

Change: hand-over and the registry's last write come first; the door closes once no request came for 0.7 s; the process then ends at once. SIGHUP reads the settings again.

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -20,7 +20,9 @@
 
 # Sent while the configuration is not known yet.
 STARTING_RETRY_AFTER_S = 0.5
-KEEPALIVE_S = 75.0
+# No request for so long while leaving: callers have gone elsewhere.
+QUIET_S = 0.7
+QUIET_LOOK_S = 0.05
 BODY_LIMIT_BYTES = 64 * 2**20
 
 
@@ -106,6 +108,21 @@
         self.closing = False
         self.running = 0
         self._became_idle = asyncio.Event()
+        self._last_arrival = 0.0
+
+    async def quiet(self, from_time: float, until: float) -> None:
+        """Wait until callers have stopped sending, ``from_time`` at the earliest.
+
+        Connections that are kept, or that clients open before the balancer has moved
+        them, may bring requests for a while; ``until`` is the end of patience.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            now = loop.time()
+            resting = now - self._last_arrival >= QUIET_S and not self.running
+            if now >= from_time and resting:
+                return
+            await asyncio.sleep(QUIET_LOOK_S)
 
     async def idle(self, until: float) -> None:
         """Wait until nothing runs, or until ``until`` on the loop's clock."""
@@ -124,6 +141,7 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
         self.running += 1
+        self._last_arrival = asyncio.get_running_loop().time()
         try:
             return await self._handle(request)
         finally:
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -44,7 +44,9 @@
 # The balancer asks every second and takes an instance out after two misses.
 LEAVING_S = 2.6
 # Left for closing connections before the kill.
-SPARE_S = 0.7
+SPARE_S = 0.5
+# Left for requests that were under way when the door closed.
+CLOSING_S = 1.4
 
 
 class GatewayInstance:
@@ -225,18 +227,28 @@
         self.edge.closing = True
         self.news.leaving = True
         self.news.beat()
-        handing_over = loop.create_task(self.keeper.hand_over())
-        await asyncio.sleep(LEAVING_S)
+        # All that takes time comes before the door closes: whoever connects after it
+        # is to be told so at once, by the end of the process.
+        handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
+        await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
+        await handing_over
         self._listeners[1].close_door()
         await self.edge.idle(end)
         cut = self.edge.running
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(max(end, loop.time() + 0.05)):
-                await handing_over
-        await self.registry.leave()
         log.info("instance stopped", cut=cut)
         return cut
 
+    async def _hand_over(self, until: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await self.keeper.hand_over()
+                await self.registry.leave()
+
+    def reload(self, settings: Settings) -> None:
+        """Take changed settings; those of listeners hold from the next start on."""
+        self.settings = settings
+        log.info("settings reloaded", log_level=settings.log_level)
+
     async def close(self) -> None:
         """End all tasks and connections at once."""
         for task in self._tasks:
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -25,16 +25,27 @@
     except FindingsError as error:
         sys.exit(f"caperridge: {error}")
     log.setup(settings.log_level, sys.stdout)
-    asyncio.run(_serve(settings))
+    asyncio.run(_serve(settings, Path(path)))
 
 
-async def _serve(settings: Settings) -> None:
+def _reload(instance: GatewayInstance, path: Path) -> None:
+    """Read the settings again; findings leave those in force."""
+    try:
+        settings = load(path)
+    except FindingsError as error:
+        log.logger(__name__).error("settings not reloaded", findings=str(error))
+        return
+    instance.reload(settings)
+
+
+async def _serve(settings: Settings, path: Path) -> None:
     store = HttpRowStore(settings.store)
     instance = GatewayInstance(settings, PlatformDialect(), store)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
     await instance.start()
     await stop.wait()
     await instance.stop(settings.grace_s)
