Grant free slots to items by one instance a target

Change: one live instance of the target's availability zone, agreed by hashing, grants its slots to the most urgent items of all; of items that must give way, the one that is due last goes first.

--- /dev/null
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -0,0 +1,162 @@
+"""Handing out free slots to items: one instance does it for each target.
+
+Were every instance to start an item where it sees a free slot, many would take the
+same one at once and all but one would have to give way. So the live instances agree by
+hashing on one that grants each target's slots, and each tells how many items it could
+start and when the most urgent one is due. If views differ for a moment, two grant the
+same slot, and an item gives way.
+"""
+
+from collections.abc import Iterable
+
+from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.occupancy import Occupancy
+from caperridge.gateway.targets import Target
+from caperridge.records import Record
+
+# A grant that was not used by then was lost or came too late; messages take 2 ms.
+GRANT_S = 0.08
+
+
+class Want(Record):
+    """Items of a service that an instance could start.
+
+    Attributes:
+        count: how many.
+        due: of the most urgent one, on the store's clock.
+    """
+
+    __slots__ = ("count", "due")
+
+    def __init__(self, count: int, due: float) -> None:
+        self.count = count
+        self.due = due
+
+
+class Grant(Record):
+    """One slot of ``target`` for an item of ``instance``."""
+
+    __slots__ = ("instance", "target", "until")
+
+    def __init__(self, instance: str, target: str, until: float = 0.0) -> None:
+        self.instance = instance
+        self.target = target
+        self.until = until
+
+
+class Members(Record):
+    """Who may grant: instances by availability zone, this one included."""
+
+    __slots__ = ("by_zone",)
+
+    def __init__(self, by_zone: dict[str, list[str]]) -> None:
+        self.by_zone = by_zone
+
+    def granter(self, target: Target) -> str | None:
+        """Return who grants the slots of ``target``: one of its zone, if it has any."""
+        near = self.by_zone.get(target.availability_zone)
+        if near:
+            return owner(target.id, near)
+        return owner(target.id, [one for zone in self.by_zone.values() for one in zone])
+
+
+class SlotBroker:
+    """Grants the slots of the targets that fall to this instance.
+
+    Args:
+        own: id of this instance.
+    """
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self._members = Members({})
+        self._granter_by_target: dict[str, str | None] = {}
+        self._wants_by_instance: dict[str, dict[str, Want]] = {}
+        self._grants: list[Grant] = []
+
+    def members_are(self, members: Members) -> None:
+        """Take who may grant."""
+        if members != self._members:
+            self._members = members
+            self._granter_by_target = {}
+
+    def wants(self, instance: str, wants_by_service: dict[str, Want]) -> None:
+        """Take what ``instance`` could start."""
+        self._wants_by_instance[instance] = wants_by_service
+
+    def forget(self, instance: str) -> None:
+        """Drop what an instance said that is not heard from any more."""
+        self._wants_by_instance.pop(instance, None)
+        self._grants = [grant for grant in self._grants if grant.instance != instance]
+
+    def settled(self, instance: str, target: str) -> None:
+        """Note that a grant was used or turned down."""
+        for grant in self._grants:
+            if grant.instance == instance and grant.target == target:
+                self._grants.remove(grant)
+                return
+
+    def grant(
+        self,
+        targets: Iterable[Target],
+        occupancy: Occupancy,
+        store_now: float,
+        now: float,
+    ) -> list[Grant]:
+        """Return grants of free slots, the most urgent items first.
+
+        Args:
+            targets: that can be used.
+            occupancy: counts at them.
+            store_now: the store's clock, which items are due by.
+            now: the loop's clock.
+        """
+        self._grants = [grant for grant in self._grants if grant.until > now]
+        free_by_target = self._free(targets, occupancy)
+        granted: list[Grant] = []
+        while free_by_target:
+            target = max(free_by_target, key=lambda one: free_by_target[one])
+            instance = self._most_urgent(target.service, store_now)
+            if instance is None:
+                del free_by_target[target]
+                continue
+            grant = Grant(instance, target.id, now + GRANT_S)
+            self._grants.append(grant)
+            granted.append(grant)
+            free_by_target[target] -= 1
+            if free_by_target[target] <= 0:
+                del free_by_target[target]
+        return granted
+
+    def _free(
+        self, targets: Iterable[Target], occupancy: Occupancy
+    ) -> dict[Target, int]:
+        free_by_target: dict[Target, int] = {}
+        for target in targets:
+            if self._granter(target) != self.own:
+                continue
+            promised = sum(1 for grant in self._grants if grant.target == target.id)
+            free = target.slots - occupancy.at(target.id).total - promised
+            if free > 0:
+                free_by_target[target] = free
+        return free_by_target
+
+    def _granter(self, target: Target) -> str | None:
+        if target.id not in self._granter_by_target:
+            self._granter_by_target[target.id] = self._members.granter(target)
+        return self._granter_by_target[target.id]
+
+    def _most_urgent(self, service: str, store_now: float) -> str | None:
+        best: str | None = None
+        best_rank: tuple[bool, float, str] | None = None
+        for instance, wants in self._wants_by_instance.items():
+            want = wants.get(service)
+            if want is None or want.count <= self._promised_to(instance):
+                continue
+            rank = (want.due < store_now, want.due, instance)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = instance, rank
+        return best
+
+    def _promised_to(self, instance: str) -> int:
+        return sum(1 for grant in self._grants if grant.instance == instance)
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -68,20 +68,32 @@
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
+        self._dues_by_target: dict[str, list[float]] = {}
 
     def start(
-        self, job: HeldJob, state: ItemState, route: Route, target: Target
+        self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
     ) -> None:
-        """Run an item at ``target``."""
+        """Run an item, due at ``due`` on the store's clock, at ``target``."""
         state.status = RUNNING
         state.target = target.id
-        self._fleet.occupancy.add(target.id, items=1)
+        self._count(target.id, 1, due)
         self._fleet.changed()
-        run = self._run(job, state, route, target)
+        run = self._run(job, state, route, target, due)
         state.task = asyncio.get_running_loop().create_task(run)
 
+    def _count(self, target: str, items: int, due: float) -> None:
+        dues = self._dues_by_target.setdefault(target, [])
+        if items > 0:
+            dues.append(due)
+        else:
+            dues.remove(due)
+        self._fleet.occupancy.add(target, items=items)
+        self._fleet.occupancy.items_due(target, max(dues, default=0.0))
+        if not dues:
+            del self._dues_by_target[target]
+
     async def _run(
-        self, job: HeldJob, state: ItemState, route: Route, target: Target
+        self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
     ) -> None:
         error: AttemptError | None = None
         cancelled = True
@@ -90,7 +102,7 @@
             error = await self._attempt(job, state, target)
             cancelled = False
         finally:
-            self._fleet.occupancy.add(target.id, items=-1)
+            self._count(target.id, -1, due)
             state.target = ""
             state.task = None
             if state.status == RUNNING:
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -6,14 +6,17 @@
 """
 
 import asyncio
-import random
+import contextlib
 from collections.abc import Coroutine
 from typing import Any
 
 from result import Err
 
 from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.jobs.broker import Members, SlotBroker, Want
 from caperridge.gateway.jobs.claims import Ended, HeldBy, JobClaimer, Unclaimed
 from caperridge.gateway.jobs.codec import to_bytes
 from caperridge.gateway.jobs.held_job import HeldJob
@@ -23,15 +26,15 @@
 from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.messages import JobNews
+from caperridge.gateway.mesh.messages import JobNews, SlotDecline, SlotGrant, SlotWants
 from caperridge.gateway.rows import RowStore, StoredRow, Transaction
 from caperridge.log import logger
 
 log = logger(__name__)
 
 CHECK_S = 0.3
-# Spreads the instances that see the same free slot, so that mostly one takes it.
-START_SPREAD_S = 0.006
+# Items may start again after a pause without anything else happening.
+LOOK_S = 0.1
 # An instance whose stream ended may be cut off rather than gone; its own next write
 # of progress would be lost work for both.
 TAKEOVER_AFTER_S = 1.6
@@ -53,7 +56,9 @@
         writer: JobWriter,
         claimer: JobClaimer,
         slots: ItemSlots,
-        chance: random.Random,
+        broker: SlotBroker,
+        fleet: Fleet,
+        clock: StoreClock,
     ) -> None:
         self._store = store
         self._index = index
@@ -62,7 +67,9 @@
         self._writer = writer
         self._claimer = claimer
         self._slots = slots
-        self._chance = chance
+        self._broker = broker
+        self._fleet = fleet
+        self._clock = clock
         self.held_by_id: dict[str, HeldJob] = {}
         self.listed_by_id: dict[str, int] = {}
         self.leaving = False
@@ -73,7 +80,12 @@
         self._retry_at_by_id: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._news: dict[str, asyncio.Event] = {}
+        self._told_wants: dict[str, Want] = {}
         mesh.register(JobNews, self._told)
+        mesh.register(SlotWants, self._peer_wants)
+        mesh.register(SlotGrant, self._granted)
+        mesh.register(SlotDecline, self._declined)
+        mesh.on_lose(lambda member: self._broker.forget(member.id))
 
     # What the edge asks.
 
@@ -98,25 +110,51 @@
     # The tasks.
 
     async def run(self) -> None:
-        """Start items, cancel them for online requests, and claim orphans."""
+        """Grant and take slots, give way to online requests, and claim orphans."""
         loop = asyncio.get_running_loop()
         next_check = loop.time()
         while True:
-            try:
-                async with asyncio.timeout_at(next_check):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_S):
                     await self._wake.wait()
-            except TimeoutError:
-                next_check = loop.time() + CHECK_S
-                self._claim_orphans(loop.time())
             self._wake.clear()
+            now = loop.time()
+            if now >= next_check:
+                next_check = now + CHECK_S
+                self._claim_orphans(now)
+                self._told_wants = {}  # tell them again, for news may be lost
             jobs = list(self.held_by_id.values())
             self._slots.give_way(jobs)
-            if self.leaving:
+            if not self.leaving:
+                self._grant(jobs, now)
+
+    def _grant(self, jobs: list[HeldJob], now: float) -> None:
+        self._tell_wants(jobs, now)
+        alive = [member for member in self._mesh.alive() if not member.leaving]
+        by_zone = {self._mesh.zone: [self._mesh.instance]}
+        for member in alive:
+            by_zone.setdefault(member.zone, []).append(member.id)
+        self._broker.members_are(Members(by_zone))
+        targets = self._fleet.usable_by_id(now)
+        grants = self._broker.grant(
+            targets.values(), self._fleet.occupancy, self._clock.now(), now
+        )
+        for grant in grants:
+            if grant.instance != self._mesh.instance:
+                self._mesh.send(grant.instance, SlotGrant(grant.target))
                 continue
-            instances = 1 + len(self._mesh.alive())
-            if self._slots.start_some(jobs, instances, loop.time()):
-                await asyncio.sleep(self._chance.random() * START_SPREAD_S)
-                self._wake.set()
+            self._slots.start_at(jobs, targets[grant.target], now)
+            self._broker.settled(grant.instance, grant.target)
+        if grants:
+            self._tell_wants(jobs, now)
+
+    def _tell_wants(self, jobs: list[HeldJob], now: float) -> None:
+        wants = self._slots.wants(jobs, now)
+        self._broker.wants(self._mesh.instance, wants)
+        if wants != self._told_wants:
+            self._told_wants = wants
+            told = [[name, want.count, want.due] for name, want in wants.items()]
+            self._mesh.send_all(SlotWants(told))
 
     async def hand_over(self) -> None:
         """Stop all runs, keep their progress, and give the jobs up."""
@@ -265,6 +303,23 @@
         if news.holder == "":
             self._wake.set()
 
+    def _peer_wants(self, peer: str, news: SlotWants) -> None:
+        wants = {service: Want(count, due) for service, count, due in news.wants}
+        self._broker.wants(peer, wants)
+        self._wake.set()
+
+    def _granted(self, peer: str, grant: SlotGrant) -> None:
+        now = asyncio.get_running_loop().time()
+        target = self._fleet.usable_by_id(now).get(grant.target)
+        jobs = list(self.held_by_id.values())
+        if target is None or not self._slots.start_at(jobs, target, now):
+            self._mesh.send(peer, SlotDecline(grant.target))
+        self._wake.set()
+
+    def _declined(self, peer: str, decline: SlotDecline) -> None:
+        self._broker.settled(peer, decline.target)
+        self._wake.set()
+
     def _note(self, job: str, holder: str, listed: int) -> None:
         self._holder_by_id[job] = holder
         if listed > self.listed_by_id.get(job, 0):
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -1,18 +1,19 @@
 """Items in free slots: which start where, and which give way to online requests."""
 
-import random
 from collections.abc import Iterable
 
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.jobs.broker import Want
 from caperridge.gateway.jobs.held_job import HeldJob
 from caperridge.gateway.jobs.item_runs import ItemRuns
 from caperridge.gateway.jobs.model import JobEntry, JobItem
 from caperridge.gateway.jobs.schedule import Startable, first_to_cancel, in_order
 from caperridge.gateway.metrics import GatewayMetrics
-from caperridge.gateway.placement import items_to_cancel, place_item
+from caperridge.gateway.placement import items_to_cancel
 from caperridge.gateway.routes import Route
+from caperridge.gateway.targets import Target
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -30,7 +31,6 @@
         clock: of the store, which jobs are dated by.
         runs: starts them.
         metrics: counted into.
-        chance: breaks ties.
     """
 
     def __init__(
@@ -40,14 +40,12 @@
         clock: StoreClock,
         runs: ItemRuns,
         metrics: GatewayMetrics,
-        chance: random.Random,
     ) -> None:
         self._configuration = configuration
         self._fleet = fleet
         self._clock = clock
         self._runs = runs
         self._metrics = metrics
-        self._chance = chance
 
     def give_way(self, jobs: Iterable[HeldJob]) -> None:
         """Cancel items where more runs than the target has slots."""
@@ -75,59 +73,62 @@
                 assert one.state.task is not None
                 one.state.task.cancel()
 
-    def start_some(self, jobs: Iterable[HeldJob], instances: int, now: float) -> bool:
-        """Start items in free slots; return whether more might start.
+    def wants(self, jobs: Iterable[HeldJob], now: float) -> dict[str, Want]:
+        """Return what could start at ``now``, by service.
 
-        Args:
-            jobs: that this instance holds.
-            instances: that may start items, this one included.
-            now: on the loop's clock.
+        Items that can never run are taken out of their jobs on the way.
         """
+        wants: dict[str, Want] = {}
+        store_now = self._clock.now()
+        for one in self._startable(jobs, now):
+            service = self._service(one)
+            if service is None:
+                continue
+            want = wants.get(service)
+            if want is None:
+                wants[service] = Want(1, one.due)
+                continue
+            want.count += 1
+            if (one.due < store_now, one.due) < (want.due < store_now, want.due):
+                want.due = one.due
+        self._metrics.waiting_items.set(sum(want.count for want in wants.values()))
+        return wants
+
+    def start_at(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
+        """Start the most urgent item that ``target`` serves; False if there is none."""
+        for one in in_order(self._startable(jobs, now), self._clock.now()):
+            if self._service(one) != target.service:
+                continue
+            route = self._route(one.job.entry, one.state.item)
+            if route is None:
+                continue
+            self._runs.start(one.job, one.state, route, target, one.due)
+            return True
+        return False
+
+    def _startable(self, jobs: Iterable[HeldJob], now: float) -> list[Startable]:
         startable: list[Startable] = []
         for job in jobs:
             due = self._due(job)
             startable += [Startable(job, state, due) for state in job.pending(now)]
-        self._metrics.waiting_items.set(len(startable))
-        most = max(1, self._free_slots() // instances)
-        started = 0
-        for one in in_order(startable, self._clock.now()):
-            if started >= most:
-                return True
-            if self._start(one, now):
-                started += 1
-        return False
-
-    def _free_slots(self) -> int:
-        free = 0
-        for target in self._fleet.targets.by_id.values():
-            if not target.draining:
-                total = self._fleet.occupancy.at(target.id).total
-                free += max(0, target.slots - total)
-        return free
+        return startable
 
-    def _start(self, one: Startable, now: float) -> bool:
+    def _service(self, one: Startable) -> str | None:
+        """Return which service runs an item now; None if it cannot run."""
         if self._configuration.table is None:
-            return False
+            return None
         route = self._route(one.job.entry, one.state.item)
         if route is None:
             log.info("item without a route", item=one.state.item.id)
             one.job.bury(one.state)
-            return False
+            return None
         assert route.batch is not None
         age_s = self._clock.now() - one.job.entry.sent_s
         if age_s > route.batch.retention_s + RETENTION_SLACK_S:
             log.info("item is too old", item=one.state.item.id, age_s=round(age_s, 1))
             one.job.bury(one.state)
-            return False
-        service = route.service_for(one.state.item.id)
-        targets = self._fleet.usable(service, now)
-        target = place_item(
-            targets, self._fleet.occupancy, self._fleet.zone, self._chance
-        )
-        if target is None:
-            return False
-        self._runs.start(one.job, one.state, route, target)
-        return True
+            return None
+        return route.service_for(one.state.item.id)
 
     def _route(self, entry: JobEntry, item: JobItem) -> Route | None:
         table = self._configuration.table
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -37,7 +37,7 @@
     """Regularly: all counts, and the versions of the tables that are copied.
 
     Attributes:
-        counts: target, online requests and items.
+        counts: target, online requests, items, and the latest due item.
         versions: newest change by table.
         leaving: the instance takes no new work.
     """
@@ -53,7 +53,7 @@
 
 
 class Counts(Record):
-    """Counts that changed: target, online requests and items."""
+    """Counts that changed: target, online requests, items, and the latest due item."""
 
     __slots__ = ("counts",)
 
@@ -140,6 +140,33 @@
         self.fields = fields
 
 
+class SlotWants(Record):
+    """Items that the speaker could start: service, how many, when the first is due."""
+
+    __slots__ = ("wants",)
+
+    def __init__(self, wants: list[list[Any]]) -> None:
+        self.wants = wants
+
+
+class SlotGrant(Record):
+    """The hearer may start one item at ``target``."""
+
+    __slots__ = ("target",)
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+
+
+class SlotDecline(Record):
+    """The speaker has no item for the slot it was granted at ``target``."""
+
+    __slots__ = ("target",)
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+
+
 KINDS_BY_NAME = {
     kind.__name__: kind
     for kind in (
@@ -150,6 +177,9 @@
         TableAsk,
         TableWhole,
         JobNews,
+        SlotWants,
+        SlotGrant,
+        SlotDecline,
         StoreAsk,
         StoreAnswer,
     )
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -1,6 +1,7 @@
 """News between instances: counts at targets, and versions of the copied tables."""
 
 import asyncio
+from collections.abc import Callable
 
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.mesh.mesh import Mesh
@@ -11,7 +12,7 @@
     TableNews,
     TableWhole,
 )
-from caperridge.gateway.occupancy import NOTHING, Count
+from caperridge.gateway.occupancy import Count
 from caperridge.gateway.rows import RowKey, StoredRow
 from caperridge.gateway.watcher import PEER_PATIENCE_S, TableWatcher
 
@@ -19,6 +20,10 @@
 class PeerNews:
     """Sends and takes news.
 
+    Attributes:
+        leaving: told to peers: this instance takes no new work.
+        item_started: called with a peer and the target where it started an item.
+
     Args:
         mesh: of peers.
         fleet: whose counts are told.
@@ -27,6 +32,7 @@
 
     def __init__(self, mesh: Mesh, fleet: Fleet, watchers: list[TableWatcher]) -> None:
         self.leaving = False
+        self.item_started: Callable[[str, str], None] = lambda peer, target: None
         self._mesh = mesh
         self._fleet = fleet
         self._watchers_by_table = {watcher.copy.table: watcher for watcher in watchers}
@@ -42,7 +48,7 @@
     def beat(self) -> None:
         """Tell every peer all counts and versions."""
         counts = [
-            [target, count.online, count.items]
+            [target, count.online, count.items, count.latest_due]
             for target, count in self._fleet.occupancy.own_counts().items()
         ]
         versions = {
@@ -70,23 +76,24 @@
         counts = []
         for target in occupancy.take_changed():
             count = occupancy.own_at(target)
-            counts.append([target, count.online, count.items])
+            counts.append([target, count.online, count.items, count.latest_due])
         if counts:
             self._mesh.send_all(Counts(counts))
 
     def _counts(self, peer: str, news: Counts) -> None:
-        for target, online, items in news.counts:
-            self._fleet.occupancy.told(peer, target, Count(online, items))
+        occupancy = self._fleet.occupancy
+        for target, *fields in news.counts:
+            count = Count(*fields)
+            if count.items > occupancy.of(peer, target).items:
+                self.item_started(peer, target)
+            occupancy.told(peer, target, count)
         self._fleet.changed()
 
     def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
         member = self._mesh.members_by_id.get(peer)
         if member is not None:
             member.leaving = beat.leaving
-        counts = {
-            target: Count(online, items) if online or items else NOTHING
-            for target, online, items in beat.counts
-        }
+        counts = {target: Count(*count) for target, *count in beat.counts}
         self._fleet.occupancy.told_all(peer, counts)
         self._fleet.changed()
         for table, version in beat.versions.items():
--- a/src/caperridge/gateway/occupancy.py
+++ b/src/caperridge/gateway/occupancy.py
@@ -8,13 +8,22 @@
 
 
 class Count(Record):
-    """Requests at one target: ``online`` ones and ``items`` of jobs."""
+    """Requests at one target.
 
-    __slots__ = ("items", "online")
+    Attributes:
+        online: of callers who wait.
+        items: of jobs.
+        latest_due: when that of the items is due that is due last; 0 without items.
+    """
 
-    def __init__(self, online: int = 0, items: int = 0) -> None:
+    __slots__ = ("items", "latest_due", "online")
+
+    def __init__(
+        self, online: int = 0, items: int = 0, latest_due: float = 0.0
+    ) -> None:
         self.online = online
         self.items = items
+        self.latest_due = latest_due
 
     @property
     def total(self) -> int:
@@ -37,10 +46,16 @@
     def add(self, target: str, online: int = 0, items: int = 0) -> None:
         """Change the own counts at ``target`` by these differences."""
         before = self._counts_by_instance[self.own].get(target, NOTHING)
-        count = Count(before.online + online, before.items + items)
+        count = Count(before.online + online, before.items + items, before.latest_due)
         self._put(self.own, target, count)
         self._changed.add(target)
 
+    def items_due(self, target: str, latest_due: float) -> None:
+        """Say when the own item at ``target`` is due that is due last."""
+        count = self._counts_by_instance[self.own].get(target)
+        if count is not None:
+            count.latest_due = latest_due
+
     def told(self, instance: str, target: str, count: Count) -> None:
         """Take what a peer says it has at ``target``."""
         if instance != self.own:
@@ -66,6 +81,10 @@
         """Return the sum of all instances at ``target``."""
         return self._sums_by_target.get(target, NOTHING)
 
+    def of(self, instance: str, target: str) -> Count:
+        """Return what one instance has at ``target``."""
+        return self._counts_by_instance.get(instance, {}).get(target, NOTHING)
+
     def own_at(self, target: str) -> Count:
         """Return what this instance has at ``target``."""
         return self._counts_by_instance[self.own].get(target, NOTHING)
@@ -74,13 +93,13 @@
         """Return what this instance has, by target."""
         return dict(self._counts_by_instance[self.own])
 
-    def items_by_instance(self, target: str) -> dict[str, int]:
-        """Return who has items at ``target``, and how many."""
-        found: dict[str, int] = {}
+    def holders_of_items(self, target: str) -> dict[str, Count]:
+        """Return who has items at ``target``."""
+        found: dict[str, Count] = {}
         for instance, counts in self._counts_by_instance.items():
-            items = counts.get(target, NOTHING).items
-            if items > 0:
-                found[instance] = items
+            count = counts.get(target, NOTHING)
+            if count.items > 0:
+                found[instance] = count
         return found
 
     def take_changed(self) -> set[str]:
--- a/src/caperridge/gateway/placement.py
+++ b/src/caperridge/gateway/placement.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from caperridge.decisions.rendezvous import score
 from caperridge.gateway.occupancy import Occupancy
@@ -49,38 +49,22 @@
     return best
 
 
-def place_item(
-    targets: Iterable[Target],
-    occupancy: Occupancy,
-    zone: str,
-    chance: random.Random,
-    kept_free: int = 0,
-) -> Target | None:
-    """Return a target with a free slot beyond ``kept_free``; None if there is none."""
-    best: Target | None = None
-    best_cost: tuple[float, bool, float] | None = None
-    for target in targets:
-        total = occupancy.at(target.id).total
-        if total >= target.slots - kept_free:
-            continue
-        elsewhere = target.availability_zone != zone
-        cost = (total / target.slots, elsewhere, chance.random())
-        if best_cost is None or cost < best_cost:
-            best, best_cost = target, cost
-    return best
-
-
 def items_to_cancel(target: Target, occupancy: Occupancy) -> int:
     """Return how many of its items at ``target`` this instance has to cancel.
 
-    Instances with items there yield in an order that all work out alike.
+    Instances with items there yield in an order that all work out alike: who has the
+    item that is due last begins.
     """
     over = occupancy.at(target.id).total - target.slots
     if over <= 0:
         return 0
-    holders = occupancy.items_by_instance(target.id)
-    for instance in sorted(holders, key=lambda holder: score(target.id, holder)):
-        yielded = min(over, holders[instance])
+    holders = occupancy.holders_of_items(target.id)
+    order = sorted(
+        holders,
+        key=lambda one: (-holders[one].latest_due, score(target.id, one)),
+    )
+    for instance in order:
+        yielded = min(over, holders[instance].items)
         if instance == occupancy.own:
             return yielded
         over -= yielded
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -13,6 +13,7 @@
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.forwarding import Forwarder
 from caperridge.gateway.jobs.acceptance import JobAcceptance
+from caperridge.gateway.jobs.broker import SlotBroker
 from caperridge.gateway.jobs.claims import JobClaimer
 from caperridge.gateway.jobs.edge import JobsEdge
 from caperridge.gateway.jobs.index import JobIndex
@@ -81,8 +82,9 @@
         self.client = TargetClient(dialect)
         runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
         slots = ItemSlots(
-            self.configuration, self.fleet, self.clock, runs, self.metrics, chance
+            self.configuration, self.fleet, self.clock, runs, self.metrics
         )
+        self.broker = SlotBroker(settings.instance)
         self.keeper = JobKeeper(
             store,
             self.index,
@@ -91,7 +93,9 @@
             JobWriter(store, incarnation, settings.row_bytes),
             JobClaimer(store, self.mesh),
             slots,
-            chance,
+            self.broker,
+            self.fleet,
+            self.clock,
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
         jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
@@ -119,6 +123,7 @@
         return watchers
 
     def _wire(self) -> None:
+        self.news.item_started = self.broker.settled
         self.reach.on_return(self.fleet.targets.store_returned)
         self.fleet.on_change(self.keeper.poke)
         self.fleet.on_change(self.news.counts_changed)
