Settle a run of an item that is cancelled before its first step

Change: what follows a run stands in a callback of its task; a run that is being cancelled is not cancelled again.

--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -1,6 +1,7 @@
 """A job that this instance works on: its items, what runs, and what is to be kept."""
 
 import asyncio
+from typing import Any
 
 from caperridge.gateway.jobs.model import (
     COMPLETED,
@@ -52,9 +53,19 @@
         self.kept_event = 0
         self.kept_failures = 0
         self.not_before = 0.0
-        self.task: asyncio.Task[None] | None = None
+        self.task: asyncio.Task[Any] | None = None
         self.target = ""
 
+    @property
+    def cancelling(self) -> bool:
+        """Whether its run was cancelled and has not ended yet."""
+        return self.task is not None and self.task.cancelling() > 0
+
+    def cancel(self) -> None:
+        """Cancel its run; what came of its output stays."""
+        if self.task is not None and not self.cancelling:
+            self.task.cancel()
+
     @property
     def has_news(self) -> bool:
         """Whether the store lacks progress."""
@@ -152,5 +163,4 @@
     def stop_runs(self) -> None:
         """Cancel what runs; their progress stays."""
         for state in self.running():
-            if state.task is not None:
-                state.task.cancel()
+            state.cancel()
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -1,6 +1,7 @@
 """Running items at targets: output is gathered and goes on behind its last event."""
 
 import asyncio
+import functools
 
 from multidict import CIMultiDict
 from result import Err
@@ -78,8 +79,14 @@
         state.target = target.id
         self._count(target.id, 1, due)
         self._fleet.changed()
-        run = self._run(job, state, route, target, due)
-        state.task = asyncio.get_running_loop().create_task(run)
+        attempt = self._attempt(job, state, target)
+        state.task = asyncio.get_running_loop().create_task(attempt)
+        # A task that is cancelled before its first step runs nothing of its own.
+        state.task.add_done_callback(
+            functools.partial(
+                self._run_ended, job, state, route, target, due, state.progress.event
+            )
+        )
 
     def _count(self, target: str, items: int, due: float) -> None:
         dues = self._dues_by_target.setdefault(target, [])
@@ -92,23 +99,27 @@
         if not dues:
             del self._dues_by_target[target]
 
-    async def _run(
-        self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
+    def _run_ended(
+        self,
+        job: HeldJob,
+        state: ItemState,
+        route: Route,
+        target: Target,
+        due: float,
+        from_event: int,
+        task: "asyncio.Task[AttemptError | None]",
     ) -> None:
+        self._count(target.id, -1, due)
+        state.target = ""
+        state.task = None
+        if state.status == RUNNING:
+            state.status = PENDING
         error: AttemptError | None = None
-        cancelled = True
-        from_event = state.progress.event
-        try:
-            error = await self._attempt(job, state, target)
-            cancelled = False
-        finally:
-            self._count(target.id, -1, due)
-            state.target = ""
-            state.task = None
-            if state.status == RUNNING:
-                state.status = PENDING
-            self._settle(job, state, route, target, error, cancelled, from_event)
-            self._fleet.changed()
+        if not task.cancelled():
+            failed = task.exception()
+            error = Lost(repr(failed)) if failed is not None else task.result()
+        self._settle(job, state, route, target, error, task.cancelled(), from_event)
+        self._fleet.changed()
 
     def _settle(
         self,
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -52,8 +52,6 @@
         running: dict[str, list[Startable]] = {}
         for job in jobs:
             for state in job.running():
-                if state.task is None:
-                    continue
                 one = Startable(job, state, self._due(job))
                 running.setdefault(state.target, []).append(one)
         occupancy = self._fleet.occupancy
@@ -62,7 +60,9 @@
             if target is None:
                 continue
             count = items_to_cancel(target, occupancy)
-            for one in first_to_cancel(ones)[:count]:
+            count -= sum(1 for one in ones if one.state.cancelling)
+            running_on = [one for one in ones if not one.state.cancelling]
+            for one in first_to_cancel(running_on)[: max(0, count)]:
                 log.info(
                     "item gives way",
                     item=one.state.item.id,
@@ -70,8 +70,7 @@
                     online=occupancy.at(id).online,
                     items=occupancy.at(id).items,
                 )
-                assert one.state.task is not None
-                one.state.task.cancel()
+                one.state.cancel()
 
     def wants(self, jobs: Iterable[HeldJob], now: float) -> dict[str, Want]:
         """Return what could start at ``now``, by service.
