--- a/src/caperridge/log.py
+++ b/src/caperridge/log.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import logbook
 import orjson
@@ -51,7 +51,17 @@
     return logbook.Logger(name.removeprefix("caperridge."))
 
 
-def setup(level: str = "INFO", stream: TextIO | None = None) -> None:
+class LineStream(Protocol):
+    """Takes whole lines of text."""
+
+    def write(self, text: str, /) -> int:
+        """Write ``text``."""
+
+    def flush(self) -> None:
+        """Hand on what was written."""
+
+
+def setup(level: str = "INFO", stream: LineStream | None = None) -> None:
     """Send every record of at least ``level`` to ``stream`` (standard error).
 
     Records of libraries, which use the standard library's loggers, go the same way.
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -10,6 +10,7 @@
 from caperridge.findings import FindingsError
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.settings import Settings, load
+from caperridge.log_stream import BoundedStream
 from caperridge.platform.dialect import PlatformDialect
 from caperridge.platform.store import HttpRowStore
 
@@ -24,7 +25,7 @@
         settings = load(Path(path))
     except FindingsError as error:
         sys.exit(f"caperridge: {error}")
-    log.setup(settings.log_level, sys.stdout)
+    log.setup(settings.log_level, BoundedStream(sys.stdout.fileno()))
     asyncio.run(_serve(settings, Path(path)))
 
 
