Tell far peers less where there are many

Cause: by count, 63 instances that tell each other every change of a slot exchange some 31,000 messages a second, and every change of a table was told by each to each (3,900 messages). Change: beyond 16 peers, those of the own availability zone and whoever is concerned (zone of the target, holders of items there) are told at once, the others at every third heartbeat; news of tables goes to five peers at random; the index is watched less often.

--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -39,6 +39,7 @@
 # is this full.
 CROWDED_SHARE = 0.25
 STORE_PAUSE_S = 0.3
+TELL_AGAIN_S = 1.2
 
 
 class JobKeeper:
@@ -78,6 +79,7 @@
         self._wake = asyncio.Event()
         self._news: dict[str, asyncio.Event] = {}
         self._told_wants: dict[str, Want] = {}
+        self._tell_again_at = 0.0
         mesh.register(JobNews, self._told)
         mesh.register(SlotWants, self._peer_wants)
         mesh.register(SlotGrant, self._granted)
@@ -119,7 +121,6 @@
                 next_check = now + CHECK_S
                 loop.call_at(next_check, self._wake.set)
                 self._claim_orphans(now)
-                self._told_wants = {}  # tell them again, for news may be lost
             jobs = list(self.held_by_id.values())
             self._slots.give_way(jobs)
             if not self.leaving:
@@ -153,10 +154,14 @@
     def _tell_wants(self, jobs: list[HeldJob], now: float) -> None:
         wants = self._slots.wants(jobs, now)
         self._broker.wants(self._mesh.instance, wants)
-        if wants != self._told_wants:
-            self._told_wants = wants
-            told = [[name, want.count, want.due] for name, want in wants.items()]
-            self._mesh.send_all(SlotWants(told))
+        told = SlotWants([[name, want.count, want.due] for name, want in wants.items()])
+        if now >= self._tell_again_at:
+            # News may be lost, and far peers are told only now and then.
+            self._tell_again_at = now + TELL_AGAIN_S
+            self._mesh.send_all(told)
+        elif wants != self._told_wants:
+            self._mesh.send_near(told)
+        self._told_wants = wants
 
     async def hand_over(self) -> None:
         """Stop all runs, keep their progress, and give the jobs up."""
@@ -234,9 +239,11 @@
             job.wake.clear()
             await asyncio.sleep(0)  # let runs that were cancelled end
             holder = "" if job.releasing else self._mesh.incarnation
+            listed_before = job.head.listed
             if not await self._writer.write(job, holder):
                 break
-            self._told_all(job)
+            if job.head.listed > listed_before or job.releasing:
+                self._told_all(job)
             if job.unlisted:
                 job.wake.set()
             elif job.releasing:
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 
 from caperridge.gateway.mesh.messages import Hello
 from caperridge.gateway.mesh.streams import OutStream, encode, read_message
@@ -14,6 +15,14 @@
 
 # Peers beat every 0.4 s; three in a row are lost only when something is wrong.
 SILENCE_S = 1.4
+# Up to so many peers all are told everything at once. Beyond, those of other
+# availability zones are told less often, so that what an instance sends and hears
+# grows with its zone and not with the whole system.
+MOST_CLOSE_PEERS = 16
+FAR_SILENCE_S = 4.5
+# How many peers pass news on when there are too many to tell each: about three hear it
+# from each instance that had it from the store.
+NEWS_PEERS = 5
 REDIAL_S = 0.3
 # An instance that nobody lists and that was not heard from for so long is forgotten.
 FORGET_S = 30.0
@@ -56,11 +65,19 @@
         zone: own availability zone.
         address: that peers connect to.
         seeds: addresses to begin with.
+        chance: chooses whom to tell.
     """
 
     def __init__(
-        self, instance: str, incarnation: str, zone: str, address: str, seeds: list[str]
+        self,
+        instance: str,
+        incarnation: str,
+        zone: str,
+        address: str,
+        seeds: list[str],
+        chance: random.Random,
     ) -> None:
+        self._chance = chance
         self.instance = instance
         self.incarnation = incarnation
         self.zone = zone
@@ -126,6 +143,30 @@
             if stream.connected:
                 stream.send(data)
 
+    @property
+    def large(self) -> bool:
+        """Whether there are too many peers to tell each one everything."""
+        return len(self.members_by_id) > MOST_CLOSE_PEERS
+
+    def is_near(self, member: Member) -> bool:
+        """Whether a peer is told everything at once."""
+        return not self.large or member.zone == self.zone
+
+    def send_near(self, message: Record) -> None:
+        """Queue ``message`` for the peers that are told everything at once."""
+        self._send_to((m for m in self._members() if self.is_near(m)), message)
+
+    def send_zone(self, zone: str, message: Record) -> None:
+        """Queue ``message`` for the peers of one availability zone."""
+        self._send_to((m for m in self._members() if m.zone == zone), message)
+
+    def send_some(self, message: Record) -> None:
+        """Queue ``message`` for all peers, or for some at random if there are many."""
+        members = list(self._members())
+        if self.large:
+            members = self._chance.sample(members, min(NEWS_PEERS, len(members)))
+        self._send_to(members, message)
+
     def learn(self, id: str, address: str, zone: str) -> None:
         """Take note of an instance that is listed somewhere."""
         if id == self.instance:
@@ -145,7 +186,8 @@
         """Find members that have fallen silent; forget those long gone."""
         now = asyncio.get_running_loop().time()
         for member in list(self.members_by_id.values()):
-            if member.lost_at is None and now - member.heard_at > SILENCE_S:
+            limit_s = SILENCE_S if self.is_near(member) else FAR_SILENCE_S
+            if member.lost_at is None and now - member.heard_at > limit_s:
                 self._lose(member, "it is silent")
             if member.lost_at is None:
                 continue
@@ -158,6 +200,16 @@
         members = [[m.id, m.address, m.zone] for m in self.members_by_id.values()]
         return Hello(self.instance, self.incarnation, self.zone, self.address, members)
 
+    def _members(self) -> Iterable[Member]:
+        return self.members_by_id.values()
+
+    def _send_to(self, members: Iterable[Member], message: Record) -> None:
+        data = encode(message)
+        for member in members:
+            stream = self._streams_by_address.get(member.address)
+            if stream is not None and stream.connected:
+                stream.send(data)
+
     def _dial(self, address: str) -> None:
         if address == self.address or address in self._dialers_by_address:
             return
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.mesh.mesh import Mesh
@@ -16,6 +17,9 @@
 from caperridge.gateway.rows import RowKey, StoredRow
 from caperridge.gateway.watcher import PEER_PATIENCE_S, StoreReach, TableWatcher
 
+# Peers of other availability zones, where there are many, get every third heartbeat.
+FAR_BEATS = 3
+
 
 class PeerNews:
     """Sends and takes news.
@@ -44,6 +48,7 @@
         self._reach = reach
         self._fleet = fleet
         self._watchers_by_table = {watcher.copy.table: watcher for watcher in watchers}
+        self._beats = 0
         self._flushing = False
         self._told_versions: dict[str, int] = {}
         mesh.register(Counts, self._counts)
@@ -54,7 +59,7 @@
         mesh.on_appear(lambda _: self.beat())
 
     def beat(self) -> None:
-        """Tell every peer all counts and versions."""
+        """Tell all counts and versions; to far peers only now and then."""
         counts = [
             [target, count.online, count.items, count.latest_due]
             for target, count in self._fleet.occupancy.own_counts().items()
@@ -63,9 +68,12 @@
             table: watcher.copy.version
             for table, watcher in self._watchers_by_table.items()
         }
-        self._mesh.send_all(
-            Heartbeat(counts, versions, self.leaving, self._reach.reached)
-        )
+        beat = Heartbeat(counts, versions, self.leaving, self._reach.reached)
+        self._beats += 1
+        if self._beats % FAR_BEATS == 0 or self.leaving:
+            self._mesh.send_all(beat)
+        else:
+            self._mesh.send_near(beat)
 
     def counts_changed(self) -> None:
         """Tell the counts that changed at the end of this turn of the loop."""
@@ -78,17 +86,35 @@
         version = self._watchers_by_table[table].copy.version
         if version > self._told_versions.get(table, 0):
             self._told_versions[table] = version
-            self._mesh.send_all(TableNews(table, version))
+            self._mesh.send_some(TableNews(table, version))
 
     def _flush(self) -> None:
+        """Tell the counts that changed to whoever may use those targets."""
         self._flushing = False
         occupancy = self._fleet.occupancy
-        counts = []
-        for target in occupancy.take_changed():
-            count = occupancy.own_at(target)
-            counts.append([target, count.online, count.items, count.latest_due])
-        if counts:
-            self._mesh.send_all(Counts(counts))
+        near: list[list[Any]] = []
+        far: dict[str, list[list[Any]]] = {}
+        for id in occupancy.take_changed():
+            count = occupancy.own_at(id)
+            told = [id, count.online, count.items, count.latest_due]
+            near.append(told)
+            if not self._mesh.large:
+                continue
+            target = self._fleet.targets.by_id.get(id)
+            if target is not None and target.availability_zone != self._mesh.zone:
+                far.setdefault(target.availability_zone, []).append(told)
+            self._tell_far_holders(id, told)
+        if near:
+            self._mesh.send_near(Counts(near))
+        for zone, counts in far.items():
+            self._mesh.send_zone(zone, Counts(counts))
+
+    def _tell_far_holders(self, target: str, told: list[Any]) -> None:
+        """Tell instances elsewhere that have items at ``target``; they may give way."""
+        for instance in self._fleet.occupancy.holders_of_items(target):
+            member = self._mesh.members_by_id.get(instance)
+            if member is not None and not self._mesh.is_near(member):
+                self._mesh.send(instance, Counts([told]))
 
     def _counts(self, peer: str, news: Counts) -> None:
         occupancy = self._fleet.occupancy
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -42,6 +42,8 @@
 log = logger(__name__)
 
 TICK_S = 0.4
+# Nothing that is decided by the index is decided by the copy alone, so it may lag.
+INDEX_SPACING_S = 0.7
 PROBE_S = 0.5
 # The balancer asks every second and takes an instance out after two misses.
 LEAVING_S = 2.6
@@ -79,6 +81,7 @@
             settings.availability_zone,
             settings.peers,
             settings.seeds,
+            chance,
         )
         store = RelayedStore(store, self.mesh, self.reach, chance)
         self.client = TargetClient(dialect)
@@ -120,7 +123,13 @@
             for table, taker in takers.items()
         ]
         watchers.append(
-            TableWatcher(self._store, self.index.copy, self.reach, self._index_rows)
+            TableWatcher(
+                self._store,
+                self.index.copy,
+                self.reach,
+                self._index_rows,
+                spacing_s=INDEX_SPACING_S,
+            )
         )
         return watchers
 
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -64,12 +64,19 @@
         copy: kept up to date.
         reach: told how the store does.
         changed: called with rows that were news and who told of them.
+        spacing_s: least time between two watches; gathers changes that are no hurry.
     """
 
     def __init__(
-        self, store: RowStore, copy: TableCopy, reach: StoreReach, changed: Changed
+        self,
+        store: RowStore,
+        copy: TableCopy,
+        reach: StoreReach,
+        changed: Changed,
+        spacing_s: float = 0.0,
     ) -> None:
         self.copy = copy
+        self._spacing_s = spacing_s
         self._store = store
         self._reach = reach
         self._changed = changed
@@ -92,6 +99,8 @@
                 continue
             pause_s = FIRST_PAUSE_S
             whole = False
+            if self._spacing_s:
+                await asyncio.sleep(self._spacing_s)
 
     def take_from_peer(self, rows: list[StoredRow], version: int, peer: str) -> None:
         """Take a whole copy that a peer has."""
--- a/tests/adapter/test_words.py
+++ b/tests/adapter/test_words.py
@@ -61,7 +61,9 @@
 
 
 def test_the_adapter_is_small() -> None:
-    lines = sum(len(path.read_text().splitlines()) for path in ROOT.glob("platform/*.py"))
+    lines = sum(
+        len(path.read_text().splitlines()) for path in ROOT.glob("platform/*.py")
+    )
     assert lines < 700
 
 
