--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,123 @@
+"""A planned stop: not ready at once, serving until callers have left."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from gateway.conftest import World, free_port, until
+
+ROOT = Path(__file__).parents[2]
+
+
+async def ready_status(address: str) -> int:
+    async with aiohttp.ClientSession() as session:
+        try:
+            async with session.get(f"http://{address}/readyz") as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            return 0
+
+
+async def test_requests_that_come_while_it_leaves_are_served(world: World) -> None:
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    assert await ready_status(instance.settings.ready) == 200
+    stopping = asyncio.ensure_future(instance.stop(8.0))
+    await asyncio.sleep(0.05)
+    assert await ready_status(instance.settings.ready) == 503
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    number = 0
+    while loop.time() - began < 3.2:  # longer than the balancer needs to move callers
+        answer = await world.ask(instance, "/once/1", f"r{number}")
+        assert answer.data == runner.text(f"r{number}")
+        assert answer.headers["Connection"] == "close"
+        number += 1
+        await asyncio.sleep(0.1)
+    assert not stopping.done()
+    assert await stopping == 0
+
+
+async def test_a_stream_that_runs_at_the_stop_ends_whole(world: World) -> None:
+    runner = await world.add_runner()
+    runner.events = 60
+    runner.pause_s = 0.05
+    instance = await world.add_instance()
+    await world.ready()
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    assert await instance.stop(8.0) == 0
+    answer = await asking
+    assert answer.whole and answer.data == runner.text("r1")
+
+
+async def test_the_hand_over_comes_before_the_door_closes(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A request read after the door closed has nobody left to answer it."""
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    steps: list[str] = []
+    leave = instance.registry.leave
+    close_door = instance._listeners[1].close_door
+
+    async def slow_leave() -> None:
+        await asyncio.sleep(0.3)
+        await leave()
+        steps.append("left")
+
+    def closes() -> None:
+        steps.append("closed")
+        close_door()
+
+    monkeypatch.setattr(instance.registry, "leave", slow_leave)
+    monkeypatch.setattr(instance._listeners[1], "close_door", closes)
+    await instance.stop(8.0)
+    assert steps == ["left", "closed"]
+
+
+async def test_the_process_reloads_on_sighup_and_stops_on_sigterm(
+    world: World, tmp_path: Path
+) -> None:
+    await world.add_runner()
+    callers, ready, peers = (f"127.0.0.1:{free_port()}" for _ in range(3))
+    settings = tmp_path / "local.toml"
+    settings.write_text(
+        f'[instance]\nid = "e-1"\navailability_zone = "a"\nmetrics_port = 0\n'
+        f'[listen]\ncallers = "{callers}"\nready = "{ready}"\npeers = "{peers}"\n'
+        f"[peers]\nseeds = []\n"
+        f'[store]\naddress = "{world.store_address}"\n'
+        f"row_bytes = 65536\nobject_bytes = 8388608\n"
+        f"[stopping]\ngrace_s = 4\n"
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "deploy" / "instance.py"),
+        env=os.environ | {"CAPERRIDGE_CONFIG": str(settings)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(10):
+            while await ready_status(ready) != 200:
+                await asyncio.sleep(0.05)
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert await ready_status(ready) == 200
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(10):
+            output, _ = await process.communicate()
+        assert process.returncode == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+    text = output.decode()
+    for message in ("instance started", "settings reloaded", "instance stopped"):
+        assert message in text
