--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,200 @@
+"""Placement, grants, counts, the list of targets and copies of tables, without I/O."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from caperridge.gateway.events import EventSplitter
+from caperridge.gateway.jobs.broker import GRANT_S, Members, SlotBroker, Want
+from caperridge.gateway.occupancy import Count, Occupancy
+from caperridge.gateway.placement import items_to_cancel, place_online
+from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.targets import LAPSE_GRACE_S, Target, TargetList
+
+KEYS = [RowKey("t", "", name) for name in "abc"]
+
+
+def target(id: str, zone: str = "a", slots: int = 2) -> Target:
+    return Target(id, "model", f"{id}:1", zone, slots)
+
+
+@pytest.fixture
+def occupancy() -> Occupancy:
+    return Occupancy("me")
+
+
+@pytest.fixture
+def chance() -> random.Random:
+    return random.Random(1)
+
+
+def test_online_prefers_free_then_items_then_the_shortest_queue(
+    occupancy: Occupancy, chance: random.Random
+) -> None:
+    near, far = target("near"), target("far", "b")
+    both = [far, near]
+    assert place_online(both, occupancy, "a", chance) == near
+    occupancy.told("peer", "near", Count(2, 0))
+    assert place_online(both, occupancy, "a", chance) == far
+    occupancy.told("peer", "far", Count(1, 1))
+    assert place_online(both, occupancy, "a", chance) == far
+    occupancy.told("peer", "far", Count(3, 0))
+    assert place_online(both, occupancy, "a", chance) == near
+    occupancy.told("peer", "far", Count(5, 0))
+    occupancy.told("peer", "near", Count(5, 0))
+    assert place_online(both, occupancy, "a", chance) is None
+
+
+def test_who_has_the_item_due_last_gives_way_and_all_agree() -> None:
+    views = {name: Occupancy(name) for name in ("x", "y")}
+    counts = {"x": Count(0, 1, 50.0), "y": Count(2, 1, 90.0)}
+    for name, view in views.items():
+        own = counts[name]
+        view.add("t", online=own.online, items=own.items)
+        view.items_due("t", own.latest_due)
+        for other, count in counts.items():
+            view.told(other, "t", count)
+    cancelled = {
+        name: items_to_cancel(target("t", slots=3), view)
+        for name, view in views.items()
+    }
+    assert cancelled == {"x": 0, "y": 1}
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 4), st.integers(0, 4), st.integers(0, 3)),
+        min_size=1,
+        max_size=5,
+    ),
+    st.integers(1, 8),
+)
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_instances_together_cancel_as_many_as_is_needed(
+    held: list[tuple[int, int, int]], slots: int
+) -> None:
+    names = [f"i{number}" for number in range(len(held))]
+    counts = dict(zip(names, (Count(*one) for one in held), strict=True))
+    cancelled = 0
+    for name in names:
+        view = Occupancy(name)
+        view.add("t", online=counts[name].online, items=counts[name].items)
+        view.items_due("t", counts[name].latest_due)
+        for other, count in counts.items():
+            view.told(other, "t", count)
+        cancelled += items_to_cancel(target("t", slots=slots), view)
+    total = sum(count.total for count in counts.values())
+    items = sum(count.items for count in counts.values())
+    assert cancelled == max(0, min(items, total - slots))
+
+
+def test_a_peer_that_is_forgotten_leaves_no_counts(occupancy: Occupancy) -> None:
+    occupancy.told("peer", "t", Count(2, 1))
+    assert occupancy.told_all("peer", {"u": Count(0, 1)})
+    assert not occupancy.told_all("peer", {"u": Count(0, 1)})
+    assert (occupancy.at("t").total, occupancy.at("u").total) == (0, 1)
+    occupancy.forget("peer")
+    assert occupancy.at("u").total == 0
+
+
+@pytest.fixture
+def broker() -> SlotBroker:
+    made = SlotBroker("me")
+    made.members_are(Members({"a": ["me"]}))
+    return made
+
+
+def test_a_slot_is_granted_once_to_the_most_urgent(
+    broker: SlotBroker, occupancy: Occupancy
+) -> None:
+    broker.wants("late", {"model": Want(5, 5.0)})
+    broker.wants("soon", {"model": Want(1, 20.0)})
+    broker.wants("later", {"model": Want(5, 30.0)})
+    one = [target("t", slots=2)]
+    grants = broker.grant(one, occupancy, store_now=10.0, now=0.0)
+    assert [grant.instance for grant in grants] == ["soon", "later"]
+    assert broker.grant(one, occupancy, 10.0, 0.01) == []
+    broker.settled("soon", "t")
+    occupancy.told("soon", "t", Count(0, 1))
+    assert broker.grant(one, occupancy, 10.0, 0.02) == []
+    assert len(broker.grant(one, occupancy, 10.0, GRANT_S + 0.03)) == 1
+
+
+def test_one_member_of_the_target_s_zone_grants() -> None:
+    members = Members({"a": ["x", "y"], "b": ["z"]})
+    granters = {name: SlotBroker(name) for name in ("x", "y", "z")}
+    occupancy = Occupancy("x")
+    granting = []
+    for name, broker in granters.items():
+        broker.members_are(members)
+        broker.wants("z", {"model": Want(9, 1.0)})
+        if broker.grant([target("t", "a")], occupancy, 0.0, 0.0):
+            granting.append(name)
+    assert len(granting) == 1 and granting[0] in ("x", "y")
+
+
+def test_entries_that_lapse_after_an_outage_are_kept_for_a_while() -> None:
+    targets = TargetList()
+    targets.put(target("t"))
+    targets.put(target("u"))
+    targets.store_returned(100.0)
+    targets.remove("t", 100.1)
+    targets.remove("u", 100.1)
+    assert set(targets.by_id) == {"t", "u"}
+    targets.put(target("t"))
+    assert targets.expire(100.0 + LAPSE_GRACE_S) == ["u"]
+    targets.remove("t", 100.0 + LAPSE_GRACE_S)
+    assert targets.by_id == {}
+
+
+row_changes = st.lists(
+    st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=8
+)
+
+
+@given(row_changes, st.randoms(use_true_random=False))
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_a_copy_ends_at_the_newest_whatever_the_order(
+    changes: list[tuple[RowKey, bool]], chance: random.Random
+) -> None:
+    """Changes, whole reads and copies of peers come in any order, and doubled."""
+    state: dict[RowKey, StoredRow] = {}
+    messages = []
+    for version, (key, removed) in enumerate(changes, 1):
+        row = StoredRow(key, str(version).encode(), version, removed)
+        if removed:
+            state.pop(key, None)
+        else:
+            state[key] = row
+        messages.append(("changes", [row], version))
+        messages.append(("whole", list(state.values()), version))
+    newest = messages[-1]
+    told = [message for message in messages if chance.random() < 0.7]
+    told += [newest, *told[:2]]
+    chance.shuffle(told)
+    copy = TableCopy("t")
+    for kind, rows, version in told:
+        if kind == "whole":
+            copy.take_whole(rows, version)
+        else:
+            copy.take_changes(rows, version)
+    assert copy.rows_by_key == state
+
+
+@given(st.data())
+@settings(max_examples=100, derandomize=True, deadline=None)
+def test_any_cut_of_a_stream_gives_the_same_events(data: st.DataObject) -> None:
+    whole = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 6))
+    cuts = data.draw(st.lists(st.integers(0, len(whole)), max_size=6))
+    splitter = EventSplitter()
+    events = []
+    edges = [0, *sorted(cuts), len(whole)]
+    for start, end in itertools.pairwise(edges):
+        events += splitter.feed(whole[start:end])
+    assert [event.id for event in events] == [1, 2, 3, 4, 5]
+    assert b"".join(event.raw for event in events) == whole
+    assert splitter.rest == b""
