--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -104,6 +104,11 @@
         """
         if id in self._index.entries_by_job:
             return Accepted(self._index.entries_by_job[id], again=True)
+        if not self._clock.known:
+            # Without the store's time the job's age would be wrong for good.
+            await self._refresh()
+            if not self._clock.known:
+                return NotAccepted("the store was never reached", BUSY_RETRY_AFTER_S)
         if not self._fits(route, job):
             return _full(route, self._index)
         nonce = secrets.token_hex(4)
--- a/src/caperridge/gateway/jobs/claims.py
+++ b/src/caperridge/gateway/jobs/claims.py
@@ -32,6 +32,7 @@
 from caperridge.gateway.rows import ABSENT, RowStore, StoredRow, Transaction
 from caperridge.log import logger
 from caperridge.records import Record
+from caperridge.store.interface import Unknown
 
 log = logger(__name__)
 
@@ -55,12 +56,18 @@
 
 
 class Unclaimed(Record):
-    """The store did not answer, or another claim came first; try again later."""
+    """The store did not answer, or another claim came first; try again later.
 
-    __slots__ = ("reason",)
+    Attributes:
+        reason: in a word.
+        maybe_ours: the claim may have taken effect, now or later.
+    """
+
+    __slots__ = ("maybe_ours", "reason")
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, maybe_ours: bool = False) -> None:
         self.reason = reason
+        self.maybe_ours = maybe_ours
 
 
 Claim = HeldJob | Ended | HeldBy | Unclaimed
@@ -121,10 +128,9 @@
         claim = Transaction({key: job.version}, {key: to_bytes(head)})
         answer = await self._store.transact(claim)
         if isinstance(answer, Err):
-            # If it took effect all the same, the next look finds the head ours.
             error = type(answer.err_value).__name__
             log.info("claim failed", job=id, error=error, version=job.version)
-            return Unclaimed(error)
+            return Unclaimed(error, isinstance(answer.err_value, Unknown))
         job.head = head
         job.version = answer.ok_value.version
         log.info(
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -188,6 +188,11 @@
                 self._orphan_since_by_id.pop(id, None)
                 continue
             holder = self._holder_by_id.get(id)
+            if holder == self._mesh.incarnation:
+                # A claim of ours took effect though its answer was lost.
+                if now >= self._retry_at_by_id.get(id, 0.0):
+                    self._spawn(self._claim(entry, None))
+                continue
             if holder and self._mesh.incarnation_alive(holder):
                 self._orphan_since_by_id.pop(id, None)
                 continue
@@ -210,8 +215,12 @@
             return
         if isinstance(job, HeldBy):
             self._holder_by_id[entry.id] = job.holder
+            # It may not know, if the answer to its claim was lost.
+            self._mesh.send_all(JobNews(entry.id, job.holder, 0))
             return
         if isinstance(job, Unclaimed):
+            if job.maybe_ours:
+                self._holder_by_id[entry.id] = self._mesh.incarnation
             now = asyncio.get_running_loop().time()
             self._retry_at_by_id[entry.id] = now + STORE_PAUSE_S
             return
@@ -321,11 +330,17 @@
         now = asyncio.get_running_loop().time()
         target = self._fleet.usable_by_id(now).get(grant.target)
         jobs = list(self.held_by_id.values())
-        if target is None or not self._slots.start_at(jobs, target, now):
+        if target is None or self._slots.is_full(target):
+            self._mesh.send(peer, SlotDecline(grant.target, full=True))
+        elif not self._slots.start_at(jobs, target, now):
             self._mesh.send(peer, SlotDecline(grant.target))
         self._wake.set()
 
     def _declined(self, peer: str, decline: SlotDecline) -> None:
+        if decline.full:
+            # It knows of requests that this instance does not. The grant stays until
+            # it runs out, so that the slot is not offered again and again meanwhile.
+            return
         self._broker.settled(peer, decline.target)
         self._wake.set()
 
@@ -353,4 +368,5 @@
     def _ended(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.error("a job's task failed", reason=repr(task.exception()))
+            error = task.exception()
+            log.error("a job's task failed", exc_info=(type(error), error, None))
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -74,6 +74,10 @@
                 )
                 one.state.cancel()
 
+    def is_full(self, target: Target) -> bool:
+        """Whether ``target`` has no free slot, by what this instance knows."""
+        return self._fleet.occupancy.at(target.id).total >= target.slots
+
     def _within_slots(self, id: str) -> bool:
         target = self._fleet.targets.by_id.get(id)
         return target is None or self._fleet.occupancy.at(id).total <= target.slots
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -165,12 +165,16 @@
 
 
 class SlotDecline(Record):
-    """The speaker has no item for the slot it was granted at ``target``."""
+    """The speaker does not use the slot it was granted at ``target``.
 
-    __slots__ = ("target",)
+    ``full`` if by what it knows there is none, rather than that it has no item.
+    """
 
-    def __init__(self, target: str) -> None:
+    __slots__ = ("full", "target")
+
+    def __init__(self, target: str, full: bool = False) -> None:
         self.target = target
+        self.full = full
 
 
 KINDS_BY_NAME = {
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -71,8 +71,6 @@
         self.configuration = ConfigurationInForce()
         self.fleet = Fleet(settings.instance, settings.availability_zone, chance)
         self.clock = StoreClock()
-        store = ObservedStore(store, self.clock, self.metrics)
-        self._store = store
         self.reach = StoreReach()
         self.index = JobIndex()
         self.mesh = Mesh(
@@ -83,7 +81,9 @@
             settings.seeds,
             chance,
         )
-        store = RelayedStore(store, self.mesh, self.reach, chance)
+        relayed = RelayedStore(store, self.mesh, self.reach, chance)
+        store = ObservedStore(relayed, self.clock, self.metrics)
+        self._store = store
         self.client = TargetClient(dialect)
         runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
         slots = ItemSlots(
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import base64
+import itertools
+import os
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
@@ -86,11 +88,20 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that the system gave."""
+_hosts = itertools.count(1)
+
+
+def free_address() -> str:
+    """Return an address with a port that the system gave.
+
+    The host is one of the loopback range that nothing else uses, so that no connection
+    and no other test process gets the port between now and its use.
+    """
+    process = os.getpid()
+    host = f"127.{1 + process % 250}.{process // 250 % 250}.{next(_hosts) % 250 + 1}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 class Answer:
@@ -184,9 +195,9 @@
             instance=id or f"e-{len(self.instances)}",
             availability_zone=zone,
             metrics_port=0,
-            callers=f"127.0.0.1:{free_port()}",
-            ready=f"127.0.0.1:{free_port()}",
-            peers=f"127.0.0.1:{free_port()}",
+            callers=free_address(),
+            ready=free_address(),
+            peers=free_address(),
             seeds=[one.settings.peers for one in self.instances],
             store=self.store_address,
             row_bytes=65536,
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -18,6 +18,7 @@
     Attributes:
         refuse: status that all calls get; None to serve them.
         lose_answers: how many of the next writes are done and not answered.
+        lose_table: only writes into this table lose theirs; empty for all.
         delay_writes_s: how much later such a write is done.
         writes: transactions that took effect.
     """
@@ -28,6 +29,7 @@
         self.version = 0
         self.refuse: int | None = None
         self.lose_answers = 0
+        self.lose_table = ""
         self.delay_writes_s = 0.0
         self.writes = 0
         self.calls: list[str] = []
@@ -77,7 +79,8 @@
 
     async def _tx(self, request: web.Request) -> web.StreamResponse:
         body = orjson.loads(await request.read())
-        if self.lose_answers > 0:
+        tables = {row["table"] for row in body["writes"]}
+        if self.lose_answers > 0 and self.lose_table in (tables | {""}):
             self.lose_answers -= 1
             if self.delay_writes_s:
                 asyncio.get_running_loop().call_later(
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -5,6 +5,10 @@
 import orjson
 import pytest
 
+from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.jobs.broker import Members, SlotBroker, Want
+from caperridge.gateway.mesh.messages import SlotDecline, SlotGrant
+from caperridge.gateway.occupancy import Count, Occupancy
 from gateway.conftest import World, route, until
 
 ITEMS = ["x1", "x2", "x3"]
@@ -305,3 +309,77 @@
     assert sorted(run.id for run in runner.runs) == ITEMS
     body = await world.call(turned_away, "GET", "/items/j1?id=x1")
     assert body.body == b"body of x1"
+
+
+async def test_a_claim_whose_answer_is_lost_is_taken_up_by_who_made_it(
+    world: World,
+) -> None:
+    """The head names an instance that does not know, and another is to take over."""
+    await world.add_runner()
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    first, second = (instance.settings.instance for instance in instances)
+    job = next(id for id in map(str, range(99)) if owner(id, [first, second]) == second)
+    world.store.lose_table = "jobs"
+    world.store.lose_answers = 1
+    assert (await world.submit(instances[0], job, ITEMS)).status == 202
+    assert len(await listed(world, instances[1], job, 3)) == 3
+
+
+async def test_a_job_whose_task_failed_is_held_again(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    write = instance.keeper._writer.write
+    failures = [RuntimeError("planted")]
+
+    async def failing(job, holder):
+        if failures:
+            raise failures.pop()
+        return await write(job, holder)
+
+    monkeypatch.setattr(instance.keeper._writer, "write", failing)
+    await world.submit(instance, "j1", ITEMS)
+    assert len(await listed(world, instance, "j1", 3)) == 3
+
+
+async def test_a_job_taken_through_a_peer_by_a_fresh_instance_is_not_old(
+    world: World,
+) -> None:
+    """An instance that never reached the store itself does not know its time."""
+    await world.add_runner()
+    first = await world.add_instance()
+    await world.ready()
+    second = await world.add_instance()
+    world.store_of(second)._base = "http://127.0.0.1:1"
+    await until(lambda: any(m.store_reached for m in second.mesh.alive()))
+    second.reach.failed("it is turned away")
+    await until(lambda: second.configuration.table is not None)
+    assert (await world.submit(second, "j1", ITEMS)).status == 202
+    results = await listed(world, first, "j1", 3)
+    assert [one["state"] for one in results] == ["completed"] * 3
+    age_s = first.clock.now() - first.index.entries_by_job["j1"].sent_s
+    assert 0 <= age_s < 5
+
+
+async def test_a_grant_for_a_slot_that_is_taken_is_not_repeated_at_once(
+    world: World,
+) -> None:
+    """The granter may not know of requests that the instance it grants to knows of."""
+    runner = await world.add_runner(slots=1)
+    instance = await world.add_instance()
+    await world.ready()
+    instance.fleet.occupancy.told("elsewhere", runner.id, Count(1, 0))
+    declined = []
+    instance.mesh.send = lambda peer, message: declined.append(message)
+    instance.keeper._granted("granter", SlotGrant(runner.id))
+    assert declined == [SlotDecline(runner.id, full=True)]
+    now = asyncio.get_running_loop().time()
+    broker = SlotBroker("granter")
+    broker.members_are(Members({"a": ["granter"]}))
+    broker.wants("peer", {"model": Want(1, 0.0)})
+    targets = list(instance.fleet.targets.by_id.values())
+    assert broker.grant(targets, Occupancy("granter"), 0.0, now)
+    assert not broker.grant(targets, Occupancy("granter"), 0.0, now + 0.01)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from gateway.conftest import World, free_port, until
+from gateway.conftest import World, free_address, until
 
 ROOT = Path(__file__).parents[2]
 
@@ -87,7 +87,7 @@
     world: World, tmp_path: Path
 ) -> None:
     await world.add_runner()
-    callers, ready, peers = (f"127.0.0.1:{free_port()}" for _ in range(3))
+    callers, ready, peers = (free_address() for _ in range(3))
     settings = tmp_path / "local.toml"
     settings.write_text(
         f'[instance]\nid = "e-1"\navailability_zone = "a"\nmetrics_port = 0\n'
