--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -88,6 +88,7 @@
     configuration_table: str
     configuration_key: str
     targets_table: str
+    load_path: str
 
     @abstractmethod
     def configuration(self, value: bytes) -> RoutingTable:
@@ -105,6 +106,14 @@
             DecodeError: it holds none.
         """
 
+    @abstractmethod
+    def load(self, body: bytes) -> int:
+        """Return how many requests run or wait at a target, as it says.
+
+        Raises:
+            DecodeError: it does not say.
+        """
+
     @abstractmethod
     def job(self, body: bytes) -> JobRequest:
         """Return the job that a caller sends.
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -27,6 +27,7 @@
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import JobNews, SlotDecline, SlotGrant, SlotWants
 from caperridge.gateway.rows import RowStore, StoredRow, Transaction
+from caperridge.gateway.targets import Target
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -134,13 +135,7 @@
         self._tell_wants(jobs, now)
         if not self._broker.wanted:
             return
-        listed = self._fleet.targets
-        here = self._broker.falls_here(
-            self._members(), listed.by_id.values(), listed.changes
-        )
-        targets = {
-            id: listed.by_id[id] for id in here if self._fleet.is_usable(id, now)
-        }
+        targets = {target.id: target for target in self.granted_here()}
         grants = self._broker.grant(
             targets.values(), self._fleet.occupancy, self._clock.now(), now
         )
@@ -153,6 +148,15 @@
         if grants:
             self._tell_wants(jobs, now)
 
+    def granted_here(self) -> list[Target]:
+        """Return the targets in use whose slots this instance grants."""
+        now = asyncio.get_running_loop().time()
+        listed = self._fleet.targets
+        here = self._broker.falls_here(
+            self._members(), listed.by_id.values(), listed.changes
+        )
+        return [listed.by_id[id] for id in here if self._fleet.is_usable(id, now)]
+
     def _members(self) -> Members:
         by_zone = {self._mesh.zone: [self._mesh.instance]}
         for member in self._mesh.alive():
@@ -164,6 +168,8 @@
         wants = self._slots.wants(jobs, now)
         self._broker.wants(self._mesh.instance, wants)
         told = SlotWants([[name, want.count, want.due] for name, want in wants.items()])
+        if not wants and not self._told_wants:
+            return
         if now >= self._tell_again_at:
             # News may be lost, and far peers are told only now and then.
             self._tell_again_at = now + TELL_AGAIN_S
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -177,6 +177,16 @@
         self.full = full
 
 
+class UnownedRuns(Record):
+    """Runs at ``target`` that no live instance knows of."""
+
+    __slots__ = ("count", "target")
+
+    def __init__(self, target: str, count: int) -> None:
+        self.target = target
+        self.count = count
+
+
 KINDS_BY_NAME = {
     kind.__name__: kind
     for kind in (
@@ -190,6 +200,7 @@
         SlotWants,
         SlotGrant,
         SlotDecline,
+        UnownedRuns,
         StoreAsk,
         StoreAnswer,
     )
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -21,6 +21,7 @@
 from caperridge.gateway.jobs.keeper import JobKeeper
 from caperridge.gateway.jobs.keeping import JobWriter
 from caperridge.gateway.jobs.slots import ItemSlots
+from caperridge.gateway.jobs.sweep import JobSweeper
 from caperridge.gateway.listeners import (
     Listener,
     metrics_application,
@@ -35,6 +36,7 @@
 from caperridge.gateway.rows import RowStore, StoredRow
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import StoreReach, TableWatcher
 from caperridge.log import logger
@@ -102,6 +104,9 @@
             self.fleet,
             self.clock,
         )
+        self.unowned = UnownedLook(
+            self.fleet, self.client, dialect, self.mesh, self.keeper.granted_here
+        )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
         jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
         forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
@@ -109,6 +114,9 @@
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
+        self.sweeper = JobSweeper(
+            store, self.index, self.clock, self.mesh, settings.jobs_kept_s
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[Listener] = []
         self._wire()
@@ -226,6 +234,8 @@
             loop.create_task(self.registry.run()),
             loop.create_task(self._tick()),
             loop.create_task(self._probe()),
+            loop.create_task(self.unowned.run()),
+            loop.create_task(self.sweeper.run()),
         ]
         log.info(
             "instance started",
--- a/src/caperridge/gateway/settings.py
+++ b/src/caperridge/gateway/settings.py
@@ -32,6 +32,7 @@
             vol.Required("row_bytes"): _POSITIVE,
             vol.Required("object_bytes"): _POSITIVE,
         },
+        vol.Required("jobs"): {vol.Required("kept_s"): _POSITIVE},
         vol.Required("stopping"): {vol.Required("grace_s"): _POSITIVE},
     },
     extra=vol.REMOVE_EXTRA,
@@ -52,6 +53,7 @@
         store: ``IP:PORT`` of the platform's store.
         row_bytes: largest value of a row there, encoded.
         object_bytes: largest object there.
+        jobs_kept_s: from a job's acceptance for how long its results can be read.
         grace_s: seconds between being told to stop and being killed.
         log_level: least level that is logged.
     """
@@ -61,6 +63,7 @@
         "callers",
         "grace_s",
         "instance",
+        "jobs_kept_s",
         "log_level",
         "metrics_port",
         "object_bytes",
@@ -83,6 +86,7 @@
         store: str,
         row_bytes: int,
         object_bytes: int,
+        jobs_kept_s: float,
         grace_s: float,
         log_level: str = "INFO",
     ) -> None:
@@ -96,6 +100,7 @@
         self.store = store
         self.row_bytes = row_bytes
         self.object_bytes = object_bytes
+        self.jobs_kept_s = jobs_kept_s
         self.grace_s = grace_s
         self.log_level = log_level
 
@@ -139,6 +144,7 @@
         store=table["store"]["address"],
         row_bytes=int(table["store"]["row_bytes"]),
         object_bytes=int(table["store"]["object_bytes"]),
+        jobs_kept_s=float(table["jobs"]["kept_s"]),
         grace_s=float(table["stopping"]["grace_s"]),
         log_level=table["instance"].get("log_level", "INFO"),
     )
--- /dev/null
+++ b/src/caperridge/gateway/unowned.py
@@ -0,0 +1,119 @@
+"""Runs at targets that no live instance knows of, after instances were lost.
+
+An instance that loses power closes no connection: its runs go on at their targets for
+seconds, in slots that look free. While that may be so, the instance that grants a
+target's slots asks the target how much it does, and tells the others what is too much.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.messages import UnownedRuns
+from caperridge.gateway.occupancy import Count
+from caperridge.gateway.targets import Target
+from caperridge.gateway.upstream import TargetClient
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# Longer than most runs of items; whatever was left behind has ended by then.
+LOOK_FOR_S = 7.0
+LOOK_S = 0.25
+# A target's word is some 100 ms old; one that comes no more is forgotten after this.
+KEPT_S = 0.8
+ASK_S = 0.3
+# Stands in the counts for whoever started those runs.
+NOBODY = "?"
+
+
+class UnownedLook:
+    """Asks targets while there may be runs that nobody knows of.
+
+    Args:
+        fleet: whose counts are completed.
+        client: asks targets.
+        dialect: reads their answers.
+        mesh: whose peers are told, and whose losses begin a look.
+        targets: returns those that fall to this instance.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        client: TargetClient,
+        dialect: Dialect,
+        mesh: Mesh,
+        targets: Callable[[], list[Target]],
+    ) -> None:
+        self._targets = targets
+        self._fleet = fleet
+        self._client = client
+        self._dialect = dialect
+        self._mesh = mesh
+        self._until = 0.0
+        self._last_by_target: dict[str, int] = {}
+        self._told_at_by_target: dict[str, float] = {}
+        mesh.register(UnownedRuns, self._told)
+        mesh.on_lose(self._lost)
+
+    def _lost(self, member: Member) -> None:
+        if not member.leaving:  # a planned stop leaves no runs behind
+            self.begin()
+
+    def begin(self) -> None:
+        """Look for a while from now on."""
+        self._until = asyncio.get_running_loop().time() + LOOK_FOR_S
+
+    async def run(self) -> None:
+        """Look until cancelled; the start is a reason to look."""
+        self.begin()
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._expire(now)
+            if now < self._until:
+                await self._look()
+            await asyncio.sleep(LOOK_S)
+
+    async def _look(self) -> None:
+        await asyncio.gather(*(self._ask(target) for target in self._targets()))
+
+    async def _ask(self, target: Target) -> None:
+        answer = await self._client.get(target.address, self._dialect.load_path, ASK_S)
+        if isinstance(answer, Err):
+            return
+        try:
+            running = self._dialect.load(answer.ok_value)
+        except DecodeError as error:
+            log.info("load not read", target=target.id, reason=str(error))
+            return
+        occupancy = self._fleet.occupancy
+        known = occupancy.at(target.id).total - occupancy.of(NOBODY, target.id).total
+        unowned = max(0, running - known)
+        # A run that just ended may still be in one answer; it is not in the next.
+        lasting = min(unowned, self._last_by_target.get(target.id, 0))
+        self._last_by_target[target.id] = unowned
+        if lasting or occupancy.of(NOBODY, target.id).total:
+            news = UnownedRuns(target.id, lasting)
+            self._mesh.send_near(news)
+            self._told(self._mesh.instance, news)
+
+    def _told(self, peer: str, news: UnownedRuns) -> None:
+        before = self._fleet.occupancy.of(NOBODY, news.target).total
+        self._told_at_by_target[news.target] = asyncio.get_running_loop().time()
+        if before == news.count:
+            return
+        log.info("runs of nobody", target=news.target, count=news.count, source=peer)
+        self._fleet.occupancy.told(NOBODY, news.target, Count(news.count))
+        self._fleet.changed()
+
+    def _expire(self, now: float) -> None:
+        for target, told_at in list(self._told_at_by_target.items()):
+            if now - told_at > KEPT_S:
+                del self._told_at_by_target[target]
+                self._fleet.occupancy.told(NOBODY, target, Count())
+                self._fleet.changed()
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -175,6 +175,22 @@
             return Err(Lost(type(error).__name__))
         return self._checked(outbound, Answer(response, self._watch))
 
+    async def get(
+        self, address: str, path: str, within_s: float
+    ) -> Result[bytes, AttemptError]:
+        """Return the body of a small answer of status 200."""
+        try:
+            async with self._open().get(
+                yarl.URL(f"http://{address}{path}", encoded=True),
+                timeout=aiohttp.ClientTimeout(total=within_s),
+                allow_redirects=False,
+            ) as response:
+                if response.status != 200:
+                    return Err(TargetRefused(response.status, "it gives no answer"))
+                return Ok(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(Lost(type(error).__name__))
+
     async def reaches(self, address: str, within_s: float = CONNECT_S) -> bool:
         """Return whether something accepts connections at ``address``."""
         host, _, port = address.rpartition(":")
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -54,6 +54,7 @@
     configuration_table = "op"
     configuration_key = "config"
     targets_table = "servers"
+    load_path = "/report"
 
     def configuration(self, value: bytes) -> RoutingTable:
         """See :meth:`Dialect.configuration`."""
@@ -89,6 +90,14 @@
         except (ValueError, KeyError, TypeError) as error:
             raise DecodeError(f"no target: {error!r}") from error
 
+    def load(self, body: bytes) -> int:
+        """See :meth:`Dialect.load`."""
+        try:
+            fields = orjson.loads(body)
+            return int(fields["activeRequests"]) + int(fields["queueDepth"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise DecodeError(f"no load: {error!r}") from error
+
     def job(self, body: bytes) -> JobRequest:
         """See :meth:`Dialect.job`."""
         try:
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -71,6 +71,8 @@
 address = "127.0.0.1:4"
 row_bytes = 65536
 object_bytes = 8388608
+[jobs]
+kept_s = 120
 [stopping]
 grace_s = 8
 """
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -202,6 +202,7 @@
             store=self.store_address,
             row_bytes=65536,
             object_bytes=8 * 2**20,
+            jobs_kept_s=120.0,
             grace_s=8.0,
         )
         store = HttpRowStore(self.store_address)
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -34,6 +34,7 @@
         lose: reset the connection instead of the next answers.
         wrong_id: answer with the id of another request.
         runs: that began.
+        leftover: runs of callers that lost power, which nobody knows of.
     """
 
     def __init__(self, id: str, slots: int = 4) -> None:
@@ -52,11 +53,13 @@
         self.busy = 0
         self.most_busy = 0
         self.refused = 0
+        self.leftover = 0
 
     def application(self) -> web.Application:
         """Return what serves the runner."""
         application = web.Application()
         application.router.add_get("/healthz", self._health)
+        application.router.add_get("/report", self._report)
         application.router.add_route("*", "/{path:.*}", self._serve)
         return application
 
@@ -64,6 +67,10 @@
         """Return the data of the events of a request."""
         return [f"{request}-{number}" for number in range(1, self.events + 1)]
 
+    async def _report(self, _: web.Request) -> web.Response:
+        active = self.busy + self.leftover
+        return web.json_response({"activeRequests": active, "queueDepth": 0})
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.Response(headers={"X-Instance-Id": self.id})
 
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -382,3 +382,50 @@
     targets = list(instance.fleet.targets.by_id.values())
     assert broker.grant(targets, Occupancy("granter"), 0.0, now)
     assert not broker.grant(targets, Occupancy("granter"), 0.0, now + 0.01)
+
+
+async def test_slots_that_lost_instances_left_busy_are_not_taken_for_free(
+    world: World,
+) -> None:
+    """An instance without power closes nothing; its runs go on at their targets."""
+    runner = await world.add_runner(slots=3)
+    runner.leftover = 2
+    instance = await world.add_instance()
+    await world.ready()
+    await until(lambda: instance.fleet.occupancy.at(runner.id).total == 2)
+    runner.pause_s = 0.3
+    await world.submit(instance, "j1", ITEMS)
+    await until(lambda: runner.busy)
+    await asyncio.sleep(0.6)
+    assert runner.most_busy == 1
+    runner.leftover = 0
+    await until(lambda: runner.busy == 3)
+    assert instance.fleet.occupancy.at(runner.id).total == 3
+
+
+async def test_an_old_job_is_swept_with_all_that_was_kept_of_it(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runner = await world.add_runner()
+    runner.events = 60
+    runner.pause_s = 0.0
+    runner.text = lambda request: ["y" * 1200 for _ in range(60)]
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    await world.submit(instances[0], "j1", ITEMS)
+    await listed(world, instances[0], "j1", 3)
+    for instance in instances:
+        entries = instance.index.entries_by_job
+        await until(lambda known=entries: "j1" in known and not known["j1"].open)
+    assert [one.sweeper.due() for one in instances] == [[], []]
+    later = instances[0].clock.now() + 200.0
+    for instance in instances:
+        monkeypatch.setattr(instance.clock, "now", lambda: later)
+    due = [one for one in instances if one.sweeper.due()]
+    assert len(due) == 1
+    for entry in due[0].sweeper.due():
+        await due[0].sweeper._sweep(entry)
+    assert world.store.objects == {}
+    kept = [key for key in world.store.rows if key[0] in ("jobs", "job-index")]
+    assert kept == [("job-index", "", "gate:work")]
+    assert (await world.results(instances[0], "j1")).status == 404
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -95,6 +95,7 @@
         f"[peers]\nseeds = []\n"
         f'[store]\naddress = "{world.store_address}"\n'
         f"row_bytes = 65536\nobject_bytes = 8388608\n"
+        f"[jobs]\nkept_s = 120\n"
         f"[stopping]\ngrace_s = 4\n"
     )
     process = await asyncio.create_subprocess_exec(
