Never take back a row that was removed before the first read; log each placing

A copy knows up to which version it is complete now, and older rows that it does not have are not taken.

--- a/src/caperridge/cli/main.py
+++ b/src/caperridge/cli/main.py
@@ -5,7 +5,16 @@
 import typer
 
 from caperridge import __version__
-from caperridge.cli import demo, instances, jobs, measure, operators, standins, tokens
+from caperridge.cli import (
+    demo,
+    instances,
+    jobs,
+    logs,
+    measure,
+    operators,
+    standins,
+    tokens,
+)
 from caperridge.cli.errors import INTERRUPTED, CommandError
 
 app = typer.Typer(
@@ -18,6 +27,7 @@
 operators.register(app)
 jobs.register(app)
 tokens.register(app)
+logs.register(app)
 standins.register(app)
 measure.register(app)
 demo.register(app)
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -113,6 +113,14 @@
             targets, self._fleet.occupancy, self._fleet.zone, self._fleet.chance
         )
         if target is None:
+            online = sum(self._fleet.occupancy.at(one.id).online for one in targets)
+            log.info(
+                "no room",
+                request=request.id,
+                targets=len(targets),
+                slots=sum(one.slots for one in targets),
+                online=online,
+            )
             return GivenUp("all queues are full", not_run, BUSY_RETRY_AFTER_S)
         return target
 
@@ -127,14 +135,16 @@
         carriage.offers += 1
         sent_before = carriage.sent_at_least_once
         count = self._fleet.occupancy.at(target.id)
-        log.debug(
+        log.info(
             "request placed",
             request=request.id,
+            route=request.route.name,
             target=target.id,
             online=count.online,
             items=count.items,
             slots=target.slots,
             offer=carriage.offers,
+            after_event=carriage.last_event,
         )
         self._fleet.occupancy.add(target.id, online=1)
         self._fleet.changed()
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -79,6 +79,14 @@
         state.target = target.id
         self._count(target.id, 1, due)
         self._fleet.changed()
+        log.info(
+            "item started",
+            job=job.entry.id,
+            item=state.item.id,
+            target=target.id,
+            after_event=state.progress.event,
+            due_s=round(due, 2),
+        )
         attempt = self._attempt(job, state, target)
         state.task = asyncio.get_running_loop().create_task(attempt)
         # A task that is cancelled before its first step runs nothing of its own.
--- a/src/caperridge/gateway/table_copy.py
+++ b/src/caperridge/gateway/table_copy.py
@@ -33,8 +33,11 @@
     def take_whole(self, rows: Iterable[StoredRow], version: int) -> list[StoredRow]:
         """Take a whole read as of ``version``; return what it changed.
 
-        Rows that were written after it stay, whatever it says.
+        One that is older than the copy says nothing new, and what it lists may be gone
+        by now. Rows that were written after it stay, whatever it says.
         """
+        if version < self.read_version:
+            return []
         listed = {row.key: row for row in rows}
         changed = [row for row in listed.values() if self._put(row)]
         for key, row in list(self.rows_by_key.items()):
@@ -43,17 +46,25 @@
             gone = StoredRow(key, b"", version, removed=True)
             if self._put(gone):
                 changed.append(gone)
-        self.read_version = max(self.read_version, version)
+        self.read_version = version
         return changed
 
-    def take_changes(self, rows: Iterable[StoredRow], version: int) -> list[StoredRow]:
-        """Take changes that reach up to ``version``; return those that were news."""
-        changed = [row for row in rows if self._put(row)]
-        self.read_version = max(self.read_version, version)
+    def take_changes(
+        self, rows: Iterable[StoredRow], since: int, version: int
+    ) -> list[StoredRow]:
+        """Take all changes after ``since`` up to ``version``; return those of news."""
+        changed = [row for row in rows if self.take_row(row)]
+        if since <= self.read_version:
+            self.read_version = max(self.read_version, version)
         return changed
 
     def take_row(self, row: StoredRow) -> bool:
-        """Take one row that was written or seen apart; return whether it was news."""
+        """Take one row that was written or seen apart; return whether it was news.
+
+        A row that is not known though the copy reaches beyond its version was removed.
+        """
+        if row.key not in self.rows_by_key and row.version <= self.read_version:
+            return False
         return self._put(row)
 
     def part(self, part: str) -> list[StoredRow]:
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -130,14 +130,13 @@
         return None
 
     async def _watch(self) -> Err | None:
-        answer = await self._store.changes(
-            self.copy.table, self.copy.read_version, WATCH_S
-        )
+        since = self.copy.read_version
+        answer = await self._store.changes(self.copy.table, since, WATCH_S)
         if isinstance(answer, Err):
             return answer
         self._reach.answered()
         page: RowsRead = answer.ok_value
-        news = self.copy.take_changes(page.rows, page.version)
+        news = self.copy.take_changes(page.rows, since, page.version)
         if news:
             self._changed(news, "store")
         return None
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -73,7 +73,7 @@
     ),
     st.integers(1, 8),
 )
-@settings(max_examples=200, derandomize=True, deadline=None)
+@settings(max_examples=400, derandomize=True, deadline=None)
 def test_instances_together_cancel_as_many_as_is_needed(
     held: list[tuple[int, int, int]], slots: int
 ) -> None:
@@ -156,8 +156,20 @@
 )
 
 
+def test_a_stale_copy_of_a_peer_brings_nothing_back() -> None:
+    """An entry that was removed before the first read was never seen here."""
+    copy = TableCopy("t")
+    gone = StoredRow(KEYS[0], b"x", 2)
+    copy.take_whole([], 4)
+    assert copy.take_whole([gone], 3) == []
+    assert copy.take_changes([gone], 1, 2) == []
+    assert not copy.take_row(gone)
+    assert copy.rows_by_key == {}
+    assert copy.take_row(StoredRow(KEYS[0], b"y", 5))
+
+
 @given(row_changes, st.randoms(use_true_random=False))
-@settings(max_examples=200, derandomize=True, deadline=None)
+@settings(max_examples=400, derandomize=True, deadline=None)
 def test_a_copy_ends_at_the_newest_whatever_the_order(
     changes: list[tuple[RowKey, bool]], chance: random.Random
 ) -> None:
@@ -171,6 +183,7 @@
         else:
             state[key] = row
         messages.append(("changes", [row], version))
+        messages.append(("row", [row], version))
         messages.append(("whole", list(state.values()), version))
     newest = messages[-1]
     told = [message for message in messages if chance.random() < 0.7]
@@ -180,8 +193,10 @@
     for kind, rows, version in told:
         if kind == "whole":
             copy.take_whole(rows, version)
+        elif kind == "row":
+            copy.take_row(rows[0])
         else:
-            copy.take_changes(rows, version)
+            copy.take_changes(rows, version - 1, version)
     assert copy.rows_by_key == state
 
 
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -428,4 +428,7 @@
     assert world.store.objects == {}
     kept = [key for key in world.store.rows if key[0] in ("jobs", "job-index")]
     assert kept == [("job-index", "", "gate:work")]
-    assert (await world.results(instances[0], "j1")).status == 404
+    for instance in instances:
+        entries = instance.index.entries_by_job
+        await until(lambda known=entries: "j1" not in known)
+        assert (await world.results(instance, "j1")).status == 404
