--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -11,6 +11,9 @@
 
 log = logger(__name__)
 
+# Callers give up after 5 s; a target that is back should serve them again by then.
+LONGEST_OUT_S = 4.0
+
 
 class Fleet:
     """The targets with what speaks for and against using each.
@@ -69,9 +72,13 @@
     def failed(self, target: Target, error: AttemptError, now: float) -> None:
         """Note what became of an attempt; eject the target if that is enough."""
         health = self._health_by_target.setdefault(target.id, Health())
+        if health.is_out(now):
+            # Requests that were under way when it was ejected say nothing new.
+            return
         if not health.failed(error):
             return
-        out_s = health.eject(now)
+        out_s = min(health.eject(now), LONGEST_OUT_S)
+        health.out_until = now + out_s
         if isinstance(error, NotSent):
             self.unreachable[target.id] = target.address
         log.warning(
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -8,12 +8,14 @@
 from hypothesis import strategies as st
 
 from caperridge.gateway.events import EventSplitter
+from caperridge.gateway.fleet import LONGEST_OUT_S, Fleet
 from caperridge.gateway.jobs.broker import GRANT_S, Members, SlotBroker, Want
 from caperridge.gateway.occupancy import Count, Occupancy
 from caperridge.gateway.placement import items_to_cancel, place_online
 from caperridge.gateway.rows import RowKey, StoredRow
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.targets import LAPSE_GRACE_S, Target, TargetList
+from caperridge.targets.outcomes import Lost, NotSent
 
 KEYS = [RowKey("t", "", name) for name in "abc"]
 
@@ -213,3 +215,29 @@
     assert [event.id for event in events] == [1, 2, 3, 4, 5]
     assert b"".join(event.raw for event in events) == whole
     assert splitter.rest == b""
+
+
+def test_requests_under_way_do_not_eject_a_target_again(chance: random.Random) -> None:
+    """Twelve that break at once are one failure of the target, not twelve."""
+    fleet = Fleet("me", "a", chance)
+    fleet.targets.put(target("t"))
+    fleet.targets.put(target("u"))
+    for _ in range(12):
+        fleet.failed(target("t"), Lost("it fell silent"), 0.0)
+    assert [one.id for one in fleet.usable("model", 0.9)] == ["u"]
+    assert {one.id for one in fleet.usable("model", 1.1)} == {"t", "u"}
+    now = 1.1
+    for _ in range(6):
+        fleet.failed(target("t"), Lost("it fell silent"), now)
+        assert not fleet.is_usable("t", now + 0.1)
+        assert fleet.is_usable("t", now + LONGEST_OUT_S + 0.1)
+        now += LONGEST_OUT_S + 0.1
+
+
+def test_when_all_targets_are_ejected_each_is_tried(chance: random.Random) -> None:
+    fleet = Fleet("me", "a", chance)
+    fleet.targets.put(target("t"))
+    fleet.failed(target("t"), NotSent("refused"), 0.0)
+    assert [one.id for one in fleet.usable("model", 0.1)] == ["t"]
+    fleet.reached("t")
+    assert fleet.is_usable("t", 0.1)
