Take heads of up to 64 KB, and forget what is known of swept jobs

Cause: the HTTP library refuses header lines over 8 KB with 400 unless told; deployments allow heads of 16 KB, and a prompt's parts stand in one header. Found by reading the code against the limits of the configuration; the test fails without the change (400). Jobs are forgotten when their entry goes.

--- a/src/caperridge/gateway/jobs/index.py
+++ b/src/caperridge/gateway/jobs/index.py
@@ -19,11 +19,16 @@
         self.copy = TableCopy(INDEX)
         self.entries_by_job: dict[str, JobEntry] = {}
         self._changed: list[Callable[[], None]] = []
+        self._removed: list[Callable[[str], None]] = []
 
     def on_change(self, call: Callable[[], None]) -> None:
         """Have ``call`` called when entries have changed."""
         self._changed.append(call)
 
+    def on_removed(self, call: Callable[[str], None]) -> None:
+        """Have ``call`` called with each job whose entry was removed."""
+        self._removed.append(call)
+
     def take(self, rows: list[StoredRow]) -> None:
         """Decode rows that were news in the copy."""
         for row in rows:
@@ -32,6 +37,8 @@
                 continue
             if row.removed:
                 self.entries_by_job.pop(job, None)
+                for call in self._removed:
+                    call(job)
                 continue
             try:
                 self.entries_by_job[job] = from_bytes(JobEntry, row.value)
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -84,6 +84,7 @@
         self._news: dict[str, asyncio.Event] = {}
         self._told_wants: dict[str, Want] = {}
         self._tell_again_at = 0.0
+        index.on_removed(self._forget)
         mesh.register(JobNews, self._told)
         mesh.register(SlotWants, self._peer_wants)
         mesh.register(SlotGrant, self._granted)
@@ -218,6 +219,13 @@
             if owner(id, live) == self._mesh.instance:
                 self._spawn(self._claim(entry, None))
 
+    def _forget(self, id: str) -> None:
+        """Drop what is known of a job that was swept."""
+        self._holder_by_id.pop(id, None)
+        self.listed_by_id.pop(id, None)
+        self._news.pop(id, None)
+        self._retry_at_by_id.pop(id, None)
+
     async def _claim(self, entry: JobEntry, items: list[JobItem] | None) -> None:
         """Become the holder of a job, then keep it until it ends."""
         self._claiming.add(entry.id)
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -10,6 +10,8 @@
 BACKLOG = 1024
 # Callers take up connections that have rested for most of the idle limit.
 KEEPALIVE_S = 75.0
+# The library takes 8 KB a line unless told; deployments allow heads of 16 KB and more.
+HEAD_BYTES = 64 * 2**10
 
 
 class Listener:
@@ -28,6 +30,8 @@
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
             shutdown_timeout=0.1,
+            max_line_size=HEAD_BYTES,
+            max_field_size=HEAD_BYTES,
         )
         self._host = host
         self._port = port
@@ -41,13 +45,12 @@
         )
         await self._site.start()
 
-    def close_door(self) -> None:
-        """Take no more connections; those that are open stay."""
-        server = self._runner.server
-        if self._site is not None and self._site._server is not None:
-            self._site._server.close()
-        if server is not None:
-            server.pre_shutdown()
+    async def close_door(self) -> None:
+        """Take no more connections, and end those on which no request runs."""
+        if self._site is not None:
+            await self._site.stop()
+        if self._runner.server is not None:
+            self._runner.server.pre_shutdown()
 
     async def stop(self) -> None:
         """Close everything."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -258,7 +258,7 @@
         handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
         await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
         await handing_over
-        self._listeners[1].close_door()
+        await self._listeners[1].close_door()
         await self.edge.idle(end)
         cut = self.edge.running
         log.info("instance stopped", cut=cut)
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -223,6 +223,8 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 read_bufsize=READ_BYTES,
+                max_line_size=READ_BYTES,
+                max_field_size=READ_BYTES,
                 middlewares=(loss_is_final,),
             )
         return self._session
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -153,7 +153,10 @@
     async def serve(self, application: web.Application) -> str:
         """Serve ``application`` and return its address."""
         runner = web.AppRunner(
-            application, handler_cancellation=True, shutdown_timeout=0.1
+            application,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            max_field_size=65536,
         )
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -431,4 +431,5 @@
     for instance in instances:
         entries = instance.index.entries_by_job
         await until(lambda known=entries: "j1" not in known)
+        assert "j1" not in instance.keeper.listed_by_id
         assert (await world.results(instance, "j1")).status == 404
--- a/tests/gateway/test_online.py
+++ b/tests/gateway/test_online.py
@@ -205,3 +205,13 @@
     world.store.forget_history()
     world.configure(9, ROUTES)
     await until(lambda: instance.configuration.table.version == 9)
+
+
+async def test_a_head_of_many_kilobytes_is_taken(world: World) -> None:
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    parts = ",".join(f"{number:08x}:10" for number in range(1200))
+    answer = await world.ask(instance, "/ask/1", "r1", X_Prompt_Prefix=parts)
+    assert answer.status == 200
+    assert runner.runs[0].headers["X-Prompt-Prefix"] == parts
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -73,9 +73,9 @@
         await leave()
         steps.append("left")
 
-    def closes() -> None:
+    async def closes() -> None:
         steps.append("closed")
-        close_door()
+        await close_door()
 
     monkeypatch.setattr(instance.registry, "leave", slow_leave)
     monkeypatch.setattr(instance._listeners[1], "close_door", closes)
