--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -20,6 +21,8 @@
 
 # Sent while the configuration is not known yet.
 STARTING_RETRY_AFTER_S = 0.5
+# Ids of jobs stand in paths, keys and names of objects, of 200 bytes at most.
+JOB_ID = re.compile(r"[A-Za-z0-9._~-]{1,100}")
 # No request for so long while leaving: callers have gone elsewhere.
 QUIET_S = 0.7
 QUIET_LOOK_S = 0.05
@@ -236,8 +239,8 @@
         self, request: web.Request, route: Route, body: bytes, arrived: float
     ) -> web.StreamResponse:
         id = request.headers.get(self._dialect.headers.request, "")
-        if request.method != "POST" or not id:
-            return self._refuse(request, 400, "a job is sent by POST with an id")
+        if request.method != "POST" or not JOB_ID.fullmatch(id):
+            return self._refuse(request, 400, "a job is sent by POST with a plain id")
         try:
             job = self._dialect.job(body)
         except DecodeError as error:
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -63,7 +63,7 @@
         self.settings = settings
         self._dialect = dialect
         chance = random.Random(secrets.randbits(64))
-        incarnation = f"{settings.instance}/{secrets.token_hex(4)}"
+        incarnation = f"{settings.instance}.{secrets.token_hex(4)}"
         self.metrics = GatewayMetrics()
         self.configuration = ConfigurationInForce()
         self.fleet = Fleet(settings.instance, settings.availability_zone, chance)
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,289 @@
+"""Gateway instances on loopback before stand-ins of the users' store and runners."""
+
+import asyncio
+import base64
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import pytest_asyncio
+import yarl
+from aiohttp import web
+
+from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.settings import Settings
+from caperridge.platform.dialect import PlatformDialect
+from caperridge.platform.store import HttpRowStore
+from gateway.runner_standin import RunnerStandin
+from gateway.store_standin import StoreStandin
+
+HOST = "calls.example"
+WITHIN_S = 10.0
+
+
+def route(name: str, **changes: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    fields: dict[str, Any] = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": "streaming",
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "priority": 0,
+        "service": "model",
+        "maxAttempts": 2,
+        "resumable": True,
+        "gapTargetMs": 200,
+    }
+    return fields | changes
+
+
+ROUTES = [
+    route("ask"),
+    route("once", resumable=False, maxAttempts=1),
+    route(
+        "work",
+        kind="batch",
+        maxAttempts=3,
+        priority=2,
+        runTargetMs=18000,
+        maxQueuedTokens=1000,
+        retentionS=60,
+    ),
+]
+
+
+def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "model", "healthPath": "/healthz"}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+def job_body(ids: list[str], tokens: int = 10) -> dict[str, Any]:
+    """Return a job as a caller sends it."""
+    return {
+        "requests": [
+            {
+                "id": id,
+                "path": f"/work/{id}",
+                "headers": {"X-Model": "m"},
+                "body": base64.b64encode(f"body of {id}".encode()).decode(),
+                "tokens": tokens,
+            }
+            for id in ids
+        ]
+    }
+
+
+def free_port() -> int:
+    """Return a port that the system gave."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status: int, headers: Any, body: bytes, whole: bool) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+    @property
+    def data(self) -> list[str]:
+        """The data of its events."""
+        lines = self.body.decode().splitlines()
+        return [line[6:] for line in lines if line.startswith("data: ")]
+
+
+class World:
+    """Instances, their store and their runners; all in this process."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.runners: list[RunnerStandin] = []
+        self.instances: list[GatewayInstance] = []
+        self._stores: list[HttpRowStore] = []
+        self._sites: list[web.AppRunner] = []
+        self._session: aiohttp.ClientSession | None = None
+        self.store_address = ""
+        self._addresses_by_runner: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Start the store with a configuration."""
+        self.store_address = await self.serve(self.store.application())
+        self.configure(1, ROUTES)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for instance in list(self.instances):
+            await self.kill(instance)
+        assert self._session is not None
+        await self._session.close()
+        for site in self._sites:
+            await site.cleanup()
+
+    async def serve(self, application: web.Application) -> str:
+        """Serve ``application`` and return its address."""
+        runner = web.AppRunner(
+            application, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self._sites.append(runner)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write a configuration."""
+        self.store.put("op", "config", configuration(version, routes))
+
+    async def add_runner(self, zone: str = "a", slots: int = 4) -> RunnerStandin:
+        """Start a runner and list it."""
+        runner = RunnerStandin(f"i-{len(self.runners)}", slots)
+        self.runners.append(runner)
+        address = await self.serve(runner.application())
+        self._addresses_by_runner[runner.id] = address
+        self.list_runner(runner, zone)
+        return runner
+
+    def list_runner(
+        self, runner: RunnerStandin, zone: str = "a", state: str = "ready"
+    ) -> None:
+        """Write a runner's entry."""
+        entry = {
+            "service": "model",
+            "address": self._addresses_by_runner[runner.id],
+            "zone": zone,
+            "version": "v1",
+            "slots": runner.slots,
+            "state": state,
+            "seq": 1,
+        }
+        self.store.put("servers", runner.id, entry)
+
+    async def add_instance(self, id: str = "", zone: str = "a") -> GatewayInstance:
+        """Start an instance and wait until it is ready."""
+        settings = Settings(
+            instance=id or f"e-{len(self.instances)}",
+            availability_zone=zone,
+            metrics_port=0,
+            callers=f"127.0.0.1:{free_port()}",
+            ready=f"127.0.0.1:{free_port()}",
+            peers=f"127.0.0.1:{free_port()}",
+            seeds=[one.settings.peers for one in self.instances],
+            store=self.store_address,
+            row_bytes=65536,
+            object_bytes=8 * 2**20,
+            grace_s=8.0,
+        )
+        store = HttpRowStore(self.store_address)
+        instance = GatewayInstance(settings, PlatformDialect(), store)
+        self._stores.append(store)
+        self.instances.append(instance)
+        await instance.start()
+        return instance
+
+    async def ready(self) -> None:
+        """Wait until every instance is ready and hears all others."""
+        for instance in self.instances:
+            await until(lambda one=instance: one.ready)
+            await until(
+                lambda one=instance: len(one.mesh.alive()) >= len(self.instances) - 1
+            )
+            await until(
+                lambda one=instance: len(one.fleet.targets.by_id) == len(self.runners)
+            )
+
+    async def kill(self, instance: GatewayInstance) -> None:
+        """End an instance with no notice to anybody."""
+        place = self.instances.index(instance)
+        self.instances.pop(place)
+        store = self._stores.pop(place)
+        for held in instance.keeper.held_by_id.values():
+            held.stop_runs()
+        await instance.close()
+        await store.close()
+
+    async def ask(
+        self, instance: GatewayInstance, path: str, id: str, **headers: str
+    ) -> Answer:
+        """Send an online request."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        head = {"Host": HOST, "X-Request-Id": id, "X-Deadline-Ms": "5000"} | named
+        return await self.call(instance, "POST", path, head, b"question")
+
+    async def call(
+        self,
+        instance: GatewayInstance,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        json: Any = None,
+    ) -> Answer:
+        """Call an instance and take whatever comes."""
+        assert self._session is not None
+        pieces: list[bytes] = []
+        url = yarl.URL(f"http://{instance.settings.callers}{path}", encoded=True)
+        head = {"Host": HOST} | (headers or {})
+        async with self._session.request(
+            method, url, headers=head, data=body, json=json
+        ) as response:
+            whole = True
+            try:
+                async for piece in response.content.iter_any():
+                    pieces.append(piece)
+            except aiohttp.ClientError:
+                whole = False
+            return Answer(response.status, response.headers, b"".join(pieces), whole)
+
+    async def submit(
+        self, instance: GatewayInstance, id: str, items: list[str], tokens: int = 10
+    ) -> Answer:
+        """Send a job."""
+        return await self.call(
+            instance,
+            "POST",
+            f"/work/{id}",
+            {"X-Request-Id": id},
+            json=job_body(items, tokens),
+        )
+
+    async def results(
+        self, instance: GatewayInstance, job: str, first: int = 0, wait_ms: int = 0
+    ) -> Answer:
+        """Read a job's results."""
+        path = f"/lots/{job}?sinceRev={first}"
+        return await self.call(instance, "GET", path, {"X-Wait-Ms": str(wait_ms)})
+
+
+async def until(condition: Any, within_s: float = WITHIN_S) -> None:
+    """Wait until ``condition`` holds."""
+    async with asyncio.timeout(within_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest_asyncio.fixture
+async def world() -> AsyncIterator[World]:
+    made = World()
+    await made.start()
+    yield made
+    await made.stop()
--- /dev/null
+++ b/tests/gateway/runner_standin.py
@@ -0,0 +1,129 @@
+"""A small stand-in of the users' runners, written from their published pages."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+
+class Run:
+    """One request that began to run."""
+
+    def __init__(self, request: web.Request, body: bytes) -> None:
+        self.id = request.headers["X-Request-Id"]
+        self.path = request.raw_path
+        self.method = request.method
+        self.headers = request.headers.copy()
+        self.body = body
+        self.resumed_after = int(request.headers.get("Last-Event-Id", "0"))
+        self.cut = False
+        self.ended = False
+
+
+class RunnerStandin:
+    """Answers with a fixed number of events, the same for the same request.
+
+    Attributes:
+        id: of this incarnation.
+        events: that an answer has.
+        pause_s: between events.
+        break_after: events after which the next answers break off; None for never.
+        silent_after: events after which the next answers fall silent.
+        refuse: answers that say the request was not run.
+        status: of answers; other than 200 without events.
+        lose: reset the connection instead of the next answers.
+        wrong_id: answer with the id of another request.
+        runs: that began.
+    """
+
+    def __init__(self, id: str, slots: int = 4) -> None:
+        self.id = id
+        self.slots = slots
+        self.events = 5
+        self.pause_s = 0.01
+        self.break_after: int | None = None
+        self.silent_after: int | None = None
+        self.refuse = False
+        self.status = 200
+        self.lose = False
+        self.wrong_id = False
+        self.unframed = False
+        self.runs: list[Run] = []
+        self.busy = 0
+        self.most_busy = 0
+        self.refused = 0
+
+    def application(self) -> web.Application:
+        """Return what serves the runner."""
+        application = web.Application()
+        application.router.add_get("/healthz", self._health)
+        application.router.add_route("*", "/{path:.*}", self._serve)
+        return application
+
+    def text(self, request: str) -> list[str]:
+        """Return the data of the events of a request."""
+        return [f"{request}-{number}" for number in range(1, self.events + 1)]
+
+    async def _health(self, _: web.Request) -> web.Response:
+        return web.Response(headers={"X-Instance-Id": self.id})
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        id = request.headers["X-Request-Id"]
+        marks = {"X-Request-Id": id, "X-Instance-Id": self.id}
+        if request.headers.get("X-Expect-Instance", self.id) != self.id:
+            return web.Response(status=421, headers=marks)
+        if self.refuse:
+            self.refused += 1
+            marks["X-Not-Executed"] = "1"
+            return web.Response(status=503, headers=marks)
+        run = Run(request, body)
+        self.runs.append(run)
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        try:
+            return await self._run(request, run, marks)
+        except asyncio.CancelledError:
+            run.cut = True
+            raise
+        finally:
+            self.busy -= 1
+
+    async def _run(
+        self, request: web.Request, run: Run, marks: dict[str, str]
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        if self.lose:
+            request.transport.abort()
+            return web.Response()
+        if self.wrong_id:
+            marks["X-Request-Id"] = "another"
+        marks["X-Response-Stamp"] = f"stamp-{self.id}-{run.id}"
+        if self.status != 200:
+            run.ended = True
+            return web.Response(status=self.status, headers=marks, text="failed")
+        marks["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=marks)
+        if self.unframed:
+            response.force_close()
+            response.headers["Connection"] = "close"
+        await response.prepare(request)
+        sent = 0
+        for number, data in enumerate(self.text(run.id), 1):
+            if number <= run.resumed_after:
+                continue
+            if self.break_after is not None and sent >= self.break_after:
+                await response.write(b"id: ")
+                await asyncio.sleep(0.01)
+                request.transport.abort()
+                return response
+            if self.silent_after is not None and sent >= self.silent_after:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(10):
+                        await asyncio.Event().wait()
+            await response.write(f"id: {number}\ndata: {data}\n\n".encode())
+            sent += 1
+            await asyncio.sleep(self.pause_s)
+        await response.write_eof()
+        run.ended = True
+        return response
--- /dev/null
+++ b/tests/gateway/store_standin.py
@@ -0,0 +1,191 @@
+"""A small stand-in of the users' store, written from its published pages."""
+
+import asyncio
+import base64
+import time
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+ROW_FIELDS = ("table", "part", "key")
+HISTORY = 10_000
+
+
+class StoreStandin:
+    """Rows with versions from one counter, a feed of changes, and objects.
+
+    Attributes:
+        refuse: status that all calls get; None to serve them.
+        lose_answers: how many of the next writes are done and not answered.
+        delay_writes_s: how much later such a write is done.
+        writes: transactions that took effect.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.version = 0
+        self.refuse: int | None = None
+        self.lose_answers = 0
+        self.delay_writes_s = 0.0
+        self.writes = 0
+        self.calls: list[str] = []
+        self.forgotten_before = 0
+        self._log: list[tuple[int, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: Any, part: str = "") -> None:
+        """Write a row as the operator or a target does."""
+        self.version += 1
+        self._write((table, part, key), orjson.dumps(value))
+        self._wake()
+
+    def remove(self, table: str, key: str, part: str = "") -> None:
+        """Remove a row."""
+        self.version += 1
+        self._remove((table, part, key))
+        self._wake()
+
+    def forget_history(self) -> None:
+        """Answer 410 to whoever asks for changes before now."""
+        self.forgotten_before = self.version
+
+    def application(self) -> web.Application:
+        """Return what serves the store."""
+        application = web.Application(
+            client_max_size=16 * 2**20, middlewares=[self._faults]
+        )
+        application.add_routes(
+            [
+                web.post("/rows-tx", self._tx),
+                web.get("/rows-get", self._get),
+                web.get("/rows-feed", self._feed),
+                web.put("/blob-put/{name}", self._put_object),
+                web.get("/blob-get/{name}", self._get_object),
+                web.delete("/blob-drop/{name}", self._drop_object),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.refuse is not None:
+            return web.Response(status=self.refuse)
+        return await handler(request)
+
+    async def _tx(self, request: web.Request) -> web.StreamResponse:
+        body = orjson.loads(await request.read())
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            if self.delay_writes_s:
+                asyncio.get_running_loop().call_later(
+                    self.delay_writes_s, self._apply, body
+                )
+            else:
+                self._apply(body)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=500)
+        return self._apply(body)
+
+    def _apply(self, body: dict[str, Any]) -> web.Response:
+        parts = {
+            row.get("part", "")
+            for row in [*body["expectedRev"], *body["writes"], *body["remove"]]
+        }
+        if len(parts) > 1:
+            return web.Response(status=400, text="several parts")
+        expected = [(_key(row), row["schemaVersion"]) for row in body["expectedRev"]]
+        if any(self._version_of(key) != version for key, version in expected):
+            rows = [self._row(key) for key, _ in expected if key in self.rows]
+            return self._answer({"rows": rows}, 412)
+        self.version += 1
+        self.writes += 1
+        for row in body["writes"]:
+            self._write(_key(row), base64.b64decode(row["value"]))
+        for row in body["remove"]:
+            self._remove(_key(row))
+        self._wake()
+        return self._answer({})
+
+    async def _get(self, request: web.Request) -> web.Response:
+        query = request.query
+        limit = int(query.get("limit", 500))
+        found = sorted(
+            key
+            for key in self.rows
+            if key[:2] == (query["table"], query.get("part", ""))
+            and key[2] >= query.get("from", "")
+            and ("targetVersion" not in query or key[2] < query["targetVersion"])
+        )
+        rows = [self._row(key) for key in found[:limit]]
+        return self._answer({"rows": rows, "truncated": len(found) > limit})
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        since = int(request.query["sinceRev"])
+        table = request.query["table"]
+        until = time.monotonic() + int(request.query.get("waitMs", 0)) / 1000
+        while True:
+            if since < self.forgotten_before:
+                return web.Response(status=410)
+            rows = [
+                row for at, row in self._log if at > since and row["table"] == table
+            ]
+            left_s = until - time.monotonic()
+            if rows or left_s <= 0 or self.refuse is not None:
+                return self._answer({"rows": rows})
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        self.objects[request.match_info["name"]] = await request.read()
+        return web.Response()
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        data = self.objects.get(request.match_info["name"])
+        return web.Response(status=404) if data is None else web.Response(body=data)
+
+    async def _drop_object(self, request: web.Request) -> web.Response:
+        self.objects.pop(request.match_info["name"], None)
+        return web.Response()
+
+    def _answer(self, fields: dict[str, Any], status: int = 200) -> web.Response:
+        fields |= {"schemaVersion": self.version, "nowMs": time.monotonic() * 1000}
+        return web.Response(
+            status=status,
+            body=orjson.dumps(fields),
+            content_type="application/json",
+        )
+
+    def _version_of(self, key: tuple[str, str, str]) -> int:
+        return self.rows[key][1] if key in self.rows else 0
+
+    def _row(self, key: tuple[str, str, str]) -> dict[str, Any]:
+        value, version = self.rows[key]
+        named = dict(zip(ROW_FIELDS, key, strict=True))
+        encoded = base64.b64encode(value).decode()
+        return {**named, "value": encoded, "schemaVersion": version}
+
+    def _write(self, key: tuple[str, str, str], value: bytes) -> None:
+        self.rows[key] = (value, self.version)
+        self._log.append((self.version, self._row(key)))
+        del self._log[:-HISTORY]
+
+    def _remove(self, key: tuple[str, str, str]) -> None:
+        self.rows.pop(key, None)
+        named = dict(zip(ROW_FIELDS, key, strict=True))
+        row = {**named, "removed": True, "schemaVersion": self.version}
+        self._log.append((self.version, row))
+
+    def _wake(self) -> None:
+        self._changed.set()
+
+
+def _key(row: dict[str, Any]) -> tuple[str, str, str]:
+    return row["table"], row.get("part", ""), row["key"]
--- /dev/null
+++ b/tests/gateway/test_jobs.py
@@ -0,0 +1,291 @@
+"""Jobs: kept once, each item done once, results at fixed positions everywhere."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from gateway.conftest import World, route, until
+
+ITEMS = ["x1", "x2", "x3"]
+
+
+async def listed(world: World, instance, job: str, count: int) -> list:
+    """Wait until ``count`` results are listed and return them."""
+    async with asyncio.timeout(10):
+        while True:
+            answer = await world.results(instance, job)
+            assert answer.status == 200
+            results = orjson.loads(answer.body)["results"]
+            if len(results) >= count:
+                return results
+            await asyncio.sleep(0.02)
+
+
+async def test_a_job_is_done_and_read_the_same_at_every_instance(world: World) -> None:
+    runner = await world.add_runner()
+    instances = [await world.add_instance() for _ in range(3)]
+    await world.ready()
+    assert (await world.submit(instances[0], "j1", ITEMS)).status == 202
+    results = await listed(world, instances[1], "j1", 3)
+    assert {one["id"] for one in results} == set(ITEMS)
+    assert all(one["state"] == "completed" for one in results)
+    for one in results:
+        assert one["message"] == "\n".join(runner.text(one["id"]))
+    for instance in instances:
+        assert await listed(world, instance, "j1", 3) == results
+        page = orjson.loads((await world.results(instance, "j1", 2)).body)
+        assert page == {"total": 3, "results": results[2:], "nextToken": 3}
+    run = runner.runs[0]
+    assert (run.path, run.body) == (f"/work/{run.id}", f"body of {run.id}".encode())
+
+
+async def test_the_same_job_again_is_taken_once(world: World) -> None:
+    runner = await world.add_runner()
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    answers = await asyncio.gather(
+        *(world.submit(instance, "j1", ITEMS) for instance in instances * 2)
+    )
+    assert {answer.status for answer in answers} == {202}
+    await listed(world, instances[0], "j1", 3)
+    assert sorted(run.id for run in runner.runs) == ITEMS
+
+
+async def test_an_unknown_job_is_404_and_an_unsure_instance_503(world: World) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    assert (await world.results(instance, "none")).status == 404
+    world.store.refuse = 503
+    assert (await world.results(instance, "none")).status == 503
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.4])
+async def test_a_lost_answer_of_the_store_doubles_and_loses_nothing(
+    world: World, delay_s: float
+) -> None:
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    world.store.delay_writes_s = delay_s
+    world.store.lose_answers = 1
+    assert (await world.submit(instance, "j1", ITEMS)).status == 202
+    world.store.lose_answers = 2
+    results = await listed(world, instance, "j1", 3)
+    assert sorted(one["id"] for one in results) == ITEMS
+    await asyncio.sleep(delay_s * 1.5)
+    assert await listed(world, instance, "j1", 3) == results
+    assert runner.most_busy <= runner.slots
+
+
+async def test_what_a_killed_instance_held_goes_on_behind_its_last_event(
+    world: World,
+) -> None:
+    runner = await world.add_runner()
+    runner.events = 60
+    runner.pause_s = 0.05
+    first = await world.add_instance()
+    second = await world.add_instance()
+    await world.ready()
+    await world.submit(first, "j1", ["x1"])
+    await until(lambda: any(key[2].startswith("p:") for key in world.store.rows))
+    await world.kill(first)
+    runner.pause_s = 0.001
+    (result,) = await listed(world, second, "j1", 1)
+    assert result["message"] == "\n".join(runner.text("x1"))
+    assert runner.runs[-1].resumed_after > 0
+
+
+async def test_a_stopping_instance_hands_its_jobs_on_at_once(world: World) -> None:
+    runner = await world.add_runner()
+    runner.events = 40
+    runner.pause_s = 0.05
+    first = await world.add_instance()
+    second = await world.add_instance()
+    await world.ready()
+    await world.submit(first, "j1", ["x1"])
+    await until(lambda: first.keeper.held_by_id and runner.busy)
+    await until(lambda: first.keeper.held_by_id["j1"].states[0].progress.event > 3)
+    await first.keeper.hand_over()
+    await until(lambda: "j1" in second.keeper.held_by_id, within_s=1.5)
+    (result,) = await listed(world, second, "j1", 1)
+    assert result["message"] == "\n".join(runner.text("x1"))
+    assert runner.runs[-1].resumed_after >= 3
+
+
+async def test_all_instances_lost_and_started_again_finish_the_job(
+    world: World,
+) -> None:
+    runner = await world.add_runner()
+    runner.pause_s = 0.2
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    await world.submit(instances[0], "j1", ITEMS)
+    for instance in instances:
+        await world.kill(instance)
+    runner.pause_s = 0.0
+    fresh = await world.add_instance("e-0")
+    await until(lambda: fresh.ready)
+    assert len(await listed(world, fresh, "j1", 3)) == 3
+
+
+async def test_a_cancelled_job_stops_and_keeps_what_is_listed(world: World) -> None:
+    runner = await world.add_runner()
+    runner.events = 100
+    runner.pause_s = 0.05
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    await world.submit(instances[0], "j1", ITEMS)
+    await until(lambda: runner.busy == 3)
+    for _ in range(2):
+        answer = await world.call(instances[1], "DELETE", "/lots/j1")
+        assert answer.status == 200
+    await until(lambda: not runner.busy, within_s=1.0)
+    runs = len(runner.runs)
+    await asyncio.sleep(0.5)
+    assert len(runner.runs) == runs
+    assert (await world.results(instances[0], "j1")).status == 200
+    await until(lambda: instances[0].index.waiting_tokens("work") == 0)
+
+
+async def test_the_limit_of_a_route_holds_across_instances(world: World) -> None:
+    runner = await world.add_runner()
+    runner.pause_s = 1.0
+    instances = [await world.add_instance() for _ in range(3)]
+    await world.ready()
+    answers = await asyncio.gather(
+        *(
+            world.submit(instances[number % 3], f"j{number}", [f"y{number}"], 300)
+            for number in range(6)
+        )
+    )
+    statuses = sorted(answer.status for answer in answers)
+    assert statuses == [202, 202, 202, 429, 429, 429]
+    refused = next(answer for answer in answers if answer.status == 429)
+    assert float(refused.headers["Retry-After"]) > 0
+
+
+async def test_the_body_of_an_item_can_be_read_anywhere(world: World) -> None:
+    runner = await world.add_runner()
+    runner.pause_s = 1.0
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    await world.submit(instances[0], "j1", ITEMS)
+    answer = await world.call(instances[1], "GET", "/items/j1?id=x2")
+    assert (answer.status, answer.body) == (200, b"body of x2")
+    answer = await world.call(instances[1], "GET", "/items/j1?id=none")
+    assert answer.status == 404
+
+
+@pytest.mark.parametrize(("status", "attempts"), [(500, 3), (422, 1)])
+async def test_an_item_that_always_fails_ends_dead(
+    world: World, status: int, attempts: int
+) -> None:
+    runner = await world.add_runner()
+    runner.status = status
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    (result,) = await listed(world, instance, "j1", 1)
+    assert (result["state"], result["message"]) == ("dead_letter", "")
+    assert len(runner.runs) == attempts
+
+
+async def test_items_of_a_route_that_is_gone_end_dead(world: World) -> None:
+    runner = await world.add_runner()
+    runner.refuse = True
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    world.configure(2, [route("ask")])
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["state"] == "dead_letter"
+    assert runner.runs == []
+
+
+async def test_online_requests_take_the_slots_of_items(world: World) -> None:
+    runner = await world.add_runner(slots=2)
+    runner.events = 50
+    runner.pause_s = 0.02
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    await world.submit(instances[0], "j1", ["x1", "x2"])
+    await until(lambda: runner.busy == 2)
+    answers = await asyncio.gather(
+        *(world.ask(instances[1], "/ask/1", f"r{number}") for number in range(2))
+    )
+    assert all(answer.data == runner.text(f"r{n}") for n, answer in enumerate(answers))
+    results = await listed(world, instances[0], "j1", 2)
+    for one in results:
+        assert one["message"] == "\n".join(runner.text(one["id"]))
+    assert any(run.resumed_after for run in runner.runs)
+
+
+async def test_an_item_that_gives_way_before_its_first_step_runs_again(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A task that is cancelled before it began ran nothing that settles it."""
+    instance = await world.add_instance()
+    await until(lambda: instance.ready)
+    await world.submit(instance, "j1", ["x1"])
+    held = instance.keeper.held_by_id
+    await until(lambda: "j1" in held)
+    runner = await world.add_runner(slots=1)
+    monkeypatch.setattr(instance.keeper, "_grant", lambda jobs, now: None)
+    await until(lambda: instance.fleet.targets.by_id)
+    target = instance.fleet.targets.by_id[runner.id]
+    now = asyncio.get_running_loop().time()
+    assert instance.keeper._slots.start_at(list(held.values()), target, now)
+    held["j1"].states[0].cancel()
+    monkeypatch.undo()
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["state"] == "completed"
+    assert instance.fleet.occupancy.at(runner.id).total == 0
+
+
+async def test_a_holder_that_was_replaced_lists_nothing_more(world: World) -> None:
+    runner = await world.add_runner()
+    runner.pause_s = 2.0
+    first = await world.add_instance()
+    await world.ready()
+    await world.submit(first, "j1", ITEMS)
+    await until(lambda: runner.busy == 3)
+    second = await world.add_instance()
+    await until(lambda: second.ready)
+    second.mesh.alive = list  # it believes to be alone
+    await until(lambda: "j1" in second.keeper.held_by_id)
+    await until(lambda: "j1" not in first.keeper.held_by_id)
+    runner.pause_s = 0.01
+    results = await listed(world, second, "j1", 3)
+    assert sorted(one["id"] for one in results) == ITEMS
+    assert await listed(world, first, "j1", 3) == results
+
+
+async def test_a_long_text_is_kept_whole(world: World) -> None:
+    runner = await world.add_runner()
+    runner.events = 60
+    runner.pause_s = 0.0
+    runner.text = lambda request: [f"{n}" * 1200 for n in range(1, 61)]
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["message"] == "\n".join(runner.text("x1"))
+    assert any(name.startswith("text-") for name in world.store.objects)
+
+
+async def test_bad_jobs_are_refused_with_400(world: World) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    answer = await world.submit(instance, "a/b", ["x1"])
+    assert answer.status == 400
+    bad = [b"", b"[]", b'{"requests":[{}]}', b'{"requests":3}']
+    item = {"id": "a", "path": "/", "headers": {}, "body": "%%", "tokens": 1}
+    bad.append(orjson.dumps({"requests": [item]}))
+    for body in bad:
+        answer = await world.call(
+            instance, "POST", "/work/j", {"X-Request-Id": "j"}, body
+        )
+        assert answer.status == 400
