--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -20,6 +20,7 @@
     Answer,
     BrokenAnswerError,
     Outbound,
+    SilentAnswerError,
     TargetClient,
 )
 from caperridge.log import logger
@@ -231,29 +232,21 @@
     ) -> AttemptError | None:
         splitter = EventSplitter()
         pieces = answer.pieces()
-        movable = request.route.idempotent
-        silence_s = FIRST_EVENT_SILENCE_S
+        if request.route.idempotent:
+            pieces = answer.pieces(FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S)
         try:
-            while True:
-                within = asyncio.timeout(silence_s if movable else None)
-                async with within:
-                    piece = await anext(pieces, None)
-                if piece is None:
-                    break
+            async for piece in pieces:
                 good, wrong = _next_events(splitter.feed(piece), carriage)
                 if good:
                     await self._pass_on(request, reply, answer, good)
-                    silence_s = EVENT_SILENCE_S
                 if wrong:
                     carriage.left += 1
                     return WrongAnswer("an event out of order")
+        except SilentAnswerError as error:
+            carriage.left += 1
+            return Lost(str(error))
         except BrokenAnswerError as error:
             return Lost(str(error))
-        except TimeoutError:
-            if not within.expired():
-                raise  # the request's own deadline
-            carriage.left += 1
-            return Lost("it fell silent")
         if splitter.rest:
             return Lost("it ended within an event")
         if not reply.begun:
--- a/src/caperridge/gateway/jobs/broker.py
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -74,6 +74,11 @@
         self._wants_by_instance: dict[str, dict[str, Want]] = {}
         self._grants: list[Grant] = []
 
+    @property
+    def wanted(self) -> bool:
+        """Whether any instance could start an item."""
+        return any(self._wants_by_instance.values())
+
     def members_are(self, members: Members) -> None:
         """Take who may grant."""
         if members != self._members:
@@ -112,34 +117,36 @@
             now: the loop's clock.
         """
         self._grants = [grant for grant in self._grants if grant.until > now]
-        free_by_target = self._free(targets, occupancy)
+        free_by_id, targets_by_id = self._free(targets, occupancy)
         granted: list[Grant] = []
-        while free_by_target:
-            target = max(free_by_target, key=lambda one: free_by_target[one])
-            instance = self._most_urgent(target.service, store_now)
+        while free_by_id:
+            id = max(free_by_id, key=lambda one: free_by_id[one])
+            instance = self._most_urgent(targets_by_id[id].service, store_now)
             if instance is None:
-                del free_by_target[target]
+                del free_by_id[id]
                 continue
-            grant = Grant(instance, target.id, now + GRANT_S)
+            grant = Grant(instance, id, now + GRANT_S)
             self._grants.append(grant)
             granted.append(grant)
-            free_by_target[target] -= 1
-            if free_by_target[target] <= 0:
-                del free_by_target[target]
+            free_by_id[id] -= 1
+            if free_by_id[id] <= 0:
+                del free_by_id[id]
         return granted
 
     def _free(
         self, targets: Iterable[Target], occupancy: Occupancy
-    ) -> dict[Target, int]:
-        free_by_target: dict[Target, int] = {}
+    ) -> tuple[dict[str, int], dict[str, Target]]:
+        free_by_id: dict[str, int] = {}
+        targets_by_id: dict[str, Target] = {}
         for target in targets:
             if self._granter(target) != self.own:
                 continue
             promised = sum(1 for grant in self._grants if grant.target == target.id)
             free = target.slots - occupancy.at(target.id).total - promised
             if free > 0:
-                free_by_target[target] = free
-        return free_by_target
+                free_by_id[target.id] = free
+                targets_by_id[target.id] = target
+        return free_by_id, targets_by_id
 
     def _granter(self, target: Target) -> str | None:
         if target.id not in self._granter_by_target:
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -151,7 +151,7 @@
             self._fleet.succeeded(target.id, now)
             job.complete(state)
             return
-        state.not_before = now + AGAIN_AFTER_S
+        self._start_after(state, now, AGAIN_AFTER_S)
         if isinstance(error, TargetRefused) and error.run != NOT_RUN:
             self._failed(job, state, route, error, now)
             return
@@ -171,10 +171,15 @@
         state.progress = ItemProgress(
             state.progress.event, state.progress.text, failures
         )
-        state.not_before = now + FAILED_AGAIN_AFTER_S
+        self._start_after(state, now, FAILED_AGAIN_AFTER_S)
         if error.status == UNPROCESSABLE or failures >= route.most_attempts:
             job.bury(state)
 
+    def _start_after(self, state: ItemState, now: float, pause_s: float) -> None:
+        state.not_before = now + pause_s
+        loop = asyncio.get_running_loop()
+        loop.call_at(state.not_before, self._fleet.changed)
+
     async def _attempt(
         self, job: HeldJob, state: ItemState, target: Target
     ) -> AttemptError | None:
@@ -197,23 +202,14 @@
 
     async def _gather(self, state: ItemState, answer: Answer) -> AttemptError | None:
         splitter = EventSplitter()
-        pieces = answer.pieces()
-        silence_s = FIRST_EVENT_S
         try:
-            while True:
-                async with asyncio.timeout(silence_s):
-                    piece = await anext(pieces, None)
-                if piece is None:
-                    break
+            async for piece in answer.pieces(FIRST_EVENT_S, EVENT_S):
                 for event in splitter.feed(piece):
                     if event.id != state.progress.event + 1:
                         return WrongAnswer("an event out of order")
                     state.progress = _with_event(state.progress, event.data())
-                    silence_s = EVENT_S
         except BrokenAnswerError as error:
             return Lost(str(error))
-        except TimeoutError:
-            return Lost("it fell silent")
         if splitter.rest or not state.progress.event:
             return Lost("it ended within an event")
         return None
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Coroutine
 from typing import Any
 
@@ -33,8 +32,6 @@
 log = logger(__name__)
 
 CHECK_S = 0.3
-# Items may start again after a pause without anything else happening.
-LOOK_S = 0.1
 # An instance whose stream ended may be cut off rather than gone; its own next write
 # of progress would be lost work for both.
 TAKEOVER_AFTER_S = 1.6
@@ -113,14 +110,14 @@
         """Grant and take slots, give way to online requests, and claim orphans."""
         loop = asyncio.get_running_loop()
         next_check = loop.time()
+        loop.call_at(next_check, self._wake.set)
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LOOK_S):
-                    await self._wake.wait()
+            await self._wake.wait()
             self._wake.clear()
             now = loop.time()
             if now >= next_check:
                 next_check = now + CHECK_S
+                loop.call_at(next_check, self._wake.set)
                 self._claim_orphans(now)
                 self._told_wants = {}  # tell them again, for news may be lost
             jobs = list(self.held_by_id.values())
@@ -130,11 +127,9 @@
 
     def _grant(self, jobs: list[HeldJob], now: float) -> None:
         self._tell_wants(jobs, now)
-        alive = [member for member in self._mesh.alive() if not member.leaving]
-        by_zone = {self._mesh.zone: [self._mesh.instance]}
-        for member in alive:
-            by_zone.setdefault(member.zone, []).append(member.id)
-        self._broker.members_are(Members(by_zone))
+        if not self._broker.wanted:
+            return
+        self._broker.members_are(self._members())
         targets = self._fleet.usable_by_id(now)
         grants = self._broker.grant(
             targets.values(), self._fleet.occupancy, self._clock.now(), now
@@ -148,6 +143,13 @@
         if grants:
             self._tell_wants(jobs, now)
 
+    def _members(self) -> Members:
+        by_zone = {self._mesh.zone: [self._mesh.instance]}
+        for member in self._mesh.alive():
+            if not member.leaving:
+                by_zone.setdefault(member.zone, []).append(member.id)
+        return Members(by_zone)
+
     def _tell_wants(self, jobs: list[HeldJob], now: float) -> None:
         wants = self._slots.wants(jobs, now)
         self._broker.wants(self._mesh.instance, wants)
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -52,6 +52,8 @@
         running: dict[str, list[Startable]] = {}
         for job in jobs:
             for state in job.running():
+                if self._within_slots(state.target):
+                    continue
                 one = Startable(job, state, self._due(job))
                 running.setdefault(state.target, []).append(one)
         occupancy = self._fleet.occupancy
@@ -72,6 +74,10 @@
                 )
                 one.state.cancel()
 
+    def _within_slots(self, id: str) -> bool:
+        target = self._fleet.targets.by_id.get(id)
+        return target is None or self._fleet.occupancy.at(id).total <= target.slots
+
     def wants(self, jobs: Iterable[HeldJob], now: float) -> dict[str, Want]:
         """Return what could start at ``now``, by service.
 
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -32,6 +32,7 @@
         heard_at: when its last message came; -inf if none did or its stream ended.
         lost_at: when it was first found to be silent; None while it is heard.
         leaving: it said that it takes no new work.
+        store_reached: it said that the store answers it.
     """
 
     def __init__(self, id: str, address: str, zone: str, now: float) -> None:
@@ -42,6 +43,7 @@
         self.heard_at = float("-inf")
         self.lost_at: float | None = now
         self.leaving = False
+        self.store_reached = False
         self.listed_at = now
 
 
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -40,16 +40,22 @@
         counts: target, online requests, items, and the latest due item.
         versions: newest change by table.
         leaving: the instance takes no new work.
+        store_reached: the store answers it.
     """
 
-    __slots__ = ("counts", "leaving", "versions")
+    __slots__ = ("counts", "leaving", "store_reached", "versions")
 
     def __init__(
-        self, counts: list[list[Any]], versions: dict[str, int], leaving: bool = False
+        self,
+        counts: list[list[Any]],
+        versions: dict[str, int],
+        leaving: bool = False,
+        store_reached: bool = False,
     ) -> None:
         self.counts = counts
         self.versions = versions
         self.leaving = leaving
+        self.store_reached = store_reached
 
 
 class Counts(Record):
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -1,6 +1,8 @@
 """Frames of messages over one connection."""
 
 import asyncio
+import functools
+import inspect
 from typing import Any
 
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
@@ -17,7 +19,7 @@
 def encode(message: Record) -> bytes:
     """Return ``message`` as one frame."""
     name = type(message).__name__
-    fields = [getattr(message, slot) for slot in message.__slots__]
+    fields = [getattr(message, field) for field in _fields(type(message))]
     return frame(pack([name, *fields]), name)
 
 
@@ -36,13 +38,19 @@
     kind = KINDS_BY_NAME.get(name)
     if kind is None:
         return None
-    named: dict[str, Any] = dict(zip(kind.__slots__, fields, strict=False))
+    named: dict[str, Any] = dict(zip(_fields(kind), fields, strict=False))
     try:
         return kind(**named)
     except TypeError as error:
         raise MessageError(f"{name}: {error}") from error
 
 
+@functools.cache
+def _fields(kind: type[Record]) -> list[str]:
+    """Return the fields as the constructor takes them; new ones come last."""
+    return list(inspect.signature(kind).parameters)
+
+
 class OutStream:
     """Keeps a connection to one peer and sends what is queued.
 
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -14,7 +14,7 @@
 )
 from caperridge.gateway.occupancy import Count
 from caperridge.gateway.rows import RowKey, StoredRow
-from caperridge.gateway.watcher import PEER_PATIENCE_S, TableWatcher
+from caperridge.gateway.watcher import PEER_PATIENCE_S, StoreReach, TableWatcher
 
 
 class PeerNews:
@@ -28,12 +28,20 @@
         mesh: of peers.
         fleet: whose counts are told.
         watchers: of the tables whose copies peers may ask for.
+        reach: whether the store answers here.
     """
 
-    def __init__(self, mesh: Mesh, fleet: Fleet, watchers: list[TableWatcher]) -> None:
+    def __init__(
+        self,
+        mesh: Mesh,
+        fleet: Fleet,
+        watchers: list[TableWatcher],
+        reach: StoreReach,
+    ) -> None:
         self.leaving = False
         self.item_started: Callable[[str, str], None] = lambda peer, target: None
         self._mesh = mesh
+        self._reach = reach
         self._fleet = fleet
         self._watchers_by_table = {watcher.copy.table: watcher for watcher in watchers}
         self._flushing = False
@@ -55,7 +63,9 @@
             table: watcher.copy.version
             for table, watcher in self._watchers_by_table.items()
         }
-        self._mesh.send_all(Heartbeat(counts, versions, self.leaving))
+        self._mesh.send_all(
+            Heartbeat(counts, versions, self.leaving, self._reach.reached)
+        )
 
     def counts_changed(self) -> None:
         """Tell the counts that changed at the end of this turn of the loop."""
@@ -93,9 +103,10 @@
         member = self._mesh.members_by_id.get(peer)
         if member is not None:
             member.leaving = beat.leaving
+            member.store_reached = beat.store_reached
         counts = {target: Count(*count) for target, *count in beat.counts}
-        self._fleet.occupancy.told_all(peer, counts)
-        self._fleet.changed()
+        if self._fleet.occupancy.told_all(peer, counts):
+            self._fleet.changed()
         for table, version in beat.versions.items():
             self._peer_has(peer, table, version)
 
--- a/src/caperridge/gateway/occupancy.py
+++ b/src/caperridge/gateway/occupancy.py
@@ -61,15 +61,17 @@
         if instance != self.own:
             self._put(instance, target, count)
 
-    def told_all(self, instance: str, counts_by_target: dict[str, Count]) -> None:
-        """Take all that a peer has; what is missing is nothing."""
-        if instance == self.own:
-            return
-        for target in list(self._counts_by_instance.get(instance, ())):
+    def told_all(self, instance: str, counts_by_target: dict[str, Count]) -> bool:
+        """Take all that a peer has; return whether that was news."""
+        before = self._counts_by_instance.get(instance, {})
+        if instance == self.own or before == counts_by_target:
+            return False
+        for target in list(before):
             if target not in counts_by_target:
                 self._put(instance, target, NOTHING)
         for target, count in counts_by_target.items():
             self._put(instance, target, count)
+        return True
 
     def forget(self, instance: str) -> None:
         """Drop what a peer said that is not heard from any more."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -31,6 +31,7 @@
 from caperridge.gateway.news import PeerNews
 from caperridge.gateway.observed_store import ObservedStore
 from caperridge.gateway.registry import InstanceRegistry
+from caperridge.gateway.relayed_store import RelayedStore
 from caperridge.gateway.rows import RowStore, StoredRow
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.table_copy import TableCopy
@@ -79,6 +80,7 @@
             settings.peers,
             settings.seeds,
         )
+        store = RelayedStore(store, self.mesh, self.reach, chance)
         self.client = TargetClient(dialect)
         runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
         slots = ItemSlots(
@@ -102,7 +104,7 @@
         forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
         self.edge = Edge(self.configuration, forwarder, jobs, dialect, self.metrics)
         self._watchers = self._make_watchers(dialect)
-        self.news = PeerNews(self.mesh, self.fleet, self._watchers)
+        self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[Listener] = []
--- /dev/null
+++ b/src/caperridge/gateway/relay_codec.py
@@ -0,0 +1,101 @@
+"""Calls of the store and their answers as plain values, for the way through a peer."""
+
+from functools import singledispatch
+from typing import Any
+
+from result import Err, Ok, Result
+
+from caperridge.gateway.rows import (
+    Done,
+    Refused,
+    RowKey,
+    RowsRead,
+    StoredRow,
+    Transaction,
+)
+from caperridge.store.interface import NotDone, Unknown
+
+
+def transaction_to_plain(transaction: Transaction) -> list[Any]:
+    """Return ``transaction`` as lists."""
+    return [
+        [[*_key(key), version] for key, version in transaction.versions.items()],
+        [[*_key(key), value] for key, value in transaction.writes.items()],
+        [_key(key) for key in transaction.removes],
+    ]
+
+
+def transaction_from_plain(plain: list[Any]) -> Transaction:
+    """Return the transaction that :func:`transaction_to_plain` made lists of."""
+    versions, writes, removes = plain
+    return Transaction(
+        {RowKey(*key): version for *key, version in versions},
+        {RowKey(*key): value for *key, value in writes},
+        [RowKey(*key) for key in removes],
+    )
+
+
+def answer_to_plain(answer: Result[Any, Any]) -> tuple[str, Any]:
+    """Return the name of an outcome and what it holds."""
+    value = answer.err_value if isinstance(answer, Err) else answer.ok_value
+    return type(value).__name__, _plain(value)
+
+
+def answer_from_plain(outcome: str, fields: Any) -> Result[Any, Any]:
+    """Return the answer that :func:`answer_to_plain` made plain."""
+    if outcome == RowsRead.__name__:
+        rows, truncated, version, now_s = fields
+        return Ok(RowsRead([_row(row) for row in rows], truncated, version, now_s))
+    if outcome == Done.__name__:
+        return Ok(Done(*fields))
+    if outcome == Refused.__name__:
+        return Err(Refused([_row(row) for row in fields]))
+    if outcome == NotDone.__name__:
+        return Err(NotDone(*fields))
+    if outcome == Unknown.__name__:
+        return Err(Unknown(*fields))
+    return Ok(fields)
+
+
+@singledispatch
+def _plain(value: Any) -> Any:
+    return value
+
+
+@_plain.register
+def _(value: RowsRead) -> Any:
+    rows = [_row_fields(row) for row in value.rows]
+    return [rows, value.truncated, value.version, value.now_s]
+
+
+@_plain.register
+def _(value: Done) -> Any:
+    return [value.version, value.now_s]
+
+
+@_plain.register
+def _(value: Refused) -> Any:
+    return [_row_fields(row) for row in value.rows]
+
+
+@_plain.register
+def _(value: NotDone) -> Any:
+    return [value.reason, value.retry_after_s, value.reached]
+
+
+@_plain.register
+def _(value: Unknown) -> Any:
+    return [value.reason, value.reached]
+
+
+def _key(key: RowKey) -> list[str]:
+    return [key.table, key.part, key.key]
+
+
+def _row_fields(row: StoredRow) -> list[Any]:
+    return [*_key(row.key), row.value, row.version, row.removed]
+
+
+def _row(fields: list[Any]) -> StoredRow:
+    table, part, key, value, version, removed = fields
+    return StoredRow(RowKey(table, part, key), value, version, removed)
--- /dev/null
+++ b/src/caperridge/gateway/relayed_store.py
@@ -0,0 +1,194 @@
+"""The store by way of a peer, for an instance that the store turns away.
+
+The store may serve some machines and turn others away. A call that certainly was not
+done goes on to a peer that reaches the store; one whose outcome is unknown is given
+back to its caller, who repeats it under the same condition, by a peer then.
+"""
+
+import asyncio
+import itertools
+import random
+from typing import Any
+
+from result import Err, Result
+
+from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.messages import StoreAnswer, StoreAsk
+from caperridge.gateway.relay_codec import (
+    answer_from_plain,
+    answer_to_plain,
+    transaction_from_plain,
+    transaction_to_plain,
+)
+from caperridge.gateway.rows import (
+    ChangesError,
+    Done,
+    Refused,
+    RowsRead,
+    RowStore,
+    StoreError,
+    Transaction,
+    TransactionError,
+)
+from caperridge.gateway.watcher import StoreReach
+from caperridge.log import logger
+from caperridge.store.interface import NotDone, Unknown
+
+log = logger(__name__)
+
+# After a failure, calls go by a peer first for so long; the watches look meanwhile
+# whether the store serves this instance again.
+AWAY_S = 1.0
+# A peer in another availability zone is 2 ms away, the store some 25 ms.
+PEER_S = 1.0
+
+
+class RelayedStore(RowStore):
+    """Calls the store directly, or through a peer while that does not work.
+
+    Args:
+        store: called directly.
+        mesh: of peers.
+        reach: whether the store answers here.
+        chance: chooses among peers.
+    """
+
+    def __init__(
+        self, store: RowStore, mesh: Mesh, reach: StoreReach, chance: random.Random
+    ) -> None:
+        self._store = store
+        self._mesh = mesh
+        self._reach = reach
+        self._chance = chance
+        self._away_until = 0.0
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, asyncio.Future[StoreAnswer]] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+        mesh.register(StoreAsk, self._serve)
+        mesh.register(StoreAnswer, self._answered)
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = 500,
+    ) -> Result[RowsRead, StoreError]:
+        """See :meth:`RowStore.read`."""
+        return await self._call("read", [table, part, first, end, limit])
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Done, TransactionError]:
+        """See :meth:`RowStore.transact`."""
+        return await self._call("transact", transaction_to_plain(transaction))
+
+    async def changes(
+        self, table: str, since: int, wait_s: float
+    ) -> Result[RowsRead, ChangesError]:
+        """See :meth:`RowStore.changes`; never through a peer, whose copies serve."""
+        return await self._store.changes(table, since, wait_s)
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
+        """See :meth:`RowStore.put_object`."""
+        return await self._call("put_object", [name, data])
+
+    async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
+        """See :meth:`RowStore.get_object`."""
+        return await self._call("get_object", [name])
+
+    async def drop_object(self, name: str) -> Result[None, StoreError]:
+        """See :meth:`RowStore.drop_object`."""
+        return await self._call("drop_object", [name])
+
+    async def _call(self, name: str, arguments: list[Any]) -> Result[Any, Any]:
+        loop = asyncio.get_running_loop()
+        away = loop.time() < self._away_until or self._reach.away_since is not None
+        if away:
+            answer = await self._by_peer(name, arguments)
+            if answer is not None:
+                return answer
+        answer = await _called(self._store, name, arguments)
+        if not _turned_away(answer):
+            self._away_until = 0.0
+            return answer
+        self._away_until = loop.time() + AWAY_S
+        if away or isinstance(answer.err_value, Unknown):
+            return answer
+        relayed = await self._by_peer(name, arguments)
+        return answer if relayed is None else relayed
+
+    async def _by_peer(self, name: str, arguments: list[Any]) -> Any:
+        """Return a peer's answer; None if there is none to ask or it was not reached.
+
+        A write that a peer was asked for and did not answer is unknown.
+        """
+        peer = self._peer()
+        if peer is None:
+            return None
+        number = next(self._numbers)
+        future: asyncio.Future[StoreAnswer] = asyncio.get_running_loop().create_future()
+        self._asked[number] = future
+        try:
+            if not self._mesh.send(peer.id, StoreAsk(number, name, arguments)):
+                return None
+            async with asyncio.timeout(PEER_S):
+                answer = await future
+        except TimeoutError:
+            log.info("peer did not relay", peer=peer.id, call=name)
+            return Err(Unknown("the peer did not answer", reached=False))
+        finally:
+            del self._asked[number]
+        log.debug("call relayed", peer=peer.id, call=name, outcome=answer.outcome)
+        return answer_from_plain(answer.outcome, answer.fields)
+
+    def _peer(self) -> Member | None:
+        reaching = [peer for peer in self._mesh.alive() if peer.store_reached]
+        near = [peer for peer in reaching if peer.zone == self._mesh.zone]
+        choices = near or reaching
+        return self._chance.choice(choices) if choices else None
+
+    def _serve(self, peer: str, ask: StoreAsk) -> None:
+        task = asyncio.get_running_loop().create_task(self._relay(peer, ask))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _relay(self, peer: str, ask: StoreAsk) -> None:
+        try:
+            answer = await _called(self._store, ask.call, ask.arguments)
+        except (TypeError, ValueError) as error:
+            log.error("call not relayed", peer=peer, call=ask.call, reason=str(error))
+            return
+        outcome, fields = answer_to_plain(answer)
+        self._mesh.send(peer, StoreAnswer(ask.number, outcome, fields))
+
+    def _answered(self, peer: str, answer: StoreAnswer) -> None:
+        future = self._asked.get(answer.number)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+
+async def _called(store: RowStore, name: str, arguments: list[Any]) -> Result[Any, Any]:
+    """Call ``store`` with plain arguments.
+
+    Raises:
+        ValueError: there is no such call.
+    """
+    if name == "transact":
+        return await store.transact(transaction_from_plain(arguments))
+    if name == "read":
+        return await store.read(*arguments)
+    if name == "put_object":
+        return await store.put_object(*arguments)
+    if name == "get_object":
+        return await store.get_object(*arguments)
+    if name == "drop_object":
+        return await store.drop_object(*arguments)
+    raise ValueError(f"no call {name}")
+
+
+def _turned_away(answer: Result[Any, Any]) -> bool:
+    if not isinstance(answer, Err) or isinstance(answer.err_value, Refused):
+        return False
+    return isinstance(answer.err_value, NotDone | Unknown)
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -26,6 +27,7 @@
     WrongAnswer,
 )
 from caperridge.targets.plain import ADDED_HEADERS
+from caperridge.targets.silence import SilenceWatch
 
 # Availability zones are some milliseconds apart and a connection takes one more; a
 # target that is away answers nothing, and its caller has 300 ms.
@@ -65,30 +67,53 @@
     """The answer ended before it was whole."""
 
 
+class SilentAnswerError(BrokenAnswerError):
+    """Nothing came for too long; the connection is closed by now."""
+
+
 class Answer:
     """An answer whose head has come; its body is read from :meth:`pieces`."""
 
-    __slots__ = ("_protocol", "_response", "headers", "status")
+    __slots__ = ("_protocol", "_response", "_silent", "_watch", "headers", "status")
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, watch: SilenceWatch) -> None:
         self._response = response
+        self._watch = watch
+        self._silent = False
         # Kept here, for the response lets go of it at the end of the body.
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
         self.status = response.status
         self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
 
-    async def pieces(self) -> AsyncIterator[bytes]:
+    async def pieces(
+        self, first_s: float = math.inf, next_s: float = math.inf
+    ) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
 
+        Args:
+            first_s: longest silence before the first piece.
+            next_s: longest silence after that.
+
         Raises:
             BrokenAnswerError: the connection ended before the body did.
+            SilentAnswerError: nothing came for too long.
         """
+        watched = self._watch.add(first_s, self._fell_silent)
+        loop = asyncio.get_running_loop()
         try:
             while piece := await self._response.content.readany():
+                watched.heard_at = loop.time()
+                watched.limit_s = next_s
                 yield piece
         except (aiohttp.ClientError, OSError) as error:
+            if self._silent:
+                raise SilentAnswerError("it fell silent") from error
             raise BrokenAnswerError(type(error).__name__) from error
+        finally:
+            self._watch.remove(watched)
+        if self._silent:
+            raise SilentAnswerError("it fell silent")
         if self._unframed and self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
 
@@ -96,6 +121,10 @@
         """Close the connection; the target drops the request if it still runs."""
         self._response.close()
 
+    def _fell_silent(self) -> None:
+        self._silent = True
+        self._response.close()
+
     @property
     def _unframed(self) -> bool:
         return (
@@ -113,9 +142,11 @@
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
         self._session: aiohttp.ClientSession | None = None
+        self._watch = SilenceWatch()
 
     async def close(self) -> None:
         """Close all connections."""
+        self._watch.close()
         if self._session is not None:
             await self._session.close()
 
@@ -142,7 +173,7 @@
             return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
-        return self._checked(outbound, Answer(response))
+        return self._checked(outbound, Answer(response, self._watch))
 
     async def reaches(self, address: str, within_s: float = CONNECT_S) -> bool:
         """Return whether something accepts connections at ``address``."""
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -211,6 +211,10 @@
                 lambda one=instance: len(one.fleet.targets.by_id) == len(self.runners)
             )
 
+    def store_of(self, instance: GatewayInstance) -> HttpRowStore:
+        """Return the client of the store that an instance has."""
+        return self._stores[self.instances.index(instance)]
+
     async def kill(self, instance: GatewayInstance) -> None:
         """End an instance with no notice to anybody."""
         place = self.instances.index(instance)
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -289,3 +289,19 @@
             instance, "POST", "/work/j", {"X-Request-Id": "j"}, body
         )
         assert answer.status == 400
+
+
+async def test_an_instance_that_the_store_turns_away_takes_jobs_through_a_peer(
+    world: World,
+) -> None:
+    runner = await world.add_runner()
+    instances = [await world.add_instance() for _ in range(2)]
+    await world.ready()
+    turned_away = instances[0]
+    await until(lambda: all(m.store_reached for m in turned_away.mesh.alive()))
+    world.store_of(turned_away)._base = "http://127.0.0.1:1"
+    assert (await world.submit(turned_away, "j1", ITEMS)).status == 202
+    assert len(await listed(world, turned_away, "j1", 3)) == 3
+    assert sorted(run.id for run in runner.runs) == ITEMS
+    body = await world.call(turned_away, "GET", "/items/j1?id=x1")
+    assert body.body == b"body of x1"
