--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,182 @@
+"""Callers that use the system and check what was promised to them."""
+
+import asyncio
+import random
+
+import aiohttp
+import orjson
+import yarl
+
+from gateway.conftest import HOST, Answer, job_body
+from soak.town import SoakInstance, Town
+
+NOT_RUN = (408, 421, 429, 503)
+ASK_S = 6.0
+
+
+class Tally:
+    """What callers saw.
+
+    Attributes:
+        broken: promises that were broken, in words.
+        sent: ids of online requests and items.
+        refused: ids whose answer promised that they never run.
+        accepted: items of accepted jobs, by job.
+        open: jobs that were not cancelled.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.sent: set[str] = set()
+        self.refused: set[str] = set()
+        self.accepted: dict[str, list[str]] = {}
+        self.open: set[str] = set()
+        self.results: dict[str, list[dict]] = {}
+        self.answered = 0
+        self.asked = 0
+
+
+class Callers:
+    """Sends online requests and jobs, and reads results, until told to stop."""
+
+    def __init__(self, town: Town, tally: Tally, chance: random.Random) -> None:
+        self._town = town
+        self._tally = tally
+        self._chance = chance
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(total=ASK_S),
+        )
+        self._number = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def use(self, seconds: float) -> None:
+        """Use the system for a while."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        tasks: set[asyncio.Task[None]] = set()
+        while loop.time() < end:
+            self._number += 1
+            kind = self._chance.random()
+            if kind < 0.85:
+                work = self._ask(f"r{self._number}", kind < 0.45)
+            else:
+                work = self._job(f"j{self._number}")
+            tasks.add(asyncio.ensure_future(work))
+            await asyncio.sleep(self._chance.uniform(0.0, 0.1))
+        await asyncio.gather(*tasks)
+
+    async def finish(self, within_s: float) -> None:
+        """Read every open job until all its items are listed."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within_s
+        for job in sorted(self._tally.open):
+            items = sorted(self._tally.accepted[job])
+            while True:
+                results = await self.read(job, self._any())
+                if results is not None and len(results) == len(items):
+                    break
+                if loop.time() > end:
+                    found = "nothing" if results is None else f"{len(results)} results"
+                    self._broken(f"job {job}: {found} of {len(items)} in the end")
+                    break
+                await asyncio.sleep(0.1)
+            if results is not None and len(results) == len(items):
+                listed = sorted(result["id"] for result in results)
+                if listed != items:
+                    self._broken(f"job {job}: lists {listed}")
+
+    async def read(self, job: str, instance: SoakInstance) -> list[dict] | None:
+        """Read a job whole and check it against what was read before."""
+        answer = await self._call(instance, "GET", f"/lots/{job}?sinceRev=0")
+        if answer is None or answer.status != 200 or not answer.whole:
+            if answer is not None and answer.status in (404, 410):
+                self._broken(f"job {job}: {answer.status} from {instance.id}")
+            return None
+        results = orjson.loads(answer.body)["results"]
+        before = self._tally.results.get(job, [])
+        both = min(len(before), len(results))
+        if results[:both] != before[:both]:
+            self._broken(f"job {job}: a position changed at {instance.id}")
+        if len(results) < len(before):
+            self._broken(f"job {job}: results vanished at {instance.id}")
+        if len(results) > len(before):
+            self._tally.results[job] = results
+        for result in results:
+            whole = "\n".join(self._town.runners[0].text(result["id"]))
+            if result["state"] != "completed" or result["message"] != whole:
+                self._broken(f"job {job}: item {result['id']} is {result}")
+        return results
+
+    async def _ask(self, id: str, once: bool) -> None:
+        self._tally.asked += 1
+        self._tally.sent.add(id)
+        path = "/once/1" if once else "/ask/1"
+        headers = {"X-Request-Id": id, "X-Deadline-Ms": "5000"}
+        answer = await self._call(self._any(), "POST", path, headers, b"question")
+        if answer is None:
+            return
+        if answer.status in NOT_RUN:
+            self._tally.refused.add(id)
+        if answer.status == 200 and answer.whole:
+            self._tally.answered += 1
+            if answer.data != self._town.runners[0].text(id):
+                self._broken(f"request {id}: a wrong answer {answer.body!r}")
+        if answer.status == 404:
+            self._broken(f"request {id}: 404")
+
+    async def _job(self, id: str) -> None:
+        items = [f"{id}-{number}" for number in range(self._chance.randint(1, 4))]
+        self._tally.sent.update(items)
+        body = orjson.dumps(job_body(items, tokens=1))
+        headers = {"X-Request-Id": id}
+        for _ in range(3):
+            answer = await self._call(self._any(), "POST", f"/work/{id}", headers, body)
+            if answer is not None and answer.status == 202:
+                self._tally.accepted[id] = items
+                break
+            await asyncio.sleep(0.2)
+        else:
+            return
+        if self._chance.random() < 0.15:
+            answer = await self._call(self._any(), "DELETE", f"/lots/{id}")
+            return
+        self._tally.open.add(id)
+        await asyncio.sleep(1.0 + self._chance.random())
+        await self.read(id, self._any())
+
+    async def _call(
+        self,
+        instance: SoakInstance,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Answer | None:
+        """Call an instance; None if no answer began."""
+        url = yarl.URL(f"http://{instance.callers}{path}", encoded=True)
+        head = {"Host": HOST} | (headers or {})
+        pieces: list[bytes] = []
+        try:
+            async with self._session.request(
+                method, url, headers=head, data=body
+            ) as response:
+                whole = True
+                try:
+                    async for piece in response.content.iter_any():
+                        pieces.append(piece)
+                except (aiohttp.ClientError, TimeoutError):
+                    whole = False
+                body = b"".join(pieces)
+                return Answer(response.status, response.headers, body, whole)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    def _any(self) -> SoakInstance:
+        return self._chance.choice(self._town.instances)
+
+    def _broken(self, what: str) -> None:
+        self._tally.broken.append(what)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,129 @@
+"""Faults from outside, drawn by a seed; they come in series and overlap."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from soak.proxy import MODES, PASS, FaultProxy
+from soak.town import Town
+
+Fault = Callable[[Town, random.Random], Awaitable[None]]
+
+
+async def kill(town: Town, chance: random.Random) -> None:
+    """Kill one instance, or all of them at once."""
+    victims = (
+        town.instances if chance.random() < 0.2 else [chance.choice(town.instances)]
+    )
+    for one in victims:
+        one.send(signal.SIGKILL)
+
+
+async def stop(town: Town, chance: random.Random) -> None:
+    """Stop an instance as planned."""
+    chance.choice(town.instances).send(signal.SIGTERM)
+
+
+async def pause(town: Town, chance: random.Random) -> None:
+    """Pause an instance, and wake it."""
+    one = chance.choice(town.instances)
+    one.send(signal.SIGSTOP)
+    await asyncio.sleep(chance.uniform(0.2, 3.0))
+    one.send(signal.SIGCONT)
+
+
+async def reload(town: Town, chance: random.Random) -> None:
+    """Have an instance read its settings again."""
+    chance.choice(town.instances).send(signal.SIGHUP)
+
+
+async def way_to_store(town: Town, chance: random.Random) -> None:
+    """Harm one instance's way to the store."""
+    await _harm(chance.choice(town.instances).store, chance)
+
+
+async def way_to_runner(town: Town, chance: random.Random) -> None:
+    """Harm everybody's way to one runner."""
+    await _harm(chance.choice(town.runner_proxies), chance)
+
+
+async def store_away(town: Town, chance: random.Random) -> None:
+    """Have the store refuse everybody."""
+    town.store.refuse = chance.choice([429, 503])
+    await asyncio.sleep(chance.uniform(0.2, 2.0))
+    town.store.refuse = None
+
+
+async def store_loses(town: Town, chance: random.Random) -> None:
+    """Have the store lose answers of writes, some of which are done later."""
+    town.store.delay_writes_s = chance.choice([0.0, 0.0, 0.7, 2.0])
+    town.store.lose_answers = chance.randint(1, 6)
+
+
+async def store_forgets(town: Town, chance: random.Random) -> None:
+    """Have the store forget the history of changes."""
+    town.store.forget_history()
+
+
+async def runner_fails(town: Town, chance: random.Random) -> None:
+    """Have a runner break off, fall silent, refuse or lose answers."""
+    runner = chance.choice(town.runners)
+    fault = chance.choice(["break_after", "silent_after", "refuse", "lose", "wrong_id"])
+    before = getattr(runner, fault)
+    setattr(runner, fault, 2 if fault.endswith("after") else True)
+    await asyncio.sleep(chance.uniform(0.2, 1.0))
+    setattr(runner, fault, before)
+
+
+async def runner_drains(town: Town, chance: random.Random) -> None:
+    """List a runner as draining, and as ready again."""
+    number = chance.randrange(len(town.runners))
+    town.list_runner(number, "draining")
+    await asyncio.sleep(chance.uniform(0.3, 1.5))
+    town.list_runner(number, "ready")
+
+
+async def change(town: Town, chance: random.Random) -> None:
+    """Change the configuration, now and then in quick succession."""
+    for _ in range(chance.choice([1, 1, 5])):
+        town.change_configuration()
+        await asyncio.sleep(0.05)
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill,
+    kill,
+    stop,
+    pause,
+    reload,
+    way_to_store,
+    way_to_runner,
+    store_away,
+    store_loses,
+    store_forgets,
+    runner_fails,
+    runner_drains,
+    change,
+)
+
+
+async def inject(town: Town, chance: random.Random, seconds: float) -> list[str]:
+    """Inject faults for a while; return what came, in order."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    told: list[str] = []
+    running: set[asyncio.Task[None]] = set()
+    while loop.time() < end:
+        fault = chance.choice(FAULTS)
+        told.append(fault.__name__)
+        running.add(asyncio.ensure_future(fault(town, chance)))
+        await asyncio.sleep(chance.uniform(0.05, 0.9))
+    await asyncio.gather(*running)
+    return told
+
+
+async def _harm(proxy: FaultProxy, chance: random.Random) -> None:
+    proxy.set_mode(chance.choice(MODES))
+    await asyncio.sleep(chance.uniform(0.2, 2.5))
+    proxy.set_mode(PASS)
--- /dev/null
+++ b/tests/soak/town.py
@@ -0,0 +1,166 @@
+"""Instances as processes, with proxies before their store and their targets."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+from aiohttp import web
+
+from gateway.conftest import ROUTES, configuration, free_address
+from gateway.runner_standin import RunnerStandin
+from gateway.store_standin import StoreStandin
+from soak.proxy import FaultProxy
+
+ROOT = Path(__file__).parents[2]
+SETTINGS = """\
+[instance]
+id = "{id}"
+availability_zone = "{zone}"
+metrics_port = 0
+[listen]
+callers = "{callers}"
+ready = "{ready}"
+peers = "{peers}"
+[peers]
+seeds = {seeds}
+[store]
+address = "{store}"
+row_bytes = 65536
+object_bytes = 8388608
+[jobs]
+kept_s = 120
+[stopping]
+grace_s = 4
+"""
+
+
+class SoakInstance:
+    """One instance, started again whenever it has ended."""
+
+    def __init__(self, id: str, zone: str, store: FaultProxy, folder: Path) -> None:
+        self.id = id
+        self.zone = zone
+        self.store = store
+        self.callers, self.ready, self.peers = (free_address() for _ in range(3))
+        self.folder = folder
+        self.process: asyncio.subprocess.Process | None = None
+        self.paused = False
+        self.wanted = True
+
+    async def start(self, seeds: list[str]) -> None:
+        """Start the process; its log goes to a file that outlives it."""
+        settings = self.folder / f"{self.id}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                id=self.id,
+                zone=self.zone,
+                callers=self.callers,
+                ready=self.ready,
+                peers=self.peers,
+                seeds=str(seeds).replace("'", '"'),
+                store=self.store.address,
+            )
+        )
+        with (self.folder / f"{self.id}.log").open("a") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "instance.py"),
+                env=os.environ | {"CAPERRIDGE_CONFIG": str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Signal the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+
+class Town:
+    """The store, the runners and the instances of one soak."""
+
+    def __init__(self, folder: Path, instances: int, runners: int) -> None:
+        self.folder = folder
+        self.store = StoreStandin()
+        self.runners = [RunnerStandin(f"i-{n}", slots=3) for n in range(runners)]
+        self.instances: list[SoakInstance] = []
+        self.runner_proxies: list[FaultProxy] = []
+        self.version = 1
+        self._count = instances
+        self._sites: list[web.AppRunner] = []
+        self._keepers: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything."""
+        store = await self._serve(self.store.application())
+        self.store.put("op", "config", configuration(self.version, ROUTES))
+        for number, runner in enumerate(self.runners):
+            proxy = FaultProxy(await self._serve(runner.application()))
+            await proxy.start()
+            self.runner_proxies.append(proxy)
+            self.list_runner(number, "ready")
+        for number in range(self._count):
+            proxy = FaultProxy(store)
+            await proxy.start()
+            zone = "ab"[number % 2]
+            one = SoakInstance(f"e-{number}", zone, proxy, self.folder)
+            self.instances.append(one)
+        loop = asyncio.get_running_loop()
+        self._keepers = [loop.create_task(self._keep(one)) for one in self.instances]
+
+    async def stop(self) -> None:
+        """End what this soak started, by the ids of its processes."""
+        for keeper in self._keepers:
+            keeper.cancel()
+        await asyncio.gather(*self._keepers, return_exceptions=True)
+        for one in self.instances:
+            one.send(signal.SIGCONT)
+            one.send(signal.SIGKILL)
+            if one.process is not None:
+                await one.process.wait()
+            one.store.stop()
+        for proxy in self.runner_proxies:
+            proxy.stop()
+        for site in self._sites:
+            await site.cleanup()
+
+    def list_runner(self, number: int, state: str) -> None:
+        """Write a runner's entry."""
+        runner = self.runners[number]
+        entry = {
+            "service": "model",
+            "address": self.runner_proxies[number].address,
+            "zone": "ab"[number % 2],
+            "version": "v1",
+            "slots": runner.slots,
+            "state": state,
+            "seq": 1,
+        }
+        self.store.put("servers", runner.id, entry)
+
+    def change_configuration(self) -> None:
+        """Write the next version of the same routes."""
+        self.version += 1
+        self.store.put("op", "config", configuration(self.version, ROUTES))
+
+    async def _serve(self, application: web.Application) -> str:
+        runner = web.AppRunner(
+            application, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self._sites.append(runner)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    async def _keep(self, one: SoakInstance) -> None:
+        """Start an instance again a little after it has ended."""
+        while True:
+            seeds = [other.peers for other in self.instances if other is not one]
+            await one.start(seeds[:2])
+            assert one.process is not None
+            await one.process.wait()
+            await asyncio.sleep(0.3)
