Split wants between granters where there are many, and forget those that were met

Cause: with more than 16 peers the news that an instance wants no slots any more went to its own zone only. In one log a job of 18 items was held for 11 s without a start while most slots were free.

Ruled out: too few slots (240, of which about half were busy); taking over (the jobs were held).

Change: a declined want is dropped, a used grant is counted off, and with many peers the wants are split between granters instead of told to each. The members that are alive are worked out once a change. Granting left the keeper for a module of its own.

test_a_holder_that_was_replaced_lists_nothing_more blinds the second instance in both places where it may look for peers; the check is the same.

--- a/src/caperridge/gateway/jobs/broker.py
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -36,13 +36,23 @@
 
 
 class Grant(Record):
-    """One slot of ``target`` for an item of ``instance``."""
+    """One slot of ``target`` for an item of ``instance``.
 
-    __slots__ = ("instance", "target", "until")
+    Attributes:
+        instance: that may use it.
+        target: where the slot is.
+        service: that the target serves.
+        until: when it is void if it was not used, on the loop's clock.
+    """
+
+    __slots__ = ("instance", "service", "target", "until")
 
-    def __init__(self, instance: str, target: str, until: float = 0.0) -> None:
+    def __init__(
+        self, instance: str, target: str, service: str, until: float = 0.0
+    ) -> None:
         self.instance = instance
         self.target = target
+        self.service = service
         self.until = until
 
 
@@ -71,7 +81,8 @@
 
     def __init__(self, own: str) -> None:
         self.own = own
-        self._granting_key: tuple[Members, int] | None = None
+        self._granters_key: tuple[Members, int] | None = None
+        self._granter_by_target: dict[str, str | None] = {}
         self._granting: list[str] = []
         self._wants_by_instance: dict[str, dict[str, Want]] = {}
         self._grants: list[Grant] = []
@@ -80,7 +91,11 @@
     @property
     def wanted(self) -> bool:
         """Whether any instance could start an item."""
-        return any(self._wants_by_instance.values())
+        return any(
+            want.count > 0
+            for wants in self._wants_by_instance.values()
+            for want in wants.values()
+        )
 
     def falls_here(
         self, members: Members, targets: Iterable[Target], changes: int
@@ -92,14 +107,30 @@
             targets: all of them.
             changes: counts the changes of ``targets``.
         """
-        key = (members, changes)
-        if key != self._granting_key:
-            self._granting_key = key
-            self._granting = [
-                target.id for target in targets if members.granter(target) == self.own
-            ]
+        self._work_out_granters(members, targets, changes)
         return self._granting
 
+    def granters(
+        self, members: Members, targets: Iterable[Target], changes: int
+    ) -> dict[str, str | None]:
+        """Return who grants the slots of each target; see :meth:`falls_here`."""
+        self._work_out_granters(members, targets, changes)
+        return self._granter_by_target
+
+    def _work_out_granters(
+        self, members: Members, targets: Iterable[Target], changes: int
+    ) -> None:
+        key = (members, changes)
+        if key == self._granters_key:
+            return
+        self._granters_key = key
+        self._granter_by_target = {
+            target.id: members.granter(target) for target in targets
+        }
+        self._granting = [
+            id for id, granter in self._granter_by_target.items() if granter == self.own
+        ]
+
     def wants(self, instance: str, wants_by_service: dict[str, Want]) -> None:
         """Take what ``instance`` could start."""
         self._wants_by_instance[instance] = wants_by_service
@@ -109,16 +140,33 @@
         self._wants_by_instance.pop(instance, None)
         self._grants = [grant for grant in self._grants if grant.instance != instance]
 
-    def full(self, target: str, now: float) -> None:
-        """Note that a target has no free slot, whatever the counts say."""
+    def used(self, instance: str, target: str) -> None:
+        """Note that an instance started an item; it then wants one slot less."""
+        grant = self._settle(instance, target)
+        want = self._want(instance, grant.service) if grant is not None else None
+        if want is not None:
+            want.count -= 1
+
+    def declined(self, instance: str, target: str) -> None:
+        """Note that an instance had no item for a grant, whatever it said it wants."""
+        grant = self._settle(instance, target)
+        if grant is not None:
+            self._wants_by_instance.get(instance, {}).pop(grant.service, None)
+
+    def declined_as_full(self, instance: str, target: str, now: float) -> None:
+        """Note that an instance found no free slot where it was granted one."""
+        self._settle(instance, target)
         self._full_until_by_target[target] = now + FULL_FOR_S
 
-    def settled(self, instance: str, target: str) -> None:
-        """Note that a grant was used or turned down."""
+    def _settle(self, instance: str, target: str) -> Grant | None:
         for grant in self._grants:
             if grant.instance == instance and grant.target == target:
                 self._grants.remove(grant)
-                return
+                return grant
+        return None
+
+    def _want(self, instance: str, service: str) -> Want | None:
+        return self._wants_by_instance.get(instance, {}).get(service)
 
     def grant(
         self,
@@ -140,11 +188,12 @@
         granted: list[Grant] = []
         while free_by_id:
             id = max(free_by_id, key=lambda one: free_by_id[one])
-            instance = self._most_urgent(targets_by_id[id].service, store_now)
+            service = targets_by_id[id].service
+            instance = self._most_urgent(service, store_now)
             if instance is None:
                 del free_by_id[id]
                 continue
-            grant = Grant(instance, id, now + GRANT_S)
+            grant = Grant(instance, id, service, now + GRANT_S)
             self._grants.append(grant)
             granted.append(grant)
             free_by_id[id] -= 1
@@ -172,12 +221,16 @@
         best_rank: tuple[bool, float, str] | None = None
         for instance, wants in self._wants_by_instance.items():
             want = wants.get(service)
-            if want is None or want.count <= self._promised_to(instance):
+            if want is None or want.count <= self._promised_to(instance, service):
                 continue
             rank = (want.due < store_now, want.due, instance)
             if best_rank is None or rank < best_rank:
                 best, best_rank = instance, rank
         return best
 
-    def _promised_to(self, instance: str) -> int:
-        return sum(1 for grant in self._grants if grant.instance == instance)
+    def _promised_to(self, instance: str, service: str) -> int:
+        return sum(
+            1
+            for grant in self._grants
+            if grant.instance == instance and grant.service == service
+        )
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -12,12 +12,10 @@
 from result import Err
 
 from caperridge.decisions.rendezvous import owner
-from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
-from caperridge.gateway.fleet import Fleet
-from caperridge.gateway.jobs.broker import Members, SlotBroker, Want
 from caperridge.gateway.jobs.claims import Ended, HeldBy, JobClaimer, Unclaimed
 from caperridge.gateway.jobs.codec import to_bytes
+from caperridge.gateway.jobs.granting import SlotGranting
 from caperridge.gateway.jobs.held_job import HeldJob
 from caperridge.gateway.jobs.index import JobIndex
 from caperridge.gateway.jobs.keeping import PROGRESS_S, JobWriter
@@ -25,9 +23,8 @@
 from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.messages import JobNews, SlotDecline, SlotGrant, SlotWants
+from caperridge.gateway.mesh.messages import JobNews, SlotGrant
 from caperridge.gateway.rows import RowStore, StoredRow, Transaction
-from caperridge.gateway.targets import Target
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -40,7 +37,6 @@
 # is this full.
 CROWDED_SHARE = 0.25
 STORE_PAUSE_S = 0.3
-TELL_AGAIN_S = 1.2
 # Changes that come together are looked at together; an online request waits so long
 # for an item to give way.
 GATHER_S = 0.001
@@ -58,9 +54,7 @@
         writer: JobWriter,
         claimer: JobClaimer,
         slots: ItemSlots,
-        broker: SlotBroker,
-        fleet: Fleet,
-        clock: StoreClock,
+        granting: SlotGranting,
     ) -> None:
         self._store = store
         self._index = index
@@ -69,9 +63,7 @@
         self._writer = writer
         self._claimer = claimer
         self._slots = slots
-        self._broker = broker
-        self._fleet = fleet
-        self._clock = clock
+        self._granting = granting
         self.held_by_id: dict[str, HeldJob] = {}
         self.listed_by_id: dict[str, int] = {}
         self.leaving = False
@@ -82,14 +74,10 @@
         self._retry_at_by_id: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._news: dict[str, asyncio.Event] = {}
-        self._told_wants: dict[str, Want] = {}
-        self._tell_again_at = 0.0
         index.on_removed(self._forget)
         mesh.register(JobNews, self._told)
-        mesh.register(SlotWants, self._peer_wants)
         mesh.register(SlotGrant, self._granted)
-        mesh.register(SlotDecline, self._declined)
-        mesh.on_lose(lambda member: self._broker.forget(member.id))
+        granting.on_news(self.poke)
 
     # What the edge asks.
 
@@ -111,6 +99,11 @@
         """Look soon at what may start or has to give way."""
         self._wake.set()
 
+    def fleet_changed(self) -> None:
+        """Look soon if counts or targets matter here: to own items or to grants."""
+        if self.held_by_id or self._granting.wanted:
+            self._wake.set()
+
     # The tasks.
 
     async def run(self) -> None:
@@ -130,54 +123,7 @@
             jobs = list(self.held_by_id.values())
             self._slots.give_way(jobs)
             if not self.leaving:
-                self._grant(jobs, now)
-
-    def _grant(self, jobs: list[HeldJob], now: float) -> None:
-        self._tell_wants(jobs, now)
-        if not self._broker.wanted:
-            return
-        targets = {target.id: target for target in self.granted_here()}
-        grants = self._broker.grant(
-            targets.values(), self._fleet.occupancy, self._clock.now(), now
-        )
-        for grant in grants:
-            if grant.instance != self._mesh.instance:
-                self._mesh.send(grant.instance, SlotGrant(grant.target))
-                continue
-            self._slots.start_at(jobs, targets[grant.target], now)
-            self._broker.settled(grant.instance, grant.target)
-        if grants:
-            self._tell_wants(jobs, now)
-
-    def granted_here(self) -> list[Target]:
-        """Return the targets in use whose slots this instance grants."""
-        now = asyncio.get_running_loop().time()
-        listed = self._fleet.targets
-        here = self._broker.falls_here(
-            self._members(), listed.by_id.values(), listed.changes
-        )
-        return [listed.by_id[id] for id in here if self._fleet.takes_items(id, now)]
-
-    def _members(self) -> Members:
-        by_zone = {self._mesh.zone: [self._mesh.instance]}
-        for member in self._mesh.alive():
-            if not member.leaving:
-                by_zone.setdefault(member.zone, []).append(member.id)
-        return Members(by_zone)
-
-    def _tell_wants(self, jobs: list[HeldJob], now: float) -> None:
-        wants = self._slots.wants(jobs, now)
-        self._broker.wants(self._mesh.instance, wants)
-        told = SlotWants([[name, want.count, want.due] for name, want in wants.items()])
-        if not wants and not self._told_wants:
-            return
-        if now >= self._tell_again_at:
-            # News may be lost, and far peers are told only now and then.
-            self._tell_again_at = now + TELL_AGAIN_S
-            self._mesh.send_all(told)
-        elif wants != self._told_wants:
-            self._mesh.send_near(told)
-        self._told_wants = wants
+                self._granting.step(jobs, now)
 
     async def hand_over(self) -> None:
         """Stop all runs, keep their progress, and give the jobs up."""
@@ -336,6 +282,11 @@
         self._mesh.send_all(JobNews(id, job.head.holder, job.head.listed))
         self._note(id, job.head.holder, job.head.listed)
 
+    def _granted(self, peer: str, grant: SlotGrant) -> None:
+        jobs = list(self.held_by_id.values())
+        self._granting.take(peer, grant, jobs)
+        self._wake.set()
+
     def _told(self, peer: str, news: JobNews) -> None:
         if news.cancelled:
             self._end_cancelled(news.job)
@@ -344,31 +295,6 @@
         if news.holder == "":
             self._wake.set()
 
-    def _peer_wants(self, peer: str, news: SlotWants) -> None:
-        wants = {service: Want(count, due) for service, count, due in news.wants}
-        self._broker.wants(peer, wants)
-        self._wake.set()
-
-    def _granted(self, peer: str, grant: SlotGrant) -> None:
-        now = asyncio.get_running_loop().time()
-        target = self._fleet.targets.by_id.get(grant.target)
-        jobs = list(self.held_by_id.values())
-        usable = target is not None and self._fleet.takes_items(target.id, now)
-        if target is None or not usable or self._slots.is_full(target):
-            self._mesh.send(peer, SlotDecline(grant.target, full=True))
-        elif not self._slots.start_at(jobs, target, now):
-            self._mesh.send(peer, SlotDecline(grant.target))
-        self._wake.set()
-
-    def _declined(self, peer: str, decline: SlotDecline) -> None:
-        if decline.full:
-            # It knows of requests or refusals that this instance does not. The target
-            # is left alone for a while, so that the item gets a slot elsewhere.
-            now = asyncio.get_running_loop().time()
-            self._broker.full(decline.target, now)
-        self._broker.settled(peer, decline.target)
-        self._wake.set()
-
     def _note(self, job: str, holder: str, listed: int) -> None:
         self._holder_by_id[job] = holder
         if listed > self.listed_by_id.get(job, 0):
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -82,6 +82,8 @@
         self.zone = zone
         self.address = address
         self.members_by_id: dict[str, Member] = {}
+        # Counts what changes who is heard from, who leaves and who is where.
+        self.changes = 0
         self._seeds = [seed for seed in seeds if seed != address]
         self._streams_by_address: dict[str, OutStream] = {}
         self._dialers_by_address: dict[str, asyncio.Task[None]] = {}
@@ -90,6 +92,9 @@
         self._lost: list[Callable[[Member], None]] = []
         self._server: asyncio.Server | None = None
         self._streams: set[InStream] = set()
+        self._alive_key = -1
+        self._alive: list[Member] = []
+        self._alive_incarnations: frozenset[str] = frozenset()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
         """Have ``handler`` told of each message of ``kind``, with its sender's id."""
@@ -126,13 +131,30 @@
 
     def alive(self) -> list[Member]:
         """Return the members that are heard from."""
-        return [m for m in self.members_by_id.values() if m.lost_at is None]
+        self._look_who_is_alive()
+        return self._alive
 
     def incarnation_alive(self, incarnation: str) -> bool:
         """Whether this life of an instance is the own one or is heard from."""
-        if incarnation == self.incarnation:
-            return True
-        return any(member.incarnation == incarnation for member in self.alive())
+        self._look_who_is_alive()
+        return incarnation == self.incarnation or incarnation in (
+            self._alive_incarnations
+        )
+
+    def _look_who_is_alive(self) -> None:
+        if self._alive_key == self.changes:
+            return
+        self._alive_key = self.changes
+        members = self.members_by_id.values()
+        self._alive = [member for member in members if member.lost_at is None]
+        self._alive_incarnations = frozenset(one.incarnation for one in self._alive)
+
+    def leaves(self, id: str, leaving: bool) -> None:
+        """Note whether a member takes no new work."""
+        member = self.members_by_id.get(id)
+        if member is not None and member.leaving != leaving:
+            member.leaving = leaving
+            self.changes += 1
 
     def send(self, instance: str, message: Record) -> bool:
         """Queue ``message`` for one peer; False if there is no stream to it."""
@@ -180,9 +202,11 @@
         if member is None:
             member = Member(id, address, zone, now)
             self.members_by_id[id] = member
+            self.changes += 1
         if member.address != address and member.lost_at is not None:
             member.address = address
             member.zone = zone
+            self.changes += 1
         member.listed_at = now
         self._dial(member.address)
 
@@ -197,6 +221,7 @@
                 continue
             if now - max(member.lost_at, member.listed_at) > FORGET_S:
                 del self.members_by_id[member.id]
+                self.changes += 1
                 self._hang_up(member.address)
 
     def hello(self) -> Hello:
@@ -270,6 +295,7 @@
         member.zone = hello.availability_zone
         member.incarnation = hello.incarnation
         member.leaving = False
+        self.changes += 1
         for id, address, zone in hello.members:
             self.learn(id, address, zone)
         self._heard(member, None)
@@ -278,6 +304,7 @@
         member.heard_at = asyncio.get_running_loop().time()
         if member.lost_at is not None:
             member.lost_at = None
+            self.changes += 1
             log.info("peer heard", peer=member.id, incarnation=member.incarnation)
             for call in self._appeared:
                 call(member)
@@ -289,6 +316,7 @@
 
     def _lose(self, member: Member, reason: str) -> None:
         member.lost_at = asyncio.get_running_loop().time()
+        self.changes += 1
         log.warning("peer lost", peer=member.id, reason=reason)
         for call in self._lost:
             call(member)
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -128,8 +128,8 @@
     def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
         member = self._mesh.members_by_id.get(peer)
         if member is not None:
-            member.leaving = beat.leaving
             member.store_reached = beat.store_reached
+        self._mesh.leaves(peer, beat.leaving)
         counts = {target: Count(*count) for target, *count in beat.counts}
         if self._fleet.occupancy.told_all(peer, counts):
             self._fleet.changed()
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -16,6 +16,7 @@
 from caperridge.gateway.jobs.broker import SlotBroker
 from caperridge.gateway.jobs.claims import JobClaimer
 from caperridge.gateway.jobs.edge import JobsEdge
+from caperridge.gateway.jobs.granting import SlotGranting
 from caperridge.gateway.jobs.index import JobIndex
 from caperridge.gateway.jobs.item_runs import ItemRuns
 from caperridge.gateway.jobs.keeper import JobKeeper
@@ -91,7 +92,14 @@
         slots = ItemSlots(
             self.configuration, self.fleet, self.clock, runs, self.metrics
         )
-        self.broker = SlotBroker(settings.instance)
+        self.granting = SlotGranting(
+            self.mesh,
+            self.fleet,
+            self.clock,
+            slots,
+            SlotBroker(settings.instance),
+            chance,
+        )
         self.keeper = JobKeeper(
             store,
             self.index,
@@ -100,12 +108,10 @@
             JobWriter(store, incarnation, settings.row_bytes),
             JobClaimer(store, self.mesh),
             slots,
-            self.broker,
-            self.fleet,
-            self.clock,
+            self.granting,
         )
         self.unowned = UnownedLook(
-            self.fleet, self.client, dialect, self.mesh, self.keeper.granted_here
+            self.fleet, self.client, dialect, self.mesh, self.granting.granted_here
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
         jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
@@ -142,9 +148,9 @@
         return watchers
 
     def _wire(self) -> None:
-        self.news.item_started = self.broker.settled
+        self.news.item_started = self.granting.used
         self.reach.on_return(self.fleet.targets.store_returned)
-        self.fleet.on_change(self.keeper.poke)
+        self.fleet.on_change(self.keeper.fleet_changed)
         self.fleet.on_change(self.news.counts_changed)
         self.configuration.on_change(self.keeper.poke)
         self.index.on_change(self.keeper.poke)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -9,6 +9,7 @@
 
 from caperridge.gateway.events import EventSplitter
 from caperridge.gateway.fleet import LONGEST_OUT_S, Fleet
+from caperridge.gateway.jobs.asking import Opening, split
 from caperridge.gateway.jobs.broker import GRANT_S, Members, SlotBroker, Want
 from caperridge.gateway.occupancy import Count, Occupancy
 from caperridge.gateway.placement import items_to_cancel, place_online
@@ -118,12 +119,47 @@
     grants = broker.grant(one, occupancy, store_now=10.0, now=0.0)
     assert [grant.instance for grant in grants] == ["soon", "later"]
     assert broker.grant(one, occupancy, 10.0, 0.01) == []
-    broker.settled("soon", "t")
+    broker.used("soon", "t")
     occupancy.told("soon", "t", Count(0, 1))
     assert broker.grant(one, occupancy, 10.0, 0.02) == []
     assert len(broker.grant(one, occupancy, 10.0, GRANT_S + 0.03)) == 1
 
 
+def test_a_want_that_was_declined_or_met_gets_no_more(
+    broker: SlotBroker, occupancy: Occupancy
+) -> None:
+    """Who grants may have missed the news that an instance wants nothing more."""
+    broker.wants("done", {"model": Want(5, 5.0)})
+    broker.wants("other", {"model": Want(1, 9.0)})
+    one = [target("t", slots=1)]
+    (grant,) = broker.grant(one, occupancy, store_now=0.0, now=0.0)
+    assert grant.instance == "done"
+    broker.declined("done", "t")
+    (grant,) = broker.grant(one, occupancy, 0.0, 0.0)
+    assert grant.instance == "other"
+    broker.used("other", "t")
+    assert broker.grant(one, occupancy, 0.0, 0.0) == []
+    assert not broker.wanted
+
+
+@given(
+    st.integers(0, 12),
+    st.lists(
+        st.tuples(st.sampled_from("xyz"), st.integers(-2, 4), st.booleans()),
+        max_size=6,
+    ),
+)
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_what_is_asked_in_all_is_what_is_wanted_and_can_be(
+    wanted: int, seen: list[tuple[str, int, bool]]
+) -> None:
+    openings = [Opening(*one) for one in seen]
+    asked = split(wanted, openings, random.Random(1))
+    room = sum(max(0, one.free) + 1 for one in openings)
+    assert sum(asked.values()) == min(wanted, room)
+    assert set(asked) <= {one.granter for one in openings}
+
+
 def test_one_member_of_the_target_s_zone_grants() -> None:
     members = Members({"a": ["x", "y"], "b": ["z"]})
     granters = {name: SlotBroker(name) for name in ("x", "y", "z")}
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -236,7 +236,7 @@
     held = instance.keeper.held_by_id
     await until(lambda: "j1" in held)
     runner = await world.add_runner(slots=1)
-    monkeypatch.setattr(instance.keeper, "_grant", lambda jobs, now: None)
+    monkeypatch.setattr(instance.granting, "step", lambda jobs, now: None)
     await until(lambda: instance.fleet.targets.by_id)
     target = instance.fleet.targets.by_id[runner.id]
     now = asyncio.get_running_loop().time()
@@ -258,6 +258,7 @@
     second = await world.add_instance()
     await until(lambda: second.ready)
     second.mesh.alive = list  # it believes to be alone
+    second.mesh.incarnation_alive = lambda incarnation: False
     await until(lambda: "j1" in second.keeper.held_by_id)
     await until(lambda: "j1" not in first.keeper.held_by_id)
     runner.pause_s = 0.01
@@ -381,8 +382,7 @@
     broker.wants("peer", {"model": Want(1, 0.0)})
     targets = list(instance.fleet.targets.by_id.values())
     assert broker.grant(targets, Occupancy("granter"), 0.0, now)
-    broker.full(runner.id, now)
-    broker.settled("peer", runner.id)
+    broker.declined_as_full("peer", runner.id, now)
     assert not broker.grant(targets, Occupancy("granter"), 0.0, now + 0.01)
     later = now + FULL_FOR_S + 0.01
     assert broker.grant(targets, Occupancy("granter"), 0.0, later)
