Keep online requests in their zone where counts of other zones are old

In bursts all instances saw the same target of another zone as the emptiest: of the late requests many were placed where the sender counted 1 to 6 online requests and there were 8 to 15.

Change: where counts of other zones are old, a slot of the own zone that an item gives up goes before a free one elsewhere, and of other zones the better of two at random is chosen; no room is said only after all were weighed.

--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -24,6 +24,9 @@
 class Fleet:
     """The targets with what speaks for and against using each.
 
+    Attributes:
+        far_counts_are_old: peers are too many to tell each one all counts.
+
     Args:
         instance: own id.
         zone: own availability zone.
@@ -36,6 +39,7 @@
         self.targets = TargetList()
         self.occupancy = Occupancy(instance)
         self.known = False
+        self.far_counts_are_old = False
         self.unreachable: dict[str, str] = {}
         self._health_by_target: dict[str, Health] = {}
         self._failed_at_by_target: dict[str, float] = {}
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -14,7 +14,7 @@
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.inbound import Carriage, GivenUp, InboundRequest, Reply
 from caperridge.gateway.metrics import GatewayMetrics
-from caperridge.gateway.placement import place_online
+from caperridge.gateway.placement import place_online, place_online_near
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import (
     Answer,
@@ -109,7 +109,8 @@
             return GivenUp("no target of its service", not_run, NO_TARGET_RETRY_AFTER_S)
         if carriage.offers >= MOST_OFFERS:
             return GivenUp("too many refusals", not_run, BUSY_RETRY_AFTER_S)
-        target = place_online(
+        place = place_online_near if self._fleet.far_counts_are_old else place_online
+        target = place(
             targets, self._fleet.occupancy, self._fleet.zone, self._fleet.chance
         )
         if target is None:
--- a/src/caperridge/gateway/jobs/asking.py
+++ b/src/caperridge/gateway/jobs/asking.py
@@ -5,13 +5,15 @@
 soon is asked elsewhere.
 """
 
+import heapq
 import random
 from collections.abc import Iterable
 
 from caperridge.records import Record
 
-# Slots of a target that are asked for last: online requests come without asking.
-KEPT_FOR_ONLINE = 2
+# So many slots more have to seem free at a target of another zone: what is known of it
+# is older, and its events cross zones.
+NEAR_SLOTS = 1
 
 
 class Opening(Record):
@@ -36,9 +38,9 @@
 ) -> dict[str, int]:
     """Return how many slots to ask of each granter, ``wanted`` in all if it can be.
 
-    One slot of each target in turn, those of the own zone and the emptiest first. What
-    is known of other zones is old, so one more is asked of each target where nothing
-    seems free.
+    Each slot is asked for where most seem free, so that online requests, which come in
+    bursts, find room everywhere. What is known of other zones is old, so one more is
+    asked of each target where nothing seems free.
 
     >>> busy, empty = Opening("x", 0, near=True), Opening("y", 3, near=False)
     >>> split(1, [busy, empty], random.Random(1))
@@ -47,38 +49,16 @@
     {'y': 4, 'x': 1}
     """
     asked: dict[str, int] = {}
-    left = wanted
-    for opening in _in_turn(list(openings), chance):
-        if left <= 0:
+    heap = [
+        (-one.free - NEAR_SLOTS * one.near, chance.random(), one.free, one.granter)
+        for one in openings
+    ]
+    heapq.heapify(heap)
+    for _ in range(wanted):
+        if not heap:
             break
-        asked[opening.granter] = asked.get(opening.granter, 0) + 1
-        left -= 1
+        rank, tie, free, granter = heapq.heappop(heap)
+        asked[granter] = asked.get(granter, 0) + 1
+        if free > 0:
+            heapq.heappush(heap, (rank + 1, tie, free - 1, granter))
     return asked
-
-
-def _in_turn(openings: list[Opening], chance: random.Random) -> Iterable[Opening]:
-    """Yield an opening for each slot, the best first."""
-    chance.shuffle(openings)
-    openings.sort(key=lambda one: -one.free)
-    near = [one for one in openings if one.near]
-    far = [one for one in openings if not one.near]
-    for part in (near, far):
-        yield from _slots(part, KEPT_FOR_ONLINE)
-    for part in (near, far):
-        yield from _last_slots(part)
-    yield from openings
-
-
-def _slots(openings: list[Opening], kept: int) -> Iterable[Opening]:
-    most = max((one.free for one in openings), default=0)
-    for taken in range(max(0, most - kept)):
-        for one in openings:
-            if one.free - kept > taken:
-                yield one
-
-
-def _last_slots(openings: list[Opening]) -> Iterable[Opening]:
-    for taken in range(KEPT_FOR_ONLINE):
-        for one in openings:
-            if min(one.free, KEPT_FOR_ONLINE) > taken:
-                yield one
--- a/src/caperridge/gateway/placement.py
+++ b/src/caperridge/gateway/placement.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from caperridge.decisions.rendezvous import score
 from caperridge.gateway.occupancy import Occupancy
@@ -17,6 +18,8 @@
 # Requests that may queue at each target when all are full. One more waits about
 # a run's length over the slots, some 100 ms.
 QUEUE_FOR_EACH_TARGET = 3
+# The better of two at random is nearly as good as the best, without a herd.
+FAR_CHOICES = 2
 
 
 def place_online(
@@ -32,23 +35,73 @@
     slots that an item gives up, then the shortest queue.
     """
     best: Target | None = None
-    best_cost: tuple[int, float, float] | None = None
+    best_cost: Cost | None = None
     for target in targets:
-        count = occupancy.at(target.id)
         elsewhere = target.availability_zone != zone
-        if count.total < target.slots:
-            cost = (0 + elsewhere, count.total / target.slots, chance.random())
-        elif count.online < target.slots:
-            cost = (2 + elsewhere, count.online / target.slots, chance.random())
-        elif count.online < target.slots + most_queued:
-            cost = (4, count.online - target.slots, elsewhere + chance.random())
-        else:
+        cost = _cost(target, occupancy, elsewhere, chance.random(), most_queued)
+        if cost is None:
             continue
         if best_cost is None or cost < best_cost:
             best, best_cost = target, cost
     return best
 
 
+def place_online_near(
+    targets: Sequence[Target],
+    occupancy: Occupancy,
+    zone: str,
+    chance: random.Random,
+    most_queued: int = QUEUE_FOR_EACH_TARGET,
+) -> Target | None:
+    """Return where an online request goes if counts of other zones are old.
+
+    Slots of the own availability zone come first, also those that an item has to give
+    up. Of other zones two targets at random are weighed: were the emptiest of all
+    chosen, every instance would choose the same until it hears that it is full. All
+    are weighed where those two have no slot left.
+    """
+    near = [target for target in targets if target.availability_zone == zone]
+    best = place_online(near, occupancy, zone, chance, 0)
+    if best is not None:
+        return best
+    far = [target for target in targets if target.availability_zone != zone]
+    some = chance.sample(far, min(FAR_CHOICES, len(far)))
+    best = place_online(some, occupancy, zone, chance, 0)
+    return best or place_online(targets, occupancy, zone, chance, most_queued)
+
+
+class Cost(NamedTuple):
+    """What speaks against a target; compared field by field.
+
+    Attributes:
+        kind: free slot, an item's slot, or a queue; in the own zone or elsewhere.
+        load: how full it is.
+        tie: tells apart what is alike.
+    """
+
+    kind: int
+    load: float
+    tie: float
+
+
+def _cost(
+    target: Target,
+    occupancy: Occupancy,
+    elsewhere: bool,
+    tie: float,
+    most_queued: int,
+) -> Cost | None:
+    """Return what speaks against ``target``; None if there is no room."""
+    count = occupancy.at(target.id)
+    if count.total < target.slots:
+        return Cost(0 + elsewhere, count.total / target.slots, tie)
+    if count.online < target.slots:
+        return Cost(2 + elsewhere, count.online / target.slots, tie)
+    if count.online < target.slots + most_queued:
+        return Cost(4, count.online - target.slots, elsewhere + tie)
+    return None
+
+
 def items_to_cancel(target: Target, occupancy: Occupancy) -> int:
     """Return how many of its items at ``target`` this instance has to cancel."""
     return items_to_cancel_by_instance(target, occupancy).get(occupancy.own, 0)
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -300,6 +300,7 @@
         while True:
             now = asyncio.get_running_loop().time()
             self.mesh.check()
+            self.fleet.far_counts_are_old = self.mesh.large
             self.news.beat()
             self.recalls.forget_old(now)
             gone = self.fleet.targets.expire(now)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -1,5 +1,6 @@
 """Placement, grants, counts, the list of targets and copies of tables, without I/O."""
 
+import collections
 import itertools
 import random
 
@@ -12,7 +13,11 @@
 from caperridge.gateway.jobs.asking import Opening, split
 from caperridge.gateway.jobs.broker import GRANT_S, Members, SlotBroker, Want
 from caperridge.gateway.occupancy import Count, Occupancy
-from caperridge.gateway.placement import items_to_cancel, place_online
+from caperridge.gateway.placement import (
+    items_to_cancel,
+    place_online,
+    place_online_near,
+)
 from caperridge.gateway.rows import RowKey, StoredRow
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.targets import LAPSE_GRACE_S, Target, TargetList
@@ -52,6 +57,38 @@
     assert place_online(both, occupancy, "a", chance) is None
 
 
+def test_requests_for_other_zones_are_spread_while_counts_are_old(
+    occupancy: Occupancy, chance: random.Random
+) -> None:
+    """Many instances see the same one empty target; not all of them may take it."""
+    near = target("near")
+    far = [target(f"far-{number}", "b", slots=8) for number in range(6)]
+    for number, one in enumerate(far):
+        occupancy.told("peer", one.id, Count(number, 0))
+    all_targets = [near, *far]
+    assert place_online_near(all_targets, occupancy, "a", chance) == near
+    occupancy.told("peer", "near", Count(1, 1))
+    assert place_online_near(all_targets, occupancy, "a", chance) == near
+    occupancy.told("peer", "near", Count(2, 0))
+    chosen = collections.Counter(
+        place_online_near(all_targets, occupancy, "a", chance).id for _ in range(600)
+    )
+    assert chosen["far-0"] < 300
+    assert len(chosen) >= 5
+
+
+def test_no_room_is_said_only_when_no_target_has_any(
+    occupancy: Occupancy, chance: random.Random
+) -> None:
+    targets = [target(f"far-{number}", "b") for number in range(9)]
+    for one in targets[1:]:
+        occupancy.told("peer", one.id, Count(5, 0))
+    for _ in range(50):
+        assert place_online_near(targets, occupancy, "a", chance) == targets[0]
+    occupancy.told("peer", targets[0].id, Count(5, 0))
+    assert place_online_near(targets, occupancy, "a", chance) is None
+
+
 def test_who_has_the_item_due_last_gives_way_and_all_agree() -> None:
     views = {name: Occupancy(name) for name in ("x", "y")}
     counts = {"x": Count(0, 1, 50.0), "y": Count(2, 1, 90.0)}
