Ask one peer at a time for a copy of a table, and none that was read past

Cause: a row that a whole read no longer has is dated by that read, so after the store had dropped its history an instance told a version that no change had. Every peer that had read beyond it asked for a whole copy, refused that as old, and asked again at the next heartbeat of each peer. Inferred from the code; own test, failed first. Also each of 20 peers that told a newer version was asked for a copy (own test, failed first).

Change: a version that was read past is not asked for; one peer is asked at a time, again after 0.1 s; an older copy still tells of rows written since. What waits for a peer that does not read is bounded at 256 KB instead of 12 MB.

--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import inspect
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -16,9 +17,26 @@
 from caperridge.records import Record, pack, unpack
 
 CONNECT_S = 0.5
-# What may wait for a peer that does not read. Beyond, messages are dropped; a peer that
-# lags so far hears the whole state from the next heartbeat it reads.
-MOST_WAITING_BYTES = 12 * 2**20
+# Near peers get a heartbeat every 0.4 s and far ones every 1.2 s; what they did not
+# acknowledge for so long went into a silent connection.
+UNACKNOWLEDGED_MS = 1500
+# What may wait for a peer that does not read, before another message is taken; one may
+# be as large as an object of the store. Beyond, messages are dropped; a peer that lags
+# so far hears the whole state from the next heartbeat it reads. Sixty peers of a zone
+# that is cut off hold 15 MB of a process then.
+MOST_WAITING_BYTES = 256 * 2**10
+
+
+def end_when_silent(connection: socket.socket) -> None:
+    """Have a connection end when the other end acknowledges nothing any more.
+
+    One that went silent without a reset would be kept for minutes, and the peer at its
+    other end would take this instance for lost all that time.
+    """
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
 
 
 def encode(message: Record) -> bytes:
@@ -104,6 +122,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
         assert isinstance(transport, asyncio.Transport)
+        end_when_silent(transport.get_extra_info("socket"))
         self._transport = transport
         self.connected = True
         self.send(encode(self._hello()))
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -15,10 +15,32 @@
 )
 from caperridge.gateway.occupancy import Count
 from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.watcher import PEER_PATIENCE_S, StoreReach, TableWatcher
 
 # Peers of other availability zones, where there are many, get every third heartbeat.
 FAR_BEATS = 3
+# A peer answers within some milliseconds, or it is slow or gone.
+ASK_AGAIN_S = 0.1
+
+
+class Behind:
+    """A table whose own copy lacks changes that a peer has.
+
+    Attributes:
+        version: the newest that a peer told of.
+        peer: that told of it.
+        asked_version: the newest when a peer was last asked.
+        timer: until that one, or another, is asked for its copy.
+    """
+
+    __slots__ = ("asked_version", "peer", "timer", "version")
+
+    def __init__(self, version: int, peer: str, timer: asyncio.TimerHandle) -> None:
+        self.version = version
+        self.peer = peer
+        self.asked_version = 0
+        self.timer = timer
 
 
 class PeerNews:
@@ -53,6 +75,7 @@
         self._beats = 0
         self._flushing = False
         self._told_versions: dict[str, int] = {}
+        self._behind_by_table: dict[str, Behind] = {}
         mesh.register(Counts, self._counts)
         mesh.register(Heartbeat, self._heartbeat)
         mesh.register(TableNews, self._table_news)
@@ -142,16 +165,46 @@
     def _table_news(self, peer: str, news: TableNews) -> None:
         self._peer_has(peer, news.table, news.version)
 
+    def copy_of(self, table: str) -> TableCopy:
+        """Return the own copy of a table."""
+        return self._watchers_by_table[table].copy
+
     def _peer_has(self, peer: str, table: str, version: int) -> None:
-        watcher = self._watchers_by_table.get(table)
-        if watcher is None or version <= watcher.copy.version:
+        if table not in self._watchers_by_table or self._reaches(table, version):
+            return
+        behind = self._behind_by_table.get(table)
+        if behind is not None:
+            if version >= behind.version:
+                behind.version = version
+                behind.peer = peer
             return
+        timer = self._ask_in(PEER_PATIENCE_S, table)
+        self._behind_by_table[table] = Behind(version, peer, timer)
+
+    def _reaches(self, table: str, version: int) -> bool:
+        """Whether the own copy includes all changes up to ``version``.
+
+        A row that a whole read no longer has is dated by that read, so the version of
+        a copy may lie beyond the last change; whoever read on from there lacks nothing.
+        """
+        copy = self.copy_of(table)
+        return version <= max(copy.version, copy.read_version)
+
+    def _ask_in(self, delay_s: float, table: str) -> asyncio.TimerHandle:
         loop = asyncio.get_running_loop()
-        loop.call_later(PEER_PATIENCE_S, self._ask_if_behind, peer, table, version)
+        return loop.call_later(delay_s, self._ask_if_behind, table)
 
-    def _ask_if_behind(self, peer: str, table: str, version: int) -> None:
-        if self._watchers_by_table[table].copy.version < version:
-            self._mesh.send(peer, TableAsk(table))
+    def _ask_if_behind(self, table: str) -> None:
+        """Ask one peer for its copy, and another if that gives no answer soon."""
+        behind = self._behind_by_table[table]
+        if self._reaches(table, behind.version):
+            del self._behind_by_table[table]
+            return
+        if not self._mesh.send(behind.peer, TableAsk(table)):
+            del self._behind_by_table[table]  # the next heartbeat of a peer tells again
+            return
+        behind.asked_version = behind.version
+        behind.timer = self._ask_in(ASK_AGAIN_S, table)
 
     def _table_ask(self, peer: str, ask: TableAsk) -> None:
         watcher = self._watchers_by_table.get(ask.table)
@@ -173,3 +226,7 @@
             for part, key, value, version in whole.rows
         ]
         watcher.take_from_peer(rows, whole.version, peer)
+        behind = self._behind_by_table.get(whole.table)
+        if behind is not None and behind.version > behind.asked_version:
+            behind.timer.cancel()
+            self._ask_if_behind(whole.table)
--- a/src/caperridge/gateway/table_copy.py
+++ b/src/caperridge/gateway/table_copy.py
@@ -33,11 +33,12 @@
     def take_whole(self, rows: Iterable[StoredRow], version: int) -> list[StoredRow]:
         """Take a whole read as of ``version``; return what it changed.
 
-        One that is older than the copy says nothing new, and what it lists may be gone
-        by now. Rows that were written after it stay, whatever it says.
+        One that is older than the copy may still list rows that were written since, but
+        what it lacks or lists from before says nothing. Rows that were written after it
+        stay, whatever it says.
         """
         if version < self.read_version:
-            return []
+            return [row for row in rows if self.take_row(row)]
         listed = {row.key: row for row in rows}
         changed = [row for row in listed.values() if self._put(row)]
         for key, row in list(self.rows_by_key.items()):
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -226,6 +226,15 @@
     assert targets.by_id == {}
 
 
+def test_an_older_whole_copy_still_tells_of_rows_written_since() -> None:
+    """A peer knows its own write before it has read the table up to there."""
+    copy = TableCopy("t")
+    copy.take_whole([], 4)
+    written = StoredRow(KEYS[0], b"x", 6)
+    assert copy.take_whole([written], 3) == [written]
+    assert (copy.version, copy.read_version) == (6, 4)
+
+
 row_changes = st.lists(
     st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=8
 )
--- /dev/null
+++ b/tests/gateway/test_news.py
@@ -0,0 +1,82 @@
+"""Copies of tables by peers: asked for when behind, and from one peer at a time."""
+
+import asyncio
+
+import pytest_asyncio
+
+from caperridge.gateway.mesh.messages import Heartbeat, TableAsk, TableWhole
+from caperridge.gateway.news import ASK_AGAIN_S, PEER_PATIENCE_S
+from caperridge.gateway.process import GatewayInstance
+from gateway.conftest import World, until
+
+TABLE = "servers"
+PEERS = [f"peer-{number}" for number in range(20)]
+
+
+class Asks(list):
+    """Peers that were asked for a copy, in order."""
+
+    def note(self, peer: str, message: object) -> bool:
+        if isinstance(message, TableAsk):
+            self.append(peer)
+        return True
+
+
+@pytest_asyncio.fixture
+async def instance(world: World) -> GatewayInstance:
+    await world.add_runner()
+    made = await world.add_instance()
+    await world.ready()
+    return made
+
+
+def beat(version: int) -> Heartbeat:
+    return Heartbeat([], {TABLE: version}, store_reached=True)
+
+
+async def test_a_version_that_was_read_past_is_not_asked_for(
+    instance: GatewayInstance,
+) -> None:
+    """A peer that found a row gone by a whole read dates it by that read."""
+    asks = Asks()
+    instance.mesh.send = asks.note
+    copy = instance.news.copy_of(TABLE)
+    copy.read_version = copy.version + 10
+    instance.news._heartbeat(PEERS[0], beat(copy.version + 5))
+    await asyncio.sleep(PEER_PATIENCE_S * 3)
+    assert asks == []
+
+
+async def test_one_peer_at_a_time_is_asked_for_a_copy(
+    instance: GatewayInstance,
+) -> None:
+    asks = Asks()
+    instance.mesh.send = asks.note
+    newer = instance.news.copy_of(TABLE).read_version + 100
+    for peer in PEERS:
+        instance.news._heartbeat(peer, beat(newer))
+    await until(lambda: asks)
+    assert len(asks) == 1
+    await asyncio.sleep(ASK_AGAIN_S * 2.5)
+    assert 2 <= len(asks) <= 4  # the first did not answer
+    rows = [
+        ["", row.key.key, row.value, row.version]
+        for row in instance.news.copy_of(TABLE).rows_by_key.values()
+    ]
+    instance.news._table_whole(asks[-1], TableWhole(TABLE, newer, rows))
+    asked = len(asks)
+    await asyncio.sleep(ASK_AGAIN_S * 2.5)
+    assert len(asks) == asked
+
+
+async def test_a_version_told_while_a_copy_is_on_its_way_is_asked_for_at_once(
+    instance: GatewayInstance,
+) -> None:
+    asks = Asks()
+    instance.mesh.send = asks.note
+    newer = instance.news.copy_of(TABLE).read_version + 100
+    instance.news._heartbeat(PEERS[0], beat(newer))
+    await until(lambda: asks)
+    instance.news._heartbeat(PEERS[1], beat(newer + 1))
+    instance.news._table_whole(PEERS[0], TableWhole(TABLE, newer, []))
+    assert asks == [PEERS[0], PEERS[1]]
