--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -129,6 +129,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[Listener] = []
+        self._door: Listener | None = None  # of callers
         self._wire()
 
     def _make_watchers(self, dialect: Dialect) -> list[TableWatcher]:
@@ -225,12 +226,9 @@
         """Listen and begin to learn; returns at once."""
         settings = self.settings
         await self.mesh.start()
-        self._listeners = [
-            _listener(
-                ready_application(lambda: self.ready, self.state), settings.ready
-            ),
-            _listener(self.edge.application(), settings.callers),
-        ]
+        ready = ready_application(lambda: self.ready, self.state)
+        self._door = _listener(self.edge.application(), settings.callers)
+        self._listeners = [_listener(ready, settings.ready), self._door]
         if settings.metrics_port:
             application = metrics_application(self.metrics.registry)
             self._listeners.append(
@@ -269,7 +267,8 @@
         handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
         await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
         await handing_over
-        await self._listeners[1].close_door()
+        if self._door is not None:
+            await self._door.close_door()
         await self.edge.idle(end)
         cut = self.edge.running
         log.info("instance stopped", cut=cut)
