Count runs that answered 500 as attempts of their request

Cause: only runs that this end broke off counted against a route's attempts, so that a request failed by two targets went to a third where two are allowed.

Change: a run that ended with a failure counts; an attempt without an answer counts as a run. Own test, failed first.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -156,8 +156,7 @@
             opened = await self._opened(request, carriage, target, outbound)
             if isinstance(opened, Err):
                 error = opened.err_value
-                if _certainly_not_run(error):
-                    carriage.sent_at_least_once = sent_before
+                _count_unanswered(carriage, error, sent_before)
                 return error
             carriage.runs += 1
             answer = opened.ok_value
@@ -182,7 +181,7 @@
             async with asyncio.timeout(FIRST_EVENT_SILENCE_S):
                 return await self._client.open(target, outbound)
         except TimeoutError:
-            carriage.left += 1
+            carriage.attempts += 1
             return Err(Lost("no answer began"))
 
     def _outbound(
@@ -227,6 +226,8 @@
         except BrokenAnswerError as error:
             return Lost(str(error))
         failed = answer.status >= 500
+        if failed:
+            carriage.attempts += 1
         again = failed and request.route.idempotent and _may_move(request, carriage)
         if again or reply.begun:
             return TargetRefused(answer.status, "it failed", "ran")
@@ -251,10 +252,10 @@
                 if good:
                     await self._pass_on(request, reply, answer, good)
                 if wrong:
-                    carriage.left += 1
+                    carriage.attempts += 1
                     return WrongAnswer("an event out of order")
         except SilentAnswerError as error:
-            carriage.left += 1
+            carriage.attempts += 1
             return Lost(str(error))
         except BrokenAnswerError as error:
             return Lost(str(error))
@@ -322,9 +323,22 @@
     return isinstance(error, NotSent)
 
 
+def _count_unanswered(
+    carriage: Carriage, error: AttemptError, sent_before: bool
+) -> None:
+    """Count an attempt that got no answer of its own."""
+    if _certainly_not_run(error):
+        carriage.sent_at_least_once = sent_before
+        return
+    carriage.runs += 1
+    if isinstance(error, WrongAnswer):
+        carriage.attempts += 1
+
+
 def _may_move(request: InboundRequest, carriage: Carriage) -> bool:
-    """Whether another target may run it; a run that ended by itself does not count."""
-    return carriage.left < request.route.most_attempts and carriage.runs < MOST_RUNS
+    """Whether another target may run it."""
+    enough = carriage.attempts >= request.route.most_attempts
+    return not enough and carriage.runs < MOST_RUNS
 
 
 def _next_events(events: list[Event], carriage: Carriage) -> tuple[bytes, bool]:
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -115,14 +115,15 @@
         last_event: number of the last event that went out; 0 before the first.
         offers: how often it was sent to a target.
         runs: how often a target began to answer it.
-        left: runs that this end broke off; the others ended at their target.
+        attempts: runs that count against the route's attempts: those that ended with
+            a failure and those that this end broke off; not those that broke.
         refused_by: targets that are not asked again.
         sent_at_least_once: it may run or have run.
     """
 
     __slots__ = (
+        "attempts",
         "last_event",
-        "left",
         "offers",
         "refused_by",
         "runs",
@@ -133,6 +134,6 @@
         self.last_event = last_event
         self.offers = 0
         self.runs = 0
-        self.left = 0
+        self.attempts = 0
         self.refused_by: set[str] = set()
         self.sent_at_least_once = False
--- a/tests/gateway/test_online.py
+++ b/tests/gateway/test_online.py
@@ -107,6 +107,19 @@
     assert answer.headers["X-Response-Stamp"] == "stamp-i-0-r1"
 
 
+async def test_a_request_that_fails_everywhere_runs_as_often_as_its_route_allows(
+    world: World,
+) -> None:
+    for _ in range(4):
+        (await world.add_runner()).status = 500
+    instance = await world.add_instance()
+    await world.ready()
+    answer = await world.ask(instance, "/ask/1", "r1")
+    assert (answer.status, answer.body) == (500, b"failed")
+    assert "X-Response-Stamp" in answer.headers
+    assert sum(len(runner.runs) for runner in world.runners) == 2
+
+
 async def test_another_incarnation_at_the_address_runs_nothing(world: World) -> None:
     runner = await world.add_runner()
     instance = await world.add_instance()
