--- a/src/caperridge/gateway/placement.py
+++ b/src/caperridge/gateway/placement.py
@@ -9,11 +9,11 @@
 
 import random
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from caperridge.decisions.rendezvous import score
 from caperridge.gateway.occupancy import Occupancy
 from caperridge.gateway.targets import Target
+from caperridge.records import Record
 
 # Requests that may queue at each target when all are full. One more waits about
 # a run's length over the slots, some 100 ms.
@@ -41,7 +41,7 @@
         cost = _cost(target, occupancy, elsewhere, chance.random(), most_queued)
         if cost is None:
             continue
-        if best_cost is None or cost < best_cost:
+        if best_cost is None or cost.rank < best_cost.rank:
             best, best_cost = target, cost
     return best
 
@@ -70,8 +70,8 @@
     return best or place_online(targets, occupancy, zone, chance, most_queued)
 
 
-class Cost(NamedTuple):
-    """What speaks against a target; compared field by field.
+class Cost(Record):
+    """What speaks against a target.
 
     Attributes:
         kind: free slot, an item's slot, or a queue; in the own zone or elsewhere.
@@ -79,9 +79,17 @@
         tie: tells apart what is alike.
     """
 
-    kind: int
-    load: float
-    tie: float
+    __slots__ = ("kind", "load", "tie")
+
+    def __init__(self, kind: int, load: float, tie: float) -> None:
+        self.kind = kind
+        self.load = load
+        self.tie = tie
+
+    @property
+    def rank(self) -> tuple[int, float, float]:
+        """By which costs are compared, the lowest being best."""
+        return self.kind, self.load, self.tie
 
 
 def _cost(
