--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -11,9 +10,10 @@
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import DecodeError, Dialect
 from caperridge.gateway.forwarding import Forwarder
-from caperridge.gateway.inbound import GivenUp, InboundRequest, Reply
-from caperridge.gateway.jobs.edge import JobsEdge
+from caperridge.gateway.inbound import GivenUp, InboundRequest
+from caperridge.gateway.jobs.edge import JobAnswer, JobsEdge
 from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.reply import AiohttpReply
 from caperridge.gateway.routes import BATCH, Route
 from caperridge.log import logger
 
@@ -29,69 +29,6 @@
 BODY_LIMIT_BYTES = 64 * 2**20
 
 
-class AiohttpReply(Reply):
-    """Answers through the HTTP library.
-
-    Args:
-        request: that is answered.
-        closing: whether the connection ends after this answer.
-    """
-
-    def __init__(self, request: web.Request, closing: Callable[[], bool]) -> None:
-        self._request = request
-        self._closing = closing
-        self.response: web.StreamResponse | None = None
-        self._begun_at: float | None = None
-
-    def begun_after(self, since: float) -> float | None:
-        """Return how long after ``since`` the answer began; None if it has not."""
-        if self._begun_at is None:
-            return None
-        return round(self._begun_at - since, 4)
-
-    @property
-    def begun(self) -> bool:
-        """See :attr:`Reply.begun`."""
-        return self.response is not None
-
-    async def whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
-        """See :meth:`Reply.whole`."""
-        response = web.Response(status=status, body=body, headers=headers)
-        self._mark(response)
-        self.response = response
-        await response.prepare(self._request)
-        await response.write_eof()
-
-    async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
-        """See :meth:`Reply.begin`."""
-        response = web.StreamResponse(status=status, headers=headers)
-        self._mark(response)
-        self.response = response
-        await response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        """See :meth:`Reply.write`."""
-        assert self.response is not None
-        await self.response.write(data)
-
-    async def end(self) -> None:
-        """See :meth:`Reply.end`."""
-        assert self.response is not None
-        await self.response.write_eof()
-
-    def break_off(self) -> None:
-        """Close the connection, so that a begun answer does not look whole."""
-        transport = self._request.transport
-        if transport is not None:
-            transport.abort()
-
-    def _mark(self, response: web.StreamResponse) -> None:
-        self._begun_at = asyncio.get_running_loop().time()
-        if self._closing():
-            response.force_close()
-            response.headers["Connection"] = "close"
-
-
 class Edge:
     """Takes callers' requests to whoever serves them.
 
@@ -163,6 +100,11 @@
         arrived = asyncio.get_running_loop().time()
         table = self._configuration.table
         if table is None:
+            log.info(
+                "request refused",
+                request=request.headers.get(self._dialect.headers.request, ""),
+                reason="no configuration is known yet",
+            )
             return self._refuse(
                 request, 503, "no configuration is known yet", STARTING_RETRY_AFTER_S
             )
@@ -224,6 +166,7 @@
                 "request answered",
                 request=id,
                 route=route.name,
+                status=reply.response.status,
                 begun_s=reply.begun_after(arrived),
                 took_s=took_s,
             )
@@ -281,9 +224,7 @@
         wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
         answer = await self._jobs.results(id, int(position), wait_s)
         if answer.page is None:
-            return self._answer(
-                request, answer.status, answer.reason, answer.retry_after_s
-            )
+            return self._without_result(request, answer)
         return self._sent(
             request,
             web.Response(
@@ -296,13 +237,20 @@
         item = request.query.get(self._dialect.paths.item, "")
         answer = await self._jobs.body(id, item)
         if answer.body is None:
-            return self._answer(
-                request, answer.status, answer.reason, answer.retry_after_s
-            )
+            return self._without_result(request, answer)
         return self._sent(request, web.Response(body=answer.body))
 
     async def _cancel(self, request: web.Request, id: str) -> web.StreamResponse:
-        answer = await self._jobs.cancel(id)
+        return self._without_result(request, await self._jobs.cancel(id))
+
+    def _without_result(self, request: web.Request, answer: JobAnswer) -> web.Response:
+        if answer.status >= 400:
+            log.info(
+                "job call refused",
+                path=request.raw_path,
+                status=answer.status,
+                reason=answer.reason,
+            )
         return self._answer(request, answer.status, answer.reason, answer.retry_after_s)
 
     def _refuse(
--- /dev/null
+++ b/src/caperridge/gateway/reply.py
@@ -0,0 +1,72 @@
+"""The way back to a caller, through the HTTP library."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from caperridge.gateway.inbound import Reply
+
+
+class AiohttpReply(Reply):
+    """Answers through the HTTP library.
+
+    Args:
+        request: that is answered.
+        closing: whether the connection ends after this answer.
+    """
+
+    def __init__(self, request: web.Request, closing: Callable[[], bool]) -> None:
+        self._request = request
+        self._closing = closing
+        self.response: web.StreamResponse | None = None
+        self._begun_at: float | None = None
+
+    def begun_after(self, since: float) -> float | None:
+        """Return how long after ``since`` the answer began; None if it has not."""
+        if self._begun_at is None:
+            return None
+        return round(self._begun_at - since, 4)
+
+    @property
+    def begun(self) -> bool:
+        """See :attr:`Reply.begun`."""
+        return self.response is not None
+
+    async def whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
+        """See :meth:`Reply.whole`."""
+        response = web.Response(status=status, body=body, headers=headers)
+        self._mark(response)
+        self.response = response
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
+        """See :meth:`Reply.begin`."""
+        response = web.StreamResponse(status=status, headers=headers)
+        self._mark(response)
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """See :meth:`Reply.write`."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """See :meth:`Reply.end`."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """Close the connection, so that a begun answer does not look whole."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _mark(self, response: web.StreamResponse) -> None:
+        self._begun_at = asyncio.get_running_loop().time()
+        if self._closing():
+            response.force_close()
+            response.headers["Connection"] = "close"
--- a/tests/gateway/test_online.py
+++ b/tests/gateway/test_online.py
@@ -5,6 +5,7 @@
 import orjson
 import pytest
 
+from caperridge.gateway import edge
 from gateway.conftest import ROUTES, World, configuration, route, until
 
 
@@ -107,6 +108,23 @@
     assert answer.headers["X-Response-Stamp"] == "stamp-i-0-r1"
 
 
+async def test_the_log_tells_a_target_s_failure_from_an_answer(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A failure that may not be tried elsewhere is passed on, and is an answer too."""
+    lines: list[dict] = []
+    monkeypatch.setattr(edge.log, "info", lambda _, **fields: lines.append(fields))
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    for status, id in ((200, "r1"), (500, "r2")):
+        runner.status = status
+        await world.ask(instance, f"/once/{id}", id)
+    told = {line["request"]: line for line in lines if "status" in line}
+    assert (told["r1"]["status"], told["r2"]["status"]) == (200, 500)
+    assert all(0 <= line["begun_s"] <= line["took_s"] for line in told.values())
+
+
 async def test_a_request_that_fails_everywhere_runs_as_often_as_its_route_allows(
     world: World,
 ) -> None:
