Read the whole index again before a job is accepted after another

Cause, from reading the code: when another instance has accepted a job meanwhile, the index is read again, but only its first page of 500 rows; the gate stands on it, jobs accepted lately may not.

Change: one function reads a table page by page; the watcher, the claims, the list of instances and the acceptance use it, where three had their own.

--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -24,6 +24,7 @@
     RowStore,
     StoredRow,
     Transaction,
+    read_whole,
 )
 from caperridge.log import logger
 from caperridge.records import Record
@@ -192,15 +193,15 @@
             return NotAccepted("the store does not take it", BUSY_RETRY_AFTER_S)
 
     async def _refresh(self) -> None:
-        """Read the index: another instance accepted a job meanwhile."""
-        answer = await self._store.read(INDEX)
+        """Read the index: another instance accepted a job meanwhile.
+
+        The gate comes with the first page, so the pages after it have all jobs that
+        were accepted before the gate became what it is there.
+        """
+        answer = await read_whole(self._store, INDEX)
         if isinstance(answer, Err):
             return
         page: RowsRead = answer.ok_value
-        if page.truncated:
-            for row in page.rows:
-                self._index.take_row(row)
-            return
         news = self._index.copy.take_whole(page.rows, page.version)
         self._index.take(news)
 
--- a/src/caperridge/gateway/jobs/claims.py
+++ b/src/caperridge/gateway/jobs/claims.py
@@ -29,7 +29,13 @@
     JobItem,
 )
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.rows import ABSENT, RowStore, StoredRow, Transaction
+from caperridge.gateway.rows import (
+    ABSENT,
+    RowStore,
+    StoredRow,
+    Transaction,
+    read_whole,
+)
 from caperridge.log import logger
 from caperridge.records import Record
 from caperridge.store.interface import Unknown
@@ -94,10 +100,10 @@
         """
         rows: list[StoredRow] = []
         if items is None:
-            found = await self._read_part(entry.id)
-            if found is None:
+            answer = await read_whole(self._store, JOBS, entry.id)
+            if isinstance(answer, Err):
                 return Unclaimed("its rows cannot be read")
-            rows = found
+            rows = answer.ok_value.rows
         head_row = next((row for row in rows if is_head(row.key)), None)
         head = JobHead("", entry.total)
         if head_row is not None:
@@ -143,18 +149,6 @@
         )
         return job
 
-    async def _read_part(self, job: str) -> list[StoredRow] | None:
-        rows: list[StoredRow] = []
-        first = ""
-        while True:
-            answer = await self._store.read(JOBS, job, first=first)
-            if isinstance(answer, Err):
-                return None
-            rows += answer.ok_value.rows
-            if not answer.ok_value.truncated:
-                return rows
-            first = rows[-1].key.key + "\x00"
-
     async def _read_items(self, entry: JobEntry) -> list[JobItem] | None:
         answer = await self._store.get_object(entry.object)
         if isinstance(answer, Err) or answer.ok_value is None:
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.rows import RowKey, RowStore, Transaction
+from caperridge.gateway.rows import RowKey, RowStore, Transaction, read_whole
 from caperridge.log import logger
 from caperridge.records import pack, unpack
 
@@ -56,7 +56,7 @@
         self._listed = not isinstance(answer, Err)
 
     async def _look(self) -> bool:
-        answer = await self._store.read(TABLE)
+        answer = await read_whole(self._store, TABLE)
         if isinstance(answer, Err):
             return False
         for row in answer.ok_value.rows:
--- a/src/caperridge/gateway/rows.py
+++ b/src/caperridge/gateway/rows.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 
-from result import Result
+from result import Err, Ok, Result
 
 from caperridge.records import Record
 from caperridge.store.interface import NotDone, Unknown
@@ -164,3 +164,26 @@
     @abstractmethod
     async def drop_object(self, name: str) -> Result[None, StoreError]:
         """Remove the object if it is there."""
+
+
+async def read_whole(
+    store: RowStore, table: str, part: str = ""
+) -> Result[RowsRead, StoreError]:
+    """Read all rows of a table's part, page by page.
+
+    The version and time are those of the first page: rows that were written since may
+    be there or not.
+    """
+    rows: list[StoredRow] = []
+    first = ""
+    begun: RowsRead | None = None
+    while True:
+        answer = await store.read(table, part, first=first)
+        if isinstance(answer, Err):
+            return answer
+        page: RowsRead = answer.ok_value
+        begun = begun or page
+        rows += page.rows
+        if not page.truncated:
+            return Ok(RowsRead(rows, False, begun.version, begun.now_s))
+        first = page.rows[-1].key.key + "\x00"
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -5,7 +5,13 @@
 
 from result import Err
 
-from caperridge.gateway.rows import HistoryGone, RowsRead, RowStore, StoredRow
+from caperridge.gateway.rows import (
+    HistoryGone,
+    RowsRead,
+    RowStore,
+    StoredRow,
+    read_whole,
+)
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.log import logger
 
@@ -109,22 +115,13 @@
             self._changed(news, peer)
 
     async def _read(self) -> Err | None:
-        rows: list[StoredRow] = []
-        first = ""
-        version = 0
-        while True:
-            answer = await self._store.read(self.copy.table, first=first)
-            if isinstance(answer, Err):
-                return answer
-            page: RowsRead = answer.ok_value
-            version = version or page.version
-            rows += page.rows
-            if not page.truncated:
-                break
-            first = page.rows[-1].key.key + "\x00"
+        answer = await read_whole(self._store, self.copy.table)
+        if isinstance(answer, Err):
+            return answer
+        page: RowsRead = answer.ok_value
         self._reach.answered()
         known = self.copy.known
-        news = self.copy.take_whole(rows, version)
+        news = self.copy.take_whole(page.rows, page.version)
         if news or not known:
             self._changed(news, "store")
         return None
