Repeat an unanswered acceptance as it was

Cause: after a lost answer the acceptance was repeated without looking whether the job still fits, since the first try may have taken effect; but the repeat took the gate's version anew. Where another job of the same instance had been accepted in between, the repeat succeeded at the newer gate, over the route's limit.

Found by a property test of acceptance by three instances over rows in memory, with writes refused, done without an answer, done late or never: 11 tokens waited where 10 may, from three submissions and one late write. It checks the sum at every state, that each job is kept once, and that a refused job is never kept.

Change: the repeat is the same transaction. Mutations that the test finds, each tried: the gate's condition left out, the entry's condition left out, unknown taken for not done.

--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -159,13 +159,17 @@
         own = to_bytes(entry)
         key = entry_key(entry.id)
         gate = gate_key(route.name)
+        transaction = Transaction({}, {})
         while True:
-            if not maybe_done and not self._fits(route, job):
-                return _full(route, self._index)
-            transaction = Transaction(
-                {key: 0, gate: self._index.gate_version(route.name)},
-                {key: own, gate: entry.id.encode()},
-            )
+            if not maybe_done:
+                if not self._fits(route, job):
+                    return _full(route, self._index)
+                # An unanswered one is repeated as it was: at a later state of the gate
+                # the job might not fit.
+                transaction = Transaction(
+                    {key: 0, gate: self._index.gate_version(route.name)},
+                    {key: own, gate: entry.id.encode()},
+                )
             answer = await self._store.transact(transaction)
             if not isinstance(answer, Err):
                 version = answer.ok_value.version
--- a/tests/gateway/test_acceptance.py
+++ b/tests/gateway/test_acceptance.py
@@ -1,18 +1,31 @@
-"""Accepting jobs within the limit of a route, whatever the index of jobs holds."""
+"""Accepting jobs: once, within the limit of a route, and refused ones never later."""
 
 import asyncio
 import random
 
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from caperridge.gateway.clock import StoreClock
+from caperridge.gateway.jobs import acceptance as module
 from caperridge.gateway.jobs.acceptance import Accepted, JobAcceptance, NotAccepted
-from caperridge.gateway.jobs.codec import to_bytes
+from caperridge.gateway.jobs.codec import from_bytes, to_bytes
 from caperridge.gateway.jobs.index import JobIndex
-from caperridge.gateway.jobs.keys import entry_key, gate_key
+from caperridge.gateway.jobs.keys import entry_key, gate_key, job_of_entry
 from caperridge.gateway.jobs.model import JobEntry, JobItem, JobRequest
 from caperridge.gateway.routes import BATCH, BatchTerms, Route
 from caperridge.gateway.rows import Transaction
 from caperridge.platform.store import HttpRowStore
 from gateway.conftest import HOST, World
+from gateway.memory_rows import (
+    DONE,
+    LOST_DONE,
+    LOST_LATE,
+    LOST_NEVER,
+    NOT_DONE,
+    MemoryRows,
+)
 
 # The store answers 500 rows at a time, and takes 100 in one transaction.
 JOBS = 620
@@ -69,3 +82,81 @@
     )
     assert isinstance(taken, Accepted)
     await store.close()
+
+
+submissions = st.lists(
+    st.tuples(st.integers(0, 2), st.sampled_from("abcd"), st.integers(1, 6)),
+    min_size=2,
+    max_size=8,
+)
+fates = st.lists(
+    st.sampled_from([DONE, DONE, NOT_DONE, LOST_DONE, LOST_LATE, LOST_NEVER]),
+    max_size=14,
+)
+pauses = st.lists(st.integers(0, 4), max_size=60)
+SMALL_LIMIT = 10
+
+
+@pytest.fixture(scope="module")
+def no_pauses() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(module, "PAUSE_S", 0.0)
+        patch.setattr(module, "LONGEST_PAUSE_S", 0.0)
+        yield
+
+
+@given(submissions, fates, pauses)
+@settings(max_examples=400, derandomize=True, deadline=None)
+def test_jobs_are_kept_once_within_the_limit_and_refusals_are_true(
+    no_pauses: None,
+    sent: list[tuple[int, str, int]],
+    fates: list[int],
+    pauses: list[int],
+) -> None:
+    """Instances accept at once, with old copies of the index, over a bad store."""
+    asyncio.run(_play(sent, fates, pauses))
+
+
+async def _play(
+    sent: list[tuple[int, str, int]], fates: list[int], pauses: list[int]
+) -> None:
+    store = MemoryRows(fates, pauses)
+    clock = StoreClock()
+    clock.told(1.0)
+    instances = [
+        JobAcceptance(store, JobIndex(), clock, random.Random(1)) for _ in range(3)
+    ]
+    # The same job has the same tokens, whoever sends it.
+    tokens_by_id = {id: tokens for _, id, tokens in sent}
+    deadline = asyncio.get_running_loop().time() + 60.0
+    route = batch_route(SMALL_LIMIT)
+    outcomes = await asyncio.gather(
+        *(
+            instances[number].accept(route, HOST, id, job(tokens_by_id[id]), deadline)
+            for number, id, _ in sent
+        )
+    )
+    store.do_late()
+    for rows in store.history:
+        waiting = sum(
+            from_bytes(JobEntry, row.value).waiting_tokens
+            for key, row in rows.items()
+            if job_of_entry(key) is not None
+        )
+        assert waiting <= SMALL_LIMIT
+    kept = {job_of_entry(key) for key in store.rows_by_key}
+    accepted = {
+        id
+        for (_, id, _), outcome in zip(sent, outcomes, strict=True)
+        if isinstance(outcome, Accepted)
+    }
+    refused = {
+        id
+        for (_, id, _), outcome in zip(sent, outcomes, strict=True)
+        if isinstance(outcome, NotAccepted)
+    }
+    assert accepted <= kept
+    assert not (refused - accepted) & kept
+    fresh = [outcome for outcome in outcomes if isinstance(outcome, Accepted)]
+    own = [outcome.entry.id for outcome in fresh if not outcome.again]
+    assert len(own) == len(set(own))
