--- a/tests/gateway/memory_rows.py
+++ b/tests/gateway/memory_rows.py
@@ -30,6 +30,7 @@
     Attributes:
         rows_by_key: as they are.
         history: each state of the rows, oldest first, for whoever checks them.
+        objects: by name.
         late: writes whose answers were lost and that may still be done.
     """
 
@@ -37,6 +38,7 @@
         self.rows_by_key: dict[RowKey, StoredRow] = {}
         self.history: list[dict[RowKey, StoredRow]] = []
         self.late: list[Transaction] = []
+        self.objects: dict[str, bytes] = {}
         self._fates = iter(fates)
         self._pauses = iter(pauses)
         self._version = 1
@@ -75,6 +77,10 @@
         await self._pause()
         return Err(Unknown("lost")) if fate == LOST_DONE else answer
 
+    def heal(self) -> None:
+        """Do all writes from now on at once."""
+        self._fates = iter(())
+
     def do_late(self) -> None:
         """Do the writes that are late, as far as their conditions still hold."""
         late, self.late = self.late, []
@@ -113,10 +119,12 @@
 
     async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
         await self._pause()
+        self.objects[name] = data
         return Ok(None)
 
     async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
-        return Ok(None)
+        return Ok(self.objects.get(name))
 
     async def drop_object(self, name: str) -> Result[None, StoreError]:
+        self.objects.pop(name, None)
         return Ok(None)
