Soak planned stops in series with callers that keep their connections

Cause: every caller of the soak opened a connection for each request, stops came one at a time, and nothing asked whether a request that a stopping instance had read got an answer. So the soak could not see that a planned stop, once its door is closed, reads what comes on idle kept connections and drops it.

Ruled out: that a late soak makes requests look dropped.

--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -27,6 +27,7 @@
         id: of this incarnation.
         events: that an answer has.
         pause_s: between events.
+        slow_pause_s: between events of answers to paths that end in ``/slow``.
         break_after: events after which the next answers break off; None for never.
         silent_after: events after which the next answers fall silent.
         refuse: answers that say the request was not run.
@@ -42,6 +43,7 @@
         self.slots = slots
         self.events = 5
         self.pause_s = 0.01
+        self.slow_pause_s = 0.15
         self.break_after: int | None = None
         self.silent_after: int | None = None
         self.refuse = False
@@ -130,7 +132,8 @@
                         await asyncio.Event().wait()
             await response.write(f"id: {number}\ndata: {data}\n\n".encode())
             sent += 1
-            await asyncio.sleep(self.pause_s)
+            slow = run.path.endswith("/slow")
+            await asyncio.sleep(self.slow_pause_s if slow else self.pause_s)
         await response.write_eof()
         run.ended = True
         return response
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,6 +23,9 @@
         refused: ids whose answer promised that they never run.
         accepted: items of accepted jobs, by job.
         open: jobs that were not cancelled.
+        stops: planned stops at which nothing else was wrong.
+        met_stops: requests on kept connections that met such a stop.
+        late_s: by which the soak itself was late at most.
     """
 
     def __init__(self) -> None:
@@ -34,6 +37,9 @@
         self.results: dict[str, list[dict]] = {}
         self.answered = 0
         self.asked = 0
+        self.stops = 0
+        self.met_stops = 0
+        self.late_s = 0.0
 
 
 class Callers:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak.diary import EVERYBODY
 from soak.proxy import MODES, PASS, FaultProxy
 from soak.town import Town
 
@@ -28,9 +29,11 @@
 async def pause(town: Town, chance: random.Random) -> None:
     """Pause an instance, and wake it."""
     one = chance.choice(town.instances)
+    trouble = town.diary.begin(one.id, "paused")
     one.send(signal.SIGSTOP)
     await asyncio.sleep(chance.uniform(0.2, 3.0))
     one.send(signal.SIGCONT)
+    trouble.end()
 
 
 async def reload(town: Town, chance: random.Random) -> None:
@@ -40,39 +43,51 @@
 
 async def way_to_store(town: Town, chance: random.Random) -> None:
     """Harm one instance's way to the store."""
-    await _harm(chance.choice(town.instances).store, chance)
+    one = chance.choice(town.instances)
+    trouble = town.diary.begin(one.id, "way to the store")
+    await _harm(one.store, chance)
+    trouble.end()
 
 
 async def way_to_runner(town: Town, chance: random.Random) -> None:
     """Harm everybody's way to one runner."""
+    trouble = town.diary.begin(EVERYBODY, "way to a target")
     await _harm(chance.choice(town.runner_proxies), chance)
+    trouble.end()
 
 
 async def store_away(town: Town, chance: random.Random) -> None:
     """Have the store refuse everybody."""
+    trouble = town.diary.begin(EVERYBODY, "store away")
     town.store.refuse = chance.choice([429, 503])
     await asyncio.sleep(chance.uniform(0.2, 2.0))
     town.store.refuse = None
+    trouble.end()
 
 
 async def store_loses(town: Town, chance: random.Random) -> None:
     """Have the store lose answers of writes, some of which are done later."""
+    # The answers that are lost, and the late writes, come whenever somebody writes.
+    town.diary.begin(EVERYBODY, "store loses answers")
     town.store.delay_writes_s = chance.choice([0.0, 0.0, 0.7, 2.0])
     town.store.lose_answers = chance.randint(1, 6)
 
 
 async def store_forgets(town: Town, chance: random.Random) -> None:
     """Have the store forget the history of changes."""
+    town.diary.begin(EVERYBODY, "store forgets").end()
     town.store.forget_history()
 
 
 async def runner_fails(town: Town, chance: random.Random) -> None:
     """Have a runner break off, fall silent, refuse or lose answers."""
+    trouble = town.diary.begin(EVERYBODY, "a target fails")
     runner = chance.choice(town.runners)
     fault = chance.choice(["break_after", "silent_after", "refuse", "lose", "wrong_id"])
     setattr(runner, fault, 2 if fault.endswith("after") else True)
     await asyncio.sleep(chance.uniform(0.2, 1.0))
     setattr(runner, fault, None if fault.endswith("after") else False)
+    trouble.end()
 
 
 async def runner_drains(town: Town, chance: random.Random) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,11 +14,19 @@
 
 import typer
 
-from soak.callers import Callers, Tally
+from soak.callers import NOT_RUN, Callers, Tally
 from soak.faults import inject
+from soak.kept import KeptCallers, KeptRequest
+from soak.stops import check_stops, series
 from soak.town import Town
 
 SETTLE_S = 20.0
+# Share of a soak in which nothing comes but planned work.
+PLANNED_SHARE = 0.7
+SLOTS = 3
+# Kept connections send streams of 0.8 s, some five at a time for each instance.
+SLOTS_WITH_STOPS = 8
+INSTANCES_PER_RUNNER = 4
 
 
 def check_runs(town: Town, tally: Tally) -> None:
@@ -35,22 +43,55 @@
         tally.broken.append(f"request {id} was said not to run, and ran")
 
 
+def count_kept(town: Town, requests: list[KeptRequest], tally: Tally) -> None:
+    """Count what was sent on kept connections, and check what was answered."""
+    for request in requests:
+        tally.sent.add(request.id)
+        tally.asked += 1
+        if not request.whole:
+            continue
+        if request.status in NOT_RUN:
+            tally.refused.add(request.id)
+        if request.status == 200:
+            tally.answered += 1
+            if request.words != town.runners[0].text(request.id):
+                tally.broken.append(f"request {request.id}: wrong {request.words}")
+
+
 async def soak(
-    seed: int, seconds: float, folder: Path, instances: int = 4
+    seed: int, seconds: float, folder: Path, instances: int = 4, stops: bool = False
 ) -> tuple[Tally, list[str]]:
-    """Run one soak; return what callers saw and which faults came."""
+    """Run one soak; return what callers saw and which faults came.
+
+    Args:
+        seed: that draws everything.
+        seconds: for which callers and faults come.
+        folder: for settings and logs.
+        instances: how many.
+        stops: whether planned work comes in series, alone at first and then with the
+            faults, while callers use kept connections.
+    """
     chance = random.Random(seed)
-    town = Town(folder, instances, runners=3)
+    runners = 3 + (instances - 1) // INSTANCES_PER_RUNNER if stops else 3
+    town = Town(folder, instances, runners, SLOTS_WITH_STOPS if stops else SLOTS)
     tally = Tally()
     await town.start()
     callers = Callers(town, tally, random.Random(seed + 1))
+    kept = KeptCallers(town, random.Random(seed + 2))
     try:
         await asyncio.sleep(1.5)
-        _, faults = await asyncio.gather(
-            callers.use(seconds), inject(town, chance, seconds)
-        )
+        if stops:
+            faults = await _with_stops(town, callers, kept, chance, seconds)
+        else:
+            _, faults = await asyncio.gather(
+                callers.use(seconds), inject(town, chance, seconds)
+            )
         town.store.lose_answers = 0
         await callers.finish(SETTLE_S)
+        ran = {run.id for runner in town.runners for run in runner.runs}
+        check_stops(town.diary, kept.requests, ran, tally)
+        tally.late_s = max(late for _, late in town.diary.late)
+        count_kept(town, kept.requests, tally)
         check_runs(town, tally)
     finally:
         await callers.close()
@@ -58,10 +99,36 @@
     return tally, faults
 
 
+async def _with_stops(
+    town: Town,
+    callers: Callers,
+    kept: KeptCallers,
+    chance: random.Random,
+    seconds: float,
+) -> list[str]:
+    """Have planned work come alone, and then with the faults."""
+    await town.ready()
+    planned_s = seconds * PLANNED_SHARE
+
+    async def faults() -> list[str]:
+        await asyncio.sleep(planned_s)
+        return await inject(town, chance, seconds - planned_s)
+
+    done = await asyncio.gather(
+        faults(),
+        series(town, random.Random(chance.random()), seconds),
+        callers.use(seconds),
+        kept.use(seconds),
+    )
+    return done[0]
+
+
 def main(
     seeds: int = 10,
     first: int = 1,
     seconds: float = 12.0,
+    instances: int = 4,
+    stops: bool = True,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -70,11 +137,13 @@
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        tally, faults = asyncio.run(soak(seed, seconds, folder))
+        tally, faults = asyncio.run(soak(seed, seconds, folder, instances, stops))
         word = "broken" if tally.broken else "kept"
         typer.echo(
             f"seed {seed}: {word}; {tally.answered} of {tally.asked} answered, "
-            f"{len(tally.accepted)} jobs, {len(faults)} faults"
+            f"{len(tally.accepted)} jobs, {len(faults)} faults; {tally.met_stops} "
+            f"requests met {tally.stops} stops at which nothing else was wrong; "
+            f"the soak itself was {tally.late_s:.2f} s late at most"
         )
         if tally.broken:
             failed += 1
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,3 +18,21 @@
     assert tally.broken == [], "\n".join([*tally.broken, *faults])
     assert tally.answered > 0
     assert tally.accepted
+
+
+# Requests were read by a stopping instance and never answered: closing its door left
+# idle connections of callers open, and what came on them was read and dropped until the
+# process ended, a second later where a stream still ran. The callers of the soak opened
+# a connection for each request, so none of them was there to see it. Each of these
+# showed it.
+STOPS = [701, 702]
+
+
+@pytest.mark.parametrize("seed", STOPS)
+async def test_no_request_is_lost_in_planned_stops_that_overlap(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(seed, seconds=10.0, folder=tmp_path, stops=True)
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.stops
+    assert tally.met_stops
--- a/tests/soak/town.py
+++ b/tests/soak/town.py
@@ -7,14 +7,18 @@
 import sys
 from pathlib import Path
 
+import aiohttp
 from aiohttp import web
 
 from gateway.conftest import ROUTES, configuration, free_address
 from gateway.runner_standin import RunnerStandin
 from gateway.store_standin import StoreStandin
+from soak.diary import Diary, Life, now
 from soak.proxy import FaultProxy
 
 ROOT = Path(__file__).parents[2]
+GRACE_S = 4
+STARTED_WITHIN_S = 60.0
 SETTINGS = """\
 [instance]
 id = "{id}"
@@ -33,22 +37,24 @@
 [jobs]
 kept_s = 120
 [stopping]
-grace_s = 4
+grace_s = {grace_s}
 """
 
 
 class SoakInstance:
     """One instance, started again whenever it has ended."""
 
-    def __init__(self, id: str, zone: str, store: FaultProxy, folder: Path) -> None:
+    def __init__(
+        self, id: str, zone: str, store: FaultProxy, folder: Path, diary: Diary
+    ) -> None:
         self.id = id
         self.zone = zone
         self.store = store
         self.callers, self.ready, self.peers = (free_address() for _ in range(3))
         self.folder = folder
         self.process: asyncio.subprocess.Process | None = None
-        self.paused = False
-        self.wanted = True
+        self.life: Life | None = None
+        self._diary = diary
 
     async def start(self, seeds: list[str]) -> None:
         """Start the process; its log goes to a file that outlives it."""
@@ -62,6 +68,7 @@
                 peers=self.peers,
                 seeds=str(seeds).replace("'", '"'),
                 store=self.store.address,
+                grace_s=GRACE_S,
             )
         )
         with (self.folder / f"{self.id}.log").open("a") as log:
@@ -72,21 +79,32 @@
                 stdout=log,
                 stderr=log,
             )
+        self.life = Life(self.id, now())
+        self._diary.lives.append(self.life)
+
+    async def ended(self) -> None:
+        """Wait until the process has ended."""
+        assert self.process is not None and self.life is not None
+        self.life.code = await self.process.wait()
+        self.life.ended = now()
 
     def send(self, number: signal.Signals) -> None:
         """Signal the process, if it runs."""
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
+                if self.life is not None:
+                    self._diary.signalled(self.life, number)
 
 
 class Town:
     """The store, the runners and the instances of one soak."""
 
-    def __init__(self, folder: Path, instances: int, runners: int) -> None:
+    def __init__(self, folder: Path, instances: int, runners: int, slots: int) -> None:
         self.folder = folder
+        self.diary = Diary()
         self.store = StoreStandin()
-        self.runners = [RunnerStandin(f"i-{n}", slots=3) for n in range(runners)]
+        self.runners = [RunnerStandin(f"i-{n}", slots) for n in range(runners)]
         self.instances: list[SoakInstance] = []
         self.runner_proxies: list[FaultProxy] = []
         self.version = 1
@@ -107,10 +125,19 @@
             proxy = FaultProxy(store)
             await proxy.start()
             zone = "ab"[number % 2]
-            one = SoakInstance(f"e-{number}", zone, proxy, self.folder)
+            one = SoakInstance(f"e-{number}", zone, proxy, self.folder, self.diary)
             self.instances.append(one)
         loop = asyncio.get_running_loop()
         self._keepers = [loop.create_task(self._keep(one)) for one in self.instances]
+        self._keepers.append(loop.create_task(self.diary.watch_itself()))
+
+    async def ready(self) -> None:
+        """Wait until every instance says that it is ready."""
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(STARTED_WITHIN_S):
+                for one in self.instances:
+                    while not await _is_ready(session, one.ready):
+                        await asyncio.sleep(0.1)
 
     async def stop(self) -> None:
         """End what this soak started, by the ids of its processes."""
@@ -161,6 +188,13 @@
         while True:
             seeds = [other.peers for other in self.instances if other is not one]
             await one.start(seeds[:2])
-            assert one.process is not None
-            await one.process.wait()
+            await one.ended()
             await asyncio.sleep(0.3)
+
+
+async def _is_ready(session: aiohttp.ClientSession, address: str) -> bool:
+    try:
+        async with session.get(f"http://{address}/readyz") as answer:
+            return answer.status == 200
+    except aiohttp.ClientError:
+        return False
