Log the stages of a stop that tell the hypotheses apart

Cause looked for: requests read late in a stop that never got an answer. The logs said neither how many connections of callers were open when the door closed and when the process ended, nor which requests were cut; a cut request looked like a caller that left. Connections left at the end with nothing cut speak for the first hypothesis, a line for a cut request for the second. No logic is changed; the four tests of stopping pass.

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import re
 
 from aiohttp import web
@@ -16,6 +17,7 @@
 from caperridge.gateway.reply import AiohttpReply
 from caperridge.gateway.routes import BATCH, Route
 from caperridge.log import logger
+from caperridge.records import Record
 
 log = logger(__name__)
 
@@ -29,6 +31,23 @@
 BODY_LIMIT_BYTES = 64 * 2**20
 
 
+class RunningRequest(Record):
+    """A request that is being answered.
+
+    Attributes:
+        id: as the caller gave it; empty if it gave none.
+        path: with the query.
+        arrived: when its head had come, on the loop's clock.
+    """
+
+    __slots__ = ("arrived", "id", "path")
+
+    def __init__(self, id: str, path: str, arrived: float) -> None:
+        self.id = id
+        self.path = path
+        self.arrived = arrived
+
+
 class Edge:
     """Takes callers' requests to whoever serves them.
 
@@ -54,10 +73,27 @@
         self._dialect = dialect
         self._metrics = metrics
         self.closing = False
-        self.running = 0
+        self._running_by_number: dict[int, RunningRequest] = {}
+        self._numbers = itertools.count()
         self._became_idle = asyncio.Event()
         self._last_arrival = 0.0
 
+    @property
+    def running(self) -> int:
+        """How many requests are being answered."""
+        return len(self._running_by_number)
+
+    def log_cut(self) -> None:
+        """Log each request that still runs when the instance ends."""
+        now = asyncio.get_running_loop().time()
+        for running in self._running_by_number.values():
+            log.warning(
+                "request cut by the stop",
+                request=running.id,
+                path=running.path,
+                took_s=round(now - running.arrived, 4),
+            )
+
     async def quiet(self, from_time: float, until: float) -> None:
         """Wait until callers have stopped sending, ``from_time`` at the earliest.
 
@@ -88,12 +124,15 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
-        self.running += 1
+        number = next(self._numbers)
         self._last_arrival = asyncio.get_running_loop().time()
+        id = request.headers.get(self._dialect.headers.request, "")
+        running = RunningRequest(id, request.raw_path, self._last_arrival)
+        self._running_by_number[number] = running
         try:
             return await self._handle(request)
         finally:
-            self.running -= 1
+            del self._running_by_number[number]
             self._became_idle.set()
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -45,6 +45,12 @@
         )
         await self._site.start()
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open, with or without a request."""
+        server = self._runner.server
+        return len(server.connections) if server is not None else 0
+
     async def close_door(self) -> None:
         """Take no more connections, and end those on which no request runs."""
         if self._site is not None:
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -267,11 +267,20 @@
         handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
         await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
         await handing_over
-        if self._door is not None:
-            await self._door.close_door()
+        door = self._door
+        if door is not None:
+            log.info(
+                "door closes",
+                running=self.edge.running,
+                connections=door.connections,
+                patience_left_s=round(end - CLOSING_S - loop.time(), 3),
+            )
+            await door.close_door()
         await self.edge.idle(end)
         cut = self.edge.running
-        log.info("instance stopped", cut=cut)
+        self.edge.log_cut()
+        connections = door.connections if door is not None else 0
+        log.info("instance stopped", cut=cut, connections=connections)
         return cut
 
     async def _hand_over(self, until: float) -> None:
