End the connections of a stopping instance instead of marking them

Cause: at a stop the door was closed with the HTTP library's pre_shutdown. It marks connections on which no request runs as closing but leaves them open; what comes on them is read and dropped until the process ends. Its class: a connection whose input is still read after nobody is left to answer it.

Ruled out: a connection that the kernel had accepted when the door closed is served like any other now, and closed when idle.

Change: caperridge.connections closes a connection only while nothing is read from it and no request of it runs; until then its requests are served. The stop ends when no connection is left. The same cause elsewhere: a body that was still coming when the door closed was dropped, too, and its request cut; and the listeners of the product's own interface closed in the same way, for half a second beside requests that are cut.

--- /dev/null
+++ b/src/caperridge/connections.py
@@ -0,0 +1,95 @@
+"""The connections of an HTTP server, ended without losing a request that was read.
+
+Closing them is not left to the HTTP library: at its shutdown it marks a connection
+without a request as closing but leaves it open, reads whatever comes on it, and throws
+that away until the last handler has ended. A caller cannot tell such a request from one
+that ran. Here a connection is closed only while nothing is read from it and no request
+of it runs, and until then its requests are served as ever.
+"""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+# Turns of the loop from reading a request to its handler: one wakes the connection's
+# task and one starts the handler; the rest are spare.
+TURNS_TO_HANDLER = 5
+# Pause between looks for connections that have become idle; a stop is that much longer.
+LOOK_S = 0.05
+
+
+class Connections:
+    """Which connections of a server have a request that is being answered.
+
+    Args:
+        application: whose requests are watched; not yet served.
+    """
+
+    def __init__(self, application: web.Application) -> None:
+        self._busy: set[RequestHandler] = set()
+        application.middlewares.insert(0, self._middleware())
+
+    async def end_idle(self, server: web.Server) -> None:
+        """Close every connection on which no request runs."""
+        idle = [one for one in server.connections if one not in self._busy]
+        for connection in idle:
+            _pause(connection)
+        # What was read before the pause shows as busy after it.
+        for _ in range(TURNS_TO_HANDLER):
+            await asyncio.sleep(0)
+        for connection in idle:
+            if connection in self._busy:
+                _resume(connection)
+                continue
+            connection.force_close()
+
+    async def end_all(self, server: web.Server, until: float) -> int:
+        """Close each connection as it becomes idle; return how many are left.
+
+        Args:
+            server: that takes no more connections.
+            until: end of the wait, on the loop's clock.
+        """
+        loop = asyncio.get_running_loop()
+        while server.connections and loop.time() < until:
+            # First, so that a connection made just before the door closed is used.
+            await asyncio.sleep(LOOK_S)
+            await self.end_idle(server)
+        return len(server.connections)
+
+    def _middleware(self) -> Any:
+        @web.middleware
+        async def watch(request: web.Request, handler: Any) -> web.StreamResponse:
+            connection = request.protocol
+            self._busy.add(connection)
+            try:
+                response = await handler(request)
+                await finish(request, response)
+                return response
+            finally:
+                self._busy.discard(connection)
+
+        return watch
+
+
+async def finish(request: web.Request, response: web.StreamResponse) -> None:
+    """Write a whole answer, which the library else does after its handler's end."""
+    if response.prepared:
+        return
+    # A caller that has gone needs no answer; the library notices that, too.
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(request)
+        await response.write_eof()
+
+
+def _pause(connection: RequestHandler) -> None:
+    if connection.transport is not None:
+        connection.transport.pause_reading()
+
+
+def _resume(connection: RequestHandler) -> None:
+    if connection.transport is not None:
+        connection.transport.resume_reading()
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -1,7 +1,6 @@
 """The listener for callers: requests, jobs, and reads of their results."""
 
 import asyncio
-import contextlib
 import itertools
 import re
 
@@ -75,7 +74,6 @@
         self.closing = False
         self._running_by_number: dict[int, RunningRequest] = {}
         self._numbers = itertools.count()
-        self._became_idle = asyncio.Event()
         self._last_arrival = 0.0
 
     @property
@@ -108,14 +106,6 @@
                 return
             await asyncio.sleep(QUIET_LOOK_S)
 
-    async def idle(self, until: float) -> None:
-        """Wait until nothing runs, or until ``until`` on the loop's clock."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(until):
-                while self.running:
-                    self._became_idle.clear()
-                    await self._became_idle.wait()
-
     def application(self) -> web.Application:
         """Return what serves all paths."""
         application = web.Application(client_max_size=BODY_LIMIT_BYTES)
@@ -133,7 +123,6 @@
             return await self._handle(request)
         finally:
             del self._running_by_number[number]
-            self._became_idle.set()
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         arrived = asyncio.get_running_loop().time()
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
+from caperridge.connections import Connections
+
 BACKLOG = 1024
 # Callers take up connections that have rested for most of the idle limit.
 KEEPALIVE_S = 75.0
@@ -24,6 +26,7 @@
     """
 
     def __init__(self, application: web.Application, host: str, port: int) -> None:
+        self._connections = Connections(application)
         self._runner = web.AppRunner(
             application,
             access_log=None,
@@ -52,11 +55,19 @@
         return len(server.connections) if server is not None else 0
 
     async def close_door(self) -> None:
-        """Take no more connections, and end those on which no request runs."""
+        """Take no more connections; requests on those that are open go on."""
         if self._site is not None:
             await self._site.stop()
-        if self._runner.server is not None:
-            self._runner.server.pre_shutdown()
+
+    async def end_connections(self, until: float) -> int:
+        """End each connection when no request runs on it; return how many are left.
+
+        Args:
+            until: end of the wait, on the loop's clock.
+        """
+        if self._runner.server is None:
+            return 0
+        return await self._connections.end_all(self._runner.server, until)
 
     async def stop(self) -> None:
         """Close everything."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -267,22 +267,30 @@
         handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
         await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
         await handing_over
-        door = self._door
-        if door is not None:
-            log.info(
-                "door closes",
-                running=self.edge.running,
-                connections=door.connections,
-                patience_left_s=round(end - CLOSING_S - loop.time(), 3),
-            )
-            await door.close_door()
-        await self.edge.idle(end)
+        connections = await self._close_door(end)
         cut = self.edge.running
         self.edge.log_cut()
-        connections = door.connections if door is not None else 0
         log.info("instance stopped", cut=cut, connections=connections)
         return cut
 
+    async def _close_door(self, end: float) -> int:
+        """Serve what comes on open connections, each to its end.
+
+        Returns how many connections were still open at ``end``.
+        """
+        if self._door is None:
+            return 0
+        log.info(
+            "door closes",
+            running=self.edge.running,
+            connections=self._door.connections,
+            patience_left_s=round(
+                end - CLOSING_S - asyncio.get_running_loop().time(), 3
+            ),
+        )
+        await self._door.close_door()
+        return await self._door.end_connections(end)
+
     async def _hand_over(self, until: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(until):
--- a/src/caperridge/instance/in_flight.py
+++ b/src/caperridge/instance/in_flight.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from caperridge.connections import finish
 from caperridge.instance.http_common import refusal_response
 from caperridge.records import Record
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal
@@ -113,7 +114,7 @@
                 response = await handler(request)
                 # A whole answer is written after its handler: write it here, so that
                 # it counts as in flight until the last byte is handed over.
-                await _finish(request, response)
+                await finish(request, response)
                 return response
             finally:
                 del self.requests_by_number[entry.number]
@@ -134,13 +135,6 @@
             response.force_close()
 
 
-async def _finish(request: web.Request, response: web.StreamResponse) -> None:
-    if response.prepared:
-        return
-    await response.prepare(request)
-    await response.write_eof()
-
-
 def _refusal(request: web.Request) -> web.Response:
     # An earlier request under the same key may have run, so its resend cannot be
     # told that nothing was.
--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 
+from caperridge.connections import Connections
 from caperridge.settings import Address, TlsFiles
 from caperridge.tls import server_context
 
@@ -14,11 +15,13 @@
     def __init__(self) -> None:
         self.addresses_by_name: dict[str, Address] = {}
         self._runners: list[web.AppRunner] = []
+        self._connections: list[Connections] = []
 
     async def open(
         self, name: str, app: web.Application, at: Address, files: TlsFiles | None
     ) -> None:
         """Serve ``app`` at ``at``, with TLS if there are files for it."""
+        self._connections.append(Connections(app))
         runner = web.AppRunner(
             app,
             access_log=None,
@@ -35,5 +38,9 @@
 
     async def close(self) -> None:
         """Close all, ending what still runs."""
-        for runner in self._runners:
+        for runner, connections in zip(self._runners, self._connections, strict=True):
+            for site in list(runner.sites):
+                await site.stop()
+            if runner.server is not None:
+                await connections.end_idle(runner.server)
             await runner.cleanup()
