--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -11,7 +11,7 @@
 import pytest
 
 from caperridge.gateway.process import GatewayInstance
-from gateway.conftest import HOST, World, free_address, until
+from gateway.conftest import HOST, Answer, World, free_address, until
 
 ROOT = Path(__file__).parents[2]
 
@@ -169,6 +169,30 @@
     assert await stopping == 0
 
 
+async def test_a_request_taken_last_has_time_to_end(world: World) -> None:
+    """Callers that never pause keep the door open only as long as answers can end.
+
+    Seen: the slowest answer of a day with rolling restarts took 1.35 s, and a stop
+    left 1.4 s to what it had taken last; a slower one would have been cut.
+    """
+    runner = await world.add_runner(slots=64)
+    runner.events = 24
+    runner.pause_s = 0.1
+    instance = await world.add_instance()
+    await world.ready()
+    stopping = asyncio.ensure_future(instance.stop(4.0))
+    asked: list[asyncio.Future[Answer]] = []
+    while not stopping.done():
+        asked.append(
+            asyncio.ensure_future(world.ask(instance, "/once/1", f"r{len(asked)}"))
+        )
+        await asyncio.sleep(0.3)
+    answers = await asyncio.gather(*asked, return_exceptions=True)
+    taken = [answer for answer in answers if not isinstance(answer, BaseException)]
+    assert taken and all(answer.whole for answer in taken)
+    assert await stopping == 0
+
+
 async def test_the_process_reloads_on_sighup_and_stops_on_sigterm(
     world: World, tmp_path: Path
 ) -> None:
