Close a stopping instance's door while its last answers can still end

Change: 3 s are left, so the door closes 4.5 s after SIGTERM at the latest with a grace period of 8 s.

--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -53,8 +53,11 @@
 LEAVING_S = 2.6
 # Left for closing connections before the kill.
 SPARE_S = 0.5
-# Left for requests that were under way when the door closed.
-CLOSING_S = 1.4
+# Left for requests that were under way when the door closed. On a day with rolling
+# restarts answers took 0.7 s (p50), 1.2 s (p99) and 1.35 s at most; where queues are
+# full, as long again. A request that is turned away at a closed door is served at once
+# by another instance, one that is cut may have run.
+CLOSING_S = 3.0
 
 
 class GatewayInstance:
