--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -53,8 +53,11 @@
 LEAVING_S = 2.6
 # Left for closing connections before the kill.
 SPARE_S = 0.5
-# Left for requests that were under way when the door closed.
-CLOSING_S = 1.4
+# Left for requests that were under way when the door closed. On a day with rolling
+# restarts answers took 0.7 s (p50), 1.2 s (p99) and 1.35 s at most; where queues are
+# full, as long again. A request that is turned away at a closed door is served at once
+# by another instance, one that is cut may have run.
+CLOSING_S = 3.0
 
 
 class GatewayInstance:
@@ -267,13 +270,30 @@
         handing_over = loop.create_task(self._hand_over(end - CLOSING_S))
         await self.edge.quiet(loop.time() + LEAVING_S, end - CLOSING_S)
         await handing_over
-        if self._door is not None:
-            await self._door.close_door()
-        await self.edge.idle(end)
+        connections = await self._close_door(end)
         cut = self.edge.running
-        log.info("instance stopped", cut=cut)
+        self.edge.log_cut()
+        log.info("instance stopped", cut=cut, connections=connections)
         return cut
 
+    async def _close_door(self, end: float) -> int:
+        """Serve what comes on open connections, each to its end.
+
+        Returns how many connections were still open at ``end``.
+        """
+        if self._door is None:
+            return 0
+        log.info(
+            "door closes",
+            running=self.edge.running,
+            connections=self._door.connections,
+            patience_left_s=round(
+                end - CLOSING_S - asyncio.get_running_loop().time(), 3
+            ),
+        )
+        await self._door.close_door()
+        return await self._door.end_connections(end)
+
     async def _hand_over(self, until: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(until):
