Let the soak's instances have another grace period

Cause: with 4 s, a leaving instance closes its door 0.5 s after SIGTERM, since 3 s are left to what runs then; the users' deployments give 8 s, where it waits for callers to leave and then closes. Both belong in a soak.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -59,7 +59,12 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: Path, instances: int = 4, stops: bool = False
+    seed: int,
+    seconds: float,
+    folder: Path,
+    instances: int = 4,
+    stops: bool = False,
+    grace_s: float = 4.0,
 ) -> tuple[Tally, list[str]]:
     """Run one soak; return what callers saw and which faults came.
 
@@ -70,10 +75,13 @@
         instances: how many.
         stops: whether planned work comes in series, alone at first and then with the
             faults, while callers use kept connections.
+        grace_s: that instances have to stop.
     """
     chance = random.Random(seed)
     runners = 3 + (instances - 1) // INSTANCES_PER_RUNNER if stops else 3
-    town = Town(folder, instances, runners, SLOTS_WITH_STOPS if stops else SLOTS)
+    town = Town(
+        folder, instances, runners, SLOTS_WITH_STOPS if stops else SLOTS, grace_s
+    )
     tally = Tally()
     await town.start()
     callers = Callers(town, tally, random.Random(seed + 1))
@@ -89,7 +97,7 @@
         town.store.lose_answers = 0
         await callers.finish(SETTLE_S)
         ran = {run.id for runner in town.runners for run in runner.runs}
-        check_stops(town.diary, kept.requests, ran, tally)
+        check_stops(town.diary, grace_s, kept.requests, ran, tally)
         tally.late_s = max(late for _, late in town.diary.late)
         count_kept(town, kept.requests, tally)
         check_runs(town, tally)
@@ -129,6 +137,7 @@
     seconds: float = 12.0,
     instances: int = 4,
     stops: bool = True,
+    grace_s: float = 4.0,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -137,7 +146,9 @@
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        tally, faults = asyncio.run(soak(seed, seconds, folder, instances, stops))
+        tally, faults = asyncio.run(
+            soak(seed, seconds, folder, instances, stops, grace_s)
+        )
         word = "broken" if tally.broken else "kept"
         typer.echo(
             f"seed {seed}: {word}; {tally.answered} of {tally.asked} answered, "
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -7,7 +7,7 @@
 from soak.callers import NOT_RUN, Tally
 from soak.diary import Diary, Life
 from soak.kept import DEADLINE_MS, KeptRequest
-from soak.town import GRACE_S, Town
+from soak.town import Town
 
 # A request that meets the end of its connection on the way; the time in which an end
 # that was on its way must have reached the caller (seconds, the users' pages).
@@ -46,7 +46,11 @@
 
 
 def check_stops(
-    diary: Diary, requests: list[KeptRequest], ran: set[str], tally: Tally
+    diary: Diary,
+    grace_s: float,
+    requests: list[KeptRequest],
+    ran: set[str],
+    tally: Tally,
 ) -> None:
     """Check that planned stops were in time and took no request from anybody.
 
@@ -59,7 +63,7 @@
         if diary.calm(life.instance, life.term, life.ended):
             tally.stops += 1
             took_s = life.ended - life.term
-            if took_s - diary.late_s(life.term, life.ended) > GRACE_S + SPARE_S:
+            if took_s - diary.late_s(life.term, life.ended) > grace_s + SPARE_S:
                 tally.broken.append(f"{life.instance} took {took_s:.2f} s to stop")
     for request in requests:
         term = request.life.term
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -7,6 +7,7 @@
 from soak.kept import KeptRequest
 from soak.stops import check_stops
 
+GRACE_S = 4.0
 TERM = 100.0
 ENDED = 103.0
 
@@ -18,7 +19,7 @@
     request.life.ended = ended
     diary.lives.append(request.life)
     tally = Tally()
-    check_stops(diary, [request], {request.id} if ran else set(), tally)
+    check_stops(diary, GRACE_S, [request], {request.id} if ran else set(), tally)
     return tally.broken
 
 
--- a/tests/soak/town.py
+++ b/tests/soak/town.py
@@ -17,7 +17,6 @@
 from soak.proxy import FaultProxy
 
 ROOT = Path(__file__).parents[2]
-GRACE_S = 4
 STARTED_WITHIN_S = 60.0
 SETTINGS = """\
 [instance]
@@ -45,13 +44,20 @@
     """One instance, started again whenever it has ended."""
 
     def __init__(
-        self, id: str, zone: str, store: FaultProxy, folder: Path, diary: Diary
+        self,
+        id: str,
+        zone: str,
+        store: FaultProxy,
+        folder: Path,
+        diary: Diary,
+        grace_s: float,
     ) -> None:
         self.id = id
         self.zone = zone
         self.store = store
         self.callers, self.ready, self.peers = (free_address() for _ in range(3))
         self.folder = folder
+        self.grace_s = grace_s
         self.process: asyncio.subprocess.Process | None = None
         self.life: Life | None = None
         self._diary = diary
@@ -68,7 +74,7 @@
                 peers=self.peers,
                 seeds=str(seeds).replace("'", '"'),
                 store=self.store.address,
-                grace_s=GRACE_S,
+                grace_s=self.grace_s,
             )
         )
         with (self.folder / f"{self.id}.log").open("a") as log:
@@ -100,9 +106,12 @@
 class Town:
     """The store, the runners and the instances of one soak."""
 
-    def __init__(self, folder: Path, instances: int, runners: int, slots: int) -> None:
+    def __init__(
+        self, folder: Path, instances: int, runners: int, slots: int, grace_s: float
+    ) -> None:
         self.folder = folder
         self.diary = Diary()
+        self.grace_s = grace_s
         self.store = StoreStandin()
         self.runners = [RunnerStandin(f"i-{n}", slots) for n in range(runners)]
         self.instances: list[SoakInstance] = []
@@ -125,7 +134,9 @@
             proxy = FaultProxy(store)
             await proxy.start()
             zone = "ab"[number % 2]
-            one = SoakInstance(f"e-{number}", zone, proxy, self.folder, self.diary)
+            one = SoakInstance(
+                f"e-{number}", zone, proxy, self.folder, self.diary, self.grace_s
+            )
             self.instances.append(one)
         loop = asyncio.get_running_loop()
         self._keepers = [loop.create_task(self._keep(one)) for one in self.instances]
