Keep a connection silent once the soak's proxy has dropped a piece of it

Cause: the proxy dropped what came while it was silent and then went on with the same connection. An event lost inside a stream that ends well cannot be seen by anybody, and no network makes it: what comes after a gap in a connection is not delivered.

Ruled out: that the instance lost the event; it numbers events, but has no way to know how many there are.

This makes no fault milder: a silent connection now stays silent for good, as the users' pages say that connections may.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -73,15 +73,20 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, forth: bool
     ) -> None:
+        lost = False
         while data := await reader.read(65536):
             if self.mode == DELAY:
                 await asyncio.sleep(DELAY_S)
             if self.mode == SILENCE or (self.mode == SILENCE_BACK and not forth):
-                continue
+                lost = True
+            if lost:
+                continue  # what comes after a gap is never delivered
             if self.mode == RESET:
                 break
             writer.write(data)
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
+        if lost:
+            return
         with contextlib.suppress(OSError):
             writer.write_eof()
