--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -57,6 +57,29 @@
 ]
 
 
+# Settings of an instance that runs as a process.
+SETTINGS = """\
+[instance]
+id = "{id}"
+availability_zone = "{zone}"
+metrics_port = 0
+[listen]
+callers = "{callers}"
+ready = "{ready}"
+peers = "{peers}"
+[peers]
+seeds = {seeds}
+[store]
+address = "{store}"
+row_bytes = 65536
+object_bytes = 8388608
+[jobs]
+kept_s = 120
+[stopping]
+grace_s = {grace_s}
+"""
+
+
 def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
     """Return a configuration as the operator writes it."""
     return {
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -54,11 +54,17 @@
 ) -> None:
     """Check that planned stops were in time and took no request from anybody.
 
+    Nor may a process end that was neither stopped nor killed.
+
     Checked is every request on a kept connection that met a planned stop of the process
     at the other end, at which nothing else was wrong from 3 s before on.
     """
     for life in diary.lives:
-        if life.term is None or life.ended is None:
+        if life.ended is None:
+            continue
+        if life.term is None:
+            if life.code != -signal.SIGKILL:
+                tally.broken.append(f"{life.instance} ended by itself: {life.code}")
             continue
         if diary.calm(life.instance, life.term, life.ended):
             tally.stops += 1
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -99,3 +99,15 @@
 def test_a_stop_beyond_the_grace_period_is_found() -> None:
     assert check(sent(102.0, 0.1), Diary(), ended=104.9) == []
     assert len(check(sent(102.0, 0.1), Diary(), ended=105.1)) == 1
+
+
+@pytest.mark.parametrize(("code", "found"), [(-9, 0), (-1, 1), (1, 1), (0, 1)])
+def test_a_process_that_ends_by_itself_is_found(code: int, found: int) -> None:
+    diary = Diary()
+    life = Life("e-1", 10.0)
+    life.ended = ENDED
+    life.code = code
+    diary.lives.append(life)
+    tally = Tally()
+    check_stops(diary, GRACE_S, [], set(), tally)
+    assert len(tally.broken) == found
--- a/tests/soak/town.py
+++ b/tests/soak/town.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-from gateway.conftest import ROUTES, configuration, free_address
+from gateway.conftest import ROUTES, SETTINGS, configuration, free_address
 from gateway.runner_standin import RunnerStandin
 from gateway.store_standin import StoreStandin
 from soak.diary import Diary, Life, now
@@ -18,26 +18,6 @@
 
 ROOT = Path(__file__).parents[2]
 STARTED_WITHIN_S = 60.0
-SETTINGS = """\
-[instance]
-id = "{id}"
-availability_zone = "{zone}"
-metrics_port = 0
-[listen]
-callers = "{callers}"
-ready = "{ready}"
-peers = "{peers}"
-[peers]
-seeds = {seeds}
-[store]
-address = "{store}"
-row_bytes = 65536
-object_bytes = 8388608
-[jobs]
-kept_s = 120
-[stopping]
-grace_s = {grace_s}
-"""
 
 
 class SoakInstance:
