--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -19,7 +19,7 @@
 # Seconds from the start of traffic: early, overlapping it, and late in the day.
 MOMENTS_S = (2.0, 4.5, 24.0)
 # What the bench calls planned work; the rest are faults.
-PLANNED = frozenset({"scale_in", "scale_out", "hup"})
+PLANNED = frozenset({"scale_in", "scale_out", "hup", "roll_term"})
 BROKEN = re.compile(r"BROKEN: ([A-Z, a-z]+)")
 
 
