Keep a reload back until a starting instance can handle it

Cause: SIGHUP ended an instance whose parts were not imported yet. Change: the program blocks the signal before it imports them, and the process takes it as soon as it has its handler; a reload that came meanwhile is done then. Weighed against ignoring it: a change of the file between reading it and the handler would be lost.

Left: the time until the interpreter runs the program's first line.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -1,11 +1,21 @@
 """Starts one instance on the users' platform from a checkout."""
 
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from caperridge.platform.serve import main
 
-if __name__ == "__main__":
+def start() -> None:
+    """Import the product's parts and run."""
+    # A signal of which nothing is said ends the process. This one is kept back while
+    # the parts are imported, and handled as soon as somebody can.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from caperridge.platform.serve import main
+
     main()
+
+
+if __name__ == "__main__":
+    start()
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -47,6 +47,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
+    # The program keeps it back until now; one that came meanwhile is handled.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await instance.start()
     await stop.wait()
     await instance.stop(settings.grace_s)
