--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -2,9 +2,6 @@
 
 import signal
 import sys
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 
 def start() -> None:
@@ -12,6 +9,10 @@
     # A signal of which nothing is said ends the process. This one is kept back while
     # the parts are imported, and handled as soon as somebody can.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from pathlib import Path
+
+    sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
     from caperridge.platform.serve import main
 
     main()
