Split passing answers on from choosing targets

forwarding.py had grown to 357 lines with two jobs. What passes an answer on to the caller is gateway/answer_relay.py now; whether another target may run a request is asked of its record (Carriage.may_move). Behaviour is the same; tests of online requests and layering pass.

--- /dev/null
+++ b/src/caperridge/gateway/answer_relay.py
@@ -0,0 +1,127 @@
+"""Passing a target's answer on to the caller, whole or event by event."""
+
+import asyncio
+
+from caperridge.gateway.dialect import passed_on
+from caperridge.gateway.events import Event, EventSplitter
+from caperridge.gateway.inbound import Carriage, InboundRequest, Reply
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.upstream import Answer, BrokenAnswerError, SilentAnswerError
+from caperridge.targets.outcomes import (
+    AttemptError,
+    Lost,
+    TargetRefused,
+    WrongAnswer,
+)
+
+# A target with a free slot sends its first event after some 50 ms, one with a full
+# queue after some 500 ms; callers leave after 2 s of silence.
+FIRST_EVENT_SILENCE_S = 1.2
+EVENT_SILENCE_S = 0.7
+EVENT_STREAM = "text/event-stream"
+MOST_ANSWER_BYTES = 16 * 2**20
+
+
+class AnswerRelay:
+    """Passes answers on; one for an instance."""
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    async def relay(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        """Pass ``answer`` on; None if it has gone out whole."""
+        kind = answer.headers.get("Content-Type", "").partition(";")[0].strip().lower()
+        if answer.status == 200 and kind == EVENT_STREAM:
+            return await self._relay_events(request, reply, carriage, answer)
+        return await self._relay_whole(request, reply, carriage, answer)
+
+    async def _relay_whole(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            async for piece in answer.pieces():
+                pieces.append(piece)
+                size += len(piece)
+                if size > MOST_ANSWER_BYTES:
+                    return WrongAnswer("an answer that is too large")
+        except BrokenAnswerError as error:
+            return Lost(str(error))
+        failed = answer.status >= 500
+        if failed:
+            carriage.attempts += 1
+        again = request.route.idempotent and carriage.may_move(request.route)
+        if (failed and again) or reply.begun:
+            return TargetRefused(answer.status, "it failed", "ran")
+        headers = passed_on(answer.headers, frozenset())
+        await reply.whole(answer.status, headers, b"".join(pieces))
+        return None
+
+    async def _relay_events(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        answer: Answer,
+    ) -> AttemptError | None:
+        splitter = EventSplitter()
+        pieces = answer.pieces()
+        if request.route.idempotent:
+            pieces = answer.pieces(FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S)
+        try:
+            async for piece in pieces:
+                good, wrong = _next_events(splitter.feed(piece), carriage)
+                if good:
+                    await self._pass_on(request, reply, answer, good)
+                if wrong:
+                    carriage.attempts += 1
+                    return WrongAnswer("an event out of order")
+        except SilentAnswerError as error:
+            carriage.attempts += 1
+            return Lost(str(error))
+        except BrokenAnswerError as error:
+            return Lost(str(error))
+        if splitter.rest:
+            return Lost("it ended within an event")
+        if not reply.begun:
+            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
+        await reply.end()
+        return None
+
+    async def _pass_on(
+        self, request: InboundRequest, reply: Reply, answer: Answer, data: bytes
+    ) -> None:
+        if not reply.begun:
+            loop = asyncio.get_running_loop()
+            self._metrics.first_event.labels(request.route.kind).observe(
+                loop.time() - request.arrived
+            )
+            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
+        await reply.write(data)
+
+
+def _next_events(events: list[Event], carriage: Carriage) -> tuple[bytes, bool]:
+    """Return the events that come next, joined, and whether one did not.
+
+    An event without a number is passed on as it is.
+    """
+    good: list[bytes] = []
+    for event in events:
+        expected = carriage.last_event + 1
+        if event.id >= 0 and carriage.last_event and event.id != expected:
+            return b"".join(good), True
+        if event.id >= 0:
+            carriage.last_event = event.id
+        good.append(event.raw)
+    return b"".join(good), False
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -9,20 +9,14 @@
 
 from result import Err, Result
 
+from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
-from caperridge.gateway.events import Event, EventSplitter
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.inbound import Carriage, GivenUp, InboundRequest, Reply
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.placement import place_online, place_online_near
 from caperridge.gateway.targets import Target
-from caperridge.gateway.upstream import (
-    Answer,
-    BrokenAnswerError,
-    Outbound,
-    SilentAnswerError,
-    TargetClient,
-)
+from caperridge.gateway.upstream import Answer, Outbound, TargetClient
 from caperridge.log import logger
 from caperridge.refusals import NOT_RUN
 from caperridge.targets.outcomes import (
@@ -37,18 +31,9 @@
 
 # Offers that a request may get beside those that ran it: each was refused unrun.
 MOST_OFFERS = 8
-# Runs of one request that broke at their targets; a few in a row are bad luck, more
-# are the request's own doing.
-MOST_RUNS = 4
-# A target with a free slot sends its first event after some 50 ms, one with a full
-# queue after some 500 ms; callers leave after 2 s of silence.
-FIRST_EVENT_SILENCE_S = 1.2
-EVENT_SILENCE_S = 0.7
 # Sent to a caller that finds all queues full: about the length of a short run.
 BUSY_RETRY_AFTER_S = 0.6
 NO_TARGET_RETRY_AFTER_S = 0.5
-EVENT_STREAM = "text/event-stream"
-MOST_ANSWER_BYTES = 16 * 2**20
 
 
 class Forwarder:
@@ -65,6 +50,7 @@
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
+        self._answers = AnswerRelay(metrics)
         names = dialect.headers
         self._own_headers = frozenset(
             {names.deadline.lower(), names.incarnation.lower(), names.resume.lower()}
@@ -161,7 +147,7 @@
             carriage.runs += 1
             answer = opened.ok_value
             try:
-                return await self._relay(request, reply, carriage, answer)
+                return await self._answers.relay(request, reply, carriage, answer)
             finally:
                 answer.close()
         finally:
@@ -196,87 +182,6 @@
             headers[names.resume] = str(carriage.last_event)
         return Outbound(request.id, request.method, request.path, headers, request.body)
 
-    async def _relay(
-        self,
-        request: InboundRequest,
-        reply: Reply,
-        carriage: Carriage,
-        answer: Answer,
-    ) -> AttemptError | None:
-        kind = answer.headers.get("Content-Type", "").partition(";")[0].strip().lower()
-        if answer.status == 200 and kind == EVENT_STREAM:
-            return await self._relay_events(request, reply, carriage, answer)
-        return await self._relay_whole(request, reply, carriage, answer)
-
-    async def _relay_whole(
-        self,
-        request: InboundRequest,
-        reply: Reply,
-        carriage: Carriage,
-        answer: Answer,
-    ) -> AttemptError | None:
-        pieces: list[bytes] = []
-        size = 0
-        try:
-            async for piece in answer.pieces():
-                pieces.append(piece)
-                size += len(piece)
-                if size > MOST_ANSWER_BYTES:
-                    return WrongAnswer("an answer that is too large")
-        except BrokenAnswerError as error:
-            return Lost(str(error))
-        failed = answer.status >= 500
-        if failed:
-            carriage.attempts += 1
-        again = failed and request.route.idempotent and _may_move(request, carriage)
-        if again or reply.begun:
-            return TargetRefused(answer.status, "it failed", "ran")
-        headers = passed_on(answer.headers, frozenset())
-        await reply.whole(answer.status, headers, b"".join(pieces))
-        return None
-
-    async def _relay_events(
-        self,
-        request: InboundRequest,
-        reply: Reply,
-        carriage: Carriage,
-        answer: Answer,
-    ) -> AttemptError | None:
-        splitter = EventSplitter()
-        pieces = answer.pieces()
-        if request.route.idempotent:
-            pieces = answer.pieces(FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S)
-        try:
-            async for piece in pieces:
-                good, wrong = _next_events(splitter.feed(piece), carriage)
-                if good:
-                    await self._pass_on(request, reply, answer, good)
-                if wrong:
-                    carriage.attempts += 1
-                    return WrongAnswer("an event out of order")
-        except SilentAnswerError as error:
-            carriage.attempts += 1
-            return Lost(str(error))
-        except BrokenAnswerError as error:
-            return Lost(str(error))
-        if splitter.rest:
-            return Lost("it ended within an event")
-        if not reply.begun:
-            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
-        await reply.end()
-        return None
-
-    async def _pass_on(
-        self, request: InboundRequest, reply: Reply, answer: Answer, data: bytes
-    ) -> None:
-        if not reply.begun:
-            loop = asyncio.get_running_loop()
-            self._metrics.first_event.labels(request.route.kind).observe(
-                loop.time() - request.arrived
-            )
-            await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
-        await reply.write(data)
-
     def _note(
         self,
         request: InboundRequest,
@@ -312,7 +217,7 @@
             return None
         if not request.route.idempotent:
             return GivenUp(f"lost at its target: {error.reason}", not_run=False)
-        if not _may_move(request, carriage):
+        if not carriage.may_move(request.route):
             return GivenUp(f"out of attempts: {error.reason}", not_run=False)
         return None
 
@@ -333,25 +238,3 @@
     carriage.runs += 1
     if isinstance(error, WrongAnswer):
         carriage.attempts += 1
-
-
-def _may_move(request: InboundRequest, carriage: Carriage) -> bool:
-    """Whether another target may run it."""
-    enough = carriage.attempts >= request.route.most_attempts
-    return not enough and carriage.runs < MOST_RUNS
-
-
-def _next_events(events: list[Event], carriage: Carriage) -> tuple[bytes, bool]:
-    """Return the events that come next, joined, and whether one did not.
-
-    An event without a number is passed on as it is.
-    """
-    good: list[bytes] = []
-    for event in events:
-        expected = carriage.last_event + 1
-        if event.id >= 0 and carriage.last_event and event.id != expected:
-            return b"".join(good), True
-        if event.id >= 0:
-            carriage.last_event = event.id
-        good.append(event.raw)
-    return b"".join(good), False
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -7,6 +7,10 @@
 from caperridge.gateway.routes import Route
 from caperridge.records import Record
 
+# Runs of one request that broke at their targets; a few in a row are bad luck, more
+# are the request's own doing.
+MOST_RUNS = 4
+
 
 class InboundRequest(Record):
     """A caller's request, whole.
@@ -137,3 +141,8 @@
         self.attempts = 0
         self.refused_by: set[str] = set()
         self.sent_at_least_once = False
+
+    def may_move(self, route: Route) -> bool:
+        """Whether another target may run it."""
+        enough = self.attempts >= route.most_attempts
+        return not enough and self.runs < MOST_RUNS
