Read a closing connection only while a request of it runs

Cause: a look for idle connections every 0.05 s left what came between looks to be taken, however little time was left; it took a connection on which quick requests had begun and ended for idle, with others read behind them; and with no connection known yet it did not wait for one that the kernel had handed over.

Change: the connection is paused when its answer ends; one on which a request has begun since the pause is left for the next look; the first look is always made.

--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -30,21 +30,31 @@
 
     def __init__(self, application: web.Application) -> None:
         self._busy: set[RequestHandler] = set()
+        # Of those that a look has paused: where no request has begun since.
+        self._quiet: set[RequestHandler] = set()
+        self._ending = False
         application.middlewares.insert(0, self._middleware())
 
     async def end_idle(self, server: web.Server) -> None:
-        """Close every connection on which no request runs."""
+        """Close every connection on which no request runs.
+
+        From now on the others are read from only while a request of theirs runs: one
+        that came after its end could have no time left.
+        """
+        self._ending = True
         idle = [one for one in server.connections if one not in self._busy]
+        self._quiet = set(idle)
         for connection in idle:
             _pause(connection)
-        # What was read before the pause shows as busy after it.
-        for _ in range(TURNS_TO_HANDLER):
-            await asyncio.sleep(0)
+        # What was read before the pause has begun after it; it may have ended as well,
+        # with another request read behind it.
+        await _turns()
         for connection in idle:
-            if connection in self._busy:
-                _resume(connection)
-                continue
-            connection.force_close()
+            if connection in self._quiet:
+                connection.force_close()
+        self._quiet = set()
+        # Those that had nothing more to send are not counted as open after it.
+        await _turns()
 
     async def end_all(self, server: web.Server, until: float) -> int:
         """Close each connection as it becomes idle; return how many are left.
@@ -54,23 +64,30 @@
             until: end of the wait, on the loop's clock.
         """
         loop = asyncio.get_running_loop()
-        while server.connections and loop.time() < until:
-            # First, so that a connection made just before the door closed is used.
+        while True:
+            # Before it is asked what is left: a connection that was accepted just
+            # before the door closed is known some turns later.
             await asyncio.sleep(LOOK_S)
             await self.end_idle(server)
-        return len(server.connections)
+            if not server.connections or loop.time() >= until:
+                return len(server.connections)
 
     def _middleware(self) -> Any:
         @web.middleware
         async def watch(request: web.Request, handler: Any) -> web.StreamResponse:
             connection = request.protocol
             self._busy.add(connection)
+            self._quiet.discard(connection)
+            if self._ending:
+                _resume(connection)  # its body may be still to come
             try:
                 response = await handler(request)
                 await finish(request, response)
                 return response
             finally:
                 self._busy.discard(connection)
+                if self._ending:
+                    _pause(connection)
 
         return watch
 
@@ -85,6 +102,11 @@
         await response.write_eof()
 
 
+async def _turns() -> None:
+    for _ in range(TURNS_TO_HANDLER):
+        await asyncio.sleep(0)
+
+
 def _pause(connection: RequestHandler) -> None:
     if connection.transport is not None:
         connection.transport.pause_reading()
