Answer what was taken in a stop before the instance ends

Cause: a request whose target is silent for longer than the instance has left ran into the end and was cut, its caller left without an answer. Change: from SIGTERM on a request's time ends 0.2 s before the instance's. Before: the connection ends unanswered; after: 504.

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -72,6 +72,8 @@
         self._dialect = dialect
         self._metrics = metrics
         self.closing = False
+        # Requests taken from now on get an answer by then, on the loop's clock.
+        self.answers_until = float("inf")
         self._running_by_number: dict[int, RunningRequest] = {}
         self._numbers = itertools.count()
         self._last_arrival = 0.0
@@ -170,7 +172,7 @@
             body=body,
             route=route,
             arrived=arrived,
-            deadline=arrived + within_s,
+            deadline=min(arrived + within_s, self.answers_until),
             resume_after=int(resume) if resume.isdigit() else 0,
         )
         reply = AiohttpReply(request, lambda: self.closing)
--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -18,6 +18,8 @@
 # full, as long again. A request that is turned away at a closed door is served at once
 # by another instance, one that is cut may have run.
 CLOSING_S = 3.0
+# Before that end, what was taken in the stop is given up, so that its caller is told.
+ANSWER_S = 0.2
 
 
 class PlannedStop:
@@ -42,6 +44,7 @@
         end = loop.time() + grace_s - SPARE_S
         patience = end - CLOSING_S
         self._edge.closing = True
+        self._edge.answers_until = end - ANSWER_S
         # While callers are still served: nobody waits for it behind a closed door.
         handing_over = loop.create_task(self._hand_over_until(patience))
         await self._edge.quiet(loop.time() + LEAVING_S, patience)
