Hand over until the end of a stop, and share a short grace period

Since connections end only when idle, the hand-over need not come before the door; it has until the end, beside the last answers. Where the grace period is short, half of it is for callers that come.

--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -41,17 +41,18 @@
     async def run(self, grace_s: float) -> int:
         """Stop within ``grace_s``; return how many requests were cut."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + grace_s - SPARE_S
-        patience = end - CLOSING_S
+        began = loop.time()
+        end = began + grace_s - SPARE_S
+        # A short grace period is shared by both.
+        patience = max(end - CLOSING_S, (began + end) / 2)
         self._edge.closing = True
         self._edge.answers_until = end - ANSWER_S
-        # While callers are still served: nobody waits for it behind a closed door.
-        handing_over = loop.create_task(self._hand_over_until(patience))
-        await self._edge.quiet(loop.time() + LEAVING_S, patience)
-        await handing_over
+        handing_over = loop.create_task(self._hand_over_until(end))
+        await self._edge.quiet(began + LEAVING_S, patience)
         self._log_door(patience)
         await self._door.close_door()
         connections = await self._door.end_connections(end)
+        await handing_over
         cut = self._edge.running
         self._edge.log_cut()
         log.info("instance stopped", cut=cut, connections=connections)
