--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -230,6 +230,25 @@
     assert left.is_set()
 
 
+async def test_an_error_in_handing_over_cuts_nothing(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runner = await world.add_runner()
+    runner.events = 40
+    runner.pause_s = 0.1
+    instance = await world.add_instance()
+    await world.ready()
+
+    async def fails() -> None:
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(instance.registry, "leave", fails)
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    assert await instance.stop(8.0) == 0
+    assert (await asking).whole
+
+
 async def test_the_process_reloads_on_sighup_and_stops_on_sigterm(
     world: World, tmp_path: Path
 ) -> None:
