--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -65,6 +65,9 @@
         except TimeoutError:
             # Peers take over what they no longer hear this instance hold.
             log.warning("hand-over not finished", reason="its time is over")
+        except Exception as error:
+            # Whatever went wrong with jobs must not cut the requests that still run.
+            log.error("hand-over not finished", reason=repr(error))
 
     def _log_door(self, patience: float) -> None:
         left_s = patience - asyncio.get_running_loop().time()
