--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -4,7 +4,7 @@
 without a request as closing but leaves it open, reads whatever comes on it, and throws
 that away until the last handler has ended. A caller cannot tell such a request from one
 that ran. Here a connection is closed only while nothing is read from it and no request
-of it runs, and until then its requests are served as ever.
+of it runs; until then it is read only while a request of it runs.
 """
 
 import asyncio
