Give up silent connections to the store together, and have the system watch them

Cause: a kept connection that went silent without a reset costs the call that uses it its whole time-out (2 s, a watch 2.7 s), and so does each other one that was open then, one after the other.

Ruled out: a shorter time-out of calls, for a slow store answers 60 times later (240 to 480 ms, and up to a second of queue before it refuses).

Change: after a call without an answer no later call gets a connection of that time; those under way go on. Unacknowledged bytes end a connection after 1 s, and idle ones are probed each second by the system.

--- /dev/null
+++ b/src/caperridge/platform/connections.py
@@ -0,0 +1,83 @@
+"""Connections to the store that are kept between calls, and given up together.
+
+A kept connection may have gone silent without a reset, and so may all others that were
+open at that moment. Each would cost the next call its whole time-out, so after a call
+without an answer the idle ones are left behind; new ones are opened.
+"""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from caperridge.gateway.silent_sockets import end_when_silent, probe_when_idle
+from caperridge.no_repeat import loss_is_final
+
+# Instances with work call several times a second; an idle connection costs little.
+KEPT_S = 20
+# The store acknowledges within some milliseconds, however long its answer takes.
+UNACKNOWLEDGED_MS = 1000
+
+
+class KeptConnections:
+    """Gives out sessions of the HTTP library; one at a time is current.
+
+    An earlier one lives until its last call has ended.
+    """
+
+    def __init__(self) -> None:
+        self._current: aiohttp.ClientSession | None = None
+        self._calls_by_session: dict[aiohttp.ClientSession, int] = {}
+
+    @contextlib.asynccontextmanager
+    async def used(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Give the current session for one call."""
+        session = self._current
+        if session is None:
+            session = self._current = _session()
+            self._calls_by_session[session] = 0
+        self._calls_by_session[session] += 1
+        try:
+            yield session
+        finally:
+            await self._returned(session)
+
+    def suspect(self, session: aiohttp.ClientSession) -> None:
+        """Give no more calls to ``session``: one of its calls got no answer."""
+        if self._current is session:
+            self._current = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._current = None
+        for session in list(self._calls_by_session):
+            await session.close()
+        self._calls_by_session.clear()
+
+    async def _returned(self, session: aiohttp.ClientSession) -> None:
+        calls = self._calls_by_session.get(session)
+        if calls is None:
+            return
+        self._calls_by_session[session] = calls - 1
+        if calls == 1 and session is not self._current:
+            del self._calls_by_session[session]
+            await session.close()
+
+
+def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEPT_S, socket_factory=_watched_socket
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(loss_is_final,),
+    )
+
+
+def _watched_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    end_when_silent(made, UNACKNOWLEDGED_MS)
+    probe_when_idle(made)
+    return made
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -20,7 +20,8 @@
     Transaction,
     TransactionError,
 )
-from caperridge.no_repeat import LostOnTheWayError, loss_is_final
+from caperridge.no_repeat import LostOnTheWayError
+from caperridge.platform.connections import KeptConnections
 from caperridge.store.interface import NotDone, Unknown
 
 # The store answers in 4 to 25 ms; slow days take 60 times as long.
@@ -29,6 +30,7 @@
 # A watch whose answer is this late has a dead connection.
 WATCH_SLACK_S = 0.7
 _NOT_DONE = frozenset({429, 503, 507})
+_NO_CONNECTION = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class HttpRowStore(RowStore):
@@ -40,12 +42,11 @@
 
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self._connections = KeptConnections()
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._connections.close()
 
     async def read(
         self,
@@ -150,15 +151,6 @@
         status, _ = answer.ok_value
         return Ok(None) if status < 300 or status == 404 else Err(_refusal(status))
 
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                middlewares=(loss_is_final,),
-            )
-        return self._session
-
     async def _call(
         self,
         method: str,
@@ -168,23 +160,28 @@
         within_s: float = CALL_S,
     ) -> Result[tuple[int, bytes], StoreError]:
         headers = {"Content-Type": "application/json"} if path == "/rows-tx" else None
-        try:
-            async with self._open().request(
-                method,
-                self._base + path,
-                params=query,
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=within_s, sock_connect=CONNECT_S),
-                allow_redirects=False,
-            ) as response:
-                return Ok((response.status, await response.read()))
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Err(NotDone(f"no connection: {error}", reached=False))
-        except LostOnTheWayError as error:
-            return Err(Unknown(str(error), reached=False))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(Unknown(type(error).__name__, reached=False))
+        async with self._connections.used() as session:
+            try:
+                async with session.request(
+                    method,
+                    self._base + path,
+                    params=query,
+                    data=body,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(
+                        total=within_s, sock_connect=CONNECT_S
+                    ),
+                    allow_redirects=False,
+                ) as response:
+                    return Ok((response.status, await response.read()))
+            except _NO_CONNECTION as error:
+                return Err(NotDone(f"no connection: {error}", reached=False))
+            except LostOnTheWayError as error:
+                self._connections.suspect(session)
+                return Err(Unknown(str(error), reached=False))
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                self._connections.suspect(session)
+                return Err(Unknown(type(error).__name__, reached=False))
 
 
 def _refusal(status: int) -> StoreError:
--- a/tests/gateway/silent_relay.py
+++ b/tests/gateway/silent_relay.py
@@ -43,6 +43,12 @@
             silent.set()
         self._silent = set()
 
+    def reset(self) -> None:
+        """Reset the connections that are open now."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers = set()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest_asyncio
@@ -10,6 +11,8 @@
 from caperridge.gateway.mesh.mesh import SILENCE_S, Mesh
 from caperridge.gateway.mesh.messages import Heartbeat
 from caperridge.gateway.process import TICK_S
+from caperridge.gateway.silent_sockets import PROBE_AFTER_S
+from caperridge.platform.connections import UNACKNOWLEDGED_MS
 from caperridge.platform.store import CALL_S, HttpRowStore
 from gateway.conftest import World, free_address, until
 from gateway.silent_relay import SilentRelay
@@ -80,6 +83,34 @@
     assert isinstance(await watch, Ok)
 
 
+async def test_the_system_is_asked_to_end_silent_connections_of_the_store(
+    store: HttpRowStore,
+) -> None:
+    """Loopback loses nothing, so what the system was asked to do is looked at."""
+    await read_at_once(store, 1)
+    async with store._connections.used() as session:
+        assert session.connector is not None
+        ((protocol, _),) = next(iter(session.connector._conns.values()))
+        connection = protocol.transport.get_extra_info("socket")
+        level = socket.IPPROTO_TCP
+        limit_ms = connection.getsockopt(level, socket.TCP_USER_TIMEOUT)
+        assert limit_ms == UNACKNOWLEDGED_MS
+        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert connection.getsockopt(level, socket.TCP_KEEPIDLE) == PROBE_AFTER_S
+
+
+async def test_an_instance_knows_at_once_that_the_store_answers_again(
+    world: World, store_way: SilentRelay
+) -> None:
+    """Not only when the first watch after the loss has news or its time is over."""
+    world.store_address = store_way.address
+    instance = await world.add_instance()
+    await world.ready()
+    store_way.reset()
+    await until(lambda: not instance.reach.reached)
+    await until(lambda: instance.reach.reached, within_s=SLACK_S)
+
+
 class MeshPair:
     """Two meshes, each reached by a way of its own, that beat like instances."""
 
@@ -131,6 +162,7 @@
         way.silence()
     await until(lambda: not pair.hear_each_other())
     await until(pair.hear_each_other, within_s=AGAIN_S)
+    assert [len(mesh._streams) for mesh in pair.meshes] == [1, 1]
 
 
 async def test_a_peer_whose_stream_one_way_went_silent_is_heard_again(
