Replace streams between instances before their peer is taken for lost

Cause: a stream was given up when nothing was acknowledged for 1.5 s, and opened again 0.3 s later, but a near peer is lost after 1.4 s of silence. Further, the end that hears never found out that a stream was silent: it was kept for good, and counted as another stream of its peer.

Ruled out: a message back for each heartbeat, which would double what a fleet of sixty sends; a longer silence before a peer is lost, which delays takeover.

Change: 0.8 s without acknowledgement, and the stream is opened again at once if it had lived for 3 s. Who hears a new stream of a peer closes its earlier ones. A stream older than 3 s is opened anew while its peer is silent, and when its peer says at its own greeting that it does not hear this instance.

--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -23,6 +23,11 @@
 # from each instance that had it from the store.
 NEWS_PEERS = 5
 REDIAL_S = 0.3
+# A stream may be silent though what is sent into it is acknowledged on its way, so one
+# that is older is opened anew while its peer is silent, or says that it hears nothing.
+# Twice the silence after which a near peer is lost: one that stands still gets a
+# connection from each peer so often.
+RENEW_S = 3.0
 # An instance that nobody lists and that was not heard from for so long is forgotten.
 FORGET_S = 30.0
 
@@ -219,6 +224,7 @@
                 self._lose(member, "it is silent")
             if member.lost_at is None:
                 continue
+            self._renew(member)
             if now - max(member.lost_at, member.listed_at) > FORGET_S:
                 del self.members_by_id[member.id]
                 self.changes += 1
@@ -226,8 +232,15 @@
 
     def hello(self) -> Hello:
         """Return what this instance says first."""
-        members = [[m.id, m.address, m.zone] for m in self.members_by_id.values()]
-        return Hello(self.instance, self.incarnation, self.zone, self.address, members)
+        known = self.members_by_id.values()
+        return Hello(
+            self.instance,
+            self.incarnation,
+            self.zone,
+            self.address,
+            members=[[one.id, one.address, one.zone] for one in known],
+            unheard=[one.id for one in known if one.lost_at is not None],
+        )
 
     def _members(self) -> Iterable[Member]:
         return self.members_by_id.values()
@@ -247,6 +260,15 @@
         task = asyncio.get_running_loop().create_task(self._keep(stream))
         self._dialers_by_address[address] = task
 
+    def _renew(self, member: Member) -> None:
+        """End the stream to a member, for another to be opened, if it is not new."""
+        stream = self._streams_by_address.get(member.address)
+        if stream is None or not stream.connected:
+            return
+        if asyncio.get_running_loop().time() - stream.opened_at > RENEW_S:
+            log.info("stream opened anew", peer=member.id)
+            stream.end()
+
     def _hang_up(self, address: str) -> None:
         self._streams_by_address.pop(address, None)
         task = self._dialers_by_address.pop(address, None)
@@ -254,10 +276,13 @@
             task.cancel()
 
     async def _keep(self, stream: OutStream) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            began = loop.time()
             with contextlib.suppress(OSError, TimeoutError):
                 await stream.run_once()
-            await asyncio.sleep(REDIAL_S)
+            if loop.time() - began < RENEW_S:
+                await asyncio.sleep(REDIAL_S)
 
     def _hears(self, stream: InStream, message: Record | None) -> None:
         """Take a message; the first on a stream says who speaks."""
@@ -269,11 +294,18 @@
             stream.incarnation = message.incarnation
             self._streams.add(stream)
             self._greeted(message)
+            self._close_earlier(stream)
             return
         member = self.members_by_id.get(stream.instance)
         if member is not None and member.incarnation == stream.incarnation:
             self._heard(member, message)
 
+    def _close_earlier(self, stream: InStream) -> None:
+        """Close what the speaker of ``stream`` has given up; it may be silent here."""
+        for other in list(self._streams):
+            if other is not stream and other.instance == stream.instance:
+                other.close()
+
     def _stream_ended(self, stream: InStream, reason: str) -> None:
         self._streams.discard(stream)
         member = self.members_by_id.get(stream.instance)
@@ -298,6 +330,8 @@
         self.changes += 1
         for id, address, zone in hello.members:
             self.learn(id, address, zone)
+        if self.instance in hello.unheard:
+            self._renew(member)
         self._heard(member, None)
 
     def _heard(self, member: Member, message: Record | None) -> None:
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -14,9 +14,17 @@
         availability_zone: where it runs.
         address: that peers connect to.
         members: id, address and zone of every instance it knows.
+        unheard: ids of those among them that it does not hear.
     """
 
-    __slots__ = ("address", "availability_zone", "incarnation", "instance", "members")
+    __slots__ = (
+        "address",
+        "availability_zone",
+        "incarnation",
+        "instance",
+        "members",
+        "unheard",
+    )
 
     def __init__(
         self,
@@ -25,12 +33,14 @@
         availability_zone: str,
         address: str,
         members: list[list[str]],
+        unheard: list[str] | None = None,
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation
         self.availability_zone = availability_zone
         self.address = address
         self.members = members
+        self.unheard = unheard or []
 
 
 class Heartbeat(Record):
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -8,18 +8,19 @@
 import asyncio
 import functools
 import inspect
-import socket
 from collections.abc import Callable
 from typing import Any
 
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
+from caperridge.gateway.silent_sockets import end_when_silent
 from caperridge.peers.framing import FrameError, FrameSplitter, MessageError, frame
 from caperridge.records import Record, pack, unpack
 
 CONNECT_S = 0.5
-# Near peers get a heartbeat every 0.4 s and far ones every 1.2 s; what they did not
-# acknowledge for so long went into a silent connection.
-UNACKNOWLEDGED_MS = 1500
+# What a peer's system did not acknowledge for so long went into a silent connection.
+# Near peers get a heartbeat every 0.4 s and are lost after 1.4 s; a stream that fell
+# silent is replaced before. Systems acknowledge at once, also for slow processes.
+UNACKNOWLEDGED_MS = 800
 # What may wait for a peer that does not read, before another message is taken; one may
 # be as large as an object of the store. Beyond, messages are dropped; a peer that lags
 # so far hears the whole state from the next heartbeat it reads. Sixty peers of a zone
@@ -27,18 +28,6 @@
 MOST_WAITING_BYTES = 256 * 2**10
 
 
-def end_when_silent(connection: socket.socket) -> None:
-    """Have a connection end when the other end acknowledges nothing any more.
-
-    One that went silent without a reset would be kept for minutes, and the peer at its
-    other end would take this instance for lost all that time.
-    """
-    if hasattr(socket, "TCP_USER_TIMEOUT"):
-        connection.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-        )
-
-
 def encode(message: Record) -> bytes:
     """Return ``message`` as one frame."""
     name = type(message).__name__
@@ -85,6 +74,7 @@
     def __init__(self, address: str, hello: Callable[[], Record]) -> None:
         self.address = address
         self.connected = False
+        self.opened_at = 0.0  # of the connection that there is, on the loop's clock
         self.dropped = 0
         self._hello = hello
         self._transport: asyncio.Transport | None = None
@@ -122,9 +112,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
         assert isinstance(transport, asyncio.Transport)
-        end_when_silent(transport.get_extra_info("socket"))
+        end_when_silent(transport.get_extra_info("socket"), UNACKNOWLEDGED_MS)
         self._transport = transport
         self.connected = True
+        self.opened_at = asyncio.get_running_loop().time()
         self.send(encode(self._hello()))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -133,6 +124,11 @@
         self._transport = None
         self._ended.set()
 
+    def end(self) -> None:
+        """End the connection, if there is one; another is opened soon."""
+        if self._transport is not None:
+            self._transport.abort()
+
 
 class InStream(asyncio.Protocol):
     """Hears what one peer says on a connection that it opened.
