--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -91,20 +91,24 @@
         """Watch until cancelled."""
         pause_s = FIRST_PAUSE_S
         whole = True
+        failed = False
         while True:
-            answer = await (self._read() if whole else self._watch())
+            # The first answer after a failure is not waited for until there is news.
+            wait_s = 0.0 if failed else WATCH_S
+            answer = await (self._read() if whole else self._watch(wait_s))
             if isinstance(answer, Err):
                 error = answer.err_value
                 if isinstance(error, HistoryGone):
                     log.info("history gone", table=self.copy.table)
                     whole = True
                     continue
+                failed = True
                 self._reach.failed(error.reason)
                 await asyncio.sleep(pause_s)
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                 continue
             pause_s = FIRST_PAUSE_S
-            whole = False
+            whole = failed = False
             if self._spacing_s:
                 await asyncio.sleep(self._spacing_s)
 
@@ -126,9 +130,9 @@
             self._changed(news, "store")
         return None
 
-    async def _watch(self) -> Err | None:
+    async def _watch(self, wait_s: float) -> Err | None:
         since = self.copy.read_version
-        answer = await self._store.changes(self.copy.table, since, WATCH_S)
+        answer = await self._store.changes(self.copy.table, since, wait_s)
         if isinstance(answer, Err):
             return answer
         self._reach.answered()
