Take over no job while cut off, nor before peers can be heard again

Cause: an instance that is cut off counts for how long it does not hear each holder, and as soon as the store answers it, takes over the jobs of all of them; its peers it hears 0.2 to 0.3 s later.

Ruled out: to count anew at the return of the store, which comes 20 ms too late here; to take nothing over while the store turns this instance away, for a peer that reaches it passes the claim on.

Change: while neither this instance nor a peer it hears reaches the store, no claim is tried and nothing is counted. Whose holder died during an outage of the store is taken over 1.6 s after it, rather than at once.

--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -25,6 +25,7 @@
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import JobNews, SlotGrant
 from caperridge.gateway.rows import RowStore, StoredRow, Transaction
+from caperridge.gateway.watcher import StoreReach
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -51,6 +52,7 @@
         index: JobIndex,
         configuration: ConfigurationInForce,
         mesh: Mesh,
+        reach: StoreReach,
         writer: JobWriter,
         claimer: JobClaimer,
         slots: ItemSlots,
@@ -60,6 +62,7 @@
         self._index = index
         self._configuration = configuration
         self._mesh = mesh
+        self._reach = reach
         self._writer = writer
         self._claimer = claimer
         self._slots = slots
@@ -147,6 +150,11 @@
         """Claim open jobs whose holder is gone and which fall to this instance."""
         if self.leaving or not self._index.copy.known:
             return
+        if not self._reaches_the_store():
+            # It is cut off, and would take the jobs of all whom it does not hear; it
+            # hears them again some moments after the store.
+            self._orphan_since_by_id.clear()
+            return
         live = [m.id for m in self._mesh.alive() if not m.leaving]
         live.append(self._mesh.instance)
         for id, entry in self._index.entries_by_job.items():
@@ -169,6 +177,11 @@
             if owner(id, live) == self._mesh.instance:
                 self._spawn(self._claim(entry, None))
 
+    def _reaches_the_store(self) -> bool:
+        """Whether calls of the store may succeed, here or by way of a peer."""
+        peers = self._mesh.alive()
+        return self._reach.reached or any(peer.store_reached for peer in peers)
+
     def _forget(self, id: str) -> None:
         """Drop what is known of a job that was swept."""
         self._holder_by_id.pop(id, None)
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -106,6 +106,7 @@
             self.index,
             self.configuration,
             self.mesh,
+            self.reach,
             JobWriter(store, incarnation, settings.row_bytes),
             JobClaimer(store, self.mesh),
             slots,
