Note the new holder of a job that was found held elsewhere

Cause: whoever finds its job held elsewhere stopped its runs but still had itself noted as holder, and at the next look took that for a claim of its own whose answer was lost: it claimed the job at once, without the 1.6 s that a silent holder is given. Two instances that do not hear each other took it from each other in turn.

Change: the holder that the head names is noted.

--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -236,6 +236,8 @@
             holder = "" if job.releasing else self._mesh.incarnation
             listed_before = job.head.listed
             if not await self._writer.write(job, holder):
+                # Else it would look as if a claim of ours had taken effect unnoticed.
+                self._note(job.entry.id, job.head.holder, job.head.listed)
                 break
             if job.head.listed > listed_before or job.releasing:
                 self._told_all(job)
