--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -24,6 +24,7 @@
     RowStore,
     StoredRow,
     Transaction,
+    TransactionError,
     read_whole,
 )
 from caperridge.log import logger
@@ -114,7 +115,7 @@
             return _full(route, self._index)
         nonce = secrets.token_hex(4)
         name = items_object(id, nonce)
-        stored = await self._keep_items(name, job, deadline)
+        stored = await self._keep_items(id, name, job, deadline)
         if stored is not None:
             return stored
         entry = JobEntry(
@@ -136,7 +137,7 @@
         return self._index.waiting_tokens(route.name) + job.tokens <= limit
 
     async def _keep_items(
-        self, name: str, job: JobRequest, deadline: float
+        self, id: str, name: str, job: JobRequest, deadline: float
     ) -> NotAccepted | None:
         """Keep the items; nothing refers to them yet, so repeating does no harm."""
         data = job_to_bytes(job)
@@ -145,6 +146,7 @@
             answer = await self._store.put_object(name, data)
             if not isinstance(answer, Err):
                 return None
+            _log_another_try(id, answer.err_value)
             if not await self._pause(pause_s, deadline):
                 reason = f"the items cannot be kept: {answer.err_value.reason}"
                 return NotAccepted(reason, BUSY_RETRY_AFTER_S)
@@ -177,11 +179,12 @@
                 self._index.take_row(StoredRow(gate, entry.id.encode(), version))
                 return Accepted(entry)
             error = answer.err_value
+            there = error.row(key) if isinstance(error, Refused) else None
+            if there is not None:
+                self._index.take_row(there)
+                return Accepted(entry, again=there.value != own)
+            _log_another_try(entry.id, error)
             if isinstance(error, Refused):
-                there = error.row(key)
-                if there is not None:
-                    self._index.take_row(there)
-                    return Accepted(entry, again=there.value != own)
                 # The gate has moved on, so no earlier try can take effect any more.
                 maybe_done = False
                 await self._refresh()
@@ -218,6 +221,13 @@
         return True
 
 
+def _log_another_try(job: str, error: TransactionError) -> None:
+    """Say why a try did not do: each costs a late answer some of its time."""
+    refused = isinstance(error, Refused)
+    reason = "another job was accepted" if refused else error.reason
+    log.info("job not accepted yet", job=job, reason=reason)
+
+
 def _full(route: Route, index: JobIndex) -> NotAccepted:
     waiting = index.waiting_tokens(route.name)
     reason = f"{waiting} tokens wait on the route"
