--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -162,6 +162,43 @@
     assert len(broker.grant(one, occupancy, 10.0, GRANT_S + 0.03)) == 1
 
 
+@pytest.mark.parametrize(
+    ("online", "items", "due", "granted"),
+    [
+        (3, 0, 30.0, 5),  # few online requests: all that is free
+        (4, 0, 30.0, 3),  # half the slots or more: one stays free
+        (6, 1, 30.0, 0),
+        (7, 0, 30.0, 0),
+        (6, 1, 12.0, 1),  # due before it could run twice
+        (7, 0, 5.0, 0),  # late already, which is no hurry
+        (8, 0, 12.0, 0),
+    ],
+)
+def test_a_slot_stays_free_beside_many_online_requests(
+    broker: SlotBroker,
+    occupancy: Occupancy,
+    online: int,
+    items: int,
+    due: float,
+    granted: int,
+) -> None:
+    broker.wants("peer", {"model": Want(8, due)})
+    occupancy.told("others", "t", Count(online, items))
+    grants = broker.grant([target("t", slots=8)], occupancy, store_now=10.0, now=0.0)
+    assert len(grants) == granted
+
+
+def test_a_crowded_target_keeps_no_slot_of_another_from_items(
+    broker: SlotBroker, occupancy: Occupancy
+) -> None:
+    broker.wants("peer", {"model": Want(8, 30.0)})
+    occupancy.told("others", "crowded", Count(6))
+    occupancy.told("others", "calm", Count(0, 7))
+    both = [target("crowded", slots=8), target("calm", slots=8)]
+    grants = broker.grant(both, occupancy, store_now=10.0, now=0.0)
+    assert sorted(grant.target for grant in grants) == ["calm", "crowded"]
+
+
 def test_a_want_that_was_declined_or_met_gets_no_more(
     broker: SlotBroker, occupancy: Occupancy
 ) -> None:
