Keep a slot free for online requests where they fill half a target

Cause: every slot that an online request left was granted to an item at once, so the next online request met a full target and an item gave way. Ruled out: counts that are old (those that decided are within one or two of what the log gives, but for a few), runs of nobody (one at one of forty), recalls (103 in ten seconds). Change: where online requests fill half a target, one slot of eight stays free, unless the most urgent item is due within 6 s.

--- a/src/caperridge/gateway/jobs/broker.py
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -5,17 +5,28 @@
 hashing on one that grants each target's slots, and each tells how many items it could
 start and when the most urgent one is due. If views differ for a moment, two grant the
 same slot, and an item gives way.
+
+Online requests come and go faster than items. Where they fill much of a target, an item
+in its last slot gives way to the next of them at once: a start, its prompt and a dozen
+messages for nothing. So a slot stays free beside them unless the item is due soon.
 """
 
 from collections.abc import Iterable
 
 from caperridge.decisions.rendezvous import owner
-from caperridge.gateway.occupancy import Occupancy
+from caperridge.gateway.occupancy import Count, Occupancy
 from caperridge.gateway.targets import Target
 from caperridge.records import Record
 
 # A grant that was not used by then was lost or came too late; messages take 2 ms.
 GRANT_S = 0.08
+# Online requests that fill this share of a target's slots keep one of so many free
+# beside them. By a model of 15 targets of 8 slots and 130 requests/s of 0.7 s:
+# items give way 18 times a second instead of 73 and lose 5 in 100 of their time.
+CROWDED_SHARE = 0.5
+SLOTS_TO_A_SPARE = 8
+# An item runs for about 5 s; one that is due sooner than this takes any free slot.
+PRESSING_S = 6.0
 # A target that was said to be full is not granted from for so long.
 FULL_FOR_S = 0.25
 
@@ -56,6 +67,13 @@
         self.until = until
 
 
+def spare_slots(target: Target, count: Count) -> int:
+    """Return how many free slots of ``target`` are kept for online requests."""
+    if count.online < target.slots * CROWDED_SHARE:
+        return 0
+    return target.slots // SLOTS_TO_A_SPARE
+
+
 class Members(Record):
     """Who may grant: instances by availability zone, this one included."""
 
@@ -188,11 +206,17 @@
         granted: list[Grant] = []
         while free_by_id:
             id = max(free_by_id, key=lambda one: free_by_id[one])
-            service = targets_by_id[id].service
+            target = targets_by_id[id]
+            service = target.service
             instance = self._most_urgent(service, store_now)
             if instance is None:
                 del free_by_id[id]
                 continue
+            pressing = self._is_pressing(instance, service, store_now)
+            spare = 0 if pressing else spare_slots(target, occupancy.at(id))
+            if free_by_id[id] <= spare:
+                del free_by_id[id]
+                continue
             grant = Grant(instance, id, service, now + GRANT_S)
             self._grants.append(grant)
             granted.append(grant)
@@ -228,6 +252,11 @@
                 best, best_rank = instance, rank
         return best
 
+    def _is_pressing(self, instance: str, service: str, store_now: float) -> bool:
+        """Whether the most urgent item may come late if it waits for a calm target."""
+        want = self._want(instance, service)
+        return want is not None and 0.0 <= want.due - store_now < PRESSING_S
+
     def _promised_to(self, instance: str, service: str) -> int:
         return sum(
             1
--- a/src/caperridge/gateway/jobs/granting.py
+++ b/src/caperridge/gateway/jobs/granting.py
@@ -11,7 +11,7 @@
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.asking import Opening, split
-from caperridge.gateway.jobs.broker import Members, SlotBroker, Want
+from caperridge.gateway.jobs.broker import Members, SlotBroker, Want, spare_slots
 from caperridge.gateway.jobs.held_job import HeldJob
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
@@ -195,7 +195,8 @@
             granter = granters[target.id]
             if granter is None or not self._fleet.takes_items(target.id, now):
                 continue
-            free = target.slots - self._fleet.occupancy.at(target.id).total
+            count = self._fleet.occupancy.at(target.id)
+            free = target.slots - count.total - spare_slots(target, count)
             near = target.availability_zone == self._mesh.zone
             openings.append(Opening(granter, free, near))
         return openings
