Leave a target alone once another answered at its address

Cause: eight targets crashed while the store was away and came back as other incarnations at the same addresses. Ruled out: ejection (an answer that says not run is no failure of a target), refusals of full targets (every one of these answers had the status of another incarnation). Change: such an answer takes the entry out of use for 4 s, for requests and items. Looked for elsewhere: an item's refusal kept its target from items for 0.5 s only. All of tests/gateway and tests/adapter pass.

--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -130,6 +130,10 @@
     def client_error_not_run(self, status: int, headers: Mapping[str, str]) -> bool:
         """Whether an answer of a target promises that it did not run the request."""
 
+    @abstractmethod
+    def from_another_target(self, status: int) -> bool:
+        """Whether the answer comes from another target than was meant."""
+
 
 def passed_on(headers: CIMultiDict[str], own: frozenset[str]) -> CIMultiDict[str]:
     """Return ``headers`` without those of one connection and without ``own``.
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -19,6 +19,9 @@
 # A target that refuses an item though it looks free knows better; it is not offered
 # another one for so long.
 REFUSED_FOR_S = 0.5
+# Another target answers at its address, so it has ended; only its entry is still there,
+# for 5 s or until the store is back. Long, yet not for good: an answer may be garbled.
+REPLACED_FOR_S = 4.0
 
 
 class Fleet:
@@ -44,6 +47,7 @@
         self._health_by_target: dict[str, Health] = {}
         self._failed_at_by_target: dict[str, float] = {}
         self._refusing_until_by_target: dict[str, float] = {}
+        self._replaced_until_by_target: dict[str, float] = {}
         self._changed: list[Callable[[], None]] = []
 
     def on_change(self, call: Callable[[], None]) -> None:
@@ -79,6 +83,12 @@
         """Note that a target refused an item unrun."""
         self._refusing_until_by_target[id] = now + REFUSED_FOR_S
 
+    def replaced(self, id: str, now: float) -> None:
+        """Note that another target answered at the address of this one."""
+        if self._replaced_until_by_target.get(id, 0.0) <= now:
+            log.info("target replaced", target=id)
+        self._replaced_until_by_target[id] = now + REPLACED_FOR_S
+
     def takes_items(self, id: str, now: float) -> bool:
         """Whether a target is usable and has not refused an item lately."""
         refusing_until = self._refusing_until_by_target.get(id, 0.0)
@@ -127,9 +137,14 @@
         for id in list(self._refusing_until_by_target):
             if id not in self.targets.by_id:
                 del self._refusing_until_by_target[id]
+        for id in list(self._replaced_until_by_target):
+            if id not in self.targets.by_id:
+                del self._replaced_until_by_target[id]
 
     def _is_out(self, target: str, now: float) -> bool:
         if target in self.unreachable:
             return True
+        if self._replaced_until_by_target.get(target, 0.0) > now:
+            return True
         health = self._health_by_target.get(target)
         return health is not None and health.is_out(now)
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -297,6 +297,8 @@
             offer=carriage.offers,
             last_event=carriage.last_event,
         )
+        if isinstance(error, TargetRefused) and error.replaced:
+            self._fleet.replaced(target.id, now)
         if not _certainly_not_run(error) or isinstance(error, NotSent):
             self._fleet.failed(target, error, now)
 
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -163,7 +163,9 @@
         if isinstance(error, TargetRefused) and error.run != NOT_RUN:
             self._failed(job, state, route, error, now)
             return
-        if isinstance(error, TargetRefused):
+        if isinstance(error, TargetRefused) and error.replaced:
+            self._fleet.replaced(target.id, now)
+        elif isinstance(error, TargetRefused):
             self._fleet.refused_item(target.id, now)
         else:
             self._fleet.failed(target, error, now)
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -210,7 +210,10 @@
         names = self._dialect.headers
         if self._dialect.client_error_not_run(answer.status, answer.headers):
             answer.close()
-            return Err(TargetRefused(answer.status, "it has not run it", NOT_RUN))
+            replaced = self._dialect.from_another_target(answer.status)
+            reason = "another target answered" if replaced else "it has not run it"
+            refused = TargetRefused(answer.status, reason, NOT_RUN, replaced=replaced)
+            return Err(refused)
         if answer.headers.get(names.request) != outbound.request:
             answer.close()
             return Err(WrongAnswer("an answer with the id of another request"))
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -127,6 +127,10 @@
         """See :meth:`Dialect.client_error_not_run`."""
         return status == _MISDIRECTED or self.headers.not_run in headers
 
+    def from_another_target(self, status: int) -> bool:
+        """See :meth:`Dialect.from_another_target`."""
+        return status == _MISDIRECTED
+
 
 def _route(fields: dict[str, Any]) -> Route:
     kind = _KINDS[fields["kind"]]
--- a/src/caperridge/targets/outcomes.py
+++ b/src/caperridge/targets/outcomes.py
@@ -20,17 +20,24 @@
         reason: its words.
         run: ``not_run``, ``ran`` or ``unknown``, as far as it said so.
         leaving: it said that it is leaving.
+        replaced: another target answered, so the one that was meant has ended.
     """
 
-    __slots__ = ("leaving", "reason", "run", "status")
+    __slots__ = ("leaving", "reason", "replaced", "run", "status")
 
     def __init__(
-        self, status: int, reason: str, run: str = "unknown", leaving: bool = False
+        self,
+        status: int,
+        reason: str,
+        run: str = "unknown",
+        leaving: bool = False,
+        replaced: bool = False,
     ) -> None:
         self.status = status
         self.reason = reason
         self.run = run
         self.leaving = leaving
+        self.replaced = replaced
 
     @property
     def permanent(self) -> bool:
