Spend no turn of the loop on telling counts that peers told

A flush is a turn of the loop of its own, so they were 4,086 of 13,848 polls. Ruled out: that the keeper wakes as often (234 runs in the same time). Change: a flush is scheduled only when own counts have changed.

--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -101,8 +101,12 @@
             self._mesh.send_near(beat)
 
     def counts_changed(self) -> None:
-        """Tell the counts that changed at the end of this turn of the loop."""
-        if not self._flushing:
+        """Tell the own counts that changed at the end of this turn of the loop.
+
+        Most changes are peers' word, of which there is nothing to tell; a turn of the
+        loop for each of them was a third of all turns in a fleet of sixty.
+        """
+        if not self._flushing and self._fleet.occupancy.has_changed:
             self._flushing = True
             asyncio.get_running_loop().call_soon(self._flush)
 
--- a/src/caperridge/gateway/occupancy.py
+++ b/src/caperridge/gateway/occupancy.py
@@ -104,6 +104,11 @@
                 found[instance] = count
         return found
 
+    @property
+    def has_changed(self) -> bool:
+        """Whether own counts changed since they were last taken."""
+        return bool(self._changed)
+
     def take_changed(self) -> set[str]:
         """Return the targets whose own counts changed since the last call."""
         changed, self._changed = self._changed, set()
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -4,7 +4,12 @@
 
 import pytest_asyncio
 
-from caperridge.gateway.mesh.messages import Heartbeat, TableAsk, TableWhole
+from caperridge.gateway.mesh.messages import (
+    Counts,
+    Heartbeat,
+    TableAsk,
+    TableWhole,
+)
 from caperridge.gateway.news import ASK_AGAIN_S, PEER_PATIENCE_S
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import World, until
@@ -80,3 +85,17 @@
     instance.news._heartbeat(PEERS[1], beat(newer + 1))
     instance.news._table_whole(PEERS[0], TableWhole(TABLE, newer, []))
     assert asks == [PEERS[0], PEERS[1]]
+
+
+async def test_what_a_peer_counts_is_not_told_on(instance: GatewayInstance) -> None:
+    """Not even a turn of the loop is spent on it."""
+    flushed: list[None] = []
+    instance.news._flush = lambda: flushed.append(None)
+    instance.news._counts(PEERS[0], Counts([["i-0", 1, 0, 0.0]]))
+    await asyncio.sleep(0)
+    assert instance.fleet.occupancy.at("i-0").online == 1
+    assert flushed == []
+    instance.fleet.occupancy.add("i-0", online=1)
+    instance.fleet.changed()
+    await asyncio.sleep(0)
+    assert flushed == [None]
