Leave a table that is watched now and then to the store while that answers

Ruled out: to tell no news of the index at all; an instance that the store turns away would hear of jobs only by heartbeats. Change: such a table is asked for only after its spacing and 0.3 s, and as before while the store does not answer.

--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -22,6 +22,8 @@
 # What changed is told at once, so every third beat tells all; between them near peers
 # that were told nothing lately hear that this instance lives, and far ones nothing.
 WHOLE_BEATS = 3
+# The store answers a watch that has news within 25 ms; slow days take ten times that.
+SLOW_WATCH_S = 0.3
 # A peer answers within some milliseconds, or it is slow or gone.
 ASK_AGAIN_S = 0.1
 
@@ -209,7 +211,7 @@
                 behind.version = version
                 behind.peer = peer
             return
-        timer = self._ask_in(PEER_PATIENCE_S, table)
+        timer = self._ask_in(self._patience_s(table), table)
         self._behind_by_table[table] = Behind(version, peer, timer)
 
     def _reaches(self, table: str, version: int) -> bool:
@@ -221,6 +223,16 @@
         copy = self.copy_of(table)
         return version <= max(copy.version, copy.read_version)
 
+    def _patience_s(self, table: str) -> float:
+        """Return how long the store has to tell what a peer knows already.
+
+        A table that is watched now and then only is behind most of the time.
+        """
+        spacing_s = self._watchers_by_table[table].spacing_s
+        if not spacing_s or not self._reach.reached:
+            return PEER_PATIENCE_S
+        return spacing_s + SLOW_WATCH_S
+
     def _ask_in(self, delay_s: float, table: str) -> asyncio.TimerHandle:
         loop = asyncio.get_running_loop()
         return loop.call_later(delay_s, self._ask_if_behind, table)
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -11,7 +11,7 @@
     TableWhole,
 )
 from caperridge.gateway.news import ASK_AGAIN_S, PEER_PATIENCE_S
-from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.process import INDEX_SPACING_S, GatewayInstance
 from gateway.conftest import World, until
 
 TABLE = "servers"
@@ -87,6 +87,31 @@
     assert asks == [PEERS[0], PEERS[1]]
 
 
+async def test_a_table_that_is_watched_now_and_then_is_left_to_the_store(
+    instance: GatewayInstance,
+) -> None:
+    asks = Asks()
+    instance.mesh.send = asks.note
+    index = instance.index.copy
+    newer = Heartbeat([], {index.table: index.read_version + 100})
+    instance.news._heartbeat(PEERS[0], newer)
+    await asyncio.sleep(INDEX_SPACING_S)
+    assert asks == []
+    await until(lambda: asks)
+
+
+async def test_without_the_store_any_table_is_asked_for_soon(
+    instance: GatewayInstance,
+) -> None:
+    asks = Asks()
+    instance.mesh.send = asks.note
+    instance.reach.failed("it is away")
+    index = instance.index.copy
+    newer = Heartbeat([], {index.table: index.read_version + 100})
+    instance.news._heartbeat(PEERS[0], newer)
+    await until(lambda: asks, INDEX_SPACING_S)
+
+
 async def test_what_a_peer_counts_is_not_told_on(instance: GatewayInstance) -> None:
     """Not even a turn of the loop is spent on it."""
     flushed: list[None] = []
