--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -100,6 +100,8 @@
         self._streams: set[InStream] = set()
         self._alive_key = -1
         self._alive: list[Member] = []
+        self._near_key: tuple[int, bool] | None = None
+        self._near: list[Member] = []
         self._alive_incarnations: frozenset[str] = frozenset()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
@@ -186,17 +188,22 @@
 
     def send_near(self, message: Record) -> None:
         """Queue ``message`` for the peers that are told everything at once."""
-        self._send_to((m for m in self._members() if self.is_near(m)), message)
+        self._send_to(self._near_members(), message)
+
+    def _near_members(self) -> list[Member]:
+        key = self.changes, self.large
+        if key != self._near_key:
+            self._near_key = key
+            self._near = [m for m in self._members() if self.is_near(m)]
+        return self._near
 
     def send_quiet(self, message: Record) -> None:
         """Queue ``message`` for the near peers that were told nothing lately."""
         before = asyncio.get_running_loop().time() - RECENT_S
         data = encode(message)
-        for member in self._members():
+        for member in self._near_members():
             stream = self._streams_by_address.get(member.address)
-            if stream is None or not stream.connected or stream.sent_at > before:
-                continue
-            if self.is_near(member):
+            if stream is not None and stream.sent_at <= before:
                 stream.send(data)
 
     def send_zone(self, zone: str, message: Record) -> None:
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -10,7 +10,6 @@
 import inspect
 import socket
 from collections.abc import Callable
-from typing import Any
 
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
 from caperridge.peers.framing import FrameError, FrameSplitter, MessageError, frame
@@ -61,9 +60,8 @@
     kind = KINDS_BY_NAME.get(name)
     if kind is None:
         return None
-    named: dict[str, Any] = dict(zip(_fields(kind), fields, strict=False))
     try:
-        return kind(**named)
+        return kind(*fields[: len(_fields(kind))])
     except TypeError as error:
         raise MessageError(f"{name}: {error}") from error
 
