--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -12,8 +12,12 @@
 
 log = logger(__name__)
 
-# Peers beat every 0.4 s; three in a row are lost only when something is wrong.
-SILENCE_S = 1.4
+# A near peer that is told nothing else hears every 0.6 s that this one lives, so it
+# hears something at least every 0.7 s; two in a row are lost only when something is
+# wrong.
+SILENCE_S = 1.5
+# Who was told something so lately needs no sign of life.
+RECENT_S = 0.1
 # Up to so many peers all are told everything at once. Beyond, those of other
 # availability zones are told less often, so that what an instance sends and hears
 # grows with its zone and not with the whole system.
@@ -89,6 +93,8 @@
         self.members_by_id: dict[str, Member] = {}
         # Counts what changes who is heard from, who leaves and who is where.
         self.changes = 0
+        # Counts the connections that were made to peers, which know nothing yet.
+        self.connections = 0
         self._seeds = [seed for seed in seeds if seed != address]
         self._streams_by_address: dict[str, OutStream] = {}
         self._dialers_by_address: dict[str, asyncio.Task[None]] = {}
@@ -99,6 +105,8 @@
         self._streams: set[InStream] = set()
         self._alive_key = -1
         self._alive: list[Member] = []
+        self._near_key: tuple[int, bool] | None = None
+        self._near: list[Member] = []
         self._alive_incarnations: frozenset[str] = frozenset()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
@@ -185,7 +193,23 @@
 
     def send_near(self, message: Record) -> None:
         """Queue ``message`` for the peers that are told everything at once."""
-        self._send_to((m for m in self._members() if self.is_near(m)), message)
+        self._send_to(self._near_members(), message)
+
+    def _near_members(self) -> list[Member]:
+        key = self.changes, self.large
+        if key != self._near_key:
+            self._near_key = key
+            self._near = [m for m in self._members() if self.is_near(m)]
+        return self._near
+
+    def send_quiet(self, message: Record) -> None:
+        """Queue ``message`` for the near peers that were told nothing lately."""
+        before = asyncio.get_running_loop().time() - RECENT_S
+        data = encode(message)
+        for member in self._near_members():
+            stream = self._streams_by_address.get(member.address)
+            if stream is not None and stream.sent_at <= before:
+                stream.send(data)
 
     def send_zone(self, zone: str, message: Record) -> None:
         """Queue ``message`` for the peers of one availability zone."""
@@ -231,7 +255,8 @@
                 self._hang_up(member.address)
 
     def hello(self) -> Hello:
-        """Return what this instance says first."""
+        """Return what this instance says first on a connection that was made."""
+        self.connections += 1
         known = self.members_by_id.values()
         return Hello(
             self.instance,
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -9,7 +9,6 @@
 import functools
 import inspect
 from collections.abc import Callable
-from typing import Any
 
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
 from caperridge.gateway.silent_sockets import end_when_silent
@@ -18,9 +17,9 @@
 
 CONNECT_S = 0.5
 # What a peer's system did not acknowledge for so long went into a silent connection.
-# Near peers get a heartbeat every 0.4 s and are lost after 1.4 s; a stream that fell
+# Near peers hear something every 0.7 s and are lost after 1.5 s; a stream that fell
 # silent is replaced before. Systems acknowledge at once, also for slow processes.
-UNACKNOWLEDGED_MS = 800
+UNACKNOWLEDGED_MS = 600
 # What may wait for a peer that does not read, before another message is taken; one may
 # be as large as an object of the store. Beyond, messages are dropped; a peer that lags
 # so far hears the whole state from the next heartbeat it reads. Sixty peers of a zone
@@ -50,9 +49,8 @@
     kind = KINDS_BY_NAME.get(name)
     if kind is None:
         return None
-    named: dict[str, Any] = dict(zip(_fields(kind), fields, strict=False))
     try:
-        return kind(**named)
+        return kind(*fields[: len(_fields(kind))])
     except TypeError as error:
         raise MessageError(f"{name}: {error}") from error
 
@@ -76,9 +74,11 @@
         self.connected = False
         self.opened_at = 0.0  # of the connection that there is, on the loop's clock
         self.dropped = 0
+        self.sent_at = float("-inf")  # by the loop's clock
         self._hello = hello
         self._transport: asyncio.Transport | None = None
         self._ended = asyncio.Event()
+        self._time = asyncio.get_running_loop().time
 
     def send(self, data: bytes) -> bool:
         """Send one frame; False, and counted, if there is no room or connection."""
@@ -89,6 +89,7 @@
             self.dropped += 1
             return False
         transport.write(data)
+        self.sent_at = self._time()
         return True
 
     async def run_once(self) -> None:
