Begin each connection to a peer with all counts

The beat after a new connection went to near peers only. Ruled out: telling all when a peer appears; the own connection to it need not be there yet. Change: what a whole heartbeat says follows the hello on each connection. The test is replaced by two that stop heartbeats altogether, also for a connection made again.

--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -88,14 +88,13 @@
         self.members_by_id: dict[str, Member] = {}
         # Counts what changes who is heard from, who leaves and who is where.
         self.changes = 0
-        # Counts the connections that were made to peers, which know nothing yet.
-        self.connections = 0
         self._seeds = [seed for seed in seeds if seed != address]
         self._streams_by_address: dict[str, OutStream] = {}
         self._dialers_by_address: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_kind: dict[type[Record], Handler] = {}
         self._appeared: list[Callable[[Member], None]] = []
         self._lost: list[Callable[[Member], None]] = []
+        self._said_first: list[Callable[[], Record]] = []
         self._server: asyncio.Server | None = None
         self._streams: set[InStream] = set()
         self._alive_key = -1
@@ -116,6 +115,10 @@
         """Have ``call`` called when a member is not heard from any more."""
         self._lost.append(call)
 
+    def say_first(self, call: Callable[[], Record]) -> None:
+        """Have what ``call`` returns sent on each connection that is made to a peer."""
+        self._said_first.append(call)
+
     async def start(self) -> None:
         """Listen, and connect to the seeds."""
         host, _, port = self.address.rpartition(":")
@@ -249,8 +252,7 @@
                 self._hang_up(member.address)
 
     def hello(self) -> Hello:
-        """Return what this instance says first on a connection that was made."""
-        self.connections += 1
+        """Return what this instance says first."""
         members = [[m.id, m.address, m.zone] for m in self.members_by_id.values()]
         return Hello(self.instance, self.incarnation, self.zone, self.address, members)
 
@@ -267,11 +269,23 @@
     def _dial(self, address: str) -> None:
         if address == self.address or address in self._dialers_by_address:
             return
-        stream = OutStream(address, self.hello)
+        stream = OutStream(address, lambda: self._greeting(address))
         self._streams_by_address[address] = stream
         task = asyncio.get_running_loop().create_task(self._keep(stream))
         self._dialers_by_address[address] = task
 
+    def _greeting(self, address: str) -> Hello:
+        asyncio.get_running_loop().call_soon(self._connected, address)
+        return self.hello()
+
+    def _connected(self, address: str) -> None:
+        """Say what comes after the hello."""
+        stream = self._streams_by_address.get(address)
+        if stream is None:
+            return
+        for call in self._said_first:
+            stream.send(encode(call()))
+
     def _hang_up(self, address: str) -> None:
         self._streams_by_address.pop(address, None)
         task = self._dialers_by_address.pop(address, None)
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -90,6 +90,7 @@
         mesh.register(TableAsk, self._table_ask)
         mesh.register(TableWhole, self._table_whole)
         mesh.on_appear(self._appeared)
+        mesh.say_first(self._whole)
 
     def beat(self) -> None:
         """Tell that this instance lives, and now and then all it has to tell."""
@@ -106,9 +107,8 @@
             self._mesh.send_all(whole)
 
     def _state(self) -> tuple[Any, ...]:
-        """Return what is told in heartbeats only, or has to be told anew."""
+        """Return what is told in heartbeats only."""
         return (
-            self._mesh.connections,
             self._reach.reached,
             self.leaving,
             [self.copy_of(table).version for table in self._urgent_tables],
@@ -126,7 +126,7 @@
         return Heartbeat(counts, versions, self.leaving, self._reach.reached)
 
     def _appeared(self, member: Member) -> None:
-        """Tell all to a peer that knows nothing of this instance yet."""
+        """Tell all to a peer that was away and has dropped what it knew."""
         self._mesh.send(member.id, self._whole())
 
     def counts_changed(self) -> None:
--- a/tests/gateway/test_many_peers.py
+++ b/tests/gateway/test_many_peers.py
@@ -64,7 +64,7 @@
     assert heard[Alive] <= 1  # the loop may have been late once
 
 
-async def test_a_peer_that_knows_nothing_hears_all_counts_at_once(
+async def test_who_connects_hears_all_counts_without_waiting_for_a_heartbeat(
     world: World, many_peers: None
 ) -> None:
     await world.add_runner(zone="a")
@@ -72,9 +72,48 @@
     await world.ready()
     telling.fleet.occupancy.add("i-0", online=2)
     telling.fleet.changed()
+    telling.news.beat = lambda: None
     hearing = await world.add_instance(zone="b")
     own = telling.settings.instance
-    await until(lambda: hearing.fleet.occupancy.of(own, "i-0").online == 2, BEAT_S * 2)
+    await until(lambda: hearing.fleet.occupancy.of(own, "i-0").online == 2)
+
+
+async def test_a_connection_that_is_made_again_begins_with_all_counts(
+    world: World, many_peers: None
+) -> None:
+    await world.add_runner(zone="a")
+    telling = await world.add_instance(zone="a")
+    hearing = await world.add_instance(zone="b")
+    await world.ready()
+    telling.news.beat = lambda: None
+    telling.fleet.occupancy.add("i-0", online=2)
+    telling.fleet.occupancy.take_changed()
+    for stream in list(hearing.mesh._streams):
+        stream.close()
+    own = telling.settings.instance
+    await until(lambda: hearing.fleet.occupancy.of(own, "i-0").online == 2)
+
+
+@pytest.mark.parametrize(
+    ("zone", "silent_s", "lost"),
+    [
+        ("a", BEAT_S + mesh.RECENT_S, False),
+        ("a", 2 * BEAT_S + mesh.RECENT_S, False),
+        ("a", mesh.SILENCE_S + 0.01, True),
+        ("b", 2 * WHOLE_BEATS * BEAT_S, False),
+        ("b", mesh.FAR_SILENCE_S + 0.01, True),
+    ],
+)
+async def test_a_peer_is_lost_after_more_than_two_signs_of_life_stayed_out(
+    world: World, many_peers: None, zone: str, silent_s: float, lost: bool
+) -> None:
+    instance = await world.add_instance(zone="a")
+    peer = await world.add_instance(zone=zone)
+    await world.ready()
+    member = instance.mesh.members_by_id[peer.settings.instance]
+    member.heard_at = asyncio.get_running_loop().time() - silent_s
+    instance.mesh.check()
+    assert (member.lost_at is not None) == lost
 
 
 async def test_that_an_instance_leaves_is_heard_everywhere_at_once(
