--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -10,7 +10,6 @@
 from caperridge.findings import FindingsError
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.settings import Settings, load
-from caperridge.gateway.sparing_selector import SparingSelector
 from caperridge.log_stream import BoundedStream
 from caperridge.platform.dialect import PlatformDialect
 from caperridge.platform.store import HttpRowStore
@@ -27,12 +26,7 @@
     except FindingsError as error:
         sys.exit(f"caperridge: {error}")
     log.setup(settings.log_level, BoundedStream(sys.stdout.fileno()))
-    with asyncio.Runner(loop_factory=_loop) as runner:
-        runner.run(_serve(settings, Path(path)))
-
-
-def _loop() -> asyncio.AbstractEventLoop:
-    return asyncio.SelectorEventLoop(SparingSelector())
+    asyncio.run(_serve(settings, Path(path)))
 
 
 def _reload(instance: GatewayInstance, path: Path) -> None:
