--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -12,8 +12,12 @@
 
 log = logger(__name__)
 
-# Peers beat every 0.4 s; three in a row are lost only when something is wrong.
-SILENCE_S = 1.4
+# A near peer that is told nothing else hears every 0.6 s that this one lives, so it
+# hears something at least every 0.7 s; two in a row are lost only when something is
+# wrong.
+SILENCE_S = 1.5
+# Who was told something so lately needs no sign of life.
+RECENT_S = 0.1
 # Up to so many peers all are told everything at once. Beyond, those of other
 # availability zones are told less often, so that what an instance sends and hears
 # grows with its zone and not with the whole system.
@@ -23,6 +27,11 @@
 # from each instance that had it from the store.
 NEWS_PEERS = 5
 REDIAL_S = 0.3
+# A stream may be silent though what is sent into it is acknowledged on its way, so one
+# that is older is opened anew while its peer is silent, or says that it hears nothing.
+# Twice the silence after which a near peer is lost: one that stands still gets a
+# connection from each peer so often.
+RENEW_S = 3.0
 # An instance that nobody lists and that was not heard from for so long is forgotten.
 FORGET_S = 30.0
 
@@ -90,10 +99,13 @@
         self._handlers_by_kind: dict[type[Record], Handler] = {}
         self._appeared: list[Callable[[Member], None]] = []
         self._lost: list[Callable[[Member], None]] = []
+        self._said_first: list[Callable[[], Record]] = []
         self._server: asyncio.Server | None = None
         self._streams: set[InStream] = set()
         self._alive_key = -1
         self._alive: list[Member] = []
+        self._near_key: tuple[int, bool] | None = None
+        self._near: list[Member] = []
         self._alive_incarnations: frozenset[str] = frozenset()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
@@ -108,6 +120,10 @@
         """Have ``call`` called when a member is not heard from any more."""
         self._lost.append(call)
 
+    def say_first(self, call: Callable[[], Record]) -> None:
+        """Have what ``call`` returns sent on each connection that is made to a peer."""
+        self._said_first.append(call)
+
     async def start(self) -> None:
         """Listen, and connect to the seeds."""
         host, _, port = self.address.rpartition(":")
@@ -180,7 +196,23 @@
 
     def send_near(self, message: Record) -> None:
         """Queue ``message`` for the peers that are told everything at once."""
-        self._send_to((m for m in self._members() if self.is_near(m)), message)
+        self._send_to(self._near_members(), message)
+
+    def _near_members(self) -> list[Member]:
+        key = self.changes, self.large
+        if key != self._near_key:
+            self._near_key = key
+            self._near = [m for m in self._members() if self.is_near(m)]
+        return self._near
+
+    def send_quiet(self, message: Record) -> None:
+        """Queue ``message`` for the near peers that were told nothing lately."""
+        before = asyncio.get_running_loop().time() - RECENT_S
+        data = encode(message)
+        for member in self._near_members():
+            stream = self._streams_by_address.get(member.address)
+            if stream is not None and stream.sent_at <= before:
+                stream.send(data)
 
     def send_zone(self, zone: str, message: Record) -> None:
         """Queue ``message`` for the peers of one availability zone."""
@@ -219,15 +251,23 @@
                 self._lose(member, "it is silent")
             if member.lost_at is None:
                 continue
+            self._renew(member)
             if now - max(member.lost_at, member.listed_at) > FORGET_S:
                 del self.members_by_id[member.id]
                 self.changes += 1
                 self._hang_up(member.address)
 
     def hello(self) -> Hello:
-        """Return what this instance says first."""
-        members = [[m.id, m.address, m.zone] for m in self.members_by_id.values()]
-        return Hello(self.instance, self.incarnation, self.zone, self.address, members)
+        """Return what this instance says first on a connection."""
+        known = self.members_by_id.values()
+        return Hello(
+            self.instance,
+            self.incarnation,
+            self.zone,
+            self.address,
+            members=[[one.id, one.address, one.zone] for one in known],
+            unheard=[one.id for one in known if one.lost_at is not None],
+        )
 
     def _members(self) -> Iterable[Member]:
         return self.members_by_id.values()
@@ -242,11 +282,32 @@
     def _dial(self, address: str) -> None:
         if address == self.address or address in self._dialers_by_address:
             return
-        stream = OutStream(address, self.hello)
+        stream = OutStream(address, lambda: self._greeting(address))
         self._streams_by_address[address] = stream
         task = asyncio.get_running_loop().create_task(self._keep(stream))
         self._dialers_by_address[address] = task
 
+    def _renew(self, member: Member) -> None:
+        """End the stream to a member, for another to be opened, if it is not new."""
+        stream = self._streams_by_address.get(member.address)
+        if stream is None or not stream.connected:
+            return
+        if asyncio.get_running_loop().time() - stream.opened_at > RENEW_S:
+            log.info("stream opened anew", peer=member.id)
+            stream.end()
+
+    def _greeting(self, address: str) -> Hello:
+        asyncio.get_running_loop().call_soon(self._connected, address)
+        return self.hello()
+
+    def _connected(self, address: str) -> None:
+        """Say what comes after the hello."""
+        stream = self._streams_by_address.get(address)
+        if stream is None:
+            return
+        for call in self._said_first:
+            stream.send(encode(call()))
+
     def _hang_up(self, address: str) -> None:
         self._streams_by_address.pop(address, None)
         task = self._dialers_by_address.pop(address, None)
@@ -254,10 +315,13 @@
             task.cancel()
 
     async def _keep(self, stream: OutStream) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            began = loop.time()
             with contextlib.suppress(OSError, TimeoutError):
                 await stream.run_once()
-            await asyncio.sleep(REDIAL_S)
+            if loop.time() - began < RENEW_S:
+                await asyncio.sleep(REDIAL_S)
 
     def _hears(self, stream: InStream, message: Record | None) -> None:
         """Take a message; the first on a stream says who speaks."""
@@ -269,11 +333,18 @@
             stream.incarnation = message.incarnation
             self._streams.add(stream)
             self._greeted(message)
+            self._close_earlier(stream)
             return
         member = self.members_by_id.get(stream.instance)
         if member is not None and member.incarnation == stream.incarnation:
             self._heard(member, message)
 
+    def _close_earlier(self, stream: InStream) -> None:
+        """Close what the speaker of ``stream`` has given up; it may be silent here."""
+        for other in list(self._streams):
+            if other is not stream and other.instance == stream.instance:
+                other.close()
+
     def _stream_ended(self, stream: InStream, reason: str) -> None:
         self._streams.discard(stream)
         member = self.members_by_id.get(stream.instance)
@@ -298,6 +369,8 @@
         self.changes += 1
         for id, address, zone in hello.members:
             self.learn(id, address, zone)
+        if self.instance in hello.unheard:
+            self._renew(member)
         self._heard(member, None)
 
     def _heard(self, member: Member, message: Record | None) -> None:
