Show that a stop cuts calls of jobs that wait for the store

Cause: only the pauses between two calls of the store look at the end of a stop, not those calls, nor a read that is held; and what began before SIGTERM keeps its own time. The test counts nine calls, one of them a held read; the stop cuts all nine.

--- /dev/null
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -0,0 +1,60 @@
+"""Whatever was read before or in a planned stop has its answer before the end of it."""
+
+import asyncio
+
+import pytest
+
+from gateway.conftest import World, until
+
+# Longer than any stop of these tests.
+LONG_MS = 20_000
+
+
+async def hang(*_: object, **__: object) -> None:
+    """Take the place of a call that gets no answer in the time of a stop."""
+    await asyncio.Event().wait()
+
+
+async def test_every_job_call_is_answered_though_the_store_is_silent(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stop brings forward the end of what it finds and of what it still takes.
+
+    Found by reading every way in which a call can end: only the pauses between two
+    calls of the store looked at the end of the stop, not those calls, nor a read that
+    is held; and what had begun before SIGTERM kept its own time.
+
+    Proved by: the stop below counts all of these calls as cut.
+    """
+    runner = await world.add_runner()
+    runner.silent_after = 0
+    instance = await world.add_instance()
+    await world.ready()
+    assert (await world.submit(instance, "before", ["i0"])).status == 202
+
+    def call_all(job: str) -> list[asyncio.Future]:
+        calls = [
+            world.submit(instance, job, ["i1"]),
+            world.results(instance, "unknown"),
+            world.call(instance, "GET", "/items/before?id=i0"),
+            world.call(instance, "DELETE", "/lots/before"),
+        ]
+        return [asyncio.ensure_future(call) for call in calls]
+
+    held = asyncio.ensure_future(world.results(instance, "before", 0, LONG_MS))
+    await until(lambda: instance.edge.running == 1)
+    store = world.store_of(instance)
+    for name in ("read", "transact", "put_object", "get_object"):
+        monkeypatch.setattr(store, name, hang)
+    calls = call_all("one")
+    await until(lambda: instance.edge.running == 1 + len(calls))
+    stopping = asyncio.ensure_future(instance.stop(3.0))
+    await until(lambda: instance.edge.closing)
+    calls += call_all("two")
+    await until(lambda: instance.edge.running == 1 + len(calls))
+    assert await stopping == 0
+    for call in calls:
+        assert (await call).status in (503, 504)
+    answer = await held
+    assert answer.status == 200
+    assert b'"results":[]' in answer.body
