Bring the end of every call of jobs forward in a stop

Cause: a stop told its end only to calls that came after it, and these looked at it only between two calls of the store. Now the times of all answers are kept in one place; a stop shortens those that run, and whatever the call waits for ends by then.

--- /dev/null
+++ b/src/caperridge/gateway/answer_limits.py
@@ -0,0 +1,45 @@
+"""Until when answers may take: each has its own time, and a stop ends them all."""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import AsyncIterator
+
+
+class AnswerLimits:
+    """Limits of what is being answered now, and of what will be.
+
+    Attributes:
+        until: when the last answer must have been given, on the loop's clock.
+    """
+
+    def __init__(self) -> None:
+        self.until = math.inf
+        self._running: set[asyncio.Timeout] = set()
+
+    @contextlib.asynccontextmanager
+    async def within(self, deadline: float = math.inf) -> AsyncIterator[None]:
+        """End the block with :class:`TimeoutError` when its time is over.
+
+        Args:
+            deadline: its own, on the loop's clock.
+        """
+        async with asyncio.timeout(None) as limit:
+            limit.reschedule(_when(min(deadline, self.until)))
+            self._running.add(limit)
+            try:
+                yield
+            finally:
+                self._running.discard(limit)
+
+    def end_by(self, until: float) -> None:
+        """Bring forward whatever would end later, also what has begun already."""
+        self.until = until
+        for limit in self._running:
+            when = limit.when()
+            if when is None or when > until:
+                limit.reschedule(until)
+
+
+def _when(deadline: float) -> float | None:
+    return None if math.isinf(deadline) else deadline
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import DecodeError, Dialect
 from caperridge.gateway.forwarding import Forwarder
@@ -56,6 +57,7 @@
         jobs: for jobs and reads.
         dialect: names of headers and paths.
         metrics: counted into.
+        limits: of answers.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         jobs: JobsEdge,
         dialect: Dialect,
         metrics: GatewayMetrics,
+        limits: AnswerLimits,
     ) -> None:
         self._configuration = configuration
         self._forwarder = forwarder
@@ -72,7 +75,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self.closing = False
-        self._answers_until = float("inf")
+        self._limits = limits
         self._running_by_number: dict[int, RunningRequest] = {}
         self._numbers = itertools.count()
         self._last_arrival = 0.0
@@ -94,15 +97,14 @@
             )
 
     def leave(self, answers_until: float) -> None:
-        """Have callers go elsewhere, and answer what they still send in time.
+        """Have callers go elsewhere, and answer what they sent and still send in time.
 
         Args:
             answers_until: when the last answer must have been given, on the loop's
                 clock.
         """
         self.closing = True
-        self._answers_until = answers_until
-        self._jobs.answers_until = answers_until
+        self._limits.end_by(answers_until)
 
     async def quiet(self, from_time: float, until: float) -> None:
         """Wait until callers have stopped sending, ``from_time`` at the earliest.
@@ -182,7 +184,7 @@
             body=body,
             route=route,
             arrived=arrived,
-            deadline=min(arrived + within_s, self._answers_until),
+            deadline=min(arrived + within_s, self._limits.until),
             resume_after=int(resume) if resume.isdigit() else 0,
         )
         reply = AiohttpReply(request, lambda: self.closing)
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.jobs.acceptance import (
     AcceptanceUnknown,
     Accepted,
@@ -85,6 +86,7 @@
         acceptance: of new ones.
         keeper: of those held here.
         metrics: counted into.
+        limits: of answers.
     """
 
     def __init__(
@@ -94,22 +96,26 @@
         acceptance: JobAcceptance,
         keeper: JobKeeper,
         metrics: GatewayMetrics,
+        limits: AnswerLimits,
     ) -> None:
-        # Calls get an answer by then, on the loop's clock.
-        self.answers_until = float("inf")
         self._store = store
         self._index = index
         self._acceptance = acceptance
         self._keeper = keeper
         self._metrics = metrics
+        self._limits = limits
         self._jobs_by_object: OrderedDict[str, JobRequest] = OrderedDict()
 
     async def accept(
         self, route: Route, host: str, id: str, job: JobRequest, arrived: float
     ) -> JobAnswer:
         """Keep a job for good and begin to work on it."""
-        deadline = min(arrived + ACCEPT_S, self.answers_until)
-        outcome = await self._acceptance.accept(route, host, id, job, deadline)
+        deadline = min(arrived + ACCEPT_S, self._limits.until)
+        try:
+            async with self._limits.within():
+                outcome = await self._acceptance.accept(route, host, id, job, deadline)
+        except TimeoutError:
+            outcome = AcceptanceUnknown("the instance stops")
         loop = asyncio.get_running_loop()
         log.info(
             "job sent",
@@ -133,6 +139,13 @@
 
     async def results(self, id: str, first: int, wait_s: float) -> JobAnswer:
         """Return the results from position ``first`` on; wait for one if asked to."""
+        try:
+            async with self._limits.within():
+                return await self._results(id, first, wait_s)
+        except TimeoutError:
+            return NOT_SURE
+
+    async def _results(self, id: str, first: int, wait_s: float) -> JobAnswer:
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_s
         while True:
@@ -143,7 +156,8 @@
             found = await self._listed(entry, first)
             if found is None:
                 return NOT_SURE
-            left_s = until - loop.time()
+            # A stop ends the wait a look earlier than the answer is due.
+            left_s = min(until, self._limits.until - LOOK_S) - loop.time()
             if found or left_s <= 0 or not entry.open:
                 page = ResultsPage(entry.total, first, found)
                 return JobAnswer(200, page=page)
@@ -156,6 +170,13 @@
 
     async def body(self, id: str, item: str) -> JobAnswer:
         """Return the body of an item."""
+        try:
+            async with self._limits.within():
+                return await self._body(id, item)
+        except TimeoutError:
+            return NOT_SURE
+
+    async def _body(self, id: str, item: str) -> JobAnswer:
         entry = await self._entry(id)
         if isinstance(entry, JobAnswer):
             return entry
@@ -169,8 +190,15 @@
 
     async def cancel(self, id: str) -> JobAnswer:
         """End a job; what is listed stays."""
+        try:
+            async with self._limits.within():
+                return await self._cancel(id)
+        except TimeoutError:
+            return JobAnswer(504, "the instance stops")
+
+    async def _cancel(self, id: str) -> JobAnswer:
         loop = asyncio.get_running_loop()
-        deadline = min(loop.time() + CANCEL_S, self.answers_until)
+        deadline = loop.time() + CANCEL_S
         entry = await self._entry(id)
         if isinstance(entry, JobAnswer):
             return entry
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import DecodeError, Dialect
@@ -116,9 +117,14 @@
             self.fleet, self.client, dialect, self.mesh, self.granting.granted_here
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
-        jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
+        limits = AnswerLimits()
+        jobs = JobsEdge(
+            store, self.index, acceptance, self.keeper, self.metrics, limits
+        )
         forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
-        self.edge = Edge(self.configuration, forwarder, jobs, dialect, self.metrics)
+        self.edge = Edge(
+            self.configuration, forwarder, jobs, dialect, self.metrics, limits
+        )
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
