--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gateway.conftest import World, until
+from gateway.conftest import HOST, World, until
 
 # Longer than any stop of these tests.
 LONG_MS = 20_000
@@ -70,3 +70,29 @@
     answer = await reading
     assert answer.status == 200
     assert b'"results":[]' in answer.body
+
+
+async def test_requests_taken_before_a_stop_are_answered_before_its_end(
+    world: World,
+) -> None:
+    """Their targets, and their callers, may be silent for longer than is left.
+
+    Found with the calls of jobs: only what came after SIGTERM had its time shortened.
+
+    Proved by: the stop below counts both as cut, and neither caller gets a status.
+    """
+    runner = await world.add_runner()
+    runner.silent_after = 0
+    instance = await world.add_instance()
+    await world.ready()
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    host, _, port = instance.settings.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r2\r\n"
+    writer.write(f"{head}Content-Length: 8\r\n\r\nhalf".encode())
+    await until(lambda: instance.edge.running == 2)
+    assert await instance.stop(3.0) == 0
+    assert (await asking).status == 504
+    assert b" 503 " in await reader.readline()  # it has not run, and will not
+    writer.close()
