Bring the end of every request forward in a stop, and of its body's coming

Cause: as with calls of jobs. The time of a request, and the wait for its body, are limits that a stop shortens too; a body that does not come is refused as not run.

A request at a silent target and half a body: both cut before, none after (504, 503).

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -164,7 +164,12 @@
                 version=table.version,
             )
             return self._refuse(request, 404, "no route takes it")
-        body = await request.read()
+        try:
+            async with self._limits.within():
+                body = await request.read()
+        except TimeoutError:
+            # Nobody has seen it, so its caller may send it to another instance.
+            return self._refuse(request, 503, "its body has not come in time")
         if route.kind == BATCH:
             return await self._job(request, route, body, arrived)
         return await self._online(request, route, body, arrived)
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 from result import Err, Result
 
+from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
 from caperridge.gateway.fleet import Fleet
@@ -45,11 +46,13 @@
         client: TargetClient,
         dialect: Dialect,
         metrics: GatewayMetrics,
+        limits: AnswerLimits,
     ) -> None:
         self._fleet = fleet
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
+        self._limits = limits
         self._answers = AnswerRelay(metrics)
         names = dialect.headers
         self._own_headers = frozenset(
@@ -63,7 +66,7 @@
         """
         carriage = Carriage(request.resume_after)
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with self._limits.within(request.deadline):
                 return await self._carry(request, reply, carriage)
         except TimeoutError:
             reason = "its time is over"
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -121,7 +121,7 @@
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
-        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
+        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics, limits)
         self.edge = Edge(
             self.configuration, forwarder, jobs, dialect, self.metrics, limits
         )
