--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -96,3 +96,34 @@
     assert (await asking).status == 504
     assert b" 503 " in await reader.readline()  # it has not run, and will not
     writer.close()
+
+
+async def test_errors_in_the_steps_of_a_stop_cut_nothing(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An instance that stops owes its callers more than its peers.
+
+    Found by making the steps fail: an error in telling peers ended the stop before it
+    began, and with it every request; one in handing over jobs kept the instance listed.
+
+    Proved by: the stop below raises, or leaves out a step.
+    """
+    runner = await world.add_runner()
+    runner.events = 40
+    runner.pause_s = 0.05
+    instance = await world.add_instance()
+    await world.ready()
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    reached: set[str] = set()
+
+    def fails(step: str) -> None:
+        reached.add(step)
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(instance.news, "beat", lambda: fails("told"))
+    monkeypatch.setattr(instance.keeper, "hand_over", lambda: fails("jobs"))
+    monkeypatch.setattr(instance.registry, "leave", lambda: fails("left"))
+    assert await instance.stop(8.0) == 0
+    assert (await asking).whole
+    assert reached == {"told", "jobs", "left"}
