Guard every step of a stop that is not for callers

Cause: telling peers was outside of what may fail, and one failed step ended the rest. Steps are now tried one by one beside the requests that still run.

The stop raised before; now all three steps may fail, and the stream ends whole.

--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -262,12 +262,11 @@
         """Leave without cutting anything; return how many requests were cut."""
         log.info("instance stops", running=self.edge.running)
         self.news.leaving = True
-        self.news.beat()
-        return await PlannedStop(self.edge, self._door, self._hand_over).run(grace_s)
+        steps = [self._tell_peers, self.keeper.hand_over, self.registry.leave]
+        return await PlannedStop(self.edge, self._door, steps).run(grace_s)
 
-    async def _hand_over(self) -> None:
-        await self.keeper.hand_over()
-        await self.registry.leave()
+    async def _tell_peers(self) -> None:
+        self.news.beat()
 
     def reload(self, settings: Settings) -> None:
         """Take changed settings; those of listeners hold from the next start on."""
--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -28,15 +28,15 @@
     Args:
         edge: that answers callers.
         door: their listener.
-        hand_over: gives away what others go on with.
+        steps: that give away what others go on with, one after another.
     """
 
     def __init__(
-        self, edge: Edge, door: Listener, hand_over: Callable[[], Awaitable[None]]
+        self, edge: Edge, door: Listener, steps: list[Callable[[], Awaitable[None]]]
     ) -> None:
         self._edge = edge
         self._door = door
-        self._hand_over = hand_over
+        self._steps = steps
 
     async def run(self, grace_s: float) -> int:
         """Stop within ``grace_s``; return how many requests were cut."""
@@ -60,13 +60,11 @@
     async def _hand_over_until(self, until: float) -> None:
         try:
             async with asyncio.timeout_at(until):
-                await self._hand_over()
+                for step in self._steps:
+                    await _tried(step)
         except TimeoutError:
             # Peers take over what they no longer hear this instance hold.
             log.warning("hand-over not finished", reason="its time is over")
-        except Exception as error:
-            # Whatever went wrong with jobs must not cut the requests that still run.
-            log.error("hand-over not finished", reason=repr(error))
 
     def _log_door(self, patience: float) -> None:
         left_s = patience - asyncio.get_running_loop().time()
@@ -76,3 +74,11 @@
             connections=self._door.connections,
             patience_left_s=round(left_s, 3),
         )
+
+
+async def _tried(step: Callable[[], Awaitable[None]]) -> None:
+    """Do ``step``; what goes wrong with peers or jobs must not cut requests."""
+    try:
+        await step()
+    except Exception as error:
+        log.error("hand-over not finished", reason=repr(error))
