--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import DecodeError, Dialect
@@ -116,9 +117,14 @@
             self.fleet, self.client, dialect, self.mesh, self.granting.granted_here
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
-        jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
-        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
-        self.edge = Edge(self.configuration, forwarder, jobs, dialect, self.metrics)
+        limits = AnswerLimits()
+        jobs = JobsEdge(
+            store, self.index, acceptance, self.keeper, self.metrics, limits
+        )
+        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics, limits)
+        self.edge = Edge(
+            self.configuration, forwarder, jobs, dialect, self.metrics, limits
+        )
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
@@ -256,12 +262,11 @@
         """Leave without cutting anything; return how many requests were cut."""
         log.info("instance stops", running=self.edge.running)
         self.news.leaving = True
-        self.news.beat()
-        return await PlannedStop(self.edge, self._door, self._hand_over).run(grace_s)
+        steps = [self._tell_peers, self.keeper.hand_over, self.registry.leave]
+        return await PlannedStop(self.edge, self._door, steps).run(grace_s)
 
-    async def _hand_over(self) -> None:
-        await self.keeper.hand_over()
-        await self.registry.leave()
+    async def _tell_peers(self) -> None:
+        self.news.beat()
 
     def reload(self, settings: Settings) -> None:
         """Take changed settings; those of listeners hold from the next start on."""
--- /dev/null
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -0,0 +1,129 @@
+"""Whatever was read before or in a planned stop has its answer before the end of it."""
+
+import asyncio
+
+import pytest
+
+from gateway.conftest import HOST, World, until
+
+# Longer than any stop of these tests.
+LONG_MS = 20_000
+
+
+async def hang(*_: object, **__: object) -> None:
+    """Take the place of a call that gets no answer in the time of a stop."""
+    await asyncio.Event().wait()
+
+
+async def test_every_job_call_is_answered_though_the_store_is_silent(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stop brings forward the end of what it finds and of what it still takes.
+
+    Found by reading every way in which a call can end: only the pauses between two
+    calls of the store looked at the end of the stop, not those calls, nor a read that
+    is held; and what had begun before SIGTERM kept its own time.
+
+    Proved by: the stop below counts all of these calls as cut.
+    """
+    runner = await world.add_runner()
+    runner.silent_after = 0
+    instance = await world.add_instance()
+    await world.ready()
+    assert (await world.submit(instance, "before", ["i0"])).status == 202
+
+    def call_all(job: str) -> list[asyncio.Future]:
+        calls = [
+            world.submit(instance, job, ["i1"]),
+            world.results(instance, "unknown"),
+            world.call(instance, "GET", "/items/before?id=i0"),
+            world.call(instance, "DELETE", "/lots/before"),
+        ]
+        return [asyncio.ensure_future(call) for call in calls]
+
+    held = asyncio.ensure_future(world.results(instance, "before", 0, LONG_MS))
+    await until(lambda: instance.edge.running == 1)
+    store = world.store_of(instance)
+    for name in ("read", "transact", "put_object", "get_object"):
+        monkeypatch.setattr(store, name, hang)
+    calls = call_all("one")
+    await until(lambda: instance.edge.running == 1 + len(calls))
+    stopping = asyncio.ensure_future(instance.stop(3.0))
+    await until(lambda: instance.edge.closing)
+    calls += call_all("two")
+    await until(lambda: instance.edge.running == 1 + len(calls))
+    assert await stopping == 0
+    for call in calls:
+        assert (await call).status in (503, 504)
+    assert (await held).status == 503  # whoever holds the job now may know more
+
+
+async def test_a_held_read_ends_with_what_is_known(world: World) -> None:
+    runner = await world.add_runner()
+    runner.silent_after = 0
+    instance = await world.add_instance()
+    await world.ready()
+    assert (await world.submit(instance, "job", ["i0"])).status == 202
+    reading = asyncio.ensure_future(world.results(instance, "job", 0, LONG_MS))
+    await until(lambda: instance.edge.running)
+    assert await instance.stop(4.0) == 0
+    answer = await reading
+    assert answer.status == 200
+    assert b'"results":[]' in answer.body
+
+
+async def test_requests_taken_before_a_stop_are_answered_before_its_end(
+    world: World,
+) -> None:
+    """Their targets, and their callers, may be silent for longer than is left.
+
+    Found with the calls of jobs: only what came after SIGTERM had its time shortened.
+
+    Proved by: the stop below counts both as cut, and neither caller gets a status.
+    """
+    runner = await world.add_runner()
+    runner.silent_after = 0
+    instance = await world.add_instance()
+    await world.ready()
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    host, _, port = instance.settings.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r2\r\n"
+    writer.write(f"{head}Content-Length: 8\r\n\r\nhalf".encode())
+    await until(lambda: instance.edge.running == 2)
+    assert await instance.stop(3.0) == 0
+    assert (await asking).status == 504
+    assert b" 503 " in await reader.readline()  # it has not run, and will not
+    writer.close()
+
+
+async def test_errors_in_the_steps_of_a_stop_cut_nothing(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An instance that stops owes its callers more than its peers.
+
+    Found by making the steps fail: an error in telling peers ended the stop before it
+    began, and with it every request; one in handing over jobs kept the instance listed.
+
+    Proved by: the stop below raises, or leaves out a step.
+    """
+    runner = await world.add_runner()
+    runner.events = 40
+    runner.pause_s = 0.05
+    instance = await world.add_instance()
+    await world.ready()
+    asking = asyncio.ensure_future(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: runner.busy)
+    reached: set[str] = set()
+
+    def fails(step: str) -> None:
+        reached.add(step)
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(instance.news, "beat", lambda: fails("told"))
+    monkeypatch.setattr(instance.keeper, "hand_over", lambda: fails("jobs"))
+    monkeypatch.setattr(instance.registry, "leave", lambda: fails("left"))
+    assert await instance.stop(8.0) == 0
+    assert (await asking).whole
+    assert reached == {"told", "jobs", "left"}
