End the process at once when it has said that it is stopped

Cause, as far as found: after `instance stopped` the process closed its parts without a limit and then returned from asyncio.run, which waits for every task that is left (those of jobs are none of the parts) and for threads of the executor, and the interpreter then takes itself apart; nothing of that was logged. Which of it took 2.9 s at a load of 45 is not known. Change: parts are closed in turn for 0.3 s at most, what does not close is named, what each took is logged (`instance closed`), and the process ends there. A loop that stands still is left after 0.4 s, with a line that says where it stands.

--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from caperridge.closing import Close
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import DecodeError, Dialect
@@ -270,11 +271,24 @@
 
     async def close(self) -> None:
         """End all tasks and connections at once."""
+        for close in self.parts().values():
+            await close()
+
+    def parts(self) -> dict[str, Close]:
+        """Return what closes each part, in the order in which that is done."""
+        return {
+            "tasks": self._end_tasks,
+            "peers": self.mesh.stop,
+            "targets": self.client.close,
+            "listeners": self._close_listeners,
+        }
+
+    async def _end_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.mesh.stop()
-        await self.client.close()
+
+    async def _close_listeners(self) -> None:
         for listener in self._listeners:
             await listener.stop()
 
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from caperridge import log
+from caperridge.closing import end_process
 from caperridge.findings import FindingsError
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.settings import Settings, load
@@ -25,8 +26,9 @@
         settings = load(Path(path))
     except FindingsError as error:
         sys.exit(f"caperridge: {error}")
-    log.setup(settings.log_level, BoundedStream(sys.stdout.fileno()))
-    asyncio.run(_serve(settings, Path(path)))
+    stream = BoundedStream(sys.stdout.fileno())
+    log.setup(settings.log_level, stream)
+    asyncio.run(_serve(settings, Path(path), stream))
 
 
 def _reload(instance: GatewayInstance, path: Path) -> None:
@@ -39,7 +41,7 @@
     instance.reload(settings)
 
 
-async def _serve(settings: Settings, path: Path) -> None:
+async def _serve(settings: Settings, path: Path, stream: BoundedStream) -> None:
     store = HttpRowStore(settings.store)
     instance = GatewayInstance(settings, PlatformDialect(), store)
     stop = asyncio.Event()
@@ -52,5 +54,4 @@
     await instance.start()
     await stop.wait()
     await instance.stop(settings.grace_s)
-    await instance.close()
-    await store.close()
+    await end_process(instance.parts() | {"store": store.close}, stream)
