Test that runs of another target are not counted for an old entry (fails)

The stand-in of a target answers 421 to any request that is meant for another, also to the question how much it does, as the users' pages have it.

--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -71,7 +71,9 @@
         """Return the data of the events of a request."""
         return [f"{request}-{number}" for number in range(1, self.events + 1)]
 
-    async def _report(self, _: web.Request) -> web.Response:
+    async def _report(self, request: web.Request) -> web.Response:
+        if request.headers.get("X-Expect-Instance", self.id) != self.id:
+            return web.Response(status=421)
         active = self.busy + self.leftover
         return web.json_response({"activeRequests": active, "queueDepth": 0})
 
--- a/tests/gateway/test_replaced_targets.py
+++ b/tests/gateway/test_replaced_targets.py
@@ -8,6 +8,9 @@
 status, eight targets, each some 130 times a second.
 """
 
+import asyncio
+
+from caperridge.gateway.unowned import NOBODY
 from gateway.conftest import World, until
 from gateway.test_jobs import ITEMS, listed
 
@@ -54,3 +57,21 @@
     await until(lambda: runner.id in instance.fleet.targets.by_id)
     answer = await world.ask(instance, "/once/2", "r2")
     assert answer.data == runner.text("r2")
+
+
+async def test_what_another_target_does_is_not_counted_for_an_old_entry(
+    world: World,
+) -> None:
+    """Instances ask targets how much they do; the old entry has no runs any more."""
+    runner = await world.add_runner()
+    runner.leftover = 2
+    instance = await world.add_instance()
+    await world.ready()
+    of_nobody = instance.fleet.occupancy.of
+    await until(lambda: of_nobody(NOBODY, "i-0").total == 2)
+    runner.id = "i-0-again"
+    usable = instance.fleet.is_usable
+    now = asyncio.get_running_loop().time
+    await until(lambda: not usable("i-0", now()))
+    await until(lambda: of_nobody(NOBODY, "i-0").total == 0)
+    assert runner.runs == []
