Ask a target itself how much it does, not whoever has its address

Cause: the question after the load of a target named nobody, so the answer of another target that had been given its address was counted as runs of the old entry for as long as that was listed. The answer carries no id by the users' pages; a request that names the target meant is answered 421 by any other. Whether the users' targets answer so here was not seen yet.

--- a/src/caperridge/gateway/unowned.py
+++ b/src/caperridge/gateway/unowned.py
@@ -18,6 +18,7 @@
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import TargetClient
 from caperridge.log import logger
+from caperridge.targets.outcomes import TargetRefused
 
 log = logger(__name__)
 
@@ -83,8 +84,12 @@
         await asyncio.gather(*(self._ask(target) for target in self._targets()))
 
     async def _ask(self, target: Target) -> None:
-        answer = await self._client.get(target.address, self._dialect.load_path, ASK_S)
+        answer = await self._client.get(target, self._dialect.load_path, ASK_S)
         if isinstance(answer, Err):
+            error = answer.err_value
+            if isinstance(error, TargetRefused) and error.replaced:
+                now = asyncio.get_running_loop().time()
+                self._fleet.replaced(target.id, now)
             return
         try:
             running = self._dialect.load(answer.ok_value)
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -176,21 +176,26 @@
         return self._checked(outbound, Answer(response, self._watch))
 
     async def get(
-        self, address: str, path: str, within_s: float
+        self, target: Target, path: str, within_s: float
     ) -> Result[bytes, AttemptError]:
-        """Return the body of a small answer of status 200."""
+        """Return the body of a small answer of status 200 of just this target."""
         try:
             async with self._open().get(
-                yarl.URL(f"http://{address}{path}", encoded=True),
+                yarl.URL(f"http://{target.address}{path}", encoded=True),
+                headers={self._dialect.headers.incarnation: target.id},
                 timeout=aiohttp.ClientTimeout(total=within_s),
                 allow_redirects=False,
             ) as response:
                 if response.status != 200:
-                    return Err(TargetRefused(response.status, "it gives no answer"))
+                    return Err(self._no_answer(response.status))
                 return Ok(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
 
+    def _no_answer(self, status: int) -> TargetRefused:
+        replaced = self._dialect.from_another_target(status)
+        return TargetRefused(status, "it gives no answer", replaced=replaced)
+
     async def reaches(self, address: str, within_s: float = CONNECT_S) -> bool:
         """Return whether something accepts connections at ``address``."""
         host, _, port = address.rpartition(":")
