--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from caperridge.closing import Close
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
@@ -29,6 +30,7 @@
     metrics_application,
     ready_application,
 )
+from caperridge.gateway.mesh.lives import new_incarnation
 from caperridge.gateway.mesh.mesh import Member, Mesh
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.news import PeerNews
@@ -68,7 +70,7 @@
         self.settings = settings
         self._dialect = dialect
         chance = random.Random(secrets.randbits(64))
-        incarnation = f"{settings.instance}.{secrets.token_hex(4)}"
+        incarnation = new_incarnation(settings.instance)
         self.metrics = GatewayMetrics()
         self.configuration = ConfigurationInForce()
         self.fleet = Fleet(settings.instance, settings.availability_zone, chance)
@@ -275,11 +277,24 @@
 
     async def close(self) -> None:
         """End all tasks and connections at once."""
+        for close in self.parts().values():
+            await close()
+
+    def parts(self) -> dict[str, Close]:
+        """Return what closes each part, in the order in which that is done."""
+        return {
+            "tasks": self._end_tasks,
+            "peers": self.mesh.stop,
+            "targets": self.client.close,
+            "listeners": self._close_listeners,
+        }
+
+    async def _end_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.mesh.stop()
-        await self.client.close()
+
+    async def _close_listeners(self) -> None:
         for listener in self._listeners:
             await listener.stop()
 
