--- a/tests/online/test_drain.py
+++ b/tests/online/test_drain.py
@@ -1,8 +1,11 @@
 """Online requests while their instance stops as planned."""
 
 import asyncio
+from types import SimpleNamespace
 
-from caperridge.instance.drain import FINISHING
+import pytest
+
+from caperridge.instance.drain import FINISHING, STOPPED
 from conftest import Fleet, until
 
 TOKENS = 800  # their steps alone take longer than the balancer needs
@@ -33,3 +36,37 @@
     assert fleet.instance.drain.cut == []
     for engine in fleet.engines_by_id.values():
         assert set(engine.runs_by_request.values()) <= {1}
+
+
+async def test_errors_in_the_steps_of_a_stop_end_no_other(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Else the process ends on the spot, with whatever it had still read.
+
+    Found by making each step fail that gives away what peers go on with.
+
+    Proved by: the stop below raises at its first step, with a request under way.
+    """
+    instance = fleet.instance
+    instance.settings.balancer_s = BALANCER_S
+    instance.settings.drain_s = DRAIN_S
+    ask = asyncio.create_task(fleet.post("/v1/completions", BODY))
+    while not instance.online.in_flight:
+        await asyncio.sleep(0.001)
+    reached: set[str] = set()
+
+    def fails(step: str) -> None:
+        reached.add(step)
+        raise RuntimeError("broken")
+
+    peers = SimpleNamespace(leave=lambda: fails("told"))
+    monkeypatch.setattr(instance, "mesh", peers)
+    monkeypatch.setattr(instance.keyed_calls, "wait_idle", lambda: fails("calls"))
+    monkeypatch.setattr(instance.dispatcher, "release", lambda _: fails("batch"))
+    monkeypatch.setattr(instance.session, "close", lambda: fails("session"))
+    await instance.drain.run()
+    monkeypatch.undo()
+    assert instance.drain.stage == STOPPED
+    assert instance.drain.cut == []
+    assert (await ask)[0] == 200
+    assert reached == {"told", "calls", "batch", "session"}
