Go on with the stop of an instance after a step that failed

The stop raised at its first step before; now four steps may fail, the request under way ends whole, and the stop reaches its end. Measured: tests/online/test_drain.py, plain/test_stopping.py, promises/test_replacement.py.

--- a/src/caperridge/instance/drain.py
+++ b/src/caperridge/instance/drain.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
 from caperridge.instance.in_flight import InFlightRequest
@@ -27,6 +28,15 @@
 HAND_OVER_S = 10.0
 
 
+@contextlib.contextmanager
+def _tried(step: str) -> Iterator[None]:
+    """Go on after a step that failed: what is owed to callers does not hang on it."""
+    try:
+        yield
+    except Exception as error:
+        log.error("step of the stop failed", step=step, reason=repr(error))
+
+
 class Drain:
     """Stops one instance as planned.
 
@@ -52,7 +62,8 @@
         await self._finish(settings.drain_s)
         await self._hand_over(min(settings.drain_s, HAND_OVER_S))
         self._enter(CLOSING)
-        await self._instance.session.close()
+        with _tried("session"):
+            await self._instance.session.close()
         self._enter(STOPPED, cut=len(self.cut))
 
     async def end_now(self) -> None:
@@ -84,7 +95,8 @@
         instance.dispatcher.draining = True
         self._enter(NOT_READY, serving_s=balancer_s)
         if instance.mesh is not None:
-            instance.mesh.leave()
+            with _tried("peers"):
+                instance.mesh.leave()
         await asyncio.sleep(balancer_s)
 
     async def _finish(self, drain_s: float) -> None:
@@ -99,10 +111,10 @@
     async def _hand_over(self, wait_s: float) -> None:
         instance = self._instance
         self._enter(HANDING_OVER, keyed_calls=instance.keyed_calls.pending)
-        with contextlib.suppress(TimeoutError):
+        with _tried("keyed calls"), contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 await instance.keyed_calls.wait_idle()
-        with contextlib.suppress(TimeoutError):
+        with _tried("batch"), contextlib.suppress(TimeoutError):
             # A platform that is away must not keep the process from ending.
             async with asyncio.timeout(2 * wait_s):
                 await instance.dispatcher.release(wait_s)
