Let a stop come in the turn in which an answer's time is over

Cause: a time that is over may not be changed any more; the library raises, and the stop would have ended there. Found by a test of its own: an error before, none after.

--- a/src/caperridge/gateway/answer_limits.py
+++ b/src/caperridge/gateway/answer_limits.py
@@ -36,6 +36,8 @@
         """Bring forward whatever would end later, also what has begun already."""
         self.until = until
         for limit in self._running:
+            if limit.expired():
+                continue
             when = limit.when()
             if when is None or when > until:
                 limit.reschedule(until)
