Show that a stop cuts calls of operators

Cause: only requests of callers are counted and waited for; what operators asked is cut 0.5 s after the door has closed, though it may wait for the platform.

--- a/tests/online/test_drain.py
+++ b/tests/online/test_drain.py
@@ -70,3 +70,26 @@
     assert instance.drain.cut == []
     assert (await ask)[0] == 200
     assert reached == {"told", "calls", "batch", "session"}
+
+
+async def test_a_call_of_an_operator_that_runs_at_the_end_is_answered(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It may wait for the platform; its caller must learn what became of it.
+
+    Found by asking which requests a stop does not count: those of operators.
+
+    Proved by: the connection of the call below ends with no answer.
+    """
+    begun = asyncio.Event()
+
+    async def slow(_: str) -> dict[str, str]:
+        begun.set()
+        await asyncio.sleep(1.0)  # twice as long as callers' requests are waited for
+        return {"outcome": "answered"}
+
+    monkeypatch.setattr(fleet.instance.explanations, "explain", slow)
+    call = asyncio.create_task(fleet.operate("/requests/r1"))
+    await begun.wait()
+    await fleet.instance.stop()
+    assert await call == (200, {"outcome": "answered"})
