Wait for calls of operators at the end of a stop

Cause: nobody waited for them. Their listener now waits 5 s for what runs; only the one of callers, whose requests a stop has waited for already, cuts after 0.5 s.

A call of 1 s: no answer before, whole after.

--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -10,51 +10,79 @@
 from caperridge.tls import server_context
 
 CUT_AFTER_S = 0.5  # what still runs at the very end is cancelled after this
+# Nobody has waited for calls of operators before; they make some calls of the platform.
+OPERATORS_CUT_AFTER_S = 5.0
 # The library's own wait after it; by then nothing is left, or everything is cut.
 CANCEL_S = 0.1
 
 
-class Listeners:
-    """Opens listeners and closes them again; knows where each listens."""
+class Listener:
+    """One of them.
 
-    def __init__(self) -> None:
-        self.addresses_by_name: dict[str, Address] = {}
-        self._runners: list[web.AppRunner] = []
-        self._doors: list[Door] = []
-        self._connections: list[Connections] = []
+    Args:
+        app: that answers.
+        cut_after_s: how long what runs is waited for when it closes.
+    """
 
-    async def open(
-        self, name: str, app: web.Application, at: Address, files: TlsFiles | None
-    ) -> None:
-        """Serve ``app`` at ``at``, with TLS if there are files for it."""
-        self._connections.append(Connections(app))
-        runner = web.AppRunner(
+    __slots__ = ("_connections", "_cut_after_s", "_door", "_runner")
+
+    def __init__(self, app: web.Application, cut_after_s: float) -> None:
+        self._connections = Connections(app)
+        self._cut_after_s = cut_after_s
+        self._runner = web.AppRunner(
             app,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=CANCEL_S,
         )
-        await runner.setup()
-        self._runners.append(runner)
+        self._door: Door | None = None
+
+    async def open(self, at: Address, files: TlsFiles | None) -> Address:
+        """Listen at ``at``, with TLS if there are files for it; return where."""
+        await self._runner.setup()
         context = server_context(files) if files else None
-        door = await Door.open(runner.server, at.host, at.port, context)
-        self._doors.append(door)
-        self.addresses_by_name[name] = Address(*door.address)
+        self._door = await Door.open(self._runner.server, at.host, at.port, context)
+        return Address(*self._door.address)
 
     async def close(self) -> None:
-        """Close all, ending what still runs after a moment."""
-        for door in self._doors:
-            await door.close()
-        until = asyncio.get_running_loop().time() + CUT_AFTER_S
-        # What was accepted last is read from, too, so one look would not be enough.
-        await asyncio.gather(
-            *(
-                connections.end_all(runner.server, until)
-                for runner, connections in zip(
-                    self._runners, self._connections, strict=True
-                )
-                if runner.server is not None
-            )
-        )
-        for runner in self._runners:
-            await runner.cleanup()
+        """End each connection when idle, then what still runs."""
+        if self._door is not None:
+            await self._door.close()
+        if self._runner.server is not None:
+            until = asyncio.get_running_loop().time() + self._cut_after_s
+            # What was accepted last is read from, too: one look would not be enough.
+            await self._connections.end_all(self._runner.server, until)
+        await self._runner.cleanup()
+
+
+class Listeners:
+    """Opens listeners and closes them again; knows where each listens."""
+
+    def __init__(self) -> None:
+        self.addresses_by_name: dict[str, Address] = {}
+        self._listeners: list[Listener] = []
+
+    async def open(
+        self,
+        name: str,
+        app: web.Application,
+        at: Address,
+        files: TlsFiles | None,
+        cut_after_s: float = CUT_AFTER_S,
+    ) -> None:
+        """Serve ``app`` at ``at``.
+
+        Args:
+            name: of the listener.
+            app: that answers.
+            at: where to listen.
+            files: for TLS; None for none.
+            cut_after_s: how long what runs is waited for when all are closed.
+        """
+        listener = Listener(app, cut_after_s)
+        self._listeners.append(listener)
+        self.addresses_by_name[name] = await listener.open(at, files)
+
+    async def close(self) -> None:
+        """Close all at once."""
+        await asyncio.gather(*(listener.close() for listener in self._listeners))
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -4,6 +4,8 @@
 import zlib
 from typing import Any
 
+from aiohttp import web
+
 from caperridge.decisions.limit_share import Seat, seat_of
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
@@ -19,7 +21,11 @@
 from caperridge.instance.item_runners import ItemRunners
 from caperridge.instance.keyed_calls import KeyedCalls
 from caperridge.instance.lease_guard import LeaseGuard
-from caperridge.instance.listeners import Listeners
+from caperridge.instance.listeners import (
+    CUT_AFTER_S,
+    OPERATORS_CUT_AFTER_S,
+    Listeners,
+)
 from caperridge.instance.messages import (
     ConfigurationApplied,
     ItemEnded,
@@ -290,13 +296,12 @@
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
-        apps = {"callers": CallersHttp(self).app()}
-        self.in_flight.add_to(apps["callers"])
-        apps["operators"] = OperatorsHttp(self).app()
-        for name, app in apps.items():
-            at = getattr(self.settings, name)
-            files = self.settings.tls_by_listener.get(name)
-            await self._listeners.open(name, app, at, files)
+        callers = CallersHttp(self).app()
+        self.in_flight.add_to(callers)
+        await self._listen("callers", callers, CUT_AFTER_S)
+        await self._listen(
+            "operators", OperatorsHttp(self).app(), OPERATORS_CUT_AFTER_S
+        )
         if self.mesh is not None:
             at = await self.mesh.open(self.settings.peers)
             self.addresses_by_listener["peers"] = at
@@ -308,6 +313,13 @@
             **{name: str(at) for name, at in self.addresses_by_listener.items()},
         )
 
+    async def _listen(
+        self, name: str, app: web.Application, cut_after_s: float
+    ) -> None:
+        at = getattr(self.settings, name)
+        files = self.settings.tls_by_listener.get(name)
+        await self._listeners.open(name, app, at, files, cut_after_s)
+
     async def stop(self) -> None:
         """End at once."""
         await self._listeners.close()
