--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -1,6 +1,7 @@
 """Whatever was read before or in a planned stop has its answer before the end of it."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -127,3 +128,53 @@
     assert await instance.stop(8.0) == 0
     assert (await asking).whole
     assert reached == {"told", "jobs", "left"}
+
+
+async def test_a_request_behind_the_last_answer_is_not_run(world: World) -> None:
+    """Its caller may send it again: an answer that says so is the last."""
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    stopping = asyncio.ensure_future(instance.stop(3.0))
+    await until(lambda: instance.edge.closing)
+    host, _, port = instance.settings.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for id in ("first", "second"):
+        head = f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n"
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+    got = b""
+    with contextlib.suppress(ConnectionError):
+        got = await reader.read()
+        while piece := await reader.read():
+            got += piece
+    assert got.count(b"HTTP/1.1 200") == 1
+    assert b"Connection: close" in got
+    assert await stopping == 0
+    assert [run.id for run in runner.runs] == ["first"]
+    writer.close()
+
+
+async def test_a_request_behind_a_stream_that_began_before_is_answered(
+    world: World,
+) -> None:
+    """The head of the stream's answer had not said that it is the last."""
+    runner = await world.add_runner()
+    runner.events = 40
+    runner.pause_s = 0.05
+    instance = await world.add_instance()
+    await world.ready()
+    host, _, port = instance.settings.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+    writer.write(f"{head}X-Request-Id: first\r\n\r\n".encode())
+    got = await reader.readuntil(b"first-1\n")
+    stopping = asyncio.ensure_future(instance.stop(6.0))
+    await until(lambda: instance.edge.closing)
+    runner.events = 3
+    writer.write(f"{head}X-Request-Id: second\r\n\r\n".encode())
+    while piece := await reader.read(65536):
+        got += piece
+    assert got.count(b"HTTP/1.1 200") == 2
+    assert b"second-3\n" in got
+    assert await stopping == 0
+    writer.close()
