Test that one finding of a silent way to the store does for all watches

Two of the three fail: a watch waits out its time on a connection that is silent though another has found that, and the store is lost and reached twice. The third guards the mend: a watch that is given up leaves no task behind.

--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -12,8 +12,9 @@
 from caperridge.gateway.mesh.messages import Heartbeat
 from caperridge.gateway.process import TICK_S
 from caperridge.gateway.silent_sockets import PROBE_AFTER_S
+from caperridge.gateway.watcher import WATCH_S
 from caperridge.platform.connections import UNACKNOWLEDGED_MS
-from caperridge.platform.store import CALL_S, HttpRowStore
+from caperridge.platform.store import CALL_S, WATCH_SLACK_S, HttpRowStore
 from gateway.conftest import World, free_address, until
 from gateway.silent_relay import SilentRelay
 
@@ -83,6 +84,47 @@
     assert isinstance(await watch, Ok)
 
 
+async def test_a_watch_does_not_wait_on_what_another_found_silent(
+    store: HttpRowStore, store_way: SilentRelay
+) -> None:
+    """It is asked again, and answered at once, though it began later."""
+    first = asyncio.ensure_future(store.changes("op", 1, WATCH_S))
+    await asyncio.sleep(WATCH_S / 4)
+    second = asyncio.ensure_future(store.changes("op", 1, WATCH_S))
+    await until(lambda: store_way.opened == 2)
+    store_way.silence()
+    assert not isinstance(await first, Ok)
+    async with asyncio.timeout(WATCH_S / 8):
+        assert isinstance(await second, Ok)
+
+
+async def test_a_watch_that_is_given_up_leaves_nothing_behind(
+    store: HttpRowStore, store_way: SilentRelay
+) -> None:
+    watch = asyncio.ensure_future(store.changes("op", 1, WATCH_S))
+    await until(lambda: store_way.opened == 1)
+    before = len(asyncio.all_tasks())
+    watch.cancel()
+    await asyncio.gather(watch, return_exceptions=True)
+    assert watch.cancelled()
+    await until(lambda: len(asyncio.all_tasks()) < before)
+
+
+async def test_the_store_is_lost_and_reached_once_when_its_connections_go_silent(
+    world: World, store_way: SilentRelay
+) -> None:
+    world.store_address = store_way.address
+    instance = await world.add_instance()
+    await world.ready()
+    returns: list[float] = []
+    instance.reach.on_return(returns.append)
+    store_way.silence()
+    await until(lambda: returns)
+    # Whatever was asked before the silence has had its time by then.
+    await asyncio.sleep(WATCH_S + WATCH_SLACK_S + SLACK_S)
+    assert len(returns) == 1
+
+
 async def test_the_system_is_asked_to_end_silent_connections_of_the_store(
     store: HttpRowStore,
 ) -> None:
