Ask watches again when any call finds the store's connections silent

Cause: connections that went silent were left behind for new calls, but each watch waited out its own time on one of them, up to 2.7 s, and told then that the store was lost, which the others had found to be back. Change: who first finds it has the watches that wait on those connections asked again on new ones, for an answer at once.

--- a/src/caperridge/platform/connections.py
+++ b/src/caperridge/platform/connections.py
@@ -43,10 +43,16 @@
         finally:
             await self._returned(session)
 
-    def suspect(self, session: aiohttp.ClientSession) -> None:
-        """Give no more calls to ``session``: one of its calls got no answer."""
-        if self._current is session:
-            self._current = None
+    def suspect(self, session: aiohttp.ClientSession) -> bool:
+        """Give no more calls to ``session``: one of its calls got no answer.
+
+        Returns:
+            whether it was the current one, so that nobody knew of it yet.
+        """
+        if self._current is not session:
+            return False
+        self._current = None
+        return True
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -1,5 +1,6 @@
 """The platform's store as rows and objects, over HTTP."""
 
+import asyncio
 import base64
 from typing import Any
 
@@ -43,6 +44,7 @@
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}"
         self._connections = KeptConnections()
+        self._watching: set[asyncio.Task[Result[RowsRead, ChangesError]]] = set()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -107,7 +109,25 @@
     async def changes(
         self, table: str, since: int, wait_s: float
     ) -> Result[RowsRead, ChangesError]:
-        """See :meth:`RowStore.changes`."""
+        """See :meth:`RowStore.changes`.
+
+        It is asked again, for an answer at once, when another call finds that the
+        connections have gone silent: all of them would else find it in turn.
+        """
+        asked = asyncio.ensure_future(self._feed(table, since, wait_s))
+        self._watching.add(asked)
+        try:
+            await asyncio.wait({asked})
+        finally:
+            self._watching.discard(asked)
+            asked.cancel()
+        if asked.cancelled():
+            return await self._feed(table, since, 0.0)
+        return asked.result()
+
+    async def _feed(
+        self, table: str, since: int, wait_s: float
+    ) -> Result[RowsRead, ChangesError]:
         query = {
             "table": table,
             "sinceRev": str(since),
@@ -177,12 +197,20 @@
             except _NO_CONNECTION as error:
                 return Err(NotDone(f"no connection: {error}", reached=False))
             except LostOnTheWayError as error:
-                self._connections.suspect(session)
+                self._suspect(session)
                 return Err(Unknown(str(error), reached=False))
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                self._connections.suspect(session)
+                self._suspect(session)
                 return Err(Unknown(type(error).__name__, reached=False))
 
+    def _suspect(self, session: aiohttp.ClientSession) -> None:
+        """Leave the connections behind of which one gave a call no answer."""
+        if not self._connections.suspect(session):
+            return
+        for asked in self._watching:
+            if asked is not asyncio.current_task():
+                asked.cancel()
+
 
 def _refusal(status: int) -> StoreError:
     reason = f"the store answered {status}"
