--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -16,6 +16,7 @@
         self.headers = request.headers.copy()
         self.body = body
         self.resumed_after = int(request.headers.get("Last-Event-Id", "0"))
+        self.sent = 0
         self.cut = False
         self.ended = False
 
@@ -135,6 +136,7 @@
                         await asyncio.Event().wait()
             await response.write(f"id: {number}\ndata: {data}\n\n".encode())
             sent += 1
+            run.sent = sent
             slow = run.path.endswith("/slow")
             await asyncio.sleep(self.slow_pause_s if slow else self.pause_s)
         await response.write_eof()
