--- a/src/caperridge/gateway/placement.py
+++ b/src/caperridge/gateway/placement.py
@@ -18,6 +18,8 @@
 # Requests that may queue at each target when all are full. One more waits about
 # a run's length over the slots, some 100 ms.
 QUEUE_FOR_EACH_TARGET = 3
+# Requests that may queue where only a slot will do.
+NO_QUEUE = 0
 # The better of two at random is nearly as good as the best, without a herd.
 FAR_CHOICES = 2
 
@@ -61,12 +63,12 @@
     are weighed where those two have no slot left.
     """
     near = [target for target in targets if target.availability_zone == zone]
-    best = place_online(near, occupancy, zone, chance, 0)
+    best = place_online(near, occupancy, zone, chance, NO_QUEUE)
     if best is not None:
         return best
     far = [target for target in targets if target.availability_zone != zone]
     some = chance.sample(far, min(FAR_CHOICES, len(far)))
-    best = place_online(some, occupancy, zone, chance, 0)
+    best = place_online(some, occupancy, zone, chance, NO_QUEUE)
     return best or place_online(targets, occupancy, zone, chance, most_queued)
 
 
