--- a/src/caperridge/gateway/jobs/granting.py
+++ b/src/caperridge/gateway/jobs/granting.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.fleet import Fleet
@@ -80,18 +80,13 @@
     def granted_here(self) -> list[Target]:
         """Return the targets in use whose slots this instance grants."""
         now = asyncio.get_running_loop().time()
-        listed = self._fleet.targets
-        here = self._broker.falls_here(
-            self._who_may_grant(), listed.by_id.values(), listed.changes
-        )
-        return [listed.by_id[id] for id in here if self._fleet.takes_items(id, now)]
+        by_id = self._fleet.targets.by_id
+        here = self._broker.falls_here(*self._who_and_what())
+        return [by_id[id] for id in here if self._fleet.takes_items(id, now)]
 
     def grants(self, target: str) -> bool:
         """Whether this instance grants the slots of ``target``."""
-        listed = self._fleet.targets
-        granters = self._broker.granters(
-            self._who_may_grant(), listed.by_id.values(), listed.changes
-        )
+        granters = self._broker.granters(*self._who_and_what())
         return granters.get(target) == self._mesh.instance
 
     def step(self, jobs: list[HeldJob], now: float) -> None:
@@ -186,12 +181,9 @@
         return asks
 
     def _openings(self, service: str, now: float) -> list[Opening]:
-        listed = self._fleet.targets
-        granters = self._broker.granters(
-            self._who_may_grant(), listed.by_id.values(), listed.changes
-        )
+        granters = self._broker.granters(*self._who_and_what())
         openings: list[Opening] = []
-        for target in listed.of_service(service):
+        for target in self._fleet.targets.of_service(service):
             granter = granters[target.id]
             if granter is None or not self._fleet.takes_items(target.id, now):
                 continue
@@ -209,6 +201,11 @@
 
     # What others want.
 
+    def _who_and_what(self) -> tuple[Members, Iterable[Target], int]:
+        """Return what decides who grants: members, targets and their changes."""
+        listed = self._fleet.targets
+        return self._who_may_grant(), listed.by_id.values(), listed.changes
+
     def _who_may_grant(self) -> Members:
         if self._members_key != self._mesh.changes:
             self._members_key = self._mesh.changes
