Look at what may start at most 20 times a second, and only give way at once

Cause: every count heard from a peer, 200 a second, woke the look at what may start and what has to give way; changes were gathered for 1 ms, so nearly each had its own. Class: work done on every piece of news though nothing can follow from it; and, for the starts, work begun on a state that does not last as long as what it starts: a slot that an online request left was granted at once, and the next request took it back.

Now looks are 50 ms apart (items run for 5 s), set by a timer; the task that was woken for them is left for claims. Items give way as before within 1 ms, at a target whose count rose over its slots: news of a peer, or an own request. Whatever else takes slots away is seen at the next look.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from result import Err, Result
 
@@ -37,7 +38,11 @@
 
 
 class Forwarder:
-    """Carries requests; one for an instance."""
+    """Carries requests; one for an instance.
+
+    Attributes:
+        placed: called with a target's id when a request is on its way there.
+    """
 
     def __init__(
         self,
@@ -51,6 +56,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._answers = AnswerRelay(metrics)
+        self.placed: Callable[[str], None] = lambda target: None
         names = dialect.headers
         self._own_headers = frozenset(
             {names.deadline.lower(), names.incarnation.lower(), names.resume.lower()}
@@ -135,6 +141,7 @@
         )
         self._fleet.occupancy.add(target.id, online=1)
         self._fleet.changed()
+        self.placed(target.id)
         try:
             # Until the outcome is known it may run.
             carriage.sent_at_least_once = True
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from collections.abc import Container
 
 from multidict import CIMultiDict
 from result import Err
@@ -75,6 +76,11 @@
         self._metrics = metrics
         self._dues_by_target: dict[str, list[float]] = {}
 
+    @property
+    def targets(self) -> Container[str]:
+        """Ids of the targets at which items of this instance run."""
+        return self._dues_by_target.keys()
+
     def start(
         self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
     ) -> None:
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -41,6 +41,9 @@
 # Changes that come together are looked at together; an online request waits so long
 # for an item to give way.
 GATHER_S = 0.001
+# Between looks at what may start. In a large fleet 200 counts a second are heard, few
+# of which let an item start, and an item runs for some 5 s.
+LOOK_S = 0.05
 
 
 class JobKeeper:
@@ -75,7 +78,10 @@
         self._orphan_since_by_id: dict[str, float] = {}
         self._holder_by_id: dict[str, str] = {}
         self._retry_at_by_id: dict[str, float] = {}
-        self._wake = asyncio.Event()
+        self._look_at = 0.0
+        self._look_timer: asyncio.TimerHandle | None = None
+        self._give_way_timer: asyncio.TimerHandle | None = None
+        self._stopped = False
         self._news: dict[str, asyncio.Event] = {}
         index.on_removed(self._forget)
         mesh.register(JobNews, self._told)
@@ -103,34 +109,60 @@
         return list(self.held_by_id.values())
 
     def poke(self) -> None:
-        """Look soon at what may start or has to give way."""
-        self._wake.set()
+        """Look soon at what may start; once for all that happens until then."""
+        if self._look_timer is not None or self._stopped:
+            return
+        loop = asyncio.get_running_loop()
+        at = max(self._look_at, loop.time() + GATHER_S)
+        self._look_timer = loop.call_at(at, self._look)
 
     def fleet_changed(self) -> None:
         """Look soon if counts or targets matter here: to own items or to grants."""
+        if self._look_timer is not None:
+            return
         if self.held_by_id or self._granting.wanted:
-            self._wake.set()
+            self.poke()
+
+    def count_rose(self, target: str) -> None:
+        """Have own items at ``target`` give way at once if it has too many runs."""
+        if self._give_way_timer is not None or self._stopped:
+            return
+        if self._slots.exceeded(target):
+            loop = asyncio.get_running_loop()
+            self._give_way_timer = loop.call_later(GATHER_S, self._give_way)
+
+    def _give_way(self) -> None:
+        self._give_way_timer = None
+        self._slots.give_way(self.held())
+
+    def _look(self) -> None:
+        """Give way to online requests, ask for slots, and grant those that are free."""
+        self._look_timer = None
+        now = asyncio.get_running_loop().time()
+        self._look_at = now + LOOK_S
+        jobs = self.held()
+        self._slots.give_way(jobs)
+        if not self.leaving:
+            self._granting.step(jobs, now)
 
     # The tasks.
 
     async def run(self) -> None:
-        """Grant and take slots, give way to online requests, and claim orphans."""
+        """Claim orphans, and look now and then without being poked."""
         loop = asyncio.get_running_loop()
-        next_check = loop.time()
-        loop.call_at(next_check, self._wake.set)
-        while True:
-            await self._wake.wait()
-            await asyncio.sleep(GATHER_S)
-            self._wake.clear()
-            now = loop.time()
-            if now >= next_check:
-                next_check = now + CHECK_S
-                loop.call_at(next_check, self._wake.set)
-                self._claim_orphans(now)
-            jobs = self.held()
-            self._slots.give_way(jobs)
-            if not self.leaving:
-                self._granting.step(jobs, now)
+        try:
+            while True:
+                self._claim_orphans(loop.time())
+                self.poke()
+                await asyncio.sleep(CHECK_S)
+        finally:
+            self._stop_looking()
+
+    def _stop_looking(self) -> None:
+        self._stopped = True
+        for timer in (self._look_timer, self._give_way_timer):
+            if timer is not None:
+                timer.cancel()
 
     async def hand_over(self) -> None:
         """Stop all runs, keep their progress, and give the jobs up."""
@@ -304,7 +336,7 @@
     def _granted(self, peer: str, grant: SlotGrant) -> None:
         jobs = self.held()
         self._granting.take(peer, grant, jobs)
-        self._wake.set()
+        self.poke()
 
     def _told(self, peer: str, news: JobNews) -> None:
         if news.cancelled:
@@ -312,7 +344,7 @@
             return
         self._note(news.job, news.holder, news.listed)
         if news.holder == "":
-            self._wake.set()
+            self.poke()
 
     def _note(self, job: str, holder: str, listed: int) -> None:
         self._holder_by_id[job] = holder
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -47,6 +47,10 @@
         self._runs = runs
         self._metrics = metrics
 
+    def exceeded(self, target: str) -> bool:
+        """Whether own items run at ``target`` and more runs there than it has slots."""
+        return target in self._runs.targets and not self._within_slots(target)
+
     def give_way(self, jobs: Iterable[HeldJob]) -> None:
         """Cancel items where more runs than the target has slots."""
         running: dict[str, list[Startable]] = {}
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -117,8 +117,10 @@
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
         jobs = JobsEdge(store, self.index, acceptance, self.keeper, self.metrics)
-        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
-        self.edge = Edge(self.configuration, forwarder, jobs, dialect, self.metrics)
+        self._forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics)
+        self.edge = Edge(
+            self.configuration, self._forwarder, jobs, dialect, self.metrics
+        )
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
@@ -152,7 +154,8 @@
 
     def _wire(self) -> None:
         self.news.item_started = self.granting.used
-        self.news.count_told = self.recalls.look
+        self.news.count_told = self._count_told
+        self._forwarder.placed = self.keeper.count_rose
         self.reach.on_return(self.fleet.targets.store_returned)
         self.fleet.on_change(self.keeper.fleet_changed)
         self.fleet.on_change(self.news.counts_changed)
@@ -208,6 +211,10 @@
         self.index.take(rows)
         self.news.table_changed(self.index.copy.table)
 
+    def _count_told(self, target: str) -> None:
+        self.recalls.look(target)
+        self.keeper.count_rose(target)
+
     def _peer_lost(self, member: Member) -> None:
         self.fleet.occupancy.forget(member.id)
         self.fleet.changed()
