Let the client of targets end an attempt at which no answer begins

Forwarding and the runs of items each set the same limit around the opening of an attempt. It is an argument of open() now, and the loss says that this end broke the attempt off, which forwarding counts as one of its route's attempts, as before. A limit of its own for connecting was never given, and is gone. No change of behaviour.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
-from result import Err, Result
+from result import Err
 
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
@@ -17,7 +18,7 @@
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.placement import place_online, place_online_near
 from caperridge.gateway.targets import Target
-from caperridge.gateway.upstream import Answer, Outbound, TargetClient
+from caperridge.gateway.upstream import Outbound, TargetClient
 from caperridge.log import logger
 from caperridge.refusals import NOT_RUN
 from caperridge.targets.outcomes import (
@@ -146,7 +147,8 @@
             # Until the outcome is known it may run.
             carriage.sent_at_least_once = True
             outbound = self._outbound(request, carriage, target)
-            opened = await self._opened(request, carriage, target, outbound)
+            begin_s = FIRST_EVENT_SILENCE_S if request.route.idempotent else math.inf
+            opened = await self._client.open(target, outbound, begin_s)
             if isinstance(opened, Err):
                 error = opened.err_value
                 _count_unanswered(carriage, error, sent_before)
@@ -161,22 +163,6 @@
             self._fleet.occupancy.add(target.id, online=-1)
             self._fleet.changed()
 
-    async def _opened(
-        self,
-        request: InboundRequest,
-        carriage: Carriage,
-        target: Target,
-        outbound: Outbound,
-    ) -> Result[Answer, AttemptError]:
-        if not request.route.idempotent:
-            return await self._client.open(target, outbound)
-        try:
-            async with asyncio.timeout(FIRST_EVENT_SILENCE_S):
-                return await self._client.open(target, outbound)
-        except TimeoutError:
-            carriage.attempts += 1
-            return Err(Lost("no answer began"))
-
     def _outbound(
         self, request: InboundRequest, carriage: Carriage, target: Target
     ) -> Outbound:
@@ -245,5 +231,5 @@
         carriage.sent_at_least_once = sent_before
         return
     carriage.runs += 1
-    if isinstance(error, WrongAnswer):
+    if isinstance(error, WrongAnswer) or (isinstance(error, Lost) and error.broken_off):
         carriage.attempts += 1
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -207,11 +207,7 @@
     ) -> AttemptError | None:
         """Run the item once; None if its output is whole."""
         outbound = self._outbound(job, state, target)
-        try:
-            async with asyncio.timeout(FIRST_EVENT_S):
-                opened = await self._client.open(target, outbound)
-        except TimeoutError:
-            return Lost("no answer began")
+        opened = await self._client.open(target, outbound, FIRST_EVENT_S)
         if isinstance(opened, Err):
             return opened.err_value
         answer = opened.ok_value
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -169,12 +169,26 @@
             await self._session.close()
 
     async def open(
-        self, target: Target, outbound: Outbound, connect_s: float = CONNECT_S
+        self, target: Target, outbound: Outbound, begin_s: float = math.inf
     ) -> Result[Answer, AttemptError]:
         """Send ``outbound`` and return the answer once its head has come.
 
         Cancelling this closes the connection.
+
+        Args:
+            target: that gets it.
+            outbound: what is sent.
+            begin_s: longest silence before the head.
         """
+        try:
+            async with asyncio.timeout(begin_s if begin_s < math.inf else None):
+                return await self._send(target, outbound)
+        except TimeoutError:
+            return Err(Lost("no answer began", broken_off=True))
+
+    async def _send(
+        self, target: Target, outbound: Outbound
+    ) -> Result[Answer, AttemptError]:
         try:
             response = await self._open().request(
                 outbound.method,
@@ -182,7 +196,7 @@
                 data=outbound.body or None,
                 headers=outbound.headers,
                 skip_auto_headers=ADDED_HEADERS,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/src/caperridge/targets/outcomes.py
+++ b/src/caperridge/targets/outcomes.py
@@ -46,12 +46,18 @@
 
 
 class Lost(Record):
-    """The connection ended, or the time, before the answer was whole."""
+    """The connection ended, or the time, before the answer was whole.
 
-    __slots__ = ("reason",)
+    Attributes:
+        reason: how it ended.
+        broken_off: this end closed the connection, for nothing came for too long.
+    """
 
-    def __init__(self, reason: str) -> None:
+    __slots__ = ("broken_off", "reason")
+
+    def __init__(self, reason: str, broken_off: bool = False) -> None:
         self.reason = reason
+        self.broken_off = broken_off
 
 
 class WrongAnswer(Record):
