Read the events of an answer in one place

The relay to callers and the runs of items each cut the pieces of an answer into events and looked for a rest at its end; Answer.events() does both.

--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -1,9 +1,10 @@
 """Passing a target's answer on to the caller, whole or event by event."""
 
 import asyncio
+import math
 
 from caperridge.gateway.dialect import passed_on
-from caperridge.gateway.events import Event, EventSplitter
+from caperridge.gateway.events import Event
 from caperridge.gateway.inbound import Carriage, InboundRequest, Reply
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.upstream import Answer, BrokenAnswerError, SilentAnswerError
@@ -75,13 +76,12 @@
         carriage: Carriage,
         answer: Answer,
     ) -> AttemptError | None:
-        splitter = EventSplitter()
-        pieces = answer.pieces()
+        first_s, next_s = math.inf, math.inf
         if request.route.idempotent:
-            pieces = answer.pieces(FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S)
+            first_s, next_s = FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S
         try:
-            async for piece in pieces:
-                good, wrong = _next_events(splitter.feed(piece), carriage)
+            async for events in answer.events(first_s, next_s):
+                good, wrong = _next_events(events, carriage)
                 if good:
                     await self._pass_on(request, reply, answer, good)
                 if wrong:
@@ -89,11 +89,9 @@
                     return WrongAnswer("an event out of order")
         except SilentAnswerError as error:
             carriage.attempts += 1
-            return Lost(str(error))
+            return Lost(str(error), broken_off=True)
         except BrokenAnswerError as error:
             return Lost(str(error))
-        if splitter.rest:
-            return Lost("it ended within an event")
         if not reply.begun:
             await reply.begin(answer.status, passed_on(answer.headers, frozenset()))
         await reply.end()
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -8,7 +8,6 @@
 from result import Err
 
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.events import EventSplitter
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
     DONE,
@@ -219,19 +218,16 @@
             answer.close()
 
     async def _gather(self, state: ItemState, answer: Answer) -> AttemptError | None:
-        splitter = EventSplitter()
         try:
-            async for piece in answer.pieces(FIRST_EVENT_S, EVENT_S, GATHER_EVENTS_S):
-                if not state.take(splitter.feed(piece)):
+            async for events in answer.events(FIRST_EVENT_S, EVENT_S, GATHER_EVENTS_S):
+                if not state.take(events):
                     return WrongAnswer("an event out of order")
         except BrokenAnswerError as error:
             return Lost(str(error))
         except asyncio.CancelledError:
-            state.take(splitter.feed(answer.rest()))
+            state.take(answer.rest())
             raise
-        if splitter.rest or not state.progress.event:
-            return Lost("it ended within an event")
-        return None
+        return None if state.progress.event else Lost("it ended before an event")
 
     def _outbound(self, job: HeldJob, state: ItemState, target: Target) -> Outbound:
         names = self._dialect.headers
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from caperridge.gateway.dialect import Dialect
+from caperridge.gateway.events import Event, EventSplitter
 from caperridge.gateway.targets import Target
 from caperridge.no_repeat import LostOnTheWayError, loss_is_final
 from caperridge.records import Record
@@ -72,14 +73,23 @@
 
 
 class Answer:
-    """An answer whose head has come; its body is read from :meth:`pieces`."""
-
-    __slots__ = ("_protocol", "_response", "_silent", "_watch", "headers", "status")
+    """An answer whose head has come; its body is read by pieces or by events."""
+
+    __slots__ = (
+        "_protocol",
+        "_response",
+        "_silent",
+        "_splitter",
+        "_watch",
+        "headers",
+        "status",
+    )
 
     def __init__(self, response: aiohttp.ClientResponse, watch: SilenceWatch) -> None:
         self._response = response
         self._watch = watch
         self._silent = False
+        self._splitter = EventSplitter()
         # Kept here, for the response lets go of it at the end of the body.
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
@@ -124,16 +134,37 @@
         if self._unframed and self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
 
+    async def events(
+        self, first_s: float, next_s: float, gather_s: float = 0.0
+    ) -> AsyncIterator[list[Event]]:
+        """Yield the events of the body, those of one piece together.
+
+        Args:
+            first_s: see :meth:`pieces`.
+            next_s: see :meth:`pieces`.
+            gather_s: see :meth:`pieces`.
+
+        Raises:
+            BrokenAnswerError: the body is not whole, or ends within an event.
+            SilentAnswerError: nothing came for too long.
+        """
+        async for piece in self.pieces(first_s, next_s, gather_s):
+            yield self._splitter.feed(piece)
+        if self._splitter.rest:
+            raise BrokenAnswerError("it ended within an event")
+
     async def _gather(self, gather_s: float) -> None:
         """Let the body come for so long; return early at its end."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(gather_s):
                 await self._response.content.wait_eof()
 
-    def rest(self) -> bytes:
-        """Return what has come and was not yielded, once nobody reads pieces."""
+    def rest(self) -> list[Event]:
+        """Return whole events that have come, once nobody reads :meth:`events`."""
         content = self._response.content
-        return b"" if content.exception() is not None else content.read_nowait()
+        if content.exception() is not None:
+            return []
+        return self._splitter.feed(content.read_nowait())
 
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
