--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import functools
+from collections.abc import Container
 
 from multidict import CIMultiDict
 from result import Err
 
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.events import EventSplitter
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
     DONE,
@@ -43,6 +43,10 @@
 # most likely gone dark.
 FIRST_EVENT_S = 3.0
 EVENT_S = 1.2
+# Of an item's events only the whole output is used, and progress every 1.5 s. Events
+# come some 33 ms apart, so each run is woken 4 times a second instead of 30; what a
+# target has sent for so long is made again if its connection breaks.
+GATHER_EVENTS_S = 0.25
 AGAIN_AFTER_S = 0.05
 FAILED_AGAIN_AFTER_S = 0.3
 UNPROCESSABLE = 422
@@ -71,6 +75,11 @@
         self._metrics = metrics
         self._dues_by_target: dict[str, list[float]] = {}
 
+    @property
+    def targets(self) -> Container[str]:
+        """Ids of the targets at which items of this instance run."""
+        return self._dues_by_target.keys()
+
     def start(
         self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
     ) -> None:
@@ -197,11 +206,7 @@
     ) -> AttemptError | None:
         """Run the item once; None if its output is whole."""
         outbound = self._outbound(job, state, target)
-        try:
-            async with asyncio.timeout(FIRST_EVENT_S):
-                opened = await self._client.open(target, outbound)
-        except TimeoutError:
-            return Lost("no answer began")
+        opened = await self._client.open(target, outbound, FIRST_EVENT_S)
         if isinstance(opened, Err):
             return opened.err_value
         answer = opened.ok_value
@@ -213,18 +218,16 @@
             answer.close()
 
     async def _gather(self, state: ItemState, answer: Answer) -> AttemptError | None:
-        splitter = EventSplitter()
         try:
-            async for piece in answer.pieces(FIRST_EVENT_S, EVENT_S):
-                for event in splitter.feed(piece):
-                    if event.id != state.progress.event + 1:
-                        return WrongAnswer("an event out of order")
-                    state.progress = _with_event(state.progress, event.data())
+            async for events in answer.events(FIRST_EVENT_S, EVENT_S, GATHER_EVENTS_S):
+                if not state.take(events):
+                    return WrongAnswer("an event out of order")
         except BrokenAnswerError as error:
             return Lost(str(error))
-        if splitter.rest or not state.progress.event:
-            return Lost("it ended within an event")
-        return None
+        except asyncio.CancelledError:
+            state.take(answer.rest())
+            raise
+        return None if state.progress.event else Lost("it ended before an event")
 
     def _outbound(self, job: HeldJob, state: ItemState, target: Target) -> Outbound:
         names = self._dialect.headers
@@ -242,11 +245,6 @@
         )
 
 
-def _with_event(progress: ItemProgress, data: bytes) -> ItemProgress:
-    text = progress.text + b"\n" + data if progress.event else data
-    return ItemProgress(progress.event + 1, text, progress.failures)
-
-
 def _outcome(error: AttemptError | None, cancelled: bool) -> str:
     if cancelled:
         return "cancelled"
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -123,9 +123,11 @@
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
-        forwarder = Forwarder(self.fleet, self.client, dialect, self.metrics, limits)
+        self._forwarder = Forwarder(
+            self.fleet, self.client, dialect, self.metrics, limits
+        )
         self.edge = Edge(
-            self.configuration, forwarder, jobs, dialect, self.metrics, limits
+            self.configuration, self._forwarder, jobs, dialect, self.metrics, limits
         )
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
@@ -160,7 +162,8 @@
 
     def _wire(self) -> None:
         self.news.item_started = self.granting.used
-        self.news.count_told = self.recalls.look
+        self.news.count_told = self._count_told
+        self._forwarder.placed = self.keeper.count_rose
         self.reach.on_return(self.fleet.targets.store_returned)
         self.fleet.on_change(self.keeper.fleet_changed)
         self.fleet.on_change(self.news.counts_changed)
@@ -216,6 +219,10 @@
         self.index.take(rows)
         self.news.table_changed(self.index.copy.table)
 
+    def _count_told(self, target: str) -> None:
+        self.recalls.look(target)
+        self.keeper.count_rose(target)
+
     def _peer_lost(self, member: Member) -> None:
         self.fleet.occupancy.forget(member.id)
         self.fleet.changed()
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from caperridge.gateway.dialect import Dialect
+from caperridge.gateway.events import Event, EventSplitter
 from caperridge.gateway.targets import Target
 from caperridge.no_repeat import LostOnTheWayError, loss_is_final
 from caperridge.records import Record
@@ -72,14 +73,23 @@
 
 
 class Answer:
-    """An answer whose head has come; its body is read from :meth:`pieces`."""
-
-    __slots__ = ("_protocol", "_response", "_silent", "_watch", "headers", "status")
+    """An answer whose head has come; its body is read by pieces or by events."""
+
+    __slots__ = (
+        "_protocol",
+        "_response",
+        "_silent",
+        "_splitter",
+        "_watch",
+        "headers",
+        "status",
+    )
 
     def __init__(self, response: aiohttp.ClientResponse, watch: SilenceWatch) -> None:
         self._response = response
         self._watch = watch
         self._silent = False
+        self._splitter = EventSplitter()
         # Kept here, for the response lets go of it at the end of the body.
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
@@ -87,13 +97,18 @@
         self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
 
     async def pieces(
-        self, first_s: float = math.inf, next_s: float = math.inf
+        self,
+        first_s: float = math.inf,
+        next_s: float = math.inf,
+        gather_s: float = 0.0,
     ) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
 
         Args:
             first_s: longest silence before the first piece.
             next_s: longest silence after that.
+            gather_s: what comes within so long of a piece, or until the end of the
+                body, makes one piece. It is lost if the connection breaks meanwhile.
 
         Raises:
             BrokenAnswerError: the connection ended before the body did.
@@ -106,6 +121,8 @@
                 watched.heard_at = loop.time()
                 watched.limit_s = next_s
                 yield piece
+                if gather_s:
+                    await self._gather(gather_s)
         except (aiohttp.ClientError, OSError) as error:
             if self._silent:
                 raise SilentAnswerError("it fell silent") from error
@@ -117,6 +134,38 @@
         if self._unframed and self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
 
+    async def events(
+        self, first_s: float, next_s: float, gather_s: float = 0.0
+    ) -> AsyncIterator[list[Event]]:
+        """Yield the events of the body, those of one piece together.
+
+        Args:
+            first_s: see :meth:`pieces`.
+            next_s: see :meth:`pieces`.
+            gather_s: see :meth:`pieces`.
+
+        Raises:
+            BrokenAnswerError: the body is not whole, or ends within an event.
+            SilentAnswerError: nothing came for too long.
+        """
+        async for piece in self.pieces(first_s, next_s, gather_s):
+            yield self._splitter.feed(piece)
+        if self._splitter.rest:
+            raise BrokenAnswerError("it ended within an event")
+
+    async def _gather(self, gather_s: float) -> None:
+        """Let the body come for so long; return early at its end."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(gather_s):
+                await self._response.content.wait_eof()
+
+    def rest(self) -> list[Event]:
+        """Return whole events that have come, once nobody reads :meth:`events`."""
+        content = self._response.content
+        if content.exception() is not None:
+            return []
+        return self._splitter.feed(content.read_nowait())
+
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
         self._response.close()
@@ -151,12 +200,26 @@
             await self._session.close()
 
     async def open(
-        self, target: Target, outbound: Outbound, connect_s: float = CONNECT_S
+        self, target: Target, outbound: Outbound, begin_s: float = math.inf
     ) -> Result[Answer, AttemptError]:
         """Send ``outbound`` and return the answer once its head has come.
 
         Cancelling this closes the connection.
+
+        Args:
+            target: that gets it.
+            outbound: what is sent.
+            begin_s: longest silence before the head.
         """
+        try:
+            async with asyncio.timeout(begin_s if begin_s < math.inf else None):
+                return await self._send(target, outbound)
+        except TimeoutError:
+            return Err(Lost("no answer began", broken_off=True))
+
+    async def _send(
+        self, target: Target, outbound: Outbound
+    ) -> Result[Answer, AttemptError]:
         try:
             response = await self._open().request(
                 outbound.method,
@@ -164,7 +227,7 @@
                 data=outbound.body or None,
                 headers=outbound.headers,
                 skip_auto_headers=ADDED_HEADERS,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
