Move the loop's clock past the time that a target hangs

The cases of hanging had kept the fixture's patience of 0.3 s when the others lost it.

All of the table now has a patience of 20 s, and what may not be repeated the product's own. Where the target hangs, the front has read what it wrote and the loop's clock is then moved ahead in small steps until the front has left the target; if it does not within 120 s of that clock, the test fails. Before a connection is dropped the target lets the loop turn instead of waiting 20 ms. Checks are unchanged, but for the bound that is new.

--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -1,7 +1,9 @@
 """Fixtures for online requests: targets that misbehave, and one to move to."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator, Mapping
+from contextlib import aclosing
 from typing import Any
 
 import aiohttp
@@ -20,12 +22,15 @@
 from caperridge.standins.engine import Engine, make_app
 from caperridge.standins.engine_model import EngineCosts
 from caperridge.store.interface import ListedMember
-from caperridge.targets.engine import EngineClient
-from conftest import Listen
+from caperridge.targets.engine import Attempt, EngineClient
+from conftest import Listen, until
+from online.loop_clock import LoopClock, turns
 
 TOKENS = 8
 BODY = {"model": "chat", "prompt": "alarm 17?", "max_tokens": TOKENS}
-DROP_AFTER_S = 0.02
+# So many turns of the loop after which a connection is dropped, what was written to it
+# has been read.
+READ_TURNS = 40
 
 
 class Clock:
@@ -39,12 +44,24 @@
 
 
 class FaultyTarget:
-    """Answers every request in one wrong way and counts how often it ran one."""
+    """Answers every request in one wrong way and counts how often it ran one.
+
+    Attributes:
+        fault: the way.
+        runs: how often it ran a request.
+        sent: events that it has written.
+        cancels: how often it was asked to drop an attempt.
+        hanging: set once it says nothing more.
+        left: set once whoever waited for it then has gone.
+    """
 
     def __init__(self, fault: str) -> None:
         self.fault = fault
         self.runs = 0
+        self.sent = 0
         self.cancels = 0
+        self.hanging = asyncio.Event()
+        self.left = asyncio.Event()
 
     def app(self) -> web.Application:
         app = web.Application()
@@ -68,9 +85,16 @@
             request.transport.abort()
             raise asyncio.CancelledError
         if self.fault == "hung":
-            await asyncio.sleep(3600)
+            await self._hang()
         return await self._stream(request, body.get("resume_from", 0))
 
+    async def _hang(self) -> None:
+        self.hanging.set()
+        try:
+            await asyncio.sleep(3600)
+        finally:
+            self.left.set()
+
     def _refuse(self) -> web.Response:
         _, status, run = self.fault.split()
         code = "leaving" if run == "leaving" else "busy"
@@ -86,11 +110,11 @@
         for offset in range(start, TOKENS):
             sent = offset - start
             if sent == 2 and self.fault == "cut stream":
-                await asyncio.sleep(DROP_AFTER_S)
+                await turns(READ_TURNS)
                 request.transport.abort()
                 return response
             if sent == 2 and self.fault == "hung in the stream":
-                await asyncio.sleep(3600)
+                await self._hang()
             if sent == 2 and self.fault == "ended without the mark":
                 await response.write_eof()
                 return response
@@ -106,8 +130,9 @@
             if sent == 2 and self.fault == "skipped offset":
                 shown = offset + 1
             await response.write(self._event(ids, shown))
+            self.sent += 1
         if self.fault == "mark lost after the last token":
-            await asyncio.sleep(DROP_AFTER_S)
+            await turns(READ_TURNS)
             request.transport.abort()
             return response
         await response.write(b"data: [DONE]\n\n")
@@ -126,10 +151,28 @@
         return b"data: " + orjson.dumps(event) + b"\n\n"
 
 
+class CountingClient(EngineClient):
+    """Counts the events that it has read.
+
+    Attributes:
+        events_by_address: how many it read, by the engine's address.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events_by_address: Counter[str] = Counter()
+
+    async def stream(self, attempt: Attempt) -> AsyncIterator[list[bytes]]:
+        async with aclosing(super().stream(attempt)) as batches:
+            async for events in batches:
+                self.events_by_address[attempt.address] += len(events)
+                yield events
+
+
 class Front:
     """An online front before targets on loopback, without an instance around it."""
 
-    def __init__(self, engines: EngineClient, http: aiohttp.ClientSession) -> None:
+    def __init__(self, engines: CountingClient, http: aiohttp.ClientSession) -> None:
         self.address = ""
         self.engines = engines
         self.http = http
@@ -177,6 +220,23 @@
         CompletionsHttp(self).add_routes(app.router)
         return app
 
+    async def ask_past(self, target: FaultyTarget, stream: bool) -> "Answer":
+        """Return the answer; the clock is moved over the time that a target hangs."""
+        clock = LoopClock()
+        async with asyncio.TaskGroup() as group:
+            asking = group.create_task(self.ask(stream))
+            hanging = group.create_task(target.hanging.wait())
+            either = (asking, hanging)
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if target.hanging.is_set():
+                await until(lambda: self._has_read(target) or asking.done(), 60.0)
+                await clock.ahead_until(target.left.is_set)
+            hanging.cancel()
+        return asking.result()
+
+    def _has_read(self, target: FaultyTarget) -> bool:
+        return self.engines.events_by_address.total() >= target.sent
+
     async def ask(self, stream: bool, **fields: Any) -> "Answer":
         body = BODY | {"stream": stream} | fields
         url = f"http://{self.address}/v1/completions"
@@ -231,7 +291,7 @@
 @pytest.fixture
 async def front(listen: Listen) -> AsyncIterator[Front]:
     """A front without targets, behind a listener for callers."""
-    engines = EngineClient()
+    engines = CountingClient()
     async with aiohttp.ClientSession() as http:
         front = Front(engines, http)
         front.address = await listen(front.app())
--- /dev/null
+++ b/tests/online/loop_clock.py
@@ -0,0 +1,39 @@
+"""The clock of an event loop, which a test moves ahead instead of waiting."""
+
+import asyncio
+from collections.abc import Callable
+
+# Less than a sweep for silent streams may be late (see targets/silence.py).
+STEP_S = 0.1
+# Longer than anything waits for a target that hangs.
+MOST_S = 120.0
+# In a step timers go off, a connection is closed, and its other end hears of it.
+TURNS = 10
+
+
+async def turns(count: int = TURNS) -> None:
+    """Let the event loop turn ``count`` times."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+class LoopClock:
+    """The running loop's clock; what the test adds comes on top of real time."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._time = loop.time
+        self._ahead_s = 0.0
+        loop.time = self.time
+
+    def time(self) -> float:
+        return self._time() + self._ahead_s
+
+    async def ahead_until(self, holds: Callable[[], bool]) -> None:
+        """Move the clock ahead in small steps until ``holds()`` is true."""
+        for _ in range(int(MOST_S / STEP_S)):
+            if holds():
+                return
+            self._ahead_s += STEP_S
+            await turns()
+        raise AssertionError(f"not within {MOST_S} s of the loop's clock")
--- a/tests/online/test_fault_table.py
+++ b/tests/online/test_fault_table.py
@@ -9,11 +9,14 @@
 
 NOBODY = "127.0.0.1:1"  # a port that nobody listens on
 
+# A process that stands still for as long as the patience has not sent its request yet,
+# and moves it without any fault of the target's. So patience is long, and the clock is
+# moved past it where a target hangs.
+PATIENT_S = 20.0
+DEADLINE_S = 300.0  # of the caller's, longer than all of that
+
 # Fault; the `run` word if no other target can take it; how often the target ran it;
 # tokens that the caller has by then.
-# A process that stands still for the 0.3 s after which the fixture's patience ends has
-# not sent its request yet, and moves it without any fault of the target's.
-PATIENT_S = 5.0
 FAULTS = [
     ("connect refused", "not_run", 0, 0),
     ("lost before the body is read", "unknown", 0, 0),
@@ -38,16 +41,17 @@
 kinds = pytest.mark.parametrize("stream", [True, False], ids=["streamed", "whole"])
 
 
-def be_patient(front: Front) -> None:
+@pytest.fixture(autouse=True)
+def patient(front: Front, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have faults found by what they are, however slow this process is."""
+    front.headers["Timeout"] = str(DEADLINE_S)
+    monkeypatch.setattr("caperridge.targets.engine.LONGEST_CONNECT_S", PATIENT_S)
     policy = front.online.attempts.policy("chat")
     policy.first = Patience(0.95, 3.0, PATIENT_S, 30.0, cold_s=PATIENT_S)
     policy.between = Patience(0.95, 3.0, PATIENT_S, 30.0, cold_s=PATIENT_S)
 
 
 async def add_faulty(front: Front, listen: Listen, fault: str) -> FaultyTarget:
-    if not fault.startswith("hung"):
-        be_patient(front)
     target = FaultyTarget(fault)
     refused = fault == "connect refused"
     # It sorts first, so that the request goes there first.
@@ -70,7 +74,7 @@
     target = await add_faulty(front, listen, fault)
     engine, address = good
     front.add("b-good", address)
-    answer = await front.ask(stream)
+    answer = await front.ask_past(target, stream)
     assert (answer.status, answer.cut) == (200, False)
     assert target.runs == runs
     assert list(engine.runs_by_request.values()) == [1]
@@ -94,7 +98,7 @@
     seen: int,
 ) -> None:
     target = await add_faulty(front, listen, fault)
-    answer = await front.ask(stream)
+    answer = await front.ask_past(target, stream)
     assert target.runs == runs
     assert answer.error["run"] == run
     assert not answer.marked
@@ -113,20 +117,17 @@
     front: Front,
     good: tuple[Engine, str],
     listen: Listen,
-    monkeypatch: pytest.MonkeyPatch,
     stream: bool,
     fault: str,
     run: str,
     runs: int,
     seen: int,
 ) -> None:
-    monkeypatch.setattr("caperridge.instance.attempts.UNREPEATABLE_FIRST_S", 0.3)
-    monkeypatch.setattr("caperridge.instance.attempts.UNREPEATABLE_BETWEEN_S", 0.3)
     front.service.repeatable = False
     target = await add_faulty(front, listen, fault)
     engine, address = good
     front.add("b-good", address)
-    answer = await front.ask(stream)
+    answer = await front.ask_past(target, stream)
     ran = target.runs + sum(engine.runs_by_request.values())
     assert ran <= 1
     if run == "not_run":
