Give items back where every engine of an instance is gone

An instance dispatches items for the engines that hashing gives it. Where its only engine of a service died and the platform went on listing it, `serves` stayed true, so the items that it held waited for their next attempt there for as long as the instance lived, and more was claimed. Ruled out: lost answers of the platform (the test without any fails in the same way), a lapsed session, a commit or claim in doubt (the chunk's row and the memory of its holder agree).

An engine at which an attempt found nobody counts as absent, is asked each second whether it answers, and gets nothing until then. An instance whose engines of a service are all absent claims nothing for it; after 3 s what it holds is given back by the way that was there for an instance without any target.

--- a/src/caperridge/decisions/job_board.py
+++ b/src/caperridge/decisions/job_board.py
@@ -89,7 +89,7 @@
     def want(
         self,
         service: str,
-        room: int,
+        room: int | None,
         in_hand_by_job: dict[str, int],
         now: float,
         wall: float,
@@ -98,17 +98,18 @@
 
         Args:
             service: which one.
-            room: items that could start at once.
+            room: items that could start at once; None if no target is there. Then
+                nothing is claimed ahead: what is in hand is about to be given back.
             in_hand_by_job: items claimed here that have not ended.
             now: monotonic seconds.
             wall: seconds since the epoch.
         """
         in_hand = sum(in_hand_by_job.values())
-        rate = self.meter(service).per_s(now)
-        ahead = min(MOST_IN_HAND, room + int(rate * AHEAD_S))
-        if in_hand == 0 and room == 0:
+        if room is None or (in_hand == 0 and room == 0):
             self._all_wait(service, NO_ROOM)
             return None
+        rate = self.meter(service).per_s(now)
+        ahead = min(MOST_IN_HAND, room + int(rate * AHEAD_S))
         if room == 0 and in_hand >= ahead:
             self._all_wait(service, "")
             return None
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -15,6 +15,7 @@
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.own_targets import OwnTargets
 from caperridge.decisions.routing import TargetBook
+from caperridge.instance.absent_targets import AbsentTargets
 from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.item_work import ItemWork
 from caperridge.instance.metrics import Metrics
@@ -24,7 +25,7 @@
 from caperridge.log import logger
 from caperridge.targets.engine import Attempt, AttemptFailed, EngineClient
 from caperridge.targets.events import text_of
-from caperridge.targets.outcomes import AttemptError, TargetRefused
+from caperridge.targets.outcomes import AttemptError, NotSent, TargetRefused
 
 __all__ = ["BatchStreams", "Finished", "ItemWork"]
 
@@ -65,6 +66,7 @@
         self._clock = clock
         self._waiting = WaitingItems()
         self._running = RunningItems(engines, clock, self._reaction_seen)
+        self._absent = AbsentTargets(engines, clock, self.fill)
         self._not_before_by_target: dict[str, float] = {}
         self._owners_due = 0.0
         self._wake = Wake(self.fill)
@@ -86,9 +88,10 @@
         return max(0, places - self._waiting.count(service))
 
     def serves(self, service: str) -> bool:
-        """Return whether this instance dispatches for a target of ``service``."""
+        """Return whether this instance has a target of ``service`` that is there."""
         self._refresh_owners()
-        return bool(self.own.by_service.get(service))
+        own = self.own.by_service.get(service, ())
+        return any(target not in self._absent for target in own)
 
     @property
     def running(self) -> bool:
@@ -158,6 +161,8 @@
             for target in self.own.by_service.get(name, ()):
                 if not waiting:
                     break
+                if target in self._absent:
+                    continue
                 due = self._not_before_by_target.get(target, 0.0)
                 if now >= due:
                     due = self._fill_target(target, service, waiting, now)
@@ -186,6 +191,7 @@
         if now < self._owners_due:
             return
         self._owners_due = now + OWNERS_EVERY_S
+        self._absent.ask(self._own_addresses())
         alone = self.own.alone
         changes = self.own.refresh(self.book.states_by_id)
         for peer in changes.peers_gone:
@@ -198,6 +204,13 @@
             self.headroom.lost(target)
             self._requeue_all(target)
 
+    def _own_addresses(self) -> dict[str, str]:
+        return {
+            target: state.member.address
+            for target, state in self.book.states_by_id.items()
+            if self.own.owns(target)
+        }
+
     def _preempt(self, target: str, now: float) -> None:
         service = self._service_of(target)
         if service is None or not self._running.count(target):
@@ -229,7 +242,7 @@
         return self.configuration.services_by_name.get(state.member.service)
 
     def _startable(self, target: str, service: Service) -> int:
-        if target in self._closed:
+        if target in self._closed or target in self._absent:
             return 0
         return self.headroom.startable(
             target, service.most_running, service.batch_weight, self._clock()
@@ -291,6 +304,9 @@
             # Another target may do; this one gets a moment to come back.
             until = self._clock() + FAILED_HOLD_S
             self._not_before_by_target[stream.target] = until
+        if isinstance(error, NotSent):
+            self._absent.note(stream.target)
+            self._absent.ask(self._own_addresses())
         self.finished(work, error)
         self.fill()
 
--- a/src/caperridge/instance/item_runners.py
+++ b/src/caperridge/instance/item_runners.py
@@ -24,11 +24,13 @@
         """Whether an item runs at a target."""
         return self._streams.running or self._plain.running
 
-    def room(self, service: str) -> int:
-        """Return how many more items of ``service`` are wanted."""
+    def room(self, service: str) -> int | None:
+        """Return how many more items of ``service`` are wanted; None: none can run."""
         found = self._streams.configuration.services_by_name.get(service)
         if found is not None and found.kind == "plain":
             return self._plain.room(service)
+        if not self._streams.serves(service):
+            return None
         return self._streams.room(service)
 
     def serves(self, service: str) -> bool:
--- a/src/caperridge/instance/lease_guard.py
+++ b/src/caperridge/instance/lease_guard.py
@@ -37,3 +37,7 @@
     async def cancel(self, address: str, attempt: str) -> None:
         """See :meth:`EngineClient.cancel`."""
         await self._engines.cancel(address, attempt)
+
+    async def listens(self, address: str) -> bool:
+        """See :meth:`EngineClient.listens`."""
+        return await self._engines.listens(address)
--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -204,6 +204,17 @@
         except (aiohttp.ClientError, TimeoutError, OSError, orjson.JSONDecodeError):
             return None
 
+    async def listens(self, address: str) -> bool:
+        """Return whether the engine answers at all, whatever it says."""
+        try:
+            async with self._open().get(
+                f"http://{address}/control/load",
+                timeout=aiohttp.ClientTimeout(total=1.0),
+            ):
+                return True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     async def cancel(self, address: str, attempt: str) -> None:
         """Ask the engine to drop the attempt; best effort."""
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
