--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from caperridge.gateway.fleet import Fleet
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import (
     Alive,
     Counts,
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -28,7 +28,8 @@
     metrics_application,
     ready_application,
 )
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.news import PeerNews
 from caperridge.gateway.observed_store import ObservedStore
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -12,7 +12,8 @@
 
 from result import Err, Result
 
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import StoreAnswer, StoreAsk
 from caperridge.gateway.relay_codec import (
     answer_from_plain,
--- a/src/caperridge/gateway/unowned.py
+++ b/src/caperridge/gateway/unowned.py
@@ -12,7 +12,8 @@
 
 from caperridge.gateway.dialect import DecodeError, Dialect
 from caperridge.gateway.fleet import Fleet
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import UnownedRuns
 from caperridge.gateway.occupancy import Count
 from caperridge.gateway.targets import Target
