--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import re
+from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -51,6 +52,10 @@
 class Edge:
     """Takes callers' requests to whoever serves them.
 
+    Attributes:
+        closing: callers are to go elsewhere.
+        hear_peers: called before a request is placed, so that counts are fresh.
+
     Args:
         configuration: in force.
         forwarder: for online requests.
@@ -76,6 +81,7 @@
         self._metrics = metrics
         self.closing = False
         self._limits = limits
+        self.hear_peers: Callable[[], None] = lambda: None
         self._running_by_number: dict[int, RunningRequest] = {}
         self._numbers = itertools.count()
         self._last_arrival = 0.0
@@ -193,6 +199,7 @@
             resume_after=int(resume) if resume.isdigit() else 0,
         )
         reply = AiohttpReply(request, lambda: self.closing)
+        self.hear_peers()
         try:
             given_up = await self._forwarder.carry(inbound, reply)
         except asyncio.CancelledError:
--- a/src/caperridge/gateway/mesh/lives.py
+++ b/src/caperridge/gateway/mesh/lives.py
@@ -4,7 +4,7 @@
 import secrets
 from typing import Protocol
 
-from caperridge.gateway.mesh.mesh import Member
+from caperridge.gateway.mesh.member import Member
 
 
 class Peers(Protocol):
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -31,7 +31,8 @@
     ready_application,
 )
 from caperridge.gateway.mesh.lives import new_incarnation
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.news import PeerNews
 from caperridge.gateway.observed_store import ObservedStore
@@ -161,6 +162,7 @@
         return watchers
 
     def _wire(self) -> None:
+        self.edge.hear_peers = self.mesh.hear_now
         self.news.item_started = self.granting.used
         self.news.count_told = self._count_told
         self._forwarder.placed = self.keeper.count_rose
