--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -5,7 +5,9 @@
 import random
 from collections.abc import Callable, Iterable
 
+from caperridge.gateway.mesh.member import Member
 from caperridge.gateway.mesh.messages import Hello
+from caperridge.gateway.mesh.paced_reading import PacedReader
 from caperridge.gateway.mesh.streams import InStream, OutStream, encode
 from caperridge.log import logger
 from caperridge.records import Record
@@ -38,32 +40,6 @@
 Handler = Callable[[str, Record], None]
 
 
-class Member:
-    """One other instance.
-
-    Attributes:
-        id: of the instance.
-        address: that its peers connect to.
-        zone: its availability zone; empty if not known.
-        incarnation: of its life as last heard; empty if never.
-        heard_at: when its last message came; -inf if none did or its stream ended.
-        lost_at: when it was first found to be silent; None while it is heard.
-        leaving: it said that it takes no new work.
-        store_reached: it said that the store answers it.
-    """
-
-    def __init__(self, id: str, address: str, zone: str, now: float) -> None:
-        self.id = id
-        self.address = address
-        self.zone = zone
-        self.incarnation = ""
-        self.heard_at = float("-inf")
-        self.lost_at: float | None = now
-        self.leaving = False
-        self.store_reached = False
-        self.listed_at = now
-
-
 class Mesh:
     """Streams to and from all peers.
 
@@ -100,7 +76,9 @@
         self._appeared: list[Callable[[Member], None]] = []
         self._lost: list[Callable[[Member], None]] = []
         self._said_first: list[Callable[[], Record]] = []
+        self._after_hearing: list[Callable[[], None]] = []
         self._server: asyncio.Server | None = None
+        self._reader: PacedReader | None = None
         self._streams: set[InStream] = set()
         self._alive_key = -1
         self._alive: list[Member] = []
@@ -124,12 +102,22 @@
         """Have what ``call`` returns sent on each connection that is made to a peer."""
         self._said_first.append(call)
 
+    def after_hearing(self, call: Callable[[], None]) -> None:
+        """Have ``call`` called after the messages of one turn were heard."""
+        self._after_hearing.append(call)
+
+    def hear_now(self) -> None:
+        """Take the messages that have come, before something is decided by them."""
+        if self._reader is not None:
+            self._reader.read_now()
+
     async def start(self) -> None:
         """Listen, and connect to the seeds."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
+        self._reader = reader = PacedReader(self._heard_all)
         self._server = await loop.create_server(
-            lambda: InStream(self._hears, self._stream_ended), host, int(port)
+            lambda: InStream(reader, self._hears, self._stream_ended), host, int(port)
         )
         for seed in self._seeds:
             self._dial(seed)
@@ -144,6 +132,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self._reader is not None:
+            self._reader.close()
 
     def alive(self) -> list[Member]:
         """Return the members that are heard from."""
@@ -339,6 +329,10 @@
         if member is not None and member.incarnation == stream.incarnation:
             self._heard(member, message)
 
+    def _heard_all(self) -> None:
+        for call in self._after_hearing:
+            call()
+
     def _close_earlier(self, stream: InStream) -> None:
         """Close what the speaker of ``stream`` has given up; it may be silent here."""
         for other in list(self._streams):
--- a/tests/gateway/test_holders.py
+++ b/tests/gateway/test_holders.py
@@ -18,7 +18,8 @@
 from caperridge.gateway.jobs.keeping import JobWriter
 from caperridge.gateway.jobs.keys import head_key
 from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem, JobRequest
-from caperridge.gateway.mesh.mesh import Member, Mesh
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import JobNews
 from caperridge.gateway.rows import StoredRow
 from caperridge.gateway.watcher import StoreReach
