Test that an item gives way to an own request without a look

It fails where the forwarder does not tell the keeper of the request that it placed. The test beside it is the same as before but for shared steps.

--- a/tests/gateway/test_looks.py
+++ b/tests/gateway/test_looks.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -17,6 +18,7 @@
 from caperridge.gateway.mesh.messages import Counts
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import World, until
+from gateway.runner_standin import RunnerStandin
 
 SLOTS = 8
 CHANGES = 100
@@ -59,22 +61,56 @@
     assert 0 < looks.count <= took_s / LONGEST_LOOKS_S + OTHER_LOOKS
 
 
+@pytest.fixture
+def no_more_looks(monkeypatch: pytest.MonkeyPatch) -> Callable[[], None]:
+    """Return what lets one more look come, and none after it."""
+
+    def stop() -> None:
+        monkeypatch.setattr(keeper, "LOOK_S", NEVER_S)
+        monkeypatch.setattr(keeper, "CHECK_S", NEVER_S)
+
+    return stop
+
+
 async def test_an_item_gives_way_at_once_also_right_after_a_look(
-    world: World, monkeypatch: pytest.MonkeyPatch
+    world: World, no_more_looks: Callable[[], None]
 ) -> None:
-    runner = await world.add_runner(slots=SLOTS)
+    runner, instance = await _with_an_item(world, SLOTS)
+    no_more_looks()
+    await _last_look(instance)
+    _tell_online(instance, runner.id, SLOTS)
+    await until(lambda: runner.runs[0].cut, within_s=1.0)
+
+
+async def test_an_item_gives_way_to_an_own_request_without_a_look(
+    world: World, no_more_looks: Callable[[], None]
+) -> None:
+    runner, instance = await _with_an_item(world, 1)
+    no_more_looks()
+    await _last_look(instance)
+    runner.silent_after = None
+    answer = await world.ask(instance, "/ask/1", "q1")
+    assert answer.data == runner.text("q1")
+    await until(lambda: runner.runs[0].cut, within_s=1.0)
+
+
+async def _with_an_item(
+    world: World, slots: int
+) -> tuple[RunnerStandin, GatewayInstance]:
+    """Return a runner of so many slots and the instance whose item runs there."""
+    runner = await world.add_runner(slots=slots)
     runner.silent_after = 2
     instance = await world.add_instance()
     await world.ready()
     assert (await world.submit(instance, "j1", ["x1"])).status == 202
     await until(lambda: runner.busy == 1)
-    monkeypatch.setattr(keeper, "LOOK_S", NEVER_S, raising=False)
-    monkeypatch.setattr(keeper, "CHECK_S", NEVER_S)
+    return runner, instance
+
+
+async def _last_look(instance: GatewayInstance) -> None:
     looks = Looks(instance)
     instance.keeper.poke()
     await until(lambda: looks.count > 0)
-    _tell_online(instance, runner.id, SLOTS)
-    await until(lambda: runner.runs[0].cut, within_s=1.0)
 
 
 def _tell_online(instance: GatewayInstance, target: str, online: int) -> None:
