--- a/src/caperridge/gateway/jobs/granting.py
+++ b/src/caperridge/gateway/jobs/granting.py
@@ -81,12 +81,12 @@
         """Return the targets in use whose slots this instance grants."""
         now = asyncio.get_running_loop().time()
         by_id = self._fleet.targets.by_id
-        here = self._broker.falls_here(*self._who_and_what())
+        here = self._broker.falls_here(*self._granter_inputs())
         return [by_id[id] for id in here if self._fleet.takes_items(id, now)]
 
     def grants(self, target: str) -> bool:
         """Whether this instance grants the slots of ``target``."""
-        granters = self._broker.granters(*self._who_and_what())
+        granters = self._broker.granters(*self._granter_inputs())
         return granters.get(target) == self._mesh.instance
 
     def step(self, jobs: list[HeldJob], now: float) -> None:
@@ -181,7 +181,7 @@
         return asks
 
     def _openings(self, service: str, now: float) -> list[Opening]:
-        granters = self._broker.granters(*self._who_and_what())
+        granters = self._broker.granters(*self._granter_inputs())
         openings: list[Opening] = []
         for target in self._fleet.targets.of_service(service):
             granter = granters[target.id]
@@ -201,7 +201,7 @@
 
     # What others want.
 
-    def _who_and_what(self) -> tuple[Members, Iterable[Target], int]:
+    def _granter_inputs(self) -> tuple[Members, Iterable[Target], int]:
         """Return what decides who grants: members, targets and their changes."""
         listed = self._fleet.targets
         return self._who_may_grant(), listed.by_id.values(), listed.changes
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -123,7 +123,7 @@
         if self.held_by_id or self._granting.wanted:
             self.poke()
 
-    def count_rose(self, target: str) -> None:
+    def check_slots(self, target: str) -> None:
         """Have own items at ``target`` give way at once if it has too many runs."""
         if self._give_way_timer is not None or self._stopped:
             return
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -155,7 +155,7 @@
     def _wire(self) -> None:
         self.news.item_started = self.granting.used
         self.news.count_told = self._count_told
-        self._forwarder.placed = self.keeper.count_rose
+        self._forwarder.placed = self.keeper.check_slots
         self.reach.on_return(self.fleet.targets.store_returned)
         self.fleet.on_change(self.keeper.fleet_changed)
         self.fleet.on_change(self.news.counts_changed)
@@ -213,7 +213,7 @@
 
     def _count_told(self, target: str) -> None:
         self.recalls.look(target)
-        self.keeper.count_rose(target)
+        self.keeper.check_slots(target)
 
     def _peer_lost(self, member: Member) -> None:
         self.fleet.occupancy.forget(member.id)
