Keep a chunk that is to be given back until the platform has said so

The committer forgot chunks to be given back where the lease had ended on the own clock at that moment, and settled them as given back: their rows named a live session that worked on them no longer, at an instance without a target that claims nothing. With half of the answers lost a lease of 1.2 s ends often. Now they stay in hand until the lease is renewed, and are given back then, or until the session is over, when they are free.

The test that failed passes.

Suspected only, not seen: a claim whose answer was lost for good (four times in a row, each with an answer lost after its read back) at an instance that lost its last target in the same moment stays claimed in the same way.

--- a/src/caperridge/instance/committer.py
+++ b/src/caperridge/instance/committer.py
@@ -155,7 +155,11 @@
             for wanted in wanted_by_key.values()
             if wanted.session == session
         ]
-        if returned and self._session.left_s() > 0:
+        if returned:
+            if self._session.left_s() <= 0:
+                # In hand until it is certain whose they are: forgotten now, they would
+                # stay claimed for as long as the session lives.
+                return
             outcome = await return_chunks(self._platform, returned, session)
             if isinstance(outcome, Err):
                 error = outcome.err_value
