Take the wall clock out of the plain calls' faults and the last look at connections

The patience of plain calls is 20 s; where targets hang or are late, the stand-in says that it holds a call and the loop's clock is moved ahead until it holds none. A resend is now proven to come while the first call runs. What comes after the last answer of a connection comes between two looks that are 10 s of the moved clock apart. No check is left out or loosened.

--- a/src/caperridge/standins/plain.py
+++ b/src/caperridge/standins/plain.py
@@ -7,6 +7,8 @@
 
 from caperridge.records import Record
 
+HUNG_S = 3600.0
+
 
 class PlainFaults(Record):
     """The switches of a plain service.
@@ -59,13 +61,22 @@
 
 
 class PlainService:
-    """Answers every path with what it was sent, and counts."""
+    """Answers every path with what it was sent, and counts.
+
+    Attributes:
+        faults: its switches.
+        runs_by_request: executions by id of the request.
+        runs_by_key: executions by idempotency key.
+        runs: executions.
+        held: executions that hang or are late at this moment.
+    """
 
     def __init__(self) -> None:
         self.faults = PlainFaults()
         self.runs_by_request: dict[str, int] = {}
         self.runs_by_key: dict[str, int] = {}
         self.runs = 0
+        self.held = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Execute one request."""
@@ -80,10 +91,7 @@
         name = request.headers.get("X-Request-Id", "")
         body = await request.read()
         self._count(name, request.headers.get("Idempotency-Key", ""))
-        if faults.hung:
-            await asyncio.sleep(3600)
-        if faults.late_s:
-            await asyncio.sleep(faults.late_s)
+        await self._hold(faults)
         if faults.redirect:
             raise web.HTTPTemporaryRedirect(request.path_qs)
         if faults.lose_after:
@@ -100,6 +108,16 @@
         }
         return web.json_response(answer)
 
+    async def _hold(self, faults: PlainFaults) -> None:
+        held_s = HUNG_S if faults.hung else faults.late_s
+        if not held_s:
+            return
+        self.held += 1
+        try:
+            await asyncio.sleep(held_s)
+        finally:
+            self.held -= 1
+
     def _count(self, request: str, key: str) -> None:
         self.runs += 1
         self.runs_by_request[request] = self.runs_by_request.get(request, 0) + 1
--- a/tests/loop_clock.py
+++ b/tests/loop_clock.py
@@ -29,6 +29,12 @@
     def time(self) -> float:
         return self._time() + self._ahead_s
 
+    async def ahead(self, seconds: float) -> None:
+        """Move the clock ahead in small steps, by ``seconds`` in all."""
+        for _ in range(round(seconds / STEP_S)):
+            self._ahead_s += STEP_S
+            await turns()
+
     async def ahead_until(self, holds: Callable[[], bool]) -> None:
         """Move the clock ahead in small steps until ``holds()`` is true."""
         for _ in range(int(MOST_S / STEP_S)):
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -24,7 +24,7 @@
 from caperridge.store.interface import ListedMember
 from caperridge.targets.engine import Attempt, EngineClient
 from conftest import Listen, until
-from online.loop_clock import LoopClock, turns
+from loop_clock import LoopClock, turns
 
 TOKENS = 8
 BODY = {"model": "chat", "prompt": "alarm 17?", "max_tokens": TOKENS}
--- a/tests/plain/conftest.py
+++ b/tests/plain/conftest.py
@@ -20,8 +20,13 @@
 from caperridge.store.interface import ListedMember, NotDone, RowAbsent, Unknown
 from caperridge.targets.plain import PlainClient
 from conftest import CALLER, DECLARATION, OPERATOR, Fleet, until
+from loop_clock import LoopClock
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+# A process that stands still for as long as the patience has not sent its call yet. So
+# patience is long, and the clock is moved past it where a target hangs or is late.
+PATIENT_S = 20.0
+LATE_S = 30.0  # too late
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -122,6 +127,16 @@
                 dict(response.headers),
             )
 
+    async def call_past(self, service: str, key: str = "") -> "Seen":
+        """Call; the clock is moved over the time that targets hang or are late."""
+        clock = LoopClock()
+        async with asyncio.TaskGroup() as group:
+            calling = group.create_task(self.call(service, key))
+            while not calling.done():
+                await until(lambda: calling.done() or self.held, 60.0)
+                await clock.ahead_until(lambda: not self.held)
+        return calling.result()
+
     def set_faults(self, targets: str, **faults) -> None:
         """Switch faults on at ``all`` targets or the ``first`` of each service."""
         for name, service in self.plain_by_id.items():
@@ -132,6 +147,11 @@
     def runs(self) -> int:
         return sum(service.runs for service in self.plain_by_id.values())
 
+    @property
+    def held(self) -> int:
+        """Calls that a target has run and not answered, as it hangs or is late."""
+        return sum(service.held for service in self.plain_by_id.values())
+
 
 class Seen(Record):
     """What a caller saw."""
@@ -162,7 +182,7 @@
     settings.first_operator_sha256 = operator
     settings.balancer_s = 0.01
     rig.instance = Instance(settings, rig.memory)
-    rig.instance.plain.client = PlainClient(deadline_s=0.3)
+    rig.instance.plain.client = PlainClient(PATIENT_S, connect_s=PATIENT_S)
     rig.instance.keyed_calls.record_s = 0.1
     await rig.instance.start()
     async with aiohttp.ClientSession() as rig.http:
--- a/tests/plain/test_fault_table.py
+++ b/tests/plain/test_fault_table.py
@@ -8,6 +8,8 @@
 from caperridge.keys import session
 from caperridge.store.interface import PutRow, RowAbsent
 from conftest import until
+from loop_clock import LoopClock
+from plain.conftest import LATE_S, PATIENT_S
 
 OK = (200, "")
 NOT_RUN = (503, "not_run")
@@ -23,7 +25,7 @@
     ("lost during", ALL, {"lose_during": True}, (LOST, 2), (LOST, 1), (LOST, 1), GONE),
     ("lost after", ALL, {"lose_after": True}, (LOST, 2), (LOST, 1), (LOST, 1), GONE),
     ("hung", ALL, {"hung": True}, (LOST, 2), (LOST, 1), (LOST, 1), GONE),
-    ("late", ALL, {"late_s": 0.5}, (LOST, 2), (LOST, 1), (LOST, 1), GONE),
+    ("late", ALL, {"late_s": LATE_S}, (LOST, 2), (LOST, 1), (LOST, 1), GONE),
     ("late, in time", ALL, {"late_s": 0.05}, (OK, 1), (OK, 1), (OK, 1), OK),
     ("lost at one", FIRST, {"lose_after": True}, (OK, 2), (LOST, 1), (LOST, 1), GONE),
     ("hung at one", FIRST, {"hung": True}, (OK, 2), (LOST, 1), (LOST, 1), GONE),
@@ -91,7 +93,7 @@
 async def test_a_repeatable_call_under_a_fault(rig, row) -> None:
     _, targets, faults, (seen, runs), _, _, _ = row
     rig.set_faults(targets, **faults)
-    answer = await rig.call("lookup")
+    answer = await rig.call_past("lookup")
     assert ((answer.status, answer.run), rig.runs) == (seen, runs)
 
 
@@ -99,7 +101,7 @@
 async def test_a_call_not_to_be_repeated_under_a_fault(rig, row) -> None:
     _, targets, faults, _, (seen, runs), _, _ = row
     rig.set_faults(targets, **faults)
-    answer = await rig.call("billing")
+    answer = await rig.call_past("billing")
     assert ((answer.status, answer.run), rig.runs) == (seen, runs)
 
 
@@ -107,7 +109,7 @@
 async def test_a_keyed_call_under_a_fault_and_its_resend(rig, row) -> None:
     name, targets, faults, _, _, (seen, runs), resent = row
     rig.set_faults(targets, **faults)
-    answer = await rig.call("billing", key="k1")
+    answer = await rig.call_past("billing", key="k1")
     assert ((answer.status, answer.run), rig.runs) == (seen, runs)
     rig.set_faults(ALL)
     if name == "leaving":
@@ -144,13 +146,15 @@
 
 
 async def test_a_resend_while_the_first_runs_is_told_so_at_once(rig) -> None:
-    rig.instance.plain.client.deadline_s = 5.0
-    rig.set_faults(ALL, late_s=0.2)
+    clock = LoopClock()
+    rig.set_faults(ALL, late_s=PATIENT_S / 2)
     first = asyncio.ensure_future(rig.call("billing", key="k1"))
     await until(lambda: rig.runs == 1)
     second = await rig.call("billing", key="k1")
     assert (second.status, second.run, second.code) == (409, "unknown", "in_progress")
     assert second.headers["Retry-After"] == "1"
+    assert rig.held == 1  # the first still runs
+    await clock.ahead_until(lambda: not rig.held)
     assert (await first).status == 200
     third = await rig.call("billing", key="k1")
     assert (third.answer, rig.runs) == ((await first).answer, 1)
--- a/tests/plain/test_no_hidden_repeat.py
+++ b/tests/plain/test_no_hidden_repeat.py
@@ -12,13 +12,15 @@
 from caperridge.targets.outcomes import Lost, NotSent
 from caperridge.targets.plain import AnswerTooLarge, PlainCall, PlainClient
 from conftest import until
+from loop_clock import LoopClock
 
+PATIENT_S = 20.0  # longer than this process may stand still
 METHODS = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"]
 
 
 @pytest.fixture
 async def client() -> AsyncIterator[PlainClient]:
-    client = PlainClient(deadline_s=5.0, connect_s=0.3, most_answer_bytes=1000)
+    client = PlainClient(PATIENT_S, connect_s=PATIENT_S, most_answer_bytes=1000)
     yield client
     await client.close()
 
@@ -113,7 +115,8 @@
     assert isinstance(outcome.err_value, NotSent)
 
 
-async def test_a_connection_that_never_opens_is_not_sent(client) -> None:
+async def test_a_connection_that_never_opens_is_not_sent() -> None:
+    client = PlainClient(PATIENT_S, connect_s=0.3)
     server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0, backlog=0)
     await asyncio.get_running_loop().run_in_executor(None, lambda: None)
     full: list[asyncio.Task] = []
@@ -129,6 +132,7 @@
         task.cancel()
     await asyncio.gather(*full, return_exceptions=True)
     server.close()
+    await client.close()
     assert isinstance(outcome.err_value, NotSent)
 
 
@@ -137,11 +141,15 @@
 
     async def script(reader, writer) -> None:
         heads.append(await reader.readuntil(b"\r\n\r\n"))
-        await asyncio.sleep(30)
+        await asyncio.sleep(3600)
 
     server = await raw(script)
-    client = PlainClient(deadline_s=0.3, connect_s=0.2)
-    outcome = await client.call(server.address, call("GET"))
+    clock = LoopClock()
+    client = PlainClient(PATIENT_S, connect_s=PATIENT_S / 2)
+    calling = asyncio.ensure_future(client.call(server.address, call("GET")))
+    await until(lambda: heads)
+    await clock.ahead_until(calling.done)
+    outcome = await calling
     await client.close()
     assert heads
     assert isinstance(outcome.err_value, Lost)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from caperridge.connections import Connections
+from loop_clock import LoopClock, turns
 
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
 
@@ -177,20 +178,27 @@
 
 
 async def test_no_request_is_taken_on_a_connection_after_its_last_answer(
-    server: Server,
+    server: Server, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Else one that comes near the end of the wait is taken and cut."""
+    look_s = 10.0  # so that it comes between the last two looks however slow this is
+    monkeypatch.setattr("caperridge.connections.LOOK_S", look_s)
+    clock = LoopClock()
     reader, writer = await server.connect()
     server.go.clear()
     writer.write(HEAD + b"body")
     await until_begun(server, 1)
-    ending = asyncio.ensure_future(server.end_all(within_s=0.5))
-    await asyncio.sleep(0.46)
+    ending = asyncio.ensure_future(server.end_all(within_s=1.5 * look_s))
+    await turns()
+    await clock.ahead(1.1 * look_s)
+    assert not ending.done()
     server.go.set()
     async with asyncio.timeout(5):
         await reader.readuntil(b"body")
     server.go.clear()
     writer.write(HEAD + b"body")
+    await turns()
+    await clock.ahead_until(ending.done)
     left = await ending
     assert (server.begun, left) == (1, 0)
 
