Try targets of a zone last whose peers fell silent a moment ago

Cause: after a zone is cut off each instance found each of its targets by trying it, 0.2 s a try, though peers of that zone had been silent for most of that time. Ruled out: two tries to different targets of one zone (there are two in each zone here, so nothing would be left to spare). Change: from 0.8 s to 2.5 s after all peers of another zone were last heard, its targets are offered to online requests only if there are no others. Not where peers are too many to tell each one everything, and not while nobody at all is heard.

--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -48,6 +48,8 @@
         self._failed_at_by_target: dict[str, float] = {}
         self._refusing_until_by_target: dict[str, float] = {}
         self._replaced_until_by_target: dict[str, float] = {}
+        # Zones whose targets are tried last for a moment.
+        self.silent_zones: Callable[[float], frozenset[str]] = lambda now: frozenset()
         self._changed: list[Callable[[], None]] = []
 
     def on_change(self, call: Callable[[], None]) -> None:
@@ -64,7 +66,8 @@
     ) -> list[Target]:
         """Return the targets of ``service`` that may get a request.
 
-        When all of them are ejected, being ejected says nothing about any one.
+        When all of them are ejected, being ejected says nothing about any one. Those
+        of a zone that may have been cut off are left out while there are others.
         """
         listed = [
             target
@@ -72,7 +75,9 @@
             if target.id not in excluded
         ]
         sound = [target for target in listed if not self._is_out(target.id, now)]
-        return sound or listed
+        silent = self.silent_zones(now)
+        heard = [one for one in sound if one.availability_zone not in silent]
+        return heard or sound or listed
 
     def is_usable(self, id: str, now: float) -> bool:
         """Whether a target is listed, takes new work and is not ejected."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -43,6 +43,7 @@
 from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import StoreReach, TableWatcher
+from caperridge.gateway.zones import silent_zones
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -153,6 +154,7 @@
         return watchers
 
     def _wire(self) -> None:
+        self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.news.item_started = self.granting.used
         self.news.count_told = self.recalls.look
         self.reach.on_return(self.fleet.targets.store_returned)
