--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -45,6 +45,7 @@
 from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import StoreReach, TableWatcher
+from caperridge.gateway.zones import silent_zones
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -163,6 +164,7 @@
 
     def _wire(self) -> None:
         self.edge.hear_peers = self.mesh.hear_now
+        self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.news.item_started = self.granting.used
         self.news.count_told = self._count_told
         self._forwarder.placed = self.keeper.check_slots
