Close the door of a stop while what it took last has 3.8 s

Cause: the door stayed open until 4.5 s of a grace period of 8 s where callers never pause, and a stream that was taken then and lasted longer than 2.8 s was broken off: a request taken long after SIGTERM and given up. With a short grace period callers have 0.45 of it instead of half.

--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -14,10 +14,13 @@
 # Left for closing connections before the kill.
 SPARE_S = 0.5
 # Left for requests that were under way when the door closed. On a day with rolling
-# restarts answers took 0.7 s (p50), 1.2 s (p99) and 1.35 s at most; where queues are
-# full, as long again. A request that is turned away at a closed door is served at once
-# by another instance, one that is cut may have run.
-CLOSING_S = 3.0
+# restarts answers took 0.7 s (p50), 1.2 s (p99) and 1.35 s at most; those of slow
+# targets take several times that, and callers wait for up to 5 s. A request that is
+# turned away at a closed door is served at once by another instance, one that is cut
+# may have run.
+CLOSING_S = 4.0
+# Of a short grace period callers have this share before the door closes.
+OPEN_SHARE = 0.45
 # Before that end, what was taken in the stop is given up, so that its caller is told.
 ANSWER_S = 0.2
 
@@ -43,8 +46,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         end = began + grace_s - SPARE_S
-        # A short grace period is shared by both.
-        patience = max(end - CLOSING_S, (began + end) / 2)
+        patience = max(end - CLOSING_S, began + (end - began) * OPEN_SHARE)
         self._edge.leave(end - ANSWER_S)
         handing_over = loop.create_task(self._hand_over_until(end))
         await self._edge.quiet(began + LEAVING_S, patience)
