Show that a large message of a peer waits for each of its parts

An object that a peer fetches for an instance that is cut off has megabytes; read 256 KB at a time with 20 ms between, 4 MB take more than 0.3 s on the modelled clock.

--- a/tests/gateway/test_many_messages.py
+++ b/tests/gateway/test_many_messages.py
@@ -20,7 +20,7 @@
 
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.messages import Counts, Hello
+from caperridge.gateway.mesh.messages import Counts, Hello, TableWhole
 from caperridge.gateway.mesh.paced_reading import PACE_S
 from caperridge.gateway.mesh.streams import encode
 from caperridge.gateway.news import PeerNews
@@ -30,6 +30,7 @@
 PEERS = 20
 TARGETS = 15
 MODELLED_S = 10.0
+LARGE_BYTES = 4 * 2**20
 # What one of 63 instances hears at 207 online requests and 25 items a second, and twice
 # that, as in the peaks of a day.
 USUAL_CHANGES_A_SECOND = 188
@@ -201,6 +202,28 @@
     stepped.run(play())
 
 
+def test_a_large_message_is_not_kept_waiting_for_its_parts(
+    stepped: asyncio.Runner, zone: Zone
+) -> None:
+    """The object of a call that a peer makes for another has megabytes."""
+    heard: list[float] = []
+
+    async def play() -> float:
+        await _after_a_rest(zone)
+        zone.mesh.register(TableWhole, lambda peer, whole: heard.append(0.0))
+        for number in range(2):  # from the second on they are left for a moment
+            await _tell(zone, f"i-{number}")
+            await zone.until(lambda of=number: _heard(zone, f"i-{of}"))
+        large = encode(TableWhole("t", 1, [["", "k", bytes(LARGE_BYTES), 1]]))
+        zone.peers[0].setblocking(False)
+        began = zone.loop.time()
+        await zone.loop.sock_sendall(zone.peers[0], large)
+        await zone.until(lambda: heard)
+        return zone.loop.time() - began
+
+    assert stepped.run(play()) <= 2 * PACE_S
+
+
 def test_counts_that_are_heard_together_are_looked_at_once(
     stepped: asyncio.Runner, zone: Zone
 ) -> None:
