Read a large message of a peer without a pause

Cause: the pause that saves turns for many small messages added up over the reads of a large one. After a read of 32 KB or more the loop watches again at once.

--- a/src/caperridge/gateway/mesh/paced_reading.py
+++ b/src/caperridge/gateway/mesh/paced_reading.py
@@ -16,6 +16,9 @@
 # places a request reads first.
 PACE_S = 0.02
 READ_BYTES = 256 * 2**10
+# Messages of 20 ms have some kilobytes together; a read of this size is a part of a
+# message so large that waiting between its parts would add up.
+LARGE_READ_BYTES = 32 * 2**10
 
 Received = Callable[[bytes], None]
 
@@ -38,6 +41,7 @@
         self._received_by_descriptor: dict[int, Received] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._reading = False
+        self._large = False  # whether something large was read last
         self._loop.add_reader(self._poll.fileno(), self._readable)
 
     def close(self) -> None:
@@ -73,17 +77,20 @@
         """Read what came after a rest; leave what comes next if the rest was short."""
         rested_s = self._loop.time() - self.read_at
         self._read()
-        if rested_s < PACE_S:
+        if rested_s < PACE_S and not self._large:
             self._loop.remove_reader(self._poll.fileno())
             self._timer = self._loop.call_later(PACE_S, self._read_again)
 
     def _read_again(self) -> None:
-        """Read what came meanwhile; have the loop watch again if that was nothing."""
+        """Read what came meanwhile; have the loop watch again if that was nothing.
+
+        It also watches while a large message comes.
+        """
         came = True
         try:
             came = self._read()
         finally:  # whatever fails here, peers are heard again
-            if came:
+            if came and not self._large:
                 self._timer = self._loop.call_later(PACE_S, self._read_again)
             else:
                 self._timer = None
@@ -92,6 +99,7 @@
     def _read(self) -> bool:
         """Read each connection on which something came; return whether one did."""
         self.read_at = self._loop.time()
+        self._large = False
         ready = self._poll.poll(0)
         if not ready:
             return False
@@ -114,4 +122,5 @@
             return
         except OSError:
             data = b""
+        self._large = self._large or len(data) >= LARGE_READ_BYTES
         received(data)
