Hold the door of a stop to its 3.2 s on a clock that stands still

The test had got a grace period of 60 s, so that it no longer showed that the door stays open for 3.2 s of a grace period of 8 s. It has 8 s again; the loop's clock moves by the test's steps alone.

--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -30,24 +30,23 @@
             return 0
 
 
-async def test_requests_that_come_while_it_leaves_are_served(
-    world: World, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    # Longer than this process may stand still between two requests.
-    monkeypatch.setattr("caperridge.gateway.edge.QUIET_S", 5.0)
-    clock = LoopClock()
+async def test_requests_that_come_while_it_leaves_are_served(world: World) -> None:
     runner = await world.add_runner()
+    runner.pause_s = 0.0
     instance = await world.add_instance()
     await world.ready()
     assert await ready_status(instance.settings.ready) == 200
-    stopping = asyncio.ensure_future(instance.stop(LONG_GRACE_S))
-    await asyncio.sleep(0.05)
+    clock = LoopClock(still=True, turns=TURNS_A_STEP)
+    stopping = asyncio.ensure_future(instance.stop(8.0))
+    await clock.ahead(0.1)
     assert await ready_status(instance.settings.ready) == 503
     loop = asyncio.get_running_loop()
     began = loop.time()
     number = 0
     while loop.time() - began < 3.2:  # longer than the balancer needs to move callers
-        answer = await world.ask(instance, "/once/1", f"r{number}")
+        asking = asyncio.ensure_future(world.ask(instance, "/once/1", f"r{number}"))
+        await clock.ahead_until(asking.done)
+        answer = await asking
         assert answer.data == runner.text(f"r{number}")
         assert answer.headers["Connection"] == "close"
         number += 1
