--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -20,6 +20,7 @@
         lose_answers: how many of the next writes are done and not answered.
         lose_table: only writes into this table lose theirs; empty for all.
         delay_writes_s: how much later such a write is done.
+        delay_s: how long it takes to begin with any call.
         writes: transactions that took effect.
     """
 
@@ -31,6 +32,7 @@
         self.lose_answers = 0
         self.lose_table = ""
         self.delay_writes_s = 0.0
+        self.delay_s = 0.0
         self.writes = 0
         self.calls: list[str] = []
         self.forgotten_before = 0
@@ -72,6 +74,7 @@
 
     @web.middleware
     async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        await asyncio.sleep(self.delay_s)
         self.calls.append(f"{request.method} {request.path}")
         if self.refuse is not None:
             return web.Response(status=self.refuse)
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -98,6 +98,19 @@
         assert isinstance(await second, Ok)
 
 
+async def test_a_watch_that_is_asked_again_bears_with_a_slow_store(
+    world: World, store: HttpRowStore, store_way: SilentRelay
+) -> None:
+    first = asyncio.ensure_future(store.changes("op", 1, WATCH_S))
+    await asyncio.sleep(WATCH_S / 4)
+    second = asyncio.ensure_future(store.changes("op", 1, WATCH_S))
+    await until(lambda: store_way.opened == 2)
+    store_way.silence()
+    world.store.delay_s = (WATCH_SLACK_S + CALL_S) / 2
+    assert not isinstance(await first, Ok)
+    assert isinstance(await second, Ok)
+
+
 async def test_a_watch_that_is_given_up_leaves_nothing_behind(
     store: HttpRowStore, store_way: SilentRelay
 ) -> None:
