--- a/src/caperridge/gateway/jobs/broker.py
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -18,7 +18,8 @@
 from caperridge.gateway.targets import Target
 from caperridge.records import Record
 
-# A grant that was not used by then was lost or came too late; messages take 2 ms.
+# A grant that was not used by then was lost or came too late; messages take 2 ms, and
+# in a large fleet up to 20 ms more.
 GRANT_S = 0.08
 # Online requests that fill this share of a target's slots keep one of so many free
 # beside them. By a model of 15 targets of 8 slots and 130 requests/s of 0.7 s:
