--- a/tests/loop_clock.py
+++ b/tests/loop_clock.py
@@ -44,6 +44,11 @@
             self._ahead_s += STEP_S
             await turns(self._turns)
 
+    async def pause(self, seconds: float) -> None:
+        """Let the process stand for ``seconds``: its timers are late by as much."""
+        self._ahead_s += seconds
+        await turns(self._turns)
+
     async def ahead_until(self, holds: Callable[[], bool]) -> None:
         """Move the clock ahead in small steps until ``holds()`` is true."""
         for _ in range(int(MOST_S / STEP_S)):
