Leave pauses of the own process out of the wait for an engine's first answer

Cause: the wait for the head of an engine's answer had a plain time limit, so time in which the process itself stood still counted as silence of the engine. A sound engine was given up, and a request that then met an engine with wrong answers had no third and was refused with 8 s left. Reads behind the head were guarded already.

Change: the limit is put off by the pauses that a tick of 0.05 s notices (gaps of 0.2 s or more), never beyond the caller's deadline.

Not shown: that the one refusal seen beside load, of a single caller, had this cause; its trace was not kept. Not changed: a target that failed a request by silence stays excluded for that request, also where no other is left.

--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -1,6 +1,7 @@
 """The attempts of one online request: chosen, watched, moved where one fails."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
@@ -208,8 +209,10 @@
                 state.expected_wait_s(request.service.most_running, self._clock()),
                 progress.alone,
             )
+        latest_s = math.inf
         if not progress.began:
             left_s = request.deadline - self._clock()
+            latest_s = max(LEAST_FIRST_S, left_s)
             limits.first_s = max(LEAST_FIRST_S, min(limits.first_s, left_s))
         return Attempt(
             request.id,
@@ -220,6 +223,7 @@
             progress.offset,
             limits.first_s,
             limits.between_s,
+            latest_s,
         )
 
     async def _one(
--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -21,6 +21,7 @@
     TargetRefused,
     WrongAnswer,
 )
+from caperridge.targets.own_pauses import OwnPauses
 from caperridge.targets.silence import SilenceWatch
 
 LONGEST_CONNECT_S = 1.0
@@ -46,6 +47,7 @@
         resume_from: offset of the first token still wanted.
         first_event_s: longest wait for the first event; None for the client's.
         between_events_s: longest wait between two events; None for the client's.
+        latest_s: when nobody wants a first event any more, from the start on.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "between_events_s",
         "body",
         "first_event_s",
+        "latest_s",
         "path",
         "request",
         "resume_from",
@@ -69,6 +72,7 @@
         resume_from: int = 0,
         first_event_s: float | None = None,
         between_events_s: float | None = None,
+        latest_s: float = math.inf,
     ) -> None:
         self.request = request
         self.attempt = attempt
@@ -78,6 +82,7 @@
         self.resume_from = resume_from
         self.first_event_s = first_event_s
         self.between_events_s = between_events_s
+        self.latest_s = latest_s
 
 
 class EngineClient:
@@ -95,10 +100,12 @@
         self._between_events_s = between_events_s
         self._session: aiohttp.ClientSession | None = None
         self._silence = SilenceWatch()
+        self._pauses = OwnPauses()
 
     async def close(self) -> None:
         """Close all connections."""
         self._silence.close()
+        self._pauses.close()
         if self._session is not None:
             await self._session.close()
 
@@ -126,15 +133,13 @@
             "X-Attempt-Id": attempt.attempt,
         }
         first_s = attempt.first_event_s or self._first_event_s
-        loop = asyncio.get_running_loop()
-        due = loop.time() + first_s
         # A connection that takes too long is certain not to have carried a byte, so
         # its limit has to run out first. Reads have a watch: see targets/silence.py.
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=min(LONGEST_CONNECT_S, first_s * 0.8)
         )
         try:
-            async with asyncio.timeout_at(due):
+            async with self._pauses.limit(first_s, attempt.latest_s) as limit:
                 response = await self._open().post(
                     f"http://{attempt.address}{attempt.path}",
                     data=orjson.dumps(body),
@@ -144,9 +149,9 @@
                 )
             try:
                 if response.status != 200:
-                    async with asyncio.timeout_at(due):
+                    async with asyncio.timeout_at(limit.due):
                         raise AttemptFailed(await _refused(response))
-                async for events in self._events(response, attempt, due):
+                async for events in self._events(response, attempt, limit.due):
                     yield events
             finally:
                 response.close()
--- a/tests/targets/test_engine_client.py
+++ b/tests/targets/test_engine_client.py
@@ -15,6 +15,7 @@
 STEADY_EVENTS = 6
 STEADY_PAUSE_S = 0.25
 FIRST_S = 1.2
+DEADLINE_S = 10.0
 WRITTEN_BY_CASE = {"no answer": None, "a head alone": b"", "one event": EVENT}
 
 
@@ -84,12 +85,12 @@
 class HeldCall:
     """A call of an engine that answers once it may, on a clock that stands still."""
 
-    def __init__(self, address: str, engine: Held) -> None:
+    def __init__(self, address: str, engine: Held, latest_s: float) -> None:
         self.engine = engine
         self.clock = LoopClock(still=True)
         self._client = EngineClient()
         self._attempt = Attempt(
-            "r", "a", address, "/v1/completions", {}, 0, FIRST_S, FIRST_S
+            "r", "a", address, "/v1/completions", {}, 0, FIRST_S, FIRST_S, latest_s
         )
 
     async def _read(self) -> list[bytes]:
@@ -111,14 +112,14 @@
 @pytest.fixture
 async def held_call(
     listen: Listen,
-) -> AsyncIterator[Callable[[], Awaitable[HeldCall]]]:
+) -> AsyncIterator[Callable[[float], Awaitable[HeldCall]]]:
     calls: list[HeldCall] = []
 
-    async def call() -> HeldCall:
+    async def call(latest_s: float) -> HeldCall:
         engine = Held()
         app = web.Application()
         app.router.add_post("/v1/completions", engine.complete)
-        calls.append(HeldCall(await listen(app), engine))
+        calls.append(HeldCall(await listen(app), engine, latest_s))
         return calls[-1]
 
     yield call
@@ -127,9 +128,9 @@
 
 
 async def test_a_pause_of_the_own_process_is_no_silence_of_the_engine(
-    held_call: Callable[[], Awaitable[HeldCall]],
+    held_call: Callable[[float], Awaitable[HeldCall]],
 ) -> None:
-    call = await held_call()
+    call = await held_call(DEADLINE_S)
     task = await call.begin()
     for _ in range(3):
         await call.clock.pause(FIRST_S / 2)
@@ -140,12 +141,24 @@
 
 
 async def test_an_engine_silent_between_pauses_is_lost_all_the_same(
-    held_call: Callable[[], Awaitable[HeldCall]],
+    held_call: Callable[[float], Awaitable[HeldCall]],
 ) -> None:
-    call = await held_call()
+    call = await held_call(DEADLINE_S)
     task = await call.begin()
     await call.clock.pause(FIRST_S)
     await call.clock.ahead(FIRST_S + 0.1)
     with pytest.raises(AttemptFailed) as failed:
         await task
     assert isinstance(failed.value.error, Lost)
+
+
+async def test_no_pause_puts_the_end_off_beyond_what_the_caller_waits(
+    held_call: Callable[[float], Awaitable[HeldCall]],
+) -> None:
+    call = await held_call(FIRST_S * 1.5)
+    task = await call.begin()
+    await call.clock.pause(FIRST_S)
+    await call.clock.ahead(FIRST_S * 0.5 + 0.1)
+    with pytest.raises(AttemptFailed) as failed:
+        await task
+    assert isinstance(failed.value.error, Lost)
