Connect again where a pause of the own process cut a connection short

Cause: the library's limit of a connection counts the time in which the process stood still. The engine counted as one where nobody listens and was ejected, and a request that had met a wrong answer elsewhere was refused with seconds left.

Change: a connection that runs out while a pause was noticed is tried again, within the limit of the first event. No byte has left by then, so nothing can run twice.

--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -21,10 +21,11 @@
     TargetRefused,
     WrongAnswer,
 )
-from caperridge.targets.own_pauses import OwnPauses
+from caperridge.targets.own_pauses import Limit, OwnPauses
 from caperridge.targets.silence import SilenceWatch
 
 LONGEST_CONNECT_S = 1.0
+CONNECT_SHARE = 0.8  # of the time for the first event
 
 
 class AttemptFailed(Exception):  # noqa: N818 - read as "attempt failed"
@@ -127,26 +128,10 @@
         body["stream"] = True
         if attempt.resume_from:
             body["resume_from"] = attempt.resume_from
-        headers = {
-            "Content-Type": "application/json",
-            "X-Request-Id": attempt.request,
-            "X-Attempt-Id": attempt.attempt,
-        }
         first_s = attempt.first_event_s or self._first_event_s
-        # A connection that takes too long is certain not to have carried a byte, so
-        # its limit has to run out first. Reads have a watch: see targets/silence.py.
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=min(LONGEST_CONNECT_S, first_s * 0.8)
-        )
         try:
             async with self._pauses.limit(first_s, attempt.latest_s) as limit:
-                response = await self._open().post(
-                    f"http://{attempt.address}{attempt.path}",
-                    data=orjson.dumps(body),
-                    headers=headers,
-                    timeout=timeout,
-                    allow_redirects=False,
-                )
+                response = await self._post(attempt, body, limit)
             try:
                 if response.status != 200:
                     async with asyncio.timeout_at(limit.due):
@@ -166,6 +151,36 @@
         except WrongEventError as error:
             raise AttemptFailed(WrongAnswer(str(error))) from error
 
+    async def _post(
+        self, attempt: Attempt, body: dict[str, Any], limit: Limit
+    ) -> aiohttp.ClientResponse:
+        loop = asyncio.get_running_loop()
+        while True:
+            began = loop.time()
+            lost_s = self._pauses.lost_s
+            # A connection that takes too long is certain not to have carried a byte,
+            # so its limit has to run out before the other. Reads have a watch: see
+            # targets/silence.py.
+            connect_s = min(LONGEST_CONNECT_S, (limit.due - began) * CONNECT_SHARE)
+            try:
+                return await self._open().post(
+                    f"http://{attempt.address}{attempt.path}",
+                    data=orjson.dumps(body),
+                    headers={
+                        "Content-Type": "application/json",
+                        "X-Request-Id": attempt.request,
+                        "X-Attempt-Id": attempt.attempt,
+                    },
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+                    allow_redirects=False,
+                )
+            except aiohttp.ConnectionTimeoutError:
+                now = loop.time()
+                self._pauses.look(now)
+                if self._pauses.lost_s == lost_s or limit.due <= now:
+                    raise
+                # It may have come while the process stood still.
+
     async def _events(
         self, response: aiohttp.ClientResponse, attempt: Attempt, due: float
     ) -> AsyncIterator[list[bytes]]:
