Tell the lives of a target apart, and leave out entries that name none

Cause: an entry was decoded field by field without a look at types, so that an address of 5 or slots of "8" became a target that takes work, and a target that started again under its name kept the failures, refusals and runs of its life before.

Change: a target's id is that of one life (name and start, where it says so); all that is known is kept by that id, so nothing of an earlier life counts, also in news of peers that have not heard of the new one. What waits for a life that is over is ended: a request that may run again is moved, another one is answered 502, never 'not run'. Entries are read typed, with all findings in one line; rows of other releases and of other instances too.

--- a/src/caperridge/cli/logs.py
+++ b/src/caperridge/cli/logs.py
@@ -44,7 +44,7 @@
         except ValueError:
             skipped += 1
             continue
-        if any(fields.get(subject) == id for subject in SUBJECTS):
+        if any(_names(fields.get(subject), id) for subject in SUBJECTS):
             found.append((str(fields.get("time", "")), text[:start].strip(), fields))
     found.sort(key=lambda one: one[0])
     if skipped:
@@ -55,6 +55,15 @@
         typer.echo(orjson.dumps(fields).decode() if as_json else _shown(source, fields))
 
 
+def _names(value: Any, id: str) -> bool:
+    """Whether a field names ``id``, or a life of the target of that name.
+
+    >>> _names("i-7f3a@1790000000000", "i-7f3a"), _names("i-7f3ac", "i-7f3a")
+    (True, False)
+    """
+    return value == id or (isinstance(value, str) and value.startswith(f"{id}@"))
+
+
 def _lines(files: list[Path]) -> list[str]:
     if not files:
         return sys.stdin.read().splitlines()
--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -11,7 +11,7 @@
 
 from caperridge.gateway.jobs.model import JobRequest, ResultsPage
 from caperridge.gateway.routes import RoutingTable
-from caperridge.gateway.targets import Target
+from caperridge.gateway.targets import Target, TargetLoad
 from caperridge.records import Record
 
 
@@ -99,15 +99,19 @@
         """
 
     @abstractmethod
-    def target(self, id: str, value: bytes) -> Target:
+    def target(self, name: str, value: bytes) -> Target:
         """Return the target that a row's value describes.
 
+        Args:
+            name: under which it is listed.
+            value: of the row.
+
         Raises:
-            DecodeError: it holds none.
+            DecodeError: it names no target to use; says everything that is wrong.
         """
 
     @abstractmethod
-    def load(self, body: bytes) -> int:
+    def load(self, body: bytes) -> TargetLoad:
         """Return how many requests run or wait at a target, as it says.
 
         Raises:
--- /dev/null
+++ b/src/caperridge/gateway/fields.py
@@ -0,0 +1,111 @@
+"""Reading a map that somebody else wrote: each field typed, all findings together."""
+
+import ipaddress
+from typing import Any
+
+import orjson
+
+from caperridge.findings import WHOLE, Finding
+from caperridge.gateway.dialect import DecodeError
+
+MOST_PORT = 65535
+
+
+class Fields:
+    """The fields of one JSON map.
+
+    What is wrong with a field is noted, and reading goes on with a value of the type
+    asked for; :meth:`check` tells of everything at once.
+
+    Args:
+        source: what the map is, for findings.
+        value: its bytes.
+
+    Raises:
+        DecodeError: the bytes are no JSON map.
+    """
+
+    __slots__ = ("_by_name", "_findings", "_source")
+
+    def __init__(self, source: str, value: bytes) -> None:
+        self._source = source
+        self._findings: list[Finding] = []
+        try:
+            fields = orjson.loads(value)
+        except ValueError as error:
+            raise DecodeError(f"{source}: no JSON: {error}") from error
+        if not isinstance(fields, dict):
+            raise DecodeError(str(Finding(source, WHOLE, "is no map")))
+        self._by_name: dict[str, Any] = fields
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._by_name
+
+    def text(self, name: str) -> str:
+        """Return a text that is not empty."""
+        value = self._by_name.get(name)
+        if isinstance(value, str) and value:
+            return value
+        self._wrong(name, "must be a text")
+        return ""
+
+    def word(self, name: str, words: tuple[str, ...]) -> str:
+        """Return one of ``words``."""
+        value = self._by_name.get(name)
+        if isinstance(value, str) and value in words:
+            return value
+        self._wrong(name, f"must be one of {', '.join(words)}")
+        return words[0]
+
+    def whole(self, name: str, least: int, most: int) -> int:
+        """Return a whole number from ``least`` to ``most``."""
+        value = self._by_name.get(name)
+        if type(value) is int and least <= value <= most:
+            return value
+        self._wrong(name, f"must be a whole number from {least} to {most}")
+        return least
+
+    def number(self, name: str) -> float:
+        """Return a number."""
+        value = self._by_name.get(name)
+        if type(value) in (int, float):
+            return float(value)
+        self._wrong(name, "must be a number")
+        return 0.0
+
+    def address(self, name: str) -> str:
+        """Return an ``IP:PORT``."""
+        value = self._by_name.get(name)
+        if isinstance(value, str) and is_address(value):
+            return value
+        self._wrong(name, "must be IP:PORT")
+        return ""
+
+    def check(self) -> None:
+        """Tell what was wrong with the fields that were read.
+
+        Raises:
+            DecodeError: something was.
+        """
+        if self._findings:
+            raise DecodeError("; ".join(str(finding) for finding in self._findings))
+
+    def _wrong(self, name: str, message: str) -> None:
+        message = message if name in self._by_name else f"{message}, but is missing"
+        self._findings.append(Finding(self._source, name, message))
+
+
+def is_address(value: str) -> bool:
+    """Whether ``value`` is ``IP:PORT``.
+
+    >>> [is_address(one) for one in ("10.0.0.1:80", "10.0.0.1", "a:80", "10.0.0.1:0")]
+    [True, False, False, False]
+    """
+    host, _, port = value.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MOST_PORT):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -173,7 +173,7 @@
         headers = passed_on(request.headers, self._own_headers)
         left_s = request.deadline - asyncio.get_running_loop().time()
         headers[names.deadline] = str(max(1, int(left_s * 1000)))
-        headers[names.incarnation] = target.id
+        headers[names.incarnation] = target.name
         if carriage.last_event:
             headers[names.resume] = str(carriage.last_event)
         return Outbound(request.id, request.method, request.path, headers, request.body)
--- a/src/caperridge/gateway/jobs/codec.py
+++ b/src/caperridge/gateway/jobs/codec.py
@@ -1,6 +1,8 @@
 """Jobs, heads, progress and results as bytes in the store."""
 
-from typing import TypeVar
+import functools
+import typing
+from typing import Any, TypeVar
 
 from caperridge.gateway.jobs.model import JobItem, JobRequest
 from caperridge.records import Record, pack, unpack
@@ -24,7 +26,7 @@
         UnreadableError: it holds none.
     """
     try:
-        return kind.from_map(unpack(value))
+        return _typed(kind, unpack(value))
     except (ValueError, TypeError, AttributeError) as error:
         raise UnreadableError(f"no {kind.__name__}: {error}") from error
 
@@ -41,6 +43,42 @@
         UnreadableError: it holds none.
     """
     try:
-        return JobRequest([JobItem.from_map(fields) for fields in unpack(data)])
+        return JobRequest([_typed(JobItem, fields) for fields in unpack(data)])
     except (ValueError, TypeError, AttributeError) as error:
         raise UnreadableError(f"no job: {error}") from error
+
+
+def _typed(kind: type[R], fields: Any) -> R:
+    """Return the record in ``fields``.
+
+    Raises:
+        TypeError: a field is missing, or of another type than in this release.
+    """
+    record = kind.from_map(fields)
+    for name, type_ in _types_by_field(kind).items():
+        value = getattr(record, name)
+        if not _fits(value, type_):
+            raise TypeError(f"{name} is a {type(value).__name__}")
+    return record
+
+
+@functools.cache
+def _types_by_field(kind: type[Record]) -> dict[str, Any]:
+    hints = typing.get_type_hints(kind.__init__)
+    return {name: hints[name] for name in kind.__slots__}
+
+
+def _fits(value: Any, type_: Any) -> bool:
+    """Whether ``value`` is of a plain type or a list of such.
+
+    >>> _fits(1, float), _fits(True, int), _fits([["a"]], list[list[str]])
+    (True, False, True)
+    """
+    if typing.get_origin(type_) is list:
+        (inner,) = typing.get_args(type_)
+        return isinstance(value, list) and all(_fits(one, inner) for one in value)
+    if isinstance(value, bool):
+        return type_ is bool
+    if type_ is float:
+        return isinstance(value, int | float)
+    return isinstance(value, type_)
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -236,7 +236,7 @@
         )
         headers["Host"] = job.entry.host
         headers[names.request] = state.item.id
-        headers[names.incarnation] = target.id
+        headers[names.incarnation] = target.name
         headers.pop(names.resume, None)
         if state.progress.event:
             headers[names.resume] = str(state.progress.event)
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -9,7 +9,7 @@
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
-from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.edge import Edge
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.forwarding import Forwarder
@@ -38,10 +38,12 @@
 from caperridge.gateway.observed_store import ObservedStore
 from caperridge.gateway.registry import InstanceRegistry
 from caperridge.gateway.relayed_store import RelayedStore
-from caperridge.gateway.rows import RowStore, StoredRow
+from caperridge.gateway.rows import RowStore
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.stopping import PlannedStop
 from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.table_rows import TableRows
+from caperridge.gateway.targets import Target
 from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import StoreReach, TableWatcher
@@ -118,7 +120,7 @@
             self.mesh, self.fleet, self.granting, slots, self.keeper.held
         )
         self.unowned = UnownedLook(
-            self.fleet, self.client, dialect, self.mesh, self.granting.granted_here
+            self.fleet, self.client, dialect, self.mesh, self._granted_in_service
         )
         acceptance = JobAcceptance(store, self.index, self.clock, chance)
         limits = AnswerLimits()
@@ -131,6 +133,14 @@
         self.edge = Edge(
             self.configuration, self._forwarder, jobs, dialect, self.metrics, limits
         )
+        self._rows = TableRows(
+            dialect,
+            self.configuration,
+            self.fleet,
+            self.client,
+            self.index,
+            self.metrics,
+        )
         self._watchers = self._make_watchers(dialect)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
@@ -144,8 +154,8 @@
 
     def _make_watchers(self, dialect: Dialect) -> list[TableWatcher]:
         takers = {
-            dialect.configuration_table: self._configuration_rows,
-            dialect.targets_table: self._target_rows,
+            dialect.configuration_table: self._rows.configuration,
+            dialect.targets_table: self._rows.targets,
         }
         watchers = [
             TableWatcher(self._store, TableCopy(table), self.reach, taker)
@@ -156,13 +166,14 @@
                 self._store,
                 self.index.copy,
                 self.reach,
-                self._index_rows,
+                self._rows.index,
                 spacing_s=INDEX_SPACING_S,
             )
         )
         return watchers
 
     def _wire(self) -> None:
+        self._rows.taken = self.news.table_changed
         self.edge.hear_peers = self.mesh.hear_now
         self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.news.item_started = self.granting.used
@@ -175,58 +186,21 @@
         self.index.on_change(self.keeper.poke)
         self.mesh.on_lose(self._peer_lost)
 
-    # Rows that were news.
-
-    def _configuration_rows(self, rows: list[StoredRow], source: str) -> None:
-        for row in rows:
-            if row.key.key != self._dialect.configuration_key or row.removed:
-                continue
-            try:
-                table = self._dialect.configuration(row.value)
-            except DecodeError as error:
-                log.error("configuration skipped", reason=str(error), source=source)
-                continue
-            if self.configuration.offer(table, source):
-                self.metrics.configuration_version.set(table.version)
-        self.news.table_changed(self._dialect.configuration_table)
-
-    def _target_rows(self, rows: list[StoredRow], source: str) -> None:
-        now = asyncio.get_running_loop().time()
-        targets = self.fleet.targets
-        for row in rows:
-            id = row.key.key
-            if row.removed:
-                targets.remove(id, now)
-                log.info("target gone", target=id, source=source, version=row.version)
-                continue
-            try:
-                target = self._dialect.target(id, row.value)
-            except DecodeError as error:
-                log.error("target skipped", target=id, reason=str(error))
-                continue
-            if targets.by_id.get(id) != target:
-                log.info(
-                    "target listed",
-                    target=id,
-                    draining=target.draining,
-                    address=target.address,
-                    source=source,
-                    version=row.version,
-                )
-            targets.put(target)
-        self.fleet.known = True
-        self.fleet.forget_gone()
-        self.fleet.changed()
-        self.news.table_changed(self._dialect.targets_table)
-
-    def _index_rows(self, rows: list[StoredRow], source: str) -> None:
-        self.index.take(rows)
-        self.news.table_changed(self.index.copy.table)
-
     def _count_told(self, target: str) -> None:
         self.recalls.look(target)
         self.keeper.check_slots(target)
 
+    def _granted_in_service(self) -> list[Target]:
+        """Return the targets granted here that a configured service uses."""
+        table = self.configuration.table
+        if table is None:
+            return []
+        return [
+            target
+            for target in self.granting.granted_here()
+            if target.service in table.services_by_name
+        ]
+
     def _peer_lost(self, member: Member) -> None:
         self.fleet.occupancy.forget(member.id)
         self.fleet.changed()
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -61,9 +61,28 @@
             return False
         for row in answer.ok_value.rows:
             try:
-                address, zone, *_ = unpack(row.value)
+                address, zone = _place(row.value)
             except (ValueError, TypeError) as error:
                 log.error("instance skipped", key=row.key.key, reason=str(error))
                 continue
             self._mesh.learn(row.key.key, address, zone)
         return True
+
+
+def _place(value: bytes) -> tuple[str, str]:
+    """Return where an instance is, address and availability zone.
+
+    Raises:
+        ValueError: another release wrote something else.
+        TypeError: the same.
+    """
+    fields = unpack(value)
+    if not isinstance(fields, list):
+        raise TypeError("is no list")
+    address, zone, *_ = fields
+    if not isinstance(address, str) or not isinstance(zone, str):
+        raise TypeError("address and zone must be texts")
+    _, _, port = address.rpartition(":")
+    if not port.isdigit():
+        raise ValueError("its address has no port")
+    return address, zone
--- /dev/null
+++ b/src/caperridge/gateway/table_rows.py
@@ -0,0 +1,118 @@
+"""What rows of the copied tables change: configuration, targets and the jobs' index.
+
+Anybody may have written a row of targets. One that names no target to use is left out,
+with a line that says all that is wrong; the others hold.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from caperridge.gateway.configuration import ConfigurationInForce
+from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.jobs.index import JobIndex
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.rows import StoredRow
+from caperridge.gateway.upstream import TargetClient
+from caperridge.log import logger
+
+log = logger(__name__)
+
+
+class TableRows:
+    """Takes rows that were news; ``source`` is who told of them.
+
+    Attributes:
+        taken: called with a table's name after rows of it were taken.
+
+    Args:
+        dialect: decodes rows.
+        configuration: offered new versions.
+        fleet: whose targets are listed.
+        client: ends runs at targets whose life is over.
+        index: of jobs.
+        metrics: shows the version in force.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        configuration: ConfigurationInForce,
+        fleet: Fleet,
+        client: TargetClient,
+        index: JobIndex,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._dialect = dialect
+        self._configuration = configuration
+        self._fleet = fleet
+        self._client = client
+        self._index = index
+        self._metrics = metrics
+        self.taken: Callable[[str], None] = lambda table: None
+
+    def configuration(self, rows: list[StoredRow], source: str) -> None:
+        """Put a later configuration in force."""
+        for row in rows:
+            if row.key.key != self._dialect.configuration_key or row.removed:
+                continue
+            try:
+                table = self._dialect.configuration(row.value)
+            except DecodeError as error:
+                log.error("configuration skipped", reason=str(error), source=source)
+                continue
+            if self._configuration.offer(table, source):
+                self._metrics.configuration_version.set(table.version)
+        self.taken(self._dialect.configuration_table)
+
+    def targets(self, rows: list[StoredRow], source: str) -> None:
+        """List targets, and those no more that are gone."""
+        now = asyncio.get_running_loop().time()
+        for row in rows:
+            if not row.removed:
+                self._target(row, source)
+                continue
+            name = row.key.key
+            self._fleet.targets.remove(name, now)
+            log.info("target gone", target=name, source=source, version=row.version)
+        self._fleet.known = True
+        self._fleet.forget_gone()
+        self._fleet.changed()
+        self.taken(self._dialect.targets_table)
+
+    def _target(self, row: StoredRow, source: str) -> None:
+        targets = self._fleet.targets
+        name = row.key.key
+        try:
+            target = self._dialect.target(name, row.value)
+        except DecodeError as error:
+            log.error(
+                "target skipped",
+                target=name,
+                version=row.version,
+                source=source,
+                named_one_before=targets.discard(name),
+                reason=str(error),
+            )
+            return
+        if targets.by_id.get(target.id) != target:
+            log.info(
+                "target listed",
+                target=target.id,
+                draining=target.draining,
+                address=target.address,
+                source=source,
+                version=row.version,
+            )
+        over = targets.put(target)
+        if over is None:
+            return
+        ended = self._client.end_runs(over.id)
+        log.info(
+            "target started again", target=target.id, before=over.id, runs_ended=ended
+        )
+
+    def index(self, rows: list[StoredRow], source: str) -> None:
+        """Take entries of jobs."""
+        self._index.take(rows)
+        self.taken(self._index.copy.table)
--- a/src/caperridge/gateway/unowned.py
+++ b/src/caperridge/gateway/unowned.py
@@ -93,13 +93,15 @@
                 self._fleet.replaced(target.id, now)
             return
         try:
-            running = self._dialect.load(answer.ok_value)
+            load = self._dialect.load(answer.ok_value)
         except DecodeError as error:
             log.info("load not read", target=target.id, reason=str(error))
             return
+        if not load.is_of(target):
+            return  # it has started again, and its entry will say so
         occupancy = self._fleet.occupancy
         known = occupancy.at(target.id).total - occupancy.of(NOBODY, target.id).total
-        unowned = max(0, running - known)
+        unowned = max(0, load.total - known)
         # A run that just ended may still be in one answer; it is not in the next.
         lasting = min(unowned, self._last_by_target.get(target.id, 0))
         self._last_by_target[target.id] = unowned
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -16,6 +16,7 @@
 
 from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.events import Event, EventSplitter
+from caperridge.gateway.open_runs import OpenRuns
 from caperridge.gateway.targets import Target
 from caperridge.no_repeat import LostOnTheWayError, loss_is_final
 from caperridge.records import Record
@@ -34,6 +35,7 @@
 # target that is away answers nothing, and its caller has 300 ms.
 CONNECT_S = 0.2
 READ_BYTES = 64 * 2**10
+STARTED_AGAIN = "its target started again"
 
 
 class Outbound(Record):
@@ -73,22 +75,40 @@
 
 
 class Answer:
-    """An answer whose head has come; its body is read by pieces or by events."""
+    """An answer whose head has come; its body is read by pieces or by events.
+
+    Args:
+        response: of the HTTP library.
+        watch: ends it when it falls silent.
+        target: id of the target that gives it.
+        runs: it is noted there until it is closed.
+    """
 
     __slots__ = (
+        "_ended_by",
         "_protocol",
         "_response",
-        "_silent",
+        "_runs",
         "_splitter",
+        "_target",
         "_watch",
         "headers",
         "status",
     )
 
-    def __init__(self, response: aiohttp.ClientResponse, watch: SilenceWatch) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        watch: SilenceWatch,
+        target: str,
+        runs: OpenRuns,
+    ) -> None:
         self._response = response
         self._watch = watch
-        self._silent = False
+        self._target = target
+        self._runs = runs
+        self._ended_by: BrokenAnswerError | None = None
+        runs.add(target, self._target_started_again)
         self._splitter = EventSplitter()
         # Kept here, for the response lets go of it at the end of the body.
         connection = response.connection
@@ -124,13 +144,11 @@
                 if gather_s:
                     await self._gather(gather_s)
         except (aiohttp.ClientError, OSError) as error:
-            if self._silent:
-                raise SilentAnswerError("it fell silent") from error
-            raise BrokenAnswerError(type(error).__name__) from error
+            raise self._ended_by or BrokenAnswerError(type(error).__name__) from error
         finally:
             self._watch.remove(watched)
-        if self._silent:
-            raise SilentAnswerError("it fell silent")
+        if self._ended_by is not None:
+            raise self._ended_by
         if self._unframed and self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
 
@@ -168,10 +186,15 @@
 
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
+        self._runs.remove(self._target, self._target_started_again)
         self._response.close()
 
     def _fell_silent(self) -> None:
-        self._silent = True
+        self._ended_by = SilentAnswerError("it fell silent")
+        self._response.close()
+
+    def _target_started_again(self) -> None:
+        self._ended_by = BrokenAnswerError(STARTED_AGAIN)
         self._response.close()
 
     @property
@@ -192,6 +215,11 @@
         self._dialect = dialect
         self._session: aiohttp.ClientSession | None = None
         self._watch = SilenceWatch()
+        self._runs = OpenRuns()
+
+    def end_runs(self, target: str) -> int:
+        """End what waits for a target whose life is over; return how much that was."""
+        return self._runs.end_all(target)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -211,11 +239,24 @@
             outbound: what is sent.
             begin_s: longest silence before the head.
         """
+        over = False
+        limit = asyncio.timeout(begin_s if begin_s < math.inf else None)
+
+        def started_again() -> None:
+            nonlocal over
+            over = True
+            limit.reschedule(asyncio.get_running_loop().time())
+
+        self._runs.add(target.id, started_again)
         try:
-            async with asyncio.timeout(begin_s if begin_s < math.inf else None):
+            async with limit:
                 return await self._send(target, outbound)
         except TimeoutError:
+            if over:
+                return Err(Lost(STARTED_AGAIN))
             return Err(Lost("no answer began", broken_off=True))
+        finally:
+            self._runs.remove(target.id, started_again)
 
     async def _send(
         self, target: Target, outbound: Outbound
@@ -236,7 +277,8 @@
             return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
-        return self._checked(outbound, Answer(response, self._watch))
+        answer = Answer(response, self._watch, target.id, self._runs)
+        return self._checked(outbound, answer)
 
     async def get(
         self, target: Target, path: str, within_s: float
@@ -245,7 +287,7 @@
         try:
             async with self._open().get(
                 yarl.URL(f"http://{target.address}{path}", encoded=True),
-                headers={self._dialect.headers.incarnation: target.id},
+                headers={self._dialect.headers.incarnation: target.name},
                 timeout=aiohttp.ClientTimeout(total=within_s),
                 allow_redirects=False,
             ) as response:
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -12,6 +12,7 @@
 import orjson
 
 from caperridge.gateway.dialect import DecodeError, Dialect, HeaderNames, JobsPaths
+from caperridge.gateway.fields import Fields
 from caperridge.gateway.jobs.model import COMPLETED, JobItem, JobRequest, ResultsPage
 from caperridge.gateway.routes import (
     BATCH,
@@ -25,12 +26,25 @@
     Service,
     Share,
 )
-from caperridge.gateway.targets import Target
+from caperridge.gateway.targets import Target, TargetLoad, life_of
 
 _KINDS = {"safe": SAFE, "unsafe": UNSAFE, "streaming": STREAMING, "batch": BATCH}
 _COMPLETED = "completed"
 _DEAD = "dead_letter"
 _MISDIRECTED = 421
+_READY = "ready"
+_DRAINING = "draining"
+# No engine batches nearly as many; an entry that says so would draw all requests.
+MOST_SLOTS = 10_000
+MOST_WHOLE = 2**63 - 1
+# What reading a field of another type or shape raises.
+_UNREADABLE = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class PlatformDialect(Dialect):
@@ -72,37 +86,47 @@
                     idle_s=limits["idleTimeoutMs"] / 1000,
                 ),
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except _UNREADABLE as error:
             raise DecodeError(f"no configuration: {error!r}") from error
 
-    def target(self, id: str, value: bytes) -> Target:
+    def target(self, name: str, value: bytes) -> Target:
         """See :meth:`Dialect.target`."""
-        try:
-            fields = orjson.loads(value)
-            return Target(
-                id=id,
-                service=fields["service"],
-                address=fields["address"],
-                availability_zone=fields["zone"],
-                slots=int(fields["slots"]),
-                draining=fields["state"] != "ready",
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            raise DecodeError(f"no target: {error!r}") from error
-
-    def load(self, body: bytes) -> int:
+        fields = Fields(f"{self.targets_table}/{name}", value)
+        target = Target(
+            id=name,
+            name=name,
+            service=fields.text("service"),
+            address=fields.address("address"),
+            availability_zone=fields.text("zone"),
+            slots=fields.whole("slots", 1, MOST_SLOTS),
+            draining=fields.word("state", (_READY, _DRAINING)) == _DRAINING,
+        )
+        # Not used here, but an entry without them was not written by a target.
+        fields.text("version")
+        fields.number("coldLeftMs")
+        fields.whole("seq", 0, MOST_WHOLE)
+        born = self._born(fields)
+        fields.check()
+        return target.replace(id=life_of(name, born)) if born else target
+
+    def _born(self, fields: Fields) -> int:
+        """Return when a target started, in ms; 0 if it does not say."""
+        return fields.whole("born", 1, MOST_WHOLE) if "born" in fields else 0
+
+    def load(self, body: bytes) -> TargetLoad:
         """See :meth:`Dialect.load`."""
-        try:
-            fields = orjson.loads(body)
-            return int(fields["activeRequests"]) + int(fields["queueDepth"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise DecodeError(f"no load: {error!r}") from error
+        fields = Fields(self.load_path, body)
+        running = fields.whole("activeRequests", 0, MOST_WHOLE)
+        waiting = fields.whole("queueDepth", 0, MOST_WHOLE)
+        born = self._born(fields)
+        fields.check()
+        return TargetLoad(running, waiting, born)
 
     def job(self, body: bytes) -> JobRequest:
         """See :meth:`Dialect.job`."""
         try:
             return JobRequest([_item(item) for item in orjson.loads(body)["requests"]])
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _UNREADABLE as error:
             raise DecodeError(f"no job: {error!r}") from error
 
     def results(self, page: ResultsPage) -> bytes:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -201,9 +201,13 @@
         return runner
 
     def list_runner(
-        self, runner: RunnerStandin, zone: str = "a", state: str = "ready"
+        self,
+        runner: RunnerStandin,
+        zone: str = "a",
+        state: str = "ready",
+        born: int | None = None,
     ) -> None:
-        """Write a runner's entry."""
+        """Write a runner's entry; ``born`` is the start of its life, in ms."""
         entry = {
             "service": "model",
             "address": self._addresses_by_runner[runner.id],
@@ -211,8 +215,11 @@
             "version": "v1",
             "slots": runner.slots,
             "state": state,
+            "coldLeftMs": 0,
             "seq": 1,
         }
+        if born is not None:
+            entry["born"] = born
         self.store.put("servers", runner.id, entry)
 
     async def add_instance(self, id: str = "", zone: str = "a") -> GatewayInstance:
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -38,6 +38,7 @@
         runs: that began.
         leftover: runs of callers that lost power, which nobody knows of.
         misdirected: requests that were meant for another incarnation.
+        hold_head: begin to run, but send no head of the answer.
         reports_to_anybody: tell the load also to who means another incarnation.
     """
 
@@ -61,6 +62,7 @@
         self.leftover = 0
         self.misdirected = 0
         self.reports_to_anybody = False
+        self.hold_head = False
 
     def application(self) -> web.Application:
         """Return what serves the runner."""
@@ -114,6 +116,8 @@
         if self.lose:
             request.transport.abort()
             return web.Response()
+        while self.hold_head:
+            await asyncio.sleep(0.01)
         if self.wrong_id:
             marks["X-Request-Id"] = "another"
         marks["X-Response-Stamp"] = f"stamp-{self.id}-{run.id}"
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -41,8 +41,12 @@
 
     def put(self, table: str, key: str, value: Any, part: str = "") -> None:
         """Write a row as the operator or a target does."""
+        self.put_bytes(table, key, orjson.dumps(value), part)
+
+    def put_bytes(self, table: str, key: str, value: bytes, part: str = "") -> None:
+        """Write a row as anybody may."""
         self.version += 1
-        self._write((table, part, key), orjson.dumps(value))
+        self._write((table, part, key), value)
         self._wake()
 
     def remove(self, table: str, key: str, part: str = "") -> None:
--- /dev/null
+++ b/tests/gateway/test_started_again.py
@@ -0,0 +1,154 @@
+"""Targets that start again under the name that they had, and entries of no use.
+
+A target that crashes and starts again is listed under the same name. All that was
+known of its earlier life is wrong from then on: runs that are counted there, failures,
+a time for which it was left alone.
+"""
+
+import asyncio
+import random
+
+import pytest
+
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.occupancy import Count
+from caperridge.gateway.targets import Target, TargetList
+from caperridge.targets.outcomes import WrongAnswer
+from gateway.conftest import World, until
+from gateway.test_jobs import ITEMS, listed
+
+BORN = 1_790_000_000_000
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet("e-0", "a", random.Random(1))
+
+
+def life(number: int, draining: bool = False) -> Target:
+    return Target(f"t@{number}", "model", "10.0.0.1:1", "a", 4, draining, name="t")
+
+
+def test_a_later_life_replaces_the_earlier_one() -> None:
+    targets = TargetList()
+    assert targets.put(life(1)) is None
+    assert targets.put(life(1, draining=True)) is None
+    over = targets.put(life(2))
+    assert over is not None and over.id == "t@1"
+    assert list(targets.by_id) == ["t@2"]
+    targets.remove("t", now=1.0)
+    assert not targets.by_id
+
+
+def test_an_entry_of_no_use_drops_the_target_also_after_an_outage() -> None:
+    targets = TargetList()
+    targets.put(life(1))
+    targets.store_returned(10.0)
+    assert targets.discard("t")
+    assert not targets.by_id
+    assert not targets.discard("t")
+    assert targets.expire(20.0) == []
+
+
+def test_nothing_of_an_earlier_life_counts_for_a_target(fleet: Fleet) -> None:
+    fleet.targets.put(life(1))
+    fleet.failed(life(1), WrongAnswer("an event out of order"), 0.0)
+    fleet.replaced("t@1", 0.0)
+    fleet.refused_item("t@1", 0.0)
+    fleet.occupancy.told("peer", "t@1", Count(online=4))
+    assert not fleet.takes_items("t@1", 0.1)
+    fleet.targets.put(life(2))
+    fleet.forget_gone()
+    assert fleet.takes_items("t@2", 0.1)
+    assert [target.id for target in fleet.usable("model", 0.1)] == ["t@2"]
+    # A peer that has not heard of the new life yet tells of the old one.
+    fleet.occupancy.told("peer", "t@1", Count(online=3))
+    assert fleet.occupancy.at("t@2").total == 0
+
+
+async def test_a_target_that_started_again_is_used_at_once(world: World) -> None:
+    runner = await world.add_runner()
+    world.list_runner(runner, born=BORN)
+    instance = await world.add_instance()
+    await world.ready()
+    [target] = instance.fleet.targets.by_id.values()
+    now = asyncio.get_running_loop().time()
+    instance.fleet.replaced(target.id, now)
+    instance.fleet.occupancy.told("peer", target.id, Count(online=100))
+    world.list_runner(runner, born=BORN + 5)
+    await until(lambda: target.id not in instance.fleet.targets.by_id)
+    answer = await world.ask(instance, "/once/1", "r1")
+    assert answer.data == runner.text("r1")
+
+
+async def test_streams_of_the_earlier_life_are_moved_or_ended(world: World) -> None:
+    runner = await world.add_runner(slots=64)
+    world.list_runner(runner, born=BORN)
+    instance = await world.add_instance()
+    await world.ready()
+    runner.silent_after = 2
+    moved = asyncio.create_task(world.ask(instance, "/ask/1", "r1"))
+    ended = asyncio.create_task(world.ask(instance, "/once/1", "r2"))
+    await until(lambda: len(runner.runs) == 2 and all(r.sent == 2 for r in runner.runs))
+    runner.silent_after = None
+    world.list_runner(runner, born=BORN + 5)
+    answer = await moved
+    assert answer.data == runner.text("r1")
+    assert [run.resumed_after for run in runner.runs if run.id == "r1"] == [0, 2]
+    # It may run once only and has begun, so it is cut and not sent again.
+    assert not (await ended).whole
+    assert [run.id for run in runner.runs].count("r2") == 1
+
+
+async def test_a_request_that_waited_at_the_earlier_life_is_no_refusal(
+    world: World,
+) -> None:
+    runner = await world.add_runner(slots=64)
+    world.list_runner(runner, born=BORN)
+    instance = await world.add_instance()
+    await world.ready()
+    runner.hold_head = True
+    asked = asyncio.create_task(world.ask(instance, "/once/1", "r1"))
+    await until(lambda: len(runner.runs) == 1)
+    runner.hold_head = False
+    world.list_runner(runner, born=BORN + 5)
+    assert (await asked).status == 502
+    assert len(runner.runs) == 1
+
+
+BAD_ENTRIES = [
+    b"\xff\xfe",
+    b"[]",
+    b'{"service": "model"}',
+    b'{"service": "model", "address": 5, "zone": {}, "slots": "8", "state": "odd"}',
+]
+
+
+async def test_entries_of_no_use_leave_the_others_alone(world: World) -> None:
+    runner = await world.add_runner()
+    for number, value in enumerate(BAD_ENTRIES):
+        world.store.put_bytes("servers", f"bad-{number}", value)
+    instance = await world.add_instance()
+    await world.ready()
+    for number, value in enumerate(BAD_ENTRIES):
+        world.store.put_bytes("servers", f"late-{number}", value)
+    answer = await world.ask(instance, "/once/1", "r1")
+    assert answer.data == runner.text("r1")
+    await world.submit(instance, "j1", ITEMS)
+    results = await listed(world, instance, "j1", len(ITEMS))
+    assert sorted(one["id"] for one in results) == ITEMS
+    assert list(instance.fleet.targets.by_id) == [runner.id]
+
+
+async def test_an_entry_of_no_use_ends_new_work_but_not_what_runs(
+    world: World,
+) -> None:
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    asked = asyncio.create_task(world.ask(instance, "/ask/slow", "r1"))
+    await until(lambda: bool(runner.runs))
+    world.store.put_bytes("servers", runner.id, b"{}")
+    await until(lambda: not instance.fleet.targets.by_id)
+    assert (await asked).data == runner.text("r1")
+    assert (await world.ask(instance, "/once/2", "r2")).status == 503
--- a/tests/soak/town.py
+++ b/tests/soak/town.py
@@ -156,6 +156,7 @@
             "version": "v1",
             "slots": runner.slots,
             "state": state,
+            "coldLeftMs": 0,
             "seq": 1,
         }
         self.store.put("servers", runner.id, entry)
