Make a call of the store again when its answer is overdue

Cause: of a write whose answer is lost an instance learnt after the 2 s of a call.

Change: acceptance and the writer of results ask again after four times what answers took lately, 80 ms at least, three calls at most; conditions make it the same which of them took effect. A later call that was not done settles nothing of an earlier one.

--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -38,6 +38,7 @@
 from caperridge.gateway.observed_store import ObservedStore
 from caperridge.gateway.registry import InstanceRegistry
 from caperridge.gateway.relayed_store import RelayedStore
+from caperridge.gateway.repeating_store import RepeatingStore
 from caperridge.gateway.rows import RowStore
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.stopping import PlannedStop
@@ -92,6 +93,7 @@
         relayed = RelayedStore(store, self.mesh, self.reach, chance)
         store = ObservedStore(relayed, self.clock, self.metrics)
         self._store = store
+        repeating = RepeatingStore(store)
         self.client = TargetClient(dialect)
         runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
         slots = ItemSlots(
@@ -111,7 +113,7 @@
             self.configuration,
             self.mesh,
             self.reach,
-            JobWriter(store, incarnation, settings.row_bytes),
+            JobWriter(repeating, incarnation, settings.row_bytes),
             JobClaimer(store, self.mesh),
             slots,
             self.granting,
@@ -122,7 +124,7 @@
         self.unowned = UnownedLook(
             self.fleet, self.client, dialect, self.mesh, self._granted_in_service
         )
-        acceptance = JobAcceptance(store, self.index, self.clock, chance)
+        acceptance = JobAcceptance(repeating, self.index, self.clock, chance)
         limits = AnswerLimits()
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
--- /dev/null
+++ b/src/caperridge/gateway/repeating_store.py
@@ -0,0 +1,175 @@
+"""Calls of the store that are made again when their answer is overdue.
+
+An answer may be lost though the call was done, and its connection says nothing more.
+Waiting for the time-out of a call then costs a job's caller its objective, and results
+that are ready come late. The same call made again settles it: a transaction has
+conditions, so that of both one takes effect at most, and an object is the same twice.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from result import Err, Result
+
+from caperridge.gateway.rows import (
+    ChangesError,
+    Done,
+    Refused,
+    RowsRead,
+    RowStore,
+    StoreError,
+    Transaction,
+    TransactionError,
+)
+from caperridge.log import logger
+from caperridge.store.interface import NotDone, Unknown
+
+log = logger(__name__)
+
+T = TypeVar("T")
+E = TypeVar("E")
+
+# An answer is overdue after so many times what answers took lately. The store takes
+# calls of one part in turn, so that some wait for a few others.
+OVERDUE_TIMES = 4.0
+# Not sooner, however fast the store is: a pause of this process must not look like it.
+LEAST_PATIENCE_S = 0.08
+# A store that is slow answers in the end; more calls would make it slower.
+MOST_CALLS = 3
+NEWEST_SHARE = 0.3
+
+
+class RepeatingStore(RowStore):
+    """Makes transactions and writes of objects again when they are overdue.
+
+    Only for callers to whom it is the same whether the first or a later call took
+    effect: one whose effect is there already is refused, and says what is there.
+
+    Args:
+        store: that is called.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+        self._usual_s_by_call: dict[str, float] = {}
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = 500,
+    ) -> Result[RowsRead, StoreError]:
+        """See :meth:`RowStore.read`."""
+        return await self._store.read(table, part, first, end, limit)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Done, TransactionError]:
+        """See :meth:`RowStore.transact`."""
+        return await self._repeated(
+            "transact", lambda: self._store.transact(transaction)
+        )
+
+    async def changes(
+        self, table: str, since: int, wait_s: float
+    ) -> Result[RowsRead, ChangesError]:
+        """See :meth:`RowStore.changes`."""
+        return await self._store.changes(table, since, wait_s)
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
+        """See :meth:`RowStore.put_object`."""
+        return await self._repeated(
+            "put_object", lambda: self._store.put_object(name, data)
+        )
+
+    async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
+        """See :meth:`RowStore.get_object`."""
+        return await self._store.get_object(name)
+
+    async def drop_object(self, name: str) -> Result[None, StoreError]:
+        """See :meth:`RowStore.drop_object`."""
+        return await self._store.drop_object(name)
+
+    def patience_s(self, name: str) -> float:
+        """Return after how long an answer to a call is overdue."""
+        usual_s = self._usual_s_by_call.get(name, 0.0)
+        return max(LEAST_PATIENCE_S, OVERDUE_TIMES * usual_s)
+
+    async def _repeated(
+        self, name: str, call: Callable[[], Awaitable[Result[T, E]]]
+    ) -> Result[T, E]:
+        calls: set[asyncio.Task[Result[T, E]]] = set()
+        try:
+            while len(calls) < MOST_CALLS:
+                calls.add(asyncio.ensure_future(self._timed(name, call)))
+                answer = await _first_certain(calls, self.patience_s(name))
+                if answer is not None:
+                    return answer
+                log.info("store overdue", call=name, calls=len(calls))
+            answer = await _first_certain(calls, None)
+            assert answer is not None
+            return answer
+        finally:
+            for one in calls:
+                one.cancel()
+
+    async def _timed(
+        self, name: str, call: Callable[[], Awaitable[Result[T, E]]]
+    ) -> Result[T, E]:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await call()
+        if not isinstance(answer, Err) or isinstance(answer.err_value, Refused):
+            took_s = loop.time() - began
+            usual_s = self._usual_s_by_call.get(name, took_s)
+            self._usual_s_by_call[name] = usual_s + NEWEST_SHARE * (took_s - usual_s)
+        return answer
+
+
+async def _first_certain(
+    calls: set[asyncio.Task[Result[T, E]]], within_s: float | None
+) -> Result[T, E] | None:
+    """Return the first answer that settles what became of all calls.
+
+    Args:
+        calls: that were made.
+        within_s: how long to wait; None for until all have ended.
+
+    Returns:
+        an unknown outcome if all have ended and none settles it; None if there is no
+        answer within that time and calls are left.
+    """
+    loop = asyncio.get_running_loop()
+    until = None if within_s is None else loop.time() + within_s
+    while True:
+        for one in calls:
+            if one.done() and _settles(one.result()):
+                return one.result()
+        open_calls = {one for one in calls if not one.done()}
+        if not open_calls:
+            return _unsettled([one.result() for one in calls])
+        left_s = None if until is None else until - loop.time()
+        if left_s is not None and left_s <= 0:
+            return None
+        await asyncio.wait(
+            open_calls, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
+
+
+def _settles(answer: Result[T, E]) -> bool:
+    """Whether an answer says what became of earlier calls too.
+
+    That one was not done says nothing of another that has no answer.
+    """
+    return answer.is_ok() or isinstance(answer.err_value, Refused)
+
+
+def _unsettled(answers: list[Result[T, E]]) -> Result[T, E]:
+    if len(answers) == 1:
+        return answers[0]
+    if all(isinstance(one.err_value, NotDone) for one in answers):
+        return answers[0]
+    return Err(Unknown("none of several calls was answered"))
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -18,6 +18,7 @@
         self.resumed_after = int(request.headers.get("Last-Event-Id", "0"))
         self.sent = 0
         self.cut = False
+        self.silent = False
         self.ended = False
 
 
@@ -140,6 +141,7 @@
                 request.transport.abort()
                 return response
             if self.silent_after is not None and sent >= self.silent_after:
+                run.silent = True
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(10):
                         await asyncio.Event().wait()
