Refuse in a planned stop what its end would cut

Cause: the door closes 3.8 s before the last answer has to be given; a stream that was taken just before and lasted longer was cut. Change: where the usual run at its service, as learnt, and half as much again does not fit into what is left, the request is refused unrun, for another instance. Test first: on the code before, the request was begun.

--- a/src/caperridge/decisions/admission.py
+++ b/src/caperridge/decisions/admission.py
@@ -18,6 +18,9 @@
 HONOURED_SHARE = 1 / 3
 # Those refused at the same moment return spread over this part of that time.
 SPREAD_SHARE = 0.3
+# All but one in some forty answers take less than so many times the usual: their numbers
+# of events spread by a quarter.
+LONG_TIMES = 1.5
 # Deadlines that are remembered of each route, and how many of them must be alike for
 # one that is shorter to tell of a caller that has waited before.
 DEADLINES_KEPT = 60
@@ -93,3 +96,16 @@
     (1.67, 1.17)
     """
     return max(0.0, left_s) * HONOURED_SHARE * (1 - SPREAD_SHARE * chance)
+
+
+def ends_in_time(online_s: float, left_s: float) -> bool:
+    """Whether an answer that begins now would end in time, as far as that is known.
+
+    Args:
+        online_s: that an online request usually takes; 0 if that is not known yet.
+        left_s: until this instance ends.
+
+    >>> ends_in_time(0.75, 3.8), ends_in_time(3.0, 3.8), ends_in_time(0.0, 3.8)
+    (True, False, True)
+    """
+    return online_s * LONG_TIMES <= left_s
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from caperridge.decisions.admission import (
+    ends_in_time,
     most_queued,
     return_after_s,
 )
@@ -39,6 +40,7 @@
 # Offers that a request may get beside those that ran it: each was refused unrun.
 MOST_OFFERS = 8
 NO_TARGET_RETRY_AFTER_S = 0.5
+AT_ONCE_S = 0.05
 
 
 class Forwarder:
@@ -109,6 +111,9 @@
             retry_after_s = self._return_after_s(request, now)
             return GivenUp("too many refusals", not_run, retry_after_s)
         online_s = self._fleet.lengths(service).online_s
+        if not_run and not ends_in_time(online_s, self._limits.until - now):
+            # Another instance can answer it whole.
+            return GivenUp("its answer would be cut by the stop", not_run, AT_ONCE_S)
         left_s = request.objective - now
         if carriage.last_event or not not_run:
             # It has begun, or may have: it is moved, and its caller cannot come back.
--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -208,3 +208,26 @@
     with contextlib.suppress(aiohttp.ClientConnectorError):
         answer = await late
         assert answer.status == 503 or answer.whole
+
+
+async def test_a_stream_that_the_stop_would_cut_is_refused_at_once(
+    world: World,
+) -> None:
+    """Whoever is turned away unrun is answered whole by another instance.
+
+    Found by reading: the door closes 3.8 s before the last answer has to be given, so
+    that a stream taken just before it was cut if it lasted longer. What runs take at
+    its service is known by then.
+    """
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    now = asyncio.get_running_loop().time()
+    instance.edge.leave(now + 60.0)
+    instance.fleet.lengths("model").online_s = 20.0
+    assert (await world.ask(instance, "/once/1", "r1")).data == runner.text("r1")
+    instance.fleet.lengths("model").online_s = 50.0
+    refused = await world.ask(instance, "/once/2", "r2")
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) < 1.0
+    assert [run.id for run in runner.runs] == ["r1"]
