--- a/src/caperridge/decisions/admission.py
+++ b/src/caperridge/decisions/admission.py
@@ -18,8 +18,8 @@
 HONOURED_SHARE = 1 / 3
 # Those refused at the same moment return spread over this part of that time.
 SPREAD_SHARE = 0.3
-# All but one in some forty answers take less than so many times the usual: their numbers
-# of events spread by a quarter.
+# All but one in some forty answers take less than so many times the usual: their
+# numbers of events spread by a quarter.
 LONG_TIMES = 1.5
 # Deadlines that are remembered of each route, and how many of them must be alike for
 # one that is shorter to tell of a caller that has waited before.
--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -26,6 +26,7 @@
     "relay": "caperridge.measure.relay",
     "roles": "caperridge.measure.roles",
     "routing": "caperridge.measure.routing",
+    "scarcity": "caperridge.measure.scarcity",
 }
 
 # All experiments of a run share one process. These take its memory for that of an
@@ -44,6 +45,7 @@
     "relay": "Tokens a second forwarded by one core, and first-token time added.",
     "roles": "What the roles of an instance hold and ask for, by size.",
     "routing": "Rules for choosing a target, compared.",
+    "scarcity": "Who is served where slots are too few, by parts of the policy.",
 }
 
 
--- a/src/caperridge/measure/scarcity_model.py
+++ b/src/caperridge/measure/scarcity_model.py
@@ -17,7 +17,7 @@
 from caperridge.records import Record
 
 STEP_S = 0.01
-# Online answers of 28 events and items of 193, as deployments of today have them.
+# Online answers of 28 events and items of 193, as logs of a deployment have them.
 ONLINE_S = 0.75
 ITEM_S = 4.9
 DEADLINE_S = 5.0
@@ -176,16 +176,20 @@
         since = (self._now - FIRST_BURST_S) % PERIOD_S
         bursting = self._now >= FIRST_BURST_S and since < BURST_S
         rate = (self._burst_rate if bursting else CALM_RATE) * self._slots
-        if self._arrivals.random() < rate * STEP_S:
+        for _ in range(self._how_many(rate * STEP_S)):
             self._callers.append(Caller(self._now))
             self.outcome.asked += 1
         # Items have some 0.3 of the slots, as much as jobs ask for on the day.
         job_rate = 0.3 * self._slots / (ITEM_S * ITEMS_A_JOB)
-        if self._arrivals.random() < job_rate * STEP_S:
+        for _ in range(self._how_many(job_rate * STEP_S)):
             due = self._now + ITEMS_DUE_S
             self._waiting += [Item(due) for _ in range(ITEMS_A_JOB)]
             self.outcome.items += ITEMS_A_JOB
 
+    def _how_many(self, expected: float) -> int:
+        whole = int(expected)
+        return whole + (self._arrivals.random() < expected - whole)
+
     def _lose_all(self) -> None:
         for item in self._running:
             left_s = ITEM_S - item.done_s
