Renew a run's lease only where the item would be sent now

Found by reading: a lease is a new request, and went on at the old service after the configuration had moved the item's route. It asks the configuration now, as a start does; the test fails without it. With it an item carries when it is due and by when it is ordered apart, so that the log tells both whatever the store's clock is.

--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Container
+from collections.abc import Callable, Container
 
 from multidict import CIMultiDict
 from result import Err
@@ -18,7 +18,7 @@
     ItemState,
 )
 from caperridge.gateway.jobs.model import ItemProgress
-from caperridge.gateway.jobs.schedule import LATE_S
+from caperridge.gateway.jobs.schedule import Startable
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.routes import Route
 from caperridge.gateway.targets import Target
@@ -70,6 +70,9 @@
 class ItemRuns:
     """Starts and ends runs of items.
 
+    Attributes:
+        may_go_on: whether the configuration lets an item go on at a target.
+
     Args:
         fleet: counts and targets.
         client: of targets.
@@ -88,22 +91,22 @@
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
-        self._dues_by_target: dict[str, dict[ItemState, float]] = {}
+        self.may_go_on: Callable[[Startable, Target], bool] = lambda one, target: True
+        self._orders_by_target: dict[str, dict[ItemState, float]] = {}
 
     @property
     def targets(self) -> Container[str]:
         """Ids of the targets at which items of this instance run."""
-        return self._dues_by_target.keys()
+        return self._orders_by_target.keys()
 
-    def start(
-        self, job: HeldJob, state: ItemState, route: Route, target: Target, due: float
-    ) -> None:
-        """Run an item, ordered by ``due`` on the store's clock, at ``target``."""
+    def start(self, one: Startable, route: Route, target: Target) -> None:
+        """Run an item at ``target``."""
+        job, state = one.job, one.state
         state.status = RUNNING
         state.target = target.id
         if not state.progress.event and not state.started_at:
             state.started_at = asyncio.get_running_loop().time()
-        self._dues_by_target.setdefault(target.id, {})[state] = due
+        self._orders_by_target.setdefault(target.id, {})[state] = one.order
         self._count(target.id, 1)
         self._fleet.changed()
         lengths = self._fleet.lengths(target.service)
@@ -113,12 +116,12 @@
             item=state.item.id,
             target=target.id,
             after_event=state.progress.event,
-            due_s=round(due % LATE_S, 2),
-            late=due >= LATE_S,
+            due_s=round(one.due, 2),
+            late=one.late,
             left_s=round(lengths.left_s(state.item.tokens, state.progress.event), 2),
             stretch=round(lengths.stretch, 2),
         )
-        attempt = self._attempt(job, state, target)
+        attempt = self._attempt(one, target)
         state.task = asyncio.get_running_loop().create_task(attempt)
         # A task that is cancelled before its first step runs nothing of its own.
         state.task.add_done_callback(
@@ -127,20 +130,20 @@
             )
         )
 
-    def ordered_by(self, state: ItemState, due: float) -> None:
+    def ordered_by(self, state: ItemState, order: float) -> None:
         """Note by when a running item is ordered from now on."""
-        dues = self._dues_by_target.get(state.target, {})
-        if dues.get(state, due) != due:
-            dues[state] = due
+        orders = self._orders_by_target.get(state.target, {})
+        if orders.get(state, order) != order:
+            orders[state] = order
             self._count(state.target, 0)
 
     def _count(self, target: str, items: int) -> None:
         """Change the number of items at ``target``, and tell what is due last there."""
-        dues = self._dues_by_target[target]
+        orders = self._orders_by_target[target]
         self._fleet.occupancy.add(target, items=items)
-        self._fleet.occupancy.items_due(target, max(dues.values(), default=0.0))
-        if not dues:
-            del self._dues_by_target[target]
+        self._fleet.occupancy.items_due(target, max(orders.values(), default=0.0))
+        if not orders:
+            del self._orders_by_target[target]
 
     def _run_ended(
         self,
@@ -151,7 +154,7 @@
         from_event: int,
         task: "asyncio.Task[AttemptError | Renewal | None]",
     ) -> None:
-        del self._dues_by_target[target.id][state]
+        del self._orders_by_target[target.id][state]
         self._count(target.id, -1)
         state.target = ""
         state.task = None
@@ -236,17 +239,19 @@
         loop.call_at(state.not_before, self._fleet.changed)
 
     async def _attempt(
-        self, job: HeldJob, state: ItemState, target: Target
+        self, one: Startable, target: Target
     ) -> AttemptError | Renewal | None:
         """Run the item at one target; None if its output is whole."""
         while True:
-            outcome = await self._leased(job, state, target)
+            outcome = await self._leased(one.job, one.state, target)
             if not isinstance(outcome, Renewal):
                 return outcome
             now = asyncio.get_running_loop().time()
-            if not self._fleet.is_usable(target.id, now):
-                return outcome  # a new run would be new work for it
-            log.info("lease renewed", item=state.item.id, event=state.progress.event)
+            usable = self._fleet.is_usable(target.id, now)
+            if not usable or not self.may_go_on(one, target):
+                return outcome  # a new run would be new work there
+            event = one.state.progress.event
+            log.info("lease renewed", item=one.state.item.id, event=event)
 
     async def _leased(
         self, job: HeldJob, state: ItemState, target: Target
--- a/src/caperridge/gateway/jobs/schedule.py
+++ b/src/caperridge/gateway/jobs/schedule.py
@@ -20,24 +20,32 @@
     Attributes:
         job: that it belongs to.
         state: of the item.
-        due: when it is due, on the store's clock, and ``LATE_S`` more if it cannot be
-            done by then.
+        due: when it is due, on the store's clock.
+        order: by when it is ordered; see :func:`order_due`.
     """
 
-    __slots__ = ("due", "job", "state")
+    __slots__ = ("due", "job", "order", "state")
 
-    def __init__(self, job: HeldJob, state: ItemState, due: float) -> None:
+    def __init__(
+        self, job: HeldJob, state: ItemState, due: float, order: float
+    ) -> None:
         self.job = job
         self.state = state
         self.due = due
+        self.order = order
+
+    @property
+    def late(self) -> bool:
+        """Whether it cannot be done by when it is due."""
+        return self.order > self.due
 
 
 def order_due(due: float, left_s: float, now: float) -> float:
-    """Return by when an item is ordered.
+    """Return by when an item is ordered: ``LATE_S`` after it is due if it will be late.
 
     Args:
         due: when it is due.
-        left_s: how long it has to run on, at least.
+        left_s: how long it is likely to take.
         now: the time, on the same clock.
 
     >>> order_due(20.0, 4.0, 10.0), order_due(20.0, 4.0, 17.0)
@@ -51,7 +59,7 @@
 
     The earliest due comes before others and, of one job, the furthest along.
     """
-    return sorted(startable, key=lambda one: (one.due, -one.state.progress.event))
+    return sorted(startable, key=lambda one: (one.order, -one.state.progress.event))
 
 
 def first_to_cancel(running: Iterable[Startable]) -> list[Startable]:
@@ -59,4 +67,4 @@
 
     The latest due gives way first and, of one job, the least far along.
     """
-    return sorted(running, key=lambda one: (-one.due, one.state.progress.event))
+    return sorted(running, key=lambda one: (-one.order, one.state.progress.event))
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -51,6 +51,7 @@
         self._clock = clock
         self._runs = runs
         self._metrics = metrics
+        runs.may_go_on = self._leads_to
 
     def exceeded(self, target: str) -> bool:
         """Whether own items run at ``target`` and more runs there than it has slots."""
@@ -117,10 +118,10 @@
                 continue
             want = wants.get(service)
             if want is None:
-                wants[service] = Want(1, one.due)
+                wants[service] = Want(1, one.order)
                 continue
             want.count += 1
-            want.due = min(want.due, one.due)
+            want.due = min(want.due, one.order)
         self._metrics.waiting_items.set(sum(want.count for want in wants.values()))
         return wants
 
@@ -132,7 +133,7 @@
             route = self._route(one.job.entry, one.state.item)
             if route is None:
                 continue
-            self._runs.start(one.job, one.state, route, target, one.due)
+            self._runs.start(one, route, target)
             return True
         return False
 
@@ -143,9 +144,18 @@
         return startable
 
     def _ordered(self, job: HeldJob, state: ItemState) -> Startable:
+        due = self._due(job)
         left_s = self._left_s(job, state)
-        due = order_due(self._due(job), left_s, self._clock.now())
-        return Startable(job, state, due)
+        return Startable(job, state, due, order_due(due, left_s, self._clock.now()))
+
+    def _leads_to(self, one: Startable, target: Target) -> bool:
+        """Whether an item that runs at ``target`` would be sent to its service now."""
+        if self._configuration.table is None:
+            return False
+        route = self._route(one.job.entry, one.state.item)
+        return route is not None and (
+            route.service_for(one.state.item.id) == target.service
+        )
 
     def _left_s(self, job: HeldJob, state: ItemState) -> float:
         """Return how long an item is likely to take until it is done."""
@@ -160,7 +170,7 @@
         """Say again by when running items are ordered: some cannot be in time now."""
         for job in jobs:
             for state in job.running():
-                self._runs.ordered_by(state, self._ordered(job, state).due)
+                self._runs.ordered_by(state, self._ordered(job, state).order)
 
     def _service(self, one: Startable) -> str | None:
         """Return which service runs an item now; None if it cannot run."""
--- a/tests/gateway/test_item_leases.py
+++ b/tests/gateway/test_item_leases.py
@@ -17,7 +17,7 @@
 from caperridge.gateway.jobs import item_runs
 from caperridge.gateway.jobs.item_runs import LEASE_S, RENEW_S
 from caperridge.measure.scarcity_model import Outcome, Play, Policy
-from gateway.conftest import World, until
+from gateway.conftest import ROUTES, World, until
 from gateway.test_jobs import listed
 
 # The day that showed it: all lost power half a second before a burst.
@@ -82,6 +82,23 @@
     assert len(leaving.runs) == begun
 
 
+@pytest.mark.usefixtures("renewed_often")
+async def test_no_lease_is_renewed_where_the_route_leads_no_more(world: World) -> None:
+    runner = await world.add_runner()
+    runner.events = 1000
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    await until(lambda: len(runner.runs) > 1)
+    moved = [route | {"service": "elsewhere"} for route in ROUTES]
+    world.configure(2, moved)
+    await until(lambda: instance.configuration.table.version == 2)
+    await until(lambda: runner.busy == 0)
+    begun = len(runner.runs)
+    await asyncio.sleep(0.1)
+    assert len(runner.runs) == begun
+
+
 def played(lease_s: float) -> Outcome:
     """Return what the seconds around the loss came to, at several seeds."""
     total = Outcome()
--- a/tests/policy/test_run_lengths.py
+++ b/tests/policy/test_run_lengths.py
@@ -105,10 +105,11 @@
 ) -> None:
     now = 10.0
     hopeless, soon, later = (
-        Startable(job, state, order_due(due, 4.0, now))
+        Startable(job, state, due, order_due(due, 4.0, now))
         for state, due in zip(job.states, (13.0, 16.0, 30.0), strict=True)
     )
-    assert hopeless.due == 13.0 + LATE_S
+    assert hopeless.order == 13.0 + LATE_S
+    assert [one.late for one in (hopeless, soon, later)] == [True, False, False]
     assert in_order([later, hopeless, soon]) == [soon, later, hopeless]
     assert first_to_cancel([soon, hopeless, later]) == [hopeless, later, soon]
 
