--- a/tests/gateway/test_started_again.py
+++ b/tests/gateway/test_started_again.py
@@ -110,9 +110,9 @@
     runner.hold_head = True
     asked = asyncio.create_task(world.ask(instance, "/once/1", "r1"))
     await until(lambda: len(runner.runs) == 1)
-    runner.hold_head = False
     world.list_runner(runner, born=BORN + 5)
     assert (await asked).status == 502
+    runner.hold_head = False
     assert len(runner.runs) == 1
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,11 @@
 SHORT = [1]
 # Seeds that failed once, each with its cause.
 # 122: a runner that refused everything looked the freest and got every item, for ever.
-FAILED_ONCE: list[int] = [122]
+# 5049: beside a load of 25 on 8 processors a stop took 5.17 s of 4 s; the log has no
+# stop that long, but an instance that was told to stop 0.2 s after it had come up, some
+# 6 s after the one before had ended. Not seen again; inferred: the signal came while it
+# it was starting.
+FAILED_ONCE: list[int] = [122, 5049]
 
 
 @pytest.mark.parametrize("seed", [*SHORT, *FAILED_ONCE])
