Bound the pause before a watch that tells that the store is back

Read again: the test had lost its bound on that pause when its limit of real time went. It is checked against the same figure now, as the constant that it is. One longer pause that the constant does not say, as after a second failure, was seen by the old limit on a calm machine and is not by this one.

--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -12,7 +12,7 @@
 from caperridge.gateway.mesh.messages import Heartbeat
 from caperridge.gateway.process import INDEX_SPACING_S, TICK_S
 from caperridge.gateway.silent_sockets import PROBE_AFTER_S
-from caperridge.gateway.watcher import WATCH_S
+from caperridge.gateway.watcher import FIRST_PAUSE_S, WATCH_S
 from caperridge.platform.connections import UNACKNOWLEDGED_MS
 from caperridge.platform.store import CALL_S, WATCH_SLACK_S, HttpRowStore
 from gateway.conftest import ROUTES, World, free_address, until
@@ -171,8 +171,10 @@
     store_way.reset()
     await until(lambda: returns)
     assert instance.reach.reached
-    # The watch that told it asked for an answer at once.
+    # The watch that told it asked for an answer at once, and the pause before it is
+    # short; real time would also count what else the machine does.
     assert world.store.waits_ms[watches] == 0
+    assert FIRST_PAUSE_S < SLACK_S
 
 
 class MeshPair:
