Tell in the log what a request asked for that was lost with its target

The hypotheses of the incident cannot be told apart by the log: a try's id is its own, so no line says that two tries asked for the same, at whatever instance. Lost attempts and runs of items now carry two digests, of the content and of the headers that a caller keeps from try to try. No logic is changed.

--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -84,6 +84,8 @@
     """Decodes and encodes what callers, operators and targets exchange."""
 
     headers: HeaderNames
+    # Lower-case names of what a caller may send otherwise at each try of one request.
+    headers_of_a_try: frozenset[str]
     paths: JobsPaths
     configuration_table: str
     configuration_key: str
--- /dev/null
+++ b/src/caperridge/gateway/fingerprint.py
@@ -0,0 +1,91 @@
+"""What a request asks for, told by a few bytes, so that its repeats are known again.
+
+Each try of a caller has an id of its own. What stays the same is the content (method,
+host, path and body) and, as a rule, the headers that say for whom it is asked.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+from caperridge.gateway.dialect import Dialect, passed_on
+from caperridge.gateway.inbound import InboundRequest
+from caperridge.gateway.jobs.model import JobEntry, JobItem
+from caperridge.records import Record
+
+CONTENT_BYTES = 12
+CALLER_BYTES = 6
+
+
+class Fingerprint(Record):
+    """Of one request.
+
+    Attributes:
+        content: of method, host, path and body, in hex.
+        caller: of the headers that a caller keeps from try to try, in hex.
+    """
+
+    __slots__ = ("caller", "content")
+
+    def __init__(self, content: str, caller: str) -> None:
+        self.content = content
+        self.caller = caller
+
+
+def fingerprint(
+    method: str,
+    host: str,
+    path: str,
+    body: bytes,
+    headers: Iterable[tuple[str, str]],
+    changing: frozenset[str],
+) -> Fingerprint:
+    """Return the fingerprint of a request.
+
+    Args:
+        method: of HTTP.
+        host: that it was sent to.
+        path: with the query.
+        body: whole.
+        headers: those that are passed on.
+        changing: lower-case names of headers that differ from try to try.
+
+    >>> sent = [("X-Id", "1"), ("X-Team", "a")]
+    >>> one = fingerprint("POST", "h", "/p", b"?", sent, frozenset({"x-id"}))
+    >>> sent = [("x-team", "a"), ("X-Id", "2")]
+    >>> one == fingerprint("POST", "h", "/p", b"?", sent, frozenset({"x-id"}))
+    True
+    >>> one.content == fingerprint("GET", "h", "/p", b"?", sent, frozenset()).content
+    False
+    """
+    content = hashlib.blake2b(digest_size=CONTENT_BYTES)
+    for part in (method, host.lower(), path):
+        content.update(part.encode(errors="surrogateescape"))
+        content.update(b"\x00")
+    content.update(body)
+    kept = sorted(
+        (name.lower(), value) for name, value in headers if name.lower() not in changing
+    )
+    caller = hashlib.blake2b(
+        repr(kept).encode(errors="surrogateescape"), digest_size=CALLER_BYTES
+    )
+    return Fingerprint(content.hexdigest(), caller.hexdigest())
+
+
+def of_request(request: InboundRequest, dialect: Dialect) -> Fingerprint:
+    """Return the fingerprint of a caller's request."""
+    return fingerprint(
+        request.method,
+        request.headers.get("Host", ""),
+        request.path,
+        request.body,
+        passed_on(request.headers, frozenset()).items(),
+        dialect.headers_of_a_try,
+    )
+
+
+def of_item(entry: JobEntry, item: JobItem, dialect: Dialect) -> Fingerprint:
+    """Return the fingerprint of an item, the same as of that request by itself."""
+    headers = [("Host", entry.host), *((name, value) for name, value in item.headers)]
+    return fingerprint(
+        "POST", entry.host, item.path, item.body, headers, dialect.headers_of_a_try
+    )
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
+from caperridge.gateway.fingerprint import of_request
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.inbound import Carriage, GivenUp, InboundRequest, Reply
 from caperridge.gateway.metrics import GatewayMetrics
@@ -221,6 +222,11 @@
         now = asyncio.get_running_loop().time()
         carriage.refused_by.add(target.id)
         self._metrics.attempts.labels(type(error).__name__).inc()
+        asked = {}
+        if isinstance(error, Lost):
+            # Its id is of this try only; these tell whether it was lost before.
+            mark = of_request(request, self._dialect)
+            asked = {"content": mark.content, "caller": mark.caller}
         log.info(
             "attempt failed",
             request=request.id,
@@ -230,6 +236,7 @@
             status=getattr(error, "status", 0),
             offer=carriage.offers,
             last_event=carriage.last_event,
+            **asked,
         )
         if isinstance(error, TargetRefused) and error.replaced:
             self._fleet.replaced(target.id, now)
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from caperridge.gateway.dialect import Dialect
+from caperridge.gateway.fingerprint import of_item
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
     DONE,
@@ -184,6 +185,10 @@
         now = asyncio.get_running_loop().time()
         outcome = _outcome(error, moves)
         self._metrics.items.labels(outcome).inc()
+        asked = {}
+        if isinstance(error, Lost):
+            mark = of_item(job.entry, state.item, self._dialect)
+            asked = {"content": mark.content, "caller": mark.caller}
         log.info(
             "item run ended",
             job=job.entry.id,
@@ -194,6 +199,7 @@
             from_event=from_event,
             event=state.progress.event,
             failures=state.progress.failures,
+            **asked,
         )
         if moves or state.status in (DONE, LISTED):
             return
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -59,6 +59,9 @@
         resume="Last-Event-Id",
         wait="X-Wait-Ms",
     )
+    headers_of_a_try = frozenset(
+        {"x-request-id", "x-deadline-ms", "last-event-id", "x-length-hint"}
+    )
     paths = JobsPaths(
         jobs="/lots/",
         bodies="/items/",  # followed by the job's id, not the item's
