--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -152,6 +152,7 @@
         self.instances: list[GatewayInstance] = []
         self._stores: list[HttpRowStore] = []
         self._sites: list[web.AppRunner] = []
+        self.runners_ended: list[RunnerStandin] = []
         self._session: aiohttp.ClientSession | None = None
         self.store_address = ""
         self._addresses_by_runner: dict[str, str] = {}
@@ -175,6 +176,15 @@
 
     async def serve(self, application: web.Application) -> str:
         """Serve ``application`` and return its address."""
+        return self._address_of(await self._site(application))
+
+    def _address_of(self, site: web.TCPSite) -> str:
+        """Return where a site listens."""
+        assert site._server is not None
+        host, port = site._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _site(self, application: web.Application) -> web.TCPSite:
         runner = web.AppRunner(
             application,
             handler_cancellation=True,
@@ -185,7 +195,7 @@
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         self._sites.append(runner)
-        return f"127.0.0.1:{runner.addresses[0][1]}"
+        return site
 
     def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a configuration."""
@@ -193,13 +203,28 @@
 
     async def add_runner(self, zone: str = "a", slots: int = 4) -> RunnerStandin:
         """Start a runner and list it."""
-        runner = RunnerStandin(f"i-{len(self.runners)}", slots)
+        number = len(self.runners) + len(self.runners_ended)
+        runner = RunnerStandin(f"i-{number}", slots)
         self.runners.append(runner)
-        address = await self.serve(runner.application())
-        self._addresses_by_runner[runner.id] = address
+        site = await self._site(runner.application())
+        runner.close_door = site.stop
+        self._addresses_by_runner[runner.id] = self._address_of(site)
         self.list_runner(runner, zone)
         return runner
 
+    async def replace_ended(self) -> None:
+        """Have another runner come for each that has ended."""
+        for ended in [one for one in self.runners if one.ended]:
+            self.runners.remove(ended)
+            self.runners_ended.append(ended)
+            self.store.remove("servers", ended.id)
+            runner = await self.add_runner(slots=ended.slots)
+            runner.fatal = ended.fatal
+            runner.fatal_after = ended.fatal_after
+            runner.events = ended.events
+            runner.pause_s = ended.pause_s
+        await self.ready()
+
     def list_runner(
         self,
         runner: RunnerStandin,
@@ -271,12 +296,17 @@
         await store.close()
 
     async def ask(
-        self, instance: GatewayInstance, path: str, id: str, **headers: str
+        self,
+        instance: GatewayInstance,
+        path: str,
+        id: str,
+        body: bytes = b"question",
+        **headers: str,
     ) -> Answer:
         """Send an online request."""
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         head = {"Host": HOST, "X-Request-Id": id, "X-Deadline-Ms": "5000"} | named
-        return await self.call(instance, "POST", path, head, b"question")
+        return await self.call(instance, "POST", path, head, body)
 
     async def call(
         self,
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 
+async def _nothing() -> None:
+    """Do nothing."""
+
+
 class Run:
     """One request that began to run."""
 
@@ -41,6 +46,10 @@
         misdirected: requests that were meant for another incarnation.
         hold_head: begin to run, but send no head of the answer.
         reports_to_anybody: tell the load also to who means another incarnation.
+        fatal: whether a request ends the runner soon after it has begun to run.
+        fatal_after: events of it that go out before.
+        close_door: ends listening; given by who serves the runner.
+        ended: it has ended; by ``end`` or by a fatal request.
     """
 
     def __init__(self, id: str, slots: int = 4) -> None:
@@ -64,6 +73,18 @@
         self.misdirected = 0
         self.reports_to_anybody = False
         self.hold_head = False
+        self.fatal: Callable[[Run], bool] = lambda run: False
+        self.fatal_after = 0
+        self.close_door: Callable[[], Awaitable[None]] = _nothing
+        self.ended = False
+        self._transports: set[asyncio.Transport] = set()
+
+    async def end(self) -> None:
+        """Crash: cut all connections and accept no more."""
+        self.ended = True
+        await self.close_door()
+        for transport in list(self._transports):
+            transport.abort()
 
     def application(self) -> web.Application:
         """Return what serves the runner."""
@@ -102,6 +123,9 @@
         self.runs.append(run)
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
+        assert request.transport is not None
+        self._transports.add(request.transport)
+        transport = request.transport
         try:
             return await self._run(request, run, marks)
         except asyncio.CancelledError:
@@ -109,6 +133,7 @@
             raise
         finally:
             self.busy -= 1
+            self._transports.discard(transport)
 
     async def _run(
         self, request: web.Request, run: Run, marks: dict[str, str]
@@ -132,9 +157,14 @@
             response.headers["Connection"] = "close"
         await response.prepare(request)
         sent = 0
+        fatal = self.fatal(run)
         for number, data in enumerate(self.text(run.id), 1):
             if number <= run.resumed_after:
                 continue
+            if fatal and sent >= self.fatal_after:
+                await asyncio.sleep(self.pause_s)
+                await self.end()
+                return response
             if self.break_after is not None and sent >= self.break_after:
                 await response.write(b"id: ")
                 await asyncio.sleep(0.01)
