--- a/src/caperridge/gateway/fingerprint.py
+++ b/src/caperridge/gateway/fingerprint.py
@@ -7,9 +7,6 @@
 import hashlib
 from collections.abc import Iterable
 
-from caperridge.gateway.dialect import Dialect, passed_on
-from caperridge.gateway.inbound import InboundRequest
-from caperridge.gateway.jobs.model import JobEntry, JobItem
 from caperridge.records import Record
 
 CONTENT_BYTES = 12
@@ -69,23 +66,3 @@
         repr(kept).encode(errors="surrogateescape"), digest_size=CALLER_BYTES
     )
     return Fingerprint(content.hexdigest(), caller.hexdigest())
-
-
-def of_request(request: InboundRequest, dialect: Dialect) -> Fingerprint:
-    """Return the fingerprint of a caller's request."""
-    return fingerprint(
-        request.method,
-        request.headers.get("Host", ""),
-        request.path,
-        request.body,
-        passed_on(request.headers, frozenset()).items(),
-        dialect.headers_of_a_try,
-    )
-
-
-def of_item(entry: JobEntry, item: JobItem, dialect: Dialect) -> Fingerprint:
-    """Return the fingerprint of an item, the same as of that request by itself."""
-    headers = [("Host", entry.host), *((name, value) for name, value in item.headers)]
-    return fingerprint(
-        "POST", entry.host, item.path, item.body, headers, dialect.headers_of_a_try
-    )
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -135,10 +135,18 @@
             "target ejected", target=target.id, out_s=out_s, reason=error.reason
         )
 
+    def ended(self, target: Target) -> None:
+        """Leave a target alone that has ended, until something listens there again."""
+        listed = self.targets.by_id.get(target.id)
+        if listed is None or target.id in self.unreachable:
+            return
+        self.unreachable[target.id] = target.address
+        self.changed()
+
     def reached(self, target: str) -> None:
         """Note that an unreachable target accepts connections again."""
-        self.unreachable.pop(target, None)
-        if self._health_by_target.pop(target, None) is not None:
+        was_unreachable = self.unreachable.pop(target, None) is not None
+        if self._health_by_target.pop(target, None) is not None or was_unreachable:
             log.info("target is back", target=target)
             self.changed()
 
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -16,14 +16,16 @@
     most_queued,
     return_after_s,
 )
+from caperridge.decisions.quarantine import ENOUGH_ENDS
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
-from caperridge.gateway.fingerprint import of_request
+from caperridge.gateway.fingerprint import Fingerprint, fingerprint
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.inbound import Carriage, GivenUp, InboundRequest, Reply
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.placement import place_online, place_online_near
+from caperridge.gateway.request_guard import RequestGuard
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import Outbound, TargetClient
 from caperridge.log import logger
@@ -58,10 +60,12 @@
         dialect: Dialect,
         metrics: GatewayMetrics,
         limits: AnswerLimits,
+        guard: RequestGuard,
     ) -> None:
         self._fleet = fleet
         self._client = client
         self._dialect = dialect
+        self._guard = guard
         self._metrics = metrics
         self._limits = limits
         self._answers = AnswerRelay(metrics)
@@ -88,6 +92,9 @@
         self, request: InboundRequest, reply: Reply, carriage: Carriage
     ) -> GivenUp | None:
         while True:
+            held_back = await self._held_back(request, carriage)
+            if held_back is not None:
+                return held_back
             target = self._place(request, carriage)
             if isinstance(target, GivenUp):
                 return target
@@ -99,6 +106,33 @@
             if given_up is not None:
                 return given_up
 
+    async def _held_back(
+        self, request: InboundRequest, carriage: Carriage
+    ) -> GivenUp | None:
+        """Return why a request is kept from targets: others ended under it."""
+        if carriage.runs >= ENOUGH_ENDS:
+            # It may have ended as many by itself, faster than that is judged.
+            await self._guard.settle()
+        if not self._guard.suspects:
+            return None
+        held = await self._guard.admit(self._mark(request, carriage), request.id)
+        if held is None:
+            return None
+        not_run = not carriage.sent_at_least_once
+        return GivenUp(held.reason, not_run, held.retry_after_s)
+
+    def _mark(self, request: InboundRequest, carriage: Carriage) -> Fingerprint:
+        if carriage.mark is None:
+            carriage.mark = fingerprint(
+                request.method,
+                request.headers.get("Host", ""),
+                request.path,
+                request.body,
+                passed_on(request.headers, frozenset()).items(),
+                self._dialect.headers_of_a_try,
+            )
+        return carriage.mark
+
     def _place(self, request: InboundRequest, carriage: Carriage) -> Target | GivenUp:
         now = asyncio.get_running_loop().time()
         service = request.route.service_for(request.id)
@@ -184,6 +218,7 @@
             if isinstance(opened, Err):
                 error = opened.err_value
                 _count_unanswered(carriage, error, sent_before)
+                self._ran(request, carriage, target, error, began, sent_events)
                 return error
             carriage.runs += 1
             answer = opened.ok_value
@@ -191,6 +226,7 @@
                 error = await self._answers.relay(request, reply, carriage, answer)
             finally:
                 answer.close()
+            self._ran(request, carriage, target, error, began, sent_events)
             if error is None and at_once:
                 took_s = asyncio.get_running_loop().time() - began
                 events = carriage.last_event - sent_events
@@ -200,6 +236,24 @@
             self._fleet.occupancy.add(target.id, online=-1)
             self._fleet.changed()
 
+    def _ran(
+        self,
+        request: InboundRequest,
+        carriage: Carriage,
+        target: Target,
+        error: AttemptError | None,
+        began: float,
+        sent_events: int,
+    ) -> None:
+        """Tell what ended targets, and what did not."""
+        if error is None:
+            self._guard.ran_well(self._mark(request, carriage))
+        if isinstance(error, Lost):
+            age_s = asyncio.get_running_loop().time() - began
+            events = carriage.last_event - sent_events
+            mark = self._mark(request, carriage)
+            self._guard.lost(target, mark, age_s, events)
+
     def _outbound(
         self, request: InboundRequest, carriage: Carriage, target: Target
     ) -> Outbound:
@@ -225,7 +279,7 @@
         asked = {}
         if isinstance(error, Lost):
             # Its id is of this try only; these tell whether it was lost before.
-            mark = of_request(request, self._dialect)
+            mark = self._mark(request, carriage)
             asked = {"content": mark.content, "caller": mark.caller}
         log.info(
             "attempt failed",
--- /dev/null
+++ b/src/caperridge/gateway/held_rows.py
@@ -0,0 +1,259 @@
+"""Requests in quarantine as the store keeps them, and the right to try one again.
+
+A row outlives all instances, and whoever changes it does so on the version it knows: so
+one instance of all tries a request again, and no trial is forgotten.
+"""
+
+import asyncio
+
+from result import Err
+
+from caperridge.decisions.quarantine import (
+    End,
+    Hold,
+    Quarantine,
+    Suspect,
+    pause_s,
+)
+from caperridge.elapsed import elapsed_s
+from caperridge.gateway.clock import StoreClock
+from caperridge.gateway.jobs.codec import UnreadableError, from_bytes, to_bytes
+from caperridge.gateway.rows import (
+    ABSENT,
+    Refused,
+    RowKey,
+    RowStore,
+    StoredRow,
+    Transaction,
+)
+from caperridge.gateway.table_copy import TableCopy
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+TABLE = "held-requests"
+# Ends that are worth a row: with one more a request is held, and all instances may be
+# lost before that one comes.
+KEPT_ENDS = 2
+# While the store is away.
+PAUSE_S = 1.0
+# Between two writes; a crash makes a few rows, and no hurry.
+PACE_S = 0.02
+CLAIM_S = 0.5
+
+
+class HeldRow(Record):
+    """A row of a suspect; times are of the store's clock, in seconds.
+
+    Attributes:
+        ends: of each target, caller, age of the run in seconds, its events, when, and
+            who told.
+        callers: for whom it is held; empty for all.
+        since: when it was put in quarantine; 0 if it is not.
+        trials: how often it was tried again.
+        trial_at: when it may be tried again.
+    """
+
+    __slots__ = ("callers", "ends", "since", "trial_at", "trials")
+
+    def __init__(
+        self,
+        ends: list[list],
+        callers: list[str],
+        since: float,
+        trials: int,
+        trial_at: float,
+    ) -> None:
+        self.ends = ends
+        self.callers = callers
+        self.since = since
+        self.trials = trials
+        self.trial_at = trial_at
+
+
+class HeldRows:
+    """Keeps suspects in the store and takes what others kept.
+
+    Args:
+        store: that keeps them.
+        clock: of the store.
+        quarantine: filled and read.
+    """
+
+    def __init__(
+        self, store: RowStore, clock: StoreClock, quarantine: Quarantine
+    ) -> None:
+        self.copy = TableCopy(TABLE)
+        self._store = store
+        self._clock = clock
+        self._quarantine = quarantine
+        # In the order in which they are to be written.
+        self._changed: dict[str, None] = {}
+        self._wake = asyncio.Event()
+
+    def changed(self, content: str) -> None:
+        """Have the row of a content written, or removed, soon."""
+        self._changed[content] = None
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write what changed until cancelled."""
+        while True:
+            if not self._changed or not self._clock.known:
+                self._wake.clear()
+                await self._waited()
+                continue
+            content = next(iter(self._changed))
+            del self._changed[content]
+            if await self._write(content):
+                await asyncio.sleep(PACE_S)
+                continue
+            self._changed.setdefault(content)
+            await asyncio.sleep(PAUSE_S)
+
+    async def _waited(self) -> None:
+        """Wait for a change, or a while for the store's clock."""
+        if not self._changed:
+            await self._wake.wait()
+            return
+        await asyncio.sleep(PAUSE_S)
+
+    async def _write(self, content: str) -> bool:
+        """Bring the row of a content up to date; False if that is not done yet."""
+        key = _key(content)
+        row = self.copy.rows_by_key.get(key)
+        version = row.version if row is not None else ABSENT
+        suspect = self._quarantine.by_content.get(content)
+        if suspect is not None and _is_worth_a_row(suspect):
+            value = self._value(suspect)
+            return await self._transact(Transaction({key: version}, {key: value}), key)
+        if row is None:
+            return True
+        return await self._transact(Transaction({key: version}, {}, [key]), key)
+
+    async def claim(self, suspect: Suspect) -> bool:
+        """Take the right to try a request again; one instance gets it each time."""
+        key = _key(suspect.content)
+        row = self.copy.rows_by_key.get(key)
+        hold = suspect.hold
+        if hold is None or not self._clock.known:
+            return False
+        trials = hold.trials + 1
+        claimed = Hold(hold.callers, hold.since, trials, elapsed_s() + pause_s(trials))
+        value = self._value(suspect, claimed)
+        version = row.version if row is not None else ABSENT
+        transaction = Transaction({key: version}, {key: value})
+        try:
+            async with asyncio.timeout(CLAIM_S):
+                done = await self._transact(transaction, key)
+        except TimeoutError:
+            done = False
+        if done:
+            suspect.hold = claimed
+        return done
+
+    async def _transact(self, transaction: Transaction, key: RowKey) -> bool:
+        answer = await self._store.transact(transaction)
+        if not isinstance(answer, Err):
+            value = transaction.writes.get(key)
+            row = StoredRow(key, value or b"", answer.ok_value.version, value is None)
+            self.copy.take_row(row)
+            return True
+        if isinstance(answer.err_value, Refused):
+            now = answer.err_value.row(key)
+            # Gone if it is not there; the copy may not know yet.
+            if now is None:
+                self.copy.rows_by_key.pop(key, None)
+            elif self.copy.take_row(now):
+                self.take([now], "store")
+        return False
+
+    def take(self, rows: list[StoredRow], source: str) -> list[str]:
+        """Take rows that were news; return the contents whose holds changed."""
+        news: list[str] = []
+        for row in rows:
+            content = row.key.key
+            if row.removed:
+                if self._quarantine.clear(content, elapsed_s()):
+                    news.append(content)
+                    log.info("hold dropped", content=content, source=source)
+                continue
+            try:
+                held = from_bytes(HeldRow, row.value)
+                ends, hold = self._restored(held)
+            except (UnreadableError, ValueError, TypeError) as error:
+                log.error("held request skipped", content=content, reason=str(error))
+                continue
+            if self._quarantine.restore(content, ends, hold):
+                news.append(content)
+                log.info(
+                    "hold taken",
+                    content=content,
+                    ends=len(ends),
+                    held=hold is not None,
+                    trials=held.trials,
+                    source=source,
+                    version=row.version,
+                )
+        return news
+
+    def sweep(self) -> None:
+        """Have rows removed of which nothing was heard for long."""
+        for key in self.copy.rows_by_key:
+            if key.key not in self._quarantine.by_content:
+                self.changed(key.key)
+
+    # Between the store's clock and that of this machine.
+
+    def _value(self, suspect: Suspect, hold: Hold | None = None) -> bytes:
+        ahead_s = self._clock.now() - elapsed_s()
+        hold = hold or suspect.hold
+        ends = [
+            [e.target, e.caller, e.age_s, e.events, e.at + ahead_s, e.told_by]
+            for e in suspect.ends
+        ]
+        if hold is None:
+            return to_bytes(HeldRow(ends, [], 0.0, 0, 0.0))
+        return to_bytes(
+            HeldRow(
+                ends,
+                sorted(hold.callers),
+                hold.since + ahead_s,
+                hold.trials,
+                hold.trial_at + ahead_s,
+            )
+        )
+
+    def _restored(self, row: HeldRow) -> tuple[list[End], Hold | None]:
+        """Return what a row holds, by the clock of this machine.
+
+        Raises:
+            ValueError: another release wrote something else.
+            TypeError: the same.
+        """
+        ahead_s = self._clock.now() - elapsed_s()
+        ends: list[End] = []
+        for target, caller, age_s, events, at, told_by in row.ends:
+            end = End(
+                str(target),
+                str(caller),
+                float(age_s),
+                int(events),
+                at - ahead_s,
+                str(told_by),
+            )
+            ends.append(end)
+        if not row.since:
+            return ends, None
+        callers = frozenset(row.callers)
+        trial_at = row.trial_at - ahead_s
+        return ends, Hold(callers, row.since - ahead_s, row.trials, trial_at)
+
+
+def _key(content: str) -> RowKey:
+    return RowKey(TABLE, "", content)
+
+
+def _is_worth_a_row(suspect: Suspect) -> bool:
+    return suspect.hold is not None or len(suspect.ends) >= KEPT_ENDS
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDict
 
+from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.routes import Route
 from caperridge.records import Record
 
@@ -128,11 +129,13 @@
             a failure and those that this end broke off; not those that broke.
         refused_by: targets that are not asked again.
         sent_at_least_once: it may run or have run.
+        mark: what it asks for, once that mattered.
     """
 
     __slots__ = (
         "attempts",
         "last_event",
+        "mark",
         "offers",
         "refused_by",
         "runs",
@@ -146,6 +149,7 @@
         self.attempts = 0
         self.refused_by: set[str] = set()
         self.sent_at_least_once = False
+        self.mark: Fingerprint | None = None
 
     def may_move(self, route: Route) -> bool:
         """Whether another target may run it."""
--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from caperridge.gateway.events import Event
+from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.jobs.model import (
     COMPLETED,
     DEAD,
@@ -34,12 +35,14 @@
             or has begun elsewhere.
         task: that runs it.
         target: id of the target it runs at; empty if none.
+        mark: what it asks for, once that mattered.
     """
 
     __slots__ = (
         "item",
         "kept_event",
         "kept_failures",
+        "mark",
         "not_before",
         "number",
         "progress",
@@ -60,6 +63,7 @@
         self.started_at = 0.0
         self.task: asyncio.Task[Any] | None = None
         self.target = ""
+        self.mark: Fingerprint | None = None
 
     @property
     def cancelling(self) -> bool:
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.fingerprint import of_item
+from caperridge.gateway.fingerprint import Fingerprint, fingerprint
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
     DONE,
@@ -21,6 +21,7 @@
 from caperridge.gateway.jobs.model import ItemProgress
 from caperridge.gateway.jobs.schedule import Startable
 from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.request_guard import HeldBack, RequestGuard
 from caperridge.gateway.routes import Route
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import (
@@ -79,6 +80,7 @@
         client: of targets.
         dialect: names of headers.
         metrics: counted into.
+        guard: says which items may be sent.
     """
 
     def __init__(
@@ -87,8 +89,10 @@
         client: TargetClient,
         dialect: Dialect,
         metrics: GatewayMetrics,
+        guard: RequestGuard,
     ) -> None:
         self._fleet = fleet
+        self._guard = guard
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
@@ -100,6 +104,21 @@
         """Ids of the targets at which items of this instance run."""
         return self._orders_by_target.keys()
 
+    def is_held(self, one: Startable) -> bool:
+        """Whether an item is kept from targets, as others ended under it."""
+        return self._guard.suspects and self._guard.is_held(self._mark(one))
+
+    def _mark(self, one: Startable) -> Fingerprint:
+        entry, item = one.job.entry, one.state.item
+        if one.state.mark is None:
+            headers = [("Host", entry.host)]
+            headers += [(name, value) for name, value in item.headers]
+            changing = self._dialect.headers_of_a_try
+            one.state.mark = fingerprint(
+                "POST", entry.host, item.path, item.body, headers, changing
+            )
+        return one.state.mark
+
     def start(self, one: Startable, route: Route, target: Target) -> None:
         """Run an item at ``target``."""
         job, state = one.job, one.state
@@ -126,9 +145,7 @@
         state.task = asyncio.get_running_loop().create_task(attempt)
         # A task that is cancelled before its first step runs nothing of its own.
         state.task.add_done_callback(
-            functools.partial(
-                self._run_ended, job, state, route, target, state.progress.event
-            )
+            functools.partial(self._run_ended, one, route, target, state.progress.event)
         )
 
     def ordered_by(self, state: ItemState, order: float) -> None:
@@ -148,13 +165,13 @@
 
     def _run_ended(
         self,
-        job: HeldJob,
-        state: ItemState,
+        one: Startable,
         route: Route,
         target: Target,
         from_event: int,
-        task: "asyncio.Task[AttemptError | Renewal | None]",
+        task: "asyncio.Task[AttemptError | HeldBack | Renewal | None]",
     ) -> None:
+        state = one.state
         del self._orders_by_target[target.id][state]
         self._count(target.id, -1)
         state.target = ""
@@ -166,15 +183,14 @@
         if not task.cancelled():
             failed = task.exception()
             outcome = Lost(repr(failed)) if failed is not None else task.result()
-            moves = isinstance(outcome, Renewal)
-            error = None if isinstance(outcome, Renewal) else outcome
-        self._settle(job, state, route, target, error, moves, from_event)
+            moves = isinstance(outcome, Renewal | HeldBack)
+            error = None if moves else outcome
+        self._settle(one, route, target, error, moves, from_event)
         self._fleet.changed()
 
     def _settle(
         self,
-        job: HeldJob,
-        state: ItemState,
+        one: Startable,
         route: Route,
         target: Target,
         error: AttemptError | None,
@@ -182,12 +198,13 @@
         from_event: int,
     ) -> None:
         """Take note of how a run ended; ``moves`` if the item goes on later."""
+        job, state = one.job, one.state
         now = asyncio.get_running_loop().time()
         outcome = _outcome(error, moves)
         self._metrics.items.labels(outcome).inc()
         asked = {}
         if isinstance(error, Lost):
-            mark = of_item(job.entry, state.item, self._dialect)
+            mark = self._mark(one)
             asked = {"content": mark.content, "caller": mark.caller}
         log.info(
             "item run ended",
@@ -205,15 +222,16 @@
             return
         if error is None:
             self._fleet.succeeded(target.id, now)
+            self._guard.ran_well(self._mark(one))
             since_s = now - state.started_at if state.started_at else 0.0
             self._fleet.lengths(target.service).ended(
                 state.item.tokens, state.progress.event, since_s
             )
             job.complete(state)
             return
-        self._start_after(state, now, AGAIN_AFTER_S)
+        self._start_after(state, AGAIN_AFTER_S)
         if isinstance(error, TargetRefused) and error.run != NOT_RUN:
-            self._failed(job, state, route, error, now)
+            self._failed(job, state, route, error)
             return
         if isinstance(error, TargetRefused) and error.replaced:
             self._fleet.replaced(target.id, now)
@@ -228,28 +246,32 @@
         state: ItemState,
         route: Route,
         error: TargetRefused,
-        now: float,
     ) -> None:
         """Count an attempt that the target says failed."""
         failures = state.progress.failures + 1
         state.progress = ItemProgress(
             state.progress.event, state.progress.text, failures
         )
-        self._start_after(state, now, FAILED_AGAIN_AFTER_S)
+        self._start_after(state, FAILED_AGAIN_AFTER_S)
         if error.status == UNPROCESSABLE or failures >= route.most_attempts:
             job.bury(state)
 
-    def _start_after(self, state: ItemState, now: float, pause_s: float) -> None:
-        state.not_before = now + pause_s
+    def _start_after(self, state: ItemState, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
+        state.not_before = loop.time() + pause_s
         loop.call_at(state.not_before, self._fleet.changed)
 
     async def _attempt(
         self, one: Startable, target: Target
-    ) -> AttemptError | Renewal | None:
+    ) -> AttemptError | HeldBack | Renewal | None:
         """Run the item at one target; None if its output is whole."""
+        if self._guard.suspects:
+            held = await self._guard.admit(self._mark(one), one.state.item.id)
+            if held is not None:
+                self._start_after(one.state, held.retry_after_s)
+                return held
         while True:
-            outcome = await self._leased(one.job, one.state, target)
+            outcome = await self._leased(one, target)
             if not isinstance(outcome, Renewal):
                 return outcome
             now = asyncio.get_running_loop().time()
@@ -260,26 +282,44 @@
             log.info("lease renewed", item=one.state.item.id, event=event)
 
     async def _leased(
-        self, job: HeldJob, state: ItemState, target: Target
+        self, one: Startable, target: Target
     ) -> AttemptError | Renewal | None:
         """Run the item until its output is whole or its lease has to be renewed."""
+        job, state = one.job, one.state
         loop = asyncio.get_running_loop()
         began, from_event = loop.time(), state.progress.event
         outbound = self._outbound(job, state, target)
         opened = await self._client.open(target, outbound, FIRST_EVENT_S)
         if isinstance(opened, Err):
+            self._lost(one, target, opened.err_value, began, from_event)
             return opened.err_value
         answer = opened.ok_value
         try:
             if answer.status != 200:
                 return TargetRefused(answer.status, "it failed", "ran")
-            return await self._gather(state, answer, began + RENEW_S)
+            outcome = await self._gather(state, answer, began + RENEW_S)
+            self._lost(one, target, outcome, began, from_event)
+            return outcome
         finally:
             answer.close()
             self._fleet.lengths(target.service).ran(
                 state.progress.event - from_event, loop.time() - began
             )
 
+    def _lost(
+        self,
+        one: Startable,
+        target: Target,
+        outcome: AttemptError | Renewal | None,
+        began: float,
+        from_event: int,
+    ) -> None:
+        """Tell of a run whose answer broke off: its target may have ended."""
+        if isinstance(outcome, Lost):
+            age_s = asyncio.get_running_loop().time() - began
+            events = one.state.progress.event - from_event
+            self._guard.lost(target, self._mark(one), age_s, events)
+
     async def _gather(
         self, state: ItemState, answer: Answer, renew_at: float
     ) -> AttemptError | Renewal | None:
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -114,7 +114,7 @@
         wants: dict[str, Want] = {}
         for one in self._startable(jobs, now):
             service = self._service(one)
-            if service is None:
+            if service is None or self._runs.is_held(one):
                 continue
             want = wants.get(service)
             if want is None:
@@ -128,7 +128,7 @@
     def start_at(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
         """Start the most urgent item that ``target`` serves; False if there is none."""
         for one in in_order(self._startable(jobs, now)):
-            if self._service(one) != target.service:
+            if self._service(one) != target.service or self._runs.is_held(one):
                 continue
             route = self._route(one.job.entry, one.state.item)
             if route is None:
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -217,6 +217,45 @@
         self.count = count
 
 
+class TargetEnded(Record):
+    """A target ended, and the speaker lost runs with it.
+
+    Attributes:
+        target: its id.
+        runs: content, caller, age in seconds and events of each.
+    """
+
+    __slots__ = ("runs", "target")
+
+    def __init__(self, target: str, runs: list[list[Any]]) -> None:
+        self.target = target
+        self.runs = runs
+
+
+class SoundRuns(Record):
+    """Requests that ended no target: content, caller, and how many seconds ago."""
+
+    __slots__ = ("runs",)
+
+    def __init__(self, runs: list[list[Any]]) -> None:
+        self.runs = runs
+
+
+class Suspects(Record):
+    """What the speaker holds against requests, first on each connection.
+
+    Attributes:
+        suspects: of each the content, its ends (target, caller, age of the run, its
+            events, seconds ago, who told) and its hold: callers, seconds since, trials
+            and seconds until it may be tried again; empty if it is not held.
+    """
+
+    __slots__ = ("suspects",)
+
+    def __init__(self, suspects: list[list[Any]]) -> None:
+        self.suspects = suspects
+
+
 KINDS_BY_NAME = {
     kind.__name__: kind
     for kind in (
@@ -235,5 +274,8 @@
         UnownedRuns,
         StoreAsk,
         StoreAnswer,
+        TargetEnded,
+        SoundRuns,
+        Suspects,
     )
 }
--- a/src/caperridge/gateway/metrics.py
+++ b/src/caperridge/gateway/metrics.py
@@ -65,6 +65,22 @@
             "Peers that were heard from lately.",
             registry=self.registry,
         )
+        self.target_ends = Counter(
+            "caperridge_gateway_target_ends",
+            "Targets that ended while they ran requests of this instance.",
+            registry=self.registry,
+        )
+        self.held_requests = Counter(
+            "caperridge_gateway_held_requests",
+            "Requests that end targets, by what became of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.quarantine = Gauge(
+            "caperridge_gateway_quarantine",
+            "Requests that end targets, known here and sent to none.",
+            registry=self.registry,
+        )
         self.waiting_items = Gauge(
             "caperridge_gateway_waiting_items",
             "Items of jobs held here that wait for a slot.",
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from caperridge.closing import Close
+from caperridge.decisions.quarantine import Quarantine
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
@@ -13,6 +14,7 @@
 from caperridge.gateway.edge import Edge
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.forwarding import Forwarder
+from caperridge.gateway.held_rows import HeldRows
 from caperridge.gateway.jobs.acceptance import JobAcceptance
 from caperridge.gateway.jobs.broker import SlotBroker
 from caperridge.gateway.jobs.claims import JobClaimer
@@ -39,11 +41,13 @@
 from caperridge.gateway.registry import InstanceRegistry
 from caperridge.gateway.relayed_store import RelayedStore
 from caperridge.gateway.repeating_store import RepeatingStore
-from caperridge.gateway.rows import RowStore
+from caperridge.gateway.request_guard import RequestGuard
+from caperridge.gateway.rows import RowStore, StoredRow
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.stopping import PlannedStop
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.table_rows import TableRows
+from caperridge.gateway.target_ends import TargetEnds
 from caperridge.gateway.targets import Target
 from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
@@ -59,6 +63,9 @@
 BEAT_S = 0.6
 # Nothing that is decided by the index is decided by the copy alone, so it may lag.
 INDEX_SPACING_S = 0.7
+# Peers tell of held requests at once; the store does for whoever hears no peer, and so
+# well within the seconds after which an instance has to know.
+HELD_SPACING_S = 0.5
 PROBE_S = 0.5
 
 
@@ -95,7 +102,18 @@
         self._store = store
         repeating = RepeatingStore(store)
         self.client = TargetClient(dialect)
-        runs = ItemRuns(self.fleet, self.client, dialect, self.metrics)
+        quarantine = Quarantine()
+        held_rows = HeldRows(repeating, self.clock, quarantine)
+        self._target_ends = TargetEnds(self.fleet, self.client)
+        self.guard = RequestGuard(
+            quarantine,
+            self._target_ends,
+            held_rows,
+            self.mesh,
+            self.fleet,
+            self.metrics,
+        )
+        runs = ItemRuns(self.fleet, self.client, dialect, self.metrics, self.guard)
         slots = ItemSlots(
             self.configuration, self.fleet, self.clock, runs, self.metrics
         )
@@ -130,7 +148,7 @@
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
         self._forwarder = Forwarder(
-            self.fleet, self.client, dialect, self.metrics, limits
+            self.fleet, self.client, dialect, self.metrics, limits, self.guard
         )
         self.edge = Edge(
             self.configuration, self._forwarder, jobs, dialect, self.metrics, limits
@@ -172,10 +190,24 @@
                 spacing_s=INDEX_SPACING_S,
             )
         )
+        watchers.append(
+            TableWatcher(
+                self._store,
+                self.guard.rows.copy,
+                self.reach,
+                self._held_requests,
+                spacing_s=HELD_SPACING_S,
+            )
+        )
         return watchers
 
+    def _held_requests(self, rows: list[StoredRow], source: str) -> None:
+        self.guard.take_rows(rows, source)
+        self._rows.taken(self.guard.rows.copy.table)
+
     def _wire(self) -> None:
         self._rows.taken = self.news.table_changed
+        self._rows.ended = self._target_ends.gone
         self.edge.hear_peers = self.mesh.hear_now
         self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.news.item_started = self.granting.used
@@ -238,6 +270,8 @@
             loop.create_task(self._probe()),
             loop.create_task(self.unowned.run()),
             loop.create_task(self.sweeper.run()),
+            loop.create_task(self.guard.run()),
+            loop.create_task(self.guard.rows.run()),
         ]
         log.info(
             "instance started",
@@ -272,6 +306,7 @@
         return {
             "tasks": self._end_tasks,
             "peers": self.mesh.stop,
+            "target looks": self._target_ends.close,
             "targets": self.client.close,
             "listeners": self._close_listeners,
         }
@@ -323,6 +358,7 @@
             "configuration": table.version if table is not None else None,
             "store_reached": self.reach.reached,
             "running": self.edge.running,
+            "quarantine": self.guard.state(),
             "peers": {
                 member.id: {
                     "address": member.address,
--- /dev/null
+++ b/src/caperridge/gateway/request_guard.py
@@ -0,0 +1,345 @@
+"""Keeps requests that end targets from the targets that are left.
+
+Knows requests by what they ask for, whatever their ids and wherever they came. What one
+instance sees is told to all at once; whoever has just started or was cut off is told on
+connecting, and the store keeps it when nobody is left.
+"""
+
+import asyncio
+from collections import OrderedDict
+from typing import Any
+
+from caperridge.decisions.quarantine import (
+    SETTLE_S,
+    SOUND_FOR_S,
+    End,
+    Hold,
+    LostRun,
+    Quarantine,
+    Suspect,
+)
+from caperridge.elapsed import elapsed_s
+from caperridge.gateway.fingerprint import Fingerprint
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.held_rows import KEPT_ENDS, HeldRows
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
+from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.rows import StoredRow
+from caperridge.gateway.target_ends import TargetEnds
+from caperridge.gateway.targets import Target
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+# Good runs that are remembered, some 200 bytes each; a few hundred end in the time for
+# which that matters.
+MOST_SOUND = 1000
+# What a peer is told on connecting; those that are held go first.
+MOST_TOLD = 200
+SWEEP_S = 30.0
+# Longest wait for word of who is to blame, before a request that was lost with several
+# targets is sent to one more.
+MOST_SETTLE_S = 0.3
+LEAST_RETRY_AFTER_S = 0.5
+
+
+class HeldBack(Record):
+    """A request that is not sent to a target now.
+
+    Attributes:
+        reason: a sentence for a person.
+        retry_after_s: until it may be tried again.
+    """
+
+    __slots__ = ("reason", "retry_after_s")
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class RequestGuard:
+    """Says which requests may be sent; one for an instance.
+
+    Attributes:
+        quarantine: what is known of requests.
+        rows: what the store keeps of it.
+
+    Args:
+        quarantine: filled and asked.
+        ends: tells of targets that ended.
+        rows: what the store keeps.
+        mesh: of peers.
+        fleet: leaves targets alone that ended.
+        metrics: counted into.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        ends: TargetEnds,
+        rows: HeldRows,
+        mesh: Mesh,
+        fleet: Fleet,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.rows = rows
+        self.quarantine = quarantine
+        self._ends = ends
+        self._mesh = mesh
+        self._fleet = fleet
+        self._metrics = metrics
+        self._sound_at: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._judge_timer: asyncio.TimerHandle | None = None
+        self._claiming: set[str] = set()
+        ends.told = self._target_ended
+        mesh.register(TargetEnded, self._peer_lost_runs)
+        mesh.register(SoundRuns, self._peer_ran_well)
+        mesh.register(Suspects, self._peer_suspects)
+        mesh.say_first(self._first_word)
+
+    # Asked before a request is sent.
+
+    @property
+    def suspects(self) -> bool:
+        """Whether anything is held against any request."""
+        return bool(self.quarantine.by_content)
+
+    def is_held(self, mark: Fingerprint) -> bool:
+        """Whether a request is in quarantine and not to be tried again yet."""
+        hold = self.quarantine.hold_of(mark.content, mark.caller)
+        return hold is not None and elapsed_s() < hold.trial_at
+
+    async def admit(self, mark: Fingerprint, request: str) -> HeldBack | None:
+        """Return why a request may not be sent; None if it may.
+
+        Args:
+            mark: what it asks for.
+            request: its id, for the log.
+        """
+        self._judge()
+        hold = self.quarantine.hold_of(mark.content, mark.caller)
+        if hold is None:
+            return None
+        suspect = self.quarantine.by_content[mark.content]
+        if elapsed_s() >= hold.trial_at and await self._claim(suspect):
+            self._metrics.held_requests.labels("tried_again").inc()
+            log.warning("request tried again", request=request, **_told(suspect))
+            return None
+        self._metrics.held_requests.labels("refused").inc()
+        log.info("request held back", request=request, **_told(suspect))
+        left_s = (suspect.hold or hold).trial_at - elapsed_s()
+        return HeldBack(
+            f"{len(suspect.ends)} targets ended while they ran it",
+            max(LEAST_RETRY_AFTER_S, left_s),
+        )
+
+    async def settle(self) -> None:
+        """Wait until it is known who is to blame for what was lost by now."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + MOST_SETTLE_S
+        while loop.time() < until:
+            if not self._ends.looking and self._judge_timer is None:
+                return
+            await asyncio.sleep(SETTLE_S / 5)
+
+    # Told of runs.
+
+    def lost(
+        self, target: Target, mark: Fingerprint, age_s: float, events: int
+    ) -> None:
+        """Note a run whose answer broke off at ``target``."""
+        run = LostRun(mark.content, mark.caller, round(age_s, 3), events)
+        self._ends.lost(target, run)
+
+    def ran_well(self, mark: Fingerprint) -> None:
+        """Note that a run ended no target."""
+        now = elapsed_s()
+        key = mark.content, mark.caller
+        self._sound_at.pop(key, None)
+        self._sound_at[key] = now
+        if len(self._sound_at) > MOST_SOUND:
+            self._sound_at.popitem(last=False)
+        if self.quarantine.sound(mark.content, mark.caller, now, now):
+            self._cleared(mark.content, self._mesh.instance)
+            self._mesh.send_all(SoundRuns([[mark.content, mark.caller, 0.0]]))
+
+    # Told by peers and by the store.
+
+    def take_rows(self, rows: list[StoredRow], source: str) -> None:
+        """Take rows of held requests that were news."""
+        if self.rows.take(rows, source):
+            self._judge_soon()
+            self._count()
+
+    def _target_ended(self, target: Target, runs: list[LostRun]) -> None:
+        log.warning(
+            "target ended under requests",
+            target=target.id,
+            runs=[[run.content, run.caller, run.age_s, run.events] for run in runs],
+        )
+        self._metrics.target_ends.inc()
+        told = [[run.content, run.caller, run.age_s, run.events] for run in runs]
+        self._mesh.send_all(TargetEnded(target.id, told))
+        self._take_end(target.id, runs, self._mesh.instance)
+
+    def _peer_lost_runs(self, peer: str, news: TargetEnded) -> None:
+        runs = [LostRun(*run) for run in news.runs]
+        listed = self._fleet.targets.by_id.get(news.target)
+        if listed is not None:
+            self._fleet.ended(listed)
+        self._take_end(news.target, runs, peer)
+
+    def _take_end(self, target: str, runs: list[LostRun], told_by: str) -> None:
+        news = self.quarantine.ended(target, runs, elapsed_s(), told_by)
+        for content in news:
+            suspect = self.quarantine.by_content.get(content)
+            own = told_by == self._mesh.instance
+            if own and suspect is not None and len(suspect.ends) >= KEPT_ENDS:
+                self.rows.changed(content)
+        if news:
+            self._judge_soon()
+        self._say_what_ran_well(runs)
+
+    def _say_what_ran_well(self, runs: list[LostRun]) -> None:
+        """Speak up for requests that ended well here a short while ago."""
+        now = elapsed_s()
+        told: list[list[Any]] = []
+        for run in runs:
+            at = self._sound_at.get((run.content, run.caller))
+            if at is None or now - at > SOUND_FOR_S:
+                continue
+            self.quarantine.sound(run.content, run.caller, at, now)
+            told.append([run.content, run.caller, round(now - at, 3)])
+        if told:
+            self._mesh.send_all(SoundRuns(told))
+
+    def _peer_ran_well(self, peer: str, news: SoundRuns) -> None:
+        now = elapsed_s()
+        for content, caller, ago_s in news.runs:
+            if self.quarantine.sound(content, caller, now - ago_s, now):
+                self._cleared(content, peer)
+
+    def _cleared(self, content: str, told_by: str) -> None:
+        """Note a good run of a suspect."""
+        suspect = self.quarantine.by_content[content]
+        log.info("suspect ran well", told_by=told_by, **_told(suspect))
+        self.rows.changed(content)
+        self._count()
+
+    # Judging.
+
+    def _judge_soon(self) -> None:
+        if self._judge_timer is None:
+            loop = asyncio.get_running_loop()
+            self._judge_timer = loop.call_later(SETTLE_S, self._judge_now)
+
+    def _judge_now(self) -> None:
+        self._judge_timer = None
+        self._judge()
+        if self.quarantine.unjudged:
+            self._judge_soon()
+
+    def _judge(self) -> None:
+        for suspect in self.quarantine.judge(elapsed_s()):
+            log.warning("request put in quarantine", **_told(suspect))
+            self.rows.changed(suspect.content)
+            self._count()
+
+    def _count(self) -> None:
+        self._metrics.quarantine.set(len(self.quarantine.held()))
+
+    # Telling who knows nothing.
+
+    def _first_word(self) -> Suspects:
+        now = elapsed_s()
+        suspects = sorted(self.quarantine.by_content.values(), key=_held_first)
+        return Suspects([_as_told(one, now) for one in suspects[:MOST_TOLD]])
+
+    def _peer_suspects(self, peer: str, news: Suspects) -> None:
+        now = elapsed_s()
+        for content, ends, hold in news.suspects:
+            taken = [
+                End(target, caller, age_s, events, now - ago_s, by)
+                for target, caller, age_s, events, ago_s, by in ends
+            ]
+            held = None
+            if hold:
+                callers, since_s, trials, trial_in_s = hold
+                since, trial_at = now - since_s, now + trial_in_s
+                held = Hold(frozenset(callers), since, trials, trial_at)
+            if not self.quarantine.restore(content, taken, held):
+                continue
+            told = _told(self.quarantine.by_content[content])
+            log.info("suspect taken", told_by=peer, **told)
+            self._judge_soon()
+            self._count()
+
+    # Claims, and what is long ago.
+
+    async def _claim(self, suspect: Suspect) -> bool:
+        """Take the right to try a request again, against all others who ask for it."""
+        if suspect.content in self._claiming:
+            return False
+        self._claiming.add(suspect.content)
+        try:
+            return await self.rows.claim(suspect)
+        finally:
+            self._claiming.discard(suspect.content)
+
+    async def run(self) -> None:
+        """Forget what is long ago until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.quarantine.forget(elapsed_s())
+            self.rows.sweep()
+            self._count()
+
+    def state(self) -> list[dict[str, Any]]:
+        """Return what is in quarantine, for people."""
+        return [_told(suspect) for suspect in self.quarantine.held()]
+
+
+def _held_first(suspect: Suspect) -> bool:
+    return suspect.hold is None
+
+
+def _told(suspect: Suspect) -> dict[str, Any]:
+    """Return what is known of a suspect, for a line of the log."""
+    now = elapsed_s()
+    hold = suspect.hold
+    return {
+        "content": suspect.content,
+        "ends": [
+            {
+                "target": end.target,
+                "caller": end.caller,
+                "age_s": round(now - end.at, 3),
+                "told_by": end.told_by,
+            }
+            for end in suspect.ends
+        ],
+        "callers": sorted(hold.callers) if hold is not None else None,
+        "held_s": round(now - hold.since, 3) if hold is not None else None,
+        "trials": hold.trials if hold is not None else 0,
+        "trial_in_s": round(hold.trial_at - now, 3) if hold is not None else None,
+    }
+
+
+def _as_told(suspect: Suspect, now: float) -> list[Any]:
+    """Return what a peer is told of a suspect."""
+    hold = suspect.hold
+    ends = [
+        [e.target, e.caller, e.age_s, e.events, round(now - e.at, 3), e.told_by]
+        for e in suspect.ends
+    ]
+    if hold is None:
+        return [suspect.content, ends, []]
+    callers = sorted(hold.callers)
+    return [
+        suspect.content,
+        ends,
+        [callers, now - hold.since, hold.trials, hold.trial_at - now],
+    ]
--- a/src/caperridge/gateway/table_rows.py
+++ b/src/caperridge/gateway/table_rows.py
@@ -13,6 +13,7 @@
 from caperridge.gateway.jobs.index import JobIndex
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.rows import StoredRow
+from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import TargetClient
 from caperridge.log import logger
 
@@ -24,6 +25,7 @@
 
     Attributes:
         taken: called with a table's name after rows of it were taken.
+        ended: called with a target that is listed no more, or whose life is over.
 
     Args:
         dialect: decodes rows.
@@ -50,6 +52,7 @@
         self._index = index
         self._metrics = metrics
         self.taken: Callable[[str], None] = lambda table: None
+        self.ended: Callable[[Target], None] = lambda target: None
 
     def configuration(self, rows: list[StoredRow], source: str) -> None:
         """Put a later configuration in force."""
@@ -73,7 +76,10 @@
                 self._target(row, source)
                 continue
             name = row.key.key
+            target = self._fleet.targets.named(name)
             self._fleet.targets.remove(name, now)
+            if target is not None and self._fleet.targets.named(name) is None:
+                self.ended(target)
             log.info("target gone", target=name, source=source, version=row.version)
         self._fleet.known = True
         self._fleet.forget_gone()
@@ -108,6 +114,7 @@
         if over is None:
             return
         ended = self._client.end_runs(over.id)
+        self.ended(over)
         log.info(
             "target started again", target=target.id, before=over.id, runs_ended=ended
         )
--- /dev/null
+++ b/src/caperridge/gateway/target_ends.py
@@ -0,0 +1,136 @@
+"""Finding out that targets ended, and which runs were lost with each.
+
+A connection that breaks says little: targets break off answers, too. A target has ended
+if nothing listens at its address, a later life of it is listed, or its entry goes, all
+without notice that it leaves.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from caperridge.decisions.quarantine import LostRun
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.targets import Target
+from caperridge.gateway.upstream import TargetClient
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# A target that crashes closes its connections; its door is closed then or a moment
+# later.
+LOOKS_AFTER_S = (0.0, 0.03, 0.2)
+# Until the entry of a target that crashed goes, which is after three heartbeats of it.
+CONFIRMED_WITHIN_S = 6.0
+# Runs that are lost with a target are noticed within one turn of the loop or two.
+GATHER_S = 0.005
+
+
+class TargetLosses:
+    """Runs that were lost at one target of which it is not known whether it ended.
+
+    Attributes:
+        target: where they were.
+        runs: that were lost and not told yet.
+        timer: drops them if nothing shows that the target ended.
+        look: at its address; None once that is over.
+    """
+
+    __slots__ = ("look", "runs", "target", "timer")
+
+    def __init__(self, target: Target, timer: asyncio.TimerHandle) -> None:
+        self.target = target
+        self.runs: list[LostRun] = []
+        self.timer = timer
+        self.look: asyncio.Task[None] | None = None
+
+
+class TargetEnds:
+    """Tells which runs were lost with targets that ended.
+
+    Attributes:
+        told: called with a target that ended and the runs that were lost there.
+
+    Args:
+        fleet: whose targets are listed.
+        client: looks at addresses.
+    """
+
+    def __init__(self, fleet: Fleet, client: TargetClient) -> None:
+        self.told: Callable[[Target, list[LostRun]], None] = lambda target, runs: None
+        self._fleet = fleet
+        self._client = client
+        self._losses_by_target: dict[str, TargetLosses] = {}
+        # Targets that have ended, for runs of which that is noticed later.
+        self._ended: dict[str, asyncio.TimerHandle] = {}
+
+    @property
+    def looking(self) -> bool:
+        """Whether it is not known yet of some target whether it ended."""
+        return any(one.look is not None for one in self._losses_by_target.values())
+
+    def lost(self, target: Target, run: LostRun) -> None:
+        """Take note of a run whose answer broke off at ``target``."""
+        listed = self._fleet.targets.by_id.get(target.id)
+        if target.id in self._ended:
+            self.told(target, [run])
+            return
+        if listed is None or listed.draining:
+            return  # it leaves, and ends what it has not done
+        losses = self._losses_by_target.get(target.id)
+        if losses is None:
+            losses = self._losses_by_target[target.id] = self._new(target)
+        losses.runs.append(run)
+        if losses.look is None:
+            look = self._look(losses)
+            losses.look = asyncio.get_running_loop().create_task(look)
+
+    def gone(self, target: Target) -> None:
+        """Take note that a target is not listed any more, or a later life of it is."""
+        if not target.draining:
+            self._end(target)
+
+    async def close(self) -> None:
+        """End all looks."""
+        looks = [one.look for one in self._losses_by_target.values() if one.look]
+        for losses in list(self._losses_by_target.values()):
+            self._drop(losses)
+        for look in looks:
+            look.cancel()
+        await asyncio.gather(*looks, return_exceptions=True)
+
+    def _new(self, target: Target) -> TargetLosses:
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(CONFIRMED_WITHIN_S, self._forget, target.id)
+        return TargetLosses(target, timer)
+
+    def _forget(self, target: str) -> None:
+        losses = self._losses_by_target.get(target)
+        if losses is not None:
+            self._drop(losses)
+
+    def _drop(self, losses: TargetLosses) -> None:
+        losses.timer.cancel()
+        self._losses_by_target.pop(losses.target.id, None)
+
+    async def _look(self, losses: TargetLosses) -> None:
+        """See whether anything listens where a target was."""
+        try:
+            for pause_s in LOOKS_AFTER_S:
+                await asyncio.sleep(pause_s + GATHER_S)
+                if await self._client.is_refused(losses.target.address):
+                    self._end(losses.target)
+                    self._fleet.ended(losses.target)
+                    return
+        finally:
+            losses.look = None
+
+    def _end(self, target: Target) -> None:
+        losses = self._losses_by_target.get(target.id)
+        if target.id not in self._ended:
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(CONFIRMED_WITHIN_S, self._ended.pop, target.id)
+            self._ended[target.id] = timer
+        if losses is None:
+            return
+        self._drop(losses)
+        self.told(target, losses.runs)
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -308,16 +308,35 @@
 
     async def reaches(self, address: str, within_s: float = CONNECT_S) -> bool:
         """Return whether something accepts connections at ``address``."""
-        host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(within_s):
-                _, writer = await asyncio.open_connection(host, int(port))
+                await self._connect(address)
+        except (OSError, TimeoutError):
+            return False
+        return True
+
+    async def is_refused(self, address: str, within_s: float = CONNECT_S) -> bool:
+        """Return whether nothing listens at ``address`` any more, as its host says."""
+        try:
+            async with asyncio.timeout(within_s):
+                await self._connect(address)
+        except ConnectionRefusedError:
+            return True
         except (OSError, TimeoutError):
             return False
+        return False
+
+    async def _connect(self, address: str) -> None:
+        """Open a connection and close it.
+
+        Raises:
+            OSError: that was not possible.
+        """
+        host, _, port = address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
-        return True
 
     def _checked(
         self, outbound: Outbound, answer: Answer
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -14,8 +14,14 @@
 ends a target for as long as there are any; with one that ends nothing, none does.
 """
 
+import asyncio
+
 import pytest
 
+from caperridge.decisions import quarantine
+from caperridge.decisions.quarantine import TRIAL_PAUSES_S
+from caperridge.gateway import held_rows, request_guard
+from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, until
 from gateway.runner_standin import Run
 
@@ -41,23 +47,75 @@
     return world
 
 
+@pytest.fixture
+def ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """What holds are timed by; whatever is added to the list comes on top."""
+    added: list[float] = []
+    real = request_guard.elapsed_s
+    for module in (request_guard, held_rows):
+        monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
+    return added
+
+
 async def repeat(
-    world: World, path: str, first: int = 0, count: int = REPEATS, **headers: str
+    world: World,
+    path: str,
+    first: int = 0,
+    count: int = REPEATS,
+    body: bytes = FATAL,
+    **headers: str,
 ) -> list[Answer]:
     """Send a fatal request again and again, to the instances in turn."""
     answers: list[Answer] = []
     for number in range(first, first + count):
         instance = world.instances[number % len(world.instances)]
-        answers.append(await world.ask(instance, path, f"f{number}", FATAL, **headers))
+        ends = ended(world)
+        answer = await world.ask(instance, path, f"f{number}", body, **headers)
+        answers.append(answer)
+        if ended(world) > ends:
+            await all_know(world)
         await world.replace_ended()
     return answers
 
 
+def ended(world: World) -> int:
+    """Return how many targets have ended."""
+    here = sum(1 for one in world.runners if one.ended)
+    return here + len(world.runners_ended)
+
+
+async def all_know(world: World) -> None:
+    """Wait until every instance has judged all ends."""
+    await until(
+        lambda: all(
+            known_targets(one) >= {target.id for target in all_ended(world)}
+            and not one.guard.quarantine.unjudged
+            for one in world.instances
+        )
+    )
+
+
+def all_ended(world: World) -> list:
+    return [*world.runners_ended, *(one for one in world.runners if one.ended)]
+
+
+def known_targets(instance: GatewayInstance) -> set[str]:
+    """Return the targets of whose end an instance knows."""
+    suspects = instance.guard.quarantine.by_content.values()
+    return {end.target for suspect in suspects for end in suspect.ends}
+
+
+def completed(world: World) -> set[str]:
+    """Return the ids of requests that ran to their end."""
+    runners = [*world.runners, *world.runners_ended]
+    return {run.id for one in runners for run in one.runs if run.ended}
+
+
 async def test_a_request_that_ended_three_targets_is_sent_to_no_other(
     fleet: World,
 ) -> None:
     answers = await repeat(fleet, "/once/1")
-    assert len(fleet.runners_ended) == ENOUGH
+    assert ended(fleet) == ENOUGH
     for answer in answers[ENOUGH:]:
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
@@ -68,22 +126,234 @@
 ) -> None:
     await fleet.submit(fleet.instances[0], "job", ["sound-1", "fatal", "sound-2"])
     for number in range(1, ENOUGH + 1):
-        await until(lambda many=number: _ended(fleet) >= many)
+        await until(lambda many=number: ended(fleet) >= many)
         await fleet.replace_ended()
     sound = {"sound-1", "sound-2"}
     for number in range(10):
         # Time enough for it to be sent again, if it was.
-        await until(lambda: sound <= _completed(fleet) or _ended(fleet) > ENOUGH)
+        await until(lambda: sound <= completed(fleet) or ended(fleet) > ENOUGH)
         sound.add(f"later-{number}")
         await fleet.submit(fleet.instances[1], f"job-{number}", [f"later-{number}"])
-    assert _ended(fleet) == ENOUGH
+    assert ended(fleet) == ENOUGH
 
 
-def _ended(world: World) -> int:
-    here = sum(1 for one in world.runners if one.ended)
-    return here + len(world.runners_ended)
+async def test_a_stream_that_is_moved_ends_no_more_targets_by_itself(
+    fleet: World,
+) -> None:
+    """One try of it is enough to know, and its caller hears that it has run."""
+    answer = await fleet.ask(fleet.instances[0], "/ask/1", "f0", FATAL)
+    assert (answer.status, ended(fleet)) == (502, ENOUGH)
+    await all_know(fleet)
+    await fleet.replace_ended()
+    answers = await repeat(fleet, "/ask/1", first=1, count=4)
+    assert {answer.status for answer in answers} == {503}
+    assert ended(fleet) == ENOUGH
 
 
-def _completed(world: World) -> set[str]:
-    runners = [*world.runners, *world.runners_ended]
-    return {run.id for one in runners for run in one.runs if run.ended}
+async def test_one_that_makes_events_before_it_ends_a_target_is_found(
+    fleet: World,
+) -> None:
+    for runner in fleet.runners:
+        runner.fatal_after = 2
+    answers = await repeat(fleet, "/once/1")
+    assert ended(fleet) == ENOUGH
+    assert [answer.status for answer in answers[ENOUGH:]] == [503] * 5
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers"),
+    [
+        ("/once/1", b"another question", {}),
+        ("/once/2", b"question", {}),
+        ("/ask/1", b"question", {}),
+    ],
+)
+async def test_other_requests_are_served_while_and_after_it_is_found_out(
+    fleet: World, path: str, body: bytes, headers: dict[str, str]
+) -> None:
+    for number in range(5):
+        await repeat(fleet, "/once/1", first=number, count=1)
+        for instance in fleet.instances:
+            answer = await fleet.ask(instance, path, f"s{number}", body, **headers)
+            assert (answer.status, answer.whole) == (200, True)
+    assert ended(fleet) == ENOUGH
+
+
+async def test_another_caller_of_the_same_is_served(fleet: World) -> None:
+    """It ends targets for one caller only, say for what that caller has set up."""
+    for runner in fleet.runners:
+        runner.fatal = lambda run: run.headers.get("X-Team") == "one"
+    await repeat(fleet, "/once/1", X_Team="one")
+    assert ended(fleet) == ENOUGH
+    for instance in fleet.instances:
+        answer = await fleet.ask(instance, "/once/1", "s", FATAL, X_Team="two")
+        assert (answer.status, answer.whole) == (200, True)
+
+
+async def test_headers_that_change_hide_it_from_nobody(fleet: World) -> None:
+    for number in range(REPEATS):
+        await repeat(fleet, "/once/1", first=number, count=1, X_Trace=f"t{number}")
+    assert ended(fleet) == ENOUGH
+
+
+async def test_several_such_requests_at_once_are_kept_from_targets_each(
+    fleet: World,
+) -> None:
+    for number in range(5):
+        for which in (b" 1", b" 2", b" 3"):
+            first = 10 * number + int(which)
+            await repeat(fleet, "/once/1", first=first, count=1, body=FATAL + which)
+    assert ended(fleet) == 3 * ENOUGH
+
+
+async def test_an_instance_that_just_started_knows(fleet: World) -> None:
+    await repeat(fleet, "/once/1")
+    fresh = await fleet.add_instance()
+    await fleet.ready()
+    await until(lambda: fresh.guard.quarantine.held())
+    answer = await fleet.ask(fresh, "/once/1", "f", FATAL)
+    assert (answer.status, ended(fleet)) == (503, ENOUGH)
+
+
+async def test_instances_that_all_started_anew_know(fleet: World) -> None:
+    """What two ends were kept of is not lost with all who saw them."""
+    await repeat(fleet, "/once/1", count=2)
+    await until(lambda: rows_kept(fleet) == 1)
+    for instance in list(fleet.instances):
+        await fleet.kill(instance)
+    for _ in range(2):
+        await fleet.add_instance()
+    await fleet.ready()
+    await all_know(fleet)
+    answers = await repeat(fleet, "/once/1", first=2, count=4)
+    assert ended(fleet) == ENOUGH
+    assert [answer.status for answer in answers] == [502, 503, 503, 503]
+
+
+def rows_kept(world: World) -> int:
+    """Return how many suspects the store keeps."""
+    return sum(1 for key in world.store.rows if key[0] == held_rows.TABLE)
+
+
+async def test_what_runs_beside_it_is_not_blamed(fleet: World) -> None:
+    """Streams are moved from one end to the next, and are at as many."""
+    for runner in fleet.runners:
+        runner.events = 60
+    asking = [
+        asyncio.ensure_future(fleet.ask(instance, f"/ask/{n}", f"s{n}", b"long"))
+        for n, instance in enumerate(fleet.instances)
+    ]
+    await until(lambda: sum(one.busy for one in fleet.runners) == 3)
+    await repeat(fleet, "/once/1", count=5)
+    answers = await asyncio.gather(*asking)
+    assert [(one.status, one.whole) for one in answers] == [(200, True)] * 3
+    assert ended(fleet) == ENOUGH
+
+
+async def test_a_popular_request_is_served_though_targets_end_by_themselves(
+    fleet: World,
+) -> None:
+    """Each end has it at work, for it is always at work; between ends it runs well."""
+    served: list[bool] = []
+
+    async def go_on(instance: GatewayInstance) -> None:
+        for number in range(40):
+            answer = await fleet.ask(instance, "/once/1", f"p{number}", b"popular")
+            if answer.status == 503:
+                served.append(False)
+            if answer.status == 200 and answer.whole:
+                served.append(True)
+
+    asking = [asyncio.ensure_future(go_on(one)) for one in fleet.instances * 2]
+    for _ in range(2 * ENOUGH):
+        await until(lambda: any(one.busy for one in fleet.runners))
+        busiest = max(fleet.runners, key=lambda one: one.busy)
+        await busiest.end()
+        await fleet.replace_ended()
+    await asyncio.gather(*asking)
+    assert ended(fleet) == 2 * ENOUGH
+    assert False not in served
+    assert served.count(True) > 100
+
+
+async def test_one_instance_tries_it_again_and_a_good_run_clears_it(
+    fleet: World, ahead: list[float]
+) -> None:
+    await repeat(fleet, "/once/1")
+    ahead.append(TRIAL_PAUSES_S[0])
+    answers = await asyncio.gather(
+        *(
+            fleet.ask(instance, "/once/1", f"t{number}", FATAL)
+            for number, instance in enumerate(fleet.instances * 3)
+        )
+    )
+    assert ended(fleet) == ENOUGH + 1
+    assert sorted(answer.status for answer in answers) == [502] + [503] * 8
+    await fleet.replace_ended()
+    for runner in fleet.runners:
+        runner.fatal = lambda run: False
+    answer = await fleet.ask(fleet.instances[1], "/once/1", "early", FATAL)
+    assert answer.status == 503
+    ahead.append(TRIAL_PAUSES_S[1])
+    answer = await fleet.ask(fleet.instances[1], "/once/1", "good", FATAL)
+    assert (answer.status, answer.whole) == (200, True)
+    await until(lambda: not any(one.guard.quarantine.held() for one in fleet.instances))
+    for number, instance in enumerate(fleet.instances):
+        answer = await fleet.ask(instance, "/once/1", f"again{number}", FATAL)
+        assert (answer.status, answer.whole) == (200, True)
+    await until(lambda: rows_kept(fleet) == 0)
+
+
+async def test_targets_that_break_off_answers_blame_no_request(fleet: World) -> None:
+    for runner in fleet.runners:
+        runner.break_after = 2
+    for number in range(2 * ENOUGH):
+        instance = fleet.instances[number % 3]
+        answer = await fleet.ask(instance, "/once/1", f"r{number}")
+        assert (answer.status, answer.whole) == (200, False)
+    assert not any(one.guard.suspects for one in fleet.instances)
+
+
+async def test_targets_that_leave_with_notice_blame_no_request(fleet: World) -> None:
+    for runner in fleet.runners:
+        runner.events = 1000
+    asking = [
+        asyncio.ensure_future(fleet.ask(fleet.instances[0], "/once/1", f"r{number}"))
+        for number in range(2 * ENOUGH)
+    ]
+    await until(lambda: sum(one.busy for one in fleet.runners) == 2 * ENOUGH)
+    for runner in fleet.runners:
+        fleet.list_runner(runner, state="draining")
+    for instance in fleet.instances:
+        await until(
+            lambda one=instance: all(
+                target.draining for target in one.fleet.targets.by_id.values()
+            )
+        )
+    for runner in fleet.runners:
+        await runner.end()
+    await asyncio.gather(*asking)
+    assert not any(one.guard.suspects for one in fleet.instances)
+
+
+async def test_an_operator_sees_what_is_known_how_old_and_who_told(
+    fleet: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[dict] = []
+    monkeypatch.setattr(
+        request_guard.log,
+        "info",
+        lambda message, **fields: lines.append({"message": message} | fields),
+    )
+    await repeat(fleet, "/once/1")
+    (line, *_) = [one for one in lines if one["message"] == "request held back"]
+    assert line["request"] == f"f{ENOUGH}"
+    assert [end["told_by"] for end in line["ends"]] == ["e-0", "e-1", "e-2"]
+    assert {end["target"] for end in line["ends"]} == {
+        one.id for one in fleet.runners_ended
+    }
+    assert all(0 <= end["age_s"] < 60 for end in line["ends"])
+    assert 0 < line["trial_in_s"] <= TRIAL_PAUSES_S[0]
+    (held,) = fleet.instances[0].state()["quarantine"]
+    assert held["content"] == line["content"]
+    assert quarantine.ENOUGH_ENDS == ENOUGH
--- /dev/null
+++ b/tests/policy/test_quarantine.py
@@ -0,0 +1,275 @@
+"""Which requests are kept from targets, and which are not, decided without a network.
+
+The pattern: a request that ends each target it runs at comes again every 0.3 s, at any
+instance. Two to ten others are at each target that it ends, of any age up to a second;
+it has made no event and is about 0.1 s old. Those figures are of an incident's record.
+"""
+
+import pytest
+
+from caperridge.decisions.quarantine import (
+    ENOUGH_ENDS,
+    FORGET_S,
+    MOST_SUSPECTS,
+    SETTLE_S,
+    SOUND_FOR_S,
+    TRIAL_PAUSES_S,
+    End,
+    Hold,
+    LostRun,
+    Quarantine,
+)
+
+FATAL = LostRun("fatal", "caller", 0.1, 0)
+
+
+def bystander(content: str, caller: str = "caller") -> LostRun:
+    return LostRun(content, caller, 0.4, 18)
+
+
+class Fleet:
+    """A quarantine whose targets end one after the other."""
+
+    def __init__(self) -> None:
+        self.quarantine = Quarantine()
+        self.now = 100.0
+        self.targets = 0
+
+    def end(self, *runs: LostRun, told_by: str = "e-0") -> None:
+        """End one target with these runs, and let it be judged."""
+        self.targets += 1
+        self.quarantine.ended(f"t-{self.targets}", runs, self.now, told_by)
+        self.judge()
+
+    def judge(self) -> list[str]:
+        """Let what was told settle; return what is held from now on."""
+        self.now += SETTLE_S
+        return [one.content for one in self.quarantine.judge(self.now)]
+
+    def sound(self, content: str, caller: str = "caller", ago_s: float = 0.0) -> None:
+        self.quarantine.sound(content, caller, self.now - ago_s, self.now)
+
+    def is_held(self, content: str, caller: str = "caller") -> bool:
+        return self.quarantine.hold_of(content, caller) is not None
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+def test_enough_ends_put_a_request_in_quarantine_and_no_other(fleet: Fleet) -> None:
+    for number in range(ENOUGH_ENDS):
+        assert not fleet.is_held("fatal")
+        fleet.end(bystander(f"sound-{number}"), FATAL)
+        fleet.now += 0.3
+    assert fleet.is_held("fatal")
+    assert [one.content for one in fleet.quarantine.held()] == ["fatal"]
+
+
+def test_one_end_told_by_all_instances_is_one(fleet: Fleet) -> None:
+    for instance in ("e-0", "e-1", "e-2"):
+        fleet.quarantine.ended("t", [FATAL], fleet.now, instance)
+        fleet.now += 0.004
+    fleet.judge()
+    assert not fleet.is_held("fatal")
+
+
+def test_a_target_that_ends_again_under_its_name_counts_again(fleet: Fleet) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.quarantine.ended("t", [FATAL], fleet.now, "e-0")
+        fleet.now += 4.0
+    fleet.judge()
+    assert fleet.is_held("fatal")
+
+
+@pytest.mark.parametrize("victim_first", [True, False])
+def test_who_was_moved_into_the_same_ends_is_not_to_blame(
+    fleet: Fleet, victim_first: bool
+) -> None:
+    """A stream that goes on elsewhere is at the next end, too, and had made events."""
+    victim = LostRun("moved", "caller", 0.3, 12)
+    runs = [victim, FATAL] if victim_first else [FATAL, victim]
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(*runs)
+        fleet.now += 0.3
+    assert fleet.is_held("fatal")
+    assert not fleet.is_held("moved")
+    fleet.end(victim)
+    assert not fleet.is_held("moved")
+
+
+def test_the_word_of_another_instance_may_come_a_little_later(fleet: Fleet) -> None:
+    victim = LostRun("moved", "caller", 0.3, 12)
+    for _ in range(ENOUGH_ENDS - 1):
+        fleet.end(victim, FATAL)
+        fleet.now += 0.3
+    fleet.quarantine.ended("last", [victim], fleet.now, "e-0")
+    fleet.now += SETTLE_S / 2
+    fleet.quarantine.judge(fleet.now)
+    fleet.quarantine.ended("last", [FATAL], fleet.now, "e-1")
+    assert fleet.judge() == ["fatal"]
+    assert not fleet.is_held("moved")
+
+
+def test_a_popular_request_is_not_blamed_for_targets_that_end_by_themselves(
+    fleet: Fleet,
+) -> None:
+    for _ in range(20):
+        fleet.sound("popular")
+        fleet.end(bystander("popular"))
+        fleet.now += 0.5
+        fleet.sound("popular")
+        fleet.now += 1.0
+        assert not fleet.is_held("popular")
+
+
+def test_a_popular_request_is_not_blamed_when_several_targets_end_at_once(
+    fleet: Fleet,
+) -> None:
+    for number in range(ENOUGH_ENDS + 1):
+        fleet.quarantine.ended(f"t-{number}", [bystander("popular")], fleet.now, "e-0")
+    fleet.sound("popular", ago_s=0.7)
+    assert fleet.judge() == []
+
+
+def test_word_of_a_good_run_shortly_before_ends_a_hold(fleet: Fleet) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(bystander("popular"))
+    assert fleet.is_held("popular")
+    fleet.sound("popular", ago_s=2.0)
+    assert not fleet.is_held("popular")
+
+
+def test_a_request_that_ran_well_long_ago_can_be_to_blame(fleet: Fleet) -> None:
+    fleet.end(FATAL)
+    fleet.sound("fatal")
+    fleet.now += SOUND_FOR_S
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+    assert fleet.is_held("fatal")
+
+
+def test_another_caller_of_the_same_is_served(fleet: Fleet) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+    assert fleet.is_held("fatal", "caller")
+    assert not fleet.is_held("fatal", "another")
+
+
+def test_a_request_whose_headers_change_is_known_all_the_same(fleet: Fleet) -> None:
+    for number in range(ENOUGH_ENDS):
+        fleet.end(LostRun("fatal", f"headers-{number}", 0.1, 0))
+    assert fleet.is_held("fatal", "headers-9")
+
+
+def test_headers_that_change_do_not_make_a_popular_request_suspect(
+    fleet: Fleet,
+) -> None:
+    for number in range(3 * ENOUGH_ENDS):
+        fleet.sound("popular", f"headers-{number}")
+        fleet.end(LostRun("popular", f"lost-{number}", 0.4, 18))
+        fleet.now += 1.0
+        fleet.sound("popular", f"later-{number}")
+        assert not fleet.is_held("popular", "headers-9")
+
+
+def test_a_caller_for_whom_it_runs_well_is_served_beside_others(fleet: Fleet) -> None:
+    """The same content ends targets for one caller and is served for another."""
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+        fleet.sound("fatal", "another")
+        fleet.now += 0.3
+    assert fleet.is_held("fatal", "caller")
+    assert not fleet.is_held("fatal", "another")
+
+
+def test_several_such_requests_at_once_are_found_each(fleet: Fleet) -> None:
+    others = [LostRun(f"fatal-{number}", "caller", 0.12, 0) for number in range(3)]
+    for turn in range(2 * ENOUGH_ENDS):
+        running = [one for one in others if not fleet.is_held(one.content)]
+        if not running:
+            break
+        fleet.end(running[turn % len(running)], bystander(f"sound-{turn}"))
+        fleet.now += 0.2
+    for _ in range(ENOUGH_ENDS):
+        for one in others:
+            if not fleet.is_held(one.content):
+                fleet.end(one)
+                fleet.now += 0.2
+    held = {one.content for one in fleet.quarantine.held()}
+    assert held == {one.content for one in others}
+
+
+def test_two_that_end_the_same_targets_are_both_found(fleet: Fleet) -> None:
+    second = LostRun("fatal-2", "caller", 0.15, 0)
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL, second)
+    assert fleet.is_held("fatal")
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(second)
+    assert fleet.is_held("fatal-2")
+
+
+def test_a_good_run_clears_a_request(fleet: Fleet) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+    fleet.now += TRIAL_PAUSES_S[0]
+    fleet.sound("fatal")
+    assert not fleet.is_held("fatal")
+    fleet.end(FATAL)
+    assert not fleet.is_held("fatal")
+
+
+def test_what_a_peer_kept_of_an_older_hold_does_not_come_back(fleet: Fleet) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+    suspect = fleet.quarantine.by_content["fatal"]
+    ends, hold = list(suspect.ends), suspect.hold
+    fleet.now += 1.0
+    fleet.sound("fatal")
+    fleet.quarantine.restore("fatal", ends, hold)
+    fleet.judge()
+    assert not fleet.is_held("fatal")
+
+
+def test_who_knows_nothing_takes_a_hold_from_elsewhere(fleet: Fleet) -> None:
+    ends = [End(f"t-{n}", "caller", 0.1, 0, 90.0 + n, "e-1") for n in range(3)]
+    hold = Hold(frozenset({"caller"}), 93.0, 1, 160.0)
+    assert fleet.quarantine.restore("fatal", ends, hold)
+    assert fleet.is_held("fatal")
+    later = Hold(frozenset({"caller"}), 93.0, 2, 1060.0)
+    assert fleet.quarantine.restore("fatal", ends, later)
+    assert not fleet.quarantine.restore("fatal", ends, hold)
+    assert fleet.quarantine.hold_of("fatal", "caller").trial_at == 1060.0
+
+
+def test_ends_that_two_saw_apart_add_up(fleet: Fleet) -> None:
+    """An instance that was cut off knows of one end, its peers of two others."""
+    fleet.end(FATAL)
+    ends = [End(f"u-{n}", "caller", 0.1, 0, 99.0 + n / 2, "e-1") for n in range(2)]
+    fleet.quarantine.restore("fatal", ends, None)
+    assert fleet.judge() == ["fatal"]
+
+
+def test_what_is_remembered_is_bounded_and_what_is_held_goes_last(
+    fleet: Fleet,
+) -> None:
+    for _ in range(ENOUGH_ENDS):
+        fleet.end(FATAL)
+    for number in range(2 * MOST_SUSPECTS):
+        fleet.quarantine.ended(f"x-{number}", [bystander(f"b-{number}")], 200.0, "e")
+    assert len(fleet.quarantine.by_content) == MOST_SUSPECTS
+    assert fleet.is_held("fatal")
+    for _ in range(100):
+        fleet.end(FATAL)
+        fleet.now += 2.0
+    assert len(fleet.quarantine.by_content["fatal"].ends) < 20
+
+
+def test_old_ends_are_forgotten(fleet: Fleet) -> None:
+    fleet.end(FATAL)
+    fleet.end(FATAL)
+    fleet.now += FORGET_S
+    fleet.quarantine.forget(fleet.now)
+    assert not fleet.quarantine.by_content
