Find requests to blame whose callers leave, and bound what is remembered of rows

A caller may leave in the moment in which its request ends the target: the run was cancelled here, and nobody told of it. It counts now if the target is seen to have ended. Rows that were removed from a copied table were remembered without end; 5,000 are now.

--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -4,8 +4,8 @@
 that ran there is suspect, and most of it is not to blame. What tells them apart: the
 one to blame is there at every end and never ends well, and it has just begun.
 
-Three ends without a good run between them put a request in quarantine. From then on it
-is tried again alone and ever more seldom, and one good run clears it.
+Three ends without a good run between them put a request in quarantine. From then on one
+instance of all tries it again, ever more seldom, and one good run clears it.
 """
 
 from collections.abc import Iterable
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -189,7 +189,6 @@
     ) -> AttemptError | None:
         """Send the request to ``target``; None if its answer has gone out whole."""
         carriage.offers += 1
-        sent_before = carriage.sent_at_least_once
         count = self._fleet.occupancy.at(target.id)
         log.info(
             "request placed",
@@ -210,49 +209,50 @@
         self._fleet.changed()
         self.placed(target.id)
         try:
-            # Until the outcome is known it may run.
-            carriage.sent_at_least_once = True
-            outbound = self._outbound(request, carriage, target)
-            begin_s = FIRST_EVENT_SILENCE_S if request.route.idempotent else math.inf
-            opened = await self._client.open(target, outbound, begin_s)
-            if isinstance(opened, Err):
-                error = opened.err_value
-                _count_unanswered(carriage, error, sent_before)
-                self._ran(request, carriage, target, error, began, sent_events)
-                return error
-            carriage.runs += 1
-            answer = opened.ok_value
-            try:
-                error = await self._answers.relay(request, reply, carriage, answer)
-            finally:
-                answer.close()
-            self._ran(request, carriage, target, error, began, sent_events)
-            if error is None and at_once:
-                took_s = asyncio.get_running_loop().time() - began
-                events = carriage.last_event - sent_events
-                self._fleet.lengths(target.service).answered(events, took_s)
-            return error
+            error = await self._attempt(request, reply, carriage, target)
+        except asyncio.CancelledError:
+            if carriage.last_event == sent_events:
+                age_s = asyncio.get_running_loop().time() - began
+                self._guard.left(target, self._mark(request, carriage), age_s)
+            raise
         finally:
             self._fleet.occupancy.add(target.id, online=-1)
             self._fleet.changed()
+        took_s = asyncio.get_running_loop().time() - began
+        events = carriage.last_event - sent_events
+        if isinstance(error, Lost):
+            self._guard.lost(target, self._mark(request, carriage), took_s, events)
+        if error is not None:
+            return error
+        self._guard.ran_well(self._mark(request, carriage))
+        if at_once:
+            self._fleet.lengths(target.service).answered(events, took_s)
+        return None
 
-    def _ran(
+    async def _attempt(
         self,
         request: InboundRequest,
+        reply: Reply,
         carriage: Carriage,
         target: Target,
-        error: AttemptError | None,
-        began: float,
-        sent_events: int,
-    ) -> None:
-        """Tell what ended targets, and what did not."""
-        if error is None:
-            self._guard.ran_well(self._mark(request, carriage))
-        if isinstance(error, Lost):
-            age_s = asyncio.get_running_loop().time() - began
-            events = carriage.last_event - sent_events
-            mark = self._mark(request, carriage)
-            self._guard.lost(target, mark, age_s, events)
+    ) -> AttemptError | None:
+        """Have ``target`` run the request and pass its answer on."""
+        sent_before = carriage.sent_at_least_once
+        # Until the outcome is known it may run.
+        carriage.sent_at_least_once = True
+        outbound = self._outbound(request, carriage, target)
+        begin_s = FIRST_EVENT_SILENCE_S if request.route.idempotent else math.inf
+        opened = await self._client.open(target, outbound, begin_s)
+        if isinstance(opened, Err):
+            error = opened.err_value
+            _count_unanswered(carriage, error, sent_before)
+            return error
+        carriage.runs += 1
+        answer = opened.ok_value
+        try:
+            return await self._answers.relay(request, reply, carriage, answer)
+        finally:
+            answer.close()
 
     def _outbound(
         self, request: InboundRequest, carriage: Carriage, target: Target
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -232,7 +232,9 @@
             ValueError: another release wrote something else.
             TypeError: the same.
         """
-        ahead_s = self._clock.now() - elapsed_s()
+        # Told by a peer before the store has answered, it is as new as can be.
+        store_s = self._clock.now() if self._clock.known else row.since
+        ahead_s = store_s - elapsed_s()
         ends: list[End] = []
         for target, caller, age_s, events, at, told_by in row.ends:
             end = End(
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -43,6 +43,8 @@
 # targets is sent to one more.
 MOST_SETTLE_S = 0.3
 LEAST_RETRY_AFTER_S = 0.5
+# Of the ends under a request so many are told in a line of the log.
+MOST_LOGGED = 4
 
 
 class HeldBack(Record):
@@ -107,6 +109,11 @@
         """Whether anything is held against any request."""
         return bool(self.quarantine.by_content)
 
+    @property
+    def looking(self) -> bool:
+        """Whether it is not known yet whether some target ended."""
+        return self._ends.looking
+
     def is_held(self, mark: Fingerprint) -> bool:
         """Whether a request is in quarantine and not to be tried again yet."""
         hold = self.quarantine.hold_of(mark.content, mark.caller)
@@ -154,6 +161,11 @@
         run = LostRun(mark.content, mark.caller, round(age_s, 3), events)
         self._ends.lost(target, run)
 
+    def left(self, target: Target, mark: Fingerprint, age_s: float) -> None:
+        """Note a run that was ended here before it had made an event at ``target``."""
+        run = LostRun(mark.content, mark.caller, round(age_s, 3), events=0)
+        self._ends.left(target, run)
+
     def ran_well(self, mark: Fingerprint) -> None:
         """Note that a run ended no target."""
         now = elapsed_s()
@@ -319,8 +331,9 @@
                 "age_s": round(now - end.at, 3),
                 "told_by": end.told_by,
             }
-            for end in suspect.ends
+            for end in suspect.ends[-MOST_LOGGED:]
         ],
+        "ends_known": len(suspect.ends),
         "callers": sorted(hold.callers) if hold is not None else None,
         "held_s": round(now - hold.since, 3) if hold is not None else None,
         "trials": hold.trials if hold is not None else 0,
--- a/src/caperridge/gateway/table_copy.py
+++ b/src/caperridge/gateway/table_copy.py
@@ -8,6 +8,10 @@
 
 from caperridge.gateway.rows import RowKey, StoredRow
 
+# Removed rows whose versions are remembered, some 150 bytes each. A copy that still has
+# an older one is some seconds old; in that time a few hundred rows are removed at most.
+MOST_REMOVED = 5000
+
 
 class TableCopy:
     """Rows by key with the version that wrote each.
@@ -79,7 +83,11 @@
             return False
         self.version = max(self.version, row.version)
         if row.removed:
+            self._removed_versions_by_key.pop(row.key, None)
             self._removed_versions_by_key[row.key] = row.version
+            if len(self._removed_versions_by_key) > MOST_REMOVED:
+                oldest = next(iter(self._removed_versions_by_key))
+                del self._removed_versions_by_key[oldest]
             return self.rows_by_key.pop(row.key, None) is not None
         self._removed_versions_by_key.pop(row.key, None)
         self.rows_by_key[row.key] = row
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -31,15 +31,17 @@
     Attributes:
         target: where they were.
         runs: that were lost and not told yet.
+        left: runs that were ended here; lost only if the target is seen to have ended.
         timer: drops them if nothing shows that the target ended.
         look: at its address; None once that is over.
     """
 
-    __slots__ = ("look", "runs", "target", "timer")
+    __slots__ = ("left", "look", "runs", "target", "timer")
 
     def __init__(self, target: Target, timer: asyncio.TimerHandle) -> None:
         self.target = target
         self.runs: list[LostRun] = []
+        self.left: list[LostRun] = []
         self.timer = timer
         self.look: asyncio.Task[None] | None = None
 
@@ -70,19 +72,34 @@
 
     def lost(self, target: Target, run: LostRun) -> None:
         """Take note of a run whose answer broke off at ``target``."""
-        listed = self._fleet.targets.by_id.get(target.id)
+        losses = self._losses(target, run)
+        if losses is not None:
+            losses.runs.append(run)
+
+    def left(self, target: Target, run: LostRun) -> None:
+        """Take note of a run that this instance ended, as its caller left.
+
+        A caller may leave in the moment in which its request ends the target.
+        """
+        losses = self._losses(target, run)
+        if losses is not None:
+            losses.left.append(run)
+
+    def _losses(self, target: Target, run: LostRun) -> TargetLosses | None:
+        """Return where to note a run at ``target``, which is looked at; or tell it."""
         if target.id in self._ended:
             self.told(target, [run])
-            return
+            return None
+        listed = self._fleet.targets.by_id.get(target.id)
         if listed is None or listed.draining:
-            return  # it leaves, and ends what it has not done
+            return None  # it leaves, and ends what it has not done
         losses = self._losses_by_target.get(target.id)
         if losses is None:
             losses = self._losses_by_target[target.id] = self._new(target)
-        losses.runs.append(run)
         if losses.look is None:
             look = self._look(losses)
             losses.look = asyncio.get_running_loop().create_task(look)
+        return losses
 
     def gone(self, target: Target) -> None:
         """Take note that a target is not listed any more, or a later life of it is."""
@@ -121,6 +138,7 @@
                     self._end(losses.target)
                     self._fleet.ended(losses.target)
                     return
+            losses.left.clear()
         finally:
             losses.look = None
 
@@ -133,4 +151,6 @@
         if losses is None:
             return
         self._drop(losses)
-        self.told(target, losses.runs)
+        runs = losses.runs + losses.left
+        if runs:
+            self.told(target, runs)
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -48,6 +48,7 @@
         reports_to_anybody: tell the load also to who means another incarnation.
         fatal: whether a request ends the runner soon after it has begun to run.
         fatal_after: events of it that go out before.
+        fatal_anyway: a fatal request ends the runner though its caller has left.
         close_door: ends listening; given by who serves the runner.
         ended: it has ended; by ``end`` or by a fatal request.
     """
@@ -75,9 +76,11 @@
         self.hold_head = False
         self.fatal: Callable[[Run], bool] = lambda run: False
         self.fatal_after = 0
+        self.fatal_anyway = False
         self.close_door: Callable[[], Awaitable[None]] = _nothing
         self.ended = False
         self._transports: set[asyncio.Transport] = set()
+        self._ending: asyncio.Task[None] | None = None
 
     async def end(self) -> None:
         """Crash: cut all connections and accept no more."""
@@ -86,6 +89,10 @@
         for transport in list(self._transports):
             transport.abort()
 
+    async def _end_soon(self) -> None:
+        await asyncio.sleep(self.pause_s)
+        await self.end()
+
     def application(self) -> web.Application:
         """Return what serves the runner."""
         application = web.Application()
@@ -158,6 +165,8 @@
         await response.prepare(request)
         sent = 0
         fatal = self.fatal(run)
+        if fatal and self.fatal_anyway:
+            self._ending = asyncio.ensure_future(self._end_soon())
         for number, data in enumerate(self.text(run.id), 1):
             if number <= run.resumed_after:
                 continue
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -21,6 +21,9 @@
 from caperridge.decisions import quarantine
 from caperridge.decisions.quarantine import TRIAL_PAUSES_S
 from caperridge.gateway import held_rows, request_guard
+from caperridge.gateway.held_rows import HeldRow
+from caperridge.gateway.jobs.codec import from_bytes
+from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, until
 from gateway.runner_standin import Run
@@ -243,7 +246,7 @@
         asyncio.ensure_future(fleet.ask(instance, f"/ask/{n}", f"s{n}", b"long"))
         for n, instance in enumerate(fleet.instances)
     ]
-    await until(lambda: sum(one.busy for one in fleet.runners) == 3)
+    await until(lambda: busy(fleet) == 3)
     await repeat(fleet, "/once/1", count=5)
     answers = await asyncio.gather(*asking)
     assert [(one.status, one.whole) for one in answers] == [(200, True)] * 3
@@ -266,7 +269,7 @@
 
     asking = [asyncio.ensure_future(go_on(one)) for one in fleet.instances * 2]
     for _ in range(2 * ENOUGH):
-        await until(lambda: any(one.busy for one in fleet.runners))
+        await until(lambda: busy(fleet))
         busiest = max(fleet.runners, key=lambda one: one.busy)
         await busiest.end()
         await fleet.replace_ended()
@@ -276,6 +279,29 @@
     assert served.count(True) > 100
 
 
+async def test_a_popular_request_is_served_though_many_targets_end_at_once(
+    fleet: World,
+) -> None:
+    """Where it ran well lately, its instance speaks up for it."""
+    served, lost, *_ = fleet.instances
+    assert (await fleet.ask(served, "/once/1", "before", b"popular")).whole
+    for runner in fleet.runners:
+        runner.hold_head = True
+    asking = [
+        asyncio.ensure_future(fleet.ask(lost, "/once/1", f"p{number}", b"popular"))
+        for number in range(len(fleet.runners))
+    ]
+    await until(lambda: busy(fleet) == len(fleet.runners))
+    for runner in fleet.runners:
+        await runner.end()
+    await asyncio.gather(*asking)
+    await all_know(fleet)
+    await fleet.replace_ended()
+    for number, instance in enumerate(fleet.instances):
+        answer = await fleet.ask(instance, "/once/1", f"a{number}", b"popular")
+        assert (answer.status, answer.whole) == (200, True)
+
+
 async def test_one_instance_tries_it_again_and_a_good_run_clears_it(
     fleet: World, ahead: list[float]
 ) -> None:
@@ -304,6 +330,47 @@
     await until(lambda: rows_kept(fleet) == 0)
 
 
+async def test_one_whose_caller_leaves_as_its_target_ends_is_found(
+    fleet: World,
+) -> None:
+    for number in range(REPEATS):
+        for runner in fleet.runners:
+            runner.fatal_anyway = True
+        ends = ended(fleet)
+        instance = fleet.instances[number % 3]
+        asking = asyncio.ensure_future(
+            fleet.ask(instance, "/once/1", f"f{number}", FATAL)
+        )
+        await until(lambda one=asking: one.done() or busy(fleet))
+        left = not asking.done()
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        if left:
+            await until(lambda many=ends: ended(fleet) > many)
+            await all_know(fleet)
+        await fleet.replace_ended()
+    assert ended(fleet) == ENOUGH
+
+
+def busy(world: World) -> int:
+    """Return how many requests run."""
+    return sum(one.busy for one in world.runners)
+
+
+async def test_callers_that_leave_blame_no_request(fleet: World) -> None:
+    for runner in fleet.runners:
+        runner.hold_head = True
+    for number in range(2 * ENOUGH):
+        leaving = asyncio.ensure_future(
+            fleet.ask(fleet.instances[0], "/once/1", f"r{number}")
+        )
+        await until(lambda: busy(fleet))
+        leaving.cancel()
+        await until(lambda: not busy(fleet))
+    await until(lambda: not fleet.instances[0].guard.looking)
+    assert not any(one.guard.suspects for one in fleet.instances)
+
+
 async def test_targets_that_break_off_answers_blame_no_request(fleet: World) -> None:
     for runner in fleet.runners:
         runner.break_after = 2
@@ -321,7 +388,7 @@
         asyncio.ensure_future(fleet.ask(fleet.instances[0], "/once/1", f"r{number}"))
         for number in range(2 * ENOUGH)
     ]
-    await until(lambda: sum(one.busy for one in fleet.runners) == 2 * ENOUGH)
+    await until(lambda: busy(fleet) == 2 * ENOUGH)
     for runner in fleet.runners:
         fleet.list_runner(runner, state="draining")
     for instance in fleet.instances:
@@ -333,6 +400,7 @@
     for runner in fleet.runners:
         await runner.end()
     await asyncio.gather(*asking)
+    await until(lambda: not fleet.instances[0].guard.looking)
     assert not any(one.guard.suspects for one in fleet.instances)
 
 
@@ -357,3 +425,54 @@
     (held,) = fleet.instances[0].state()["quarantine"]
     assert held["content"] == line["content"]
     assert quarantine.ENOUGH_ENDS == ENOUGH
+
+
+async def test_an_instance_that_missed_the_word_of_peers_knows_from_the_store(
+    fleet: World,
+) -> None:
+    cut_off = fleet.instances[-1]
+    for kind in (TargetEnded, SoundRuns, Suspects):
+        cut_off.mesh.register(kind, lambda peer, news: None)
+    fleet.instances.remove(cut_off)
+    await repeat(fleet, "/once/1")
+    fleet.instances.append(cut_off)
+    await until(lambda: cut_off.guard.quarantine.held())
+    answer = await fleet.ask(cut_off, "/once/1", "f", FATAL)
+    assert (answer.status, ended(fleet)) == (503, ENOUGH)
+
+
+async def test_peers_tell_each_other_while_the_store_is_away(
+    fleet: World, ahead: list[float]
+) -> None:
+    """Nobody can take the right to try again then, and the store learns of it later."""
+    await repeat(fleet, "/once/1", count=2)
+    fleet.store.refuse = 503
+    await until(lambda: not any(one.reach.reached for one in fleet.instances))
+    await fleet.ask(fleet.instances[2], "/once/1", "f2", FATAL)
+    await all_know(fleet)
+    ahead.append(TRIAL_PAUSES_S[0])
+    for number, instance in enumerate(fleet.instances):
+        answer = await fleet.ask(instance, "/once/1", f"g{number}", FATAL)
+        assert answer.status == 503
+    assert ended(fleet) == ENOUGH
+    fleet.store.refuse = None
+    await until(lambda: kept_holds(fleet) == 1)
+
+
+def kept_holds(world: World) -> int:
+    """Return how many requests are in quarantine by the store."""
+    rows = [row for key, row in world.store.rows.items() if key[0] == held_rows.TABLE]
+    return sum(1 for value, _ in rows if from_bytes(HeldRow, value).since)
+
+
+async def test_who_starts_while_the_store_is_away_is_told_by_peers(
+    fleet: World,
+) -> None:
+    fleet.store.refuse = 503
+    await until(lambda: not any(one.reach.reached for one in fleet.instances))
+    for number, instance in enumerate(fleet.instances):
+        await fleet.ask(instance, "/once/1", f"f{number}", FATAL)
+        await all_know(fleet)
+    fresh = await fleet.add_instance()
+    await until(lambda: fresh.guard.quarantine.held())
+    assert ended(fleet) == ENOUGH
