--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,9 +24,9 @@
     assert tally.accepted
 
 
-# A request that ends each target that runs it comes again every third of a second, beside
-# all other faults. Without word between instances it ended 14 to 16 in these seconds,
-# and a quarter of the other requests were answered.
+# A request that ends each target that runs it comes again every third of a second,
+# beside all other faults. Without word between instances it ended 14 to 16 in these
+# seconds, and a quarter of the other requests were answered.
 FATAL = [9000, 9001]
 
 
