Run instances by a clock that counts suspensions of the machine

Cause: the event loop's clock, and the estimate of the store's, stood still while a machine was suspended, so that leases, deadlines, silence and ages lasted longer here than for those who measure them too.

Change: the loop of an instance runs by CLOCK_BOOTTIME, so that a suspension is to all parts what a pause of the process is; the store's clock is estimated by it. On waking, what peers have sent is read before their silence is judged, and one line tells how long the instance stood still and what of it was suspended.

--- a/src/caperridge/cli/instances.py
+++ b/src/caperridge/cli/instances.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from caperridge import log, settings
+from caperridge import elapsed, log, settings
 from caperridge.cli.errors import CUT, FINDINGS, NOT_REACHED, CommandError
 from caperridge.findings import FindingsError
 
@@ -44,7 +44,7 @@
     loaded = load(path)
     log.setup(loaded.log_level)
     try:
-        cut = asyncio.run(_serve(loaded))
+        cut = elapsed.run(_serve(loaded))
     except OSError as error:
         raise CommandError(str(error), NOT_REACHED) from error
     if cut:
--- a/src/caperridge/gateway/clock.py
+++ b/src/caperridge/gateway/clock.py
@@ -1,6 +1,6 @@
 """The store's steady clock, estimated between its answers."""
 
-import time
+from caperridge.elapsed import elapsed_s
 
 
 class StoreClock:
@@ -11,7 +11,7 @@
 
     def told(self, now_s: float) -> None:
         """Take the store's time from an answer that just came."""
-        self._offset = now_s - time.monotonic()
+        self._offset = now_s - elapsed_s()
 
     @property
     def known(self) -> bool:
@@ -20,4 +20,4 @@
 
     def now(self) -> float:
         """Return about what the store's clock shows, in seconds."""
-        return time.monotonic() + self._offset if self._offset is not None else 0.0
+        return elapsed_s() + self._offset if self._offset is not None else 0.0
--- a/src/caperridge/gateway/metrics.py
+++ b/src/caperridge/gateway/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 FIRST_EVENT_BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+STANDSTILL_BUCKETS = (0.5, 1.0, 2.0, 5.0, 10.0)
 STORE_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0)
 
 
@@ -55,6 +56,12 @@
             buckets=STORE_BUCKETS,
             registry=self.registry,
         )
+        self.standstill = Histogram(
+            "caperridge_gateway_standstill_seconds",
+            "How long this process did nothing, by pauses and suspensions.",
+            buckets=STANDSTILL_BUCKETS,
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "caperridge_gateway_configuration_version",
             "Version of the configuration in force here.",
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -7,6 +7,12 @@
 
 from caperridge.closing import Close
 from caperridge.decisions.quarantine import Quarantine
+from caperridge.elapsed import (
+    COUNTS_SUSPENSIONS,
+    Standstill,
+    StandstillWatch,
+    elapsed_s,
+)
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
@@ -67,6 +73,9 @@
 # well within the seconds after which an instance has to know.
 HELD_SPACING_S = 0.5
 PROBE_S = 0.5
+# Well above what timers are late on a busy machine, and well below the silence after
+# which peers lose this instance.
+STANDSTILL_S = 0.3
 
 
 class GatewayInstance:
@@ -279,6 +288,7 @@
             availability_zone=settings.availability_zone,
             callers=settings.callers,
             incarnation=self.mesh.incarnation,
+            counts_suspensions=COUNTS_SUSPENSIONS,
         )
 
     async def stop(self, grace_s: float) -> int:
@@ -321,9 +331,13 @@
             await listener.stop()
 
     async def _tick(self) -> None:
+        watch = StandstillWatch()
+        due = elapsed_s()
         while True:
-            now = asyncio.get_running_loop().time()
-            self.mesh.check()
+            now = elapsed_s()
+            if not self._stood_still(watch.look(now - due)):
+                self.mesh.check()
+            due = now + TICK_S
             self.fleet.far_counts_are_old = self.mesh.large
             self.recalls.forget_old(now)
             gone = self.fleet.targets.expire(now)
@@ -333,6 +347,26 @@
             self.metrics.peers_alive.set(len(self.mesh.alive()))
             await asyncio.sleep(TICK_S)
 
+    def _stood_still(self, standstill: Standstill) -> bool:
+        """Whether this process did nothing for a while, and say so.
+
+        What peers said meanwhile is in its sockets. Were their silence looked at before
+        that is read, all of them would be taken for lost, with all their counts.
+        """
+        if standstill.stood_s < STANDSTILL_S:
+            return False
+        self.metrics.standstill.observe(standstill.stood_s)
+        self.mesh.hear_now()
+        log.warning(
+            "instance stood still",
+            stood_s=round(standstill.stood_s, 3),
+            suspended_s=round(standstill.suspended_s, 3),
+            running=self.edge.running,
+            jobs_held=len(self.keeper.held_by_id),
+            peers=len(self.mesh.alive()),
+        )
+        return True
+
     async def _beat(self) -> None:
         while True:
             self.news.beat()
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from caperridge import log
+from caperridge import elapsed, log
 from caperridge.closing import end_process
 from caperridge.findings import FindingsError
 from caperridge.gateway.process import GatewayInstance
@@ -28,7 +28,7 @@
         sys.exit(f"caperridge: {error}")
     stream = BoundedStream(sys.stdout.fileno())
     log.setup(settings.log_level, stream)
-    asyncio.run(_serve(settings, Path(path), stream))
+    elapsed.run(_serve(settings, Path(path), stream))
 
 
 def _reload(instance: GatewayInstance, path: Path) -> None:
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -24,9 +24,11 @@
         delay_s: how long it takes to begin with any call.
         writes: transactions that took effect.
         waits_ms: how long each watch would wait for news.
+        ahead_s: by which its clock is ahead of the steady one.
     """
 
     def __init__(self) -> None:
+        self.ahead_s = 0.0
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self.objects: dict[str, bytes] = {}
         self.version = 0
@@ -174,7 +176,10 @@
         return web.Response()
 
     def _answer(self, fields: dict[str, Any], status: int = 200) -> web.Response:
-        fields |= {"schemaVersion": self.version, "nowMs": time.monotonic() * 1000}
+        fields |= {
+            "schemaVersion": self.version,
+            "nowMs": (time.monotonic() + self.ahead_s) * 1000,
+        }
         return web.Response(
             status=status,
             body=orjson.dumps(fields),
