Keep a right to try again through refusals, and bound good words in large fleets

An offer that a target refused unrun asked the guard again, and so used up the right to try a held request again, which was then refused for a minute. It is asked once a run. While the store is away nobody asks for that right, so the refusal comes at once.

In a fleet of hundreds every instance that had served a popular request would have said so to all others, the square of their number for one target that ends. The state for people has a module.

--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -150,6 +150,10 @@
         """When it last ran well, for whomever."""
         return max([self._cleared_at, *self._sound_at_by_caller.values()])
 
+    def sound_at_for(self, caller: str) -> float:
+        """When it last ran well for ``caller``."""
+        return self._sound_at_by_caller.get(caller, float("-inf"))
+
     def clear(self, at: float) -> None:
         """Hold nothing against it that was known by then."""
         self._cleared_at = at
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -92,12 +92,12 @@
         self, request: InboundRequest, reply: Reply, carriage: Carriage
     ) -> GivenUp | None:
         while True:
-            held_back = await self._held_back(request, carriage)
-            if held_back is not None:
-                return held_back
             target = self._place(request, carriage)
             if isinstance(target, GivenUp):
                 return target
+            held_back = await self._held_back(request, carriage)
+            if held_back is not None:
+                return held_back
             error = await self._offer(request, reply, carriage, target)
             if error is None:
                 return None
@@ -109,10 +109,17 @@
     async def _held_back(
         self, request: InboundRequest, carriage: Carriage
     ) -> GivenUp | None:
-        """Return why a request is kept from targets: others ended under it."""
+        """Return why a request is kept from targets: others ended under it.
+
+        Asked once for each run, for a right to try again is not used by an offer that
+        was refused.
+        """
+        if carriage.admitted_runs == carriage.runs:
+            return None
         if carriage.runs >= ENOUGH_ENDS:
             # It may have ended as many by itself, faster than that is judged.
             await self._guard.settle()
+        carriage.admitted_runs = carriage.runs
         if not self._guard.suspects:
             return None
         held = await self._guard.admit(self._mark(request, carriage), request.id)
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -27,6 +27,7 @@
     Transaction,
 )
 from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.watcher import StoreReach
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -40,7 +41,8 @@
 PAUSE_S = 1.0
 # Between two writes; a crash makes a few rows, and no hurry.
 PACE_S = 0.02
-CLAIM_S = 0.5
+# Whoever waits for the right to try again is told at once that it is not to be had.
+CLAIM_S = 0.25
 
 
 class HeldRow(Record):
@@ -78,15 +80,21 @@
     Args:
         store: that keeps them.
         clock: of the store.
+        reach: whether the store answers here.
         quarantine: filled and read.
     """
 
     def __init__(
-        self, store: RowStore, clock: StoreClock, quarantine: Quarantine
+        self,
+        store: RowStore,
+        clock: StoreClock,
+        reach: StoreReach,
+        quarantine: Quarantine,
     ) -> None:
         self.copy = TableCopy(TABLE)
         self._store = store
         self._clock = clock
+        self._reach = reach
         self._quarantine = quarantine
         # In the order in which they are to be written.
         self._changed: dict[str, None] = {}
@@ -137,7 +145,7 @@
         key = _key(suspect.content)
         row = self.copy.rows_by_key.get(key)
         hold = suspect.hold
-        if hold is None or not self._clock.known:
+        if hold is None or not self._clock.known or not self._reach.reached:
             return False
         trials = hold.trials + 1
         claimed = Hold(hold.callers, hold.since, trials, elapsed_s() + pause_s(trials))
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -130,9 +130,11 @@
         refused_by: targets that are not asked again.
         sent_at_least_once: it may run or have run.
         mark: what it asks for, once that mattered.
+        admitted_runs: value of ``runs`` when it was last found that it may be sent.
     """
 
     __slots__ = (
+        "admitted_runs",
         "attempts",
         "last_event",
         "mark",
@@ -150,6 +152,7 @@
         self.refused_by: set[str] = set()
         self.sent_at_least_once = False
         self.mark: Fingerprint | None = None
+        self.admitted_runs = -1
 
     def may_move(self, route: Route) -> bool:
         """Whether another target may run it."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -50,6 +50,7 @@
 from caperridge.gateway.request_guard import RequestGuard
 from caperridge.gateway.rows import RowStore, StoredRow
 from caperridge.gateway.settings import Settings
+from caperridge.gateway.state import state_of
 from caperridge.gateway.stopping import PlannedStop
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.table_rows import TableRows
@@ -112,7 +113,7 @@
         repeating = RepeatingStore(store)
         self.client = TargetClient(dialect)
         quarantine = Quarantine()
-        held_rows = HeldRows(repeating, self.clock, quarantine)
+        held_rows = HeldRows(repeating, self.clock, self.reach, quarantine)
         self._target_ends = TargetEnds(self.fleet, self.client)
         self.guard = RequestGuard(
             quarantine,
@@ -260,7 +261,7 @@
         """Listen and begin to learn; returns at once."""
         settings = self.settings
         await self.mesh.start()
-        ready = ready_application(lambda: self.ready, self.state)
+        ready = ready_application(lambda: self.ready, lambda: state_of(self))
         self._listeners.insert(0, _listener(ready, settings.ready))
         if settings.metrics_port:
             application = metrics_application(self.metrics.registry)
@@ -382,45 +383,6 @@
                 elif await self.client.reaches(address):
                     self.fleet.reached(id)
 
-    def state(self) -> dict[str, Any]:
-        """Return what this instance believes, for people."""
-        table = self.configuration.table
-        return {
-            "instance": self.settings.instance,
-            "incarnation": self.mesh.incarnation,
-            "ready": self.ready,
-            "configuration": table.version if table is not None else None,
-            "store_reached": self.reach.reached,
-            "running": self.edge.running,
-            "quarantine": self.guard.state(),
-            "peers": {
-                member.id: {
-                    "address": member.address,
-                    "incarnation": member.incarnation,
-                    "alive": member.lost_at is None,
-                }
-                for member in self.mesh.members_by_id.values()
-            },
-            "targets": {
-                id: {
-                    "address": target.address,
-                    "draining": target.draining,
-                    "online": self.fleet.occupancy.at(id).online,
-                    "items": self.fleet.occupancy.at(id).items,
-                    "unreachable": id in self.fleet.unreachable,
-                }
-                for id, target in self.fleet.targets.by_id.items()
-            },
-            "jobs_held": {
-                id: {
-                    "total": job.head.total,
-                    "listed": job.head.listed,
-                    "running": len(job.running()),
-                }
-                for id, job in self.keeper.held_by_id.items()
-            },
-        }
-
 
 def _listener(application: Any, address: str) -> Listener:
     host, _, port = address.rpartition(":")
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -37,7 +37,10 @@
 # which that matters.
 MOST_SOUND = 1000
 # What a peer is told on connecting; those that are held go first.
-MOST_TOLD = 200
+MOST_TOLD = 100
+# In a large fleet who has a good word for a request waits so long at most, in which
+# another one may say it; it is judged later than that.
+SPEAK_UP_S = 0.8 * SETTLE_S
 SWEEP_S = 30.0
 # Longest wait for word of who is to blame, before a request that was lost with several
 # targets is sent to one more.
@@ -217,12 +220,30 @@
 
     def _say_what_ran_well(self, runs: list[LostRun]) -> None:
         """Speak up for requests that ended well here a short while ago."""
+        sound = [run for run in runs if self._is_sound(run)]
+        if sound and self._mesh.large:
+            delay_s = SPEAK_UP_S * self._fleet.chance.random()
+            asyncio.get_running_loop().call_later(delay_s, self._speak_up, sound)
+        elif sound:
+            self._speak_up(sound)
+
+    def _is_sound(self, run: LostRun) -> bool:
+        """Whether it ended well here a short while ago, and nobody said so."""
+        at = self._sound_at.get((run.content, run.caller))
+        suspect = self.quarantine.by_content.get(run.content)
+        if at is None or suspect is None:
+            return False
+        now = elapsed_s()
+        said_s = now - suspect.sound_at_for(run.caller)
+        return now - at < SOUND_FOR_S and said_s > SOUND_FOR_S / 2
+
+    def _speak_up(self, runs: list[LostRun]) -> None:
         now = elapsed_s()
         told: list[list[Any]] = []
         for run in runs:
-            at = self._sound_at.get((run.content, run.caller))
-            if at is None or now - at > SOUND_FOR_S:
+            if not self._is_sound(run):
                 continue
+            at = self._sound_at[run.content, run.caller]
             self.quarantine.sound(run.content, run.caller, at, now)
             told.append([run.content, run.caller, round(now - at, 3)])
         if told:
--- /dev/null
+++ b/src/caperridge/gateway/state.py
@@ -0,0 +1,46 @@
+"""What an instance believes, for people."""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from caperridge.gateway.process import GatewayInstance
+
+
+def state_of(instance: "GatewayInstance") -> dict[str, Any]:
+    """Return what ``instance`` believes of itself, its peers and its targets."""
+    table = instance.configuration.table
+    return {
+        "instance": instance.settings.instance,
+        "incarnation": instance.mesh.incarnation,
+        "ready": instance.ready,
+        "configuration": table.version if table is not None else None,
+        "store_reached": instance.reach.reached,
+        "running": instance.edge.running,
+        "quarantine": instance.guard.state(),
+        "peers": {
+            member.id: {
+                "address": member.address,
+                "incarnation": member.incarnation,
+                "alive": member.lost_at is None,
+            }
+            for member in instance.mesh.members_by_id.values()
+        },
+        "targets": {
+            id: {
+                "address": target.address,
+                "draining": target.draining,
+                "online": instance.fleet.occupancy.at(id).online,
+                "items": instance.fleet.occupancy.at(id).items,
+                "unreachable": id in instance.fleet.unreachable,
+            }
+            for id, target in instance.fleet.targets.by_id.items()
+        },
+        "jobs_held": {
+            id: {
+                "total": job.head.total,
+                "listed": job.head.listed,
+                "running": len(job.running()),
+            }
+            for id, job in instance.keeper.held_by_id.items()
+        },
+    }
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -15,6 +15,8 @@
 """
 
 import asyncio
+import random
+from typing import Any
 
 import pytest
 
@@ -23,8 +25,10 @@
 from caperridge.gateway import held_rows, request_guard
 from caperridge.gateway.held_rows import HeldRow
 from caperridge.gateway.jobs.codec import from_bytes
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.state import state_of
 from gateway.conftest import Answer, World, until
 from gateway.runner_standin import Run
 
@@ -422,7 +426,7 @@
     }
     assert all(0 <= end["age_s"] < 60 for end in line["ends"])
     assert 0 < line["trial_in_s"] <= TRIAL_PAUSES_S[0]
-    (held,) = fleet.instances[0].state()["quarantine"]
+    (held,) = state_of(fleet.instances[0])["quarantine"]
     assert held["content"] == line["content"]
     assert quarantine.ENOUGH_ENDS == ENOUGH
 
@@ -476,3 +480,57 @@
     fresh = await fleet.add_instance()
     await until(lambda: fresh.guard.quarantine.held())
     assert ended(fleet) == ENOUGH
+
+
+async def test_a_right_to_try_again_outlasts_targets_that_refuse(
+    fleet: World, ahead: list[float]
+) -> None:
+    await repeat(fleet, "/once/1")
+    for runner in fleet.runners:
+        runner.fatal = lambda run: False
+    for runner in fleet.runners[1:]:
+        runner.refuse = True
+    ahead.append(TRIAL_PAUSES_S[0])
+    answer = await fleet.ask(fleet.instances[0], "/once/1", "good", FATAL)
+    assert (answer.status, answer.whole) == (200, True)
+
+
+async def test_in_a_large_fleet_one_good_word_is_enough(
+    fleet: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All that served a popular request know it for good, and few have to say so."""
+    monkeypatch.setattr(Mesh, "large", property(lambda mesh: True))
+    for number, instance in enumerate(fleet.instances):
+        assert (await fleet.ask(instance, "/once/1", f"b{number}", b"popular")).whole
+    for number, instance in enumerate(fleet.instances):
+        instance.fleet.chance = FixedChance(0.9 if number else 0.0)
+    heard: list[str] = []
+    for instance in fleet.instances:
+        take = instance.mesh._handlers_by_kind[SoundRuns]
+
+        def listen(peer: str, news: SoundRuns, take: Any = take) -> None:
+            heard.append(peer)
+            take(peer, news)
+
+        instance.mesh.register(SoundRuns, listen)
+    for runner in fleet.runners:
+        runner.hold_head = True
+    asking = asyncio.ensure_future(
+        fleet.ask(fleet.instances[0], "/once/1", "p", b"popular")
+    )
+    await until(lambda: busy(fleet))
+    await next(one for one in fleet.runners if one.busy).end()
+    await asking
+    await all_know(fleet)
+    assert heard == [fleet.instances[0].settings.instance] * 2
+
+
+class FixedChance(random.Random):
+    """Chance that always says the same."""
+
+    def __init__(self, value: float) -> None:
+        super().__init__(0)
+        self._value = value
+
+    def random(self) -> float:
+        return self._value
