Keep requests that end engines from the engines of the own interface, too

Cause: the same as on the users' platform: an attempt was judged alone, so that one request ended up to four engines by being moved, and each repeat began anew.

Change: the decisions of decisions/quarantine.py, told between instances and kept in memory. Whoever is held gets 503 ends_targets, 502 if it has run. Instances run by the clock that counts suspensions here as well.

Before: one request ended 4 engines and its repeats as many (MOST_ATTEMPTS; worked out, not run).

No change of what is decided: suspects have a module apart from the quarantine, the times of an attempt one apart from attempts, and both ways to serve look at an address by the same function.

--- /dev/null
+++ b/src/caperridge/decisions/suspects.py
@@ -0,0 +1,258 @@
+"""What is known of a request that was at targets as they ended, and when to hold it."""
+
+from caperridge.records import Record
+
+# Ends under a request that are enough. Two happen to requests that are moved while
+# targets end by themselves; each one more costs a target for some seconds.
+ENOUGH_ENDS = 3
+# One that ran well so lately can hardly be to blame. Only if as many targets end under
+# it as would if all of a small fleet failed at once, something has changed.
+SOUND_FOR_S = 10.0
+ENOUGH_ENDS_THOUGH_SOUND = 6
+# Reports of one target that come within this time are of one end. A target takes
+# seconds to start again.
+ONE_END_S = 1.5
+# Until a request in quarantine is tried again, from the first time to the last, which
+# is kept to. Each try may cost a target, so there are three in two minutes at most.
+TRIAL_PAUSES_S = (1.0, 10.0, 60.0, 900.0, 3600.0)
+# The first try is for requests that are in demand: were one held that is not to blame,
+# its callers would be refused for a second instead of ten. One that nobody has sent
+# again by then has time.
+EARLY_FOR_S = 1.0
+# What is remembered of each request, some 100 bytes each.
+MOST_ENDS = 12
+MOST_CALLERS = 12
+
+
+class LostRun(Record):
+    """A run that was at a target when that ended.
+
+    Attributes:
+        content: what was asked for.
+        caller: for whom, by the headers that came with it.
+        age_s: how long it had been there.
+        events: that it had made there.
+    """
+
+    __slots__ = ("age_s", "caller", "content", "events")
+
+    def __init__(self, content: str, caller: str, age_s: float, events: int) -> None:
+        self.content = content
+        self.caller = caller
+        self.age_s = age_s
+        self.events = events
+
+
+class End(Record):
+    """A target ended while a request was there.
+
+    Attributes:
+        target: its id.
+        caller: of the run that was there.
+        age_s: of that run.
+        events: that the run had made.
+        at: when.
+        told_by: instance that saw it.
+    """
+
+    __slots__ = ("age_s", "at", "caller", "events", "target", "told_by")
+
+    def __init__(
+        self,
+        target: str,
+        caller: str,
+        age_s: float,
+        events: int,
+        at: float,
+        told_by: str,
+    ) -> None:
+        self.target = target
+        self.caller = caller
+        self.age_s = age_s
+        self.events = events
+        self.at = at
+        self.told_by = told_by
+
+    def is_of(self, target: str, at: float) -> bool:
+        """Whether a report of ``target`` at that time is of this end."""
+        return self.target == target and abs(self.at - at) < ONE_END_S
+
+
+class Hold(Record):
+    """A request is in quarantine.
+
+    Attributes:
+        callers: for whom it is held; empty for all that it was not sound for.
+        since: when that was found.
+        trials: how often it was tried again.
+        trial_at: when it may be tried again.
+    """
+
+    __slots__ = ("callers", "since", "trial_at", "trials")
+
+    def __init__(
+        self, callers: frozenset[str], since: float, trials: int, trial_at: float
+    ) -> None:
+        self.callers = callers
+        self.since = since
+        self.trials = trials
+        self.trial_at = trial_at
+
+    @property
+    def _early_until(self) -> float:
+        """Until when the first try may be made at once; it is over after one."""
+        return float("-inf") if self.trials else self.trial_at + EARLY_FOR_S
+
+    def is_due(self, now: float) -> bool:
+        """Whether the request may be tried again."""
+        return self.next_due(now) <= now
+
+    def next_due(self, now: float) -> float:
+        """Return from when on the request may be tried again, as of ``now``."""
+        if self.trials or now < self._early_until:
+            return self.trial_at
+        return self.since + TRIAL_PAUSES_S[1]
+
+    def after_trial(self, now: float) -> "Hold":
+        """Return the hold from the moment on in which somebody tries again."""
+        early = now < self._early_until
+        trials = self.trials + (1 if early or self.trials else 2)
+        return Hold(self.callers, self.since, trials, now + pause_s(trials))
+
+
+class Suspect:
+    """What is known of one content that was at an end.
+
+    Attributes:
+        content: what is asked for.
+        ends: oldest first.
+        hold: it is in quarantine; else None.
+    """
+
+    __slots__ = ("_cleared_at", "_sound_at_by_caller", "content", "ends", "hold")
+
+    def __init__(self, content: str) -> None:
+        self.content = content
+        self._cleared_at = float("-inf")
+        self.ends: list[End] = []
+        self.hold: Hold | None = None
+        self._sound_at_by_caller: dict[str, float] = {}
+
+    def add(self, end: End) -> bool:
+        """Take an end; False if it is known."""
+        if any(one.is_of(end.target, end.at) for one in self.ends):
+            return False
+        self.ends.append(end)
+        del self.ends[:-MOST_ENDS]
+        return True
+
+    def drop(self, shared: list[End]) -> None:
+        """Forget the ends that another request is to blame for."""
+        self.ends = [
+            end
+            for end in self.ends
+            if not any(other.is_of(end.target, end.at) for other in shared)
+        ]
+
+    @property
+    def sound_at(self) -> float:
+        """When it last ran well, for whomever."""
+        return max([self._cleared_at, *self._sound_at_by_caller.values()])
+
+    def sound_at_for(self, caller: str) -> float:
+        """When it last ran well for ``caller``."""
+        return self._sound_at_by_caller.get(caller, float("-inf"))
+
+    def clear(self, at: float) -> None:
+        """Hold nothing against it that was known by then."""
+        self._cleared_at = at
+        self.hold = None
+        self.ends = [end for end in self.ends if end.at > at]
+
+    def sound(self, caller: str, at: float, now: float) -> None:
+        """Note that it ran well for ``caller``, now or a while ago."""
+        covered = self.is_held_for(caller)
+        before = self._sound_at_by_caller.pop(caller, at)
+        self._sound_at_by_caller[caller] = max(at, before)
+        if len(self._sound_at_by_caller) > MOST_CALLERS:
+            del self._sound_at_by_caller[next(iter(self._sound_at_by_caller))]
+        for_all = self.hold is not None and not self.hold.callers
+        if covered and for_all:
+            self.ends = [end for end in self.ends if end.at > at]
+        self.ends = [end for end in self.ends if end.caller != caller or end.at > at]
+        if covered and self.blamed_callers(now, now) is None:
+            self.hold = None
+
+    def restore(self, ends: list[End], hold: Hold | None) -> bool:
+        """Take what was kept elsewhere, unless it ran well since; whether it was news.
+
+        Of two holds that with more trials is the later one.
+        """
+        news = False
+        for end in ends:
+            if end.at > self.sound_at:
+                news = self.add(end) or news
+        self.ends.sort(key=_by_time)
+        if hold is None or hold.since <= self.sound_at:
+            return news
+        if self.hold is not None and self.hold.trials >= hold.trials:
+            return news
+        self.hold = hold
+        return True
+
+    def is_held_for(self, caller: str) -> bool:
+        """Whether it is in quarantine for ``caller``."""
+        return self.hold is not None and self._covers(self.hold, caller)
+
+    def _covers(self, hold: Hold, caller: str) -> bool:
+        if hold.callers:
+            return caller in hold.callers
+        return caller not in self._sound_at_by_caller
+
+    def blamed_callers(self, now: float, by: float) -> frozenset[str] | None:
+        """Return for whom enough targets ended ``by`` then, as of ``now``.
+
+        Empty for all callers, None for nobody.
+
+        Whose headers change from try to try is never seen twice. So ends of several
+        callers count together, unless it ran well for any of them meanwhile.
+        """
+        ends = [end for end in self.ends if end.at <= by]
+        since = [end for end in ends if end.at > self.sound_at]
+        several = len({end.caller for end in since}) > 1
+        if several and len(since) >= _enough_ends(now - self.sound_at):
+            return frozenset()
+        blamed: set[str] = set()
+        for caller in {end.caller for end in ends}:
+            count = sum(1 for end in ends if end.caller == caller)
+            if count >= _enough_ends(now - self.sound_at_for(caller)):
+                blamed.add(caller)
+        return frozenset(blamed) if blamed else None
+
+    @property
+    def innocence(self) -> tuple[float, float]:
+        """Of two at the same ends, the one with less of it is to blame.
+
+        One that ends targets had hardly begun at each; others were at any point.
+        """
+        events = sum(end.events for end in self.ends)
+        age_s = sum(end.age_s for end in self.ends)
+        return events / len(self.ends), age_s / len(self.ends)
+
+
+def _enough_ends(sound_ago_s: float) -> int:
+    """Return how many ends are enough for one that ran well so long ago."""
+    return ENOUGH_ENDS_THOUGH_SOUND if sound_ago_s < SOUND_FOR_S else ENOUGH_ENDS
+
+
+def pause_s(trials: int) -> float:
+    """Return how long a request is held that was tried again so often.
+
+    >>> [pause_s(trials) for trials in (0, 1, 9)]
+    [1.0, 10.0, 3600.0]
+    """
+    return TRIAL_PAUSES_S[min(trials, len(TRIAL_PAUSES_S) - 1)]
+
+
+def _by_time(end: End) -> float:
+    return end.at
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -16,7 +16,7 @@
     most_queued,
     return_after_s,
 )
-from caperridge.decisions.quarantine import ENOUGH_ENDS
+from caperridge.decisions.suspects import ENOUGH_ENDS
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -8,12 +8,8 @@
 
 from result import Err
 
-from caperridge.decisions.quarantine import (
-    End,
-    Hold,
-    Quarantine,
-    Suspect,
-)
+from caperridge.decisions.quarantine import Quarantine
+from caperridge.decisions.suspects import End, Hold, Suspect
 from caperridge.elapsed import elapsed_s
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.jobs.codec import UnreadableError, from_bytes, to_bytes
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -114,7 +114,7 @@
         self.client = TargetClient(dialect)
         quarantine = Quarantine()
         held_rows = HeldRows(repeating, self.clock, self.reach, quarantine)
-        self._target_ends = TargetEnds(self.fleet, self.client)
+        self._target_ends = TargetEnds(self.fleet)
         self.guard = RequestGuard(
             quarantine,
             self._target_ends,
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -9,15 +9,8 @@
 from collections import OrderedDict
 from typing import Any
 
-from caperridge.decisions.quarantine import (
-    SETTLE_S,
-    SOUND_FOR_S,
-    End,
-    Hold,
-    LostRun,
-    Quarantine,
-    Suspect,
-)
+from caperridge.decisions.quarantine import SETTLE_S, Quarantine
+from caperridge.decisions.suspects import SOUND_FOR_S, End, Hold, LostRun, Suspect
 from caperridge.elapsed import elapsed_s
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.fleet import Fleet
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -8,11 +8,11 @@
 import asyncio
 from collections.abc import Callable
 
-from caperridge.decisions.quarantine import LostRun
+from caperridge.decisions.suspects import LostRun
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.targets import Target
-from caperridge.gateway.upstream import TargetClient
 from caperridge.log import logger
+from caperridge.targets.listening import is_refused
 
 log = logger(__name__)
 
@@ -51,16 +51,16 @@
 
     Attributes:
         told: called with a target that ended and the runs that were lost there.
+        is_refused: looks at an address.
 
     Args:
         fleet: whose targets are listed.
-        client: looks at addresses.
     """
 
-    def __init__(self, fleet: Fleet, client: TargetClient) -> None:
+    def __init__(self, fleet: Fleet) -> None:
         self.told: Callable[[Target, list[LostRun]], None] = lambda target, runs: None
         self._fleet = fleet
-        self._client = client
+        self.is_refused = is_refused
         self._losses_by_target: dict[str, TargetLosses] = {}
         # Targets that have ended, for runs of which that is noticed later.
         self._ended: dict[str, asyncio.TimerHandle] = {}
@@ -143,7 +143,7 @@
         try:
             for pause_s in LOOKS_AFTER_S:
                 await asyncio.sleep(pause_s + GATHER_S)
-                if await self._client.is_refused(losses.target.address):
+                if await self.is_refused(losses.target.address):
                     self._end(losses.target)
                     self._fleet.ended(losses.target)
                     return
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -21,6 +21,7 @@
 from caperridge.no_repeat import LostOnTheWayError, loss_is_final
 from caperridge.records import Record
 from caperridge.refusals import NOT_RUN
+from caperridge.targets.listening import connect
 from caperridge.targets.outcomes import (
     AttemptError,
     Lost,
@@ -310,34 +311,11 @@
         """Return whether something accepts connections at ``address``."""
         try:
             async with asyncio.timeout(within_s):
-                await self._connect(address)
+                await connect(address)
         except (OSError, TimeoutError):
             return False
         return True
 
-    async def is_refused(self, address: str, within_s: float = CONNECT_S) -> bool:
-        """Return whether nothing listens at ``address`` any more, as its host says."""
-        try:
-            async with asyncio.timeout(within_s):
-                await self._connect(address)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        return False
-
-    async def _connect(self, address: str) -> None:
-        """Open a connection and close it.
-
-        Raises:
-            OSError: that was not possible.
-        """
-        host, _, port = address.rpartition(":")
-        _, writer = await asyncio.open_connection(host, int(port))
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-
     def _checked(
         self, outbound: Outbound, answer: Answer
     ) -> Result[Answer, AttemptError]:
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -13,9 +13,12 @@
     Limits,
     ServicePolicy,
 )
+from caperridge.decisions.suspects import ENOUGH_ENDS
 from caperridge.decisions.target_state import Wanted
 from caperridge.instance.attempt_log import log_failure
+from caperridge.instance.attempt_watch import AttemptWatch
 from caperridge.instance.gate import NO_TARGET, Gate
+from caperridge.instance.held_requests import HeldRequests
 from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online_request import OnlineRequest
@@ -40,6 +43,7 @@
         clock: monotonic seconds.
         load_changed: told of each online start and end.
         target_leaving: told of a target that says itself that it is leaving.
+        held: says which requests may be sent.
     """
 
     def __init__(
@@ -51,7 +55,9 @@
         clock: Callable[[], float],
         load_changed: Callable[[OnlineLoad], None],
         target_leaving: Callable[[str], None],
+        held: HeldRequests,
     ) -> None:
+        self._held = held
         self._book = book
         self._gate = gate
         self._engines = engines
@@ -87,6 +93,7 @@
         policy.budget.deposit()
         progress = Progress(request.resume_from)
         while True:
+            self._held.check(request, progress.run)
             if not progress.began:
                 # A retry under overload waits for room like any other request.
                 await self._enter(request, progress)
@@ -99,6 +106,7 @@
                     self._gate.started(
                         request.service.name, request.service.most_running
                     )
+            began, from_offset = self._clock(), progress.offset
             try:
                 attempt = self._attempt(request, policy, progress, target)
                 async with aclosing(
@@ -106,6 +114,7 @@
                 ) as batches:
                     async for events in batches:
                         yield events
+                self._held.ran_well(request)
                 return
             except AttemptFailed as failed:
                 error = failed.error
@@ -115,6 +124,12 @@
                 request.trace.add("complete", text, target=target)
                 return
             self._note_failure(request, progress, target, error)
+            if isinstance(error, Lost):
+                age_s, made = self._clock() - began, progress.offset - from_offset
+                self._held.lost(request, target, attempt.address, age_s, made)
+            if progress.attempts >= ENOUGH_ENDS:
+                # It may have ended as many by itself, faster than that is judged.
+                await self._held.settle()
             self._check_retry(request, policy, progress, error)
 
     async def _enter(self, request: OnlineRequest, progress: Progress) -> None:
@@ -234,7 +249,7 @@
         attempt: Attempt,
         target: str,
     ) -> AsyncIterator[list[bytes]]:
-        watch = Watch(self._clock(), policy, attempt)
+        watch = AttemptWatch(self._clock(), policy, attempt)
         whole = False
         try:
             async with aclosing(self._engines.stream(attempt)) as batches:
@@ -260,7 +275,7 @@
             if not whole:
                 self._cancel_later(attempt)
 
-    def _note_latency(self, target: str, watch: "Watch") -> None:
+    def _note_latency(self, target: str, watch: AttemptWatch) -> None:
         watch.note()
         state = self._book.states_by_id.get(target)
         if state is not None and watch.tokens:
@@ -298,7 +313,7 @@
             self._target_leaving(target)
             self._book.mark_leaving(target)
 
-    def _tell_load(self, target: str, watch: "Watch | None" = None) -> None:
+    def _tell_load(self, target: str, watch: AttemptWatch | None = None) -> None:
         state = self._book.states_by_id.get(target)
         in_flight = state.in_flight if state else 0
         first_s = watch.first_s if watch else 0.0
@@ -306,66 +321,6 @@
         self._load_changed(OnlineLoad(target, in_flight, first_s, between_s))
 
 
-class Watch:
-    """The times of one attempt."""
-
-    __slots__ = (
-        "_attempt",
-        "_between_s",
-        "_longest_s",
-        "_mark",
-        "_policy",
-        "_started",
-        "first_s",
-        "tokens",
-    )
-
-    def __init__(self, now: float, policy: ServicePolicy, attempt: Attempt) -> None:
-        self.first_s = 0.0
-        self.tokens = 0
-        self._started = now
-        self._mark = now
-        self._longest_s = 0.0
-        self._between_s = 0.0
-        self._policy = policy
-        self._attempt = attempt
-
-    @property
-    def mean_between_s(self) -> float:
-        """Mean time between tokens; 0 with fewer than two."""
-        return self._between_s / (self.tokens - 1) if self.tokens > 1 else 0.0
-
-    def events(self, count: int, now: float) -> None:
-        """Note that events came."""
-        passed_s = now - self._mark
-        if self.tokens:
-            self._longest_s = max(self._longest_s, passed_s)
-            self._between_s += passed_s
-        else:
-            self.first_s = passed_s
-        self.tokens += count
-        self._mark = now
-
-    def resumed(self, now: float) -> None:
-        """Note that the caller took them; its time is not the target's."""
-        self._mark = now
-
-    def lost(self, now: float) -> None:
-        """Note the wait that ran out, so that a limit set too low rises."""
-        passed_s = now - self._mark
-        if self.tokens:
-            self._longest_s = max(self._longest_s, passed_s)
-        elif passed_s >= (self._attempt.first_event_s or 0.0):
-            self._policy.first.note(passed_s)
-
-    def note(self) -> None:
-        """Hand the times to the policy of the service."""
-        if self.tokens:
-            self._policy.first.note(self.first_s)
-        if self._longest_s:
-            self._policy.between.note(self._longest_s)
-
-
 def _is_complete(error: AttemptError, progress: Progress) -> bool:
     """Return whether only the closing mark is missing.
 
--- a/src/caperridge/instance/dump.py
+++ b/src/caperridge/instance/dump.py
@@ -30,6 +30,7 @@
         **_platform(instance),
         "orderer": instance.orderer.state(),
         "online": instance.online.state(),
+        "held_requests": instance.held_requests.state(),
         "traces": len(instance.traces),
         "trace_bytes": instance.traces.bytes,
         "stop": instance.drain.state(),
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -13,6 +13,7 @@
 from caperridge.decisions.target_state import TargetReport
 from caperridge.instance.attempts import Attempts
 from caperridge.instance.gate import Gate
+from caperridge.instance.held_requests import HeldRequests
 from caperridge.instance.messages import OnlineLoad
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online_request import (
@@ -38,6 +39,7 @@
         clock: monotonic seconds.
         load_changed: told of each online start and end.
         target_leaving: told of a target that says itself that it is leaving.
+        held: says which requests may be sent.
         seat: returns the place among the instances that share the limits.
     """
 
@@ -50,6 +52,7 @@
         clock: Callable[[], float],
         load_changed: Callable[[OnlineLoad], None],
         target_leaving: Callable[[str], None],
+        held: HeldRequests,
         seat: Callable[[], Seat] = Seat,
     ) -> None:
         self.book = book
@@ -64,6 +67,7 @@
             clock,
             load_changed,
             target_leaving,
+            held,
         )
         self._idle = asyncio.Event()
         self._idle.set()
--- a/src/caperridge/instance/online_request.py
+++ b/src/caperridge/instance/online_request.py
@@ -35,12 +35,14 @@
         deadline: on the own clock; no first token is wanted after it.
         tokens: of the prompt, about.
         blocks: hashes of the prompt's prefix.
+        content: digest of what is asked for, once that mattered.
     """
 
     __slots__ = (
         "blocks",
         "body",
         "caller",
+        "content",
         "deadline",
         "id",
         "path",
@@ -69,6 +71,7 @@
         self.trace = trace
         self.resume_from = resume_from
         self.deadline = deadline
+        self.content = ""
         prompt = prompt_of(body)
         self.tokens = prompt_tokens(prompt)
         self.blocks = prefix_blocks(prompt)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -9,6 +9,7 @@
 from caperridge.decisions.limit_share import Seat, seat_of
 from caperridge.decisions.membership import Membership
 from caperridge.decisions.routing import TargetBook
+from caperridge.elapsed import elapsed_s
 from caperridge.instance.authentication import Authentication
 from caperridge.instance.batch_streams import BatchStreams
 from caperridge.instance.call_sweeper import CallSweeper
@@ -17,6 +18,7 @@
 from caperridge.instance.dispatcher import BatchDispatcher
 from caperridge.instance.drain import Drain
 from caperridge.instance.dump import dump
+from caperridge.instance.held_requests import HeldRequests
 from caperridge.instance.in_flight import InFlight
 from caperridge.instance.item_runners import ItemRunners
 from caperridge.instance.keyed_calls import KeyedCalls
@@ -97,7 +99,7 @@
             settings.platform_deadline_s,
             settings.platform_authority,
         )
-        clock = time.monotonic
+        clock = elapsed_s
         self.metrics = Metrics()
         self.traces = Traces()
         self._listeners = Listeners()
@@ -156,6 +158,9 @@
         self.online_news = OnlineReporter(
             book, self.membership, self.streams, self.peers, clock
         )
+        self.held_requests = HeldRequests(
+            self.membership, self.peers, self.metrics, clock
+        )
         self._seated: dict[str, ListedMember] | None = None
         self._seat_now = Seat()
         self.online = OnlineFront(
@@ -166,6 +171,7 @@
             clock,
             self.online_news.changed,
             self._target_leaving,
+            self.held_requests,
             self._seat,
         )
         self.explanations = Explanations(self.traces, self.peers)
@@ -247,8 +253,8 @@
         }
 
     def _listed(self, message: MembersListed) -> None:
-        self.membership.apply_list(message.members, time.monotonic())
-        self.online.book.apply_list(message.members, time.monotonic())
+        self.membership.apply_list(message.members, elapsed_s())
+        self.online.book.apply_list(message.members, elapsed_s())
         self.streams.book.apply_list(message.members)
         self.orderer.tell(message)
 
@@ -326,6 +332,7 @@
         await self.plain_items.close()
         for actor in reversed(self._actors):
             await actor.stop()
+        await self.held_requests.close()
         await self._engines.close()
         await self._order_client.close()
         await self._plain_client.close()
--- a/src/caperridge/peers/flooding.py
+++ b/src/caperridge/peers/flooding.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from functools import singledispatch
 
+from caperridge.peers.held_messages import EndNews, SoundNews
 from caperridge.peers.messages import JobNews, TargetNews
 from caperridge.records import Record
 
@@ -25,6 +26,16 @@
     return True
 
 
+@floods.register
+def _(message: EndNews) -> bool:
+    return True
+
+
+@floods.register
+def _(message: SoundNews) -> bool:
+    return True
+
+
 class Seen:
     """The news seen last; the oldest is forgotten first.
 
--- a/src/caperridge/peers/messages.py
+++ b/src/caperridge/peers/messages.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+from caperridge.peers.held_messages import EndNews, SoundNews
 from caperridge.records import Record
 
 PROTOCOL = 2  # since 2 some kinds have a short form
@@ -386,5 +387,7 @@
         ListAsk,
         TraceAsk,
         TraceAnswer,
+        EndNews,
+        SoundNews,
     )
 }
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -20,7 +20,7 @@
 
 import pytest
 
-from caperridge.decisions import quarantine
+from caperridge.decisions import suspects
 from caperridge.gateway import held_rows, request_guard
 from caperridge.gateway.held_rows import HeldRow
 from caperridge.gateway.jobs.codec import from_bytes
@@ -46,7 +46,7 @@
 @pytest.fixture
 async def fleet(world: World, monkeypatch: pytest.MonkeyPatch) -> World:
     """Three instances and five targets, each of which a fatal request ends."""
-    monkeypatch.setattr(quarantine, "TRIAL_PAUSES_S", PAUSES_S)
+    monkeypatch.setattr(suspects, "TRIAL_PAUSES_S", PAUSES_S)
     for _ in range(5):
         runner = await world.add_runner()
         runner.fatal = is_fatal
@@ -444,7 +444,7 @@
     """Nothing can be heard of its address; its entry lapses some seconds later."""
     for number in range(ENOUGH):
         instance = fleet.instances[number]
-        instance.client.is_refused = _never
+        instance._target_ends.is_refused = _never
         answer = await fleet.ask(instance, "/once/1", f"f{number}", FATAL)
         assert answer.status == 502
         await until(lambda one=instance: not one.guard.looking)
@@ -478,7 +478,7 @@
     assert 0 < line["trial_in_s"] <= PAUSES_S[0]
     (held,) = state_of(fleet.instances[0])["quarantine"]
     assert held["content"] == line["content"]
-    assert quarantine.ENOUGH_ENDS == ENOUGH
+    assert suspects.ENOUGH_ENDS == ENOUGH
 
 
 async def test_an_instance_that_missed_the_word_of_peers_knows_from_the_store(
--- a/tests/layering.py
+++ b/tests/layering.py
@@ -31,6 +31,7 @@
     "caperridge.config.model",
     "caperridge.findings",
     "caperridge.keys",
+    "caperridge.peers.held_messages",
     "caperridge.peers.messages",
     "caperridge.store.interface",
     "caperridge.records",
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -12,13 +12,16 @@
 from aiohttp import web
 
 from caperridge.config.model import Caller, Configuration, Model, Service
+from caperridge.decisions.membership import Membership
 from caperridge.decisions.patience import Patience
 from caperridge.decisions.routing import TargetBook
 from caperridge.instance.completions_http import CompletionsHttp
+from caperridge.instance.held_requests import HeldRequests
 from caperridge.instance.http_common import app_with_refusals
 from caperridge.instance.metrics import Metrics
 from caperridge.instance.online import OnlineFront
 from caperridge.instance.traces import Traces
+from caperridge.peers.interface import NoPeers
 from caperridge.standins.engine import Engine, make_app
 from caperridge.standins.engine_model import EngineCosts
 from caperridge.store.interface import ListedMember
@@ -192,6 +195,12 @@
             lambda: asyncio.get_running_loop().time(),
             lambda load: None,
             self.leaving.append,
+            HeldRequests(
+                Membership("entry-1", "oviedo"),
+                NoPeers(),
+                self.metrics,
+                lambda: asyncio.get_running_loop().time(),
+            ),
         )
 
     def add(self, name: str, address: str) -> None:
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -40,6 +40,8 @@
     messages.ListAsk(),
     messages.TraceAsk(1, "req-1"),
     messages.TraceAnswer(1, None),
+    messages.EndNews("e-1", "r-1", "c0ffee", "heat", 0.1, 0, 7.5),
+    messages.SoundNews("e-1", "c0ffee", "heat", 0.4, 7.5),
 ]
 
 
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -8,16 +8,18 @@
 import pytest
 
 from caperridge.decisions.quarantine import (
-    ENOUGH_ENDS,
     FORGET_S,
     MOST_SUSPECTS,
     SETTLE_S,
+    Quarantine,
+)
+from caperridge.decisions.suspects import (
+    ENOUGH_ENDS,
     SOUND_FOR_S,
     TRIAL_PAUSES_S,
     End,
     Hold,
     LostRun,
-    Quarantine,
 )
 
 FATAL = LostRun("fatal", "caller", 0.1, 0)
