Refuse at once a request that every target has failed already

Seen by callers: a request whose targets had all failed it was queued behind the targets' other work and only then refused with 503 "no other target". Cause: a retry entered the queue before anybody looked whether a target was left for it; the queue opens for room at any target, also at those that failed the request. The look now comes before the queue. The test failed before (a step "queued").

--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -94,6 +94,7 @@
         progress = Progress(request.resume_from)
         while True:
             self._held.check(request, progress.run)
+            self._check_candidates(request, progress)
             if not progress.began:
                 # A retry under overload waits for room like any other request.
                 await self._enter(request, progress)
@@ -132,6 +133,21 @@
                 await self._held.settle()
             self._check_retry(request, policy, progress, error)
 
+    def _check_candidates(self, request: OnlineRequest, progress: Progress) -> None:
+        """Refuse a request that every target has failed already."""
+        if not progress.excluded:
+            return  # the gate says whether there is any target
+        name, now = request.service.name, self._clock()
+        if self._book.usable(name, progress.excluded, now):
+            return
+        raise self._no_target(request, progress)
+
+    def _no_target(self, request: OnlineRequest, progress: Progress) -> RefusedError:
+        text = f"no target of {request.service.name} can take it"
+        if progress.excluded:
+            text = f"no other target of {request.service.name} can take it"
+        return refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
+
     async def _enter(self, request: OnlineRequest, progress: Progress) -> None:
         away = await self._gate.enter(request)
         if away is None:
@@ -181,10 +197,7 @@
             service.name, progress.excluded, wanted, now, request.blocks
         )
         if not weighed:
-            text = f"no target of {service.name} can take it"
-            if progress.excluded:
-                text = f"no other target of {service.name} can take it"
-            raise refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
+            raise self._no_target(request, progress)
         best = weighed[0].target
         progress.alone = len(weighed) == 1 and self._is_only(best, request, progress)
         parts = self._book.parts(best, wanted, now)
--- a/tests/online/test_fault_table.py
+++ b/tests/online/test_fault_table.py
@@ -1,5 +1,7 @@
 """Faults of a target by kinds of request: what the caller sees, and what ran."""
 
+import asyncio
+
 import pytest
 
 from caperridge.decisions.patience import Patience
@@ -188,3 +190,19 @@
     front.add("b-strict", await listen(FaultyTarget("status 422 not_run").app()))
     answer = await front.ask(stream=False)
     assert (answer.status, answer.error["run"]) == (422, "unknown")
+
+
+async def test_a_request_that_no_target_can_take_is_refused_without_queueing(
+    front: Front, listen: Listen
+) -> None:
+    # Guards against a wait for room at targets that have failed the request already.
+    faulty = await add_faulty(front, listen, "hung")
+    async with asyncio.TaskGroup() as group:
+        asking = group.create_task(front.ask_past(faulty, stream=False))
+        await faulty.hanging.wait()
+        busy = front.book.states_by_id["a-faulty"]
+        busy.in_flight += 2 * front.service.most_running
+    answer = asking.result()
+    assert answer.error["code"] == "no_target"
+    steps = [step.what for step in front.traces.find(answer.error["request_id"]).steps]
+    assert "queued" not in steps
