Give answers until the last sixth of a short grace period

Cause: 0.5 s for closing and 0.2 s for telling callers were taken off any grace period, so that of 4 s answers ended at 3.3 s. Both are a tenth and a twentieth of a short one now: answers end at 3.4 s of 4 s, and at 7.3 s of 8 s as before. The moments of a stop are worked out in one function, whose test has grace periods of 1 s to 30 s; with the old figures it fails for 1 s, 2 s, 3 s and 4 s.

--- a/src/caperridge/gateway/stopping.py
+++ b/src/caperridge/gateway/stopping.py
@@ -6,6 +6,7 @@
 from caperridge.gateway.edge import Edge
 from caperridge.gateway.listeners import Listener
 from caperridge.log import logger
+from caperridge.records import Record
 
 log = logger(__name__)
 
@@ -13,8 +14,10 @@
 LEAVING_S = 2.6
 # Of a short grace period the balancer is taken to need this share.
 MOVED_SHARE = 1 / 3
-# Left for closing connections before the kill.
+# Left for closing connections before the kill, and what this is of a short grace period
+# at most.
 SPARE_S = 0.5
+SPARE_SHARE = 0.1
 # Left for requests that were under way when the door closed. On a day with rolling
 # restarts answers took 0.7 s (p50), 1.2 s (p99) and 1.35 s at most; those of slow
 # targets take several times that, and callers wait for up to 5 s. A request that is
@@ -25,6 +28,50 @@
 OPEN_SHARE = 0.45
 # Before that end, what was taken in the stop is given up, so that its caller is told.
 ANSWER_S = 0.2
+# Of a short grace period. With the spare share less than its last sixth, up to which a
+# caller can expect an answer.
+ANSWER_SHARE = 0.05
+
+
+class StopTimes(Record):
+    """Moments of a planned stop, on one clock, in their order.
+
+    Attributes:
+        callers_moved: the balancer sends new callers to other instances by then.
+        door_closes: no connection is taken any more.
+        answers_until: when the last answer must have been given.
+        end: when all connections are to be closed.
+    """
+
+    __slots__ = ("answers_until", "callers_moved", "door_closes", "end")
+
+    def __init__(
+        self,
+        callers_moved: float,
+        door_closes: float,
+        answers_until: float,
+        end: float,
+    ) -> None:
+        self.callers_moved = callers_moved
+        self.door_closes = door_closes
+        self.answers_until = answers_until
+        self.end = end
+
+
+def stop_times(began: float, grace_s: float) -> StopTimes:
+    """Divide a grace period that began at ``began``.
+
+    >>> times = stop_times(0.0, 8.0)
+    >>> times.callers_moved, times.door_closes, times.answers_until, times.end
+    (2.6, 3.5, 7.3, 7.5)
+    """
+    end = began + grace_s - min(SPARE_S, grace_s * SPARE_SHARE)
+    return StopTimes(
+        callers_moved=began + min(LEAVING_S, grace_s * MOVED_SHARE),
+        door_closes=max(end - CLOSING_S, began + (end - began) * OPEN_SHARE),
+        answers_until=end - min(ANSWER_S, grace_s * ANSWER_SHARE),
+        end=end,
+    )
 
 
 class PlannedStop:
@@ -47,15 +94,13 @@
         """Stop within ``grace_s``; return how many requests were cut."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        end = began + grace_s - SPARE_S
-        patience = max(end - CLOSING_S, began + (end - began) * OPEN_SHARE)
-        moved = began + min(LEAVING_S, grace_s * MOVED_SHARE)
-        self._edge.leave(end - ANSWER_S, moved)
-        handing_over = loop.create_task(self._hand_over_until(end))
-        await self._edge.quiet(began + LEAVING_S, patience)
-        self._log_door(patience)
+        times = stop_times(began, grace_s)
+        self._edge.leave(times.answers_until, times.callers_moved)
+        handing_over = loop.create_task(self._hand_over_until(times.end))
+        await self._edge.quiet(began + LEAVING_S, times.door_closes)
+        self._log_door(times.door_closes)
         await self._door.close_door()
-        connections = await self._door.end_connections(end)
+        connections = await self._door.end_connections(times.end)
         await handing_over
         cut = self._edge.running
         self._edge.log_cut()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -11,6 +11,7 @@
 import pytest
 
 from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.stopping import stop_times
 from gateway.conftest import HOST, Answer, World, free_address, route, until
 from loop_clock import LoopClock
 
@@ -21,6 +22,18 @@
 TURNS_A_STEP = 100
 
 
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, 3.0, 4.0, 8.0, 30.0])
+def test_no_answer_is_given_up_before_the_last_sixth_of_the_grace_period(
+    grace_s: float,
+) -> None:
+    # Guards against streams cut in a short grace period while there was time left.
+    began = 100.0
+    times = stop_times(began, grace_s)
+    assert began < times.callers_moved <= times.door_closes
+    assert times.door_closes < times.answers_until < times.end < began + grace_s
+    assert times.answers_until > began + grace_s * 5 / 6
+
+
 async def ready_status(address: str) -> int:
     async with aiohttp.ClientSession() as session:
         try:
