Use standard terms for quarantine, gossip and orphaned runs

told_by is reported_by, runs of nobody are orphaned runs, ENOUGH_ENDS is QUARANTINE_THRESHOLD, MOST_TOLD and SPEAK_UP_S are MAX_GOSSIP_ENTRIES and EXONERATE_WITHIN_S; bounds begin with MAX_ and MIN_. No behaviour changes: rows in the store and messages of peers are lists and have no such names.

--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -18,7 +18,7 @@
 # Ends that are older say nothing of today's targets.
 FORGET_S = 900.0
 # Requests that are remembered at most, some 0.5 KB each.
-MOST_SUSPECTS = 1000
+MAX_SUSPECTS = 1000
 
 
 class Quarantine:
@@ -34,7 +34,7 @@
         self._newest_at: float | None = None
 
     def ended(
-        self, target: str, runs: Iterable[LostRun], at: float, told_by: str
+        self, target: str, runs: Iterable[LostRun], at: float, reported_by: str
     ) -> list[str]:
         """Take note of what was at a target that ended; return what was news."""
         news: list[str] = []
@@ -43,7 +43,7 @@
                 continue
             suspect = self.by_content.pop(run.content, None) or Suspect(run.content)
             self.by_content[run.content] = suspect
-            end = End(target, run.caller, run.age_s, run.events, at, told_by)
+            end = End(target, run.caller, run.age_s, run.events, at, reported_by)
             if suspect.add(end):
                 news.append(run.content)
         if news:
@@ -142,10 +142,10 @@
 
     def _bound(self) -> None:
         """Keep to the most suspects; those that are held go last."""
-        if len(self.by_content) <= MOST_SUSPECTS:
+        if len(self.by_content) <= MAX_SUSPECTS:
             return
         order = sorted(self.by_content.values(), key=_by_need)
-        for suspect in order[: len(order) - MOST_SUSPECTS]:
+        for suspect in order[: len(order) - MAX_SUSPECTS]:
             del self.by_content[suspect.content]
 
 
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -2,13 +2,12 @@
 
 from caperridge.records import Record
 
-# Ends under a request that are enough. Two happen to requests that are moved while
-# targets end by themselves; each one more costs a target for some seconds.
-ENOUGH_ENDS = 3
-# One that ran well so lately can hardly be to blame. Only if as many targets end under
-# it as would if all of a small fleet failed at once, something has changed.
+# Two crashes can be coincidence; each further one costs a target for seconds.
+QUARANTINE_THRESHOLD = 3
+# A request that ran well so recently is hardly to blame, even if a small fleet crashes
+# as a whole.
 SOUND_FOR_S = 10.0
-ENOUGH_ENDS_THOUGH_SOUND = 6
+QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 6
 # Reports of one target that come within this time are of one end. A target takes
 # seconds to start again.
 ONE_END_S = 1.5
@@ -20,8 +19,8 @@
 # again by then has time.
 EARLY_FOR_S = 1.0
 # What is remembered of each request, some 100 bytes each.
-MOST_ENDS = 12
-MOST_CALLERS = 12
+MAX_ENDS = 12
+MAX_CALLERS = 12
 
 
 class LostRun(Record):
@@ -52,10 +51,10 @@
         age_s: of that run.
         events: that the run had made.
         at: when.
-        told_by: instance that saw it.
+        reported_by: instance that saw it.
     """
 
-    __slots__ = ("age_s", "at", "caller", "events", "target", "told_by")
+    __slots__ = ("age_s", "at", "caller", "events", "reported_by", "target")
 
     def __init__(
         self,
@@ -64,14 +63,14 @@
         age_s: float,
         events: int,
         at: float,
-        told_by: str,
+        reported_by: str,
     ) -> None:
         self.target = target
         self.caller = caller
         self.age_s = age_s
         self.events = events
         self.at = at
-        self.told_by = told_by
+        self.reported_by = reported_by
 
     def is_of(self, target: str, at: float) -> bool:
         """Whether a report of ``target`` at that time is of this end."""
@@ -143,7 +142,7 @@
         if any(one.is_of(end.target, end.at) for one in self.ends):
             return False
         self.ends.append(end)
-        del self.ends[:-MOST_ENDS]
+        del self.ends[:-MAX_ENDS]
         return True
 
     def drop(self, shared: list[End]) -> None:
@@ -174,7 +173,7 @@
         covered = self.is_held_for(caller)
         before = self._sound_at_by_caller.pop(caller, at)
         self._sound_at_by_caller[caller] = max(at, before)
-        if len(self._sound_at_by_caller) > MOST_CALLERS:
+        if len(self._sound_at_by_caller) > MAX_CALLERS:
             del self._sound_at_by_caller[next(iter(self._sound_at_by_caller))]
         for_all = self.hold is not None and not self.hold.callers
         if covered and for_all:
@@ -242,7 +241,11 @@
 
 def _enough_ends(sound_ago_s: float) -> int:
     """Return how many ends are enough for one that ran well so long ago."""
-    return ENOUGH_ENDS_THOUGH_SOUND if sound_ago_s < SOUND_FOR_S else ENOUGH_ENDS
+    return (
+        QUARANTINE_THRESHOLD_AFTER_GOOD_RUN
+        if sound_ago_s < SOUND_FOR_S
+        else QUARANTINE_THRESHOLD
+    )
 
 
 def pause_s(trials: int) -> float:
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -16,7 +16,7 @@
     most_queued,
     return_after_s,
 )
-from caperridge.decisions.suspects import ENOUGH_ENDS
+from caperridge.decisions.suspects import QUARANTINE_THRESHOLD
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
 from caperridge.gateway.dialect import Dialect, passed_on
@@ -116,7 +116,7 @@
         """
         if carriage.admitted_runs == carriage.runs:
             return None
-        if carriage.runs >= ENOUGH_ENDS:
+        if carriage.runs >= QUARANTINE_THRESHOLD:
             # It may have ended as many by itself, faster than that is judged.
             await self._guard.settle()
         carriage.admitted_runs = carriage.runs
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -212,7 +212,7 @@
         ahead_s = self._clock.now() - elapsed_s()
         hold = hold or suspect.hold
         ends = [
-            [e.target, e.caller, e.age_s, e.events, e.at + ahead_s, e.told_by]
+            [e.target, e.caller, e.age_s, e.events, e.at + ahead_s, e.reported_by]
             for e in suspect.ends
         ]
         if hold is None:
@@ -238,14 +238,14 @@
         store_s = self._clock.now() if self._clock.known else row.since
         ahead_s = store_s - elapsed_s()
         ends: list[End] = []
-        for target, caller, age_s, events, at, told_by in row.ends:
+        for target, caller, age_s, events, at, reported_by in row.ends:
             end = End(
                 str(target),
                 str(caller),
                 float(age_s),
                 int(events),
                 at - ahead_s,
-                str(told_by),
+                str(reported_by),
             )
             ends.append(end)
         if not row.since:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -26,21 +26,20 @@
 
 log = logger(__name__)
 
-# Good runs that are remembered, some 200 bytes each; a few hundred end in the time for
-# which that matters.
-MOST_SOUND = 1000
-# What a peer is told on connecting; those that are held go first.
-MOST_TOLD = 100
-# In a large fleet who has a good word for a request waits so long at most, in which
-# another one may say it; it is judged later than that.
-SPEAK_UP_S = 0.8 * SETTLE_S
+# About 200 bytes each.
+MAX_GOOD_RUNS = 1000
+# Bounds the first message to a peer; quarantined requests come first.
+MAX_GOSSIP_ENTRIES = 100
+# In a large fleet the witnesses of a good run report it at random moments, so that one
+# report silences the others; all come before the request is judged.
+EXONERATE_WITHIN_S = 0.8 * SETTLE_S
 SWEEP_S = 30.0
 # Longest wait for word of who is to blame, before a request that was lost with several
 # targets is sent to one more.
-MOST_SETTLE_S = 0.3
-LEAST_RETRY_AFTER_S = 0.5
+MAX_SETTLE_S = 0.3
+MIN_RETRY_AFTER_S = 0.5
 # Of the ends under a request so many are told in a line of the log.
-MOST_LOGGED = 4
+MAX_LOGGED_ENDS = 4
 
 
 class HeldBack(Record):
@@ -137,13 +136,13 @@
         left_s = (suspect.hold or hold).next_due(now) - now
         return HeldBack(
             f"{len(suspect.ends)} targets ended while they ran it",
-            max(LEAST_RETRY_AFTER_S, left_s),
+            max(MIN_RETRY_AFTER_S, left_s),
         )
 
     async def settle(self) -> None:
         """Wait until it is known who is to blame for what was lost by now."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + MOST_SETTLE_S
+        until = loop.time() + MAX_SETTLE_S
         while loop.time() < until:
             if not self._ends.looking and self._judge_timer is None:
                 return
@@ -169,7 +168,7 @@
         key = mark.content, mark.caller
         self._sound_at.pop(key, None)
         self._sound_at[key] = now
-        if len(self._sound_at) > MOST_SOUND:
+        if len(self._sound_at) > MAX_GOOD_RUNS:
             self._sound_at.popitem(last=False)
         if self.quarantine.sound(mark.content, mark.caller, now, now):
             self._cleared(mark.content, self._mesh.instance)
@@ -201,11 +200,11 @@
             self._fleet.ended(listed)
         self._take_end(news.target, runs, peer)
 
-    def _take_end(self, target: str, runs: list[LostRun], told_by: str) -> None:
-        news = self.quarantine.ended(target, runs, elapsed_s(), told_by)
+    def _take_end(self, target: str, runs: list[LostRun], reported_by: str) -> None:
+        news = self.quarantine.ended(target, runs, elapsed_s(), reported_by)
         for content in news:
             suspect = self.quarantine.by_content.get(content)
-            own = told_by == self._mesh.instance
+            own = reported_by == self._mesh.instance
             if own and suspect is not None and len(suspect.ends) >= KEPT_ENDS:
                 self.rows.changed(content)
         if news:
@@ -213,13 +212,13 @@
         self._say_what_ran_well(runs)
 
     def _say_what_ran_well(self, runs: list[LostRun]) -> None:
-        """Speak up for requests that ended well here a short while ago."""
+        """Exonerate requests that ended well here a short while ago."""
         sound = [run for run in runs if self._is_sound(run)]
         if sound and self._mesh.large:
-            delay_s = SPEAK_UP_S * self._fleet.chance.random()
-            asyncio.get_running_loop().call_later(delay_s, self._speak_up, sound)
+            delay_s = EXONERATE_WITHIN_S * self._fleet.chance.random()
+            asyncio.get_running_loop().call_later(delay_s, self._exonerate, sound)
         elif sound:
-            self._speak_up(sound)
+            self._exonerate(sound)
 
     def _is_sound(self, run: LostRun) -> bool:
         """Whether it ended well here a short while ago, and nobody said so."""
@@ -231,7 +230,7 @@
         said_s = now - suspect.sound_at_for(run.caller)
         return now - at < SOUND_FOR_S and said_s > SOUND_FOR_S / 2
 
-    def _speak_up(self, runs: list[LostRun]) -> None:
+    def _exonerate(self, runs: list[LostRun]) -> None:
         now = elapsed_s()
         told: list[list[Any]] = []
         for run in runs:
@@ -249,10 +248,10 @@
             if self.quarantine.sound(content, caller, now - ago_s, now):
                 self._cleared(content, peer)
 
-    def _cleared(self, content: str, told_by: str) -> None:
+    def _cleared(self, content: str, reported_by: str) -> None:
         """Note a good run of a suspect."""
         suspect = self.quarantine.by_content[content]
-        log.info("suspect ran well", told_by=told_by, **_told(suspect))
+        log.info("suspect ran well", reported_by=reported_by, **_told(suspect))
         self.rows.changed(content)
         self._count()
 
@@ -283,7 +282,7 @@
     def _first_word(self) -> Suspects:
         now = elapsed_s()
         suspects = sorted(self.quarantine.by_content.values(), key=_held_first)
-        return Suspects([_as_told(one, now) for one in suspects[:MOST_TOLD]])
+        return Suspects([_as_told(one, now) for one in suspects[:MAX_GOSSIP_ENTRIES]])
 
     def _peer_suspects(self, peer: str, news: Suspects) -> None:
         now = elapsed_s()
@@ -300,7 +299,7 @@
             if not self.quarantine.restore(content, taken, held):
                 continue
             told = _told(self.quarantine.by_content[content])
-            log.info("suspect taken", told_by=peer, **told)
+            log.info("suspect taken", reported_by=peer, **told)
             self._judge_soon()
             self._count()
 
@@ -344,9 +343,9 @@
                 "target": end.target,
                 "caller": end.caller,
                 "age_s": round(now - end.at, 3),
-                "told_by": end.told_by,
+                "reported_by": end.reported_by,
             }
-            for end in suspect.ends[-MOST_LOGGED:]
+            for end in suspect.ends[-MAX_LOGGED_ENDS:]
         ],
         "ends_known": len(suspect.ends),
         "callers": sorted(hold.callers) if hold is not None else None,
@@ -360,7 +359,7 @@
     """Return what a peer is told of a suspect."""
     hold = suspect.hold
     ends = [
-        [e.target, e.caller, e.age_s, e.events, round(now - e.at, 3), e.told_by]
+        [e.target, e.caller, e.age_s, e.events, round(now - e.at, 3), e.reported_by]
         for e in suspect.ends
     ]
     if hold is None:
--- a/src/caperridge/gateway/unowned.py
+++ b/src/caperridge/gateway/unowned.py
@@ -115,7 +115,7 @@
         self._told_at_by_target[news.target] = asyncio.get_running_loop().time()
         if before == news.count:
             return
-        log.info("runs of nobody", target=news.target, count=news.count, source=peer)
+        log.info("orphaned runs", target=news.target, count=news.count, source=peer)
         self._fleet.occupancy.told(NOBODY, news.target, Count(news.count))
         self._fleet.changed()
 
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -13,7 +13,7 @@
     Limits,
     ServicePolicy,
 )
-from caperridge.decisions.suspects import ENOUGH_ENDS
+from caperridge.decisions.suspects import QUARANTINE_THRESHOLD
 from caperridge.decisions.target_state import Wanted
 from caperridge.instance.attempt_log import log_failure
 from caperridge.instance.attempt_watch import AttemptWatch
@@ -128,7 +128,7 @@
             if isinstance(error, Lost):
                 age_s, made = self._clock() - began, progress.offset - from_offset
                 self._held.lost(request, target, attempt.address, age_s, made)
-            if progress.attempts >= ENOUGH_ENDS:
+            if progress.attempts >= QUARANTINE_THRESHOLD:
                 # It may have ended as many by itself, faster than that is judged.
                 await self._held.settle()
             self._check_retry(request, policy, progress, error)
--- a/src/caperridge/instance/held_requests.py
+++ b/src/caperridge/instance/held_requests.py
@@ -29,7 +29,7 @@
 # An engine that crashes closes its connections; its door is closed then or soon after.
 LOOKS_AFTER_S = (0.0, 0.03, 0.2)
 # Good runs that are remembered, some 200 bytes each.
-MOST_SOUND = 1000
+MAX_GOOD_RUNS = 1000
 CODE = "ends_targets"
 
 
@@ -122,7 +122,7 @@
         content, caller = _content(request), request.caller.name
         self._sound_at.pop((content, caller), None)
         self._sound_at[content, caller] = now
-        if len(self._sound_at) > MOST_SOUND:
+        if len(self._sound_at) > MAX_GOOD_RUNS:
             del self._sound_at[next(iter(self._sound_at))]
         if self.quarantine.sound(content, caller, now, now):
             log.info("suspect ran well", content=content, request=request.id)
@@ -170,10 +170,10 @@
     def _end_told(self, peer: str, news: EndNews) -> None:
         self._take(news, news.instance)
 
-    def _take(self, news: EndNews, told_by: str) -> None:
+    def _take(self, news: EndNews, reported_by: str) -> None:
         run = LostRun(news.content, news.caller, news.age_s, news.events)
         now = self._clock()
-        self.quarantine.ended(news.target, [run], now, told_by)
+        self.quarantine.ended(news.target, [run], now, reported_by)
         at = self._sound_at.get((news.content, news.caller))
         if at is not None and now - at < SOUND_FOR_S:
             self.quarantine.sound(news.content, news.caller, at, now)
@@ -214,7 +214,8 @@
     hold: Hold | None = suspect.hold
     return {
         "ends": [
-            [end.target, round(now - end.at, 3), end.told_by] for end in suspect.ends
+            [end.target, round(now - end.at, 3), end.reported_by]
+            for end in suspect.ends
         ],
         "trials": hold.trials if hold is not None else 0,
         "trial_in_s": round(hold.next_due(now) - now, 3) if hold is not None else None,
--- a/src/caperridge/instance/online_news.py
+++ b/src/caperridge/instance/online_news.py
@@ -47,7 +47,7 @@
         self._clock = clock
         # Higher than any of an earlier process under the same id.
         self._sequence = time.time_ns() // 1_000_000
-        self._told_by_target: dict[str, str] = {}
+        self._reported_by_target: dict[str, str] = {}
         self._latency_due_by_target: dict[str, float] = {}
 
     def changed(self, load: OnlineLoad) -> None:
@@ -76,23 +76,23 @@
     def repeat(self) -> None:
         """Tell again of every target with requests in flight, e.g. in a new view."""
         for target_id, state in list(self._book.states_by_id.items()):
-            if not state.in_flight and target_id not in self._told_by_target:
+            if not state.in_flight and target_id not in self._reported_by_target:
                 continue
             owner = self._membership.owner(target_id, state.member.availability_zone)
             self._tell(target_id, owner, state.in_flight)
 
     def _tell(self, target: str, owner: str | None, in_flight: int) -> None:
-        before = self._told_by_target.get(target)
+        before = self._reported_by_target.get(target)
         if before not in (None, owner):
             self._send(target, before, 0)
         if owner is None:
-            self._told_by_target.pop(target, None)
+            self._reported_by_target.pop(target, None)
             return
         self._send(target, owner, in_flight)
         if in_flight:
-            self._told_by_target[target] = owner
+            self._reported_by_target[target] = owner
         else:
-            self._told_by_target.pop(target, None)
+            self._reported_by_target.pop(target, None)
 
     def _send(self, target: str, owner: str, in_flight: int) -> None:
         own_id = self._membership.instance
--- a/tests/gateway/test_item_leases.py
+++ b/tests/gateway/test_item_leases.py
@@ -4,7 +4,7 @@
 for 1.4 s, the items that had run went on at their targets for up to 5 s, the length of
 a whole run, and nobody read them. A burst of 35 requests a second met 24 slots of which
 some 20 were taken: of 71 requests 10 were in time, and the items, run again, were late.
-The log shows it as `runs of nobody`, 224 lines in two seconds.
+The log shows it as `orphaned runs`, 224 lines in two seconds.
 
 A target stops a request at the deadline that it is given. So a run is given a short
 one and goes on behind its last event under the next.
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -470,7 +470,7 @@
     await repeat(fleet, "/once/1")
     (line, *_) = [one for one in lines if one["message"] == "request held back"]
     assert line["request"] == f"f{ENOUGH}"
-    assert [end["told_by"] for end in line["ends"]] == ["e-0", "e-1", "e-2"]
+    assert [end["reported_by"] for end in line["ends"]] == ["e-0", "e-1", "e-2"]
     assert {end["target"] for end in line["ends"]} == {
         one.id for one in fleet.runners_ended
     }
@@ -478,7 +478,7 @@
     assert 0 < line["trial_in_s"] <= PAUSES_S[0]
     (held,) = state_of(fleet.instances[0])["quarantine"]
     assert held["content"] == line["content"]
-    assert suspects.ENOUGH_ENDS == ENOUGH
+    assert suspects.QUARANTINE_THRESHOLD == ENOUGH
 
 
 async def test_an_instance_that_missed_the_word_of_peers_knows_from_the_store(
@@ -519,7 +519,7 @@
     return sum(1 for value, _ in rows if from_bytes(HeldRow, value).since)
 
 
-async def test_who_starts_while_the_store_is_away_is_told_by_peers(
+async def test_who_starts_while_the_store_is_away_is_reported_by_peers(
     fleet: World,
 ) -> None:
     fleet.store.refuse = 503
--- a/tests/peers/test_news.py
+++ b/tests/peers/test_news.py
@@ -102,7 +102,9 @@
     assert len(reader.lists) == 2
 
 
-async def test_a_change_told_by_a_peer_is_taken_over_a_reading_begun_before() -> None:
+async def test_a_change_reported_by_a_peer_is_taken_over_a_reading_begun_before() -> (
+    None
+):
     reader = Reader("b")
     await reader.poll(target("r-1"))
     change = ListNews([target("r-2").to_map()], ["r-1"])
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -9,12 +9,12 @@
 
 from caperridge.decisions.quarantine import (
     FORGET_S,
-    MOST_SUSPECTS,
+    MAX_SUSPECTS,
     SETTLE_S,
     Quarantine,
 )
 from caperridge.decisions.suspects import (
-    ENOUGH_ENDS,
+    QUARANTINE_THRESHOLD,
     SOUND_FOR_S,
     TRIAL_PAUSES_S,
     End,
@@ -37,10 +37,10 @@
         self.now = 100.0
         self.targets = 0
 
-    def end(self, *runs: LostRun, told_by: str = "e-0") -> None:
+    def end(self, *runs: LostRun, reported_by: str = "e-0") -> None:
         """End one target with these runs, and let it be judged."""
         self.targets += 1
-        self.quarantine.ended(f"t-{self.targets}", runs, self.now, told_by)
+        self.quarantine.ended(f"t-{self.targets}", runs, self.now, reported_by)
         self.judge()
 
     def judge(self) -> list[str]:
@@ -61,7 +61,7 @@
 
 
 def test_enough_ends_put_a_request_in_quarantine_and_no_other(fleet: Fleet) -> None:
-    for number in range(ENOUGH_ENDS):
+    for number in range(QUARANTINE_THRESHOLD):
         assert not fleet.is_held("fatal")
         fleet.end(bystander(f"sound-{number}"), FATAL)
         fleet.now += 0.3
@@ -69,7 +69,7 @@
     assert [one.content for one in fleet.quarantine.held()] == ["fatal"]
 
 
-def test_one_end_told_by_all_instances_is_one(fleet: Fleet) -> None:
+def test_one_end_reported_by_all_instances_is_one(fleet: Fleet) -> None:
     for instance in ("e-0", "e-1", "e-2"):
         fleet.quarantine.ended("t", [FATAL], fleet.now, instance)
         fleet.now += 0.004
@@ -78,7 +78,7 @@
 
 
 def test_a_target_that_ends_again_under_its_name_counts_again(fleet: Fleet) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.quarantine.ended("t", [FATAL], fleet.now, "e-0")
         fleet.now += 4.0
     fleet.judge()
@@ -92,7 +92,7 @@
     """A stream that goes on elsewhere is at the next end, too, and had made events."""
     victim = LostRun("moved", "caller", 0.3, 12)
     runs = [victim, FATAL] if victim_first else [FATAL, victim]
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(*runs)
         fleet.now += 0.3
     assert fleet.is_held("fatal")
@@ -103,7 +103,7 @@
 
 def test_the_word_of_another_instance_may_come_a_little_later(fleet: Fleet) -> None:
     victim = LostRun("moved", "caller", 0.3, 12)
-    for _ in range(ENOUGH_ENDS - 1):
+    for _ in range(QUARANTINE_THRESHOLD - 1):
         fleet.end(victim, FATAL)
         fleet.now += 0.3
     fleet.quarantine.ended("last", [victim], fleet.now, "e-0")
@@ -129,7 +129,7 @@
 def test_a_popular_request_is_not_blamed_when_several_targets_end_at_once(
     fleet: Fleet,
 ) -> None:
-    for number in range(ENOUGH_ENDS + 1):
+    for number in range(QUARANTINE_THRESHOLD + 1):
         fleet.quarantine.ended(f"t-{number}", [bystander("popular")], fleet.now, "e-0")
     fleet.sound("popular", ago_s=0.7)
     assert fleet.judge() == []
@@ -138,7 +138,7 @@
 def test_one_whose_headers_change_is_not_blamed_when_several_end_at_once(
     fleet: Fleet,
 ) -> None:
-    for number in range(ENOUGH_ENDS + 1):
+    for number in range(QUARANTINE_THRESHOLD + 1):
         run = LostRun("popular", f"headers-{number}", 0.4, 18)
         fleet.quarantine.ended(f"t-{number}", [run], fleet.now, "e-0")
     fleet.sound("popular", "headers-9", ago_s=0.7)
@@ -146,7 +146,7 @@
 
 
 def test_word_of_a_good_run_shortly_before_ends_a_hold(fleet: Fleet) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(bystander("popular"))
     assert fleet.is_held("popular")
     fleet.sound("popular", ago_s=2.0)
@@ -157,20 +157,20 @@
     fleet.end(FATAL)
     fleet.sound("fatal")
     fleet.now += SOUND_FOR_S
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     assert fleet.is_held("fatal")
 
 
 def test_another_caller_of_the_same_is_served(fleet: Fleet) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     assert fleet.is_held("fatal", "caller")
     assert not fleet.is_held("fatal", "another")
 
 
 def test_a_request_whose_headers_change_is_known_all_the_same(fleet: Fleet) -> None:
-    for number in range(ENOUGH_ENDS):
+    for number in range(QUARANTINE_THRESHOLD):
         fleet.end(LostRun("fatal", f"headers-{number}", 0.1, 0))
     assert fleet.is_held("fatal", "headers-9")
 
@@ -178,7 +178,7 @@
 def test_headers_that_change_do_not_make_a_popular_request_suspect(
     fleet: Fleet,
 ) -> None:
-    for number in range(3 * ENOUGH_ENDS):
+    for number in range(3 * QUARANTINE_THRESHOLD):
         fleet.sound("popular", f"headers-{number}")
         fleet.end(LostRun("popular", f"lost-{number}", 0.4, 18))
         fleet.now += 1.0
@@ -188,7 +188,7 @@
 
 def test_a_caller_for_whom_it_runs_well_is_served_beside_others(fleet: Fleet) -> None:
     """The same content ends targets for one caller and is served for another."""
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
         fleet.sound("fatal", "another")
         fleet.now += 0.3
@@ -198,13 +198,13 @@
 
 def test_several_such_requests_at_once_are_found_each(fleet: Fleet) -> None:
     others = [LostRun(f"fatal-{number}", "caller", 0.12, 0) for number in range(3)]
-    for turn in range(2 * ENOUGH_ENDS):
+    for turn in range(2 * QUARANTINE_THRESHOLD):
         running = [one for one in others if not fleet.is_held(one.content)]
         if not running:
             break
         fleet.end(running[turn % len(running)], bystander(f"sound-{turn}"))
         fleet.now += 0.2
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         for one in others:
             if not fleet.is_held(one.content):
                 fleet.end(one)
@@ -215,16 +215,16 @@
 
 def test_two_that_end_the_same_targets_are_both_found(fleet: Fleet) -> None:
     second = LostRun("fatal-2", "caller", 0.15, 0)
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL, second)
     assert fleet.is_held("fatal")
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(second)
     assert fleet.is_held("fatal-2")
 
 
 def test_a_good_run_clears_a_request(fleet: Fleet) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     fleet.now += TRIAL_PAUSES_S[0]
     fleet.sound("fatal")
@@ -237,7 +237,7 @@
     fleet: Fleet,
 ) -> None:
     """One that comes all the time, and ends its target each time."""
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     began = fleet.now
     tried: list[float] = []
@@ -255,7 +255,7 @@
 
 def test_one_that_comes_late_is_not_tried_before_its_time(fleet: Fleet) -> None:
     """Who is not in demand has time: the first try is over when nobody made it."""
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     hold = fleet.quarantine.hold_of("fatal", "caller")
     assert hold is not None
@@ -267,7 +267,7 @@
 
 
 def test_what_a_peer_kept_of_an_older_hold_does_not_come_back(fleet: Fleet) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
     suspect = fleet.quarantine.by_content["fatal"]
     ends, hold = list(suspect.ends), suspect.hold
@@ -300,11 +300,11 @@
 def test_what_is_remembered_is_bounded_and_what_is_held_goes_last(
     fleet: Fleet,
 ) -> None:
-    for _ in range(ENOUGH_ENDS):
+    for _ in range(QUARANTINE_THRESHOLD):
         fleet.end(FATAL)
-    for number in range(2 * MOST_SUSPECTS):
+    for number in range(2 * MAX_SUSPECTS):
         fleet.quarantine.ended(f"x-{number}", [bystander(f"b-{number}")], 200.0, "e")
-    assert len(fleet.quarantine.by_content) == MOST_SUSPECTS
+    assert len(fleet.quarantine.by_content) == MAX_SUSPECTS
     assert fleet.is_held("fatal")
     for _ in range(100):
         fleet.end(FATAL)
