Withdraw a request that is put in quarantine from where it still waits

Cause: quarantine is asked before a run is sent; a run that had been sent before and waited for a slot at its target was let in there afterwards. Now an instance closes the connections of such runs when it puts a request in quarantine. Only runs without an event are cancelled; the target gets no strike, the caller 502 or, where the request may run again, the refusal of the quarantine. The new test failed before (its run stayed at its target until its deadline).

--- a/src/caperridge/decisions/ejection.py
+++ b/src/caperridge/decisions/ejection.py
@@ -13,6 +13,7 @@
     Lost,
     NotSent,
     TargetRefused,
+    Withdrawn,
     WrongAnswer,
 )
 
@@ -50,6 +51,11 @@
     return 1
 
 
+@strikes_of.register
+def _(error: Withdrawn) -> int:
+    return 0
+
+
 class Health(Record):
     """What speaks against one target.
 
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from caperridge.gateway.request_guard import RequestGuard
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import Outbound, TargetClient
+from caperridge.gateway.waiting_runs import WaitingRuns
 from caperridge.log import logger
 from caperridge.refusals import NOT_RUN
 from caperridge.targets.outcomes import (
@@ -35,6 +36,7 @@
     Lost,
     NotSent,
     TargetRefused,
+    Withdrawn,
     WrongAnswer,
 )
 
@@ -66,6 +68,7 @@
         self._client = client
         self._dialect = dialect
         self._guard = guard
+        self._waiting = WaitingRuns(guard)
         self._metrics = metrics
         self._limits = limits
         self._answers = AnswerRelay(metrics)
@@ -223,7 +226,7 @@
         self._fleet.changed()
         self.placed(target.id)
         try:
-            error = await self._attempt(request, reply, carriage, target)
+            error = await self._attempt_unless_held(request, reply, carriage, target)
         except asyncio.CancelledError:
             if carriage.last_event == sent_events:
                 age_s = asyncio.get_running_loop().time() - began
@@ -236,6 +239,8 @@
         events = carriage.last_event - sent_events
         if isinstance(error, Lost):
             self._guard.lost(target, self._mark(request, carriage), took_s, events)
+        if isinstance(error, Withdrawn):
+            self._guard.left(target, self._mark(request, carriage), took_s)
         if error is not None:
             return error
         self._guard.ran_well(self._mark(request, carriage))
@@ -243,6 +248,26 @@
         lengths.answered(events, took_s, queued=not at_once)
         return None
 
+    async def _attempt_unless_held(
+        self,
+        request: InboundRequest,
+        reply: Reply,
+        carriage: Carriage,
+        target: Target,
+    ) -> AttemptError | None:
+        """Have ``target`` run the request until the request is put in quarantine."""
+        mark = self._mark(request, carriage)
+        limit: asyncio.Timeout | None = None
+        try:
+            async with self._waiting.within(request.id, mark, carriage) as limit:
+                return await self._attempt(request, reply, carriage, target)
+        except TimeoutError:
+            if limit is None or not limit.expired():
+                raise
+            # Ask the guard again though the target may not have begun to answer.
+            carriage.admitted_runs = -1
+            return Withdrawn("its request is in quarantine")
+
     async def _attempt(
         self,
         request: InboundRequest,
@@ -308,6 +333,8 @@
         )
         if isinstance(error, TargetRefused) and error.replaced:
             self._fleet.replaced(target.id, now)
+        if isinstance(error, Withdrawn):
+            return
         if not _certainly_not_run(error) or isinstance(error, NotSent):
             self._fleet.failed(target, error, now)
 
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from caperridge.decisions.quarantine import SETTLE_S, Quarantine
@@ -63,6 +64,7 @@
     Attributes:
         quarantine: what is known of requests.
         rows: what the store keeps of it.
+        quarantined: called with the content of a request that is newly in quarantine.
 
     Args:
         quarantine: filled and asked.
@@ -84,6 +86,7 @@
     ) -> None:
         self.rows = rows
         self.quarantine = quarantine
+        self.quarantined: Callable[[str], None] = lambda content: None
         self._ends = ends
         self._mesh = mesh
         self._fleet = fleet
@@ -273,6 +276,7 @@
             log.warning("request put in quarantine", **_told(suspect))
             self.rows.changed(suspect.content)
             self._count()
+            self.quarantined(suspect.content)
 
     def _count(self) -> None:
         self._metrics.quarantine.set(len(self.quarantine.held()))
--- /dev/null
+++ b/src/caperridge/gateway/waiting_runs.py
@@ -0,0 +1,86 @@
+"""Runs that have made no event yet, cancelled when their request is quarantined.
+
+A target runs what it has queued even after other instances have learnt that the request
+crashes targets. Closing the connection has it dropped.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from caperridge.gateway.fingerprint import Fingerprint
+from caperridge.gateway.inbound import Carriage
+from caperridge.gateway.request_guard import RequestGuard
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+
+class WaitingRun(Record):
+    """One run of one request.
+
+    Attributes:
+        request: its id.
+        mark: what the request asks for.
+        carriage: of the request.
+        after_event: number of the last event before this run.
+        limit: ends the run.
+    """
+
+    __slots__ = ("after_event", "carriage", "limit", "mark", "request")
+
+    def __init__(
+        self,
+        request: str,
+        mark: Fingerprint,
+        carriage: Carriage,
+        limit: asyncio.Timeout,
+    ) -> None:
+        self.request = request
+        self.mark = mark
+        self.carriage = carriage
+        self.after_event = carriage.last_event
+        self.limit = limit
+
+
+class WaitingRuns:
+    """The runs of one instance.
+
+    Args:
+        guard: says which requests are in quarantine.
+    """
+
+    def __init__(self, guard: RequestGuard) -> None:
+        self._guard = guard
+        self._runs_by_number: dict[int, WaitingRun] = {}
+        guard.quarantined = self._withdraw
+
+    @contextlib.asynccontextmanager
+    async def within(
+        self, request: str, mark: Fingerprint, carriage: Carriage
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """End the block with :class:`TimeoutError` if the run is withdrawn.
+
+        Args:
+            request: its id.
+            mark: what it asks for.
+            carriage: of the request.
+        """
+        async with asyncio.timeout(None) as limit:
+            self._runs_by_number[id(limit)] = WaitingRun(request, mark, carriage, limit)
+            try:
+                yield limit
+            finally:
+                del self._runs_by_number[id(limit)]
+
+    def _withdraw(self, content: str) -> None:
+        """Cancel the runs of a request that is in quarantine from now on."""
+        now = asyncio.get_running_loop().time()
+        for run in self._runs_by_number.values():
+            if run.mark.content != content or not self._guard.is_held(run.mark):
+                continue
+            if run.carriage.last_event != run.after_event or run.limit.expired():
+                continue
+            log.info("run withdrawn", request=run.request, content=content)
+            run.limit.reschedule(now)
--- a/src/caperridge/targets/outcomes.py
+++ b/src/caperridge/targets/outcomes.py
@@ -77,7 +77,16 @@
         self.reason = reason
 
 
-AttemptError = NotSent | TargetRefused | Lost | WrongAnswer
+class Withdrawn(Record):
+    """This end cancelled the attempt, which says nothing of the target."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+AttemptError = NotSent | TargetRefused | Lost | WrongAnswer | Withdrawn
 
 
 @singledispatch
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -130,6 +130,39 @@
         assert float(answer.headers["Retry-After"]) > 0
 
 
+async def test_a_run_that_waits_elsewhere_is_withdrawn_by_the_quarantine(
+    fleet: World,
+) -> None:
+    """The third crash is told of while the request waits at a fourth target.
+
+    Seen: a target crashed 0.25 s after the third one, under a run that had been sent
+    there before and was let in after all instances had the request in quarantine.
+    """
+    waiting = fleet.runners[0]
+    waiting.fatal = lambda run: False
+    waiting.hold_head = True
+    crashing = fleet.runners[1:]
+    for runner in crashing:
+        runner.refuse = True
+    asking = [
+        asyncio.ensure_future(fleet.ask(fleet.instances[0], "/once/1", id, body))
+        for id, body in (("waits", FATAL), ("harmless", b"another question"))
+    ]
+    await until(lambda: waiting.busy == 2)
+    waiting.refuse = True
+    for runner in crashing:
+        runner.refuse = False
+    await repeat(fleet, "/once/1", count=ENOUGH)
+    assert ended(fleet) == ENOUGH
+    withdrawn = await asking[0]
+    assert withdrawn.status == 502
+    assert {run.id: run.cut for run in waiting.runs} == {
+        "waits": True,
+        "harmless": False,
+    }
+    asking[1].cancel()
+
+
 async def test_an_item_that_ended_three_targets_is_sent_to_no_other(
     fleet: World,
 ) -> None:
