Do not count the end of a run's lease as a failure of the item

Cause: a target that hangs answers 504 when the lease of a run, 2.2 s, ends, and every answer but 200 counted as a failed attempt of the item. A 504 now counts against the target only. The new test failed before: the item was dead after three such answers.

--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -54,6 +54,8 @@
 AGAIN_AFTER_S = 0.05
 FAILED_AGAIN_AFTER_S = 0.3
 UNPROCESSABLE = 422
+# Of a target that hangs until the lease of a run ends; the item is not to blame.
+LEASE_ENDED = 504
 # A run holds its slot for so long; then the target ends it unless it was renewed. When
 # its holder has lost power nothing else ends it, and slots stayed taken for up to the
 # 5 s of a whole run. An instance that lost power is back after some 2 s.
@@ -230,12 +232,12 @@
             job.complete(state)
             return
         self._start_after(state, AGAIN_AFTER_S)
-        if isinstance(error, TargetRefused) and error.run != NOT_RUN:
-            self._failed(job, state, route, error)
+        if isinstance(error, TargetRefused) and _is_failure(error):
+            self._failed(job, state, route, error.status)
             return
         if isinstance(error, TargetRefused) and error.replaced:
             self._fleet.replaced(target.id, now)
-        elif isinstance(error, TargetRefused):
+        elif isinstance(error, TargetRefused) and error.run == NOT_RUN:
             self._fleet.refused_item(target.id, now)
         else:
             self._fleet.failed(target, error, now)
@@ -245,7 +247,7 @@
         job: HeldJob,
         state: ItemState,
         route: Route,
-        error: TargetRefused,
+        status: int,
     ) -> None:
         """Count an attempt that the target says failed."""
         failures = state.progress.failures + 1
@@ -253,7 +255,7 @@
             state.progress.event, state.progress.text, failures
         )
         self._start_after(state, FAILED_AGAIN_AFTER_S)
-        if error.status == UNPROCESSABLE or failures >= route.most_attempts:
+        if status == UNPROCESSABLE or failures >= route.most_attempts:
             job.bury(state)
 
     def _start_after(self, state: ItemState, pause_s: float) -> None:
@@ -354,6 +356,11 @@
         )
 
 
+def _is_failure(error: TargetRefused) -> bool:
+    """Whether the target ran the item and says that it failed."""
+    return error.run != NOT_RUN and error.status != LEASE_ENDED
+
+
 def _outcome(error: AttemptError | None, moves: bool) -> str:
     if moves:
         return "cancelled"
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -196,6 +196,19 @@
     assert len(runner.runs) == attempts
 
 
+async def test_an_item_at_targets_that_hang_is_not_given_up(world: World) -> None:
+    # Guards against items said to be dead because the leases of their runs ended.
+    runner = await world.add_runner()
+    runner.status = 504
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    await until(lambda: len(runner.runs) > 3)  # attempts of its route
+    runner.status = 200
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["state"] == "completed"
+
+
 async def test_items_of_a_route_that_is_gone_end_dead(world: World) -> None:
     runner = await world.add_runner()
     runner.refuse = True
