Speak to other zones through two contacts where there are many instances

Cause: beyond 16 peers each instance kept a stream to every other one, and told each its heartbeat, its jobs and who ended.

Change: a full mesh within the zone, two contacts in each other zone chosen by rendezvous hashing. A contact passes on at once what is for its zone or for one instance of it, and signs of life with its own beat. An end that near peers see is reported elsewhere by two of them.

--- a/src/caperridge/gateway/jobs/broker.py
+++ b/src/caperridge/gateway/jobs/broker.py
@@ -19,8 +19,9 @@
 from caperridge.records import Record
 
 # A grant that was not used by then was lost or came too late; messages take 2 ms, and
-# in a large fleet up to 20 ms more.
+# in a large fleet up to 20 ms more for each of the peers that pass them on.
 GRANT_S = 0.08
+RELAYED_GRANT_S = 0.12
 # Online requests that fill this share of a target's slots keep one of so many free
 # beside them. By a model of 15 targets of 8 slots and 130 requests/s of 0.7 s:
 # items give way 18 times a second instead of 73 and lose 5 in 100 of their time.
@@ -193,6 +194,7 @@
         occupancy: Occupancy,
         store_now: float,
         now: float,
+        grant_s: float = GRANT_S,
     ) -> list[Grant]:
         """Return grants of free slots, the most urgent items first.
 
@@ -201,6 +203,7 @@
             occupancy: counts at them.
             store_now: the store's clock, which items are due by.
             now: the loop's clock.
+            grant_s: how long a grant may be used.
         """
         self._grants = [grant for grant in self._grants if grant.until > now]
         free_by_id, targets_by_id = self._free(targets, occupancy, now)
@@ -218,7 +221,7 @@
             if free_by_id[id] <= spare:
                 del free_by_id[id]
                 continue
-            grant = Grant(instance, id, service, now + GRANT_S)
+            grant = Grant(instance, id, service, now + grant_s)
             self._grants.append(grant)
             granted.append(grant)
             free_by_id[id] -= 1
--- a/src/caperridge/gateway/jobs/granting.py
+++ b/src/caperridge/gateway/jobs/granting.py
@@ -11,7 +11,14 @@
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.asking import Opening, split
-from caperridge.gateway.jobs.broker import Members, SlotBroker, Want, spare_slots
+from caperridge.gateway.jobs.broker import (
+    GRANT_S,
+    RELAYED_GRANT_S,
+    Members,
+    SlotBroker,
+    Want,
+    spare_slots,
+)
 from caperridge.gateway.jobs.held_job import HeldJob
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
@@ -96,7 +103,11 @@
             return
         targets = {target.id: target for target in self.granted_here()}
         grants = self._broker.grant(
-            targets.values(), self._fleet.occupancy, self._clock.now(), now
+            targets.values(),
+            self._fleet.occupancy,
+            self._clock.now(),
+            now,
+            RELAYED_GRANT_S if self._mesh.large else GRANT_S,
         )
         for grant in grants:
             if grant.instance != self._mesh.instance:
--- a/src/caperridge/gateway/jobs/recalls.py
+++ b/src/caperridge/gateway/jobs/recalls.py
@@ -19,9 +19,8 @@
 
 log = logger(__name__)
 
-# An item has ended, and its count is back, some 10 ms after it was recalled, or 45 ms
-# where much comes from peers.
-AGAIN_AFTER_S = 0.05
+# An item has ended, and its count is back, within five passings on of 20 ms each.
+AGAIN_AFTER_S = 0.1
 
 
 class SlotRecalls:
--- a/src/caperridge/gateway/mesh/member.py
+++ b/src/caperridge/gateway/mesh/member.py
@@ -9,19 +9,45 @@
         address: that its peers connect to.
         zone: its availability zone; empty if not known.
         incarnation: of its life as last heard; empty if never.
+        previous_incarnation: that was heard before the present one.
         heard_at: when its last message came; -inf if none did or its stream ended.
         lost_at: when it was first found to be silent; None while it is heard.
+        reported_lost_at: when its zone last reported it as lost.
         leaving: it said that it takes no new work.
         store_reached: it said that the store answers it.
+        affinity: rank among the contacts of this instance, lowest first.
+        avoid_until: when it may be tried as a contact after it was not reached.
     """
 
-    def __init__(self, id: str, address: str, zone: str, now: float) -> None:
+    __slots__ = (
+        "address",
+        "affinity",
+        "avoid_until",
+        "heard_at",
+        "id",
+        "incarnation",
+        "leaving",
+        "listed_at",
+        "lost_at",
+        "previous_incarnation",
+        "reported_lost_at",
+        "store_reached",
+        "zone",
+    )
+
+    def __init__(
+        self, id: str, address: str, zone: str, now: float, affinity: int = 0
+    ) -> None:
         self.id = id
         self.address = address
         self.zone = zone
         self.incarnation = ""
+        self.previous_incarnation = ""
         self.heard_at = float("-inf")
         self.lost_at: float | None = now
+        self.reported_lost_at = float("-inf")
         self.leaving = False
         self.store_reached = False
         self.listed_at = now
+        self.affinity = affinity
+        self.avoid_until = float("-inf")
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -1,14 +1,17 @@
 """The peers: who they are, who is heard from, and sending to them."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable, Iterable
 
+from caperridge.gateway.mesh.dialers import Dialers
 from caperridge.gateway.mesh.member import Member
 from caperridge.gateway.mesh.messages import Hello
 from caperridge.gateway.mesh.paced_reading import PacedReader
+from caperridge.gateway.mesh.relay import ZoneRelay
+from caperridge.gateway.mesh.roster import Roster
 from caperridge.gateway.mesh.streams import InStream, OutStream, encode
+from caperridge.gateway.mesh.traffic import FAR, NEAR, PeerTraffic
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -20,28 +23,23 @@
 SILENCE_S = 1.5
 # Who was told something so lately needs no sign of life.
 RECENT_S = 0.1
-# Up to so many peers all are told everything at once. Beyond, those of other
-# availability zones are told less often, so that what an instance sends and hears
-# grows with its zone and not with the whole system.
-MOST_CLOSE_PEERS = 16
-FAR_SILENCE_S = 4.5
-# How many peers pass news on when there are too many to tell each: about three hear it
-# from each instance that had it from the store.
+# Far peers are heard through contacts: each passes on with its own beat what it heard,
+# and two of them are told in turn. Two in a row are lost within 2.4 s.
+FAR_SILENCE_S = 3.0
+# How many near peers pass news on when there are too many to tell each: about three
+# hear it from each instance that had it from the store.
 NEWS_PEERS = 5
-REDIAL_S = 0.3
-# A stream may be silent though what is sent into it is acknowledged on its way, so one
-# that is older is opened anew while its peer is silent, or says that it hears nothing.
-# Twice the silence after which a near peer is lost: one that stands still gets a
-# connection from each peer so often.
-RENEW_S = 3.0
 # An instance that nobody lists and that was not heard from for so long is forgotten.
-FORGET_S = 30.0
+# Where there are many, the list is read twice a minute.
+FORGET_S = 90.0
+# Who names fewer members than this has just started, and is told of all.
+KNOWS_FEW = 8
 
 Handler = Callable[[str, Record], None]
 
 
 class Mesh:
-    """Streams to and from all peers.
+    """Streams to and from peers.
 
     Args:
         instance: own id.
@@ -66,12 +64,13 @@
         self.incarnation = incarnation
         self.zone = zone
         self.address = address
-        self.members_by_id: dict[str, Member] = {}
-        # Counts what changes who is heard from, who leaves and who is where.
-        self.changes = 0
-        self._seeds = [seed for seed in seeds if seed != address]
-        self._streams_by_address: dict[str, OutStream] = {}
-        self._dialers_by_address: dict[str, asyncio.Task[None]] = {}
+        self.roster = Roster(instance, zone)
+        self.members_by_id = self.roster.members_by_id
+        self.traffic = PeerTraffic()
+        self._dialers = Dialers(
+            self.roster, address, seeds, self._hello_to, self._connected
+        )
+        self._relay = ZoneRelay(self, self._dialers)
         self._handlers_by_kind: dict[type[Record], Handler] = {}
         self._appeared: list[Callable[[Member], None]] = []
         self._lost: list[Callable[[Member], None]] = []
@@ -80,11 +79,7 @@
         self._server: asyncio.Server | None = None
         self._reader: PacedReader | None = None
         self._streams: set[InStream] = set()
-        self._alive_key = -1
-        self._alive: list[Member] = []
-        self._near_key: tuple[int, bool] | None = None
-        self._near: list[Member] = []
-        self._alive_incarnations: frozenset[str] = frozenset()
+        self._relay.register()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
         """Have ``handler`` told of each message of ``kind``, with its sender's id."""
@@ -119,8 +114,7 @@
         self._server = await loop.create_server(
             lambda: InStream(reader, self._hears, self._stream_ended), host, int(port)
         )
-        for seed in self._seeds:
-            self._dial(seed)
+        self._dialers.start()
 
     async def stop(self) -> None:
         """Close all streams."""
@@ -128,109 +122,49 @@
             self._server.close()
         for stream in list(self._streams):
             stream.close()
-        tasks = list(self._dialers_by_address.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._dialers.stop()
         if self._reader is not None:
             self._reader.close()
 
+    # Who is there.
+
+    @property
+    def changes(self) -> int:
+        """Count of what changed who is heard from, who leaves and who is where."""
+        return self.roster.changes
+
+    @property
+    def large(self) -> bool:
+        """Whether there are too many peers for a full mesh."""
+        return self.roster.large
+
+    def is_near(self, member: Member) -> bool:
+        """Whether a peer is told everything at once."""
+        return self.roster.is_near(member)
+
     def alive(self) -> list[Member]:
         """Return the members that are heard from."""
-        self._look_who_is_alive()
-        return self._alive
+        return self.roster.alive()
 
     def incarnation_alive(self, incarnation: str) -> bool:
         """Whether this life of an instance is the own one or is heard from."""
-        self._look_who_is_alive()
-        return incarnation == self.incarnation or incarnation in (
-            self._alive_incarnations
-        )
-
-    def _look_who_is_alive(self) -> None:
-        if self._alive_key == self.changes:
-            return
-        self._alive_key = self.changes
-        members = self.members_by_id.values()
-        self._alive = [member for member in members if member.lost_at is None]
-        self._alive_incarnations = frozenset(one.incarnation for one in self._alive)
+        own = incarnation == self.incarnation
+        return own or self.roster.incarnation_alive(incarnation)
 
     def leaves(self, id: str, leaving: bool) -> None:
         """Note whether a member takes no new work."""
         member = self.members_by_id.get(id)
         if member is not None and member.leaving != leaving:
             member.leaving = leaving
-            self.changes += 1
-
-    def send(self, instance: str, message: Record) -> bool:
-        """Queue ``message`` for one peer; False if there is no stream to it."""
-        member = self.members_by_id.get(instance)
-        stream = self._streams_by_address.get(member.address) if member else None
-        return stream is not None and stream.send(encode(message))
-
-    def send_all(self, message: Record) -> None:
-        """Queue ``message`` for every peer that there is a stream to."""
-        data = encode(message)
-        for stream in self._streams_by_address.values():
-            if stream.connected:
-                stream.send(data)
-
-    @property
-    def large(self) -> bool:
-        """Whether there are too many peers to tell each one everything."""
-        return len(self.members_by_id) > MOST_CLOSE_PEERS
-
-    def is_near(self, member: Member) -> bool:
-        """Whether a peer is told everything at once."""
-        return not self.large or member.zone == self.zone
-
-    def send_near(self, message: Record) -> None:
-        """Queue ``message`` for the peers that are told everything at once."""
-        self._send_to(self._near_members(), message)
-
-    def _near_members(self) -> list[Member]:
-        key = self.changes, self.large
-        if key != self._near_key:
-            self._near_key = key
-            self._near = [m for m in self._members() if self.is_near(m)]
-        return self._near
-
-    def send_quiet(self, message: Record) -> None:
-        """Queue ``message`` for the near peers that were told nothing lately."""
-        before = asyncio.get_running_loop().time() - RECENT_S
-        data = encode(message)
-        for member in self._near_members():
-            stream = self._streams_by_address.get(member.address)
-            if stream is not None and stream.sent_at <= before:
-                stream.send(data)
-
-    def send_zone(self, zone: str, message: Record) -> None:
-        """Queue ``message`` for the peers of one availability zone."""
-        self._send_to((m for m in self._members() if m.zone == zone), message)
-
-    def send_some(self, message: Record) -> None:
-        """Queue ``message`` for all peers, or for some at random if there are many."""
-        members = list(self._members())
-        if self.large:
-            members = self._chance.sample(members, min(NEWS_PEERS, len(members)))
-        self._send_to(members, message)
+            self.roster.changes += 1
 
     def learn(self, id: str, address: str, zone: str) -> None:
         """Take note of an instance that is listed somewhere."""
         if id == self.instance:
             return
         now = asyncio.get_running_loop().time()
-        member = self.members_by_id.get(id)
-        if member is None:
-            member = Member(id, address, zone, now)
-            self.members_by_id[id] = member
-            self.changes += 1
-        if member.address != address and member.lost_at is not None:
-            member.address = address
-            member.zone = zone
-            self.changes += 1
-        member.listed_at = now
-        self._dial(member.address)
+        if self.roster.learn(id, address, zone, now):
+            self._dialers.members_changed()
 
     def check(self) -> None:
         """Find members that have fallen silent; forget those long gone."""
@@ -241,15 +175,21 @@
                 self._lose(member, "it is silent")
             if member.lost_at is None:
                 continue
-            self._renew(member)
+            self._dialers.renew(member)
             if now - max(member.lost_at, member.listed_at) > FORGET_S:
-                del self.members_by_id[member.id]
-                self.changes += 1
-                self._hang_up(member.address)
-
-    def hello(self) -> Hello:
-        """Return what this instance says first on a connection."""
-        known = self.members_by_id.values()
+                self.roster.forget(member)
+        self._dialers.reconcile()
+
+    def hello(self, of_all: bool = True) -> Hello:
+        """Return what this instance says first on a connection.
+
+        Args:
+            of_all: name all members rather than those that streams lead to.
+        """
+        known = list(self.members_by_id.values())
+        if not of_all:
+            streams = self._dialers.streams_by_address
+            known = [one for one in known if one.address in streams]
         return Hello(
             self.instance,
             self.incarnation,
@@ -259,59 +199,88 @@
             unheard=[one.id for one in known if one.lost_at is not None],
         )
 
-    def _members(self) -> Iterable[Member]:
-        return self.members_by_id.values()
+    def _hello_to(self, address: str) -> Hello:
+        return self.hello(of_all=not self.large or self._dialers.is_guest(address))
+
+    # Sending.
+
+    def send(self, instance: str, message: Record) -> bool:
+        """Queue ``message`` for one peer; False if there is no way to it."""
+        member = self.members_by_id.get(instance)
+        if member is None:
+            return False
+        stream = self._dialers.stream_to(member)
+        if stream is not None:
+            data = encode(message)
+            self._count(message, member, len(data))
+            return stream.send(data)
+        if self.is_near(member):
+            return False
+        return self._relay.send(member, message)
+
+    def send_all(self, message: Record) -> None:
+        """Queue ``message`` for every peer that there is a way to."""
+        self.send_near(message)
+        self._relay.send_everywhere(message)
+
+    def send_near(self, message: Record) -> None:
+        """Queue ``message`` for the peers that are told everything at once."""
+        self._send_to(self._near_members(), message)
+
+    def _near_members(self) -> list[Member]:
+        return self.roster.near()
+
+    def send_quiet(self, message: Record) -> None:
+        """Queue ``message`` for the near peers that were told nothing lately."""
+        before = asyncio.get_running_loop().time() - RECENT_S
+        quiet: list[Member] = []
+        for member in self._near_members():
+            stream = self._dialers.stream_to(member)
+            if stream is not None and stream.sent_at <= before:
+                quiet.append(member)
+        self._send_to(quiet, message)
+
+    def send_zone(self, zone: str, message: Record) -> None:
+        """Queue ``message`` for the peers of another availability zone."""
+        if self.large:
+            self._relay.send_zone(zone, message)
+            return
+        members = self.members_by_id.values()
+        self._send_to((one for one in members if one.zone == zone), message)
+
+    def send_contacts(self, message: Record, all_contacts: bool = False) -> None:
+        """Queue ``message`` for one contact in each zone, in turn, or for all."""
+        self._send_to(self._relay.contacts(all_contacts), message)
+
+    def send_some(self, message: Record) -> None:
+        """Queue ``message`` for near peers, for some at random if there are many."""
+        members = self._near_members()
+        if self.large:
+            members = self._chance.sample(members, min(NEWS_PEERS, len(members)))
+        self._send_to(members, message)
+
+    def pass_heartbeats_on(self) -> None:
+        """Tell near peers what others elsewhere said since the last call."""
+        self._relay.pass_heartbeats_on()
 
     def _send_to(self, members: Iterable[Member], message: Record) -> None:
         data = encode(message)
         for member in members:
-            stream = self._streams_by_address.get(member.address)
-            if stream is not None and stream.connected:
+            stream = self._dialers.stream_to(member)
+            if stream is not None:
+                self._count(message, member, len(data))
                 stream.send(data)
 
-    def _dial(self, address: str) -> None:
-        if address == self.address or address in self._dialers_by_address:
-            return
-        stream = OutStream(address, lambda: self._greeting(address))
-        self._streams_by_address[address] = stream
-        task = asyncio.get_running_loop().create_task(self._keep(stream))
-        self._dialers_by_address[address] = task
-
-    def _renew(self, member: Member) -> None:
-        """End the stream to a member, for another to be opened, if it is not new."""
-        stream = self._streams_by_address.get(member.address)
-        if stream is None or not stream.connected:
-            return
-        if asyncio.get_running_loop().time() - stream.opened_at > RENEW_S:
-            log.info("stream opened anew", peer=member.id)
-            stream.end()
-
-    def _greeting(self, address: str) -> Hello:
-        asyncio.get_running_loop().call_soon(self._connected, address)
-        return self.hello()
+    def _count(self, message: Record, member: Member, size: int) -> None:
+        distance = NEAR if member.zone == self.zone else FAR
+        self.traffic.add(type(message).__name__, distance, 1, size)
 
-    def _connected(self, address: str) -> None:
+    def _connected(self, stream: OutStream) -> None:
         """Say what comes after the hello."""
-        stream = self._streams_by_address.get(address)
-        if stream is None:
-            return
         for call in self._said_first:
             stream.send(encode(call()))
 
-    def _hang_up(self, address: str) -> None:
-        self._streams_by_address.pop(address, None)
-        task = self._dialers_by_address.pop(address, None)
-        if task is not None:
-            task.cancel()
-
-    async def _keep(self, stream: OutStream) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            began = loop.time()
-            with contextlib.suppress(OSError, TimeoutError):
-                await stream.run_once()
-            if loop.time() - began < RENEW_S:
-                await asyncio.sleep(REDIAL_S)
+    # Hearing.
 
     def _hears(self, stream: InStream, message: Record | None) -> None:
         """Take a message; the first on a stream says who speaks."""
@@ -344,46 +313,80 @@
         member = self.members_by_id.get(stream.instance)
         if member is None or member.incarnation != stream.incarnation:
             return
+        if not self.is_near(member):
+            return  # it has chosen another contact, or its own zone reports its end
         others = any(one.incarnation == stream.incarnation for one in self._streams)
         if member.lost_at is None and not others:
             self._lose(member, reason)
+            self._relay.report_lost(member)
 
     def _greeted(self, hello: Hello) -> None:
         self.learn(hello.instance, hello.address, hello.availability_zone)
         member = self.members_by_id[hello.instance]
-        if member.address != hello.address:
-            self._hang_up(member.address)
-            member.address = hello.address
-            self._dial(member.address)
-        if member.lost_at is None and member.incarnation != hello.incarnation:
-            self._lose(member, "it was started again")
-        member.zone = hello.availability_zone
-        member.incarnation = hello.incarnation
+        self.begins_life(
+            member, hello.incarnation, hello.address, hello.availability_zone
+        )
         member.leaving = False
-        self.changes += 1
+        self.roster.changes += 1
         for id, address, zone in hello.members:
             self.learn(id, address, zone)
         if self.instance in hello.unheard:
-            self._renew(member)
+            self._dialers.renew(member)
         self._heard(member, None)
+        knows_few = len(hello.members) < KNOWS_FEW
+        if knows_few and not self.is_near(member):
+            self._dialers.greet(member.address)
+
+    def begins_life(
+        self, member: Member, incarnation: str, address: str, zone: str
+    ) -> None:
+        """Note of which life a member is heard, and where."""
+        if member.lost_at is None and member.incarnation != incarnation:
+            self._lose(member, "it was started again")
+        moved = member.address != address or member.zone != zone
+        member.address = address
+        member.zone = zone
+        if member.incarnation != incarnation:
+            member.previous_incarnation = member.incarnation
+            member.incarnation = incarnation
+            self.roster.changes += 1
+        if moved:
+            self.roster.changes += 1
+            self._dialers.members_changed()
 
     def _heard(self, member: Member, message: Record | None) -> None:
-        member.heard_at = asyncio.get_running_loop().time()
-        if member.lost_at is not None:
-            member.lost_at = None
-            self.changes += 1
-            log.info("peer heard", peer=member.id, incarnation=member.incarnation)
-            for call in self._appeared:
-                call(member)
+        self.found_alive(member)
         if message is None:
             return
+        self.dispatch(member, message)
+        self._relay.heard(member, message)
+
+    def found_alive(self, member: Member) -> None:
+        """Note that a member lives."""
+        member.heard_at = asyncio.get_running_loop().time()
+        if member.lost_at is None:
+            return
+        member.lost_at = None
+        self.roster.changes += 1
+        log.info("peer heard", peer=member.id, incarnation=member.incarnation)
+        for call in self._appeared:
+            call(member)
+
+    def dispatch(self, member: Member, message: Record) -> None:
+        """Have what a member said handled."""
         handler = self._handlers_by_kind.get(type(message))
         if handler is not None:
             handler(member.id, message)
 
     def _lose(self, member: Member, reason: str) -> None:
         member.lost_at = asyncio.get_running_loop().time()
-        self.changes += 1
+        self.roster.changes += 1
         log.warning("peer lost", peer=member.id, reason=reason)
+        if self.large:
+            self._dialers.members_changed()
         for call in self._lost:
             call(member)
+
+    def lose(self, member: Member, reason: str) -> None:
+        """Take a member for lost by the word of others."""
+        self._lose(member, reason)
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -256,6 +256,54 @@
         self.suspects = suspects
 
 
+class Relay(Record):
+    """Asks a contact to pass a message on in its availability zone.
+
+    Attributes:
+        to: instance that it is for; empty for all of the zone, the contact included.
+        body: of the frame of the message.
+    """
+
+    __slots__ = ("body", "to")
+
+    def __init__(self, to: str, body: bytes) -> None:
+        self.to = to
+        self.body = body
+
+
+class Relayed(Record):
+    """Messages of instances elsewhere: instance, incarnation and body of each."""
+
+    __slots__ = ("messages",)
+
+    def __init__(self, messages: list[list[Any]]) -> None:
+        self.messages = messages
+
+
+class RelayedHeartbeats(Record):
+    """What instances elsewhere last said of themselves.
+
+    Attributes:
+        heartbeats: instance, incarnation, address, availability zone, whether it
+            leaves, whether the store answers it, and counts as in :class:`Heartbeat`.
+    """
+
+    __slots__ = ("heartbeats",)
+
+    def __init__(self, heartbeats: list[list[Any]]) -> None:
+        self.heartbeats = heartbeats
+
+
+class MemberLost(Record):
+    """The connection of a peer of the speaker's zone ended, and nothing followed."""
+
+    __slots__ = ("incarnation", "instance")
+
+    def __init__(self, instance: str, incarnation: str) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+
+
 KINDS_BY_NAME = {
     kind.__name__: kind
     for kind in (
@@ -277,5 +325,9 @@
         TargetEnded,
         SoundRuns,
         Suspects,
+        Relay,
+        Relayed,
+        RelayedHeartbeats,
+        MemberLost,
     )
 }
--- /dev/null
+++ b/src/caperridge/gateway/mesh/relay.py
@@ -0,0 +1,255 @@
+"""Messages to and from other availability zones, by way of contacts.
+
+An instance sends to its contacts only; each passes on to the peers of its own zone what
+is for them. Signs of life are gathered and passed on with the contact's own beat, all
+else at once. A message is passed on once, so it cannot go in circles.
+"""
+
+import asyncio
+from typing import Protocol
+
+from caperridge.decisions.rendezvous import score
+from caperridge.gateway.mesh.dialers import Dialers
+from caperridge.gateway.mesh.member import Member
+from caperridge.gateway.mesh.messages import (
+    Heartbeat,
+    MemberLost,
+    Relay,
+    Relayed,
+    RelayedHeartbeats,
+)
+from caperridge.gateway.mesh.roster import Roster
+from caperridge.gateway.mesh.streams import decode, encode_body
+from caperridge.log import logger
+from caperridge.peers.framing import MessageError
+from caperridge.records import Record
+
+log = logger(__name__)
+
+# A contact that is heard of lately is asked before one that may stand still.
+FRESH_CONTACT_S = 1.5
+# So many peers of one that is lost say so elsewhere; one of them may be lost, too.
+REPORTERS_OF_A_LOSS = 2
+# What is passed on of a life after its end was said before it.
+BELATED_S = 1.0
+
+
+class Hearing(Protocol):
+    """What of the mesh is used here."""
+
+    instance: str
+    roster: Roster
+
+    def register(self, kind: type[Record], handler) -> None:
+        """See :meth:`Mesh.register`."""
+
+    def after_hearing(self, call) -> None:
+        """See :meth:`Mesh.after_hearing`."""
+
+    def send(self, instance: str, message: Record) -> bool:
+        """See :meth:`Mesh.send`."""
+
+    def send_near(self, message: Record) -> None:
+        """See :meth:`Mesh.send_near`."""
+
+    def learn(self, id: str, address: str, zone: str) -> None:
+        """See :meth:`Mesh.learn`."""
+
+    def begins_life(
+        self, member: Member, incarnation: str, address: str, zone: str
+    ) -> None:
+        """See :meth:`Mesh.begins_life`."""
+
+    def found_alive(self, member: Member) -> None:
+        """See :meth:`Mesh.found_alive`."""
+
+    def dispatch(self, member: Member, message: Record) -> None:
+        """See :meth:`Mesh.dispatch`."""
+
+    def lose(self, member: Member, reason: str) -> None:
+        """See :meth:`Mesh.lose`."""
+
+
+class ZoneRelay:
+    """One instance's part in what goes between availability zones.
+
+    Args:
+        mesh: hears and sends.
+        dialers: keep streams to contacts.
+    """
+
+    def __init__(self, mesh: Hearing, dialers: Dialers) -> None:
+        self._mesh = mesh
+        self._roster = mesh.roster
+        self._dialers = dialers
+        self._turn = 0
+        self._heartbeats_by_instance: dict[str, list] = {}
+        self._gathered: list[list] = []
+
+    def register(self) -> None:
+        """Have the mesh hand over what is to be passed on."""
+        self._mesh.register(Relay, self._asked)
+        self._mesh.register(Relayed, self._relayed)
+        self._mesh.register(RelayedHeartbeats, self._relayed_heartbeats)
+        self._mesh.register(MemberLost, self._member_lost)
+        self._mesh.after_hearing(self._pass_on)
+
+    # What this instance says elsewhere.
+
+    def contacts(self, all_contacts: bool) -> list[Member]:
+        """Return one connected contact of each zone, another in turn, or all."""
+        self._turn += 1
+        chosen: list[Member] = []
+        for zone in self._dialers.contacts_by_zone:
+            connected = self._connected(zone)
+            if all_contacts or not connected:
+                chosen += connected
+                continue
+            chosen.append(connected[self._turn % len(connected)])
+        return chosen
+
+    def send(self, member: Member, message: Record) -> bool:
+        """Have ``message`` passed on to one instance; False if there is no way."""
+        return self._send(member.zone, member.id, message)
+
+    def send_zone(self, zone: str, message: Record) -> None:
+        """Have ``message`` passed on to all instances of another zone."""
+        self._send(zone, "", message)
+
+    def send_everywhere(self, message: Record) -> None:
+        """Have ``message`` passed on in all other zones, by each contact."""
+        relay = Relay("", encode_body(message))
+        for contact in self.contacts(all_contacts=True):
+            self._mesh.send(contact.id, relay)
+
+    def report_lost(self, member: Member) -> None:
+        """Say elsewhere that a near peer is lost, if that falls to this instance."""
+        near = [one for one in self._roster.near() if one.lost_at is None]
+        own = score(member.id, self._mesh.instance)
+        ahead = sum(1 for one in near if score(member.id, one.id) > own)
+        if ahead < REPORTERS_OF_A_LOSS:
+            self.send_everywhere(MemberLost(member.id, member.incarnation))
+
+    def _send(self, zone: str, to: str, message: Record) -> bool:
+        contact = self._best(zone)
+        if contact is None:
+            return False
+        return self._mesh.send(contact.id, Relay(to, encode_body(message)))
+
+    def _best(self, zone: str) -> Member | None:
+        """Return the contact of a zone that is asked; None if none is connected."""
+        connected = self._connected(zone)
+        since = asyncio.get_running_loop().time() - FRESH_CONTACT_S
+        for contact in connected:
+            if contact.heard_at >= since:
+                return contact
+        return connected[0] if connected else None
+
+    def _connected(self, zone: str) -> list[Member]:
+        return [
+            contact
+            for contact in self._dialers.contacts_by_zone.get(zone, [])
+            if self._dialers.stream_to(contact) is not None
+        ]
+
+    # What this instance passes on in its zone.
+
+    def heard(self, member: Member, message: Record) -> None:
+        """Gather what a far instance said of itself, to be passed on."""
+        if not isinstance(message, Heartbeat) or self._roster.is_near(member):
+            return
+        before = self._heartbeats_by_instance.get(member.id)
+        self._heartbeats_by_instance[member.id] = [
+            member.id,
+            member.incarnation,
+            member.address,
+            member.zone,
+            message.leaving,
+            message.store_reached,
+            message.counts,
+        ]
+        if message.leaving and before is None:
+            self.pass_heartbeats_on()
+
+    def pass_heartbeats_on(self) -> None:
+        """Tell near peers what was gathered."""
+        if not self._heartbeats_by_instance:
+            return
+        heartbeats = list(self._heartbeats_by_instance.values())
+        self._heartbeats_by_instance.clear()
+        self._mesh.send_near(RelayedHeartbeats(heartbeats))
+
+    def _asked(self, speaker: str, relay: Relay) -> None:
+        """Pass on what a far instance sent by way of this one."""
+        member = self._roster.members_by_id[speaker]
+        entry = [speaker, member.incarnation, relay.body]
+        if relay.to and relay.to != self._mesh.instance:
+            self._mesh.send(relay.to, Relayed([entry]))
+            return
+        self._take(entry)
+        if not relay.to:
+            self._gathered.append(entry)
+
+    def _pass_on(self) -> None:
+        """Pass on what was heard in one turn, in one message."""
+        if not self._gathered:
+            return
+        gathered, self._gathered = self._gathered, []
+        self._mesh.send_near(Relayed(gathered))
+
+    # What others pass on.
+
+    def _relayed(self, contact: str, relayed: Relayed) -> None:
+        for entry in relayed.messages:
+            self._take(entry)
+
+    def _take(self, entry: list) -> None:
+        """Have a message of a far instance handled as if it had come from it."""
+        instance, incarnation, body = entry
+        member = self._roster.members_by_id.get(instance)
+        if member is None or member.incarnation != incarnation:
+            return  # of a life that is over, or of which nothing was heard yet
+        try:
+            message = decode(body)
+        except MessageError as error:
+            log.error("relayed message skipped", peer=instance, reason=str(error))
+            return
+        if message is not None:
+            self._mesh.dispatch(member, message)
+
+    def _relayed_heartbeats(self, contact: str, relayed: RelayedHeartbeats) -> None:
+        for heartbeat in relayed.heartbeats:
+            instance, incarnation, address, zone, leaving, reached, counts, *_ = (
+                heartbeat
+            )
+            member = self._found(instance, incarnation, address, zone)
+            if member is not None:
+                beat = Heartbeat(counts, {}, leaving, reached)
+                self._mesh.dispatch(member, beat)
+
+    def _found(
+        self, instance: str, incarnation: str, address: str, zone: str
+    ) -> Member | None:
+        """Note a sign of life; return whose it is, or None if it says nothing."""
+        if instance == self._mesh.instance:
+            return None
+        self._mesh.learn(instance, address, zone)
+        member = self._roster.members_by_id[instance]
+        if self._roster.is_near(member) or incarnation == member.previous_incarnation:
+            return None
+        now = asyncio.get_running_loop().time()
+        belated = now - member.reported_lost_at < BELATED_S
+        if belated and incarnation == member.incarnation:
+            return None
+        self._mesh.begins_life(member, incarnation, address, zone)
+        self._mesh.found_alive(member)
+        return member
+
+    def _member_lost(self, speaker: str, news: MemberLost) -> None:
+        member = self._roster.members_by_id.get(news.instance)
+        if member is None or self._roster.is_near(member):
+            return
+        if member.incarnation != news.incarnation or member.lost_at is not None:
+            return
+        member.reported_lost_at = asyncio.get_running_loop().time()
+        self._mesh.lose(member, "its zone lost it")
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -33,9 +33,13 @@
 
 def encode(message: Record) -> bytes:
     """Return ``message`` as one frame."""
-    name = type(message).__name__
+    return frame(encode_body(message), type(message).__name__)
+
+
+def encode_body(message: Record) -> bytes:
+    """Return ``message`` as the body of a frame."""
     fields = [getattr(message, field) for field in _fields(type(message))]
-    return frame(pack([name, *fields]), name)
+    return pack([type(message).__name__, *fields])
 
 
 def decode(body: bytes) -> Record | None:
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -96,18 +96,21 @@
         mesh.after_hearing(self._heard_all)
 
     def beat(self) -> None:
-        """Tell that this instance lives, and now and then all it has to tell."""
+        """Tell that this instance lives, and now and then all it has to tell.
+
+        Where there are many peers, contacts elsewhere are told all with each beat.
+        """
         state = self._state()
         self._beats += 1
+        self._mesh.pass_heartbeats_on()
+        if self._mesh.large:
+            whole = self._whole(with_lengths=False)
+            self._mesh.send_contacts(whole, all_contacts=self.leaving)
         if state == self._told_state and self._beats % WHOLE_BEATS:
             self._mesh.send_quiet(Alive())
             return
         self._told_state = state
-        whole = self._whole(with_lengths=not self._mesh.large)
-        if self._mesh.large and self._beats % WHOLE_BEATS and not self.leaving:
-            self._mesh.send_near(whole)
-        else:
-            self._mesh.send_all(whole)
+        self._mesh.send_near(self._whole(with_lengths=not self._mesh.large))
 
     def _state(self) -> tuple[Any, ...]:
         """Return what is told in heartbeats only."""
@@ -143,8 +146,12 @@
         return Heartbeat(counts, versions, self.leaving, self._reach.reached, lengths)
 
     def _appeared(self, member: Member) -> None:
-        """Tell all to a peer that was away and has dropped what it knew."""
-        self._mesh.send(member.id, self._first_word())
+        """Tell all to a peer that was away and has dropped what it knew.
+
+        One elsewhere hears of this instance with the next beat of a contact.
+        """
+        if self._mesh.is_near(member):
+            self._mesh.send(member.id, self._first_word())
 
     def counts_changed(self) -> None:
         """Tell the own counts that changed at the end of this turn of the loop.
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -107,6 +107,7 @@
             settings.seeds,
             chance,
         )
+        self.metrics.registry.register(self.mesh.traffic)
         relayed = RelayedStore(store, self.mesh, self.reach, chance)
         store = ObservedStore(relayed, self.clock, self.metrics)
         self._store = store
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -14,6 +14,9 @@
 
 TABLE = "instances"
 LOOK_S = 3.0
+# Members are heard of from each other; the list is for those who know nobody. So as
+# many instances as these read it in this time, however many there are.
+LOOKS_IN_TIME = 16
 FIRST_LOOK_S = 0.5
 LEAVE_S = 0.3
 
@@ -38,7 +41,8 @@
             if not self._listed:
                 await self._enter()
             if await self._look() and self._listed:
-                pause_s = LOOK_S
+                crowd = len(self._mesh.members_by_id) / LOOKS_IN_TIME
+                pause_s = LOOK_S * max(1.0, crowd)
             await asyncio.sleep(pause_s)
 
     async def leave(self) -> None:
