Read tables of the store by two instances of a zone where there are many

Cause: every instance watched all four tables for itself, so that a change of the targets or of the index cost a call and an answer for each of 195 instances, and each read the list of instances every 3 s.

Change: two instances of a zone, by rendezvous hashing over the near peers that the store answers, watch a table and pass its changes on with the version after which they are complete. The others look for themselves every 6 to 12 s, at once when there is a gap, when a reader is lost, or when the store turns a peer or one of their own calls away.

Tests: tests/gateway/test_table_readers.py. No figure measured yet.

--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -153,10 +153,7 @@
 
     def leaves(self, id: str, leaving: bool) -> None:
         """Note whether a member takes no new work."""
-        member = self.members_by_id.get(id)
-        if member is not None and member.leaving != leaving:
-            member.leaving = leaving
-            self.roster.changes += 1
+        self.roster.leaves(id, leaving)
 
     def learn(self, id: str, address: str, zone: str) -> None:
         """Take note of an instance that is listed somewhere."""
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -117,6 +117,34 @@
         self.rows = rows
 
 
+class TableChanges(Record):
+    """All changes of ``table`` after ``since`` up to ``version``, as the speaker read.
+
+    Attributes:
+        table: name.
+        since: version.
+        version: of the newest.
+        rows: part, key, value, version and whether it was removed, of each.
+        after_outage: entries may have lapsed while the store was away.
+    """
+
+    __slots__ = ("after_outage", "rows", "since", "table", "version")
+
+    def __init__(
+        self,
+        table: str,
+        since: int,
+        version: int,
+        rows: list[list[Any]],
+        after_outage: bool = False,
+    ) -> None:
+        self.after_outage = after_outage
+        self.rows = rows
+        self.since = since
+        self.table = table
+        self.version = version
+
+
 class JobNews(Record):
     """How far a job is.
 
@@ -314,6 +342,7 @@
         TableNews,
         TableAsk,
         TableWhole,
+        TableChanges,
         JobNews,
         SlotWants,
         SlotGrant,
--- a/src/caperridge/gateway/mesh/roster.py
+++ b/src/caperridge/gateway/mesh/roster.py
@@ -92,6 +92,22 @@
         self.changes += 1
         return True
 
+    def leaves(self, id: str, leaving: bool) -> None:
+        """Note whether a member takes no new work."""
+        member = self.members_by_id.get(id)
+        if member is not None and member.leaving != leaving:
+            member.leaving = leaving
+            self.changes += 1
+
+    def reaches_store(self, id: str, reached: bool) -> bool:
+        """Note whether the store answers a member; return if that was news."""
+        member = self.members_by_id.get(id)
+        if member is None or member.store_reached == reached:
+            return False
+        member.store_reached = reached
+        self.changes += 1
+        return True
+
     def forget(self, member: Member) -> None:
         """Drop a member that is long gone."""
         del self.members_by_id[member.id]
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -1,6 +1,7 @@
 """News between instances: counts at targets, and versions of the copied tables."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,7 @@
     Counts,
     Heartbeat,
     TableAsk,
+    TableChanges,
     TableNews,
     TableWhole,
 )
@@ -91,7 +93,11 @@
         mesh.register(TableNews, self._table_news)
         mesh.register(TableAsk, self._table_ask)
         mesh.register(TableWhole, self._table_whole)
+        mesh.register(TableChanges, self._table_changes)
+        for watcher in watchers:
+            watcher.pass_on = functools.partial(self._pass_on, watcher)
         mesh.on_appear(self._appeared)
+        mesh.on_lose(self._peer_lost)
         mesh.say_first(self._first_word)
         mesh.after_hearing(self._heard_all)
 
@@ -215,9 +221,9 @@
             self._fleet.changed()
 
     def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
-        member = self._mesh.members_by_id.get(peer)
-        if member is not None:
-            member.store_reached = beat.store_reached
+        news = self._mesh.roster.reaches_store(peer, beat.store_reached)
+        if news and not beat.store_reached:
+            self._reach.doubt()  # the peer may have read for others
         self._mesh.leaves(peer, beat.leaving)
         counts = {target: Count(*count) for target, *count in beat.counts}
         if self._fleet.occupancy.told_all(peer, counts):
@@ -230,6 +236,47 @@
     def _table_news(self, peer: str, news: TableNews) -> None:
         self._peer_has(peer, news.table, news.version)
 
+    # Changes of tables that one instance of a zone reads for the others.
+
+    def _pass_on(
+        self, watcher: TableWatcher, rows: list[StoredRow], since: int, version: int
+    ) -> None:
+        """Tell near peers what the store had as news, if it is read for them."""
+        table = watcher.copy.table
+        if not self._mesh.large or not watcher.reads_for_others:
+            return
+        told = [
+            [row.key.part, row.key.key, row.value, row.version, row.removed]
+            for row in rows
+        ]
+        now = asyncio.get_running_loop().time()
+        after_outage = self._fleet.targets.may_have_lapsed(now)
+        self._told_versions[table] = version
+        self._mesh.send_near(TableChanges(table, since, version, told, after_outage))
+
+    def _table_changes(self, peer: str, changes: TableChanges) -> None:
+        watcher = self._watchers_by_table.get(changes.table)
+        if watcher is None:
+            return
+        if changes.after_outage:
+            now = asyncio.get_running_loop().time()
+            if not self._fleet.targets.may_have_lapsed(now):
+                self._fleet.targets.store_returned(now)
+        rows = [
+            StoredRow(RowKey(changes.table, part, key), value, version, removed)
+            for part, key, value, version, removed in changes.rows
+        ]
+        # All near peers were told.
+        told = self._told_versions.get(changes.table, 0)
+        self._told_versions[changes.table] = max(told, changes.version)
+        watcher.take_changes_from_peer(rows, changes.since, changes.version, peer)
+
+    def _peer_lost(self, member: Member) -> None:
+        """Read in its place, if that falls to this instance."""
+        if member.zone == self._mesh.zone:
+            for watcher in self._watchers_by_table.values():
+                watcher.readers_changed()
+
     def copy_of(self, table: str) -> TableCopy:
         """Return the own copy of a table."""
         return self._watchers_by_table[table].copy
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -53,12 +53,13 @@
 from caperridge.gateway.state import state_of
 from caperridge.gateway.stopping import PlannedStop
 from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.table_readers import TableReaders
 from caperridge.gateway.table_rows import TableRows
 from caperridge.gateway.target_ends import TargetEnds
 from caperridge.gateway.targets import Target
 from caperridge.gateway.unowned import UnownedLook
 from caperridge.gateway.upstream import TargetClient
-from caperridge.gateway.watcher import StoreReach, TableWatcher
+from caperridge.gateway.watcher import Changed, StoreReach, TableWatcher
 from caperridge.gateway.zones import silent_zones
 from caperridge.log import logger
 
@@ -172,7 +173,7 @@
             self.index,
             self.metrics,
         )
-        self._watchers = self._make_watchers(dialect)
+        self._watchers = self._make_watchers(dialect, chance)
         self.news = PeerNews(self.mesh, self.fleet, self._watchers, self.reach)
         self.registry = InstanceRegistry(store, self.mesh)
         self.sweeper = JobSweeper(
@@ -183,34 +184,25 @@
         self._listeners = [self._door]
         self._wire()
 
-    def _make_watchers(self, dialect: Dialect) -> list[TableWatcher]:
-        takers = {
-            dialect.configuration_table: self._rows.configuration,
-            dialect.targets_table: self._rows.targets,
-        }
-        watchers = [
-            TableWatcher(self._store, TableCopy(table), self.reach, taker)
-            for table, taker in takers.items()
-        ]
-        watchers.append(
-            TableWatcher(
-                self._store,
-                self.index.copy,
-                self.reach,
-                self._rows.index,
-                spacing_s=INDEX_SPACING_S,
-            )
-        )
-        watchers.append(
-            TableWatcher(
-                self._store,
-                self.guard.rows.copy,
-                self.reach,
-                self._held_requests,
-                spacing_s=HELD_SPACING_S,
+    def _make_watchers(
+        self, dialect: Dialect, chance: random.Random
+    ) -> list[TableWatcher]:
+        readers = TableReaders(self.mesh, self.reach)
+
+        def watcher(copy: TableCopy, taker: Changed, spacing_s: float) -> TableWatcher:
+            return TableWatcher(
+                self._store, copy, self.reach, taker, spacing_s, readers.reads, chance
             )
-        )
-        return watchers
+
+        configuration = TableCopy(dialect.configuration_table)
+        targets = TableCopy(dialect.targets_table)
+        held = self.guard.rows.copy
+        return [
+            watcher(configuration, self._rows.configuration, 0.0),
+            watcher(targets, self._rows.targets, 0.0),
+            watcher(self.index.copy, self._rows.index, INDEX_SPACING_S),
+            watcher(held, self._held_requests, HELD_SPACING_S),
+        ]
 
     def _held_requests(self, rows: list[StoredRow], source: str) -> None:
         self.guard.take_rows(rows, source)
--- a/src/caperridge/gateway/targets.py
+++ b/src/caperridge/gateway/targets.py
@@ -106,6 +106,10 @@
         """Note that the store answers again after it was away."""
         self._store_back_at = now
 
+    def may_have_lapsed(self, now: float) -> bool:
+        """Whether an entry that goes now may have lapsed while the store was away."""
+        return now < self._store_back_at + LAPSE_GRACE_S
+
     def put(self, target: Target) -> Target | None:
         """Take a new or changed entry; return the target whose life it shows as over.
 
@@ -130,8 +134,8 @@
         target = self.named(name)
         if target is None:
             return
-        until = self._store_back_at + LAPSE_GRACE_S
-        if now < until and not target.draining:
+        if self.may_have_lapsed(now) and not target.draining:
+            until = self._store_back_at + LAPSE_GRACE_S
             self._lapsing_until_by_id.setdefault(target.id, until)
             return
         self._forget(target.id)
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -1,6 +1,8 @@
 """Keeping a copy of a table up to date, by the store and by peers."""
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Callable
 
 from result import Err
@@ -24,8 +26,14 @@
 LONGEST_PAUSE_S = 0.6
 # A version that a peer has is asked for when the store has not told it by then.
 PEER_PATIENCE_S = 0.04
+# How seldom a table is looked at that others read. With four tables an instance finds
+# every 3 s whether the store answers it.
+UNREAD_PAUSE_S = 12.0
+# Share of that pause by which looks are spread.
+UNREAD_SPREAD = 0.5
 
 Changed = Callable[[list[StoredRow], str], None]
+PassOn = Callable[[list[StoredRow], int, int], None]
 
 
 class StoreReach:
@@ -35,11 +43,21 @@
         self.reached = False
         self.away_since: float | None = None
         self._returned: list[Callable[[float], None]] = []
+        self._doubted: list[Callable[[], None]] = []
 
     def on_return(self, call: Callable[[float], None]) -> None:
         """Have ``call`` called with the time when the store answers again."""
         self._returned.append(call)
 
+    def on_doubt(self, call: Callable[[], None]) -> None:
+        """Have ``call`` called when the store should be looked at again."""
+        self._doubted.append(call)
+
+    def doubt(self) -> None:
+        """Have the watches find out whether the store answers."""
+        for call in self._doubted:
+            call()
+
     def answered(self) -> None:
         """Note that the store answered."""
         if self.reached:
@@ -57,20 +75,27 @@
         """Note that the store did not answer."""
         if self.away_since is None:
             self.away_since = asyncio.get_running_loop().time()
-        if self.reached:
-            log.warning("store lost", reason=reason)
+        was_reached = self.reached
         self.reached = False
+        if was_reached:
+            log.warning("store lost", reason=reason)
+            self.doubt()
 
 
 class TableWatcher:
     """One task that keeps one table's copy.
 
+    Attributes:
+        pass_on: called with all rows that changed after one version up to another.
+
     Args:
         store: asked directly.
         copy: kept up to date.
         reach: told how the store does.
         changed: called with rows that were news and who told of them.
         spacing_s: least time between two watches; gathers changes that are no hurry.
+        reads: whether this instance watches a table all the time.
+        chance: spreads looks at tables that others read.
     """
 
     def __init__(
@@ -80,9 +105,19 @@
         reach: StoreReach,
         changed: Changed,
         spacing_s: float = 0.0,
+        reads: Callable[[str], bool] = lambda table: True,
+        chance: random.Random | None = None,
     ) -> None:
         self.copy = copy
         self.spacing_s = spacing_s
+        self.pass_on: PassOn = lambda rows, since, version: None
+        self._reads = reads
+        self._chance = chance or random.Random()
+        self._wake = asyncio.Event()
+        # Of the newest row that was read in order, and that a peer passed on so.
+        self._read_in_order = 0
+        self._passed_in_order = 0
+        reach.on_doubt(self.look_again)
         self._store = store
         self._reach = reach
         self._changed = changed
@@ -94,7 +129,7 @@
         failed = False
         while True:
             # The first answer after a failure is not waited for until there is news.
-            wait_s = 0.0 if failed else WATCH_S
+            wait_s = 0.0 if failed or not self.reads_for_others else WATCH_S
             answer = await (self._read() if whole else self._watch(wait_s))
             if isinstance(answer, Err):
                 error = answer.err_value
@@ -111,6 +146,54 @@
             whole = failed = False
             if self.spacing_s:
                 await asyncio.sleep(self.spacing_s)
+            await self._rest()
+
+    @property
+    def reads_for_others(self) -> bool:
+        """Whether this instance watches the table all the time."""
+        return self._reads(self.copy.table)
+
+    def look_again(self) -> None:
+        """Look at the table now if others read it."""
+        self._wake.set()
+
+    def readers_changed(self) -> None:
+        """Look at the table now if nobody else reads it any more."""
+        if self.reads_for_others:
+            self._wake.set()
+
+    async def _rest(self) -> None:
+        """Wait while others read the table."""
+        if self.reads_for_others:
+            return
+        pause_s = UNREAD_PAUSE_S * (1 - UNREAD_SPREAD * self._chance.random())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        self._wake.clear()
+
+    def take_changes_from_peer(
+        self, rows: list[StoredRow], since: int, version: int, peer: str
+    ) -> None:
+        """Take changes that a peer read; look for what came before them if need be."""
+        if not self.copy.known:
+            return  # what is not known yet is read whole
+        if since > self.copy.read_version:
+            self.look_again()
+        else:
+            self._passed_in_order = max(self._passed_in_order, version)
+        news = self.copy.take_changes(rows, since, version)
+        if news:
+            self._changed(news, peer)
+
+    def _pass_on(self, rows: list[StoredRow]) -> None:
+        """Pass on all that was read, also what is no news here: it may be elsewhere."""
+        newest = max((row.version for row in rows), default=0)
+        if newest <= self._read_in_order:
+            return
+        since, self._read_in_order = self._read_in_order, newest
+        if newest > self._passed_in_order:
+            self.pass_on(rows, since, newest)
 
     def take_from_peer(self, rows: list[StoredRow], version: int, peer: str) -> None:
         """Take a whole copy that a peer has."""
@@ -126,6 +209,7 @@
         self._reach.answered()
         known = self.copy.known
         news = self.copy.take_whole(page.rows, page.version)
+        self._read_in_order = page.version
         if news or not known:
             self._changed(news, "store")
         return None
@@ -138,6 +222,7 @@
         self._reach.answered()
         page: RowsRead = answer.ok_value
         news = self.copy.take_changes(page.rows, since, page.version)
+        self._pass_on(page.rows)
         if news:
             self._changed(news, "store")
         return None
--- /dev/null
+++ b/tests/gateway/test_table_readers.py
@@ -0,0 +1,236 @@
+"""At size two instances of a zone read a table of the store for all of it."""
+
+import asyncio
+
+import pytest
+
+from caperridge.gateway import watcher as watching
+from caperridge.gateway.mesh import mesh, roster
+from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.table_readers import READERS_PER_ZONE
+from gateway.conftest import ROUTES, World, until
+from loop_clock import LoopClock
+
+TARGETS = "servers"
+
+
+@pytest.fixture
+def many_peers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have instances act as if they had too many peers for a full mesh."""
+    monkeypatch.setattr(roster, "MAX_FULL_MESH_PEERS", 0)
+
+
+async def _zone(world: World, zones: str = "aaaaa") -> list[GatewayInstance]:
+    await world.add_runner()
+    instances = [await world.add_instance(zone=zone) for zone in zones]
+    await world.ready()
+    for instance in instances:
+        await until(lambda one=instance: len(_reaching(one)) == len(instances) - 1)
+    return instances
+
+
+def _reaching(instance: GatewayInstance) -> list[str]:
+    return [one.id for one in instance.mesh.alive() if one.store_reached]
+
+
+def _watcher(instance: GatewayInstance, table: str) -> watching.TableWatcher:
+    return instance.news._watchers_by_table[table]
+
+
+def _readers(instances: list[GatewayInstance], table: str) -> list[GatewayInstance]:
+    return [one for one in instances if _watcher(one, table).reads_for_others]
+
+
+async def _stop_watching(instance: GatewayInstance) -> None:
+    """Have an instance ask the store for no table any more."""
+    ended = [task for task in instance._tasks if "TableWatcher" in repr(task)]
+    assert len(ended) == len(instance._watchers)
+    for task in ended:
+        task.cancel()
+    await asyncio.gather(*ended, return_exceptions=True)
+
+
+async def test_as_many_read_a_table_whatever_the_size_of_the_zone(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world)
+    for table in instances[0].news._watchers_by_table:
+        assert len(_readers(instances, table)) == READERS_PER_ZONE
+
+
+async def test_with_few_peers_all_read_for_themselves(world: World) -> None:
+    instances = await _zone(world, "aaa")
+    assert _readers(instances, TARGETS) == instances
+
+
+async def test_what_readers_read_is_known_to_all_at_once(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world)
+    readers = _readers(instances, TARGETS)
+    others = [one for one in instances if one not in readers]
+    for other in others:
+        await _stop_watching(other)
+    world.list_runner(world.runners[0], state="draining")
+    for other in others:
+        target = other.fleet.targets.named("i-0")
+        assert target is not None
+        await until(
+            lambda one=other: one.fleet.targets.named("i-0").draining,
+            watching.WATCH_S / 2,
+        )
+
+
+async def test_a_configuration_is_in_force_where_the_store_is_not_asked(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world, "aaaaab")
+    table = instances[0]._dialect.configuration_table
+    readers = _readers(instances, table)
+    for other in instances:
+        if other not in readers:
+            await _stop_watching(other)
+    world.configure(2, ROUTES)
+    for instance in instances:
+        await until(lambda one=instance: one.configuration.table.version == 2, 1.0)
+
+
+async def test_when_both_readers_are_lost_others_read(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world)
+    for reader in _readers(instances, TARGETS):
+        instances.remove(reader)
+        await world.kill(reader)
+    world.list_runner(world.runners[0], state="draining")
+    for instance in instances:
+        await until(
+            lambda one=instance: one.fleet.targets.named("i-0").draining,
+            mesh.SILENCE_S,
+        )
+
+
+async def test_a_reader_that_the_store_turns_away_is_replaced(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world)
+    for reader in _readers(instances, TARGETS):
+        world.store_of(reader)._base = "http://127.0.0.1:1"
+    world.list_runner(world.runners[0], state="draining")
+    for instance in instances:
+        await until(lambda one=instance: one.fleet.targets.named("i-0").draining, 5.0)
+
+
+def _row(version: int, state: bytes, removed: bool = False) -> StoredRow:
+    return StoredRow(RowKey("t", "", "k"), state, version, removed)
+
+
+@pytest.fixture
+def copy_watcher() -> watching.TableWatcher:
+    taken: list[list[StoredRow]] = []
+    made = watching.TableWatcher(
+        None,
+        watching.TableCopy("t"),
+        watching.StoreReach(),
+        lambda rows, source: taken.append(rows),
+        reads=lambda table: False,
+    )
+    made.taken = taken
+    return made
+
+
+def test_changes_before_the_table_was_read_say_nothing(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    """Who took them for all there is would serve with a part of the targets."""
+    copy_watcher.take_changes_from_peer([_row(5, b"x")], 0, 5, "peer")
+    assert not copy_watcher.copy.known
+    assert copy_watcher.taken == []
+
+
+def test_a_gap_before_changes_is_looked_for(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    copy_watcher.copy.take_whole([], 3)
+    copy_watcher.take_changes_from_peer([_row(5, b"x")], 3, 5, "peer")
+    assert copy_watcher.copy.read_version == 5
+    assert not copy_watcher._wake.is_set()
+    copy_watcher.take_changes_from_peer([_row(9, b"z")], 7, 9, "peer")
+    assert copy_watcher.copy.read_version == 5
+    assert copy_watcher._wake.is_set()
+
+
+def test_changes_that_come_twice_or_late_bring_nothing_back(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    copy_watcher.copy.take_whole([], 3)
+    for _ in range(2):
+        copy_watcher.take_changes_from_peer([_row(5, b"x")], 3, 5, "peer")
+        copy_watcher.take_changes_from_peer([_row(6, b"", True)], 5, 6, "peer")
+    assert copy_watcher.copy.rows_by_key == {}
+    assert [[row.version for row in rows] for rows in copy_watcher.taken] == [[5], [6]]
+
+
+def test_a_reader_passes_on_what_it_wrote_itself(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    """It is no news to it, but to the others."""
+    passed: list[tuple[int, int, int]] = []
+    copy_watcher.pass_on = lambda rows, since, version: passed.append(
+        (len(rows), since, version)
+    )
+    copy_watcher.copy.take_whole([], 3)
+    copy_watcher._read_in_order = 3
+    own = _row(5, b"x")
+    copy_watcher.copy.take_row(own)
+    copy_watcher._pass_on([own])
+    copy_watcher._pass_on([])
+    copy_watcher._pass_on([_row(9, b"y")])
+    assert passed == [(1, 3, 5), (1, 5, 9)]
+
+
+def test_what_another_reader_passed_on_is_not_passed_on_again(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    passed: list[int] = []
+    copy_watcher.pass_on = lambda rows, since, version: passed.append(version)
+    copy_watcher.copy.take_whole([], 3)
+    copy_watcher._read_in_order = 3
+    copy_watcher.take_changes_from_peer([_row(5, b"x")], 3, 5, "peer")
+    copy_watcher._pass_on([_row(5, b"x")])
+    copy_watcher._pass_on([_row(6, b"y")])
+    assert passed == [6]
+
+
+async def test_entries_that_lapsed_in_an_outage_are_kept_by_who_did_not_see_it(
+    world: World, many_peers: None
+) -> None:
+    """A reader saw the store away; the others hear of it with the changes."""
+    instances = await _zone(world)
+    reader = _readers(instances, TARGETS)[0]
+    other = next(one for one in instances if one not in _readers(instances, TARGETS))
+    await _stop_watching(other)
+    loop = asyncio.get_running_loop()
+    reader.fleet.targets.store_returned(loop.time())
+    world.store.remove("servers", "i-0")
+    await until(lambda: other.fleet.targets._lapsing_until_by_id, 1.0)
+    assert other.fleet.targets.named("i-0") is not None
+
+
+async def test_who_does_not_read_looks_at_the_store_now_and_then(
+    world: World, many_peers: None
+) -> None:
+    instances = await _zone(world)
+    other = next(one for one in instances if one not in _readers(instances, TARGETS))
+    asked: list[str] = []
+    store = world.store_of(other)
+    changes = store.changes
+
+    async def noted(table: str, since: int, wait_s: float):
+        asked.append(table)
+        return await changes(table, since, wait_s)
+
+    store.changes = noted
+    clock = LoopClock(still=True)
+    await clock.ahead_until(lambda: TARGETS in asked)
