Let the stand-in see that a withdrawn run's connection ended

The answer and the end of the connection go over two sockets, of which no order is promised. The check stays: that run is cut, the other is not.

--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -156,6 +156,8 @@
     assert ended(fleet) == ENOUGH
     withdrawn = await asking[0]
     assert withdrawn.status == 502
+    # The runner sees its connection end at most a turn of the loop after the answer.
+    await until(lambda: any(run.cut for run in waiting.runs), 1.0)
     assert {run.id: run.cut for run in waiting.runs} == {
         "waits": True,
         "harmless": False,
