Pass on changes of a table from the version to which they are complete

Cause: what a reader passed on began at the last row that it had read itself, though its copy had been brought further by the other reader; whoever took that believed to know all between. Change: one version for both.

--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -114,9 +114,8 @@
         self._reads = reads
         self._chance = chance or random.Random()
         self._wake = asyncio.Event()
-        # Of the newest row that was read in order, and that a peer passed on so.
-        self._read_in_order = 0
-        self._passed_in_order = 0
+        # Up to here every change was read or passed on; the copy may be read further.
+        self._complete_to = 0
         reach.on_doubt(self.look_again)
         self._store = store
         self._reach = reach
@@ -181,7 +180,7 @@
         if since > self.copy.read_version:
             self.look_again()
         else:
-            self._passed_in_order = max(self._passed_in_order, version)
+            self._complete_to = max(self._complete_to, version)
         news = self.copy.take_changes(rows, since, version)
         if news:
             self._changed(news, peer)
@@ -189,15 +188,16 @@
     def _pass_on(self, rows: list[StoredRow]) -> None:
         """Pass on all that was read, also what is no news here: it may be elsewhere."""
         newest = max((row.version for row in rows), default=0)
-        if newest <= self._read_in_order:
-            return
-        since, self._read_in_order = self._read_in_order, newest
-        if newest > self._passed_in_order:
-            self.pass_on(rows, since, newest)
+        if newest <= self._complete_to:
+            return  # a peer has passed it on
+        since, self._complete_to = self._complete_to, newest
+        self.pass_on(rows, since, newest)
 
     def take_from_peer(self, rows: list[StoredRow], version: int, peer: str) -> None:
         """Take a whole copy that a peer has."""
         news = self.copy.take_whole(rows, version)
+        if version >= self.copy.read_version:
+            self._complete_to = max(self._complete_to, version)
         if news:
             self._changed(news, peer)
 
@@ -209,7 +209,7 @@
         self._reach.answered()
         known = self.copy.known
         news = self.copy.take_whole(page.rows, page.version)
-        self._read_in_order = page.version
+        self._complete_to = max(self._complete_to, page.version)
         if news or not known:
             self._changed(news, "store")
         return None
--- a/tests/gateway/test_table_readers.py
+++ b/tests/gateway/test_table_readers.py
@@ -1,13 +1,15 @@
 """At size two instances of a zone read a table of the store for all of it."""
 
 import asyncio
+import random
 
 import pytest
+from result import Ok
 
 from caperridge.gateway import watcher as watching
 from caperridge.gateway.mesh import mesh, roster
 from caperridge.gateway.process import GatewayInstance
-from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.rows import RowKey, RowsRead, StoredRow
 from caperridge.gateway.table_readers import READERS_PER_ZONE
 from gateway.conftest import ROUTES, World, until
 from loop_clock import LoopClock
@@ -181,7 +183,7 @@
         (len(rows), since, version)
     )
     copy_watcher.copy.take_whole([], 3)
-    copy_watcher._read_in_order = 3
+    copy_watcher._complete_to = 3
     own = _row(5, b"x")
     copy_watcher.copy.take_row(own)
     copy_watcher._pass_on([own])
@@ -196,7 +198,7 @@
     passed: list[int] = []
     copy_watcher.pass_on = lambda rows, since, version: passed.append(version)
     copy_watcher.copy.take_whole([], 3)
-    copy_watcher._read_in_order = 3
+    copy_watcher._complete_to = 3
     copy_watcher.take_changes_from_peer([_row(5, b"x")], 3, 5, "peer")
     copy_watcher._pass_on([_row(5, b"x")])
     copy_watcher._pass_on([_row(6, b"y")])
@@ -234,3 +236,77 @@
     store.changes = noted
     clock = LoopClock(still=True)
     await clock.ahead_until(lambda: TARGETS in asked)
+
+
+class LateStore:
+    """One table whose feed answers late, with what there was when it was asked."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.version = 0
+        self.rows_by_key: dict[RowKey, StoredRow] = {}
+        self._chance = chance
+
+    def write(self) -> StoredRow:
+        self.version += self._chance.randint(1, 3)  # other tables change as well
+        key = RowKey("t", "", f"k{self._chance.randint(0, 30)}")
+        row = StoredRow(key, b"x", self.version)
+        self.rows_by_key[key] = row
+        return row
+
+    async def changes(self, table: str, since: int, wait_s: float):
+        rows = [row for row in self.rows_by_key.values() if row.version > since]
+        rows.sort(key=lambda row: row.version)
+        page = RowsRead(rows, False, self.version, 1.0)
+        for _ in range(self._chance.randint(1, 6)):
+            await asyncio.sleep(0)
+        return Ok(page)
+
+
+@pytest.mark.parametrize("seed", range(30))
+async def test_who_believes_to_know_all_up_to_a_version_lacks_no_row(seed: int) -> None:
+    """Seen: a job that had been accepted was not found where its entry was skipped.
+
+    Two read at once, pass on, lose what they pass on, and write rows themselves.
+    """
+    chance = random.Random(seed)
+    store = LateStore(chance)
+    watchers = [
+        watching.TableWatcher(
+            store,
+            watching.TableCopy("t"),
+            watching.StoreReach(),
+            lambda rows, source: None,
+        )
+        for _ in range(4)
+    ]
+
+    def passer(speaker: watching.TableWatcher) -> watching.PassOn:
+        def pass_on(rows: list[StoredRow], since: int, version: int) -> None:
+            for hearer in watchers:
+                if hearer is not speaker and chance.random() < 0.8:
+                    hearer.take_changes_from_peer(rows, since, version, "peer")
+
+        return pass_on
+
+    for watcher in watchers:
+        watcher.copy.take_whole([], 0)
+        watcher.pass_on = passer(watcher)
+    asked: set[asyncio.Task] = set()
+    for _ in range(200):
+        if chance.random() < 0.4:
+            row = store.write()
+            if chance.random() < 0.3:
+                chance.choice(watchers).copy.take_row(row)
+        if chance.random() < 0.5 and len(asked) < 3:
+            asked.add(asyncio.ensure_future(chance.choice(watchers[:2])._watch(1.0)))
+        if chance.random() < 0.05:
+            whole = list(store.rows_by_key.values())
+            chance.choice(watchers).take_from_peer(whole, store.version, "peer")
+        await asyncio.sleep(0)
+        asked = {one for one in asked if not one.done()}
+        for watcher in watchers:
+            known = watcher.copy.rows_by_key
+            for key, row in store.rows_by_key.items():
+                if row.version <= watcher.copy.read_version:
+                    assert known.get(key) == row
+    await asyncio.gather(*asked)
