Keep with a table's copy to which version it is settled

Cause: what a reader passes on began at the last row it had read in its watch; an acceptance that reads the whole index beside the watch brought the copy further, and the rows between were never passed on, though said to be. Change: the copy itself keeps that version, whoever feeds it. The test reads the table beside the watch now, and failed so before.

--- a/src/caperridge/gateway/table_copy.py
+++ b/src/caperridge/gateway/table_copy.py
@@ -4,7 +4,7 @@
 Reads may be stale, so a whole read that is older than the copy takes nothing away.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from caperridge.gateway.rows import RowKey, StoredRow
 
@@ -20,12 +20,14 @@
         table: name of the table.
         version: of the newest change that the copy includes.
         read_version: up to which changes were heard; changes are asked for from here.
+        settled_version: nothing changed after it up to ``read_version``.
     """
 
     def __init__(self, table: str) -> None:
         self.table = table
         self.version = 0
         self.read_version = -1
+        self.settled_version = 0
         self.rows_by_key: dict[RowKey, StoredRow] = {}
         self._removed_versions_by_key: dict[RowKey, int] = {}
 
@@ -52,15 +54,18 @@
             if self._put(gone):
                 changed.append(gone)
         self.read_version = version
+        self.settled_version = max(self.settled_version, version)
         return changed
 
     def take_changes(
-        self, rows: Iterable[StoredRow], since: int, version: int
+        self, rows: Sequence[StoredRow], since: int, version: int
     ) -> list[StoredRow]:
         """Take all changes after ``since`` up to ``version``; return those of news."""
         changed = [row for row in rows if self.take_row(row)]
         if since <= self.read_version:
             self.read_version = max(self.read_version, version)
+            newest = max((row.version for row in rows), default=0)
+            self.settled_version = max(self.settled_version, newest)
         return changed
 
     def take_row(self, row: StoredRow) -> bool:
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -114,8 +114,6 @@
         self._reads = reads
         self._chance = chance or random.Random()
         self._wake = asyncio.Event()
-        # Up to here every change was read or passed on; the copy may be read further.
-        self._complete_to = 0
         reach.on_doubt(self.look_again)
         self._store = store
         self._reach = reach
@@ -179,25 +177,13 @@
             return  # what is not known yet is read whole
         if since > self.copy.read_version:
             self.look_again()
-        else:
-            self._complete_to = max(self._complete_to, version)
         news = self.copy.take_changes(rows, since, version)
         if news:
             self._changed(news, peer)
 
-    def _pass_on(self, rows: list[StoredRow]) -> None:
-        """Pass on all that was read, also what is no news here: it may be elsewhere."""
-        newest = max((row.version for row in rows), default=0)
-        if newest <= self._complete_to:
-            return  # a peer has passed it on
-        since, self._complete_to = self._complete_to, newest
-        self.pass_on(rows, since, newest)
-
     def take_from_peer(self, rows: list[StoredRow], version: int, peer: str) -> None:
         """Take a whole copy that a peer has."""
         news = self.copy.take_whole(rows, version)
-        if version >= self.copy.read_version:
-            self._complete_to = max(self._complete_to, version)
         if news:
             self._changed(news, peer)
 
@@ -209,7 +195,6 @@
         self._reach.answered()
         known = self.copy.known
         news = self.copy.take_whole(page.rows, page.version)
-        self._complete_to = max(self._complete_to, page.version)
         if news or not known:
             self._changed(news, "store")
         return None
@@ -221,8 +206,11 @@
             return answer
         self._reach.answered()
         page: RowsRead = answer.ok_value
+        settled = self.copy.settled_version
         news = self.copy.take_changes(page.rows, since, page.version)
-        self._pass_on(page.rows)
+        if self.copy.settled_version > settled:
+            # All that was read, also what is no news here: it may be elsewhere.
+            self.pass_on(page.rows, settled, self.copy.settled_version)
         if news:
             self._changed(news, "store")
         return None
--- a/tests/gateway/test_table_readers.py
+++ b/tests/gateway/test_table_readers.py
@@ -174,35 +174,50 @@
     assert [[row.version for row in rows] for rows in copy_watcher.taken] == [[5], [6]]
 
 
-def test_a_reader_passes_on_what_it_wrote_itself(
-    copy_watcher: watching.TableWatcher,
-) -> None:
-    """It is no news to it, but to the others."""
+async def _read_pages(
+    watcher: watching.TableWatcher, *pages: list[StoredRow]
+) -> list[tuple[int, int, int]]:
+    """Have a watcher read these; return what it passed on: rows, since, version."""
     passed: list[tuple[int, int, int]] = []
-    copy_watcher.pass_on = lambda rows, since, version: passed.append(
+    watcher.pass_on = lambda rows, since, version: passed.append(
         (len(rows), since, version)
     )
+    watcher._store = PagedStore(pages)
+    for _ in pages:
+        await watcher._watch(0.0)
+    return passed
+
+
+class PagedStore:
+    """A feed that answers with these pages, in turn."""
+
+    def __init__(self, pages: tuple[list[StoredRow], ...]) -> None:
+        self._pages = list(pages)
+
+    async def changes(self, table: str, since: int, wait_s: float):
+        rows = self._pages.pop(0)
+        newest = max((row.version for row in rows), default=since)
+        return Ok(RowsRead(rows, False, newest + 1, 1.0))
+
+
+async def test_a_reader_passes_on_what_it_wrote_itself(
+    copy_watcher: watching.TableWatcher,
+) -> None:
+    """It is no news to it, but to the others."""
     copy_watcher.copy.take_whole([], 3)
-    copy_watcher._complete_to = 3
     own = _row(5, b"x")
     copy_watcher.copy.take_row(own)
-    copy_watcher._pass_on([own])
-    copy_watcher._pass_on([])
-    copy_watcher._pass_on([_row(9, b"y")])
+    passed = await _read_pages(copy_watcher, [own], [], [_row(9, b"y")])
     assert passed == [(1, 3, 5), (1, 5, 9)]
 
 
-def test_what_another_reader_passed_on_is_not_passed_on_again(
+async def test_what_another_reader_passed_on_is_not_passed_on_again(
     copy_watcher: watching.TableWatcher,
 ) -> None:
-    passed: list[int] = []
-    copy_watcher.pass_on = lambda rows, since, version: passed.append(version)
     copy_watcher.copy.take_whole([], 3)
-    copy_watcher._complete_to = 3
     copy_watcher.take_changes_from_peer([_row(5, b"x")], 3, 5, "peer")
-    copy_watcher._pass_on([_row(5, b"x")])
-    copy_watcher._pass_on([_row(6, b"y")])
-    assert passed == [6]
+    passed = await _read_pages(copy_watcher, [_row(5, b"x")], [_row(6, b"y")])
+    assert passed == [(1, 5, 6)]
 
 
 async def test_entries_that_lapsed_in_an_outage_are_kept_by_who_did_not_see_it(
@@ -266,7 +281,8 @@
 async def test_who_believes_to_know_all_up_to_a_version_lacks_no_row(seed: int) -> None:
     """Seen: a job that had been accepted was not found where its entry was skipped.
 
-    Two read at once, pass on, lose what they pass on, and write rows themselves.
+    Two read at once, pass on, lose what they pass on, and write rows themselves; the
+    whole table is read beside the watch, too.
     """
     chance = random.Random(seed)
     store = LateStore(chance)
@@ -302,6 +318,9 @@
         if chance.random() < 0.05:
             whole = list(store.rows_by_key.values())
             chance.choice(watchers).take_from_peer(whole, store.version, "peer")
+        if chance.random() < 0.05:
+            whole = list(store.rows_by_key.values())
+            chance.choice(watchers).copy.take_whole(whole, store.version)
         await asyncio.sleep(0)
         asked = {one for one in asked if not one.done()}
         for watcher in watchers:
