--- /dev/null
+++ b/tests/policy/test_zone_cut_in_a_burst.py
@@ -0,0 +1,130 @@
+"""A zone of a large deployment is cut off in a burst: where requests go meanwhile.
+
+Pattern: 195 instances in five availability zones, 37 targets. One zone is cut off from
+the others, its own instances and targets go on. Until that is known, a request that
+goes across the cut is lost, for it may run there.
+"""
+
+import random
+
+import pytest
+
+from caperridge.decisions.rendezvous import score
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.mesh.roster import Roster
+from caperridge.gateway.placement import no_queue, place_online_near
+from caperridge.gateway.process import BEAT_S
+from caperridge.gateway.targets import Target
+from caperridge.gateway.zones import SUSPECT_FAR_FOR_S, silent_zones
+
+ZONES = "abcde"
+CUT = "c"
+INSTANCES = 195
+TARGETS = 37
+SLOTS = 8
+CUT_AT = 100.0
+# A sign of life waits for the contact's beat; the next one for the other contact's.
+KNOWN_AFTER_S = 2.1
+# Online requests at each target: its zone's burst fills its own targets.
+BUSY = SLOTS
+
+
+class View:
+    """What one instance believes, and where it would send a request.
+
+    Args:
+        zone: that the instance runs in.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.chance = random.Random(7)
+        self.peers = Roster("own", zone)
+        self.fleet = Fleet("own", zone, self.chance)
+        self.fleet.silent_zones = self._silent_zones
+        for number in range(INSTANCES - 1):
+            id = f"e-{number}"
+            self.peers.learn(id, id, ZONES[number % len(ZONES)], CUT_AT)
+        for number in range(TARGETS):
+            target = Target(
+                f"t-{number}", "model", f"t:{number}", ZONES[number % 5], SLOTS
+            )
+            self.fleet.targets.put(target)
+
+    def _silent_zones(self, now: float) -> frozenset[str]:
+        return silent_zones(_Peers(self.zone, self.peers), now)
+
+    def hear_until(self, now: float) -> None:
+        """Hear each peer on the own side of the cut; the others up to the cut."""
+        for member in self.peers.members_by_id.values():
+            across = (member.zone == CUT) != (self.zone == CUT)
+            heard_until = min(now, CUT_AT + BEAT_S) if across else now
+            jitter = score(member.id, "beat") % 1000 / 1000 * BEAT_S
+            member.heard_at = heard_until - jitter
+            member.lost_at = None
+
+    def fill_own_zone(self) -> None:
+        """Have online requests take all slots of the zone's own targets."""
+        for target in self.fleet.targets.by_id.values():
+            if target.availability_zone == self.zone:
+                self.fleet.occupancy.add(target.id, online=BUSY)
+
+    def zones_used(self, now: float, requests: int = 200) -> set[str]:
+        """Return the zones that requests go to."""
+        used: set[str] = set()
+        for _ in range(requests):
+            targets = self.fleet.usable("model", now)
+            target = place_online_near(
+                targets, self.fleet.occupancy, self.zone, self.chance, no_queue
+            )
+            if target is not None:
+                used.add(target.availability_zone)
+        return used
+
+
+class _Peers:
+    """A roster as the look for silent zones asks for it."""
+
+    def __init__(self, zone: str, peers: Roster) -> None:
+        self.zone = zone
+        self.large = peers.large
+        self.members_by_id = peers.members_by_id
+
+
+@pytest.mark.parametrize("zone", "abde")
+def test_no_request_crosses_the_cut_once_the_zone_fell_silent(zone: str) -> None:
+    view = View(zone)
+    view.fill_own_zone()
+    view.hear_until(CUT_AT)
+    assert CUT in view.zones_used(CUT_AT)
+    now = CUT_AT + KNOWN_AFTER_S
+    view.hear_until(now)
+    assert view.zones_used(now) == set(ZONES) - {CUT, zone}
+
+
+def test_the_zone_that_is_cut_off_sends_to_its_own_targets_only() -> None:
+    view = View(CUT)
+    view.fill_own_zone()
+    now = CUT_AT + KNOWN_AFTER_S
+    view.hear_until(now)
+    assert view.zones_used(now) == set()
+
+
+def test_its_targets_are_tried_again_while_it_stays_silent() -> None:
+    """Its instances may all be lost while its targets are well."""
+    view = View("a")
+    view.fill_own_zone()
+    now = CUT_AT + SUSPECT_FAR_FOR_S + 2 * BEAT_S
+    view.hear_until(now)
+    assert CUT in view.zones_used(now)
+
+
+def test_half_of_a_zone_that_is_lost_does_not_close_it() -> None:
+    view = View("a")
+    view.fill_own_zone()
+    now = CUT_AT + KNOWN_AFTER_S
+    view.hear_until(now)
+    for number, member in enumerate(view.peers.members_by_id.values()):
+        if member.zone == CUT and number % 2:
+            member.heard_at = now - BEAT_S
+    assert CUT in view.zones_used(now)
