--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -28,12 +28,12 @@
 FAR_SILENCE_S = 3.0
 # How many near peers pass news on when there are too many to tell each: about three
 # hear it from each instance that had it from the store.
-NEWS_PEERS = 5
+GOSSIP_FANOUT = 5
 # An instance that nobody lists and that was not heard from for so long is forgotten.
 # Where there are many, the list is read twice a minute.
 FORGET_S = 90.0
-# Who names fewer members than this has just started, and is told of all.
-KNOWS_FEW = 8
+# An instance that knows fewer has just started, and is sent the whole roster.
+MIN_KNOWN_MEMBERS = 8
 
 Handler = Callable[[str, Record], None]
 
@@ -173,7 +173,7 @@
                     continue
                 if silence_s <= FAR_SILENCE_S and not self.is_near(member):
                     continue
-                self._lose(member, "it is silent")
+                self.lose(member, "it is silent")
             self._dialers.renew(member)
             if now - max(member.lost_at, member.listed_at) > FORGET_S:
                 self.roster.forget(member)
@@ -255,12 +255,12 @@
         """Queue ``message`` for near peers, for some at random if there are many."""
         members = self._near_members()
         if self.large:
-            members = self._chance.sample(members, min(NEWS_PEERS, len(members)))
+            members = self._chance.sample(members, min(GOSSIP_FANOUT, len(members)))
         self._send_to(members, message)
 
-    def pass_heartbeats_on(self) -> None:
+    def relay_heartbeats(self) -> None:
         """Tell near peers what others elsewhere said since the last call."""
-        self._relay.pass_heartbeats_on()
+        self._relay.relay_heartbeats()
 
     def _send_to(self, members: Iterable[Member], message: Record) -> None:
         data = encode(message)
@@ -316,13 +316,13 @@
             return  # it has chosen another contact, or its own zone reports its end
         others = any(one.incarnation == stream.incarnation for one in self._streams)
         if member.lost_at is None and not others:
-            self._lose(member, reason)
+            self.lose(member, reason)
             self._relay.report_lost(member)
 
     def _greeted(self, hello: Hello) -> None:
         self.learn(hello.instance, hello.address, hello.availability_zone)
         member = self.members_by_id[hello.instance]
-        self.begins_life(
+        self.set_incarnation(
             member, hello.incarnation, hello.address, hello.availability_zone
         )
         member.leaving = False
@@ -332,16 +332,16 @@
         if self.instance in hello.unheard:
             self._dialers.renew(member)
         self._heard(member, None)
-        knows_few = len(hello.members) < KNOWS_FEW
+        knows_few = len(hello.members) < MIN_KNOWN_MEMBERS
         if knows_few and not self.is_near(member):
             self._dialers.greet(member.address)
 
-    def begins_life(
+    def set_incarnation(
         self, member: Member, incarnation: str, address: str, zone: str
     ) -> None:
         """Note of which life a member is heard, and where."""
         if member.lost_at is None and member.incarnation != incarnation:
-            self._lose(member, "it was started again")
+            self.lose(member, "it was started again")
         moved = member.address != address or member.zone != zone
         member.address = address
         member.zone = zone
@@ -354,13 +354,13 @@
             self._dialers.members_changed()
 
     def _heard(self, member: Member, message: Record | None) -> None:
-        self.found_alive(member)
+        self.mark_alive(member)
         if message is None:
             return
         self.dispatch(member, message)
         self._relay.heard(member, message)
 
-    def found_alive(self, member: Member) -> None:
+    def mark_alive(self, member: Member) -> None:
         """Note that a member lives."""
         member.heard_at = asyncio.get_running_loop().time()
         if member.lost_at is None:
@@ -377,7 +377,8 @@
         if handler is not None:
             handler(member.id, message)
 
-    def _lose(self, member: Member, reason: str) -> None:
+    def lose(self, member: Member, reason: str) -> None:
+        """Note that a member is not heard from any more."""
         member.lost_at = asyncio.get_running_loop().time()
         self.roster.changes += 1
         log.warning("peer lost", peer=member.id, reason=reason)
@@ -385,7 +386,3 @@
             self._dialers.members_changed()
         for call in self._lost:
             call(member)
-
-    def lose(self, member: Member, reason: str) -> None:
-        """Take a member for lost by the word of others."""
-        self._lose(member, reason)
--- a/src/caperridge/gateway/mesh/relay.py
+++ b/src/caperridge/gateway/mesh/relay.py
@@ -27,15 +27,15 @@
 
 log = logger(__name__)
 
-# A contact that is heard of lately is asked before one that may stand still.
-FRESH_CONTACT_S = 1.5
-# So many peers of one that is lost say so elsewhere; one of them may be lost, too.
-REPORTERS_OF_A_LOSS = 2
-# What is passed on of a life after its end was said before it.
-BELATED_S = 1.0
+# A process that stands still goes on accepting bytes, so only its silence shows.
+CONTACT_FRESH_S = 1.5
+# One of the peers that report a loss elsewhere may be lost itself.
+LOSS_REPORTERS = 2
+# Contacts may still relay heartbeats of a life whose end was reported.
+STALE_HEARTBEAT_S = 1.0
 
 
-class Hearing(Protocol):
+class RelayedMesh(Protocol):
     """What of the mesh is used here."""
 
     instance: str
@@ -59,13 +59,13 @@
     def learn(self, id: str, address: str, zone: str) -> None:
         """See :meth:`Mesh.learn`."""
 
-    def begins_life(
+    def set_incarnation(
         self, member: Member, incarnation: str, address: str, zone: str
     ) -> None:
-        """See :meth:`Mesh.begins_life`."""
+        """See :meth:`Mesh.set_incarnation`."""
 
-    def found_alive(self, member: Member) -> None:
-        """See :meth:`Mesh.found_alive`."""
+    def mark_alive(self, member: Member) -> None:
+        """See :meth:`Mesh.mark_alive`."""
 
     def dispatch(self, member: Member, message: Record) -> None:
         """See :meth:`Mesh.dispatch`."""
@@ -82,23 +82,23 @@
         dialers: keep streams to contacts.
     """
 
-    def __init__(self, mesh: Hearing, dialers: Dialers) -> None:
+    def __init__(self, mesh: RelayedMesh, dialers: Dialers) -> None:
         self._mesh = mesh
         self._roster = mesh.roster
         self._dialers = dialers
         self._turn = 0
         self._heartbeats_by_instance: dict[str, list] = {}
-        self._gathered: list[list] = []
-        self._last_by_instance: dict[str, list] = {}
+        self._pending: list[list] = []
+        self._last_heartbeat_by_instance: dict[str, list] = {}
 
     def register(self) -> None:
         """Have the mesh hand over what is to be passed on."""
-        self._mesh.register(Relay, self._asked)
+        self._mesh.register(Relay, self._relay_requested)
         self._mesh.register(Relayed, self._relayed)
         self._mesh.register(RelayedHeartbeats, self._relayed_heartbeats)
         self._mesh.register(MemberLost, self._member_lost)
-        self._mesh.after_hearing(self._pass_on)
-        self._mesh.on_lose(self._forget_last)
+        self._mesh.after_hearing(self._flush)
+        self._mesh.on_lose(self._forget_heartbeat)
 
     # What this instance says elsewhere.
 
@@ -107,7 +107,7 @@
         self._turn += 1
         chosen: list[Member] = []
         for zone in self._dialers.contacts_by_zone:
-            connected = self._connected(zone)
+            connected = self._connected_contacts(zone)
             if all_contacts or not connected:
                 chosen += connected
                 continue
@@ -133,25 +133,25 @@
         near = [one for one in self._roster.near() if one.lost_at is None]
         own = score(member.id, self._mesh.instance)
         ahead = sum(1 for one in near if score(member.id, one.id) > own)
-        if ahead < REPORTERS_OF_A_LOSS:
+        if ahead < LOSS_REPORTERS:
             self.send_everywhere(MemberLost(member.id, member.incarnation))
 
     def _send(self, zone: str, to: str, message: Record) -> bool:
-        contact = self._best(zone)
+        contact = self._best_contact(zone)
         if contact is None:
             return False
         return self._mesh.send(contact.id, Relay(to, encode_body(message)))
 
-    def _best(self, zone: str) -> Member | None:
+    def _best_contact(self, zone: str) -> Member | None:
         """Return the contact of a zone that is asked; None if none is connected."""
-        connected = self._connected(zone)
-        since = asyncio.get_running_loop().time() - FRESH_CONTACT_S
+        connected = self._connected_contacts(zone)
+        since = asyncio.get_running_loop().time() - CONTACT_FRESH_S
         for contact in connected:
             if contact.heard_at >= since:
                 return contact
         return connected[0] if connected else None
 
-    def _connected(self, zone: str) -> list[Member]:
+    def _connected_contacts(self, zone: str) -> list[Member]:
         return [
             contact
             for contact in self._dialers.contacts_by_zone.get(zone, [])
@@ -164,7 +164,7 @@
         """Gather what a far instance said of itself, to be passed on."""
         if self._roster.is_near(member):
             return
-        self._forget_last(member)
+        self._forget_heartbeat(member)
         if not isinstance(message, Heartbeat):
             return
         before = self._heartbeats_by_instance.get(member.id)
@@ -178,9 +178,9 @@
             message.counts,
         ]
         if message.leaving and before is None:
-            self.pass_heartbeats_on()
+            self.relay_heartbeats()
 
-    def pass_heartbeats_on(self) -> None:
+    def relay_heartbeats(self) -> None:
         """Tell near peers what was gathered."""
         if not self._heartbeats_by_instance:
             return
@@ -188,31 +188,31 @@
         self._heartbeats_by_instance.clear()
         self._mesh.send_near(RelayedHeartbeats(heartbeats))
 
-    def _asked(self, speaker: str, relay: Relay) -> None:
+    def _relay_requested(self, speaker: str, relay: Relay) -> None:
         """Pass on what a far instance sent by way of this one."""
         member = self._roster.members_by_id[speaker]
         entry = [speaker, member.incarnation, relay.body]
         if relay.to and relay.to != self._mesh.instance:
             self._mesh.send(relay.to, Relayed([entry]))
             return
-        self._take(entry)
+        self._deliver(entry)
         if not relay.to:
-            self._gathered.append(entry)
+            self._pending.append(entry)
 
-    def _pass_on(self) -> None:
+    def _flush(self) -> None:
         """Pass on what was heard in one turn, in one message."""
-        if not self._gathered:
+        if not self._pending:
             return
-        gathered, self._gathered = self._gathered, []
+        gathered, self._pending = self._pending, []
         self._mesh.send_near(Relayed(gathered))
 
     # What others pass on.
 
     def _relayed(self, contact: str, relayed: Relayed) -> None:
         for entry in relayed.messages:
-            self._take(entry)
+            self._deliver(entry)
 
-    def _take(self, entry: list) -> None:
+    def _deliver(self, entry: list) -> None:
         """Have a message of a far instance handled as if it had come from it."""
         instance, incarnation, body = entry
         member = self._roster.members_by_id.get(instance)
@@ -224,7 +224,7 @@
             log.error("relayed message skipped", peer=instance, reason=str(error))
             return
         if message is not None:
-            self._forget_last(member)
+            self._forget_heartbeat(member)
             self._mesh.dispatch(member, message)
 
     def _relayed_heartbeats(self, contact: str, relayed: RelayedHeartbeats) -> None:
@@ -232,30 +232,30 @@
         for heartbeat in relayed.heartbeats:
             instance = heartbeat[0]
             member = self._roster.members_by_id.get(instance)
-            if member is not None and self._says_the_same(member, heartbeat):
+            if member is not None and self._is_unchanged(member, heartbeat):
                 # Most do, and there are some hundred a second.
                 member.heard_at = member.listed_at = now
                 continue
             incarnation, address, zone, leaving, reached, counts, *_ = heartbeat[1:]
-            member = self._found(instance, incarnation, address, zone)
+            member = self._note_alive(instance, incarnation, address, zone)
             if member is None:
                 continue
-            self._last_by_instance[instance] = heartbeat
+            self._last_heartbeat_by_instance[instance] = heartbeat
             self._mesh.dispatch(member, Heartbeat(counts, {}, leaving, reached))
 
-    def _says_the_same(self, member: Member, heartbeat: list) -> bool:
+    def _is_unchanged(self, member: Member, heartbeat: list) -> bool:
         """Whether a far member that is heard says what it said before."""
         return (
             member.lost_at is None
             and member.incarnation == heartbeat[1]
-            and self._last_by_instance.get(member.id) == heartbeat
+            and self._last_heartbeat_by_instance.get(member.id) == heartbeat
         )
 
-    def _forget_last(self, member: Member) -> None:
+    def _forget_heartbeat(self, member: Member) -> None:
         """Have the next sign of life of a member handled whole."""
-        self._last_by_instance.pop(member.id, None)
+        self._last_heartbeat_by_instance.pop(member.id, None)
 
-    def _found(
+    def _note_alive(
         self, instance: str, incarnation: str, address: str, zone: str
     ) -> Member | None:
         """Note a sign of life; return whose it is, or None if it says nothing."""
@@ -266,11 +266,11 @@
         if self._roster.is_near(member) or incarnation == member.previous_incarnation:
             return None
         now = asyncio.get_running_loop().time()
-        belated = now - member.reported_lost_at < BELATED_S
+        belated = now - member.reported_lost_at < STALE_HEARTBEAT_S
         if belated and incarnation == member.incarnation:
             return None
-        self._mesh.begins_life(member, incarnation, address, zone)
-        self._mesh.found_alive(member)
+        self._mesh.set_incarnation(member, incarnation, address, zone)
+        self._mesh.mark_alive(member)
         return member
 
     def _member_lost(self, speaker: str, news: MemberLost) -> None:
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -95,7 +95,7 @@
         mesh.register(TableWhole, self._table_whole)
         mesh.register(TableChanges, self._table_changes)
         for watcher in watchers:
-            watcher.pass_on = functools.partial(self._pass_on, watcher)
+            watcher.publish = functools.partial(self._publish, watcher)
         mesh.on_appear(self._appeared)
         mesh.on_lose(self._peer_lost)
         mesh.say_first(self._first_word)
@@ -108,7 +108,7 @@
         """
         state = self._state()
         self._beats += 1
-        self._mesh.pass_heartbeats_on()
+        self._mesh.relay_heartbeats()
         if self._mesh.large:
             whole = self._whole(with_lengths=False)
             self._mesh.send_contacts(whole, all_contacts=self.leaving)
@@ -223,7 +223,7 @@
     def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
         news = self._mesh.roster.reaches_store(peer, beat.store_reached)
         if news and not beat.store_reached:
-            self._reach.doubt()  # the peer may have read for others
+            self._reach.recheck()  # the peer may have read for others
         self._mesh.leaves(peer, beat.leaving)
         counts = {target: Count(*count) for target, *count in beat.counts}
         if self._fleet.occupancy.told_all(peer, counts):
@@ -238,12 +238,12 @@
 
     # Changes of tables that one instance of a zone reads for the others.
 
-    def _pass_on(
+    def _publish(
         self, watcher: TableWatcher, rows: list[StoredRow], since: int, version: int
     ) -> None:
         """Tell near peers what the store had as news, if it is read for them."""
         table = watcher.copy.table
-        if not self._mesh.large or not watcher.reads_for_others:
+        if not self._mesh.large or not watcher.is_reader:
             return
         told = [
             [row.key.part, row.key.key, row.value, row.version, row.removed]
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -14,9 +14,9 @@
 
 TABLE = "instances"
 LOOK_S = 3.0
-# Members are heard of from each other; the list is for those who know nobody. So as
-# many instances as these read it in this time, however many there are.
-LOOKS_IN_TIME = 16
+# Members learn of each other from peers; the list is for those who know nobody. Up to
+# so many members each reads it every ``LOOK_S``; beyond, the rate of all stays the same.
+FULL_RATE_MEMBERS = 16
 FIRST_LOOK_S = 0.5
 LEAVE_S = 0.3
 
@@ -41,7 +41,7 @@
             if not self._listed:
                 await self._enter()
             if await self._look() and self._listed:
-                crowd = len(self._mesh.members_by_id) / LOOKS_IN_TIME
+                crowd = len(self._mesh.members_by_id) / FULL_RATE_MEMBERS
                 pause_s = LOOK_S * max(1.0, crowd)
             await asyncio.sleep(pause_s)
 
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -115,7 +115,7 @@
             self._away_until = 0.0
             return answer
         self._away_until = loop.time() + AWAY_S
-        self._reach.doubt()
+        self._reach.recheck()
         if away or isinstance(answer.err_value, Unknown):
             return answer
         relayed = await self._by_peer(name, arguments)
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -28,12 +28,12 @@
 PEER_PATIENCE_S = 0.04
 # How seldom a table is looked at that others read. With four tables an instance finds
 # every 3 s whether the store answers it.
-UNREAD_PAUSE_S = 12.0
+NON_READER_POLL_S = 12.0
 # Share of that pause by which looks are spread.
-UNREAD_SPREAD = 0.5
+POLL_JITTER = 0.5
 
 Changed = Callable[[list[StoredRow], str], None]
-PassOn = Callable[[list[StoredRow], int, int], None]
+Publish = Callable[[list[StoredRow], int, int], None]
 
 
 class StoreReach:
@@ -43,19 +43,19 @@
         self.reached = False
         self.away_since: float | None = None
         self._returned: list[Callable[[float], None]] = []
-        self._doubted: list[Callable[[], None]] = []
+        self._rechecks: list[Callable[[], None]] = []
 
     def on_return(self, call: Callable[[float], None]) -> None:
         """Have ``call`` called with the time when the store answers again."""
         self._returned.append(call)
 
-    def on_doubt(self, call: Callable[[], None]) -> None:
+    def on_recheck(self, call: Callable[[], None]) -> None:
         """Have ``call`` called when the store should be looked at again."""
-        self._doubted.append(call)
+        self._rechecks.append(call)
 
-    def doubt(self) -> None:
+    def recheck(self) -> None:
         """Have the watches find out whether the store answers."""
-        for call in self._doubted:
+        for call in self._rechecks:
             call()
 
     def answered(self) -> None:
@@ -79,14 +79,14 @@
         self.reached = False
         if was_reached:
             log.warning("store lost", reason=reason)
-            self.doubt()
+            self.recheck()
 
 
 class TableWatcher:
     """One task that keeps one table's copy.
 
     Attributes:
-        pass_on: called with all rows that changed after one version up to another.
+        publish: called with all rows that changed after one version up to another.
 
     Args:
         store: asked directly.
@@ -110,11 +110,11 @@
     ) -> None:
         self.copy = copy
         self.spacing_s = spacing_s
-        self.pass_on: PassOn = lambda rows, since, version: None
+        self.publish: Publish = lambda rows, since, version: None
         self._reads = reads
         self._chance = chance or random.Random()
         self._wake = asyncio.Event()
-        reach.on_doubt(self.look_again)
+        reach.on_recheck(self.poll_now)
         self._store = store
         self._reach = reach
         self._changed = changed
@@ -126,7 +126,7 @@
         failed = False
         while True:
             # The first answer after a failure is not waited for until there is news.
-            wait_s = 0.0 if failed or not self.reads_for_others else WATCH_S
+            wait_s = 0.0 if failed or not self.is_reader else WATCH_S
             answer = await (self._read() if whole else self._watch(wait_s))
             if isinstance(answer, Err):
                 error = answer.err_value
@@ -143,27 +143,27 @@
             whole = failed = False
             if self.spacing_s:
                 await asyncio.sleep(self.spacing_s)
-            await self._rest()
+            await self._wait_for_poll()
 
     @property
-    def reads_for_others(self) -> bool:
+    def is_reader(self) -> bool:
         """Whether this instance watches the table all the time."""
         return self._reads(self.copy.table)
 
-    def look_again(self) -> None:
+    def poll_now(self) -> None:
         """Look at the table now if others read it."""
         self._wake.set()
 
     def readers_changed(self) -> None:
         """Look at the table now if nobody else reads it any more."""
-        if self.reads_for_others:
+        if self.is_reader:
             self._wake.set()
 
-    async def _rest(self) -> None:
+    async def _wait_for_poll(self) -> None:
         """Wait while others read the table."""
-        if self.reads_for_others:
+        if self.is_reader:
             return
-        pause_s = UNREAD_PAUSE_S * (1 - UNREAD_SPREAD * self._chance.random())
+        pause_s = NON_READER_POLL_S * (1 - POLL_JITTER * self._chance.random())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_s):
                 await self._wake.wait()
@@ -176,7 +176,7 @@
         if not self.copy.known:
             return  # what is not known yet is read whole
         if since > self.copy.read_version:
-            self.look_again()
+            self.poll_now()
         news = self.copy.take_changes(rows, since, version)
         if news:
             self._changed(news, peer)
@@ -210,7 +210,7 @@
         news = self.copy.take_changes(page.rows, since, page.version)
         if self.copy.settled_version > settled:
             # All that was read, also what is no news here: it may be elsewhere.
-            self.pass_on(page.rows, settled, self.copy.settled_version)
+            self.publish(page.rows, settled, self.copy.settled_version)
         if news:
             self._changed(news, "store")
         return None
--- a/tests/gateway/test_contacts.py
+++ b/tests/gateway/test_contacts.py
@@ -155,13 +155,13 @@
     said = (member.id, member.incarnation, member.address, member.zone)
     relay._member_lost("", MemberLost(member.id, member.incarnation))
     assert member.lost_at is not None
-    assert relay._found(*said) is None
+    assert relay._note_alive(*said) is None
     assert member.lost_at is not None
     later = (member.id, f"{member.id}.later", member.address, member.zone)
-    assert relay._found(*later) is member
+    assert relay._note_alive(*later) is member
     assert member.lost_at is None
     # What is still passed on of the life before says nothing.
-    assert relay._found(*said) is None
+    assert relay._note_alive(*said) is None
     assert member.incarnation == f"{member.id}.later"
 
 
@@ -173,9 +173,9 @@
     await world.ready()
     id = far.settings.instance
     body = encode_body(JobNews("j1", "somebody", 7))
-    near.mesh._relay._take([id, f"{id}.earlier", body])
+    near.mesh._relay._deliver([id, f"{id}.earlier", body])
     assert "j1" not in near.keeper.listed_by_id
-    near.mesh._relay._take([id, far.mesh.incarnation, body])
+    near.mesh._relay._deliver([id, far.mesh.incarnation, body])
     assert near.keeper.listed_by_id["j1"] == 7
 
 
@@ -208,10 +208,10 @@
         await world.add_instance(zone="b")
     await world.ready()
     relay = asking.mesh._relay
-    await until(lambda: len(relay._connected("b")) == CONTACTS_PER_ZONE)
-    first = relay._best("b")
+    await until(lambda: len(relay._connected_contacts("b")) == CONTACTS_PER_ZONE)
+    first = relay._best_contact("b")
     first.heard_at -= 10.0
-    assert relay._best("b") is not first
+    assert relay._best_contact("b") is not first
 
 
 async def test_a_relay_for_an_instance_that_is_gone_harms_nobody(
@@ -222,8 +222,8 @@
     await world.ready()
     speaker = asking.settings.instance
     body = encode_body(JobNews("j1", "somebody", 7))
-    contact.mesh._relay._asked(speaker, Relay("nobody", body))
-    contact.mesh._relay._asked(speaker, Relay("", b"no message"))
+    contact.mesh._relay._relay_requested(speaker, Relay("nobody", body))
+    contact.mesh._relay._relay_requested(speaker, Relay("", b"no message"))
     assert "j1" not in contact.keeper.listed_by_id
 
 
@@ -241,7 +241,9 @@
     sign = RelayedHeartbeats([[*place, False, True, [["i-0", 1, 0, 0.0]]]])
     relay = near.mesh._relay
     relay._relayed_heartbeats("", sign)
-    relay._take([member.id, member.incarnation, encode_body(Counts([["i-0", 3, 0]]))])
+    relay._deliver(
+        [member.id, member.incarnation, encode_body(Counts([["i-0", 3, 0]]))]
+    )
     assert near.fleet.occupancy.of(member.id, "i-0").online == 3
     relay._relayed_heartbeats("", sign)
     assert near.fleet.occupancy.of(member.id, "i-0").online == 1
--- a/tests/gateway/test_table_readers.py
+++ b/tests/gateway/test_table_readers.py
@@ -41,7 +41,7 @@
 
 
 def _readers(instances: list[GatewayInstance], table: str) -> list[GatewayInstance]:
-    return [one for one in instances if _watcher(one, table).reads_for_others]
+    return [one for one in instances if _watcher(one, table).is_reader]
 
 
 async def _stop_watching(instance: GatewayInstance) -> None:
@@ -179,7 +179,7 @@
 ) -> list[tuple[int, int, int]]:
     """Have a watcher read these; return what it passed on: rows, since, version."""
     passed: list[tuple[int, int, int]] = []
-    watcher.pass_on = lambda rows, since, version: passed.append(
+    watcher.publish = lambda rows, since, version: passed.append(
         (len(rows), since, version)
     )
     watcher._store = PagedStore(pages)
@@ -296,17 +296,17 @@
         for _ in range(4)
     ]
 
-    def passer(speaker: watching.TableWatcher) -> watching.PassOn:
-        def pass_on(rows: list[StoredRow], since: int, version: int) -> None:
+    def passer(speaker: watching.TableWatcher) -> watching.Publish:
+        def publish(rows: list[StoredRow], since: int, version: int) -> None:
             for hearer in watchers:
                 if hearer is not speaker and chance.random() < 0.8:
                     hearer.take_changes_from_peer(rows, since, version, "peer")
 
-        return pass_on
+        return publish
 
     for watcher in watchers:
         watcher.copy.take_whole([], 0)
-        watcher.pass_on = passer(watcher)
+        watcher.publish = passer(watcher)
     asked: set[asyncio.Task] = set()
     for _ in range(200):
         if chance.random() < 0.4:
