--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -15,7 +15,7 @@
 TABLE = "instances"
 LOOK_S = 3.0
 # Members learn of each other from peers; the list is for those who know nobody. Up to
-# so many members each reads it every ``LOOK_S``; beyond, the rate of all stays the same.
+# so many members each reads it every ``LOOK_S``; beyond, the rate of all is constant.
 FULL_RATE_MEMBERS = 16
 FIRST_LOOK_S = 0.5
 LEAVE_S = 0.3
