Look at the store again only when it turns away a peer of the own zone

Cause: only peers of the own zone read tables for an instance, as docs/design/mesh.md says, but the word of any peer made it look. A zone that loses the store whole had every instance of all others look at four tables for each of its members. Seen by reading; no figure measured. The new test failed before for a far peer and holds for a near one.

--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -222,8 +222,8 @@
 
     def _heartbeat(self, peer: str, beat: Heartbeat) -> None:
         news = self._mesh.roster.reaches_store(peer, beat.store_reached)
-        if news and not beat.store_reached:
-            self._reach.recheck()  # the peer may have read for others
+        if news and not beat.store_reached and self._reads_for_this_zone(peer):
+            self._reach.recheck()
         self._mesh.leaves(peer, beat.leaving)
         counts = {target: Count(*count) for target, *count in beat.counts}
         if self._fleet.occupancy.told_all(peer, counts):
@@ -233,6 +233,10 @@
         for table, version in beat.versions.items():
             self._peer_has(peer, table, version)
 
+    def _reads_for_this_zone(self, peer: str) -> bool:
+        """Whether a peer may have read tables of the store for this instance."""
+        return self._mesh.members_by_id[peer].zone == self._mesh.zone
+
     def _table_news(self, peer: str, news: TableNews) -> None:
         self._peer_has(peer, news.table, news.version)
 
--- a/tests/gateway/test_table_readers.py
+++ b/tests/gateway/test_table_readers.py
@@ -8,7 +8,8 @@
 
 from caperridge.gateway import watcher as watching
 from caperridge.gateway.mesh import mesh, roster
-from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.mesh.messages import Heartbeat
+from caperridge.gateway.process import BEAT_S, GatewayInstance
 from caperridge.gateway.rows import RowKey, RowsRead, StoredRow
 from caperridge.gateway.table_readers import READERS_PER_ZONE
 from gateway.conftest import ROUTES, World, until
@@ -329,3 +330,21 @@
                 if row.version <= watcher.copy.read_version:
                     assert known.get(key) == row
     await asyncio.gather(*asked)
+
+
+@pytest.mark.parametrize(("zone", "rechecks"), [("a", 1), ("b", 0)])
+async def test_only_a_near_peer_that_the_store_turns_away_makes_others_look(
+    world: World, many_peers: None, zone: str, rechecks: int
+) -> None:
+    """Only near peers read for this instance; a far zone may lose the store whole."""
+    instance = await world.add_instance(zone="a")
+    peer = await world.add_instance(zone=zone)
+    await world.ready()
+    id = peer.settings.instance
+    peer.news.beat = lambda: None
+    await asyncio.sleep(BEAT_S)
+    instance.news._heartbeat(id, Heartbeat([], {}, store_reached=True))
+    looked: list[None] = []
+    instance.reach.recheck = lambda: looked.append(None)
+    instance.news._heartbeat(id, Heartbeat([], {}, store_reached=False))
+    assert len(looked) == rechecks
