Check callers' keys, quotas and job ownership on the users' platform

Cause: the gateway read no teams, keys or quotas: a key went on to targets, no team was told to them, and unknown keys were served. Change: teams of a configuration are found by the digest of a key; checks run in one order (503, 404, 401, 429, 400); credentials and forged team names are removed in every spelling; jobs and their waiting tokens belong to a team; a team's quota is one bucket at an owner by rendezvous, which is asked first only near the limit.

--- a/src/caperridge/gateway/configuration.py
+++ b/src/caperridge/gateway/configuration.py
@@ -1,8 +1,10 @@
 """The configuration in force at this instance; its version only increases."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
+from caperridge.decisions.quota import QuotaLimit
 from caperridge.gateway.routes import RoutingTable
 from caperridge.log import logger
 
@@ -10,12 +12,38 @@
 
 
 class ConfigurationInForce:
-    """Holds the newest version that was received."""
+    """Holds the newest version that was received.
+
+    Attributes:
+        table: in force; None before the first.
+        since: when it came in force, on the event loop's clock.
+        newer_announced: returns whether a peer has a newer version.
+    """
 
     def __init__(self) -> None:
         self.table: RoutingTable | None = None
         self.since = 0.0
         self._changed: list[Callable[[], None]] = []
+        self._next = asyncio.Event()
+        self.newer_announced: Callable[[], bool] = lambda: False
+
+    async def wait_for_newer(self, timeout_s: float) -> bool:
+        """Wait for the next version if a peer has announced one.
+
+        Returns:
+            Whether a newer version is in force now.
+        """
+        if not self.newer_announced():
+            return False
+        next_version = self._next
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await next_version.wait()
+        return next_version.is_set()
+
+    def limit_of(self, team: str) -> QuotaLimit | None:
+        """Return the limit of a team in the version in force; None if it has none."""
+        return self.table.limit_of(team) if self.table is not None else None
 
     def on_change(self, call: Callable[[], None]) -> None:
         """Call ``call`` when another version is in force."""
@@ -35,6 +63,8 @@
             source=source,
             routes=len(table.routes),
         )
+        self._next.set()
+        self._next = asyncio.Event()
         for call in self._changed:
             call()
         return True
--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -24,6 +24,7 @@
         incarnation: id of the only target that may run the request.
         not_run: in an answer of a target: the request was not run.
         signature: of the target that sent an answer.
+        team: name of the team of a request, to targets.
         resume: number of the last event that was received.
         wait: how long a read of results may wait for new ones, in ms.
     """
@@ -35,6 +36,7 @@
         "request",
         "resume",
         "signature",
+        "team",
         "wait",
     )
 
@@ -47,6 +49,7 @@
         signature: str,
         resume: str,
         wait: str,
+        team: str,
     ) -> None:
         self.request = request
         self.deadline = deadline
@@ -55,6 +58,7 @@
         self.signature = signature
         self.resume = resume
         self.wait = wait
+        self.team = team
 
 
 class JobsPaths(Record):
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import math
-import re
 from collections.abc import Callable
 
 from aiohttp import web
@@ -11,14 +10,18 @@
 
 from caperridge.decisions.admission import CallerWaits
 from caperridge.gateway.answer_limits import AnswerLimits
+from caperridge.gateway.caller_checks import CallerChecks, Rejection
 from caperridge.gateway.configuration import ConfigurationInForce
-from caperridge.gateway.dialect import DecodeError, Dialect
+from caperridge.gateway.credentials import CredentialFilter
+from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.forwarding import Forwarder
 from caperridge.gateway.inbound import Failure, InboundRequest
-from caperridge.gateway.jobs.edge import JobAnswer, JobsEdge
+from caperridge.gateway.job_calls import JobCalls
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.reply import AiohttpReply
+from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import BATCH, Route
+from caperridge.gateway.teams import Team
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -26,8 +29,6 @@
 
 # Sent while no configuration has been read yet.
 STARTING_RETRY_AFTER_S = 0.5
-# Job ids are part of paths, keys and object names, which have at most 200 bytes.
-JOB_ID = re.compile(r"[A-Za-z0-9._~-]{1,100}")
 # While draining, no request for this long means that callers use other instances.
 QUIET_PERIOD_S = 0.7
 QUIET_POLL_INTERVAL_S = 0.05
@@ -55,14 +56,16 @@
     """Dispatches callers' requests by path and route.
 
     Attributes:
-        closing: the instance drains; connections are closed after their answer.
         read_peers: called before a request is placed, so that counts are up to date.
 
     Args:
         configuration: in force.
         forwarder: serves online requests.
-        jobs: serves jobs and reads of results.
-        dialect: names of headers and paths.
+        jobs: answers calls about jobs.
+        checks: of callers.
+        credentials: removes them from what is forwarded.
+        dialect: names of headers.
+        responses: to callers.
         metrics: counted into.
         limits: deadlines of answers.
     """
@@ -71,17 +74,22 @@
         self,
         configuration: ConfigurationInForce,
         forwarder: Forwarder,
-        jobs: JobsEdge,
+        jobs: JobCalls,
+        checks: CallerChecks,
+        credentials: CredentialFilter,
         dialect: Dialect,
+        responses: Responses,
         metrics: GatewayMetrics,
         limits: AnswerLimits,
     ) -> None:
         self._configuration = configuration
         self._forwarder = forwarder
         self._jobs = jobs
+        self._checks = checks
+        self._credentials = credentials
         self._dialect = dialect
+        self._responses = responses
         self._metrics = metrics
-        self.closing = False
         self._limits = limits
         self.read_peers: Callable[[], None] = lambda: None
         self._running_by_number: dict[int, RunningRequest] = {}
@@ -89,6 +97,11 @@
         self._last_arrival = 0.0
         self._waits_by_route: dict[str, CallerWaits] = {}
 
+    @property
+    def closing(self) -> bool:
+        """Whether the instance drains and closes connections after their answer."""
+        return self._responses.closing
+
     @property
     def running(self) -> int:
         """How many requests are being answered."""
@@ -116,7 +129,7 @@
             reject_long_from: when the balancer has moved callers to other instances,
                 so that a refused caller is served there at once.
         """
-        self.closing = True
+        self._responses.closing = True
         self._limits.cap(answers_until, reject_long_from)
 
     async def wait_until_quiet(self, earliest: float, until: float) -> None:
@@ -164,13 +177,12 @@
                 request=request.headers.get(self._dialect.headers.request, ""),
                 reason="no configuration is known yet",
             )
-            return self._refuse(
+            return self._responses.refuse(
                 request, 503, "no configuration is known yet", STARTING_RETRY_AFTER_S
             )
         path = request.raw_path
-        paths = self._dialect.paths
-        if path.startswith(paths.jobs) or path.startswith(paths.bodies):
-            return await self._job_call(request)
+        if self._jobs.takes(path):
+            return await self._jobs.handle(request)
         route = table.find(request.host, path)
         if route is None:
             log.info(
@@ -180,19 +192,61 @@
                 path=path,
                 version=table.version,
             )
-            return self._refuse(request, 404, "no route takes it")
+            return self._responses.refuse(request, 404, "no route takes it")
+        team = await self._checks.identify(request.headers, route)
+        if isinstance(team, Rejection):
+            log.info(
+                "unknown key",
+                request=request.headers.get(self._dialect.headers.request, ""),
+                route=route.name,
+                version=table.version,
+            )
+            return self._responses.reject(request, team)
+        if route.kind == BATCH:
+            return await self._job(request, route, arrived, team)
+        return await self._within_quota(request, route, arrived, team)
+
+    async def _read_body(self, request: web.Request) -> bytes | None:
+        """Return the body; None if the instance stops before it has come."""
         try:
             async with self._limits.within():
-                body = await request.read()
+                return await request.read()
         except TimeoutError:
-            # It was not forwarded, so the caller may send it to another instance.
-            return self._refuse(request, 503, "its body has not come in time")
-        if route.kind == BATCH:
-            return await self._job(request, route, body, arrived)
-        return await self._online(request, route, body, arrived)
+            return None
+
+    def _body_missing(self, request: web.Request) -> web.Response:
+        # It was not forwarded, so the caller may send it to another instance.
+        return self._responses.refuse(request, 503, "its body has not come in time")
+
+    async def _job(
+        self, request: web.Request, route: Route, arrived: float, team: Team | None
+    ) -> web.StreamResponse:
+        body = await self._read_body(request)
+        if body is None:
+            return self._body_missing(request)
+        return await self._jobs.submit(request, route, body, arrived, team)
+
+    async def _within_quota(
+        self, request: web.Request, route: Route, arrived: float, team: Team | None
+    ) -> web.StreamResponse:
+        """Serve a request if its team's quota admits it."""
+        id = request.headers.get(self._dialect.headers.request, "")
+        over_quota = await self._checks.admit(team, route, id)
+        if over_quota is not None:
+            return self._responses.reject(request, over_quota)
+        body = await self._read_body(request)
+        if body is None:
+            self._checks.restore(team, route)
+            return self._body_missing(request)
+        return await self._online(request, route, body, arrived, team)
 
     async def _online(
-        self, request: web.Request, route: Route, body: bytes, arrived: float
+        self,
+        request: web.Request,
+        route: Route,
+        body: bytes,
+        arrived: float,
+        team: Team | None,
     ) -> web.StreamResponse:
         names = self._dialect.headers
         id = request.headers.get(names.request, "")
@@ -203,7 +257,7 @@
             id=id,
             method=request.method,
             path=request.raw_path,
-            headers=CIMultiDict(request.headers),
+            headers=self._headers_for_targets(request, team),
             body=body,
             route=route,
             arrived=arrived,
@@ -250,11 +304,23 @@
             begun_s=reply.started_after(arrived),
             took_s=took_s,
         )
+        if failure.not_run:
+            self._checks.restore(team, route)
         if reply.started:
             reply.abort()
             return reply.response
         return self._fail(request, failure)
 
+    def _headers_for_targets(
+        self, request: web.Request, team: Team | None
+    ) -> CIMultiDict[str]:
+        """Return the headers to forward; unchanged where no team is known."""
+        table = self._configuration.table
+        headers = CIMultiDict(request.headers)
+        if team is None and (table is None or table.teams is None):
+            return headers
+        return self._credentials.headers_for(headers, team.name if team else None)
+
     def _waited_s(self, route: Route, deadline_ms: str) -> float:
         """Return how long the caller has waited since its first try, in seconds."""
         if not deadline_ms.isdigit():
@@ -264,94 +330,11 @@
 
     def _fail(self, request: web.Request, failure: Failure) -> web.Response:
         if failure.not_run:
-            return self._refuse(request, 503, failure.reason, failure.retry_after_s)
-        status = 504 if failure.timed_out else 502
-        return self._refuse(request, status, failure.reason)
-
-    async def _job(
-        self, request: web.Request, route: Route, body: bytes, arrived: float
-    ) -> web.StreamResponse:
-        id = request.headers.get(self._dialect.headers.request, "")
-        if request.method != "POST" or not JOB_ID.fullmatch(id):
-            return self._refuse(request, 400, "a job is sent by POST with a plain id")
-        try:
-            job = self._dialect.job(body)
-        except DecodeError as error:
-            return self._refuse(request, 400, str(error))
-        answer = await self._jobs.accept(route, request.host, id, job, arrived)
-        return self._answer(request, answer.status, answer.reason, answer.retry_after_s)
-
-    async def _job_call(self, request: web.Request) -> web.StreamResponse:
-        paths = self._dialect.paths
-        bodies = request.path.startswith(paths.bodies)
-        id = request.path.removeprefix(paths.bodies if bodies else paths.jobs)
-        handler = self._read_body if bodies else self._read_results
-        if request.method == "DELETE" and not bodies:
-            handler = self._cancel
-        elif request.method != "GET":
-            return self._refuse(request, 405, "not to be done with this path")
-        return await handler(request, id)
-
-    async def _read_results(self, request: web.Request, id: str) -> web.StreamResponse:
-        position = request.query.get(self._dialect.paths.position, "0")
-        wait_ms = request.headers.get(self._dialect.headers.wait, "0")
-        if not position.isdigit():
-            return self._refuse(request, 400, "a position is a number")
-        wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
-        answer = await self._jobs.results(id, int(position), wait_s)
-        if answer.page is None:
-            return self._without_result(request, answer)
-        return self._finish(
-            request,
-            web.Response(
-                body=self._dialect.results(answer.page),
-                content_type="application/json",
-            ),
-        )
-
-    async def _read_body(self, request: web.Request, id: str) -> web.StreamResponse:
-        item = request.query.get(self._dialect.paths.item, "")
-        answer = await self._jobs.body(id, item)
-        if answer.body is None:
-            return self._without_result(request, answer)
-        return self._finish(request, web.Response(body=answer.body))
-
-    async def _cancel(self, request: web.Request, id: str) -> web.StreamResponse:
-        return self._without_result(request, await self._jobs.cancel(id))
-
-    def _without_result(self, request: web.Request, answer: JobAnswer) -> web.Response:
-        if answer.status >= 400:
-            log.info(
-                "job call refused",
-                path=request.raw_path,
-                status=answer.status,
-                reason=answer.reason,
+            return self._responses.refuse(
+                request, 503, failure.reason, failure.retry_after_s
             )
-        return self._answer(request, answer.status, answer.reason, answer.retry_after_s)
-
-    def _refuse(
-        self, request: web.Request, status: int, reason: str, retry_after_s: float = 0.0
-    ) -> web.Response:
-        if status >= 500:
-            self._metrics.requests.labels("own", str(status)).inc()
-        return self._answer(request, status, reason, retry_after_s)
-
-    def _answer(
-        self, request: web.Request, status: int, reason: str, retry_after_s: float
-    ) -> web.Response:
-        response = web.json_response({"reason": reason}, status=status)
-        id = request.headers.get(self._dialect.headers.request)
-        if id is not None:
-            response.headers[self._dialect.headers.request] = id
-        if retry_after_s > 0:
-            response.headers["Retry-After"] = f"{retry_after_s:.2f}"
-        return self._finish(request, response)
-
-    def _finish(self, request: web.Request, response: web.Response) -> web.Response:
-        if self.closing:
-            response.force_close()
-            response.headers["Connection"] = "close"
-        return response
+        status = 504 if failure.timed_out else 502
+        return self._responses.refuse(request, status, failure.reason)
 
 
 def _outcome(failure: Failure) -> str:
--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -1,9 +1,9 @@
 """Idempotent acceptance of jobs under optimistic concurrency control.
 
 The items are written to an object; then one transaction writes the job's entry into the
-index. It is conditional on the entry being absent and on the route's gate row, which
-every acceptance writes: a reader of the gate's version has also read all jobs accepted
-before, so its sum of waiting tokens is never too small.
+index. It is conditional on the entry being absent and on the gate row of the route and
+the team, which every such acceptance writes: a reader of the gate's version has also
+read all jobs accepted before, so its sum of waiting tokens is never too small.
 """
 
 import asyncio
@@ -93,16 +93,23 @@
         self._chance = chance
 
     async def accept(
-        self, route: Route, host: str, id: str, job: JobRequest, deadline: float
+        self,
+        route: Route,
+        host: str,
+        id: str,
+        job: JobRequest,
+        deadline: float,
+        team: str = "",
     ) -> Outcome:
         """Store ``job`` under ``id``.
 
         Args:
             route: that matches the job.
             host: that it was sent to.
-            id: given by the caller; a repeated job has the same id.
+            id: unique among the jobs of all teams; a repeated job has the same id.
             job: its items.
             deadline: in seconds of the loop's clock.
+            team: that sends it; empty if its route needs no key.
         """
         if id in self._index.entries_by_job:
             return Accepted(self._index.entries_by_job[id], duplicate=True)
@@ -111,8 +118,8 @@
             await self._refresh()
             if not self._clock.known:
                 return NotAccepted("the store was never reached", BUSY_RETRY_AFTER_S)
-        if not self._fits(route, job):
-            return _full(route, self._index)
+        if not self._fits(route, job, team):
+            return _full(route, self._index, team)
         nonce = secrets.token_hex(4)
         name = items_object(id, nonce)
         stored = await self._store_items(id, name, job, deadline)
@@ -126,15 +133,16 @@
             sent_s=self._clock.now(),
             waiting_tokens=job.tokens,
             object=name,
+            team=team,
         )
         return await self._write_entry(route, entry, job, deadline)
 
-    def _fits(self, route: Route, job: JobRequest) -> bool:
+    def _fits(self, route: Route, job: JobRequest, team: str) -> bool:
         assert route.batch is not None
         limit = route.batch.max_waiting_tokens
         if limit <= 0:
             return True
-        return self._index.waiting_tokens(route.name) + job.tokens <= limit
+        return self._index.waiting_tokens(route.name, team) + job.tokens <= limit
 
     async def _store_items(
         self, id: str, name: str, job: JobRequest, deadline: float
@@ -160,16 +168,16 @@
         pause_s = MIN_RETRY_DELAY_S
         own = to_bytes(entry)
         key = entry_key(entry.id)
-        gate = gate_key(route.name)
+        gate = gate_key(route.name, entry.team)
         transaction = Transaction({}, {})
         while True:
             if not may_be_done:
-                if not self._fits(route, job):
-                    return _full(route, self._index)
+                if not self._fits(route, job, entry.team):
+                    return _full(route, self._index, entry.team)
                 # An unanswered transaction is repeated unchanged: with a later version
                 # of the gate the job might exceed the limit.
                 transaction = Transaction(
-                    {key: 0, gate: self._index.gate_version(route.name)},
+                    {key: 0, gate: self._index.gate_version(route.name, entry.team)},
                     {key: own, gate: entry.id.encode()},
                 )
             answer = await self._store.transact(transaction)
@@ -228,7 +236,7 @@
     log.info("job not accepted yet", job=job, reason=reason)
 
 
-def _full(route: Route, index: JobIndex) -> NotAccepted:
-    waiting = index.waiting_tokens(route.name)
+def _full(route: Route, index: JobIndex, team: str) -> NotAccepted:
+    waiting = index.waiting_tokens(route.name, team)
     reason = f"{waiting} tokens wait on the route"
     return NotAccepted(reason, FULL_RETRY_AFTER_S, full=True)
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -107,13 +107,21 @@
         self._jobs_by_object: OrderedDict[str, JobRequest] = OrderedDict()
 
     async def accept(
-        self, route: Route, host: str, id: str, job: JobRequest, arrived: float
+        self,
+        route: Route,
+        host: str,
+        id: str,
+        job: JobRequest,
+        arrived: float,
+        team: str = "",
     ) -> JobAnswer:
-        """Store a job and start to work on it."""
+        """Store a job of ``team`` and start to work on it."""
         deadline = min(arrived + ACCEPT_TIMEOUT_S, self._limits.deadline)
         try:
             async with self._limits.within():
-                outcome = await self._acceptance.accept(route, host, id, job, deadline)
+                outcome = await self._acceptance.accept(
+                    route, host, id, job, deadline, team
+                )
         except TimeoutError:
             outcome = AcceptanceUnknown("the instance stops")
         loop = asyncio.get_running_loop()
--- a/src/caperridge/gateway/jobs/index.py
+++ b/src/caperridge/gateway/jobs/index.py
@@ -57,15 +57,15 @@
         row = self.copy.rows_by_key.get(entry_key(job))
         return row.version if row is not None else ABSENT
 
-    def gate_version(self, route: str) -> int:
-        """Return the version of a route's gate; ``ABSENT`` if it has none."""
-        row = self.copy.rows_by_key.get(gate_key(route))
+    def gate_version(self, route: str, team: str = "") -> int:
+        """Return the version of the gate of a team's jobs; ``ABSENT`` if none."""
+        row = self.copy.rows_by_key.get(gate_key(route, team))
         return row.version if row is not None else ABSENT
 
-    def waiting_tokens(self, route: str) -> int:
-        """Return an upper bound of the tokens of unfinished items on ``route``."""
+    def waiting_tokens(self, route: str, team: str = "") -> int:
+        """Return an upper bound of a team's tokens of unfinished items on ``route``."""
         return sum(
             entry.waiting_tokens
             for entry in self.entries_by_job.values()
-            if entry.route == route and entry.open
+            if entry.route == route and entry.team == team and entry.open
         )
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -368,6 +368,8 @@
         headers[names.incarnation] = target.name
         headers[names.deadline] = str(int(LEASE_S * 1000))
         headers.pop(names.resume, None)
+        if job.entry.team:
+            headers[names.team] = job.entry.team
         if state.progress.event:
             headers[names.resume] = str(state.progress.event)
         return Outbound(
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -285,7 +285,7 @@
         if route is None or route.batch is None or job.head.finished:
             return
         limit = route.batch.max_waiting_tokens
-        waiting = self._index.waiting_tokens(route.name)
+        waiting = self._index.waiting_tokens(route.name, job.entry.team)
         if limit <= 0 or waiting < limit * REWRITE_THRESHOLD_RATIO:
             return
         await self._rewrite(job.entry.id, job.waiting_tokens, still_open=True)
--- a/src/caperridge/gateway/jobs/keys.py
+++ b/src/caperridge/gateway/jobs/keys.py
@@ -5,6 +5,8 @@
 of their own.
 """
 
+import hashlib
+
 from caperridge.gateway.rows import RowKey
 
 INDEX = "job-index"
@@ -15,6 +17,7 @@
 _PROGRESS = "p:"
 _RESULT = "r:"
 _RESULTS_END = "r;"
+_TEAM_DIGEST_BYTES = 8
 
 
 def entry_key(job: str) -> RowKey:
@@ -31,9 +34,25 @@
     return key.key[len(_ENTRY) :] if key.key.startswith(_ENTRY) else None
 
 
-def gate_key(route: str) -> RowKey:
-    """Return the key of the gate row that each acceptance on ``route`` writes."""
-    return RowKey(INDEX, "", _GATE + route)
+def job_of_team(id: str, team: str) -> str:
+    """Return the id of a job among those of all teams.
+
+    Two teams may use the same id. Ids given by callers contain no ``@``.
+
+    >>> job_of_team("a1", ""), job_of_team("a1", "x") == job_of_team("a1", "y")
+    ('a1', False)
+    """
+    return f"{id}@{_team_digest(team)}" if team else id
+
+
+def gate_key(route: str, team: str = "") -> RowKey:
+    """Return the key of the gate row that each acceptance of a team's job writes."""
+    name = f"{route}@{_team_digest(team)}" if team else route
+    return RowKey(INDEX, "", _GATE + name)
+
+
+def _team_digest(team: str) -> str:
+    return hashlib.blake2b(team.encode(), digest_size=_TEAM_DIGEST_BYTES).hexdigest()
 
 
 def head_key(job: str) -> RowKey:
--- a/src/caperridge/gateway/jobs/model.py
+++ b/src/caperridge/gateway/jobs/model.py
@@ -47,7 +47,7 @@
     """A job's row in the index of all jobs.
 
     Attributes:
-        id: given by the caller.
+        id: given by the caller, and unique for its team; see :func:`job_of_team`.
         route: name of the route that matched it.
         host: that it was sent to.
         total: number of items.
@@ -55,6 +55,7 @@
         waiting_tokens: of unfinished items; never rises.
         object: name of the object with the items.
         open: whether more results may be listed.
+        team: that sent it; empty if its route needs no key.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "open",
         "route",
         "sent_s",
+        "team",
         "total",
         "waiting_tokens",
     )
@@ -78,7 +80,9 @@
         waiting_tokens: int,
         object: str,
         open: bool = True,
+        team: str = "",
     ) -> None:
+        self.team = team
         self.id = id
         self.route = route
         self.host = host
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from caperridge.gateway.mesh.quota_messages import QuotaReport, QuotaVerdict
 from caperridge.records import Record
 
 
@@ -359,5 +360,7 @@
         Relayed,
         RelayedHeartbeats,
         MemberLost,
+        QuotaReport,
+        QuotaVerdict,
     )
 }
--- /dev/null
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -0,0 +1,38 @@
+"""Messages about the quotas of teams, between instances and the owners of buckets."""
+
+from typing import Any
+
+from caperridge.records import Record
+
+
+class QuotaReport(Record):
+    """What the sender served of some teams, and what it asks for.
+
+    Attributes:
+        number: repeated in the answer.
+        teams: of each its name, the requests served without asking, those that wait for
+            a grant, and its usual rate at the sender.
+    """
+
+    __slots__ = ("number", "teams")
+
+    def __init__(self, number: int, teams: list[list[Any]]) -> None:
+        self.number = number
+        self.teams = teams
+
+
+class QuotaVerdict(Record):
+    """Answers a report.
+
+    Attributes:
+        number: of the report.
+        teams: of each its name, how many requests are granted, whether to ask before
+            each request, the level of its bucket, after how many seconds the first of
+            the refused may return, and the seconds between them.
+    """
+
+    __slots__ = ("number", "teams")
+
+    def __init__(self, number: int, teams: list[list[Any]]) -> None:
+        self.number = number
+        self.teams = teams
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -309,6 +309,11 @@
         timer = self._schedule_request(self._store_wait_s(table), table)
         self._stale_by_table[table] = StaleTable(version, peer, timer)
 
+    def is_stale(self, table: str) -> bool:
+        """Whether a peer has announced a change that the own copy lacks."""
+        stale = self._stale_by_table.get(table)
+        return stale is not None and not self._includes(table, stale.version)
+
     def _includes(self, table: str, version: int) -> bool:
         """Whether the own copy includes all changes up to ``version``.
 
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -17,7 +17,7 @@
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.edge import Edge
+from caperridge.gateway.edge_parts import make_edge
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.forwarding import Forwarder
 from caperridge.gateway.held_rows import QuarantineTable
@@ -44,6 +44,8 @@
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.news import PeerUpdates
 from caperridge.gateway.observed_store import ObservedStore
+from caperridge.gateway.quota_ledger import QuotaLedger
+from caperridge.gateway.quotas import QuotaKeeper
 from caperridge.gateway.registry import InstanceRegistry
 from caperridge.gateway.relayed_store import RelayedStore
 from caperridge.gateway.repeating_store import HedgingStore
@@ -58,6 +60,7 @@
 from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.targets import Target
 from caperridge.gateway.unowned import OrphanedRunScan
+from caperridge.gateway.unreachable import probe_unreachable
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import Changed, StoreReachability, TableWatcher
 from caperridge.gateway.zones import silent_zones
@@ -74,7 +77,6 @@
 # Peers announce quarantined requests at once. An instance without peers reads them from
 # the store, well within the seconds in which it has to learn of them.
 QUARANTINE_READ_INTERVAL_S = 0.5
-PROBE_INTERVAL_S = 0.5
 # Well above the delay of timers on a busy machine, and well below the silence after
 # which peers declare this instance lost.
 MIN_STALL_S = 0.3
@@ -162,8 +164,18 @@
         self._forwarder = Forwarder(
             self.fleet, self.client, dialect, self.metrics, limits, self.guard
         )
-        self.edge = Edge(
-            self.configuration, self._forwarder, jobs, dialect, self.metrics, limits
+        ledger = QuotaLedger(
+            self.mesh, self.configuration.limit_of, len(set(settings.seeds))
+        )
+        self.quotas = QuotaKeeper(self.mesh, ledger)
+        self.edge = make_edge(
+            self.configuration,
+            self._forwarder,
+            jobs,
+            self.quotas,
+            dialect,
+            self.metrics,
+            limits,
         )
         self._rows = TableRows(
             dialect,
@@ -221,6 +233,9 @@
         self._rows.on_target_removed = self._crash_detector.target_removed
         self._rows.on_target_replaced = self._crash_detector.target_restarted
         self.edge.read_peers = self.mesh.receive_now
+        self.configuration.newer_announced = lambda: self.updates.is_stale(
+            self._dialect.configuration_table
+        )
         self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.updates.on_item_started = self.granting.slot_used
         self.updates.on_count_received = self._on_peer_count
@@ -262,6 +277,7 @@
     async def start(self) -> None:
         """Start listening and all background tasks, without waiting for readiness."""
         settings = self.settings
+        self.quotas.start()
         await self.mesh.start()
         ready = ready_application(lambda: self.ready, lambda: state_of(self))
         self._listeners.insert(0, _listener(ready, settings.ready))
@@ -279,7 +295,7 @@
             loop.create_task(self.registry.run()),
             loop.create_task(self._tick()),
             loop.create_task(self._send_heartbeats()),
-            loop.create_task(self._probe_unreachable()),
+            loop.create_task(probe_unreachable(self.fleet, self.client)),
             loop.create_task(self.orphan_scan.run()),
             loop.create_task(self.sweeper.run()),
             loop.create_task(self.guard.run()),
@@ -298,6 +314,7 @@
         """Drain and stop within ``grace_s``; return how many requests were cut off."""
         log.info("instance stops", running=self.edge.running)
         self.updates.leaving = True
+        self.quotas.leave()
         steps = [self._notify_peers, self.keeper.hand_over, self.registry.deregister]
         return await PlannedStop(self.edge, self._caller_listener, steps).run(grace_s)
 
@@ -343,6 +360,7 @@
             due = now + TICK_INTERVAL_S
             self.fleet.remote_counts_stale = self.mesh.large
             self.recalls.expire(now)
+            self.quotas.expire(now)
             expired = self.fleet.targets.expire(now)
             if expired:
                 log.info("targets expired after a store outage", targets=expired)
@@ -376,16 +394,6 @@
             self.updates.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _probe_unreachable(self) -> None:
-        """Probe unreachable targets until they accept connections again."""
-        while True:
-            await asyncio.sleep(PROBE_INTERVAL_S)
-            for id, address in list(self.fleet.unreachable.items()):
-                if id not in self.fleet.targets.by_id:
-                    self.fleet.unreachable.pop(id, None)
-                elif await self.client.is_reachable(address):
-                    self.fleet.mark_reachable(id)
-
 
 def _listener(application: Any, address: str) -> Listener:
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/src/caperridge/gateway/quotas.py
@@ -0,0 +1,381 @@
+"""Enforcement of the quotas of teams at this instance; see decisions/quota.py."""
+
+import asyncio
+import contextlib
+import itertools
+from typing import Any
+
+from caperridge.decisions.quota import LocalBucket, QuotaLimit, UsualRate
+from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.quota_messages import QuotaReport, QuotaVerdict
+from caperridge.gateway.quota_ledger import QuotaLedger, Verdict
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# What was served without asking is reported in batches.
+REPORT_INTERVAL_S = 0.05
+# An owner in another availability zone answers within 80 ms where there are many peers.
+ANSWER_TIMEOUT_S = 0.2
+# After a silent owner, it is not asked again for this long; others take its place
+# within the time in which a lost peer is noticed.
+SILENT_OWNER_PAUSE_S = 0.5
+# How long the owner's word to ask first holds.
+SCARCE_HOLD_S = 1.0
+# A process that has just started does not know what was served before.
+CAUTIOUS_START_S = 5.0
+MAX_ALONE_BURST_RATIO = 0.5
+# Far longer than an answer of an owner may take.
+IDLE_EXPIRY_S = 60.0
+
+
+class TeamUse:
+    """What this instance knows of one team.
+
+    Attributes:
+        spent: served without asking and not reported yet.
+        waiting: requests that wait for a grant of the owner.
+        ask_until: the owner is asked before each request until this time.
+        silent_until: the owner is not asked until this time, as it did not answer.
+        reported_at: when the oldest report without an answer was sent; None if all
+            were answered.
+        used_at: when its last request came.
+        usual: rate of its requests here.
+        free: what may be served without asking.
+        alone: what may be served while no owner answers.
+        verdict: the last word of the owner.
+    """
+
+    __slots__ = (
+        "alone",
+        "ask_until",
+        "free",
+        "reported_at",
+        "silent_until",
+        "spent",
+        "used_at",
+        "usual",
+        "verdict",
+        "waiting",
+    )
+
+    def __init__(self, limit: QuotaLimit, ask_until: float, now: float) -> None:
+        self.used_at = now
+        self.spent = 0
+        self.waiting: list[asyncio.Future[float | None]] = []
+        self.ask_until = ask_until
+        self.silent_until = 0.0
+        self.reported_at: float | None = None
+        self.usual = UsualRate(now)
+        self.free = LocalBucket(limit.capacity, now)
+        self.alone = LocalBucket(1.0, now)
+        self.verdict: Verdict | None = None
+
+
+class Report:
+    """A report on its way to an owner: spent and waiting requests of each team."""
+
+    __slots__ = ("owner", "sent_at", "spent_by_team", "waiting_by_team")
+
+    def __init__(self, owner: str, sent_at: float) -> None:
+        self.owner = owner
+        self.sent_at = sent_at
+        self.spent_by_team: dict[str, int] = {}
+        self.waiting_by_team: dict[str, list[asyncio.Future[float | None]]] = {}
+
+
+class QuotaKeeper:
+    """Admits requests of teams within their quotas.
+
+    Attributes:
+        leaving: this instance stops, so other instances own its buckets.
+
+    Args:
+        mesh: of peers.
+        ledger: the buckets owned here.
+    """
+
+    def __init__(self, mesh: Mesh, ledger: QuotaLedger) -> None:
+        self.leaving = False
+        self._mesh = mesh
+        self.ledger = ledger
+        self._uses_by_team: dict[str, TeamUse] = {}
+        self._dirty: set[str] = set()
+        self._reports_by_number: dict[int, Report] = {}
+        self._numbers = itertools.count(1)
+        self._flush_timer: asyncio.TimerHandle | asyncio.Handle | None = None
+        self._started_at: float | None = None
+        self._owners_by_team: dict[str, str] = {}
+        self._owners_key = -1
+        mesh.register(QuotaReport, self._receive_report)
+        mesh.register(QuotaVerdict, self._receive_verdict)
+
+    def start(self) -> None:
+        """Note that this process started now."""
+        self._started_at = asyncio.get_running_loop().time()
+
+    def leave(self) -> None:
+        """Leave the buckets owned here to other instances, as this one stops."""
+        self.leaving = True
+        self._owners_by_team.clear()
+
+    async def admit(self, team: str, limit: QuotaLimit) -> float | None:
+        """Count one request; return None, or after how many seconds to return.
+
+        Args:
+            team: its name.
+            limit: in force here.
+        """
+        now = asyncio.get_running_loop().time()
+        use = self._use(team, limit, now)
+        if use.silent_until > now and self._owner_of(team) != self._mesh.instance:
+            return self._admit_alone(use, limit, now)
+        overdue = (
+            use.reported_at is not None and now - use.reported_at > ANSWER_TIMEOUT_S
+        )
+        may_spend = use.ask_until <= now and not overdue
+        if may_spend and use.free.take(limit.rate_per_s, limit.capacity, now):
+            self._spend(team, use, now)
+            return None
+        return await self._ask_owner(team, use, limit)
+
+    async def _ask_owner(
+        self, team: str, use: TeamUse, limit: QuotaLimit
+    ) -> float | None:
+        granted: asyncio.Future[float | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        use.waiting.append(granted)
+        self._dirty.add(team)
+        self._flush_soon()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                wait_s = await granted
+                if wait_s is None:
+                    use.usual.add(asyncio.get_running_loop().time())
+                return wait_s
+        return self._owner_silent(team, use, limit)
+
+    def restore(self, team: str) -> None:
+        """Give back one request that has not run."""
+        use = self._uses_by_team.get(team)
+        if use is None:
+            return
+        use.spent -= 1
+        self._dirty.add(team)
+        self._flush_later()
+
+    def evidence(self, team: str) -> dict[str, Any]:
+        """Return what a refusal of ``team`` was decided on, for the log."""
+        use = self._uses_by_team.get(team)
+        if use is None:
+            return {}
+        now = asyncio.get_running_loop().time()
+        verdict = use.verdict
+        return {
+            "owner": self._owner_of(team),
+            "owner_silent": use.silent_until > now,
+            "level": round(verdict.level, 2) if verdict is not None else None,
+            "usual_per_s": round(use.usual.at(now), 2),
+        }
+
+    def expire(self, now: float) -> None:
+        """Forget the teams that have sent nothing for long."""
+        self.ledger.expire(now)
+        for team, use in list(self._uses_by_team.items()):
+            idle = now - use.used_at > IDLE_EXPIRY_S
+            if idle and not use.waiting and team not in self._dirty:
+                del self._uses_by_team[team]
+
+    def _use(self, team: str, limit: QuotaLimit, now: float) -> TeamUse:
+        use = self._uses_by_team.get(team)
+        if use is None:
+            started_at = self._started_at if self._started_at is not None else now
+            ask_until = started_at + CAUTIOUS_START_S
+            use = self._uses_by_team[team] = TeamUse(limit, ask_until, now)
+        use.used_at = now
+        return use
+
+    def _spend(self, team: str, use: TeamUse, now: float) -> None:
+        use.spent += 1
+        use.usual.add(now)
+        self._dirty.add(team)
+        self._flush_later()
+
+    # Without an owner that answers.
+
+    def _owner_silent(self, team: str, use: TeamUse, limit: QuotaLimit) -> float | None:
+        now = asyncio.get_running_loop().time()
+        if use.silent_until <= now:
+            log.warning("quota owner silent", team=team, owner=self._owner_of(team))
+        use.silent_until = now + SILENT_OWNER_PAUSE_S
+        return self._admit_alone(use, limit, now)
+
+    def _admit_alone(self, use: TeamUse, limit: QuotaLimit, now: float) -> float | None:
+        """Admit what the team usually sends here."""
+        if not use.usual.frozen:
+            use.usual.freeze(now)
+        rate = use.usual.at(now)
+        capacity = max(1.0, min(rate, limit.capacity * MAX_ALONE_BURST_RATIO))
+        if use.alone.take(rate, capacity, now):
+            use.spent += 1
+            return None
+        return SILENT_OWNER_PAUSE_S
+
+    # Reports to owners.
+
+    def _flush_soon(self) -> None:
+        """Report at the end of this iteration of the event loop."""
+        if isinstance(self._flush_timer, asyncio.TimerHandle):
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        if self._flush_timer is None:
+            self._flush_timer = asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush_later(self) -> None:
+        if self._flush_timer is None:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_later(REPORT_INTERVAL_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_timer = None
+        now = asyncio.get_running_loop().time()
+        teams_by_owner: dict[str, list[str]] = {}
+        for team in self._dirty:
+            teams_by_owner.setdefault(self._owner_of(team), []).append(team)
+        self._dirty.clear()
+        for instance, teams in teams_by_owner.items():
+            if instance == self._mesh.instance:
+                self._settle_here(teams, now)
+            else:
+                self._send_report(instance, teams, now)
+
+    def _settle_here(self, teams: list[str], now: float) -> None:
+        for team in teams:
+            use = self._uses_by_team[team]
+            spent, waiting = _take_open(use)
+            verdict = self.ledger.settle(
+                self._mesh.instance, team, spent, len(waiting), use.usual.at(now)
+            )
+            self._apply(team, verdict, waiting, now)
+
+    def _send_report(self, instance: str, teams: list[str], now: float) -> None:
+        report = Report(instance, now)
+        fields: list[list[Any]] = []
+        for team in teams:
+            use = self._uses_by_team[team]
+            spent, waiting = _take_open(use)
+            report.spent_by_team[team] = spent
+            report.waiting_by_team[team] = waiting
+            if use.reported_at is None:
+                use.reported_at = now
+            fields.append([team, spent, len(waiting), round(use.usual.at(now), 2)])
+        number = next(self._numbers)
+        self._reports_by_number[number] = report
+        sent = self._mesh.send(instance, QuotaReport(number, fields))
+        asyncio.get_running_loop().call_later(
+            ANSWER_TIMEOUT_S * 2, self._report_lost, number
+        )
+        if sent:
+            return
+        for waiting in report.waiting_by_team.values():
+            for future in waiting:
+                if not future.done():
+                    future.set_exception(TimeoutError("no connection to the owner"))
+
+    def _report_lost(self, number: int) -> None:
+        """Report again, to whoever is the owner now, what was not confirmed."""
+        report = self._reports_by_number.pop(number, None)
+        if report is None:
+            return
+        for team, spent in report.spent_by_team.items():
+            use = self._uses_by_team.get(team)
+            if use is None:
+                continue
+            use.spent += spent
+            if use.spent:
+                self._dirty.add(team)
+        self._flush_later()
+
+    def _receive_report(self, peer: str, report: QuotaReport) -> None:
+        fields: list[list[Any]] = []
+        for team, spent, wanted, usual_per_s in report.teams:
+            verdict = self.ledger.settle(peer, team, spent, wanted, usual_per_s)
+            fields.append(
+                [
+                    team,
+                    verdict.granted,
+                    verdict.scarce,
+                    round(verdict.level, 2),
+                    round(verdict.wait_s, 3),
+                    round(verdict.step_s, 3),
+                ]
+            )
+        self._mesh.send(peer, QuotaVerdict(report.number, fields))
+
+    def _receive_verdict(self, peer: str, message: QuotaVerdict) -> None:
+        report = self._reports_by_number.pop(message.number, None)
+        if report is None or report.owner != peer:
+            return
+        now = asyncio.get_running_loop().time()
+        for team, granted, scarce, level, wait_s, step_s in message.teams:
+            verdict = Verdict(granted, scarce, level, wait_s, step_s)
+            self._apply(team, verdict, report.waiting_by_team.get(team, []), now)
+
+    def _apply(
+        self,
+        team: str,
+        verdict: Verdict,
+        waiting: list["asyncio.Future[float | None]"],
+        now: float,
+    ) -> None:
+        """Follow the owner's word; hand out what it granted."""
+        use = self._uses_by_team.get(team)
+        if use is None:
+            return
+        use.verdict = verdict
+        use.reported_at = None
+        use.silent_until = 0.0
+        use.usual.thaw(now)
+        use.ask_until = now + SCARCE_HOLD_S if verdict.scarce else 0.0
+        granted = verdict.granted
+        wait_s = verdict.wait_s
+        for future in waiting:
+            if future.done():
+                continue  # its request has left or was decided without the owner
+            if granted > 0:
+                granted -= 1
+                future.set_result(None)
+                continue
+            future.set_result(wait_s)
+            wait_s += verdict.step_s
+        if granted:
+            use.spent -= granted
+            self._dirty.add(team)
+            self._flush_later()
+
+    # Owners.
+
+    def _owner_of(self, team: str) -> str:
+        """Return the instance that keeps the bucket of ``team``."""
+        if self._owners_key != self._mesh.changes:
+            self._owners_key = self._mesh.changes
+            self._owners_by_team.clear()
+        found = self._owners_by_team.get(team)
+        if found is None:
+            live = [one.id for one in self._mesh.alive() if not one.leaving]
+            if not self.leaving:
+                live.append(self._mesh.instance)
+            found = owner(team, live) or self._mesh.instance
+            self._owners_by_team[team] = found
+        return found
+
+
+def _take_open(
+    use: TeamUse,
+) -> tuple[int, list["asyncio.Future[float | None]"]]:
+    """Return what is to be reported, and count it as reported."""
+    spent, waiting = use.spent, use.waiting
+    use.spent, use.waiting = 0, []
+    return spent, waiting
--- a/src/caperridge/gateway/routes.py
+++ b/src/caperridge/gateway/routes.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from caperridge.decisions.quota import QuotaLimit
+from caperridge.gateway.teams import TeamDirectory
 from caperridge.records import Record
 
 # Kinds of routes.
@@ -58,9 +60,11 @@
         resumable: another target may continue a stream.
         event_gap_s: longest pause between events that callers expect; 0 if unknown.
         batch: terms of jobs; None unless ``kind`` is ``BATCH``.
+        anonymous: requests need no key.
     """
 
     __slots__ = (
+        "anonymous",
         "batch",
         "event_gap_s",
         "host",
@@ -89,7 +93,9 @@
         resumable: bool = False,
         event_gap_s: float = 0.0,
         batch: BatchTerms | None = None,
+        anonymous: bool = False,
     ) -> None:
+        self.anonymous = anonymous
         self.name = name
         self.host = host
         self.path_prefix = path_prefix
@@ -171,14 +177,18 @@
         routes: all routes.
         services_by_name: all services.
         limits: for callers.
+        teams: that may send requests; None if requests need no key.
+        has_anonymous_jobs: some jobs need no key.
     """
 
     __slots__ = (
         "_batch_routes_by_name",
         "_routes_by_host",
+        "has_anonymous_jobs",
         "limits",
         "routes",
         "services_by_name",
+        "teams",
         "version",
     )
 
@@ -188,7 +198,9 @@
         routes: Iterable[Route],
         services: Iterable[Service],
         limits: CallerLimits,
+        teams: TeamDirectory | None = None,
     ) -> None:
+        self.teams = teams
         self.version = version
         self.routes = list(routes)
         self.services_by_name = {service.name: service for service in services}
@@ -196,6 +208,9 @@
         self._batch_routes_by_name = {
             route.name: route for route in self.routes if route.kind == BATCH
         }
+        self.has_anonymous_jobs = any(
+            route.anonymous for route in self._batch_routes_by_name.values()
+        )
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in self.routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
@@ -221,6 +236,11 @@
                 return route
         return None
 
+    def limit_of(self, team: str) -> QuotaLimit | None:
+        """Return the limit of the team ``team``; None if it has none."""
+        found = self.teams.by_name(team) if self.teams is not None else None
+        return found.limit if found is not None else None
+
     def batch_route(self, name: str) -> Route | None:
         """Return the route ``name`` if it accepts jobs.
 
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -7,7 +7,7 @@
 import orjson
 from aiohttp import web
 
-from caperridge import keys
+from caperridge import bearer
 from caperridge.commands.accept_file import BadFile
 from caperridge.instance.refusal_log import RefusalLog
 from caperridge.log import logger
@@ -23,15 +23,8 @@
 
 
 def bearer_digest(request: web.Request) -> str:
-    """Return the digest of the request's bearer token; empty if it has none.
-
-    Tokens are looked up by digest: how long that takes says nothing of a token.
-    """
-    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-    token = token.strip()
-    if scheme.lower() != "bearer" or not token:
-        return ""
-    return keys.token_digest(token)
+    """Return the digest of the request's bearer token; empty if it has none."""
+    return bearer.bearer_digest(request.headers)
 
 
 def app_with_refusals(most_body_bytes: int) -> web.Application:
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -27,6 +27,7 @@
     Share,
 )
 from caperridge.gateway.targets import Target, TargetLoad, incarnation_id
+from caperridge.platform.teams import decode_teams
 
 _KINDS_BY_NAME = {
     "safe": SAFE,
@@ -64,6 +65,7 @@
         signature="X-Response-Stamp",
         resume="Last-Event-Id",
         wait="X-Wait-Ms",
+        team="X-Tenant",
     )
     per_attempt_headers = frozenset(
         {"x-request-id", "x-deadline-ms", "last-event-id", "x-length-hint"}
@@ -94,6 +96,7 @@
                     header_s=limits["headerTimeoutMs"] / 1000,
                     idle_s=limits["idleTimeoutMs"] / 1000,
                 ),
+                decode_teams(fields["tenants"]) if "tenants" in fields else None,
             )
         except _DECODE_ERRORS as error:
             raise DecodeError(f"no configuration: {error!r}") from error
@@ -191,6 +194,7 @@
         resumable=bool(fields.get("resumable")),
         event_gap_s=fields.get("gapTargetMs", 0) / 1000,
         batch=batch,
+        anonymous=bool(fields.get("anonymous")),
     )
 
 
