Claim a due trial again after a conflict; keep targets whose lapse is told late

Causes of two listed tests, found by reading and provoked without load: - All instances write the row of a request that they put in quarantine. A claim with a copy that was a moment old was refused, and the caller got 503 though the trial was due. Now it is tried again while the trial is due, within the same time limit. - Of two readers of the table of targets one may not notice an outage. Where its changes came first, the others dropped targets that had merely lapsed. Now a reader that noticed it tells them again, and what was removed half a second before is back.

--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -141,23 +141,37 @@
 
     async def claim_trial(self, suspect: Suspect) -> bool:
         """Claim the next trial of a request; only one instance gets each."""
-        key = _key(suspect.content)
-        row = self.copy.rows_by_key.get(key)
-        hold = suspect.hold
-        if hold is None or not self._clock.known or not self._reach.reached:
+        if not self._clock.known or not self._reach.reached:
             return False
-        claimed = hold.after_trial(elapsed_s())
-        value = self._encode(suspect, claimed)
-        version = row.version if row is not None else ABSENT
-        transaction = Transaction({key: version}, {key: value})
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT_S):
-                done = await self._apply_transaction(transaction, key)
+                return await self._claim_while_due(suspect)
         except TimeoutError:
-            done = False
-        if done:
-            suspect.hold = claimed
-        return done
+            return False
+
+    async def _claim_while_due(self, suspect: Suspect) -> bool:
+        """Claim a trial, again after each conflict with a write that claimed none.
+
+        All instances write the row when they put the request in quarantine, so the
+        copy here may be older than the row for a moment.
+        """
+        key = _key(suspect.content)
+        while True:
+            hold = suspect.hold
+            now = elapsed_s()
+            if hold is None or not hold.is_due(now):
+                return False
+            claimed = hold.after_trial(now)
+            value = self._encode(suspect, claimed)
+            row = self.copy.rows_by_key.get(key)
+            version = row.version if row is not None else ABSENT
+            transaction = Transaction({key: version}, {key: value})
+            if await self._apply_transaction(transaction, key):
+                suspect.hold = claimed
+                return True
+            current = self.copy.rows_by_key.get(key)
+            if current is None or current.version == version:
+                return False
 
     async def _apply_transaction(self, transaction: Transaction, key: RowKey) -> bool:
         answer = await self._store.transact(transaction)
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -274,10 +274,14 @@
         watcher = self._watchers_by_table.get(changes.table)
         if watcher is None:
             return
-        if changes.after_outage:
-            now = asyncio.get_running_loop().time()
-            if not self._fleet.targets.may_have_lapsed(now):
-                self._fleet.targets.store_returned(now)
+        now = asyncio.get_running_loop().time()
+        lapsed_here = self._fleet.targets.may_have_lapsed(now)
+        if changes.after_outage and not lapsed_here:
+            self._fleet.targets.store_returned(now)
+            self._fleet.notify_changed()
+        if lapsed_here and not changes.after_outage and watcher.is_reader:
+            # The other reader did not notice the outage, and others believe it.
+            self._mesh.send_near(changes.replace(after_outage=True))
         rows = [
             StoredRow(RowKey(changes.table, part, key), value, version, removed)
             for part, key, value, version, removed in changes.rows
--- a/src/caperridge/gateway/targets.py
+++ b/src/caperridge/gateway/targets.py
@@ -5,6 +5,9 @@
 # Entries that lapse while the store is unreachable reappear about 2 s after its
 # recovery if their target is running; one that is missing for longer is gone.
 LAPSE_GRACE_S = 2.2
+# An instance may learn of an outage this long after it was told of removed entries:
+# another one read them that did not notice the outage.
+LATE_NEWS_S = 0.5
 
 
 class Target(Record):
@@ -102,10 +105,20 @@
         self._id_by_name: dict[str, str] = {}
         self._lapsing_until_by_id: dict[str, float] = {}
         self._store_returned_at = float("-inf")
+        self._removed_at_by_target: dict[Target, float] = {}
 
     def store_returned(self, now: float) -> None:
-        """Record that the store answers again after an outage."""
+        """Record that the store answers again after an outage.
+
+        Entries that were removed just before may have lapsed in it; they are back.
+        """
         self._store_returned_at = now
+        for target, removed_at in self._removed_at_by_target.items():
+            if now - removed_at > LATE_NEWS_S or target.name in self._id_by_name:
+                continue
+            self.put(target)
+            self._lapsing_until_by_id[target.id] = now + LAPSE_GRACE_S
+        self._removed_at_by_target.clear()
 
     def may_have_lapsed(self, now: float) -> bool:
         """Whether an entry removed now may have lapsed during a store outage."""
@@ -142,6 +155,14 @@
             self._lapsing_until_by_id.setdefault(target.id, until)
             return
         self._drop(target.id)
+        self._remember_removed(target, now)
+
+    def _remember_removed(self, target: Target, now: float) -> None:
+        for other, removed_at in list(self._removed_at_by_target.items()):
+            if now - removed_at > LATE_NEWS_S:
+                del self._removed_at_by_target[other]
+        if not target.draining:
+            self._removed_at_by_target[target] = now
 
     def discard(self, name: str) -> bool:
         """Drop a target whose entry became invalid; return whether there was one.
