--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -65,6 +65,11 @@
         step_s = 1 / bucket.rate if bucket.rate > 0 else 0.0
         return Verdict(granted, bucket.scarce, bucket.level, wait_s, step_s)
 
+    @property
+    def is_minority(self) -> bool:
+        """Whether most instances are out of reach."""
+        return self._reach(asyncio.get_running_loop().time()).is_minority
+
     def expire(self, now: float) -> None:
         """Drop the buckets that nobody uses."""
         for team, bucket in list(self._buckets_by_team.items()):
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -25,6 +25,9 @@
 SCARCE_HOLD_S = 1.0
 # A process that has just started does not know what was served before.
 CAUTIOUS_START_S = 5.0
+# Instances that start together connect to each other within this time.
+FORMING_S = 0.7
+FORMING_POLL_INTERVAL_S = 0.02
 MAX_ALONE_BURST_RATIO = 0.5
 # Far longer than an answer of an owner may take.
 IDLE_EXPIRY_S = 60.0
@@ -106,6 +109,7 @@
         self._numbers = itertools.count(1)
         self._flush_timer: asyncio.TimerHandle | asyncio.Handle | None = None
         self._started_at: float | None = None
+        self._forming_until = 0.0
         self._owners_by_team: dict[str, str] = {}
         self._owners_key = -1
         mesh.register(QuotaReport, self._receive_report)
@@ -114,6 +118,7 @@
     def start(self) -> None:
         """Note that this process started now."""
         self._started_at = asyncio.get_running_loop().time()
+        self._forming_until = self._started_at + FORMING_S
 
     def leave(self) -> None:
         """Leave the buckets owned here to other instances, as this one stops."""
@@ -134,12 +139,25 @@
         overdue = (
             use.reported_at is not None and now - use.reported_at > ANSWER_TIMEOUT_S
         )
+        if now < self._forming_until and self.ledger.is_minority:
+            await self._wait_for_peers()
+            now = asyncio.get_running_loop().time()
         may_spend = use.ask_until <= now and not overdue
         if may_spend and use.free.take(limit.rate_per_s, limit.capacity, now):
             self._spend(team, use, now)
             return None
         return await self._ask_owner(team, use, limit)
 
+    async def _wait_for_peers(self) -> None:
+        """Wait until most instances are heard of, or until they should have been.
+
+        After a loss of all instances each would be the owner of every bucket for some
+        hundred milliseconds, and could grant next to nothing.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < self._forming_until and self.ledger.is_minority:
+            await asyncio.sleep(FORMING_POLL_INTERVAL_S)
+
     async def _ask_owner(
         self, team: str, use: TeamUse, limit: QuotaLimit
     ) -> float | None:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -130,3 +130,19 @@
     await burst(fleet, fleet.instances, 30)
     owner = owner_of(fleet)
     await until(lambda: "north" in owner.quotas.ledger.state()["emptiest"])
+
+
+async def test_instances_that_start_together_wait_for_each_other(
+    fleet: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusals below the limit right after a loss of all instances."""
+    instance = fleet.instances[0]
+    keeper = instance.quotas
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(keeper.ledger, "_seeds", 100)
+    keeper._forming_until = loop.time() + 1000.0
+    asking = asyncio.ensure_future(burst(fleet, [instance], 3))
+    await asyncio.sleep(5 * quotas.FORMING_POLL_INTERVAL_S)
+    assert not asking.done()
+    monkeypatch.setattr(keeper.ledger, "_seeds", 1)
+    assert await asking == [200] * 3
