Keep quotas in sliding windows, and serve without asking only a little at a time

Cause: a model of one team over 10 to 390 instances showed up to 3.9 times what a window allows: an instance that had not been told lately served its own full bucket. Change: the owner keeps a sliding window; an instance serves without asking only for 10 s after the owner's word, and 2 % of the quota until its report is confirmed; a window with an unknown history counts as used up but for a small part; on the smaller side of a cut what was used before leaves evenly; the window's length is a setting.

--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -1,27 +1,36 @@
-"""Quotas of teams over all instances: one bucket for each team, kept by an owner.
-
-Far below its quota a team is served without asking; what was served is reported to the
-owner of its bucket afterwards. Near the quota each request is granted by the owner
-first. While instances are lost or cut off from each other, the owners on all sides
-together must not grant more than the quota: the larger side keeps most of it, and the
-smaller one what it used before. Weighed in docs/design/tenants.md.
+"""Quotas of teams over all instances: one sliding window each, kept by an owner.
+
+In any window a team may send its rate times the window, and its burst. Far below that
+it is served without asking; what was served is reported to the owner of its window.
+Near it each request is granted by the owner first. While instances are lost or cut off
+from each other, the owners on all sides together must not grant more than the quota:
+the larger side keeps most of it, and the smaller one what it used before. Weighed in
+docs/design/tenants.md.
 """
 
 import math
+from collections import deque
 
 from caperridge.records import Record
 
-# Below this level, in bursts, the owner is asked before each request.
-SCARCE_LEVEL_RATIO = 0.5
-# A bucket whose history is unknown starts with this, so that a loss of all instances
-# gives no team a second burst.
-START_TOKENS = 8.0
-START_RATIO = 0.04
-START_WINDOW_S = 5.0
-# Share of the quota that may be used where a part of the instances is lost: those may
-# go on unheard, with what they used before.
-LOST_USE_RATIO = 0.6
-MINORITY_USE_RATIO = 1.1
+DEFAULT_WINDOW_S = 5.0
+# Requests are counted at their arrival here; they were sent a moment before.
+WINDOW_MARGIN_S = 0.15
+# Above this share of the quota the owner is asked before each request.
+SCARCE_USE_RATIO = 0.5
+# A window whose history is unknown counts as used up, but for this much: after a loss
+# of all instances nobody knows what was served before.
+START_TOKENS = 12.0
+START_RATIO = 0.06
+# A process serves nothing for at least this long around its restart.
+RESTART_S = 0.8
+# Share of the quota that is left to lost instances, which may go on unheard with what
+# they used before.
+LOST_USE_RATIO = 0.8
+# What the instances on the smaller side of a cut may use: more than before, as demand
+# comes in bursts, but no more than their share.
+MINORITY_USE_RATIO = 1.6
+MINORITY_SHARE_RATIO = 1.0
 # Time constant of the rate that a team usually has at an instance.
 USUAL_RATE_S = 5.0
 # Instances that report a team are forgotten after this time without a report.
@@ -35,24 +44,27 @@
     Attributes:
         rate_per_s: requests per second.
         burst: requests beyond the rate that may come at once.
+        window_s: length of the window in which both hold.
     """
 
-    __slots__ = ("burst", "rate_per_s")
+    __slots__ = ("burst", "rate_per_s", "window_s")
 
-    def __init__(self, rate_per_s: float, burst: float) -> None:
+    def __init__(
+        self, rate_per_s: float, burst: float, window_s: float = DEFAULT_WINDOW_S
+    ) -> None:
         self.rate_per_s = rate_per_s
         self.burst = burst
+        self.window_s = window_s
 
     @property
-    def capacity(self) -> float:
-        """Size of the bucket; at least one request fits."""
-        return max(1.0, self.burst)
+    def quota(self) -> float:
+        """Requests in one window; at least one."""
+        return max(1.0, self.rate_per_s * self.window_s + self.burst)
 
     @property
     def start_tokens(self) -> float:
-        """Level of a bucket whose history is unknown."""
-        window = self.rate_per_s * START_WINDOW_S + self.burst
-        return min(self.capacity, START_TOKENS + START_RATIO * window)
+        """Requests that a window with an unknown history allows."""
+        return min(self.quota, START_TOKENS + START_RATIO * self.quota)
 
 
 class Reach(Record):
@@ -74,70 +86,85 @@
         """Whether most instances are out of reach."""
         return self.ratio < 0.5
 
-    def rate_of(self, limit: QuotaLimit, usual_per_s: float) -> float:
-        """Return the rate that the instances in reach may use together.
+    def quota_of(self, limit: QuotaLimit, usual_per_s: float) -> float:
+        """Return what the instances in reach may use together in a window.
 
         Args:
             limit: of the team.
-            usual_per_s: what they used before.
+            usual_per_s: the rate that they used before.
 
         >>> limit = QuotaLimit(10.0, 10.0)
-        >>> Reach(1.0, True).rate_of(limit, 2.0), Reach(0.3, True).rate_of(limit, 2.0)
-        (10.0, 2.2)
+        >>> Reach(1.0, True).quota_of(limit, 2.0), Reach(0.3, True).quota_of(limit, 2.0)
+        (60.0, 16.0)
         """
         if not self.is_minority:
-            return limit.rate_per_s * (1 - LOST_USE_RATIO * (1 - self.ratio))
-        usual = min(limit.rate_per_s / 2, usual_per_s * MINORITY_USE_RATIO)
-        return max(usual, limit.rate_per_s * self.ratio / 2)
+            return limit.quota * (1 - LOST_USE_RATIO * (1 - self.ratio))
+        usual = usual_per_s * limit.window_s * MINORITY_USE_RATIO
+        share = limit.quota * self.ratio
+        return max(1.0, min(share * MINORITY_SHARE_RATIO, usual), share / 2)
 
-    def start_tokens(self, limit: QuotaLimit) -> float:
-        """Return the level that a new bucket starts with."""
-        if self.is_minority:
-            return 1.0
-        return limit.capacity if self.settled else limit.start_tokens
+    def unknown_use(self, limit: QuotaLimit) -> float:
+        """Return how much of a window that is new here may have been used elsewhere."""
+        if self.settled or self.is_minority:
+            return 0.0
+        return limit.quota - limit.start_tokens
 
 
-class TeamBucket:
-    """The bucket of one team at its owner.
+class TeamWindow:
+    """The sliding window of one team at its owner.
 
-    Its level is negative after requests that were reported once they had been served.
+    More than the quota may be used by requests that were reported once they had been
+    served; nothing is granted then until enough of them have left the window.
 
     Attributes:
-        level: tokens that are left.
-        rate: tokens per second that are added.
-        capacity: level at which none are added.
-        updated_at: when ``level`` was right, in seconds.
+        quota: requests that the window allows now.
+        used: requests in it.
+        updated_at: when it was last used, in seconds.
     """
 
     __slots__ = (
+        "_counts",
+        "_is_minority",
         "_next_turn",
+        "_used_before",
         "_usual_by_reporter",
-        "capacity",
-        "level",
-        "rate",
+        "_window_s",
+        "quota",
         "updated_at",
+        "used",
     )
 
     def __init__(self, limit: QuotaLimit, reach: Reach, now: float) -> None:
-        self.level = reach.start_tokens(limit)
-        self.rate = limit.rate_per_s
-        self.capacity = limit.capacity
+        self.quota = limit.quota
+        self.used = 0.0
         self.updated_at = now
+        self._window_s = limit.window_s
+        self._counts: deque[tuple[float, float]] = deque()
         self._next_turn = now
+        self._is_minority = reach.is_minority
         self._usual_by_reporter: dict[str, tuple[float, float]] = {}
+        # What each reporter used before this window began, and when that was assumed.
+        self._used_before: list[tuple[float, float]] = []
+        unknown = reach.unknown_use(limit)
+        if unknown > 0:
+            self._add(now - RESTART_S, unknown)
 
     def update(self, limit: QuotaLimit, reach: Reach, now: float) -> None:
-        """Add the tokens since the last update; the limit applies from now on."""
-        elapsed_s = max(0.0, now - self.updated_at)
+        """Drop what has left the window; the limit applies from now on."""
         self.updated_at = now
-        self.rate = reach.rate_of(limit, self._usual_per_s(now))
-        self.capacity = limit.capacity
-        self.level = min(self.capacity, self.level + self.rate * elapsed_s)
+        self._window_s = limit.window_s
+        self.quota = reach.quota_of(limit, self._usual_per_s(now))
+        self._is_minority = reach.is_minority
+        before = now - self._window_s - WINDOW_MARGIN_S
+        while self._counts and self._counts[0][0] <= before:
+            self.used -= self._counts.popleft()[1]
+        while self._used_before and self._used_before[0][0] <= now - self._window_s:
+            del self._used_before[0]
 
     def settle(
         self, reporter: str, spent: int, wanted: int, usual_per_s: float, now: float
     ) -> int:
-        """Charge what was served and return how many of the wanted are granted.
+        """Count what was served and return how many of the wanted are granted.
 
         Args:
             reporter: instance that reports.
@@ -146,30 +173,64 @@
             usual_per_s: rate of the team at the reporter.
             now: seconds, as of the last :meth:`update`.
         """
+        if self._is_minority and reporter not in self._usual_by_reporter:
+            self._used_before.append((now, usual_per_s * self._window_s))
         self._usual_by_reporter[reporter] = (usual_per_s, now)
-        self.level = min(self.capacity, self.level - spent)
-        granted = max(0, min(wanted, math.floor(self.level)))
-        self.level -= granted
+        if spent > 0:
+            self._add(now, spent)
+        elif spent < 0:
+            self._give_back(-spent)
+        granted = max(0, min(wanted, math.floor(self.left)))
+        if granted:
+            self._add(now, granted)
         return granted
 
+    @property
+    def left(self) -> float:
+        """Requests that the window still allows; may be negative."""
+        # On the smaller side of a cut, what was used before leaves the window evenly.
+        used_before = sum(
+            count * (1 - (self.updated_at - since) / self._window_s)
+            for since, count in self._used_before
+        )
+        return self.quota - self.used - used_before
+
     @property
     def scarce(self) -> bool:
         """Whether requests have to be granted first."""
-        return self.level < self.capacity * SCARCE_LEVEL_RATIO
+        return self.left < self.quota * (1 - SCARCE_USE_RATIO)
+
+    def turn_interval_s(self) -> float:
+        """Return the mean time between two requests that the quota allows."""
+        return self._window_s / self.quota
 
     def take_turn(self, refused: int, now: float) -> float:
         """Return after how many seconds the first of the refused has its turn.
 
-        Turns are dealt at the rate of the bucket, so that the refused return one after
-        the other.
+        Turns begin when the oldest requests leave the window, and follow each other at
+        the rate of the quota, so that the refused return one after the other.
         """
-        if self.rate <= 0:
-            return MAX_RETRY_AFTER_S
-        missing_s = max(0.0, 1.0 - self.level) / self.rate
-        turn = max(self._next_turn, now + missing_s)
-        self._next_turn = min(now + MAX_RETRY_AFTER_S, turn + refused / self.rate)
+        oldest = self._counts[0][0] if self._counts else now - self._window_s
+        free_at = oldest + self._window_s + WINDOW_MARGIN_S
+        turn = max(self._next_turn, free_at, now)
+        latest = now + MAX_RETRY_AFTER_S
+        self._next_turn = min(latest, turn + refused * self.turn_interval_s())
         return min(MAX_RETRY_AFTER_S, turn - now)
 
+    def _add(self, at: float, count: float) -> None:
+        self._counts.append((at, count))
+        self.used += count
+
+    def _give_back(self, count: float) -> None:
+        """Remove the newest requests; they have not run."""
+        while count > 0 and self._counts:
+            at, newest = self._counts.pop()
+            removed = min(count, newest)
+            count -= removed
+            self.used -= removed
+            if newest > removed:
+                self._counts.append((at, newest - removed))
+
     def _usual_per_s(self, now: float) -> float:
         """Return the rate of the team at all instances that reported lately."""
         total = 0.0
--- a/src/caperridge/gateway/mesh/quota_messages.py
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -1,4 +1,4 @@
-"""Messages about the quotas of teams, between instances and the owners of buckets."""
+"""Messages about the quotas of teams, between instances and the owners of windows."""
 
 from typing import Any
 
@@ -27,8 +27,8 @@
     Attributes:
         number: of the report.
         teams: of each its name, how many requests are granted, whether to ask before
-            each request, the level of its bucket, after how many seconds the first of
-            the refused may return, and the seconds between them.
+            each request, what its window still allows, after how many seconds the first
+            of the refused may return, and the seconds between them.
     """
 
     __slots__ = ("number", "teams")
--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -1,16 +1,16 @@
-"""The buckets of the teams that this instance owns."""
+"""The windows of the teams that this instance owns."""
 
 import asyncio
 from collections.abc import Callable
 from typing import Any
 
-from caperridge.decisions.quota import QuotaLimit, Reach, TeamBucket
+from caperridge.decisions.quota import QuotaLimit, Reach, TeamWindow
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.records import Record
 
-# After a change of the members, buckets that are new here may have a history elsewhere.
+# After a change of the members, windows that are new here may have a history elsewhere.
 SETTLING_S = 10.0
-# A bucket that nobody reported for this long is full.
+# A window that nobody reported for this long is empty.
 IDLE_EXPIRY_S = 60.0
 MAX_DUMPED_TEAMS = 10
 
@@ -18,20 +18,20 @@
 class Verdict(Record):
     """The owner's answer for one team; see :class:`QuotaVerdict`."""
 
-    __slots__ = ("granted", "level", "scarce", "step_s", "wait_s")
+    __slots__ = ("granted", "left", "scarce", "step_s", "wait_s")
 
     def __init__(
-        self, granted: int, scarce: bool, level: float, wait_s: float, step_s: float
+        self, granted: int, scarce: bool, left: float, wait_s: float, step_s: float
     ) -> None:
         self.granted = granted
         self.scarce = scarce
-        self.level = level
+        self.left = left
         self.wait_s = wait_s
         self.step_s = step_s
 
 
 class QuotaLedger:
-    """Settles reports on the buckets of teams.
+    """Settles reports on the windows of teams.
 
     Args:
         mesh: of peers; says which part of them is alive.
@@ -45,7 +45,7 @@
         self._mesh = mesh
         self._limit_of = limit_of
         self._seeds = seeds
-        self._buckets_by_team: dict[str, TeamBucket] = {}
+        self._windows_by_team: dict[str, TeamWindow] = {}
         self._changed_at: float | None = None
         mesh.on_appear(lambda member: self._members_changed())
         mesh.on_lost(lambda member: self._members_changed())
@@ -58,12 +58,13 @@
         if limit is None:
             return Verdict(wanted, False, 0.0, 0.0, 0.0)
         now = asyncio.get_running_loop().time()
-        bucket = self._bucket(team, limit, now)
-        granted = bucket.settle(reporter, spent, wanted, usual_per_s, now)
+        window = self._window(team, limit, now)
+        granted = window.settle(reporter, spent, wanted, usual_per_s, now)
         refused = wanted - granted
-        wait_s = bucket.take_turn(refused, now) if refused else 0.0
-        step_s = 1 / bucket.rate if bucket.rate > 0 else 0.0
-        return Verdict(granted, bucket.scarce, bucket.level, wait_s, step_s)
+        wait_s = window.take_turn(refused, now) if refused else 0.0
+        return Verdict(
+            granted, window.scarce, window.left, wait_s, window.turn_interval_s()
+        )
 
     @property
     def is_minority(self) -> bool:
@@ -71,36 +72,35 @@
         return self._reach(asyncio.get_running_loop().time()).is_minority
 
     def expire(self, now: float) -> None:
-        """Drop the buckets that nobody uses."""
-        for team, bucket in list(self._buckets_by_team.items()):
-            if now - bucket.updated_at > IDLE_EXPIRY_S:
-                del self._buckets_by_team[team]
+        """Drop the windows that nobody uses."""
+        for team, window in list(self._windows_by_team.items()):
+            if now - window.updated_at > IDLE_EXPIRY_S:
+                del self._windows_by_team[team]
 
     def state(self) -> dict[str, Any]:
-        """Return the emptiest buckets, for operators."""
-        buckets = sorted(
-            self._buckets_by_team.items(),
-            key=lambda one: one[1].level / one[1].capacity,
+        """Return the fullest windows, for operators."""
+        windows = sorted(
+            self._windows_by_team.items(),
+            key=lambda one: one[1].left / one[1].quota,
         )
         return {
-            "buckets": len(buckets),
-            "emptiest": {
+            "windows": len(windows),
+            "fullest": {
                 team: {
-                    "level": round(bucket.level, 1),
-                    "capacity": bucket.capacity,
-                    "rate_per_s": round(bucket.rate, 2),
+                    "used": round(window.used, 1),
+                    "quota": round(window.quota, 1),
                 }
-                for team, bucket in buckets[:MAX_DUMPED_TEAMS]
+                for team, window in windows[:MAX_DUMPED_TEAMS]
             },
         }
 
-    def _bucket(self, team: str, limit: QuotaLimit, now: float) -> TeamBucket:
+    def _window(self, team: str, limit: QuotaLimit, now: float) -> TeamWindow:
         reach = self._reach(now)
-        bucket = self._buckets_by_team.get(team)
-        if bucket is None:
-            bucket = self._buckets_by_team[team] = TeamBucket(limit, reach, now)
-        bucket.update(limit, reach, now)
-        return bucket
+        window = self._windows_by_team.get(team)
+        if window is None:
+            window = self._windows_by_team[team] = TeamWindow(limit, reach, now)
+        window.update(limit, reach, now)
+        return window
 
     def _reach(self, now: float) -> Reach:
         if self._changed_at is None:
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -14,21 +14,24 @@
 
 log = logger(__name__)
 
-# What was served without asking is reported in batches.
+# What was given back is reported in batches.
 REPORT_INTERVAL_S = 0.05
 # An owner in another availability zone answers within 80 ms where there are many peers.
 ANSWER_TIMEOUT_S = 0.2
 # After a silent owner, it is not asked again for this long; others take its place
 # within the time in which a lost peer is noticed.
 SILENT_OWNER_PAUSE_S = 0.5
-# How long the owner's word to ask first holds.
-SCARCE_HOLD_S = 1.0
-# A process that has just started does not know what was served before.
-CAUTIOUS_START_S = 5.0
+# How long the owner's word holds that requests may be served without asking.
+FREE_HOLD_S = 10.0
+# Share of the quota that an instance may serve while its reports are on their way; at
+# least one request.
+MAX_UNCONFIRMED_RATIO = 0.02
 # Instances that start together connect to each other within this time.
 FORMING_S = 0.7
 FORMING_POLL_INTERVAL_S = 0.02
 MAX_ALONE_BURST_RATIO = 0.5
+# Part of the usual rate that is served while no owner answers.
+ALONE_USE_RATIO = 0.8
 # Far longer than an answer of an owner may take.
 IDLE_EXPIRY_S = 60.0
 
@@ -37,66 +40,88 @@
     """What this instance knows of one team.
 
     Attributes:
-        spent: served without asking and not reported yet.
+        spent: to be reported; negative if more was given back than served.
+        unreported: served without asking since the last report.
+        unconfirmed: served without asking and not confirmed by the owner.
         waiting: requests that wait for a grant of the owner.
-        ask_until: the owner is asked before each request until this time.
+        free_until: the owner need not be asked until this time.
         silent_until: the owner is not asked until this time, as it did not answer.
-        reported_at: when the oldest report without an answer was sent; None if all
-            were answered.
         used_at: when its last request came.
         usual: rate of its requests here.
-        free: what may be served without asking.
         alone: what may be served while no owner answers.
         verdict: the last word of the owner.
     """
 
     __slots__ = (
         "alone",
-        "ask_until",
-        "free",
-        "reported_at",
+        "free_until",
         "silent_until",
         "spent",
+        "unconfirmed",
+        "unreported",
         "used_at",
         "usual",
         "verdict",
         "waiting",
     )
 
-    def __init__(self, limit: QuotaLimit, ask_until: float, now: float) -> None:
+    def __init__(self, now: float) -> None:
         self.used_at = now
         self.spent = 0
+        self.unreported = 0
+        self.unconfirmed = 0
         self.waiting: list[asyncio.Future[float | None]] = []
-        self.ask_until = ask_until
+        self.free_until = 0.0
         self.silent_until = 0.0
-        self.reported_at: float | None = None
         self.usual = UsualRate(now)
-        self.free = LocalBucket(limit.capacity, now)
         self.alone = LocalBucket(1.0, now)
         self.verdict: Verdict | None = None
 
 
 class Report:
-    """A report on its way to an owner: spent and waiting requests of each team."""
+    """A report on its way to an owner.
 
-    __slots__ = ("owner", "sent_at", "spent_by_team", "waiting_by_team")
+    Attributes:
+        owner: that it was sent to.
+        shares_by_team: what it says of each team.
+    """
 
-    def __init__(self, owner: str, sent_at: float) -> None:
+    __slots__ = ("owner", "shares_by_team")
+
+    def __init__(self, owner: str, shares_by_team: dict[str, "TeamShare"]) -> None:
         self.owner = owner
-        self.sent_at = sent_at
-        self.spent_by_team: dict[str, int] = {}
-        self.waiting_by_team: dict[str, list[asyncio.Future[float | None]]] = {}
+        self.shares_by_team = shares_by_team
+
+
+class TeamShare:
+    """The part of one team in a report.
+
+    Attributes:
+        spent: see :class:`TeamUse`.
+        unreported: see :class:`TeamUse`.
+        waiting: see :class:`TeamUse`.
+    """
+
+    __slots__ = ("spent", "unreported", "waiting")
+
+    def __init__(self, use: TeamUse) -> None:
+        self.spent = use.spent
+        self.unreported = use.unreported
+        self.waiting = use.waiting
+        use.spent = 0
+        use.unreported = 0
+        use.waiting = []
 
 
 class QuotaKeeper:
     """Admits requests of teams within their quotas.
 
     Attributes:
-        leaving: this instance stops, so other instances own its buckets.
+        leaving: this instance stops, so other instances own its windows.
 
     Args:
         mesh: of peers.
-        ledger: the buckets owned here.
+        ledger: the windows owned here.
     """
 
     def __init__(self, mesh: Mesh, ledger: QuotaLedger) -> None:
@@ -108,7 +133,6 @@
         self._reports_by_number: dict[int, Report] = {}
         self._numbers = itertools.count(1)
         self._flush_timer: asyncio.TimerHandle | asyncio.Handle | None = None
-        self._started_at: float | None = None
         self._forming_until = 0.0
         self._owners_by_team: dict[str, str] = {}
         self._owners_key = -1
@@ -117,11 +141,10 @@
 
     def start(self) -> None:
         """Note that this process started now."""
-        self._started_at = asyncio.get_running_loop().time()
-        self._forming_until = self._started_at + FORMING_S
+        self._forming_until = asyncio.get_running_loop().time() + FORMING_S
 
     def leave(self) -> None:
-        """Leave the buckets owned here to other instances, as this one stops."""
+        """Leave the windows owned here to other instances, as this one stops."""
         self.leaving = True
         self._owners_by_team.clear()
 
@@ -133,17 +156,13 @@
             limit: in force here.
         """
         now = asyncio.get_running_loop().time()
-        use = self._use(team, limit, now)
+        use = self._use(team, now)
         if use.silent_until > now and self._owner_of(team) != self._mesh.instance:
             return self._admit_alone(use, limit, now)
-        overdue = (
-            use.reported_at is not None and now - use.reported_at > ANSWER_TIMEOUT_S
-        )
         if now < self._forming_until and self.ledger.is_minority:
             await self._wait_for_peers()
             now = asyncio.get_running_loop().time()
-        may_spend = use.ask_until <= now and not overdue
-        if may_spend and use.free.take(limit.rate_per_s, limit.capacity, now):
+        if now < use.free_until and use.unconfirmed < _max_unconfirmed(limit):
             self._spend(team, use, now)
             return None
         return await self._ask_owner(team, use, limit)
@@ -151,11 +170,13 @@
     async def _wait_for_peers(self) -> None:
         """Wait until most instances are heard of, or until they should have been.
 
-        After a loss of all instances each would be the owner of every bucket for some
+        After a loss of all instances each would be the owner of every window for some
         hundred milliseconds, and could grant next to nothing.
         """
         loop = asyncio.get_running_loop()
-        while loop.time() < self._forming_until and self.ledger.is_minority:
+        while True:
+            if loop.time() >= self._forming_until or not self.ledger.is_minority:
+                return
             await asyncio.sleep(FORMING_POLL_INTERVAL_S)
 
     async def _ask_owner(
@@ -194,7 +215,7 @@
         return {
             "owner": self._owner_of(team),
             "owner_silent": use.silent_until > now,
-            "level": round(verdict.level, 2) if verdict is not None else None,
+            "left": round(verdict.left, 1) if verdict is not None else None,
             "usual_per_s": round(use.usual.at(now), 2),
         }
 
@@ -206,20 +227,20 @@
             if idle and not use.waiting and team not in self._dirty:
                 del self._uses_by_team[team]
 
-    def _use(self, team: str, limit: QuotaLimit, now: float) -> TeamUse:
+    def _use(self, team: str, now: float) -> TeamUse:
         use = self._uses_by_team.get(team)
         if use is None:
-            started_at = self._started_at if self._started_at is not None else now
-            ask_until = started_at + CAUTIOUS_START_S
-            use = self._uses_by_team[team] = TeamUse(limit, ask_until, now)
+            use = self._uses_by_team[team] = TeamUse(now)
         use.used_at = now
         return use
 
     def _spend(self, team: str, use: TeamUse, now: float) -> None:
         use.spent += 1
+        use.unreported += 1
+        use.unconfirmed += 1
         use.usual.add(now)
         self._dirty.add(team)
-        self._flush_later()
+        self._flush_soon()
 
     # Without an owner that answers.
 
@@ -234,8 +255,8 @@
         """Admit what the team usually sends here."""
         if not use.usual.frozen:
             use.usual.freeze(now)
-        rate = use.usual.at(now)
-        capacity = max(1.0, min(rate, limit.capacity * MAX_ALONE_BURST_RATIO))
+        rate = use.usual.at(now) * ALONE_USE_RATIO
+        capacity = max(1.0, min(rate, limit.burst * MAX_ALONE_BURST_RATIO))
         if use.alone.take(rate, capacity, now):
             use.spent += 1
             return None
@@ -272,23 +293,24 @@
     def _settle_here(self, teams: list[str], now: float) -> None:
         for team in teams:
             use = self._uses_by_team[team]
-            spent, waiting = _take_open(use)
+            share = TeamShare(use)
             verdict = self.ledger.settle(
-                self._mesh.instance, team, spent, len(waiting), use.usual.at(now)
+                self._mesh.instance,
+                team,
+                share.spent,
+                len(share.waiting),
+                use.usual.at(now),
             )
-            self._apply(team, verdict, waiting, now)
+            self._apply(team, verdict, share, now)
 
     def _send_report(self, instance: str, teams: list[str], now: float) -> None:
-        report = Report(instance, now)
+        report = Report(instance, {})
         fields: list[list[Any]] = []
         for team in teams:
             use = self._uses_by_team[team]
-            spent, waiting = _take_open(use)
-            report.spent_by_team[team] = spent
-            report.waiting_by_team[team] = waiting
-            if use.reported_at is None:
-                use.reported_at = now
-            fields.append([team, spent, len(waiting), round(use.usual.at(now), 2)])
+            share = report.shares_by_team[team] = TeamShare(use)
+            usual_per_s = round(use.usual.at(now), 2)
+            fields.append([team, share.spent, len(share.waiting), usual_per_s])
         number = next(self._numbers)
         self._reports_by_number[number] = report
         sent = self._mesh.send(instance, QuotaReport(number, fields))
@@ -297,8 +319,8 @@
         )
         if sent:
             return
-        for waiting in report.waiting_by_team.values():
-            for future in waiting:
+        for share in report.shares_by_team.values():
+            for future in share.waiting:
                 if not future.done():
                     future.set_exception(TimeoutError("no connection to the owner"))
 
@@ -307,12 +329,13 @@
         report = self._reports_by_number.pop(number, None)
         if report is None:
             return
-        for team, spent in report.spent_by_team.items():
+        for team, share in report.shares_by_team.items():
             use = self._uses_by_team.get(team)
             if use is None:
                 continue
-            use.spent += spent
-            if use.spent:
+            use.spent += share.spent
+            use.unreported += share.unreported
+            if use.spent or use.unreported:
                 self._dirty.add(team)
         self._flush_later()
 
@@ -325,7 +348,7 @@
                     team,
                     verdict.granted,
                     verdict.scarce,
-                    round(verdict.level, 2),
+                    round(verdict.left, 2),
                     round(verdict.wait_s, 3),
                     round(verdict.step_s, 3),
                 ]
@@ -337,29 +360,25 @@
         if report is None or report.owner != peer:
             return
         now = asyncio.get_running_loop().time()
-        for team, granted, scarce, level, wait_s, step_s in message.teams:
-            verdict = Verdict(granted, scarce, level, wait_s, step_s)
-            self._apply(team, verdict, report.waiting_by_team.get(team, []), now)
-
-    def _apply(
-        self,
-        team: str,
-        verdict: Verdict,
-        waiting: list["asyncio.Future[float | None]"],
-        now: float,
-    ) -> None:
+        for team, granted, scarce, left, wait_s, step_s in message.teams:
+            verdict = Verdict(granted, scarce, left, wait_s, step_s)
+            share = report.shares_by_team.get(team)
+            if share is not None:
+                self._apply(team, verdict, share, now)
+
+    def _apply(self, team: str, verdict: Verdict, share: TeamShare, now: float) -> None:
         """Follow the owner's word; hand out what it granted."""
         use = self._uses_by_team.get(team)
         if use is None:
             return
         use.verdict = verdict
-        use.reported_at = None
+        use.unconfirmed -= share.unreported
         use.silent_until = 0.0
         use.usual.thaw(now)
-        use.ask_until = now + SCARCE_HOLD_S if verdict.scarce else 0.0
+        use.free_until = 0.0 if verdict.scarce else now + FREE_HOLD_S
         granted = verdict.granted
         wait_s = verdict.wait_s
-        for future in waiting:
+        for future in share.waiting:
             if future.done():
                 continue  # its request has left or was decided without the owner
             if granted > 0:
@@ -376,7 +395,7 @@
     # Owners.
 
     def _owner_of(self, team: str) -> str:
-        """Return the instance that keeps the bucket of ``team``."""
+        """Return the instance that keeps the window of ``team``."""
         if self._owners_key != self._mesh.changes:
             self._owners_key = self._mesh.changes
             self._owners_by_team.clear()
@@ -390,10 +409,6 @@
         return found
 
 
-def _take_open(
-    use: TeamUse,
-) -> tuple[int, list["asyncio.Future[float | None]"]]:
-    """Return what is to be reported, and count it as reported."""
-    spent, waiting = use.spent, use.waiting
-    use.spent, use.waiting = 0, []
-    return spent, waiting
+def _max_unconfirmed(limit: QuotaLimit) -> int:
+    """Return how many requests may be served before the owner knows of them."""
+    return max(1, int(limit.quota * MAX_UNCONFIRMED_RATIO))
--- a/src/caperridge/gateway/settings.py
+++ b/src/caperridge/gateway/settings.py
@@ -7,6 +7,7 @@
 import voluptuous as vol
 
 from caperridge.checking import invalid_findings
+from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.findings import WHOLE_SOURCE, Finding, FindingsError
 from caperridge.records import Record
 
@@ -33,6 +34,7 @@
             vol.Required("object_bytes"): _POSITIVE,
         },
         vol.Required("jobs"): {vol.Required("kept_s"): _POSITIVE},
+        "quotas": {"window_s": _POSITIVE},
         vol.Required("stopping"): {vol.Required("grace_s"): _POSITIVE},
     },
     extra=vol.REMOVE_EXTRA,
@@ -57,6 +59,7 @@
             read.
         grace_s: seconds between the signal to stop and the kill.
         log_level: lowest level that is logged.
+        quota_window_s: length of the window in which the quotas of teams hold.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         "metrics_port",
         "object_bytes",
         "peers",
+        "quota_window_s",
         "ready",
         "row_bytes",
         "seeds",
@@ -90,7 +94,9 @@
         jobs_kept_s: float,
         grace_s: float,
         log_level: str = "INFO",
+        quota_window_s: float = DEFAULT_WINDOW_S,
     ) -> None:
+        self.quota_window_s = quota_window_s
         self.instance = instance
         self.availability_zone = availability_zone
         self.metrics_port = metrics_port
@@ -148,4 +154,5 @@
         jobs_kept_s=float(table["jobs"]["kept_s"]),
         grace_s=float(table["stopping"]["grace_s"]),
         log_level=table["instance"].get("log_level", "INFO"),
+        quota_window_s=float(table.get("quotas", {}).get("window_s", DEFAULT_WINDOW_S)),
     )
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.gateway.dialect import DecodeError, Dialect, HeaderNames, JobsPaths
 from caperridge.gateway.fields import Fields
 from caperridge.gateway.jobs.model import COMPLETED, JobItem, JobRequest, ResultsPage
@@ -27,6 +28,7 @@
     Share,
 )
 from caperridge.gateway.targets import Target, TargetLoad, incarnation_id
+from caperridge.gateway.teams import TeamDirectory
 from caperridge.platform.teams import decode_teams
 
 _KINDS_BY_NAME = {
@@ -55,7 +57,11 @@
 
 
 class PlatformDialect(Dialect):
-    """See :class:`caperridge.gateway.dialect.Dialect`."""
+    """See :class:`caperridge.gateway.dialect.Dialect`.
+
+    Args:
+        quota_window_s: length of the window in which the quotas of teams hold.
+    """
 
     headers = HeaderNames(
         request="X-Request-Id",
@@ -81,6 +87,9 @@
     targets_table = "servers"
     load_path = "/report"
 
+    def __init__(self, quota_window_s: float = DEFAULT_WINDOW_S) -> None:
+        self._quota_window_s = quota_window_s
+
     def configuration(self, value: bytes) -> RoutingTable:
         """See :meth:`Dialect.configuration`."""
         try:
@@ -96,11 +105,16 @@
                     header_s=limits["headerTimeoutMs"] / 1000,
                     idle_s=limits["idleTimeoutMs"] / 1000,
                 ),
-                decode_teams(fields["tenants"]) if "tenants" in fields else None,
+                self._teams(fields),
             )
         except _DECODE_ERRORS as error:
             raise DecodeError(f"no configuration: {error!r}") from error
 
+    def _teams(self, fields: dict[str, Any]) -> TeamDirectory | None:
+        if "tenants" not in fields:
+            return None
+        return decode_teams(fields["tenants"], self._quota_window_s)
+
     def target(self, name: str, value: bytes) -> Target:
         """See :meth:`Dialect.target`."""
         fields = Fields(f"{self.targets_table}/{name}", value)
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -46,7 +46,9 @@
 
 async def _serve(settings: Settings, path: Path, stream: BoundedStream) -> None:
     store = HttpRowStore(settings.store)
-    instance = GatewayInstance(settings, PlatformDialect(), store)
+    instance = GatewayInstance(
+        settings, PlatformDialect(settings.quota_window_s), store
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/gateway/test_teams.py
+++ b/tests/gateway/test_teams.py
@@ -224,6 +224,7 @@
         {"name": "", "apiKeys": ["k"]},
         {"name": "bad", "apiKeys": [""]},
         {"name": "bad", "apiKeys": [7]},
+        {"name": "bad", "apiKeys": "k"},
         {"name": "bad", "apiKeys": ["k"], "ratePerS": -1},
         {"name": "bad", "apiKeys": ["k"], "burst": "many"},
         "no team",
