Hand the windows of quotas over where another instance owns them now

Change: an instance that leaves, or sees that another one owns a window, sends what it counted; the heir drops what it assumed.

--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -126,6 +126,8 @@
         "_counts",
         "_is_minority",
         "_next_turn",
+        "_unknown",
+        "_unknown_at",
         "_used_before",
         "_usual_by_reporter",
         "_window_s",
@@ -145,9 +147,9 @@
         self._usual_by_reporter: dict[str, tuple[float, float]] = {}
         # What each reporter used before this window began, and when that was assumed.
         self._used_before: list[tuple[float, float]] = []
-        unknown = reach.unknown_use(limit)
-        if unknown > 0:
-            self._add(now - RESTART_S, unknown)
+        # Counted as used, because nobody knows what was served before.
+        self._unknown = reach.unknown_use(limit)
+        self._unknown_at = now - RESTART_S
 
     def update(self, limit: QuotaLimit, reach: Reach, now: float) -> None:
         """Drop what has left the window; the limit applies from now on."""
@@ -158,6 +160,8 @@
         before = now - self._window_s - WINDOW_MARGIN_S
         while self._counts and self._counts[0][0] <= before:
             self.used -= self._counts.popleft()[1]
+        if self._unknown_at <= before:
+            self._unknown = 0.0
         while self._used_before and self._used_before[0][0] <= now - self._window_s:
             del self._used_before[0]
 
@@ -193,7 +197,7 @@
             count * (1 - (self.updated_at - since) / self._window_s)
             for since, count in self._used_before
         )
-        return self.quota - self.used - used_before
+        return self.quota - self.used - self._unknown - used_before
 
     @property
     def scarce(self) -> bool:
@@ -211,12 +215,28 @@
         the rate of the quota, so that the refused return one after the other.
         """
         oldest = self._counts[0][0] if self._counts else now - self._window_s
+        if self._unknown:
+            oldest = min(oldest, self._unknown_at)
         free_at = oldest + self._window_s + WINDOW_MARGIN_S
         turn = max(self._next_turn, free_at, now)
         latest = now + MAX_RETRY_AFTER_S
         self._next_turn = min(latest, turn + refused * self.turn_interval_s())
         return min(MAX_RETRY_AFTER_S, turn - now)
 
+    def history(self, now: float) -> list[list[float]]:
+        """Return the age and the count of the requests in the window, for its heir."""
+        ages = [[round(now - at, 3), count] for at, count in self._counts]
+        if self._unknown:
+            ages.append([round(now - self._unknown_at, 3), self._unknown])
+        return ages
+
+    def inherit(self, history: list[list[float]], now: float) -> None:
+        """Take over what the previous owner counted, in place of what was assumed."""
+        self._unknown = 0.0
+        counts = [(now - age_s, count) for age_s, count in history]
+        self.used += sum(count for _, count in counts)
+        self._counts = deque(sorted([*self._counts, *counts]))
+
     def _add(self, at: float, count: float) -> None:
         self._counts.append((at, count))
         self.used += count
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -2,7 +2,11 @@
 
 from typing import Any
 
-from caperridge.gateway.mesh.quota_messages import QuotaReport, QuotaVerdict
+from caperridge.gateway.mesh.quota_messages import (
+    QuotaHandover,
+    QuotaReport,
+    QuotaVerdict,
+)
 from caperridge.records import Record
 
 
@@ -360,6 +364,7 @@
         Relayed,
         RelayedHeartbeats,
         MemberLost,
+        QuotaHandover,
         QuotaReport,
         QuotaVerdict,
     )
--- a/src/caperridge/gateway/mesh/quota_messages.py
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -21,6 +21,19 @@
         self.teams = teams
 
 
+class QuotaHandover(Record):
+    """The receiver owns these windows from now on.
+
+    Attributes:
+        teams: of each its name, and the age and the count of the requests in it.
+    """
+
+    __slots__ = ("teams",)
+
+    def __init__(self, teams: list[list[Any]]) -> None:
+        self.teams = teams
+
+
 class QuotaVerdict(Record):
     """Answers a report.
 
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -360,7 +360,7 @@
             due = now + TICK_INTERVAL_S
             self.fleet.remote_counts_stale = self.mesh.large
             self.recalls.expire(now)
-            self.quotas.expire(now)
+            self.quotas.tick(now)
             expired = self.fleet.targets.expire(now)
             if expired:
                 log.info("targets expired after a store outage", targets=expired)
--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -6,6 +6,7 @@
 
 from caperridge.decisions.quota import QuotaLimit, Reach, TeamWindow
 from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.quota_messages import QuotaHandover
 from caperridge.records import Record
 
 # After a change of the members, windows that are new here may have a history elsewhere.
@@ -47,6 +48,7 @@
         self._seeds = seeds
         self._windows_by_team: dict[str, TeamWindow] = {}
         self._changed_at: float | None = None
+        mesh.register(QuotaHandover, self._receive_handover)
         mesh.on_appear(lambda member: self._members_changed())
         mesh.on_lost(lambda member: self._members_changed())
 
@@ -71,6 +73,29 @@
         """Whether most instances are out of reach."""
         return self._reach(asyncio.get_running_loop().time()).is_minority
 
+    def hand_over(self, owner_of: Callable[[str], str]) -> None:
+        """Send the windows that belong to other instances now to these."""
+        now = asyncio.get_running_loop().time()
+        teams_by_owner: dict[str, list[list[Any]]] = {}
+        for team in list(self._windows_by_team):
+            owner = owner_of(team)
+            if owner != self._mesh.instance:
+                history = self._windows_by_team.pop(team).history(now)
+                teams_by_owner.setdefault(owner, []).append([team, history])
+        for owner, teams in teams_by_owner.items():
+            self._mesh.send(owner, QuotaHandover(teams))
+        if teams_by_owner:
+            # Peers that do not know yet may still report here, to windows without the
+            # history that was sent away.
+            self._changed_at = now
+
+    def _receive_handover(self, peer: str, message: QuotaHandover) -> None:
+        now = asyncio.get_running_loop().time()
+        for team, history in message.teams:
+            limit = self._limit_of(team)
+            if limit is not None:
+                self._window(team, limit, now).inherit(history, now)
+
     def expire(self, now: float) -> None:
         """Drop the windows that nobody uses."""
         for team, window in list(self._windows_by_team.items()):
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -60,6 +60,7 @@
         self._forming_until = 0.0
         self._owners_by_team: dict[str, str] = {}
         self._owners_key = -1
+        self._handed_over_key = -1
         mesh.register(QuotaReport, self._receive_report)
         mesh.register(QuotaVerdict, self._receive_verdict)
 
@@ -71,6 +72,7 @@
         """Leave the windows owned here to other instances, as this one stops."""
         self.leaving = True
         self._owners_by_team.clear()
+        self.ledger.hand_over(self._owner_of)
 
     async def admit(self, team: str, limit: QuotaLimit) -> float | None:
         """Count one request; return None, or after how many seconds to return.
@@ -143,9 +145,12 @@
             "usual_per_s": round(use.usual.at(now), 2),
         }
 
-    def expire(self, now: float) -> None:
-        """Forget the teams that have sent nothing for long."""
+    def tick(self, now: float) -> None:
+        """Forget teams that have sent nothing for long; hand over what others own."""
         self.ledger.expire(now)
+        if self._handed_over_key != self._mesh.changes:
+            self._handed_over_key = self._mesh.changes
+            self.ledger.hand_over(self._owner_of)
         for team, use in list(self._uses_by_team.items()):
             idle = now - use.used_at > IDLE_EXPIRY_S
             if idle and not use.waiting and team not in self._dirty:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -101,6 +101,23 @@
     assert statuses.count(200) <= limit.start_tokens
 
 
+async def test_an_owner_that_leaves_hands_its_windows_over(fleet: World) -> None:
+    """Guards against refusals below the limit whenever an instance restarts."""
+    await burst(fleet, fleet.instances, 4)
+    owner = owner_of(fleet)
+    others = [one for one in fleet.instances if one is not owner]
+    owner.quotas.leave()
+    owner.updates.leaving = True
+    owner.updates.send_heartbeat()
+    for other in others:
+        await until(
+            lambda one=other: one.mesh.members_by_id[owner.settings.instance].leaving
+        )
+    statuses = await burst(fleet, others, QUOTA)
+    # Each instance may serve one more before the owner has confirmed its report.
+    assert QUOTA - 4 <= statuses.count(200) <= QUOTA - 4 + len(others)
+
+
 async def test_a_silent_owner_is_replaced_by_what_the_team_usually_sends(
     fleet: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -113,6 +113,20 @@
     assert window.left == limit.quota
 
 
+def test_an_heir_knows_what_was_served_and_assumes_nothing() -> None:
+    limit = QuotaLimit(10, 10)
+    window = TeamWindow(limit, ALL, 0.0)
+    window.update(limit, ALL, 1.0)
+    window.settle("e-0", 20, 0, 1.0, 1.0)
+    heir = TeamWindow(limit, Reach(1.0, False), 2.0)
+    heir.update(limit, ALL, 2.0)
+    heir.settle("e-0", 0, 5, 1.0, 2.0)
+    heir.inherit(window.history(2.0), 2.0)
+    assert heir.left == limit.quota - 25
+    heir.update(limit, ALL, 1.0 + WINDOW_S + WINDOW_MARGIN_S)
+    assert heir.left == limit.quota - 5
+
+
 def test_a_lower_limit_holds_from_its_first_use() -> None:
     window = TeamWindow(QuotaLimit(50, 50), ALL, 0.0)
     lower = QuotaLimit(5, 5)
