--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -285,9 +285,10 @@
         self._mesh.send(peer, QuotaVerdict(report.number, fields))
 
     def _receive_verdict(self, peer: str, message: QuotaVerdict) -> None:
-        report = self._reports_by_number.pop(message.number, None)
+        report = self._reports_by_number.get(message.number)
         if report is None or report.owner != peer:
             return
+        del self._reports_by_number[message.number]
         now = asyncio.get_running_loop().time()
         for team, granted, scarce, left, wait_s, step_s in message.teams:
             verdict = Verdict(granted, scarce, left, wait_s, step_s)
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -15,8 +15,8 @@
 from caperridge.store.interface import NotDone
 
 log = logger(__name__)
-MOST_HEADER = 256
-MOST_REASON = 600
+MAX_HEADER_CHARS = 256
+MAX_REASON_CHARS = 600
 OWN_HEADERS = ("Idempotency-Key", "X-Request-Id")
 REFUSAL_LOG = web.AppKey("refusal_log", RefusalLog)
 _PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,80}")
@@ -64,14 +64,14 @@
 
 def _check_headers(request: web.Request) -> None:
     for name in OWN_HEADERS:
-        if len(request.headers.get(name, "")) > MOST_HEADER:
-            raise bad_request(f"{name} is longer than {MOST_HEADER} characters")
+        if len(request.headers.get(name, "")) > MAX_HEADER_CHARS:
+            raise bad_request(f"{name} is longer than {MAX_HEADER_CHARS} characters")
 
 
 def _answer(request: web.Request, refusal: Refusal) -> web.Response:
     # What callers send stands in reasons; it must not come back at any length.
-    refusal.reason = refusal.reason[:MOST_REASON]
-    request.app[REFUSAL_LOG].write(refusal, request.path[:MOST_HEADER])
+    refusal.reason = refusal.reason[:MAX_REASON_CHARS]
+    request.app[REFUSAL_LOG].write(refusal, request.path[:MAX_HEADER_CHARS])
     return refusal_response(refusal)
 
 
