Make the search for keys in logs a search: nothing was captured before

The test read standard output and error, where tests log nothing, so it could not fail for a key in a log line. Now it captures the log and checks that it has lines. Four more words of the platform are kept out of the product.

--- a/tests/adapter/test_words.py
+++ b/tests/adapter/test_words.py
@@ -37,6 +37,10 @@
     "X-Not-Executed",
     "X-Expect-Instance",
     "X-Wait-Ms",
+    "X-Tenant",
+    "apiKeys",
+    "ratePerS",
+    "quotaWindowS",
     "CAPERRIDGE_CONFIG",
 )
 
--- a/tests/gateway/test_teams.py
+++ b/tests/gateway/test_teams.py
@@ -1,7 +1,9 @@
 """Keys of teams: who is let in, what targets are told, and whose jobs are whose."""
 
 import asyncio
+import io
 
+import logbook
 import orjson
 import pytest
 from multidict import CIMultiDict
@@ -9,6 +11,7 @@
 from caperridge.gateway.credentials import CredentialFilter
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.state import state_of
+from caperridge.log import JsonLinesHandler
 from caperridge.platform.teams import decode_teams
 from gateway.conftest import ROUTES, World, bearer, route, tenant, until
 
@@ -197,16 +200,17 @@
     assert "x_tenant" not in run.headers
 
 
-async def test_keys_are_in_no_log_row_object_or_state(
-    fleet: World, capsys: pytest.CaptureFixture[str]
-) -> None:
+async def test_keys_are_in_no_log_row_object_or_state(fleet: World) -> None:
     first = fleet.instances[0]
-    await fleet.ask(first, "/ask/1", "q1", **bearer(NORTH))
-    await fleet.ask(first, "/ask/1", "q2", **bearer("mistyped-secret-key"))
-    assert (await fleet.submit(first, "j1", ITEMS, key=SOUTH)).status == 202
-    await done(fleet, first, "j1", SOUTH, 2)
-    captured = capsys.readouterr()
-    written = [captured.out, captured.err, repr(state_of(first))]
+    logged = io.StringIO()
+    with JsonLinesHandler(logged, level=logbook.DEBUG).applicationbound():
+        await fleet.ask(first, "/ask/1", "q1", **bearer(NORTH))
+        await fleet.ask(first, "/ask/1", "q2", **bearer("mistyped-secret-key"))
+        assert (await fleet.submit(first, "j1", ITEMS, key=SOUTH)).status == 202
+        await done(fleet, first, "j1", SOUTH, 2)
+    assert "request placed" in logged.getvalue()
+    assert "unknown key" in logged.getvalue()
+    written = [logged.getvalue(), repr(state_of(first))]
     written += [
         repr(value)
         for key, value in fleet.store.rows.items()
