Hand over only what was counted of a window, not what was assumed

Cause, found by reading: a late report makes a former owner open the window again, with an assumed history; that was handed over and taken for counts, so the heir refused for 4 s. Change: the counts alone are handed over, with whether they are all. The new test states the case; its interface did not exist before.

--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -225,14 +225,21 @@
 
     def history(self, now: float) -> list[list[float]]:
         """Return the age and the count of the requests in the window, for its heir."""
-        ages = [[round(now - at, 3), count] for at, count in self._counts]
-        if self._unknown:
-            ages.append([round(now - self._unknown_at, 3), self._unknown])
-        return ages
+        return [[round(now - at, 3), count] for at, count in self._counts]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether it holds all that was served, so that nothing is assumed."""
+        return not self._unknown
 
-    def inherit(self, history: list[list[float]], now: float) -> None:
-        """Take over what the previous owner counted, in place of what was assumed."""
-        self._unknown = 0.0
+    def inherit(self, history: list[list[float]], complete: bool, now: float) -> None:
+        """Take over what another owner counted.
+
+        If that is all that was served, nothing needs to be assumed any more. What the
+        other one merely assumed is not taken over.
+        """
+        if complete:
+            self._unknown = 0.0
         counts = [(now - age_s, count) for age_s, count in history]
         self.used += sum(count for _, count in counts)
         self._counts = deque(sorted([*self._counts, *counts]))
--- a/src/caperridge/gateway/mesh/quota_messages.py
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -25,7 +25,8 @@
     """The receiver owns these windows from now on.
 
     Attributes:
-        teams: of each its name, and the age and the count of the requests in it.
+        teams: of each its name, the age and the count of the requests in it, and
+            whether these are all.
     """
 
     __slots__ = ("teams",)
--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -80,8 +80,9 @@
         for team in list(self._windows_by_team):
             owner = owner_of(team)
             if owner != self._mesh.instance:
-                history = self._windows_by_team.pop(team).history(now)
-                teams_by_owner.setdefault(owner, []).append([team, history])
+                window = self._windows_by_team.pop(team)
+                fields = [team, window.history(now), window.is_complete]
+                teams_by_owner.setdefault(owner, []).append(fields)
         for owner, teams in teams_by_owner.items():
             self._mesh.send(owner, QuotaHandover(teams))
         if teams_by_owner:
@@ -91,10 +92,10 @@
 
     def _receive_handover(self, peer: str, message: QuotaHandover) -> None:
         now = asyncio.get_running_loop().time()
-        for team, history in message.teams:
+        for team, history, complete in message.teams:
             limit = self._limit_of(team)
             if limit is not None:
-                self._window(team, limit, now).inherit(history, now)
+                self._window(team, limit, now).inherit(history, complete, now)
 
     def expire(self, now: float) -> None:
         """Drop the windows that nobody uses."""
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -121,12 +121,31 @@
     heir = TeamWindow(limit, Reach(1.0, False), 2.0)
     heir.update(limit, ALL, 2.0)
     heir.settle("e-0", 0, 5, 1.0, 2.0)
-    heir.inherit(window.history(2.0), 2.0)
+    assert window.is_complete
+    heir.inherit(window.history(2.0), window.is_complete, 2.0)
     assert heir.left == limit.quota - 25
     heir.update(limit, ALL, 1.0 + WINDOW_S + WINDOW_MARGIN_S)
     assert heir.left == limit.quota - 5
 
 
+def test_an_heir_takes_no_assumption_of_another_owner_for_a_count() -> None:
+    """Guards against refusals below the limit while instances restart in turn.
+
+    Late reports made a former owner open the window again, with an assumed history. It
+    was handed over as if it had been counted.
+    """
+    limit = QuotaLimit(10, 10)
+    heir = TeamWindow(limit, ALL, 0.0)
+    heir.update(limit, ALL, 1.0)
+    heir.settle("e-0", 5, 0, 1.0, 1.0)
+    late = TeamWindow(limit, Reach(1.0, False), 1.0)
+    late.update(limit, ALL, 1.0)
+    late.settle("e-1", 2, 0, 1.0, 1.0)
+    assert not late.is_complete
+    heir.inherit(late.history(1.0), late.is_complete, 1.0)
+    assert heir.left == limit.quota - 7
+
+
 def test_a_lower_limit_holds_from_its_first_use() -> None:
     window = TeamWindow(QuotaLimit(50, 50), ALL, 0.0)
     lower = QuotaLimit(5, 5)
