--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,132 @@
+"""Quotas of teams over all instances, whoever is asked and whoever is lost."""
+
+import asyncio
+
+import pytest
+
+from caperridge.decisions.quota import QuotaLimit
+from caperridge.gateway import quotas
+from caperridge.gateway.process import GatewayInstance
+from gateway.conftest import ROUTES, World, bearer, tenant, until
+
+KEY = "secret-key"
+RATE, BURST = 4, 6
+TEAM = tenant("north", KEY, ratePerS=RATE, burst=BURST)
+OTHER = tenant("south", "other-key", ratePerS=RATE, burst=BURST)
+
+
+@pytest.fixture
+async def fleet(world: World, monkeypatch: pytest.MonkeyPatch) -> World:
+    """Three instances that know each other for long."""
+    monkeypatch.setattr(quotas, "CAUTIOUS_START_S", 0.0)
+    # No test waits for it; one on a busy machine must not run into it.
+    monkeypatch.setattr(quotas, "ANSWER_TIMEOUT_S", 5.0)
+    world.configure(2, ROUTES, [TEAM, OTHER])
+    for _ in range(2):
+        runner = await world.add_runner(slots=40)
+        runner.events = 1
+    for _ in range(3):
+        await world.add_instance()
+    await world.ready()
+    for instance in world.instances:
+        instance.quotas.ledger._changed_at = -1000.0
+    return world
+
+
+async def burst(
+    world: World, instances: list[GatewayInstance], count: int, key: str = KEY
+) -> list[int]:
+    """Send requests at once and return their statuses."""
+    answers = await asyncio.gather(
+        *(
+            world.ask(
+                instances[n % len(instances)], "/ask/1", f"{key}{n}", **bearer(key)
+            )
+            for n in range(count)
+        )
+    )
+    for answer in answers:
+        if answer.status == 429:
+            assert float(answer.headers["Retry-After"]) > 0
+    return [answer.status for answer in answers]
+
+
+def owner_of(world: World) -> GatewayInstance:
+    name = world.instances[0].quotas._owner_of("north")
+    return next(one for one in world.instances if one.settings.instance == name)
+
+
+async def test_below_the_limit_no_request_is_refused(fleet: World) -> None:
+    for _ in range(2):
+        assert await burst(fleet, fleet.instances, BURST // 2) == [200] * 3
+
+
+@pytest.mark.parametrize("spread", [1, 3])
+async def test_the_limit_holds_whoever_is_asked(fleet: World, spread: int) -> None:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    statuses = await burst(fleet, fleet.instances[:spread], 60)
+    for _ in range(3):
+        statuses += await burst(fleet, fleet.instances[:spread], 60)
+    took_s = loop.time() - began
+    served = statuses.count(200)
+    assert served >= BURST
+    # What instances serve before the owner's first word is paid back later.
+    assert served <= BURST + RATE * took_s + BURST * (spread - 1) + 1
+    assert statuses.count(200) + statuses.count(429) == len(statuses)
+
+
+async def test_another_team_is_served_beside_one_over_its_limit(fleet: World) -> None:
+    await burst(fleet, fleet.instances, 60)
+    assert await burst(fleet, fleet.instances, 3, "other-key") == [200] * 3
+
+
+async def test_a_request_that_has_not_run_takes_nothing(fleet: World) -> None:
+    for runner in fleet.runners:
+        runner.refuse = True
+    for instance in fleet.instances:
+        answer = await fleet.ask(instance, "/ask/1", "r", **bearer(KEY))
+        assert answer.status == 503
+    for runner in fleet.runners:
+        runner.refuse = False
+    await asyncio.sleep(2 * quotas.REPORT_INTERVAL_S)
+    statuses = await burst(fleet, [fleet.instances[0]], BURST)
+    assert statuses == [200] * BURST
+
+
+async def test_the_limit_goes_on_when_the_owner_is_lost(fleet: World) -> None:
+    await burst(fleet, fleet.instances, 60)
+    await fleet.kill(owner_of(fleet))
+    for instance in fleet.instances:
+        await until(lambda one=instance: len(one.mesh.alive()) == 1)
+    statuses = await burst(fleet, fleet.instances, 60)
+    limit = QuotaLimit(RATE, BURST)
+    assert 0 < statuses.count(200) <= limit.start_tokens + RATE + 1
+
+
+async def test_a_silent_owner_is_replaced_by_what_the_team_usually_sends(
+    fleet: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(quotas, "ANSWER_TIMEOUT_S", 0.05)
+    owner = owner_of(fleet)
+    asked = next(one for one in fleet.instances if one is not owner)
+    await burst(fleet, [asked], BURST)
+    owner.mesh._handlers_by_kind.pop(quotas.QuotaReport)
+    statuses = await burst(fleet, [asked], 20)
+    assert 0 < statuses.count(200) < BURST
+
+
+async def test_a_lower_limit_is_in_force_at_once(fleet: World) -> None:
+    fleet.configure(3, ROUTES, [tenant("north", KEY, ratePerS=1, burst=1)])
+    for instance in fleet.instances:
+        await until(lambda one=instance: one.configuration.table.version == 3)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    statuses = await burst(fleet, [owner_of(fleet)], 30)
+    assert 0 < statuses.count(200) <= 2 + (loop.time() - began)
+
+
+async def test_the_state_dump_names_the_emptiest_buckets(fleet: World) -> None:
+    await burst(fleet, fleet.instances, 30)
+    owner = owner_of(fleet)
+    await until(lambda: "north" in owner.quotas.ledger.state()["emptiest"])
