Log the software version of each target that a request or an item is sent to

The entry of a target names the version of its software; the decoder read it only to check it. The state dump shows it as well, and the stand-in of a target has one: what two versions write differs. No decision uses it yet.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -224,6 +224,7 @@
             request=request.id,
             route=request.route.name,
             target=target.id,
+            software_version=target.software_version,
             online=count.online,
             items=count.items,
             slots=target.slots,
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -140,6 +140,7 @@
             job=job.entry.id,
             item=state.item.id,
             target=target.id,
+            software_version=target.software_version,
             after_event=state.progress.event,
             due_s=round(ranked.due, 2),
             late=ranked.late,
--- a/src/caperridge/gateway/state.py
+++ b/src/caperridge/gateway/state.py
@@ -31,6 +31,7 @@
             id: {
                 "address": target.address,
                 "draining": target.draining,
+                "software_version": target.software_version,
                 "online": instance.fleet.occupancy.total_at(id).online,
                 "items": instance.fleet.occupancy.total_at(id).items,
                 "unreachable": id in instance.fleet.unreachable,
--- a/src/caperridge/gateway/targets.py
+++ b/src/caperridge/gateway/targets.py
@@ -22,6 +22,8 @@
         availability_zone: where it runs.
         slots: requests that it runs at the same time.
         draining: it takes no new requests and stops soon.
+        software_version: of the target's software, not of its weights; empty if it is
+            not known.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "name",
         "service",
         "slots",
+        "software_version",
     )
 
     def __init__(
@@ -43,6 +46,7 @@
         slots: int,
         draining: bool = False,
         name: str = "",
+        software_version: str = "",
     ) -> None:
         self.id = id
         self.name = name or id
@@ -51,6 +55,7 @@
         self.availability_zone = availability_zone
         self.slots = slots
         self.draining = draining
+        self.software_version = software_version
 
 
 class TargetLoad(Record):
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -126,9 +126,9 @@
             availability_zone=fields.text("zone"),
             slots=fields.integer("slots", 1, MAX_SLOTS),
             draining=fields.choice("state", (_READY, _DRAINING)) == _DRAINING,
+            software_version=fields.text("version"),
         )
         # Unused, but an entry without these fields was not written by a target.
-        fields.text("version")
         fields.number("coldLeftMs")
         fields.integer("seq", 0, MAX_INTEGER)
         start_time_ms = self._start_time_ms(fields)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -19,7 +19,7 @@
 from caperridge.gateway.settings import Settings
 from caperridge.platform.dialect import PlatformDialect
 from caperridge.platform.store import HttpRowStore
-from gateway.runner_standin import RunnerStandin
+from gateway.runner_standin import DEFAULT_VERSION, RunnerStandin
 from gateway.store_standin import StoreStandin
 
 HOST = "calls.example"
@@ -223,10 +223,12 @@
         """Write a configuration."""
         self.store.put("op", "config", configuration(version, routes, tenants))
 
-    async def add_runner(self, zone: str = "a", slots: int = 4) -> RunnerStandin:
+    async def add_runner(
+        self, zone: str = "a", slots: int = 4, software_version: str = DEFAULT_VERSION
+    ) -> RunnerStandin:
         """Start a runner and list it."""
         number = len(self.runners) + len(self.crashed_runners)
-        runner = RunnerStandin(f"i-{number}", slots)
+        runner = RunnerStandin(f"i-{number}", slots, software_version)
         self.runners.append(runner)
         site = await self._site(runner.application())
         runner.stop_listening = site.stop
@@ -240,7 +242,9 @@
             self.runners.remove(ended)
             self.crashed_runners.append(ended)
             self.store.remove("servers", ended.id)
-            runner = await self.add_runner(slots=ended.slots)
+            runner = await self.add_runner(
+                slots=ended.slots, software_version=ended.software_version
+            )
             runner.fatal = ended.fatal
             runner.fatal_after = ended.fatal_after
             runner.events = ended.events
@@ -259,7 +263,7 @@
             "service": "model",
             "address": self._addresses_by_runner[runner.id],
             "zone": zone,
-            "version": "v1",
+            "version": runner.software_version,
             "slots": runner.slots,
             "state": state,
             "coldLeftMs": 0,
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+DEFAULT_VERSION = "v1"
+
 
 async def _nothing() -> None:
     """Do nothing."""
@@ -33,6 +35,7 @@
     Attributes:
         id: of this incarnation.
         slots: requests that it runs at the same time.
+        software_version: that it lists; what two versions write differs.
         events: number of events in an answer.
         pause_s: between events.
         slow_pause_s: between events of answers to paths that end in ``/slow``.
@@ -59,9 +62,12 @@
         crashed: by ``crash`` or by a fatal request.
     """
 
-    def __init__(self, id: str, slots: int = 4) -> None:
+    def __init__(
+        self, id: str, slots: int = 4, software_version: str = DEFAULT_VERSION
+    ) -> None:
         self.id = id
         self.slots = slots
+        self.software_version = software_version
         self.events = 5
         self.pause_s = 0.01
         self.slow_pause_s = 0.15
@@ -109,7 +115,10 @@
 
     def text(self, request: str) -> list[str]:
         """Return the data of the events of a request."""
-        return [f"{request}-{number}" for number in range(1, self.events + 1)]
+        suffix = (
+            "" if self.software_version == DEFAULT_VERSION else self.software_version
+        )
+        return [f"{request}-{number}{suffix}" for number in range(1, self.events + 1)]
 
     async def _report(self, request: web.Request) -> web.Response:
         meant = request.headers.get("X-Expect-Instance", self.id)
