Continue a stream inside an answer only at the software version that began it

Callers got streams that hold events of two software versions of a service. The forwarder placed a request whose target broke off at any usable target of the service and sent it the number of the last event; what two versions write doesn't fit together.

A request is now bound to the service and the software version of the target that sent its first event, and later runs are placed among the targets of that version only. If none is listed the answer ends there, at once.

The choice of a target moves to a module of its own.

--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.dialect import end_to_end_headers
 from caperridge.gateway.events import Event
 from caperridge.gateway.inbound import InboundRequest, Reply, RequestState
@@ -39,13 +40,22 @@
         reply: Reply,
         state: RequestState,
         answer: Answer,
+        origin: StreamOrigin,
     ) -> AttemptError | None:
-        """Relay ``answer``; return None if it was relayed completely."""
+        """Relay ``answer``; return None if it was relayed completely.
+
+        Args:
+            request: of the caller.
+            reply: to the caller.
+            state: progress of the request.
+            answer: of a target.
+            origin: of a stream that begins with this answer.
+        """
         content_type = (
             answer.headers.get("Content-Type", "").partition(";")[0].strip().lower()
         )
         if answer.status == 200 and content_type == EVENT_STREAM:
-            return await self._relay_events(request, reply, state, answer)
+            return await self._relay_events(request, reply, state, answer, origin)
         return await self._relay_whole(request, reply, state, answer)
 
     async def _relay_whole(
@@ -81,6 +91,7 @@
         reply: Reply,
         state: RequestState,
         answer: Answer,
+        origin: StreamOrigin,
     ) -> AttemptError | None:
         first_s, next_s = math.inf, math.inf
         if request.route.idempotent:
@@ -89,6 +100,7 @@
             async for events in answer.events(first_s, next_s):
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
+                    state.origin = state.origin or origin
                     await self._write_events(request, reply, answer, in_order)
                 if out_of_order:
                     state.attempts += 1
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -85,18 +85,29 @@
             callback()
 
     def usable(
-        self, service: str, now: float, excluded: frozenset[str] = frozenset()
+        self,
+        service: str,
+        now: float,
+        excluded: frozenset[str] = frozenset(),
+        software_version: str | None = None,
     ) -> list[Target]:
         """Return the targets of ``service`` that may get a request.
 
         If all of them are ejected, all are returned, as the ejections then say nothing
         about a single target. Targets of an availability zone that may be cut off are
         left out while there are others.
+
+        Args:
+            service: name of the service.
+            now: on the event loop's clock.
+            excluded: ids of targets to leave out.
+            software_version: only targets of this version; None for all.
         """
         listed = [
             target
             for target in self.targets.of_service(service)
             if target.id not in excluded
+            and software_version in (None, target.software_version)
         ]
         healthy = [target for target in listed if not self._is_ejected(target.id, now)]
         silent = self.silent_zones(now)
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -11,11 +11,7 @@
 
 from result import Err
 
-from caperridge.decisions.admission import (
-    finishes_in_time,
-    max_queued,
-    retry_delay_s,
-)
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.decisions.suspects import QUARANTINE_THRESHOLD
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
@@ -29,8 +25,8 @@
     RequestState,
 )
 from caperridge.gateway.metrics import GatewayMetrics
-from caperridge.gateway.placement import place_online, place_online_zone_first
 from caperridge.gateway.request_guard import RequestGuard
+from caperridge.gateway.target_choice import TargetChoice
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import Outbound, TargetClient
 from caperridge.gateway.waiting_runs import WaitingRuns
@@ -47,11 +43,6 @@
 
 log = logger(__name__)
 
-# A request is sent to a target at most this often, refusals without a run included.
-MAX_OFFERS = 8
-NO_TARGET_RETRY_AFTER_S = 0.5
-IMMEDIATE_RETRY_AFTER_S = 0.05
-
 
 class Forwarder:
     """Forwards online requests to targets; an instance has one.
@@ -76,6 +67,7 @@
         self._waiting = WaitingRuns(guard)
         self._metrics = metrics
         self._limits = limits
+        self._choice = TargetChoice(fleet, limits)
         self._answers = AnswerRelay(metrics)
         self.on_placed: Callable[[str], None] = lambda target: None
         names = dialect.headers
@@ -100,7 +92,7 @@
         self, request: InboundRequest, reply: Reply, state: RequestState
     ) -> Failure | None:
         while True:
-            target = self._place(request, state)
+            target = self._choice.choose(request, state)
             if isinstance(target, Failure):
                 return target
             refusal = await self._check_quarantine(request, state)
@@ -149,66 +141,6 @@
             )
         return state.fingerprint
 
-    def _place(self, request: InboundRequest, state: RequestState) -> Target | Failure:
-        now = asyncio.get_running_loop().time()
-        service = request.route.service_for(request.id)
-        refused = frozenset(state.tried_targets)
-        targets = self._fleet.usable(service, now, refused)
-        targets = targets or self._fleet.usable(service, now)
-        not_run = not state.sent_at_least_once
-        if not targets:
-            return Failure("no target of its service", not_run, NO_TARGET_RETRY_AFTER_S)
-        if state.offers >= MAX_OFFERS:
-            retry_after_s = self._retry_delay_s(request, now)
-            return Failure("too many refusals", not_run, retry_after_s)
-        online_s = self._fleet.run_lengths(service).online_s
-        if not_run and self._would_be_cut(service, now):
-            # Another instance can send the complete answer.
-            return Failure(
-                "its answer would be cut by the stop", not_run, IMMEDIATE_RETRY_AFTER_S
-            )
-        remaining_s = request.objective - now
-        if state.last_event or not not_run:
-            # It has started or may have, so its caller cannot be told to retry.
-            remaining_s = max(remaining_s, request.route.objective_s)
-        place = (
-            place_online_zone_first if self._fleet.remote_counts_stale else place_online
-        )
-        target = place(
-            targets,
-            self._fleet.occupancy,
-            self._fleet.zone,
-            self._fleet.rng,
-            lambda one: max_queued(online_s, one.slots, remaining_s),
-        )
-        if target is not None:
-            return target
-        retry_after_s = self._retry_delay_s(request, now)
-        online = sum(self._fleet.occupancy.total_at(one.id).online for one in targets)
-        log.info(
-            "no room",
-            request=request.id,
-            targets=len(targets),
-            slots=sum(one.slots for one in targets),
-            online=online,
-            run_s=round(online_s, 3),
-            objective_in_s=round(remaining_s, 3),
-            retry_after_s=round(retry_after_s, 2),
-        )
-        return Failure("no slot in time", not_run, retry_after_s)
-
-    def _would_be_cut(self, service: str, now: float) -> bool:
-        """Whether a planned stop would cut off an answer that starts now."""
-        lengths = self._fleet.run_lengths(service)
-        cautious = now >= self._limits.reject_long_from
-        longest_s = lengths.longest_s if cautious else 0.0
-        return not finishes_in_time(
-            lengths.online_s, longest_s, self._limits.deadline - now
-        )
-
-    def _retry_delay_s(self, request: InboundRequest, now: float) -> float:
-        return retry_delay_s(request.deadline - now, self._fleet.rng.random())
-
     async def _offer(
         self,
         request: InboundRequest,
@@ -309,8 +241,9 @@
             return error
         state.runs += 1
         answer = opened.ok_value
+        origin = StreamOrigin(target.service, target.software_version)
         try:
-            return await self._answers.relay(request, reply, state, answer)
+            return await self._answers.relay(request, reply, state, answer, origin)
         finally:
             answer.close()
 
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDict
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.routes import Route
 from caperridge.records import Record
@@ -131,6 +132,7 @@
             those that this instance broke off, not those that the target broke off.
         tried_targets: targets that are used again only if there are no others.
         sent_at_least_once: it may be running or have run.
+        origin: what began its stream; None before the first event.
         fingerprint: its fingerprint; None until it is needed.
         admitted_runs: value of ``runs`` when the guard last admitted it; -1 if it has
             to be asked again.
@@ -142,6 +144,7 @@
         "fingerprint",
         "last_event",
         "offers",
+        "origin",
         "runs",
         "sent_at_least_once",
         "tried_targets",
@@ -154,6 +157,7 @@
         self.attempts = 0
         self.tried_targets: set[str] = set()
         self.sent_at_least_once = False
+        self.origin: StreamOrigin | None = None
         self.fingerprint: Fingerprint | None = None
         self.admitted_runs = -1
 
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -76,6 +76,12 @@
         await self._runner.cleanup()
 
 
+def listen_at(application: web.Application, address: str) -> Listener:
+    """Return the listener of ``application`` at ``IP:PORT``; it has to be started."""
+    host, _, port = address.rpartition(":")
+    return Listener(application, host, int(port))
+
+
 def ready_application(
     ready: Callable[[], bool], state: Callable[[], Any]
 ) -> web.Application:
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-from typing import Any
 
 from caperridge.closing import Close
 from caperridge.decisions.quarantine import Quarantine
@@ -35,6 +34,7 @@
 from caperridge.gateway.jobs.sweep import JobSweeper
 from caperridge.gateway.listeners import (
     Listener,
+    listen_at,
     metrics_application,
     ready_application,
 )
@@ -162,7 +162,12 @@
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
         self._forwarder = Forwarder(
-            self.fleet, self.client, dialect, self.metrics, limits, self.guard
+            self.fleet,
+            self.client,
+            dialect,
+            self.metrics,
+            limits,
+            self.guard,
         )
         ledger = QuotaLedger(
             self.mesh, self.configuration.limit_of, len(set(settings.seeds))
@@ -194,7 +199,7 @@
             store, self.index, self.clock, self.mesh, settings.jobs_kept_s
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._caller_listener = _listener(self.edge.application(), settings.callers)
+        self._caller_listener = listen_at(self.edge.application(), settings.callers)
         self._listeners = [self._caller_listener]
         self._connect_parts()
 
@@ -280,7 +285,7 @@
         self.quotas.start()
         await self.mesh.start()
         ready = ready_application(lambda: self.ready, lambda: state_of(self))
-        self._listeners.insert(0, _listener(ready, settings.ready))
+        self._listeners.insert(0, listen_at(ready, settings.ready))
         if settings.metrics_port:
             application = metrics_application(self.metrics.registry)
             self._listeners.append(
@@ -393,8 +398,3 @@
         while True:
             self.updates.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-
-def _listener(application: Any, address: str) -> Listener:
-    host, _, port = address.rpartition(":")
-    return Listener(application, host, int(port))
--- /dev/null
+++ b/src/caperridge/gateway/target_choice.py
@@ -0,0 +1,121 @@
+"""Chooses the target of an online request, or the reason why it gets none."""
+
+import asyncio
+
+from caperridge.decisions.admission import (
+    finishes_in_time,
+    max_queued,
+    retry_delay_s,
+)
+from caperridge.gateway.answer_limits import AnswerLimits
+from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.inbound import Failure, InboundRequest, RequestState
+from caperridge.gateway.placement import place_online, place_online_zone_first
+from caperridge.gateway.targets import Target
+from caperridge.log import logger
+
+log = logger(__name__)
+
+# A request is sent to a target at most this often, refusals without a run included.
+MAX_OFFERS = 8
+NO_TARGET_RETRY_AFTER_S = 0.5
+IMMEDIATE_RETRY_AFTER_S = 0.05
+
+
+class TargetChoice:
+    """Chooses among the targets of a fleet.
+
+    Args:
+        fleet: targets and counts.
+        limits: deadlines of answers.
+    """
+
+    def __init__(self, fleet: Fleet, limits: AnswerLimits) -> None:
+        self._fleet = fleet
+        self._limits = limits
+
+    def choose(self, request: InboundRequest, state: RequestState) -> Target | Failure:
+        """Return the target for the next run of a request, or why there is none."""
+        now = asyncio.get_running_loop().time()
+        targets = self._usable(request, state, now)
+        not_run = not state.sent_at_least_once
+        if not targets and state.origin is not None:
+            version = state.origin.software_version
+            return Failure(f"no target of software version {version}", not_run)
+        if not targets:
+            return Failure("no target of its service", not_run, NO_TARGET_RETRY_AFTER_S)
+        service = targets[0].service
+        if state.offers >= MAX_OFFERS:
+            retry_after_s = self._retry_delay_s(request, now)
+            return Failure("too many refusals", not_run, retry_after_s)
+        online_s = self._fleet.run_lengths(service).online_s
+        if not_run and self._would_be_cut(service, now):
+            # Another instance can send the complete answer.
+            return Failure(
+                "its answer would be cut by the stop", not_run, IMMEDIATE_RETRY_AFTER_S
+            )
+        remaining_s = request.objective - now
+        if state.last_event or not not_run:
+            # It has started or may have, so its caller cannot be told to retry.
+            remaining_s = max(remaining_s, request.route.objective_s)
+        place = (
+            place_online_zone_first if self._fleet.remote_counts_stale else place_online
+        )
+        target = place(
+            targets,
+            self._fleet.occupancy,
+            self._fleet.zone,
+            self._fleet.rng,
+            lambda one: max_queued(online_s, one.slots, remaining_s),
+        )
+        if target is not None:
+            return target
+        retry_after_s = self._retry_delay_s(request, now)
+        self._log_no_room(request, targets, online_s, remaining_s, retry_after_s)
+        return Failure("no slot in time", not_run, retry_after_s)
+
+    def _usable(
+        self, request: InboundRequest, state: RequestState, now: float
+    ) -> list[Target]:
+        """Return the usable targets; those that failed the request are a last resort.
+
+        A stream goes on only at the software version that began it.
+        """
+        service, version = request.route.service_for(request.id), None
+        if state.origin is not None:
+            service, version = state.origin.service, state.origin.software_version
+        tried = frozenset(state.tried_targets)
+        targets = self._fleet.usable(service, now, tried, version)
+        return targets or self._fleet.usable(service, now, software_version=version)
+
+    def _log_no_room(
+        self,
+        request: InboundRequest,
+        targets: list[Target],
+        online_s: float,
+        remaining_s: float,
+        retry_after_s: float,
+    ) -> None:
+        online = sum(self._fleet.occupancy.total_at(one.id).online for one in targets)
+        log.info(
+            "no room",
+            request=request.id,
+            targets=len(targets),
+            slots=sum(one.slots for one in targets),
+            online=online,
+            run_s=round(online_s, 3),
+            objective_in_s=round(remaining_s, 3),
+            retry_after_s=round(retry_after_s, 2),
+        )
+
+    def _would_be_cut(self, service: str, now: float) -> bool:
+        """Whether a planned stop would cut off an answer that starts now."""
+        lengths = self._fleet.run_lengths(service)
+        cautious = now >= self._limits.reject_long_from
+        longest_s = lengths.longest_s if cautious else 0.0
+        return not finishes_in_time(
+            lengths.online_s, longest_s, self._limits.deadline - now
+        )
+
+    def _retry_delay_s(self, request: InboundRequest, now: float) -> float:
+        return retry_delay_s(request.deadline - now, self._fleet.rng.random())
