Take a stream up only at the software version that began it

Callers that came back for a stream got the rest of it from any target: the instance read the number of the last event, and nothing said where the stream began. It may have begun at another instance, which may be gone, and the one that takes it up may have just started.

The instance that relays the first event of a resumable stream now records its service and software version, and sends that to two peers of its availability zone and one outside of it, found by rendezvous hashing of 256 buckets. An instance that a caller comes back to looks into its own table, asks at most four near peers and one for each other zone, and, if none knows, infers the version where the service has had one version only for as long as any stream may last and the list is fresh. Otherwise it refuses at once, as not run: another instance may know. The same service is kept where a route is split. Records are hashes of ids, expire with the route's time-out and are bounded in number.

The header that names the first try is left out of fingerprints, as a stream that is taken up would be a new suspect each time.

--- a/src/caperridge/decisions/stream_origins.py
+++ b/src/caperridge/decisions/stream_origins.py
@@ -1,10 +1,18 @@
-"""Which software version began a stream: the only one at which it goes on.
+"""Which software version began a stream, and which versions a service has had lately.
 
-What two software versions of a target write does not fit together.
+What two software versions of a target write does not fit together, so a stream goes on
+only at the version that began it. Records of streams expire, and their number is
+bounded.
 """
 
 from caperridge.records import Record
 
+# Some 150 bytes each.
+MAX_STREAMS = 20_000
+# A listed target writes its entry about every second; after longer silence of all
+# targets of a service a new one may be listed without this instance knowing it.
+MAX_LIST_AGE_S = 3.0
+
 
 class StreamOrigin(Record):
     """What began a stream.
@@ -19,3 +27,113 @@
     def __init__(self, service: str, software_version: str) -> None:
         self.service = service
         self.software_version = software_version
+
+
+class StreamRecord(Record):
+    """The origin of one stream, and until when it is kept, in seconds of a clock."""
+
+    __slots__ = ("origin", "until")
+
+    def __init__(self, origin: StreamOrigin, until: float) -> None:
+        self.origin = origin
+        self.until = until
+
+
+class OriginTable:
+    """The origins of recent streams; the oldest give way when there are too many.
+
+    Args:
+        max_streams: how many are kept at most.
+
+    >>> table = OriginTable(max_streams=2)
+    >>> for key in (1, 2, 3):
+    ...     table.put(key, StreamOrigin("chat", f"v{key}"), until=10.0 + key)
+    >>> table.find(1, now=5.0) is None, table.find(3, now=5.0).software_version
+    (True, 'v3')
+    >>> table.expire(now=12.5)
+    >>> len(table)
+    1
+    """
+
+    __slots__ = ("_max_streams", "_records_by_key")
+
+    def __init__(self, max_streams: int = MAX_STREAMS) -> None:
+        self._max_streams = max_streams
+        self._records_by_key: dict[int, StreamRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._records_by_key)
+
+    def put(self, key: int, origin: StreamOrigin, until: float) -> None:
+        """Keep the origin of a stream until a time of the caller's clock."""
+        self._records_by_key.pop(key, None)
+        self._records_by_key[key] = StreamRecord(origin, until)
+        if len(self._records_by_key) > self._max_streams:
+            del self._records_by_key[next(iter(self._records_by_key))]
+
+    def find(self, key: int, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream; None if it is not known."""
+        record = self._records_by_key.get(key)
+        if record is None or record.until <= now:
+            return None
+        return record.origin
+
+    def expire(self, now: float) -> None:
+        """Drop the records whose time has passed."""
+        for key, record in list(self._records_by_key.items()):
+            if record.until <= now:
+                del self._records_by_key[key]
+
+
+class VersionHistory:
+    """The software versions that the listed targets of each service have had.
+
+    >>> history = VersionHistory()
+    >>> for second in range(7):
+    ...     history.record("chat", "v1", float(second))
+    >>> history.only_version("chat", 6.0, within_s=5.0)
+    'v1'
+    >>> history.record("chat", "v2", 6.5)
+    >>> history.only_version("chat", 7.0, within_s=5.0) is None
+    True
+    """
+
+    __slots__ = ("_known_since_by_service", "_listed_at_by_service")
+
+    def __init__(self) -> None:
+        self._known_since_by_service: dict[str, float] = {}
+        self._listed_at_by_service: dict[str, dict[str, float]] = {}
+
+    def record(self, service: str, software_version: str, now: float) -> None:
+        """Record that a target of this version is listed."""
+        self._known_since_by_service.setdefault(service, now)
+        listed_at = self._listed_at_by_service.setdefault(service, {})
+        listed_at[software_version] = now
+
+    def only_version(self, service: str, now: float, within_s: float) -> str | None:
+        """Return the version that began every stream of ``service`` lately.
+
+        Args:
+            service: name of the service.
+            now: on the clock of the records.
+            within_s: the oldest stream may have begun so long ago, in seconds.
+
+        Returns:
+            The version; None if there was more than one, if the list has not been known
+            for so long, or if it may be outdated.
+        """
+        known_since = self._known_since_by_service.get(service)
+        if known_since is None or now - known_since < within_s:
+            return None
+        listed_at = self._listed_at_by_service[service]
+        recent = [one for one, at in listed_at.items() if now - at <= within_s]
+        if len(recent) != 1 or now - listed_at[recent[0]] > MAX_LIST_AGE_S:
+            return None
+        return recent[0]
+
+    def expire(self, now: float, after_s: float) -> None:
+        """Drop versions that have not been listed for ``after_s``."""
+        for listed_at in self._listed_at_by_service.values():
+            for version, at in list(listed_at.items()):
+                if now - at > after_s:
+                    del listed_at[version]
--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -8,6 +8,7 @@
 from caperridge.gateway.events import Event
 from caperridge.gateway.inbound import InboundRequest, Reply, RequestState
 from caperridge.gateway.metrics import GatewayMetrics
+from caperridge.gateway.stream_origins import StreamOrigins
 from caperridge.gateway.upstream import Answer, BrokenAnswerError, SilentAnswerError
 from caperridge.targets.outcomes import (
     AttemptError,
@@ -29,10 +30,12 @@
 
     Args:
         metrics: counted into.
+        origins: records what begins each stream.
     """
 
-    def __init__(self, metrics: GatewayMetrics) -> None:
+    def __init__(self, metrics: GatewayMetrics, origins: StreamOrigins) -> None:
         self._metrics = metrics
+        self._origins = origins
 
     async def relay(
         self,
@@ -100,7 +103,7 @@
             async for events in answer.events(first_s, next_s):
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
-                    state.origin = state.origin or origin
+                    self._note_origin(request, state, origin)
                     await self._write_events(request, reply, answer, in_order)
                 if out_of_order:
                     state.attempts += 1
@@ -117,6 +120,17 @@
         await reply.end()
         return None
 
+    def _note_origin(
+        self, request: InboundRequest, state: RequestState, origin: StreamOrigin
+    ) -> None:
+        """Bind a stream to the origin of its first event, and record it once here."""
+        state.origin = state.origin or origin
+        if state.origin_recorded or not request.route.idempotent:
+            return
+        state.origin_recorded = True
+        stream = request.stream or request.id
+        self._origins.record(stream, state.origin, request.route)
+
     async def _write_events(
         self, request: InboundRequest, reply: Reply, answer: Answer, data: bytes
     ) -> None:
--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -26,6 +26,7 @@
         signature: of the target that sent an answer.
         team: name of the team of a request, to targets.
         resume: number of the last event that was received.
+        stream: id of the caller's try that brought the first event of a stream.
         wait: how long a read of results may wait for new ones, in ms.
     """
 
@@ -36,6 +37,7 @@
         "request",
         "resume",
         "signature",
+        "stream",
         "team",
         "wait",
     )
@@ -48,6 +50,7 @@
         not_run: str,
         signature: str,
         resume: str,
+        stream: str,
         wait: str,
         team: str,
     ) -> None:
@@ -57,6 +60,7 @@
         self.not_run = not_run
         self.signature = signature
         self.resume = resume
+        self.stream = stream
         self.wait = wait
         self.team = team
 
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -264,6 +264,7 @@
             deadline=min(arrived + timeout_s, self._limits.deadline),
             objective=arrived + (route.objective_s or timeout_s) - waited_s,
             resume_after=int(resume) if resume.isdigit() else 0,
+            stream=request.headers.get(names.stream, ""),
         )
         reply = AiohttpReply(request, lambda: self.closing)
         self.read_peers()
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -9,6 +9,7 @@
 
 from caperridge.decisions.ejection import Health
 from caperridge.decisions.run_lengths import RunStatistics
+from caperridge.decisions.stream_origins import VersionHistory
 from caperridge.gateway.occupancy import Occupancy
 from caperridge.gateway.targets import Target, TargetList
 from caperridge.log import logger
@@ -37,6 +38,7 @@
         zone: own availability zone.
         rng: breaks ties.
         targets: the listed targets.
+        versions: the software versions that targets have been listed with.
         occupancy: requests at each target.
         targets_known: the list of targets has been read.
         remote_counts_stale: there are too many peers to send each one every count, so
@@ -56,6 +58,7 @@
         self.zone = zone
         self.rng = rng
         self.targets = TargetList()
+        self.versions = VersionHistory()
         self.occupancy = Occupancy(instance)
         self.targets_known = False
         self.remote_counts_stale = False
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -26,6 +26,9 @@
 )
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.request_guard import RequestGuard
+from caperridge.gateway.resumption import StreamResumption
+from caperridge.gateway.routes import STREAMING
+from caperridge.gateway.stream_origins import StreamOrigins
 from caperridge.gateway.target_choice import TargetChoice
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import Outbound, TargetClient
@@ -59,6 +62,7 @@
         metrics: GatewayMetrics,
         limits: AnswerLimits,
         guard: RequestGuard,
+        origins: StreamOrigins,
     ) -> None:
         self._fleet = fleet
         self._client = client
@@ -68,7 +72,8 @@
         self._metrics = metrics
         self._limits = limits
         self._choice = TargetChoice(fleet, limits)
-        self._answers = AnswerRelay(metrics)
+        self._resumption = StreamResumption(origins, metrics)
+        self._answers = AnswerRelay(metrics, origins)
         self.on_placed: Callable[[str], None] = lambda target: None
         names = dialect.headers
         self._own_headers = frozenset(
@@ -91,6 +96,10 @@
     async def _forward(
         self, request: InboundRequest, reply: Reply, state: RequestState
     ) -> Failure | None:
+        if request.resume_after and request.route.kind == STREAMING:
+            failure = await self._resumption.bind(request, state)
+            if failure is not None:
+                return failure
         while True:
             target = self._choice.choose(request, state)
             if isinstance(target, Failure):
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -29,6 +29,8 @@
         objective: when its first event is due, counted from the caller's first try, on
             the event loop's clock.
         resume_after: number of the last event that the caller received; 0 for none.
+        stream: id of the caller's try that brought the first event; empty if the
+            caller does not say.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "path",
         "resume_after",
         "route",
+        "stream",
     )
 
     def __init__(
@@ -56,6 +59,7 @@
         deadline: float,
         objective: float,
         resume_after: int = 0,
+        stream: str = "",
     ) -> None:
         self.id = id
         self.method = method
@@ -67,6 +71,7 @@
         self.deadline = deadline
         self.objective = objective
         self.resume_after = resume_after
+        self.stream = stream
 
 
 class Failure(Record):
@@ -133,6 +138,7 @@
         tried_targets: targets that are used again only if there are no others.
         sent_at_least_once: it may be running or have run.
         origin: what began its stream; None before the first event.
+        origin_recorded: whether this instance has recorded that.
         fingerprint: its fingerprint; None until it is needed.
         admitted_runs: value of ``runs`` when the guard last admitted it; -1 if it has
             to be asked again.
@@ -145,6 +151,7 @@
         "last_event",
         "offers",
         "origin",
+        "origin_recorded",
         "runs",
         "sent_at_least_once",
         "tried_targets",
@@ -158,6 +165,7 @@
         self.tried_targets: set[str] = set()
         self.sent_at_least_once = False
         self.origin: StreamOrigin | None = None
+        self.origin_recorded = False
         self.fingerprint: Fingerprint | None = None
         self.admitted_runs = -1
 
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -2,6 +2,11 @@
 
 from typing import Any
 
+from caperridge.gateway.mesh.origin_messages import (
+    StreamAnswer,
+    StreamAsk,
+    StreamsBegan,
+)
 from caperridge.gateway.mesh.quota_messages import (
     QuotaHandover,
     QuotaReport,
@@ -367,5 +372,8 @@
         QuotaHandover,
         QuotaReport,
         QuotaVerdict,
+        StreamsBegan,
+        StreamAsk,
+        StreamAnswer,
     )
 }
--- /dev/null
+++ b/src/caperridge/gateway/mesh/origin_messages.py
@@ -0,0 +1,56 @@
+"""Messages about the software versions that began streams."""
+
+from caperridge.records import Record
+
+
+class StreamsBegan(Record):
+    """The receiver keeps the origin of these streams.
+
+    Attributes:
+        service: of the target that began them.
+        software_version: of that target.
+        keep_s: for how long, in seconds.
+        streams: hashes of their ids.
+    """
+
+    __slots__ = ("keep_s", "service", "software_version", "streams")
+
+    def __init__(
+        self, service: str, software_version: str, keep_s: float, streams: list[int]
+    ) -> None:
+        self.service = service
+        self.software_version = software_version
+        self.keep_s = keep_s
+        self.streams = streams
+
+
+class StreamAsk(Record):
+    """Asks for the origin of a stream.
+
+    Attributes:
+        number: repeated in the answer.
+        stream: hash of its id.
+    """
+
+    __slots__ = ("number", "stream")
+
+    def __init__(self, number: int, stream: int) -> None:
+        self.number = number
+        self.stream = stream
+
+
+class StreamAnswer(Record):
+    """Answers a :class:`StreamAsk`.
+
+    Attributes:
+        number: of the question.
+        service: of the target that began the stream; empty if that is not known.
+        software_version: of that target.
+    """
+
+    __slots__ = ("number", "service", "software_version")
+
+    def __init__(self, number: int, service: str, software_version: str) -> None:
+        self.number = number
+        self.service = service
+        self.software_version = software_version
--- a/src/caperridge/gateway/metrics.py
+++ b/src/caperridge/gateway/metrics.py
@@ -37,6 +37,12 @@
             ["error"],
             registry=self.registry,
         )
+        self.resumed_streams = Counter(
+            "caperridge_gateway_resumed_streams",
+            "Streams that callers take up, by what is known of their beginning.",
+            ["origin"],
+            registry=self.registry,
+        )
         self.items = Counter(
             "caperridge_gateway_items",
             "Runs of items by outcome.",
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -44,8 +44,7 @@
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.news import PeerUpdates
 from caperridge.gateway.observed_store import ObservedStore
-from caperridge.gateway.quota_ledger import QuotaLedger
-from caperridge.gateway.quotas import QuotaKeeper
+from caperridge.gateway.quotas import make_quotas
 from caperridge.gateway.registry import InstanceRegistry
 from caperridge.gateway.relayed_store import RelayedStore
 from caperridge.gateway.repeating_store import HedgingStore
@@ -54,6 +53,7 @@
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.state import state_of
 from caperridge.gateway.stopping import PlannedStop
+from caperridge.gateway.stream_origins import StreamOrigins
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.table_readers import TableReaders
 from caperridge.gateway.table_rows import TableRows
@@ -161,6 +161,7 @@
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
+        self.origins = StreamOrigins(self.mesh, self.fleet.versions)
         self._forwarder = Forwarder(
             self.fleet,
             self.client,
@@ -168,11 +169,9 @@
             self.metrics,
             limits,
             self.guard,
+            self.origins,
         )
-        ledger = QuotaLedger(
-            self.mesh, self.configuration.limit_of, len(set(settings.seeds))
-        )
-        self.quotas = QuotaKeeper(self.mesh, ledger)
+        self.quotas = make_quotas(self.mesh, self.configuration, settings.seeds)
         self.edge = make_edge(
             self.configuration,
             self._forwarder,
@@ -366,6 +365,7 @@
             self.fleet.remote_counts_stale = self.mesh.large
             self.recalls.expire(now)
             self.quotas.tick(now)
+            self.origins.expire(now)
             expired = self.fleet.targets.expire(now)
             if expired:
                 log.info("targets expired after a store outage", targets=expired)
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -7,6 +7,7 @@
 
 from caperridge.decisions.quota import QuotaLimit
 from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.quota_messages import QuotaReport, QuotaVerdict
 from caperridge.gateway.quota_ledger import QuotaLedger, Verdict
@@ -342,3 +343,11 @@
 def _max_unconfirmed(limit: QuotaLimit) -> int:
     """Return how many requests may be served before the owner knows of them."""
     return max(1, int(limit.quota * MAX_UNCONFIRMED_RATIO))
+
+
+def make_quotas(
+    mesh: Mesh, configuration: ConfigurationInForce, seeds: list[str]
+) -> QuotaKeeper:
+    """Return the quotas of an instance, with the windows that it owns."""
+    ledger = QuotaLedger(mesh, configuration.limit_of, len(set(seeds)))
+    return QuotaKeeper(mesh, ledger)
--- a/src/caperridge/gateway/routes.py
+++ b/src/caperridge/gateway/routes.py
@@ -114,6 +114,11 @@
         """Whether a request may run more than once."""
         return self.kind == SAFE or (self.kind == STREAMING and self.resumable)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The services that requests are sent to."""
+        return frozenset(one.service for one in self.shares if one.weight > 0)
+
     def service_for(self, request: str) -> str:
         """Return the service that serves the request with this id.
 
--- a/src/caperridge/gateway/state.py
+++ b/src/caperridge/gateway/state.py
@@ -17,6 +17,7 @@
         "store_reached": instance.reachability.reached,
         "running": instance.edge.running,
         "quarantine": instance.guard.state(),
+        "streams_known": instance.origins.known,
         "quotas": instance.quotas.ledger.state(),
         "peer_traffic": instance.mesh.traffic.state(),
         "peers": {
--- /dev/null
+++ b/src/caperridge/gateway/stream_origins.py
@@ -0,0 +1,247 @@
+"""Keeps which software version began each stream where its caller may come back.
+
+The instance that begins a stream records its origin and sends it to a few peers, chosen
+by rendezvous hashing so that any instance finds them. An instance that a caller comes
+back to asks them if it doesn't know the stream itself.
+"""
+
+import asyncio
+import itertools
+
+import xxhash
+
+from caperridge.decisions.rendezvous import score
+from caperridge.decisions.stream_origins import (
+    OriginTable,
+    StreamOrigin,
+    VersionHistory,
+)
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.origin_messages import (
+    StreamAnswer,
+    StreamAsk,
+    StreamsBegan,
+)
+from caperridge.gateway.routes import Route
+from caperridge.log import logger
+from caperridge.records import Record
+
+log = logger(__name__)
+
+# One may be lost together with the instance that began the stream.
+NEAR_REPLICAS = 2
+# While members come and go, the views of two instances differ by one or two of them.
+NEAR_ASKED = NEAR_REPLICAS + 2
+# A peer answers within milliseconds; one that was lost does not answer at all.
+ASK_TIMEOUT_S = 0.15
+# A caller may come back a little after the time-out of its route.
+KEEP_MARGIN_S = 3.0
+# Streams of one bucket have the same replicas, so that these are computed rarely.
+BUCKETS = 256
+EXPIRY_INTERVAL_S = 2.0
+
+
+class Question:
+    """A question to several peers that waits for their answers.
+
+    Attributes:
+        unanswered: peers that have not answered.
+        origin: resolved by the first one that knows it, or with None by the last one
+            that doesn't.
+    """
+
+    __slots__ = ("origin", "unanswered")
+
+    def __init__(self, peers: set[str]) -> None:
+        self.unanswered = peers
+        self.origin: asyncio.Future[StreamOrigin | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Replicas(Record):
+    """The peers that keep or know the streams of one bucket.
+
+    Attributes:
+        sent: those that this instance sends its streams to.
+        asked: those that may know a stream that a caller takes up here.
+    """
+
+    __slots__ = ("asked", "sent")
+
+    def __init__(self, sent: list[str], asked: list[str]) -> None:
+        self.sent = sent
+        self.asked = asked
+
+
+class StreamOrigins:
+    """Records, replicates and looks up the origins of streams; an instance has one.
+
+    Args:
+        mesh: of peers.
+        versions: that the listed targets have had.
+    """
+
+    def __init__(self, mesh: Mesh, versions: VersionHistory) -> None:
+        self._mesh = mesh
+        self._versions = versions
+        self._table = OriginTable()
+        self._replicas_by_bucket: dict[int, Replicas] = {}
+        self._replicas_key = -1
+        self._numbers = itertools.count()
+        self._questions_by_number: dict[int, Question] = {}
+        self._unsent: dict[tuple[str, StreamOrigin, float], list[int]] = {}
+        self._next_expiry = 0.0
+        mesh.register(StreamsBegan, self._receive_began)
+        mesh.register(StreamAsk, self._receive_ask)
+        mesh.register(StreamAnswer, self._receive_answer)
+
+    @property
+    def known(self) -> int:
+        """How many streams are recorded here."""
+        return len(self._table)
+
+    def record(self, stream: str, origin: StreamOrigin, route: Route) -> None:
+        """Record what began a stream, here and at its replicas.
+
+        Args:
+            stream: id of the caller's try that brought the first event.
+            origin: of the stream.
+            route: whose time-out limits how long a caller may take it up.
+        """
+        key = _key(stream)
+        keep_s = route.timeout_s + KEEP_MARGIN_S
+        self._put(key, origin, keep_s)
+        for peer in self._replicas(key).sent:
+            if not self._unsent:
+                asyncio.get_running_loop().call_soon(self._flush)
+            self._unsent.setdefault((peer, origin, keep_s), []).append(key)
+
+    async def find(self, stream: str, route: Route) -> StreamOrigin | None:
+        """Return what began a stream that a caller takes up; None if unknown.
+
+        If no instance knows it, the stream still began at the only version of its
+        service where there has been no other.
+
+        Args:
+            stream: id of the caller's try that brought the first event; may be empty.
+            route: that the caller uses.
+        """
+        origin = await self._look_up(stream) if stream else None
+        return origin or self._infer(route)
+
+    def _infer(self, route: Route) -> StreamOrigin | None:
+        """Return what began every recent stream of a route; None if that differs."""
+        if len(route.services) != 1:
+            return None
+        (service,) = route.services
+        now = asyncio.get_running_loop().time()
+        within_s = route.timeout_s + KEEP_MARGIN_S
+        version = self._versions.only_version(service, now, within_s)
+        return StreamOrigin(service, version) if version is not None else None
+
+    def expire(self, now: float) -> None:
+        """Drop what is no longer needed."""
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_INTERVAL_S
+            self._table.expire(now)
+
+    def _put(self, key: int, origin: StreamOrigin, keep_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._table.put(key, origin, now + keep_s)
+
+    def _flush(self) -> None:
+        """Send the streams recorded in this iteration of the event loop."""
+        unsent, self._unsent = self._unsent, {}
+        for (peer, origin, keep_s), streams in unsent.items():
+            self._mesh.send(
+                peer,
+                StreamsBegan(origin.service, origin.software_version, keep_s, streams),
+            )
+
+    async def _look_up(self, stream: str) -> StreamOrigin | None:
+        key = _key(stream)
+        now = asyncio.get_running_loop().time()
+        return self._table.find(key, now) or await self._ask(key)
+
+    async def _ask(self, key: int) -> StreamOrigin | None:
+        number = next(self._numbers)
+        ask = StreamAsk(number, key)
+        asked = {one for one in self._replicas(key).asked if self._mesh.send(one, ask)}
+        if not asked:
+            return None
+        question = self._questions_by_number[number] = Question(asked)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                return await question.origin
+        except TimeoutError:
+            log.info("stream origin not answered", silent=sorted(question.unanswered))
+            return None
+        finally:
+            del self._questions_by_number[number]
+
+    def _receive_began(self, peer: str, message: StreamsBegan) -> None:
+        origin = StreamOrigin(message.service, message.software_version)
+        for key in message.streams:
+            self._put(key, origin, message.keep_s)
+
+    def _receive_ask(self, peer: str, ask: StreamAsk) -> None:
+        now = asyncio.get_running_loop().time()
+        origin = self._table.find(ask.stream, now) or StreamOrigin("", "")
+        self._mesh.send(
+            peer, StreamAnswer(ask.number, origin.service, origin.software_version)
+        )
+
+    def _receive_answer(self, peer: str, answer: StreamAnswer) -> None:
+        question = self._questions_by_number.get(answer.number)
+        if question is None or question.origin.done():
+            return
+        question.unanswered.discard(peer)
+        if answer.service:
+            question.origin.set_result(
+                StreamOrigin(answer.service, answer.software_version)
+            )
+        elif not question.unanswered:
+            question.origin.set_result(None)
+
+    def _replicas(self, key: int) -> Replicas:
+        """Return the replicas of a stream, cached until members change."""
+        if self._replicas_key != self._mesh.changes:
+            self._replicas_key = self._mesh.changes
+            self._replicas_by_bucket.clear()
+        bucket = key % BUCKETS
+        found = self._replicas_by_bucket.get(bucket)
+        if found is None:
+            found = self._replicas_by_bucket[bucket] = self._compute_replicas(bucket)
+        return found
+
+    def _compute_replicas(self, bucket: int) -> Replicas:
+        """Return the first of a ranking of all instances, in and outside this zone.
+
+        A stream has replicas in the zone that it began in and one outside of it, for
+        the case that the whole zone is lost.
+        """
+        zones_by_id = {
+            one.id: one.zone for one in self._mesh.alive() if not one.leaving
+        }
+        own = self._mesh.instance
+        zones_by_id[own] = self._mesh.zone
+        ranking = sorted(
+            zones_by_id, key=lambda one: score(str(bucket), one), reverse=True
+        )
+        near = [
+            one for one in ranking if zones_by_id[one] == self._mesh.zone and one != own
+        ]
+        outside = [one for one in ranking if zones_by_id[one] != self._mesh.zone]
+        asked = near[:NEAR_ASKED]
+        for zone in sorted(set(zones_by_id.values()) - {self._mesh.zone}):
+            # Of a stream that began in that zone.
+            replica = next(one for one in ranking if zones_by_id[one] != zone)
+            if replica != own and replica not in asked:
+                asked.append(replica)
+        return Replicas(near[:NEAR_REPLICAS] + outside[:1], asked)
+
+
+def _key(stream: str) -> int:
+    """Return the hash of a stream's id, which may be of any length."""
+    return xxhash.xxh3_64_intdigest(stream.encode())
--- a/src/caperridge/gateway/table_rows.py
+++ b/src/caperridge/gateway/table_rows.py
@@ -75,7 +75,7 @@
         now = asyncio.get_running_loop().time()
         for row in rows:
             if not row.removed:
-                self._apply_target(row, source)
+                self._apply_target(row, source, now)
                 continue
             name = row.key.key
             target = self._fleet.targets.find_by_name(name)
@@ -88,7 +88,7 @@
         self._fleet.notify_changed()
         self.on_applied(self._dialect.targets_table)
 
-    def _apply_target(self, row: StoredRow, source: str) -> None:
+    def _apply_target(self, row: StoredRow, source: str, now: float) -> None:
         targets = self._fleet.targets
         name = row.key.key
         try:
@@ -103,11 +103,13 @@
                 reason=str(error),
             )
             return
+        self._fleet.versions.record(target.service, target.software_version, now)
         if targets.by_id.get(target.id) != target:
             log.info(
                 "target listed",
                 target=target.id,
                 draining=target.draining,
+                software_version=target.software_version,
                 address=target.address,
                 source=source,
                 version=row.version,
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -70,11 +70,18 @@
         not_run="X-Not-Executed",
         signature="X-Response-Stamp",
         resume="Last-Event-Id",
+        stream="Resumes",
         wait="X-Wait-Ms",
         team="X-Tenant",
     )
     per_attempt_headers = frozenset(
-        {"x-request-id", "x-deadline-ms", "last-event-id", "x-length-hint"}
+        {
+            "x-request-id",
+            "x-deadline-ms",
+            "last-event-id",
+            "resumes",
+            "x-length-hint",
+        }
     )
     paths = JobsPaths(
         jobs="/lots/",
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -183,3 +183,10 @@
         parse(text, "local.toml")
     assert "store.address: is missing" in str(raised.value)
     assert "stopping.grace_s: is missing" in str(raised.value)
+
+
+def test_a_stream_that_is_taken_up_has_the_fingerprint_of_its_first_try() -> None:
+    """Else a request that crashes targets is a new one with each take-up."""
+    names = PlatformDialect().headers
+    for name in (names.request, names.resume, names.stream):
+        assert name.lower() in PlatformDialect().per_attempt_headers
