Continue the output of an item only at the software version that began it

Results of batch items held output of two software versions.

Progress now names the service and software version that wrote it, in memory and in the store. At a target of another one the item starts over, which is allowed for items; its failures still count. A slot goes first to an item that need not drop output, and an item is not started over while a target that can continue it has a free slot. Once no target of its version is listed, it starts over at once. Progress stored by an earlier release names no version and is not continued; an earlier release reads the new rows and ignores the two fields.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -11,7 +11,6 @@
 
 from result import Err
 
-from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.decisions.suspects import QUARANTINE_THRESHOLD
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.answer_relay import FIRST_EVENT_SILENCE_S, AnswerRelay
@@ -250,9 +249,10 @@
             return error
         state.runs += 1
         answer = opened.ok_value
-        origin = StreamOrigin(target.service, target.software_version)
         try:
-            return await self._answers.relay(request, reply, state, answer, origin)
+            return await self._answers.relay(
+                request, reply, state, answer, target.origin
+            )
         finally:
             answer.close()
 
--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.events import Event
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.jobs.model import (
@@ -76,8 +77,17 @@
         if self.task is not None and not self.cancelling:
             self.task.cancel()
 
-    def append_events(self, events: list[Event]) -> bool:
-        """Append events up to the first out of order; False if there is one."""
+    def start_over(self) -> None:
+        """Drop the output so far; failures still count."""
+        self.progress = ItemProgress(failures=self.progress.failures)
+
+    def append_events(self, events: list[Event], origin: StreamOrigin) -> bool:
+        """Append events up to the first out of order; False if there is one.
+
+        Args:
+            events: of one run.
+            origin: of the target that runs it.
+        """
         number = self.progress.event
         parts = [self.progress.text] if number else []
         in_order = True
@@ -88,14 +98,23 @@
             number = event.id
             parts.append(event.data())
         text = b"\n".join(parts)
-        self.progress = ItemProgress(number, text, self.progress.failures)
+        self.progress = ItemProgress(
+            number,
+            text,
+            self.progress.failures,
+            origin.service,
+            origin.software_version,
+        )
         return in_order
 
     @property
     def has_unstored_progress(self) -> bool:
-        """Whether there is progress that is not in the store."""
+        """Whether there is progress that is not in the store.
+
+        An item that started over may have less output than the store.
+        """
         return (
-            self.progress.event > self.stored_event
+            self.progress.event not in (0, self.stored_event)
             or self.progress.failures > self.stored_failures
         )
 
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -4,9 +4,9 @@
 import functools
 from collections.abc import Callable, Container
 
-from multidict import CIMultiDict
 from result import Err
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.fingerprint import Fingerprint, fingerprint_of
 from caperridge.gateway.fleet import Fleet
@@ -18,7 +18,7 @@
     HeldJob,
     ItemState,
 )
-from caperridge.gateway.jobs.model import ItemProgress
+from caperridge.gateway.jobs.item_requests import item_request
 from caperridge.gateway.jobs.schedule import RankedItem
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.request_guard import QuarantineRefusal, RequestGuard
@@ -27,7 +27,6 @@
 from caperridge.gateway.upstream import (
     Answer,
     BrokenAnswerError,
-    Outbound,
     TargetClient,
 )
 from caperridge.log import logger
@@ -127,6 +126,8 @@
     def start(self, ranked: RankedItem, route: Route, target: Target) -> None:
         """Run an item at ``target``."""
         job, state = ranked.job, ranked.state
+        if not state.progress.goes_on_at(target.origin):
+            self._start_over(ranked, target)
         state.status = RUNNING
         state.target = target.id
         if not state.progress.event and not state.started_at:
@@ -159,6 +160,21 @@
             )
         )
 
+    def _start_over(self, ranked: RankedItem, target: Target) -> None:
+        """Drop output that ``target`` cannot continue."""
+        state = ranked.state
+        self._metrics.items.labels("started_over").inc()
+        log.info(
+            "item starts over",
+            job=ranked.job.entry.id,
+            item=state.item.id,
+            target=target.id,
+            software_version=target.software_version,
+            began_at=state.progress.software_version,
+            events_dropped=state.progress.event,
+        )
+        state.start_over()
+
     def update_order(self, state: ItemState, order: float) -> None:
         """Change the effective due time of a running item."""
         orders = self._orders_by_target.get(state.target, {})
@@ -263,9 +279,7 @@
     ) -> None:
         """Count an attempt that the target reported as failed."""
         failures = state.progress.failures + 1
-        state.progress = ItemProgress(
-            state.progress.event, state.progress.text, failures
-        )
+        state.progress = state.progress.replace(failures=failures)
         self._delay_start(state, FAILED_RETRY_DELAY_S)
         if status == UNPROCESSABLE_STATUS or failures >= route.max_attempts:
             job.mark_dead(state)
@@ -304,7 +318,7 @@
         job, state = ranked.job, ranked.state
         loop = asyncio.get_running_loop()
         started_at, from_event = loop.time(), state.progress.event
-        outbound = self._outbound(job, state, target)
+        outbound = item_request(self._dialect.headers, job, state, target, LEASE_S)
         opened = await self._client.open(target, outbound, FIRST_EVENT_TIMEOUT_S)
         if isinstance(opened, Err):
             self._report_lost(ranked, target, opened.err_value, started_at, from_event)
@@ -314,7 +328,7 @@
             if answer.status != 200:
                 return TargetRefused(answer.status, "it failed", "ran")
             outcome = await self._collect_output(
-                state, answer, started_at + RENEW_AFTER_S
+                state, answer, target.origin, started_at + RENEW_AFTER_S
             )
             self._report_lost(ranked, target, outcome, started_at, from_event)
             return outcome
@@ -341,42 +355,24 @@
             )
 
     async def _collect_output(
-        self, state: ItemState, answer: Answer, renew_at: float
+        self, state: ItemState, answer: Answer, origin: StreamOrigin, renew_at: float
     ) -> AttemptError | Renewal | None:
         loop = asyncio.get_running_loop()
         try:
             async for events in answer.events(
                 FIRST_EVENT_TIMEOUT_S, EVENT_TIMEOUT_S, EVENT_BATCH_S
             ):
-                if not state.append_events(events):
+                if not state.append_events(events, origin):
                     return WrongAnswer("an event out of order")
                 if events and loop.time() >= renew_at and not answer.at_end:
                     return Renewal()
         except BrokenAnswerError as error:
             return Lost(str(error))
         except asyncio.CancelledError:
-            state.append_events(answer.buffered_events())
+            state.append_events(answer.buffered_events(), origin)
             raise
         return None if state.progress.event else Lost("it ended before an event")
 
-    def _outbound(self, job: HeldJob, state: ItemState, target: Target) -> Outbound:
-        names = self._dialect.headers
-        headers: CIMultiDict[str] = CIMultiDict(
-            [(name, value) for name, value in state.item.headers]
-        )
-        headers["Host"] = job.entry.host
-        headers[names.request] = state.item.id
-        headers[names.incarnation] = target.name
-        headers[names.deadline] = str(int(LEASE_S * 1000))
-        headers.pop(names.resume, None)
-        if job.entry.team:
-            headers[names.team] = job.entry.team
-        if state.progress.event:
-            headers[names.resume] = str(state.progress.event)
-        return Outbound(
-            state.item.id, "POST", state.item.path, headers, state.item.body
-        )
-
 
 def _is_failure(error: TargetRefused) -> bool:
     """Whether the target ran the item and reported that it failed."""
--- a/src/caperridge/gateway/jobs/model.py
+++ b/src/caperridge/gateway/jobs/model.py
@@ -1,5 +1,6 @@
 """Records of jobs, items and results, stored as msgpack."""
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.records import Record
 
 COMPLETED = "completed"
@@ -134,14 +135,31 @@
         event: number of the last event in ``text``; 0 before the first.
         text: data of the events so far, joined by line feeds.
         failures: number of attempts that a target reported as failed.
+        service: of the targets that wrote ``text``.
+        software_version: of these targets; empty if an earlier release stored it.
     """
 
-    __slots__ = ("event", "failures", "text")
+    __slots__ = ("event", "failures", "service", "software_version", "text")
 
-    def __init__(self, event: int = 0, text: bytes = b"", failures: int = 0) -> None:
+    def __init__(
+        self,
+        event: int = 0,
+        text: bytes = b"",
+        failures: int = 0,
+        service: str = "",
+        software_version: str = "",
+    ) -> None:
         self.event = event
         self.text = text
         self.failures = failures
+        self.service = service
+        self.software_version = software_version
+
+    def goes_on_at(self, origin: StreamOrigin) -> bool:
+        """Whether a target of this service and version may continue the text."""
+        if not self.event:
+            return True
+        return StreamOrigin(self.service, self.software_version) == origin
 
 
 class ItemResult(Record):
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -133,18 +133,42 @@
         return requests
 
     def start_item(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
-        """Start the most urgent item for ``target``; False if there is none."""
+        """Start an item at ``target``; False if there is none for it.
+
+        The most urgent one starts, but output of another software version is dropped
+        only if no other item can use the slot, and not while the item can go on in a
+        free slot elsewhere.
+        """
+        fallback: RankedItem | None = None
         for ranked in by_urgency(self._pending_items(jobs, now)):
             if self._service(ranked) != target.service or self._runs.is_quarantined(
                 ranked
             ):
                 continue
-            route = self._route(ranked.job.entry, ranked.state.item)
-            if route is None:
+            others = self._continuing_targets(ranked, target)
+            if not others:
+                return self._start(ranked, target)
+            if any(self._has_free_slot(one, now) for one in others):
                 continue
+            fallback = fallback or ranked
+        return fallback is not None and self._start(fallback, target)
+
+    def _start(self, ranked: RankedItem, target: Target) -> bool:
+        route = self._route(ranked.job.entry, ranked.state.item)
+        if route is not None:
             self._runs.start(ranked, route, target)
-            return True
-        return False
+        return route is not None
+
+    def _continuing_targets(self, ranked: RankedItem, target: Target) -> list[Target]:
+        """Return the targets that can continue an item that would start over here."""
+        progress = ranked.state.progress
+        if progress.goes_on_at(target.origin):
+            return []
+        listed = self._fleet.targets.of_service(target.service)
+        return [one for one in listed if progress.goes_on_at(one.origin)]
+
+    def _has_free_slot(self, target: Target, now: float) -> bool:
+        return self._fleet.takes_items(target.id, now) and not self.is_full(target)
 
     def _pending_items(self, jobs: Iterable[HeldJob], now: float) -> list[RankedItem]:
         pending: list[RankedItem] = []
--- a/src/caperridge/gateway/targets.py
+++ b/src/caperridge/gateway/targets.py
@@ -1,5 +1,6 @@
 """The targets that the platform lists, and entries that lapsed in a store outage."""
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.records import Record
 
 # Entries that lapse while the store is unreachable reappear about 2 s after its
@@ -57,6 +58,11 @@
         self.draining = draining
         self.software_version = software_version
 
+    @property
+    def origin(self) -> StreamOrigin:
+        """The origin of streams that begin here."""
+        return StreamOrigin(self.service, self.software_version)
+
 
 class TargetLoad(Record):
     """The load that a target reports.
--- a/tests/gateway/test_takeover.py
+++ b/tests/gateway/test_takeover.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.events import Event
 from caperridge.gateway.jobs import keeping
 from caperridge.gateway.jobs.claims import JobClaimer
@@ -35,6 +36,7 @@
 ITEMS = ["x0", "x1", "x2"]
 EVENTS = 3
 ROW_BYTES = 65536
+ORIGIN = StreamOrigin("model", "v1")
 ENTRY = JobEntry(JOB, "work", HOST, len(ITEMS), 0.0, 1, "items")
 
 
@@ -94,7 +96,7 @@
             return
         number = state.progress.event + 1
         raw = f"id: {number}\ndata: {state.item.id}.{number}\n\n".encode()
-        assert state.append_events([Event(number, raw)])
+        assert state.append_events([Event(number, raw)], ORIGIN)
         if number == EVENTS:
             job.complete(state)
 
