Keep answers and items of the own interface at one software version

The list of members names the software version of a target. An answer is bound to the version of its first token, and tells it in X-Software-Version; a caller that comes back names it in resume_version, so that no instance has to remember it. Where targets name their versions and the caller doesn't, the request is refused. An item that can't go on starts over, and a place goes first to one that need not. The stand-in of an engine has a software version. Targets that name none are of one version, as before.

--- a/src/caperridge/decisions/progress.py
+++ b/src/caperridge/decisions/progress.py
@@ -35,6 +35,7 @@
         may_have_run: whether a target may have run it.
         streaming: whether a token was sent to the caller.
         last_event: the newest token event; empty if there is none.
+        software_version: of the targets that may continue; None before the first token.
     """
 
     __slots__ = (
@@ -44,12 +45,14 @@
         "last_event",
         "may_have_run",
         "offset",
+        "software_version",
         "streaming",
         "timed_out_early",
     )
 
-    def __init__(self, offset: int = 0) -> None:
+    def __init__(self, offset: int = 0, software_version: str | None = None) -> None:
         self.offset = offset
+        self.software_version = software_version
         self.alone = False
         self.attempts = 0
         self.excluded: set[str] = set()
@@ -63,8 +66,15 @@
         """The ``run`` field of a refusal at this point."""
         return UNKNOWN if self.may_have_run else NOT_RUN
 
-    def record_tokens(self, events: list[bytes]) -> None:
-        """Record tokens that are sent to the caller."""
+    def record_tokens(self, events: list[bytes], software_version: str = "") -> None:
+        """Record tokens that are sent to the caller.
+
+        Args:
+            events: with a token each.
+            software_version: of the target that sent them.
+        """
+        if self.software_version is None:
+            self.software_version = software_version
         self.offset += len(events)
         self.streaming = True
         self.last_event = events[-1]
--- a/src/caperridge/decisions/routing.py
+++ b/src/caperridge/decisions/routing.py
@@ -172,6 +172,22 @@
             return ()
         return chain(targets.own_zone, targets.others)
 
+    def of_other_versions(self, service: str, software_version: str) -> set[str]:
+        """Return the targets that cannot continue what this version began."""
+        return {
+            state.member.id
+            for state in self._targets_of(service)
+            if state.member.software_version != software_version
+        }
+
+    def software_versions(self, service: str) -> set[str]:
+        """Return the software versions of the listed targets, leaving ones included."""
+        return {
+            state.member.software_version
+            for state in self.states_by_id.values()
+            if state.member.service == service
+        }
+
     def has_usable(self, service: str) -> bool:
         """Return whether any target of ``service`` may get a request."""
         return service in self._targets_by_service
--- a/src/caperridge/instance/attempts.py
+++ b/src/caperridge/instance/attempts.py
@@ -91,7 +91,7 @@
         """
         policy = self.policy(request.service.name)
         policy.retry_budget.deposit()
-        progress = Progress(request.resume_from)
+        progress = Progress(request.resume_from, request.software_version)
         while True:
             self._held.check(request, progress.run)
             self._check_candidates(request, progress)
@@ -135,22 +135,35 @@
 
     def _check_candidates(self, request: OnlineRequest, progress: Progress) -> None:
         """Refuse a request that every target has failed already."""
-        if not progress.excluded:
+        excluded = self._excluded(request, progress)
+        if not excluded:
             return  # the gate says whether there is any target
         name, now = request.service.name, self._clock()
-        if self._book.usable(name, progress.excluded, now):
+        if self._book.usable(name, excluded, now):
             return
         if progress.readmit_timed_out() and self._book.usable(
-            name, progress.excluded, now
+            name, self._excluded(request, progress), now
         ):
             request.trace.add("reconsidered", "no target is left that did not fail it")
             return
         raise self._no_target(request, progress)
 
+    def _excluded(self, request: OnlineRequest, progress: Progress) -> set[str]:
+        """Return the targets that failed the request or cannot continue its answer."""
+        if progress.software_version is None:
+            return progress.excluded
+        return progress.excluded | self._book.of_other_versions(
+            request.service.name, progress.software_version
+        )
+
     def _no_target(self, request: OnlineRequest, progress: Progress) -> RefusedError:
         text = f"no target of {request.service.name} can take it"
         if progress.excluded:
             text = f"no other target of {request.service.name} can take it"
+        if progress.software_version:
+            text += (
+                f"; its answer began at software version {progress.software_version}"
+            )
         return refuse(request, "no_target", text, 503, progress.run, RETRY_AFTER_S)
 
     async def _enter(self, request: OnlineRequest, progress: Progress) -> None:
@@ -199,7 +212,11 @@
             service.most_running,
         )
         weighed = self._book.choose(
-            service.name, progress.excluded, wanted, now, request.blocks
+            service.name,
+            self._excluded(request, progress),
+            wanted,
+            now,
+            request.blocks,
         )
         if not weighed:
             raise self._no_target(request, progress)
@@ -221,7 +238,7 @@
 
     def _is_only(self, target: str, request: OnlineRequest, progress: Progress) -> bool:
         wanted = RequestProfile(request.tokens)
-        excluded = progress.excluded | {target}
+        excluded = self._excluded(request, progress) | {target}
         name = request.service.name
         return not self._book.rank(name, excluded, wanted, self._clock())
 
@@ -268,6 +285,7 @@
         target: str,
     ) -> AsyncIterator[list[bytes]]:
         watch = AttemptWatch(self._clock(), policy, attempt)
+        software_version = self._book.states_by_id[target].member.software_version
         whole = False
         try:
             async with aclosing(self._engines.stream(attempt)) as batches:
@@ -275,7 +293,8 @@
                     now = self._clock()
                     watch.events(len(events), now)
                     self._book.record_event(target, now)
-                    progress.record_tokens(events)
+                    progress.record_tokens(events, software_version)
+                    request.software_version = progress.software_version
                     yield events
                     watch.resumed(self._clock())
             whole = True
--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -263,12 +263,65 @@
             now,
         )
         for _ in range(min(starts.count, len(waiting))):
-            self._start(waiting.popleft(), target)
+            work = self._next_for(target, service, waiting)
+            if work is None:
+                break
+            self._start(work, target)
         if starts.count:
             self._not_before_by_target[target] = now + starts.retry_delay_s
         return now + starts.retry_delay_s
 
+    def _next_for(
+        self, target: str, service: Service, waiting: deque[ItemWork]
+    ) -> ItemWork | None:
+        """Take the next item for ``target`` out of ``waiting``; None if there is none.
+
+        Tokens of another software version are dropped only if no other item waits, and
+        not while the item can go on at another own target.
+        """
+        version = self._software_version(target)
+        fallback: ItemWork | None = None
+        for work in waiting:
+            if work.goes_on_at(version) or not self._listed_with(work):
+                waiting.remove(work)
+                return work
+            if fallback is None and not self._goes_on_elsewhere(work, service):
+                fallback = work
+        if fallback is not None:
+            waiting.remove(fallback)
+        return fallback
+
+    def _listed_with(self, work: ItemWork) -> bool:
+        """Whether an own target can continue the tokens of ``work``, free or not."""
+        return any(
+            work.goes_on_at(self._software_version(target))
+            for target in self.own.by_service.get(work.service, ())
+        )
+
+    def _goes_on_elsewhere(self, work: ItemWork, service: Service) -> bool:
+        """Whether an own target can continue the tokens of ``work`` now."""
+        return any(
+            work.goes_on_at(self._software_version(target))
+            and self._startable(target, service) > self._running.count(target)
+            for target in self.own.by_service.get(work.service, ())
+        )
+
+    def _software_version(self, target: str) -> str:
+        state = self.book.states_by_id.get(target)
+        return "" if state is None else state.member.software_version
+
     def _start(self, work: ItemWork, target: str) -> None:
+        if not work.goes_on_at(self._software_version(target)):
+            log.info(
+                "item starts over",
+                item=work.request,
+                target=target,
+                software_version=self._software_version(target),
+                began_at=work.software_version,
+                tokens_dropped=len(work.texts),
+            )
+            work.texts.clear()
+        work.software_version = self._software_version(target)
         if work.tokens_left == 0:
             # All tokens came, but not the closing mark that says so: get it again.
             work.texts.pop()
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -15,6 +15,9 @@
 if TYPE_CHECKING:
     from caperridge.instance.process import Instance
 
+# What a caller names as ``resume_version`` when it comes back for the rest.
+VERSION_HEADER = "X-Software-Version"
+
 
 class CompletionsHttp:
     """Handlers of completions of one instance."""
@@ -64,6 +67,9 @@
             async with aclosing(self._instance.online.events(online)) as batches:
                 async for batch in batches:
                     if not response.prepared:
+                        if online.software_version:
+                            version = online.software_version
+                            response.headers[VERSION_HEADER] = version
                         await response.prepare(request)
                     await response.write(b"".join(batch))
                     count_tokens(request, len(batch))
--- a/src/caperridge/instance/item_work.py
+++ b/src/caperridge/instance/item_work.py
@@ -16,6 +16,7 @@
         path: of the endpoint.
         body: what is sent.
         texts: the tokens so far, kept over preemption and loss of a target.
+        software_version: of the target that wrote them.
         attempts: attempts at targets so far.
         preemptions: how often it gave way to online requests.
         last_target: where it ran last; its prompt may still be cached there.
@@ -32,6 +33,7 @@
         "preemptions",
         "request",
         "service",
+        "software_version",
         "texts",
     )
 
@@ -51,10 +53,15 @@
         self.body = body
         self.context = context
         self.texts: list[str] = []
+        self.software_version = ""
         self.attempts = 0
         self.preemptions = 0
         self.last_target = ""
 
+    def goes_on_at(self, software_version: str) -> bool:
+        """Whether a target of this version may continue the tokens so far."""
+        return not self.texts or self.software_version == software_version
+
     @property
     def irreplaceable(self) -> bool:
         """Whether its result is gone for good if it is not saved."""
--- a/src/caperridge/instance/online.py
+++ b/src/caperridge/instance/online.py
@@ -106,8 +106,19 @@
         if service is None or not caller.may_use(service.name):
             text = f"there is no model {body['model']!r} for this caller"
             raise self._refuse(trace, "model_not_found", text, 404)
+        version = None
+        if resume_from:
+            version = self._version_to_resume(trace, service.name, body)
         request = OnlineRequest(
-            request_id, caller, service, path, body, trace, resume_from, deadline
+            request_id,
+            caller,
+            service,
+            path,
+            body,
+            trace,
+            resume_from,
+            deadline,
+            version,
         )
         over = self.limits.admit(
             caller, request.tokens_asked, self._seat(), self._clock()
@@ -124,6 +135,22 @@
         )
         return request
 
+    def _version_to_resume(
+        self, trace: Trace, service: str, body: dict[str, Any]
+    ) -> str:
+        """Return the software version that began the answer a caller comes back for.
+
+        Raises:
+            RefusedError: the caller does not name it, and targets name theirs.
+        """
+        named = body.get("resume_version")
+        if named is not None:
+            return named
+        if self.book.software_versions(service) <= {""}:
+            return ""
+        text = "resume_from needs resume_version, the X-Software-Version of the answer"
+        raise self._refuse(trace, "bad_request", text, 400)
+
     async def events(self, request: OnlineRequest) -> AsyncIterator[list[bytes]]:
         """Yield the checked events of the whole answer, each token once.
 
--- a/src/caperridge/instance/online_request.py
+++ b/src/caperridge/instance/online_request.py
@@ -11,7 +11,7 @@
 from caperridge.targets.events import text_of
 from caperridge.targets.prompt import prompt_of
 
-STREAM_FIELDS = ("stream", "stream_options", "resume_from")
+STREAM_FIELDS = ("stream", "stream_options", "resume_from", "resume_version")
 ASSUMED_TOKENS = 256  # of an answer whose request does not limit it
 DEFAULT_DEADLINE_S = 10.0
 LONGEST_DEADLINE_S = 600.0
@@ -32,6 +32,8 @@
         body: as sent, without the fields that concern the stream.
         trace: its steps.
         resume_from: offset of the first token that the caller still wants.
+        software_version: of the targets that may answer; None before the first token
+            of a new answer.
         deadline: on the own clock; no first token is wanted after it.
         tokens: of the prompt, about.
         blocks: hashes of the prompt's prefix.
@@ -48,6 +50,7 @@
         "path",
         "resume_from",
         "service",
+        "software_version",
         "tokens",
         "trace",
     )
@@ -62,6 +65,7 @@
         trace: Trace,
         resume_from: int = 0,
         deadline: float = 0.0,
+        software_version: str | None = None,
     ) -> None:
         self.id = id
         self.caller = caller
@@ -70,6 +74,7 @@
         self.body = {k: v for k, v in body.items() if k not in STREAM_FIELDS}
         self.trace = trace
         self.resume_from = resume_from
+        self.software_version = software_version
         self.deadline = deadline
         self.content = ""
         prompt = prompt_of(body)
@@ -108,6 +113,8 @@
         raise BadInputError("resume_from must be a whole number, 0 or above")
     if resume_from and not body.get("stream"):
         raise BadInputError("resume_from needs a streamed answer")
+    if not isinstance(body.get("resume_version", ""), str):
+        raise BadInputError("resume_version must be a text")
     if most is not None and resume_from >= most:
         raise BadInputError("resume_from must be below max_tokens")
     return resume_from
--- a/src/caperridge/measure/fleet.py
+++ b/src/caperridge/measure/fleet.py
@@ -133,14 +133,20 @@
         availability_zone: str = ZONE,
         service: str = SERVICE,
         costs: EngineCosts | None = None,
+        software_version: str = "",
     ) -> Engine:
         """Start one more engine and list it."""
-        engine = Engine(costs or self.shape.costs)
+        engine = Engine(costs or self.shape.costs, software_version=software_version)
         self.engines_by_id[engine_id] = engine
         address = await self._servers.serve(engine_id, engine_standin.make_app(engine))
-        self._list(
-            ListedMember(engine_id, "target", address, availability_zone), service
+        member = ListedMember(
+            engine_id,
+            "target",
+            address,
+            availability_zone,
+            software_version=engine.software_version,
         )
+        self._list(member, service)
         return engine
 
     async def add_plain(self, service: str, availability_zone: str = ZONE) -> str:
--- a/src/caperridge/standins/running_engine.py
+++ b/src/caperridge/standins/running_engine.py
@@ -38,6 +38,7 @@
         gb_per_s: load rate without a store, in GB per second.
         store: weight store that it loads from.
         preloaded: whether it starts with weights loaded.
+        software_version: of the engine, not of its weights.
     """
 
     def __init__(
@@ -47,7 +48,9 @@
         gb_per_s: float = 100.0,
         store: WeightStore | None = None,
         preloaded: bool = True,
+        software_version: str = "",
     ) -> None:
+        self.software_version = software_version
         self.model = EngineModel(costs or EngineCosts())
         self.faults = EngineFaults()
         self.runs_by_request: dict[str, int] = {}
--- a/src/caperridge/store/interface.py
+++ b/src/caperridge/store/interface.py
@@ -168,6 +168,8 @@
         state: ``live`` or ``leaving``.
         service: the service a target belongs to; empty for an instance.
         incarnation: incremented when the machine of this id is replaced.
+        software_version: of a target's engine, not of its weights; empty if it is not
+            known.
     """
 
     __slots__ = (
@@ -178,6 +180,7 @@
         "kind",
         "region",
         "service",
+        "software_version",
         "state",
     )
 
@@ -191,6 +194,7 @@
         state: str = "live",
         service: str = "",
         incarnation: int = 1,
+        software_version: str = "",
     ) -> None:
         self.id = id
         self.kind = kind
@@ -200,6 +204,7 @@
         self.state = state
         self.service = service
         self.incarnation = incarnation
+        self.software_version = software_version
 
 
 ReadError = NotDone | Unknown
--- a/tests/headroom/test_batch_streams.py
+++ b/tests/headroom/test_batch_streams.py
@@ -1,6 +1,7 @@
 """Batch streams against an engine stand-in: they are preempted without lost tokens."""
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -183,3 +184,60 @@
         readers = [str(task.get_coro()) for task in asyncio.all_tasks()]
         assert not [reader for reader in readers if "BatchStreams._run" in reader]
         assert world.streams.state()["waiting_by_service"] == {SERVICE: 0}
+
+
+# Guards against items that go on at another software version after their target is lost
+# or gives them up.
+async def test_an_item_starts_over_at_another_software_version() -> None:
+    shape = FleetShape(engines=0, costs=COSTS)
+    async with running_fleet(shape) as fleet:
+        old = await fleet.add_engine("runner-1", software_version="v1")
+        world = SaturatedFleet(fleet)
+        world.submit(MAX_RUNNING)
+        await until(lambda: sum(len(work.texts) > 4 for work in world.works) >= 4)
+        new = await fleet.add_engine("runner-2", software_version="v2")
+        started_over: list[str] = []
+
+        def start(work: ItemWork, target: str) -> None:
+            before = len(work.texts)
+            plain_start(work, target)
+            if before and target == "runner-2":
+                assert not work.texts
+                started_over.append(work.request)
+
+        plain_start, world.streams._start = world.streams._start, start
+        fleet.unlist("runner-1")
+        await old.stop()
+        await until(lambda: len(world.errors_by_request) == len(world.works), 15.0)
+        world.check_complete()
+        assert started_over
+        assert new.tokens_produced >= len(started_over) * TOKENS
+
+
+# Guards against tokens that are dropped although another item can use the place.
+async def test_a_place_goes_first_to_an_item_that_need_not_start_over() -> None:
+    async with saturated() as world:
+        streams = world.streams
+        service = streams.configuration.services_by_name[SERVICE]
+        begun, fresh = (
+            ItemWork(f"j.{name}", "j", SERVICE, "/v1/completions", {})
+            for name in ("begun", "fresh")
+        )
+        begun.texts.append("a")
+        begun.software_version = "another"
+        streams.book.states_by_id["runner-1"].member.software_version = "v1"
+        waiting = deque([begun, fresh])
+        assert streams._next_for("runner-1", service, waiting) is begun
+        streams.book.states_by_id["runner-2"] = streams.book.states_by_id[
+            "runner-1"
+        ].replace(
+            member=streams.book.states_by_id["runner-1"].member.replace(
+                id="runner-2", software_version="another"
+            )
+        )
+        streams.own.by_service[SERVICE].append("runner-2")
+        streams._startable = lambda target, service: MAX_RUNNING
+        waiting = deque([begun, fresh])
+        assert streams._next_for("runner-1", service, waiting) is fresh
+        assert streams._next_for("runner-1", service, waiting) is None
+        assert list(waiting) == [begun]
--- a/tests/online/conftest.py
+++ b/tests/online/conftest.py
@@ -203,9 +203,16 @@
             ),
         )
 
-    def add(self, name: str, address: str) -> None:
+    def add(self, name: str, address: str, software_version: str = "") -> None:
         self.members.append(
-            ListedMember(name, "target", address, "oviedo", service="chat")
+            ListedMember(
+                name,
+                "target",
+                address,
+                "oviedo",
+                service="chat",
+                software_version=software_version,
+            )
         )
         self.book.apply_list(self.members)
 
