Play releases in slow steps in the soak, with callers that come back

Targets are replaced one after the other by ones of the next software version, some after a drain and some without notice, so that several versions serve side by side, beside all other faults. Callers come back for streams that break, and close some connections themselves; what a stream holds in the end must be what one version writes, or its beginning.

--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -234,8 +234,9 @@
         ]
         outside = [one for one in ranking if zones_by_id[one] != self._mesh.zone]
         asked = near[:NEAR_ASKED]
-        for zone in sorted(set(zones_by_id.values()) - {self._mesh.zone}):
-            # Of a stream that began in that zone.
+        # Of a stream that began in another zone, which may be gone by now.
+        zones = sorted(set(zones_by_id.values()) - {self._mesh.zone})
+        for zone in [*zones, ""]:
             replica = next(one for one in ranking if zones_by_id[one] != zone)
             if replica != own and replica not in asked:
                 asked.append(replica)
--- a/src/caperridge/measure/registry.py
+++ b/src/caperridge/measure/registry.py
@@ -28,6 +28,7 @@
     "roles": "caperridge.measure.roles",
     "routing": "caperridge.measure.routing",
     "scarcity": "caperridge.measure.scarcity",
+    "streams": "caperridge.measure.stream_origins",
 }
 
 # All experiments of a run share one process. These take its memory for that of an
@@ -47,6 +48,7 @@
     "relay": "Tokens a second forwarded by one core, and first-token time added.",
     "roles": "What the roles of an instance hold and ask for, by size.",
     "routing": "Rules for choosing a target, compared.",
+    "streams": "Where the origin of a stream is kept, by cost and after losses.",
     "scarcity": "Who is served where slots are too few, by parts of the policy.",
 }
 
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -18,6 +18,8 @@
 
     def __init__(self, request: web.Request, body: bytes) -> None:
         self.id = request.headers["X-Request-Id"]
+        # A stream that is taken up is the same stream, whatever the id of the try.
+        self.stream = request.headers.get("Resumes", self.id)
         self.path = request.raw_path
         self.method = request.method
         self.headers = request.headers.copy()
@@ -182,7 +184,7 @@
         fatal = self.fatal(run)
         if fatal and self.fatal_after_disconnect:
             self._crashing = asyncio.ensure_future(self._crash_soon())
-        for number, data in enumerate(self.text(run.id), 1):
+        for number, data in enumerate(self.text(run.stream), 1):
             if number <= run.resumed_after:
                 continue
             if fatal and sent >= self.fatal_after:
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -120,6 +120,22 @@
     await assert_all_go_on(world, world.instances[0])
 
 
+# Guards against streams that only one of the remaining availability zones can find.
+async def test_what_began_a_stream_is_known_everywhere_after_the_loss_of_its_zone(
+    world: World,
+) -> None:
+    await mixed_world(world, "a", "b", "c")
+    lost, *others = world.instances
+    await begin(world, lost)
+    await world.kill(lost)
+    for instance in others:
+        await until(lambda one=instance: len(one.mesh.alive()) == 1)
+    for instance in others:
+        for stream in STREAMS:
+            origin = await instance.origins._look_up(stream)
+            assert {origin.software_version} == versions_of(world, stream)
+
+
 # Guards against a stream of unknown origin that goes on at any version.
 async def test_a_stream_of_unknown_origin_is_refused_at_once_and_not_run(
     world: World,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,8 @@
 
 NOT_RUN = (408, 421, 429, 503)
 ASK_S = 6.0
+TAKE_UPS = 3
+EVENT_END = b"\n\n"
 
 
 class Tally:
@@ -27,6 +29,8 @@
         met_stops: requests on kept connections that met such a stop.
         targets_ended: by a request that ends each that runs it.
         late_s: by which the soak itself was late at most.
+        taken_up: streams that callers took up at an instance that answered.
+        went_on: those of them that went on.
     """
 
     def __init__(self) -> None:
@@ -42,15 +46,26 @@
         self.met_stops = 0
         self.targets_ended = 0
         self.late_s = 0.0
+        self.taken_up = 0
+        self.went_on = 0
 
 
 class Callers:
     """Sends online requests and jobs, and reads results, until told to stop."""
 
-    def __init__(self, town: Town, tally: Tally, chance: random.Random) -> None:
+    def __init__(
+        self,
+        town: Town,
+        tally: Tally,
+        chance: random.Random,
+        take_up_chance: random.Random,
+        drop_ratio: float = 0.0,
+    ) -> None:
         self._town = town
         self._tally = tally
         self._chance = chance
+        self._take_up_chance = take_up_chance
+        self._drop_ratio = drop_ratio
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=ASK_S),
@@ -114,8 +129,8 @@
         if len(results) > len(before):
             self._tally.results[job] = results
         for result in results:
-            whole = "\n".join(self._town.runners[0].text(result["id"]))
-            if result["state"] != "completed" or result["message"] != whole:
+            texts = ["\n".join(text) for text in self._town.texts(result["id"])]
+            if result["state"] != "completed" or result["message"] not in texts:
                 self._broken(f"job {job}: item {result['id']} is {result}")
         return results
 
@@ -124,17 +139,63 @@
         self._tally.sent.add(id)
         path = "/once/1" if once else "/ask/1"
         headers = {"X-Request-Id": id, "X-Deadline-Ms": "5000"}
-        answer = await self._call(self._any(), "POST", path, headers, b"question")
+        drops = not once and self._take_up_chance.random() < self._drop_ratio
+        answer = await self._call(
+            self._any(), "POST", path, headers, b"question", drops
+        )
         if answer is None:
             return
         if answer.status in NOT_RUN:
             self._tally.refused.add(id)
-        if answer.status == 200 and answer.whole:
-            self._tally.answered += 1
-            if answer.data != self._town.runners[0].text(id):
-                self._broken(f"request {id}: a wrong answer {answer.body!r}")
         if answer.status == 404:
             self._broken(f"request {id}: 404")
+        if answer.status != 200:
+            return
+        data, whole = _complete_events(answer), answer.whole
+        if not whole and data and not once:
+            data, whole = await self._take_up(id, path, data)
+        self._check_stream(id, data, whole)
+
+    async def _take_up(
+        self, stream: str, path: str, data: list[str]
+    ) -> tuple[list[str], bool]:
+        """Come back for the rest of a stream; return all its data, and if it is whole.
+
+        The caller comes back to any instance, a few times.
+        """
+        for number in range(TAKE_UPS):
+            id = f"{stream}.{number}"
+            self._tally.sent.add(id)
+            headers = {
+                "X-Request-Id": id,
+                "X-Deadline-Ms": "5000",
+                "Last-Event-Id": str(len(data)),
+                "Resumes": stream,
+            }
+            instance = self._take_up_chance.choice(self._town.instances)
+            answer = await self._call(instance, "POST", path, headers, b"question")
+            if answer is None:
+                continue
+            self._tally.taken_up += 1
+            if answer.status in NOT_RUN:
+                self._tally.refused.add(id)
+            if answer.status != 200:
+                continue
+            self._tally.went_on += 1
+            data = data + _complete_events(answer)
+            if answer.whole:
+                return data, True
+        return data, False
+
+    def _check_stream(self, id: str, data: list[str], whole: bool) -> None:
+        """Check that a stream is what one software version writes, or its beginning."""
+        texts = self._town.texts(id)
+        if whole:
+            self._tally.answered += 1
+        else:
+            texts = [text[: len(data)] for text in texts]
+        if data not in texts:
+            self._broken(f"request {id}: a wrong answer {data}")
 
     async def _job(self, id: str) -> None:
         items = [f"{id}-{number}" for number in range(self._chance.randint(1, 4))]
@@ -163,8 +224,18 @@
         path: str,
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
+        drops: bool = False,
     ) -> Answer | None:
-        """Call an instance; None if no answer began."""
+        """Call an instance; None if no answer began.
+
+        Args:
+            instance: that is called.
+            method: of HTTP.
+            path: with the query.
+            headers: besides the host.
+            body: of the request.
+            drops: the caller closes its connection after two events.
+        """
         url = yarl.URL(f"http://{instance.callers}{path}", encoded=True)
         head = {"Host": HOST} | (headers or {})
         pieces: list[bytes] = []
@@ -176,6 +247,9 @@
                 try:
                     async for piece in response.content.iter_any():
                         pieces.append(piece)
+                        if drops and b"".join(pieces).count(EVENT_END) >= 2:
+                            whole = False
+                            break
                 except (aiohttp.ClientError, TimeoutError):
                     whole = False
                 body = b"".join(pieces)
@@ -188,3 +262,10 @@
 
     def _broken(self, what: str) -> None:
         self._tally.broken.append(what)
+
+
+def _complete_events(answer: Answer) -> list[str]:
+    """Return the data of the events that came whole."""
+    end = answer.body.rfind(EVENT_END)
+    lines = answer.body[: max(0, end)].decode().splitlines()
+    return [line[6:] for line in lines if line.startswith("data: ")]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -137,6 +137,25 @@
     return told
 
 
+async def release_slowly(town: Town, chance: random.Random, seconds: float) -> None:
+    """Replace targets by ones of the next software version, one after the other.
+
+    Some drain first and some end without notice; several versions serve side by side.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    step = 0
+    while loop.time() < end:
+        number = step % len(town.runners)
+        version = f"v{2 + step // len(town.runners)}"
+        drain_s = chance.choice([0.0, 0.0, 0.5, 1.0])
+        trouble = town.diary.begin(EVERYBODY, "a target is replaced")
+        await town.replace_runner(number, version, drain_s)
+        trouble.end()
+        step += 1
+        await asyncio.sleep(chance.uniform(0.5, 1.5))
+
+
 async def _harm(proxy: FaultProxy, chance: random.Random) -> None:
     proxy.set_mode(chance.choice(MODES))
     await asyncio.sleep(chance.uniform(0.2, 2.5))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 
 from soak.callers import NOT_RUN, Callers, Tally
 from soak.fatal import FatalCaller
-from soak.faults import inject
+from soak.faults import inject, release_slowly
 from soak.kept import KeptCallers, KeptRequest
 from soak.stops import check_stops, series
 from soak.town import Town
@@ -28,12 +28,16 @@
 # Kept connections send streams of 0.8 s, some five at a time for each instance.
 SLOTS_WITH_STOPS = 8
 INSTANCES_PER_RUNNER = 4
+# Between the events of streams that are long enough to be broken off.
+RELEASE_PAUSE_S = 0.1
+# Streams whose callers close their connection and come back for the rest.
+DROP_RATIO = 0.3
 
 
 def check_runs(town: Town, tally: Tally) -> None:
     """Check what the runners saw against what callers sent and were told."""
     runs: dict[str, int] = {}
-    for runner in town.runners:
+    for runner in town.all_runners:
         for run in runner.runs:
             runs[run.id] = runs.get(run.id, 0) + 1
             if run.id not in tally.sent:
@@ -55,7 +59,7 @@
             tally.refused.add(request.id)
         if request.status == 200:
             tally.answered += 1
-            if request.words != town.runners[0].text(request.id):
+            if request.words not in town.texts(request.id):
                 tally.broken.append(f"request {request.id}: wrong {request.words}")
 
 
@@ -67,6 +71,7 @@
     stops: bool = False,
     grace_s: float = 4.0,
     fatal: bool = False,
+    release: bool = False,
 ) -> tuple[Tally, list[str]]:
     """Run one soak; return what callers saw and which faults came.
 
@@ -79,15 +84,25 @@
             faults, while callers use kept connections.
         grace_s: that instances have to stop.
         fatal: whether a request that ends targets comes again and again.
+        release: whether targets are replaced by ones of other software versions, in
+            slow steps.
     """
     chance = random.Random(seed)
     runners = 3 + (instances - 1) // INSTANCES_PER_RUNNER if stops else 3
-    town = Town(
-        folder, instances, runners, SLOTS_WITH_STOPS if stops else SLOTS, grace_s
-    )
+    slots = SLOTS_WITH_STOPS if stops or release else SLOTS
+    town = Town(folder, instances, runners, slots, grace_s)
+    if release:
+        for runner in town.runners:
+            runner.pause_s = RELEASE_PAUSE_S
     tally = Tally()
     await town.start()
-    callers = Callers(town, tally, random.Random(seed + 1))
+    callers = Callers(
+        town,
+        tally,
+        random.Random(seed + 1),
+        random.Random(seed + 5),
+        DROP_RATIO if release else 0.0,
+    )
     kept = KeptCallers(town, random.Random(seed + 2))
     try:
         await asyncio.sleep(1.5)
@@ -95,17 +110,22 @@
         if fatal:
             caller = FatalCaller(town, tally, random.Random(seed + 3))
             ending = asyncio.ensure_future(caller.use(seconds))
+        releasing = None
+        if release:
+            steps = release_slowly(town, random.Random(seed + 4), seconds)
+            releasing = asyncio.ensure_future(steps)
         if stops:
             faults = await _with_stops(town, callers, kept, chance, seconds)
         else:
             _, faults = await asyncio.gather(
                 callers.use(seconds), inject(town, chance, seconds)
             )
-        if ending is not None:
-            await ending
+        for task in (ending, releasing):
+            if task is not None:
+                await task
         town.store.lose_answers = 0
         await callers.finish(SETTLE_S)
-        ran = {run.id for runner in town.runners for run in runner.runs}
+        ran = {run.id for runner in town.all_runners for run in runner.runs}
         check_stops(town.diary, grace_s, kept.requests, ran, tally)
         tally.late_s = max(late for _, late in town.diary.late)
         count_kept(town, kept.requests, tally)
@@ -148,6 +168,7 @@
     stops: bool = True,
     grace_s: float = 4.0,
     fatal: bool = False,
+    release: bool = False,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -157,7 +178,7 @@
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         tally, faults = asyncio.run(
-            soak(seed, seconds, folder, instances, stops, grace_s, fatal)
+            soak(seed, seconds, folder, instances, stops, grace_s, fatal, release)
         )
         word = "broken" if tally.broken else "kept"
         typer.echo(
@@ -165,6 +186,7 @@
             f"{len(tally.accepted)} jobs, {len(faults)} faults; {tally.met_stops} "
             f"requests met {tally.stops} stops at which nothing else was wrong; "
             f"{tally.targets_ended} targets ended under one request; "
+            f"{tally.went_on} of {tally.taken_up} streams taken up went on; "
             f"the soak itself was {tally.late_s:.2f} s late at most"
         )
         if tally.broken:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,21 @@
     assert tally.accepted
 
 
+# Streams and items went on at another software version: in one answer, where a caller
+# came back, and after a lease, a preemption or a takeover.
+RELEASES = [4600, 4601]
+
+
+@pytest.mark.parametrize("seed", RELEASES)
+async def test_streams_keep_their_software_version_in_a_release_in_slow_steps(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(seed, seconds=8.0, folder=tmp_path, release=True)
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.answered > 0
+    assert tally.taken_up
+
+
 # A request that ends each target that runs it comes again every third of a second,
 # beside all other faults. Without word between instances it ended 14 to 16 in these
 # seconds, and a quarter of the other requests were answered.
--- a/tests/soak/town.py
+++ b/tests/soak/town.py
@@ -95,10 +95,12 @@
         self.grace_s = grace_s
         self.store = StoreStandin()
         self.runners = [RunnerStandin(f"i-{n}", slots) for n in range(runners)]
+        self.replaced_runners: list[RunnerStandin] = []
         self.instances: list[SoakInstance] = []
         self.runner_proxies: list[FaultProxy] = []
         self.version = 1
         self._upstreams: list[str] = []
+        self._replaced_proxies: list[FaultProxy] = []
         self._born_ms: dict[int, int] = {}
         self._count = instances
         self._sites: list[web.AppRunner] = []
@@ -145,7 +147,7 @@
             if one.process is not None:
                 await one.process.wait()
             one.store.stop()
-        for proxy in self.runner_proxies:
+        for proxy in self.runner_proxies + self._replaced_proxies:
             proxy.stop()
         for site in self._sites:
             await site.cleanup()
@@ -165,6 +167,46 @@
         self._born_ms[number] = int(time.time() * 1000)
         self.list_runner(number, "ready")
 
+    @property
+    def all_runners(self) -> list[RunnerStandin]:
+        """All runners, those that were replaced included."""
+        return self.runners + self.replaced_runners
+
+    def texts(self, stream: str) -> list[list[str]]:
+        """Return what each software version writes for a stream."""
+        by_version = {one.software_version: one for one in self.all_runners}
+        return [runner.text(stream) for runner in by_version.values()]
+
+    async def replace_runner(
+        self, number: int, software_version: str, drain_s: float
+    ) -> None:
+        """Replace a runner by one of another software version, which starts first.
+
+        Args:
+            number: of the runner.
+            software_version: of the new one.
+            drain_s: until the old one ends; with 0 it ends without notice.
+        """
+        old, old_proxy = self.runners[number], self.runner_proxies[number]
+        new = RunnerStandin(f"i-{number}-{software_version}", old.slots)
+        new.software_version = software_version
+        new.pause_s = old.pause_s
+        upstream = await self._serve(new.application())
+        proxy = FaultProxy(upstream)
+        await proxy.start()
+        if drain_s:
+            self.list_runner(number, "draining")
+        self.replaced_runners.append(old)
+        self._replaced_proxies.append(old_proxy)
+        self.runners[number] = new
+        self.runner_proxies[number] = proxy
+        self._upstreams[number] = upstream
+        self._born_ms.pop(number, None)
+        self.list_runner(number, "ready")
+        await asyncio.sleep(drain_s)
+        old_proxy.stop()
+        self.store.remove("servers", old.id)
+
     def list_runner(self, number: int, state: str) -> None:
         """Write a runner's entry."""
         runner = self.runners[number]
@@ -172,7 +214,7 @@
             "service": "model",
             "address": self.runner_proxies[number].address,
             "zone": "ab"[number % 2],
-            "version": "v1",
+            "version": runner.software_version,
             "slots": runner.slots,
             "state": state,
             "coldLeftMs": 0,
