Let entries lapse only in an outage of the store itself

Requests reached a target 2.2 s after it had left. An instance that had been cut off with its zone learned of the departure from a peer and dropped the target, then got the first answer of the store, took the time before for an outage of the store, and put the entry back for 2.2 s.

Changes that a peer has read well before the store answers here show that the store served others. Then nothing is put back. The test fails on the code before, which has no such distinction.

--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -33,6 +33,9 @@
 # Share of that interval by which polls are spread.
 POLL_JITTER_RATIO = 0.5
 
+# When the store returns, instances notice within a retry of each other.
+MAX_RECOVERY_SPREAD_S = MAX_RETRY_DELAY_S + 0.1
+
 Changed = Callable[[list[StoredRow], str], None]
 Publish = Callable[[list[StoredRow], int, int], None]
 
@@ -43,11 +46,15 @@
     def __init__(self) -> None:
         self.reached = False
         self.unreachable_since: float | None = None
+        self._served_others_at: float | None = None
         self._recovered_callbacks: list[Callable[[float], None]] = []
         self._recheck_callbacks: list[Callable[[], None]] = []
 
     def on_recovered(self, call: Callable[[float], None]) -> None:
-        """Call ``call`` with the time when the store answers again."""
+        """Call ``call`` with the time when the store answers again after an outage.
+
+        It is not called if only the way to the store was lost here.
+        """
         self._recovered_callbacks.append(call)
 
     def on_recheck(self, call: Callable[[], None]) -> None:
@@ -59,6 +66,11 @@
         for call in self._recheck_callbacks:
             call()
 
+    def record_change_from_peer(self) -> None:
+        """Record that a peer has read changes that this instance lacked."""
+        if self.unreachable_since is not None and self._served_others_at is None:
+            self._served_others_at = asyncio.get_running_loop().time()
+
     def record_success(self) -> None:
         """Record that the store answered."""
         if self.reached:
@@ -68,8 +80,13 @@
             round(now - self.unreachable_since, 2) if self.unreachable_since else 0.0
         )
         self.reached = True
-        log.info("store reachable", away_s=away_s)
-        if self.unreachable_since is not None:
+        served_others_at = self._served_others_at
+        served_others = (
+            served_others_at is not None
+            and now - served_others_at > MAX_RECOVERY_SPREAD_S
+        )
+        log.info("store reachable", away_s=away_s, served_others=served_others)
+        if self.unreachable_since is not None and not served_others:
             for call in self._recovered_callbacks:
                 call(now)
         self.unreachable_since = None
@@ -78,6 +95,7 @@
         """Record that the store did not answer."""
         if self.unreachable_since is None:
             self.unreachable_since = asyncio.get_running_loop().time()
+            self._served_others_at = None
         was_reached = self.reached
         self.reached = False
         if was_reached:
@@ -184,14 +202,18 @@
             self.poll_now()
         changed_rows = self.copy.apply_changes(rows, since, version)
         if changed_rows:
+            self._reach.record_change_from_peer()
             self._changed(changed_rows, peer)
 
     def apply_snapshot_from_peer(
         self, rows: list[StoredRow], version: int, peer: str
     ) -> None:
         """Apply a peer's whole copy."""
+        known = self.copy.loaded
         changed_rows = self.copy.apply_snapshot(rows, version)
         if changed_rows:
+            if known:
+                self._reach.record_change_from_peer()
             self._changed(changed_rows, peer)
 
     async def _read_all(self) -> Err | None:
--- a/tests/gateway/test_lapsed_targets.py
+++ b/tests/gateway/test_lapsed_targets.py
@@ -7,6 +7,7 @@
 import pytest
 
 from caperridge.gateway.targets import LAPSE_GRACE_S, LATE_NEWS_S, Target, TargetList
+from caperridge.gateway.watcher import MAX_RECOVERY_SPREAD_S, StoreReachability
 
 
 @pytest.fixture
@@ -47,3 +48,29 @@
     found = targets.find_by_name("t1")
     assert found is not None
     assert found.id == "t1@2"
+
+
+# Guards against targets that stay in use after they have left: an entry removed while
+# an instance or its zone was cut off was taken for one that lapsed in an outage.
+@pytest.mark.parametrize(
+    ("change_s_ago", "is_outage"),
+    [
+        (None, True),
+        (MAX_RECOVERY_SPREAD_S / 2, True),
+        (MAX_RECOVERY_SPREAD_S * 2, False),
+    ],
+)
+async def test_only_an_outage_of_the_store_itself_lets_entries_lapse(
+    change_s_ago: float | None, is_outage: bool
+) -> None:
+    """Peers that have changes some time before show that the store served them."""
+    reach = StoreReachability()
+    outages: list[float] = []
+    reach.on_recovered(outages.append)
+    reach.record_success()
+    reach.record_failure("no answer")
+    if change_s_ago is not None:
+        reach.record_change_from_peer()
+        reach._served_others_at -= change_s_ago
+    reach.record_success()
+    assert bool(outages) == is_outage
