Ask peers which versions served where an instance has just started

An instance inferred the only version from entries written in the last seconds, but an entry changes only when its target does, and one that had just started asked nobody.

It now infers from the list as it stands and from what left it, for as long as the store has answered without a gap; an instance whose own time is too short asks its peers, and follows them if nothing that it has seen itself differs.

--- a/src/caperridge/decisions/stream_origins.py
+++ b/src/caperridge/decisions/stream_origins.py
@@ -9,9 +9,8 @@
 
 # Some 150 bytes each.
 MAX_STREAMS = 20_000
-# A listed target writes its entry about every second; after longer silence of all
-# targets of a service a new one may be listed without this instance knowing it.
-MAX_LIST_AGE_S = 3.0
+# Of one service; more than ever serve at a time.
+MAX_VERSIONS = 16
 
 
 class StreamOrigin(Record):
@@ -86,54 +85,58 @@
 
 
 class VersionHistory:
-    """The software versions that the listed targets of each service have had.
+    """The software versions that the targets of each service have had lately.
 
     >>> history = VersionHistory()
-    >>> for second in range(7):
-    ...     history.record("chat", "v1", float(second))
-    >>> history.only_version("chat", 6.0, within_s=5.0)
-    'v1'
-    >>> history.record("chat", "v2", 6.5)
-    >>> history.only_version("chat", 7.0, within_s=5.0) is None
-    True
+    >>> history.record("chat", "v1", now=1.0)
+    >>> history.only_version("chat", {"v2"}, known_since=0.0, now=8.0, within_s=6.0)
+    'v2'
+    >>> history.only_version("chat", {"v2"}, known_since=0.0, now=6.0, within_s=6.0)
+    >>> history.only_version("chat", {"v2"}, known_since=3.0, now=8.0, within_s=6.0)
     """
 
-    __slots__ = ("_known_since_by_service", "_listed_at_by_service")
+    __slots__ = ("_seen_at_by_service",)
 
     def __init__(self) -> None:
-        self._known_since_by_service: dict[str, float] = {}
-        self._listed_at_by_service: dict[str, dict[str, float]] = {}
+        self._seen_at_by_service: dict[str, dict[str, float]] = {}
 
     def record(self, service: str, software_version: str, now: float) -> None:
-        """Record that a target of this version is listed."""
-        self._known_since_by_service.setdefault(service, now)
-        listed_at = self._listed_at_by_service.setdefault(service, {})
-        listed_at[software_version] = now
-
-    def only_version(self, service: str, now: float, within_s: float) -> str | None:
+        """Record that a target of this version was listed or is listed no more."""
+        seen_at = self._seen_at_by_service.setdefault(service, {})
+        # In the order of the last record.
+        seen_at.pop(software_version, None)
+        seen_at[software_version] = now
+        if len(seen_at) > MAX_VERSIONS:
+            del seen_at[next(iter(seen_at))]
+
+    def only_version(
+        self,
+        service: str,
+        listed: set[str],
+        known_since: float,
+        now: float,
+        within_s: float,
+    ) -> str | None:
         """Return the version that began every stream of ``service`` lately.
 
         Args:
             service: name of the service.
+            listed: versions of the targets that are listed now.
+            known_since: since when every change of the list has been known.
             now: on the clock of the records.
             within_s: the oldest stream may have begun so long ago, in seconds.
 
         Returns:
-            The version; None if there was more than one, if the list has not been known
-            for so long, or if it may be outdated.
+            The version; None if there was more than one, or if the list has not been
+            known for so long.
         """
-        known_since = self._known_since_by_service.get(service)
-        if known_since is None or now - known_since < within_s:
-            return None
-        listed_at = self._listed_at_by_service[service]
-        recent = [one for one, at in listed_at.items() if now - at <= within_s]
-        if len(recent) != 1 or now - listed_at[recent[0]] > MAX_LIST_AGE_S:
+        if now - known_since < within_s:
             return None
-        return recent[0]
-
-    def expire(self, now: float, after_s: float) -> None:
-        """Drop versions that have not been listed for ``after_s``."""
-        for listed_at in self._listed_at_by_service.values():
-            for version, at in list(listed_at.items()):
-                if now - at > after_s:
-                    del listed_at[version]
+        seen_at = self._seen_at_by_service.get(service, {})
+        versions = listed | {one for one, at in seen_at.items() if now - at < within_s}
+        return versions.pop() if len(versions) == 1 else None
+
+    def version_so_far(self, service: str) -> str | None:
+        """Return the only version seen so far; None if there are more, or none."""
+        seen = self._seen_at_by_service.get(service, {})
+        return next(iter(seen)) if len(seen) == 1 else None
--- a/src/caperridge/gateway/configuration.py
+++ b/src/caperridge/gateway/configuration.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from caperridge.decisions.quota import QuotaLimit
 from caperridge.gateway.routes import RoutingTable
+from caperridge.gateway.targets import Target
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -27,6 +28,13 @@
         self._next = asyncio.Event()
         self.newer_announced: Callable[[], bool] = lambda: False
 
+    def in_service(self, targets: Iterable[Target]) -> list[Target]:
+        """Return those of ``targets`` whose service is configured."""
+        if self.table is None:
+            return []
+        services = self.table.services_by_name
+        return [target for target in targets if target.service in services]
+
     async def wait_for_newer(self, timeout_s: float) -> bool:
         """Wait for the next version if a peer has announced one.
 
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -4,6 +4,7 @@
 :mod:`caperridge.decisions.ejection`.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -39,6 +40,8 @@
         rng: breaks ties.
         targets: the listed targets.
         versions: the software versions that targets have been listed with.
+        list_known_since: returns since when every change of the list has been known;
+            infinity if changes may be missing.
         occupancy: requests at each target.
         targets_known: the list of targets has been read.
         remote_counts_stale: there are too many peers to send each one every count, so
@@ -59,6 +62,7 @@
         self.rng = rng
         self.targets = TargetList()
         self.versions = VersionHistory()
+        self.list_known_since: Callable[[], float] = lambda: math.inf
         self.occupancy = Occupancy(instance)
         self.targets_known = False
         self.remote_counts_stale = False
@@ -78,6 +82,20 @@
             lengths = self.run_lengths_by_service[service] = RunStatistics()
         return lengths
 
+    def only_version(self, service: str, now: float, within_s: float) -> str | None:
+        """Return the only version that can have begun a recent stream of ``service``.
+
+        See :meth:`VersionHistory.only_version`.
+        """
+        listed = {
+            target.software_version
+            for target in self.targets.by_id.values()
+            if target.service == service
+        }
+        return self.versions.only_version(
+            service, listed, self.list_known_since(), now, within_s
+        )
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Register ``callback`` to be called when counts or targets have changed."""
         self._change_callbacks.append(callback)
--- a/src/caperridge/gateway/mesh/origin_messages.py
+++ b/src/caperridge/gateway/mesh/origin_messages.py
@@ -30,13 +30,17 @@
     Attributes:
         number: repeated in the answer.
         stream: hash of its id.
+        service: that began it, if the receiver doesn't know the stream.
+        within_s: the stream began at most so long ago, in seconds.
     """
 
-    __slots__ = ("number", "stream")
+    __slots__ = ("number", "service", "stream", "within_s")
 
-    def __init__(self, number: int, stream: int) -> None:
+    def __init__(self, number: int, stream: int, service: str, within_s: float) -> None:
         self.number = number
         self.stream = stream
+        self.service = service
+        self.within_s = within_s
 
 
 class StreamAnswer(Record):
@@ -46,11 +50,16 @@
         number: of the question.
         service: of the target that began the stream; empty if that is not known.
         software_version: of that target.
+        inferred: the stream itself is not known, but its service has had no other
+            version for as long as the stream may last.
     """
 
-    __slots__ = ("number", "service", "software_version")
+    __slots__ = ("inferred", "number", "service", "software_version")
 
-    def __init__(self, number: int, service: str, software_version: str) -> None:
+    def __init__(
+        self, number: int, service: str, software_version: str, inferred: bool
+    ) -> None:
         self.number = number
         self.service = service
         self.software_version = software_version
+        self.inferred = inferred
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -318,6 +319,13 @@
         stale = self._stale_by_table.get(table)
         return stale is not None and not self._includes(table, stale.version)
 
+    def known_since(self, table: str) -> float:
+        """Return since when every change of ``table`` has been known here.
+
+        On the event loop's clock; infinity if changes may be missing.
+        """
+        return math.inf if self.is_stale(table) else self._reach.reached_since
+
     def _includes(self, table: str, version: int) -> bool:
         """Whether the own copy includes all changes up to ``version``.
 
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -58,7 +58,6 @@
 from caperridge.gateway.table_readers import TableReaders
 from caperridge.gateway.table_rows import TableRows
 from caperridge.gateway.target_ends import CrashDetector
-from caperridge.gateway.targets import Target
 from caperridge.gateway.unowned import OrphanedRunScan
 from caperridge.gateway.unreachable import probe_unreachable
 from caperridge.gateway.upstream import TargetClient
@@ -154,14 +153,18 @@
             self.mesh, self.fleet, self.granting, slots, self.keeper.held_jobs
         )
         self.orphan_scan = OrphanedRunScan(
-            self.fleet, self.client, dialect, self.mesh, self._granted_in_service
+            self.fleet,
+            self.client,
+            dialect,
+            self.mesh,
+            lambda: self.configuration.in_service(self.granting.granted_targets()),
         )
         acceptance = JobAcceptance(hedging, self.index, self.clock, rng)
         limits = AnswerLimits()
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
-        self.origins = StreamOrigins(self.mesh, self.fleet.versions)
+        self.origins = StreamOrigins(self.mesh, self.fleet)
         self._forwarder = Forwarder(
             self.fleet,
             self.client,
@@ -240,6 +243,9 @@
         self.configuration.newer_announced = lambda: self.updates.is_stale(
             self._dialect.configuration_table
         )
+        self.fleet.list_known_since = lambda: self.updates.known_since(
+            self._dialect.targets_table
+        )
         self.fleet.silent_zones = lambda now: silent_zones(self.mesh, now)
         self.updates.on_item_started = self.granting.slot_used
         self.updates.on_count_received = self._on_peer_count
@@ -255,17 +261,6 @@
         self.recalls.check(target)
         self.keeper.check_slots(target)
 
-    def _granted_in_service(self) -> list[Target]:
-        """Return the targets granted here that a configured service uses."""
-        table = self.configuration.table
-        if table is None:
-            return []
-        return [
-            target
-            for target in self.granting.granted_targets()
-            if target.service in table.services_by_name
-        ]
-
     def _on_peer_lost(self, member: Member) -> None:
         self.fleet.occupancy.remove_peer(member.id)
         self.fleet.notify_changed()
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -11,11 +11,8 @@
 import xxhash
 
 from caperridge.decisions.rendezvous import score
-from caperridge.decisions.stream_origins import (
-    OriginTable,
-    StreamOrigin,
-    VersionHistory,
-)
+from caperridge.decisions.stream_origins import OriginTable, StreamOrigin
+from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.origin_messages import (
     StreamAnswer,
@@ -48,16 +45,24 @@
         unanswered: peers that have not answered.
         origin: resolved by the first one that knows it, or with None by the last one
             that doesn't.
+        inferred: what peers that don't know the stream infer.
     """
 
-    __slots__ = ("origin", "unanswered")
+    __slots__ = ("inferred", "origin", "unanswered")
 
     def __init__(self, peers: set[str]) -> None:
         self.unanswered = peers
+        self.inferred: set[StreamOrigin] = set()
         self.origin: asyncio.Future[StreamOrigin | None] = (
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def known(self) -> StreamOrigin | None:
+        """The origin that a peer knows; None if none has answered so."""
+        answered = self.origin.done() and not self.origin.cancelled()
+        return self.origin.result() if answered else None
+
 
 class Replicas(Record):
     """The peers that keep or know the streams of one bucket.
@@ -79,12 +84,12 @@
 
     Args:
         mesh: of peers.
-        versions: that the listed targets have had.
+        fleet: knows the software versions that the listed targets have had.
     """
 
-    def __init__(self, mesh: Mesh, versions: VersionHistory) -> None:
+    def __init__(self, mesh: Mesh, fleet: Fleet) -> None:
         self._mesh = mesh
-        self._versions = versions
+        self._fleet = fleet
         self._table = OriginTable()
         self._replicas_by_bucket: dict[int, Replicas] = {}
         self._replicas_key = -1
@@ -124,22 +129,43 @@
         service where there has been no other.
 
         Args:
-            stream: id of the caller's try that brought the first event; may be empty.
+            stream: id of the caller's try that brought the first event; empty if the
+                caller does not say.
             route: that the caller uses.
         """
-        origin = await self._look_up(stream) if stream else None
-        return origin or self._infer(route)
-
-    def _infer(self, route: Route) -> StreamOrigin | None:
+        now = asyncio.get_running_loop().time()
+        origin = self._table.find(_key(stream), now) if stream else None
+        if origin is not None:
+            return origin
+        inferred = self._infer(route, now)
+        if inferred is not None and not stream:
+            return inferred
+        question = await self._ask(stream, route)
+        return question.known or inferred or self._adopt(question.inferred, route)
+
+    def _infer(self, route: Route, now: float) -> StreamOrigin | None:
         """Return what began every recent stream of a route; None if that differs."""
         if len(route.services) != 1:
             return None
         (service,) = route.services
-        now = asyncio.get_running_loop().time()
         within_s = route.timeout_s + KEEP_MARGIN_S
-        version = self._versions.only_version(service, now, within_s)
+        version = self._fleet.only_version(service, now, within_s)
         return StreamOrigin(service, version) if version is not None else None
 
+    def _adopt(self, inferred: set[StreamOrigin], route: Route) -> StreamOrigin | None:
+        """Return what peers infer, if nothing that this instance knows differs.
+
+        An instance that has just started knows too little to infer it itself.
+        """
+        if len(inferred) != 1 or len(route.services) != 1:
+            return None
+        (origin,) = inferred
+        same = (
+            self._fleet.versions.version_so_far(origin.service)
+            == origin.software_version
+        )
+        return origin if same else None
+
     def expire(self, now: float) -> None:
         """Drop what is no longer needed."""
         if now >= self._next_expiry:
@@ -159,26 +185,25 @@
                 StreamsBegan(origin.service, origin.software_version, keep_s, streams),
             )
 
-    async def _look_up(self, stream: str) -> StreamOrigin | None:
+    async def _ask(self, stream: str, route: Route) -> Question:
+        """Ask peers for the origin of a stream; return what they answered in time."""
         key = _key(stream)
-        now = asyncio.get_running_loop().time()
-        return self._table.find(key, now) or await self._ask(key)
-
-    async def _ask(self, key: int) -> StreamOrigin | None:
+        service = next(iter(route.services)) if len(route.services) == 1 else ""
         number = next(self._numbers)
-        ask = StreamAsk(number, key)
+        ask = StreamAsk(number, key, service, route.timeout_s + KEEP_MARGIN_S)
         asked = {one for one in self._replicas(key).asked if self._mesh.send(one, ask)}
+        question = Question(asked)
         if not asked:
-            return None
-        question = self._questions_by_number[number] = Question(asked)
+            return question
+        self._questions_by_number[number] = question
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
-                return await question.origin
+                await question.origin
         except TimeoutError:
             log.info("stream origin not answered", silent=sorted(question.unanswered))
-            return None
         finally:
             del self._questions_by_number[number]
+        return question
 
     def _receive_began(self, peer: str, message: StreamsBegan) -> None:
         origin = StreamOrigin(message.service, message.software_version)
@@ -187,21 +212,30 @@
 
     def _receive_ask(self, peer: str, ask: StreamAsk) -> None:
         now = asyncio.get_running_loop().time()
-        origin = self._table.find(ask.stream, now) or StreamOrigin("", "")
-        self._mesh.send(
-            peer, StreamAnswer(ask.number, origin.service, origin.software_version)
+        origin, inferred = self._table.find(ask.stream, now), False
+        if origin is None:
+            inferred = True
+            version = self._fleet.only_version(ask.service, now, ask.within_s)
+            origin = StreamOrigin(
+                ask.service if version is not None else "", version or ""
+            )
+        answer = StreamAnswer(
+            ask.number, origin.service, origin.software_version, inferred
         )
+        self._mesh.send(peer, answer)
 
     def _receive_answer(self, peer: str, answer: StreamAnswer) -> None:
         question = self._questions_by_number.get(answer.number)
         if question is None or question.origin.done():
             return
         question.unanswered.discard(peer)
+        origin = StreamOrigin(answer.service, answer.software_version)
+        if answer.service and not answer.inferred:
+            question.origin.set_result(origin)
+            return
         if answer.service:
-            question.origin.set_result(
-                StreamOrigin(answer.service, answer.software_version)
-            )
-        elif not question.unanswered:
+            question.inferred.add(origin)
+        if not question.unanswered:
             question.origin.set_result(None)
 
     def _replicas(self, key: int) -> Replicas:
--- a/src/caperridge/gateway/table_rows.py
+++ b/src/caperridge/gateway/table_rows.py
@@ -80,6 +80,8 @@
             name = row.key.key
             target = self._fleet.targets.find_by_name(name)
             self._fleet.targets.remove(name, now)
+            if target is not None:
+                self._record_version(target, now)
             if target is not None and self._fleet.targets.find_by_name(name) is None:
                 self.on_target_removed(target)
             log.info("target removed", target=name, source=source, version=row.version)
@@ -103,7 +105,7 @@
                 reason=str(error),
             )
             return
-        self._fleet.versions.record(target.service, target.software_version, now)
+        self._record_version(target, now)
         if targets.by_id.get(target.id) != target:
             log.info(
                 "target listed",
@@ -117,12 +119,16 @@
         replaced = targets.put(target)
         if replaced is None:
             return
+        self._record_version(replaced, now)
         ended = self._client.abort_runs(replaced.id)
         self.on_target_replaced(replaced)
         log.info(
             "target restarted", target=target.id, before=replaced.id, runs_ended=ended
         )
 
+    def _record_version(self, target: Target, now: float) -> None:
+        self._fleet.versions.record(target.service, target.software_version, now)
+
     def apply_index(self, rows: list[StoredRow], source: str) -> None:
         """Apply entries of jobs."""
         self._index.apply_rows(rows)
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 
@@ -41,10 +42,17 @@
 
 
 class StoreReachability:
-    """Whether the store answers this instance, from the results of its polls."""
+    """Whether the store answers this instance, from the results of its polls.
+
+    Attributes:
+        reached: whether it does.
+        reached_since: since when, on the event loop's clock; infinity while it doesn't.
+        unreachable_since: when its first answer stayed out; None while it answers.
+    """
 
     def __init__(self) -> None:
         self.reached = False
+        self.reached_since = math.inf
         self.unreachable_since: float | None = None
         self._served_others_at: float | None = None
         self._recovered_callbacks: list[Callable[[float], None]] = []
@@ -80,6 +88,7 @@
             round(now - self.unreachable_since, 2) if self.unreachable_since else 0.0
         )
         self.reached = True
+        self.reached_since = now
         served_others_at = self._served_others_at
         served_others = (
             served_others_at is not None
@@ -98,6 +107,7 @@
             self._served_others_at = None
         was_reached = self.reached
         self.reached = False
+        self.reached_since = math.inf
         if was_reached:
             log.warning("store unreachable", reason=reason)
             self.recheck()
--- a/src/caperridge/measure/stream_origins.py
+++ b/src/caperridge/measure/stream_origins.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from caperridge.decisions.stream_origins import StreamOrigin, VersionHistory
+from caperridge.decisions.stream_origins import StreamOrigin
+from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.mesh.member import Member
 from caperridge.gateway.mesh.origin_messages import StreamsBegan
 from caperridge.gateway.mesh.streams import encode
@@ -78,7 +79,8 @@
         for number in range(instances):
             member = Member(f"e-{number}", "", f"zone-{number % ZONES}", 0.0)
             mesh = ModelMesh(self, member.id, member.zone)
-            origins = StreamOrigins(mesh, VersionHistory())  # type: ignore[arg-type]
+            fleet = Fleet(member.id, member.zone, random.Random(number))
+            origins = StreamOrigins(mesh, fleet)  # type: ignore[arg-type]
             origins._compute_replicas = lambda bucket, one=origins: choose(one, bucket)
             self.alive.append(member)
             self._meshes_by_id[member.id] = mesh
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -1,5 +1,7 @@
 """A stream goes on only at the software version that began it."""
 
+import asyncio
+
 import pytest
 
 from caperridge.gateway import stream_origins
@@ -132,7 +134,8 @@
         await until(lambda one=instance: len(one.mesh.alive()) == 1)
     for instance in others:
         for stream in STREAMS:
-            origin = await instance.origins._look_up(stream)
+            ask = instance.configuration.table.routes[0]
+            origin = await instance.origins.find(stream, ask)
             assert {origin.software_version} == versions_of(world, stream)
 
 
@@ -154,15 +157,15 @@
 ) -> None:
     monkeypatch.setattr(stream_origins, "KEEP_MARGIN_S", 0.0)
     world.configure(1, [route("ask", timeoutMs=400)])
-    runner = await world.add_runner()
+    await world.add_runner()
     instance = await world.add_instance()
     await world.ready()
     refused = await take_up(world, instance, "r1")
     assert refused.status == 503  # the list has not been known for long enough
 
     def known_for_long() -> bool:
-        world.list_runner(runner)
-        return instance.origins._infer(instance.configuration.table.routes[0])
+        now = asyncio.get_running_loop().time()
+        return instance.origins._infer(instance.configuration.table.routes[0], now)
 
     await until(known_for_long)
     answer = await take_up(world, instance, "r1")
@@ -173,6 +176,27 @@
     assert not newer.runs
 
 
+# Guards against streams that are lost at an instance that has just started and knows
+# too little to infer their version, where its peers know enough.
+async def test_a_fresh_instance_asks_peers_for_the_only_software_version(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_origins, "KEEP_MARGIN_S", 0.0)
+    world.configure(1, [route("ask", timeoutMs=400)])
+    await world.add_runner()
+    first = await world.add_instance()
+    await world.ready()
+    await asyncio.sleep(0.45)
+    fresh = await world.add_instance()
+    await world.ready()
+    fresh.fleet.list_known_since = lambda: float("inf")
+    head = {"Last_Event_Id": "2"}
+    answer = await world.ask(fresh, "/ask/1", "r1", **head)
+    assert (answer.status, len(answer.data)) == (200, 3)
+    first.fleet.versions.record("model", NEW_VERSION, asyncio.get_running_loop().time())
+    assert (await world.ask(fresh, "/ask/1", "r2", **head)).status == 503
+
+
 # Guards against a stream that waits for a version that has left for good.
 async def test_a_stream_whose_software_version_has_left_is_refused_at_once(
     world: World,
