Infer the only version only where no instance that is asked knows another one

A peer that knows of two versions answered like one that knows nothing, so that the word of another peer, or the own inference for a stream that nobody has recorded, could stand against it. It now says that there are several, and that is enough to refuse.

--- a/src/caperridge/decisions/stream_origins.py
+++ b/src/caperridge/decisions/stream_origins.py
@@ -89,10 +89,10 @@
 
     >>> history = VersionHistory()
     >>> history.record("chat", "v1", now=1.0)
-    >>> history.only_version("chat", {"v2"}, known_since=0.0, now=8.0, within_s=6.0)
-    'v2'
-    >>> history.only_version("chat", {"v2"}, known_since=0.0, now=6.0, within_s=6.0)
-    >>> history.only_version("chat", {"v2"}, known_since=3.0, now=8.0, within_s=6.0)
+    >>> sorted(history.recent("chat", now=6.0, within_s=6.0))
+    ['v1']
+    >>> history.recent("chat", now=8.0, within_s=6.0)
+    set()
     """
 
     __slots__ = ("_seen_at_by_service",)
@@ -109,34 +109,7 @@
         if len(seen_at) > MAX_VERSIONS:
             del seen_at[next(iter(seen_at))]
 
-    def only_version(
-        self,
-        service: str,
-        listed: set[str],
-        known_since: float,
-        now: float,
-        within_s: float,
-    ) -> str | None:
-        """Return the version that began every stream of ``service`` lately.
-
-        Args:
-            service: name of the service.
-            listed: versions of the targets that are listed now.
-            known_since: since when every change of the list has been known.
-            now: on the clock of the records.
-            within_s: the oldest stream may have begun so long ago, in seconds.
-
-        Returns:
-            The version; None if there was more than one, or if the list has not been
-            known for so long.
-        """
-        if now - known_since < within_s:
-            return None
+    def recent(self, service: str, now: float, within_s: float) -> set[str]:
+        """Return the versions that were recorded within ``within_s``."""
         seen_at = self._seen_at_by_service.get(service, {})
-        versions = listed | {one for one, at in seen_at.items() if now - at < within_s}
-        return versions.pop() if len(versions) == 1 else None
-
-    def version_so_far(self, service: str) -> str | None:
-        """Return the only version seen so far; None if there are more, or none."""
-        seen = self._seen_at_by_service.get(service, {})
-        return next(iter(seen)) if len(seen) == 1 else None
+        return {version for version, at in seen_at.items() if now - at < within_s}
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -82,19 +82,31 @@
             lengths = self.run_lengths_by_service[service] = RunStatistics()
         return lengths
 
-    def only_version(self, service: str, now: float, within_s: float) -> str | None:
-        """Return the only version that can have begun a recent stream of ``service``.
+    def recent_versions(self, service: str, now: float, within_s: float) -> set[str]:
+        """Return the versions that may have begun a stream, as far as known here.
 
-        See :meth:`VersionHistory.only_version`.
+        Args:
+            service: name of the service.
+            now: on the event loop's clock.
+            within_s: the oldest stream may have begun so long ago, in seconds.
         """
         listed = {
             target.software_version
             for target in self.targets.by_id.values()
             if target.service == service
         }
-        return self.versions.only_version(
-            service, listed, self.list_known_since(), now, within_s
-        )
+        return listed | self.versions.recent(service, now, within_s)
+
+    def only_version(self, service: str, now: float, within_s: float) -> str | None:
+        """Return the only version that can have begun a stream; None if unsure.
+
+        See :meth:`recent_versions`. This instance is unsure if it has not known every
+        change of the list for so long.
+        """
+        versions = self.recent_versions(service, now, within_s)
+        if len(versions) != 1 or now - self.list_known_since() < within_s:
+            return None
+        return versions.pop()
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Register ``callback`` to be called when counts or targets have changed."""
--- a/src/caperridge/gateway/mesh/origin_messages.py
+++ b/src/caperridge/gateway/mesh/origin_messages.py
@@ -49,9 +49,9 @@
     Attributes:
         number: of the question.
         service: of the target that began the stream; empty if that is not known.
-        software_version: of that target.
-        inferred: the stream itself is not known, but its service has had no other
-            version for as long as the stream may last.
+        software_version: of that target; empty if it may be one of several.
+        inferred: the stream itself is not known; these are the versions that its
+            service has had for as long as the stream may last.
     """
 
     __slots__ = ("inferred", "number", "service", "software_version")
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -141,7 +141,7 @@
         if inferred is not None and not stream:
             return inferred
         question = await self._ask(stream, route)
-        return question.known or inferred or self._adopt(question.inferred, route)
+        return question.known or self._agree(question.inferred, inferred, route, now)
 
     def _infer(self, route: Route, now: float) -> StreamOrigin | None:
         """Return what began every recent stream of a route; None if that differs."""
@@ -152,19 +152,24 @@
         version = self._fleet.only_version(service, now, within_s)
         return StreamOrigin(service, version) if version is not None else None
 
-    def _adopt(self, inferred: set[StreamOrigin], route: Route) -> StreamOrigin | None:
-        """Return what peers infer, if nothing that this instance knows differs.
+    def _agree(
+        self,
+        inferred_by_peers: set[StreamOrigin],
+        inferred: StreamOrigin | None,
+        route: Route,
+        now: float,
+    ) -> StreamOrigin | None:
+        """Return what peers and this instance infer, if all of them agree.
 
-        An instance that has just started knows too little to infer it itself.
+        An instance that has just started is unsure, but may know of another version.
         """
-        if len(inferred) != 1 or len(route.services) != 1:
+        all_inferred = inferred_by_peers | ({inferred} if inferred else set())
+        if len(all_inferred) != 1:
             return None
-        (origin,) = inferred
-        same = (
-            self._fleet.versions.version_so_far(origin.service)
-            == origin.software_version
-        )
-        return origin if same else None
+        (origin,) = all_inferred
+        within_s = route.timeout_s + KEEP_MARGIN_S
+        known = self._fleet.recent_versions(origin.service, now, within_s)
+        return origin if known == {origin.software_version} else None
 
     def expire(self, now: float) -> None:
         """Drop what is no longer needed."""
@@ -212,18 +217,27 @@
 
     def _receive_ask(self, peer: str, ask: StreamAsk) -> None:
         now = asyncio.get_running_loop().time()
-        origin, inferred = self._table.find(ask.stream, now), False
+        origin = self._table.find(ask.stream, now)
+        inferred = origin is None
         if origin is None:
-            inferred = True
-            version = self._fleet.only_version(ask.service, now, ask.within_s)
-            origin = StreamOrigin(
-                ask.service if version is not None else "", version or ""
-            )
+            origin = self._infer_for_peer(ask, now)
         answer = StreamAnswer(
             ask.number, origin.service, origin.software_version, inferred
         )
         self._mesh.send(peer, answer)
 
+    def _infer_for_peer(self, ask: StreamAsk, now: float) -> StreamOrigin:
+        """Return the only version that can have begun a stream.
+
+        It has no version if there are several, and no service either if unsure.
+        """
+        if len(self._fleet.recent_versions(ask.service, now, ask.within_s)) > 1:
+            return StreamOrigin(ask.service, "")
+        version = self._fleet.only_version(ask.service, now, ask.within_s)
+        if version is None:
+            return StreamOrigin("", "")
+        return StreamOrigin(ask.service, version)
+
     def _receive_answer(self, peer: str, answer: StreamAnswer) -> None:
         question = self._questions_by_number.get(answer.number)
         if question is None or question.origin.done():
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -185,6 +185,7 @@
     world.configure(1, [route("ask", timeoutMs=400)])
     await world.add_runner()
     first = await world.add_instance()
+    await world.add_instance()
     await world.ready()
     await asyncio.sleep(0.45)
     fresh = await world.add_instance()
@@ -193,6 +194,7 @@
     head = {"Last_Event_Id": "2"}
     answer = await world.ask(fresh, "/ask/1", "r1", **head)
     assert (answer.status, len(answer.data)) == (200, 3)
+    # One peer that knows of a second version is enough.
     first.fleet.versions.record("model", NEW_VERSION, asyncio.get_running_loop().time())
     assert (await world.ask(fresh, "/ask/1", "r2", **head)).status == 503
 
