--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from caperridge.gateway.mesh.dialers import Dialers
 from caperridge.gateway.mesh.member import Member
@@ -38,7 +39,7 @@
 # An instance that knows fewer has just started, and gets the whole roster.
 MIN_KNOWN_MEMBERS = 8
 
-Handler = Callable[[str, Record], None]
+Handler = Callable[[str, Any], None]
 
 
 class Mesh:
--- a/src/caperridge/measure/stream_origins.py
+++ b/src/caperridge/measure/stream_origins.py
@@ -78,9 +78,9 @@
         self._meshes_by_id: dict[str, ModelMesh] = {}
         for number in range(instances):
             member = Member(f"e-{number}", "", f"zone-{number % ZONES}", 0.0)
-            mesh = ModelMesh(self, member.id, member.zone)
+            mesh: Any = ModelMesh(self, member.id, member.zone)
             fleet = Fleet(member.id, member.zone, random.Random(number))
-            origins = StreamOrigins(mesh, fleet)  # type: ignore[arg-type]
+            origins = StreamOrigins(mesh, fleet)
             origins._compute_replicas = lambda bucket, one=origins: choose(one, bucket)
             self.alive.append(member)
             self._meshes_by_id[member.id] = mesh
