Start an item over rather than decline the slot that it was granted

While a target of the version that had begun the item had a free slot, slots at other targets were declined. Granters know no versions and choose the emptiest target, so they granted the same slot again; the own granter even counted the request as met. An item that has to start over now does so in the slot that it gets, unless another item can use it.

--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -133,11 +133,11 @@
         return requests
 
     def start_item(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
-        """Start an item at ``target``; False if there is none for it.
+        """Start the most urgent item for ``target``; False if there is none.
 
-        The most urgent one starts, but output of another software version is dropped
-        only if no other item can use the slot, and not while the item can go on in a
-        free slot elsewhere.
+        Output of another software version is dropped only if no other item can use the
+        slot. It is dropped then even if a target that can continue it has a free slot:
+        a granter that does not know versions would grant the wrong slot again.
         """
         fallback: RankedItem | None = None
         for ranked in by_urgency(self._pending_items(jobs, now)):
@@ -145,11 +145,8 @@
                 ranked
             ):
                 continue
-            others = self._continuing_targets(ranked, target)
-            if not others:
+            if not self._can_go_on_elsewhere(ranked, target):
                 return self._start(ranked, target)
-            if any(self._has_free_slot(one, now) for one in others):
-                continue
             fallback = fallback or ranked
         return fallback is not None and self._start(fallback, target)
 
@@ -159,16 +156,13 @@
             self._runs.start(ranked, route, target)
         return route is not None
 
-    def _continuing_targets(self, ranked: RankedItem, target: Target) -> list[Target]:
-        """Return the targets that can continue an item that would start over here."""
+    def _can_go_on_elsewhere(self, ranked: RankedItem, target: Target) -> bool:
+        """Whether an item would start over here and can go on at a listed target."""
         progress = ranked.state.progress
         if progress.goes_on_at(target.origin):
-            return []
+            return False
         listed = self._fleet.targets.of_service(target.service)
-        return [one for one in listed if progress.goes_on_at(one.origin)]
-
-    def _has_free_slot(self, target: Target, now: float) -> bool:
-        return self._fleet.takes_items(target.id, now) and not self.is_full(target)
+        return any(progress.goes_on_at(one.origin) for one in listed)
 
     def _pending_items(self, jobs: Iterable[HeldJob], now: float) -> list[RankedItem]:
         pending: list[RankedItem] = []
--- a/tests/gateway/test_item_versions.py
+++ b/tests/gateway/test_item_versions.py
@@ -142,3 +142,25 @@
     )
     assert instance.keeper._slots.start_item(held.values(), other, now)
     assert started[0][0] not in begun
+
+
+# Guards against items that never finish: each slot granted to them was declined while a
+# target of their version had a free one, and the granter granted the same slot again.
+async def test_an_item_starts_over_rather_than_decline_its_slot(world: World) -> None:
+    await add_runner(world, "v1", slots=4)
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, "j1", ["x1"])
+    held = instance.keeper.held_by_id
+    await until(lambda: "j1" in held and held["j1"].states[0].progress.event > 10)
+    target = instance.fleet.targets.find_by_name("i-0")
+    other = target.replace(id="i-1", name="i-1", software_version=NEW_VERSION)
+    instance.fleet.targets.put(other)
+    (state,) = held["j1"].states
+    instance.granting.request_and_grant = lambda jobs, now: None
+    state.cancel()
+    await until(lambda: not state.target)
+    now = asyncio.get_running_loop().time()
+    assert instance.keeper._slots.start_item(held.values(), other, now)
+    assert state.target == "i-1"
+    assert state.progress.event == 0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,6 +39,22 @@
     assert tally.taken_up
 
 
+# An item was never done: its slots were declined as long as a target of its software
+# version had a free one, and the granter granted the same slots again.
+RELEASES_IN_STOPS = [46213]
+
+
+@pytest.mark.parametrize("seed", RELEASES_IN_STOPS)
+async def test_every_item_is_done_in_a_release_beside_planned_stops(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(
+        seed, seconds=12.0, folder=tmp_path, stops=True, release=True
+    )
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.accepted
+
+
 # A request that ends each target that runs it comes again every third of a second,
 # beside all other faults. Without word between instances it ended 14 to 16 in these
 # seconds, and a quarter of the other requests were answered.
