Start an item of the own interface over rather than decline a place

Items went back to a failing target for ever and were never done. A place elsewhere was declined while an own target of the version that had begun the item seemed to have room; one that refuses everything always seems so.

--- a/src/caperridge/instance/batch_streams.py
+++ b/src/caperridge/instance/batch_streams.py
@@ -263,46 +263,30 @@
             now,
         )
         for _ in range(min(starts.count, len(waiting))):
-            work = self._next_for(target, service, waiting)
-            if work is None:
-                break
-            self._start(work, target)
+            self._start(self._take_next(target, waiting), target)
         if starts.count:
             self._not_before_by_target[target] = now + starts.retry_delay_s
         return now + starts.retry_delay_s
 
-    def _next_for(
-        self, target: str, service: Service, waiting: deque[ItemWork]
-    ) -> ItemWork | None:
-        """Take the next item for ``target`` out of ``waiting``; None if there is none.
+    def _take_next(self, target: str, waiting: deque[ItemWork]) -> ItemWork:
+        """Take the next item for ``target`` out of ``waiting``, which has some.
 
-        Tokens of another software version are dropped only if no other item waits, and
-        not while the item can go on at another own target.
+        Tokens of another software version are dropped only if no other item waits. No
+        place is declined for them: the target that could continue them may be failing.
         """
         version = self._software_version(target)
-        fallback: ItemWork | None = None
+        chosen = waiting[0]
         for work in waiting:
-            if work.goes_on_at(version) or not self._listed_with(work):
-                waiting.remove(work)
-                return work
-            if fallback is None and not self._goes_on_elsewhere(work, service):
-                fallback = work
-        if fallback is not None:
-            waiting.remove(fallback)
-        return fallback
-
-    def _listed_with(self, work: ItemWork) -> bool:
-        """Whether an own target can continue the tokens of ``work``, free or not."""
-        return any(
-            work.goes_on_at(self._software_version(target))
-            for target in self.own.by_service.get(work.service, ())
-        )
+            if work.goes_on_at(version) or not self._can_go_on(work):
+                chosen = work
+                break
+        waiting.remove(chosen)
+        return chosen
 
-    def _goes_on_elsewhere(self, work: ItemWork, service: Service) -> bool:
-        """Whether an own target can continue the tokens of ``work`` now."""
+    def _can_go_on(self, work: ItemWork) -> bool:
+        """Whether an own target can continue the tokens of ``work``, free or not."""
         return any(
             work.goes_on_at(self._software_version(target))
-            and self._startable(target, service) > self._running.count(target)
             for target in self.own.by_service.get(work.service, ())
         )
 
