--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -110,6 +110,16 @@
     targets_table: str
     load_path: str
 
+    def prompt_parts(self, headers: Mapping[str, str]) -> list[str]:
+        """Return the ids of the parts of a request's prompt, in order.
+
+        The last part belongs to the request itself, the others may be shared.
+
+        Args:
+            headers: of the request; names are matched case-insensitively.
+        """
+        return []
+
     @abstractmethod
     def configuration(self, value: bytes) -> RoutingTable:
         """Return the configuration in a row's value.
--- a/src/caperridge/gateway/fingerprint.py
+++ b/src/caperridge/gateway/fingerprint.py
@@ -3,11 +3,15 @@
 Each try of a caller has its own id. The content (method, host, path and body) stays the
 same, and usually so do the headers that identify the caller. Callers whose headers are
 all the same count as one, because a balancer may hide their addresses.
+
+Different requests that share a part of their prompts are recognised by that part.
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from typing import Any
 
+from caperridge.decisions.suspect_keys import part_keys
 from caperridge.records import Record
 
 CONTENT_BYTES = 12
@@ -20,13 +24,23 @@
     Attributes:
         content: hash of method, host, path and body, in hex.
         caller: hash of the headers that a caller repeats at each try, in hex.
+        parts: keys of the parts of its prompt that other requests may share.
     """
 
-    __slots__ = ("caller", "content")
+    __slots__ = ("caller", "content", "parts")
 
-    def __init__(self, content: str, caller: str) -> None:
+    def __init__(self, content: str, caller: str, parts: tuple[str, ...] = ()) -> None:
         self.content = content
         self.caller = caller
+        self.parts = parts
+
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields that identify the request in a line of the log."""
+        return {"content": self.content, "caller": self.caller, "parts": self.parts}
+
+    def has_key(self, key: str) -> bool:
+        """Whether a suspect of this key covers the request."""
+        return key == self.content or key in self.parts
 
 
 def fingerprint_of(
@@ -36,6 +50,7 @@
     body: bytes,
     headers: Iterable[tuple[str, str]],
     volatile: frozenset[str],
+    prompt_parts: Sequence[str] = (),
 ) -> Fingerprint:
     """Return the fingerprint of a request.
 
@@ -46,6 +61,7 @@
         body: the complete body.
         headers: those that are forwarded.
         volatile: lower-case names of headers that differ from try to try.
+        prompt_parts: ids of the parts of its prompt, in order; empty if unknown.
 
     >>> sent = [("X-Id", "1"), ("X-Team", "a")]
     >>> one = fingerprint_of("POST", "h", "/p", b"?", sent, frozenset({"x-id"}))
@@ -66,4 +82,4 @@
     caller = hashlib.blake2b(
         repr(stable).encode(errors="surrogateescape"), digest_size=CALLER_BYTES
     )
-    return Fingerprint(content.hexdigest(), caller.hexdigest())
+    return Fingerprint(content.hexdigest(), caller.hexdigest(), part_keys(prompt_parts))
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -146,6 +146,7 @@
                 request.body,
                 end_to_end_headers(request.headers, frozenset()).items(),
                 self._dialect.per_attempt_headers,
+                self._dialect.prompt_parts(request.headers),
             )
         return state.fingerprint
 
@@ -281,8 +282,7 @@
         identity = {}
         if isinstance(error, Lost):
             # Each try has another id; these identify repeats of a lost request.
-            fingerprint = self._fingerprint(request, state)
-            identity = {"content": fingerprint.content, "caller": fingerprint.caller}
+            identity = self._fingerprint(request, state).log_fields()
         log.info(
             "attempt failed",
             request=request.id,
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -4,6 +4,7 @@
 import functools
 from collections.abc import Callable, Container
 
+from multidict import CIMultiDict
 from result import Err
 
 from caperridge.decisions.stream_origins import StreamOrigin
@@ -119,7 +120,13 @@
             headers += [(name, value) for name, value in item.headers]
             changing = self._dialect.per_attempt_headers
             ranked.state.fingerprint = fingerprint_of(
-                "POST", entry.host, item.path, item.body, headers, changing
+                "POST",
+                entry.host,
+                item.path,
+                item.body,
+                headers,
+                changing,
+                self._dialect.prompt_parts(CIMultiDict(headers)),
             )
         return ranked.state.fingerprint
 
@@ -231,11 +238,7 @@
         self._metrics.items.labels(outcome).inc()
         suspect_fields = {}
         if isinstance(error, Lost):
-            run_fingerprint = self._fingerprint(ranked)
-            suspect_fields = {
-                "content": run_fingerprint.content,
-                "caller": run_fingerprint.caller,
-            }
+            suspect_fields = self._fingerprint(ranked).log_fields()
         log.info(
             "item run ended",
             job=job.entry.id,
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -97,6 +97,11 @@
     def __init__(self, quota_window_s: float = DEFAULT_WINDOW_S) -> None:
         self._quota_window_s = quota_window_s
 
+    def prompt_parts(self, headers: Mapping[str, str]) -> list[str]:
+        """See :meth:`Dialect.prompt_parts`."""
+        stated = headers.get("X-Prompt-Prefix", "")
+        return [part.strip().partition(":")[0] for part in stated.split(",") if part]
+
     def configuration(self, value: bytes) -> RoutingTable:
         """See :meth:`Dialect.configuration`."""
         try:
