--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,8 @@
 ASK_S = 6.0
 TAKE_UPS = 3
 EVENT_END = b"\n\n"
+FIRST_PART = "a0"
+MIDDLE_PARTS = 3
 
 
 class Tally:
@@ -139,6 +141,7 @@
         self._tally.sent.add(id)
         path = "/once/1" if once else "/ask/1"
         headers = {"X-Request-Id": id, "X-Deadline-Ms": "5000"}
+        headers |= prompt(id)
         drops = not once and self._take_up_chance.random() < self._drop_ratio
         answer = await self._call(
             self._any(), "POST", path, headers, b"question", drops
@@ -171,7 +174,7 @@
                 "X-Deadline-Ms": "5000",
                 "Last-Event-Id": str(len(data)),
                 "Resumes": stream,
-            }
+            } | prompt(stream)
             instance = self._take_up_chance.choice(self._town.instances)
             answer = await self._call(instance, "POST", path, headers, b"question")
             if answer is None:
@@ -264,6 +267,13 @@
         self._tally.broken.append(what)
 
 
+def prompt(id: str, middle: str = "") -> dict[str, str]:
+    """Return the header with the parts of a prompt; the last is of ``id`` only."""
+    middle = middle or f"b{sum(id.encode()) % MIDDLE_PARTS}"
+    own = id.encode().hex()
+    return {"X-Prompt-Prefix": f"{FIRST_PART}:100,{middle}:50,{own}:20"}
+
+
 def _complete_events(answer: Answer) -> list[str]:
     """Return the data of the events that came whole."""
     end = answer.body.rfind(EVENT_END)
--- a/tests/soak/fatal.py
+++ b/tests/soak/fatal.py
@@ -1,4 +1,4 @@
-"""A request that ends each target that runs it, sent again and again."""
+"""Requests that end each target that runs them, sent again and again."""
 
 import asyncio
 import random
@@ -7,12 +7,14 @@
 
 from gateway.conftest import HOST
 from gateway.runner_standin import Run
-from soak.callers import NOT_RUN, Tally
+from soak.callers import NOT_RUN, Tally, prompt
 from soak.diary import EVERYBODY, now
 from soak.town import Town
 
 BODY = b"ends whoever runs it"
 ENOUGH = 3
+ENOUGH_FOR_PART = 5
+FATAL_PART = "bad0"
 # What is sent later than this after the third end counts, and so many are allowed.
 CONTACT_S = 3.0
 MOST_LATER = 3
@@ -22,6 +24,9 @@
 class FatalCaller:
     """Sends one request, each time with another id, to any instance.
 
+    Attributes:
+        enough: ends after which it has to be known.
+
     Args:
         town: whose targets it ends.
         tally: of what callers saw.
@@ -29,6 +34,7 @@
     """
 
     def __init__(self, town: Town, tally: Tally, chance: random.Random) -> None:
+        self.enough = ENOUGH
         self._town = town
         self._tally = tally
         self._chance = chance
@@ -57,17 +63,25 @@
     async def _ask(self, session: aiohttp.ClientSession, id: str) -> None:
         one = self._chance.choice(self._town.instances)
         headers = {"Host": HOST, "X-Request-Id": id, "X-Deadline-Ms": "5000"}
+        headers |= self._prompt(id)
         url = f"http://{one.callers}/once/1"
+        body = self._body(id)
         try:
-            async with session.post(url, data=BODY, headers=headers) as response:
+            async with session.post(url, data=body, headers=headers) as response:
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
         if response.status in NOT_RUN:
             self._tally.refused.add(id)
 
+    def _body(self, id: str) -> bytes:
+        return BODY
+
+    def _prompt(self, id: str) -> dict[str, str]:
+        return {}
+
     def _is_fatal(self, run: Run) -> bool:
-        if run.body != BODY:
+        if not run.body.startswith(BODY):
             return False
         self._began.append(now())
         return True
@@ -81,11 +95,33 @@
 
     def _check(self) -> None:
         self._tally.targets_ended = len(self._ended)
-        if len(self._ended) < ENOUGH:
+        if len(self._ended) < self.enough:
             return
-        known_by = sorted(self._ended)[ENOUGH - 1] + CONTACT_S
+        known_by = sorted(self._ended)[self.enough - 1] + CONTACT_S
         later = sum(1 for at in self._began if at > known_by)
         if later > MOST_LATER:
             self._tally.broken.append(
-                f"a request that had ended {ENOUGH} targets ran {later} times later"
+                f"what had ended {self.enough} targets ran {later} times later"
             )
+
+
+class FatalPartCaller(FatalCaller):
+    """Sends requests that are all different but for one part of their prompts.
+
+    Sound requests share the first part with them.
+
+    Args:
+        town: whose targets it ends.
+        tally: of what callers saw.
+        chance: draws when and where.
+    """
+
+    def __init__(self, town: Town, tally: Tally, chance: random.Random) -> None:
+        super().__init__(town, tally, chance)
+        self.enough = ENOUGH_FOR_PART
+
+    def _body(self, id: str) -> bytes:
+        return BODY + id.encode()
+
+    def _prompt(self, id: str) -> dict[str, str]:
+        return prompt(id, FATAL_PART)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 import typer
 
 from soak.callers import NOT_RUN, Callers, Tally
-from soak.fatal import FatalCaller
+from soak.fatal import FatalCaller, FatalPartCaller
 from soak.faults import inject, release_slowly
 from soak.kept import KeptCallers, KeptRequest
 from soak.stops import check_stops, series
@@ -72,6 +72,7 @@
     grace_s: float = 4.0,
     fatal: bool = False,
     release: bool = False,
+    fatal_part: bool = False,
 ) -> tuple[Tally, list[str]]:
     """Run one soak; return what callers saw and which faults came.
 
@@ -84,6 +85,7 @@
             faults, while callers use kept connections.
         grace_s: that instances have to stop.
         fatal: whether a request that ends targets comes again and again.
+        fatal_part: whether different requests with a part that ends targets come.
         release: whether targets are replaced by ones of other software versions, in
             slow steps.
     """
@@ -107,8 +109,9 @@
     try:
         await asyncio.sleep(1.5)
         ending = None
-        if fatal:
-            caller = FatalCaller(town, tally, random.Random(seed + 3))
+        if fatal or fatal_part:
+            kind = FatalPartCaller if fatal_part else FatalCaller
+            caller = kind(town, tally, random.Random(seed + 3))
             ending = asyncio.ensure_future(caller.use(seconds))
         releasing = None
         if release:
@@ -169,6 +172,7 @@
     grace_s: float = 4.0,
     fatal: bool = False,
     release: bool = False,
+    fatal_part: bool = False,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -178,7 +182,17 @@
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         tally, faults = asyncio.run(
-            soak(seed, seconds, folder, instances, stops, grace_s, fatal, release)
+            soak(
+                seed,
+                seconds,
+                folder,
+                instances,
+                stops,
+                grace_s,
+                fatal,
+                release,
+                fatal_part,
+            )
         )
         word = "broken" if tally.broken else "kept"
         typer.echo(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -71,6 +71,21 @@
     assert tally.answered > tally.asked / 2
 
 
+# Different requests that share a part of their prompts end each target that begins to
+# write on it. Judged by the whole request, each was at one end, and none was held.
+FATAL_PARTS = [9100]
+
+
+@pytest.mark.parametrize("seed", FATAL_PARTS)
+async def test_a_prompt_part_that_ends_targets_is_kept_from_them(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(seed, seconds=12.0, folder=tmp_path, fatal_part=True)
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.targets_ended >= 3
+    assert tally.answered > tally.asked / 2
+
+
 # Requests were read by a stopping instance and never answered: closing its door left
 # idle connections of callers open, and what came on them was read and dropped until the
 # process ended, a second later where a stream still ran. The callers of the soak opened
