--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -341,7 +341,8 @@
     await send_fatal(fleet, numbers, count=CRASH_THRESHOLD)
     assert crash_count(fleet) == CRASH_THRESHOLD
     assert (await asking[0]).status == 502
-    await until(lambda: [run.cut for run in waiting.runs] == [True, False], 1.0)
+    cut = {"r0": True, "r1": False}
+    await until(lambda: {run.id: run.cut for run in waiting.runs} == cut, 1.0)
     asking[1].cancel()
 
 
