--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -100,6 +100,12 @@
         self._pending[content] = None
         self._wake.set()
 
+    def schedule_missing_write(self, content: str) -> None:
+        """Write the row of a content soon if no quarantine of it is stored yet."""
+        row = self.copy.rows_by_key.get(_key(content))
+        if row is None or not from_bytes(HeldRow, row.value).since:
+            self.schedule_write(content)
+
     async def run(self) -> None:
         """Write changed rows until cancelled."""
         while True:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from caperridge.decisions.quarantine import SETTLE_S, Quarantine
-from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect
+from caperridge.decisions.suspects import Hold, LostRun, Suspect
 from caperridge.elapsed import elapsed_s
 from caperridge.gateway.exoneration import Exoneration
 from caperridge.gateway.fingerprint import Fingerprint
@@ -21,6 +21,7 @@
 from caperridge.gateway.mesh.messages import Suspects, TargetEnded
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.rows import StoredRow
+from caperridge.gateway.suspect_reports import decode, encode, log_fields
 from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.targets import Target
 from caperridge.log import logger
@@ -35,11 +36,11 @@
 # several targets is sent to one more.
 MAX_EVALUATION_WAIT_S = 0.3
 MIN_RETRY_AFTER_S = 0.5
+# Until another instance stores a quarantine that its reporters have not stored.
+MIN_BACKUP_WRITE_DELAY_S = 1.0
 # A part of a prompt crashes targets as they begin to write; a run that wrote more
 # events than this was lost to another cause.
 MAX_EVENTS_BEFORE_CRASH = 2
-# Crashes under one request in a line of the log.
-MAX_LOGGED_CRASHES = 4
 
 
 class QuarantineRefusal(Record):
@@ -152,12 +153,12 @@
                 log.warning(
                     "trial of quarantined request",
                     request=request,
-                    **_log_fields(suspect),
+                    **log_fields(suspect),
                 )
                 continue
             self._metrics.held_requests.labels("refused").inc()
             log.info(
-                "quarantined request refused", request=request, **_log_fields(suspect)
+                "quarantined request refused", request=request, **log_fields(suspect)
             )
             now = elapsed_s()
             remaining_s = (suspect.hold or hold).next_due(now) - now
@@ -237,7 +238,7 @@
     def _after_good_run(self, content: str, reported_by: str) -> None:
         """Log and store that a suspect ran well."""
         suspect = self.quarantine.by_content[content]
-        log.info("suspect ran well", reported_by=reported_by, **_log_fields(suspect))
+        log.info("suspect ran well", reported_by=reported_by, **log_fields(suspect))
         self.rows.schedule_write(content)
         self._update_gauge()
 
@@ -266,11 +267,26 @@
 
     def _evaluate(self) -> None:
         for suspect in self.quarantine.evaluate(elapsed_s()):
-            log.warning("request put in quarantine", **_log_fields(suspect))
-            self.rows.schedule_write(suspect.content)
+            log.warning("request put in quarantine", **log_fields(suspect))
+            self._store_hold(suspect)
             self._update_gauge()
             self.on_quarantined(suspect.content)
 
+    def _store_hold(self, suspect: Suspect) -> None:
+        """Store a quarantine; in a large fleet at first where a crash was reported.
+
+        All instances come to the same conclusion, and hundreds of them would write the
+        same row. The others write it only if it has not appeared by then.
+        """
+        here = self._mesh.instance
+        reported_here = any(crash.reported_by == here for crash in suspect.crashes)
+        if reported_here or not self._mesh.large:
+            self.rows.schedule_write(suspect.content)
+            return
+        delay_s = MIN_BACKUP_WRITE_DELAY_S * (1 + self._fleet.rng.random())
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.rows.schedule_missing_write, suspect.content)
+
     def _update_gauge(self) -> None:
         self._metrics.quarantine.set(len(self.quarantine.quarantined()))
 
@@ -279,23 +295,15 @@
     def _suspects_message(self) -> Suspects:
         now = elapsed_s()
         suspects = sorted(self.quarantine.by_content.values(), key=_is_not_quarantined)
-        return Suspects([_encode(one, now) for one in suspects[:MAX_GOSSIP_ENTRIES]])
+        return Suspects([encode(one, now) for one in suspects[:MAX_GOSSIP_ENTRIES]])
 
     def _receive_suspects(self, peer: str, report: Suspects) -> None:
         now = elapsed_s()
-        for content, crashes, hold in report.suspects:
-            reported = [
-                Crash(target, caller, age_s, events, now - ago_s, by)
-                for target, caller, age_s, events, ago_s, by in crashes
-            ]
-            reported_hold = None
-            if hold:
-                callers, since_s, trials, trial_in_s = hold
-                since, trial_at = now - since_s, now + trial_in_s
-                reported_hold = Hold(frozenset(callers), since, trials, trial_at)
-            if not self.quarantine.merge(content, reported, reported_hold):
+        for entry in report.suspects:
+            content, crashes, hold = decode(entry, now)
+            if not self.quarantine.merge(content, crashes, hold):
                 continue
-            fields = _log_fields(self.quarantine.by_content[content])
+            fields = log_fields(self.quarantine.by_content[content])
             log.info("suspect reported", reported_by=peer, **fields)
             self._schedule_evaluation()
             self._update_gauge()
@@ -322,7 +330,7 @@
 
     def state(self) -> list[dict[str, Any]]:
         """Return the quarantined requests, for the state dump."""
-        return [_log_fields(suspect) for suspect in self.quarantine.quarantined()]
+        return [log_fields(suspect) for suspect in self.quarantine.quarantined()]
 
 
 def _suspects(fingerprint: Fingerprint, age_s: float, events: int) -> list[LostRun]:
@@ -344,43 +352,3 @@
 
 def _is_not_quarantined(suspect: Suspect) -> bool:
     return suspect.hold is None
-
-
-def _log_fields(suspect: Suspect) -> dict[str, Any]:
-    """Return the log fields that describe a suspect."""
-    now = elapsed_s()
-    hold = suspect.hold
-    return {
-        "content": suspect.content,
-        "ends": [
-            {
-                "target": crash.target,
-                "caller": crash.caller,
-                "age_s": round(now - crash.at, 3),
-                "reported_by": crash.reported_by,
-            }
-            for crash in suspect.crashes[-MAX_LOGGED_CRASHES:]
-        ],
-        "ends_known": len(suspect.crashes),
-        "callers": sorted(hold.callers) if hold is not None else None,
-        "held_s": round(now - hold.since, 3) if hold is not None else None,
-        "trials": hold.trials if hold is not None else 0,
-        "trial_in_s": round(hold.next_due(now) - now, 3) if hold is not None else None,
-    }
-
-
-def _encode(suspect: Suspect, now: float) -> list[Any]:
-    """Return the entry of a suspect in a :class:`Suspects` message."""
-    hold = suspect.hold
-    ends = [
-        [e.target, e.caller, e.age_s, e.events, round(now - e.at, 3), e.reported_by]
-        for e in suspect.crashes
-    ]
-    if hold is None:
-        return [suspect.content, ends, []]
-    callers = sorted(hold.callers)
-    return [
-        suspect.content,
-        ends,
-        [callers, now - hold.since, hold.trials, hold.trial_at - now],
-    ]
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -14,6 +14,7 @@
 
 from caperridge.decisions import suspects
 from caperridge.gateway import exoneration, held_rows, request_guard
+from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, job_body, until
@@ -23,6 +24,7 @@
     busy,
     completed,
     crash_count,
+    stored_holds,
     stored_suspects,
 )
 
@@ -387,3 +389,43 @@
         receive(peer, message)
 
     instance.mesh.register(SoundRuns, handle)
+
+
+@pytest.mark.parametrize("reporter_writes", [True, False])
+async def test_in_a_large_fleet_one_instance_stores_a_quarantine(
+    fleet: World,
+    numbers: Iterator[int],
+    monkeypatch: pytest.MonkeyPatch,
+    reporter_writes: bool,
+) -> None:
+    """Guards against hundreds of instances that all write the row of one quarantine.
+
+    If the instance that reported the crashes does not store it, another one does.
+    """
+    monkeypatch.setattr(Mesh, "large", property(lambda mesh: True))
+    reporter, *others = fleet.instances
+    if not reporter_writes:
+        monkeypatch.setattr(reporter.guard.rows, "schedule_write", lambda key: None)
+    scheduled: list[str] = []
+    for instance in others:
+        monkeypatch.setattr(instance.guard.rows, "_pending", Recorded(scheduled))
+    for number in itertools.islice(numbers, CRASH_THRESHOLD):
+        await ask(fleet, reporter, number, "a0", FATAL_PART)
+        await all_know(fleet)
+        await fleet.replace_crashed()
+    await until(lambda: all(blamed_parts_of(one) for one in fleet.instances))
+    await until(lambda: stored_holds(fleet) == 1)
+    await asyncio.sleep(2 * request_guard.MIN_BACKUP_WRITE_DELAY_S)
+    assert bool(scheduled) is not reporter_writes
+
+
+class Recorded(dict[str, None]):
+    """Pending writes that also records their keys."""
+
+    def __init__(self, keys: list[str]) -> None:
+        super().__init__()
+        self._keys = keys
+
+    def __setitem__(self, key: str, value: None) -> None:
+        self._keys.append(key)
+        super().__setitem__(key, value)
