--- a/src/caperridge/measure/part_fleet.py
+++ b/src/caperridge/measure/part_fleet.py
@@ -100,7 +100,7 @@
         self.up = True
         self.reserved = False
         self.fatal = True
-        self.runs: set[Any] = set()
+        self.runs: dict[Any, None] = {}
         self._name = f"t-{number}"
         self._lives = 0
         self.listed = self._next_life()
--- a/src/caperridge/measure/part_serving.py
+++ b/src/caperridge/measure/part_serving.py
@@ -183,8 +183,8 @@
             self._record_run(instance, request, known, sent_at)
             lost, events = await self._run(target, request)
             await asyncio.sleep(network.delay_s(instance.zone, target.zone))
+        age_s = loop.time() - sent_at
         if lost:
-            age_s = loop.time() - sent_at
             instance.guard.record_lost_run(listed, known, age_s, events)
         else:
             instance.guard.record_good_run(known)
@@ -262,7 +262,7 @@
         """Run a request; return whether it was lost, and its events."""
         loop = asyncio.get_running_loop()
         run = Run(request, self._chance.uniform(*PREFILL_S))
-        target.runs.add(run)
+        target.runs[run] = None
         if request.fatal and target.fatal:
             end = loop.call_later(run.prefill_s, self.crash, target, request.fatal)
         else:
@@ -272,7 +272,7 @@
             return await run.over
         finally:
             end.cancel()
-            target.runs.discard(run)
+            target.runs.pop(run, None)
 
     def crash(self, target: ModelTarget, fatal: str = "") -> None:
         """Crash a target; its runs are lost, and it is back after some seconds."""
