--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -13,8 +13,10 @@
 GOOD_RUN_TTL_S = 10.0
 QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 6
 # Most requests of a route share their first part, so holding it by mistake would refuse
-# all of them.
+# all of them. No part needs more: a small fleet has few targets left by then, and the
+# next crash may come much later.
 FIRST_PART_QUARANTINE_THRESHOLD = 5
+PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 5
 # Reports about one target within this time describe the same crash, since a target
 # takes seconds to restart.
 SAME_CRASH_WINDOW_S = 1.5
@@ -278,10 +280,12 @@
 
     def _threshold(self, now: float) -> int:
         """Return the number of crashes at which all callers are refused."""
-        threshold = _crash_threshold(now - self.last_good_run_at)
         if self.position == 0:
-            return max(threshold, FIRST_PART_QUARANTINE_THRESHOLD)
-        return threshold
+            return FIRST_PART_QUARANTINE_THRESHOLD
+        threshold = _crash_threshold(now - self.last_good_run_at)
+        if self.position is None:
+            return threshold
+        return min(threshold, PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN)
 
     @property
     def evaluation_order(self) -> tuple[bool, int, float, float]:
--- a/tests/policy/test_quarantined_parts.py
+++ b/tests/policy/test_quarantined_parts.py
@@ -12,6 +12,7 @@
 from caperridge.decisions.suspects import (
     FIRST_PART_QUARANTINE_THRESHOLD,
     GOOD_RUN_TTL_S,
+    PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN,
     QUARANTINE_THRESHOLD,
     QUARANTINE_THRESHOLD_AFTER_GOOD_RUN,
     Crash,
@@ -20,6 +21,8 @@
 )
 from policy.test_quarantine import Fleet
 
+# Crashes under one part after which callers expect it to be known.
+MOST_CRASHES = 5
 FATAL, FIRST = part_keys(["first", "fatal", "own"])
 OTHER, _ = part_keys(["first", "other", "own"])
 
@@ -106,12 +109,25 @@
     fleet.crash(*lost("before", OTHER))
     fleet.record_good_run(OTHER, "")
     fleet.now += 0.1
-    for number in range(QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
+    for number in range(PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
         assert not held(fleet)
         crash_with(fleet, lost(f"c{number}", OTHER))
     assert held(fleet) == {OTHER}
 
 
+@pytest.mark.parametrize("part", [FATAL, FIRST])
+def test_a_part_that_was_sound_is_known_by_the_fifth_crash(
+    fleet: Fleet, part: str
+) -> None:
+    """A new version may make it fatal, and leave few targets for a sixth crash."""
+    fleet.crash(*lost("before", part))
+    fleet.record_good_run(part, "")
+    fleet.now += 0.1
+    for number in range(MOST_CRASHES):
+        crash_with(fleet, lost(f"c{number}", part))
+    assert held(fleet) == {part}
+
+
 def test_a_part_that_runs_well_between_crashes_is_never_blamed(fleet: Fleet) -> None:
     for number in range(4 * QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
         crash_with(fleet, lost(f"c{number}", FIRST))
