--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -119,9 +119,15 @@
         return suspect.hold
 
     def merge(self, content: str, crashes: list[Crash], hold: Hold | None) -> bool:
-        """Merge crashes and a hold known elsewhere; return whether any is new."""
+        """Merge crashes and a hold known elsewhere; return whether any is new.
+
+        What is known elsewhere may be from before the cause of its crashes was found.
+        """
         suspect = self.by_content.setdefault(content, Suspect(content))
-        changed = suspect.merge(crashes, hold)
+        unexplained = [
+            one for one in crashes if not self._is_explained(one.target, one.at, content)
+        ]
+        changed = suspect.merge(unexplained, hold)
         if changed and suspect.crashes:
             newest_at = suspect.crashes[-1].at
             self._newest_at = max(newest_at, self._newest_at or newest_at)
--- a/tests/policy/test_quarantined_parts.py
+++ b/tests/policy/test_quarantined_parts.py
@@ -145,6 +145,20 @@
     assert fresh.by_content[FATAL].position == 1
 
 
+@pytest.mark.parametrize("bystander", [FIRST, "moved"])
+def test_what_peers_knew_of_a_bystander_before_does_not_count(
+    fleet: Fleet, bystander: str
+) -> None:
+    """Rows of the store and first messages may be older than the quarantine."""
+    crash_with(fleet, lost("c0", FATAL, FIRST))
+    crash_with(fleet, lost("c1", FATAL, FIRST), lost("moved"))
+    crashes = list(fleet.quarantine.by_content[bystander].crashes)
+    crash_with(fleet, lost("c2", FATAL, FIRST), lost("moved"))
+    assert held(fleet) == {FATAL}
+    assert not fleet.quarantine.merge(bystander, crashes, None)
+    assert not fleet.quarantine.by_content[bystander].crashes
+
+
 def test_crashes_long_ago_count_no_more(fleet: Fleet) -> None:
     for number in range(QUARANTINE_THRESHOLD - 1):
         crash_with(fleet, lost(f"c{number}", FATAL))
