--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -125,7 +125,9 @@
         """
         suspect = self.by_content.setdefault(content, Suspect(content))
         unexplained = [
-            one for one in crashes if not self._is_explained(one.target, one.at, content)
+            one
+            for one in crashes
+            if not self._is_explained(one.target, one.at, content)
         ]
         changed = suspect.merge(unexplained, hold)
         if changed and suspect.crashes:
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -289,12 +289,16 @@
 
     @property
     def evaluation_order(self) -> tuple[bool, int, float, float]:
-        """Sort key of evaluations: the narrowest first, then the least progress.
+        """Sort key of evaluations: the narrowest first, then the least progress."""
+        return (*self.width, *self.mean_progress)
+
+    @property
+    def width(self) -> tuple[bool, int]:
+        """Sort key by width, the narrowest first.
 
         A later part of a prompt is shared by fewer requests than an earlier one.
         """
-        is_part = self.position is not None
-        return (is_part, -(self.position or 0), *self.mean_progress)
+        return self.position is not None, -(self.position or 0)
 
     @property
     def mean_progress(self) -> tuple[float, float]:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -143,28 +143,30 @@
             request: its id, for the log.
         """
         self._evaluate()
-        # Those that are not due come first, so that no trial is claimed in vain.
+        holds = self._holds(fingerprint)
+        if not holds:
+            return None
         now = elapsed_s()
-        holds = sorted(self._holds(fingerprint), key=lambda one: -one[1].next_due(now))
-        for suspect, hold in holds:
-            if hold.is_due(elapsed_s()) and await self._claim_trial(suspect):
+        suspect, hold = max(holds, key=lambda one: one[1].next_due(now))
+        if hold.is_due(now):
+            # A crash would say nothing about the wider ones; their trials are left to
+            # requests that are held for nothing else.
+            suspect, hold = min(holds, key=_width)
+            if await self._claim_trial(suspect):
                 self._metrics.held_requests.labels("tried_again").inc()
                 log.warning(
                     "trial of quarantined request",
                     request=request,
                     **_log_fields(suspect),
                 )
-                continue
-            self._metrics.held_requests.labels("refused").inc()
-            log.info(
-                "quarantined request refused", request=request, **_log_fields(suspect)
-            )
-            now = elapsed_s()
-            remaining_s = (suspect.hold or hold).next_due(now) - now
-            return QuarantineRefusal(
-                _refusal_reason(suspect), max(MIN_RETRY_AFTER_S, remaining_s)
-            )
-        return None
+                return None
+        self._metrics.held_requests.labels("refused").inc()
+        log.info("quarantined request refused", request=request, **_log_fields(suspect))
+        now = elapsed_s()
+        remaining_s = (suspect.hold or hold).next_due(now) - now
+        return QuarantineRefusal(
+            _refusal_reason(suspect), max(MIN_RETRY_AFTER_S, remaining_s)
+        )
 
     async def wait_until_evaluated(self) -> None:
         """Wait until all crashes so far have been evaluated, or for a short time."""
@@ -342,6 +344,11 @@
     return f"{len(suspect.crashes)} targets ended while they ran {ran}"
 
 
+def _width(held: tuple[Suspect, Hold]) -> tuple[bool, int]:
+    suspect, _ = held
+    return suspect.width
+
+
 def _is_not_quarantined(suspect: Suspect) -> bool:
     return suspect.hold is None
 
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -13,6 +13,8 @@
 import pytest
 
 from caperridge.decisions import suspects
+from caperridge.decisions.suspect_keys import part_keys
+from caperridge.decisions.suspects import Hold
 from caperridge.gateway import exoneration, held_rows, request_guard
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
@@ -317,6 +319,28 @@
     await until(lambda: stored_suspects(fleet) == 0)
 
 
+async def test_a_trial_of_a_part_uses_up_none_of_a_wider_one(
+    fleet: World, numbers: Iterator[int], ahead: list[float]
+) -> None:
+    """The first part is held wrongly, and the next request has the fatal part, too."""
+    await send_fatal(fleet, numbers)
+    for instance in fleet.instances:
+        hold_first_part(instance, "a0")
+    await until(lambda: all(len(blamed_parts_of(one)) == 2 for one in fleet.instances))
+    ahead.append(TRIAL_DELAYS_S[0])
+    (answer,) = await send_fatal(fleet, numbers, count=1)
+    assert (answer.status, crash_count(fleet)) == (502, CRASH_THRESHOLD + 1)
+    await send_sound(fleet, numbers, "a0", "b0")
+
+
+def hold_first_part(instance: GatewayInstance, part: str) -> None:
+    """Put a first part in quarantine at an instance."""
+    _, first = part_keys([part, "any", "own"])
+    now = request_guard.elapsed_s()
+    hold = Hold(frozenset(), now, 0, now + TRIAL_DELAYS_S[0])
+    assert instance.guard.quarantine.merge(first, [], hold)
+
+
 def blamed_parts_of(instance: GatewayInstance) -> list[str]:
     """Return the keys of the parts in quarantine at an instance."""
     quarantined = instance.guard.quarantine.quarantined()
