--- a/src/caperridge/gateway/exoneration.py
+++ b/src/caperridge/gateway/exoneration.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +25,7 @@
 # delay, so that the first announcement suppresses the others; all arrive before the
 # request is evaluated.
 MAX_EXONERATION_DELAY_S = 0.8 * SETTLE_S
+MAX_GOOD_RUN_AGE_S = GOOD_RUN_TTL_S / 2
 # A good run of a part is one of any caller.
 ANY_CALLER = ""
 
@@ -51,35 +53,43 @@
         self._good_run_at_by_part: OrderedDict[str, float] = OrderedDict()
         mesh.register(SoundRuns, self._receive)
 
-    def record_good_run(self, fingerprint: Fingerprint) -> None:
-        """Record a run here that did not crash its target."""
+    def record_good_run(self, fingerprint: Fingerprint, age_s: float) -> None:
+        """Record a run that began here ``age_s`` ago and did not crash its target."""
         now = elapsed_s()
         key = fingerprint.content, fingerprint.caller
         _record(self._good_run_at, key, now, MAX_GOOD_RUNS)
         reported: list[list[Any]] = []
         if self._quarantine.record_good_run(*key, now, now):
             reported.append([*key, 0.0])
-        reported += self._record_parts(fingerprint, now)
+        reported += self._record_parts(fingerprint, age_s)
         self._report(reported)
 
-    def record_writing_run(self, fingerprint: Fingerprint) -> None:
+    def record_writing_run(self, fingerprint: Fingerprint, age_s: float) -> None:
         """Record a lost run that had written enough to exonerate its prompt parts."""
-        self._report(self._record_parts(fingerprint, elapsed_s()))
+        self._report(self._record_parts(fingerprint, age_s))
 
-    def _record_parts(self, fingerprint: Fingerprint, now: float) -> list[list[Any]]:
+    def _record_parts(self, fingerprint: Fingerprint, age_s: float) -> list[list[Any]]:
         """Record a good run of all prompt parts; return what to announce.
 
+        A part crashes targets as they begin to write, so a run says that its parts were
+        sound when it began, whenever it ends; a long one still counts as recent.
+
         Nearly all requests have popular parts, so a good run of a part is announced,
         and counts, only where one more crash could put the part in quarantine.
         """
+        now = elapsed_s()
+        began_at = now - min(age_s, MAX_GOOD_RUN_AGE_S)
         reported: list[list[Any]] = []
         for part in fingerprint.parts:
-            _record(self._good_run_at_by_part, part, now, MAX_GOOD_PARTS)
+            at = max(began_at, self._good_run_at_by_part.get(part, -math.inf))
+            _record(self._good_run_at_by_part, part, at, MAX_GOOD_PARTS)
             suspect = self._quarantine.by_content.get(part)
-            if suspect is None or not _needs_good_run(suspect, now):
+            if suspect is None or at <= suspect.last_good_run_at:
+                continue
+            if not _needs_good_run(suspect, now):
                 continue
-            self._quarantine.record_good_run(part, ANY_CALLER, now, now)
-            reported.append([part, ANY_CALLER, 0.0])
+            self._quarantine.record_good_run(part, ANY_CALLER, at, now)
+            reported.append([part, ANY_CALLER, round(now - at, 3)])
         return reported
 
     def _report(self, good_runs: list[list[Any]]) -> None:
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -137,8 +137,9 @@
             self._start_over(ranked, target)
         state.status = RUNNING
         state.target = target.id
+        began_at = asyncio.get_running_loop().time()
         if not state.progress.event and not state.started_at:
-            state.started_at = asyncio.get_running_loop().time()
+            state.started_at = began_at
         self._orders_by_target.setdefault(target.id, {})[state] = ranked.order
         self._update_occupancy(target.id, 1)
         self._fleet.notify_changed()
@@ -163,7 +164,7 @@
         # own code.
         state.task.add_done_callback(
             functools.partial(
-                self._run_done, ranked, route, target, state.progress.event
+                self._run_done, ranked, route, target, state.progress.event, began_at
             )
         )
 
@@ -203,6 +204,7 @@
         route: Route,
         target: Target,
         from_event: int,
+        began_at: float,
         task: "asyncio.Task[AttemptError | QuarantineRefusal | Renewal | None]",
     ) -> None:
         state = ranked.state
@@ -219,6 +221,9 @@
             outcome = Lost(repr(exception)) if exception is not None else task.result()
             resumes = isinstance(outcome, Renewal | QuarantineRefusal)
             error = None if resumes else outcome
+        if error is None and not resumes and state.status not in (DONE, LISTED):
+            age_s = asyncio.get_running_loop().time() - began_at
+            self._guard.record_good_run(self._fingerprint(ranked), age_s)
         self._record_outcome(ranked, route, target, error, resumes, from_event)
         self._fleet.notify_changed()
 
@@ -255,7 +260,6 @@
             return
         if error is None:
             self._fleet.record_success(target.id, now)
-            self._guard.record_good_run(self._fingerprint(ranked))
             since_s = now - state.started_at if state.started_at else 0.0
             self._fleet.run_lengths(target.service).record_item(
                 state.item.tokens, state.progress.event, since_s
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -184,7 +184,7 @@
     ) -> None:
         """Record a run whose answer was broken off by ``target``."""
         if events > MAX_EVENTS_BEFORE_CRASH:
-            self._exoneration.record_writing_run(fingerprint)
+            self._exoneration.record_writing_run(fingerprint, age_s)
         self._detector.record_lost_run(target, _suspects(fingerprint, age_s, events))
 
     def record_cancelled_run(
@@ -195,9 +195,9 @@
             target, _suspects(fingerprint, age_s, events=0)
         )
 
-    def record_good_run(self, fingerprint: Fingerprint) -> None:
-        """Record a run that did not crash its target."""
-        self._exoneration.record_good_run(fingerprint)
+    def record_good_run(self, fingerprint: Fingerprint, age_s: float) -> None:
+        """Record a run that began ``age_s`` ago and did not crash its target."""
+        self._exoneration.record_good_run(fingerprint, age_s)
 
     # Reports of peers and rows of the store.
 
--- a/src/caperridge/measure/part_serving.py
+++ b/src/caperridge/measure/part_serving.py
@@ -187,7 +187,7 @@
         if lost:
             instance.guard.record_lost_run(listed, known, age_s, events)
         else:
-            instance.guard.record_good_run(known)
+            instance.guard.record_good_run(known, age_s)
         return True, not lost
 
     def _choose(self, instance: ModelInstance) -> ModelTarget | None:
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -14,7 +14,10 @@
 
 from caperridge.decisions import suspects
 from caperridge.decisions.suspect_keys import part_keys
-from caperridge.decisions.suspects import Hold
+from caperridge.decisions.suspects import (
+    PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN,
+    Hold,
+)
 from caperridge.gateway import exoneration, held_rows, request_guard
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
@@ -179,6 +182,27 @@
     await send_sound(fleet, numbers, "a0", "b0")
 
 
+async def test_a_run_that_began_before_the_crashes_clears_none_of_them(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """The part has become fatal, and a run from before is not over yet."""
+    before, *others = fleet.runners
+    before.fatal = lambda run: False
+    before.hold_head = True
+    set_refusing(others, True)
+    asking = asyncio.ensure_future(
+        ask(fleet, fleet.instances[0], next(numbers), "a0", FATAL_PART)
+    )
+    await until(lambda: before.busy == 1)
+    set_refusing([before], True)
+    set_refusing(others, False)
+    await send_fatal(fleet, numbers, count=2)
+    before.hold_head = False
+    assert (await asking).status == 200
+    await send_fatal(fleet, numbers)
+    assert crash_count(fleet) == PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN
+
+
 async def test_items_with_the_part_are_sent_to_no_other_target(
     fleet: World, numbers: Iterator[int]
 ) -> None:
