--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -13,8 +13,10 @@
 GOOD_RUN_TTL_S = 10.0
 QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 6
 # Most requests of a route share their first part, so holding it by mistake would refuse
-# all of them.
+# all of them. No part needs more: a small fleet has few targets left by then, and the
+# next crash may come much later.
 FIRST_PART_QUARANTINE_THRESHOLD = 5
+PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 5
 # Reports about one target within this time describe the same crash, since a target
 # takes seconds to restart.
 SAME_CRASH_WINDOW_S = 1.5
@@ -278,19 +280,25 @@
 
     def _threshold(self, now: float) -> int:
         """Return the number of crashes at which all callers are refused."""
-        threshold = _crash_threshold(now - self.last_good_run_at)
         if self.position == 0:
-            return max(threshold, FIRST_PART_QUARANTINE_THRESHOLD)
-        return threshold
+            return FIRST_PART_QUARANTINE_THRESHOLD
+        threshold = _crash_threshold(now - self.last_good_run_at)
+        if self.position is None:
+            return threshold
+        return min(threshold, PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN)
 
     @property
     def evaluation_order(self) -> tuple[bool, int, float, float]:
-        """Sort key of evaluations: the narrowest first, then the least progress.
+        """Sort key of evaluations: the narrowest first, then the least progress."""
+        return (*self.width, *self.mean_progress)
+
+    @property
+    def width(self) -> tuple[bool, int]:
+        """Sort key by width, the narrowest first.
 
         A later part of a prompt is shared by fewer requests than an earlier one.
         """
-        is_part = self.position is not None
-        return (is_part, -(self.position or 0), *self.mean_progress)
+        return self.position is not None, -(self.position or 0)
 
     @property
     def mean_progress(self) -> tuple[float, float]:
