--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -217,7 +217,11 @@
         )
 
     def _was_reset(self) -> bool:
-        return self._protocol is not None and self._protocol.exception() is not None
+        # The library sets an exception at the end of every connection; only that of a
+        # reset is one of the system.
+        return self._protocol is not None and isinstance(
+            self._protocol.exception(), OSError
+        )
 
 
 class TargetClient:
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from gateway.unframed import UnframedResponse, reset
+
 DEFAULT_VERSION = "v1"
 
 
@@ -42,12 +44,15 @@
         pause_s: between events.
         slow_pause_s: between events of answers to paths that end in ``/slow``.
         break_after: events after which an answer breaks off; None for never.
+        break_bytes: of the next event that are sent before that.
+        break_resets: an answer breaks off with a reset, not with the end of its
+            connection.
         silent_after: events after which an answer falls silent; None for never.
         refuse: refuse requests as not run.
         status: of answers; other than 200 without events.
         lose: reset the connection instead of answering.
         wrong_id: answer with the id of another request.
-        unframed: answer without a length.
+        unframed: answer with neither a length nor chunks.
         runs: that were started.
         busy: requests that run now.
         max_busy: the largest value of ``busy`` so far.
@@ -74,6 +79,8 @@
         self.pause_s = 0.01
         self.slow_pause_s = 0.15
         self.break_after: int | None = None
+        self.break_bytes = b"id: "
+        self.break_resets = True
         self.silent_after: int | None = None
         self.refuse = False
         self.status = 200
@@ -172,13 +179,11 @@
             headers["X-Request-Id"] = "another"
         headers["X-Response-Stamp"] = f"stamp-{self.id}-{run.id}"
         if self.status != 200:
-            run.finished = True
-            return web.Response(status=self.status, headers=headers, text="failed")
+            return await self._fail(request, run, headers)
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         if self.unframed:
-            response.force_close()
-            response.headers["Connection"] = "close"
+            response = UnframedResponse(200, headers)
         await response.prepare(request)
         sent = 0
         fatal = self.fatal(run)
@@ -192,10 +197,9 @@
                 await self.crash()
                 return response
             if self.break_after is not None and sent >= self.break_after:
-                await response.write(b"id: ")
-                await asyncio.sleep(0.01)
-                request.transport.abort()
-                return response
+                await response.write(self.break_bytes)
+                await self._break_off(request.transport)
+                return web.Response()
             if self.silent_after is not None and sent >= self.silent_after:
                 run.silent = True
                 with contextlib.suppress(TimeoutError):
@@ -208,4 +212,27 @@
             await asyncio.sleep(self.slow_pause_s if slow else self.pause_s)
         await response.write_eof()
         run.finished = True
-        return response
+        return web.Response() if self.unframed else response
+
+    async def _fail(
+        self, request: web.Request, run: Run, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer with another status than 200, in one piece."""
+        run.finished = True
+        if not self.unframed:
+            return web.Response(status=self.status, headers=headers, text="failed")
+        response = UnframedResponse(self.status, headers)
+        await response.prepare(request)
+        await response.write(b"failed")
+        if self.break_after is not None:
+            await self._break_off(request.transport)
+        await response.write_eof()
+        return web.Response()
+
+    async def _break_off(self, transport: asyncio.Transport) -> None:
+        """End or reset a connection on which an answer is incomplete."""
+        await asyncio.sleep(0.01)  # what was written arrives first
+        if self.break_resets:
+            reset(transport)
+        else:
+            transport.close()
--- /dev/null
+++ b/tests/gateway/test_unframed_answers.py
@@ -0,0 +1,102 @@
+"""Answers of targets with neither a length nor chunks, ended by their connection."""
+
+import pytest
+import pytest_asyncio
+
+from gateway.conftest import World, until
+from gateway.runner_standin import RunnerStandin
+from gateway.test_jobs import listed
+
+BROKEN_AFTER = 2
+# How an answer breaks off: the bytes of the next event before it, and by a reset.
+BREAKS = {
+    "ended inside an event": (b"id: 3\ndata: part", False),
+    "reset inside an event": (b"id: 3\ndata: part", True),
+    "reset between events": (b"", True),
+}
+
+
+def break_off(runner: RunnerStandin, sent: bytes, resets: bool) -> None:
+    """Have a runner break off its answers after some events."""
+    runner.break_after = BROKEN_AFTER
+    runner.break_bytes = sent
+    runner.break_resets = resets
+
+
+@pytest_asyncio.fixture
+async def unframed(world: World) -> RunnerStandin:
+    """A runner whose answers are unframed, listed before an instance is ready."""
+    runner = await world.add_runner()
+    runner.unframed = True
+    await world.add_instance()
+    await world.ready()
+    return runner
+
+
+@pytest.mark.parametrize("path", ["/ask/1", "/once/1"])
+async def test_a_stream_that_ends_with_its_connection_is_complete(
+    world: World, unframed: RunnerStandin, path: str
+) -> None:
+    answer = await world.ask(world.instances[0], path, "r1")
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.data == unframed.text("r1")
+    assert len(unframed.runs) == 1
+
+
+async def test_an_answer_in_one_piece_that_ends_with_its_connection_is_complete(
+    world: World, unframed: RunnerStandin
+) -> None:
+    unframed.status = 500
+    answer = await world.ask(world.instances[0], "/once/1", "r1")
+    assert (answer.status, answer.body) == (500, b"failed")
+    assert answer.headers["X-Response-Stamp"] == "stamp-i-0-r1"
+
+
+async def test_an_answer_in_one_piece_that_is_reset_is_not_passed_on(
+    world: World, unframed: RunnerStandin
+) -> None:
+    unframed.status = 500
+    unframed.break_after = 0
+    answer = await world.ask(world.instances[0], "/once/1", "r1")
+    assert answer.status == 502
+    assert "X-Response-Stamp" not in answer.headers
+
+
+@pytest.mark.parametrize("framed", [False, True], ids=["unframed", "framed"])
+@pytest.mark.parametrize("how", BREAKS.values(), ids=BREAKS)
+async def test_a_stream_that_breaks_off_goes_on_after_the_last_whole_event(
+    world: World, unframed: RunnerStandin, how: tuple[bytes, bool], framed: bool
+) -> None:
+    unframed.unframed = not framed
+    break_off(unframed, *how)
+    second = await world.add_runner(zone="b")
+    second.unframed = True
+    await world.ready()
+    answer = await world.ask(world.instances[0], "/ask/1", "r1")
+    assert (answer.data, answer.whole) == (unframed.text("r1"), True)
+    assert [run.resumed_after for run in unframed.runs] == [0]
+    assert [run.resumed_after for run in second.runs] == [BROKEN_AFTER]
+
+
+@pytest.mark.parametrize("how", BREAKS.values(), ids=BREAKS)
+async def test_a_stream_that_may_not_be_repeated_never_looks_complete(
+    world: World, unframed: RunnerStandin, how: tuple[bytes, bool]
+) -> None:
+    break_off(unframed, *how)
+    answer = await world.ask(world.instances[0], "/once/1", "r1")
+    assert (answer.status, answer.whole) == (200, False)
+    assert answer.data == unframed.text("r1")[:BROKEN_AFTER]
+    assert len(unframed.runs) == 1
+
+
+@pytest.mark.parametrize("how", BREAKS.values(), ids=BREAKS)
+async def test_an_item_whose_answer_breaks_off_is_done_whole(
+    world: World, unframed: RunnerStandin, how: tuple[bytes, bool]
+) -> None:
+    break_off(unframed, *how)
+    instance = world.instances[0]
+    assert (await world.submit(instance, "j1", ["x1"])).status == 202
+    await until(lambda: len(unframed.runs) > 1)
+    unframed.break_after = None
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["message"] == "\n".join(unframed.text("x1"))
