--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -113,6 +113,9 @@
             return Lost(str(error), broken_off=True)
         except BrokenAnswerError as error:
             return Lost(str(error))
+        if answer.is_unframed and not (reply.started or state.last_event):
+            # Nothing marks its end, and each stream has an event.
+            return Lost("it ended before an event")
         if not reply.started:
             await reply.start(
                 answer.status, end_to_end_headers(answer.headers, frozenset())
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -156,7 +156,7 @@
             self._watch.remove(watched)
         if self._failure is not None:
             raise self._failure
-        if self._is_unframed and self._was_reset():
+        if self.is_unframed and self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
 
     async def events(
@@ -196,6 +196,14 @@
         """Whether the complete body was received."""
         return self._response.content.is_eof()
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether it has neither a length nor chunks and ends with its connection."""
+        return (
+            "Content-Length" not in self.headers
+            and "chunked" not in self.headers.get("Transfer-Encoding", "").lower()
+        )
+
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
         self._open_runs.remove(self._target, self._on_restart)
@@ -209,13 +217,6 @@
         self._failure = BrokenAnswerError(TARGET_RESTARTED)
         self._response.close()
 
-    @property
-    def _is_unframed(self) -> bool:
-        return (
-            "Content-Length" not in self.headers
-            and "chunked" not in self.headers.get("Transfer-Encoding", "").lower()
-        )
-
     def _was_reset(self) -> bool:
         # The library sets an exception at the end of every connection; only that of a
         # reset is one of the system.
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -100,3 +100,16 @@
     unframed.break_after = None
     (result,) = await listed(world, instance, "j1", 1)
     assert result["message"] == "\n".join(unframed.text("x1"))
+
+
+async def test_a_stream_that_ends_before_its_first_event_is_not_complete(
+    world: World, unframed: RunnerStandin
+) -> None:
+    break_off(unframed, b"", resets=False)
+    unframed.break_after = 0
+    answer = await world.ask(world.instances[0], "/once/1", "r1")
+    assert answer.status == 502
+    second = await world.add_runner(zone="b")
+    await world.ready()
+    answer = await world.ask(world.instances[0], "/ask/1", "r2")
+    assert answer.data == second.text("r2")
