--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -118,6 +118,7 @@
         quarantine = Quarantine()
         rows = QuarantineTable(hedging, self.clock, self.reachability, quarantine)
         self._crash_detector = CrashDetector(self.fleet)
+        self.client.has_crashed = self._crash_detector.has_crashed
         self.guard = RequestGuard(
             quarantine,
             self._crash_detector,
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -120,6 +120,16 @@
             losses.check = asyncio.get_running_loop().create_task(check)
         return losses
 
+    async def has_crashed(self, target: Target) -> bool:
+        """Check whether the address of a target that was to stay refuses connections.
+
+        A draining target may close its listening socket before its last answer ends.
+        """
+        listed = self._fleet.targets.by_id.get(target.id)
+        if listed is None or listed.draining:
+            return False
+        return await self.is_refused(target.address)
+
     def target_removed(self, target: Target) -> None:
         """Record that a target is no longer listed.
 
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import contextlib
+import functools
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import yarl
@@ -88,10 +89,12 @@
         watch: closes the connection when the target falls silent.
         target: id of the target that sends it.
         runs: holds the answer until it is closed.
+        has_crashed: returns whether the target has crashed by now.
     """
 
     __slots__ = (
         "_failure",
+        "_has_crashed",
         "_open_runs",
         "_protocol",
         "_response",
@@ -108,8 +111,10 @@
         watch: IdleTimeouts,
         target: str,
         runs: OpenRuns,
+        has_crashed: Callable[[], Awaitable[bool]],
     ) -> None:
         self._response = response
+        self._has_crashed = has_crashed
         self._watch = watch
         self._target = target
         self._open_runs = runs
@@ -156,8 +161,13 @@
             self._watch.remove(watched)
         if self._failure is not None:
             raise self._failure
-        if self.is_unframed and self._was_reset():
+        if not self.is_unframed:
+            return
+        if self._was_reset():
             raise BrokenAnswerError("an answer without a length was reset")
+        # The system ends the connections of a crashed process like complete answers.
+        if await self._has_crashed():
+            raise BrokenAnswerError("its target crashed")
 
     async def events(
         self, first_timeout_s: float, next_timeout_s: float, coalesce_s: float = 0.0
@@ -225,15 +235,23 @@
         )
 
 
+async def _never_crashes(target: Target) -> bool:
+    return False
+
+
 class TargetClient:
     """Sends requests to targets and returns the outcome of each attempt.
 
+    Attributes:
+        has_crashed: returns whether a target has crashed by now.
+
     Args:
         dialect: names of headers, and the meaning of error answers.
     """
 
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
+        self.has_crashed: Callable[[Target], Awaitable[bool]] = _never_crashes
         self._session: aiohttp.ClientSession | None = None
         self._watch = IdleTimeouts()
         self._open_runs = OpenRuns()
@@ -300,7 +318,8 @@
             return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
-        answer = Answer(response, self._watch, target.id, self._open_runs)
+        has_crashed = functools.partial(self.has_crashed, target)
+        answer = Answer(response, self._watch, target.id, self._open_runs, has_crashed)
         return self._verify(outbound, answer)
 
     async def get(
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -1,5 +1,7 @@
 """Answers of targets with neither a length nor chunks, ended by their connection."""
 
+import asyncio
+
 import pytest
 import pytest_asyncio
 
@@ -113,3 +115,54 @@
     await world.ready()
     answer = await world.ask(world.instances[0], "/ask/1", "r2")
     assert answer.data == second.text("r2")
+
+
+async def crash_between_events(world: World, runner: RunnerStandin) -> None:
+    """Have a runner crash under its next run; another one is in use then."""
+    second = await world.add_runner(zone="b")
+    second.unframed = True
+    await world.ready()
+    runner.fatal = lambda run: True
+    runner.fatal_after = BROKEN_AFTER
+
+
+async def test_a_stream_whose_target_crashes_between_events_goes_on_elsewhere(
+    world: World, unframed: RunnerStandin
+) -> None:
+    """The system closes the connections of a process that crashes in good order."""
+    await crash_between_events(world, unframed)
+    answer = await world.ask(world.instances[0], "/ask/1", "r1")
+    assert (answer.data, answer.whole) == (unframed.text("r1"), True)
+    assert [run.resumed_after for run in world.runners[1].runs] == [BROKEN_AFTER]
+
+
+async def test_a_stream_that_ends_in_a_crash_of_its_target_does_not_look_complete(
+    world: World, unframed: RunnerStandin
+) -> None:
+    await crash_between_events(world, unframed)
+    answer = await world.ask(world.instances[0], "/once/1", "r1")
+    assert (answer.status, answer.whole) == (200, False)
+    assert world.runners[1].runs == []
+
+
+async def test_an_item_whose_target_crashes_between_events_is_done_whole(
+    world: World, unframed: RunnerStandin
+) -> None:
+    await crash_between_events(world, unframed)
+    instance = world.instances[0]
+    assert (await world.submit(instance, "j1", ["x1"])).status == 202
+    (result,) = await listed(world, instance, "j1", 1)
+    assert result["message"] == "\n".join(unframed.text("x1"))
+
+
+async def test_a_draining_target_that_has_closed_its_door_completes_its_answers(
+    world: World, unframed: RunnerStandin
+) -> None:
+    instance = world.instances[0]
+    asking = asyncio.ensure_future(world.ask(instance, "/once/slow", "r1"))
+    await until(lambda: unframed.runs and unframed.runs[0].sent)
+    world.list_runner(unframed, state="draining")
+    await until(lambda: instance.fleet.targets.by_id["i-0"].draining)
+    await unframed.stop_listening()
+    answer = await asking
+    assert (answer.data, answer.whole) == (unframed.text("r1"), True)
