--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -32,6 +32,7 @@
 )
 from caperridge.targets.plain import AUTO_HEADERS
 from caperridge.targets.silence import IdleTimeouts
+from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 # Availability zones are some milliseconds apart, and connecting takes one more. A
 # target that has gone does not respond at all, and its caller expects the first event
@@ -121,9 +122,7 @@
         self._failure: BrokenAnswerError | None = None
         runs.add(target, self._on_restart)
         self._splitter = EventSplitter()
-        # Held here because the response drops its connection at the end of the body.
-        connection = response.connection
-        self._protocol = connection.protocol if connection is not None else None
+        self._protocol = protocol_of(response)
         self.status = response.status
         self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
 
@@ -163,7 +162,7 @@
             raise self._failure
         if not self.is_unframed:
             return
-        if self._was_reset():
+        if was_reset(self._protocol):
             raise BrokenAnswerError("an answer without a length was reset")
         # The system ends the connections of a crashed process like complete answers.
         if await self._has_crashed():
@@ -209,10 +208,7 @@
     @property
     def is_unframed(self) -> bool:
         """Whether it has neither a length nor chunks and ends with its connection."""
-        return (
-            "Content-Length" not in self.headers
-            and "chunked" not in self.headers.get("Transfer-Encoding", "").lower()
-        )
+        return is_unframed(self.headers)
 
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
@@ -227,13 +223,6 @@
         self._failure = BrokenAnswerError(TARGET_RESTARTED)
         self._response.close()
 
-    def _was_reset(self) -> bool:
-        # The library sets an exception at the end of every connection; only that of a
-        # reset is one of the system.
-        return self._protocol is not None and isinstance(
-            self._protocol.exception(), OSError
-        )
-
 
 async def _never_crashes(target: Target) -> bool:
     return False
--- a/src/caperridge/targets/plain.py
+++ b/src/caperridge/targets/plain.py
@@ -8,6 +8,7 @@
 from caperridge.no_repeat import LostOnTheWayError, prevent_retry
 from caperridge.records import Record
 from caperridge.targets.outcomes import AttemptError, Lost, NotSent
+from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 CALL_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 2.0
@@ -110,10 +111,13 @@
                 timeout=self._timeout,
                 allow_redirects=False,
             ) as response:
+                protocol = protocol_of(response)
                 body = await self._read_body(response)
                 if body is None:
                     text = f"the answer has over {self._max_answer_bytes} bytes"
                     return Err(AnswerTooLarge(text))
+                if is_unframed(response.headers) and was_reset(protocol):
+                    return Err(Lost("an answer without a length was reset"))
                 headers = CIMultiDict(response.headers)
                 return Ok(PlainAnswer(response.status, headers, body))
         except aiohttp.ClientConnectorError as error:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures shared by all tests: stand-ins on loopback and an instance before them."""
 
 import asyncio
+import contextlib
 import itertools
 import signal
 import ssl
@@ -46,6 +47,7 @@
 token_sha256 = "{token_digest(OPERATOR)}"
 """
 
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Listen = Callable[..., Awaitable[str]]
 
 
@@ -187,3 +189,49 @@
         await until(lambda: fleet.instance.configuration.current.version == 1)
         yield fleet
     await fleet.instance.stop()
+
+
+class RawServer:
+    """Runs one script for each connection and counts what arrived."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.connections = 0
+        self.heads: list[bytes] = []
+        self._script: Script
+
+    async def serve(self, script: Script) -> asyncio.Server:
+        self._script = script
+        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return server
+
+    async def head(self, reader: asyncio.StreamReader) -> bytes:
+        """Read and count the head of one request."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head)
+        return head
+
+    async def _handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await self._script(reader, writer)
+        writer.close()
+
+
+@pytest.fixture
+async def raw() -> AsyncIterator[Callable[[Script], Awaitable[RawServer]]]:
+    """Return a function that serves a script and returns its counting server."""
+    servers: list[asyncio.Server] = []
+
+    async def start(script: Script) -> RawServer:
+        server = RawServer()
+        servers.append(await server.serve(script))
+        return server
+
+    yield start
+    for server in servers:
+        server.close()
