--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -97,7 +97,7 @@
         origin: StreamOrigin,
     ) -> AttemptError | None:
         first_s, next_s = math.inf, math.inf
-        if request.route.idempotent:
+        if state.movable:
             first_s, next_s = FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S
         try:
             async for events in answer.events(first_s, next_s):
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -243,9 +243,9 @@
         """Have ``target`` run the request and relay its answer."""
         sent_before = state.sent_at_least_once
         # Assume that it runs until the outcome is known.
-        state.sent_at_least_once = True
+        state.begin_run(request.route)
         outbound = self._outbound(request, state, target)
-        head_timeout_s = FIRST_EVENT_SILENCE_S if request.route.idempotent else math.inf
+        head_timeout_s = FIRST_EVENT_SILENCE_S if state.movable else math.inf
         opened = await self._client.open(target, outbound, head_timeout_s)
         if isinstance(opened, Err):
             error = opened.err_value
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -140,6 +140,7 @@
         origin: what began its stream; None before the first event.
         origin_recorded: whether this instance has recorded that.
         fingerprint: its fingerprint; None until it is needed.
+        movable: its current run may be broken off and repeated at another target.
         admitted_runs: value of ``runs`` when the guard last admitted it; -1 if it has
             to be asked again.
     """
@@ -149,6 +150,7 @@
         "attempts",
         "fingerprint",
         "last_event",
+        "movable",
         "offers",
         "origin",
         "origin_recorded",
@@ -167,8 +169,16 @@
         self.origin: StreamOrigin | None = None
         self.origin_recorded = False
         self.fingerprint: Fingerprint | None = None
+        self.movable = False
         self.admitted_runs = -1
 
+    def begin_run(self, route: Route) -> None:
+        """Note that it is sent to a target, and may be running from now on."""
+        self.sent_at_least_once = True
+        exhausted = self.attempts + 1 >= route.max_attempts
+        last = exhausted or self.runs + 1 >= MAX_RUNS
+        self.movable = route.idempotent and not last
+
     def may_retry(self, route: Route) -> bool:
         """Whether it may be run once more."""
         exhausted = self.attempts >= route.max_attempts
--- a/tests/gateway/unframed.py
+++ b/tests/gateway/unframed.py
@@ -1,6 +1,7 @@
 """Answers with neither a length nor chunks, and connections that are reset."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Mapping
@@ -12,7 +13,8 @@
     """Reset a connection; without this option closing it looks like its end."""
     connection = transport.get_extra_info("socket")
     linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    with contextlib.suppress(OSError):  # it may be closed already
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     transport.abort()
 
 
