--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -12,6 +12,7 @@
 crashes the narrowest is the cause, as the others would have crashed more targets.
 """
 
+import bisect
 from collections.abc import Iterable
 
 from caperridge.decisions.suspect_keys import part_position
@@ -24,6 +25,11 @@
 RETENTION_S = 900.0
 # About 0.5 KB each.
 MAX_SUSPECTS = 1000
+# So many crashes within this time of each other have a common cause. It is no part of a
+# prompt that was at less than this share of them, as popular parts are at some.
+MASS_CRASHES = 8
+MASS_CRASH_WINDOW_S = 0.5
+MIN_SHARE_OF_MASS_CRASH = 0.25
 
 
 class Quarantine:
@@ -87,6 +93,7 @@
             return []
         if now >= self._newest_at + SETTLE_S:
             self._newest_at = None
+        self._discount_mass_crashes()
         quarantined: list[Suspect] = []
         suspects = [one for one in self.by_content.values() if one.crashes]
         for suspect in sorted(suspects, key=_evaluation_order):
@@ -102,6 +109,25 @@
                     other.remove_crashes(suspect.crashes)
         return quarantined
 
+    def _discount_mass_crashes(self) -> None:
+        """Remove the crashes of parts that were at few of many crashes at once."""
+        suspects = [one for one in self.by_content.values() if one.hold is None]
+        at_by_target = {
+            crash.target: crash.at for suspect in suspects for crash in suspect.crashes
+        }
+        if len(at_by_target) < MASS_CRASHES:
+            return
+        all_at = sorted(at_by_target.values())
+        for suspect in suspects:
+            if suspect.position is None:
+                continue
+            own_at = sorted(crash.at for crash in suspect.crashes)
+            suspect.crashes = [
+                crash
+                for crash in suspect.crashes
+                if not _is_by_chance(crash.at, own_at, all_at)
+            ]
+
     @property
     def evaluation_pending(self) -> bool:
         """Whether there are crashes that are not evaluated yet."""
@@ -173,6 +199,20 @@
             del self.by_content[suspect.content]
 
 
+def _is_by_chance(at: float, own_at: list[float], all_at: list[float]) -> bool:
+    """Whether a crash at ``at`` is one of many at once of which few are own."""
+    count = _count_near(at, all_at)
+    if count < MASS_CRASHES:
+        return False
+    return _count_near(at, own_at) < count * MIN_SHARE_OF_MASS_CRASH
+
+
+def _count_near(at: float, times: list[float]) -> int:
+    """Return how many of the sorted ``times`` are close to ``at``."""
+    first = bisect.bisect_left(times, at - MASS_CRASH_WINDOW_S)
+    return bisect.bisect_right(times, at + MASS_CRASH_WINDOW_S) - first
+
+
 def _evaluation_order(suspect: Suspect) -> tuple[bool, int, float, float]:
     return suspect.evaluation_order
 
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -40,9 +40,13 @@
 
     def crash(self, *runs: LostRun, reported_by: str = "e-0") -> None:
         """Crash one target with these runs, and evaluate the crash."""
+        self.record(*runs, reported_by=reported_by)
+        self.evaluate()
+
+    def record(self, *runs: LostRun, reported_by: str = "e-0") -> None:
+        """Crash one target with these runs."""
         self.targets += 1
         self.quarantine.record_crash(f"t-{self.targets}", runs, self.now, reported_by)
-        self.evaluate()
 
     def evaluate(self) -> list[str]:
         """Wait until all reports arrived; return the newly quarantined contents."""
--- a/tests/policy/test_quarantined_parts.py
+++ b/tests/policy/test_quarantined_parts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from caperridge.decisions.quarantine import RETENTION_S, Quarantine
+from caperridge.decisions.quarantine import MASS_CRASHES, RETENTION_S, Quarantine
 from caperridge.decisions.suspect_keys import part_keys
 from caperridge.decisions.suspects import (
     FIRST_PART_QUARANTINE_THRESHOLD,
@@ -136,6 +136,31 @@
     assert not held(fleet)
 
 
+def test_parts_that_are_at_a_few_of_many_crashes_at_once_are_not_blamed(
+    fleet: Fleet,
+) -> None:
+    """Many targets lose power; popular parts have just begun at some of them."""
+    for number in range(4 * MASS_CRASHES):
+        parts = (OTHER, FIRST) if number % 6 == 0 else ()
+        fleet.record(*lost(f"c{number}", *parts))
+    fleet.evaluate()
+    assert not held(fleet)
+    fleet.now += 1.0
+    for number in range(QUARANTINE_THRESHOLD):
+        assert not held(fleet)
+        crash_with(fleet, lost(f"later-{number}", FATAL, FIRST))
+    assert held(fleet) == {FATAL}
+
+
+def test_a_part_that_is_at_many_crashes_at_once_is_blamed(fleet: Fleet) -> None:
+    """A job has many items with the part, and they begin together."""
+    for number in range(2 * MASS_CRASHES):
+        parts = (FATAL, FIRST) if number % 2 == 0 else ()
+        fleet.record(*lost(f"c{number}", *parts))
+    fleet.evaluate()
+    assert held(fleet) == {FATAL}
+
+
 def test_what_peers_know_of_a_part_is_merged(fleet: Fleet) -> None:
     crashes = [Crash(f"t{n}", f"c{n}", 0.1, 0, fleet.now - 1, "e-1") for n in range(3)]
     hold = Hold(frozenset(), fleet.now, 0, fleet.now + 1.0)
