--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -13,14 +13,17 @@
 """
 
 import bisect
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Sequence
 
-from caperridge.decisions.suspect_keys import part_position
+from caperridge.decisions.suspect_keys import is_part
 from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect, trial_delay_s
 
 # All instances report one crash within some milliseconds. Blame is assigned only after
 # that, when all requests at the same crashes are known.
 SETTLE_S = 0.05
+# Good runs of parts are known to other instances, which may be in distant zones.
+PART_SETTLE_S = 0.25
 # Older crashes say nothing about the present targets.
 RETENTION_S = 900.0
 # About 0.5 KB each.
@@ -45,15 +48,26 @@
         self._newest_at: float | None = None
 
     def record_crash(
-        self, target: str, runs: Iterable[LostRun], at: float, reported_by: str
+        self, target: str, runs: Sequence[LostRun], at: float, reported_by: str
     ) -> list[str]:
-        """Record the runs lost in a crash; return the contents with a new crash."""
+        """Record the runs lost in a crash; return the contents with a new crash.
+
+        Args:
+            target: id of the target.
+            runs: each once for every key by which it is suspected, its parts in the
+                order of their keys.
+            at: time of the crash.
+            reported_by: instance that observed it.
+        """
         changed: list[str] = []
-        for run in runs:
+        depths_by_part = _depths_by_part(runs)
+        # Held ones first, as they explain the crash for the others.
+        for run in sorted(runs, key=self._is_not_held):
             if self._is_explained(target, at, run.content):
                 continue
             suspect = self.by_content.pop(run.content, None) or Suspect(run.content)
             self.by_content[run.content] = suspect
+            suspect.depth = max(suspect.depth, depths_by_part.get(run.content, 0))
             crash = Crash(target, run.caller, run.age_s, run.events, at, reported_by)
             if suspect.add_crash(crash):
                 changed.append(run.content)
@@ -62,15 +76,19 @@
         self._evict_excess()
         return changed
 
+    def _is_not_held(self, run: LostRun) -> bool:
+        suspect = self.by_content.get(run.content)
+        return suspect is None or suspect.hold is None
+
     def _is_explained(self, target: str, at: float, content: str) -> bool:
         """Whether a quarantined suspect that explains the crash was at it, too."""
-        is_part = part_position(content) is not None
+        of_part = is_part(content)
         return any(
             crash.matches(target, at)
             for suspect in self.by_content.values()
             if suspect.hold is not None
             and suspect.content != content
-            and (suspect.position is not None or not is_part)
+            and (suspect.is_part or not of_part)
             for crash in suspect.crashes
         )
 
@@ -91,24 +109,34 @@
         """
         if self._newest_at is None:
             return []
-        if now >= self._newest_at + SETTLE_S:
+        if now >= self._newest_at + PART_SETTLE_S:
             self._newest_at = None
+        self._remove_explained()
         self._discount_mass_crashes()
         quarantined: list[Suspect] = []
         suspects = [one for one in self.by_content.values() if one.crashes]
         for suspect in sorted(suspects, key=_evaluation_order):
-            callers = suspect.blamed_callers(now, now - SETTLE_S)
+            settle_s = PART_SETTLE_S if suspect.is_part else SETTLE_S
+            callers = suspect.blamed_callers(now, now - settle_s)
             if callers is None or self._is_covered(suspect, callers):
                 continue
             since = suspect.hold.since if suspect.hold is not None else now
             trials = suspect.hold.trials if suspect.hold is not None else 0
             suspect.hold = Hold(callers, since, trials, now + trial_delay_s(trials))
             quarantined.append(suspect)
-            for other in self.by_content.values():
-                if other.hold is None and suspect.explains(other):
-                    other.remove_crashes(suspect.crashes)
+            self._remove_explained_by(suspect)
         return quarantined
 
+    def _remove_explained(self) -> None:
+        """Remove crashes that were reported before those of the held ones."""
+        for suspect in self.quarantined():
+            self._remove_explained_by(suspect)
+
+    def _remove_explained_by(self, suspect: Suspect) -> None:
+        for other in self.by_content.values():
+            if other.hold is None and suspect.explains(other):
+                other.remove_crashes(suspect.crashes)
+
     def _discount_mass_crashes(self) -> None:
         """Remove the crashes of parts that were at few of many crashes at once."""
         suspects = [one for one in self.by_content.values() if one.hold is None]
@@ -119,7 +147,7 @@
             return
         all_at = sorted(at_by_target.values())
         for suspect in suspects:
-            if suspect.position is None:
+            if not suspect.is_part:
                 continue
             own_at = sorted(crash.at for crash in suspect.crashes)
             suspect.crashes = [
@@ -199,6 +227,19 @@
             del self.by_content[suspect.content]
 
 
+def _depths_by_part(runs: Sequence[LostRun]) -> dict[str, int]:
+    """Return how many wider parts stand beside each part; narrow ones come first."""
+    depths: dict[str, int] = {}
+    wider_by_content: Counter[str] = Counter()
+    for run in reversed(runs):
+        if not is_part(run.content):
+            continue
+        depth = wider_by_content[run.caller]
+        depths[run.content] = max(depth, depths.get(run.content, 0))
+        wider_by_content[run.caller] += 1
+    return depths
+
+
 def _is_by_chance(at: float, own_at: list[float], all_at: list[float]) -> bool:
     """Whether a crash at ``at`` is one of many at once of which few are own."""
     count = _count_near(at, all_at)
--- a/src/caperridge/decisions/suspect_keys.py
+++ b/src/caperridge/decisions/suspect_keys.py
@@ -1,14 +1,16 @@
 """Keys of suspects, in two widths: one content, or all contents with one prompt part.
 
 A prompt is a list of parts. Requests share all but the last one, which belongs to the
-request itself.
+request itself. A part is known by its id wherever it stands, but a first part, which
+most requests of a route share, has a key of its own.
 """
 
 import hashlib
 from collections.abc import Sequence
 
 PART_BYTES = 8
-_PREFIX = "part"
+_PART = "part-"
+_FIRST_PART = "first-"
 
 
 def part_keys(parts: Sequence[str]) -> tuple[str, ...]:
@@ -18,28 +20,27 @@
         parts: ids of all parts, in order.
 
     >>> part_keys(["a", "b", "own"])
-    ('part1-8472c2e34d854f75', 'part0-40f89e395b66422f')
+    ('part-8472c2e34d854f75', 'first-40f89e395b66422f')
     >>> part_keys(["own"])
     ()
     """
-    keys = [_part_key(position, part) for position, part in enumerate(parts[:-1])]
+    keys = [
+        (_PART if position else _FIRST_PART) + _digest(part)
+        for position, part in enumerate(parts[:-1])
+    ]
     return tuple(reversed(keys))
 
 
-def part_position(key: str) -> int | None:
-    """Return the position of a part in its prompt; None for the key of a content.
+def is_part(key: str) -> bool:
+    """Whether a key is that of a part, not of a content."""
+    return key.startswith((_PART, _FIRST_PART))
 
-    >>> part_position("part12-8e1ebf6b21ed27b0"), part_position("8e1ebf6b21ed27b0")
-    (12, None)
-    """
-    position, _, _ = key.removeprefix(_PREFIX).partition("-")
-    if not key.startswith(_PREFIX) or not position.isdigit():
-        return None
-    return int(position)
+
+def is_first_part(key: str) -> bool:
+    """Whether a key is that of a part at the beginning of its prompts."""
+    return key.startswith(_FIRST_PART)
 
 
-def _part_key(position: int, part: str) -> str:
-    digest = hashlib.blake2b(
-        part.encode(errors="surrogateescape"), digest_size=PART_BYTES
-    )
-    return f"{_PREFIX}{position}-{digest.hexdigest()}"
+def _digest(part: str) -> str:
+    data = part.encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=PART_BYTES).hexdigest()
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -3,7 +3,7 @@
 A suspect is one requested content, or all requests that share one part of a prompt.
 """
 
-from caperridge.decisions.suspect_keys import part_position
+from caperridge.decisions.suspect_keys import is_first_part, is_part
 from caperridge.records import Record
 
 # Two crashes can be coincidence; each further one costs a target for seconds.
@@ -17,6 +17,10 @@
 # next crash may come much later.
 FIRST_PART_QUARANTINE_THRESHOLD = 5
 PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 5
+SIMULTANEOUS_CRASHES_S = 0.3
+# A part of a prompt crashes targets as they begin to write; a run that wrote more
+# events than this shows that its parts were not the cause.
+MAX_EVENTS_BEFORE_CRASH = 2
 # Reports about one target within this time describe the same crash, since a target
 # takes seconds to restart.
 SAME_CRASH_WINDOW_S = 1.5
@@ -134,7 +138,9 @@
 
     Attributes:
         content: key of the requested content or of the part.
-        position: of the part in its prompts, the first one is 0; None for a content.
+        is_part: whether it is a part of prompts.
+        is_first_part: whether it is a part at their beginning.
+        depth: the most parts that were before it in a prompt.
         crashes: oldest first.
         hold: its quarantine; None if it is not quarantined.
     """
@@ -144,22 +150,32 @@
         "_good_run_at_by_caller",
         "content",
         "crashes",
+        "depth",
         "hold",
-        "position",
+        "is_first_part",
+        "is_part",
     )
 
     def __init__(self, content: str) -> None:
         self.content = content
-        self.position = part_position(content)
+        self.is_part = is_part(content)
+        self.is_first_part = is_first_part(content)
+        self.depth = 0
         self._cleared_at = float("-inf")
         self.crashes: list[Crash] = []
         self.hold: Hold | None = None
         self._good_run_at_by_caller: dict[str, float] = {}
 
     def add_crash(self, crash: Crash) -> bool:
-        """Add a crash; return False if it was reported before."""
-        if any(one.matches(crash.target, crash.at) for one in self.crashes):
-            return False
+        """Add a crash; return False if it was reported before.
+
+        Of several runs with a part at one crash, the one that wrote most counts.
+        """
+        for one in self.crashes:
+            if one.matches(crash.target, crash.at):
+                if self.is_part:
+                    one.events = max(one.events, crash.events)
+                return False
         self.crashes.append(crash)
         del self.crashes[:-MAX_CRASHES]
         return True
@@ -193,11 +209,11 @@
         A content does not explain the crashes of its parts: other contents with the
         same part may follow.
         """
-        return self.position is not None or other.position is None
+        return self.is_part or not other.is_part
 
     def record_good_run(self, caller: str, at: float, now: float) -> None:
         """Record that it completed for ``caller`` at time ``at``."""
-        if self.position is not None:
+        if self.is_part:
             self._record_good_run_of_part(at, now)
             return
         covered = self.is_quarantined_for(caller)
@@ -260,11 +276,11 @@
         them in between.
         """
         crashes = [crash for crash in self.crashes if crash.at <= by]
-        since = [crash for crash in crashes if crash.at > self.last_good_run_at]
+        since = [crash for crash in crashes if self._counts(crash)]
         several_callers = len({crash.caller for crash in since}) > 1
-        if several_callers and len(since) >= self._threshold(now):
+        if several_callers and self._count(since, now) >= self._threshold(now):
             return frozenset()
-        if self.position is not None:
+        if self.is_part:
             return None  # a single content is blamed as such
         blamed: set[str] = set()
         for caller in {crash.caller for crash in crashes}:
@@ -275,15 +291,35 @@
 
     def is_near_threshold(self, now: float) -> bool:
         """Whether one more crash may put it in quarantine."""
-        count = sum(1 for crash in self.crashes if crash.at > self.last_good_run_at)
-        return count + 1 >= self._threshold(now)
+        since = [crash for crash in self.crashes if self._counts(crash)]
+        return self._count(since, now) + 1 >= self._threshold(now)
+
+    def _count(self, crashes: list[Crash], now: float) -> int:
+        """Count crashes; of a part that ran well lately, those at once are one.
+
+        Popular parts are at all of many targets that crash in the same moment.
+        """
+        if not self.is_part or now - self.last_good_run_at >= GOOD_RUN_TTL_S:
+            return len(crashes)
+        count, began_at = 0, float("-inf")
+        for at in sorted(crash.at for crash in crashes):
+            if at - began_at < SIMULTANEOUS_CRASHES_S:
+                continue
+            count, began_at = count + 1, at
+        return count
+
+    def _counts(self, crash: Crash) -> bool:
+        """Whether a crash counts against all callers."""
+        if self.is_part and crash.events > MAX_EVENTS_BEFORE_CRASH:
+            return False
+        return crash.at > self.last_good_run_at
 
     def _threshold(self, now: float) -> int:
         """Return the number of crashes at which all callers are refused."""
-        if self.position == 0:
+        if self.is_first_part:
             return FIRST_PART_QUARANTINE_THRESHOLD
         threshold = _crash_threshold(now - self.last_good_run_at)
-        if self.position is None:
+        if not self.is_part:
             return threshold
         return min(threshold, PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN)
 
@@ -298,7 +334,7 @@
 
         A later part of a prompt is shared by fewer requests than an earlier one.
         """
-        return self.position is not None, -(self.position or 0)
+        return self.is_part, -self.depth
 
     @property
     def mean_progress(self) -> tuple[float, float]:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -7,11 +7,18 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
 from caperridge.decisions.quarantine import SETTLE_S, Quarantine
-from caperridge.decisions.suspects import Hold, LostRun, Suspect
+from caperridge.decisions.suspect_keys import is_part
+from caperridge.decisions.suspects import (
+    MAX_EVENTS_BEFORE_CRASH,
+    Hold,
+    LostRun,
+    Suspect,
+)
 from caperridge.elapsed import elapsed_s
 from caperridge.gateway.exoneration import Exoneration
 from caperridge.gateway.fingerprint import Fingerprint
@@ -34,7 +41,9 @@
 SWEEP_INTERVAL_S = 30.0
 # Longest wait until the crashes are evaluated, before a request that was lost with
 # several targets is sent to one more.
-MAX_EVALUATION_WAIT_S = 0.3
+MAX_EVALUATION_WAIT_S = 0.5
+# Between two evaluations, which go through all suspects.
+MIN_EVALUATION_INTERVAL_S = 0.01
 MIN_RETRY_AFTER_S = 0.5
 # Until another instance stores a quarantine that its reporters have not stored.
 MIN_BACKUP_WRITE_DELAY_S = 1.0
@@ -90,6 +99,7 @@
         self._detector = detector
         self._mesh = mesh
         self._fleet = fleet
+        self._evaluated_at = -math.inf
         self._metrics = metrics
         self._exoneration = Exoneration(quarantine, mesh, fleet)
         self._exoneration.on_good_run = self._after_good_run
@@ -268,7 +278,11 @@
         self._unsettled.clear()
 
     def _evaluate(self) -> None:
-        for suspect in self.quarantine.evaluate(elapsed_s()):
+        now = elapsed_s()
+        if now - self._evaluated_at < MIN_EVALUATION_INTERVAL_S:
+            return
+        self._evaluated_at = now
+        for suspect in self.quarantine.evaluate(now):
             log.warning("request put in quarantine", **log_fields(suspect))
             self._store_hold(suspect)
             self._update_gauge()
@@ -338,17 +352,14 @@
 def _suspects(fingerprint: Fingerprint, age_s: float, events: int) -> list[LostRun]:
     """Return a lost run once for each key by which it is suspected."""
     age_s = round(age_s, 3)
-    content = LostRun(fingerprint.content, fingerprint.caller, age_s, events)
-    if events > MAX_EVENTS_BEFORE_CRASH:
-        return [content]
     parts = [
         LostRun(part, fingerprint.content, age_s, events) for part in fingerprint.parts
     ]
-    return [*parts, content]
+    return [*parts, LostRun(fingerprint.content, fingerprint.caller, age_s, events)]
 
 
 def _refusal_reason(suspect: Suspect) -> str:
-    ran = "it" if suspect.position is None else "requests with a part of its prompt"
+    ran = "requests with a part of its prompt" if suspect.is_part else "it"
     return f"{len(suspect.crashes)} targets ended while they ran {ran}"
 
 
