--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 
 from caperridge.gateway.jobs.model import JobRequest, ResultsPage
 from caperridge.gateway.routes import RoutingTable
@@ -110,7 +110,7 @@
     targets_table: str
     load_path: str
 
-    def prompt_parts(self, headers: Mapping[str, str]) -> list[str]:
+    def prompt_parts(self, headers: MultiMapping[str]) -> list[str]:
         """Return the ids of the parts of a request's prompt, in order.
 
         The last part belongs to the request itself, the others may be shared.
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import orjson
+from multidict import MultiMapping
 
 from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.gateway.dialect import DecodeError, Dialect, HeaderNames, JobsPaths
@@ -97,10 +98,11 @@
     def __init__(self, quota_window_s: float = DEFAULT_WINDOW_S) -> None:
         self._quota_window_s = quota_window_s
 
-    def prompt_parts(self, headers: Mapping[str, str]) -> list[str]:
+    def prompt_parts(self, headers: MultiMapping[str]) -> list[str]:
         """See :meth:`Dialect.prompt_parts`."""
-        stated = headers.get("X-Prompt-Prefix", "")
-        return [part.strip().partition(":")[0] for part in stated.split(",") if part]
+        stated = ",".join(headers.getall("X-Prompt-Prefix", []))
+        ids = [part.partition(":")[0].strip().lower() for part in stated.split(",")]
+        return [id for id in ids if id]
 
     def configuration(self, value: bytes) -> RoutingTable:
         """See :meth:`Dialect.configuration`."""
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -531,3 +531,18 @@
     for one in asking:
         one.cancel()
     await asyncio.gather(*asking, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["a0:100,bad0:50,f1:20"],
+        ["a0:100", "bad0:50,f1:20"],
+        [" a0 : 100 , bad0 :50, f1:20"],
+        [",a0:100,,bad0:50,f1:20, "],
+        ["A0:100,BAD0:50,F1:20"],
+    ],
+)
+def test_the_spelling_of_the_header_does_not_matter(lines: list[str]) -> None:
+    headers = CIMultiDict([("x-prompt-prefix", line) for line in lines])
+    assert PlatformDialect().prompt_parts(headers) == ["a0", "bad0", "f1"]
