--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -103,9 +103,15 @@
     def schedule_missing_write(self, content: str) -> None:
         """Write the row of a content soon if no quarantine of it is stored yet."""
         row = self.copy.rows_by_key.get(_key(content))
-        if row is None or not from_bytes(HeldRow, row.value).since:
+        if row is None or not self._is_held(row):
             self.schedule_write(content)
 
+    def _is_held(self, row: StoredRow) -> bool:
+        try:
+            return bool(from_bytes(HeldRow, row.value).since)
+        except (UnreadableError, ValueError, TypeError):
+            return False
+
     async def run(self) -> None:
         """Write changed rows until cancelled."""
         while True:
@@ -259,7 +265,8 @@
             TypeError: the same.
         """
         # A peer's row that comes before the store has answered counts as new.
-        store_s = self._clock.now() if self._clock.known else row.since
+        newest_s = max([row.since, *(at for _, _, _, _, at, _ in row.ends)])
+        store_s = self._clock.now() if self._clock.known else newest_s
         ahead_s = store_s - elapsed_s()
         crashes: list[Crash] = []
         for target, caller, age_s, events, at, reported_by in row.ends:
@@ -291,6 +298,6 @@
     """
     if suspect.hold is not None:
         return True
-    if suspect.position is not None and not suspect.is_near_threshold(now):
+    if suspect.is_part and not suspect.is_near_threshold(now):
         return False
     return len(suspect.crashes) >= MIN_STORED_CRASHES
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -533,6 +533,21 @@
     await asyncio.gather(*asking, return_exceptions=True)
 
 
+# Guards against crashes in the far future, which count never and are never settled. The
+# row of a suspect came from a peer before this instance had the store's clock.
+def test_crashes_of_a_row_that_comes_before_the_clock_is_known_are_recent() -> None:
+    row = HeldRow([["t", "c", 0.1, 0, 1.7e9, "e-0"]], [], 0.0, 0, 0.0)
+    quarantine = Quarantine()
+    store: Any = None
+    table = held_rows.QuarantineTable(
+        store, StoreClock(), StoreReachability(), quarantine
+    )
+    key = RowKey(held_rows.TABLE, "", "part-1")
+    table.apply_rows([StoredRow(key, to_bytes(row), 1, False)], "peer")
+    (crash,) = quarantine.by_content["part-1"].crashes
+    assert crash.at <= held_rows.elapsed_s()
+
+
 @pytest.mark.parametrize(
     "lines",
     [
