--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -78,6 +78,7 @@
                     return WrongAnswer("an answer that is too large")
         except BrokenAnswerError as error:
             return Lost(str(error))
+        state.wrote = answer.status < 400 and size > 0
         failed = answer.status >= 500
         if failed:
             state.attempts += 1
@@ -103,6 +104,7 @@
             async for events in answer.events(first_s, next_s):
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
+                    state.wrote = True
                     self._note_origin(request, state, origin)
                     await self._write_events(request, reply, answer, in_order)
                 if out_of_order:
--- a/src/caperridge/gateway/exoneration.py
+++ b/src/caperridge/gateway/exoneration.py
@@ -53,15 +53,21 @@
         self._good_run_at_by_part: OrderedDict[str, float] = OrderedDict()
         mesh.register(SoundRuns, self._receive)
 
-    def record_good_run(self, fingerprint: Fingerprint, age_s: float) -> None:
-        """Record a run that began here ``age_s`` ago and did not crash its target."""
+    def record_good_run(
+        self, fingerprint: Fingerprint, age_s: float, wrote: bool
+    ) -> None:
+        """Record a run that began here ``age_s`` ago and did not crash its target.
+
+        Only one that ``wrote`` an answer says anything about the parts of its prompt.
+        """
         now = elapsed_s()
         key = fingerprint.content, fingerprint.caller
         _record(self._good_run_at, key, now, MAX_GOOD_RUNS)
         reported: list[list[Any]] = []
         if self._quarantine.record_good_run(*key, now, now):
             reported.append([*key, 0.0])
-        reported += self._record_parts(fingerprint, age_s)
+        if wrote:
+            reported += self._record_parts(fingerprint, age_s)
         self._report(reported)
 
     def record_writing_run(self, fingerprint: Fingerprint, age_s: float) -> None:
@@ -114,7 +120,7 @@
         if suspect is None:
             return None
         now = elapsed_s()
-        if suspect.position is not None:
+        if suspect.is_part:
             at = self._good_run_at_by_part.get(run.content)
             known = at is None or at <= suspect.last_good_run_at
             return None if known or not _needs_good_run(suspect, now) else at
@@ -132,7 +138,7 @@
             if at is None:
                 continue
             suspect = self._quarantine.by_content[run.content]
-            caller = run.caller if suspect.position is None else ANY_CALLER
+            caller = ANY_CALLER if suspect.is_part else run.caller
             self._quarantine.record_good_run(run.content, caller, at, now)
             reported.append([run.content, caller, round(now - at, 3)])
         if reported:
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -208,7 +208,8 @@
             )
         if error is not None:
             return error
-        self._guard.record_good_run(self._fingerprint(request, state), took_s)
+        fingerprint = self._fingerprint(request, state)
+        self._guard.record_good_run(fingerprint, took_s, state.wrote)
         lengths = self._fleet.run_lengths(target.service)
         lengths.record_answer(events, took_s, queued=not immediate)
         return None
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -140,6 +140,7 @@
         origin: what began its stream; None before the first event.
         origin_recorded: whether this instance has recorded that.
         fingerprint: its fingerprint; None until it is needed.
+        wrote: the target of its current run has written a part of an answer.
         movable: its current run may be broken off and repeated at another target.
         admitted_runs: value of ``runs`` when the guard last admitted it; -1 if it has
             to be asked again.
@@ -157,6 +158,7 @@
         "runs",
         "sent_at_least_once",
         "tried_targets",
+        "wrote",
     )
 
     def __init__(self, last_event: int) -> None:
@@ -170,11 +172,13 @@
         self.origin_recorded = False
         self.fingerprint: Fingerprint | None = None
         self.movable = False
+        self.wrote = False
         self.admitted_runs = -1
 
     def begin_run(self, route: Route) -> None:
         """Note that it is sent to a target, and may be running from now on."""
         self.sent_at_least_once = True
+        self.wrote = False
         exhausted = self.attempts + 1 >= route.max_attempts
         last = exhausted or self.runs + 1 >= MAX_RUNS
         self.movable = route.idempotent and not last
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -47,9 +47,6 @@
 MIN_RETRY_AFTER_S = 0.5
 # Until another instance stores a quarantine that its reporters have not stored.
 MIN_BACKUP_WRITE_DELAY_S = 1.0
-# A part of a prompt crashes targets as they begin to write; a run that wrote more
-# events than this was lost to another cause.
-MAX_EVENTS_BEFORE_CRASH = 2
 
 
 class QuarantineRefusal(Record):
@@ -206,9 +203,18 @@
             target, _suspects(fingerprint, age_s, events=0)
         )
 
-    def record_good_run(self, fingerprint: Fingerprint, age_s: float) -> None:
-        """Record a run that began ``age_s`` ago and did not crash its target."""
-        self._exoneration.record_good_run(fingerprint, age_s)
+    def record_good_run(
+        self, fingerprint: Fingerprint, age_s: float, wrote: bool = True
+    ) -> None:
+        """Record a run that began ``age_s`` ago and did not crash its target.
+
+        Args:
+            fingerprint: of the request.
+            age_s: seconds since it was sent to the target.
+            wrote: whether the target wrote an answer of its model; an error says
+                nothing about the parts of the prompt.
+        """
+        self._exoneration.record_good_run(fingerprint, age_s, wrote)
 
     # Reports of peers and rows of the store.
 
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -499,6 +499,40 @@
     await send_sound(fleet, numbers, "a0", "b0", "c0")
 
 
+# Guards against an error answer, in which nothing was written, that counted as a good
+# run of the part and cleared it everywhere.
+@pytest.mark.parametrize("status", [400, 500])
+async def test_an_error_answer_does_not_clear_a_fatal_part(
+    fleet: World, numbers: Iterator[int], status: int
+) -> None:
+    for _ in range(CRASH_THRESHOLD + 2):
+        await send_fatal(fleet, numbers, count=1)
+        set_status(fleet, status)
+        await send_fatal(fleet, numbers, count=1)
+        set_status(fleet, 200)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+
+
+async def test_an_error_answer_to_a_trial_does_not_end_the_quarantine(
+    fleet: World, numbers: Iterator[int], ahead: list[float]
+) -> None:
+    await send_fatal(fleet, numbers)
+    ahead.append(TRIAL_DELAYS_S[0])
+    set_status(fleet, 500)
+    answer = await ask(fleet, fleet.instances[0], next(numbers), "a0", FATAL_PART)
+    assert answer.status == 500
+    set_status(fleet, 200)
+    answers = await send_fatal(fleet, numbers, count=4)
+    assert [answer.status for answer in answers] == [503] * 4
+    assert crash_count(fleet) == CRASH_THRESHOLD
+
+
+def set_status(fleet: World, status: int) -> None:
+    """Have all targets answer with ``status``."""
+    for runner in fleet.runners:
+        runner.status = status
+
+
 # Guards against popular parts blamed for many targets that lose power in one moment.
 @pytest.mark.parametrize("written", [0, 2])
 async def test_popular_parts_are_not_blamed_where_all_targets_crash_at_once(
