--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -53,6 +53,7 @@
 EVENT_BATCH_S = 0.25
 RETRY_DELAY_S = 0.05
 FAILED_RETRY_DELAY_S = 0.3
+MAX_QUARANTINE_DELAY_S = 1.0  # it may be cleared before its trial is due
 UNPROCESSABLE_STATUS = 422
 # From a target that hangs until the lease of a run ends; not a failure of the item.
 LEASE_ENDED_STATUS = 504
@@ -305,7 +306,8 @@
                 self._fingerprint(ranked), ranked.state.item.id
             )
             if refused is not None:
-                self._delay_start(ranked.state, refused.retry_after_s)
+                delay_s = min(refused.retry_after_s, MAX_QUARANTINE_DELAY_S)
+                self._delay_start(ranked.state, delay_s)
                 return refused
         while True:
             outcome = await self._run_one_lease(ranked, target)
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -132,6 +132,17 @@
         )
         return requests
 
+    def cancel_quarantined(self, jobs: Iterable[HeldJob]) -> None:
+        """Cancel runs without an event of items that are in quarantine now.
+
+        They may wait at a target, which would crash when it begins to run them.
+        """
+        for job in jobs:
+            for state in job.running():
+                ranked = RankedItem(job, state, due=0.0, order=0.0)
+                if not state.progress.event and self._runs.is_quarantined(ranked):
+                    state.cancel()
+
     def start_item(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
         """Start the most urgent item for ``target``; False if there is none.
 
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -256,6 +256,7 @@
         self.fleet.on_change(self.updates.counts_changed)
         self.configuration.on_change(self.keeper.schedule_check)
         self.index.on_change(self.keeper.schedule_check)
+        self.guard.on_quarantined(self.keeper.cancel_quarantined)
         self.mesh.on_lost(self._on_peer_lost)
 
     def _on_peer_count(self, target: str) -> None:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -70,7 +70,6 @@
     Attributes:
         quarantine: suspected and quarantined requests.
         rows: their rows in the store.
-        on_quarantined: called with the content of each newly quarantined request.
 
     Args:
         quarantine: suspected and quarantined requests.
@@ -92,7 +91,7 @@
     ) -> None:
         self.rows = rows
         self.quarantine = quarantine
-        self.on_quarantined: Callable[[str], None] = lambda content: None
+        self._quarantined_callbacks: list[Callable[[str], None]] = []
         self._detector = detector
         self._mesh = mesh
         self._fleet = fleet
@@ -109,6 +108,10 @@
         mesh.register(Suspects, self._receive_suspects)
         mesh.send_on_connect(self._suspects_message)
 
+    def on_quarantined(self, call: Callable[[str], None]) -> None:
+        """Call ``call`` with the key of each suspect that is put in quarantine."""
+        self._quarantined_callbacks.append(call)
+
     # Before a request is sent.
 
     @property
@@ -292,7 +295,8 @@
             log.warning("request put in quarantine", **log_fields(suspect))
             self._store_hold(suspect)
             self._update_gauge()
-            self.on_quarantined(suspect.content)
+            for call in self._quarantined_callbacks:
+                call(suspect.content)
 
     def _store_hold(self, suspect: Suspect) -> None:
         """Store a quarantine; in a large fleet at first where a crash was reported.
--- a/src/caperridge/gateway/waiting_runs.py
+++ b/src/caperridge/gateway/waiting_runs.py
@@ -54,7 +54,7 @@
     def __init__(self, guard: RequestGuard) -> None:
         self._guard = guard
         self._runs_by_number: dict[int, WaitingRun] = {}
-        guard.on_quarantined = self._cancel_runs
+        guard.on_quarantined(self._cancel_runs)
 
     @contextlib.asynccontextmanager
     async def within(
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -533,6 +533,24 @@
         runner.status = status
 
 
+# Guards against items that crash one more target each, as they waited there when their
+# part was put in quarantine.
+async def test_items_that_wait_at_a_target_are_cancelled_by_the_quarantine(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    waiting, *crashing = fleet.runners
+    waiting.fatal = lambda run: False
+    waiting.hold_head = True
+    set_refusing(crashing, True)
+    await submit(fleet, "job", {"bad-1": ("a0", FATAL_PART)})
+    await until(lambda: waiting.busy == 1)
+    waiting.refuse = True
+    set_refusing(crashing, False)
+    await send_fatal(fleet, numbers, count=CRASH_THRESHOLD)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    await until(lambda: all(run.cut for run in waiting.runs))
+
+
 # Guards against popular parts blamed for many targets that lose power in one moment.
 @pytest.mark.parametrize("written", [0, 2])
 async def test_popular_parts_are_not_blamed_where_all_targets_crash_at_once(
