--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -262,13 +262,21 @@
     Attributes:
         target: its id.
         runs: content, caller, age in seconds and events of each.
+        parts: the same of each shared part of their prompts, with the key of the part
+            and the content that has it.
     """
 
-    __slots__ = ("runs", "target")
+    __slots__ = ("parts", "runs", "target")
 
-    def __init__(self, target: str, runs: list[list[Any]]) -> None:
+    def __init__(
+        self,
+        target: str,
+        runs: list[list[Any]],
+        parts: list[list[Any]] | None = None,
+    ) -> None:
         self.target = target
         self.runs = runs
+        self.parts = parts or []
 
 
 class SoundRuns(Record):
@@ -287,12 +295,16 @@
         suspects: of each the content, its crashes (target, caller, age of the run, its
             events, seconds ago, who reported it) and its hold: callers, seconds since,
             trials and seconds until the next trial; empty if it is not held.
+        parts: the same of parts of prompts.
     """
 
-    __slots__ = ("suspects",)
+    __slots__ = ("parts", "suspects")
 
-    def __init__(self, suspects: list[list[Any]]) -> None:
+    def __init__(
+        self, suspects: list[list[Any]], parts: list[list[Any]] | None = None
+    ) -> None:
         self.suspects = suspects
+        self.parts = parts or []
 
 
 class Relay(Record):
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -95,11 +95,11 @@
         self._detector = detector
         self._mesh = mesh
         self._fleet = fleet
-        self._evaluated_at = -math.inf
         self._metrics = metrics
         self._exoneration = Exoneration(quarantine, mesh, fleet)
         self._exoneration.on_good_run = self._after_good_run
         self._evaluation_timer: asyncio.TimerHandle | None = None
+        self._evaluated_at = -math.inf
         self._claiming: set[str] = set()
         # Keys of suspects with a crash that was reported here and not evaluated yet.
         self._unsettled: set[str] = set()
@@ -234,12 +234,16 @@
             runs=[[run.content, run.caller, run.age_s, run.events] for run in runs],
         )
         self._metrics.target_ends.inc()
-        reported = [[run.content, run.caller, run.age_s, run.events] for run in runs]
-        self._mesh.send_all(TargetEnded(target.id, reported))
+        contents: list[list[Any]] = []
+        parts: list[list[Any]] = []
+        for run in runs:
+            reported = parts if is_part(run.content) else contents
+            reported.append([run.content, run.caller, run.age_s, run.events])
+        self._mesh.send_all(TargetEnded(target.id, contents, parts))
         self._record_crash(target.id, runs, self._mesh.instance)
 
     def _receive_crash(self, peer: str, report: TargetEnded) -> None:
-        runs = [LostRun(*run) for run in report.runs]
+        runs = [LostRun(*run) for run in report.parts + report.runs]
         listed = self._fleet.targets.by_id.get(report.target)
         if listed is not None:
             self._fleet.mark_crashed(listed)
@@ -321,11 +325,15 @@
     def _suspects_message(self) -> Suspects:
         now = elapsed_s()
         suspects = sorted(self.quarantine.by_content.values(), key=_is_not_quarantined)
-        return Suspects([encode(one, now) for one in suspects[:MAX_GOSSIP_ENTRIES]])
+        contents: list[list[Any]] = []
+        parts: list[list[Any]] = []
+        for suspect in suspects[:MAX_GOSSIP_ENTRIES]:
+            (parts if suspect.is_part else contents).append(encode(suspect, now))
+        return Suspects(contents, parts)
 
     def _receive_suspects(self, peer: str, report: Suspects) -> None:
         now = elapsed_s()
-        for entry in report.suspects:
+        for entry in report.parts + report.suspects:
             content, crashes, hold = decode(entry, now)
             if not self.quarantine.merge(content, crashes, hold):
                 continue
