--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,8 @@
 NOT_RUN = (408, 421, 429, 503)
 ASK_S = 6.0
 TAKE_UPS = 3
+# Share of the requests that go to an instance where most do.
+CROWD_RATIO = 0.8
 EVENT_END = b"\n\n"
 
 
@@ -51,7 +53,11 @@
 
 
 class Callers:
-    """Sends online requests and jobs, and reads results, until told to stop."""
+    """Sends online requests and jobs, and reads results, until told to stop.
+
+    Attributes:
+        crowded: the instance that most requests go to; None for any.
+    """
 
     def __init__(
         self,
@@ -71,6 +77,7 @@
             timeout=aiohttp.ClientTimeout(total=ASK_S),
         )
         self._number = 0
+        self.crowded: SoakInstance | None = None
 
     async def close(self) -> None:
         """Close all connections."""
@@ -89,7 +96,8 @@
             else:
                 work = self._job(f"j{self._number}")
             tasks.add(asyncio.ensure_future(work))
-            await asyncio.sleep(self._chance.uniform(0.0, 0.1))
+            pause_s = self._chance.uniform(0.0, 0.1)
+            await asyncio.sleep(pause_s / 2 if self.crowded is not None else pause_s)
         await asyncio.gather(*tasks)
 
     async def finish(self, within_s: float) -> None:
@@ -258,7 +266,10 @@
             return None
 
     def _any(self) -> SoakInstance:
-        return self._chance.choice(self._town.instances)
+        one = self._chance.choice(self._town.instances)
+        if self.crowded is not None and self._take_up_chance.random() < CROWD_RATIO:
+            return self.crowded
+        return one
 
     def _broken(self, what: str) -> None:
         self._tally.broken.append(what)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from gateway.unframed import reset
+
 PASS = "pass"
 DELAY = "delay"
 RESET = "reset"
@@ -38,7 +40,7 @@
         self.mode = mode
         if mode == RESET:
             for writer in list(self._writers):
-                writer.transport.abort()
+                reset(writer.transport)
 
     def stop(self) -> None:
         """End everything."""
@@ -65,7 +67,8 @@
                 self._writers.discard(back)
                 back.transport.abort()
         except OSError:
-            pass  # either end is gone, which is what a proxy passes on
+            # Either end is gone; an answer may have no other sign that it is cut.
+            reset(writer.transport)
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from soak.fatal import FatalCaller
 from soak.faults import inject, release_slowly
 from soak.kept import KeptCallers, KeptRequest
+from soak.sound import happen
 from soak.stops import check_stops, series
 from soak.town import Town
 
@@ -72,6 +73,7 @@
     grace_s: float = 4.0,
     fatal: bool = False,
     release: bool = False,
+    sound: bool = False,
 ) -> tuple[Tally, list[str]]:
     """Run one soak; return what callers saw and which faults came.
 
@@ -86,6 +88,8 @@
         fatal: whether a request that ends targets comes again and again.
         release: whether targets are replaced by ones of other software versions, in
             slow steps.
+        sound: whether targets send answers without a length and fall silent for a
+            while, and most callers come to one instance.
     """
     chance = random.Random(seed)
     runners = 3 + (instances - 1) // INSTANCES_PER_RUNNER if stops else 3
@@ -106,23 +110,23 @@
     kept = KeptCallers(town, random.Random(seed + 2))
     try:
         await asyncio.sleep(1.5)
-        ending = None
+        beside: list[asyncio.Future[None]] = []
         if fatal:
             caller = FatalCaller(town, tally, random.Random(seed + 3))
-            ending = asyncio.ensure_future(caller.use(seconds))
-        releasing = None
+            beside.append(asyncio.ensure_future(caller.use(seconds)))
         if release:
             steps = release_slowly(town, random.Random(seed + 4), seconds)
-            releasing = asyncio.ensure_future(steps)
+            beside.append(asyncio.ensure_future(steps))
+        if sound:
+            events = happen(town, callers, random.Random(seed + 6), seconds, stops)
+            beside.append(asyncio.ensure_future(events))
         if stops:
             faults = await _with_stops(town, callers, kept, chance, seconds)
         else:
             _, faults = await asyncio.gather(
                 callers.use(seconds), inject(town, chance, seconds)
             )
-        for task in (ending, releasing):
-            if task is not None:
-                await task
+        await asyncio.gather(*beside)
         town.store.lose_answers = 0
         await callers.finish(SETTLE_S)
         ran = {run.id for runner in town.all_runners for run in runner.runs}
@@ -169,6 +173,7 @@
     grace_s: float = 4.0,
     fatal: bool = False,
     release: bool = False,
+    sound: bool = False,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -178,7 +183,9 @@
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         tally, faults = asyncio.run(
-            soak(seed, seconds, folder, instances, stops, grace_s, fatal, release)
+            soak(
+                seed, seconds, folder, instances, stops, grace_s, fatal, release, sound
+            )
         )
         word = "broken" if tally.broken else "kept"
         typer.echo(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -87,3 +87,33 @@
     assert tally.broken == [], "\n".join([*tally.broken, *faults])
     assert tally.stops
     assert tally.met_stops
+
+
+# Targets end answers with their connection and fall silent for a while, and most new
+# connections come to one instance.
+SOUND = [7101]
+
+
+@pytest.mark.parametrize("seed", SOUND)
+async def test_promises_hold_where_targets_and_the_balancer_are_sound(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(seed, seconds=6.0, folder=tmp_path, sound=True)
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.answered > 0
+    assert tally.accepted
+
+
+SOUND_IN_STOPS = [7202]
+
+
+@pytest.mark.parametrize("seed", SOUND_IN_STOPS)
+async def test_silent_targets_cost_no_request_in_planned_stops(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(
+        seed, seconds=10.0, folder=tmp_path, stops=True, grace_s=8.0, sound=True
+    )
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.stops
+    assert tally.met_stops
