--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -105,7 +105,7 @@
 
     def unknown_use(self, limit: QuotaLimit) -> float:
         """Return how much of a window that is new here may have been used elsewhere."""
-        if self.settled or self.is_minority:
+        if self.settled:
             return 0.0
         return limit.quota - limit.start_tokens
 
@@ -197,7 +197,8 @@
             count * (1 - (self.updated_at - since) / self._window_s)
             for since, count in self._used_before
         )
-        return self.quota - self.used - self._unknown - used_before
+        unknown = 0.0 if self._is_minority else self._unknown
+        return self.quota - self.used - unknown - used_before
 
     @property
     def scarce(self) -> bool:
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -146,6 +146,20 @@
     assert heir.left == limit.quota - 7
 
 
+def test_a_window_begun_out_of_reach_of_most_is_no_second_quota() -> None:
+    """Guards against a quota granted again by an owner that has just started.
+
+    It knew few of the instances then, and took the window for one of a smaller side.
+    """
+    limit = QuotaLimit(20, 20)
+    window = TeamWindow(limit, Reach(0.1, False), 0.0)
+    window.update(limit, Reach(0.1, False), 0.0)
+    assert window.left > 0
+    assert not window.is_complete
+    window.update(limit, Reach(1.0, False), 0.1)
+    assert window.left == pytest.approx(limit.start_tokens)
+
+
 def test_a_lower_limit_holds_from_its_first_use() -> None:
     window = TeamWindow(QuotaLimit(50, 50), ALL, 0.0)
     lower = QuotaLimit(5, 5)
