--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -8,6 +8,7 @@
     StreamsBegan,
 )
 from caperridge.gateway.mesh.quota_messages import (
+    ForwardedQuotaReport,
     QuotaHandover,
     QuotaReport,
     QuotaVerdict,
@@ -369,6 +370,7 @@
         Relayed,
         RelayedHeartbeats,
         MemberLost,
+        ForwardedQuotaReport,
         QuotaHandover,
         QuotaReport,
         QuotaVerdict,
--- a/src/caperridge/gateway/mesh/quota_messages.py
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -21,6 +21,23 @@
         self.teams = teams
 
 
+class ForwardedQuotaReport(Record):
+    """A report of another instance, about windows that the receiver owns.
+
+    Attributes:
+        reporter: instance that reported, and gets the answer.
+        number: repeated in the answer.
+        teams: as in :class:`QuotaReport`.
+    """
+
+    __slots__ = ("number", "reporter", "teams")
+
+    def __init__(self, reporter: str, number: int, teams: list[list[Any]]) -> None:
+        self.reporter = reporter
+        self.number = number
+        self.teams = teams
+
+
 class QuotaHandover(Record):
     """The receiver owns these windows from now on.
 
@@ -43,10 +60,14 @@
         teams: of each its name, how many requests are granted, whether to ask before
             each request, what its window still allows, after how many seconds the first
             of the refused may return, and the seconds between them.
+        forwarded_by: instance that was sent the report first; empty if the sender was.
     """
 
-    __slots__ = ("number", "teams")
+    __slots__ = ("forwarded_by", "number", "teams")
 
-    def __init__(self, number: int, teams: list[list[Any]]) -> None:
+    def __init__(
+        self, number: int, teams: list[list[Any]], forwarded_by: str = ""
+    ) -> None:
         self.number = number
         self.teams = teams
+        self.forwarded_by = forwarded_by
--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -1,7 +1,7 @@
 """The windows of the teams that this instance owns."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from caperridge.decisions.quota import QuotaLimit, Reach, TeamWindow
@@ -73,18 +73,28 @@
         """Whether most instances are out of reach."""
         return self._reach(asyncio.get_running_loop().time()).is_minority
 
-    def hand_over(self, owner_of: Callable[[str], str]) -> None:
-        """Send the windows that belong to other instances now to these."""
+    def hand_over(
+        self, owner_of: Callable[[str], str], teams: Iterable[str] | None = None
+    ) -> None:
+        """Send the windows that belong to other instances now to these.
+
+        Args:
+            owner_of: returns the owner of a team's window.
+            teams: whose windows are checked; None for all.
+        """
         now = asyncio.get_running_loop().time()
         teams_by_owner: dict[str, list[list[Any]]] = {}
-        for team in list(self._windows_by_team):
+        for team in list(self._windows_by_team if teams is None else teams):
+            if team not in self._windows_by_team:
+                continue
             owner = owner_of(team)
-            if owner != self._mesh.instance:
-                window = self._windows_by_team.pop(team)
-                fields = [team, window.history(now), window.is_complete]
-                teams_by_owner.setdefault(owner, []).append(fields)
-        for owner, teams in teams_by_owner.items():
-            self._mesh.send(owner, QuotaHandover(teams))
+            if owner == self._mesh.instance:
+                continue
+            window = self._windows_by_team.pop(team)
+            fields = [team, window.history(now), window.is_complete]
+            teams_by_owner.setdefault(owner, []).append(fields)
+        for owner, windows in teams_by_owner.items():
+            self._mesh.send(owner, QuotaHandover(windows))
         if teams_by_owner:
             # Peers that do not know yet may still report here, to windows without the
             # history that was sent away.
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -9,7 +9,11 @@
 from caperridge.decisions.rendezvous import owner
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.quota_messages import QuotaReport, QuotaVerdict
+from caperridge.gateway.mesh.quota_messages import (
+    ForwardedQuotaReport,
+    QuotaReport,
+    QuotaVerdict,
+)
 from caperridge.gateway.quota_ledger import QuotaLedger, Verdict
 from caperridge.gateway.team_use import Report, TeamShare, TeamUse
 from caperridge.log import logger
@@ -63,6 +67,7 @@
         self._owners_key = -1
         self._handed_over_key = -1
         mesh.register(QuotaReport, self._receive_report)
+        mesh.register(ForwardedQuotaReport, self._receive_forwarded)
         mesh.register(QuotaVerdict, self._receive_verdict)
 
     def start(self) -> None:
@@ -209,6 +214,7 @@
 
     def _flush(self) -> None:
         self._flush_timer = None
+        self.ledger.hand_over(self._owner_of, self._dirty)
         now = asyncio.get_running_loop().time()
         teams_by_owner: dict[str, list[str]] = {}
         for team in self._dirty:
@@ -270,9 +276,30 @@
         self._flush_later()
 
     def _receive_report(self, peer: str, report: QuotaReport) -> None:
+        """Settle a report; forward what it says of windows that others own.
+
+        While a change of the members spreads, peers still report to the owner of
+        before. Two owners of a window would grant its quota twice.
+        """
+        teams = self._forward(peer, report)
+        if teams:
+            verdicts = QuotaVerdict(report.number, self._settle(peer, teams))
+            self._mesh.send(peer, verdicts)
+
+    def _receive_forwarded(self, peer: str, report: ForwardedQuotaReport) -> None:
+        """Settle a report in any case, so that none is forwarded in a circle."""
+        fields = self._settle(report.reporter, report.teams)
+        verdicts = QuotaVerdict(report.number, fields, forwarded_by=peer)
+        if report.reporter == self._mesh.instance:
+            self._receive_verdict(peer, verdicts)
+            return
+        self._mesh.send(report.reporter, verdicts)
+
+    def _settle(self, reporter: str, teams: list[list[Any]]) -> list[list[Any]]:
+        """Settle a report on the windows here; return the fields of the verdicts."""
         fields: list[list[Any]] = []
-        for team, spent, wanted, usual_per_s in report.teams:
-            verdict = self.ledger.settle(peer, team, spent, wanted, usual_per_s)
+        for team, spent, wanted, usual_per_s in teams:
+            verdict = self.ledger.settle(reporter, team, spent, wanted, usual_per_s)
             fields.append(
                 [
                     team,
@@ -283,19 +310,38 @@
                     round(verdict.step_s, 3),
                 ]
             )
-        self._mesh.send(peer, QuotaVerdict(report.number, fields))
+        return fields
+
+    def _forward(self, reporter: str, report: QuotaReport) -> list[list[Any]]:
+        """Forward to the owners of the windows; return what is settled here."""
+        self.ledger.hand_over(self._owner_of, [one[0] for one in report.teams])
+        own: list[list[Any]] = []
+        teams_by_owner: dict[str, list[list[Any]]] = {}
+        for fields in report.teams:
+            instance = self._owner_of(fields[0])
+            if instance == self._mesh.instance:
+                own.append(fields)
+                continue
+            teams_by_owner.setdefault(instance, []).append(fields)
+        for instance, teams in teams_by_owner.items():
+            forwarded = ForwardedQuotaReport(reporter, report.number, teams)
+            if not self._mesh.send(instance, forwarded):
+                own += teams
+        return own
 
     def _receive_verdict(self, peer: str, message: QuotaVerdict) -> None:
         report = self._reports_by_number.get(message.number)
-        if report is None or report.owner != peer:
+        if report is None or report.owner != (message.forwarded_by or peer):
             return
-        del self._reports_by_number[message.number]
         now = asyncio.get_running_loop().time()
         for team, granted, scarce, left, wait_s, step_s in message.teams:
             verdict = Verdict(granted, scarce, left, wait_s, step_s)
-            share = report.shares_by_team.get(team)
+            # Other teams of the report may be answered by other owners.
+            share = report.shares_by_team.pop(team, None)
             if share is not None:
                 self._apply(team, verdict, share, now)
+        if not report.shares_by_team:
+            del self._reports_by_number[message.number]
 
     def _apply(self, team: str, verdict: Verdict, share: TeamShare, now: float) -> None:
         """Follow the owner's word; hand out what it granted."""
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -12,6 +12,8 @@
 KEY = "secret-key"
 RATE, BURST = 0.4, 6
 QUOTA = 8
+LARGE_RATE, LARGE_BURST = 4, 60
+LARGE_QUOTA = 80
 TEAM = tenant("north", KEY, ratePerS=RATE, burst=BURST)
 OTHER = tenant("south", "other-key", ratePerS=RATE, burst=BURST)
 
@@ -118,6 +120,66 @@
     assert QUOTA - 4 <= statuses.count(200) <= QUOTA - 4 + len(others)
 
 
+@pytest.fixture
+async def large_quota(fleet: World) -> World:
+    """A fleet whose team has a quota far above what an unknown window allows."""
+    fleet.configure(
+        3, ROUTES, [tenant("north", KEY, ratePerS=LARGE_RATE, burst=LARGE_BURST)]
+    )
+    for instance in fleet.instances:
+        await until(lambda one=instance: one.configuration.table.version == 3)
+    return fleet
+
+
+@pytest.mark.parametrize("unaware_is_heir", [False, True])
+async def test_what_peers_ask_of_an_owner_that_left_is_counted_by_its_heir(
+    large_quota: World, unaware_is_heir: bool
+) -> None:
+    """Guards against a quota that is used twice while a stop is not known to all."""
+    fleet = large_quota
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    owner = owner_of(fleet)
+    others = [one for one in fleet.instances if one is not owner]
+    statuses = await burst(fleet, others, LARGE_QUOTA + 5)
+    assert statuses.count(429)
+    owner.quotas.leave()
+    heir = owner.quotas._owner_of("north")
+    unaware = next(
+        one for one in others if (one.settings.instance == heir) == unaware_is_heir
+    )
+    for _ in range(3):
+        statuses += await burst(fleet, [unaware], LARGE_QUOTA)
+    windows = 1 + (loop.time() - began) // DEFAULT_WINDOW_S
+    assert statuses.count(200) <= LARGE_QUOTA * windows
+
+
+async def test_an_owner_that_comes_back_is_asked_by_those_that_do_not_know_yet(
+    large_quota: World,
+) -> None:
+    """Its heir hands the window over, and still gets reports of others."""
+    fleet = large_quota
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    owner = owner_of(fleet)
+    owner.quotas.leave()
+    heir_id = owner.quotas._owner_of("north")
+    heir = next(one for one in fleet.instances if one.settings.instance == heir_id)
+    unaware = next(one for one in fleet.instances if one not in (owner, heir))
+    for one in (heir, unaware):
+        one.mesh.set_leaving(owner.settings.instance, True)
+    statuses = await burst(fleet, [unaware, heir], LARGE_QUOTA + 5)
+    assert statuses.count(429)
+    owner.quotas.leaving = False
+    owner.quotas._owners_by_team.clear()
+    heir.mesh.set_leaving(owner.settings.instance, False)
+    heir.quotas.tick(loop.time())
+    for _ in range(3):
+        statuses += await burst(fleet, [unaware], LARGE_QUOTA)
+    windows = 1 + (loop.time() - began) // DEFAULT_WINDOW_S
+    assert statuses.count(200) <= LARGE_QUOTA * windows
+
+
 async def test_a_silent_owner_is_replaced_by_what_the_team_usually_sends(
     fleet: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
