--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -333,3 +333,8 @@
             return False
         self._level -= 1.0
         return True
+
+    def empty(self, now: float) -> None:
+        """Drop the tokens that it holds."""
+        self._level = 0.0
+        self._at = now
--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -30,6 +30,17 @@
         self.wait_s = wait_s
         self.step_s = step_s
 
+    def to_fields(self, team: str) -> list[Any]:
+        """Return the fields of a team in a :class:`QuotaVerdict`."""
+        return [
+            team,
+            self.granted,
+            self.scarce,
+            round(self.left, 2),
+            round(self.wait_s, 3),
+            round(self.step_s, 3),
+        ]
+
 
 class QuotaLedger:
     """Settles reports on the windows of teams.
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -190,6 +190,9 @@
         """Admit what the team usually sends here."""
         if not use.usual.frozen:
             use.usual.freeze(now)
+            if use.is_used_up(limit.window_s, now):
+                # One token at each instance may be more than the quota has room for.
+                use.alone.empty(now)
         rate = use.usual.at(now) * ALONE_USE_RATIO
         capacity = max(1.0, min(rate, limit.burst * MAX_ALONE_BURST_RATIO))
         if use.alone.take(rate, capacity, now):
@@ -300,16 +303,7 @@
         fields: list[list[Any]] = []
         for team, spent, wanted, usual_per_s in teams:
             verdict = self.ledger.settle(reporter, team, spent, wanted, usual_per_s)
-            fields.append(
-                [
-                    team,
-                    verdict.granted,
-                    verdict.scarce,
-                    round(verdict.left, 2),
-                    round(verdict.wait_s, 3),
-                    round(verdict.step_s, 3),
-                ]
-            )
+            fields.append(verdict.to_fields(team))
         return fields
 
     def _forward(self, reporter: str, report: QuotaReport) -> list[list[Any]]:
@@ -349,6 +343,7 @@
         if use is None:
             return
         use.verdict = verdict
+        use.verdict_at = now
         use.unconfirmed -= share.unreported
         use.silent_until = 0.0
         use.usual.thaw(now)
--- a/src/caperridge/gateway/team_use.py
+++ b/src/caperridge/gateway/team_use.py
@@ -20,6 +20,7 @@
         usual: rate of its requests here.
         alone: what may be served while no owner answers.
         verdict: the last word of the owner.
+        verdict_at: when it came.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "used_at",
         "usual",
         "verdict",
+        "verdict_at",
         "waiting",
     )
 
@@ -46,6 +48,13 @@
         self.usual = UsualRate(now)
         self.alone = LocalBucket(1.0, now)
         self.verdict: Verdict | None = None
+        self.verdict_at = 0.0
+
+    def is_used_up(self, window_s: float, now: float) -> bool:
+        """Whether the owner allowed no more request, no longer ago than a window."""
+        if self.verdict is None or now - self.verdict_at > window_s:
+            return False
+        return self.verdict.left < 1
 
 
 class Report:
--- a/src/caperridge/measure/quota_model.py
+++ b/src/caperridge/measure/quota_model.py
@@ -253,13 +253,22 @@
 class Use:
     """What an instance knows of the team; see :class:`gateway.quotas.TeamUse`."""
 
-    __slots__ = ("alone", "free_until", "silent_until", "spent", "unconfirmed", "usual")
+    __slots__ = (
+        "alone",
+        "free_until",
+        "silent_until",
+        "spent",
+        "unconfirmed",
+        "used_up_until",
+        "usual",
+    )
 
     def __init__(self, now: float) -> None:
         self.spent = 0
         self.unconfirmed = 0
         self.free_until = 0.0
         self.silent_until = 0.0
+        self.used_up_until = 0.0
         self.alone = LocalBucket(1.0, now)
         self.usual = UsualRate(now)
 
@@ -307,14 +316,16 @@
             window = self._window(owner)
             usual = use.usual.at(world.now)
             granted = window.settle(str(instance), spent, wanted, usual, world.now)
-            world.send(owner, instance, lambda: apply(granted, window.scarce))
+            left = window.left
+            world.send(owner, instance, lambda: apply(granted, window.scarce, left))
 
-        def apply(granted: int, scarce: bool) -> None:
+        def apply(granted: int, scarce: bool, left: float) -> None:
             if answered:
                 return
             answered.append(None)
             use.unconfirmed -= spent
             use.free_until = 0.0 if scarce else world.now + FREE_HOLD_S
+            use.used_up_until = world.now + world.limit.window_s if left < 1 else 0.0
             use.usual.thaw(world.now)
             if wanted and granted:
                 use.usual.add(world.now)
@@ -338,6 +349,8 @@
         world = self.world
         if not use.usual.frozen:
             use.usual.freeze(world.now)
+            if world.now < use.used_up_until:
+                use.alone.empty(world.now)
         rate = use.usual.at(world.now) * ALONE_USE_RATIO
         capacity = max(1.0, min(rate, world.limit.burst / 2))
         if use.alone.take(rate, capacity, world.now):
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -192,6 +192,21 @@
     assert 0 < statuses.count(200) < QUOTA
 
 
+async def test_a_used_up_quota_is_not_exceeded_while_its_owner_is_silent(
+    fleet: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one request more at each instance whenever an owner restarts."""
+    owner = owner_of(fleet)
+    others = [one for one in fleet.instances if one is not owner]
+    assert 429 in await burst(fleet, others[:1], 40)
+    assert 429 in await burst(fleet, others[1:], 40)
+    monkeypatch.setattr(quotas, "ANSWER_TIMEOUT_S", 0.05)
+    # What the team usually sends comes on top, at its rate.
+    monkeypatch.setattr(quotas, "ALONE_USE_RATIO", 0.0)
+    owner.mesh._handlers_by_kind.pop(quotas.QuotaReport)
+    assert set(await burst(fleet, others, 20)) == {429}
+
+
 async def test_a_team_far_below_its_limit_is_served_without_asking(
     fleet: World,
 ) -> None:
