--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -22,6 +22,7 @@
     Transaction,
 )
 from caperridge.gateway.table_copy import TableCopy
+from caperridge.gateway.trial_claims import TrialClaims
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.log import logger
 from caperridge.records import Record
@@ -36,8 +37,6 @@
 RETRY_DELAY_S = 1.0
 # Between two writes; a crash changes a few rows, and they are not urgent.
 WRITE_INTERVAL_S = 0.02
-# A request that waits for its trial gets a quick refusal if the claim is not granted.
-CLAIM_TIMEOUT_S = 0.25
 
 
 class HeldRow(Record):
@@ -94,6 +93,7 @@
         # Contents in the order in which they are written.
         self._pending: dict[str, None] = {}
         self._wake = asyncio.Event()
+        self._claims = TrialClaims(self._claim_while_due)
 
     def schedule_write(self, content: str) -> None:
         """Write, or remove, the row of a content soon."""
@@ -143,35 +143,40 @@
         """Claim the next trial of a request; only one instance gets each."""
         if not self._clock.known or not self._reach.reached:
             return False
-        try:
-            async with asyncio.timeout(CLAIM_TIMEOUT_S):
-                return await self._claim_while_due(suspect)
-        except TimeoutError:
-            return False
+        return await self._claims.use(suspect)
+
+    def has_open_claim(self, suspect: Suspect) -> bool:
+        """Whether a trial claimed here is still to be granted or used."""
+        return self._claims.is_open(suspect)
 
-    async def _claim_while_due(self, suspect: Suspect) -> bool:
+    async def _claim_while_due(self, suspect: Suspect) -> Hold | None:
         """Claim a trial, again after each conflict with a write that claimed none.
 
         All instances write the row when they put the request in quarantine, so the
         copy here may be older than the row for a moment.
+
+        Returns:
+            The hold that applies once it is granted; None if it is not.
         """
         key = _key(suspect.content)
         while True:
             hold = suspect.hold
             now = elapsed_s()
             if hold is None or not hold.is_due(now):
-                return False
+                return None
             claimed = hold.after_trial(now)
             value = self._encode(suspect, claimed)
             row = self.copy.rows_by_key.get(key)
             version = row.version if row is not None else ABSENT
             transaction = Transaction({key: version}, {key: value})
             if await self._apply_transaction(transaction, key):
+                if suspect.hold is None:
+                    return None  # cleared meanwhile
                 suspect.hold = claimed
-                return True
+                return claimed
             current = self.copy.rows_by_key.get(key)
             if current is None or current.version == version:
-                return False
+                return None
 
     async def _apply_transaction(self, transaction: Transaction, key: RowKey) -> bool:
         answer = await self._store.transact(transaction)
@@ -220,6 +225,7 @@
 
     def remove_expired(self) -> None:
         """Schedule the removal of rows whose requests are no longer suspect."""
+        self._claims.discard_done()
         for key in self.copy.rows_by_key:
             if key.key not in self._quarantine.by_content:
                 self.schedule_write(key.key)
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -147,7 +147,8 @@
         now = elapsed_s()
         holds = sorted(self._holds(fingerprint), key=lambda one: -one[1].next_due(now))
         for suspect, hold in holds:
-            if hold.is_due(elapsed_s()) and await self._claim_trial(suspect):
+            may_try = hold.is_due(elapsed_s()) or self.rows.has_open_claim(suspect)
+            if may_try and await self._claim_trial(suspect):
                 self._metrics.held_requests.labels("tried_again").inc()
                 log.warning(
                     "trial of quarantined request",
