--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -159,7 +159,7 @@
             return None
         now = elapsed_s()
         suspect, hold = max(holds, key=lambda one: one[1].next_due(now))
-        if hold.is_due(now):
+        if self._may_try(holds, now):
             # A crash would say nothing about the wider ones; their trials are left to
             # requests that are held for nothing else.
             suspect, hold = min(holds, key=_width)
@@ -179,6 +179,15 @@
             _refusal_reason(suspect), max(MIN_RETRY_AFTER_S, remaining_s)
         )
 
+    def _may_try(self, holds: list[tuple[Suspect, Hold]], now: float) -> bool:
+        """Whether the trials of all that hold a request are due, or claimed here."""
+        narrowest, _ = min(holds, key=_width)
+        return all(
+            hold.is_due(now)
+            or (suspect is narrowest and self.rows.has_open_claim(suspect))
+            for suspect, hold in holds
+        )
+
     async def wait_until_evaluated(self) -> None:
         """Wait until all crashes so far have been evaluated, or for a short time."""
         loop = asyncio.get_running_loop()
