--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -12,13 +12,15 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
 # Iterations of the event loop from reading a request to its handler: one wakes the task
 # of the connection and one starts the handler; the others are a margin.
 ITERATIONS_TO_HANDLER = 5
 # Interval of polling for idle connections; it lengthens a stop by as much.
 POLL_INTERVAL_S = 0.05
+# Longest time for the rest of a body that came after its answer.
+LINGER_S = 3.0
 
 
 class Connections:
@@ -85,9 +87,7 @@
             if self._closing:
                 _resume(connection)  # its body may not have arrived yet
             try:
-                response = await handler(request)
-                await write_response(request, response)
-                return response
+                return await _respond(request, handler)
             finally:
                 self._busy.discard(connection)
                 if self._closing:
@@ -96,6 +96,32 @@
         return track
 
 
+async def _respond(request: web.Request, handler: Any) -> web.StreamResponse:
+    """Have a request answered, and read its whole body.
+
+    Closing a connection with unread data resets it, and the reset may reach the caller
+    before it has read the answer (RFC 9112, section 9.6). The library would read the
+    rest only after the connection counts as idle, and end the pause of its reading.
+    """
+    try:
+        response = await handler(request)
+    except web.HTTPException as refusal:
+        await write_response(request, refusal)
+        await _discard_body(request)
+        raise
+    await write_response(request, response)
+    await _discard_body(request)
+    return response
+
+
+async def _discard_body(request: web.Request) -> None:
+    """Read and discard what the handler left of the body."""
+    with contextlib.suppress(ConnectionError, RequestPayloadError, TimeoutError):
+        async with asyncio.timeout(LINGER_S):
+            while not request.content.is_eof():
+                await request.content.readany()
+
+
 async def write_response(request: web.Request, response: web.StreamResponse) -> None:
     """Write the whole response, which the library would do after the handler."""
     if response.prepared:
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -32,6 +32,7 @@
             application,
             access_log=None,
             handler_cancellation=True,
+            lingering_time=0.0,  # see Connections
             keepalive_timeout=KEEPALIVE_S,
             shutdown_timeout=0.1,
             max_line_size=MAX_HEAD_BYTES,
--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -33,6 +33,7 @@
             app,
             access_log=None,
             handler_cancellation=True,
+            lingering_time=0.0,  # see Connections
             shutdown_timeout=CANCEL_S,
         )
         self._door: SocketListener | None = None
--- a/tests/test_connections_odd.py
+++ b/tests/test_connections_odd.py
@@ -1,15 +1,19 @@
 """Requests that are not read in one piece, or not wholly answered, when all end."""
 
 import asyncio
+import socket
 
 import pytest
 import pytest_asyncio
 from aiohttp import web
 
 from caperridge.connections import Connections
+from loop_clock import turns as iterations
 
 EXPECTING = b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
 EXPECTING += b"Expect: 100-continue\r\n\r\n"
+REFUSED = b"POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+ECHOED = REFUSED.replace(b"refused", b"echo") + b"body"
 GET = b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
 BIG_BYTES = 4_000_000
 
@@ -20,11 +24,18 @@
     def __init__(self) -> None:
         application = web.Application()
         application.router.add_post("/echo", self._echo)
+        application.router.add_post("/refused", self._refused)
+        application.router.add_post("/raised", self._raised)
         application.router.add_get("/big", self._big)
         application.router.add_get("/broken", self._broken)
         self.begun = 0
         self.connections = Connections(application)
-        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        self.runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            lingering_time=0.0,
+            shutdown_timeout=0.1,
+        )
 
     async def start(self) -> None:
         await self.runner.setup()
@@ -46,6 +57,14 @@
         self.begun += 1
         return web.Response(body=await request.read())
 
+    async def _refused(self, _: web.Request) -> web.Response:
+        self.begun += 1
+        return web.Response(status=503)
+
+    async def _raised(self, _: web.Request) -> web.Response:
+        self.begun += 1
+        raise web.HTTPServiceUnavailable
+
     async def _big(self, _: web.Request) -> web.Response:
         self.begun += 1
         return web.Response(body=b"b" * BIG_BYTES)
@@ -134,3 +153,61 @@
     assert await ending == 0
     assert server.begun == 0
     writer.close()
+
+
+@pytest.mark.parametrize("path", [b"refused", b"raised"])
+async def test_an_answer_given_before_its_body_had_come_is_not_reset(
+    server: Server, path: bytes
+) -> None:
+    """Guards against refusals that a stop resets while their caller still sends.
+
+    The connection counted as idle once the answer was written, and was closed. A caller
+    that reads only after it has sent all of its body saw a reset instead of the answer.
+    """
+    loop = asyncio.get_running_loop()
+    caller = socket.create_connection(server.runner.addresses[0])
+    caller.setblocking(False)
+    await loop.sock_sendall(caller, REFUSED.replace(b"refused", path) + b"bo")
+    async with asyncio.timeout(5):
+        while server.begun == 0:
+            await asyncio.sleep(0)
+    for _ in range(3):
+        await server.end_idle()
+    ending = asyncio.ensure_future(server.end_all())
+    for piece in (b"d", b"y"):
+        await loop.sock_sendall(caller, piece)
+        await iterations()
+    got = b""
+    async with asyncio.timeout(5):
+        while piece := await loop.sock_recv(caller, 65536):
+            got += piece
+    assert b"503 Service Unavailable" in got
+    assert await ending == 0
+    caller.close()
+
+
+@pytest.mark.parametrize("turns", range(10))
+async def test_a_request_behind_a_refused_body_is_answered(
+    server: Server, turns: int
+) -> None:
+    """Guards against requests that are read and cut behind an early answer.
+
+    The library discards the rest of a body that a handler did not read, and resumes
+    reading for each part of it. So a connection that had been paused, to be closed a
+    few iterations later, was read.
+    """
+    await server.end_idle()  # from now on what becomes idle is paused
+    reader, writer = await server.connect()
+    writer.write(REFUSED + b"bo")
+    async with asyncio.timeout(5):
+        while server.begun == 0:
+            await asyncio.sleep(0)
+    closing = asyncio.ensure_future(server.end_idle())
+    await iterations(turns)
+    writer.write(b"dy" + ECHOED)
+    await closing
+    ending = asyncio.ensure_future(server.end_all())
+    got, was_reset = await all_of(reader)
+    assert await ending == 0
+    assert not was_reset
+    assert got.count(b"HTTP/1.1 ") == server.begun == 2
