--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -33,6 +33,7 @@
             access_log=None,
             handler_cancellation=True,
             lingering_time=0.0,  # see Connections
+            auto_decompress=False,  # bodies are forwarded unchanged
             keepalive_timeout=KEEPALIVE_S,
             shutdown_timeout=0.1,
             max_line_size=MAX_HEAD_BYTES,
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -204,6 +204,7 @@
     async def _site(self, application: web.Application) -> web.TCPSite:
         runner = web.AppRunner(
             application,
+            auto_decompress=False,
             handler_cancellation=True,
             shutdown_timeout=0.1,
             max_field_size=65536,
