--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -115,8 +115,8 @@
 
 
 async def _discard_body(request: web.Request) -> None:
-    """Read and discard what the handler left of the body."""
-    with contextlib.suppress(ConnectionError, RequestPayloadError, TimeoutError):
+    """Read and discard the rest of a body, unless it breaks off or takes too long."""
+    with contextlib.suppress(OSError, RequestPayloadError):
         async with asyncio.timeout(LINGER_S):
             while not request.content.is_eof():
                 await request.content.readany()
--- a/tests/test_connections_odd.py
+++ b/tests/test_connections_odd.py
@@ -186,6 +186,19 @@
     caller.close()
 
 
+async def test_a_refused_body_that_never_ends_does_not_hold_a_stop(
+    server: Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("caperridge.connections.LINGER_S", 0.01)
+    reader, writer = await server.connect()
+    writer.write(REFUSED + b"bo")
+    ending = asyncio.ensure_future(server.end_all())
+    got, _ = await all_of(reader)
+    assert b"503 Service Unavailable" in got
+    assert await ending == 0
+    writer.close()
+
+
 @pytest.mark.parametrize("turns", range(10))
 async def test_a_request_behind_a_refused_body_is_answered(
     server: Server, turns: int
