--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -135,6 +135,8 @@
         version = row.version if row is not None else ABSENT
         suspect = self._quarantine.by_content.get(content)
         if suspect is not None and is_stored(suspect, elapsed_s()):
+            if row is not None and self._is_current(row, suspect):
+                return True
             value = self._encode(suspect)
             return await self._apply_transaction(
                 Transaction({key: version}, {key: value}), key
@@ -145,6 +147,26 @@
             Transaction({key: version}, {}, [key]), key
         )
 
+    def _is_current(self, row: StoredRow, suspect: Suspect) -> bool:
+        """Whether a row has the crashes and the hold of a suspect.
+
+        Instances that write the same row at once would else do so one after the other,
+        as their times differ by some milliseconds.
+        """
+        try:
+            crashes, hold = self._decode(from_bytes(HeldRow, row.value))
+        except (UnreadableError, ValueError, TypeError):
+            return False
+        stored = {crash.target for crash in crashes}
+        if stored != {crash.target for crash in suspect.crashes}:
+            return False
+        if hold is None or suspect.hold is None:
+            return hold is suspect.hold
+        return (hold.trials, hold.callers) == (
+            suspect.hold.trials,
+            suspect.hold.callers,
+        )
+
     async def claim_trial(self, suspect: Suspect) -> bool:
         """Claim the next trial of a request; only one instance gets each."""
         if not self._clock.known or not self._reach.reached:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -241,8 +241,16 @@
         """Log and store that a suspect ran well."""
         suspect = self.quarantine.by_content[content]
         log.info("suspect ran well", reported_by=reported_by, **log_fields(suspect))
-        self.rows.schedule_write(content)
         self._update_gauge()
+        if reported_by == self._mesh.instance or not self._mesh.large:
+            self.rows.schedule_write(content)
+            return
+        self._call_as_backup(self.rows.schedule_write, content)
+
+    def _call_as_backup(self, write: Callable[[str], None], content: str) -> None:
+        """Have a row written here if those who should write it have not done so."""
+        delay_s = MIN_BACKUP_WRITE_DELAY_S * (1 + self._fleet.rng.random())
+        asyncio.get_running_loop().call_later(delay_s, write, content)
 
     # Evaluation of suspects.
 
@@ -285,9 +293,7 @@
         if reported_here or not self._mesh.large:
             self.rows.schedule_write(suspect.content)
             return
-        delay_s = MIN_BACKUP_WRITE_DELAY_S * (1 + self._fleet.rng.random())
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self.rows.schedule_missing_write, suspect.content)
+        self._call_as_backup(self.rows.schedule_missing_write, suspect.content)
 
     def _update_gauge(self) -> None:
         self._metrics.quarantine.set(len(self.quarantine.quarantined()))
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -21,7 +21,7 @@
 from caperridge.gateway import exoneration, held_rows, request_guard
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
-from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.process import QUARANTINE_READ_INTERVAL_S, GatewayInstance
 from gateway.conftest import Answer, World, job_body, until
 from gateway.runner_standin import Run
 from gateway.test_requests_that_end_targets import (
@@ -477,3 +477,20 @@
     def __setitem__(self, key: str, value: None) -> None:
         self._keys.append(key)
         super().__setitem__(key, value)
+
+
+async def test_a_row_that_says_the_same_is_not_written_again(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """All instances know the same, but their times differ by some milliseconds."""
+    await send_fatal(fleet, numbers)
+    await until(lambda: stored_holds(fleet) == 1)
+    await until(lambda: not any(one.guard.rows._pending for one in fleet.instances))
+    await asyncio.sleep(2 * QUARANTINE_READ_INTERVAL_S)
+    before = dict(fleet.store.rows)
+    for instance in fleet.instances:
+        for key in blamed_parts_of(instance):
+            instance.guard.rows.schedule_write(key)
+    await until(lambda: not any(one.guard.rows._pending for one in fleet.instances))
+    await asyncio.sleep(held_rows.RETRY_DELAY_S / 2)
+    assert fleet.store.rows == before
