--- a/src/caperridge/measure/part_fleet.py
+++ b/src/caperridge/measure/part_fleet.py
@@ -7,12 +7,14 @@
 import asyncio
 import math
 import random
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from result import Err, Ok
 
+from caperridge.decisions.suspects import Suspect
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.held_rows import QuarantineTable
@@ -248,6 +250,9 @@
         self.id = f"e-{number}"
         self.zone = number % ZONES
         self.quarantine = way.quarantine()
+        self._fleet = fleet
+        self._evaluate = self.quarantine.evaluate
+        setattr(self.quarantine, "evaluate", self._timed_evaluate)  # noqa: B010
         self._parts = way.parts
         self._store = fleet.store
         view: Any = FleetView(random.Random(number), fleet.listed_by_id)
@@ -270,6 +275,12 @@
             loop.create_task(self.guard.run()),
         ]
 
+    def _timed_evaluate(self, now: float) -> list[Suspect]:
+        started_at = time.perf_counter()
+        quarantined = self._evaluate(now)
+        self._fleet.evaluation_s += time.perf_counter() - started_at
+        return quarantined
+
     async def transact(self, transaction: Transaction) -> Any:
         """See :meth:`RowStore.transact`."""
         return await self._store.transact(transaction, self.zone)
@@ -299,6 +310,8 @@
         bytes_by_kind: delivered, by kind.
         far_bytes: sent between availability zones.
         crashes: of targets, whatever the cause.
+        handling_s: real time that receivers took for the messages.
+        evaluation_s: real time that evaluations took.
     """
 
     def __init__(self, instances: int, targets: int, way: Way, seed: int) -> None:
@@ -310,6 +323,8 @@
         self.bytes_by_kind: Counter[str] = Counter()
         self.far_bytes = 0
         self.crashes = 0
+        self.handling_s = 0.0
+        self.evaluation_s = 0.0
         self.targets = [ModelTarget(number) for number in range(targets)]
         self.listed_by_id = {one.listed.id: one.listed for one in self.targets}
         self._way = way
@@ -376,10 +391,12 @@
                 loop.call_later(delay_s, self._deliver, sender, zone, message)
 
     def _deliver(self, sender: ModelMesh, zone: int, message: Record) -> None:
+        started_at = time.perf_counter()
         for instance in self.instances:
             if instance.zone == zone and instance.mesh is not sender:
                 handler = instance.mesh.handlers_by_kind[type(message)]
                 handler(sender.instance, message)
+        self.handling_s += time.perf_counter() - started_at
 
     def _count(self, message: Record, receivers: int) -> int:
         """Count a message; return its size in bytes."""
