--- a/src/caperridge/measure/part_world.py
+++ b/src/caperridge/measure/part_world.py
@@ -53,11 +53,12 @@
         self._fatal_contents: set[str] = set()
         self._fatal_keys: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._failures: list[asyncio.Task[None]] = []
         for target in self.fleet.targets:
             target.fatal = self._chance.random() < scenario.fatal_targets
 
     async def play(self) -> None:
-        """Play the scenario to its end."""
+        """Play the scenario to its end; raise what failed in the model."""
         scenario = self._scenario
         self._start(self._send_sound())
         self._start(self._sample())
@@ -74,15 +75,22 @@
         if scenario.cut is not None:
             self._start(self._cut(*scenario.cut))
         await asyncio.sleep(scenario.seconds)
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for task in self._failures:
+            task.result()
 
     def _start(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(_raise_failure)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failures.append(task)
 
     # Demand.
 
@@ -212,8 +220,3 @@
                         continue
                     first_at, _ = outcomes.false_s.get(key, (since, now))
                     outcomes.false_s[key] = min(since, first_at), now
-
-
-def _raise_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        raise RuntimeError("a modelled part failed") from task.exception()
