--- a/src/caperridge/measure/part_serving.py
+++ b/src/caperridge/measure/part_serving.py
@@ -226,24 +226,24 @@
 
         Owners of the parts grant the turns, one round trip away.
         """
-        parts = [
-            part
-            for part in sorted(known.parts)
-            if isinstance(
-                one := instance.quarantine.by_content.get(part), IsolatedSuspect
-            )
-            and one.is_isolated()
-        ]
-        if not parts:
-            yield None
-            return
-        self.outcomes.isolated_runs += 1
+        parts = [part for part in sorted(known.parts) if _is_isolated(instance, part)]
+        network = self.fleet.network
         async with contextlib.AsyncExitStack() as stack:
+            alone = False
             for part in parts:
-                await asyncio.sleep(self.fleet.network.delay_s(instance.zone, 0))
+                await asyncio.sleep(network.delay_s(instance.zone, 0))
                 lock = self._locks_by_part.setdefault(part, asyncio.Lock())
-                await stack.enter_async_context(lock)
-                await asyncio.sleep(self.fleet.network.delay_s(instance.zone, 0))
+                await lock.acquire()
+                if not _is_isolated(instance, part):
+                    lock.release()  # it has run well in the meantime
+                    continue
+                stack.callback(lock.release)
+                await asyncio.sleep(network.delay_s(instance.zone, 0))
+                alone = True
+            if not alone:
+                yield None
+                return
+            self.outcomes.isolated_runs += 1
             target = self._choose(instance)
             if target is None:
                 yield None
@@ -290,3 +290,8 @@
     def up(self) -> list[ModelTarget]:
         """Return the targets that accept requests."""
         return [one for one in self.fleet.targets if one.up]
+
+
+def _is_isolated(instance: ModelInstance, part: str) -> bool:
+    suspect = instance.quarantine.by_content.get(part)
+    return isinstance(suspect, IsolatedSuspect) and suspect.is_isolated()
