--- a/src/caperridge/measure/part_ways.py
+++ b/src/caperridge/measure/part_ways.py
@@ -76,26 +76,43 @@
     """Blamed by the crash of a run that was alone, if it is a part."""
 
     __slots__ = ()
+    isolated_from = 1
 
     def _threshold(self, now: float) -> int:
         if self.position is None:
             return super()._threshold(now)
         recent = now - self.last_good_run_at < GOOD_RUN_TTL_S
-        return 3 if recent or self.position == 0 else 2
+        return self.isolated_from + (2 if recent or self.position == 0 else 1)
 
     def is_isolated(self) -> bool:
         """Whether its requests run one at a time."""
-        return any(crash.at > self.last_good_run_at for crash in self.crashes)
+        since = [one for one in self.crashes if one.at > self.last_good_run_at]
+        return len(since) >= self.isolated_from
 
 
 class IsolatingQuarantine(VariantQuarantine):
-    """Holds parts after a second crash, as their requests run one at a time."""
+    """Holds parts at the next crash once their requests run one at a time."""
 
     def new_suspect(self, content: str) -> Suspect:
         """See :meth:`VariantQuarantine.new_suspect`."""
         return IsolatedSuspect(content)
 
 
+class LateIsolatedSuspect(IsolatedSuspect):
+    """Isolated after a second crash."""
+
+    __slots__ = ()
+    isolated_from = 2
+
+
+class LateIsolatingQuarantine(VariantQuarantine):
+    """Isolates parts after a second crash."""
+
+    def new_suspect(self, content: str) -> Suspect:
+        """See :meth:`VariantQuarantine.new_suspect`."""
+        return LateIsolatedSuspect(content)
+
+
 class PartShares:
     """How often parts are in the runs of one instance."""
 
@@ -191,4 +208,5 @@
     "counts, one less": Way(EarlyQuarantine),
     "score": Way(ScoredQuarantine),
     "isolation": Way(IsolatingQuarantine),
+    "isolation after two": Way(LateIsolatingQuarantine),
 }
