--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -38,6 +38,8 @@
 MIN_RETRY_AFTER_S = 0.5
 # Until another instance stores a quarantine that its reporters have not stored.
 MIN_BACKUP_WRITE_DELAY_S = 1.0
+# Between two of them; reading what the first has written takes up to half a second.
+BACKUP_WRITE_INTERVAL_S = 0.05
 # A part of a prompt crashes targets as they begin to write; a run that wrote more
 # events than this was lost to another cause.
 MAX_EVENTS_BEFORE_CRASH = 2
@@ -249,7 +251,8 @@
 
     def _call_as_backup(self, write: Callable[[str], None], content: str) -> None:
         """Have a row written here if those who should write it have not done so."""
-        delay_s = MIN_BACKUP_WRITE_DELAY_S * (1 + self._fleet.rng.random())
+        spread_s = BACKUP_WRITE_INTERVAL_S * (1 + len(self._mesh.alive()))
+        delay_s = MIN_BACKUP_WRITE_DELAY_S + spread_s * self._fleet.rng.random()
         asyncio.get_running_loop().call_later(delay_s, write, content)
 
     # Evaluation of suspects.
--- a/src/caperridge/measure/part_fleet.py
+++ b/src/caperridge/measure/part_fleet.py
@@ -94,6 +94,10 @@
         """See :meth:`Mesh.send_on_connect`."""
         self.first_message = message
 
+    def alive(self) -> list["ModelInstance"]:
+        """Return the other instances."""
+        return [one for one in self._fleet.instances if one.mesh is not self]
+
     def send_all(self, message: Record) -> None:
         """See :meth:`Mesh.send_all`."""
         self._fleet.send_all(self, message)
