--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -27,7 +27,7 @@
 from caperridge.gateway.jobs.codec import to_bytes
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
-from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.process import QUARANTINE_READ_INTERVAL_S, GatewayInstance
 from caperridge.gateway.rows import RowKey, StoredRow
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.platform.dialect import PlatformDialect
@@ -613,3 +613,20 @@
 def test_the_spelling_of_the_header_does_not_matter(lines: list[str]) -> None:
     headers = CIMultiDict([("x-prompt-prefix", line) for line in lines])
     assert PlatformDialect().prompt_parts(headers) == ["a0", "bad0", "f1"]
+
+
+async def test_a_row_that_says_the_same_is_not_written_again(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """All instances know the same, but their times differ by some milliseconds."""
+    await send_fatal(fleet, numbers)
+    await until(lambda: stored_holds(fleet) == 1)
+    await until(lambda: not any(one.guard.rows._pending for one in fleet.instances))
+    await asyncio.sleep(2 * QUARANTINE_READ_INTERVAL_S)
+    before = dict(fleet.store.rows)
+    for instance in fleet.instances:
+        for key in blamed_parts_of(instance):
+            instance.guard.rows.schedule_write(key)
+    await until(lambda: not any(one.guard.rows._pending for one in fleet.instances))
+    await asyncio.sleep(held_rows.RETRY_DELAY_S / 2)
+    assert fleet.store.rows == before
