--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -23,7 +23,7 @@
 # that, when all requests at the same crashes are known.
 SETTLE_S = 0.05
 # Good runs of parts are known to other instances, which may be in distant zones.
-PART_SETTLE_S = 0.25
+PART_SETTLE_S = 0.15
 # Older crashes say nothing about the present targets.
 RETENTION_S = 900.0
 # About 0.5 KB each.
@@ -105,7 +105,8 @@
         """Quarantine the requests that reach the crash threshold; return these.
 
         The narrowest suspect with the least progress is evaluated first. Crashes that
-        it explains no longer count against others.
+        it explains no longer count against others. Contents are not evaluated before a
+        part that may explain their crashes.
         """
         if self._newest_at is None:
             return []
@@ -115,8 +116,11 @@
         self._discount_mass_crashes()
         quarantined: list[Suspect] = []
         suspects = [one for one in self.by_content.values() if one.crashes]
+        waits = any(
+            one.is_unproven_part and one.is_near_threshold(now) for one in suspects
+        )
         for suspect in sorted(suspects, key=_evaluation_order):
-            settle_s = PART_SETTLE_S if suspect.is_part else SETTLE_S
+            settle_s = PART_SETTLE_S if suspect.is_part or waits else SETTLE_S
             callers = suspect.blamed_callers(now, now - settle_s)
             if callers is None or self._is_covered(suspect, callers):
                 continue
@@ -254,7 +258,7 @@
     return bisect.bisect_right(times, at + MASS_CRASH_WINDOW_S) - first
 
 
-def _evaluation_order(suspect: Suspect) -> tuple[bool, int, float, float]:
+def _evaluation_order(suspect: Suspect) -> tuple[bool, bool, int, float, float]:
     return suspect.evaluation_order
 
 
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -17,7 +17,7 @@
 # next crash may come much later.
 FIRST_PART_QUARANTINE_THRESHOLD = 5
 PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 5
-SIMULTANEOUS_CRASHES_S = 0.3
+SIMULTANEOUS_CRASHES_S = 0.1
 # A part of a prompt crashes targets as they begin to write; a run that wrote more
 # events than this shows that its parts were not the cause.
 MAX_EVENTS_BEFORE_CRASH = 2
@@ -324,9 +324,19 @@
         return min(threshold, PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN)
 
     @property
-    def evaluation_order(self) -> tuple[bool, int, float, float]:
-        """Sort key of evaluations: the narrowest first, then the least progress."""
-        return (*self.width, *self.mean_progress)
+    def evaluation_order(self) -> tuple[bool, bool, int, float, float]:
+        """Sort key of evaluations: the narrowest first, then the least progress.
+
+        A part that never ran well comes before contents. If it is to blame at all, it
+        was lost with several of them, and one of them alone explains less.
+        """
+        return (not self.is_unproven_part, *self.width, *self.mean_progress)
+
+    @property
+    def is_unproven_part(self) -> bool:
+        """Whether it is a part, not a first one, of which no good run is known."""
+        unproven = self.last_good_run_at == float("-inf")
+        return self.is_part and not self.is_first_part and unproven
 
     @property
     def width(self) -> tuple[bool, int]:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -23,12 +23,13 @@
 from caperridge.gateway.exoneration import Exoneration
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.fleet import Fleet
-from caperridge.gateway.held_rows import QuarantineTable, is_stored
+from caperridge.gateway.held_rows import QuarantineTable
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import Suspects, TargetEnded
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.rows import StoredRow
 from caperridge.gateway.suspect_reports import decode, encode, log_fields
+from caperridge.gateway.suspect_writes import SuspectWrites
 from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.targets import Target
 from caperridge.log import logger
@@ -45,10 +46,6 @@
 # Between two evaluations, which go through all suspects.
 MIN_EVALUATION_INTERVAL_S = 0.01
 MIN_RETRY_AFTER_S = 0.5
-# Until another instance stores a quarantine that its reporters have not stored.
-MIN_BACKUP_WRITE_DELAY_S = 1.0
-# Between two of them; reading what the first has written takes up to half a second.
-BACKUP_WRITE_INTERVAL_S = 0.05
 
 
 class QuarantineRefusal(Record):
@@ -103,8 +100,7 @@
         self._evaluation_timer: asyncio.TimerHandle | None = None
         self._evaluated_at = -math.inf
         self._claiming: set[str] = set()
-        # Keys of suspects with a crash that was reported here and not evaluated yet.
-        self._unsettled: set[str] = set()
+        self._writes = SuspectWrites(quarantine, rows, mesh, fleet)
         detector.on_crash = self._on_target_crash
         mesh.register(TargetEnded, self._receive_crash)
         mesh.register(Suspects, self._receive_suspects)
@@ -264,9 +260,8 @@
         new_contents = self.quarantine.record_crash(
             target, runs, elapsed_s(), reported_by
         )
-        for content in new_contents:
-            if reported_by == self._mesh.instance:
-                self._unsettled.add(content)
+        if reported_by == self._mesh.instance:
+            self._writes.crash_reported_here(new_contents)
         if new_contents:
             self._schedule_evaluation()
         self._exoneration.check_suspects(runs)
@@ -275,17 +270,8 @@
         """Log and store that a suspect ran well."""
         suspect = self.quarantine.by_content[content]
         log.info("suspect ran well", reported_by=reported_by, **log_fields(suspect))
+        self._writes.ran_well(content, reported_by)
         self._update_gauge()
-        if reported_by == self._mesh.instance or not self._mesh.large:
-            self.rows.schedule_write(content)
-            return
-        self._call_as_backup(self.rows.schedule_write, content)
-
-    def _call_as_backup(self, write: Callable[[str], None], content: str) -> None:
-        """Have a row written here if those who should write it have not done so."""
-        spread_s = BACKUP_WRITE_INTERVAL_S * (1 + len(self._mesh.alive()))
-        delay_s = MIN_BACKUP_WRITE_DELAY_S + spread_s * self._fleet.rng.random()
-        asyncio.get_running_loop().call_later(delay_s, write, content)
 
     # Evaluation of suspects.
 
@@ -297,18 +283,10 @@
     def _run_evaluation(self) -> None:
         self._evaluation_timer = None
         self._evaluate()
-        self._store_suspects()
         if self.quarantine.evaluation_pending:
             self._schedule_evaluation()
-
-    def _store_suspects(self) -> None:
-        """Store the suspects of crashes reported here unless they were exonerated."""
-        now = elapsed_s()
-        for key in self._unsettled:
-            suspect = self.quarantine.by_content.get(key)
-            if suspect is not None and is_stored(suspect, now):
-                self.rows.schedule_write(key)
-        self._unsettled.clear()
+            return
+        self._writes.settled()
 
     def _evaluate(self) -> None:
         now = elapsed_s()
@@ -317,24 +295,11 @@
         self._evaluated_at = now
         for suspect in self.quarantine.evaluate(now):
             log.warning("request put in quarantine", **log_fields(suspect))
-            self._store_hold(suspect)
+            self._writes.quarantined(suspect)
             self._update_gauge()
             for call in self._quarantined_callbacks:
                 call(suspect.content)
 
-    def _store_hold(self, suspect: Suspect) -> None:
-        """Store a quarantine; in a large fleet at first where a crash was reported.
-
-        All instances come to the same conclusion, and hundreds of them would write the
-        same row. The others write it only if it has not appeared by then.
-        """
-        here = self._mesh.instance
-        reported_here = any(crash.reported_by == here for crash in suspect.crashes)
-        if reported_here or not self._mesh.large:
-            self.rows.schedule_write(suspect.content)
-            return
-        self._call_as_backup(self.rows.schedule_missing_write, suspect.content)
-
     def _update_gauge(self) -> None:
         self._metrics.quarantine.set(len(self.quarantine.quarantined()))
 
--- a/tests/policy/test_quarantined_parts.py
+++ b/tests/policy/test_quarantined_parts.py
@@ -252,3 +252,15 @@
     fleet.record_good_run(OTHER, "", ago_s=1.0)
     settle(fleet)
     assert not held(fleet)
+
+
+def test_a_part_explains_the_crashes_of_a_content_that_was_moved_with_it(
+    fleet: Fleet,
+) -> None:
+    """A sound item is begun again and again at targets that the part crashes."""
+    for number in range(QUARANTINE_THRESHOLD):
+        crash_with(fleet, lost(f"c{number}", FATAL, FIRST), lost("moved", FIRST))
+    assert held(fleet) == {FATAL}
+    fleet.crash(*lost("moved", FIRST))
+    settle(fleet)
+    assert held(fleet) == {FATAL}
