--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -18,6 +18,11 @@
 BUSY_S = (0.0, 0.3)
 RARE_S = (1.0, 6.0)
 SLOW_SHARE = 0.4
+# Bodies that come so many seconds after their head.
+LATE_SHARE = 0.2
+LATE_S = (0.05, 1.5)
+POLL_INTERVAL_S = 0.02
+BODY = b"question"
 
 
 class KeptRequest:
@@ -26,7 +31,8 @@
     Attributes:
         id: of the request.
         life: the process that has the other end of the connection.
-        sent: when its bytes were written.
+        begun: when its head was written.
+        sent: when all of it was written.
         ended: when its answer was whole, or its connection was seen to end.
         status: of the answer; None if none began.
         whole: whether the answer was complete.
@@ -36,6 +42,7 @@
     def __init__(self, id: str, life: Life, sent: float) -> None:
         self.id = id
         self.life = life
+        self.begun = sent
         self.sent = sent
         self.ended = sent
         self.status: int | None = None
@@ -96,6 +103,11 @@
             with contextlib.suppress(OSError, EOFError, TimeoutError):
                 async with asyncio.timeout(ASK_S):
                     writer.write(_head(request.id, path))
+                    if self._chance.random() < LATE_SHARE:
+                        await _wait(reader, self._chance.uniform(*LATE_S))
+                    if not _has_ended(reader):
+                        request.sent = now()
+                        writer.write(BODY)
                     kept = await _read(reader, request)
             request.ended = now()
             if not kept:
@@ -108,13 +120,24 @@
         f"Host: {HOST}",
         f"X-Request-Id: {id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
-        "Content-Length: 8",
+        f"Content-Length: {len(BODY)}",
+        "",
         "",
-        "question",
     ]
     return "\r\n".join(lines).encode()
 
 
+def _has_ended(reader: asyncio.StreamReader) -> bool:
+    return reader.at_eof() or reader.exception() is not None
+
+
+async def _wait(reader: asyncio.StreamReader, seconds: float) -> None:
+    """Wait for ``seconds``, or until the connection ends."""
+    end = now() + seconds
+    while now() < end and not _has_ended(reader):
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def _read(reader: asyncio.StreamReader, request: KeptRequest) -> bool:
     """Read one answer; return whether its connection is to be used again."""
     first = await reader.readuntil(b"\r\n")
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -76,7 +76,7 @@
         term = request.life.term
         if term is None or request.ended < term:
             continue
-        since = min(term, request.sent)
+        since = min(term, request.begun)
         if not diary.calm(request.life.instance, since, request.ended):
             continue
         tally.met_stops += 1
@@ -114,11 +114,14 @@
       was taken then may not have had its time before the end of the grace period.
     """
     assert request.life.term is not None
-    since = min(request.sent, request.life.term)
+    since = min(request.begun, request.life.term)
     stood_still = diary.late_s(since, request.ended) > STANDSTILL_S
     open_s = request.ended - request.sent - diary.late_s(request.sent, request.ended)
     if request.whole:
-        timed_out = request.status == 504 and open_s >= DEADLINE_MS / 1000 - CROSSING_S
+        waited_s = open_s + request.sent - request.begun
+        timed_out = (
+            request.status == 504 and waited_s >= DEADLINE_MS / 1000 - CROSSING_S
+        )
         if request.status == 200 or request.status in NOT_RUN or timed_out:
             return ""
     if (request.status is not None or request.id in ran) and stood_still:
