--- a/src/caperridge/measure/part_serving.py
+++ b/src/caperridge/measure/part_serving.py
@@ -16,6 +16,8 @@
 RESTART_S = (3.0, 5.0)
 MAX_TARGETS = 4
 MAX_WAIT_S = 1.0
+# A sound request that takes longer waits for something else.
+MAX_SERVING_S = 4.0
 POLL_S = 0.05
 ITEM_RETRY_S = 0.5
 
@@ -120,6 +122,21 @@
 
     async def serve(self, instance: ModelInstance, request: ModelRequest) -> None:
         """Serve a request, at several targets if it is idempotent."""
+        outcome = False, False
+        try:
+            outcome = await self._try_to_serve(instance, request)
+        except asyncio.CancelledError:
+            now = asyncio.get_running_loop().time()
+            if now < request.sent_at + MAX_SERVING_S:
+                return  # it is not late yet
+        if not request.fatal:
+            row = request.sent_at, request.first, *outcome
+            self.outcomes.sound.append(row)
+
+    async def _try_to_serve(
+        self, instance: ModelInstance, request: ModelRequest
+    ) -> tuple[bool, bool]:
+        """Return whether the request began, and whether it was served."""
         known = instance.known(request.fingerprint)
         guard = instance.guard
         runs, admitted_runs, served = 0, -1, False
@@ -141,9 +158,7 @@
                 until = asyncio.get_running_loop().time() + MAX_WAIT_S
             elif guard.is_quarantined(known) or not await self._pause(until):
                 break
-        if not request.fatal:
-            outcome = request.sent_at, request.first, runs > 0, served
-            self.outcomes.sound.append(outcome)
+        return runs > 0, served
 
     async def _pause(self, until: float) -> bool:
         """Wait a moment for a target; return False if that is too late."""
--- a/src/caperridge/measure/part_ways.py
+++ b/src/caperridge/measure/part_ways.py
@@ -84,6 +84,11 @@
         recent = now - self.last_good_run_at < GOOD_RUN_TTL_S
         return self.isolated_from + (2 if recent or self.position == 0 else 1)
 
+    def is_near_threshold(self, now: float) -> bool:
+        """See :meth:`Suspect.is_near_threshold`; a good run also ends the isolation."""
+        isolated = self.position is not None and self.is_isolated()
+        return isolated or super().is_near_threshold(now)
+
     def is_isolated(self) -> bool:
         """Whether its requests run one at a time."""
         since = [one for one in self.crashes if one.at > self.last_good_run_at]
