--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -78,6 +78,7 @@
                     return WrongAnswer("an answer that is too large")
         except BrokenAnswerError as error:
             return Lost(str(error))
+        state.wrote = answer.status < 400 and size > 0
         failed = answer.status >= 500
         if failed:
             state.attempts += 1
@@ -97,12 +98,13 @@
         origin: StreamOrigin,
     ) -> AttemptError | None:
         first_s, next_s = math.inf, math.inf
-        if request.route.idempotent:
+        if state.movable:
             first_s, next_s = FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S
         try:
             async for events in answer.events(first_s, next_s):
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
+                    state.wrote = True
                     self._note_origin(request, state, origin)
                     await self._write_events(request, reply, answer, in_order)
                 if out_of_order:
@@ -113,6 +115,9 @@
             return Lost(str(error), broken_off=True)
         except BrokenAnswerError as error:
             return Lost(str(error))
+        if answer.is_unframed and not (reply.started or state.last_event):
+            # Nothing marks its end, and each stream has an event.
+            return Lost("it ended before an event")
         if not reply.started:
             await reply.start(
                 answer.status, end_to_end_headers(answer.headers, frozenset())
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -8,6 +8,7 @@
     StreamsBegan,
 )
 from caperridge.gateway.mesh.quota_messages import (
+    ForwardedQuotaReport,
     QuotaHandover,
     QuotaReport,
     QuotaVerdict,
@@ -262,13 +263,21 @@
     Attributes:
         target: its id.
         runs: content, caller, age in seconds and events of each.
+        parts: the same of each shared part of their prompts, with the key of the part
+            and the content that has it.
     """
 
-    __slots__ = ("runs", "target")
+    __slots__ = ("parts", "runs", "target")
 
-    def __init__(self, target: str, runs: list[list[Any]]) -> None:
+    def __init__(
+        self,
+        target: str,
+        runs: list[list[Any]],
+        parts: list[list[Any]] | None = None,
+    ) -> None:
         self.target = target
         self.runs = runs
+        self.parts = parts or []
 
 
 class SoundRuns(Record):
@@ -287,12 +296,16 @@
         suspects: of each the content, its crashes (target, caller, age of the run, its
             events, seconds ago, who reported it) and its hold: callers, seconds since,
             trials and seconds until the next trial; empty if it is not held.
+        parts: the same of parts of prompts.
     """
 
-    __slots__ = ("suspects",)
+    __slots__ = ("parts", "suspects")
 
-    def __init__(self, suspects: list[list[Any]]) -> None:
+    def __init__(
+        self, suspects: list[list[Any]], parts: list[list[Any]] | None = None
+    ) -> None:
         self.suspects = suspects
+        self.parts = parts or []
 
 
 class Relay(Record):
@@ -369,6 +382,7 @@
         Relayed,
         RelayedHeartbeats,
         MemberLost,
+        ForwardedQuotaReport,
         QuotaHandover,
         QuotaReport,
         QuotaVerdict,
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -118,6 +118,7 @@
         quarantine = Quarantine()
         rows = QuarantineTable(hedging, self.clock, self.reachability, quarantine)
         self._crash_detector = CrashDetector(self.fleet)
+        self.client.has_crashed = self._crash_detector.has_crashed
         self.guard = RequestGuard(
             quarantine,
             self._crash_detector,
@@ -255,6 +256,7 @@
         self.fleet.on_change(self.updates.counts_changed)
         self.configuration.on_change(self.keeper.schedule_check)
         self.index.on_change(self.keeper.schedule_check)
+        self.guard.on_quarantined(self.keeper.cancel_quarantined)
         self.mesh.on_lost(self._on_peer_lost)
 
     def _on_peer_count(self, target: str) -> None:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -7,11 +7,18 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
 from caperridge.decisions.quarantine import SETTLE_S, Quarantine
-from caperridge.decisions.suspects import Hold, LostRun, Suspect
+from caperridge.decisions.suspect_keys import is_part
+from caperridge.decisions.suspects import (
+    MAX_EVENTS_BEFORE_CRASH,
+    Hold,
+    LostRun,
+    Suspect,
+)
 from caperridge.elapsed import elapsed_s
 from caperridge.gateway.exoneration import Exoneration
 from caperridge.gateway.fingerprint import Fingerprint
@@ -34,15 +41,14 @@
 SWEEP_INTERVAL_S = 30.0
 # Longest wait until the crashes are evaluated, before a request that was lost with
 # several targets is sent to one more.
-MAX_EVALUATION_WAIT_S = 0.3
+MAX_EVALUATION_WAIT_S = 0.5
+# Between two evaluations, which go through all suspects.
+MIN_EVALUATION_INTERVAL_S = 0.01
 MIN_RETRY_AFTER_S = 0.5
 # Until another instance stores a quarantine that its reporters have not stored.
 MIN_BACKUP_WRITE_DELAY_S = 1.0
 # Between two of them; reading what the first has written takes up to half a second.
 BACKUP_WRITE_INTERVAL_S = 0.05
-# A part of a prompt crashes targets as they begin to write; a run that wrote more
-# events than this was lost to another cause.
-MAX_EVENTS_BEFORE_CRASH = 2
 
 
 class QuarantineRefusal(Record):
@@ -66,7 +72,6 @@
     Attributes:
         quarantine: suspected and quarantined requests.
         rows: their rows in the store.
-        on_quarantined: called with the content of each newly quarantined request.
 
     Args:
         quarantine: suspected and quarantined requests.
@@ -88,7 +93,7 @@
     ) -> None:
         self.rows = rows
         self.quarantine = quarantine
-        self.on_quarantined: Callable[[str], None] = lambda content: None
+        self._quarantined_callbacks: list[Callable[[str], None]] = []
         self._detector = detector
         self._mesh = mesh
         self._fleet = fleet
@@ -96,6 +101,7 @@
         self._exoneration = Exoneration(quarantine, mesh, fleet)
         self._exoneration.on_good_run = self._after_good_run
         self._evaluation_timer: asyncio.TimerHandle | None = None
+        self._evaluated_at = -math.inf
         self._claiming: set[str] = set()
         # Keys of suspects with a crash that was reported here and not evaluated yet.
         self._unsettled: set[str] = set()
@@ -104,6 +110,10 @@
         mesh.register(Suspects, self._receive_suspects)
         mesh.send_on_connect(self._suspects_message)
 
+    def on_quarantined(self, call: Callable[[str], None]) -> None:
+        """Call ``call`` with the key of each suspect that is put in quarantine."""
+        self._quarantined_callbacks.append(call)
+
     # Before a request is sent.
 
     @property
@@ -151,7 +161,7 @@
             return None
         now = elapsed_s()
         suspect, hold = max(holds, key=lambda one: one[1].next_due(now))
-        if hold.is_due(now):
+        if self._may_try(holds, now):
             # A crash would say nothing about the wider ones; their trials are left to
             # requests that are held for nothing else.
             suspect, hold = min(holds, key=_width)
@@ -171,6 +181,15 @@
             _refusal_reason(suspect), max(MIN_RETRY_AFTER_S, remaining_s)
         )
 
+    def _may_try(self, holds: list[tuple[Suspect, Hold]], now: float) -> bool:
+        """Whether the trials of all that hold a request are due, or claimed here."""
+        narrowest, _ = min(holds, key=_width)
+        return all(
+            hold.is_due(now)
+            or (suspect is narrowest and self.rows.has_open_claim(suspect))
+            for suspect, hold in holds
+        )
+
     async def wait_until_evaluated(self) -> None:
         """Wait until all crashes so far have been evaluated, or for a short time."""
         loop = asyncio.get_running_loop()
@@ -198,9 +217,18 @@
             target, _suspects(fingerprint, age_s, events=0)
         )
 
-    def record_good_run(self, fingerprint: Fingerprint, age_s: float) -> None:
-        """Record a run that began ``age_s`` ago and did not crash its target."""
-        self._exoneration.record_good_run(fingerprint, age_s)
+    def record_good_run(
+        self, fingerprint: Fingerprint, age_s: float, wrote: bool = True
+    ) -> None:
+        """Record a run that began ``age_s`` ago and did not crash its target.
+
+        Args:
+            fingerprint: of the request.
+            age_s: seconds since it was sent to the target.
+            wrote: whether the target wrote an answer of its model; an error says
+                nothing about the parts of the prompt.
+        """
+        self._exoneration.record_good_run(fingerprint, age_s, wrote)
 
     # Reports of peers and rows of the store.
 
@@ -217,12 +245,16 @@
             runs=[[run.content, run.caller, run.age_s, run.events] for run in runs],
         )
         self._metrics.target_ends.inc()
-        reported = [[run.content, run.caller, run.age_s, run.events] for run in runs]
-        self._mesh.send_all(TargetEnded(target.id, reported))
+        contents: list[list[Any]] = []
+        parts: list[list[Any]] = []
+        for run in runs:
+            reported = parts if is_part(run.content) else contents
+            reported.append([run.content, run.caller, run.age_s, run.events])
+        self._mesh.send_all(TargetEnded(target.id, contents, parts))
         self._record_crash(target.id, runs, self._mesh.instance)
 
     def _receive_crash(self, peer: str, report: TargetEnded) -> None:
-        runs = [LostRun(*run) for run in report.runs]
+        runs = [LostRun(*run) for run in report.parts + report.runs]
         listed = self._fleet.targets.by_id.get(report.target)
         if listed is not None:
             self._fleet.mark_crashed(listed)
@@ -279,11 +311,16 @@
         self._unsettled.clear()
 
     def _evaluate(self) -> None:
-        for suspect in self.quarantine.evaluate(elapsed_s()):
+        now = elapsed_s()
+        if now - self._evaluated_at < MIN_EVALUATION_INTERVAL_S:
+            return
+        self._evaluated_at = now
+        for suspect in self.quarantine.evaluate(now):
             log.warning("request put in quarantine", **log_fields(suspect))
             self._store_hold(suspect)
             self._update_gauge()
-            self.on_quarantined(suspect.content)
+            for call in self._quarantined_callbacks:
+                call(suspect.content)
 
     def _store_hold(self, suspect: Suspect) -> None:
         """Store a quarantine; in a large fleet at first where a crash was reported.
@@ -306,11 +343,15 @@
     def _suspects_message(self) -> Suspects:
         now = elapsed_s()
         suspects = sorted(self.quarantine.by_content.values(), key=_is_not_quarantined)
-        return Suspects([encode(one, now) for one in suspects[:MAX_GOSSIP_ENTRIES]])
+        contents: list[list[Any]] = []
+        parts: list[list[Any]] = []
+        for suspect in suspects[:MAX_GOSSIP_ENTRIES]:
+            (parts if suspect.is_part else contents).append(encode(suspect, now))
+        return Suspects(contents, parts)
 
     def _receive_suspects(self, peer: str, report: Suspects) -> None:
         now = elapsed_s()
-        for entry in report.suspects:
+        for entry in report.parts + report.suspects:
             content, crashes, hold = decode(entry, now)
             if not self.quarantine.merge(content, crashes, hold):
                 continue
@@ -347,17 +388,14 @@
 def _suspects(fingerprint: Fingerprint, age_s: float, events: int) -> list[LostRun]:
     """Return a lost run once for each key by which it is suspected."""
     age_s = round(age_s, 3)
-    content = LostRun(fingerprint.content, fingerprint.caller, age_s, events)
-    if events > MAX_EVENTS_BEFORE_CRASH:
-        return [content]
     parts = [
         LostRun(part, fingerprint.content, age_s, events) for part in fingerprint.parts
     ]
-    return [*parts, content]
+    return [*parts, LostRun(fingerprint.content, fingerprint.caller, age_s, events)]
 
 
 def _refusal_reason(suspect: Suspect) -> str:
-    ran = "it" if suspect.position is None else "requests with a part of its prompt"
+    ran = "requests with a part of its prompt" if suspect.is_part else "it"
     return f"{len(suspect.crashes)} targets ended while they ran {ran}"
 
 
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import contextlib
+import functools
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import yarl
@@ -31,6 +32,7 @@
 )
 from caperridge.targets.plain import AUTO_HEADERS
 from caperridge.targets.silence import IdleTimeouts
+from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 # Availability zones are some milliseconds apart, and connecting takes one more. A
 # target that has gone does not respond at all, and its caller expects the first event
@@ -88,10 +90,12 @@
         watch: closes the connection when the target falls silent.
         target: id of the target that sends it.
         runs: holds the answer until it is closed.
+        has_crashed: returns whether the target has crashed by now.
     """
 
     __slots__ = (
         "_failure",
+        "_has_crashed",
         "_open_runs",
         "_protocol",
         "_response",
@@ -108,17 +112,17 @@
         watch: IdleTimeouts,
         target: str,
         runs: OpenRuns,
+        has_crashed: Callable[[], Awaitable[bool]],
     ) -> None:
         self._response = response
+        self._has_crashed = has_crashed
         self._watch = watch
         self._target = target
         self._open_runs = runs
         self._failure: BrokenAnswerError | None = None
         runs.add(target, self._on_restart)
         self._splitter = EventSplitter()
-        # Held here because the response drops its connection at the end of the body.
-        connection = response.connection
-        self._protocol = connection.protocol if connection is not None else None
+        self._protocol = protocol_of(response)
         self.status = response.status
         self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
 
@@ -156,8 +160,13 @@
             self._watch.remove(watched)
         if self._failure is not None:
             raise self._failure
-        if self._is_unframed and self._was_reset():
+        if not self.is_unframed:
+            return
+        if was_reset(self._protocol):
             raise BrokenAnswerError("an answer without a length was reset")
+        # The system ends the connections of a crashed process like complete answers.
+        if await self._has_crashed():
+            raise BrokenAnswerError("its target crashed")
 
     async def events(
         self, first_timeout_s: float, next_timeout_s: float, coalesce_s: float = 0.0
@@ -196,6 +205,11 @@
         """Whether the complete body was received."""
         return self._response.content.is_eof()
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether it has neither a length nor chunks and ends with its connection."""
+        return is_unframed(self.headers)
+
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
         self._open_runs.remove(self._target, self._on_restart)
@@ -209,26 +223,24 @@
         self._failure = BrokenAnswerError(TARGET_RESTARTED)
         self._response.close()
 
-    @property
-    def _is_unframed(self) -> bool:
-        return (
-            "Content-Length" not in self.headers
-            and "chunked" not in self.headers.get("Transfer-Encoding", "").lower()
-        )
 
-    def _was_reset(self) -> bool:
-        return self._protocol is not None and self._protocol.exception() is not None
+async def _never_crashes(target: Target) -> bool:
+    return False
 
 
 class TargetClient:
     """Sends requests to targets and returns the outcome of each attempt.
 
+    Attributes:
+        has_crashed: returns whether a target has crashed by now.
+
     Args:
         dialect: names of headers, and the meaning of error answers.
     """
 
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
+        self.has_crashed: Callable[[Target], Awaitable[bool]] = _never_crashes
         self._session: aiohttp.ClientSession | None = None
         self._watch = IdleTimeouts()
         self._open_runs = OpenRuns()
@@ -295,7 +307,8 @@
             return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
-        answer = Answer(response, self._watch, target.id, self._open_runs)
+        has_crashed = functools.partial(self.has_crashed, target)
+        answer = Answer(response, self._watch, target.id, self._open_runs, has_crashed)
         return self._verify(outbound, answer)
 
     async def get(
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -9,19 +9,28 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
+from multidict import CIMultiDict
 
 from caperridge.decisions import suspects
+from caperridge.decisions.quarantine import Quarantine
 from caperridge.decisions.suspect_keys import part_keys
 from caperridge.decisions.suspects import (
     PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN,
     Hold,
 )
 from caperridge.gateway import exoneration, held_rows, request_guard
+from caperridge.gateway.clock import StoreClock
+from caperridge.gateway.held_rows import HeldRow
+from caperridge.gateway.jobs.codec import to_bytes
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import QUARANTINE_READ_INTERVAL_S, GatewayInstance
+from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.watcher import StoreReachability
+from caperridge.platform.dialect import PlatformDialect
 from gateway.conftest import Answer, World, job_body, until
 from gateway.runner_standin import Run
 from gateway.test_requests_that_end_targets import (
@@ -225,7 +234,7 @@
 def blamed_parts(world: World) -> int:
     """Return how many parts are in quarantine at the first instance."""
     quarantined = world.instances[0].guard.quarantine.quarantined()
-    return sum(1 for one in quarantined if one.position is not None)
+    return sum(1 for one in quarantined if one.is_part)
 
 
 async def submit(
@@ -370,7 +379,7 @@
 def blamed_parts_of(instance: GatewayInstance) -> list[str]:
     """Return the keys of the parts in quarantine at an instance."""
     quarantined = instance.guard.quarantine.quarantined()
-    return [one.content for one in quarantined if one.position is not None]
+    return [one.content for one in quarantined if one.is_part]
 
 
 async def test_runs_that_wait_elsewhere_are_cancelled_by_the_quarantine(
@@ -479,6 +488,133 @@
         super().__setitem__(key, value)
 
 
+# Guards against a fatal part that was a new suspect at each position of a prompt.
+async def test_a_part_is_found_whatever_stands_before_it(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    await send_sound(fleet, numbers, "a0", "b0", "c0")
+    for before in (("a0",), ("a0", "b0"), ("a0", "b0", "c0"), ("c0", "b0")):
+        await send_fatal(fleet, numbers, count=1, shared=(*before, FATAL_PART))
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    await send_sound(fleet, numbers, "a0", "b0", "c0")
+
+
+# Guards against an error answer, in which nothing was written, that counted as a good
+# run of the part and cleared it everywhere.
+@pytest.mark.parametrize("status", [400, 500])
+async def test_an_error_answer_does_not_clear_a_fatal_part(
+    fleet: World, numbers: Iterator[int], status: int
+) -> None:
+    for _ in range(CRASH_THRESHOLD + 2):
+        await send_fatal(fleet, numbers, count=1)
+        set_status(fleet, status)
+        await send_fatal(fleet, numbers, count=1)
+        set_status(fleet, 200)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+
+
+async def test_an_error_answer_to_a_trial_does_not_end_the_quarantine(
+    fleet: World, numbers: Iterator[int], ahead: list[float]
+) -> None:
+    await send_fatal(fleet, numbers)
+    ahead.append(TRIAL_DELAYS_S[0])
+    set_status(fleet, 500)
+    answer = await ask(fleet, fleet.instances[0], next(numbers), "a0", FATAL_PART)
+    assert answer.status == 500
+    set_status(fleet, 200)
+    answers = await send_fatal(fleet, numbers, count=4)
+    assert [answer.status for answer in answers] == [503] * 4
+    assert crash_count(fleet) == CRASH_THRESHOLD
+
+
+def set_status(fleet: World, status: int) -> None:
+    """Have all targets answer with ``status``."""
+    for runner in fleet.runners:
+        runner.status = status
+
+
+# Guards against items that crash one more target each, as they waited there when their
+# part was put in quarantine.
+async def test_items_that_wait_at_a_target_are_cancelled_by_the_quarantine(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    waiting, *crashing = fleet.runners
+    waiting.fatal = lambda run: False
+    waiting.hold_head = True
+    set_refusing(crashing, True)
+    await submit(fleet, "job", {"bad-1": ("a0", FATAL_PART)})
+    await until(lambda: waiting.busy == 1)
+    waiting.refuse = True
+    set_refusing(crashing, False)
+    await send_fatal(fleet, numbers, count=CRASH_THRESHOLD)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    await until(lambda: all(run.cut for run in waiting.runs))
+
+
+# Guards against popular parts blamed for many targets that lose power in one moment.
+@pytest.mark.parametrize("written", [0, 2])
+async def test_popular_parts_are_not_blamed_where_all_targets_crash_at_once(
+    fleet: World, numbers: Iterator[int], written: int
+) -> None:
+    for _ in range(3):
+        await fleet.add_runner()
+    await fleet.ready()
+    await send_sound(fleet, numbers, "a0", "b0")
+    for runner in fleet.runners:
+        runner.hold_head = not written
+        runner.pause_s = 30.0
+        runner.fatal = lambda run: False
+    runs = 2 * len(fleet.runners)
+    asking = [
+        asyncio.ensure_future(
+            ask(fleet, fleet.instances[number % 3], next(numbers), "a0", "b0")
+        )
+        for number in range(runs)
+    ]
+    await until(lambda: busy(fleet) == runs)
+    await asyncio.gather(*(runner.crash() for runner in fleet.runners))
+    await until(lambda: all(not one.guard.checking_crashes for one in fleet.instances))
+    await until(
+        lambda: all(
+            not one.guard.quarantine.evaluation_pending for one in fleet.instances
+        )
+    )
+    assert [blamed_parts_of(one) for one in fleet.instances] == [[], [], []]
+    for one in asking:
+        one.cancel()
+    await asyncio.gather(*asking, return_exceptions=True)
+
+
+# Guards against crashes in the far future, which count never and are never settled. The
+# row of a suspect came from a peer before this instance had the store's clock.
+def test_crashes_of_a_row_that_comes_before_the_clock_is_known_are_recent() -> None:
+    row = HeldRow([["t", "c", 0.1, 0, 1.7e9, "e-0"]], [], 0.0, 0, 0.0)
+    quarantine = Quarantine()
+    store: Any = None
+    table = held_rows.QuarantineTable(
+        store, StoreClock(), StoreReachability(), quarantine
+    )
+    key = RowKey(held_rows.TABLE, "", "part-1")
+    table.apply_rows([StoredRow(key, to_bytes(row), 1, False)], "peer")
+    (crash,) = quarantine.by_content["part-1"].crashes
+    assert crash.at <= held_rows.elapsed_s()
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["a0:100,bad0:50,f1:20"],
+        ["a0:100", "bad0:50,f1:20"],
+        [" a0 : 100 , bad0 :50, f1:20"],
+        [",a0:100,,bad0:50,f1:20, "],
+        ["A0:100,BAD0:50,F1:20"],
+    ],
+)
+def test_the_spelling_of_the_header_does_not_matter(lines: list[str]) -> None:
+    headers = CIMultiDict([("x-prompt-prefix", line) for line in lines])
+    assert PlatformDialect().prompt_parts(headers) == ["a0", "bad0", "f1"]
+
+
 async def test_a_row_that_says_the_same_is_not_written_again(
     fleet: World, numbers: Iterator[int]
 ) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from soak.fatal import FatalCaller, FatalPartCaller
 from soak.faults import inject, release_slowly
 from soak.kept import KeptCallers, KeptRequest
+from soak.sound import happen
 from soak.stops import check_stops, series
 from soak.town import Town
 
@@ -73,6 +74,7 @@
     fatal: bool = False,
     release: bool = False,
     fatal_part: bool = False,
+    sound: bool = False,
 ) -> tuple[Tally, list[str]]:
     """Run one soak; return what callers saw and which faults came.
 
@@ -88,6 +90,8 @@
         fatal_part: whether different requests with a part that ends targets come.
         release: whether targets are replaced by ones of other software versions, in
             slow steps.
+        sound: whether targets send answers without a length and fall silent for a
+            while, and most callers come to one instance.
     """
     chance = random.Random(seed)
     runners = 3 + (instances - 1) // INSTANCES_PER_RUNNER if stops else 3
@@ -108,24 +112,24 @@
     kept = KeptCallers(town, random.Random(seed + 2))
     try:
         await asyncio.sleep(1.5)
-        ending = None
+        beside: list[asyncio.Future[None]] = []
         if fatal or fatal_part:
             kind = FatalPartCaller if fatal_part else FatalCaller
             caller = kind(town, tally, random.Random(seed + 3))
-            ending = asyncio.ensure_future(caller.use(seconds))
-        releasing = None
+            beside.append(asyncio.ensure_future(caller.use(seconds)))
         if release:
             steps = release_slowly(town, random.Random(seed + 4), seconds)
-            releasing = asyncio.ensure_future(steps)
+            beside.append(asyncio.ensure_future(steps))
+        if sound:
+            events = happen(town, callers, random.Random(seed + 6), seconds, stops)
+            beside.append(asyncio.ensure_future(events))
         if stops:
             faults = await _with_stops(town, callers, kept, chance, seconds)
         else:
             _, faults = await asyncio.gather(
                 callers.use(seconds), inject(town, chance, seconds)
             )
-        for task in (ending, releasing):
-            if task is not None:
-                await task
+        await asyncio.gather(*beside)
         town.store.lose_answers = 0
         await callers.finish(SETTLE_S)
         ran = {run.id for runner in town.all_runners for run in runner.runs}
@@ -173,6 +177,7 @@
     fatal: bool = False,
     release: bool = False,
     fatal_part: bool = False,
+    sound: bool = False,
     keep: Path = Path("out/soak"),
 ) -> None:
     """Run many seeds; keep the logs of those that failed."""
@@ -192,6 +197,7 @@
                 fatal,
                 release,
                 fatal_part,
+                sound,
             )
         )
         word = "broken" if tally.broken else "kept"
