--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -9,7 +9,6 @@
 
 from caperridge.connections import Connections
 from caperridge.door import SocketListener
-from caperridge.gateway.accept_gate import AcceptGate
 
 BACKLOG = 1024
 # Callers reuse connections that have been idle for most of the idle limit.
@@ -25,16 +24,9 @@
         application: serves its requests.
         host: address to listen on.
         port: TCP port.
-        gate: decides which connections are served; None for all.
     """
 
-    def __init__(
-        self,
-        application: web.Application,
-        host: str,
-        port: int,
-        gate: AcceptGate | None = None,
-    ) -> None:
+    def __init__(self, application: web.Application, host: str, port: int) -> None:
         self._connections = Connections(application)
         self._runner = web.AppRunner(
             application,
@@ -49,18 +41,13 @@
         )
         self._host = host
         self._port = port
-        self._gate = gate
         self._door: SocketListener | None = None
 
     async def start(self) -> None:
         """Start listening."""
         await self._runner.setup()
-        protocols: Any = self._runner.server
-        if self._gate is not None:
-            self._gate.start()
-            protocols = self._gate.protocols(protocols)
         self._door = await SocketListener.open(
-            protocols, self._host, self._port, backlog=BACKLOG
+            self._runner.server, self._host, self._port, backlog=BACKLOG
         )
 
     @property
@@ -87,18 +74,14 @@
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
-        if self._gate is not None:
-            self._gate.close()
         await self.stop_accepting()
         await self._runner.cleanup()
 
 
-def listen_at(
-    application: web.Application, address: str, gate: AcceptGate | None = None
-) -> Listener:
+def listen_at(application: web.Application, address: str) -> Listener:
     """Return the listener of ``application`` at ``IP:PORT``; it has to be started."""
     host, _, port = address.rpartition(":")
-    return Listener(application, host, int(port), gate)
+    return Listener(application, host, int(port))
 
 
 def ready_application(
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -12,7 +12,6 @@
     StallDetector,
     elapsed_s,
 )
-from caperridge.gateway.accept_gate import AcceptGate
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
@@ -203,9 +202,7 @@
             store, self.index, self.clock, self.mesh, settings.jobs_kept_s
         )
         self._tasks: list[asyncio.Task[None]] = []
-        gate = AcceptGate(lambda: self.edge.running)
-        application = self.edge.application()
-        self._caller_listener = listen_at(application, settings.callers, gate)
+        self._caller_listener = listen_at(self.edge.application(), settings.callers)
         self._listeners = [self._caller_listener]
         self._connect_parts()
 
