--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -17,7 +17,7 @@
 # next crash may come much later.
 FIRST_PART_QUARANTINE_THRESHOLD = 5
 PART_QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 5
-SIMULTANEOUS_CRASHES_S = 0.3
+SIMULTANEOUS_CRASHES_S = 0.1
 # A part of a prompt crashes targets as they begin to write; a run that wrote more
 # events than this shows that its parts were not the cause.
 MAX_EVENTS_BEFORE_CRASH = 2
--- a/src/caperridge/measure/part_ways.py
+++ b/src/caperridge/measure/part_ways.py
@@ -86,7 +86,7 @@
 
     def is_near_threshold(self, now: float) -> bool:
         """See :meth:`Suspect.is_near_threshold`; a good run also ends the isolation."""
-        isolated = self.position is not None and self.is_isolated()
+        isolated = self.is_part and self.is_isolated()
         return isolated or super().is_near_threshold(now)
 
     def is_isolated(self) -> bool:
--- a/tests/policy/test_quarantined_parts.py
+++ b/tests/policy/test_quarantined_parts.py
@@ -140,6 +140,20 @@
     assert held(fleet) == {part}
 
 
+@pytest.mark.parametrize("part", [FATAL, FIRST])
+def test_crashes_in_quick_succession_count_each(fleet: Fleet, part: str) -> None:
+    """Several requests with the part come in a second, and targets crash as fast."""
+    fleet.crash(*lost("before", part))
+    fleet.record_good_run(part, "")
+    fleet.now += 0.1
+    for number in range(MOST_CRASHES):
+        fleet.record(*lost(f"c{number}", part))
+        fleet.now += 0.2
+    fleet.now += 0.3
+    fleet.evaluate()
+    assert held(fleet) == {part}
+
+
 def test_a_part_that_runs_well_between_crashes_is_never_blamed(fleet: Fleet) -> None:
     for number in range(4 * QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
         crash_with(fleet, lost(f"c{number}", FIRST))
