--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -163,8 +163,8 @@
     head = f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
     writer.write(f"{head}X-Request-Id: first\r\n\r\n".encode())
     received = await reader.readuntil(b"first-1\n")
-    # Longer than the stream takes on a busy machine: of the second request it must not be
-    # said that the stop would cut it.
+    # Longer than the stream takes on a busy machine: the second request must not be
+    # refused because the stop would cut it.
     stopping = asyncio.ensure_future(instance.stop(60.0))
     await until(lambda: instance.edge.closing)
     runner.events = 3
