--- a/src/caperridge/decisions/quota.py
+++ b/src/caperridge/decisions/quota.py
@@ -126,6 +126,7 @@
         "_counts",
         "_is_minority",
         "_next_turn",
+        "_start_tokens",
         "_unknown",
         "_unknown_at",
         "_used_before",
@@ -138,6 +139,7 @@
 
     def __init__(self, limit: QuotaLimit, reach: Reach, now: float) -> None:
         self.quota = limit.quota
+        self._start_tokens = limit.start_tokens
         self.used = 0.0
         self.updated_at = now
         self._window_s = limit.window_s
@@ -156,6 +158,7 @@
         self.updated_at = now
         self._window_s = limit.window_s
         self.quota = reach.quota_of(limit, self._usual_per_s(now))
+        self._start_tokens = limit.start_tokens
         self._is_minority = reach.is_minority
         before = now - self._window_s - WINDOW_MARGIN_S
         while self._counts and self._counts[0][0] <= before:
@@ -197,7 +200,10 @@
             count * (1 - (self.updated_at - since) / self._window_s)
             for since, count in self._used_before
         )
-        unknown = 0.0 if self._is_minority else self._unknown
+        # A quota that is reduced for lost instances still allows the start.
+        unknown = min(self._unknown, max(0.0, self.quota - self._start_tokens))
+        if self._is_minority:
+            unknown = 0.0
         return self.quota - self.used - unknown - used_before
 
     @property
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -160,6 +160,21 @@
     assert window.left == pytest.approx(limit.start_tokens)
 
 
+def test_a_window_of_unknown_history_allows_its_start_where_instances_are_lost() -> (
+    None
+):
+    """Guards against teams refused for a window's length after a loss of instances.
+
+    The assumed use was taken off a quota that was reduced for the lost ones as well.
+    """
+    limit = QuotaLimit(28.0, 28.0)
+    reach = Reach(0.6, settled=False)
+    window = TeamWindow(limit, reach, 0.0)
+    window.update(limit, reach, 0.0)
+    assert window.quota < limit.quota
+    assert window.left == pytest.approx(limit.start_tokens)
+
+
 def test_a_lower_limit_holds_from_its_first_use() -> None:
     window = TeamWindow(QuotaLimit(50, 50), ALL, 0.0)
     lower = QuotaLimit(5, 5)
