--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -28,12 +28,15 @@
         resume: number of the last event that was received.
         stream: id of the caller's try that brought the first event of a stream.
         wait: how long a read of results may wait for new ones, in ms.
+        prompt: the parts of the prompt in order, as ID:TOKENS separated by commas;
+            empty if requests do not state them.
     """
 
     __slots__ = (
         "deadline",
         "incarnation",
         "not_run",
+        "prompt",
         "request",
         "resume",
         "signature",
@@ -53,11 +56,13 @@
         stream: str,
         wait: str,
         team: str,
+        prompt: str = "",
     ) -> None:
         self.request = request
         self.deadline = deadline
         self.incarnation = incarnation
         self.not_run = not_run
+        self.prompt = prompt
         self.signature = signature
         self.resume = resume
         self.stream = stream
@@ -118,7 +123,11 @@
         Args:
             headers: of the request; names are matched case-insensitively.
         """
-        return []
+        if not self.headers.prompt:
+            return []
+        stated = ",".join(headers.getall(self.headers.prompt, []))
+        ids = [part.partition(":")[0].strip().lower() for part in stated.split(",")]
+        return [id for id in ids if id]
 
     @abstractmethod
     def configuration(self, value: bytes) -> RoutingTable:
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import orjson
-from multidict import MultiMapping
 
 from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.gateway.dialect import DecodeError, Dialect, HeaderNames, JobsPaths
@@ -74,6 +73,7 @@
         stream="Resumes",
         wait="X-Wait-Ms",
         team="X-Tenant",
+        prompt="X-Prompt-Prefix",
     )
     per_attempt_headers = frozenset(
         {
@@ -98,12 +98,6 @@
     def __init__(self, quota_window_s: float = DEFAULT_WINDOW_S) -> None:
         self._quota_window_s = quota_window_s
 
-    def prompt_parts(self, headers: MultiMapping[str]) -> list[str]:
-        """See :meth:`Dialect.prompt_parts`."""
-        stated = ",".join(headers.getall("X-Prompt-Prefix", []))
-        ids = [part.partition(":")[0].strip().lower() for part in stated.split(",")]
-        return [id for id in ids if id]
-
     def configuration(self, value: bytes) -> RoutingTable:
         """See :meth:`Dialect.configuration`."""
         try:
