--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -14,6 +14,7 @@
 import yarl
 from aiohttp import web
 
+from caperridge.gateway import exoneration, held_rows, request_guard
 from caperridge.gateway.mesh import roster
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.settings import Settings
@@ -410,3 +411,13 @@
 def many_peers(monkeypatch: pytest.MonkeyPatch) -> None:
     """Make instances act as if they had too many peers for a full mesh."""
     monkeypatch.setattr(roster, "MAX_FULL_MESH_PEERS", 0)
+
+
+@pytest.fixture
+def ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """Seconds by which the clock of the quarantine is ahead; tests append to it."""
+    added: list[float] = []
+    real = request_guard.elapsed_s
+    for module in (request_guard, held_rows, exoneration):
+        monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
+    return added
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -22,7 +22,6 @@
     Hold,
 )
 from caperridge.gateway import (
-    exoneration,
     held_rows,
     request_guard,
     suspect_writes,
@@ -72,16 +71,6 @@
     return world
 
 
-@pytest.fixture
-def ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
-    """Seconds by which the clock of the quarantine is ahead; tests append to it."""
-    added: list[float] = []
-    real = request_guard.elapsed_s
-    for module in (request_guard, held_rows, exoneration):
-        monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
-    return added
-
-
 @pytest.fixture
 def numbers() -> Iterator[int]:
     return itertools.count()
@@ -559,7 +548,8 @@
     set_refusing(crashing, False)
     await send_fatal(fleet, numbers, count=CRASH_THRESHOLD)
     assert crash_count(fleet) == CRASH_THRESHOLD
-    await until(lambda: all(run.cut for run in waiting.runs))
+    # Well before the silence of the target would end the run.
+    await until(lambda: all(run.cut for run in waiting.runs), 1.0)
 
 
 # Guards against popular parts blamed for many targets that lose power in one moment.
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -15,7 +15,7 @@
 import pytest
 
 from caperridge.decisions import suspects
-from caperridge.gateway import exoneration, held_rows, request_guard
+from caperridge.gateway import held_rows, request_guard
 from caperridge.gateway.held_rows import HeldRow
 from caperridge.gateway.jobs.codec import from_bytes
 from caperridge.gateway.mesh.mesh import Mesh
@@ -50,16 +50,6 @@
     return world
 
 
-@pytest.fixture
-def ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
-    """Seconds by which the clock of the quarantine is ahead; tests append to it."""
-    added: list[float] = []
-    real = request_guard.elapsed_s
-    for module in (request_guard, held_rows, exoneration):
-        monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
-    return added
-
-
 async def repeat(
     world: World,
     path: str,
