--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -6,10 +6,15 @@
 
 Three crashes without a good run in between put a request in quarantine. From then on a
 single instance retries it at growing delays, and one good run clears it.
+
+The cause may also be one part of a prompt, shared by requests that are otherwise
+different. Each shared part is a suspect like a request. Of several suspects at the same
+crashes the narrowest is the cause, as the others would have crashed more targets.
 """
 
 from collections.abc import Iterable
 
+from caperridge.decisions.suspect_keys import part_position
 from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect, trial_delay_s
 
 # All instances report one crash within some milliseconds. Blame is assigned only after
@@ -52,11 +57,14 @@
         return changed
 
     def _is_explained(self, target: str, at: float, content: str) -> bool:
-        """Whether a quarantined request was at the same crash."""
+        """Whether a quarantined suspect that explains the crash was at it, too."""
+        is_part = part_position(content) is not None
         return any(
             crash.matches(target, at)
             for suspect in self.by_content.values()
-            if suspect.hold is not None and suspect.content != content
+            if suspect.hold is not None
+            and suspect.content != content
+            and (suspect.position is not None or not is_part)
             for crash in suspect.crashes
         )
 
@@ -72,8 +80,8 @@
     def evaluate(self, now: float) -> list[Suspect]:
         """Quarantine the requests that reach the crash threshold; return these.
 
-        The request with the least progress is evaluated first. Crashes that others
-        share with a quarantined request no longer count against them.
+        The narrowest suspect with the least progress is evaluated first. Crashes that
+        it explains no longer count against others.
         """
         if self._newest_at is None:
             return []
@@ -81,7 +89,7 @@
             self._newest_at = None
         quarantined: list[Suspect] = []
         suspects = [one for one in self.by_content.values() if one.crashes]
-        for suspect in sorted(suspects, key=_by_progress):
+        for suspect in sorted(suspects, key=_evaluation_order):
             callers = suspect.blamed_callers(now, now - SETTLE_S)
             if callers is None or self._is_covered(suspect, callers):
                 continue
@@ -90,7 +98,7 @@
             suspect.hold = Hold(callers, since, trials, now + trial_delay_s(trials))
             quarantined.append(suspect)
             for other in self.by_content.values():
-                if other is not suspect and other.hold is None:
+                if other.hold is None and suspect.explains(other):
                     other.remove_crashes(suspect.crashes)
         return quarantined
 
@@ -157,8 +165,8 @@
             del self.by_content[suspect.content]
 
 
-def _by_progress(suspect: Suspect) -> tuple[float, float]:
-    return suspect.mean_progress
+def _evaluation_order(suspect: Suspect) -> tuple[bool, int, float, float]:
+    return suspect.evaluation_order
 
 
 def _eviction_order(suspect: Suspect) -> tuple[bool, int]:
--- a/src/caperridge/decisions/suspect_keys.py
+++ b/src/caperridge/decisions/suspect_keys.py
@@ -5,11 +5,10 @@
 """
 
 import hashlib
-import re
 from collections.abc import Sequence
 
 PART_BYTES = 8
-_PART_KEY = re.compile(r"part(\d{1,3})-[0-9a-f]+")
+_PREFIX = "part"
 
 
 def part_keys(parts: Sequence[str]) -> tuple[str, ...]:
@@ -33,12 +32,14 @@
     >>> part_position("part12-8e1ebf6b21ed27b0"), part_position("8e1ebf6b21ed27b0")
     (12, None)
     """
-    found = _PART_KEY.fullmatch(key)
-    return int(found[1]) if found is not None else None
+    position, _, _ = key.removeprefix(_PREFIX).partition("-")
+    if not key.startswith(_PREFIX) or not position.isdigit():
+        return None
+    return int(position)
 
 
 def _part_key(position: int, part: str) -> str:
     digest = hashlib.blake2b(
         part.encode(errors="surrogateescape"), digest_size=PART_BYTES
     )
-    return f"part{position}-{digest.hexdigest()}"
+    return f"{_PREFIX}{position}-{digest.hexdigest()}"
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -1,5 +1,9 @@
-"""Per-request crash history and circuit breaking: when a suspect is quarantined."""
+"""Crash history and circuit breaking per suspect: when one is quarantined.
 
+A suspect is one requested content, or all requests that share one part of a prompt.
+"""
+
+from caperridge.decisions.suspect_keys import part_position
 from caperridge.records import Record
 
 # Two crashes can be coincidence; each further one costs a target for seconds.
@@ -8,6 +12,9 @@
 # fleet crashes as a whole.
 GOOD_RUN_TTL_S = 10.0
 QUARANTINE_THRESHOLD_AFTER_GOOD_RUN = 6
+# Most requests of a route share their first part, so holding it by mistake would refuse
+# all of them.
+FIRST_PART_QUARANTINE_THRESHOLD = 5
 # Reports about one target within this time describe the same crash, since a target
 # takes seconds to restart.
 SAME_CRASH_WINDOW_S = 1.5
@@ -27,8 +34,9 @@
     """A run that was active at a target when the target crashed.
 
     Attributes:
-        content: key of the requested content.
-        caller: identity of the caller, from the request headers.
+        content: key of the suspect: the requested content, or one of its parts.
+        caller: identity of the caller, from the request headers; for a part, the
+            content that has it.
         age_s: seconds that the run had been at the target.
         events: number of events that it had produced there.
     """
@@ -47,7 +55,7 @@
 
     Attributes:
         target: id of the target.
-        caller: caller of the lost run.
+        caller: caller of the lost run; for a part, the content of that run.
         age_s: seconds that the run had been at the target.
         events: number of events that the run had produced.
         at: time of the crash.
@@ -120,18 +128,27 @@
 
 
 class Suspect:
-    """The crash history of one content.
+    """The crash history of one content, or of one part of a prompt.
 
     Attributes:
-        content: key of the requested content.
+        content: key of the requested content or of the part.
+        position: of the part in its prompts, the first one is 0; None for a content.
         crashes: oldest first.
         hold: its quarantine; None if it is not quarantined.
     """
 
-    __slots__ = ("_cleared_at", "_good_run_at_by_caller", "content", "crashes", "hold")
+    __slots__ = (
+        "_cleared_at",
+        "_good_run_at_by_caller",
+        "content",
+        "crashes",
+        "hold",
+        "position",
+    )
 
     def __init__(self, content: str) -> None:
         self.content = content
+        self.position = part_position(content)
         self._cleared_at = float("-inf")
         self.crashes: list[Crash] = []
         self.hold: Hold | None = None
@@ -168,8 +185,19 @@
         self.hold = None
         self.crashes = [crash for crash in self.crashes if crash.at > at]
 
+    def explains(self, other: "Suspect") -> bool:
+        """Whether crashes that both share say nothing more about ``other``.
+
+        A content does not explain the crashes of its parts: other contents with the
+        same part may follow.
+        """
+        return self.position is not None or other.position is None
+
     def record_good_run(self, caller: str, at: float, now: float) -> None:
         """Record that it completed for ``caller`` at time ``at``."""
+        if self.position is not None:
+            self._record_good_run_of_part(at, now)
+            return
         covered = self.is_quarantined_for(caller)
         before = self._good_run_at_by_caller.pop(caller, at)
         self._good_run_at_by_caller[caller] = max(at, before)
@@ -184,6 +212,15 @@
         if covered and self.blamed_callers(now, now) is None:
             self.hold = None
 
+    def _record_good_run_of_part(self, at: float, now: float) -> None:
+        """Record that a request with this part completed; it clears all of them."""
+        self._cleared_at = max(self._cleared_at, at)
+        self.crashes = [crash for crash in self.crashes if crash.at > at]
+        if self.hold is None:
+            return
+        if at >= self.hold.since or self.blamed_callers(now, now) is None:
+            self.hold = None
+
     def merge(self, crashes: list[Crash], hold: Hold | None) -> bool:
         """Merge crashes and a hold from the store or a peer; return whether any is new.
 
@@ -223,10 +260,10 @@
         crashes = [crash for crash in self.crashes if crash.at <= by]
         since = [crash for crash in crashes if crash.at > self.last_good_run_at]
         several_callers = len({crash.caller for crash in since}) > 1
-        if several_callers and len(since) >= _crash_threshold(
-            now - self.last_good_run_at
-        ):
+        if several_callers and len(since) >= self._threshold(now):
             return frozenset()
+        if self.position is not None:
+            return None  # a single content is blamed as such
         blamed: set[str] = set()
         for caller in {crash.caller for crash in crashes}:
             count = sum(1 for crash in crashes if crash.caller == caller)
@@ -234,6 +271,27 @@
                 blamed.add(caller)
         return frozenset(blamed) if blamed else None
 
+    def is_near_threshold(self, now: float) -> bool:
+        """Whether one more crash may put it in quarantine."""
+        count = sum(1 for crash in self.crashes if crash.at > self.last_good_run_at)
+        return count + 1 >= self._threshold(now)
+
+    def _threshold(self, now: float) -> int:
+        """Return the number of crashes at which all callers are refused."""
+        threshold = _crash_threshold(now - self.last_good_run_at)
+        if self.position == 0:
+            return max(threshold, FIRST_PART_QUARANTINE_THRESHOLD)
+        return threshold
+
+    @property
+    def evaluation_order(self) -> tuple[bool, int, float, float]:
+        """Sort key of evaluations: the narrowest first, then the least progress.
+
+        A later part of a prompt is shared by fewer requests than an earlier one.
+        """
+        is_part = self.position is not None
+        return (is_part, -(self.position or 0), *self.mean_progress)
+
     @property
     def mean_progress(self) -> tuple[float, float]:
         """Mean events and mean age in seconds of its runs at their crashes.
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -124,7 +124,10 @@
         """
         if state.admitted_runs == state.runs:
             return None
-        if state.runs >= QUARANTINE_THRESHOLD:
+        if state.runs >= QUARANTINE_THRESHOLD or (
+            state.runs
+            and self._guard.is_near_threshold(self._fingerprint(request, state))
+        ):
             # This request alone may have crashed that many, faster than the crashes
             # are evaluated.
             await self._guard.wait_until_evaluated()
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -128,7 +128,7 @@
         row = self.copy.rows_by_key.get(key)
         version = row.version if row is not None else ABSENT
         suspect = self._quarantine.by_content.get(content)
-        if suspect is not None and _is_stored(suspect):
+        if suspect is not None and is_stored(suspect, elapsed_s()):
             value = self._encode(suspect)
             return await self._apply_transaction(
                 Transaction({key: version}, {key: value}), key
@@ -277,5 +277,14 @@
     return RowKey(TABLE, "", content)
 
 
-def _is_stored(suspect: Suspect) -> bool:
-    return suspect.hold is not None or len(suspect.crashes) >= MIN_STORED_CRASHES
+def is_stored(suspect: Suspect, now: float) -> bool:
+    """Whether a suspect is kept in the store.
+
+    Parts of prompts are stored only while no good run of them is known, as popular
+    ones are running at most crashes.
+    """
+    if suspect.hold is not None:
+        return True
+    if suspect.position is not None and not suspect.is_near_threshold(now):
+        return False
+    return len(suspect.crashes) >= MIN_STORED_CRASHES
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -1,23 +1,24 @@
 """Quarantine of poison requests, which crash the targets that run them.
 
 Requests are identified by their fingerprint, whatever their ids and whichever instance
-receives them. Crashes and good runs are announced to all instances at once; peers that
-connect receive what is known then, and the store keeps it if all instances stop.
+receives them. A request is a suspect by its content and by each part of its prompt that
+others may share. Crashes and good runs are announced to all instances at once; peers
+that connect receive what is known then, and the store keeps it if all instances stop.
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
 from caperridge.decisions.quarantine import SETTLE_S, Quarantine
-from caperridge.decisions.suspects import GOOD_RUN_TTL_S, Crash, Hold, LostRun, Suspect
+from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect
 from caperridge.elapsed import elapsed_s
+from caperridge.gateway.exoneration import Exoneration
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.fleet import Fleet
-from caperridge.gateway.held_rows import MIN_STORED_CRASHES, QuarantineTable
+from caperridge.gateway.held_rows import QuarantineTable, is_stored
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
+from caperridge.gateway.mesh.messages import Suspects, TargetEnded
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.rows import StoredRow
 from caperridge.gateway.target_ends import CrashDetector
@@ -27,19 +28,16 @@
 
 log = logger(__name__)
 
-# About 200 bytes each.
-MAX_GOOD_RUNS = 1000
 # Bounds the first message to a peer, which lists quarantined requests first.
 MAX_GOSSIP_ENTRIES = 100
-# In a large fleet the instances that know of a good run announce it after a random
-# delay, so that the first announcement suppresses the others; all arrive before the
-# request is evaluated.
-MAX_EXONERATION_DELAY_S = 0.8 * SETTLE_S
 SWEEP_INTERVAL_S = 30.0
 # Longest wait until the crashes are evaluated, before a request that was lost with
 # several targets is sent to one more.
 MAX_EVALUATION_WAIT_S = 0.3
 MIN_RETRY_AFTER_S = 0.5
+# A part of a prompt crashes targets as they begin to write; a run that wrote more
+# events than this was lost to another cause.
+MAX_EVENTS_BEFORE_CRASH = 2
 # Crashes under one request in a line of the log.
 MAX_LOGGED_CRASHES = 4
 
@@ -92,12 +90,14 @@
         self._mesh = mesh
         self._fleet = fleet
         self._metrics = metrics
-        self._good_run_at: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._exoneration = Exoneration(quarantine, mesh, fleet)
+        self._exoneration.on_good_run = self._after_good_run
         self._evaluation_timer: asyncio.TimerHandle | None = None
         self._claiming: set[str] = set()
+        # Keys of suspects with a crash that was reported here and not evaluated yet.
+        self._unsettled: set[str] = set()
         detector.on_crash = self._on_target_crash
         mesh.register(TargetEnded, self._receive_crash)
-        mesh.register(SoundRuns, self._receive_good_runs)
         mesh.register(Suspects, self._receive_suspects)
         mesh.send_on_connect(self._suspects_message)
 
@@ -115,8 +115,23 @@
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether a request is in quarantine and its next trial is not due yet."""
-        hold = self.quarantine.hold_for(fingerprint.content, fingerprint.caller)
-        return hold is not None and not hold.is_due(elapsed_s())
+        now = elapsed_s()
+        return any(not hold.is_due(now) for _, hold in self._holds(fingerprint))
+
+    def _holds(self, fingerprint: Fingerprint) -> list[tuple[Suspect, Hold]]:
+        """Return the quarantines that cover a request, by suspect."""
+        found: list[tuple[Suspect, Hold]] = []
+        for key in (fingerprint.content, *fingerprint.parts):
+            hold = self.quarantine.hold_for(key, fingerprint.caller)
+            if hold is not None:
+                found.append((self.quarantine.by_content[key], hold))
+        return found
+
+    def is_near_threshold(self, fingerprint: Fingerprint) -> bool:
+        """Whether one more crash may quarantine a part of the prompt of a request."""
+        now = elapsed_s()
+        suspects = [self.quarantine.by_content.get(key) for key in fingerprint.parts]
+        return any(one is not None and one.is_near_threshold(now) for one in suspects)
 
     async def admit(
         self, fingerprint: Fingerprint, request: str
@@ -128,24 +143,28 @@
             request: its id, for the log.
         """
         self._evaluate()
-        hold = self.quarantine.hold_for(fingerprint.content, fingerprint.caller)
-        if hold is None:
-            return None
-        suspect = self.quarantine.by_content[fingerprint.content]
-        if hold.is_due(elapsed_s()) and await self._claim_trial(suspect):
-            self._metrics.held_requests.labels("tried_again").inc()
-            log.warning(
-                "trial of quarantined request", request=request, **_log_fields(suspect)
-            )
-            return None
-        self._metrics.held_requests.labels("refused").inc()
-        log.info("quarantined request refused", request=request, **_log_fields(suspect))
+        # Those that are not due come first, so that no trial is claimed in vain.
         now = elapsed_s()
-        remaining_s = (suspect.hold or hold).next_due(now) - now
-        return QuarantineRefusal(
-            f"{len(suspect.crashes)} targets ended while they ran it",
-            max(MIN_RETRY_AFTER_S, remaining_s),
-        )
+        holds = sorted(self._holds(fingerprint), key=lambda one: -one[1].next_due(now))
+        for suspect, hold in holds:
+            if hold.is_due(elapsed_s()) and await self._claim_trial(suspect):
+                self._metrics.held_requests.labels("tried_again").inc()
+                log.warning(
+                    "trial of quarantined request",
+                    request=request,
+                    **_log_fields(suspect),
+                )
+                continue
+            self._metrics.held_requests.labels("refused").inc()
+            log.info(
+                "quarantined request refused", request=request, **_log_fields(suspect)
+            )
+            now = elapsed_s()
+            remaining_s = (suspect.hold or hold).next_due(now) - now
+            return QuarantineRefusal(
+                _refusal_reason(suspect), max(MIN_RETRY_AFTER_S, remaining_s)
+            )
+        return None
 
     async def wait_until_evaluated(self) -> None:
         """Wait until all crashes so far have been evaluated, or for a short time."""
@@ -162,33 +181,21 @@
         self, target: Target, fingerprint: Fingerprint, age_s: float, events: int
     ) -> None:
         """Record a run whose answer was broken off by ``target``."""
-        run = LostRun(fingerprint.content, fingerprint.caller, round(age_s, 3), events)
-        self._detector.record_lost_run(target, run)
+        if events > MAX_EVENTS_BEFORE_CRASH:
+            self._exoneration.record_writing_run(fingerprint)
+        self._detector.record_lost_run(target, _suspects(fingerprint, age_s, events))
 
     def record_cancelled_run(
         self, target: Target, fingerprint: Fingerprint, age_s: float
     ) -> None:
         """Record a run at ``target`` that was cancelled here before its first event."""
-        run = LostRun(
-            fingerprint.content, fingerprint.caller, round(age_s, 3), events=0
+        self._detector.record_cancelled_run(
+            target, _suspects(fingerprint, age_s, events=0)
         )
-        self._detector.record_cancelled_run(target, run)
 
     def record_good_run(self, fingerprint: Fingerprint) -> None:
         """Record a run that did not crash its target."""
-        now = elapsed_s()
-        key = fingerprint.content, fingerprint.caller
-        self._good_run_at.pop(key, None)
-        self._good_run_at[key] = now
-        if len(self._good_run_at) > MAX_GOOD_RUNS:
-            self._good_run_at.popitem(last=False)
-        if self.quarantine.record_good_run(
-            fingerprint.content, fingerprint.caller, now, now
-        ):
-            self._after_good_run(fingerprint.content, self._mesh.instance)
-            self._mesh.send_all(
-                SoundRuns([[fingerprint.content, fingerprint.caller, 0.0]])
-            )
+        self._exoneration.record_good_run(fingerprint)
 
     # Reports of peers and rows of the store.
 
@@ -221,54 +228,11 @@
             target, runs, elapsed_s(), reported_by
         )
         for content in new_contents:
-            suspect = self.quarantine.by_content.get(content)
-            own = reported_by == self._mesh.instance
-            if (
-                own
-                and suspect is not None
-                and len(suspect.crashes) >= MIN_STORED_CRASHES
-            ):
-                self.rows.schedule_write(content)
+            if reported_by == self._mesh.instance:
+                self._unsettled.add(content)
         if new_contents:
             self._schedule_evaluation()
-        self._schedule_exoneration(runs)
-
-    def _schedule_exoneration(self, runs: list[LostRun]) -> None:
-        """Exonerate requests that ran well here a short while ago."""
-        sound = [run for run in runs if self._can_exonerate(run)]
-        if sound and self._mesh.large:
-            delay_s = MAX_EXONERATION_DELAY_S * self._fleet.rng.random()
-            asyncio.get_running_loop().call_later(delay_s, self._exonerate, sound)
-        elif sound:
-            self._exonerate(sound)
-
-    def _can_exonerate(self, run: LostRun) -> bool:
-        """Whether it ran well here recently and no instance has announced that."""
-        at = self._good_run_at.get((run.content, run.caller))
-        suspect = self.quarantine.by_content.get(run.content)
-        if at is None or suspect is None:
-            return False
-        now = elapsed_s()
-        since_exonerated_s = now - suspect.last_good_run_at_for(run.caller)
-        return now - at < GOOD_RUN_TTL_S and since_exonerated_s > GOOD_RUN_TTL_S / 2
-
-    def _exonerate(self, runs: list[LostRun]) -> None:
-        now = elapsed_s()
-        reported: list[list[Any]] = []
-        for run in runs:
-            if not self._can_exonerate(run):
-                continue
-            at = self._good_run_at[run.content, run.caller]
-            self.quarantine.record_good_run(run.content, run.caller, at, now)
-            reported.append([run.content, run.caller, round(now - at, 3)])
-        if reported:
-            self._mesh.send_all(SoundRuns(reported))
-
-    def _receive_good_runs(self, peer: str, report: SoundRuns) -> None:
-        now = elapsed_s()
-        for content, caller, ago_s in report.runs:
-            if self.quarantine.record_good_run(content, caller, now - ago_s, now):
-                self._after_good_run(content, peer)
+        self._exoneration.check_suspects(runs)
 
     def _after_good_run(self, content: str, reported_by: str) -> None:
         """Log and store that a suspect ran well."""
@@ -287,9 +251,19 @@
     def _run_evaluation(self) -> None:
         self._evaluation_timer = None
         self._evaluate()
+        self._store_suspects()
         if self.quarantine.evaluation_pending:
             self._schedule_evaluation()
 
+    def _store_suspects(self) -> None:
+        """Store the suspects of crashes reported here unless they were exonerated."""
+        now = elapsed_s()
+        for key in self._unsettled:
+            suspect = self.quarantine.by_content.get(key)
+            if suspect is not None and is_stored(suspect, now):
+                self.rows.schedule_write(key)
+        self._unsettled.clear()
+
     def _evaluate(self) -> None:
         for suspect in self.quarantine.evaluate(elapsed_s()):
             log.warning("request put in quarantine", **_log_fields(suspect))
@@ -351,6 +325,23 @@
         return [_log_fields(suspect) for suspect in self.quarantine.quarantined()]
 
 
+def _suspects(fingerprint: Fingerprint, age_s: float, events: int) -> list[LostRun]:
+    """Return a lost run once for each key by which it is suspected."""
+    age_s = round(age_s, 3)
+    content = LostRun(fingerprint.content, fingerprint.caller, age_s, events)
+    if events > MAX_EVENTS_BEFORE_CRASH:
+        return [content]
+    parts = [
+        LostRun(part, fingerprint.content, age_s, events) for part in fingerprint.parts
+    ]
+    return [*parts, content]
+
+
+def _refusal_reason(suspect: Suspect) -> str:
+    ran = "it" if suspect.position is None else "requests with a part of its prompt"
+    return f"{len(suspect.crashes)} targets ended while they ran {ran}"
+
+
 def _is_not_quarantined(suspect: Suspect) -> bool:
     return suspect.hold is None
 
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -74,29 +74,40 @@
         """Whether the address of some target is still being checked."""
         return any(one.check is not None for one in self._losses_by_target.values())
 
-    def record_lost_run(self, target: Target, run: LostRun) -> None:
-        """Record a run whose answer was broken off by ``target``."""
-        losses = self._pending_losses(target, run)
+    def record_lost_run(self, target: Target, suspects: list[LostRun]) -> None:
+        """Record a run whose answer was broken off by ``target``.
+
+        Args:
+            target: that ran it.
+            suspects: the run, once for each key by which it is suspected.
+        """
+        losses = self._pending_losses(target, suspects)
         if losses is not None:
-            losses.runs.append(run)
+            losses.runs += suspects
 
-    def record_cancelled_run(self, target: Target, run: LostRun) -> None:
+    def record_cancelled_run(self, target: Target, suspects: list[LostRun]) -> None:
         """Record a run that this instance cancelled because its caller disconnected.
 
         A caller may disconnect at the moment its request crashes the target.
+
+        Args:
+            target: that ran it.
+            suspects: the run, once for each key by which it is suspected.
         """
-        losses = self._pending_losses(target, run)
+        losses = self._pending_losses(target, suspects)
         if losses is not None:
-            losses.cancelled.append(run)
+            losses.cancelled += suspects
 
-    def _pending_losses(self, target: Target, run: LostRun) -> UnconfirmedLosses | None:
+    def _pending_losses(
+        self, target: Target, suspects: list[LostRun]
+    ) -> UnconfirmedLosses | None:
         """Return the losses of ``target`` and have its address checked.
 
         Returns None if the run needs no check: it is reported at once if the target is
         known to have crashed, and ignored if the target is draining or not listed.
         """
         if target.id in self._timers_by_crashed_target:
-            self.on_crash(target, [run])
+            self.on_crash(target, suspects)
             return None
         listed = self._fleet.targets.by_id.get(target.id)
         if listed is None or listed.draining:
--- a/src/caperridge/gateway/waiting_runs.py
+++ b/src/caperridge/gateway/waiting_runs.py
@@ -77,10 +77,10 @@
                 del self._runs_by_number[id(limit)]
 
     def _cancel_runs(self, content: str) -> None:
-        """Cancel the runs of a request that has just been quarantined."""
+        """Cancel the runs that a suspect covers which has just been quarantined."""
         now = asyncio.get_running_loop().time()
         for run in self._runs_by_number.values():
-            if run.fingerprint.content != content or not self._guard.is_quarantined(
+            if not run.fingerprint.has_key(content) or not self._guard.is_quarantined(
                 run.fingerprint
             ):
                 continue
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -6,20 +6,30 @@
 requests share the caller and the other parts.
 """
 
+import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
 from caperridge.decisions import suspects
+from caperridge.gateway import exoneration, held_rows, request_guard
+from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
 from caperridge.gateway.process import GatewayInstance
-from gateway.conftest import Answer, World
+from gateway.conftest import Answer, World, job_body, until
 from gateway.runner_standin import Run
-from gateway.test_requests_that_end_targets import all_know, crash_count
+from gateway.test_requests_that_end_targets import (
+    all_know,
+    busy,
+    completed,
+    crash_count,
+    stored_suspects,
+)
 
 FATAL_PART = "bad0"
 # Crashes under one part after which no request with it is sent to a target.
 CRASH_THRESHOLD = 3
+FIRST_PART_THRESHOLD = 5
 # Longer than any test takes; tests of trials move the clock.
 TRIAL_DELAYS_S = (1000.0, 2000.0, 4000.0)
 
@@ -41,6 +51,16 @@
     return world
 
 
+@pytest.fixture
+def ahead(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """Seconds by which the clock of the quarantine is ahead; tests append to it."""
+    added: list[float] = []
+    real = request_guard.elapsed_s
+    for module in (request_guard, held_rows, exoneration):
+        monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
+    return added
+
+
 @pytest.fixture
 def numbers() -> Iterator[int]:
     return itertools.count()
@@ -105,3 +125,264 @@
     for answer in answers[CRASH_THRESHOLD:]:
         assert answer.status == 503
         assert float(answer.headers["Retry-After"]) > 0
+
+
+async def test_sound_requests_with_the_other_parts_are_served_throughout(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    for _ in range(6):
+        await send_sound(fleet, numbers, "a0", "b0")
+        await send_fatal(fleet, numbers, count=1)
+        await send_sound(fleet, numbers, "a0")
+    assert crash_count(fleet) == CRASH_THRESHOLD
+
+
+async def test_the_narrower_of_two_parts_is_blamed_where_no_good_run_is_known(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    await send_fatal(fleet, numbers)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    await send_sound(fleet, numbers, "a0", "b0")
+
+
+async def test_a_stream_that_is_moved_does_not_hide_its_part(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """One try crashes three targets and is quarantined by its own content."""
+    await send_sound(fleet, numbers, "a0", "b0")
+    answers = await send_fatal(fleet, numbers, path="/ask/1")
+    assert crash_count(fleet) == CRASH_THRESHOLD + 1
+    assert [answer.status for answer in answers[2:]] == [503] * 6
+    await send_sound(fleet, numbers, "a0", "b0", path="/ask/1")
+
+
+async def test_a_first_part_is_blamed_later_and_only_without_a_good_run(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    answers = await send_fatal(fleet, numbers, shared=(FATAL_PART,))
+    assert crash_count(fleet) == FIRST_PART_THRESHOLD
+    assert [one.status for one in answers[FIRST_PART_THRESHOLD:]] == [503] * 3
+
+
+async def test_two_fatal_parts_are_found_each(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    for runner in fleet.runners:
+        runner.fatal = lambda run: "bad" in run.headers.get("X-Prompt-Prefix", "")
+    await send_sound(fleet, numbers, "a0", "b0")
+    for _ in range(5):
+        await send_fatal(fleet, numbers, count=1, shared=("a0", "bad1"))
+        await send_fatal(fleet, numbers, count=1, shared=("a0", "bad2"))
+    assert crash_count(fleet) == 2 * CRASH_THRESHOLD
+    await send_sound(fleet, numbers, "a0", "b0")
+
+
+async def test_items_with_the_part_are_sent_to_no_other_target(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    await submit(fleet, "job", {f"bad-{one}": ("a0", FATAL_PART) for one in range(6)})
+    await submit(fleet, "sound", {"s-1": ("a0", "b0"), "s-2": ("a0",)})
+    for number in range(1, CRASH_THRESHOLD + 1):
+        await until(lambda many=number: crash_count(fleet) >= many)
+        await fleet.replace_crashed()
+    await until(lambda: {"s-1", "s-2"} <= completed(fleet))
+    for number in range(5):
+        await submit(fleet, f"later-{number}", {f"l-{number}": ("a0", "b0")})
+        await until(lambda item=f"l-{number}": item in completed(fleet))
+    answers = await send_fatal(fleet, numbers, count=2)
+    assert [answer.status for answer in answers] == [503, 503]
+    assert blamed_parts(fleet) == 1
+
+
+def blamed_parts(world: World) -> int:
+    """Return how many parts are in quarantine at the first instance."""
+    quarantined = world.instances[0].guard.quarantine.quarantined()
+    return sum(1 for one in quarantined if one.position is not None)
+
+
+async def submit(
+    fleet: World, job: str, shared_by_item: dict[str, tuple[str, ...]]
+) -> None:
+    """Submit a job whose items share parts of their prompts."""
+    body = job_body(list(shared_by_item))
+    for number, item in enumerate(body["requests"]):
+        shared = shared_by_item[item["id"]]
+        item["headers"]["X-Prompt-Prefix"] = prompt(0xB000 + number, *shared)
+    answer = await fleet.call(
+        fleet.instances[0], "POST", f"/work/{job}", {"X-Request-Id": job}, json=body
+    )
+    assert answer.status == 202
+
+
+async def test_an_instance_that_just_started_knows(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    await send_fatal(fleet, numbers)
+    fresh = await fleet.add_instance()
+    answer = Answer(503, {}, b"no configuration is known yet", True)
+    while b"no configuration" in answer.body:
+        answer = await ask(fleet, fresh, next(numbers), "a0", FATAL_PART)
+    assert (answer.status, crash_count(fleet)) == (503, CRASH_THRESHOLD)
+    assert b"a part of its prompt" in answer.body
+
+
+async def test_instances_that_all_started_anew_know(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """Two crashes are stored, so they survive a restart of all instances."""
+    await send_fatal(fleet, numbers, count=2)
+    await until(lambda: stored_suspects(fleet) >= 1)
+    await fleet_starts_anew(fleet)
+    answers = await send_fatal(fleet, numbers, count=4)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    assert [answer.status for answer in answers] == [502, 503, 503, 503]
+
+
+async def fleet_starts_anew(fleet: World) -> None:
+    for instance in list(fleet.instances):
+        await fleet.kill(instance)
+    for _ in range(2):
+        await fleet.add_instance()
+    await fleet.ready()
+    await all_know(fleet)
+
+
+async def test_an_instance_that_missed_the_word_of_peers_knows_from_the_store(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    cut_off = fleet.instances[-1]
+    for kind in (TargetEnded, SoundRuns, Suspects):
+        cut_off.mesh.register(kind, lambda peer, message: None)
+    fleet.instances.remove(cut_off)
+    await send_fatal(fleet, numbers)
+    fleet.instances.append(cut_off)
+    await until(lambda: cut_off.guard.quarantine.quarantined())
+    answer = await ask(fleet, cut_off, next(numbers), "a0", FATAL_PART)
+    assert (answer.status, crash_count(fleet)) == (503, CRASH_THRESHOLD)
+
+
+async def test_an_instance_that_is_cut_off_finds_the_part_by_itself(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    for instance in fleet.instances[1:]:
+        await fleet.kill(instance)
+    fleet.store.refuse = 503
+    await until(lambda: not fleet.instances[0].reachability.reached)
+    (alone,) = fleet.instances
+    for number in itertools.islice(numbers, 5):
+        await ask(fleet, alone, number, "a0", FATAL_PART)
+        await until(lambda: not alone.guard.checking_crashes)
+        await until(lambda: not alone.guard.quarantine.evaluation_pending)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    answer = await ask(fleet, alone, next(numbers), "a0", "b0")
+    assert (answer.status, answer.whole) == (200, True)
+
+
+async def test_popular_parts_are_served_though_targets_crash_by_themselves(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    """They are running at every crash, but run well between crashes."""
+    statuses: list[int] = []
+
+    async def go_on(instance: GatewayInstance) -> None:
+        for _ in range(40):
+            answer = await ask(fleet, instance, next(numbers), "a0", "b0")
+            statuses.append(answer.status)
+
+    asking = [asyncio.ensure_future(go_on(one)) for one in fleet.instances * 2]
+    for _ in range(3 * CRASH_THRESHOLD):
+        await until(lambda: busy(fleet))
+        busiest = max(fleet.runners, key=lambda one: one.busy)
+        await busiest.crash()
+        await fleet.replace_crashed()
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*asking)
+    assert crash_count(fleet) == 3 * CRASH_THRESHOLD
+    assert 503 not in statuses
+    assert stored_suspects(fleet) == 0
+
+
+async def test_a_part_that_is_held_wrongly_is_served_after_one_trial(
+    fleet: World, numbers: Iterator[int], ahead: list[float]
+) -> None:
+    for runner in fleet.runners:
+        runner.fatal = is_fatal
+    await send_fatal(fleet, numbers)
+    assert blamed_parts(fleet) == 1
+    for runner in fleet.runners:
+        runner.fatal = lambda run: False
+    ahead.append(TRIAL_DELAYS_S[0])
+    await send_sound(fleet, numbers, "a0", FATAL_PART)
+    await until(lambda: not any(blamed_parts_of(one) for one in fleet.instances))
+    await until(lambda: stored_suspects(fleet) == 0)
+
+
+def blamed_parts_of(instance: GatewayInstance) -> list[str]:
+    """Return the keys of the parts in quarantine at an instance."""
+    quarantined = instance.guard.quarantine.quarantined()
+    return [one.content for one in quarantined if one.position is not None]
+
+
+async def test_runs_that_wait_elsewhere_are_cancelled_by_the_quarantine(
+    fleet: World, numbers: Iterator[int]
+) -> None:
+    waiting = fleet.runners[0]
+    waiting.fatal = lambda run: False
+    waiting.hold_head = True
+    crashing = fleet.runners[1:]
+    set_refusing(crashing, True)
+    asking = [
+        asyncio.ensure_future(ask(fleet, fleet.instances[0], next(numbers), *shared))
+        for shared in (("a0", FATAL_PART), ("a0", "b0"))
+    ]
+    await until(lambda: waiting.busy == 2)
+    waiting.refuse = True
+    set_refusing(crashing, False)
+    await send_fatal(fleet, numbers, count=CRASH_THRESHOLD)
+    assert crash_count(fleet) == CRASH_THRESHOLD
+    assert (await asking[0]).status == 502
+    await until(lambda: [run.cut for run in waiting.runs] == [True, False], 1.0)
+    asking[1].cancel()
+
+
+def set_refusing(runners: list, refuse: bool) -> None:
+    for runner in runners:
+        runner.refuse = refuse
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_an_announced_good_run_of_a_part_suppresses_others(
+    fleet: World, numbers: Iterator[int], lost: int
+) -> None:
+    """Good runs are announced only where one more crash could blame the part."""
+    await send_sound(fleet, numbers, "a0", "b0")
+    announced: list[list] = []
+    for instance in fleet.instances:
+        record_announcements(instance, announced.append)
+    for _ in range(lost):
+        for runner in fleet.runners:
+            runner.hold_head = True
+        number = next(numbers)
+        asking = asyncio.ensure_future(
+            ask(fleet, fleet.instances[0], number, "a0", "b0")
+        )
+        await until(lambda: busy(fleet))
+        await next(one for one in fleet.runners if one.busy).crash()
+        await asking
+        await all_know(fleet)
+        await fleet.replace_crashed()
+    keys = {key for entry in announced for key, _, _ in entry}
+    assert len(keys) == (0 if lost == 1 else 1)
+
+
+def record_announcements(
+    instance: GatewayInstance, record: Callable[[list], None]
+) -> None:
+    """Call ``record`` with the good runs that an instance receives."""
+    receive = instance.mesh._handlers_by_kind[SoundRuns]
+
+    def handle(peer: str, message: SoundRuns) -> None:
+        record(message.runs)
+        receive(peer, message)
+
+    instance.mesh.register(SoundRuns, handle)
--- /dev/null
+++ b/tests/policy/test_quarantined_parts.py
@@ -0,0 +1,138 @@
+"""Quarantine of parts of prompts that crash their targets, without a network.
+
+Guards against the pattern of an incident: requests that are all different share one
+part. At each target that crashes one of them has no event and is about 0.1 s old; the
+others share its caller and its other parts.
+"""
+
+import pytest
+
+from caperridge.decisions.quarantine import RETENTION_S, Quarantine
+from caperridge.decisions.suspect_keys import part_keys
+from caperridge.decisions.suspects import (
+    FIRST_PART_QUARANTINE_THRESHOLD,
+    GOOD_RUN_TTL_S,
+    QUARANTINE_THRESHOLD,
+    QUARANTINE_THRESHOLD_AFTER_GOOD_RUN,
+    Crash,
+    Hold,
+    LostRun,
+)
+from policy.test_quarantine import Fleet
+
+FATAL, FIRST = part_keys(["first", "fatal", "own"])
+OTHER, _ = part_keys(["first", "other", "own"])
+
+
+def lost(content: str, *parts: str, age_s: float = 0.1) -> list[LostRun]:
+    """Return a run without an event, once for each key by which it is suspected."""
+    keys = [LostRun(part, content, age_s, 0) for part in parts]
+    return [*keys, LostRun(content, "caller", age_s, 0)]
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+def crash_with(fleet: Fleet, *runs: list[LostRun], after_s: float = 0.3) -> None:
+    fleet.crash(*(key for run in runs for key in run))
+    fleet.now += after_s
+
+
+def held(fleet: Fleet) -> set[str]:
+    return {one.content for one in fleet.quarantine.quarantined()}
+
+
+def test_enough_crashes_of_different_requests_blame_their_part(fleet: Fleet) -> None:
+    for number in range(QUARANTINE_THRESHOLD):
+        assert not held(fleet)
+        crash_with(fleet, lost(f"c{number}", FATAL))
+    assert held(fleet) == {FATAL}
+
+
+@pytest.mark.parametrize("first_reported", [True, False])
+def test_the_narrowest_of_the_parts_at_the_same_crashes_is_blamed(
+    fleet: Fleet, first_reported: bool
+) -> None:
+    for number in range(FIRST_PART_QUARANTINE_THRESHOLD):
+        run = lost(f"c{number}", FATAL, FIRST)
+        crash_with(fleet, run[::-1] if first_reported else run)
+    assert held(fleet) == {FATAL}
+
+
+def test_crashes_that_a_part_explains_count_against_no_wider_one(fleet: Fleet) -> None:
+    for number in range(QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
+        crash_with(fleet, lost(f"c{number}", FATAL, FIRST))
+    for number in range(FIRST_PART_QUARANTINE_THRESHOLD - 1):
+        crash_with(fleet, lost(f"d{number}", FIRST))
+    assert held(fleet) == {FATAL}
+    crash_with(fleet, lost("last", FIRST))
+    assert held(fleet) == {FATAL, FIRST}
+
+
+def test_one_content_alone_does_not_blame_its_parts(fleet: Fleet) -> None:
+    for _ in range(FIRST_PART_QUARANTINE_THRESHOLD):
+        crash_with(fleet, lost("fatal", OTHER, FIRST))
+    assert held(fleet) == {"fatal"}
+
+
+def test_a_content_in_quarantine_does_not_hide_its_part(fleet: Fleet) -> None:
+    for _ in range(QUARANTINE_THRESHOLD):
+        crash_with(fleet, lost("moved", FATAL))
+    assert held(fleet) == {"moved"}
+    crash_with(fleet, lost("next", FATAL))
+    assert held(fleet) == {"moved", FATAL}
+
+
+def test_a_good_run_of_any_request_clears_a_part(fleet: Fleet) -> None:
+    for number in range(QUARANTINE_THRESHOLD):
+        crash_with(fleet, lost(f"c{number}", FATAL))
+    assert fleet.quarantine.hold_for(FATAL, "anybody") is not None
+    fleet.record_good_run(FATAL, "")
+    assert not held(fleet)
+
+
+def test_a_good_run_before_the_crashes_clears_no_quarantine(fleet: Fleet) -> None:
+    began_at = fleet.now
+    fleet.now += GOOD_RUN_TTL_S + 1.0
+    for number in range(QUARANTINE_THRESHOLD):
+        crash_with(fleet, lost(f"c{number}", FATAL))
+    fleet.record_good_run(FATAL, "", ago_s=fleet.now - began_at)
+    assert held(fleet) == {FATAL}
+
+
+def test_a_part_that_ran_well_a_moment_ago_needs_more_crashes(fleet: Fleet) -> None:
+    fleet.crash(*lost("before", OTHER))
+    fleet.record_good_run(OTHER, "")
+    fleet.now += 0.1
+    for number in range(QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
+        assert not held(fleet)
+        crash_with(fleet, lost(f"c{number}", OTHER))
+    assert held(fleet) == {OTHER}
+
+
+def test_a_part_that_runs_well_between_crashes_is_never_blamed(fleet: Fleet) -> None:
+    for number in range(4 * QUARANTINE_THRESHOLD_AFTER_GOOD_RUN):
+        crash_with(fleet, lost(f"c{number}", FIRST))
+        if number % 3 == 0:
+            fleet.record_good_run(FIRST, "")
+    assert not held(fleet)
+
+
+def test_what_peers_know_of_a_part_is_merged(fleet: Fleet) -> None:
+    crashes = [Crash(f"t{n}", f"c{n}", 0.1, 0, fleet.now - 1, "e-1") for n in range(3)]
+    hold = Hold(frozenset(), fleet.now, 0, fleet.now + 1.0)
+    fresh = Quarantine()
+    assert fresh.merge(FATAL, crashes, hold)
+    assert fresh.hold_for(FATAL, "anybody") is not None
+    assert fresh.by_content[FATAL].position == 1
+
+
+def test_crashes_long_ago_count_no_more(fleet: Fleet) -> None:
+    for number in range(QUARANTINE_THRESHOLD - 1):
+        crash_with(fleet, lost(f"c{number}", FATAL))
+    fleet.now += RETENTION_S
+    fleet.quarantine.expire(fleet.now)
+    crash_with(fleet, lost("later", FATAL))
+    assert not held(fleet)
