Review case 3: a sound item is not done after three crashes of runners

Cause: an item that ran at three runners when they crashed is quarantined. Its trial counts as used up when it is preempted for online requests, and the next one is 60 s later (gateway/request_guard.py, decisions/suspects.py), after finishS and retentionS.

The case crashes one runner of six three times beside the usual traffic.

--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -44,6 +44,7 @@
         slots: requests that it works on at a time.
         event_s: pause between two events.
         runs: all that it has run.
+        crashed: whether it has ended; it answers nothing more.
     """
 
     def __init__(self, id: str, zone: str, slots: int, event_s: float) -> None:
@@ -53,6 +54,8 @@
         self.event_s = event_s
         self.runs: list[Run] = []
         self.lengths: dict[str, tuple[int, int]] = {}
+        self.crashed = False
+        self._transports: set[asyncio.Transport] = set()
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
 
@@ -88,6 +91,12 @@
             "seq": 1,
         }
 
+    def crash(self) -> None:
+        """Cut all connections; whoever calls this has closed the listening socket."""
+        self.crashed = True
+        for transport in list(self._transports):
+            transport.abort()
+
     async def _health(self, _: web.Request) -> web.Response:
         return web.Response(headers={"X-Instance-Id": self.id})
 
@@ -126,6 +135,9 @@
         after = int(request.headers.get("Last-Event-Id", "0"))
         run = Run(id, request.path, self.id, after)
         self.runs.append(run)
+        transport = request.transport
+        assert transport is not None
+        self._transports.add(transport)
         headers["X-Response-Stamp"] = f"{self.id}.{id}"
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
@@ -135,8 +147,7 @@
                 await asyncio.sleep(self.event_s)
                 if time.monotonic() >= deadline:
                     # It stops working at the time that it was given.
-                    assert request.transport is not None
-                    request.transport.abort()
+                    transport.abort()
                     return response
                 data = f"{id}-{number}-{'x' * 20}"
                 await response.write(f"id: {number}\ndata: {data}\n\n".encode())
@@ -144,5 +155,8 @@
             run.whole = True
             await response.write_eof()
             return response
+        except ConnectionError:
+            return response  # its caller has left, or it has crashed
         finally:
             run.ended = time.monotonic()
+            self._transports.discard(transport)
--- a/review/lab/town.py
+++ b/review/lab/town.py
@@ -21,6 +21,7 @@
 ZONES = ("a", "b", "c")
 HOST = "calls.example"
 READY_WITHIN_S = 30.0
+LAPSE_S = 3 * 1.2  # three heartbeats
 _hosts = itertools.count(1)
 
 SETTINGS = """\
@@ -160,14 +161,14 @@
         self.store_address = ""
         self._routes = routes
         self._sites: list[web.AppRunner] = []
+        self._site_by_runner: dict[str, web.AppRunner] = {}
 
     async def start(self) -> None:
         """Start everything and wait until every instance is ready."""
         self.store_address = await self._serve(self.store.application())
         self.store.put("op", "config", configuration(1, self._routes))
         for runner in self.runners:
-            address = await self._serve(runner.application())
-            self.store.put("servers", runner.id, runner.entry(address))
+            await self._start_runner(runner)
         for one in self.instances:
             self.start_instance(one)
         async with aiohttp.ClientSession() as session:
@@ -179,6 +180,29 @@
                     await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)  # all peers are connected
 
+    async def _start_runner(self, runner: Runner) -> None:
+        address = await self._serve(runner.application())
+        self._site_by_runner[runner.id] = self._sites[-1]
+        self.store.put("servers", runner.id, runner.entry(address))
+
+    async def crash_runner(self, runner: Runner, for_s: float) -> Runner:
+        """Crash a runner without notice; return the one that starts in its place.
+
+        Its entry goes after three heartbeats of silence, as nobody writes it any more.
+        """
+        site = self._site_by_runner.pop(runner.id)
+        for one in list(site.sites):
+            await one.stop()
+        runner.crash()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAPSE_S, self.store.remove, "servers", runner.id)
+        await asyncio.sleep(for_s)
+        again = Runner(f"{runner.id}x", runner.zone, runner.slots, runner.event_s)
+        again.lengths = runner.lengths
+        self.runners.append(again)
+        await self._start_runner(again)
+        return again
+
     def start_instance(self, one: Instance) -> None:
         """Start an instance, for the first time or again."""
         seeds = [other.peers for other in self.instances[:3]]
