--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -66,9 +66,7 @@
 
     def events_of(self, id: str, path: str) -> int:
         """Return the number of events of a request, the same at every runner."""
-        prefix = path.split("/")[1]
-        low, high = self.lengths[prefix]
-        return random.Random(zlib.crc32(id.encode())).randint(low, high)
+        return length_of(id, self.lengths[path.split("/")[1]])
 
     def application(self) -> web.Application:
         """Return the application of the runner."""
@@ -160,3 +158,8 @@
         finally:
             run.ended = time.monotonic()
             self._transports.discard(transport)
+
+
+def length_of(id: str, lengths: tuple[int, int]) -> int:
+    """Return the number of events of a request, the same at every runner."""
+    return random.Random(zlib.crc32(id.encode())).randint(*lengths)
