Keep the review's stand-ins beside its cases, and end all processes

Folders of review/ are cases only. A script that was ended by a signal left its instances running; now it stops them, and it ends by itself after 110 s.

--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -9,9 +9,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.callers import call, job_body
-from lab.runner import Run
-from lab.town import CaseError, Record, Town, batch_route
+from callers import call, job_body
+from runner import Run
+from town import CaseError, Record, Town, batch_route, run_case
 
 ITEMS = 200  # the most that a job may list
 TOKENS = 800
@@ -156,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -11,9 +11,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.kept import Answer, KeptConnection
-from lab.runner import Run
-from lab.town import CaseError, Instance, Record, Town, route
+from kept import Answer, KeptConnection
+from runner import Run
+from town import CaseError, Instance, Record, Town, route, run_case
 
 EVENT_S = 0.05
 LENGTHS = {"check": (16, 24)}  # 0.8 to 1.2 s
@@ -167,4 +167,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -10,10 +10,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.callers import call, job_body
-from lab.kept import KeptConnection
-from lab.runner import Run, Runner
-from lab.town import CaseError, Record, Town, batch_route, route
+from callers import call, job_body
+from kept import KeptConnection
+from runner import Run, Runner
+from town import CaseError, Record, Town, batch_route, route, run_case
 
 ITEMS = 6
 TOKENS = 1200
@@ -203,4 +203,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD/target/deps:$PWD/review" PYTHONDONTWRITEBYTECODE=1
-python3 -S -c "import lab.callers, lab.kept, lab.runner, lab.store, lab.town"
+python3 -S -c "import callers, kept, runner, store, town"
--- a/review/lab/callers.py
+++ b/review/callers.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from lab.town import HOST, Instance
+from town import HOST, Instance
 
 CALL_TIMEOUT_S = 4.0
 
--- a/review/lab/kept.py
+++ b/review/kept.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from lab.town import HOST, Instance
+from town import HOST, Instance
 
 
 class Answer:
--- a/review/lab/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers that the cases of the review share."""
--- a/review/lab/town.py
+++ b/review/town.py
@@ -8,19 +8,21 @@
 import subprocess
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 
-from lab.runner import Runner
-from lab.store import Store
+from runner import Runner
+from store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("a", "b", "c")
 HOST = "calls.example"
 READY_WITHIN_S = 30.0
+MAX_CASE_S = 110.0
 LAPSE_S = 3 * 1.2  # three heartbeats
 _hosts = itertools.count(1)
 
@@ -228,6 +230,26 @@
         return f"127.0.0.1:{site.addresses[0][1]}"
 
 
+def run_case(case: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case and return its exit code; 2 if it is ended early or takes too long.
+
+    A case that is told to end still stops all that it has started.
+    """
+    return asyncio.run(_until_told(case))
+
+
+async def _until_told(case: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    loop = asyncio.get_running_loop()
+    task = loop.create_task(case())
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        async with asyncio.timeout(MAX_CASE_S):
+            return await task
+    except (asyncio.CancelledError, TimeoutError):
+        return 2
+
+
 def route(name: str, **changes: Any) -> dict[str, Any]:
     """Return a route as the operator writes it."""
     fields: dict[str, Any] = {
