--- a/review/town.py
+++ b/review/town.py
@@ -18,7 +18,7 @@
 from runner import Runner
 from store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = ("a", "b", "c")
 HOST = "calls.example"
 READY_WITHIN_S = 30.0
