Log why the store refuses a write, and the size of the transaction

The reason now has the store's own text, and the line of the job has the conditions, writes, removals and bytes.

--- a/src/caperridge/gateway/jobs/keeping.py
+++ b/src/caperridge/gateway/jobs/keeping.py
@@ -196,6 +196,14 @@
                 if found == head:
                     return Ok(row.version)
                 return Err(HeldElsewhere(found))
-            log.info("job not written yet", job=job.entry.id, reason=error.reason)
+            log.info(
+                "job not written yet",
+                job=job.entry.id,
+                reason=error.reason,
+                conditions=len(transaction.versions),
+                writes=len(transaction.writes),
+                removes=len(transaction.removes),
+                value_bytes=sum(map(len, transaction.writes.values())),
+            )
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -30,6 +30,7 @@
 CONNECT_TIMEOUT_S = 0.5
 # A long poll whose answer is overdue by this time has a dead connection.
 LONG_POLL_SLACK_S = 0.7
+MAX_LOGGED_BYTES = 200
 _NOT_DONE_STATUSES = frozenset({429, 503, 507})
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
@@ -69,7 +70,7 @@
             return answer
         status, body = answer.ok_value
         if status != 200:
-            return Err(_refusal(status))
+            return Err(_refusal(status, body))
         return _rows(body)
 
     async def transact(
@@ -99,7 +100,7 @@
                 return Err(NotDone(f"a refusal of the store is unreadable: {error}"))
             return Err(Refused(rows))
         if status != 200:
-            return Err(_refusal(status))
+            return Err(_refusal(status, body))
         try:
             fields = orjson.loads(body)
             return Ok(Done(int(fields["schemaVersion"]), fields["nowMs"] / 1000))
@@ -143,7 +144,7 @@
         if status == 410:
             return Err(HistoryGone())
         if status != 200:
-            return Err(_refusal(status))
+            return Err(_refusal(status, body))
         return _rows(body)
 
     async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
@@ -151,8 +152,8 @@
         answer = await self._call("PUT", f"/blob-put/{name}", body=data)
         if isinstance(answer, Err):
             return answer
-        status, _ = answer.ok_value
-        return Ok(None) if status < 300 else Err(_refusal(status))
+        status, body = answer.ok_value
+        return Ok(None) if status < 300 else Err(_refusal(status, body))
 
     async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
         """See :meth:`RowStore.get_object`."""
@@ -162,15 +163,17 @@
         status, body = answer.ok_value
         if status == 404:
             return Ok(None)
-        return Ok(body) if status == 200 else Err(_refusal(status))
+        return Ok(body) if status == 200 else Err(_refusal(status, body))
 
     async def drop_object(self, name: str) -> Result[None, StoreError]:
         """See :meth:`RowStore.drop_object`."""
         answer = await self._call("DELETE", f"/blob-drop/{name}")
         if isinstance(answer, Err):
             return answer
-        status, _ = answer.ok_value
-        return Ok(None) if status < 300 or status == 404 else Err(_refusal(status))
+        status, body = answer.ok_value
+        if status < 300 or status == 404:
+            return Ok(None)
+        return Err(_refusal(status, body))
 
     async def _call(
         self,
@@ -213,8 +216,11 @@
                 poll.cancel()
 
 
-def _refusal(status: int) -> StoreError:
+def _refusal(status: int, body: bytes) -> StoreError:
     reason = f"the store answered {status}"
+    detail = body[:MAX_LOGGED_BYTES].decode("utf-8", "replace").strip()
+    if detail:
+        reason = f"{reason}: {detail}"
     return NotDone(reason) if status in _NOT_DONE_STATUSES else Unknown(reason)
 
 
