Move the connections of the store's client out of the adapter

They use no word of the platform, and the adapter, which has to stay small, is about to learn the limits of the store. No behaviour changes.

--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -21,8 +21,8 @@
     Transaction,
     TransactionError,
 )
+from caperridge.gateway.store_connections import SessionPool
 from caperridge.no_repeat import LostOnTheWayError
-from caperridge.platform.connections import SessionPool
 from caperridge.store.interface import NotDone, Unknown
 
 # The store answers in 4 to 25 ms, but up to 60 times slower on bad days.
