Build a job's transactions within the limits of the store

Cause: a write takes up to 45 results and 45 rows of progress, but each listed result also removes its row of progress, and the condition and the head count as well: 133 entries, of which the store takes 100. Bytes were limited before base64, for results and progress separately (1.6 MB of 1 MB possible). The holder repeated the refused transaction twice a second.

Fix: StoreLimits has the limits of the store's calls, its adapter knows the sizes as sent, and TransactionBuilder adds an entry with all that belongs to it, or not at all. A job's write takes results first, then the progress with the most unstored output; the rest waits for the next write, at once while results wait.

--- a/src/caperridge/gateway/jobs/keeping.py
+++ b/src/caperridge/gateway/jobs/keeping.py
@@ -17,12 +17,13 @@
     result_key,
     text_object,
 )
-from caperridge.gateway.jobs.model import ItemResult, JobHead
+from caperridge.gateway.jobs.model import JobHead
 from caperridge.gateway.rows import (
     Refused,
     RowKey,
     RowStore,
     Transaction,
+    TransactionBuilder,
 )
 from caperridge.log import logger
 from caperridge.records import Record
@@ -34,9 +35,6 @@
 PROGRESS_INTERVAL_S = 1.5
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
-# The store accepts 100 entries and 1 MB in one transaction; base64 adds a third.
-MAX_TRANSACTION_ENTRIES = 90
-MAX_TRANSACTION_BYTES = 600_000
 
 
 class HeldElsewhere(Record):
@@ -48,34 +46,55 @@
         self.head = head
 
 
+class JobBatch(Record):
+    """One write of a job.
+
+    Attributes:
+        transaction: conditions, writes and removals.
+        head: of the job after it.
+        results: that it lists, in order of their positions.
+        progress: items whose progress it stores, each with its event and failures.
+    """
+
+    __slots__ = ("head", "progress", "results", "transaction")
+
+    def __init__(
+        self,
+        transaction: Transaction,
+        head: JobHead,
+        results: list[ItemState],
+        progress: list[tuple[ItemState, int, int]],
+    ) -> None:
+        self.transaction = transaction
+        self.head = head
+        self.results = results
+        self.progress = progress
+
+
 class JobWriter:
     """Writes jobs for their holder.
 
     Args:
         store: of jobs.
         incarnation: of this process.
-        row_bytes: maximum size of the encoded value of a row.
     """
 
-    def __init__(self, store: RowStore, incarnation: str, row_bytes: int) -> None:
+    def __init__(self, store: RowStore, incarnation: str) -> None:
         self._store = store
         self._incarnation = incarnation
-        # Values are encoded as base64; 1024 bytes are left for other fields.
-        self._max_text_bytes = row_bytes * 3 // 4 - 1024
 
     async def write(self, job: HeldJob, holder: str) -> bool:
         """Write results and progress; False if the job is held elsewhere or cancelled.
 
-        Retries until the outcome is certain.
+        What does not fit in one transaction is left for the next write. Retries until
+        the outcome is certain.
 
         Args:
             job: whose unlisted results and progress are written.
             holder: incarnation that holds it from then on; empty to release it.
         """
-        results = await self._results(job)
-        progress = [] if holder == "" and not job.states else self._progress(job)
-        transaction, head, stored = self._transaction(job, holder, results, progress)
-        answer = await self._transact_until_certain(job, transaction, head)
+        batch = await self._batch(job, holder)
+        answer = await self._transact_until_certain(job, batch.transaction, batch.head)
         if isinstance(answer, Err):
             job.lost = True
             found = answer.err_value.head
@@ -90,33 +109,53 @@
             job.cancel_runs()
             return False
         job.version = answer.ok_value
-        job.head = head
-        for state, _ in results:
+        job.head = batch.head
+        for state in batch.results:
             state.status = LISTED
-        job.unlisted = job.unlisted[len(results) :]
-        for state, event, failures in stored:
+        job.unlisted = job.unlisted[len(batch.results) :]
+        for state, event, failures in batch.progress:
             state.stored_event = event
             state.stored_failures = failures
         return True
 
-    async def _results(self, job: HeldJob) -> list[tuple[ItemState, ItemResult]]:
-        """Return the results for one transaction; large texts become objects."""
-        taken: list[tuple[ItemState, ItemResult]] = []
-        size = 0
-        for state, result in job.unlisted:
-            stored = result
-            if len(result.text) > self._max_text_bytes:
-                name = text_object(job.entry.id, state.number, self._incarnation)
+    async def _batch(self, job: HeldJob, holder: str) -> JobBatch:
+        """Return the next write: results first, then progress, as far as they fit."""
+        head = job.head.replace(holder=holder, turn=job.head.turn + 1)
+        key = head_key(job.entry.id)
+        builder = TransactionBuilder(self._store.limits)
+        # With all items listed the encoded head is as long as it can get.
+        reserved = to_bytes(head.replace(listed=head.total))
+        builder.add(Transaction({key: job.version}, {key: reserved}))
+        results = await self._add_results(job, builder)
+        progress = _add_progress(job, builder)
+        head = head.replace(listed=head.listed + len(results))
+        builder.transaction.writes[key] = to_bytes(head)
+        return JobBatch(builder.transaction, head, results, progress)
+
+    async def _add_results(
+        self, job: HeldJob, builder: TransactionBuilder
+    ) -> list[ItemState]:
+        """Add unlisted results; the text of one too large for a row is an object."""
+        id = job.entry.id
+        added: list[ItemState] = []
+        for number, (state, result) in enumerate(job.unlisted):
+            value = to_bytes(result)
+            if not self._store.limits.fits_in_row(value):
+                name = text_object(id, state.number, self._incarnation)
                 await self._put_object(name, result.text)
-                stored = result.replace(text=b"", object=name)
-            size += len(stored.text)
-            if taken and (
-                size > MAX_TRANSACTION_BYTES
-                or len(taken) >= MAX_TRANSACTION_ENTRIES // 2
+                result = result.replace(text=b"", object=name)
+                job.unlisted[number] = (state, result)
+                value = to_bytes(result)
+            removes: list[RowKey] = []
+            if state.stored_event or state.stored_failures:
+                removes.append(progress_key(id, state.number))
+            position = job.head.listed + number
+            if not builder.add(
+                Transaction({}, {result_key(id, position): value}, removes)
             ):
                 break
-            taken.append((state, stored))
-        return taken
+            added.append(state)
+        return added
 
     async def _put_object(self, name: str, data: bytes) -> None:
         pause_s = MIN_RETRY_DELAY_S
@@ -125,50 +164,6 @@
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
 
-    def _progress(self, job: HeldJob) -> list[ItemState]:
-        """Return unfinished items with new progress that fit in the transaction."""
-        taken: list[ItemState] = []
-        size = 0
-        for state in job.states:
-            if state.status in (DONE, LISTED) or not state.has_unstored_progress:
-                continue
-            if len(state.progress.text) > self._max_text_bytes:
-                continue  # too large for a row; generated again after a loss
-            size += len(state.progress.text)
-            if (
-                size > MAX_TRANSACTION_BYTES
-                or len(taken) >= MAX_TRANSACTION_ENTRIES // 2
-            ):
-                break
-            taken.append(state)
-        return taken
-
-    def _transaction(
-        self,
-        job: HeldJob,
-        holder: str,
-        results: list[tuple[ItemState, ItemResult]],
-        progress: list[ItemState],
-    ) -> tuple[Transaction, JobHead, list[tuple[ItemState, int, int]]]:
-        id = job.entry.id
-        head = job.head.replace(
-            holder=holder,
-            listed=job.head.listed + len(results),
-            turn=job.head.turn + 1,
-        )
-        writes: dict[RowKey, bytes] = {head_key(id): to_bytes(head)}
-        removes: list[RowKey] = []
-        for offset, (state, result) in enumerate(results):
-            writes[result_key(id, job.head.listed + offset)] = to_bytes(result)
-            if state.stored_event or state.stored_failures:
-                removes.append(progress_key(id, state.number))
-        stored: list[tuple[ItemState, int, int]] = []
-        for state in progress:
-            writes[progress_key(id, state.number)] = to_bytes(state.progress)
-            stored.append((state, state.progress.event, state.progress.failures))
-        versions = {head_key(id): job.version}
-        return Transaction(versions, writes, removes), head, stored
-
     async def _transact_until_certain(
         self, job: HeldJob, transaction: Transaction, head: JobHead
     ) -> Result[int, HeldElsewhere]:
@@ -207,3 +202,28 @@
             )
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
+
+
+def _add_progress(
+    job: HeldJob, builder: TransactionBuilder
+) -> list[tuple[ItemState, int, int]]:
+    """Add the progress of unfinished items, those with the most unstored output first.
+
+    Progress too large for a row is not stored; it is generated again after a loss.
+    """
+    states = [
+        state
+        for state in job.states
+        if state.status not in (DONE, LISTED) and state.has_unstored_progress
+    ]
+    states.sort(key=lambda one: one.stored_event - one.progress.event)
+    added: list[tuple[ItemState, int, int]] = []
+    for state in states:
+        if builder.is_full:
+            break
+        key = progress_key(job.entry.id, state.number)
+        progress = state.progress
+        if not builder.add(Transaction({}, {key: to_bytes(progress)})):
+            continue
+        added.append((state, progress.event, progress.failures))
+    return added
--- a/src/caperridge/gateway/jobs/sweep.py
+++ b/src/caperridge/gateway/jobs/sweep.py
@@ -19,7 +19,6 @@
 SWEEP_INTERVAL_S = 20.0
 # Jobs are kept longer than promised to allow for clock skew and late callers.
 RETENTION_MARGIN_S = 60.0
-MAX_ROWS_PER_REMOVAL = 90
 
 
 class JobSweeper:
@@ -73,8 +72,9 @@
 
         A failed step is retried at the next sweep, as the entry still exists.
         """
+        max_removals = self._store.limits.entries
         while True:
-            answer = await self._store.read(JOBS, entry.id, limit=MAX_ROWS_PER_REMOVAL)
+            answer = await self._store.read(JOBS, entry.id, limit=max_removals)
             if isinstance(answer, Err):
                 return
             rows = answer.ok_value.rows
--- a/src/caperridge/gateway/observed_store.py
+++ b/src/caperridge/gateway/observed_store.py
@@ -14,6 +14,7 @@
     RowsRead,
     RowStore,
     StoreError,
+    StoreLimits,
     Transaction,
     TransactionError,
 )
@@ -38,6 +39,11 @@
         self._clock = clock
         self._metrics = metrics
 
+    @property
+    def limits(self) -> StoreLimits:
+        """See :attr:`RowStore.limits`."""
+        return self._store.limits
+
     async def read(
         self,
         table: str,
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -145,7 +145,7 @@
             self.configuration,
             self.mesh,
             self.reachability,
-            JobWriter(hedging, incarnation, settings.row_bytes),
+            JobWriter(hedging, incarnation),
             JobClaimer(store, self.mesh),
             slots,
             self.granting,
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -28,6 +28,7 @@
     RowsRead,
     RowStore,
     StoreError,
+    StoreLimits,
     Transaction,
     TransactionError,
 )
@@ -72,6 +73,11 @@
         mesh.register(StoreAsk, self._serve)
         mesh.register(StoreAnswer, self._receive_answer)
 
+    @property
+    def limits(self) -> StoreLimits:
+        """See :attr:`RowStore.limits`."""
+        return self._store.limits
+
     async def read(
         self,
         table: str,
--- a/src/caperridge/gateway/repeating_store.py
+++ b/src/caperridge/gateway/repeating_store.py
@@ -19,6 +19,7 @@
     RowsRead,
     RowStore,
     StoreError,
+    StoreLimits,
     Transaction,
     TransactionError,
 )
@@ -54,6 +55,11 @@
         self._store = store
         self._mean_s_by_call: dict[str, float] = {}
 
+    @property
+    def limits(self) -> StoreLimits:
+        """See :attr:`RowStore.limits`."""
+        return self._store.limits
+
     async def read(
         self,
         table: str,
--- a/src/caperridge/gateway/rows.py
+++ b/src/caperridge/gateway/rows.py
@@ -119,6 +119,97 @@
     __slots__ = ()
 
 
+class StoreLimits(Record, ABC):
+    """Limits of the calls of a store; sizes are those of calls as they are sent.
+
+    Attributes:
+        entries: maximum number of conditions, writes and removals of a transaction.
+        transaction_bytes: maximum size of a transaction.
+        value_bytes: maximum size of the value of a row.
+        object_bytes: maximum size of an object.
+        rows: maximum number of rows that one read returns.
+    """
+
+    __slots__ = (
+        "entries",
+        "object_bytes",
+        "rows",
+        "transaction_bytes",
+        "value_bytes",
+    )
+
+    def __init__(
+        self,
+        entries: int,
+        transaction_bytes: int,
+        value_bytes: int,
+        object_bytes: int,
+        rows: int,
+    ) -> None:
+        self.entries = entries
+        self.transaction_bytes = transaction_bytes
+        self.value_bytes = value_bytes
+        self.object_bytes = object_bytes
+        self.rows = rows
+
+    @abstractmethod
+    def value_size(self, value: bytes) -> int:
+        """Return the size of the value of a row, in bytes as sent."""
+
+    @abstractmethod
+    def entry_size(self, key: RowKey, value: bytes = b"") -> int:
+        """Return the maximum size of an entry of a transaction, in bytes as sent."""
+
+    def fits_in_row(self, value: bytes) -> bool:
+        """Whether a row can have this value."""
+        return self.value_size(value) <= self.value_bytes
+
+
+class TransactionBuilder:
+    """Collects the entries of one transaction within the limits of the store.
+
+    Attributes:
+        transaction: as collected so far.
+
+    Args:
+        limits: of the store.
+    """
+
+    __slots__ = ("_bytes", "_entries", "_limits", "transaction")
+
+    def __init__(self, limits: StoreLimits) -> None:
+        self.transaction = Transaction({}, {})
+        self._limits = limits
+        self._entries = 0
+        self._bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further entry fits."""
+        return self._entries >= self._limits.entries
+
+    def add(self, part: Transaction) -> bool:
+        """Add all entries of ``part``; False, and none is added, if they do not fit."""
+        entries = len(part.versions) + len(part.writes) + len(part.removes)
+        size = sum(
+            self._limits.entry_size(key) for key in [*part.versions, *part.removes]
+        )
+        for key, value in part.writes.items():
+            if not self._limits.fits_in_row(value):
+                return False
+            size += self._limits.entry_size(key, value)
+        if self._entries + entries > self._limits.entries:
+            return False
+        if self._bytes + size > self._limits.transaction_bytes:
+            return False
+        self._entries += entries
+        self._bytes += size
+        self.transaction.versions.update(part.versions)
+        self.transaction.writes.update(part.writes)
+        self.transaction.removes.extend(part.removes)
+        return True
+
+
 StoreError = NotDone | Unknown
 TransactionError = Refused | NotDone | Unknown
 ChangesError = HistoryGone | NotDone | Unknown
@@ -127,6 +218,11 @@
 class RowStore(ABC):
     """Durable rows, changes and objects."""
 
+    @property
+    @abstractmethod
+    def limits(self) -> StoreLimits:
+        """The limits of its calls."""
+
     @abstractmethod
     async def read(
         self,
--- a/src/caperridge/platform/serve.py
+++ b/src/caperridge/platform/serve.py
@@ -14,6 +14,7 @@
 from caperridge.log_stream import BoundedStream
 from caperridge.platform.dialect import PlatformDialect
 from caperridge.platform.store import HttpRowStore
+from caperridge.platform.store_limits import PlatformStoreLimits
 
 SETTINGS_VARIABLE = "CAPERRIDGE_CONFIG"
 EXIT_FINDINGS = 3
@@ -45,7 +46,8 @@
 
 
 async def _serve(settings: Settings, path: Path, stream: BoundedStream) -> None:
-    store = HttpRowStore(settings.store)
+    limits = PlatformStoreLimits(settings.row_bytes, settings.object_bytes)
+    store = HttpRowStore(settings.store, limits)
     instance = GatewayInstance(
         settings, PlatformDialect(settings.quota_window_s), store
     )
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -23,6 +23,7 @@
 )
 from caperridge.gateway.store_connections import SessionPool
 from caperridge.no_repeat import LostOnTheWayError
+from caperridge.platform.store_limits import PlatformStoreLimits
 from caperridge.store.interface import NotDone, Unknown
 
 # The store answers in 4 to 25 ms, but up to 60 times slower on bad days.
@@ -40,10 +41,12 @@
 
     Args:
         address: ``IP:PORT`` of the store.
+        limits: of its calls.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limits: PlatformStoreLimits | None = None) -> None:
         self._base = f"http://{address}"
+        self._limits = limits or PlatformStoreLimits()
         self._connections = SessionPool()
         self._long_polls: set[asyncio.Task[Result[RowsRead, ChangesError]]] = set()
 
@@ -51,6 +54,11 @@
         """Close all connections."""
         await self._connections.close()
 
+    @property
+    def limits(self) -> PlatformStoreLimits:
+        """See :attr:`RowStore.limits`."""
+        return self._limits
+
     async def read(
         self,
         table: str,
@@ -60,7 +68,11 @@
         limit: int = 500,
     ) -> Result[RowsRead, StoreError]:
         """See :meth:`RowStore.read`."""
-        query = {"table": table, "part": part, "limit": str(limit)}
+        query = {
+            "table": table,
+            "part": part,
+            "limit": str(min(limit, self.limits.rows)),
+        }
         if first:
             query["from"] = first
         if end:
--- a/tests/gateway/memory_rows.py
+++ b/tests/gateway/memory_rows.py
@@ -18,6 +18,7 @@
     Transaction,
     TransactionError,
 )
+from caperridge.platform.store_limits import PlatformStoreLimits
 from caperridge.store.interface import NotDone, Unknown
 
 # Outcomes of a write.
@@ -42,6 +43,11 @@
         self._fates = iter(fates)
         self._pauses = iter(pauses)
         self._version = 1
+        self._limits = PlatformStoreLimits()
+
+    @property
+    def limits(self) -> PlatformStoreLimits:
+        return self._limits
 
     async def read(
         self,
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -10,6 +10,10 @@
 
 ROW_FIELDS = ("table", "part", "key")
 HISTORY = 10_000
+MAX_ENTRIES = 100
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_ROWS = 500
+MAX_PAGE_BYTES = 1_000_000
 
 
 class StoreStandin:
@@ -23,6 +27,9 @@
         delay_writes_s: delay of such a write.
         delay_s: delay before any call is handled.
         writes: transactions that took effect.
+        row_bytes: largest value of a row, in base64.
+        object_bytes: largest object.
+        over_limit: what was over a limit, for each call that was refused for it.
         waits_ms: longest wait of each long poll.
         ahead_s: by how much its clock is ahead of the steady one.
     """
@@ -39,6 +46,9 @@
         self.delay_writes_s = 0.0
         self.delay_s = 0.0
         self.writes = 0
+        self.row_bytes = 65536
+        self.object_bytes = 8 * 2**20
+        self.over_limit: list[str] = []
         self.calls: list[str] = []
         self.waits_ms: list[int] = []
         self.history_start_version = 0
@@ -91,7 +101,12 @@
         return await handler(request)
 
     async def _tx(self, request: web.Request) -> web.StreamResponse:
-        body = orjson.loads(await request.read())
+        data = await request.read()
+        body = orjson.loads(data)
+        excess = self._excess(body, len(data))
+        if excess:
+            self.over_limit.append(excess)
+            return web.Response(status=400, text=excess)
         tables = {row["table"] for row in body["writes"]}
         if self.lose_answers > 0 and self.lose_table in (tables | {""}):
             self.lose_answers -= 1
@@ -108,6 +123,17 @@
             return web.Response(status=500)
         return self._apply(body)
 
+    def _excess(self, body: dict[str, Any], size: int) -> str:
+        """Return which limit a transaction is over; empty if none."""
+        entries = [*body["expectedRev"], *body["writes"], *body["remove"]]
+        if len(entries) > MAX_ENTRIES:
+            return f"{len(entries)} entries"
+        if size > MAX_TRANSACTION_BYTES:
+            return f"{size} bytes"
+        if any(len(row["value"]) > self.row_bytes for row in body["writes"]):
+            return "a value is too large"
+        return ""
+
     def _apply(self, body: dict[str, Any]) -> web.Response:
         parts = {
             row.get("part", "")
@@ -130,7 +156,7 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         query = request.query
-        limit = int(query.get("limit", 500))
+        limit = min(MAX_ROWS, int(query.get("limit", MAX_ROWS)))
         found = sorted(
             key
             for key in self.rows
@@ -138,8 +164,15 @@
             and key[2] >= query.get("from", "")
             and ("targetVersion" not in query or key[2] < query["targetVersion"])
         )
-        rows = [self._row(key) for key in found[:limit]]
-        return self._answer({"rows": rows, "truncated": len(found) > limit})
+        rows: list[dict[str, Any]] = []
+        size = 0
+        for key in found[:limit]:
+            row = self._row(key)
+            size += len(orjson.dumps(row))
+            if rows and size > MAX_PAGE_BYTES:
+                break
+            rows.append(row)
+        return self._answer({"rows": rows, "truncated": len(rows) < len(found)})
 
     async def _feed(self, request: web.Request) -> web.Response:
         since = int(request.query["sinceRev"])
@@ -164,7 +197,11 @@
                 continue
 
     async def _put_object(self, request: web.Request) -> web.Response:
-        self.objects[request.match_info["name"]] = await request.read()
+        data = await request.read()
+        if len(data) > self.object_bytes:
+            self.over_limit.append(f"an object of {len(data)} bytes")
+            return web.Response(status=413, text="the object is too large")
+        self.objects[request.match_info["name"]] = data
         return web.Response()
 
     async def _get_object(self, request: web.Request) -> web.Response:
--- a/tests/gateway/test_holders.py
+++ b/tests/gateway/test_holders.py
@@ -68,7 +68,7 @@
             ConfigurationInForce(),
             self.mesh,
             reach,
-            JobWriter(self.rows, OWN, 65536),
+            JobWriter(self.rows, OWN),
             JobClaimer(self.rows, self.mesh),
             NoSlots(),
             NoSlots(),
--- a/tests/gateway/test_takeover.py
+++ b/tests/gateway/test_takeover.py
@@ -35,7 +35,6 @@
 JOB = "j1"
 ITEMS = ["x0", "x1", "x2"]
 EVENTS = 3
-ROW_BYTES = 65536
 ORIGIN = StreamOrigin("model", "v1")
 ENTRY = JobEntry(JOB, "work", HOST, len(ITEMS), 0.0, 1, "items")
 
@@ -62,7 +61,7 @@
     def __init__(self, store: MemoryRows, incarnation: str) -> None:
         self.peers = Peers(incarnation)
         self._claimer = JobClaimer(store, self.peers)
-        self._writer = JobWriter(store, incarnation, ROW_BYTES)
+        self._writer = JobWriter(store, incarnation)
         self.held: HeldJob | None = None
 
     async def do(self, step: str, item: int) -> None:
