Tell a call that the store refuses for good from one without an answer

Callers saw all results of a job held up by one write that the store would never do.

Fix: Rejected, a kind of NotDone. The client returns it for client errors other than 408, 425 and 429, and, without a call, for what is over a limit. A rejected write of a job is halved until the refused item is alone, then the head is written alone to tell the two apart: a refused result is listed as dead, refused progress is not stored any more, and a job whose head is refused is left. A text that no object can hold is listed as dead. Over a relay it is sent as NotDone with one more field, because an earlier release takes an outcome it doesn't know for success.

--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -32,6 +32,7 @@
         progress: output and failures so far.
         stored_event: number of the last event in the store.
         stored_failures: number of failures in the store.
+        storable: whether its progress may be stored; the store has not refused it.
         not_before: earliest next start, in seconds of the loop's clock.
         started_at: start of the first run, in seconds of the loop's clock; 0 if it has
             not started or has started at another instance.
@@ -48,6 +49,7 @@
         "progress",
         "started_at",
         "status",
+        "storable",
         "stored_event",
         "stored_failures",
         "target",
@@ -61,6 +63,7 @@
         self.progress = ItemProgress()
         self.stored_event = 0
         self.stored_failures = 0
+        self.storable = True
         self.not_before = 0.0
         self.started_at = 0.0
         self.task: asyncio.Task[Any] | None = None
@@ -113,7 +116,7 @@
 
         An item that started over may have less output than the store.
         """
-        return (
+        return self.storable and (
             self.progress.event not in (0, self.stored_event)
             or self.progress.failures > self.stored_failures
         )
@@ -180,6 +183,20 @@
         result = ItemResult(state.item.id, COMPLETED, state.progress.text)
         self._finish(state, result)
 
+    def give_up_result(self, state: ItemState) -> None:
+        """Replace an unlisted result that the store refuses by a dead one.
+
+        If that is refused as well, no more of the job is written.
+        """
+        dead = ItemResult(state.item.id, DEAD)
+        if (state, dead) in self.unlisted:
+            self.lost = True
+            self.cancel_runs()
+            return
+        self.unlisted = [
+            (one, dead if one is state else result) for one, result in self.unlisted
+        ]
+
     def mark_dead(self, state: ItemState) -> None:
         """Finish an item that can never complete."""
         self._finish(state, ItemResult(state.item.id, DEAD))
--- a/src/caperridge/gateway/jobs/keeping.py
+++ b/src/caperridge/gateway/jobs/keeping.py
@@ -17,9 +17,10 @@
     result_key,
     text_object,
 )
-from caperridge.gateway.jobs.model import JobHead
+from caperridge.gateway.jobs.model import DEAD, ItemResult, JobHead
 from caperridge.gateway.rows import (
     Refused,
+    Rejected,
     RowKey,
     RowStore,
     Transaction,
@@ -70,6 +71,22 @@
         self.results = results
         self.progress = progress
 
+    @property
+    def item_count(self) -> int:
+        """Number of results and of items with progress."""
+        return len(self.results) + len(self.progress)
+
+    def apply(self, job: HeldJob, version: int) -> None:
+        """Record in ``job`` that the head was written with ``version``."""
+        job.version = version
+        job.head = self.head
+        for state in self.results:
+            state.status = LISTED
+        job.unlisted = job.unlisted[len(self.results) :]
+        for state, event, failures in self.progress:
+            state.stored_event = event
+            state.stored_failures = failures
+
 
 class JobWriter:
     """Writes jobs for their holder.
@@ -93,32 +110,36 @@
             job: whose unlisted results and progress are written.
             holder: incarnation that holds it from then on; empty to release it.
         """
-        batch = await self._batch(job, holder)
-        answer = await self._transact_until_certain(job, batch.transaction, batch.head)
-        if isinstance(answer, Err):
-            job.lost = True
-            found = answer.err_value.head
-            log.info(
-                "job held elsewhere",
+        max_items = self._store.limits.entries
+        refused: JobBatch | None = None
+        while True:
+            batch = await self._batch(job, holder, max_items)
+            answer = await self._transact_until_certain(job, batch)
+            if not isinstance(answer, Err):
+                batch.apply(job, answer.ok_value)
+                if refused is not None and batch.item_count == 0:
+                    _give_up_item(job, refused)
+                return True
+            error = answer.err_value
+            if isinstance(error, HeldElsewhere):
+                _lose(job, error.head)
+                return False
+            log.error(
+                "job write refused",
                 job=job.entry.id,
-                holder=found.holder if found else "",
-                cancelled=found.cancelled if found else False,
+                reason=error.reason,
+                results=len(batch.results),
+                progress=len(batch.progress),
             )
-            if found is not None:
-                job.head = found
-            job.cancel_runs()
-            return False
-        job.version = answer.ok_value
-        job.head = batch.head
-        for state in batch.results:
-            state.status = LISTED
-        job.unlisted = job.unlisted[len(batch.results) :]
-        for state, event, failures in batch.progress:
-            state.stored_event = event
-            state.stored_failures = failures
-        return True
+            if batch.item_count == 0:
+                job.lost = True
+                job.cancel_runs()
+                return False
+            # Halved until the head is alone, to tell the refused item from the head.
+            max_items = batch.item_count // 2
+            refused = batch if batch.item_count == 1 else None
 
-    async def _batch(self, job: HeldJob, holder: str) -> JobBatch:
+    async def _batch(self, job: HeldJob, holder: str, max_items: int) -> JobBatch:
         """Return the next write: results first, then progress, as far as they fit."""
         head = job.head.replace(holder=holder, turn=job.head.turn + 1)
         key = head_key(job.entry.id)
@@ -126,52 +147,65 @@
         # With all items listed the encoded head is as long as it can get.
         reserved = to_bytes(head.replace(listed=head.total))
         builder.add(Transaction({key: job.version}, {key: reserved}))
-        results = await self._add_results(job, builder)
-        progress = _add_progress(job, builder)
+        results = await self._add_results(job, builder, max_items)
+        progress = _add_progress(job, builder, max_items - len(results))
         head = head.replace(listed=head.listed + len(results))
         builder.transaction.writes[key] = to_bytes(head)
         return JobBatch(builder.transaction, head, results, progress)
 
     async def _add_results(
-        self, job: HeldJob, builder: TransactionBuilder
+        self, job: HeldJob, builder: TransactionBuilder, max_items: int
     ) -> list[ItemState]:
         """Add unlisted results; the text of one too large for a row is an object."""
         id = job.entry.id
         added: list[ItemState] = []
-        for number, (state, result) in enumerate(job.unlisted):
-            value = to_bytes(result)
-            if not self._store.limits.fits_in_row(value):
-                name = text_object(id, state.number, self._incarnation)
-                await self._put_object(name, result.text)
-                result = result.replace(text=b"", object=name)
+        for number, (state, result) in enumerate(job.unlisted[:max_items]):
+            if not self._store.limits.fits_in_row(to_bytes(result)):
+                result = await self._with_text_object(job, state, result)
                 job.unlisted[number] = (state, result)
-                value = to_bytes(result)
             removes: list[RowKey] = []
             if state.stored_event or state.stored_failures:
                 removes.append(progress_key(id, state.number))
             position = job.head.listed + number
             if not builder.add(
-                Transaction({}, {result_key(id, position): value}, removes)
+                Transaction({}, {result_key(id, position): to_bytes(result)}, removes)
             ):
                 break
             added.append(state)
         return added
 
-    async def _put_object(self, name: str, data: bytes) -> None:
+    async def _with_text_object(
+        self, job: HeldJob, state: ItemState, result: ItemResult
+    ) -> ItemResult:
+        """Return a result whose text is in an object; a dead one if it is too large."""
+        name = text_object(job.entry.id, state.number, self._incarnation)
         pause_s = MIN_RETRY_DELAY_S
-        while isinstance(answer := await self._store.put_object(name, data), Err):
-            log.info("text not stored yet", object=name, reason=answer.err_value.reason)
+        while isinstance(
+            answer := await self._store.put_object(name, result.text), Err
+        ):
+            error = answer.err_value
+            if isinstance(error, Rejected):
+                log.error(
+                    "result given up",
+                    job=job.entry.id,
+                    item=state.item.id,
+                    reason=error.reason,
+                )
+                return ItemResult(state.item.id, DEAD)
+            log.info("text not stored yet", object=name, reason=error.reason)
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
+        return result.replace(text=b"", object=name)
 
     async def _transact_until_certain(
-        self, job: HeldJob, transaction: Transaction, head: JobHead
-    ) -> Result[int, HeldElsewhere]:
-        """Repeat ``transaction`` until its outcome is certain.
+        self, job: HeldJob, batch: JobBatch
+    ) -> Result[int, HeldElsewhere | Rejected]:
+        """Repeat a write until its outcome is certain.
 
         It is conditional on the head's version, so at most one of the repeats takes
         effect, and none after another write.
         """
+        transaction = batch.transaction
         key = head_key(job.entry.id)
         pause_s = MIN_RETRY_DELAY_S
         while True:
@@ -188,9 +222,11 @@
                 except UnreadableError as unreadable:
                     log.error("head skipped", job=job.entry.id, reason=str(unreadable))
                     return Err(HeldElsewhere(None))
-                if found == head:
+                if found == batch.head:
                     return Ok(row.version)
                 return Err(HeldElsewhere(found))
+            if isinstance(error, Rejected):
+                return Err(error)
             log.info(
                 "job not written yet",
                 job=job.entry.id,
@@ -204,8 +240,32 @@
             pause_s = min(MAX_RETRY_DELAY_S, pause_s * 2)
 
 
+def _lose(job: HeldJob, head: JobHead | None) -> None:
+    """Stop to work on a job; ``head`` is as another instance wrote it, if known."""
+    job.lost = True
+    log.info(
+        "job held elsewhere",
+        job=job.entry.id,
+        holder=head.holder if head else "",
+        cancelled=head.cancelled if head else False,
+    )
+    if head is not None:
+        job.head = head
+    job.cancel_runs()
+
+
+def _give_up_item(job: HeldJob, batch: JobBatch) -> None:
+    """Handle the only item of a refused write: its result is listed as dead."""
+    for state in batch.results:
+        log.error("result given up", job=job.entry.id, item=state.item.id)
+        job.give_up_result(state)
+    for state, _, _ in batch.progress:
+        log.error("progress not stored", job=job.entry.id, item=state.item.id)
+        state.storable = False
+
+
 def _add_progress(
-    job: HeldJob, builder: TransactionBuilder
+    job: HeldJob, builder: TransactionBuilder, max_items: int
 ) -> list[tuple[ItemState, int, int]]:
     """Add the progress of unfinished items, those with the most unstored output first.
 
@@ -219,7 +279,7 @@
     states.sort(key=lambda one: one.stored_event - one.progress.event)
     added: list[tuple[ItemState, int, int]] = []
     for state in states:
-        if builder.is_full:
+        if builder.is_full or len(added) >= max_items:
             break
         key = progress_key(job.entry.id, state.number)
         progress = state.progress
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -196,14 +196,20 @@
 
 
 class StoreAnswer(Record):
-    """The store's answer; ``outcome`` names its type, ``fields`` holds its values."""
+    """The store's answer; ``outcome`` names its type, ``fields`` holds its values.
 
-    __slots__ = ("fields", "number", "outcome")
+    ``rejected`` is set if the store refuses the call for good.
+    """
+
+    __slots__ = ("fields", "number", "outcome", "rejected")
 
-    def __init__(self, number: int, outcome: str, fields: Any) -> None:
+    def __init__(
+        self, number: int, outcome: str, fields: Any, rejected: bool = False
+    ) -> None:
         self.number = number
         self.outcome = outcome
         self.fields = fields
+        self.rejected = rejected
 
 
 class SlotWants(Record):
--- a/src/caperridge/gateway/relay_codec.py
+++ b/src/caperridge/gateway/relay_codec.py
@@ -8,6 +8,7 @@
 from caperridge.gateway.rows import (
     Done,
     Refused,
+    Rejected,
     RowKey,
     RowsRead,
     StoredRow,
@@ -36,13 +37,27 @@
 
 
 def answer_to_plain(answer: Result[Any, Any]) -> tuple[str, Any]:
-    """Return the type name of an answer and its values."""
-    value = answer.err_value if isinstance(answer, Err) else answer.ok_value
-    return type(value).__name__, _plain(value)
-
+    """Return the type name of an answer and its values.
 
-def answer_from_plain(outcome: str, fields: Any) -> Result[Any, Any]:
-    """Return the answer from the result of :func:`answer_to_plain`."""
+    A rejection is sent as a call that was not done, as earlier releases know only that.
+    """
+    value = answer.err_value if isinstance(answer, Err) else answer.ok_value
+    kind = NotDone if isinstance(value, NotDone) else type(value)
+    return kind.__name__, _plain(value)
+
+
+def answer_from_plain(
+    outcome: str, fields: Any, rejected: bool = False
+) -> Result[Any, Any]:
+    """Return the answer from the result of :func:`answer_to_plain`.
+
+    Args:
+        outcome: type name of the answer.
+        fields: its values.
+        rejected: whether the store refuses the call for good.
+    """
+    if rejected:
+        return Err(Rejected(*fields))
     if outcome == RowsRead.__name__:
         rows, truncated, version, now_s = fields
         return Ok(RowsRead([_row(row) for row in rows], truncated, version, now_s))
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -24,7 +24,7 @@
 from caperridge.gateway.rows import (
     ChangesError,
     Done,
-    Refused,
+    Rejected,
     RowsRead,
     RowStore,
     StoreError,
@@ -156,7 +156,7 @@
         finally:
             del self._pending_by_number[number]
         log.debug("call relayed", peer=peer.id, call=name, outcome=answer.outcome)
-        return answer_from_plain(answer.outcome, answer.fields)
+        return answer_from_plain(answer.outcome, answer.fields, answer.rejected)
 
     def _choose_peer(self) -> Member | None:
         alive = [peer for peer in self._mesh.alive() if peer.store_reached]
@@ -180,7 +180,8 @@
             )
             return
         outcome, fields = answer_to_plain(answer)
-        self._mesh.send(peer, StoreAnswer(request.number, outcome, fields))
+        rejected = isinstance(answer, Err) and isinstance(answer.err_value, Rejected)
+        self._mesh.send(peer, StoreAnswer(request.number, outcome, fields, rejected))
 
     def _receive_answer(self, peer: str, answer: StoreAnswer) -> None:
         future = self._pending_by_number.get(answer.number)
@@ -210,6 +211,7 @@
 
 
 def _is_failed_call(answer: Result[Any, Any]) -> bool:
-    if not isinstance(answer, Err) or isinstance(answer.err_value, Refused):
+    if not isinstance(answer, Err):
         return False
-    return isinstance(answer.err_value, NotDone | Unknown)
+    error = answer.err_value
+    return isinstance(error, NotDone | Unknown) and not isinstance(error, Rejected)
--- a/src/caperridge/gateway/repeating_store.py
+++ b/src/caperridge/gateway/repeating_store.py
@@ -16,6 +16,7 @@
     ChangesError,
     Done,
     Refused,
+    Rejected,
     RowsRead,
     RowStore,
     StoreError,
@@ -170,7 +171,7 @@
 
     One that was not done leaves the outcome of other unanswered calls open.
     """
-    return answer.is_ok() or isinstance(answer.err_value, Refused)
+    return answer.is_ok() or isinstance(answer.err_value, Refused | Rejected)
 
 
 def _inconclusive(answers: list[Result[T, E]]) -> Result[T, E]:
--- a/src/caperridge/gateway/rows.py
+++ b/src/caperridge/gateway/rows.py
@@ -86,6 +86,11 @@
         self.writes = writes
         self.removes = removes or []
 
+    @property
+    def entry_count(self) -> int:
+        """Number of its conditions, writes and removals."""
+        return len(self.versions) + len(self.writes) + len(self.removes)
+
 
 class Done(Record):
     """The transaction took effect; ``version`` is that of all rows it wrote."""
@@ -113,6 +118,15 @@
         return None
 
 
+class Rejected(NotDone):
+    """Not done, and never will be: each repeat of the call would be refused as well.
+
+    The call exceeds a limit of the store, or is not allowed.
+    """
+
+    __slots__ = ()
+
+
 class HistoryGone(Record):
     """The store no longer has the changes since that version."""
 
@@ -126,12 +140,14 @@
         entries: maximum number of conditions, writes and removals of a transaction.
         transaction_bytes: maximum size of a transaction.
         value_bytes: maximum size of the value of a row.
+        name_bytes: maximum length of each text in the key of a row.
         object_bytes: maximum size of an object.
         rows: maximum number of rows that one read returns.
     """
 
     __slots__ = (
         "entries",
+        "name_bytes",
         "object_bytes",
         "rows",
         "transaction_bytes",
@@ -143,12 +159,14 @@
         entries: int,
         transaction_bytes: int,
         value_bytes: int,
+        name_bytes: int,
         object_bytes: int,
         rows: int,
     ) -> None:
         self.entries = entries
         self.transaction_bytes = transaction_bytes
         self.value_bytes = value_bytes
+        self.name_bytes = name_bytes
         self.object_bytes = object_bytes
         self.rows = rows
 
@@ -164,6 +182,48 @@
         """Whether a row can have this value."""
         return self.value_size(value) <= self.value_bytes
 
+    def is_valid_key(self, key: RowKey) -> bool:
+        """Whether a row can have this key."""
+        texts = (key.table, key.part, key.key)
+        return all(len(text.encode()) <= self.name_bytes for text in texts)
+
+    def check(self, transaction: Transaction) -> Rejected | None:
+        """Return why the store would refuse a transaction; None if it fits."""
+        for key in [*transaction.versions, *transaction.writes, *transaction.removes]:
+            if not self.is_valid_key(key):
+                return Rejected(f"the key {key.table}/{key.part}/{key.key} is too long")
+        for key, value in transaction.writes.items():
+            if not self.fits_in_row(value):
+                return Rejected(
+                    f"the value of {key.table}/{key.part}/{key.key} has"
+                    f" {self.value_size(value)} bytes of {self.value_bytes}"
+                )
+        entries = transaction.entry_count
+        if entries > self.entries:
+            return Rejected(f"the transaction has {entries} entries of {self.entries}")
+        size = self.transaction_size(transaction)
+        if size > self.transaction_bytes:
+            return Rejected(
+                f"the transaction has {size} bytes of {self.transaction_bytes}"
+            )
+        return None
+
+    def check_object(self, data: bytes) -> Rejected | None:
+        """Return why the store would refuse an object; None if it fits."""
+        if len(data) <= self.object_bytes:
+            return None
+        return Rejected(f"the object has {len(data)} bytes of {self.object_bytes}")
+
+    def transaction_size(self, transaction: Transaction) -> int:
+        """Return the maximum size of a transaction, in bytes as sent."""
+        size = sum(
+            self.entry_size(key)
+            for key in [*transaction.versions, *transaction.removes]
+        )
+        return size + sum(
+            self.entry_size(key, value) for key, value in transaction.writes.items()
+        )
+
 
 class TransactionBuilder:
     """Collects the entries of one transaction within the limits of the store.
@@ -190,20 +250,14 @@
 
     def add(self, part: Transaction) -> bool:
         """Add all entries of ``part``; False, and none is added, if they do not fit."""
-        entries = len(part.versions) + len(part.writes) + len(part.removes)
-        size = sum(
-            self._limits.entry_size(key) for key in [*part.versions, *part.removes]
-        )
-        for key, value in part.writes.items():
-            if not self._limits.fits_in_row(value):
-                return False
-            size += self._limits.entry_size(key, value)
-        if self._entries + entries > self._limits.entries:
+        if not all(map(self._limits.fits_in_row, part.writes.values())):
             return False
-        if self._bytes + size > self._limits.transaction_bytes:
+        entries = self._entries + part.entry_count
+        size = self._bytes + self._limits.transaction_size(part)
+        if entries > self._limits.entries or size > self._limits.transaction_bytes:
             return False
-        self._entries += entries
-        self._bytes += size
+        self._entries = entries
+        self._bytes = size
         self.transaction.versions.update(part.versions)
         self.transaction.writes.update(part.writes)
         self.transaction.removes.extend(part.removes)
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -13,6 +13,7 @@
     Done,
     HistoryGone,
     Refused,
+    Rejected,
     RowKey,
     RowsRead,
     RowStore,
@@ -33,6 +34,8 @@
 LONG_POLL_SLACK_S = 0.7
 MAX_LOGGED_BYTES = 200
 _NOT_DONE_STATUSES = frozenset({429, 503, 507})
+# Client errors that say nothing about a repeat of the call.
+_TRANSIENT_CLIENT_ERRORS = frozenset({408, 425, 429})
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -89,6 +92,9 @@
         self, transaction: Transaction
     ) -> Result[Done, TransactionError]:
         """See :meth:`RowStore.transact`."""
+        rejected = self.limits.check(transaction)
+        if rejected is not None:
+            return Err(rejected)
         request = {
             # Despite its name, this holds rows with the version that each must have.
             "expectedRev": [
@@ -161,6 +167,9 @@
 
     async def put_object(self, name: str, data: bytes) -> Result[None, StoreError]:
         """See :meth:`RowStore.put_object`."""
+        rejected = self.limits.check_object(data)
+        if rejected is not None:
+            return Err(rejected)
         answer = await self._call("PUT", f"/blob-put/{name}", body=data)
         if isinstance(answer, Err):
             return answer
@@ -233,6 +242,8 @@
     detail = body[:MAX_LOGGED_BYTES].decode("utf-8", "replace").strip()
     if detail:
         reason = f"{reason}: {detail}"
+    if 400 <= status < 500 and status not in _TRANSIENT_CLIENT_ERRORS:
+        return Rejected(reason)
     return NotDone(reason) if status in _NOT_DONE_STATUSES else Unknown(reason)
 
 
--- a/src/caperridge/platform/store_limits.py
+++ b/src/caperridge/platform/store_limits.py
@@ -6,6 +6,7 @@
 
 MAX_ENTRIES = 100
 MAX_TRANSACTION_BYTES = 1_000_000
+MAX_NAME_BYTES = 200
 MAX_ROWS = 500
 DEFAULT_VALUE_BYTES = 65_536
 DEFAULT_OBJECT_BYTES = 8 * 2**20
@@ -29,7 +30,12 @@
         object_bytes: int = DEFAULT_OBJECT_BYTES,
     ) -> None:
         super().__init__(
-            MAX_ENTRIES, MAX_TRANSACTION_BYTES, value_bytes, object_bytes, MAX_ROWS
+            MAX_ENTRIES,
+            MAX_TRANSACTION_BYTES,
+            value_bytes,
+            MAX_NAME_BYTES,
+            object_bytes,
+            MAX_ROWS,
         )
 
     def value_size(self, value: bytes) -> int:
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -29,6 +29,8 @@
         writes: transactions that took effect.
         row_bytes: largest value of a row, in base64.
         object_bytes: largest object.
+        refused_value: transactions that write a value with these bytes are refused for
+            good; empty for none.
         over_limit: what was over a limit, for each call that was refused for it.
         waits_ms: longest wait of each long poll.
         ahead_s: by how much its clock is ahead of the steady one.
@@ -48,6 +50,7 @@
         self.writes = 0
         self.row_bytes = 65536
         self.object_bytes = 8 * 2**20
+        self.refused_value = b""
         self.over_limit: list[str] = []
         self.calls: list[str] = []
         self.waits_ms: list[int] = []
@@ -107,6 +110,8 @@
         if excess:
             self.over_limit.append(excess)
             return web.Response(status=400, text=excess)
+        if self._has_refused_value(body):
+            return web.Response(status=400, text="the value is refused")
         tables = {row["table"] for row in body["writes"]}
         if self.lose_answers > 0 and self.lose_table in (tables | {""}):
             self.lose_answers -= 1
@@ -134,6 +139,12 @@
             return "a value is too large"
         return ""
 
+    def _has_refused_value(self, body: dict[str, Any]) -> bool:
+        values = [base64.b64decode(row["value"]) for row in body["writes"]]
+        return bool(self.refused_value) and any(
+            self.refused_value in value for value in values
+        )
+
     def _apply(self, body: dict[str, Any]) -> web.Response:
         parts = {
             row.get("part", "")
--- a/tests/gateway/test_overdue_answers.py
+++ b/tests/gateway/test_overdue_answers.py
@@ -19,6 +19,7 @@
 from caperridge.gateway.rows import (
     Done,
     Refused,
+    Rejected,
     RowKey,
     StoredRow,
     Transaction,
@@ -63,6 +64,7 @@
 REFUSED = Err(Refused([ROW]))
 UNKNOWN = Err(Unknown("lost"))
 NOT_DONE = Err(NotDone("busy"))
+REJECTED = Err(Rejected("too large"))
 UNSETTLED = Err(Unknown("none of several calls was answered"))
 # Times out after the other calls have finished.
 UNANSWERED = Err(Unknown("no answer in time"))
@@ -82,6 +84,8 @@
         # That the second call was not done says nothing about the first.
         ([None, NOT_DONE, DONE], DONE, 3),
         ([UNANSWERED, NOT_DONE, NOT_DONE], UNSETTLED, 3),
+        # Every call of the same transaction is refused for good.
+        ([None, REJECTED], REJECTED, 2),
     ],
 )
 async def test_an_overdue_call_is_made_again(
--- a/tests/gateway/test_store_contract.py
+++ b/tests/gateway/test_store_contract.py
@@ -7,10 +7,12 @@
 import pytest_asyncio
 from result import Err, Ok
 
+from caperridge.gateway.relay_codec import answer_from_plain, answer_to_plain
 from caperridge.gateway.rows import (
     ABSENT,
     HistoryGone,
     Refused,
+    Rejected,
     RowKey,
     RowStore,
     Transaction,
@@ -104,6 +106,74 @@
     assert (await store.read("t", PART)).ok_value.rows == []
 
 
+@pytest.mark.parametrize("status", [400, 403, 413])
+async def test_a_call_that_is_refused_for_good_is_told_apart(
+    store: RowStore, world: World, status: int
+) -> None:
+    """Guards against a caller that repeats what the store will never do."""
+    world.store.refuse = status
+    for answer in (
+        await store.transact(Transaction({}, {key("a"): b"1"})),
+        await store.read("t", PART),
+        await store.put_object("o", b""),
+    ):
+        assert isinstance(answer, Err)
+        assert isinstance(answer.err_value, Rejected)
+
+
+@pytest.mark.parametrize("status", [408, 429, 500, 503, 507])
+async def test_a_call_that_may_be_repeated_is_not_refused_for_good(
+    store: RowStore, world: World, status: int
+) -> None:
+    """Guards against work that is given up when the store is busy or fails."""
+    world.store.refuse = status
+    answer = await store.transact(Transaction({}, {key("a"): b"1"}))
+    assert isinstance(answer, Err)
+    assert not isinstance(answer.err_value, Rejected)
+
+
+BIG = b"a" * 48_000
+OVER_LIMITS = {
+    "entries": Transaction({}, {key(str(number)): b"" for number in range(101)}),
+    "bytes": Transaction({}, {key(str(number)): BIG for number in range(16)}),
+    "a value": Transaction({}, {key("a"): b"a" * 49_153}),
+    "a key": Transaction({}, {key("a" * 201): b""}),
+    "a partition": Transaction({}, {}, [key("a", "p" * 201)]),
+}
+
+
+@pytest.mark.parametrize("over", OVER_LIMITS)
+async def test_a_transaction_over_a_limit_is_not_sent(
+    store: RowStore, world: World, over: str
+) -> None:
+    """Guards against the price of a call whose refusal is known before it."""
+    answer = await store.transact(OVER_LIMITS[over])
+    assert isinstance(answer, Err)
+    assert isinstance(answer.err_value, Rejected)
+    assert world.store.over_limit == []
+
+
+async def test_a_transaction_at_the_limits_is_done(
+    store: RowStore, world: World
+) -> None:
+    """Guards against limits that refuse what the store takes."""
+    at_limits = [
+        Transaction({}, {key(str(number)): b"" for number in range(100)}),
+        Transaction({}, {key(str(number)): BIG for number in range(15)}),
+        Transaction({}, {key("a" * 200): b"a" * 49_152}),
+    ]
+    for transaction in at_limits:
+        assert isinstance(await store.transact(transaction), Ok)
+    assert world.store.over_limit == []
+
+
+def test_an_earlier_release_takes_a_rejection_for_a_call_that_was_not_done() -> None:
+    """Guards against a rejection that reads as success at an instance of before."""
+    outcome, fields = answer_to_plain(Err(Rejected("too large")))
+    answer = answer_from_plain(outcome, fields)
+    assert answer == Err(NotDone("too large"))
+
+
 async def test_a_lost_answer_is_unknown_never_not_done(
     store: RowStore, world: World
 ) -> None:
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -12,9 +12,17 @@
 from caperridge.gateway.jobs.held_job import PENDING, HeldJob, ItemState
 from caperridge.gateway.jobs.keeping import JobWriter
 from caperridge.gateway.jobs.keys import JOBS, head_key, is_result
-from caperridge.gateway.jobs.model import ItemResult, JobEntry, JobHead, JobItem
+from caperridge.gateway.jobs.model import (
+    COMPLETED,
+    DEAD,
+    ItemResult,
+    JobEntry,
+    JobHead,
+    JobItem,
+)
 from caperridge.gateway.rows import ABSENT, Transaction, read_all_rows
 from caperridge.platform.store import HttpRowStore
+from caperridge.platform.store_limits import PlatformStoreLimits
 from gateway.conftest import HOST, World
 
 JOB = "j1"
@@ -91,3 +99,86 @@
     ]
     texts = {one.text for one in results}
     assert texts == {b"a" * event_bytes + b"\n" + b"b" * event_bytes}
+
+
+@pytest_asyncio.fixture
+async def job(store: HttpRowStore) -> HeldJob:
+    """A job of a few items, each with an event."""
+    held = await held_job(store, [f"x{number}" for number in range(9)])
+    for state in held.states:
+        write_event(state, state.item.id.encode())
+    return held
+
+
+async def test_a_result_that_the_store_refuses_for_good_holds_up_no_other(
+    world: World, store: HttpRowStore, job: HeldJob
+) -> None:
+    """Guards against a refusal that is taken for a lost answer and repeated."""
+    write_event(job.states[4], b"refused")
+    for state in job.states:
+        job.complete(state)
+    world.store.refused_value = b"refused"
+    await write_all(JobWriter(store, HOLDER), job)
+    states = {one.item: one.state for one in await stored_results(store)}
+    assert states == {
+        state.item.id: DEAD if state.number == 4 else COMPLETED for state in job.states
+    }
+
+
+async def test_progress_that_the_store_refuses_for_good_is_not_sent_again(
+    world: World, store: HttpRowStore, job: HeldJob
+) -> None:
+    """Guards against progress that keeps the results of its job from being listed."""
+    world.store.refused_value = b"x4"
+    job.complete(job.states[1])
+    await write_all(JobWriter(store, HOLDER), job)
+    assert [one.item for one in await stored_results(store)] == ["x1"]
+    calls = len(world.store.calls)
+    write_event(job.states[4], b"more")
+    assert await JobWriter(store, HOLDER).write(job, HOLDER)
+    assert len(world.store.calls) == calls + 1
+
+
+async def test_a_job_whose_dead_result_is_refused_is_left(
+    world: World, store: HttpRowStore, job: HeldJob
+) -> None:
+    """Guards against a result that is given up again and again."""
+    for state in job.states:
+        job.complete(state)
+    world.store.refused_value = b"x4"
+    writer = JobWriter(store, HOLDER)
+    async with asyncio.timeout(HANG_S):
+        while not job.finished:
+            await writer.write(job, HOLDER)
+    listed = {one.item for one in await stored_results(store)}
+    assert listed <= {"x0", "x1", "x2", "x3"}
+
+
+async def test_a_job_whose_head_the_store_refuses_for_good_is_left(
+    world: World, store: HttpRowStore, job: HeldJob
+) -> None:
+    """Guards against a holder that writes a refused head again and again."""
+    world.store.refuse = 400
+    async with asyncio.timeout(HANG_S):
+        assert not await JobWriter(store, HOLDER).write(job, HOLDER)
+    assert job.finished and job.states[0].status == PENDING
+
+
+@pytest.mark.parametrize("whole", [True, False])
+async def test_a_text_larger_than_an_object_is_listed_as_dead(
+    world: World, whole: bool
+) -> None:
+    """Guards against an object over the limit that is sent again and again."""
+    world.store.row_bytes = 4096
+    world.store.object_bytes = 10_000
+    limits = PlatformStoreLimits(4096, 10_000 if whole else 2**20)
+    store = HttpRowStore(world.store_address, limits)
+    job = await held_job(store, ["small", "large", "in an object"])
+    for state, size in zip(job.states, (10, 10_001, 9_999), strict=True):
+        write_event(state, b"a" * size)
+        job.complete(state)
+    await write_all(JobWriter(store, HOLDER), job)
+    states = {one.item: one.state for one in await stored_results(store)}
+    await store.close()
+    assert states == {"small": COMPLETED, "large": DEAD, "in an object": COMPLETED}
+    assert len(world.store.over_limit) == (0 if whole else 1)
