Refuse at once a job that the store can't hold

A caller of such a job got 503 with Retry-After after 3.2 s of attempts, and sent it again, to the same end.

Fix: what the store refuses for good is answered 413, with the limit in its reason and no Retry-After.

--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -20,6 +20,7 @@
 from caperridge.gateway.routes import Route
 from caperridge.gateway.rows import (
     Refused,
+    Rejected,
     RowsRead,
     RowStore,
     StoredRow,
@@ -62,6 +63,15 @@
         self.full = full
 
 
+class NotStorable(Record):
+    """The job is not stored and never will be: the store refuses it for good."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
 class AcceptanceUnknown(Record):
     """The job may be stored, now or later: the store's answers were lost."""
 
@@ -71,7 +81,7 @@
         self.reason = reason
 
 
-Outcome = Accepted | NotAccepted | AcceptanceUnknown
+Outcome = Accepted | NotAccepted | NotStorable | AcceptanceUnknown
 
 
 class JobAcceptance:
@@ -146,7 +156,7 @@
 
     async def _store_items(
         self, id: str, name: str, job: JobRequest, deadline: float
-    ) -> NotAccepted | None:
+    ) -> NotAccepted | NotStorable | None:
         """Store the items; retries are safe, as nothing refers to them yet."""
         data = job_to_bytes(job)
         pause_s = MIN_RETRY_DELAY_S
@@ -154,6 +164,8 @@
             answer = await self._store.put_object(name, data)
             if not isinstance(answer, Err):
                 return None
+            if isinstance(answer.err_value, Rejected):
+                return NotStorable(answer.err_value.reason)
             _log_retry(id, answer.err_value)
             if not await self._pause(pause_s, deadline):
                 reason = f"the items cannot be kept: {answer.err_value.reason}"
@@ -191,6 +203,8 @@
             if existing is not None:
                 self._index.apply_row(existing)
                 return Accepted(entry, duplicate=existing.value != own)
+            if isinstance(error, Rejected) and not may_be_done:
+                return NotStorable(error.reason)
             _log_retry(entry.id, error)
             if isinstance(error, Refused):
                 # The gate has changed, so no earlier attempt can take effect any more.
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -10,6 +10,7 @@
     AcceptanceUnknown,
     Accepted,
     JobAcceptance,
+    NotStorable,
 )
 from caperridge.gateway.jobs.codec import (
     UnreadableError,
@@ -142,6 +143,8 @@
             return JobAnswer(202, "accepted")
         if isinstance(outcome, AcceptanceUnknown):
             return JobAnswer(504, outcome.reason)
+        if isinstance(outcome, NotStorable):
+            return JobAnswer(413, outcome.reason)
         status = 429 if outcome.full else 503
         return JobAnswer(status, outcome.reason, outcome.retry_after_s)
 
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -182,3 +182,40 @@
     await store.close()
     assert states == {"small": COMPLETED, "large": DEAD, "in an object": COMPLETED}
     assert len(world.store.over_limit) == (0 if whole else 1)
+
+
+async def test_a_job_that_the_store_cannot_hold_is_refused_at_once(
+    world: World,
+) -> None:
+    """Guards against a caller that sends a job again and again in vain."""
+    world.store.object_bytes = 10_000
+    instance = await world.add_instance()
+    world.store_of(instance).limits.object_bytes = 10_000
+    await world.ready()
+    answer = await world.submit(instance, "large", [f"x{n}" for n in range(300)], 1)
+    assert (answer.status, answer.headers.get("Retry-After")) == (413, None)
+    assert b"10000" in answer.body
+    assert world.store.over_limit == []
+    assert (await world.results(instance, "large")).status == 404
+
+
+async def test_a_job_whose_items_the_store_refuses_is_sent_to_it_once(
+    world: World,
+) -> None:
+    """Guards against retries until the caller's deadline."""
+    world.store.object_bytes = 10_000
+    instance = await world.add_instance()
+    await world.ready()
+    answer = await world.submit(instance, "large", [f"x{n}" for n in range(300)], 1)
+    assert (answer.status, len(world.store.over_limit)) == (413, 1)
+
+
+async def test_a_job_whose_entry_the_store_refuses_is_sent_to_it_once(
+    world: World,
+) -> None:
+    """Guards against retries until the caller's deadline."""
+    instance = await world.add_instance()
+    await world.ready()
+    world.store.refused_value = b"refused"
+    answer = await world.submit(instance, "refused", ["x1"])
+    assert answer.status == 413
