Don't repeat other calls that the store refuses for good

Now a claim and a rewrite of an entry wait a minute, a cancellation is answered 503 at once, a row of the quarantine waits until its suspect changes, and the entry of an instance is not sent again. Polls of the tables stay as they are: a poll has no size, and it is no retry.

Measured: five tests failed before (two of test_holders.py with the constant replaced by its value) and pass now; tests/gateway, tests/adapter and the layers pass.

--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -16,10 +16,12 @@
 from caperridge.gateway.rows import (
     ABSENT,
     Refused,
+    Rejected,
     RowKey,
     RowStore,
     StoredRow,
     Transaction,
+    TransactionError,
 )
 from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.trial_claims import TrialClaims
@@ -144,14 +146,16 @@
             if row is not None and self._is_current(row, suspect):
                 return True
             value = self._encode(suspect)
-            return await self._apply_transaction(
-                Transaction({key: version}, {key: value}), key
-            )
-        if row is None:
+            transaction = Transaction({key: version}, {key: value})
+        elif row is None:
             return True
-        return await self._apply_transaction(
-            Transaction({key: version}, {}, [key]), key
-        )
+        else:
+            transaction = Transaction({key: version}, {}, [key])
+        error = await self._apply_transaction(transaction, key)
+        if isinstance(error, Rejected):
+            log.error("hold not stored", content=content, reason=error.reason)
+            return True
+        return error is None
 
     def _is_current(self, row: StoredRow, suspect: Suspect) -> bool:
         """Whether a row has the crashes and the hold of a suspect.
@@ -203,7 +207,7 @@
             row = self.copy.rows_by_key.get(key)
             version = row.version if row is not None else ABSENT
             transaction = Transaction({key: version}, {key: value})
-            if await self._apply_transaction(transaction, key):
+            if await self._apply_transaction(transaction, key) is None:
                 if suspect.hold is None:
                     return None  # cleared meanwhile
                 suspect.hold = claimed
@@ -212,13 +216,16 @@
             if current is None or current.version == version:
                 return None
 
-    async def _apply_transaction(self, transaction: Transaction, key: RowKey) -> bool:
+    async def _apply_transaction(
+        self, transaction: Transaction, key: RowKey
+    ) -> TransactionError | None:
+        """Write the row ``key``; return None if that is done, else the error."""
         answer = await self._store.transact(transaction)
         if not isinstance(answer, Err):
             value = transaction.writes.get(key)
             row = StoredRow(key, value or b"", answer.ok_value.version, value is None)
             self.copy.apply_row(row)
-            return True
+            return None
         if isinstance(answer.err_value, Refused):
             current = answer.err_value.row(key)
             # A row that is absent was removed; the copy may not know yet.
@@ -226,7 +233,7 @@
                 self.copy.rows_by_key.pop(key, None)
             elif self.copy.apply_row(current):
                 self.apply_rows([current], "store")
-        return False
+        return answer.err_value
 
     def apply_rows(self, rows: list[StoredRow], source: str) -> list[str]:
         """Apply changed rows; return the contents whose holds changed."""
--- a/src/caperridge/gateway/jobs/claims.py
+++ b/src/caperridge/gateway/jobs/claims.py
@@ -34,6 +34,7 @@
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.rows import (
     ABSENT,
+    Rejected,
     RowStore,
     StoredRow,
     Transaction,
@@ -70,13 +71,17 @@
     Attributes:
         reason: short description.
         may_be_ours: the claim may have taken effect, or may still do so.
+        rejected: the store refuses the call for good.
     """
 
-    __slots__ = ("may_be_ours", "reason")
+    __slots__ = ("may_be_ours", "reason", "rejected")
 
-    def __init__(self, reason: str, may_be_ours: bool = False) -> None:
+    def __init__(
+        self, reason: str, may_be_ours: bool = False, rejected: bool = False
+    ) -> None:
         self.reason = reason
         self.may_be_ours = may_be_ours
+        self.rejected = rejected
 
 
 Claim = HeldJob | JobFinished | HeldBy | ClaimFailed
@@ -145,9 +150,12 @@
         claim = Transaction({key: job.version}, {key: to_bytes(head)})
         answer = await self._store.transact(claim)
         if isinstance(answer, Err):
-            error = type(answer.err_value).__name__
-            log.info("claim failed", job=id, error=error, version=job.version)
-            return ClaimFailed(error, isinstance(answer.err_value, Unknown))
+            error = answer.err_value
+            name = type(error).__name__
+            log.info("claim failed", job=id, error=name, version=job.version)
+            return ClaimFailed(
+                name, isinstance(error, Unknown), isinstance(error, Rejected)
+            )
         job.head = head
         job.version = answer.ok_value.version
         log.info(
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -37,7 +37,14 @@
 )
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.routes import Route
-from caperridge.gateway.rows import ABSENT, Refused, RowStore, StoredRow, Transaction
+from caperridge.gateway.rows import (
+    ABSENT,
+    Refused,
+    Rejected,
+    RowStore,
+    StoredRow,
+    Transaction,
+)
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -217,6 +224,8 @@
             return entry
         while loop.time() < deadline:
             cancelled = await self._write_cancellation(entry)
+            if isinstance(cancelled, Rejected):
+                return JobAnswer(503, cancelled.reason)
             if cancelled:
                 log.info("job cancelled", job=id)
                 self._keeper.job_cancelled(id)
@@ -224,7 +233,7 @@
             await asyncio.sleep(CANCEL_RETRY_DELAY_S)
         return JobAnswer(504, "the store does not answer")
 
-    async def _write_cancellation(self, entry: JobEntry) -> bool:
+    async def _write_cancellation(self, entry: JobEntry) -> bool | Rejected:
         """Write the cancellation into the job's head; False to retry."""
         key = head_key(entry.id)
         answer = await self._store.read(
@@ -249,6 +258,8 @@
         if not isinstance(written, Err):
             return True
         error = written.err_value
+        if isinstance(error, Rejected):
+            return error
         if not isinstance(error, Refused):
             return False
         row = error.row(key)
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -25,7 +25,13 @@
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import JobNews, SlotGrant
-from caperridge.gateway.rows import RowStore, StoredRow, Transaction
+from caperridge.gateway.rows import (
+    Refused,
+    Rejected,
+    RowStore,
+    StoredRow,
+    Transaction,
+)
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.log import logger
 
@@ -36,6 +42,8 @@
 # filled to this ratio of its limit.
 REWRITE_THRESHOLD_RATIO = 0.25
 STORE_RETRY_DELAY_S = 0.3
+# After a refusal for good; another release or setting may be in force later.
+REJECTED_RETRY_DELAY_S = 60.0
 # Changes within this time share one check; it delays the preemption of an item for an
 # online request.
 COALESCE_S = 0.001
@@ -197,7 +205,7 @@
                 continue
             if id in self._claiming_ids or not self._holders.may_claim(id, now):
                 continue
-            if now < self._retry_at_by_id.get(id, 0.0):
+            if not self._may_retry(id):
                 continue
             # If it is our own, a claim took effect though its answer was lost.
             if self._holders.is_own(id) or owner(id, live) == self._mesh.instance:
@@ -234,8 +242,10 @@
         if isinstance(claim, ClaimFailed):
             if claim.may_be_ours:
                 self._holders.record_reported(entry.id, self._mesh.incarnation)
-            now = asyncio.get_running_loop().time()
-            self._retry_at_by_id[entry.id] = now + STORE_RETRY_DELAY_S
+            self._delay_retry(
+                entry.id,
+                REJECTED_RETRY_DELAY_S if claim.rejected else STORE_RETRY_DELAY_S,
+            )
             return
         self._announce(claim)
         self.held_by_id[entry.id] = claim
@@ -246,6 +256,14 @@
             self.held_by_id.pop(entry.id, None)
             claim.cancel_runs()
 
+    def _delay_retry(self, id: str, delay_s: float) -> None:
+        """Delay the next claim of a job and the next rewrite of its entry."""
+        self._retry_at_by_id[id] = asyncio.get_running_loop().time() + delay_s
+
+    def _may_retry(self, id: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now >= self._retry_at_by_id.get(id, 0.0)
+
     def _may_replace(self, id: str, holder: str) -> bool:
         """Whether a job may be claimed from the holder that the store names."""
         self._holders.record_stored(id, holder)
@@ -310,10 +328,12 @@
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     async def _rewrite(self, id: str, tokens: int, still_open: bool) -> bool:
-        """Rewrite a job's entry; True if it was written or needs no change."""
+        """Rewrite a job's entry; False if that has to be repeated."""
         entry = self._index.entries_by_job.get(id)
         if entry is None or (not entry.open and not still_open):
             return True
+        if not self._may_retry(id):
+            return True
         changed = entry.replace(waiting_tokens=tokens, open=still_open and entry.open)
         key = entry_key(id)
         version = self._index.version_of(id)
@@ -322,7 +342,12 @@
         if not isinstance(answer, Err):
             self._index.apply_row(StoredRow(key, value, answer.ok_value.version))
             return True
-        row = getattr(answer.err_value, "row", lambda _: None)(key)
+        error = answer.err_value
+        if isinstance(error, Rejected):
+            log.error("entry of a job refused", job=id, reason=error.reason)
+            self._delay_retry(id, REJECTED_RETRY_DELAY_S)
+            return True
+        row = error.row(key) if isinstance(error, Refused) else None
         if row is not None:
             self._index.apply_row(row)
         return False
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -6,7 +6,13 @@
 from result import Err
 
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.rows import RowKey, RowStore, Transaction, read_all_rows
+from caperridge.gateway.rows import (
+    Rejected,
+    RowKey,
+    RowStore,
+    Transaction,
+    read_all_rows,
+)
 from caperridge.log import logger
 from caperridge.records import pack, unpack
 
@@ -34,14 +40,16 @@
         self._store = store
         self._mesh = mesh
         self._registered = False
+        # An entry that the store refuses for good is not sent again.
+        self._rejected = False
 
     async def run(self) -> None:
         """Register and poll until cancelled."""
         pause_s = FIRST_POLL_DELAY_S
         while True:
-            if not self._registered:
+            if not self._registered and not self._rejected:
                 await self._register()
-            if await self._read_members() and self._registered:
+            if await self._read_members() and (self._registered or self._rejected):
                 size_ratio = len(self._mesh.members_by_id) / FULL_RATE_MEMBERS
                 pause_s = POLL_INTERVAL_S * max(1.0, size_ratio)
             await asyncio.sleep(pause_s)
@@ -59,6 +67,9 @@
         value = pack([self._mesh.address, self._mesh.zone, self._mesh.incarnation])
         answer = await self._store.transact(Transaction({}, {self._key(): value}))
         self._registered = not isinstance(answer, Err)
+        if isinstance(answer, Err) and isinstance(answer.err_value, Rejected):
+            self._rejected = True
+            log.error("instance not registered", reason=answer.err_value.reason)
 
     async def _read_members(self) -> bool:
         answer = await read_all_rows(self._store, TABLE)
--- a/tests/gateway/memory_rows.py
+++ b/tests/gateway/memory_rows.py
@@ -10,6 +10,7 @@
     ChangesError,
     Done,
     Refused,
+    Rejected,
     RowKey,
     RowsRead,
     RowStore,
@@ -33,6 +34,8 @@
         history: each state of the rows, oldest first, for the checks of a test.
         objects: by name.
         late: writes whose answers were lost and that may still be done.
+        rejects: refuse all transactions for good.
+        transactions: number of transactions so far.
     """
 
     def __init__(self, fates: Iterable[int], pauses: Iterable[int]) -> None:
@@ -40,6 +43,8 @@
         self.history: list[dict[RowKey, StoredRow]] = []
         self.late: list[Transaction] = []
         self.objects: dict[str, bytes] = {}
+        self.rejects = False
+        self.transactions = 0
         self._fates = iter(fates)
         self._pauses = iter(pauses)
         self._version = 1
@@ -70,6 +75,9 @@
     async def transact(
         self, transaction: Transaction
     ) -> Result[Done, TransactionError]:
+        self.transactions += 1
+        if self.rejects:
+            return Err(Rejected("refused"))
         fate = next(self._fates, DONE)
         await self._pause()
         if fate == NOT_DONE:
--- a/tests/gateway/test_holders.py
+++ b/tests/gateway/test_holders.py
@@ -14,7 +14,11 @@
 from caperridge.gateway.jobs.codec import from_bytes, job_to_bytes, to_bytes
 from caperridge.gateway.jobs.holders import TAKEOVER_AFTER_S
 from caperridge.gateway.jobs.index import JobIndex
-from caperridge.gateway.jobs.keeper import ORPHAN_CHECK_INTERVAL_S, JobKeeper
+from caperridge.gateway.jobs.keeper import (
+    ORPHAN_CHECK_INTERVAL_S,
+    REJECTED_RETRY_DELAY_S,
+    JobKeeper,
+)
 from caperridge.gateway.jobs.keeping import JobWriter
 from caperridge.gateway.jobs.keys import head_key
 from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem, JobRequest
@@ -75,11 +79,11 @@
         )
         self._version = 100
 
-    def write_head(self, holder: str) -> None:
-        """Write the head as ``holder`` does when it claims the job."""
+    def write_head(self, holder: str, head: JobHead | None = None) -> None:
+        """Write the head as ``holder`` does when it claims the job, or ``head``."""
         self._version += 1
         key = head_key(JOB)
-        value = to_bytes(JobHead(holder, 1))
+        value = to_bytes(head or JobHead(holder, 1))
         self.rows.rows_by_key[key] = StoredRow(key, value, self._version)
 
     @property
@@ -230,6 +234,26 @@
 )
 
 
+REJECTED_HEADS = {
+    "the claim": JobHead("e-1.1", 1),
+    "the closing of a finished job": JobHead("e-1.1", 1, listed=1),
+}
+
+
+@pytest.mark.parametrize("rejected", REJECTED_HEADS)
+async def test_a_write_of_a_job_that_is_refused_for_good_is_sent_once_a_minute(
+    harness: KeeperHarness, rejected: str
+) -> None:
+    """Guards against several calls a second that the store never does."""
+    harness.write_head("e-1.1", REJECTED_HEADS[rejected])
+    harness.rows.rejects = True
+    assert not await harness.check_for(TAKEOVER_AFTER_S + 10.0)
+    assert harness.rows.transactions == 1
+    harness.rows.rejects = False
+    await harness.check_for(REJECTED_RETRY_DELAY_S)
+    assert harness.rows.transactions > 1
+
+
 @given(moves)
 @settings(max_examples=1000, derandomize=True, deadline=None)
 def test_no_job_is_taken_from_a_life_that_was_heard_lately(
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -1,12 +1,15 @@
 """Calls of the store stay within its limits, and none is repeated for good."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import random
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 import pytest
 import pytest_asyncio
 
 from caperridge.decisions.stream_origins import StreamOrigin
+from caperridge.gateway import held_rows, registry
 from caperridge.gateway.events import Event
 from caperridge.gateway.jobs.codec import from_bytes, to_bytes
 from caperridge.gateway.jobs.held_job import PENDING, HeldJob, ItemState
@@ -20,10 +23,22 @@
     JobHead,
     JobItem,
 )
-from caperridge.gateway.rows import ABSENT, Transaction, read_all_rows
+from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.registry import InstanceRegistry
+from caperridge.gateway.rows import (
+    ABSENT,
+    RowKey,
+    StoredRow,
+    Transaction,
+    read_all_rows,
+)
 from caperridge.platform.store import HttpRowStore
 from caperridge.platform.store_limits import PlatformStoreLimits
-from gateway.conftest import HOST, World
+from caperridge.records import pack
+from gateway.conftest import HOST, World, until
+from gateway.memory_rows import MemoryRows
+from gateway.test_trial_claims import CONTENT as HELD_CONTENT
+from gateway.test_trial_claims import _table as held_table
 
 JOB = "j1"
 HOLDER = "e-0.1"
@@ -219,3 +234,57 @@
     world.store.refused_value = b"refused"
     answer = await world.submit(instance, "refused", ["x1"])
     assert answer.status == 413
+
+
+async def test_a_cancellation_that_the_store_refuses_for_good_is_answered_at_once(
+    world: World,
+) -> None:
+    """Guards against attempts until the caller's deadline."""
+    instance = await world.add_instance()
+    await world.ready()
+    await world.submit(instance, JOB, ["x1"])
+    await until(lambda: instance.keeper.held_by_id)
+    world.store.refused_value = to_bytes(JobHead("", 1, cancelled=True))[:12]
+    answer = await world.call(instance, "DELETE", f"/lots/{JOB}")
+    assert (answer.status, answer.headers.get("Retry-After")) == (503, None)
+
+
+@pytest.fixture
+def rejecting() -> MemoryRows:
+    rows = MemoryRows([], [])
+    rows.rejects = True
+    return rows
+
+
+async def test_a_hold_that_the_store_refuses_for_good_is_written_once(
+    rejecting: MemoryRows, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a row of the quarantine that is written for ever."""
+    monkeypatch.setattr(held_rows, "RETRY_DELAY_S", 0.0)
+    table = held_table(rejecting)
+    table.schedule_write(HELD_CONTENT)
+    await run_for(table.run(), 200)
+    assert rejecting.transactions == 1
+
+
+async def test_an_instance_that_the_store_refuses_to_list_still_finds_its_peers(
+    rejecting: MemoryRows, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a registration that is sent for ever."""
+    monkeypatch.setattr(registry, "FIRST_POLL_DELAY_S", 0.0)
+    monkeypatch.setattr(registry, "POLL_INTERVAL_S", 0.0)
+    key = RowKey(registry.TABLE, "", "e-1")
+    rejecting.rows_by_key[key] = StoredRow(key, pack(["127.0.0.1:9", "a", "e-1.1"]), 1)
+    mesh = Mesh("e-0", HOLDER, "a", "", [], random.Random(1))
+    await run_for(InstanceRegistry(rejecting, mesh).run(), 200)
+    assert rejecting.transactions == 1
+    assert "e-1" in mesh.members_by_id
+
+
+async def run_for(loop_forever: Coroutine[Any, Any, None], turns: int) -> None:
+    """Run a task for so many turns of the event loop."""
+    task = asyncio.ensure_future(loop_forever)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
