Bound a page of results by its size as it is sent

Callers of results with many escaped characters got pages over the 1 MB of the protocol. Cause: the page was bounded by the bytes of its texts, before they become JSON strings, which can make them six times as long.

Fix: the dialect, which encodes the results, ends a page before the result that would exceed the limit; the position to go on from follows from what is in the page. A larger result is a page of its own.

Measured: five of the six cases of two new tests failed before, all pass now.

--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -167,7 +167,10 @@
 
     @abstractmethod
     def results(self, page: ResultsPage) -> bytes:
-        """Return the body of the answer to a read of results."""
+        """Return the body of the answer to a read of results.
+
+        Results that exceed the size of an answer are left out, but never the first.
+        """
 
     @abstractmethod
     def client_error_not_run(self, status: int, headers: Mapping[str, str]) -> bool:
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -55,7 +55,8 @@
 CANCEL_TIMEOUT_S = 3.0
 RETRY_AFTER_S = 0.3
 CANCEL_RETRY_DELAY_S = 0.1
-MAX_PAGE_BYTES = 900_000
+# Bounds the texts that are read for one page; the dialect bounds the answer as sent.
+MAX_PAGE_TEXT_BYTES = 1_000_000
 MAX_CACHED_JOBS = 8
 # A waiting read polls the store at this interval in case no peer reports a result.
 POLL_INTERVAL_S = 1.0
@@ -323,7 +324,7 @@
                     return results or None
                 result = result.replace(text=answer.ok_value, object="")
             size += len(result.text)
-            if results and size > MAX_PAGE_BYTES:
+            if results and size > MAX_PAGE_TEXT_BYTES:
                 break
             results.append(result)
         return results
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -42,6 +42,10 @@
 _MISDIRECTED = 421
 _READY = "ready"
 _DRAINING = "draining"
+# Of the answer to a read of results, as sent.
+MAX_PAGE_BYTES = 1_000_000
+# Upper bound of all of an answer but its results.
+PAGE_OVERHEAD_BYTES = 200
 # Far more than any engine runs at once; a target with a larger number in its entry
 # would attract all requests.
 MAX_SLOTS = 10_000
@@ -169,14 +173,19 @@
 
     def results(self, page: ResultsPage) -> bytes:
         """See :meth:`Dialect.results`."""
-        results = [
-            {
+        results: list[orjson.Fragment] = []
+        size = PAGE_OVERHEAD_BYTES
+        for result in page.results:
+            fields = {
                 "id": result.item,
                 "state": _COMPLETED if result.state == COMPLETED else _DEAD,
                 "message": result.text.decode("utf-8", "replace"),
             }
-            for result in page.results
-        ]
+            encoded = orjson.dumps(fields)
+            size += len(encoded) + 1
+            if results and size > MAX_PAGE_BYTES:
+                break
+            results.append(orjson.Fragment(encoded))
         answer = {
             "total": page.total,
             "results": results,
--- a/tests/adapter/test_dialect.py
+++ b/tests/adapter/test_dialect.py
@@ -172,6 +172,34 @@
     }
 
 
+@pytest.mark.parametrize(
+    "text",
+    [b"a" * 40_000, b'"' * 40_000, b"\x01" * 40_000, b"\xff" * 40_000, b"\n" * 2],
+)
+def test_a_page_of_results_stays_within_its_size_as_sent(
+    dialect: PlatformDialect, text: bytes
+) -> None:
+    """Guards against pages over the limit when the encoding makes texts longer."""
+    results = [ItemResult(f"x{number}", COMPLETED, text) for number in range(200)]
+    first = 0
+    while first < len(results):
+        body = dialect.results(ResultsPage(len(results), first, results[first:]))
+        assert len(body) <= 1_000_000
+        page = orjson.loads(body)
+        assert page["results"][0]["id"] == f"x{first}"
+        assert page["nextToken"] == first + len(page["results"])
+        first = page["nextToken"]
+
+
+def test_a_result_larger_than_a_page_is_a_page_of_its_own(
+    dialect: PlatformDialect,
+) -> None:
+    """Guards against a caller that never gets past a large result."""
+    results = [ItemResult("x", COMPLETED, b"a" * 1_000_001), ItemResult("y", DEAD)]
+    page = orjson.loads(dialect.results(ResultsPage(2, 0, results)))
+    assert ([one["id"] for one in page["results"]], page["nextToken"]) == (["x"], 1)
+
+
 def test_settings_skip_what_they_do_not_know() -> None:
     settings = parse(SETTINGS, "local.toml")
     assert (settings.instance, settings.grace_s) == ("e-1", 8.0)
