Release a job with the write that leaves nothing for another one

In a planned stop, items of a long job began again at the next holder though their progress was known. Cause: the handover cleared the holder with its first transaction, whatever was left of results and progress beyond the limit of entries.

Fix: the write clears the holder only if all that is unwritten is in it; until then the stopping holder writes on.

--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -292,10 +292,10 @@
                 break
             if job.head.listed > listed_before or job.releasing:
                 self._announce(job)
-            if job.unlisted:
-                job.wake.set()
-            elif job.releasing:
+            if job.releasing and job.head.holder == "":
                 return
+            if job.unlisted or job.releasing:
+                job.wake.set()
             await self._lower_tokens(job)
         if job.head.finished:
             await self._close(job.entry, job.head)
--- a/src/caperridge/gateway/jobs/keeping.py
+++ b/src/caperridge/gateway/jobs/keeping.py
@@ -108,7 +108,8 @@
 
         Args:
             job: whose unlisted results and progress are written.
-            holder: incarnation that holds it from then on; empty to release it.
+            holder: incarnation that holds it from then on; empty to release it. It is
+                released with the last write, which leaves nothing for another one.
         """
         max_items = self._store.limits.entries
         refused: JobBatch | None = None
@@ -150,9 +151,27 @@
         results = await self._add_results(job, builder, max_items)
         progress = _add_progress(job, builder, max_items - len(results))
         head = head.replace(listed=head.listed + len(results))
+        if holder == "" and not self._is_complete(job, results, progress):
+            head = head.replace(holder=self._incarnation)
         builder.transaction.writes[key] = to_bytes(head)
         return JobBatch(builder.transaction, head, results, progress)
 
+    def _is_complete(
+        self,
+        job: HeldJob,
+        results: list[ItemState],
+        progress: list[tuple[ItemState, int, int]],
+    ) -> bool:
+        """Whether a write leaves neither results nor progress for another one."""
+        if len(results) < len(job.unlisted):
+            return False
+        added = {state.number for state, _, _ in progress}
+        return all(
+            state.number in added
+            or not self._store.limits.fits_in_row(to_bytes(state.progress))
+            for state in _with_unstored_progress(job)
+        )
+
     async def _add_results(
         self, job: HeldJob, builder: TransactionBuilder, max_items: int
     ) -> list[ItemState]:
@@ -264,6 +283,14 @@
         state.storable = False
 
 
+def _with_unstored_progress(job: HeldJob) -> list[ItemState]:
+    return [
+        state
+        for state in job.states
+        if state.status not in (DONE, LISTED) and state.has_unstored_progress
+    ]
+
+
 def _add_progress(
     job: HeldJob, builder: TransactionBuilder, max_items: int
 ) -> list[tuple[ItemState, int, int]]:
@@ -271,11 +298,7 @@
 
     Progress too large for a row is not stored; it is generated again after a loss.
     """
-    states = [
-        state
-        for state in job.states
-        if state.status not in (DONE, LISTED) and state.has_unstored_progress
-    ]
+    states = _with_unstored_progress(job)
     states.sort(key=lambda one: one.stored_event - one.progress.event)
     added: list[tuple[ItemState, int, int]] = []
     for state in states:
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -116,6 +116,24 @@
     assert texts == {b"a" * event_bytes + b"\n" + b"b" * event_bytes}
 
 
+async def test_a_job_is_released_once_all_of_its_progress_is_stored(
+    world: World, store: HttpRowStore
+) -> None:
+    """Guards against a handover that loses what exceeds one transaction."""
+    writer = JobWriter(store, HOLDER)
+    job = await held_job(store, [f"x{number}" for number in range(MAX_ITEMS)])
+    for state in job.states:
+        write_event(state, b"a")
+        if state.number % 2:
+            job.complete(state)
+    async with asyncio.timeout(HANG_S):
+        while job.head.holder:
+            assert await writer.write(job, "")
+    assert len(await stored_results(store)) == MAX_ITEMS // 2
+    assert not any(map(has_unstored_progress, job.states))
+    assert world.store.over_limit == []
+
+
 @pytest_asyncio.fixture
 async def job(store: HttpRowStore) -> HeldJob:
     """A job of a few items, each with an event."""
