Keep the key of a route's gate within the limit of names

No job was accepted on a route with a name of more than 178 bytes (195 without teams). Cause: the key of the row that each acceptance writes has the name, and the store takes keys of 200 bytes.

Fix: a longer name is replaced by its digest, as the names of teams are. Shorter names keep their keys, so releases can run side by side.

--- a/src/caperridge/gateway/jobs/keys.py
+++ b/src/caperridge/gateway/jobs/keys.py
@@ -17,7 +17,9 @@
 _PROGRESS = "p:"
 _RESULT = "r:"
 _RESULTS_END = "r;"
-_TEAM_DIGEST_BYTES = 8
+_DIGEST_BYTES = 8
+# Longer names are replaced by their digest: the store bounds the length of a key.
+MAX_ROUTE_BYTES = 178
 
 
 def entry_key(job: str) -> RowKey:
@@ -42,17 +44,23 @@
     >>> job_of_team("a1", ""), job_of_team("a1", "x") == job_of_team("a1", "y")
     ('a1', False)
     """
-    return f"{id}@{_team_digest(team)}" if team else id
+    return f"{id}@{_digest(team)}" if team else id
 
 
 def gate_key(route: str, team: str = "") -> RowKey:
-    """Return the key of the gate row that each acceptance of a team's job writes."""
-    name = f"{route}@{_team_digest(team)}" if team else route
+    """Return the key of the gate row that each acceptance of a team's job writes.
+
+    >>> len(gate_key("r" * 300).key)
+    21
+    """
+    if len(route.encode()) > MAX_ROUTE_BYTES:
+        route = _digest(route)
+    name = f"{route}@{_digest(team)}" if team else route
     return RowKey(INDEX, "", _GATE + name)
 
 
-def _team_digest(team: str) -> str:
-    return hashlib.blake2b(team.encode(), digest_size=_TEAM_DIGEST_BYTES).hexdigest()
+def _digest(name: str) -> str:
+    return hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES).hexdigest()
 
 
 def head_key(job: str) -> RowKey:
--- a/tests/gateway/store_standin.py
+++ b/tests/gateway/store_standin.py
@@ -11,6 +11,7 @@
 ROW_FIELDS = ("table", "part", "key")
 HISTORY = 10_000
 MAX_ENTRIES = 100
+MAX_NAME_BYTES = 200
 MAX_TRANSACTION_BYTES = 1_000_000
 MAX_ROWS = 500
 MAX_PAGE_BYTES = 1_000_000
@@ -137,6 +138,12 @@
             return f"{size} bytes"
         if any(len(row["value"]) > self.row_bytes for row in body["writes"]):
             return "a value is too large"
+        if any(
+            len(row[name].encode()) > MAX_NAME_BYTES
+            for row in entries
+            for name in ROW_FIELDS
+        ):
+            return "a key is too long"
         return ""
 
     def _has_refused_value(self, body: dict[str, Any]) -> bool:
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -35,7 +35,7 @@
 from caperridge.platform.store import HttpRowStore
 from caperridge.platform.store_limits import PlatformStoreLimits
 from caperridge.records import pack
-from gateway.conftest import HOST, World, until
+from gateway.conftest import HOST, ROUTES, World, until
 from gateway.memory_rows import MemoryRows
 from gateway.test_trial_claims import CONTENT as HELD_CONTENT
 from gateway.test_trial_claims import _table as held_table
@@ -306,3 +306,14 @@
         await asyncio.sleep(0)
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_a_job_on_a_route_with_a_long_name_is_accepted(world: World) -> None:
+    """Guards against a key that is too long for the store and a job refused for it."""
+    name = "long" * 60
+    batch = next(one for one in ROUTES if one["name"] == "work")
+    world.configure(2, [batch | {"name": name}])
+    instance = await world.add_instance()
+    await world.ready()
+    assert (await world.submit(instance, JOB, ["x1"])).status == 202
+    assert (instance.index.waiting_tokens(name), world.store.over_limit) == (10, [])
