Let a test of an unknown configuration wait for its first read

test_no_route_is_404_and_no_configuration_503 failed once in a run of five folders with four workers at a load of 15 to 17: 404 for 503. The test takes the configuration away as soon as the instance has started; where the first read of it ends later, it is known again. Provoked with a store that answers after 0.1 s: the read comes after the change and the answer has no Retry-After.

The test now waits until the instance is ready before it takes the configuration away. What it asserts is the same.

--- a/tests/gateway/test_online.py
+++ b/tests/gateway/test_online.py
@@ -37,6 +37,7 @@
     await world.ready()
     assert (await world.ask(instance, "/none/1", "r1")).status == 404
     fresh = await world.add_instance("fresh")
+    await world.ready()  # its first read of the configuration is over
     fresh.configuration.table = None
     answer = await world.ask(fresh, "/none/1", "r1")
     assert (answer.status, float(answer.headers["Retry-After"]) > 0) == (503, True)
