Give back a trial of a quarantined request that ended without an outcome

Cause: its trial was used up when it was claimed; it was preempted for online requests after 3 s of sound output, and the next one was due 60 s later.

Fix: a trial that this instance, its caller or a target that did not run it ended is given back, 1.5 s later and only if no crash was recorded under the suspect since it began; the address of its target is checked at once, so that a request that crashes a target as it is preempted is blamed and uses the trial up. The hold that results is stored and counts as the later one, also for earlier releases.

Ruled out: exempting trials from preemption (takes a slot from an online request); clearing a suspect after seconds of output (requests that crash targets late would be found later).

--- a/src/caperridge/decisions/quarantine.py
+++ b/src/caperridge/decisions/quarantine.py
@@ -17,7 +17,7 @@
 from collections.abc import Sequence
 
 from caperridge.decisions.suspect_keys import is_part
-from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect, trial_delay_s
+from caperridge.decisions.suspects import Crash, Hold, LostRun, Suspect
 
 # All instances report one crash within some milliseconds. Blame is assigned only after
 # that, when all requests at the same crashes are known.
@@ -124,9 +124,8 @@
             callers = suspect.blamed_callers(now, now - settle_s)
             if callers is None or self._is_covered(suspect, callers):
                 continue
-            since = suspect.hold.since if suspect.hold is not None else now
-            trials = suspect.hold.trials if suspect.hold is not None else 0
-            suspect.hold = Hold(callers, since, trials, now + trial_delay_s(trials))
+            hold = suspect.hold or Hold(callers, now, 0, now)
+            suspect.hold = hold.replace(callers=callers).with_delay(now)
             quarantined.append(suspect)
             self._remove_explained_by(suspect)
         return quarantined
--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -97,19 +97,27 @@
     Attributes:
         callers: callers it applies to; empty for all callers without a good run.
         since: when the request was quarantined.
-        trials: number of trials so far.
+        trials: number of trials so far, counting one that was given back twice, so
+            that the hold with more of them is the later one.
         trial_at: earliest time of the next trial.
+        given_back: number of trials that were given back.
     """
 
-    __slots__ = ("callers", "since", "trial_at", "trials")
+    __slots__ = ("callers", "given_back", "since", "trial_at", "trials")
 
     def __init__(
-        self, callers: frozenset[str], since: float, trials: int, trial_at: float
+        self,
+        callers: frozenset[str],
+        since: float,
+        trials: int,
+        trial_at: float,
+        given_back: int = 0,
     ) -> None:
         self.callers = callers
         self.since = since
         self.trials = trials
         self.trial_at = trial_at
+        self.given_back = given_back
 
     @property
     def _first_trial_until(self) -> float:
@@ -130,7 +138,18 @@
         """Return the hold that applies once a trial starts at ``now``."""
         early = now < self._first_trial_until
         trials = self.trials + (1 if early or self.trials else 2)
-        return Hold(self.callers, self.since, trials, now + trial_delay_s(trials))
+        return self.replace(trials=trials).with_delay(now)
+
+    def with_delay(self, now: float) -> "Hold":
+        """Return this hold with the next trial as late as its trials require."""
+        delay_s = trial_delay_s(self.trials - 2 * self.given_back)
+        return self.replace(trial_at=now + delay_s)
+
+    def with_trial_given_back(self, now: float) -> "Hold":
+        """Return the hold that applies when a trial ended without an outcome."""
+        return self.replace(
+            trials=self.trials + 1, trial_at=now, given_back=self.given_back + 1
+        )
 
 
 class Suspect:
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -91,6 +91,8 @@
         except TimeoutError:
             reason = "its time is over"
             return Failure(reason, not state.sent_at_least_once, timed_out=True)
+        finally:
+            self._guard.run_interrupted(request.id)
 
     async def _forward(
         self, request: InboundRequest, reply: Reply, state: RequestState
@@ -198,6 +200,8 @@
             self._fleet.notify_changed()
         took_s = asyncio.get_running_loop().time() - started_at
         events = state.last_event - events_before
+        if error is None or isinstance(error, Lost):
+            self._guard.run_concluded(request.id)
         if isinstance(error, Lost):
             self._guard.record_lost_run(
                 target, self._fingerprint(request, state), took_s, events
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -49,11 +49,12 @@
             who reported each.
         callers: for whom it is held; empty for all.
         since: when it was put in quarantine; 0 if it is not.
-        trials: how often it was tried again.
+        trials: how often it was tried again, a trial given back counting twice.
         trial_at: when it may be tried again.
+        given_back: how many trials were given back.
     """
 
-    __slots__ = ("callers", "ends", "since", "trial_at", "trials")
+    __slots__ = ("callers", "ends", "given_back", "since", "trial_at", "trials")
 
     def __init__(
         self,
@@ -62,12 +63,14 @@
         since: float,
         trials: int,
         trial_at: float,
+        given_back: int = 0,
     ) -> None:
         self.ends = ends
         self.callers = callers
         self.since = since
         self.trials = trials
         self.trial_at = trial_at
+        self.given_back = given_back
 
 
 class QuarantineTable:
@@ -289,6 +292,7 @@
                 hold.since + ahead_s,
                 hold.trials,
                 hold.trial_at + ahead_s,
+                hold.given_back,
             )
         )
 
@@ -316,9 +320,13 @@
             crashes.append(crash)
         if not row.since:
             return crashes, None
-        callers = frozenset(row.callers)
-        trial_at = row.trial_at - ahead_s
-        return crashes, Hold(callers, row.since - ahead_s, row.trials, trial_at)
+        return crashes, Hold(
+            frozenset(row.callers),
+            row.since - ahead_s,
+            row.trials,
+            row.trial_at - ahead_s,
+            row.given_back,
+        )
 
 
 def _key(content: str) -> RowKey:
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -25,11 +25,7 @@
 from caperridge.gateway.request_guard import QuarantineRefusal, RequestGuard
 from caperridge.gateway.routes import Route
 from caperridge.gateway.targets import Target
-from caperridge.gateway.upstream import (
-    Answer,
-    BrokenAnswerError,
-    TargetClient,
-)
+from caperridge.gateway.upstream import Answer, BrokenAnswerError, TargetClient
 from caperridge.log import logger
 from caperridge.records import Record
 from caperridge.refusals import NOT_RUN
@@ -55,6 +51,8 @@
 FAILED_RETRY_DELAY_S = 0.3
 MAX_QUARANTINE_DELAY_S = 1.0  # it may be cleared before its trial is due
 UNPROCESSABLE_STATUS = 422
+# Of runs that say nothing about their items.
+INTERRUPTED_OUTCOMES = frozenset({"cancelled", "not_run", "not_sent"})
 # From a target that hangs until the lease of a run ends; not a failure of the item.
 LEASE_ENDED_STATUS = 504
 # The target ends a run after this time unless its lease was renewed. Nothing else ends
@@ -222,6 +220,10 @@
             outcome = Lost(repr(exception)) if exception is not None else task.result()
             resumes = isinstance(outcome, Renewal | QuarantineRefusal)
             error = None if resumes else outcome
+        if _outcome_label(error, resumes) in INTERRUPTED_OUTCOMES:
+            self._guard.run_interrupted(state.item.id, target)
+        else:
+            self._guard.run_concluded(state.item.id)
         if error is None and not resumes and state.status not in (DONE, LISTED):
             age_s = asyncio.get_running_loop().time() - began_at
             self._guard.record_good_run(self._fingerprint(ranked), age_s)
@@ -279,11 +281,7 @@
             self._fleet.record_failure(target, error, now)
 
     def _record_failure(
-        self,
-        job: HeldJob,
-        state: ItemState,
-        route: Route,
-        status: int,
+        self, job: HeldJob, state: ItemState, route: Route, status: int
     ) -> None:
         """Count an attempt that the target reported as failed."""
         failures = state.progress.failures + 1
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -24,6 +24,7 @@
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.held_rows import QuarantineTable
+from caperridge.gateway.interrupted_trials import InterruptedTrials
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import Suspects, TargetEnded
 from caperridge.gateway.metrics import GatewayMetrics
@@ -100,6 +101,7 @@
         self._evaluation_timer: asyncio.TimerHandle | None = None
         self._evaluated_at = -math.inf
         self._claiming: set[str] = set()
+        self._trials = InterruptedTrials(quarantine, rows)
         self._writes = SuspectWrites(quarantine, rows, mesh, fleet)
         detector.on_crash = self._on_target_crash
         mesh.register(TargetEnded, self._receive_crash)
@@ -162,6 +164,7 @@
             # requests that are held for nothing else.
             suspect, hold = min(holds, key=_width)
             if await self._claim_trial(suspect):
+                self._trials.begin(request, suspect, fingerprint)
                 self._metrics.held_requests.labels("tried_again").inc()
                 log.warning(
                     "trial of quarantined request",
@@ -197,6 +200,25 @@
 
     # Outcomes of runs.
 
+    def run_concluded(self, request: str) -> None:
+        """Record a run of ``request`` that says something about it."""
+        self._trials.conclude(request)
+
+    def run_interrupted(self, request: str, target: Target | None = None) -> None:
+        """Record a run that ended without an outcome; see :class:`InterruptedTrials`.
+
+        Args:
+            request: its id.
+            target: that ran it and may yet crash; None if that is checked already.
+        """
+        trial = self._trials.interrupt(request)
+        if trial is None or target is None:
+            return
+        age_s = elapsed_s() - trial.began_at
+        runs = _suspects(trial.fingerprint, age_s, events=0)
+        tried = [run for run in runs if run.content == trial.content]
+        self._detector.record_cancelled_run(target, tried)
+
     def record_lost_run(
         self, target: Target, fingerprint: Fingerprint, age_s: float, events: int
     ) -> None:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -14,7 +14,12 @@
 import yarl
 from aiohttp import web
 
-from caperridge.gateway import exoneration, held_rows, request_guard
+from caperridge.gateway import (
+    exoneration,
+    held_rows,
+    interrupted_trials,
+    request_guard,
+)
 from caperridge.gateway.mesh import roster
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.settings import Settings
@@ -418,6 +423,6 @@
     """Seconds by which the clock of the quarantine is ahead; tests append to it."""
     added: list[float] = []
     real = request_guard.elapsed_s
-    for module in (request_guard, held_rows, exoneration):
+    for module in (request_guard, held_rows, exoneration, interrupted_trials):
         monkeypatch.setattr(module, "elapsed_s", lambda: real() + sum(added))
     return added
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -277,6 +277,38 @@
     assert later.next_due(hold.since + 13.0) == hold.since + 12.0 + TRIAL_DELAYS_S[2]
 
 
+def test_a_trial_given_back_is_due_at_once_and_lengthens_no_delay(
+    fleet: Fleet,
+) -> None:
+    """Guards against a sound request that is held because its trials were cut."""
+    for _ in range(QUARANTINE_THRESHOLD):
+        fleet.crash(FATAL)
+    suspect = fleet.quarantine.by_content["fatal"]
+    assert suspect.hold is not None
+    now = suspect.hold.since + TRIAL_DELAYS_S[1]
+    tried = suspect.hold.after_trial(now)
+    hold = tried
+    for _ in range(5):
+        now += 3.0
+        hold = hold.with_trial_given_back(now)
+        assert hold.is_due(now)
+        hold = hold.after_trial(now)
+    assert hold.trial_at - now == tried.trial_at - (suspect.hold.since + 10.0)
+
+
+def test_a_trial_given_back_replaces_the_hold_that_peers_know(fleet: Fleet) -> None:
+    """Guards against peers that keep the delay of a trial that was given back."""
+    for _ in range(QUARANTINE_THRESHOLD):
+        fleet.crash(FATAL)
+    suspect = fleet.quarantine.by_content["fatal"]
+    assert suspect.hold is not None
+    now = suspect.hold.since + TRIAL_DELAYS_S[1]
+    claimed = suspect.hold.after_trial(now)
+    given_back = claimed.with_trial_given_back(now + 3.0)
+    assert suspect.merge([], claimed) and suspect.merge([], given_back)
+    assert suspect.hold is given_back and not suspect.merge([], claimed)
+
+
 def test_what_a_peer_kept_of_an_older_hold_does_not_come_back(fleet: Fleet) -> None:
     for _ in range(QUARANTINE_THRESHOLD):
         fleet.crash(FATAL)
