Settle which ends of a trial are outcomes, and which hold is the later one

Reading the change before: an online trial that failed at its target counted as interrupted, because only lost and complete answers were told to the guard; a peer that learns a hold from a message, which leaves out how many trials were given back, ignored the row of the store with the same number of trials. An acceptance whose first answer was lost went on repeating a write that the store had refused for good.

is_inconclusive (targets/outcomes.py) now says for items and requests alike which errors are no outcome. Of two holds with the same trials the one with more given back is the later one. The acceptance ends with an unknown outcome at once.

Measured: the policy test that merges a peer's hold with the store's row failed before this change; the tests of trials, crashes and acceptance pass.

--- a/src/caperridge/decisions/suspects.py
+++ b/src/caperridge/decisions/suspects.py
@@ -97,10 +97,9 @@
     Attributes:
         callers: callers it applies to; empty for all callers without a good run.
         since: when the request was quarantined.
-        trials: number of trials so far, counting one that was given back twice, so
-            that the hold with more of them is the later one.
+        trials: number of trials so far; one that was given back counts twice.
         trial_at: earliest time of the next trial.
-        given_back: number of trials that were given back.
+        given_back: how many were given back; messages between peers leave it out.
     """
 
     __slots__ = ("callers", "given_back", "since", "trial_at", "trials")
@@ -140,6 +139,10 @@
         trials = self.trials + (1 if early or self.trials else 2)
         return self.replace(trials=trials).with_delay(now)
 
+    def is_later_than(self, hold: "Hold") -> bool:
+        """Whether this hold follows from ``hold``."""
+        return (self.trials, self.given_back) > (hold.trials, hold.given_back)
+
     def with_delay(self, now: float) -> "Hold":
         """Return this hold with the next trial as late as its trials require."""
         delay_s = trial_delay_s(self.trials - 2 * self.given_back)
@@ -147,9 +150,8 @@
 
     def with_trial_given_back(self, now: float) -> "Hold":
         """Return the hold that applies when a trial ended without an outcome."""
-        return self.replace(
-            trials=self.trials + 1, trial_at=now, given_back=self.given_back + 1
-        )
+        returned = self.replace(trials=self.trials + 1, given_back=self.given_back + 1)
+        return returned.replace(trial_at=now)
 
 
 class Suspect:
@@ -261,8 +263,7 @@
     def merge(self, crashes: list[Crash], hold: Hold | None) -> bool:
         """Merge crashes and a hold from the store or a peer; return whether any is new.
 
-        Entries older than the last good run are ignored. Of two holds, the one with
-        more trials is the later one.
+        Entries older than the last good run are ignored.
         """
         changed = False
         for crash in crashes:
@@ -271,7 +272,7 @@
         self.crashes.sort(key=_by_time)
         if hold is None or hold.since <= self.last_good_run_at:
             return changed
-        if self.hold is not None and self.hold.trials >= hold.trials:
+        if self.hold is not None and not hold.is_later_than(self.hold):
             return changed
         self.hold = hold
         return True
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -41,6 +41,7 @@
     TargetRefused,
     Withdrawn,
     WrongAnswer,
+    is_inconclusive,
 )
 
 log = logger(__name__)
@@ -200,7 +201,7 @@
             self._fleet.notify_changed()
         took_s = asyncio.get_running_loop().time() - started_at
         events = state.last_event - events_before
-        if error is None or isinstance(error, Lost):
+        if error is None or not is_inconclusive(error):
             self._guard.run_concluded(request.id)
         if isinstance(error, Lost):
             self._guard.record_lost_run(
--- a/src/caperridge/gateway/jobs/acceptance.py
+++ b/src/caperridge/gateway/jobs/acceptance.py
@@ -203,7 +203,9 @@
             if existing is not None:
                 self._index.apply_row(existing)
                 return Accepted(entry, duplicate=existing.value != own)
-            if isinstance(error, Rejected) and not may_be_done:
+            if isinstance(error, Rejected):
+                if may_be_done:
+                    return AcceptanceUnknown("the store's answer was lost")
                 return NotStorable(error.reason)
             _log_retry(entry.id, error)
             if isinstance(error, Refused):
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -35,6 +35,7 @@
     NotSent,
     TargetRefused,
     WrongAnswer,
+    is_inconclusive,
 )
 
 log = logger(__name__)
@@ -51,8 +52,6 @@
 FAILED_RETRY_DELAY_S = 0.3
 MAX_QUARANTINE_DELAY_S = 1.0  # it may be cleared before its trial is due
 UNPROCESSABLE_STATUS = 422
-# Of runs that say nothing about their items.
-INTERRUPTED_OUTCOMES = frozenset({"cancelled", "not_run", "not_sent"})
 # From a target that hangs until the lease of a run ends; not a failure of the item.
 LEASE_ENDED_STATUS = 504
 # The target ends a run after this time unless its lease was renewed. Nothing else ends
@@ -220,7 +219,7 @@
             outcome = Lost(repr(exception)) if exception is not None else task.result()
             resumes = isinstance(outcome, Renewal | QuarantineRefusal)
             error = None if resumes else outcome
-        if _outcome_label(error, resumes) in INTERRUPTED_OUTCOMES:
+        if resumes or (error is not None and is_inconclusive(error)):
             self._guard.run_interrupted(state.item.id, target)
         else:
             self._guard.run_concluded(state.item.id)
--- a/src/caperridge/targets/outcomes.py
+++ b/src/caperridge/targets/outcomes.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from caperridge.records import Record
+from caperridge.refusals import NOT_RUN
 
 
 class NotSent(Record):
@@ -106,3 +107,24 @@
 @timed_out.register(NotSent)
 def _(error: Lost | NotSent) -> bool:
     return error.broken_off
+
+
+@singledispatch
+def is_inconclusive(error: AttemptError) -> bool:
+    """Return whether an attempt that failed says nothing about its request.
+
+    >>> is_inconclusive(NotSent("no connection")), is_inconclusive(Lost("reset"))
+    (True, False)
+    """
+    return False
+
+
+@is_inconclusive.register(NotSent)
+@is_inconclusive.register(Withdrawn)
+def _(error: NotSent | Withdrawn) -> bool:
+    return True
+
+
+@is_inconclusive.register
+def _(error: TargetRefused) -> bool:
+    return error.run == NOT_RUN
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -307,6 +307,10 @@
     given_back = claimed.with_trial_given_back(now + 3.0)
     assert suspect.merge([], claimed) and suspect.merge([], given_back)
     assert suspect.hold is given_back and not suspect.merge([], claimed)
+    from_peer = given_back.replace(given_back=0)
+    assert not suspect.merge([], from_peer)
+    suspect.hold = from_peer
+    assert suspect.merge([], given_back) and suspect.hold is given_back
 
 
 def test_what_a_peer_kept_of_an_older_hold_does_not_come_back(fleet: Fleet) -> None:
