Abandon a job in one place, and encode each result once

Four places set a job as lost and cancelled its runs; HeldJob.abandon does both. A result was encoded to see whether it fits in a row and again for the transaction. No behaviour changes: tests/gateway, tests/adapter, tests/policy and the layers pass.

--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -190,8 +190,7 @@
         """
         dead = ItemResult(state.item.id, DEAD)
         if (state, dead) in self.unlisted:
-            self.lost = True
-            self.cancel_runs()
+            self.abandon()
             return
         self.unlisted = [
             (one, dead if one is state else result) for one, result in self.unlisted
@@ -222,6 +221,11 @@
         """Return the running items."""
         return [state for state in self.states if state.status == RUNNING]
 
+    def abandon(self) -> None:
+        """Work on the job no more; what is unwritten is dropped."""
+        self.lost = True
+        self.cancel_runs()
+
     def cancel_runs(self) -> None:
         """Cancel all runs; the output so far is kept."""
         for state in self.running():
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -383,9 +383,8 @@
     def _stop_cancelled(self, job: str) -> None:
         held = self.held_by_id.get(job)
         if held is not None:
-            held.lost = True
             held.head = held.head.replace(cancelled=True)
-            held.cancel_runs()
+            held.abandon()
             held.wake.set()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/caperridge/gateway/jobs/keeping.py
+++ b/src/caperridge/gateway/jobs/keeping.py
@@ -133,8 +133,7 @@
                 progress=len(batch.progress),
             )
             if batch.item_count == 0:
-                job.lost = True
-                job.cancel_runs()
+                job.abandon()
                 return False
             # Halved until the head is alone, to tell the refused item from the head.
             max_items = batch.item_count // 2
@@ -179,16 +178,17 @@
         id = job.entry.id
         added: list[ItemState] = []
         for number, (state, result) in enumerate(job.unlisted[:max_items]):
-            if not self._store.limits.fits_in_row(to_bytes(result)):
+            value = to_bytes(result)
+            if not self._store.limits.fits_in_row(value):
                 result = await self._with_text_object(job, state, result)
                 job.unlisted[number] = (state, result)
+                value = to_bytes(result)
             removes: list[RowKey] = []
             if state.stored_event or state.stored_failures:
                 removes.append(progress_key(id, state.number))
             position = job.head.listed + number
-            if not builder.add(
-                Transaction({}, {result_key(id, position): to_bytes(result)}, removes)
-            ):
+            key = result_key(id, position)
+            if not builder.add(Transaction({}, {key: value}, removes)):
                 break
             added.append(state)
         return added
@@ -261,7 +261,6 @@
 
 def _lose(job: HeldJob, head: JobHead | None) -> None:
     """Stop to work on a job; ``head`` is as another instance wrote it, if known."""
-    job.lost = True
     log.info(
         "job held elsewhere",
         job=job.entry.id,
@@ -270,7 +269,7 @@
     )
     if head is not None:
         job.head = head
-    job.cancel_runs()
+    job.abandon()
 
 
 def _give_up_item(job: HeldJob, batch: JobBatch) -> None:
