--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -39,17 +39,16 @@
     def __init__(self, store: RowStore, mesh: Mesh) -> None:
         self._store = store
         self._mesh = mesh
-        self._registered = False
-        # An entry that the store refuses for good is not sent again.
-        self._rejected = False
+        # Done, or refused for good: the entry is not sent again.
+        self._settled = False
 
     async def run(self) -> None:
         """Register and poll until cancelled."""
         pause_s = FIRST_POLL_DELAY_S
         while True:
-            if not self._registered and not self._rejected:
+            if not self._settled:
                 await self._register()
-            if await self._read_members() and (self._registered or self._rejected):
+            if await self._read_members() and self._settled:
                 size_ratio = len(self._mesh.members_by_id) / FULL_RATE_MEMBERS
                 pause_s = POLL_INTERVAL_S * max(1.0, size_ratio)
             await asyncio.sleep(pause_s)
@@ -66,10 +65,10 @@
     async def _register(self) -> None:
         value = pack([self._mesh.address, self._mesh.zone, self._mesh.incarnation])
         answer = await self._store.transact(Transaction({}, {self._key(): value}))
-        self._registered = not isinstance(answer, Err)
-        if isinstance(answer, Err) and isinstance(answer.err_value, Rejected):
-            self._rejected = True
+        rejected = isinstance(answer, Err) and isinstance(answer.err_value, Rejected)
+        if rejected:
             log.error("instance not registered", reason=answer.err_value.reason)
+        self._settled = rejected or not isinstance(answer, Err)
 
     async def _read_members(self) -> bool:
         answer = await read_all_rows(self._store, TABLE)
