Sort the store's statuses without naming one twice

429 stood both among the calls that were not done and among the client errors that are not final. No status is sorted otherwise than before: the tests of the contract pass, directly and through a peer.

--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -34,8 +34,8 @@
 LONG_POLL_SLACK_S = 0.7
 MAX_LOGGED_BYTES = 200
 _NOT_DONE_STATUSES = frozenset({429, 503, 507})
-# Client errors that say nothing about a repeat of the call.
-_TRANSIENT_CLIENT_ERRORS = frozenset({408, 425, 429})
+# Client errors after which a repeat of the call may be done, and so may this one.
+_UNKNOWN_STATUSES = frozenset({408, 425})
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -242,9 +242,11 @@
     detail = body[:MAX_LOGGED_BYTES].decode("utf-8", "replace").strip()
     if detail:
         reason = f"{reason}: {detail}"
-    if 400 <= status < 500 and status not in _TRANSIENT_CLIENT_ERRORS:
+    if status in _NOT_DONE_STATUSES:
+        return NotDone(reason)
+    if 400 <= status < 500 and status not in _UNKNOWN_STATUSES:
         return Rejected(reason)
-    return NotDone(reason) if status in _NOT_DONE_STATUSES else Unknown(reason)
+    return Unknown(reason)
 
 
 def _key_fields(key: RowKey) -> dict[str, Any]:
