--- a/tests/gateway/test_store_contract.py
+++ b/tests/gateway/test_store_contract.py
@@ -16,6 +16,7 @@
     RowKey,
     RowStore,
     Transaction,
+    TransactionError,
 )
 from caperridge.platform.store import HttpRowStore
 from caperridge.store.interface import NotDone, Unknown
@@ -90,18 +91,24 @@
     assert (await store.get_object("o")).ok_value is None
 
 
+async def errors_of_calls(store: RowStore) -> list[TransactionError]:
+    """Return the errors of one call of each kind, all of which fail."""
+    answers = [
+        await store.transact(Transaction({}, {key("a"): b"1"})),
+        await store.read("t", PART),
+        await store.put_object("o", b""),
+    ]
+    assert all(isinstance(answer, Err) for answer in answers)
+    return [answer.err_value for answer in answers]
+
+
 @pytest.mark.parametrize("status", [429, 503, 507])
 async def test_a_refusal_is_not_done(
     store: RowStore, world: World, status: int
 ) -> None:
     world.store.refuse = status
-    for answer in (
-        await store.transact(Transaction({}, {key("a"): b"1"})),
-        await store.read("t", PART),
-        await store.put_object("o", b""),
-    ):
-        assert isinstance(answer, Err)
-        assert isinstance(answer.err_value, NotDone)
+    for error in await errors_of_calls(store):
+        assert isinstance(error, NotDone)
     world.store.refuse = None
     assert (await store.read("t", PART)).ok_value.rows == []
 
@@ -112,13 +119,8 @@
 ) -> None:
     """Guards against a caller that repeats what the store will never do."""
     world.store.refuse = status
-    for answer in (
-        await store.transact(Transaction({}, {key("a"): b"1"})),
-        await store.read("t", PART),
-        await store.put_object("o", b""),
-    ):
-        assert isinstance(answer, Err)
-        assert isinstance(answer.err_value, Rejected)
+    for error in await errors_of_calls(store):
+        assert isinstance(error, Rejected)
 
 
 @pytest.mark.parametrize("status", [408, 429, 500, 503, 507])
