--- a/tests/gateway/test_acceptance.py
+++ b/tests/gateway/test_acceptance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterator
 
 import pytest
 from hypothesis import given, settings
@@ -9,7 +10,12 @@
 
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.jobs import acceptance as module
-from caperridge.gateway.jobs.acceptance import Accepted, JobAcceptance, NotAccepted
+from caperridge.gateway.jobs.acceptance import (
+    AcceptanceUnknown,
+    Accepted,
+    JobAcceptance,
+    NotAccepted,
+)
 from caperridge.gateway.jobs.codec import from_bytes, to_bytes
 from caperridge.gateway.jobs.index import JobIndex
 from caperridge.gateway.jobs.keys import entry_key, gate_key, job_of_entry
@@ -31,6 +37,8 @@
 JOBS = 620
 ROWS_PER_WRITE = 90
 LIMIT = 700
+# A refusal that is repeated would hang the test instead of failing it.
+HANG_S = 20.0
 
 
 def batch_route(limit: int) -> Route:
@@ -84,6 +92,28 @@
     await store.close()
 
 
+async def test_a_refusal_for_good_after_a_lost_answer_leaves_the_outcome_unknown() -> (
+    None
+):
+    """Guards against a refused entry that is sent until the caller's deadline."""
+
+    def lost_then_refused() -> Iterator[int]:
+        rows.rejects = True
+        yield LOST_NEVER
+
+    rows = MemoryRows(lost_then_refused(), [])
+    clock = StoreClock()
+    clock.update(1.0)
+    acceptance = JobAcceptance(rows, JobIndex(), clock, random.Random(1))
+    deadline = asyncio.get_running_loop().time() + HANG_S * 2
+    async with asyncio.timeout(HANG_S):
+        outcome = await acceptance.accept(
+            batch_route(LIMIT), HOST, "new", job(1), deadline
+        )
+    assert isinstance(outcome, AcceptanceUnknown)
+    assert rows.transactions == 2
+
+
 submissions = st.lists(
     st.tuples(st.integers(0, 2), st.sampled_from("abcd"), st.integers(1, 6)),
     min_size=2,
