Bound what is read from a target, in bytes and in time without progress

Callers waited up to 5.3 s for the answer of a target that sends bytes without end, or got 504, and an instance grew from 44 to 183 MB (8 s, one such target of four).

Cause: the splitter of events kept a line without end whatever its size, and any byte counted as a sign of life, so that the limits for silence never ran out. The HTTP library skips the extension of a chunk, leading zeros of its size and interim answers without a bound, and leaves a body open when it closes the connection for a trailer that is too long.

Change: one owner of all that is read from targets. Each connection counts its bytes where they are received, and fails after 256 KiB without progress; an event, the head or the payload of a body is progress, a byte is none. An event has 64 KiB at most. Bodies without a stated length share 6 MiB, and whoever exceeds an equal share is given up. Time without an event ends a run that may go on elsewhere, as silence did. What sends too much counts as a wrong answer, so its target is ejected at once; the reason is in the log. Blocks without data (comments, an id alone) are no events; they are forwarded with the next one, or at the end.

One test that replaces the splitter now does so where the answer is read.

--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -4,25 +4,30 @@
 import math
 
 from caperridge.decisions.stream_origins import StreamOrigin
+from caperridge.gateway.answer import (
+    Answer,
+    BrokenAnswerError,
+    OverlongAnswerError,
+    SilentAnswerError,
+)
 from caperridge.gateway.dialect import end_to_end_headers
 from caperridge.gateway.events import Event
 from caperridge.gateway.inbound import InboundRequest, Reply, RequestState
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.stream_origins import StreamOrigins
-from caperridge.gateway.upstream import Answer, BrokenAnswerError, SilentAnswerError
 from caperridge.targets.outcomes import (
     AttemptError,
     Lost,
     TargetRefused,
     WrongAnswer,
 )
+from caperridge.targets.reading import UnsizedBodies
 
 # A target with a free slot sends its first event after about 50 ms, one with a full
 # queue after about 500 ms; callers disconnect after 2 s of silence.
 FIRST_EVENT_SILENCE_S = 1.2
 EVENT_SILENCE_S = 0.7
 EVENT_STREAM = "text/event-stream"
-MAX_ANSWER_BYTES = 16 * 2**20
 
 
 class AnswerRelay:
@@ -36,6 +41,7 @@
     def __init__(self, metrics: GatewayMetrics, origins: StreamOrigins) -> None:
         self._metrics = metrics
         self._origins = origins
+        self._bodies = UnsizedBodies()
 
     async def relay(
         self,
@@ -68,17 +74,12 @@
         state: RequestState,
         answer: Answer,
     ) -> AttemptError | None:
-        chunks: list[bytes] = []
-        size = 0
+        timeout_s = FIRST_EVENT_SILENCE_S if state.movable else math.inf
         try:
-            async for chunk in answer.chunks():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > MAX_ANSWER_BYTES:
-                    return WrongAnswer("an answer that is too large")
+            body = await answer.body(self._bodies, timeout_s)
         except BrokenAnswerError as error:
-            return Lost(str(error))
-        state.wrote = answer.status < 400 and size > 0
+            return _broken(error, state)
+        state.wrote = answer.status < 400 and bool(body)
         failed = answer.status >= 500
         if failed:
             state.attempts += 1
@@ -86,7 +87,7 @@
         if (failed and retryable) or reply.started:
             return TargetRefused(answer.status, "it failed", "ran")
         headers = end_to_end_headers(answer.headers, frozenset())
-        await reply.send_whole(answer.status, headers, b"".join(chunks))
+        await reply.send_whole(answer.status, headers, body)
         return None
 
     async def _relay_events(
@@ -110,11 +111,8 @@
                 if out_of_order:
                     state.attempts += 1
                     return WrongAnswer("an event out of order")
-        except SilentAnswerError as error:
-            state.attempts += 1
-            return Lost(str(error), broken_off=True)
         except BrokenAnswerError as error:
-            return Lost(str(error))
+            return _broken(error, state)
         if answer.is_unframed and not (reply.started or state.last_event):
             # Nothing marks its end, and each stream has an event.
             return Lost("it ended before an event")
@@ -150,6 +148,17 @@
         await reply.write(data)
 
 
+def _broken(error: BrokenAnswerError, state: RequestState) -> Lost | WrongAnswer:
+    """Return the error of an attempt; one that this end broke off counts."""
+    if isinstance(error, OverlongAnswerError):
+        state.attempts += 1
+        return WrongAnswer(str(error))
+    if isinstance(error, SilentAnswerError):
+        state.attempts += 1
+        return Lost(str(error), broken_off=True)
+    return Lost(str(error))
+
+
 def _events_in_order(events: list[Event], state: RequestState) -> tuple[bytes, bool]:
     """Return the events in sequence, joined, and whether one was out of sequence.
 
--- a/src/caperridge/gateway/events.py
+++ b/src/caperridge/gateway/events.py
@@ -6,6 +6,7 @@
 _EVENT_END_CRLF = b"\r\n\r\n"
 _ID = b"id:"
 _DATA = b"data:"
+_DATA_LINE = b"\n" + _DATA
 
 
 class Event(Record):
@@ -38,8 +39,12 @@
 class EventSplitter:
     r"""Splits received bytes into complete events.
 
+    Blocks without data, such as comments, are no events. They are kept with the next
+    event, or form the trailer.
+
     Attributes:
-        rest: bytes of an event that is not complete yet.
+        rest: bytes of a block that is not complete yet.
+        trailer: complete blocks without data after the last event.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a")
@@ -48,12 +53,22 @@
     [Event(id=1, raw=b'id: 1\ndata: a\n\n')]
     >>> splitter.rest
     b'id: 2'
+    >>> splitter.feed(b"\ndata: b\n\n: comment\n\n")
+    [Event(id=2, raw=b'id: 2\ndata: b\n\n')]
+    >>> splitter.rest, splitter.trailer
+    (b'', b': comment\n\n')
     """
 
-    __slots__ = ("rest",)
+    __slots__ = ("rest", "trailer")
 
     def __init__(self) -> None:
         self.rest = b""
+        self.trailer = b""
+
+    @property
+    def pending_bytes(self) -> int:
+        """How many bytes it has that belong to no event yet."""
+        return len(self.rest) + len(self.trailer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
@@ -63,7 +78,21 @@
         # Runs for each read of each stream, so all events are split in one pass that
         # ignores other line endings.
         *parts, self.rest = pending.split(_EVENT_END)
-        return [Event(_id_of(part), part + _EVENT_END) for part in parts]
+        events: list[Event] = []
+        for part in parts:
+            self._add_block(part + _EVENT_END, events)
+        return events
+
+    def _add_block(self, block: bytes, events: list[Event]) -> None:
+        """Add a complete block to the events, or to the trailer if it has no data."""
+        if not block.startswith(_DATA) and _DATA_LINE not in block:
+            self.trailer += block
+            return
+        id = _id_of(block)
+        if self.trailer:
+            block = self.trailer + block
+            self.trailer = b""
+        events.append(Event(id, block))
 
     def _feed_mixed(self, pending: bytes) -> list[Event]:
         """Return complete events of a stream with mixed line endings."""
@@ -72,7 +101,7 @@
             end = _end_of_event(pending)
             if end < 0:
                 break
-            events.append(Event(_id_of(pending[:end]), pending[:end]))
+            self._add_block(pending[:end], events)
             pending = pending[end:]
         self.rest = pending
         return events
--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -91,6 +91,8 @@
         parts = [self.progress.text] if number else []
         in_order = True
         for event in events:
+            if event.id < 0 and not event.data():
+                continue  # comments
             in_order = event.id == number + 1
             if not in_order:
                 break
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -7,6 +7,11 @@
 from result import Err
 
 from caperridge.decisions.stream_origins import StreamOrigin
+from caperridge.gateway.answer import (
+    Answer,
+    BrokenAnswerError,
+    OverlongAnswerError,
+)
 from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
@@ -23,7 +28,7 @@
 from caperridge.gateway.routes import Route
 from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.targets import Target
-from caperridge.gateway.upstream import Answer, BrokenAnswerError, TargetClient
+from caperridge.gateway.upstream import TargetClient
 from caperridge.log import logger
 from caperridge.records import Record
 from caperridge.refusals import NOT_RUN
@@ -318,6 +323,8 @@
                     return WrongAnswer("an event out of order")
                 if events and loop.time() >= renew_at and not answer.at_end:
                     return Renewal()
+        except OverlongAnswerError as error:
+            return WrongAnswer(str(error))
         except BrokenAnswerError as error:
             return Lost(str(error))
         except asyncio.CancelledError:
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -5,18 +5,17 @@
 """
 
 import asyncio
-import contextlib
 import functools
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import yarl
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 
+from caperridge.gateway.answer import TARGET_RESTARTED, Answer
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.events import Event, EventSplitter
 from caperridge.gateway.open_runs import OpenRuns
 from caperridge.gateway.targets import Target
 from caperridge.no_repeat import LostOnTheWayError, prevent_retry
@@ -31,6 +30,11 @@
     WrongAnswer,
 )
 from caperridge.targets.plain import AUTO_HEADERS
+from caperridge.targets.reading import (
+    TOO_MUCH_READ,
+    BoundedConnections,
+    has_read_too_much,
+)
 from caperridge.targets.silence import IdleTimeouts
 from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
@@ -39,7 +43,6 @@
 # within 300 ms.
 CONNECT_TIMEOUT_S = 0.2
 READ_BUFFER_BYTES = 64 * 2**10
-TARGET_RESTARTED = "its target started again"
 
 
 class Outbound(Record):
@@ -70,160 +73,6 @@
         self.body = body
 
 
-class BrokenAnswerError(Exception):
-    """The answer ended before it was complete."""
-
-
-class SilentAnswerError(BrokenAnswerError):
-    """No data was received for too long; the connection has been closed."""
-
-
-class Answer:
-    """An answer whose head was received; its body is read in chunks or as events.
-
-    Attributes:
-        status: HTTP status.
-        headers: as received.
-
-    Args:
-        response: of the HTTP library.
-        watch: closes the connection when the target falls silent.
-        target: id of the target that sends it.
-        runs: holds the answer until it is closed.
-        has_crashed: returns whether the target has crashed by now.
-    """
-
-    __slots__ = (
-        "_failure",
-        "_has_crashed",
-        "_open_runs",
-        "_protocol",
-        "_response",
-        "_splitter",
-        "_target",
-        "_watch",
-        "headers",
-        "status",
-    )
-
-    def __init__(
-        self,
-        response: aiohttp.ClientResponse,
-        watch: IdleTimeouts,
-        target: str,
-        runs: OpenRuns,
-        has_crashed: Callable[[], Awaitable[bool]],
-    ) -> None:
-        self._response = response
-        self._has_crashed = has_crashed
-        self._watch = watch
-        self._target = target
-        self._open_runs = runs
-        self._failure: BrokenAnswerError | None = None
-        runs.add(target, self._on_restart)
-        self._splitter = EventSplitter()
-        self._protocol = protocol_of(response)
-        self.status = response.status
-        self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
-
-    async def chunks(
-        self,
-        first_timeout_s: float = math.inf,
-        next_timeout_s: float = math.inf,
-        coalesce_s: float = 0.0,
-    ) -> AsyncIterator[bytes]:
-        """Yield the body as it is received.
-
-        Args:
-            first_timeout_s: longest silence before the first chunk, in seconds.
-            next_timeout_s: longest silence after that, in seconds.
-            coalesce_s: data received within this time of a chunk, or before the end of
-                the body, forms the next chunk. It is lost if the connection breaks
-                in the meantime.
-
-        Raises:
-            BrokenAnswerError: the connection ended before the body did.
-            SilentAnswerError: no data was received for too long.
-        """
-        watched = self._watch.add(first_timeout_s, self._on_silence)
-        loop = asyncio.get_running_loop()
-        try:
-            while chunk := await self._response.content.readany():
-                watched.last_received_at = loop.time()
-                watched.timeout_s = next_timeout_s
-                yield chunk
-                if coalesce_s:
-                    await self._coalesce(coalesce_s)
-        except (aiohttp.ClientError, OSError) as error:
-            raise self._failure or BrokenAnswerError(type(error).__name__) from error
-        finally:
-            self._watch.remove(watched)
-        if self._failure is not None:
-            raise self._failure
-        if not self.is_unframed:
-            return
-        if was_reset(self._protocol):
-            raise BrokenAnswerError("an answer without a length was reset")
-        # The system ends the connections of a crashed process like complete answers.
-        if await self._has_crashed():
-            raise BrokenAnswerError("its target crashed")
-
-    async def events(
-        self, first_timeout_s: float, next_timeout_s: float, coalesce_s: float = 0.0
-    ) -> AsyncIterator[list[Event]]:
-        """Yield the events of the body, those of one chunk together.
-
-        Args:
-            first_timeout_s: see :meth:`chunks`.
-            next_timeout_s: see :meth:`chunks`.
-            coalesce_s: see :meth:`chunks`.
-
-        Raises:
-            BrokenAnswerError: the body is incomplete or ends within an event.
-            SilentAnswerError: no data was received for too long.
-        """
-        async for chunk in self.chunks(first_timeout_s, next_timeout_s, coalesce_s):
-            yield self._splitter.feed(chunk)
-        if self._splitter.rest:
-            raise BrokenAnswerError("it ended within an event")
-
-    async def _coalesce(self, coalesce_s: float) -> None:
-        """Wait for more of the body; return early at its end."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(coalesce_s):
-                await self._response.content.wait_eof()
-
-    def buffered_events(self) -> list[Event]:
-        """Return complete events that were received after :meth:`events` was left."""
-        content = self._response.content
-        if content.exception() is not None:
-            return []
-        return self._splitter.feed(content.read_nowait())
-
-    @property
-    def at_end(self) -> bool:
-        """Whether the complete body was received."""
-        return self._response.content.is_eof()
-
-    @property
-    def is_unframed(self) -> bool:
-        """Whether it has neither a length nor chunks and ends with its connection."""
-        return is_unframed(self.headers)
-
-    def close(self) -> None:
-        """Close the connection; the target drops the request if it still runs."""
-        self._open_runs.remove(self._target, self._on_restart)
-        self._response.close()
-
-    def _on_silence(self) -> None:
-        self._failure = SilentAnswerError("it fell silent")
-        self._response.close()
-
-    def _on_restart(self) -> None:
-        self._failure = BrokenAnswerError(TARGET_RESTARTED)
-        self._response.close()
-
-
 async def _never_crashes(target: Target) -> bool:
     return False
 
@@ -242,6 +91,7 @@
         self._dialect = dialect
         self.has_crashed: Callable[[Target], Awaitable[bool]] = _never_crashes
         self._session: aiohttp.ClientSession | None = None
+        self._connections = BoundedConnections()
         self._watch = IdleTimeouts()
         self._open_runs = OpenRuns()
 
@@ -303,12 +153,13 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(NotSent(type(error).__name__))
-        except LostOnTheWayError as error:
-            return Err(Lost(str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(Lost(type(error).__name__))
+            return Err(_lost_before_head(error))
         has_crashed = functools.partial(self.has_crashed, target)
-        answer = Answer(response, self._watch, target.id, self._open_runs, has_crashed)
+        socket = self._connections.track(response)
+        answer = Answer(
+            response, self._watch, socket, target.id, self._open_runs, has_crashed
+        )
         return self._verify(outbound, answer)
 
     async def get(
@@ -324,7 +175,11 @@
             ) as response:
                 if response.status != 200:
                     return Err(self._refusal(response.status))
-                return Ok(await response.read())
+                protocol = protocol_of(response)
+                body = await response.read()
+                if is_unframed(response.headers) and was_reset(protocol):
+                    return Err(Lost("an answer without a length was reset"))
+                return Ok(body)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(Lost(type(error).__name__))
 
@@ -361,7 +216,7 @@
     def _opened_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                connector=self._connections.connector(),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 read_bufsize=READ_BUFFER_BYTES,
@@ -370,3 +225,11 @@
                 middlewares=(prevent_retry,),
             )
         return self._session
+
+
+def _lost_before_head(error: Exception) -> Lost | WrongAnswer:
+    if has_read_too_much(error):
+        return WrongAnswer(TOO_MUCH_READ)
+    if isinstance(error, LostOnTheWayError):
+        return Lost(str(error))
+    return Lost(type(error).__name__)
--- a/tests/gateway/test_item_events.py
+++ b/tests/gateway/test_item_events.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from caperridge.gateway import upstream
+from caperridge.gateway import answer
 from caperridge.gateway.events import EventSplitter
 from caperridge.gateway.jobs import item_runs
 from gateway.conftest import World, until
@@ -40,7 +40,7 @@
                 reads.append(len(data))
                 return super().feed(data)
 
-        monkeypatch.setattr(upstream, "EventSplitter", Splitter)
+        monkeypatch.setattr(answer, "EventSplitter", Splitter)
 
 
 async def test_events_of_an_item_are_read_many_at_a_time(
