Bound what engines and plain services may send

The clients of the product's own interface read from targets as the gateway's did: an event without end was kept whatever its size, skipped bytes had no bound, and the limit of a plain answer was 16 MiB for each call. They now use the same bounded connections. Bodies without a stated length share 6 MiB, as they do on the platform.

--- a/src/caperridge/targets/engine.py
+++ b/src/caperridge/targets/engine.py
@@ -22,6 +22,11 @@
     WrongAnswer,
 )
 from caperridge.targets.own_pauses import PauseAwareTimeout, PauseMonitor
+from caperridge.targets.reading import (
+    TOO_MUCH_READ,
+    BoundedConnections,
+    has_read_too_much,
+)
 from caperridge.targets.silence import IdleTimeouts
 
 MAX_CONNECT_S = 1.0
@@ -101,6 +106,7 @@
         self._first_event_s = first_event_s
         self._between_events_s = between_events_s
         self._session: aiohttp.ClientSession | None = None
+        self._connections = BoundedConnections()
         self._idle_timeouts = IdleTimeouts()
         self._pauses = PauseMonitor()
 
@@ -115,8 +121,9 @@
         if self._session is None:
             # One request per connection: a late answer can't reach a later request,
             # and the library has no stale connection on which to repeat a call.
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(
+                connector=self._connections.connector()
+            )
         return self._session
 
     async def stream(self, attempt: Attempt) -> AsyncIterator[list[bytes]]:
@@ -152,7 +159,9 @@
             late = Lost("no event in time", broken_off=True)
             raise AttemptFailed(late) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise AttemptFailed(Lost(type(error).__name__)) from error
+            too_much = has_read_too_much(error)
+            reason = TOO_MUCH_READ if too_much else type(error).__name__
+            raise AttemptFailed(Lost(reason)) from error
         except WrongEventError as error:
             raise AttemptFailed(WrongAnswer(str(error))) from error
 
@@ -196,6 +205,7 @@
         checker = EventChecker(attempt.request, attempt.attempt, attempt.resume_from)
         content, clock = response.content, loop.time
         idle = TimeoutError("no data within the idle timeout")
+        socket = self._connections.track(response)
         read_timeout = self._idle_timeouts.add(
             due - clock(), lambda: content.set_exception(idle)
         )
@@ -207,6 +217,8 @@
                     break
                 events = checker.feed(data)
                 if events:
+                    if socket is not None:
+                        socket.record_progress()
                     # A slow consumer is not the target's fault.
                     read_timeout.timeout_s = math.inf
                     yield events
--- a/src/caperridge/targets/plain.py
+++ b/src/caperridge/targets/plain.py
@@ -8,6 +8,7 @@
 from caperridge.no_repeat import LostOnTheWayError, prevent_retry
 from caperridge.records import Record
 from caperridge.targets.outcomes import AttemptError, Lost, NotSent
+from caperridge.targets.reading import BoundedConnections, UnsizedBodies
 from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 CALL_TIMEOUT_S = 30.0
@@ -80,6 +81,8 @@
         self._timeout = aiohttp.ClientTimeout(total=deadline_s, sock_connect=connect_s)
         self._max_answer_bytes = max_answer_bytes
         self._session: aiohttp.ClientSession | None = None
+        self._connections = BoundedConnections()
+        self._bodies = UnsizedBodies()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -89,7 +92,7 @@
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                connector=self._connections.connector(),
                 # A cookie jar would send one caller's cookies with another's call.
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
@@ -114,8 +117,7 @@
                 protocol = protocol_of(response)
                 body = await self._read_body(response)
                 if body is None:
-                    text = f"the answer has over {self._max_answer_bytes} bytes"
-                    return Err(AnswerTooLarge(text))
+                    return Err(AnswerTooLarge("the answer has too many bytes"))
                 if is_unframed(response.headers) and was_reset(protocol):
                     return Err(Lost("an answer without a length was reset"))
                 headers = CIMultiDict(response.headers)
@@ -130,11 +132,17 @@
             return Err(Lost(type(error).__name__))
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes | None:
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in response.content.iter_any():
-            size += len(chunk)
-            if size > self._max_answer_bytes:
-                return None
-            chunks.append(chunk)
-        return b"".join(chunks)
+        """Return the complete body; None if it is too large."""
+        socket = self._connections.track(response)
+        unsized = response.content_length is None
+        received = bytearray()
+        with self._bodies.begin() as body:
+            async for chunk in response.content.iter_any():
+                if socket is not None:
+                    socket.record_payload(len(chunk))
+                received += chunk
+                size = len(received)
+                within = not unsized or self._bodies.may_hold(body, size)
+                if size > self._max_answer_bytes or not within:
+                    return None
+        return bytes(received)
