Bound what is read of an answer of the store

A store that sends bytes without end was read until the call timed out, after 2 s or, for a long poll, up to 31 s, and all of it was kept. Its connections are now bounded like those to targets, and an answer has 2 MiB at most, an object the limit of objects. Such a call has no answer, so its connections are retired like others.

--- a/src/caperridge/gateway/answer.py
+++ b/src/caperridge/gateway/answer.py
@@ -89,7 +89,6 @@
         self._protocol = protocol_of(response)
         self.status = response.status
         self.headers: CIMultiDict[str] = CIMultiDict(response.headers)
-        self._record_progress()
 
     def _record_progress(self) -> None:
         if self._socket is not None:
--- a/src/caperridge/gateway/store_connections.py
+++ b/src/caperridge/gateway/store_connections.py
@@ -13,6 +13,7 @@
 
 from caperridge.gateway.silent_sockets import enable_keepalive, set_user_timeout
 from caperridge.no_repeat import prevent_retry
+from caperridge.targets.reading import TOO_MUCH_READ, BoundedConnections
 
 # Busy instances call several times per second; an idle connection costs little.
 KEEPALIVE_TIMEOUT_S = 20
@@ -28,6 +29,7 @@
     """
 
     def __init__(self) -> None:
+        self._connections = BoundedConnections(_prepare_socket)
         self._current: aiohttp.ClientSession | None = None
         self._calls_by_session: dict[aiohttp.ClientSession, int] = {}
 
@@ -36,7 +38,7 @@
         """Yield the current session for one call."""
         session = self._current
         if session is None:
-            session = self._current = _make_session()
+            session = self._current = self._make_session()
             self._calls_by_session[session] = 0
         self._calls_by_session[session] += 1
         try:
@@ -71,20 +73,36 @@
             del self._calls_by_session[session]
             await session.close()
 
-
-def _make_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S, socket_factory=_make_socket
-        ),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(prevent_retry,),
-    )
-
-
-def _make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    created = socket.socket(family, kind, protocol)
+    def _make_session(self) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+                socket_factory=self._connections.make_socket,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(prevent_retry,),
+        )
+
+    async def read(self, response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+        """Return the complete body of a response.
+
+        Raises:
+            aiohttp.ClientPayloadError: it has more than ``max_bytes``.
+        """
+        socket = self._connections.track(response)
+        received = bytearray()
+        async for chunk in response.content.iter_any():
+            if socket is not None:
+                socket.record_payload(len(chunk))
+            received += chunk
+            if len(received) > max_bytes:
+                raise aiohttp.ClientPayloadError(f"over {max_bytes} bytes")
+        if socket is not None and socket.exceeded:
+            raise aiohttp.ClientPayloadError(TOO_MUCH_READ)
+        return bytes(received)
+
+
+def _prepare_socket(created: socket.socket) -> None:
     set_user_timeout(created, USER_TIMEOUT_MS)
     enable_keepalive(created)
-    return created
--- a/src/caperridge/platform/store.py
+++ b/src/caperridge/platform/store.py
@@ -33,6 +33,8 @@
 # A long poll whose answer is overdue by this time has a dead connection.
 LONG_POLL_SLACK_S = 0.7
 MAX_LOGGED_BYTES = 200
+# The store returns 1 MB of rows at most, and their values in base64.
+MAX_ROWS_BYTES = 2 * 2**20
 _NOT_DONE_STATUSES = frozenset({429, 503, 507})
 # Client errors after which a repeat of the call may be done, and so may this one.
 _UNKNOWN_STATUSES = frozenset({408, 425})
@@ -150,11 +152,8 @@
     async def _feed(
         self, table: str, since: int, wait_s: float, timeout_s: float
     ) -> Result[RowsRead, ChangesError]:
-        query = {
-            "table": table,
-            "sinceRev": str(since),
-            "waitMs": str(int(wait_s * 1000)),
-        }
+        wait_ms = str(int(wait_s * 1000))
+        query = {"table": table, "sinceRev": str(since), "waitMs": wait_ms}
         answer = await self._call("GET", "/rows-feed", query=query, timeout_s=timeout_s)
         if isinstance(answer, Err):
             return answer
@@ -178,7 +177,8 @@
 
     async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
         """See :meth:`RowStore.get_object`."""
-        answer = await self._call("GET", f"/blob-get/{name}")
+        most = self.limits.object_bytes
+        answer = await self._call("GET", f"/blob-get/{name}", max_bytes=most)
         if isinstance(answer, Err):
             return answer
         status, body = answer.ok_value
@@ -203,6 +203,7 @@
         query: dict[str, str] | None = None,
         body: bytes | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        max_bytes: int = MAX_ROWS_BYTES,
     ) -> Result[tuple[int, bytes], StoreError]:
         headers = {"Content-Type": "application/json"} if path == "/rows-tx" else None
         async with self._connections.acquire() as session:
@@ -218,7 +219,8 @@
                     ),
                     allow_redirects=False,
                 ) as response:
-                    return Ok((response.status, await response.read()))
+                    received = await self._connections.read(response, max_bytes)
+                    return Ok((response.status, received))
             except _CONNECT_ERRORS as error:
                 return Err(NotDone(f"no connection: {error}", reached=False))
             except LostOnTheWayError as error:
--- a/src/caperridge/targets/reading.py
+++ b/src/caperridge/targets/reading.py
@@ -73,22 +73,31 @@
 
 
 class BoundedConnections:
-    """The connections of one client of targets, one for each request."""
+    """The connections of one client, whose sockets are bounded.
 
-    def __init__(self) -> None:
+    Args:
+        prepare: sets further options of each new socket.
+    """
+
+    def __init__(
+        self, prepare: Callable[[socket.socket], None] = lambda created: None
+    ) -> None:
+        self._prepare = prepare
         self._sockets_by_descriptor: weakref.WeakValueDictionary[int, BoundedSocket] = (
             weakref.WeakValueDictionary()
         )
 
     def connector(self) -> aiohttp.TCPConnector:
-        """Return a connector for a session of the HTTP library."""
+        """Return a connector with one connection for each request."""
         return aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=self._make_socket
+            limit=0, force_close=True, socket_factory=self.make_socket
         )
 
-    def _make_socket(self, address: aiohttp.AddrInfoType) -> socket.socket:
+    def make_socket(self, address: aiohttp.AddrInfoType) -> socket.socket:
+        """Return a socket, as the HTTP library's connectors ask for it."""
         family, kind, protocol, _, _ = address
         created = BoundedSocket(family, kind, protocol)
+        self._prepare(created)
         self._sockets_by_descriptor[created.fileno()] = created
         return created
 
@@ -97,6 +106,7 @@
 
         The HTTP library closes the connection when it finds an error after a body, and
         leaves that body open. It is failed then, so that its reader does not wait.
+        The head that was received counts as progress.
         """
         connection = response.connection
         if connection is None or connection.transport is None:
@@ -104,6 +114,7 @@
         wrapper = connection.transport.get_extra_info("socket")
         found = self._sockets_by_descriptor.get(wrapper.fileno())
         if found is not None:
+            found.record_progress()
             found.on_close = functools.partial(_fail_open_body, response.content)
         return found
 
