--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -7,11 +7,7 @@
 from result import Err
 
 from caperridge.decisions.stream_origins import StreamOrigin
-from caperridge.gateway.answer import (
-    Answer,
-    BrokenAnswerError,
-    OverlongAnswerError,
-)
+from caperridge.gateway.answer import Answer, BrokenAnswerError, OverlongAnswerError
 from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -268,7 +268,7 @@
 
     Attributes:
         target: its id.
-        runs: content, caller, age in seconds and events of each.
+        runs: content, caller, age in seconds and events of each; none of items.
         parts: the same of each shared part of their prompts, with the key of the part
             and the content that has it.
     """
