Leave a silent target only for a slot that is reserved elsewhere

Callers saw streams cut in the middle of an answer, seconds before their deadline, when targets sent nothing for a second in a peak.

Cause: 0.7 s without an event ended a run before another target was looked for. If none had a slot the request was given up, though its target would have gone on.

Change: silence ends a run only if another usable target has a free slot or one that an item gives up. It is reserved before the run is ended and counts as taken. Without one the run stays, and is asked about again every 0.25 s. Targets that reset their connections, restart or leave end their runs as before. The limit of the head follows the same rule.

--- a/src/caperridge/gateway/answer.py
+++ b/src/caperridge/gateway/answer.py
@@ -15,7 +15,7 @@
 from caperridge.gateway.events import Event, EventSplitter
 from caperridge.gateway.open_runs import OpenRuns
 from caperridge.targets.reading import TOO_MUCH_READ, BoundedSocket, UnsizedBodies
-from caperridge.targets.silence import IdleTimeouts
+from caperridge.targets.silence import IdleTimeouts, always
 from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 # An event holds a few tokens.
@@ -94,19 +94,25 @@
         if self._socket is not None:
             self._socket.record_progress()
 
-    async def body(self, bodies: UnsizedBodies, timeout_s: float = math.inf) -> bytes:
+    async def body(
+        self,
+        bodies: UnsizedBodies,
+        timeout_s: float = math.inf,
+        may_end: Callable[[], bool] = always,
+    ) -> bytes:
         """Return the complete body.
 
         Args:
             bodies: that are read at the same time.
             timeout_s: longest time without progress, in seconds.
+            may_end: returns whether a longer time may end it.
 
         Raises:
             BrokenAnswerError: the connection ended before the body did.
             SilentAnswerError: there was no progress for too long.
             OverlongAnswerError: it has too many bytes.
         """
-        watched = self._watch.add(timeout_s, self._on_silence)
+        watched = self._watch.add(timeout_s, self._on_silence, may_end)
         loop = asyncio.get_running_loop()
         received = bytearray()
         counted = 0
@@ -159,7 +165,11 @@
         return self._socket is not None and self._socket.exceeded
 
     async def events(
-        self, first_timeout_s: float, next_timeout_s: float, coalesce_s: float = 0.0
+        self,
+        first_timeout_s: float,
+        next_timeout_s: float,
+        coalesce_s: float = 0.0,
+        may_end: Callable[[], bool] = always,
     ) -> AsyncIterator[list[Event]]:
         """Yield the events of the body, those of one chunk together.
 
@@ -169,13 +179,14 @@
             coalesce_s: data received within this time of a chunk, or before the end of
                 the body, forms the next chunk. It is lost if the connection breaks
                 in the meantime.
+            may_end: returns whether a longer time may end it.
 
         Raises:
             BrokenAnswerError: the body is incomplete or ends within an event.
             SilentAnswerError: there was no event for too long.
             OverlongAnswerError: an event has too many bytes.
         """
-        watched = self._watch.add(first_timeout_s, self._on_silence)
+        watched = self._watch.add(first_timeout_s, self._on_silence, may_end)
         loop = asyncio.get_running_loop()
         splitter = self._splitter
         began = False
--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.answer import (
@@ -50,6 +51,7 @@
         state: RequestState,
         answer: Answer,
         origin: StreamOrigin,
+        may_end: Callable[[], bool],
     ) -> AttemptError | None:
         """Relay ``answer``; return None if it was relayed completely.
 
@@ -59,13 +61,16 @@
             state: progress of the request.
             answer: of a target.
             origin: of a stream that begins with this answer.
+            may_end: returns whether a target that makes no progress may be left.
         """
         content_type = (
             answer.headers.get("Content-Type", "").partition(";")[0].strip().lower()
         )
         if answer.status == 200 and content_type == EVENT_STREAM:
-            return await self._relay_events(request, reply, state, answer, origin)
-        return await self._relay_whole(request, reply, state, answer)
+            return await self._relay_events(
+                request, reply, state, answer, origin, may_end
+            )
+        return await self._relay_whole(request, reply, state, answer, may_end)
 
     async def _relay_whole(
         self,
@@ -73,10 +78,11 @@
         reply: Reply,
         state: RequestState,
         answer: Answer,
+        may_end: Callable[[], bool],
     ) -> AttemptError | None:
         timeout_s = FIRST_EVENT_SILENCE_S if state.movable else math.inf
         try:
-            body = await answer.body(self._bodies, timeout_s)
+            body = await answer.body(self._bodies, timeout_s, may_end)
         except BrokenAnswerError as error:
             return _broken(error, state)
         state.wrote = answer.status < 400 and bool(body)
@@ -97,12 +103,13 @@
         state: RequestState,
         answer: Answer,
         origin: StreamOrigin,
+        may_end: Callable[[], bool],
     ) -> AttemptError | None:
         first_s, next_s = math.inf, math.inf
         if state.movable:
             first_s, next_s = FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S
         try:
-            async for events in answer.events(first_s, next_s):
+            async for events in answer.events(first_s, next_s, may_end=may_end):
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
                     state.wrote = True
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import math
 from collections.abc import Callable
 
@@ -93,6 +94,7 @@
             reason = "its time is over"
             return Failure(reason, not state.sent_at_least_once, timed_out=True)
         finally:
+            self._release_reserved(state)
             self._guard.run_interrupted(request.id)
 
     async def _forward(
@@ -103,7 +105,7 @@
             if failure is not None:
                 return failure
         while True:
-            target = self._choice.choose(request, state)
+            target = self._reserved(state) or self._choice.choose(request, state)
             if isinstance(target, Failure):
                 return target
             refusal = await self._check_quarantine(request, state)
@@ -165,6 +167,7 @@
     ) -> AttemptError | None:
         """Send the request to ``target``; None if its answer was relayed completely."""
         state.offers += 1
+        self._release_reserved(state)
         count = self._fleet.occupancy.total_at(target.id)
         log.info(
             "request placed",
@@ -252,7 +255,8 @@
         state.begin_run(request.route)
         outbound = self._outbound(request, state, target)
         head_timeout_s = FIRST_EVENT_SILENCE_S if state.movable else math.inf
-        opened = await self._client.open(target, outbound, head_timeout_s)
+        may_end = functools.partial(self._reserve_other, request, state, target)
+        opened = await self._client.open(target, outbound, head_timeout_s, may_end)
         if isinstance(opened, Err):
             error = opened.err_value
             _count_unanswered(state, error, sent_before)
@@ -261,11 +265,39 @@
         answer = opened.ok_value
         try:
             return await self._answers.relay(
-                request, reply, state, answer, target.origin
+                request, reply, state, answer, target.origin, may_end
             )
         finally:
             answer.close()
 
+    def _reserve_other(
+        self, request: InboundRequest, state: RequestState, current: Target
+    ) -> bool:
+        """Reserve a slot at another target, so that ``current`` can be left.
+
+        A stream that is cut before it has a slot elsewhere may find none.
+        """
+        other = self._choice.choose_other(request, state, current)
+        if other is None:
+            return False
+        state.reserved = other
+        self._fleet.occupancy.add(other.id, online=1)
+        self.on_placed(other.id)
+        return True
+
+    def _reserved(self, state: RequestState) -> Target | None:
+        """Return the target with a slot for the next run, if it can still be used."""
+        now = asyncio.get_running_loop().time()
+        if state.reserved is None or self._fleet.is_usable(state.reserved.id, now):
+            return state.reserved
+        self._release_reserved(state)
+        return None
+
+    def _release_reserved(self, state: RequestState) -> None:
+        if state.reserved is not None:
+            self._fleet.occupancy.add(state.reserved.id, online=-1)
+            state.reserved = None
+
     def _outbound(
         self, request: InboundRequest, state: RequestState, target: Target
     ) -> Outbound:
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -7,6 +7,7 @@
 from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.routes import Route
+from caperridge.gateway.targets import Target
 from caperridge.records import Record
 
 # A few broken runs of one request in a row are coincidence; more are caused by the
@@ -142,6 +143,7 @@
         fingerprint: its fingerprint; None until it is needed.
         wrote: the target of its current run has written a part of an answer.
         movable: its current run may be broken off and repeated at another target.
+        reserved: target with a slot for its next run; None if there is none.
         admitted_runs: value of ``runs`` when the guard last admitted it; -1 if it has
             to be asked again.
     """
@@ -155,6 +157,7 @@
         "offers",
         "origin",
         "origin_recorded",
+        "reserved",
         "runs",
         "sent_at_least_once",
         "tried_targets",
@@ -173,6 +176,7 @@
         self.fingerprint: Fingerprint | None = None
         self.movable = False
         self.wrote = False
+        self.reserved: Target | None = None
         self.admitted_runs = -1
 
     def begin_run(self, route: Route) -> None:
--- a/src/caperridge/gateway/target_choice.py
+++ b/src/caperridge/gateway/target_choice.py
@@ -10,7 +10,12 @@
 from caperridge.gateway.answer_limits import AnswerLimits
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.inbound import Failure, InboundRequest, RequestState
-from caperridge.gateway.placement import place_online, place_online_zone_first
+from caperridge.gateway.placement import (
+    MaxQueued,
+    no_queue,
+    place_online,
+    place_online_zone_first,
+)
 from caperridge.gateway.targets import Target
 from caperridge.log import logger
 
@@ -58,15 +63,8 @@
         if state.last_event or not not_run:
             # It has started or may have, so its caller cannot be told to retry.
             remaining_s = max(remaining_s, request.route.objective_s)
-        place = (
-            place_online_zone_first if self._fleet.remote_counts_stale else place_online
-        )
-        target = place(
-            targets,
-            self._fleet.occupancy,
-            self._fleet.zone,
-            self._fleet.rng,
-            lambda one: max_queued(online_s, one.slots, remaining_s),
+        target = self._place(
+            targets, lambda one: max_queued(online_s, one.slots, remaining_s)
         )
         if target is not None:
             return target
@@ -74,6 +72,29 @@
         self._log_no_room(request, targets, online_s, remaining_s, retry_after_s)
         return Failure("no slot in time", not_run, retry_after_s)
 
+    def choose_other(
+        self, request: InboundRequest, state: RequestState, current: Target
+    ) -> Target | None:
+        """Return another target that has a slot for a request that runs at one.
+
+        Unlike a request that runs nowhere, it doesn't move into a queue.
+        """
+        if state.offers >= MAX_OFFERS:
+            return None
+        now = asyncio.get_running_loop().time()
+        service, version = _service_and_version(request, state)
+        tried = frozenset(state.tried_targets | {current.id})
+        targets = self._fleet.usable(service, now, tried, version)
+        usable = [one for one in targets if self._fleet.is_usable(one.id, now)]
+        return self._place(usable, no_queue)
+
+    def _place(self, targets: list[Target], max_queued: MaxQueued) -> Target | None:
+        place = (
+            place_online_zone_first if self._fleet.remote_counts_stale else place_online
+        )
+        fleet = self._fleet
+        return place(targets, fleet.occupancy, fleet.zone, fleet.rng, max_queued)
+
     def _usable(
         self, request: InboundRequest, state: RequestState, now: float
     ) -> list[Target]:
@@ -81,9 +102,7 @@
 
         A stream goes on only at the software version that began it.
         """
-        service, version = request.route.service_for(request.id), None
-        if state.origin is not None:
-            service, version = state.origin.service, state.origin.software_version
+        service, version = _service_and_version(request, state)
         tried = frozenset(state.tried_targets)
         targets = self._fleet.usable(service, now, tried, version)
         return targets or self._fleet.usable(service, now, software_version=version)
@@ -119,3 +138,12 @@
 
     def _retry_delay_s(self, request: InboundRequest, now: float) -> float:
         return retry_delay_s(request.deadline - now, self._fleet.rng.random())
+
+
+def _service_and_version(
+    request: InboundRequest, state: RequestState
+) -> tuple[str, str | None]:
+    """Return the service of a request, and the only version that may run it."""
+    if state.origin is not None:
+        return state.origin.service, state.origin.software_version
+    return request.route.service_for(request.id), None
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -35,7 +35,7 @@
     BoundedConnections,
     has_read_too_much,
 )
-from caperridge.targets.silence import IdleTimeouts
+from caperridge.targets.silence import IdleTimeouts, always
 from caperridge.targets.unframed import is_unframed, protocol_of, was_reset
 
 # Availability zones are some milliseconds apart, and connecting takes one more. A
@@ -106,7 +106,11 @@
             await self._session.close()
 
     async def open(
-        self, target: Target, outbound: Outbound, head_timeout_s: float = math.inf
+        self,
+        target: Target,
+        outbound: Outbound,
+        head_timeout_s: float = math.inf,
+        may_end: Callable[[], bool] = always,
     ) -> Result[Answer, AttemptError]:
         """Send ``outbound`` and return the answer once its head was received.
 
@@ -116,15 +120,21 @@
             target: to send to.
             outbound: the request.
             head_timeout_s: longest time until the head of the answer, in seconds.
+            may_end: returns whether a longer time may end the attempt.
         """
         restarted = False
-        limit = asyncio.timeout(head_timeout_s if head_timeout_s < math.inf else None)
+        limit = asyncio.timeout(None)
+
+        def expire() -> None:
+            if not limit.expired():
+                limit.reschedule(asyncio.get_running_loop().time())
 
         def abort() -> None:
             nonlocal restarted
             restarted = True
-            limit.reschedule(asyncio.get_running_loop().time())
+            expire()
 
+        watched = self._watch.add(head_timeout_s, expire, may_end)
         self._open_runs.add(target.id, abort)
         try:
             async with limit:
@@ -134,6 +144,7 @@
                 return Err(Lost(TARGET_RESTARTED))
             return Err(Lost("no answer began", broken_off=True))
         finally:
+            self._watch.remove(watched)
             self._open_runs.remove(target.id, abort)
 
     async def _send(
--- a/src/caperridge/targets/silence.py
+++ b/src/caperridge/targets/silence.py
@@ -17,16 +17,27 @@
         last_received_at: when data last arrived, by the loop's clock.
         timeout_s: longest time without data from then on.
         callback: called once when that time is exceeded.
+        may_end: asked before each time; the stream goes on if it returns False.
     """
 
-    __slots__ = ("callback", "last_received_at", "timeout_s")
+    __slots__ = ("callback", "last_received_at", "may_end", "timeout_s")
 
     def __init__(
-        self, last_received_at: float, timeout_s: float, callback: Callable[[], None]
+        self,
+        last_received_at: float,
+        timeout_s: float,
+        callback: Callable[[], None],
+        may_end: Callable[[], bool],
     ) -> None:
         self.last_received_at = last_received_at
         self.timeout_s = timeout_s
         self.callback = callback
+        self.may_end = may_end
+
+
+def always() -> bool:
+    """Allow a stream to be ended."""
+    return True
 
 
 class IdleTimeouts:
@@ -36,10 +47,15 @@
         self._timeouts: set[StreamTimeout] = set()
         self._timer: asyncio.TimerHandle | None = None
 
-    def add(self, timeout_s: float, callback: Callable[[], None]) -> StreamTimeout:
-        """Start the timeout of a stream now."""
+    def add(
+        self,
+        timeout_s: float,
+        callback: Callable[[], None],
+        may_end: Callable[[], bool] = always,
+    ) -> StreamTimeout:
+        """Start the timeout of a stream now; see :class:`StreamTimeout`."""
         loop = asyncio.get_running_loop()
-        timeout = StreamTimeout(loop.time(), timeout_s, callback)
+        timeout = StreamTimeout(loop.time(), timeout_s, callback, may_end)
         self._timeouts.add(timeout)
         if self._timer is None:
             self._set_timer(loop)
@@ -60,6 +76,8 @@
         for timeout in list(self._timeouts):
             if now - timeout.last_received_at <= timeout.timeout_s:
                 continue
+            if not timeout.may_end():
+                continue
             self._timeouts.discard(timeout)
             timeout.callback()
 
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -18,6 +18,8 @@
 SENT = 2
 # What is sent on loopback arrives within these iterations of the event loop.
 TURNS = 40
+# Between two events of an answer that outlasts such a silence.
+LONG_PAUSE_S = 0.3
 # Longer than an answer, or a short ejection.
 AFTER_S = 2.0
 
@@ -188,3 +190,67 @@
         assert (await silences.end(asking)).whole
     await silences.clock.ahead_until(stopping.done)
     assert await stopping == 0
+
+
+@pytest_asyncio.fixture
+async def peak(world: World) -> Silences:
+    """One instance before a runner with three slots and one with a single slot."""
+    for zone, slots in (("a", 3), ("b", 1)):
+        runner = await world.add_runner(zone=zone, slots=slots)
+        runner.events = 12
+    await world.add_instance()
+    await world.ready()
+    return Silences(world)
+
+
+async def fill(peak: Silences, last: str) -> list["asyncio.Future[Answer]"]:
+    """Take all slots, the one of the second runner by a request on another path."""
+    asking = [await peak.begin("/ask/slow", f"r{number}") for number in range(3)]
+    asking.append(await peak.begin(last, "r3"))
+    assert [runner.busy for runner in peak.world.runners] == [3, 1]
+    return asking
+
+
+# Guards against streams that are cut in a peak, as they were broken off at a silent
+# target before another one had a slot for them.
+@pytest.mark.parametrize("seconds", SILENCES_S)
+async def test_a_stream_is_kept_while_no_other_target_has_a_slot(
+    peak: Silences, seconds: float
+) -> None:
+    first, second = peak.world.runners
+    second.slow_pause_s = LONG_PAUSE_S
+    asking = await fill(peak, "/once/slow")
+    await peak.silence([first], seconds)
+    answers = [await peak.end(one) for one in asking]
+    assert [(one.status, one.whole) for one in answers] == [(200, True)] * 4
+    assert [one.data for one in answers] == [first.text(f"r{n}") for n in range(4)]
+    assert (len(first.runs), len(second.runs)) == (3, 1)
+
+
+# Guards against several streams that leave a silent target for one slot.
+async def test_a_slot_that_becomes_free_is_used_by_one_stream(peak: Silences) -> None:
+    first, second = peak.world.runners
+    asking = await fill(peak, "/ask/slow")
+    first.going.clear()
+    await peak.end(asking[3])
+    await peak.clock.ahead_until(lambda: len(second.runs) == 2)
+    first.going.set()
+    answers = [await peak.end(one) for one in asking]
+    assert [(one.status, one.whole) for one in answers] == [(200, True)] * 4
+    assert [one.data for one in answers] == [first.text(f"r{n}") for n in range(4)]
+    assert second.max_busy == 1
+    assert sum(run.cut for run in first.runs) == len(second.runs) - 1
+
+
+# Guards against streams that stay at a target that is gone, as all others were full.
+async def test_streams_of_a_target_that_is_gone_go_on_as_slots_become_free(
+    peak: Silences,
+) -> None:
+    first, second = peak.world.runners
+    asking = await fill(peak, "/ask/slow")
+    first.going.clear()
+    answers = [await peak.end(one) for one in reversed(asking)]
+    whole = [one for one in answers if one.whole]
+    assert len(whole) >= 2
+    assert all(run.cut for run in first.runs)
+    assert second.max_busy == 1
