Take a closed connection at the end of a chunk for a broken answer

Cause: the end of a chunk wakes the reader of the HTTP library without data; if the connection is closed before it runs, it waits again and raises a RuntimeError, which was taken for no end of an answer.

Change: it ends the answer like the errors of the library. The test brings both about in one turn of the loop; it fails on the code before with that RuntimeError.

--- a/src/caperridge/gateway/answer.py
+++ b/src/caperridge/gateway/answer.py
@@ -141,7 +141,9 @@
                 yield chunk
                 if coalesce_s:
                     await self._coalesce(coalesce_s)
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, RuntimeError) as error:
+            # The HTTP library raises a RuntimeError if the end of a chunk wakes its
+            # reader and the connection is closed before the reader runs.
             raise self._failure or self._broken(error) from error
         if self._failure is not None:
             raise self._failure
--- a/tests/gateway/test_answers_without_end.py
+++ b/tests/gateway/test_answers_without_end.py
@@ -9,9 +9,12 @@
 
 import pytest
 import pytest_asyncio
+from multidict import CIMultiDict
 
+from caperridge.gateway.answer import SilentAnswerError
 from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.targets import Target
+from caperridge.gateway.upstream import Outbound
 from caperridge.targets import reading
 from caperridge.targets.outcomes import AttemptError
 from caperridge.targets.reading import (
@@ -25,7 +28,7 @@
 from gateway.endless import FORMS, REFUSALS, WHOLE_ANSWERS, EndlessTarget
 from gateway.runner_standin import DEFAULT_VERSION
 from gateway.test_jobs import listed
-from loop_clock import LoopClock
+from loop_clock import LoopClock, turns
 
 # Bodies are buffered whole; other answers are read up to their next event.
 BUFFERED = {"body", "chunks of a body"}
@@ -207,6 +210,29 @@
     await endless.closed()
 
 
+# Guards against a request that is answered 500, as its run was ended when the end of a
+# chunk had just arrived.
+@pytest.mark.parametrize(
+    "endless", [pytest.param((FORMS["body"], True), id="drips")], indirect=True
+)
+async def test_a_run_that_is_ended_at_the_end_of_a_chunk_is_silent(
+    endless: Endless,
+) -> None:
+    target = endless.instance.fleet.targets.by_id["endless"]
+    request = Outbound("r1", "GET", "/x", CIMultiDict({"X-Request-Id": "r1"}), b"")
+    answer = (await endless.instance.client.open(target, request)).unwrap()
+    reading_body = asyncio.ensure_future(answer.body(UnsizedBodies()))
+    content = answer._response.content
+    content.begin_http_chunk_receiving()
+    content.feed_data(b"a")
+    await turns()
+    content.end_http_chunk_receiving()
+    answer._on_silence()
+    with pytest.raises(SilentAnswerError):
+        await reading_body
+    answer.close()
+
+
 def test_an_endless_body_displaces_no_other() -> None:
     bodies = UnsizedBodies()
     with bodies.begin() as endless_body, bodies.begin() as sound:
