--- a/src/caperridge/targets/reading.py
+++ b/src/caperridge/targets/reading.py
@@ -1,9 +1,9 @@
-"""Bounds on what is read from targets.
+"""Bounds on what is read from targets and from the store.
 
-A target in trouble may send bytes without end: in a line of a head, in interim answers,
-in the size of a chunk, in comments or in one event. The HTTP library buffers or skips
-what comes before a delimiter, and its users see none of it. So bytes are counted as a
-connection receives them, and whoever reads an answer reports its progress.
+Either may send bytes without end when it is in trouble: in a line of a head, in interim
+answers, in the size of a chunk, in comments or in one event. The HTTP library buffers
+or skips what comes before a delimiter, and its users see none of it. So bytes are
+counted as a connection receives them, and whoever reads an answer reports its progress.
 """
 
 import contextlib
