--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -5,7 +5,6 @@
 
 from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.events import Event
-from caperridge.gateway.fingerprint import Fingerprint
 from caperridge.gateway.jobs.model import (
     COMPLETED,
     DEAD,
@@ -38,11 +37,9 @@
             not started or has started at another instance.
         task: that runs it.
         target: id of the target where it runs; empty if none.
-        fingerprint: of its content and caller; computed when first needed.
     """
 
     __slots__ = (
-        "fingerprint",
         "item",
         "not_before",
         "number",
@@ -68,7 +65,6 @@
         self.started_at = 0.0
         self.task: asyncio.Task[Any] | None = None
         self.target = ""
-        self.fingerprint: Fingerprint | None = None
 
     @property
     def cancelling(self) -> bool:
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -4,12 +4,10 @@
 import functools
 from collections.abc import Callable, Container
 
-from multidict import CIMultiDict
 from result import Err
 
 from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.dialect import Dialect
-from caperridge.gateway.fingerprint import Fingerprint, fingerprint_of
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.jobs.held_job import (
     DONE,
@@ -22,8 +20,8 @@
 from caperridge.gateway.jobs.item_requests import item_request
 from caperridge.gateway.jobs.schedule import RankedItem
 from caperridge.gateway.metrics import GatewayMetrics
-from caperridge.gateway.request_guard import QuarantineRefusal, RequestGuard
 from caperridge.gateway.routes import Route
+from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.targets import Target
 from caperridge.gateway.upstream import Answer, BrokenAnswerError, TargetClient
 from caperridge.log import logger
@@ -35,7 +33,6 @@
     NotSent,
     TargetRefused,
     WrongAnswer,
-    is_inconclusive,
 )
 
 log = logger(__name__)
@@ -50,7 +47,6 @@
 EVENT_BATCH_S = 0.25
 RETRY_DELAY_S = 0.05
 FAILED_RETRY_DELAY_S = 0.3
-MAX_QUARANTINE_DELAY_S = 1.0  # it may be cleared before its trial is due
 UNPROCESSABLE_STATUS = 422
 # From a target that hangs until the lease of a run ends; not a failure of the item.
 LEASE_ENDED_STATUS = 504
@@ -72,6 +68,9 @@
 class ItemRuns:
     """Runs items at targets.
 
+    Items are not quarantined: callers submit no items that crash targets, so a crash
+    under an item says nothing about the item, and it is tried until it is done.
+
     Attributes:
         may_resume: returns whether the configuration allows an item to resume at a
             target.
@@ -81,7 +80,7 @@
         client: of targets.
         dialect: names of headers.
         metrics: of the instance.
-        guard: decides which items may be sent.
+        detector: told of lost runs, as their targets may have crashed.
     """
 
     def __init__(
@@ -90,10 +89,10 @@
         client: TargetClient,
         dialect: Dialect,
         metrics: GatewayMetrics,
-        guard: RequestGuard,
+        detector: CrashDetector,
     ) -> None:
         self._fleet = fleet
-        self._guard = guard
+        self._detector = detector
         self._client = client
         self._dialect = dialect
         self._metrics = metrics
@@ -105,29 +104,6 @@
         """Ids of the targets at which items of this instance run."""
         return self._orders_by_target.keys()
 
-    def is_quarantined(self, ranked: RankedItem) -> bool:
-        """Whether an item is quarantined because targets crashed under it."""
-        return self._guard.has_suspects and self._guard.is_quarantined(
-            self._fingerprint(ranked)
-        )
-
-    def _fingerprint(self, ranked: RankedItem) -> Fingerprint:
-        entry, item = ranked.job.entry, ranked.state.item
-        if ranked.state.fingerprint is None:
-            headers = [("Host", entry.host)]
-            headers += [(name, value) for name, value in item.headers]
-            changing = self._dialect.per_attempt_headers
-            ranked.state.fingerprint = fingerprint_of(
-                "POST",
-                entry.host,
-                item.path,
-                item.body,
-                headers,
-                changing,
-                self._dialect.prompt_parts(CIMultiDict(headers)),
-            )
-        return ranked.state.fingerprint
-
     def start(self, ranked: RankedItem, route: Route, target: Target) -> None:
         """Run an item at ``target``."""
         job, state = ranked.job, ranked.state
@@ -135,9 +111,8 @@
             self._start_over(ranked, target)
         state.status = RUNNING
         state.target = target.id
-        began_at = asyncio.get_running_loop().time()
         if not state.progress.event and not state.started_at:
-            state.started_at = began_at
+            state.started_at = asyncio.get_running_loop().time()
         self._orders_by_target.setdefault(target.id, {})[state] = ranked.order
         self._update_occupancy(target.id, 1)
         self._fleet.notify_changed()
@@ -162,7 +137,7 @@
         # own code.
         state.task.add_done_callback(
             functools.partial(
-                self._run_done, ranked, route, target, state.progress.event, began_at
+                self._run_done, ranked, route, target, state.progress.event
             )
         )
 
@@ -202,8 +177,7 @@
         route: Route,
         target: Target,
         from_event: int,
-        began_at: float,
-        task: "asyncio.Task[AttemptError | QuarantineRefusal | Renewal | None]",
+        task: "asyncio.Task[AttemptError | Renewal | None]",
     ) -> None:
         state = ranked.state
         del self._orders_by_target[target.id][state]
@@ -217,15 +191,8 @@
         if not task.cancelled():
             exception = task.exception()
             outcome = Lost(repr(exception)) if exception is not None else task.result()
-            resumes = isinstance(outcome, Renewal | QuarantineRefusal)
+            resumes = isinstance(outcome, Renewal)
             error = None if resumes else outcome
-        if resumes or (error is not None and is_inconclusive(error)):
-            self._guard.run_interrupted(state.item.id, target)
-        else:
-            self._guard.run_concluded(state.item.id)
-        if error is None and not resumes and state.status not in (DONE, LISTED):
-            age_s = asyncio.get_running_loop().time() - began_at
-            self._guard.record_good_run(self._fingerprint(ranked), age_s)
         self._record_outcome(ranked, route, target, error, resumes, from_event)
         self._fleet.notify_changed()
 
@@ -243,9 +210,6 @@
         now = asyncio.get_running_loop().time()
         outcome = _outcome_label(error, resumes)
         self._metrics.items.labels(outcome).inc()
-        suspect_fields = {}
-        if isinstance(error, Lost):
-            suspect_fields = self._fingerprint(ranked).log_fields()
         log.info(
             "item run ended",
             job=job.entry.id,
@@ -256,7 +220,6 @@
             from_event=from_event,
             event=state.progress.event,
             failures=state.progress.failures,
-            **suspect_fields,
         )
         if resumes or state.status in (DONE, LISTED):
             return
@@ -296,16 +259,8 @@
 
     async def _attempt(
         self, ranked: RankedItem, target: Target
-    ) -> AttemptError | QuarantineRefusal | Renewal | None:
+    ) -> AttemptError | Renewal | None:
         """Run the item at one target; None if its output is complete."""
-        if self._guard.has_suspects:
-            refused = await self._guard.admit(
-                self._fingerprint(ranked), ranked.state.item.id
-            )
-            if refused is not None:
-                delay_s = min(refused.retry_after_s, MAX_QUARANTINE_DELAY_S)
-                self._delay_start(ranked.state, delay_s)
-                return refused
         while True:
             outcome = await self._run_one_lease(ranked, target)
             if not isinstance(outcome, Renewal):
@@ -327,7 +282,7 @@
         outbound = item_request(self._dialect.headers, job, state, target, LEASE_S)
         opened = await self._client.open(target, outbound, FIRST_EVENT_TIMEOUT_S)
         if isinstance(opened, Err):
-            self._report_lost(ranked, target, opened.err_value, started_at, from_event)
+            self._report_lost(target, opened.err_value)
             return opened.err_value
         answer = opened.ok_value
         try:
@@ -336,7 +291,7 @@
             outcome = await self._collect_output(
                 state, answer, target.origin, started_at + RENEW_AFTER_S
             )
-            self._report_lost(ranked, target, outcome, started_at, from_event)
+            self._report_lost(target, outcome)
             return outcome
         finally:
             answer.close()
@@ -345,20 +300,11 @@
             )
 
     def _report_lost(
-        self,
-        ranked: RankedItem,
-        target: Target,
-        outcome: AttemptError | Renewal | None,
-        started_at: float,
-        from_event: int,
+        self, target: Target, outcome: AttemptError | Renewal | None
     ) -> None:
         """Report a run whose answer broke off: its target may have crashed."""
         if isinstance(outcome, Lost):
-            age_s = asyncio.get_running_loop().time() - started_at
-            events = ranked.state.progress.event - from_event
-            self._guard.record_lost_run(
-                target, self._fingerprint(ranked), age_s, events
-            )
+            self._detector.record_lost_run(target, [])
 
     async def _collect_output(
         self, state: ItemState, answer: Answer, origin: StreamOrigin, renew_at: float
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -128,10 +128,6 @@
         if self.held_by_id or self._granting.has_requests:
             self.schedule_check()
 
-    def cancel_quarantined(self, key: str) -> None:
-        """Cancel runs of items that the suspect ``key`` may cover since a moment."""
-        self._slots.cancel_quarantined(self.held_jobs())
-
     def check_slots(self, target: str) -> None:
         """Preempt own items at ``target`` at once if it has more runs than slots."""
         if self._preempt_timer is not None or self._stopped:
--- a/src/caperridge/gateway/jobs/slots.py
+++ b/src/caperridge/gateway/jobs/slots.py
@@ -119,7 +119,7 @@
         requests: dict[str, SlotRequest] = {}
         for ranked in self._pending_items(jobs, now):
             service = self._service(ranked)
-            if service is None or self._runs.is_quarantined(ranked):
+            if service is None:
                 continue
             request = requests.get(service)
             if request is None:
@@ -132,17 +132,6 @@
         )
         return requests
 
-    def cancel_quarantined(self, jobs: Iterable[HeldJob]) -> None:
-        """Cancel runs without an event of items that are in quarantine now.
-
-        They may wait at a target, which would crash when it begins to run them.
-        """
-        for job in jobs:
-            for state in job.running():
-                ranked = RankedItem(job, state, due=0.0, order=0.0)
-                if not state.progress.event and self._runs.is_quarantined(ranked):
-                    state.cancel()
-
     def start_item(self, jobs: Iterable[HeldJob], target: Target, now: float) -> bool:
         """Start the most urgent item for ``target``; False if there is none.
 
@@ -152,9 +141,7 @@
         """
         fallback: RankedItem | None = None
         for ranked in by_urgency(self._pending_items(jobs, now)):
-            if self._service(ranked) != target.service or self._runs.is_quarantined(
-                ranked
-            ):
+            if self._service(ranked) != target.service:
                 continue
             if not self._can_go_on_elsewhere(ranked, target):
                 return self._start(ranked, target)
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -127,7 +127,9 @@
             self.fleet,
             self.metrics,
         )
-        runs = ItemRuns(self.fleet, self.client, dialect, self.metrics, self.guard)
+        runs = ItemRuns(
+            self.fleet, self.client, dialect, self.metrics, self._crash_detector
+        )
         slots = ItemSlots(
             self.configuration, self.fleet, self.clock, runs, self.metrics
         )
@@ -256,7 +258,6 @@
         self.fleet.on_change(self.updates.counts_changed)
         self.configuration.on_change(self.keeper.schedule_check)
         self.index.on_change(self.keeper.schedule_check)
-        self.guard.on_quarantined(self.keeper.cancel_quarantined)
         self.mesh.on_lost(self._on_peer_lost)
 
     def _on_peer_count(self, target: str) -> None:
--- a/src/caperridge/gateway/request_guard.py
+++ b/src/caperridge/gateway/request_guard.py
@@ -164,7 +164,7 @@
             # requests that are held for nothing else.
             suspect, hold = min(holds, key=_width)
             if await self._claim_trial(suspect):
-                self._trials.begin(request, suspect, fingerprint)
+                self._trials.begin(request, suspect)
                 self._metrics.held_requests.labels("tried_again").inc()
                 log.warning(
                     "trial of quarantined request",
@@ -204,20 +204,13 @@
         """Record a run of ``request`` that says something about it."""
         self._trials.conclude(request)
 
-    def run_interrupted(self, request: str, target: Target | None = None) -> None:
+    def run_interrupted(self, request: str) -> None:
         """Record a run that ended without an outcome; see :class:`InterruptedTrials`.
 
         Args:
             request: its id.
-            target: that ran it and may yet crash; None if that is checked already.
         """
-        trial = self._trials.interrupt(request)
-        if trial is None or target is None:
-            return
-        age_s = elapsed_s() - trial.began_at
-        runs = _suspects(trial.fingerprint, age_s, events=0)
-        tried = [run for run in runs if run.content == trial.content]
-        self._detector.record_cancelled_run(target, tried)
+        self._trials.interrupt(request)
 
     def record_lost_run(
         self, target: Target, fingerprint: Fingerprint, age_s: float, events: int
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -31,17 +31,19 @@
 
     Attributes:
         target: that ran them.
-        runs: broken off there and not reported yet.
+        broken_off: whether it broke off a run, be it of no suspect.
+        runs: suspects of the runs that it broke off, not reported yet.
         cancelled: cancelled by this instance; lost only if the check of the address
             finds that the target has crashed.
         timer: discards them if no crash is confirmed in time.
         check: the running check of its address; None if none runs.
     """
 
-    __slots__ = ("cancelled", "check", "runs", "target", "timer")
+    __slots__ = ("broken_off", "cancelled", "check", "runs", "target", "timer")
 
     def __init__(self, target: Target, timer: asyncio.TimerHandle) -> None:
         self.target = target
+        self.broken_off = False
         self.runs: list[LostRun] = []
         self.cancelled: list[LostRun] = []
         self.timer = timer
@@ -79,10 +81,12 @@
 
         Args:
             target: that ran it.
-            suspects: the run, once for each key by which it is suspected.
+            suspects: the run, once for each key by which it is suspected; none if a
+                crash would say nothing about it.
         """
         losses = self._pending_losses(target, suspects)
         if losses is not None:
+            losses.broken_off = True
             losses.runs += suspects
 
     def record_cancelled_run(self, target: Target, suspects: list[LostRun]) -> None:
@@ -107,7 +111,8 @@
         known to have crashed, and ignored if the target is draining or not listed.
         """
         if target.id in self._timers_by_crashed_target:
-            self.on_crash(target, suspects)
+            if suspects:
+                self.on_crash(target, suspects)
             return None
         listed = self._fleet.targets.by_id.get(target.id)
         if listed is None or listed.draining:
@@ -191,6 +196,5 @@
         if losses is None:
             return
         self._discard(losses)
-        runs = losses.runs + losses.cancelled
-        if runs:
-            self.on_crash(target, runs)
+        if losses.broken_off or losses.cancelled:
+            self.on_crash(target, losses.runs + losses.cancelled)
