Review: show answers that a planned stop had time to refuse

A machine in its grace period decides by the recent answers of the service whether a request can still be answered, before it chooses the target and whatever the request says of its size. A usual long one at a slow runner is passed on and broken off.

The case sends requests on resting connections 3.15 s after one SIGTERM.

--- a/review/town2/batch.py
+++ b/review/town2/batch.py
@@ -39,3 +39,20 @@
             for number in range(items)
         ]
     }
+
+
+def stream_route(**changes: Any) -> dict[str, Any]:
+    """Return the route of a stream that may not be repeated, like `alarm-query`."""
+    return {
+        "name": "alarm-query",
+        "host": HOST,
+        "pathPrefix": "/raxa460/",
+        "kind": "streaming",
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "gapTargetMs": 200,
+        "priority": 0,
+        "service": "calor-llm",
+        "maxAttempts": 1,
+        "resumable": False,
+    } | changes
--- a/review/town2/runner.py
+++ b/review/town2/runner.py
@@ -34,6 +34,7 @@
         zone: where it is.
         slots: requests that run at the same time.
         events: returns the number of events of a request.
+        step_s: seconds from one event to the next.
         runs: all runs that have begun.
     """
 
@@ -44,6 +45,7 @@
         self.zone = zone
         self.slots = slots
         self.events = events
+        self.step_s = STEP_S
         self.runs: list[Run] = []
         self.address = ""
         self._free = asyncio.Semaphore(slots)
@@ -151,7 +153,7 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await asyncio.sleep(STEP_S)
+            await asyncio.sleep(self.step_s)
             await response.write(f"id: {number}\ndata: {id}-{number}\n\n".encode())
         await response.write_eof()
         return response
