--- a/review/5/case.py
+++ b/review/5/case.py
@@ -124,7 +124,7 @@
     try:
         async with asyncio.timeout(100):
             status = await case.play()
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         case.town.note(f"could not run: {error!r}")
     finally:
         await case.town.close()
--- a/review/town2/town.py
+++ b/review/town2/town.py
@@ -82,6 +82,14 @@
             self._role = tomllib.load(file)["roles"]["instance"]
         self._template = (ROOT / self._role["template"]).read_text()
         self._session: aiohttp.ClientSession | None = None
+        self._close_when_ended()
+
+    def _close_when_ended(self) -> None:
+        """Have the case close everything that it started when it is ended early."""
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
 
     def note(self, text: str) -> None:
         """Add a line to the record, with the time since the start."""
