--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -9,10 +9,12 @@
 from typing import Any
 
 from caperridge.gateway.mesh.dialers import Dialers
+from caperridge.gateway.mesh.inbox import Inbox
 from caperridge.gateway.mesh.member import Member
 from caperridge.gateway.mesh.messages import Hello
 from caperridge.gateway.mesh.paced_reading import PacedReader
-from caperridge.gateway.mesh.relay import ZoneRelay
+from caperridge.gateway.mesh.relay import ANY_PROCESS, ZoneRelay
+from caperridge.gateway.mesh.relay_messages import Recipient
 from caperridge.gateway.mesh.roster import Roster
 from caperridge.gateway.mesh.streams import InStream, OutStream, encode
 from caperridge.gateway.mesh.traffic import FAR, NEAR, PeerTraffic
@@ -82,7 +84,13 @@
         self._received_callbacks: list[Callable[[], None]] = []
         self._server: asyncio.Server | None = None
         self._reader: PacedReader | None = None
-        self._streams: set[InStream] = set()
+        self._inbox = Inbox(
+            incarnation,
+            self.members_by_id,
+            self._handle_hello,
+            self._handle,
+            self._stream_closed,
+        )
         self._relay.register()
 
     def register(self, kind: type[Record], handler: Handler) -> None:
@@ -116,7 +124,7 @@
         loop = asyncio.get_running_loop()
         self._reader = reader = PacedReader(self._batch_received)
         self._server = await loop.create_server(
-            lambda: InStream(reader, self._receive, self._stream_closed),
+            lambda: self._inbox.accept(reader),
             host,
             int(port),
         )
@@ -126,8 +134,7 @@
         """Close all streams."""
         if self._server is not None:
             self._server.close()
-        for stream in list(self._streams):
-            stream.close()
+        self._inbox.close()
         await self._dialers.stop()
         if self._reader is not None:
             self._reader.close()
@@ -211,19 +218,38 @@
 
     # Sending.
 
-    def send(self, instance: str, message: Record) -> bool:
-        """Queue ``message`` for one peer; False if no connection leads there."""
+    def incarnation_of(self, instance: str) -> str:
+        """Return the last known incarnation of a peer, for an answer that is late.
+
+        While a message is handled, this is the incarnation that sent it.
+        """
+        member = self.members_by_id.get(instance)
+        return member.incarnation if member is not None else ANY_PROCESS
+
+    def send(
+        self, instance: str, message: Record, incarnation: str | None = None
+    ) -> bool:
+        """Queue ``message`` for one peer; False if no connection leads there.
+
+        Args:
+            instance: id.
+            message: to send.
+            incarnation: the only process that handles it; the last known one if None.
+        """
         member = self.members_by_id.get(instance)
         if member is None:
             return False
+        recipient = member.incarnation if incarnation is None else incarnation
         stream = self._dialers.stream_to(member)
         if stream is not None:
             data = encode(message)
+            if recipient != ANY_PROCESS:
+                data = encode(Recipient(recipient)) + data
             self._count(message, member, len(data))
             return stream.send(data)
         if self.is_near(member):
             return False
-        return self._relay.send(member, message)
+        return self._relay.send(member, message, recipient)
 
     def send_all(self, message: Record) -> None:
         """Queue ``message`` for every peer that can be reached."""
@@ -284,41 +310,17 @@
 
     # Receiving.
 
-    def _receive(self, stream: InStream, message: Record | None) -> None:
-        """Handle a message; the first on a stream must be a hello."""
-        if not stream.instance:
-            if not isinstance(message, Hello):
-                stream.close()
-                return
-            stream.instance = message.instance
-            stream.incarnation = message.incarnation
-            self._streams.add(stream)
-            self._handle_hello(message)
-            self._close_older_streams(stream)
-            return
-        member = self.members_by_id.get(stream.instance)
-        if member is not None and member.incarnation == stream.incarnation:
-            self._handle(member, message)
-
     def _batch_received(self) -> None:
         for call in self._received_callbacks:
             call()
 
-    def _close_older_streams(self, stream: InStream) -> None:
-        """Close older streams of the same sender; their end may not have arrived."""
-        for other in list(self._streams):
-            if other is not stream and other.instance == stream.instance:
-                other.close()
-
     def _stream_closed(self, stream: InStream, reason: str) -> None:
-        self._streams.discard(stream)
         member = self.members_by_id.get(stream.instance)
         if member is None or member.incarnation != stream.incarnation:
             return
         if not self.is_near(member):
             return  # it chose another contact, or its own zone reports its loss
-        others = any(one.incarnation == stream.incarnation for one in self._streams)
-        if member.lost_at is None and not others:
+        if member.lost_at is None and not self._inbox.has_stream_of(stream.incarnation):
             self.mark_lost(member, reason)
             self._relay.report_lost(member)
 
--- a/src/caperridge/gateway/mesh/messages.py
+++ b/src/caperridge/gateway/mesh/messages.py
@@ -13,6 +13,13 @@
     QuotaReport,
     QuotaVerdict,
 )
+from caperridge.gateway.mesh.relay_messages import (
+    MemberLost,
+    Recipient,
+    Relay,
+    Relayed,
+    RelayedHeartbeats,
+)
 from caperridge.records import Record
 
 
@@ -314,58 +321,11 @@
         self.parts = parts or []
 
 
-class Relay(Record):
-    """Asks a contact to relay a message in its availability zone.
-
-    Attributes:
-        to: receiver; empty for all of the zone, the contact included.
-        body: of the frame of the message.
-    """
-
-    __slots__ = ("body", "to")
-
-    def __init__(self, to: str, body: bytes) -> None:
-        self.to = to
-        self.body = body
-
-
-class Relayed(Record):
-    """Messages of far instances: instance, incarnation and body of each."""
-
-    __slots__ = ("messages",)
-
-    def __init__(self, messages: list[list[Any]]) -> None:
-        self.messages = messages
-
-
-class RelayedHeartbeats(Record):
-    """The last heartbeats of far instances.
-
-    Attributes:
-        heartbeats: instance, incarnation, address, availability zone, whether it is
-            leaving, whether it reaches the store, and counts as in :class:`Heartbeat`.
-    """
-
-    __slots__ = ("heartbeats",)
-
-    def __init__(self, heartbeats: list[list[Any]]) -> None:
-        self.heartbeats = heartbeats
-
-
-class MemberLost(Record):
-    """The last connection from a peer of the sender's zone to the sender ended."""
-
-    __slots__ = ("incarnation", "instance")
-
-    def __init__(self, instance: str, incarnation: str) -> None:
-        self.instance = instance
-        self.incarnation = incarnation
-
-
 KINDS_BY_NAME = {
     kind.__name__: kind
     for kind in (
         Hello,
+        Recipient,
         Heartbeat,
         Alive,
         Counts,
--- a/src/caperridge/gateway/mesh/quota_messages.py
+++ b/src/caperridge/gateway/mesh/quota_messages.py
@@ -28,13 +28,21 @@
         reporter: instance that reported, and gets the answer.
         number: repeated in the answer.
         teams: as in :class:`QuotaReport`.
+        incarnation: of the reporter, which alone takes the answer; empty if unknown.
     """
 
-    __slots__ = ("number", "reporter", "teams")
+    __slots__ = ("incarnation", "number", "reporter", "teams")
 
-    def __init__(self, reporter: str, number: int, teams: list[list[Any]]) -> None:
-        self.reporter = reporter
+    def __init__(
+        self,
+        reporter: str,
+        number: int,
+        teams: list[list[Any]],
+        incarnation: str = "",
+    ) -> None:
+        self.incarnation = incarnation
         self.number = number
+        self.reporter = reporter
         self.teams = teams
 
 
--- a/src/caperridge/gateway/mesh/relay.py
+++ b/src/caperridge/gateway/mesh/relay.py
@@ -12,8 +12,8 @@
 from caperridge.decisions.rendezvous import score
 from caperridge.gateway.mesh.dialers import Dialers
 from caperridge.gateway.mesh.member import Member
-from caperridge.gateway.mesh.messages import (
-    Heartbeat,
+from caperridge.gateway.mesh.messages import Heartbeat
+from caperridge.gateway.mesh.relay_messages import (
     MemberLost,
     Relay,
     Relayed,
@@ -33,12 +33,15 @@
 LOSS_REPORTERS = 2
 # Contacts may still relay heartbeats of an incarnation whose loss was reported.
 STALE_HEARTBEAT_S = 1.0
+# In place of an incarnation: whichever process receives a message may handle it.
+ANY_PROCESS = ""
 
 
 class RelayedMesh(Protocol):
     """The part of the mesh that the relay uses."""
 
     instance: str
+    incarnation: str
     roster: Roster
 
     def register(self, kind: type[Record], handler: Callable[[str, Any], None]) -> None:
@@ -50,7 +53,9 @@
     def on_lost(self, call: Callable[[Member], None]) -> None:
         """See :meth:`Mesh.on_lost`."""
 
-    def send(self, instance: str, message: Record) -> bool:
+    def send(
+        self, instance: str, message: Record, incarnation: str | None = None
+    ) -> bool:
         """See :meth:`Mesh.send`."""
 
     def send_near(self, message: Record) -> None:
@@ -114,13 +119,14 @@
             chosen.append(connected[self._rotation % len(connected)])
         return chosen
 
-    def send(self, member: Member, message: Record) -> bool:
-        """Relay ``message`` to one instance; False if no contact is connected."""
-        return self._send(member.zone, member.id, message)
+    def send(self, member: Member, message: Record, incarnation: str) -> bool:
+        """Relay ``message`` to a process; False if no contact is connected."""
+        relay = Relay(member.id, encode_body(message), incarnation)
+        return self._send(member.zone, relay)
 
     def send_zone(self, zone: str, message: Record) -> None:
         """Relay ``message`` to all instances of another zone."""
-        self._send(zone, "", message)
+        self._send(zone, Relay("", encode_body(message)))
 
     def send_everywhere(self, message: Record) -> None:
         """Relay ``message`` to all other zones, through every contact."""
@@ -129,7 +135,7 @@
             return
         relay = Relay("", encode_body(message))
         for contact in contacts:
-            self._mesh.send(contact.id, relay)
+            self._mesh.send(contact.id, relay, ANY_PROCESS)
 
     def report_lost(self, member: Member) -> None:
         """Report a lost near peer to other zones if hashing chooses this instance."""
@@ -141,11 +147,11 @@
         if ahead < LOSS_REPORTERS:
             self.send_everywhere(MemberLost(member.id, member.incarnation))
 
-    def _send(self, zone: str, to: str, message: Record) -> bool:
+    def _send(self, zone: str, relay: Relay) -> bool:
         contact = self._best_contact(zone)
         if contact is None:
             return False
-        return self._mesh.send(contact.id, Relay(to, encode_body(message)))
+        return self._mesh.send(contact.id, relay, ANY_PROCESS)
 
     def _best_contact(self, zone: str) -> Member | None:
         """Return the contact of a zone to send to; None if none is connected."""
@@ -198,7 +204,10 @@
         member = self._roster.members_by_id[sender]
         entry = [sender, member.incarnation, relay.body]
         if relay.to and relay.to != self._mesh.instance:
-            self._mesh.send(relay.to, Relayed([entry]))
+            self._mesh.send(relay.to, Relayed([entry]), relay.recipient)
+            return
+        if relay.recipient not in (ANY_PROCESS, self._mesh.incarnation):
+            log.info("message for another process dropped", peer=sender)
             return
         self._deliver(entry)
         if not relay.to:
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -154,9 +154,11 @@
         on_message: Callable[["InStream", Record | None], None],
         on_closed: Callable[["InStream", str], None],
     ) -> None:
-        # Sender of this stream, set by the mesh after the hello.
+        # Sender of this stream, set after the hello.
         self.instance = ""
         self.incarnation = ""
+        # Incarnation that the next message is for; empty if it is for any.
+        self.recipient = ""
         self._reader = reader
         self._descriptor = -1
         self._on_message = on_message
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -293,10 +293,10 @@
         """Settle a report in any case, so that none is forwarded in a circle."""
         fields = self._settle(report.reporter, report.teams)
         verdicts = QuotaVerdict(report.number, fields, forwarded_by=peer)
-        if report.reporter == self._mesh.instance:
+        if report.reporter != self._mesh.instance:
+            self._mesh.send(report.reporter, verdicts, report.incarnation)
+        elif report.incarnation in ("", self._mesh.incarnation):
             self._receive_verdict(peer, verdicts)
-            return
-        self._mesh.send(report.reporter, verdicts)
 
     def _settle(self, reporter: str, teams: list[list[Any]]) -> list[list[Any]]:
         """Settle a report on the windows here; return the fields of the verdicts."""
@@ -318,7 +318,9 @@
                 continue
             teams_by_owner.setdefault(instance, []).append(fields)
         for instance, teams in teams_by_owner.items():
-            forwarded = ForwardedQuotaReport(reporter, report.number, teams)
+            forwarded = ForwardedQuotaReport(
+                reporter, report.number, teams, self._mesh.incarnation_of(reporter)
+            )
             if not self._mesh.send(instance, forwarded):
                 own += teams
         return own
--- a/src/caperridge/gateway/relay_codec.py
+++ b/src/caperridge/gateway/relay_codec.py
@@ -16,6 +16,16 @@
 )
 from caperridge.store.interface import NotDone, Unknown
 
+NOTHING = type(None).__name__
+# Besides the errors that any call may have.
+OUTCOMES_BY_CALL = {
+    "read": (RowsRead.__name__,),
+    "transact": (Done.__name__, Refused.__name__),
+    "put_object": (NOTHING,),
+    "get_object": (bytes.__name__, NOTHING),
+    "drop_object": (NOTHING,),
+}
+
 
 def transaction_to_plain(transaction: Transaction) -> list[Any]:
     """Return ``transaction`` as lists."""
@@ -47,17 +57,27 @@
 
 
 def answer_from_plain(
-    outcome: str, fields: Any, rejected: bool = False
+    call: str, outcome: str, fields: Any, rejected: bool = False
 ) -> Result[Any, Any]:
-    """Return the answer from the result of :func:`answer_to_plain`.
+    """Return the answer to a call from the result of :func:`answer_to_plain`.
 
     Args:
+        call: name of the method of the store.
         outcome: type name of the answer.
         fields: its values.
         rejected: whether the store refuses the call for good.
+
+    Raises:
+        ValueError: the call has no such answer.
     """
     if rejected:
         return Err(Rejected(*fields))
+    if outcome == NotDone.__name__:
+        return Err(NotDone(*fields))
+    if outcome == Unknown.__name__:
+        return Err(Unknown(*fields))
+    if outcome not in OUTCOMES_BY_CALL.get(call, ()):
+        raise ValueError(f"call {call!r} was answered with {outcome!r}")
     if outcome == RowsRead.__name__:
         rows, truncated, version, now_s = fields
         return Ok(RowsRead([_row(row) for row in rows], truncated, version, now_s))
@@ -65,10 +85,6 @@
         return Ok(Done(*fields))
     if outcome == Refused.__name__:
         return Err(Refused([_row(row) for row in fields]))
-    if outcome == NotDone.__name__:
-        return Err(NotDone(*fields))
-    if outcome == Unknown.__name__:
-        return Err(Unknown(*fields))
     return Ok(fields)
 
 
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -45,6 +45,22 @@
 PEER_TIMEOUT_S = 1.0
 
 
+class PendingCall:
+    """A call that a peer was asked for.
+
+    Attributes:
+        peer: id.
+        answer: of that peer, once it is received.
+    """
+
+    __slots__ = ("answer", "peer")
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        loop = asyncio.get_running_loop()
+        self.answer: asyncio.Future[StoreAnswer] = loop.create_future()
+
+
 class RelayedStore(RowStore):
     """Calls the store directly, or through a peer while the store is unreachable.
 
@@ -68,7 +84,7 @@
         self._chance = chance
         self._peer_first_until = 0.0
         self._numbers = itertools.count(1)
-        self._pending_by_number: dict[int, asyncio.Future[StoreAnswer]] = {}
+        self._pending_by_number: dict[int, PendingCall] = {}
         self._relay_tasks: set[asyncio.Task[None]] = set()
         mesh.register(StoreAsk, self._serve)
         mesh.register(StoreAnswer, self._receive_answer)
@@ -143,20 +159,25 @@
         if peer is None:
             return None
         number = next(self._numbers)
-        future: asyncio.Future[StoreAnswer] = asyncio.get_running_loop().create_future()
-        self._pending_by_number[number] = future
+        pending = self._pending_by_number[number] = PendingCall(peer.id)
         try:
             if not self._mesh.send(peer.id, StoreAsk(number, name, arguments)):
                 return None
             async with asyncio.timeout(PEER_TIMEOUT_S):
-                answer = await future
+                answer = await pending.answer
         except TimeoutError:
             log.info("peer did not answer a relayed call", peer=peer.id, call=name)
             return Err(Unknown("the peer did not answer", reached=False))
         finally:
             del self._pending_by_number[number]
         log.debug("call relayed", peer=peer.id, call=name, outcome=answer.outcome)
-        return answer_from_plain(answer.outcome, answer.fields, answer.rejected)
+        try:
+            return answer_from_plain(
+                name, answer.outcome, answer.fields, answer.rejected
+            )
+        except ValueError as error:
+            log.error("relayed call answered wrongly", peer=peer.id, reason=str(error))
+            return Err(Unknown(str(error), reached=False))
 
     def _choose_peer(self) -> Member | None:
         alive = [peer for peer in self._mesh.alive() if peer.store_reached]
@@ -167,11 +188,15 @@
         return self._chance.choice(choices) if choices else None
 
     def _serve(self, peer: str, request: StoreAsk) -> None:
-        task = asyncio.get_running_loop().create_task(self._relay(peer, request))
+        # Another process may have taken its place before the store answers.
+        incarnation = self._mesh.incarnation_of(peer)
+        task = asyncio.get_running_loop().create_task(
+            self._relay(peer, incarnation, request)
+        )
         self._relay_tasks.add(task)
         task.add_done_callback(self._relay_tasks.discard)
 
-    async def _relay(self, peer: str, request: StoreAsk) -> None:
+    async def _relay(self, peer: str, incarnation: str, request: StoreAsk) -> None:
         try:
             answer = await _call_store(self._store, request.call, request.arguments)
         except (TypeError, ValueError) as error:
@@ -181,12 +206,14 @@
             return
         outcome, fields = answer_to_plain(answer)
         rejected = isinstance(answer, Err) and isinstance(answer.err_value, Rejected)
-        self._mesh.send(peer, StoreAnswer(request.number, outcome, fields, rejected))
+        reply = StoreAnswer(request.number, outcome, fields, rejected)
+        self._mesh.send(peer, reply, incarnation)
 
     def _receive_answer(self, peer: str, answer: StoreAnswer) -> None:
-        future = self._pending_by_number.get(answer.number)
-        if future is not None and not future.done():
-            future.set_result(answer)
+        pending = self._pending_by_number.get(answer.number)
+        if pending is None or pending.peer != peer or pending.answer.done():
+            return
+        pending.answer.set_result(answer)
 
 
 async def _call_store(
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -242,6 +242,8 @@
         question = self._questions_by_number.get(answer.number)
         if question is None or question.origin.done():
             return
+        if peer not in question.unanswered:
+            return
         question.unanswered.discard(peer)
         origin = StreamOrigin(answer.service, answer.software_version)
         if answer.service and not answer.inferred:
--- a/tests/gateway/test_many_peers.py
+++ b/tests/gateway/test_many_peers.py
@@ -24,13 +24,13 @@
 
     def __init__(self, instance: GatewayInstance) -> None:
         super().__init__()
-        handle = instance.mesh._handle
+        handle = instance.mesh._inbox._on_message
 
         def received(member, message) -> None:
             self[type(message)] += 1
             handle(member, message)
 
-        instance.mesh._handle = received
+        instance.mesh._inbox._on_message = received
 
 
 async def test_of_an_idle_peer_only_its_life_is_heard_between_whole_heartbeats(
@@ -102,7 +102,7 @@
     sender.updates.send_heartbeat = lambda: None
     sender.fleet.occupancy.add("i-0", online=2)
     sender.fleet.occupancy.take_changed()
-    for stream in list(receiver.mesh._streams):
+    for stream in list(receiver.mesh._inbox._streams):
         stream.close()
     own = sender.settings.instance
     await until(lambda: receiver.fleet.occupancy.count_of(own, "i-0").online == 2)
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -234,7 +234,7 @@
         relay.silence()
     await until(lambda: not pair.connected())
     await until(pair.connected, within_s=RECONNECT_S)
-    assert [len(mesh._streams) for mesh in pair.meshes] == [1, 1]
+    assert [len(mesh._inbox._streams) for mesh in pair.meshes] == [1, 1]
 
 
 async def test_a_peer_whose_stream_one_way_went_silent_is_heard_again(
--- a/tests/gateway/test_store_contract.py
+++ b/tests/gateway/test_store_contract.py
@@ -172,7 +172,7 @@
 def test_an_earlier_release_takes_a_rejection_for_a_call_that_was_not_done() -> None:
     """Guards against a rejection that reads as success at an instance of before."""
     outcome, fields = answer_to_plain(Err(Rejected("too large")))
-    answer = answer_from_plain(outcome, fields)
+    answer = answer_from_plain("transact", outcome, fields)
     assert answer == Err(NotDone("too large"))
 
 
