--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -224,16 +224,28 @@
         if isinstance(entry, JobAnswer):
             return entry
         while loop.time() < deadline:
-            cancelled = await self._write_cancellation(entry)
-            if isinstance(cancelled, Rejected):
-                return JobAnswer(503, cancelled.reason)
-            if cancelled:
+            ended = await self._end(entry)
+            if isinstance(ended, Rejected):
+                return JobAnswer(503, ended.reason)
+            if ended:
                 log.info("job cancelled", job=id)
                 self._keeper.job_cancelled(id)
                 return JobAnswer(200, "ended")
             await asyncio.sleep(CANCEL_RETRY_DELAY_S)
         return JobAnswer(504, "the store does not answer")
 
+    async def _end(self, entry: JobEntry) -> bool | Rejected:
+        """End a job in the store; False to retry.
+
+        The entry comes first: every instance follows the index, so the holder heeds the
+        end even if nothing after this write reaches anyone.
+        """
+        closed = await self._keeper.entries.close(entry.id)
+        if not isinstance(closed, Err):
+            return await self._write_cancellation(entry)
+        error = closed.err_value
+        return error if isinstance(error, Rejected) else False
+
     async def _write_cancellation(self, entry: JobEntry) -> bool | Rejected:
         """Write the cancellation into the job's head; False to retry."""
         key = head_key(entry.id)
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -14,24 +14,17 @@
 from caperridge.decisions.rendezvous import owner
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.jobs.claims import ClaimFailed, HeldBy, JobClaimer, JobFinished
-from caperridge.gateway.jobs.codec import to_bytes
+from caperridge.gateway.jobs.entries import REJECTED_RETRY_DELAY_S, EntryWriter
 from caperridge.gateway.jobs.granting import SlotGranting
 from caperridge.gateway.jobs.held_job import HeldJob
 from caperridge.gateway.jobs.holders import Holders
 from caperridge.gateway.jobs.index import JobIndex
 from caperridge.gateway.jobs.keeping import PROGRESS_INTERVAL_S, JobWriter
-from caperridge.gateway.jobs.keys import entry_key
 from caperridge.gateway.jobs.model import JobEntry, JobHead, JobItem
 from caperridge.gateway.jobs.slots import ItemSlots
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import JobNews, SlotGrant
-from caperridge.gateway.rows import (
-    Refused,
-    Rejected,
-    RowStore,
-    StoredRow,
-    Transaction,
-)
+from caperridge.gateway.rows import Rejected, RowStore
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.log import logger
 
@@ -42,8 +35,6 @@
 # filled to this ratio of its limit.
 REWRITE_THRESHOLD_RATIO = 0.25
 STORE_RETRY_DELAY_S = 0.3
-# After a refusal for good; another release or setting may be in force later.
-REJECTED_RETRY_DELAY_S = 60.0
 # Changes within this time share one check; it delays the preemption of an item for an
 # online request.
 COALESCE_S = 0.001
@@ -53,7 +44,11 @@
 
 
 class JobKeeper:
-    """Holds the jobs of one instance."""
+    """Holds the jobs of one instance.
+
+    Attributes:
+        entries: writes the index.
+    """
 
     def __init__(
         self,
@@ -67,7 +62,6 @@
         slots: ItemSlots,
         granting: SlotGranting,
     ) -> None:
-        self._store = store
         self._index = index
         self._configuration = configuration
         self._mesh = mesh
@@ -76,6 +70,7 @@
         self._claimer = claimer
         self._slots = slots
         self._granting = granting
+        self.entries = EntryWriter(store, index)
         self.held_by_id: dict[str, HeldJob] = {}
         self.listed_by_id: dict[str, int] = {}
         self.leaving = False
@@ -89,6 +84,7 @@
         self._stopped = False
         self._result_event_by_id: dict[str, asyncio.Event] = {}
         index.on_removed(self._remove_job)
+        index.on_change(self._stop_ended)
         mesh.register(JobNews, self._handle_update)
         mesh.register(SlotGrant, self._handle_grant)
         granting.on_update(self.schedule_check)
@@ -101,7 +97,10 @@
             self._spawn(self._claim(entry, items))
 
     def job_cancelled(self, job: str) -> None:
-        """Stop a job whose cancellation is in the store, and notify peers."""
+        """Stop a job whose cancellation is in the store, and notify peers.
+
+        They stop it sooner than by its entry, which says the same.
+        """
         self._mesh.send_all(JobNews(job, "", 0, cancelled=True))
         self._stop_cancelled(job)
 
@@ -218,6 +217,7 @@
         self.listed_by_id.pop(id, None)
         self._result_event_by_id.pop(id, None)
         self._retry_at_by_id.pop(id, None)
+        self.entries.forget(id)
 
     async def _claim(self, entry: JobEntry, items: list[JobItem] | None) -> None:
         """Become the holder of a job, then hold it until it is finished or lost."""
@@ -243,6 +243,9 @@
                 REJECTED_RETRY_DELAY_S if claim.rejected else STORE_RETRY_DELAY_S,
             )
             return
+        if self._is_ended(entry.id):
+            log.info("job ended during its claim", job=entry.id)
+            return
         self._announce(claim)
         self.held_by_id[entry.id] = claim
         self.schedule_check()
@@ -253,7 +256,7 @@
             claim.cancel_runs()
 
     def _delay_retry(self, id: str, delay_s: float) -> None:
-        """Delay the next claim of a job and the next rewrite of its entry."""
+        """Delay the next claim of a job."""
         self._retry_at_by_id[id] = asyncio.get_running_loop().time() + delay_s
 
     def _may_retry(self, id: str) -> bool:
@@ -277,6 +280,8 @@
             except TimeoutError:
                 if not any(state.has_unstored_progress for state in job.states):
                     continue
+            if job.lost:
+                break
             job.wake.clear()
             await asyncio.sleep(0)  # lets cancelled runs end
             holder = "" if job.releasing else self._mesh.incarnation
@@ -306,7 +311,7 @@
         waiting = self._index.waiting_tokens(route.name, job.entry.team)
         if limit <= 0 or waiting < limit * REWRITE_THRESHOLD_RATIO:
             return
-        await self._rewrite(job.entry.id, job.waiting_tokens, still_open=True)
+        await self.entries.rewrite(job.entry.id, job.waiting_tokens, still_open=True)
 
     async def _close(self, entry: JobEntry, head: JobHead) -> None:
         """Mark a finished job as closed in the index; no instance claims it again."""
@@ -317,36 +322,11 @@
             total=head.total,
             cancelled=head.cancelled,
         )
-        closed = False
-        while not closed:
-            closed = await self._rewrite(entry.id, 0, still_open=False)
-            if not closed:
-                await asyncio.sleep(STORE_RETRY_DELAY_S)
-
-    async def _rewrite(self, id: str, tokens: int, still_open: bool) -> bool:
-        """Rewrite a job's entry; False if that has to be repeated."""
-        entry = self._index.entries_by_job.get(id)
-        if entry is None or (not entry.open and not still_open):
-            return True
-        if not self._may_retry(id):
-            return True
-        changed = entry.replace(waiting_tokens=tokens, open=still_open and entry.open)
-        key = entry_key(id)
-        version = self._index.version_of(id)
-        value = to_bytes(changed)
-        answer = await self._store.transact(Transaction({key: version}, {key: value}))
-        if not isinstance(answer, Err):
-            self._index.apply_row(StoredRow(key, value, answer.ok_value.version))
-            return True
-        error = answer.err_value
-        if isinstance(error, Rejected):
-            log.error("entry of a job refused", job=id, reason=error.reason)
-            self._delay_retry(id, REJECTED_RETRY_DELAY_S)
-            return True
-        row = error.row(key) if isinstance(error, Refused) else None
-        if row is not None:
-            self._index.apply_row(row)
-        return False
+        while isinstance(answer := await self.entries.close(entry.id), Err):
+            if isinstance(answer.err_value, Rejected):
+                self._delay_retry(entry.id, REJECTED_RETRY_DELAY_S)
+                return
+            await asyncio.sleep(STORE_RETRY_DELAY_S)
 
     # Messages of peers.
 
@@ -376,6 +356,17 @@
             if event is not None:
                 event.set()
 
+    def _stop_ended(self) -> None:
+        """Stop the jobs whose entries are closed, as their callers ended them."""
+        for id, held in self.held_by_id.items():
+            if not held.finished and self._is_ended(id):
+                log.info("job ended by its entry", job=id)
+                self._stop_cancelled(id)
+
+    def _is_ended(self, job: str) -> bool:
+        entry = self._index.entries_by_job.get(job)
+        return entry is not None and not entry.open
+
     def _stop_cancelled(self, job: str) -> None:
         held = self.held_by_id.get(job)
         if held is not None:
