--- a/src/caperridge/decisions/run_lengths.py
+++ b/src/caperridge/decisions/run_lengths.py
@@ -7,6 +7,7 @@
 
 from typing import Any
 
+from caperridge.decisions.answer_time import AnswerTimes
 from caperridge.records import Record
 
 # Weight of the newest run. Ten runs determine two thirds of an average; they take some
@@ -17,7 +18,7 @@
 LONGEST_DECAY = 0.02
 # The time of runs with fewer events depends more on the prompt than on the pace.
 MIN_EVENTS = 5
-# Fields that are sent to peers, in this order.
+# Fields that are sent to peers, in this order, before those of ``answers``.
 SHARED_FIELDS = ("online_s", "events_per_token", "event_s", "stretch", "longest_s")
 
 
@@ -32,9 +33,17 @@
             run time; it was preempted for the rest.
         longest_s: seconds of the longest recent online request, including its wait at
             the target.
+        answers: size and pace of answers to online requests.
     """
 
-    __slots__ = ("event_s", "events_per_token", "longest_s", "online_s", "stretch")
+    __slots__ = (
+        "answers",
+        "event_s",
+        "events_per_token",
+        "longest_s",
+        "online_s",
+        "stretch",
+    )
 
     def __init__(
         self,
@@ -43,7 +52,9 @@
         event_s: float = 0.0,
         stretch: float = 0.0,
         longest_s: float = 0.0,
+        answers: AnswerTimes | None = None,
     ) -> None:
+        self.answers = answers or AnswerTimes()
         self.online_s = online_s
         self.events_per_token = events_per_token
         self.event_s = event_s
@@ -111,10 +122,12 @@
         for name, value in zip(SHARED_FIELDS, fields, strict=False):
             if not getattr(self, name) and type(value) is float and value > 0:
                 setattr(self, name, value)
+        self.answers.merge(fields[len(SHARED_FIELDS) :])
 
     def to_fields(self) -> list[float]:
         """Return the fields that :meth:`merge` takes."""
-        return [getattr(self, name) for name in SHARED_FIELDS]
+        fields = [getattr(self, name) for name in SHARED_FIELDS]
+        return fields + self.answers.to_fields()
 
 
 def _moving_average(known: float, newest: float) -> float:
--- a/src/caperridge/gateway/dialect.py
+++ b/src/caperridge/gateway/dialect.py
@@ -30,6 +30,8 @@
         wait: how long a read of results may wait for new ones, in ms.
         prompt: the parts of the prompt in order, as ID:TOKENS separated by commas;
             empty if requests do not state them.
+        tokens: how many tokens the prompt has and the answer may have, separated by a
+            comma; empty if requests do not state them.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "signature",
         "stream",
         "team",
+        "tokens",
         "wait",
     )
 
@@ -57,12 +60,14 @@
         wait: str,
         team: str,
         prompt: str = "",
+        tokens: str = "",
     ) -> None:
         self.request = request
         self.deadline = deadline
         self.incarnation = incarnation
         self.not_run = not_run
         self.prompt = prompt
+        self.tokens = tokens
         self.signature = signature
         self.resume = resume
         self.stream = stream
@@ -129,6 +134,16 @@
         ids = [part.partition(":")[0].strip().lower() for part in stated.split(",")]
         return [id for id in ids if id]
 
+    def max_answer_tokens(self, headers: MultiMapping[str]) -> int:
+        """Return the most tokens that a request's answer may have; 0 if unstated.
+
+        Args:
+            headers: of the request; names are matched case-insensitively.
+        """
+        stated = headers.get(self.headers.tokens, "") if self.headers.tokens else ""
+        tokens = stated.partition(",")[2].strip()
+        return int(tokens) if tokens.isdecimal() and tokens.isascii() else 0
+
     @abstractmethod
     def configuration(self, value: bytes) -> RoutingTable:
         """Return the configuration in a row's value.
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -265,6 +265,7 @@
             objective=arrived + (route.objective_s or timeout_s) - waited_s,
             resume_after=int(resume) if resume.isdigit() else 0,
             stream=request.headers.get(names.stream, ""),
+            max_tokens=self._dialect.max_answer_tokens(request.headers),
         )
         reply = AiohttpReply(request, lambda: self.closing)
         self.read_peers()
--- a/src/caperridge/gateway/fleet.py
+++ b/src/caperridge/gateway/fleet.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 
+from caperridge.decisions.answer_time import MIN_EVENTS, Spread
 from caperridge.decisions.ejection import Health
 from caperridge.decisions.run_lengths import RunStatistics
 from caperridge.decisions.stream_origins import VersionHistory
@@ -48,6 +49,7 @@
             counts of other availability zones are old.
         unreachable: addresses of targets that accept no connections, by id.
         run_lengths_by_service: how long runs take, observed here or reported by peers.
+        pace_by_target: seconds between two events of answers, observed here.
         silent_zones: returns the availability zones that may be cut off, whose targets
             are used last.
 
@@ -68,6 +70,7 @@
         self.remote_counts_stale = False
         self.unreachable: dict[str, str] = {}
         self.run_lengths_by_service: dict[str, RunStatistics] = {}
+        self.pace_by_target: dict[str, Spread] = {}
         self._health_by_target: dict[str, Health] = {}
         self._failed_at_by_target: dict[str, float] = {}
         self._refusing_until_by_target: dict[str, float] = {}
@@ -82,6 +85,25 @@
             lengths = self.run_lengths_by_service[service] = RunStatistics()
         return lengths
 
+    def record_answer(
+        self, target: Target, events: int, took_s: float, queued: bool
+    ) -> None:
+        """Record an online request that completed.
+
+        Args:
+            target: that ran it.
+            events: number of its events in this run.
+            took_s: seconds from sending it to its completion.
+            queued: whether it may have waited for a slot at its target.
+        """
+        lengths = self.run_lengths(target.service)
+        lengths.record_answer(events, took_s, queued)
+        if queued or events < MIN_EVENTS:
+            return
+        lengths.answers.event_s.add(took_s / events)
+        pace = self.pace_by_target.setdefault(target.id, Spread())
+        pace.add(took_s / events)
+
     def recent_versions(self, service: str, now: float, within_s: float) -> set[str]:
         """Return the versions that may have begun a stream, as far as known here.
 
@@ -217,6 +239,9 @@
                 del self._health_by_target[id]
                 self._failed_at_by_target.pop(id, None)
                 self.unreachable.pop(id, None)
+        for id in list(self.pace_by_target):
+            if id not in self.targets.by_id:
+                del self.pace_by_target[id]
         for id in list(self._refusing_until_by_target):
             if id not in self.targets.by_id:
                 del self._refusing_until_by_target[id]
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -218,8 +218,9 @@
             return error
         fingerprint = self._fingerprint(request, state)
         self._guard.record_good_run(fingerprint, took_s, state.wrote)
+        self._fleet.record_answer(target, events, took_s, queued=not immediate)
         lengths = self._fleet.run_lengths(target.service)
-        lengths.record_answer(events, took_s, queued=not immediate)
+        lengths.answers.record_size(request.max_tokens, state.last_event)
         return None
 
     async def _attempt_unless_quarantined(
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -32,6 +32,7 @@
         resume_after: number of the last event that the caller received; 0 for none.
         stream: id of the caller's try that brought the first event; empty if the
             caller does not say.
+        max_tokens: of its answer, as the caller states it; 0 if it does not.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         "deadline",
         "headers",
         "id",
+        "max_tokens",
         "method",
         "objective",
         "path",
@@ -61,8 +63,10 @@
         objective: float,
         resume_after: int = 0,
         stream: str = "",
+        max_tokens: int = 0,
     ) -> None:
         self.id = id
+        self.max_tokens = max_tokens
         self.method = method
         self.path = path
         self.headers = headers
--- a/src/caperridge/gateway/target_choice.py
+++ b/src/caperridge/gateway/target_choice.py
@@ -1,6 +1,7 @@
 """Chooses the target of an online request, or the reason why it gets none."""
 
 import asyncio
+import math
 
 from caperridge.decisions.admission import (
     finishes_in_time,
@@ -25,6 +26,8 @@
 MAX_OFFERS = 8
 NO_TARGET_RETRY_AFTER_S = 0.5
 IMMEDIATE_RETRY_AFTER_S = 0.05
+# A target slows down while it fills up, by less than this in one answer.
+PACE_MARGIN = 1.1
 
 
 class TargetChoice:
@@ -54,18 +57,25 @@
             retry_after_s = self._retry_delay_s(request, now)
             return Failure("too many refusals", not_run, retry_after_s)
         online_s = self._fleet.run_lengths(service).online_s
-        if not_run and self._would_be_cut(service, now):
-            # Another instance can send the complete answer.
-            return Failure(
-                "its answer would be cut by the stop", not_run, IMMEDIATE_RETRY_AFTER_S
-            )
         remaining_s = request.objective - now
         if state.last_event or not not_run:
             # It has started or may have, so its caller cannot be told to retry.
             remaining_s = max(remaining_s, request.route.objective_s)
-        target = self._place(
-            targets, lambda one: max_queued(online_s, one.slots, remaining_s)
-        )
+
+        def queue_limit(target: Target) -> int:
+            return max_queued(online_s, target.slots, remaining_s)
+
+        finishing = self._finishing(targets, request, state, now)
+        target = self._place(finishing, queue_limit)
+        if target is None and len(finishing) < len(targets):
+            if not_run:
+                # Another instance can send the complete answer.
+                return Failure(
+                    "its answer would be cut by the stop",
+                    not_run,
+                    IMMEDIATE_RETRY_AFTER_S,
+                )
+            target = self._place(targets, queue_limit)
         if target is not None:
             return target
         retry_after_s = self._retry_delay_s(request, now)
@@ -127,14 +137,46 @@
             retry_after_s=round(retry_after_s, 2),
         )
 
-    def _would_be_cut(self, service: str, now: float) -> bool:
-        """Whether a planned stop would cut off an answer that starts now."""
-        lengths = self._fleet.run_lengths(service)
-        cautious = now >= self._limits.reject_long_from
-        longest_s = lengths.longest_s if cautious else 0.0
-        return not finishes_in_time(
-            lengths.online_s, longest_s, self._limits.deadline - now
+    def _finishing(
+        self,
+        targets: list[Target],
+        request: InboundRequest,
+        state: RequestState,
+        now: float,
+    ) -> list[Target]:
+        """Return the targets whose answer is expected to end before a planned stop."""
+        left_s = self._limits.deadline - now
+        if math.isinf(left_s):
+            return targets
+        return [
+            one for one in targets if self._finishes(request, state, one, now, left_s)
+        ]
+
+    def _finishes(
+        self,
+        request: InboundRequest,
+        state: RequestState,
+        target: Target,
+        now: float,
+        left_s: float,
+    ) -> bool:
+        """Whether an answer of ``target`` is expected to end within ``left_s``."""
+        lengths = self._fleet.run_lengths(target.service)
+        pace = self._fleet.pace_by_target.get(target.id)
+        longest_s = lengths.answers.longest_s(
+            request.max_tokens, state.last_event, pace
         )
+        if longest_s:
+            wait_s = self._wait_s(target, lengths.online_s)
+            return wait_s + longest_s * PACE_MARGIN <= left_s
+        cautious = now >= self._limits.reject_long_from
+        recent_s = lengths.longest_s if cautious else 0.0
+        return finishes_in_time(lengths.online_s, recent_s, left_s)
+
+    def _wait_s(self, target: Target, online_s: float) -> float:
+        """Return the expected wait for a slot; items give theirs up."""
+        online = self._fleet.occupancy.total_at(target.id).online
+        return max(0, online + 1 - target.slots) * online_s / target.slots
 
     def _retry_delay_s(self, request: InboundRequest, now: float) -> float:
         return retry_delay_s(request.deadline - now, self._fleet.rng.random())
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -78,6 +78,7 @@
         wait="X-Wait-Ms",
         team="X-Tenant",
         prompt="X-Prompt-Prefix",
+        tokens="X-Token-Usage",
     )
     per_attempt_headers = frozenset(
         {
--- a/tests/gateway/test_answers_in_a_stop.py
+++ b/tests/gateway/test_answers_in_a_stop.py
@@ -5,7 +5,10 @@
 
 import aiohttp
 import pytest
+from multidict import CIMultiDict
 
+from caperridge.decisions.answer_time import MIN_EVENTS, Spread
+from caperridge.gateway.occupancy import Count
 from gateway.conftest import HOST, World, until
 
 # Longer than any stop of these tests.
@@ -261,3 +264,100 @@
     instance.fleet.run_lengths("model").longest_s = 59.0
     instance.edge.start_draining(now + 60.0, reject_long_from=now + 50.0)
     assert (await world.ask(instance, "/once/1", "r1")).data == runner.text("r1")
+
+
+async def test_a_long_answer_goes_to_a_target_that_ends_it_before_the_stop(
+    world: World,
+) -> None:
+    """Guards against streams cut at a slow target, and short ones refused for them."""
+    slow, fast = [await world.add_runner(slots=2) for _ in range(2)]
+    for runner in (slow, fast):
+        runner.events = 62
+        runner.pause_s = 0.0
+    instance = await world.add_instance()
+    await world.ready()
+    fleet = instance.fleet
+    fleet.run_lengths("model").answers.events_per_token = Spread(0.2)
+    fleet.pace_by_target[slow.id] = Spread(0.072)
+    fleet.pace_by_target[fast.id] = Spread(0.033)
+    now = asyncio.get_running_loop().time()
+    instance.edge.start_draining(now + 4.2, reject_long_from=now)
+    for number in range(4):
+        answer = await world.ask(
+            instance, "/once/1", f"long-{number}", X_Token_Usage="450,310"
+        )
+        assert answer.whole
+    assert len(fast.runs) == 4
+    fleet.occupancy.update_peer_count("e-9", fast.id, Count(online=1000))
+    refused = await world.ask(instance, "/once/1", "late", X_Token_Usage="450,310")
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) < 1.0
+    short = await world.ask(instance, "/once/1", "short", X_Token_Usage="450,195")
+    assert short.whole
+    assert [run.id for run in slow.runs] == ["short"]
+
+
+async def test_a_stop_cuts_no_stream_that_a_faster_target_ends_in_time(
+    world: World,
+) -> None:
+    """Guards against streams that a stop breaks off in the middle at a slow target."""
+    runners = [await world.add_runner(slots=8) for _ in range(2)]
+    instance = await world.add_instance()
+    await world.ready()
+    for runner, pause_s in zip(runners, (0.04, 0.005), strict=True):
+        runner.pause_s = pause_s
+        runner.events = 30
+    for _ in range(3):
+        await asyncio.gather(
+            *(
+                world.ask(instance, "/once/1", f"usual-{n}", X_Token_Usage="450,150")
+                for n in range(6)
+            )
+        )
+    for runner in runners:
+        runner.events = 62
+    now = asyncio.get_running_loop().time()
+    instance.edge.start_draining(now + 2.0, reject_long_from=now)
+    answers = await asyncio.gather(
+        *(
+            world.ask(instance, "/once/1", f"long-{n}", X_Token_Usage="450,310")
+            for n in range(6)
+        )
+    )
+    assert [answer.whole for answer in answers] == [True] * 6
+    assert {answer.status for answer in answers} <= {200, 503}
+
+
+async def test_size_and_pace_of_answers_are_observed_and_told(world: World) -> None:
+    """Guards against an instance that has just started and judges by nothing."""
+    runner = await world.add_runner()
+    runner.events = MIN_EVENTS * 2
+    instance = await world.add_instance()
+    await world.ready()
+    for number in range(3):
+        usage = f"450,{MIN_EVENTS * 2 * 5}"
+        await world.ask(instance, "/once/1", f"r{number}", X_Token_Usage=usage)
+    observed = instance.fleet.run_lengths("model").answers
+    assert observed.events_per_token.usual == pytest.approx(0.2)
+    assert instance.fleet.pace_by_target[runner.id].usual >= runner.pause_s
+    fresh = await world.add_instance()
+    await until(
+        lambda: (
+            fresh.fleet.run_lengths("model").answers.to_fields() == observed.to_fields()
+        )
+    )
+    world.store.remove("servers", runner.id)
+    await until(lambda: not instance.fleet.pace_by_target)
+
+
+@pytest.mark.parametrize("stated", ["", "450", "450,", "450,many", "450,\u0663"])
+async def test_a_size_that_cannot_be_read_is_none(world: World, stated: str) -> None:
+    """Guards against requests that fail for a header that only informs."""
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    headers = {"X-Token-Usage": stated}
+    size = instance.edge._dialect.max_answer_tokens(CIMultiDict(headers))
+    assert size == 0
+    instance.edge.start_draining(asyncio.get_running_loop().time() + 60.0)
+    assert (await world.ask(instance, "/once/1", "r1")).data == runner.text("r1")
