--- a/src/caperridge/gateway/target_choice.py
+++ b/src/caperridge/gateway/target_choice.py
@@ -57,10 +57,7 @@
             retry_after_s = self._retry_delay_s(request, now)
             return Failure("too many refusals", not_run, retry_after_s)
         online_s = self._fleet.run_lengths(service).online_s
-        remaining_s = request.objective - now
-        if state.last_event or not not_run:
-            # It has started or may have, so its caller cannot be told to retry.
-            remaining_s = max(remaining_s, request.route.objective_s)
+        remaining_s = _longest_wait_s(request, state, online_s, now)
 
         def queue_limit(target: Target) -> int:
             return max_queued(online_s, target.slots, remaining_s)
@@ -182,6 +179,28 @@
         return retry_delay_s(request.deadline - now, self._fleet.rng.random())
 
 
+def _longest_wait_s(
+    request: InboundRequest, state: RequestState, online_s: float, now: float
+) -> float:
+    """Return how long a request may wait for its next run, in seconds.
+
+    Args:
+        request: of the caller.
+        state: its progress.
+        online_s: usual seconds of a run; 0 if unknown.
+        now: on the event loop's clock.
+    """
+    wait_s = request.objective - now
+    if not state.last_event and not state.sent_at_least_once:
+        return wait_s
+    # It has started or may have, so its caller cannot be told to retry.
+    wait_s = max(wait_s, request.route.objective_s)
+    if state.last_event <= request.resume_after:
+        return wait_s
+    # Its caller has a part of the answer, which is cut if there is no other run.
+    return max(wait_s, request.deadline - now - online_s)
+
+
 def _service_and_version(
     request: InboundRequest, state: RequestState
 ) -> tuple[str, str | None]:
