--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -9,6 +9,7 @@
 from caperridge.decisions.rendezvous import owner
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.mesh.mesh import Mesh
+from caperridge.gateway.mesh.relay import ANY_PROCESS
 from caperridge.gateway.mesh.quota_messages import (
     ForwardedQuotaReport,
     QuotaReport,
@@ -295,7 +296,7 @@
         verdicts = QuotaVerdict(report.number, fields, forwarded_by=peer)
         if report.reporter != self._mesh.instance:
             self._mesh.send(report.reporter, verdicts, report.incarnation)
-        elif report.incarnation in ("", self._mesh.incarnation):
+        elif report.incarnation in (ANY_PROCESS, self._mesh.incarnation):
             self._receive_verdict(peer, verdicts)
 
     def _settle(self, reporter: str, teams: list[list[Any]]) -> list[list[Any]]:
