--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -9,12 +9,12 @@
 from caperridge.decisions.rendezvous import owner
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.mesh.mesh import Mesh
-from caperridge.gateway.mesh.relay import ANY_PROCESS
 from caperridge.gateway.mesh.quota_messages import (
     ForwardedQuotaReport,
     QuotaReport,
     QuotaVerdict,
 )
+from caperridge.gateway.mesh.relay import ANY_PROCESS
 from caperridge.gateway.quota_ledger import QuotaLedger, Verdict
 from caperridge.gateway.team_use import Report, TeamShare, TeamUse
 from caperridge.log import logger
