Log how the origin of a stream that is taken up was determined

The line 'stream taken up' said 'found' for an origin that was recorded here, one that a peer had recorded and one that was inferred. It now names the source, and the version and age of the list of targets that this instance had.

The watchers of the tables are made in a module of their own. Behaviour is unchanged.

--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -64,6 +64,7 @@
         limits: AnswerLimits,
         guard: RequestGuard,
         origins: StreamOrigins,
+        resumption: StreamResumption,
     ) -> None:
         self._fleet = fleet
         self._client = client
@@ -73,7 +74,7 @@
         self._metrics = metrics
         self._limits = limits
         self._choice = TargetChoice(fleet, limits)
-        self._resumption = StreamResumption(origins, metrics)
+        self._resumption = resumption
         self._answers = AnswerRelay(metrics, origins)
         self.on_placed: Callable[[str], None] = lambda target: None
         names = dialect.headers
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -49,19 +49,20 @@
 from caperridge.gateway.relayed_store import RelayedStore
 from caperridge.gateway.repeating_store import HedgingStore
 from caperridge.gateway.request_guard import RequestGuard
-from caperridge.gateway.rows import RowStore, StoredRow
+from caperridge.gateway.resumption import StreamResumption
+from caperridge.gateway.rows import RowStore
 from caperridge.gateway.settings import Settings
 from caperridge.gateway.state import state_of
 from caperridge.gateway.stopping import PlannedStop
 from caperridge.gateway.stream_origins import StreamOrigins
-from caperridge.gateway.table_copy import TableCopy
 from caperridge.gateway.table_readers import TableReaders
 from caperridge.gateway.table_rows import TableRows
+from caperridge.gateway.table_watchers import TableWatchers
 from caperridge.gateway.target_ends import CrashDetector
 from caperridge.gateway.unowned import OrphanedRunScan
 from caperridge.gateway.unreachable import probe_unreachable
 from caperridge.gateway.upstream import TargetClient
-from caperridge.gateway.watcher import Changed, StoreReachability, TableWatcher
+from caperridge.gateway.watcher import StoreReachability
 from caperridge.gateway.zones import silent_zones
 from caperridge.log import logger
 
@@ -71,11 +72,6 @@
 # Heartbeats are most of what an idle instance of a large fleet sends and receives: 85
 # messages a second with 63 instances at 0.4 s.
 HEARTBEAT_INTERVAL_S = 0.6
-# The copy of the index may lag, because no decision rests on it alone.
-INDEX_READ_INTERVAL_S = 0.7
-# Peers announce quarantined requests at once. An instance without peers reads them from
-# the store, well within the seconds in which it has to learn of them.
-QUARANTINE_READ_INTERVAL_S = 0.5
 # Well above the delay of timers on a busy machine, and well below the silence after
 # which peers declare this instance lost.
 MIN_STALL_S = 0.3
@@ -162,6 +158,25 @@
             self.mesh,
             lambda: self.configuration.in_service(self.granting.granted_targets()),
         )
+        self._rows = TableRows(
+            dialect,
+            self.configuration,
+            self.fleet,
+            self.client,
+            self.index,
+            self.metrics,
+        )
+        watchers = TableWatchers(
+            store,
+            self.reachability,
+            TableReaders(self.mesh, self.reachability).reads,
+            rng,
+            dialect,
+            self._rows,
+            self.index,
+            self.guard,
+        )
+        self._watchers = watchers.all
         acceptance = JobAcceptance(hedging, self.index, self.clock, rng)
         limits = AnswerLimits()
         jobs = JobsEdge(
@@ -176,6 +191,7 @@
             limits,
             self.guard,
             self.origins,
+            StreamResumption(self.origins, self.metrics, watchers.targets),
         )
         self.quotas = make_quotas(self.mesh, self.configuration, settings.seeds)
         self.edge = make_edge(
@@ -187,15 +203,6 @@
             self.metrics,
             limits,
         )
-        self._rows = TableRows(
-            dialect,
-            self.configuration,
-            self.fleet,
-            self.client,
-            self.index,
-            self.metrics,
-        )
-        self._watchers = self._make_watchers(dialect, rng)
         self.updates = PeerUpdates(
             self.mesh, self.fleet, self._watchers, self.reachability
         )
@@ -208,36 +215,6 @@
         self._listeners = [self._caller_listener]
         self._connect_parts()
 
-    def _make_watchers(
-        self, dialect: Dialect, rng: random.Random
-    ) -> list[TableWatcher]:
-        readers = TableReaders(self.mesh, self.reachability)
-
-        def watcher(copy: TableCopy, apply: Changed, interval_s: float) -> TableWatcher:
-            return TableWatcher(
-                self._store,
-                copy,
-                self.reachability,
-                apply,
-                interval_s,
-                readers.reads,
-                rng,
-            )
-
-        configuration = TableCopy(dialect.configuration_table)
-        targets = TableCopy(dialect.targets_table)
-        quarantined = self.guard.rows.copy
-        return [
-            watcher(configuration, self._rows.apply_configuration, 0.0),
-            watcher(targets, self._rows.apply_targets, 0.0),
-            watcher(self.index.copy, self._rows.apply_index, INDEX_READ_INTERVAL_S),
-            watcher(quarantined, self._apply_quarantine, QUARANTINE_READ_INTERVAL_S),
-        ]
-
-    def _apply_quarantine(self, rows: list[StoredRow], source: str) -> None:
-        self.guard.apply_rows(rows, source)
-        self._rows.on_applied(self.guard.rows.copy.table)
-
     def _connect_parts(self) -> None:
         self._rows.on_applied = self.updates.table_changed
         self._rows.on_target_removed = self._crash_detector.target_removed
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -38,6 +38,29 @@
 EXPIRY_INTERVAL_S = 2.0
 
 
+# How the origin of a stream was determined.
+RECORDED = "recorded here"
+RECORDED_BY_PEER = "recorded by a peer"
+INFERRED = "inferred here"
+INFERRED_BY_PEERS = "inferred by peers"
+UNKNOWN = "unknown"
+
+
+class FoundOrigin(Record):
+    """The origin of a stream that a caller takes up, and how it was determined.
+
+    Attributes:
+        origin: of the stream; None if it is unknown.
+        source: one of the constants above.
+    """
+
+    __slots__ = ("origin", "source")
+
+    def __init__(self, origin: StreamOrigin | None, source: str) -> None:
+        self.origin = origin
+        self.source = source if origin is not None else UNKNOWN
+
+
 class Question:
     """A question to several peers that waits for their answers.
 
@@ -122,8 +145,8 @@
                 asyncio.get_running_loop().call_soon(self._flush)
             self._unsent.setdefault((peer, origin, keep_s), []).append(key)
 
-    async def find(self, stream: str, route: Route) -> StreamOrigin | None:
-        """Return what began a stream that a caller takes up; None if unknown.
+    async def find(self, stream: str, route: Route) -> FoundOrigin:
+        """Return what began a stream that a caller takes up.
 
         If no instance knows it, the stream still began at the only version of its
         service where there has been no other.
@@ -136,12 +159,15 @@
         now = asyncio.get_running_loop().time()
         origin = self._table.find(_key(stream), now) if stream else None
         if origin is not None:
-            return origin
+            return FoundOrigin(origin, RECORDED)
         inferred = self._infer(route, now)
         if inferred is not None and not stream:
-            return inferred
+            return FoundOrigin(inferred, INFERRED)
         question = await self._ask(stream, route)
-        return question.known or self._agree(question.inferred, inferred, route, now)
+        if question.known is not None:
+            return FoundOrigin(question.known, RECORDED_BY_PEER)
+        agreed = self._agree(question.inferred, inferred, route, now)
+        return FoundOrigin(agreed, INFERRED if inferred else INFERRED_BY_PEERS)
 
     def _infer(self, route: Route, now: float) -> StreamOrigin | None:
         """Return what began every recent stream of a route; None if that differs."""
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -118,6 +118,8 @@
 
     Attributes:
         publish: called with all rows that changed after one version up to another.
+        confirmed_at: the copy held all that the store had then, on the event loop's
+            clock: when the newest call that was answered began.
 
     Args:
         store: called directly.
@@ -142,6 +144,7 @@
         self.copy = copy
         self.min_interval_s = min_interval_s
         self.publish: Publish = lambda rows, since, version: None
+        self.confirmed_at = -math.inf
         self._is_reader = reads
         self._chance = chance or random.Random()
         self._wake = asyncio.Event()
@@ -227,11 +230,13 @@
             self._changed(changed_rows, peer)
 
     async def _read_all(self) -> Err | None:
+        began_at = asyncio.get_running_loop().time()
         answer = await read_all_rows(self._store, self.copy.table)
         if isinstance(answer, Err):
             return answer
         page: RowsRead = answer.ok_value
         self._reach.record_success()
+        self.confirmed_at = max(self.confirmed_at, began_at)
         known = self.copy.loaded
         changed_rows = self.copy.apply_snapshot(page.rows, page.version)
         if changed_rows or not known:
@@ -239,11 +244,13 @@
         return None
 
     async def _poll(self, wait_s: float) -> Err | None:
+        began_at = asyncio.get_running_loop().time()
         since = self.copy.read_version
         answer = await self._store.changes(self.copy.table, since, wait_s)
         if isinstance(answer, Err):
             return answer
         self._reach.record_success()
+        self.confirmed_at = max(self.confirmed_at, began_at)
         page: RowsRead = answer.ok_value
         settled = self.copy.settled_version
         changed_rows = self.copy.apply_changes(page.rows, since, page.version)
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -12,7 +12,8 @@
     TableWhole,
 )
 from caperridge.gateway.news import PEER_COPY_DELAY_S, REQUEST_RETRY_DELAY_S
-from caperridge.gateway.process import INDEX_READ_INTERVAL_S, GatewayInstance
+from caperridge.gateway.process import GatewayInstance
+from caperridge.gateway.table_watchers import INDEX_READ_INTERVAL_S
 from gateway.conftest import World, until
 from loop_clock import LoopClock
 
--- a/tests/gateway/test_prompt_parts_that_end_targets.py
+++ b/tests/gateway/test_prompt_parts_that_end_targets.py
@@ -31,8 +31,9 @@
 from caperridge.gateway.jobs.codec import to_bytes
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import SoundRuns, Suspects, TargetEnded
-from caperridge.gateway.process import QUARANTINE_READ_INTERVAL_S, GatewayInstance
+from caperridge.gateway.process import GatewayInstance
 from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.table_watchers import QUARANTINE_READ_INTERVAL_S
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.platform.dialect import PlatformDialect
 from gateway.conftest import Answer, World, job_body, until
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -10,9 +10,10 @@
 
 from caperridge.gateway.mesh.mesh import SILENCE_TIMEOUT_S, Mesh
 from caperridge.gateway.mesh.messages import Heartbeat
-from caperridge.gateway.process import INDEX_READ_INTERVAL_S, TICK_INTERVAL_S
+from caperridge.gateway.process import TICK_INTERVAL_S
 from caperridge.gateway.silent_sockets import KEEPALIVE_INTERVAL_S
 from caperridge.gateway.store_connections import USER_TIMEOUT_MS
+from caperridge.gateway.table_watchers import INDEX_READ_INTERVAL_S
 from caperridge.gateway.watcher import LONG_POLL_S, MIN_RETRY_DELAY_S
 from caperridge.platform.store import CALL_TIMEOUT_S, LONG_POLL_SLACK_S, HttpRowStore
 from gateway.conftest import ROUTES, World, free_address, until
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -138,8 +138,8 @@
     for instance in others:
         for stream in STREAMS:
             ask = instance.configuration.table.routes[0]
-            origin = await instance.origins.find(stream, ask)
-            assert {origin.software_version} == versions_of(world, stream)
+            found = await instance.origins.find(stream, ask)
+            assert {found.origin.software_version} == versions_of(world, stream)
 
 
 # Guards against a stream of unknown origin that goes on at any version.
