Show that instances out of step join streams of two software versions

An instance that is cut off from store and peers, or one that asks a peer that is, infers that a service has had one version only, from a list that lacks the second one. Both tests fail: 3 of 3 streams, and 1 of 1, that began at v2 go on at v1.

--- /dev/null
+++ b/tests/gateway/test_out_of_step.py
@@ -0,0 +1,108 @@
+"""What instances infer of streams while they or their peers miss changes of the list."""
+
+import asyncio
+
+import pytest
+
+from caperridge.gateway import stream_origins
+from caperridge.gateway.process import GatewayInstance
+from gateway.conftest import Answer, World, route, until
+from gateway.runner_standin import RunnerStandin
+
+NEW_VERSION = "v2"
+# A route with this time-out, and no margin, so that a version is known soon.
+TIMEOUT_MS = 400
+
+
+@pytest.fixture
+def short_window(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let streams last only for a moment."""
+    monkeypatch.setattr(stream_origins, "KEEP_MARGIN_S", 0.0)
+    world.configure(1, [route("ask", timeoutMs=TIMEOUT_MS)])
+
+
+def cut_from_store(world: World, instance: GatewayInstance) -> None:
+    """Have the store never answer an instance again, without a reset."""
+
+    async def silent(*_: object, **__: object) -> None:
+        await asyncio.Event().wait()
+
+    store = world.store_of(instance)
+    for long_poll in store._long_polls:
+        long_poll.cancel()
+    store._call = silent
+
+
+def cut_from_peers(instance: GatewayInstance) -> None:
+    """Have an instance neither send to its peers nor hear them."""
+    instance.mesh.send = lambda *_: False
+    instance.mesh._handlers_by_kind.clear()
+
+
+async def known_for_the_window(instance: GatewayInstance) -> None:
+    """Wait until an instance has followed the list for as long as a stream lasts."""
+    fleet = instance.fleet
+    loop = asyncio.get_running_loop()
+    await until(lambda: fleet.only_version("model", loop.time(), TIMEOUT_MS / 1000))
+
+
+async def take_up(
+    world: World, instance: GatewayInstance, id: str, stream: str = ""
+) -> Answer:
+    """Take up a stream after its second event; it is named if ``stream`` is given."""
+    head = {"Last_Event_Id": "2"} | ({"Resumes": stream} if stream else {})
+    return await world.ask(instance, "/ask/1", id, **head)
+
+
+def runs_of(runner: RunnerStandin, id: str) -> int:
+    """Return how often a runner ran a request."""
+    return sum(run.id == id for run in runner.runs)
+
+
+# Guards against a stream of a version that has just joined, taken up at an instance that
+# is cut off and doesn't know it: it infers from its old list that there is one version.
+async def test_an_instance_out_of_step_joins_no_stream_that_it_does_not_know(
+    world: World, short_window: None
+) -> None:
+    old = await world.add_runner(slots=20)
+    first = await world.add_instance()
+    cut_off = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(cut_off)
+    cut_from_store(world, cut_off)
+    cut_from_peers(cut_off)
+    await world.add_runner(slots=20, software_version=NEW_VERSION)
+    await until(lambda: len(first.fleet.targets.by_id) == 2)
+    old.refuse = True
+    assert (await world.ask(first, "/ask/1", "r1")).data[0] == f"r1-1{NEW_VERSION}"
+    old.refuse = False
+    answers = [
+        await take_up(world, cut_off, "named", "r1"),
+        await take_up(world, cut_off, "unnamed"),
+    ]
+    await asyncio.sleep(0.5)
+    answers.append(await take_up(world, cut_off, "later", "r1"))
+    assert len(cut_off.fleet.targets.by_id) == 1  # it has not noticed
+    assert not old.runs
+    assert [answer.status for answer in answers] == [503] * 3
+
+
+# Guards against a stream of a version that has come and gone: an instance that started
+# since is told by a peer which missed both that there has been one version.
+async def test_what_a_peer_out_of_step_infers_joins_no_stream(
+    world: World, short_window: None
+) -> None:
+    old = await world.add_runner(slots=20)
+    peer = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(peer)
+    cut_from_store(world, peer)
+    newer = await world.add_runner(software_version=NEW_VERSION)
+    world.store.remove("servers", newer.id)
+    world.runners.remove(newer)
+    fresh = await world.add_instance()
+    await world.ready()
+    fresh.fleet.list_known_since = lambda: float("inf")
+    answer = await take_up(world, fresh, "again", "r1")
+    assert answer.status == 503
+    assert not runs_of(old, "again")
