Infer a stream's version only with a read of the list newer than the question

What callers saw: a stream that had begun at a target of v2 went on at v1, in one answer with status 200, where the caller came back to an instance that was out of step.

Cause: where no instance knew a stream, its version was inferred from this instance's copy of the list of targets, or a peer's. A statement about what is absent, 'there has been no other version', was made from a copy that nothing had confirmed since the question came up.

What a peer infers comes with the version of the list that it relies on, and is dropped if anything has changed since. The time for which the list is known starts anew after a standstill of this process, a re-read of the whole list, and the removal of an entry that this instance has never seen. An instance of the release before names no version, so its inferences are dropped.

Why it works: the store's answers are linearizable and an entry stands there before any instance can send to its target, so a read that begins after a stream broke off shows the entry of the target that began it, or its removal.

--- a/src/caperridge/gateway/mesh/origin_messages.py
+++ b/src/caperridge/gateway/mesh/origin_messages.py
@@ -52,14 +52,21 @@
         software_version: of that target; empty if it may be one of several.
         inferred: the stream itself is not known; these are the versions that its
             service has had for as long as the stream may last.
+        list_version: up to which the sender knows the list of targets.
     """
 
-    __slots__ = ("inferred", "number", "service", "software_version")
+    __slots__ = ("inferred", "list_version", "number", "service", "software_version")
 
     def __init__(
-        self, number: int, service: str, software_version: str, inferred: bool
+        self,
+        number: int,
+        service: str,
+        software_version: str,
+        inferred: bool,
+        list_version: int = -1,
     ) -> None:
         self.number = number
         self.service = service
         self.software_version = software_version
         self.inferred = inferred
+        self.list_version = list_version
--- a/src/caperridge/gateway/news.py
+++ b/src/caperridge/gateway/news.py
@@ -324,7 +324,10 @@
 
         On the event loop's clock; infinity if changes may be missing.
         """
-        return math.inf if self.is_stale(table) else self._reach.reached_since
+        if self.is_stale(table):
+            return math.inf
+        watcher = self._watchers_by_table[table]
+        return max(self._reach.reached_since, watcher.complete_since)
 
     def _includes(self, table: str, version: int) -> bool:
         """Whether the own copy includes all changes up to ``version``.
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -19,6 +19,7 @@
 from caperridge.gateway.edge_parts import make_edge
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.forwarding import Forwarder
+from caperridge.gateway.fresh_reads import FreshReads
 from caperridge.gateway.held_rows import QuarantineTable
 from caperridge.gateway.jobs.acceptance import JobAcceptance
 from caperridge.gateway.jobs.broker import SlotBroker
@@ -182,7 +183,8 @@
         jobs = JobsEdge(
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
-        self.origins = StreamOrigins(self.mesh, self.fleet)
+        target_list = FreshReads(watchers.targets)
+        self.origins = StreamOrigins(self.mesh, self.fleet, target_list)
         self._forwarder = Forwarder(
             self.fleet,
             self.client,
@@ -359,6 +361,8 @@
             return False
         self.metrics.standstill.observe(stall.stood_s)
         self.mesh.receive_now()
+        for watcher in self._watchers:
+            watcher.note_gap()
         log.warning(
             "instance stood still",
             stood_s=round(stall.stood_s, 3),
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -13,6 +13,7 @@
 from caperridge.decisions.rendezvous import score
 from caperridge.decisions.stream_origins import OriginTable, StreamOrigin
 from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.fresh_reads import FreshReads
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.origin_messages import (
     StreamAnswer,
@@ -68,14 +69,15 @@
         unanswered: peers that have not answered.
         origin: resolved by the first one that knows it, or with None by the last one
             that doesn't.
-        inferred: what peers that don't know the stream infer.
+        inferred: what peers that don't know the stream infer, with the version of the
+            list of targets up to which each knows it.
     """
 
     __slots__ = ("inferred", "origin", "unanswered")
 
     def __init__(self, peers: set[str]) -> None:
         self.unanswered = peers
-        self.inferred: set[StreamOrigin] = set()
+        self.inferred: list[tuple[StreamOrigin, int]] = []
         self.origin: asyncio.Future[StreamOrigin | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -108,11 +110,13 @@
     Args:
         mesh: of peers.
         fleet: knows the software versions that the listed targets have had.
+        target_list: reads the list of targets.
     """
 
-    def __init__(self, mesh: Mesh, fleet: Fleet) -> None:
+    def __init__(self, mesh: Mesh, fleet: Fleet, target_list: FreshReads) -> None:
         self._mesh = mesh
         self._fleet = fleet
+        self._target_list = target_list
         self._table = OriginTable()
         self._replicas_by_bucket: dict[int, Replicas] = {}
         self._replicas_key = -1
@@ -138,7 +142,7 @@
             route: whose time-out limits how long a caller may take it up.
         """
         key = _key(stream)
-        keep_s = route.timeout_s + KEEP_MARGIN_S
+        keep_s = _window_s(route)
         self._put(key, origin, keep_s)
         for peer in self._replicas(key).sent:
             if not self._unsent:
@@ -149,7 +153,8 @@
         """Return what began a stream that a caller takes up.
 
         If no instance knows it, the stream still began at the only version of its
-        service where there has been no other.
+        service where there has been no other. That is inferred only with a read of the
+        list of targets that began after this call.
 
         Args:
             stream: id of the caller's try that brought the first event; empty if the
@@ -160,22 +165,49 @@
         origin = self._table.find(_key(stream), now) if stream else None
         if origin is not None:
             return FoundOrigin(origin, RECORDED)
-        inferred = self._infer(route, now)
-        if inferred is not None and not stream:
-            return FoundOrigin(inferred, INFERRED)
-        question = await self._ask(stream, route)
-        if question.known is not None:
-            return FoundOrigin(question.known, RECORDED_BY_PEER)
-        agreed = self._agree(question.inferred, inferred, route, now)
+        inferred_by_peers: list[tuple[StreamOrigin, int]] = []
+        if stream or self._infer(route) is None:
+            question = await self._ask(stream, route)
+            if question.known is not None:
+                return FoundOrigin(question.known, RECORDED_BY_PEER)
+            inferred_by_peers = question.inferred
+        return await self._infer_with_proof(route, inferred_by_peers)
+
+    async def _infer_with_proof(
+        self, route: Route, inferred_by_peers: list[tuple[StreamOrigin, int]]
+    ) -> FoundOrigin:
+        """Infer what began a stream of a route after a new read of the list.
+
+        Args:
+            route: that the caller uses.
+            inferred_by_peers: with the version of the list that each relies on. That
+                there has been one version holds only if nothing has changed since.
+        """
+        unknown = FoundOrigin(None, UNKNOWN)
+        if self._infer(route) is None and not inferred_by_peers:
+            return unknown
+        versions = [version for _, version in inferred_by_peers]
+        since = min([*versions, self._target_list.read_version])
+        changes = await self._target_list.changes_since(since)
+        if changes is None:
+            return unknown
+        changed_at = max((row.version for row in changes), default=-1)
+        inferred = self._infer(route)
+        origins = {
+            origin
+            for origin, version in inferred_by_peers
+            if version >= changed_at or not origin.software_version
+        }
+        agreed = self._agree(origins, inferred, route)
         return FoundOrigin(agreed, INFERRED if inferred else INFERRED_BY_PEERS)
 
-    def _infer(self, route: Route, now: float) -> StreamOrigin | None:
+    def _infer(self, route: Route) -> StreamOrigin | None:
         """Return what began every recent stream of a route; None if that differs."""
         if len(route.services) != 1:
             return None
         (service,) = route.services
-        within_s = route.timeout_s + KEEP_MARGIN_S
-        version = self._fleet.only_version(service, now, within_s)
+        now = asyncio.get_running_loop().time()
+        version = self._fleet.only_version(service, now, _window_s(route))
         return StreamOrigin(service, version) if version is not None else None
 
     def _agree(
@@ -183,7 +215,6 @@
         inferred_by_peers: set[StreamOrigin],
         inferred: StreamOrigin | None,
         route: Route,
-        now: float,
     ) -> StreamOrigin | None:
         """Return what peers and this instance infer, if all of them agree.
 
@@ -193,8 +224,8 @@
         if len(all_inferred) != 1:
             return None
         (origin,) = all_inferred
-        within_s = route.timeout_s + KEEP_MARGIN_S
-        known = self._fleet.recent_versions(origin.service, now, within_s)
+        now = asyncio.get_running_loop().time()
+        known = self._fleet.recent_versions(origin.service, now, _window_s(route))
         return origin if known == {origin.software_version} else None
 
     def expire(self, now: float) -> None:
@@ -221,7 +252,7 @@
         key = _key(stream)
         service = next(iter(route.services)) if len(route.services) == 1 else ""
         number = next(self._numbers)
-        ask = StreamAsk(number, key, service, route.timeout_s + KEEP_MARGIN_S)
+        ask = StreamAsk(number, key, service, _window_s(route))
         asked = {one for one in self._replicas(key).asked if self._mesh.send(one, ask)}
         question = Question(asked)
         if not asked:
@@ -248,7 +279,11 @@
         if origin is None:
             origin = self._infer_for_peer(ask, now)
         answer = StreamAnswer(
-            ask.number, origin.service, origin.software_version, inferred
+            ask.number,
+            origin.service,
+            origin.software_version,
+            inferred,
+            self._target_list.read_version,
         )
         self._mesh.send(peer, answer)
 
@@ -276,7 +311,7 @@
             question.origin.set_result(origin)
             return
         if answer.service:
-            question.inferred.add(origin)
+            question.inferred.append((origin, answer.list_version))
         if not question.unanswered:
             question.origin.set_result(None)
 
@@ -319,6 +354,11 @@
         return Replicas(near[:NEAR_REPLICAS] + outside[:1], asked)
 
 
+def _window_s(route: Route) -> float:
+    """Return for how long a stream of a route may be taken up, in seconds."""
+    return route.timeout_s + KEEP_MARGIN_S
+
+
 def _key(stream: str) -> int:
     """Return the hash of a stream's id, which may be of any length."""
     return xxhash.xxh3_64_intdigest(stream.encode())
--- a/src/caperridge/gateway/watcher.py
+++ b/src/caperridge/gateway/watcher.py
@@ -6,9 +6,10 @@
 import random
 from collections.abc import Callable
 
-from result import Err
+from result import Err, Result
 
 from caperridge.gateway.rows import (
+    ChangesError,
     HistoryGone,
     RowsRead,
     RowStore,
@@ -120,6 +121,8 @@
         publish: called with all rows that changed after one version up to another.
         confirmed_at: the copy held all that the store had then, on the event loop's
             clock: when the newest call that was answered began.
+        complete_since: every version of every row has been seen since then, on the
+            event loop's clock.
 
     Args:
         store: called directly.
@@ -145,6 +148,7 @@
         self.min_interval_s = min_interval_s
         self.publish: Publish = lambda rows, since, version: None
         self.confirmed_at = -math.inf
+        self.complete_since = math.inf
         self._is_reader = reads
         self._chance = chance or random.Random()
         self._wake = asyncio.Event()
@@ -237,6 +241,7 @@
         page: RowsRead = answer.ok_value
         self._reach.record_success()
         self.confirmed_at = max(self.confirmed_at, began_at)
+        self.note_gap()
         known = self.copy.loaded
         changed_rows = self.copy.apply_snapshot(page.rows, page.version)
         if changed_rows or not known:
@@ -244,14 +249,27 @@
         return None
 
     async def _poll(self, wait_s: float) -> Err | None:
+        answer = await self.read_changes(self.copy.read_version, wait_s)
+        return answer if isinstance(answer, Err) else None
+
+    async def read_changes(
+        self, since: int, wait_s: float = 0.0
+    ) -> Result[RowsRead, ChangesError]:
+        """Read all changes after a version from the store, and apply them.
+
+        Args:
+            since: the version; at most that up to which the copy was read.
+            wait_s: how long the store may wait for a change.
+        """
         began_at = asyncio.get_running_loop().time()
-        since = self.copy.read_version
         answer = await self._store.changes(self.copy.table, since, wait_s)
         if isinstance(answer, Err):
             return answer
         self._reach.record_success()
         self.confirmed_at = max(self.confirmed_at, began_at)
         page: RowsRead = answer.ok_value
+        if self._has_missed_rows(page.rows):
+            self.note_gap()
         settled = self.copy.settled_version
         changed_rows = self.copy.apply_changes(page.rows, since, page.version)
         if self.copy.settled_version > settled:
@@ -259,4 +277,17 @@
             self.publish(page.rows, settled, self.copy.settled_version)
         if changed_rows:
             self._changed(changed_rows, "store")
-        return None
+        return answer
+
+    def note_gap(self) -> None:
+        """Record that rows may have come and gone unseen until now."""
+        self.complete_since = asyncio.get_running_loop().time()
+
+    def _has_missed_rows(self, rows: list[StoredRow]) -> bool:
+        """Whether a row was removed that the copy never had."""
+        return any(
+            row.removed
+            and row.version > self.copy.read_version
+            and row.key not in self.copy.rows_by_key
+            for row in rows
+        )
--- a/src/caperridge/measure/stream_origins.py
+++ b/src/caperridge/measure/stream_origins.py
@@ -61,6 +61,12 @@
         return self._fleet.deliver(self, instance, message)
 
 
+class UnreadList:
+    """A list of targets that is never read, as no stream is inferred."""
+
+    read_version = -1
+
+
 class ModelFleet:
     """Instances in availability zones, and what they send.
 
@@ -80,7 +86,8 @@
             member = Member(f"e-{number}", "", f"zone-{number % ZONES}", 0.0)
             mesh: Any = ModelMesh(self, member.id, member.zone)
             fleet = Fleet(member.id, member.zone, random.Random(number))
-            origins = StreamOrigins(mesh, fleet)
+            target_list: Any = UnreadList()
+            origins = StreamOrigins(mesh, fleet, target_list)
             origins._compute_replicas = lambda bucket, one=origins: choose(one, bucket)
             self.alive.append(member)
             self._meshes_by_id[member.id] = mesh
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -1,13 +1,16 @@
-"""What instances infer of streams while they or their peers miss changes of the list."""
+"""What instances infer of streams while they or their peers are out of step."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
 from caperridge.gateway import stream_origins
+from caperridge.gateway.fresh_reads import READ_TIMEOUT_S
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, route, until
 from gateway.runner_standin import RunnerStandin
+from loop_clock import LoopClock
 
 NEW_VERSION = "v2"
 # A route with this time-out, and no margin, so that a version is known soon.
@@ -59,8 +62,8 @@
     return sum(run.id == id for run in runner.runs)
 
 
-# Guards against a stream of a version that has just joined, taken up at an instance that
-# is cut off and doesn't know it: it infers from its old list that there is one version.
+# Guards against a stream of a version that has just joined, taken up at an instance
+# that is cut off: it infers from its old list that there is one version.
 async def test_an_instance_out_of_step_joins_no_stream_that_it_does_not_know(
     world: World, short_window: None
 ) -> None:
@@ -106,3 +109,93 @@
     answer = await take_up(world, fresh, "again", "r1")
     assert answer.status == 503
     assert not runs_of(old, "again")
+
+
+async def pause_polls(world: World, instance: GatewayInstance) -> asyncio.Event:
+    """Hold an instance's reads of changes back until the returned event is set."""
+    store = world.store_of(instance)
+    going = asyncio.Event()
+    changes = store.changes
+
+    async def later(table: str, since: int, wait_s: float) -> Any:
+        await going.wait()
+        return await changes(table, since, wait_s)
+
+    store.changes = later
+    # Ends the poll under way.
+    world.list_runner(world.runners[0])
+    [watcher] = [one for one in instance._watchers if one.copy.table == "servers"]
+    await until(lambda: watcher.copy.read_version >= world.store.version)
+    return going
+
+
+# Guards against a version that joined and left between two reads of the list: only its
+# removal is read, which names no version.
+async def test_a_version_that_came_and_went_unseen_is_not_ruled_out(
+    world: World, short_window: None
+) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    going = await pause_polls(world, instance)
+    newer = await world.add_runner(software_version=NEW_VERSION)
+    world.store.remove("servers", newer.id)
+    world.store._log = (
+        [  # as the store does that tells the last state of a row only
+            (at, row) for at, row in world.store._log if row["key"] != newer.id
+        ]
+        + world.store._log[-1:]
+    )
+    going.set()
+    answer = await take_up(world, instance, "again")
+    assert answer.status == 503
+    await known_for_the_window(instance)
+    assert (await take_up(world, instance, "later")).status == 200
+
+
+# Guards against an instance that stood still and infers as if it had followed the list
+# in that time.
+async def test_an_instance_that_stood_still_has_not_followed_the_list(
+    world: World, short_window: None
+) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    await LoopClock().pause(1.0)
+    answer = await take_up(world, instance, "again")
+    assert answer.status == 503
+    await known_for_the_window(instance)
+    assert (await take_up(world, instance, "later")).status == 200
+
+
+# Guards against a call of the store for each stream that is taken up.
+async def test_streams_that_are_taken_up_together_share_a_read(
+    world: World, short_window: None
+) -> None:
+    await world.add_runner(slots=40)
+    instance = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    world.store.waits_ms.clear()
+    world.store.delay_s = 0.05
+    ids = [f"r{number}" for number in range(20)]
+    answers = await asyncio.gather(*(take_up(world, instance, id) for id in ids))
+    assert {answer.status for answer in answers} == {200}
+    assert 1 <= world.store.waits_ms.count(0) <= 4
+
+
+# Guards against an answer that is held back while the store is silent.
+async def test_a_stream_is_refused_soon_where_the_store_is_silent(
+    world: World, short_window: None
+) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    cut_from_store(world, instance)
+    async with asyncio.timeout(READ_TIMEOUT_S + 1.0):
+        answer = await take_up(world, instance, "again")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -167,8 +167,7 @@
     assert refused.status == 503  # the list has not been known for long enough
 
     def known_for_long() -> bool:
-        now = asyncio.get_running_loop().time()
-        return instance.origins._infer(instance.configuration.table.routes[0], now)
+        return instance.origins._infer(instance.configuration.table.routes[0])
 
     await until(known_for_long)
     answer = await take_up(world, instance, "r1")
