Credit a run to the incarnation that wrote it, not to the entry

What callers saw: a stream whose first events were of v2 and the rest of v1 (v2 v2 v1 v1 v1), with status 200. Not reported by the users; their targets tell the time of their start, so ids may be used again there.

Cause: a target that restarts under its id and address serves before its new entry is known. Its runs were recorded with the version of the entry before. They were continued at that version when the target broke off, when the later entry ended the run, and when a caller took the stream up; and a stream of that version was continued at the restarted target.

Change: before a stream is continued for the first time in an answer, and when a caller takes it up, the target that began it is asked which incarnation runs; a run that continues a stream is relayed once its target has confirmed that it is the listed one. A stream whose first target has restarted as another version ends or is refused, and its record is withdrawn. A run that has begun to answer is no longer ended by an entry of another version: it can only be the later incarnation's, or fall silent. Records of streams carry the incarnation. Where ids aren't used again nothing is asked.

Why it works: what ran at an address between the entry of an incarnation and a later answer of that same incarnation was run by it. A target that does not answer is taken for crashed as the incarnation that was listed: that it restarted, began a stream and ended again before its entry came is not ruled out.

--- a/src/caperridge/decisions/stream_origins.py
+++ b/src/caperridge/decisions/stream_origins.py
@@ -18,7 +18,7 @@
 
     Attributes:
         service: of the target.
-        software_version: of the target.
+        software_version: of the target; empty if it may be one of several.
     """
 
     __slots__ = ("service", "software_version")
@@ -29,13 +29,21 @@
 
 
 class StreamRecord(Record):
-    """The origin of one stream, and until when it is kept, in seconds of a clock."""
+    """The record of one stream.
 
-    __slots__ = ("origin", "until")
+    Attributes:
+        origin: what began it.
+        target: id of the incarnation that was listed for that target; empty if it is
+            not known.
+        until: when the record expires, in seconds of a clock.
+    """
 
-    def __init__(self, origin: StreamOrigin, until: float) -> None:
+    __slots__ = ("origin", "target", "until")
+
+    def __init__(self, origin: StreamOrigin, until: float, target: str = "") -> None:
         self.origin = origin
         self.until = until
+        self.target = target
 
 
 class OriginTable:
@@ -47,7 +55,7 @@
     >>> table = OriginTable(max_streams=2)
     >>> for key in (1, 2, 3):
     ...     table.put(key, StreamOrigin("chat", f"v{key}"), until=10.0 + key)
-    >>> table.find(1, now=5.0) is None, table.find(3, now=5.0).software_version
+    >>> table.find(1, now=5.0) is None, table.find(3, now=5.0).origin.software_version
     (True, 'v3')
     >>> table.expire(now=12.5)
     >>> len(table)
@@ -63,19 +71,24 @@
     def __len__(self) -> int:
         return len(self._records_by_key)
 
-    def put(self, key: int, origin: StreamOrigin, until: float) -> None:
-        """Keep the origin of a stream until a time of the caller's clock."""
+    def put(
+        self, key: int, origin: StreamOrigin, until: float, target: str = ""
+    ) -> None:
+        """Keep the origin of a stream until a time of the caller's clock.
+
+        See :class:`StreamRecord`.
+        """
         self._records_by_key.pop(key, None)
-        self._records_by_key[key] = StreamRecord(origin, until)
+        self._records_by_key[key] = StreamRecord(origin, until, target)
         if len(self._records_by_key) > self._max_streams:
             del self._records_by_key[next(iter(self._records_by_key))]
 
-    def find(self, key: int, now: float) -> StreamOrigin | None:
-        """Return the origin of a stream; None if it is not known."""
+    def find(self, key: int, now: float) -> StreamRecord | None:
+        """Return the record of a stream; None if it is not known."""
         record = self._records_by_key.get(key)
         if record is None or record.until <= now:
             return None
-        return record.origin
+        return record
 
     def expire(self, now: float) -> None:
         """Drop the records whose time has passed."""
--- a/src/caperridge/gateway/answer.py
+++ b/src/caperridge/gateway/answer.py
@@ -84,7 +84,7 @@
         self._target = target
         self._open_runs = runs
         self._failure: BrokenAnswerError | None = None
-        runs.add(target, self._on_restart)
+        runs.add(target, self._on_restart, begun=True)
         self._splitter = EventSplitter()
         self._protocol = protocol_of(response)
         self.status = response.status
@@ -236,7 +236,7 @@
 
     def close(self) -> None:
         """Close the connection; the target drops the request if it still runs."""
-        self._open_runs.remove(self._target, self._on_restart)
+        self._open_runs.remove(self._target, self._on_restart, begun=True)
         self._response.close()
 
     def _on_silence(self) -> None:
--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Callable
 
-from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.answer import (
     Answer,
     BrokenAnswerError,
@@ -14,8 +13,10 @@
 from caperridge.gateway.dialect import end_to_end_headers
 from caperridge.gateway.events import Event
 from caperridge.gateway.inbound import InboundRequest, Reply, RequestState
+from caperridge.gateway.incarnations import IncarnationCheck
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.stream_origins import StreamOrigins
+from caperridge.gateway.targets import Target
 from caperridge.targets.outcomes import (
     AttemptError,
     Lost,
@@ -37,11 +38,18 @@
     Args:
         metrics: counted into.
         origins: records what begins each stream.
+        incarnations: confirms what goes on with a stream.
     """
 
-    def __init__(self, metrics: GatewayMetrics, origins: StreamOrigins) -> None:
+    def __init__(
+        self,
+        metrics: GatewayMetrics,
+        origins: StreamOrigins,
+        incarnations: IncarnationCheck,
+    ) -> None:
         self._metrics = metrics
         self._origins = origins
+        self._incarnations = incarnations
         self._bodies = UnsizedBodies()
 
     async def relay(
@@ -50,7 +58,7 @@
         reply: Reply,
         state: RequestState,
         answer: Answer,
-        origin: StreamOrigin,
+        target: Target,
         may_end: Callable[[], bool],
     ) -> AttemptError | None:
         """Relay ``answer``; return None if it was relayed completely.
@@ -60,7 +68,7 @@
             reply: to the caller.
             state: progress of the request.
             answer: of a target.
-            origin: of a stream that begins with this answer.
+            target: that sends it.
             may_end: returns whether a target that makes no progress may be left.
         """
         content_type = (
@@ -68,7 +76,7 @@
         )
         if answer.status == 200 and content_type == EVENT_STREAM:
             return await self._relay_events(
-                request, reply, state, answer, origin, may_end
+                request, reply, state, answer, target, may_end
             )
         return await self._relay_whole(request, reply, state, answer, may_end)
 
@@ -102,18 +110,24 @@
         reply: Reply,
         state: RequestState,
         answer: Answer,
-        origin: StreamOrigin,
+        target: Target,
         may_end: Callable[[], bool],
     ) -> AttemptError | None:
+        confirmed = not state.last_event
         first_s, next_s = math.inf, math.inf
         if state.movable:
             first_s, next_s = FIRST_EVENT_SILENCE_S, EVENT_SILENCE_S
         try:
             async for events in answer.events(first_s, next_s, may_end=may_end):
+                if events and not confirmed:
+                    running = await self._incarnations.is_running(target)
+                    if not running:
+                        return _unconfirmed(answer, running)
+                    confirmed = True
                 in_order, out_of_order = _events_in_order(events, state)
                 if in_order:
                     state.wrote = True
-                    self._note_origin(request, state, origin)
+                    self._note_origin(request, state, target)
                     await self._write_events(request, reply, answer, in_order)
                 if out_of_order:
                     state.attempts += 1
@@ -131,15 +145,17 @@
         return None
 
     def _note_origin(
-        self, request: InboundRequest, state: RequestState, origin: StreamOrigin
+        self, request: InboundRequest, state: RequestState, target: Target
     ) -> None:
         """Bind a stream to the origin of its first event, and record it once here."""
-        state.origin = state.origin or origin
+        if state.origin is None:
+            state.origin = target.origin
+            state.began_at = target.id
         if state.origin_recorded or not request.route.idempotent:
             return
         state.origin_recorded = True
         stream = request.stream or request.id
-        self._origins.record(stream, state.origin, request.route)
+        self._origins.record(stream, state.origin, request.route, state.began_at)
 
     async def _write_events(
         self, request: InboundRequest, reply: Reply, answer: Answer, data: bytes
@@ -155,6 +171,13 @@
         await reply.write(data)
 
 
+def _unconfirmed(answer: Answer, running: bool | None) -> TargetRefused:
+    """Return the error of a run that may be of another incarnation than is listed."""
+    replaced = running is False
+    reason = "another incarnation goes on" if replaced else "which goes on is not known"
+    return TargetRefused(answer.status, reason, "ran", replaced=replaced)
+
+
 def _broken(error: BrokenAnswerError, state: RequestState) -> Lost | WrongAnswer:
     """Return the error of an attempt; one that this end broke off counts."""
     if isinstance(error, OverlongAnswerError):
--- a/src/caperridge/gateway/forwarding.py
+++ b/src/caperridge/gateway/forwarding.py
@@ -24,6 +24,7 @@
     Reply,
     RequestState,
 )
+from caperridge.gateway.incarnations import IncarnationCheck
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.request_guard import RequestGuard
 from caperridge.gateway.resumption import StreamResumption
@@ -65,6 +66,7 @@
         guard: RequestGuard,
         origins: StreamOrigins,
         resumption: StreamResumption,
+        incarnations: IncarnationCheck,
     ) -> None:
         self._fleet = fleet
         self._client = client
@@ -75,7 +77,7 @@
         self._limits = limits
         self._choice = TargetChoice(fleet, limits)
         self._resumption = resumption
-        self._answers = AnswerRelay(metrics, origins)
+        self._answers = AnswerRelay(metrics, origins, incarnations)
         self.on_placed: Callable[[str], None] = lambda target: None
         names = dialect.headers
         self._own_headers = frozenset(
@@ -116,7 +118,9 @@
             if error is None:
                 return None
             self._record_failure(request, target, state, error)
-            failure = self._failure_after(request, reply, state, error)
+            failure = self._failure_after(request, state, error)
+            if failure is None and state.began_at:
+                failure = await self._resumption.confirm(request, state)
             if failure is not None:
                 return failure
 
@@ -267,7 +271,7 @@
         answer = opened.ok_value
         try:
             return await self._answers.relay(
-                request, reply, state, answer, target.origin, may_end
+                request, reply, state, answer, target, may_end
             )
         finally:
             answer.close()
@@ -347,7 +351,6 @@
     def _failure_after(
         self,
         request: InboundRequest,
-        reply: Reply,
         state: RequestState,
         error: AttemptError,
     ) -> Failure | None:
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -143,6 +143,8 @@
         tried_targets: targets that are used again only if there are no others.
         sent_at_least_once: it may be running or have run.
         origin: what began its stream; None before the first event.
+        began_at: id of the incarnation that was listed for the target of the first
+            event; empty if another instance relayed that, or once it is confirmed.
         origin_recorded: whether this instance has recorded that.
         fingerprint: its fingerprint; None until it is needed.
         wrote: the target of its current run has written a part of an answer.
@@ -155,6 +157,7 @@
     __slots__ = (
         "admitted_runs",
         "attempts",
+        "began_at",
         "fingerprint",
         "last_event",
         "movable",
@@ -176,6 +179,7 @@
         self.tried_targets: set[str] = set()
         self.sent_at_least_once = False
         self.origin: StreamOrigin | None = None
+        self.began_at = ""
         self.origin_recorded = False
         self.fingerprint: Fingerprint | None = None
         self.movable = False
--- a/src/caperridge/gateway/mesh/origin_messages.py
+++ b/src/caperridge/gateway/mesh/origin_messages.py
@@ -11,17 +11,24 @@
         software_version: of that target.
         keep_s: for how long, in seconds.
         streams: hashes of their ids.
+        target: id of its incarnation as listed; empty if ids are not used again.
     """
 
-    __slots__ = ("keep_s", "service", "software_version", "streams")
+    __slots__ = ("keep_s", "service", "software_version", "streams", "target")
 
     def __init__(
-        self, service: str, software_version: str, keep_s: float, streams: list[int]
+        self,
+        service: str,
+        software_version: str,
+        keep_s: float,
+        streams: list[int],
+        target: str = "",
     ) -> None:
         self.service = service
         self.software_version = software_version
         self.keep_s = keep_s
         self.streams = streams
+        self.target = target
 
 
 class StreamAsk(Record):
@@ -53,9 +60,18 @@
         inferred: the stream itself is not known; these are the versions that its
             service has had for as long as the stream may last.
         list_version: up to which the sender knows the list of targets.
+        target: id of the incarnation that began it, as listed; empty if ids are not
+            used again.
     """
 
-    __slots__ = ("inferred", "list_version", "number", "service", "software_version")
+    __slots__ = (
+        "inferred",
+        "list_version",
+        "number",
+        "service",
+        "software_version",
+        "target",
+    )
 
     def __init__(
         self,
@@ -64,9 +80,11 @@
         software_version: str,
         inferred: bool,
         list_version: int = -1,
+        target: str = "",
     ) -> None:
         self.number = number
         self.service = service
         self.software_version = software_version
         self.inferred = inferred
         self.list_version = list_version
+        self.target = target
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -21,6 +21,7 @@
 from caperridge.gateway.forwarding import Forwarder
 from caperridge.gateway.fresh_reads import FreshReads
 from caperridge.gateway.held_rows import QuarantineTable
+from caperridge.gateway.incarnations import IncarnationCheck
 from caperridge.gateway.jobs.acceptance import JobAcceptance
 from caperridge.gateway.jobs.broker import SlotBroker
 from caperridge.gateway.jobs.claims import JobClaimer
@@ -184,6 +185,7 @@
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
         target_list = FreshReads(watchers.targets)
+        incarnations = IncarnationCheck(self.fleet, self.client, dialect)
         self.origins = StreamOrigins(self.mesh, self.fleet, target_list)
         self._forwarder = Forwarder(
             self.fleet,
@@ -193,7 +195,10 @@
             limits,
             self.guard,
             self.origins,
-            StreamResumption(self.origins, self.metrics, watchers.targets),
+            StreamResumption(
+                self.origins, self.metrics, watchers.targets, incarnations
+            ),
+            incarnations,
         )
         self.quotas = make_quotas(self.mesh, self.configuration, settings.seeds)
         self.edge = make_edge(
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -21,6 +21,7 @@
     StreamsBegan,
 )
 from caperridge.gateway.routes import Route
+from caperridge.gateway.targets import name_of
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -53,13 +54,18 @@
     Attributes:
         origin: of the stream; None if it is unknown.
         source: one of the constants above.
+        target: id of the incarnation that began it, as listed; empty if it is not known
+            or ids are not used again.
     """
 
-    __slots__ = ("origin", "source")
+    __slots__ = ("origin", "source", "target")
 
-    def __init__(self, origin: StreamOrigin | None, source: str) -> None:
+    def __init__(
+        self, origin: StreamOrigin | None, source: str, target: str = ""
+    ) -> None:
         self.origin = origin
         self.source = source if origin is not None else UNKNOWN
+        self.target = target
 
 
 class Question:
@@ -67,26 +73,26 @@
 
     Attributes:
         unanswered: peers that have not answered.
-        origin: resolved by the first one that knows it, or with None by the last one
+        answer: resolved by the first one that knows it, or with None by the last one
             that doesn't.
         inferred: what peers that don't know the stream infer, with the version of the
             list of targets up to which each knows it.
     """
 
-    __slots__ = ("inferred", "origin", "unanswered")
+    __slots__ = ("answer", "inferred", "unanswered")
 
     def __init__(self, peers: set[str]) -> None:
         self.unanswered = peers
         self.inferred: list[tuple[StreamOrigin, int]] = []
-        self.origin: asyncio.Future[StreamOrigin | None] = (
+        self.answer: asyncio.Future[StreamAnswer | None] = (
             asyncio.get_running_loop().create_future()
         )
 
     @property
-    def known(self) -> StreamOrigin | None:
-        """The origin that a peer knows; None if none has answered so."""
-        answered = self.origin.done() and not self.origin.cancelled()
-        return self.origin.result() if answered else None
+    def known(self) -> StreamAnswer | None:
+        """The answer of a peer that knows the origin; None if there is none."""
+        answered = self.answer.done() and not self.answer.cancelled()
+        return self.answer.result() if answered else None
 
 
 class Replicas(Record):
@@ -122,7 +128,7 @@
         self._replicas_key = -1
         self._numbers = itertools.count()
         self._questions_by_number: dict[int, Question] = {}
-        self._unsent: dict[tuple[str, StreamOrigin, float], list[int]] = {}
+        self._unsent: dict[tuple[str, StreamOrigin, str, float], list[int]] = {}
         self._next_expiry = 0.0
         mesh.register(StreamsBegan, self._receive_began)
         mesh.register(StreamAsk, self._receive_ask)
@@ -133,21 +139,30 @@
         """How many streams are recorded here."""
         return len(self._table)
 
-    def record(self, stream: str, origin: StreamOrigin, route: Route) -> None:
+    def record(
+        self, stream: str, origin: StreamOrigin, route: Route, target: str = ""
+    ) -> None:
         """Record what began a stream, here and at its replicas.
 
         Args:
             stream: id of the caller's try that brought the first event.
             origin: of the stream.
             route: whose time-out limits how long a caller may take it up.
+            target: id of the incarnation that is listed for the target.
         """
+        if name_of(target) == target:
+            target = ""
         key = _key(stream)
         keep_s = _window_s(route)
-        self._put(key, origin, keep_s)
+        self._put(key, origin, keep_s, target)
         for peer in self._replicas(key).sent:
             if not self._unsent:
                 asyncio.get_running_loop().call_soon(self._flush)
-            self._unsent.setdefault((peer, origin, keep_s), []).append(key)
+            self._unsent.setdefault((peer, origin, target, keep_s), []).append(key)
+
+    def withdraw(self, stream: str, origin: StreamOrigin, route: Route) -> None:
+        """Record that a stream may have begun at another version than recorded."""
+        self.record(stream, origin.replace(software_version=""), route)
 
     async def find(self, stream: str, route: Route) -> FoundOrigin:
         """Return what began a stream that a caller takes up.
@@ -162,14 +177,16 @@
             route: that the caller uses.
         """
         now = asyncio.get_running_loop().time()
-        origin = self._table.find(_key(stream), now) if stream else None
-        if origin is not None:
-            return FoundOrigin(origin, RECORDED)
+        record = self._table.find(_key(stream), now) if stream else None
+        if record is not None:
+            return _found(record.origin, RECORDED, record.target)
         inferred_by_peers: list[tuple[StreamOrigin, int]] = []
         if stream or self._infer(route) is None:
             question = await self._ask(stream, route)
-            if question.known is not None:
-                return FoundOrigin(question.known, RECORDED_BY_PEER)
+            known = question.known
+            if known is not None:
+                origin = StreamOrigin(known.service, known.software_version)
+                return _found(origin, RECORDED_BY_PEER, known.target)
             inferred_by_peers = question.inferred
         return await self._infer_with_proof(route, inferred_by_peers)
 
@@ -234,18 +251,18 @@
             self._next_expiry = now + EXPIRY_INTERVAL_S
             self._table.expire(now)
 
-    def _put(self, key: int, origin: StreamOrigin, keep_s: float) -> None:
+    def _put(self, key: int, origin: StreamOrigin, keep_s: float, target: str) -> None:
         now = asyncio.get_running_loop().time()
-        self._table.put(key, origin, now + keep_s)
+        self._table.put(key, origin, now + keep_s, target)
 
     def _flush(self) -> None:
         """Send the streams recorded in this iteration of the event loop."""
         unsent, self._unsent = self._unsent, {}
-        for (peer, origin, keep_s), streams in unsent.items():
-            self._mesh.send(
-                peer,
-                StreamsBegan(origin.service, origin.software_version, keep_s, streams),
+        for (peer, origin, target, keep_s), streams in unsent.items():
+            began = StreamsBegan(
+                origin.service, origin.software_version, keep_s, streams, target
             )
+            self._mesh.send(peer, began)
 
     async def _ask(self, stream: str, route: Route) -> Question:
         """Ask peers for the origin of a stream; return what they answered in time."""
@@ -260,7 +277,7 @@
         self._questions_by_number[number] = question
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
-                await question.origin
+                await question.answer
         except TimeoutError:
             log.info("stream origin not answered", silent=sorted(question.unanswered))
         finally:
@@ -270,20 +287,20 @@
     def _receive_began(self, peer: str, message: StreamsBegan) -> None:
         origin = StreamOrigin(message.service, message.software_version)
         for key in message.streams:
-            self._put(key, origin, message.keep_s)
+            self._put(key, origin, message.keep_s, message.target)
 
     def _receive_ask(self, peer: str, ask: StreamAsk) -> None:
         now = asyncio.get_running_loop().time()
-        origin = self._table.find(ask.stream, now)
-        inferred = origin is None
-        if origin is None:
-            origin = self._infer_for_peer(ask, now)
+        record = self._table.find(ask.stream, now)
+        inferred = record is None
+        origin = self._infer_for_peer(ask, now) if record is None else record.origin
         answer = StreamAnswer(
             ask.number,
             origin.service,
             origin.software_version,
             inferred,
             self._target_list.read_version,
+            "" if record is None else record.target,
         )
         self._mesh.send(peer, answer)
 
@@ -301,19 +318,19 @@
 
     def _receive_answer(self, peer: str, answer: StreamAnswer) -> None:
         question = self._questions_by_number.get(answer.number)
-        if question is None or question.origin.done():
+        if question is None or question.answer.done():
             return
         if peer not in question.unanswered:
             return
         question.unanswered.discard(peer)
-        origin = StreamOrigin(answer.service, answer.software_version)
         if answer.service and not answer.inferred:
-            question.origin.set_result(origin)
+            question.answer.set_result(answer)
             return
         if answer.service:
+            origin = StreamOrigin(answer.service, answer.software_version)
             question.inferred.append((origin, answer.list_version))
         if not question.unanswered:
-            question.origin.set_result(None)
+            question.answer.set_result(None)
 
     def _replicas(self, key: int) -> Replicas:
         """Return the replicas of a stream, cached until members change."""
@@ -354,6 +371,12 @@
         return Replicas(near[:NEAR_REPLICAS] + outside[:1], asked)
 
 
+def _found(origin: StreamOrigin, source: str, target: str) -> FoundOrigin:
+    """Return a recorded origin; unknown if the stream may be of several versions."""
+    known = origin if origin.software_version else None
+    return FoundOrigin(known, source, target)
+
+
 def _window_s(route: Route) -> float:
     """Return for how long a stream of a route may be taken up, in seconds."""
     return route.timeout_s + KEEP_MARGIN_S
--- a/src/caperridge/gateway/table_rows.py
+++ b/src/caperridge/gateway/table_rows.py
@@ -120,7 +120,10 @@
         if replaced is None:
             return
         self._record_version(replaced, now)
-        ended = self._client.abort_runs(replaced.id)
+        # A run that the later incarnation has begun can't go on at the version of the
+        # earlier one, so it is left where it is; one of the earlier falls silent.
+        resumable = replaced.origin == target.origin
+        ended = self._client.abort_runs(replaced.id, begun=resumable)
         self.on_target_replaced(replaced)
         log.info(
             "target restarted", target=target.id, before=replaced.id, runs_ended=ended
--- a/src/caperridge/gateway/targets.py
+++ b/src/caperridge/gateway/targets.py
@@ -102,6 +102,15 @@
     return f"{name}@{started_ms}"
 
 
+def name_of(id: str) -> str:
+    """Return the name of the target with an incarnation's id.
+
+    >>> name_of("i-7f3a@1790000000000"), name_of("i-7f3a")
+    ('i-7f3a', 'i-7f3a')
+    """
+    return id.partition("@")[0]
+
+
 class TargetList:
     """The targets that are listed, and those that may have merely lapsed.
 
--- a/src/caperridge/gateway/upstream.py
+++ b/src/caperridge/gateway/upstream.py
@@ -95,9 +95,12 @@
         self._watch = IdleTimeouts()
         self._open_runs = OpenRuns()
 
-    def abort_runs(self, target: str) -> int:
-        """Abort the attempts at a target that restarted; return how many there were."""
-        return self._open_runs.abort_all(target)
+    def abort_runs(self, target: str, begun: bool = True) -> int:
+        """Abort the attempts at a target that restarted; return how many there were.
+
+        See :meth:`OpenRuns.abort_all`.
+        """
+        return self._open_runs.abort_all(target, begun)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -42,6 +42,7 @@
         id: of this incarnation.
         slots: requests that it runs at the same time.
         software_version: that it lists; what two versions write differs.
+        born: when this incarnation started, in ms; None if it does not tell.
         events: number of events in an answer.
         pause_s: between events.
         slow_pause_s: between events of answers to paths that end in ``/slow``.
@@ -59,6 +60,7 @@
         busy: requests that run now.
         max_busy: the largest value of ``busy`` so far.
         refused: number of refused requests.
+        reports: how often it told its load.
         orphaned: runs of callers that lost power, which no instance knows of.
         misdirected: requests that were addressed to another incarnation.
         going: cleared while the runner sends nothing; its runs go on afterwards.
@@ -78,6 +80,7 @@
         self.id = id
         self.slots = slots
         self.software_version = software_version
+        self.born: int | None = None
         self.events = 5
         self.pause_s = 0.01
         self.slow_pause_s = 0.15
@@ -94,6 +97,7 @@
         self.busy = 0
         self.max_busy = 0
         self.refused = 0
+        self.reports = 0
         self.orphaned = 0
         self.misdirected = 0
         self.reports_to_all = False
@@ -115,6 +119,13 @@
         for transport in list(self._transports):
             transport.abort()
 
+    def restart(self, software_version: str, born: int) -> None:
+        """Start again under the same id and address; all connections are cut."""
+        self.software_version = software_version
+        self.born = born
+        for transport in list(self._transports):
+            transport.abort()
+
     async def _crash_soon(self) -> None:
         await asyncio.sleep(self.pause_s)
         await self.crash()
@@ -139,7 +150,11 @@
         if meant != self.id and not self.reports_to_all:
             return web.Response(status=421)
         active = self.busy + self.orphaned
-        return web.json_response({"activeRequests": active, "queueDepth": 0})
+        report = {"activeRequests": active, "queueDepth": 0}
+        if self.born is not None:
+            report["born"] = self.born
+        self.reports += 1
+        return web.json_response(report)
 
     async def _health(self, _: web.Request) -> web.Response:
         return web.Response(headers={"X-Instance-Id": self.id})
