Start items over whose output may be of a restarted target's version

What callers would see: an item's output that is joined from two software versions.

Evidence: two of the new tests fail on the code before; the third, which guards against output that is dropped for nothing, failed there once for a bound that was too narrow (events sent, not received) and has been put right.

Change: progress keeps the incarnation that was listed for the last target, in the store as well. Before another target goes on with it, that incarnation is confirmed as for streams; a target that goes on confirms its own, unless it is the next lease of a run there. An item whose version is not certain starts over.

--- a/src/caperridge/gateway/jobs/held_job.py
+++ b/src/caperridge/gateway/jobs/held_job.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Any
 
-from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.events import Event
 from caperridge.gateway.jobs.model import (
     COMPLETED,
@@ -14,6 +13,7 @@
     JobHead,
     JobItem,
 )
+from caperridge.gateway.targets import Target
 
 PENDING = "pending"
 RUNNING = "running"
@@ -80,12 +80,12 @@
         """Drop the output so far; failures still count."""
         self.progress = ItemProgress(failures=self.progress.failures)
 
-    def append_events(self, events: list[Event], origin: StreamOrigin) -> bool:
+    def append_events(self, events: list[Event], target: Target) -> bool:
         """Append events up to the first out of order; False if there is one.
 
         Args:
             events: of one run.
-            origin: of the target that runs it.
+            target: that runs it.
         """
         number = self.progress.event
         parts = [self.progress.text] if number else []
@@ -103,8 +103,9 @@
             number,
             text,
             self.progress.failures,
-            origin.service,
-            origin.software_version,
+            target.service,
+            target.software_version,
+            "" if target.id == target.name else target.id,
         )
         return in_order
 
--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable, Container
 
 from result import Err
@@ -10,6 +11,7 @@
 from caperridge.gateway.answer import Answer, BrokenAnswerError, OverlongAnswerError
 from caperridge.gateway.dialect import Dialect
 from caperridge.gateway.fleet import Fleet
+from caperridge.gateway.incarnations import IncarnationCheck
 from caperridge.gateway.jobs.held_job import (
     DONE,
     LISTED,
@@ -19,6 +21,7 @@
     ItemState,
 )
 from caperridge.gateway.jobs.item_requests import item_request
+from caperridge.gateway.jobs.model import ItemProgress
 from caperridge.gateway.jobs.schedule import RankedItem
 from caperridge.gateway.metrics import GatewayMetrics
 from caperridge.gateway.routes import Route
@@ -58,6 +61,8 @@
 # A lease is renewed this long after it started. The new run resumes after the last
 # event and reads the prompt and the output so far again, which takes 20 to 50 ms.
 RENEW_AFTER_S = 1.7
+# A target takes longer to restart.
+MIN_RESTART_S = 0.5
 
 
 class Renewal(Record):
@@ -82,6 +87,7 @@
         dialect: names of headers.
         metrics: of the instance.
         detector: told of lost runs, as their targets may have crashed.
+        incarnations: confirms what writes the parts of an output.
     """
 
     def __init__(
@@ -91,8 +97,10 @@
         dialect: Dialect,
         metrics: GatewayMetrics,
         detector: CrashDetector,
+        incarnations: IncarnationCheck,
     ) -> None:
         self._fleet = fleet
+        self._incarnations = incarnations
         self._detector = detector
         self._client = client
         self._dialect = dialect
@@ -262,21 +270,39 @@
         self, ranked: RankedItem, target: Target
     ) -> AttemptError | Renewal | None:
         """Run the item at one target; None if its output is complete."""
+        progress = ranked.state.progress
+        if progress.target != target.id and not await self._may_continue(progress):
+            self._start_over(ranked, target)
+        heard_at = -math.inf
         while True:
-            outcome = await self._run_one_lease(ranked, target)
+            outcome = await self._run_one_lease(ranked, target, heard_at)
             if not isinstance(outcome, Renewal):
                 return outcome
             now = asyncio.get_running_loop().time()
             usable = self._fleet.is_usable(target.id, now)
             if not usable or not self.may_resume(ranked, target):
                 return outcome  # a new run there would be new work
+            heard_at = now
             event = ranked.state.progress.event
             log.info("lease renewed", item=ranked.state.item.id, event=event)
 
+    async def _may_continue(self, progress: ItemProgress) -> bool:
+        """Whether an output is of the version that its progress names."""
+        if not progress.event or not progress.target:
+            return True
+        origin = StreamOrigin(progress.service, progress.software_version)
+        return await self._incarnations.may_have_written(progress.target, origin)
+
     async def _run_one_lease(
-        self, ranked: RankedItem, target: Target
+        self, ranked: RankedItem, target: Target, heard_at: float
     ) -> AttemptError | Renewal | None:
-        """Run the item until its output is complete or its lease has to be renewed."""
+        """Run the item until its output is complete or its lease has to be renewed.
+
+        Args:
+            ranked: the item.
+            target: that runs it.
+            heard_at: when its run there under the last lease ended.
+        """
         job, state = ranked.job, ranked.state
         loop = asyncio.get_running_loop()
         started_at, from_event = loop.time(), state.progress.event
@@ -289,8 +315,13 @@
         try:
             if answer.status != 200:
                 return TargetRefused(answer.status, "it failed", "ran")
+            may_be_another = loop.time() - heard_at > MIN_RESTART_S
+            if from_event and may_be_another:
+                running = await self._incarnations.is_running(target)
+                if not running:
+                    return WrongAnswer("its incarnation is not confirmed")
             outcome = await self._collect_output(
-                state, answer, target.origin, started_at + RENEW_AFTER_S
+                state, answer, target, started_at + RENEW_AFTER_S
             )
             self._report_lost(target, outcome)
             return outcome
@@ -308,14 +339,14 @@
             self._detector.record_lost_run(target, [])
 
     async def _collect_output(
-        self, state: ItemState, answer: Answer, origin: StreamOrigin, renew_at: float
+        self, state: ItemState, answer: Answer, target: Target, renew_at: float
     ) -> AttemptError | Renewal | None:
         loop = asyncio.get_running_loop()
         try:
             async for events in answer.events(
                 FIRST_EVENT_TIMEOUT_S, EVENT_TIMEOUT_S, EVENT_BATCH_S
             ):
-                if not state.append_events(events, origin):
+                if not state.append_events(events, target):
                     return WrongAnswer("an event out of order")
                 if events and loop.time() >= renew_at and not answer.at_end:
                     return Renewal()
@@ -324,7 +355,7 @@
         except BrokenAnswerError as error:
             return Lost(str(error))
         except asyncio.CancelledError:
-            state.append_events(answer.buffered_events(), origin)
+            state.append_events(answer.buffered_events(), target)
             raise
         return None if state.progress.event else Lost("it ended before an event")
 
--- a/src/caperridge/gateway/jobs/model.py
+++ b/src/caperridge/gateway/jobs/model.py
@@ -137,9 +137,11 @@
         failures: number of attempts that a target reported as failed.
         service: of the targets that wrote ``text``.
         software_version: of these targets; empty if an earlier release stored it.
+        target: id of the incarnation that was listed for the last of them; empty if ids
+            are not used again.
     """
 
-    __slots__ = ("event", "failures", "service", "software_version", "text")
+    __slots__ = ("event", "failures", "service", "software_version", "target", "text")
 
     def __init__(
         self,
@@ -148,12 +150,14 @@
         failures: int = 0,
         service: str = "",
         software_version: str = "",
+        target: str = "",
     ) -> None:
         self.event = event
         self.text = text
         self.failures = failures
         self.service = service
         self.software_version = software_version
+        self.target = target
 
     def goes_on_at(self, origin: StreamOrigin) -> bool:
         """Whether a target of this service and version may continue the text."""
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -125,8 +125,14 @@
             self.fleet,
             self.metrics,
         )
+        incarnations = IncarnationCheck(self.fleet, self.client, dialect)
         runs = ItemRuns(
-            self.fleet, self.client, dialect, self.metrics, self._crash_detector
+            self.fleet,
+            self.client,
+            dialect,
+            self.metrics,
+            self._crash_detector,
+            incarnations,
         )
         slots = ItemSlots(
             self.configuration, self.fleet, self.clock, runs, self.metrics
@@ -185,7 +191,6 @@
             store, self.index, acceptance, self.keeper, self.metrics, limits
         )
         target_list = FreshReads(watchers.targets)
-        incarnations = IncarnationCheck(self.fleet, self.client, dialect)
         self.origins = StreamOrigins(self.mesh, self.fleet, target_list)
         self._forwarder = Forwarder(
             self.fleet,
--- a/tests/gateway/endless.py
+++ b/tests/gateway/endless.py
@@ -91,11 +91,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.open_connections += 1
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            await self._send(head, reader, writer)
-        self.open_connections -= 1
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self._send(head, reader, writer)
+        finally:
+            self.open_connections -= 1
+            writer.close()
 
     async def _send(
         self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/gateway/test_restarted_in_place.py
+++ b/tests/gateway/test_restarted_in_place.py
@@ -7,6 +7,7 @@
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, until
 from gateway.runner_standin import RunnerStandin
+from gateway.test_jobs import listed
 
 NEW_VERSION = "v2"
 BORN_MS = 1_790_000_000_000
@@ -173,3 +174,55 @@
     answer = await world.ask(instance, "/ask/1", "r1")
     assert len(answer.data) > 2
     assert breaking.reports + other.reports == before
+
+
+async def start_item(town: Town) -> None:
+    """Have the restarting target begin an item, and write some of its output."""
+    for runner in town.world.runners:
+        runner.events = 40
+    town.other.refuse = True
+    await town.world.submit(town.instance, "j1", ["x1"])
+    await until(lambda: any(run.sent >= 5 for run in town.restarting.runs))
+
+
+async def assert_item_is_of_one_version(town: Town) -> None:
+    """Check that the item's output is the whole output of one version."""
+    [result] = await listed(town.world, town.instance, "j1", 1)
+    texts = [runner.text("x1") for runner in town.world.runners]
+    assert result["message"].split("\n") in texts
+
+
+# Guards against an item that goes on at the version before after a run at a target that
+# has restarted as another one.
+async def test_an_item_of_a_restarted_target_starts_over_elsewhere(town: Town) -> None:
+    town.restart()
+    await start_item(town)
+    town.other.refuse = False
+    town.restarting.break_after = 10
+    town.restarting.refuse = True
+    [state] = town.instance.keeper.held_by_id["j1"].running()
+    state.cancel()
+    await assert_item_is_of_one_version(town)
+    assert town.other.runs[-1].resumed_after == 0
+
+
+# Guards against an item that goes on at a target which has restarted as another version
+# since it was listed.
+async def test_an_item_does_not_go_on_at_a_restarted_target(town: Town) -> None:
+    await start_item(town)
+    town.restarting.refuse = True
+    town.restart()
+    await until(lambda: not town.restarting.busy)
+    town.restarting.refuse = False
+    await assert_item_is_of_one_version(town)
+
+
+# Guards against an item's output that is dropped although its target has not restarted.
+async def test_an_item_goes_on_where_its_version_is_certain(town: Town) -> None:
+    await start_item(town)
+    town.other.refuse = False
+    town.restarting.refuse = True
+    [state] = town.instance.keeper.held_by_id["j1"].running()
+    state.cancel()
+    await assert_item_is_of_one_version(town)
+    assert town.other.runs[-1].resumed_after
--- a/tests/gateway/test_store_limits.py
+++ b/tests/gateway/test_store_limits.py
@@ -8,7 +8,6 @@
 import pytest
 import pytest_asyncio
 
-from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway import held_rows, registry
 from caperridge.gateway.events import Event
 from caperridge.gateway.jobs.codec import from_bytes, to_bytes
@@ -32,6 +31,7 @@
     Transaction,
     read_all_rows,
 )
+from caperridge.gateway.targets import Target
 from caperridge.platform.store import HttpRowStore
 from caperridge.platform.store_limits import PlatformStoreLimits
 from caperridge.records import pack
@@ -43,7 +43,7 @@
 JOB = "j1"
 HOLDER = "e-0.1"
 MAX_ITEMS = 200
-ORIGIN = StreamOrigin("model", "v1")
+TARGET = Target("t", "model", "10.0.0.1:1", "a", 4, software_version="v1")
 # A write that is never done would hang the test instead of failing it.
 HANG_S = 20.0
 
@@ -70,7 +70,7 @@
     """Have an item's run produce one more event."""
     number = state.progress.event + 1
     raw = b"id: %d\ndata: %s\n\n" % (number, data)
-    assert state.append_events([Event(number, raw)], ORIGIN)
+    assert state.append_events([Event(number, raw)], TARGET)
 
 
 async def write_all(writer: JobWriter, job: HeldJob) -> None:
--- a/tests/gateway/test_takeover.py
+++ b/tests/gateway/test_takeover.py
@@ -6,7 +6,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from caperridge.decisions.stream_origins import StreamOrigin
 from caperridge.gateway.events import Event
 from caperridge.gateway.jobs import keeping
 from caperridge.gateway.jobs.claims import JobClaimer
@@ -22,6 +21,7 @@
     JobRequest,
 )
 from caperridge.gateway.rows import RowKey, StoredRow
+from caperridge.gateway.targets import Target
 from gateway.conftest import HOST
 from gateway.memory_rows import (
     DONE,
@@ -35,7 +35,7 @@
 JOB = "j1"
 ITEMS = ["x0", "x1", "x2"]
 EVENTS = 3
-ORIGIN = StreamOrigin("model", "v1")
+TARGET = Target("t", "model", "10.0.0.1:1", "a", 4, software_version="v1")
 ENTRY = JobEntry(JOB, "work", HOST, len(ITEMS), 0.0, 1, "items")
 
 
@@ -95,7 +95,7 @@
             return
         number = state.progress.event + 1
         raw = f"id: {number}\ndata: {state.item.id}.{number}\n\n".encode()
-        assert state.append_events([Event(number, raw)], ORIGIN)
+        assert state.append_events([Event(number, raw)], TARGET)
         if number == EVENTS:
             job.complete(state)
 
