--- a/src/caperridge/gateway/fields.py
+++ b/src/caperridge/gateway/fields.py
@@ -9,6 +9,11 @@
 from caperridge.gateway.dialect import DecodeError
 
 MAX_PORT = 65535
+BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+# Of a name or a version. They are logged, and sent to peers with each stream.
+MAX_TEXT_BYTES = 200
+# Separates the name of a target from the start of its incarnation in an id.
+RESERVED_IN_KEYS = "@"
 
 
 class Fields:
@@ -41,12 +46,23 @@
     def __contains__(self, name: str) -> bool:
         return name in self._by_name
 
+    def check_key(self, key: str) -> None:
+        """Check the key under which the object is stored.
+
+        It is sent as the value of a header.
+        """
+        if not is_key(key):
+            message = f"its key must be visible ASCII without {RESERVED_IN_KEYS}"
+            self._findings.append(Finding(self._source, WHOLE_SOURCE, message))
+
     def text(self, name: str) -> str:
-        """Return a non-empty string."""
+        """Return a printable string of 1 to 200 bytes."""
         value = self._by_name.get(name)
-        if isinstance(value, str) and value:
+        if isinstance(value, str) and _is_text(value):
             return value
-        self._add_finding(name, "must be a text")
+        self._add_finding(
+            name, f"must be a printable text of 1 to {MAX_TEXT_BYTES} bytes"
+        )
         return ""
 
     def choice(self, name: str, choices: tuple[str, ...]) -> str:
@@ -96,16 +112,37 @@
 
 
 def is_address(value: str) -> bool:
-    """Whether ``value`` is ``IP:PORT``.
+    """Whether ``value`` is ``IP:PORT``, written without leading zeros, of one host.
 
     >>> [is_address(one) for one in ("10.0.0.1:80", "10.0.0.1", "a:80", "10.0.0.1:0")]
     [True, False, False, False]
+    >>> [is_address(one) for one in ("10.0.0.1:0655350", "10.0.0.1:080", "0.0.0.0:80")]
+    [False, False, False]
     """
     host, _, port = value.rpartition(":")
-    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT):
+    # The conversion of a number takes time that grows with its square.
+    if not (port.isascii() and port.isdigit()) or len(port) > len(str(MAX_PORT)):
+        return False
+    if str(int(port)) != port or not 0 < int(port) <= MAX_PORT:
         return False
     try:
-        ipaddress.IPv4Address(host)
+        address = ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return True
+    return not (address.is_unspecified or address.is_multicast or address == BROADCAST)
+
+
+def is_key(value: str) -> bool:
+    """Whether ``value`` can be the key of a target.
+
+    >>> [is_key(one) for one in ("i-7f3a", "", "i 7", "i-7@5", "é")]
+    [True, False, False, False, False]
+    """
+    visible = value.isascii() and value.isprintable() and " " not in value
+    return bool(value) and visible and RESERVED_IN_KEYS not in value
+
+
+def _is_text(value: str) -> bool:
+    if not (value and value.isprintable()):
+        return False
+    return len(value.encode()) <= MAX_TEXT_BYTES
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from caperridge.gateway.fields import is_address
 from caperridge.gateway.mesh.dialers import Dialers
 from caperridge.gateway.mesh.inbox import Inbox
 from caperridge.gateway.mesh.member import Member
@@ -333,7 +334,8 @@
         member.leaving = False
         self.roster.changes += 1
         for id, address, zone in hello.members:
-            self.learn(id, address, zone)
+            if is_address(address):
+                self.learn(id, address, zone)
         if self.instance in hello.unheard:
             self._dialers.reconnect_if_old(member)
         self._handle(member, None)
--- a/src/caperridge/gateway/registry.py
+++ b/src/caperridge/gateway/registry.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from caperridge.gateway.fields import is_address
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.rows import (
     Rejected,
@@ -88,7 +89,7 @@
     """Return the address and availability zone of an entry.
 
     Raises:
-        ValueError: the entry is of an incompatible release.
+        ValueError: the entry is not readable, or of an incompatible release.
         TypeError: the same.
     """
     fields = unpack(value)
@@ -97,7 +98,6 @@
     address, zone, *_ = fields
     if not isinstance(address, str) or not isinstance(zone, str):
         raise TypeError("address and zone must be strings")
-    _, _, port = address.rpartition(":")
-    if not port.isdigit():
-        raise ValueError("the address has no port")
+    if not is_address(address):
+        raise ValueError("the address must be IP:PORT")
     return address, zone
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -131,6 +131,7 @@
     def target(self, name: str, value: bytes) -> Target:
         """See :meth:`Dialect.target`."""
         fields = Fields(f"{self.targets_table}/{name}", value)
+        fields.check_key(name)
         target = Target(
             id=name,
             name=name,
--- a/tests/adapter/test_entries.py
+++ b/tests/adapter/test_entries.py
@@ -6,17 +6,20 @@
 address was possible.
 """
 
+import json
+import re
 from typing import Any
 
 import orjson
 import pytest
+import yarl
 from hypothesis import given
 from hypothesis import strategies as st
 
 from caperridge.gateway.dialect import DecodeError
 from caperridge.gateway.jobs.codec import UnreadableError, from_bytes
 from caperridge.gateway.jobs.model import ItemProgress, ItemResult, JobEntry, JobHead
-from caperridge.gateway.targets import Target
+from caperridge.gateway.targets import Target, name_of
 from caperridge.platform.dialect import MAX_SLOTS, PlatformDialect
 from caperridge.records import pack
 
@@ -36,6 +39,11 @@
 WRONG_FIELDS = [
     *(("address", one) for one in (5, None, "nonsense", "10.0.0.1", "10.0.0.1:0")),
     *(("address", one) for one in ("10.0.0.1:70000", "a.example:80", ":80", [], "")),
+    *(("address", f"127.0.0.1:{one}") for one in ("0655350", "080", "-1", "1e3")),
+    *(("address", f"127.0.0.1:{one}") for one in ("65536", "9" * 5000, " 80", "٨٠")),
+    *(("address", one) for one in ("0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80")),
+    *((name, "x" * 201) for name in ("service", "zone", "version")),
+    *((name, "a\r\nb") for name in ("service", "zone", "version")),
     *(("zone", one) for one in ({}, 5, None, "")),
     *(("service", one) for one in (["x"], 5, None, "")),
     *(("slots", one) for one in ("8", True, -3, 0, 2.5, 8.0, 1e18, 10**18, None)),
@@ -53,6 +61,14 @@
         DIALECT.target("i-1", orjson.dumps(ENTRY | {name: value}))
 
 
+# Guards against an entry that is taken for one of another target or incarnation, and
+# against a key that can't be sent in a header.
+@pytest.mark.parametrize("key", ["", "i 1", "i-1@1790000000000", "i-1\r\nx: y", "ï-1"])
+def test_an_entry_with_a_wrong_key_names_no_target(key: str) -> None:
+    with pytest.raises(DecodeError, match="its key must be"):
+        DIALECT.target(key, orjson.dumps(ENTRY))
+
+
 @pytest.mark.parametrize("name", list(ENTRY))
 def test_an_entry_without_a_field_names_no_target(name: str) -> None:
     fields = {key: value for key, value in ENTRY.items() if key != name}
@@ -202,3 +218,41 @@
 def test_a_configuration_of_another_form_is_skipped(change: dict[str, Any]) -> None:
     with pytest.raises(DecodeError):
         DIALECT.configuration(orjson.dumps(CONFIGURATION | change))
+
+
+# What another writer may put into a field, near to what belongs there.
+_ODD_DIGITS = st.text("0123456789-+eE. ٣", min_size=1, max_size=8)
+_ODD_ADDRESSES = st.builds("{}:{}".format, st.ip_addresses(), _ODD_DIGITS)
+_ODD_NUMBERS = st.integers(-(2**70), 2**70) | st.floats()
+_ODD_VALUES = st.recursive(
+    st.none() | st.booleans() | _ODD_NUMBERS | st.text() | _ODD_ADDRESSES,
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+# Guards against an entry that is taken although what it says cannot be used.
+@given(
+    key=st.just("i-1") | st.text(),
+    odd=st.dictionaries(st.sampled_from([*ENTRY, "born"]), _ODD_VALUES, max_size=3),
+    depth=st.sampled_from([0, 0, 0, 1, 2000]),
+    end=st.sampled_from([b"", b"", b"", b"x", b"\xff"]),
+)
+def test_what_an_entry_says_can_be_used_or_it_names_no_target(
+    key: str, odd: dict[str, Any], depth: int, end: bytes
+) -> None:
+    value = json.dumps(ENTRY | odd).encode("utf-8", "surrogatepass") + end
+    if depth:
+        value = value[:-1] + b', "x": ' + b"[" * depth + b"]" * depth + b"}"
+    try:
+        target = DIALECT.target(key, value)
+    except DecodeError as error:
+        assert str(error)
+        return
+    url = yarl.URL(f"http://{target.address}/x", encoded=True)
+    assert 0 < url.port <= 65535
+    assert target.name == key
+    assert name_of(target.id) == key
+    assert re.fullmatch("[!-~]+", target.name)  # the value of a header
+    pack(target.to_map())
+    assert len(target.software_version.encode()) <= 200
--- a/tests/gateway/test_started_again.py
+++ b/tests/gateway/test_started_again.py
@@ -7,11 +7,14 @@
 import asyncio
 import random
 
+import orjson
 import pytest
 
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.occupancy import Count
+from caperridge.gateway.registry import FIRST_POLL_DELAY_S
 from caperridge.gateway.targets import Target, TargetList
+from caperridge.records import pack
 from caperridge.targets.outcomes import WrongAnswer
 from gateway.conftest import World, until
 from gateway.test_jobs import ITEMS, listed
@@ -151,3 +154,37 @@
     await until(lambda: not instance.fleet.targets.by_id)
     assert (await asked).data == runner.text("r1")
     assert (await world.ask(instance, "/once/2", "r2")).status == 503
+
+
+# Guards against an entry with a port out of range that is taken: requests sent there
+# were answered 500, and the task that probes unreachable targets ended.
+async def test_an_entry_with_a_port_out_of_range_gets_no_requests(
+    world: World,
+) -> None:
+    runner = await world.add_runner()
+    instance = await world.add_instance()
+    await world.ready()
+    odd = orjson.loads(world.store.rows["servers", "", runner.id][0])
+    odd["address"] = "127.0.0.1:0655350"
+    world.store.put("servers", "odd", odd)
+    sound = await world.add_runner()
+    await until(lambda: sound.id in instance.fleet.targets.by_id)
+    answers = [await world.ask(instance, "/ask/1", f"r{n}") for n in range(12)]
+    assert {answer.status for answer in answers} == {200}
+    target = instance.fleet.targets.by_id[runner.id]
+    instance.fleet.mark_crashed(target)
+    await until(lambda: target.id not in instance.fleet.unreachable)
+
+
+# Guards against an odd entry among those of the instances, which can't be dialled.
+@pytest.mark.parametrize("address", ["127.0.0.1:0655350", "127.0.0.1:²", "a b:1", ""])
+async def test_an_odd_entry_of_an_instance_leaves_the_others_alone(
+    world: World, address: str
+) -> None:
+    world.store.put_bytes("instances", "odd", pack([address, "a", "odd.1"]))
+    for _ in range(2):
+        await world.add_instance()
+    await world.ready()
+    await asyncio.sleep(FIRST_POLL_DELAY_S)
+    for instance in world.instances:
+        assert "odd" not in instance.mesh.members_by_id
