Restart background tasks that end, and log and count each

What operators saw, beside the odd entry: a sound target stayed unreachable. The task that probes unreachable targets had ended by an error; its instance held a reference to it, so not even the event loop reported it.

Cause: nothing watched the 13 tasks that an instance starts, nor those that dial peers, check the addresses of targets and relay calls of the store.

Change: one place runs them. Tasks of one job, check or call are logged. Dialling a peer goes on after an unforeseen error, an entry of a target that fails unforeseen keeps no other from being applied, and a quarantined request whose write fails is written later.

A stand-in of a target that two requests crash at once raised an error that surfaced in any later test: test_layering.py failed once in four runs of tests/gateway, as the interpreter formatted that error while it parsed a module.

--- a/src/caperridge/gateway/fresh_reads.py
+++ b/src/caperridge/gateway/fresh_reads.py
@@ -9,6 +9,7 @@
 
 from result import Err
 
+from caperridge.gateway.background import log_failure
 from caperridge.gateway.rows import HistoryGone, StoredRow
 from caperridge.gateway.watcher import TableWatcher
 from caperridge.log import logger
@@ -69,6 +70,7 @@
         pending.since = min(pending.since, version)
         if self._reading is None:
             self._reading = asyncio.get_running_loop().create_task(self._read())
+            self._reading.add_done_callback(log_failure)
         changes = await asyncio.shield(pending.changes)
         if changes is None:
             return None
--- a/src/caperridge/gateway/held_rows.py
+++ b/src/caperridge/gateway/held_rows.py
@@ -126,11 +126,13 @@
                 continue
             content = next(iter(self._pending))
             del self._pending[content]
-            if await self._write(content):
-                await asyncio.sleep(WRITE_INTERVAL_S)
-                continue
-            self._pending.setdefault(content)
-            await asyncio.sleep(RETRY_DELAY_S)
+            done = False
+            try:
+                done = await self._write(content)
+            finally:
+                if not done:
+                    self._pending.setdefault(content)
+            await asyncio.sleep(WRITE_INTERVAL_S if done else RETRY_DELAY_S)
 
     async def _wait(self) -> None:
         """Wait for a change, or a while for the store's clock."""
--- a/src/caperridge/gateway/jobs/keeper.py
+++ b/src/caperridge/gateway/jobs/keeper.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from caperridge.decisions.rendezvous import owner
+from caperridge.gateway.background import log_failure
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.jobs.claims import ClaimFailed, HeldBy, JobClaimer, JobFinished
 from caperridge.gateway.jobs.entries import REJECTED_RETRY_DELAY_S, EntryWriter
@@ -154,6 +155,7 @@
     async def run(self) -> None:
         """Claim orphaned jobs and check periodically, until cancelled."""
         loop = asyncio.get_running_loop()
+        self._stopped = False
         try:
             while True:
                 self._claim_orphans(loop.time())
@@ -377,10 +379,5 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            log.error("task of a job failed", exc_info=(type(error), error, None))
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
--- a/src/caperridge/gateway/mesh/dialers.py
+++ b/src/caperridge/gateway/mesh/dialers.py
@@ -177,6 +177,9 @@
                 await stream.run_once()
             except (OSError, TimeoutError):
                 self._dial_failed(stream.address)
+            except Exception:
+                # Nothing else would dial this peer again.
+                log.exception("connecting to a peer failed", address=stream.address)
             if loop.time() - started_at < RECONNECT_AFTER_S:
                 await asyncio.sleep(REDIAL_DELAY_S)
 
--- a/src/caperridge/gateway/metrics.py
+++ b/src/caperridge/gateway/metrics.py
@@ -84,6 +84,12 @@
             "Peers that were heard from lately.",
             registry=self.registry,
         )
+        self.background_failures = Counter(
+            "caperridge_gateway_background_failures",
+            "Background tasks that ended and were restarted, by task.",
+            ["task"],
+            registry=self.registry,
+        )
         self.target_ends = Counter(
             "caperridge_gateway_target_ends",
             "Targets that ended while they ran requests of this instance.",
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -13,6 +13,7 @@
     elapsed_s,
 )
 from caperridge.gateway.answer_limits import AnswerLimits
+from caperridge.gateway.background import BackgroundTasks
 from caperridge.gateway.clock import StoreClock
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.dialect import Dialect
@@ -222,7 +223,7 @@
         self.sweeper = JobSweeper(
             store, self.index, self.clock, self.mesh, settings.jobs_kept_s
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self.background = BackgroundTasks(self.metrics)
         self._caller_listener = listen_at(self.edge.application(), settings.callers)
         self._listeners = [self._caller_listener]
         self._connect_parts()
@@ -279,19 +280,21 @@
             )
         for listener in self._listeners:
             await listener.start()
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(watcher.run()) for watcher in self._watchers]
-        self._tasks += [
-            loop.create_task(self.keeper.run()),
-            loop.create_task(self.registry.run()),
-            loop.create_task(self._tick()),
-            loop.create_task(self._send_heartbeats()),
-            loop.create_task(probe_unreachable(self.fleet, self.client)),
-            loop.create_task(self.orphan_scan.run()),
-            loop.create_task(self.sweeper.run()),
-            loop.create_task(self.guard.run()),
-            loop.create_task(self.guard.rows.run()),
-        ]
+        for watcher in self._watchers:
+            self.background.start(f"watch {watcher.copy.table}", watcher.run)
+        work_by_name = {
+            "keep jobs": self.keeper.run,
+            "register": self.registry.run,
+            "tick": self._tick,
+            "send heartbeats": self._send_heartbeats,
+            "probe unreachable": lambda: probe_unreachable(self.fleet, self.client),
+            "scan orphaned runs": self.orphan_scan.run,
+            "sweep jobs": self.sweeper.run,
+            "expire quarantine": self.guard.run,
+            "write quarantine": self.guard.rows.run,
+        }
+        for name, work in work_by_name.items():
+            self.background.start(name, work)
         log.info(
             "instance started",
             instance=settings.instance,
@@ -325,18 +328,13 @@
     def parts(self) -> dict[str, Close]:
         """Return the function that closes each part, in closing order."""
         return {
-            "tasks": self._end_tasks,
+            "tasks": self.background.stop,
             "peers": self.mesh.stop,
             "target looks": self._crash_detector.close,
             "targets": self.client.close,
             "listeners": self._close_listeners,
         }
 
-    async def _end_tasks(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     async def _close_listeners(self) -> None:
         for listener in self._listeners:
             await listener.stop()
--- a/src/caperridge/gateway/relayed_store.py
+++ b/src/caperridge/gateway/relayed_store.py
@@ -12,6 +12,7 @@
 
 from result import Err, Result
 
+from caperridge.gateway.background import log_failure
 from caperridge.gateway.mesh.member import Member
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.messages import StoreAnswer, StoreAsk
@@ -195,6 +196,7 @@
         )
         self._relay_tasks.add(task)
         task.add_done_callback(self._relay_tasks.discard)
+        task.add_done_callback(log_failure)
 
     async def _relay(self, peer: str, incarnation: str, request: StoreAsk) -> None:
         try:
--- a/src/caperridge/gateway/table_rows.py
+++ b/src/caperridge/gateway/table_rows.py
@@ -75,7 +75,7 @@
         now = asyncio.get_running_loop().time()
         for row in rows:
             if not row.removed:
-                self._apply_target(row, source, now)
+                self._apply_target_alone(row, source, now)
                 continue
             name = row.key.key
             target = self._fleet.targets.find_by_name(name)
@@ -90,6 +90,13 @@
         self._fleet.notify_changed()
         self.on_applied(self._dialect.targets_table)
 
+    def _apply_target_alone(self, row: StoredRow, source: str, now: float) -> None:
+        """Apply an entry; an unforeseen error is logged and keeps no other from it."""
+        try:
+            self._apply_target(row, source, now)
+        except Exception:
+            log.exception("entry of a target not applied", target=row.key.key)
+
     def _apply_target(self, row: StoredRow, source: str, now: float) -> None:
         targets = self._fleet.targets
         name = row.key.key
--- a/src/caperridge/gateway/target_ends.py
+++ b/src/caperridge/gateway/target_ends.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from caperridge.decisions.suspects import LostRun
+from caperridge.gateway.background import log_failure
 from caperridge.gateway.fleet import Fleet
 from caperridge.gateway.targets import Target
 from caperridge.log import logger
@@ -123,6 +124,7 @@
         if losses.check is None:
             check = self._check_address(losses)
             losses.check = asyncio.get_running_loop().create_task(check)
+            losses.check.add_done_callback(log_failure)
         return losses
 
     async def has_crashed(self, target: Target) -> bool:
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -114,8 +114,10 @@
 
     async def crash(self) -> None:
         """Crash: cut all connections and accept no more."""
+        # A second request may crash it before the first crash has ended.
+        stop, self.stop_listening = self.stop_listening, _nothing
         self.crashed = True
-        await self.stop_listening()
+        await stop()
         for transport in list(self._transports):
             transport.abort()
 
--- a/tests/gateway/test_online.py
+++ b/tests/gateway/test_online.py
@@ -210,7 +210,9 @@
     second = await world.add_instance()
     await world.ready()
     watcher = second._watchers[0]
-    second._tasks[0].cancel()  # stops its long poll of the configuration
+    second.background.tasks_by_name[
+        "watch op"
+    ].cancel()  # stops its long poll of the configuration
     assert watcher.copy.loaded
     world.configure(7, ROUTES)
     await until(lambda: second.configuration.table.version == 7, within_s=2.0)
--- a/tests/gateway/test_table_readers.py
+++ b/tests/gateway/test_table_readers.py
@@ -41,7 +41,8 @@
 
 async def _stop_watchers(instance: GatewayInstance) -> None:
     """Cancel an instance's table watchers."""
-    ended = [task for task in instance._tasks if "TableWatcher" in repr(task)]
+    tasks_by_name = instance.background.tasks_by_name
+    ended = [task for name, task in tasks_by_name.items() if name.startswith("watch ")]
     assert len(ended) == len(instance._watchers)
     for task in ended:
         task.cancel()
