--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -42,6 +42,12 @@
             for writer in list(self._writers):
                 reset(writer.transport)
 
+    def restart(self, upstream: str) -> None:
+        """Pass connections on to another address; those that are open are reset."""
+        mode, self._upstream = self.mode, upstream
+        self.set_mode(RESET)
+        self.mode = mode
+
     def stop(self) -> None:
         """End everything."""
         self.set_mode(RESET)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,6 +39,21 @@
     assert tally.taken_up
 
 
+# Streams and items were joined from two software versions: targets that had restarted in
+# place were credited with the version of their entry before.
+UNSTEADY = [6801, 6806]
+
+
+@pytest.mark.parametrize("seed", UNSTEADY)
+async def test_streams_keep_their_version_where_targets_restart_in_place(
+    seed: int, tmp_path: Path
+) -> None:
+    tally, faults = await soak(seed, seconds=12.0, folder=tmp_path, unsteady=True)
+    assert tally.broken == [], "\n".join([*tally.broken, *faults])
+    assert tally.answered > 0
+    assert tally.taken_up
+
+
 # An item was never done: its slots were declined as long as a target of its software
 # version had a free one, and the granter granted the same slots again.
 RELEASES_IN_STOPS = [46213]
