Confirm the incarnation at each lease of an item

Cause: the next lease of a run at the same target was exempt from the confirmation for 0.5 s, as a target takes longer to restart. The time was counted from the end of the lease, but its last events had waited in a batch for 0.25 s; and it was an inference about what is absent, a restart, without a proof.

Evidence: the new test fails with the exemption.

Change: each run that continues an output is confirmed. That is a question for each lease (1.7 s) of a running item where ids may be used again, and none elsewhere.

--- a/src/caperridge/gateway/jobs/item_runs.py
+++ b/src/caperridge/gateway/jobs/item_runs.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import math
 from collections.abc import Callable, Container
 
 from result import Err
@@ -61,8 +60,6 @@
 # A lease is renewed this long after it started. The new run resumes after the last
 # event and reads the prompt and the output so far again, which takes 20 to 50 ms.
 RENEW_AFTER_S = 1.7
-# A target takes longer to restart.
-MIN_RESTART_S = 0.5
 
 
 class Renewal(Record):
@@ -273,16 +270,14 @@
         progress = ranked.state.progress
         if progress.target != target.id and not await self._may_continue(progress):
             self._start_over(ranked, target)
-        heard_at = -math.inf
         while True:
-            outcome = await self._run_one_lease(ranked, target, heard_at)
+            outcome = await self._run_one_lease(ranked, target)
             if not isinstance(outcome, Renewal):
                 return outcome
             now = asyncio.get_running_loop().time()
             usable = self._fleet.is_usable(target.id, now)
             if not usable or not self.may_resume(ranked, target):
                 return outcome  # a new run there would be new work
-            heard_at = now
             event = ranked.state.progress.event
             log.info("lease renewed", item=ranked.state.item.id, event=event)
 
@@ -294,15 +289,9 @@
         return await self._incarnations.may_have_written(progress.target, origin)
 
     async def _run_one_lease(
-        self, ranked: RankedItem, target: Target, heard_at: float
+        self, ranked: RankedItem, target: Target
     ) -> AttemptError | Renewal | None:
-        """Run the item until its output is complete or its lease has to be renewed.
-
-        Args:
-            ranked: the item.
-            target: that runs it.
-            heard_at: when its run there under the last lease ended.
-        """
+        """Run the item until its output is complete or its lease has to be renewed."""
         job, state = ranked.job, ranked.state
         loop = asyncio.get_running_loop()
         started_at, from_event = loop.time(), state.progress.event
@@ -315,11 +304,8 @@
         try:
             if answer.status != 200:
                 return TargetRefused(answer.status, "it failed", "ran")
-            may_be_another = loop.time() - heard_at > MIN_RESTART_S
-            if from_event and may_be_another:
-                running = await self._incarnations.is_running(target)
-                if not running:
-                    return WrongAnswer("its incarnation is not confirmed")
+            if from_event and not await self._incarnations.is_running(target):
+                return WrongAnswer("its incarnation is not confirmed")
             outcome = await self._collect_output(
                 state, answer, target, started_at + RENEW_AFTER_S
             )
--- a/tests/gateway/test_restarted_in_place.py
+++ b/tests/gateway/test_restarted_in_place.py
@@ -1,9 +1,11 @@
 """Targets that restart under their id and address with another software version."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
+from caperridge.gateway.jobs.item_runs import ItemRuns, Renewal
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, until
 from gateway.runner_standin import RunnerStandin
@@ -226,3 +228,27 @@
     state.cancel()
     await assert_item_is_of_one_version(town)
     assert town.other.runs[-1].resumed_after
+
+
+# Guards against an item that goes on under its next lease at a target which restarted
+# while that lease was due.
+async def test_an_item_does_not_go_on_under_its_next_lease_at_a_restarted_target(
+    town: Town, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("caperridge.gateway.jobs.item_runs.RENEW_AFTER_S", 0.1)
+    collect = ItemRuns._collect_output
+    restarted = False
+
+    async def restart_at_renewal(*args: Any) -> Any:
+        nonlocal restarted
+        outcome = await collect(*args)
+        if isinstance(outcome, Renewal) and not restarted:
+            restarted = True
+            town.restart()
+            town.other.refuse = False
+        return outcome
+
+    monkeypatch.setattr(ItemRuns, "_collect_output", restart_at_renewal)
+    await start_item(town)
+    await assert_item_is_of_one_version(town)
+    assert restarted
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,8 +39,8 @@
     assert tally.taken_up
 
 
-# Streams and items were joined from two software versions: targets that had restarted in
-# place were credited with the version of their entry before.
+# Streams and items were joined from two software versions: targets that had restarted
+# in place were credited with the version of their entry before.
 UNSTEADY = [6801, 6806]
 
 
