Drop what a peer infers from an older list before the list is read

What relies on a list older than this instance's own is dropped first. Two tests fail without it. The check of incarnations says what it does step by step.

--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -174,7 +174,7 @@
 def _unconfirmed(answer: Answer, running: bool | None) -> TargetRefused:
     """Return the error of a run that may be of another incarnation than is listed."""
     replaced = running is False
-    reason = "another incarnation goes on" if replaced else "which goes on is not known"
+    reason = "its incarnation is not confirmed"
     return TargetRefused(answer.status, reason, "ran", replaced=replaced)
 
 
--- a/src/caperridge/gateway/fresh_reads.py
+++ b/src/caperridge/gateway/fresh_reads.py
@@ -55,6 +55,11 @@
         """The version up to which the copy holds all changes."""
         return self._watcher.copy.read_version
 
+    @property
+    def changed_version(self) -> int:
+        """The version of the newest change in the copy."""
+        return self._watcher.copy.version
+
     async def changes_since(self, version: int) -> list[StoredRow] | None:
         """Bring the copy up to date; return what changed after ``version``.
 
--- a/src/caperridge/gateway/incarnations.py
+++ b/src/caperridge/gateway/incarnations.py
@@ -53,14 +53,19 @@
         answer = await self._client.get(target, path, ANSWER_TIMEOUT_S)
         if isinstance(answer, Err):
             error = answer.err_value
-            replaced = isinstance(error, TargetRefused) and error.replaced
-            return self._other_answered(target) if replaced else None
+            if isinstance(error, TargetRefused) and error.replaced:
+                self._mark_replaced(target)
+                return False
+            return None
         try:
             load = self._dialect.load(answer.ok_value)
         except DecodeError as error:
             log.info("invalid load", target=target.id, reason=str(error))
             return None
-        return load.may_be_from(target) or self._other_answered(target)
+        if not load.may_be_from(target):
+            self._mark_replaced(target)
+            return False
+        return True
 
     async def may_have_written(self, target: str, origin: StreamOrigin) -> bool:
         """Whether events from a target may be taken for those of an origin.
@@ -77,15 +82,12 @@
         if name == target:
             return True
         listed = self._fleet.targets.find_by_name(name)
-        if listed is None or listed.id != target:
-            return listed is None or listed.origin == origin
-        if await self.is_running(listed) is False:
-            return False
-        # Its successor may have been listed in the meantime.
-        listed = self._fleet.targets.find_by_name(name)
+        if listed is not None and listed.id == target:
+            if await self.is_running(listed) is False:
+                return False
+            # Its successor may have been listed in the meantime.
+            listed = self._fleet.targets.find_by_name(name)
         return listed is None or listed.origin == origin
 
-    def _other_answered(self, target: Target) -> bool:
-        """Record that another incarnation answered; return False."""
+    def _mark_replaced(self, target: Target) -> None:
         self._fleet.mark_replaced(target.id, asyncio.get_running_loop().time())
-        return False
--- a/src/caperridge/gateway/stream_origins.py
+++ b/src/caperridge/gateway/stream_origins.py
@@ -201,19 +201,23 @@
                 there has been one version holds only if nothing has changed since.
         """
         unknown = FoundOrigin(None, UNKNOWN)
-        if self._infer(route) is None and not inferred_by_peers:
+        changed_version = self._target_list.changed_version
+        relied_on = [
+            version for _, version in inferred_by_peers if version >= changed_version
+        ]
+        if self._infer(route) is None and not relied_on:
             return unknown
-        versions = [version for _, version in inferred_by_peers]
-        since = min([*versions, self._target_list.read_version])
+        since = min([*relied_on, self._target_list.read_version])
         changes = await self._target_list.changes_since(since)
         if changes is None:
             return unknown
-        changed_at = max((row.version for row in changes), default=-1)
+        changed_version = max((row.version for row in changes), default=changed_version)
         inferred = self._infer(route)
+        # That there have been several versions holds whatever has changed since.
         origins = {
             origin
             for origin, version in inferred_by_peers
-            if version >= changed_at or not origin.software_version
+            if version >= changed_version or not origin.software_version
         }
         agreed = self._agree(origins, inferred, route)
         return FoundOrigin(agreed, INFERRED if inferred else INFERRED_BY_PEERS)
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -7,6 +7,7 @@
 
 from caperridge.gateway import stream_origins
 from caperridge.gateway.fresh_reads import READ_TIMEOUT_S
+from caperridge.gateway.mesh.origin_messages import StreamAnswer, StreamAsk
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import Answer, World, route, until
 from gateway.runner_standin import RunnerStandin
@@ -111,6 +112,29 @@
     assert not runs_of(old, "again")
 
 
+# Guards against streams that are refused because one peer knows an old list, or is of a
+# release that doesn't say which list it knows.
+@pytest.mark.parametrize("list_version", [-1, 0])
+async def test_what_a_peer_out_of_step_infers_keeps_no_stream_from_going_on(
+    world: World, short_window: None, list_version: int
+) -> None:
+    await world.add_runner()
+    instance = await world.add_instance()
+    old = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    # The store has no changes as old as those that the peer lacks.
+    known_version = instance.updates.copy_of("servers").read_version
+    world.store.history_start_version = known_version
+
+    def infer(peer: str, ask: StreamAsk) -> None:
+        answer = StreamAnswer(ask.number, "model", "v1", True, list_version)
+        old.mesh.send(peer, answer)
+
+    old.mesh.register(StreamAsk, infer)
+    assert (await take_up(world, instance, "again", "r1")).status == 200
+
+
 async def pause_polls(world: World, instance: GatewayInstance) -> asyncio.Event:
     """Hold an instance's reads of changes back until the returned event is set."""
     store = world.store_of(instance)
