Keep the window of a quota that an owner hands over as it leaves

What callers could see: 96 requests of a team answered in a window of 80.

Cause: the heir did not know yet that the owner leaves. It looked through its windows after some other change of the members, took the owner of before for the owner, and handed the window back; a report that this one had forwarded meanwhile was settled on a new window without a history, which grants what a start allows.

Change: who receives a window from the instance that it takes for its owner counts that process as leaving, as only one that leaves does not count itself. The owners of windows are found in a class of their own.

Why it works: both sides rank the same instances, so they can differ on the owner only if one of the two leaves.

--- a/src/caperridge/gateway/quota_ledger.py
+++ b/src/caperridge/gateway/quota_ledger.py
@@ -45,6 +45,9 @@
 class QuotaLedger:
     """Settles reports on the windows of teams.
 
+    Attributes:
+        on_received: called with a peer and each team whose window it handed over.
+
     Args:
         mesh: of peers; says which part of them is alive.
         limit_of: returns the limit of a team; None if it has none.
@@ -59,6 +62,7 @@
         self._seeds = seeds
         self._windows_by_team: dict[str, TeamWindow] = {}
         self._changed_at: float | None = None
+        self.on_received: Callable[[str, str], None] = lambda peer, team: None
         mesh.register(QuotaHandover, self._receive_handover)
         mesh.on_appear(lambda member: self._members_changed())
         mesh.on_lost(lambda member: self._members_changed())
@@ -114,6 +118,7 @@
     def _receive_handover(self, peer: str, message: QuotaHandover) -> None:
         now = asyncio.get_running_loop().time()
         for team, history, complete in message.teams:
+            self.on_received(peer, team)
             limit = self._limit_of(team)
             if limit is not None:
                 self._window(team, limit, now).inherit(history, complete, now)
--- a/src/caperridge/gateway/quotas.py
+++ b/src/caperridge/gateway/quotas.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from caperridge.decisions.quota import QuotaLimit
-from caperridge.decisions.rendezvous import owner
 from caperridge.gateway.configuration import ConfigurationInForce
 from caperridge.gateway.mesh.mesh import Mesh
 from caperridge.gateway.mesh.quota_messages import (
@@ -16,6 +15,7 @@
 )
 from caperridge.gateway.mesh.relay import ANY_PROCESS
 from caperridge.gateway.quota_ledger import QuotaLedger, Verdict
+from caperridge.gateway.quota_owners import WindowOwners
 from caperridge.gateway.team_use import Report, TeamShare, TeamUse
 from caperridge.log import logger
 
@@ -47,7 +47,7 @@
     """Admits requests of teams within their quotas.
 
     Attributes:
-        leaving: this instance stops, so other instances own its windows.
+        owners: of the windows.
 
     Args:
         mesh: of peers.
@@ -55,17 +55,16 @@
     """
 
     def __init__(self, mesh: Mesh, ledger: QuotaLedger) -> None:
-        self.leaving = False
+        self.owners = WindowOwners(mesh)
         self._mesh = mesh
         self.ledger = ledger
+        ledger.on_received = self.owners.window_received
         self._uses_by_team: dict[str, TeamUse] = {}
         self._dirty: set[str] = set()
         self._reports_by_number: dict[int, Report] = {}
         self._numbers = itertools.count(1)
         self._flush_timer: asyncio.TimerHandle | asyncio.Handle | None = None
         self._forming_until = 0.0
-        self._owners_by_team: dict[str, str] = {}
-        self._owners_key = -1
         self._handed_over_key = -1
         mesh.register(QuotaReport, self._receive_report)
         mesh.register(ForwardedQuotaReport, self._receive_forwarded)
@@ -77,9 +76,8 @@
 
     def leave(self) -> None:
         """Leave the windows owned here to other instances, as this one stops."""
-        self.leaving = True
-        self._owners_by_team.clear()
-        self.ledger.hand_over(self._owner_of)
+        self.owners.set_leaving(True)
+        self.ledger.hand_over(self.owners.of)
 
     async def admit(self, team: str, limit: QuotaLimit) -> float | None:
         """Count one request; return None, or after how many seconds to return.
@@ -90,7 +88,7 @@
         """
         now = asyncio.get_running_loop().time()
         use = self._use(team, now)
-        if use.silent_until > now and self._owner_of(team) != self._mesh.instance:
+        if use.silent_until > now and self.owners.of(team) != self._mesh.instance:
             return self._admit_alone(use, limit, now)
         if now < self._forming_until and self.ledger.is_minority:
             await self._wait_for_peers()
@@ -146,7 +144,7 @@
         now = asyncio.get_running_loop().time()
         verdict = use.verdict
         return {
-            "owner": self._owner_of(team),
+            "owner": self.owners.of(team),
             "owner_silent": use.silent_until > now,
             "left": round(verdict.left, 1) if verdict is not None else None,
             "usual_per_s": round(use.usual.at(now), 2),
@@ -157,7 +155,7 @@
         self.ledger.expire(now)
         if self._handed_over_key != self._mesh.changes:
             self._handed_over_key = self._mesh.changes
-            self.ledger.hand_over(self._owner_of)
+            self.ledger.hand_over(self.owners.of)
         for team, use in list(self._uses_by_team.items()):
             idle = now - use.used_at > IDLE_EXPIRY_S
             if idle and not use.waiting and team not in self._dirty:
@@ -183,7 +181,7 @@
     def _owner_silent(self, team: str, use: TeamUse, limit: QuotaLimit) -> float | None:
         now = asyncio.get_running_loop().time()
         if use.silent_until <= now:
-            log.warning("quota owner silent", team=team, owner=self._owner_of(team))
+            log.warning("quota owner silent", team=team, owner=self.owners.of(team))
         use.silent_until = now + SILENT_OWNER_PAUSE_S
         return self._admit_alone(use, limit, now)
 
@@ -218,11 +216,11 @@
 
     def _flush(self) -> None:
         self._flush_timer = None
-        self.ledger.hand_over(self._owner_of, self._dirty)
+        self.ledger.hand_over(self.owners.of, self._dirty)
         now = asyncio.get_running_loop().time()
         teams_by_owner: dict[str, list[str]] = {}
         for team in self._dirty:
-            teams_by_owner.setdefault(self._owner_of(team), []).append(team)
+            teams_by_owner.setdefault(self.owners.of(team), []).append(team)
         self._dirty.clear()
         for instance, teams in teams_by_owner.items():
             if instance == self._mesh.instance:
@@ -309,11 +307,11 @@
 
     def _forward(self, reporter: str, report: QuotaReport) -> list[list[Any]]:
         """Forward to the owners of the windows; return what is settled here."""
-        self.ledger.hand_over(self._owner_of, [one[0] for one in report.teams])
+        self.ledger.hand_over(self.owners.of, [one[0] for one in report.teams])
         own: list[list[Any]] = []
         teams_by_owner: dict[str, list[list[Any]]] = {}
         for fields in report.teams:
-            instance = self._owner_of(fields[0])
+            instance = self.owners.of(fields[0])
             if instance == self._mesh.instance:
                 own.append(fields)
                 continue
@@ -367,22 +365,6 @@
             self._dirty.add(team)
             self._flush_later()
 
-    # Owners.
-
-    def _owner_of(self, team: str) -> str:
-        """Return the instance that keeps the window of ``team``."""
-        if self._owners_key != self._mesh.changes:
-            self._owners_key = self._mesh.changes
-            self._owners_by_team.clear()
-        found = self._owners_by_team.get(team)
-        if found is None:
-            live = [one.id for one in self._mesh.alive() if not one.leaving]
-            if not self.leaving:
-                live.append(self._mesh.instance)
-            found = owner(team, live) or self._mesh.instance
-            self._owners_by_team[team] = found
-        return found
-
 
 def _max_unconfirmed(limit: QuotaLimit) -> int:
     """Return how many requests may be served before the owner knows of them."""
--- a/tests/gateway/test_earlier_processes.py
+++ b/tests/gateway/test_earlier_processes.py
@@ -366,7 +366,7 @@
     """Guards against quota that a process takes for what an earlier one asked."""
     mesh = RecordingMesh()
     quotas = QuotaKeeper(mesh, EmptyLedger())  # type: ignore[arg-type]
-    quotas._owner_of = lambda team: "e-2"  # type: ignore[method-assign]
+    quotas.owners.of = lambda team: "e-2"  # type: ignore[method-assign]
     quotas._receive_report("e-1", QuotaReport(5, [["north", 0, 1, 0.0]]))
     [(instance, forwarded, _)] = mesh.sent
     assert isinstance(forwarded, ForwardedQuotaReport)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -54,7 +54,7 @@
 
 
 def owner_of(world: World) -> GatewayInstance:
-    name = world.instances[0].quotas._owner_of("north")
+    name = world.instances[0].quotas.owners.of("north")
     return next(one for one in world.instances if one.settings.instance == name)
 
 
@@ -149,7 +149,7 @@
     statuses = await burst(fleet, others, LARGE_QUOTA + 5)
     assert statuses.count(429)
     owner.quotas.leave()
-    heir = owner.quotas._owner_of("north")
+    heir = owner.quotas.owners.of("north")
     unaware = next(
         one for one in others if (one.settings.instance == heir) == unaware_is_heir
     )
@@ -159,6 +159,30 @@
     assert statuses.count(200) <= LARGE_QUOTA * windows
 
 
+# Guards against a quota that is used twice: an heir that does not know yet that the
+# owner leaves handed its window back, and granted anew from an empty one.
+async def test_an_heir_keeps_the_window_of_an_owner_that_it_does_not_know_to_leave(
+    large_quota: World,
+) -> None:
+    fleet = large_quota
+    owner = owner_of(fleet)
+    others = [one for one in fleet.instances if one is not owner]
+    statuses = await burst(fleet, others, LARGE_QUOTA + 5)
+    assert statuses.count(200) == LARGE_QUOTA
+    owner.quotas.leave()
+    heir_id = owner.quotas.owners.of("north")
+    [heir, unaware] = sorted(others, key=lambda one: one.settings.instance != heir_id)
+    await until(lambda: "north" in heir.quotas.ledger._windows_by_team)
+    assert not heir.mesh.members_by_id[owner.settings.instance].leaving
+    # Any change of the members has the heir look through its windows.
+    heir.mesh.roster.changes += 1
+    heir.quotas.tick(asyncio.get_running_loop().time())
+    # What the owner has forwarded in the meantime arrives.
+    report = [["north", 0, LARGE_QUOTA, 0.0]]
+    [verdict] = heir.quotas._settle(unaware.settings.instance, report)
+    assert verdict[1] == 0, f"{verdict[1]} are granted"
+
+
 async def test_an_owner_that_comes_back_is_asked_by_those_that_do_not_know_yet(
     large_quota: World,
 ) -> None:
@@ -168,15 +192,14 @@
     began = loop.time()
     owner = owner_of(fleet)
     owner.quotas.leave()
-    heir_id = owner.quotas._owner_of("north")
+    heir_id = owner.quotas.owners.of("north")
     heir = next(one for one in fleet.instances if one.settings.instance == heir_id)
     unaware = next(one for one in fleet.instances if one not in (owner, heir))
     for one in (heir, unaware):
         one.mesh.set_leaving(owner.settings.instance, True)
     statuses = await burst(fleet, [unaware, heir], LARGE_QUOTA + 5)
     assert statuses.count(429)
-    owner.quotas.leaving = False
-    owner.quotas._owners_by_team.clear()
+    owner.quotas.owners.set_leaving(False)
     heir.mesh.set_leaving(owner.settings.instance, False)
     heir.quotas.tick(loop.time())
     for _ in range(3):
