--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+import pytest_asyncio
 
 from caperridge.gateway import stream_origins
 from caperridge.gateway.fresh_reads import READ_TIMEOUT_S
@@ -25,6 +26,16 @@
     world.configure(1, [route("ask", timeoutMs=TIMEOUT_MS)])
 
 
+@pytest_asyncio.fixture
+async def following(world: World, short_window: None) -> GatewayInstance:
+    """An instance that has followed a list of one version for the window."""
+    await world.add_runner(slots=40)
+    instance = await world.add_instance()
+    await world.ready()
+    await known_for_the_window(instance)
+    return instance
+
+
 def cut_from_store(world: World, instance: GatewayInstance) -> None:
     """Have the store never answer an instance again, without a reset."""
 
@@ -156,13 +167,9 @@
 # Guards against a version that joined and left between two reads of the list: only its
 # removal is read, which names no version.
 async def test_a_version_that_came_and_went_unseen_is_not_ruled_out(
-    world: World, short_window: None
+    world: World, following: GatewayInstance
 ) -> None:
-    await world.add_runner()
-    instance = await world.add_instance()
-    await world.ready()
-    await known_for_the_window(instance)
-    going = await pause_polls(world, instance)
+    going = await pause_polls(world, following)
     newer = await world.add_runner(software_version=NEW_VERSION)
     world.store.remove("servers", newer.id)
     world.store._log = (
@@ -172,54 +179,42 @@
         + world.store._log[-1:]
     )
     going.set()
-    answer = await take_up(world, instance, "again")
+    answer = await take_up(world, following, "again")
     assert answer.status == 503
-    await known_for_the_window(instance)
-    assert (await take_up(world, instance, "later")).status == 200
+    await known_for_the_window(following)
+    assert (await take_up(world, following, "later")).status == 200
 
 
 # Guards against an instance that stood still and infers as if it had followed the list
 # in that time.
 async def test_an_instance_that_stood_still_has_not_followed_the_list(
-    world: World, short_window: None
+    world: World, following: GatewayInstance
 ) -> None:
-    await world.add_runner()
-    instance = await world.add_instance()
-    await world.ready()
-    await known_for_the_window(instance)
     await LoopClock().pause(1.0)
-    answer = await take_up(world, instance, "again")
+    answer = await take_up(world, following, "again")
     assert answer.status == 503
-    await known_for_the_window(instance)
-    assert (await take_up(world, instance, "later")).status == 200
+    await known_for_the_window(following)
+    assert (await take_up(world, following, "later")).status == 200
 
 
 # Guards against a call of the store for each stream that is taken up.
 async def test_streams_that_are_taken_up_together_share_a_read(
-    world: World, short_window: None
+    world: World, following: GatewayInstance
 ) -> None:
-    await world.add_runner(slots=40)
-    instance = await world.add_instance()
-    await world.ready()
-    await known_for_the_window(instance)
     world.store.waits_ms.clear()
     world.store.delay_s = 0.05
     ids = [f"r{number}" for number in range(20)]
-    answers = await asyncio.gather(*(take_up(world, instance, id) for id in ids))
+    answers = await asyncio.gather(*(take_up(world, following, id) for id in ids))
     assert {answer.status for answer in answers} == {200}
     assert 1 <= world.store.waits_ms.count(0) <= 4
 
 
 # Guards against an answer that is held back while the store is silent.
 async def test_a_stream_is_refused_soon_where_the_store_is_silent(
-    world: World, short_window: None
+    world: World, following: GatewayInstance
 ) -> None:
-    await world.add_runner()
-    instance = await world.add_instance()
-    await world.ready()
-    await known_for_the_window(instance)
-    cut_from_store(world, instance)
+    cut_from_store(world, following)
     async with asyncio.timeout(READ_TIMEOUT_S + 1.0):
-        answer = await take_up(world, instance, "again")
+        answer = await take_up(world, following, "again")
     assert answer.status == 503
     assert float(answer.headers["Retry-After"]) > 0
