Note the trouble of restarting targets in the diary of the soak

The plays note their trouble now, routes keep their time-out beside stops, and whether a list is followed is judged by what was wrong at that instance alone, as before. No check of a stop is changed.

--- a/tests/soak/diary.py
+++ b/tests/soak/diary.py
@@ -69,10 +69,20 @@
         if number in (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT):
             self.begin(life.instance, number.name).end()
 
-    def calm(self, instance: str, since: float, until: float) -> bool:
-        """Whether nothing but planned work acted on an instance in this time."""
+    def calm(
+        self, instance: str, since: float, until: float, alone: bool = False
+    ) -> bool:
+        """Whether nothing but planned work acted on an instance in this time.
+
+        Args:
+            instance: its id.
+            since: the time begins.
+            until: the time ends.
+            alone: leave out what acted on everybody.
+        """
+        acting = (instance,) if alone else (instance, EVERYBODY)
         for trouble in self.troubles:
-            if trouble.instance not in (instance, EVERYBODY):
+            if trouble.instance not in acting:
                 continue
             if trouble.began <= until and trouble.ended >= since - CONTACT_S:
                 return False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -112,6 +112,7 @@
             runner.pause_s = RELEASE_PAUSE_S
     if unsteady:
         town.tells_starts = True
+    if unsteady and not stops:
         town.routes = short_routes()
     tally = Tally()
     await town.start()
--- a/tests/soak/unsteady.py
+++ b/tests/soak/unsteady.py
@@ -10,6 +10,7 @@
 
 from gateway.conftest import ROUTES
 from soak.callers import Callers
+from soak.diary import EVERYBODY, Life
 from soak.proxy import PASS, SILENCE
 from soak.town import SoakInstance, Town
 
@@ -54,12 +55,14 @@
 ) -> None:
     """Restart a target in place; its entry comes before, with or after that."""
     number = chance.randrange(len(town.runners))
+    trouble = town.diary.begin(EVERYBODY, "a target restarts")
     runner = await town.restart_in_place(number, version)
     runner.break_after = chance.choice([None, 2, 3])
     await asyncio.sleep(chance.choice([0.0, 0.1, 0.5, 1.0]))
     town.list_runner(number, "ready")
     await asyncio.sleep(chance.uniform(0.0, 0.5))
     runner.break_after = None
+    trouble.end()
 
 
 async def join(
@@ -75,6 +78,7 @@
         behind.store.set_mode(SILENCE)
     callers.back_at = behind
     number = chance.randrange(len(town.runners))
+    replaced = town.diary.begin(EVERYBODY, "a target is replaced")
     await town.replace_runner(number, version, 0.0)
     town.runners[number].break_after = 2
     await asyncio.sleep(chance.uniform(0.2, 3.0))
@@ -84,6 +88,7 @@
     behind.store.set_mode(PASS)
     town.runners[number].break_after = None
     callers.back_at = None
+    replaced.end()
     trouble.end()
 
 
@@ -118,8 +123,9 @@
             lives = {one.id: one.life for one in town.instances}
             await asyncio.sleep(FOLLOWED_WITHIN_S)
             for one in town.instances:
-                calm = town.diary.calm(one.id, began_at, loop.time())
-                if not calm or one.life is not lives[one.id]:
+                calm = town.diary.calm(one.id, began_at, loop.time(), alone=True)
+                life = one.life
+                if not calm or life is not lives[one.id] or _ends(life):
                     continue
                 seen = await _marker_at(session, one)
                 if seen != f"m{number}":
@@ -127,6 +133,11 @@
             await asyncio.sleep(ODD_INTERVAL_S)
 
 
+def _ends(life: Life | None) -> bool:
+    """Whether a process has ended or was told to."""
+    return life is None or life.term is not None or life.ended is not None
+
+
 def _odd(town: Town, chance: random.Random) -> bytes:
     """Return the value of an odd entry."""
     kind = chance.random()
