--- a/tests/soak/unsteady.py
+++ b/tests/soak/unsteady.py
@@ -124,11 +124,11 @@
             up = [one for one in town.instances if await _marker_at(session, one)]
             await asyncio.sleep(FOLLOWED_WITHIN_S)
             for one in up:
+                seen = await _marker_at(session, one)
                 calm = town.diary.calm(one.id, began_at, loop.time(), alone=True)
                 life = one.life
                 if not calm or life is not lives[one.id] or _ends(life):
                     continue
-                seen = await _marker_at(session, one)
                 if seen != f"m{number}":
                     callers.report(f"{one.id} lists {seen}, not m{number}")
             await asyncio.sleep(ODD_INTERVAL_S)
