Refuse take-ups whose read of the list fails by an unforeseen error

Read as a newcomer: an error in a fresh read, such as one of a row that is applied, was passed on to the callers that waited (500), and ended the task that reads; those that had asked since waited until the time-out of their route.

Change: the error is logged, those that waited are refused as of unknown origin, and the next read is made. The new test has 500 and 503 on the code before, and 503 twice now.

--- a/src/caperridge/gateway/fresh_reads.py
+++ b/src/caperridge/gateway/fresh_reads.py
@@ -26,7 +26,7 @@
 
     Attributes:
         since: the changes after this version are needed.
-        changes: those changes; None if the store did not answer in time.
+        changes: those changes; None if they can't be told.
     """
 
     __slots__ = ("changes", "since")
@@ -86,11 +86,12 @@
         try:
             while (pending := self._pending) is not None:
                 self._pending = None
+                changes = None
                 try:
                     changes = await self._read_once(pending.since)
-                except Exception as error:
-                    pending.changes.set_exception(error)
-                    raise
+                except Exception:
+                    # Others may wait for the next read.
+                    log.exception("read failed", table=self._table)
                 pending.changes.set_result(changes)
         finally:
             self._reading = None
--- a/tests/gateway/test_out_of_step.py
+++ b/tests/gateway/test_out_of_step.py
@@ -218,3 +218,27 @@
         answer = await take_up(world, following, "again")
     assert answer.status == 503
     assert float(answer.headers["Retry-After"]) > 0
+
+
+# Guards against streams that wait for a read nobody makes, after an error in the one
+# before it.
+async def test_a_read_that_fails_leaves_nobody_waiting(
+    world: World, following: GatewayInstance
+) -> None:
+    reads = following.origins._target_list
+    begun, going = asyncio.Event(), asyncio.Event()
+
+    async def fail(since: int) -> Any:
+        begun.set()
+        await going.wait()
+        raise RuntimeError("unforeseen")
+
+    reads._watcher.read_changes = fail
+    first = asyncio.ensure_future(take_up(world, following, "first"))
+    await begun.wait()
+    second = asyncio.ensure_future(take_up(world, following, "second"))
+    await until(lambda: reads._pending is not None)
+    going.set()
+    async with asyncio.timeout(2.0):
+        answers = await asyncio.gather(first, second)
+    assert [answer.status for answer in answers] == [503, 503]
