Accept the memory and the descriptors of the machine in the settings

Bounds of what callers may make a process hold follow from its machine. Nothing uses the two settings yet; a test needs them to lower the limits of the code as it stands.

--- a/src/caperridge/gateway/settings.py
+++ b/src/caperridge/gateway/settings.py
@@ -9,6 +9,7 @@
 from caperridge.checking import invalid_findings
 from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.findings import WHOLE_SOURCE, Finding, FindingsError
+from caperridge.machine import MACHINE_SCHEMA, Machine, machine_from
 from caperridge.records import Record
 
 _ADDRESS = vol.All(str, vol.Match(r"^[0-9.]+:[0-9]+$", msg="must be IP:PORT"))
@@ -34,6 +35,7 @@
             vol.Required("object_bytes"): _POSITIVE,
         },
         vol.Required("jobs"): {vol.Required("kept_s"): _POSITIVE},
+        "machine": MACHINE_SCHEMA,
         "quotas": {"window_s": _POSITIVE},
         vol.Required("stopping"): {vol.Required("grace_s"): _POSITIVE},
     },
@@ -60,6 +62,7 @@
         grace_s: seconds between the signal to stop and the kill.
         log_level: lowest level that is logged.
         quota_window_s: length of the window in which the quotas of teams hold.
+        machine: limits of the process on its machine.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         "instance",
         "jobs_kept_s",
         "log_level",
+        "machine",
         "metrics_port",
         "object_bytes",
         "peers",
@@ -95,8 +99,10 @@
         grace_s: float,
         log_level: str = "INFO",
         quota_window_s: float = DEFAULT_WINDOW_S,
+        machine: Machine | None = None,
     ) -> None:
         self.quota_window_s = quota_window_s
+        self.machine = machine or machine_from({})
         self.instance = instance
         self.availability_zone = availability_zone
         self.metrics_port = metrics_port
@@ -155,4 +161,5 @@
         grace_s=float(table["stopping"]["grace_s"]),
         log_level=table["instance"].get("log_level", "INFO"),
         quota_window_s=float(table.get("quotas", {}).get("window_s", DEFAULT_WINDOW_S)),
+        machine=machine_from(table.get("machine", {})),
     )
--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -9,6 +9,7 @@
 
 from caperridge.checking import invalid_findings
 from caperridge.findings import Finding, FindingsError
+from caperridge.machine import MACHINE_SCHEMA, Machine, machine_from
 from caperridge.records import Record
 from caperridge.tls import TlsFiles, client_context, server_context
 
@@ -70,6 +71,7 @@
         first_operator_sha256: hex SHA-256 of the token that may confirm intents
             until the configuration declares an operator.
         tls_by_listener: TLS files by ``callers``, ``operators`` and ``peers``.
+        machine: limits of the process on its machine.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "instance_id",
         "lease_s",
         "log_level",
+        "machine",
         "operators",
         "peer_seeds",
         "peers",
@@ -115,7 +118,9 @@
         tls_by_listener: dict[str, TlsFiles] | None = None,
         peer_seeds: list[Address] | None = None,
         platform_authority: str = "",
+        machine: Machine | None = None,
     ) -> None:
+        self.machine = machine or machine_from({})
         self.instance_id = instance_id
         self.availability_zone = availability_zone
         self.platform_endpoint = platform_endpoint
@@ -176,6 +181,7 @@
         "lease": {"seconds": _SECONDS},
         "stop": {"drain_s": _SECONDS, "balancer_s": _SECONDS},
         "jobs": {"retention_s": _SECONDS},
+        "machine": MACHINE_SCHEMA,
         "log": {"level": vol.In(["DEBUG", "INFO", "WARNING", "ERROR"])},
         "tls": {"callers": _TLS, "operators": _TLS, "peers": _TLS},
     }
@@ -308,6 +314,7 @@
         "region": table["instance"].get("region"),
         "first_operator_sha256": table.get("operators", {}).get("first_token_sha256"),
         "peer_seeds": table.get("peers", {}).get("seeds"),
+        "machine": machine_from(table.get("machine", {})),
     }
     return Settings(
         instance_id=table["instance"]["id"],
