--- /dev/null
+++ b/tests/crowds/conftest.py
@@ -0,0 +1,113 @@
+"""One instance as a process, with a small machine, for a crowd to meet."""
+
+import asyncio
+import contextlib
+import os
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from crowds.crowd import MACHINE
+from gateway.conftest import HOST, SETTINGS, World, free_address, route
+from processes.conftest import Town, running_town
+
+ROOT = Path(__file__).parents[2]
+STARTED_WITHIN_S = 60.0
+# Long enough for a body of legal size in the smallest chunks.
+ROUTE_TIMEOUT_MS = 60_000
+
+__all__ = ["HOST", "Gateway", "Town"]
+
+
+class Gateway:
+    """An instance as a process; its store and its runners are in this one.
+
+    Attributes:
+        addresses_by_listener: ``IP:PORT`` by name.
+        world: the store and the runners.
+    """
+
+    def __init__(self, folder: Path, world: World) -> None:
+        self.world = world
+        self.addresses_by_listener = {
+            name: free_address() for name in ("callers", "ready", "peers", "metrics")
+        }
+        self.log = folder / "instance.log"
+        self._settings = folder / "instance.toml"
+        self._process: asyncio.subprocess.Process
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    async def start(self) -> None:
+        addresses = self.addresses_by_listener
+        text = SETTINGS.format(
+            id="e-1",
+            zone="a",
+            callers=addresses["callers"],
+            ready=addresses["ready"],
+            peers=addresses["peers"],
+            seeds=[],
+            store=self.world.store_address,
+            grace_s=8.0,
+        )
+        port = addresses["metrics"].rpartition(":")[2]
+        text = text.replace("metrics_port = 0", f"metrics_port = {port}")
+        self._settings.write_text(text + MACHINE)
+        with self.log.open("w") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "instance.py"),
+                env=os.environ | {"CAPERRIDGE_CONFIG": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(STARTED_WITHIN_S):
+                while not await _is_ready(session, addresses["ready"]):
+                    await asyncio.sleep(0.05)
+
+    async def end(self) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        await self._process.wait()
+
+
+async def _is_ready(session: aiohttp.ClientSession, address: str) -> bool:
+    try:
+        async with session.get(f"http://{address}/readyz") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+@pytest.fixture
+async def gateway(tmp_path: Path) -> AsyncIterator[Gateway]:
+    """An instance on the users' platform, ready, with two runners."""
+    world = World()
+    await world.start()
+    routes = [
+        route("ask", timeoutMs=ROUTE_TIMEOUT_MS),
+        route("once", timeoutMs=ROUTE_TIMEOUT_MS, resumable=False, maxAttempts=1),
+    ]
+    world.configure(2, routes)
+    for _ in range(2):
+        await world.add_runner(slots=8)
+    made = Gateway(tmp_path, world)
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.end()
+        await world.stop()
+
+
+@pytest.fixture
+async def town(tmp_path: Path) -> AsyncIterator[Town]:
+    """Two instances with the own interface, configured and ready."""
+    async with running_town(tmp_path, peers=True, settings=MACHINE) as town:
+        yield town
--- /dev/null
+++ b/tests/crowds/forms.py
@@ -0,0 +1,171 @@
+"""What one client of a crowd sends: pieces, after which it stays connected."""
+
+from collections.abc import Callable, Iterator
+
+from caperridge.records import Record
+
+# Far more than any limit on what has no end; a client stops there.
+ENDLESS_BYTES = 8 * 2**20
+PIECE_BYTES = 64 * 2**10
+SMALL_PIECE_BYTES = 4 * 2**10
+# How many requests a client sends that never reads an answer.
+UNREAD_REQUESTS = 2000
+
+
+class Form(Record):
+    """One way not to behave.
+
+    Attributes:
+        name: in test ids.
+        pieces: returns what is sent, given the first line and headers of a request
+            (without the empty line) and the size of a body of legal size.
+        completes: its clients send whole requests, which are served beside those of
+            ordinary callers.
+    """
+
+    __slots__ = ("completes", "name", "pieces")
+
+    def __init__(
+        self,
+        name: str,
+        pieces: Callable[[bytes, int], Iterator[bytes]],
+        completes: bool = False,
+    ) -> None:
+        self.name = name
+        self.pieces = pieces
+        self.completes = completes
+
+
+def whole(head: bytes, size: int) -> Iterator[bytes]:
+    """A body of legal size, sent to its end."""
+    yield head + b"Content-Length: %d\r\n\r\n" % size
+    yield from _filling(size, PIECE_BYTES)
+
+
+def short(head: bytes, size: int) -> Iterator[bytes]:
+    """The same without its last byte."""
+    yield head + b"Content-Length: %d\r\n\r\n" % size
+    yield from _filling(size - 1, PIECE_BYTES)
+
+
+def short_in_pieces(head: bytes, size: int) -> Iterator[bytes]:
+    """The same, piece by piece."""
+    yield head + b"Content-Length: %d\r\n\r\n" % size
+    yield from _filling(size - 1, SMALL_PIECE_BYTES)
+
+
+def large_chunks(head: bytes, size: int) -> Iterator[bytes]:
+    """A body in large chunks, without the last one."""
+    yield head + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n%s\r\n" % (PIECE_BYTES, bytes(PIECE_BYTES))
+    for _ in range(size // PIECE_BYTES):
+        yield chunk
+
+
+def tiny_chunks(head: bytes, size: int) -> Iterator[bytes]:
+    """A body in chunks of one byte, without the last one."""
+    yield head + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks = b"1\r\nx\r\n" * SMALL_PIECE_BYTES
+    for _ in range(size // SMALL_PIECE_BYTES):
+        yield chunks
+
+
+def half_head(head: bytes, size: int) -> Iterator[bytes]:
+    """A head that stops within a header."""
+    yield head + b"X-Half: "
+
+
+def silent(head: bytes, size: int) -> Iterator[bytes]:
+    """Nothing."""
+    yield from ()
+
+
+def line_without_end(head: bytes, size: int) -> Iterator[bytes]:
+    """A header whose line never ends."""
+    yield head + b"X-Long: "
+    yield from _repeating(b"x")
+
+
+def headers_without_end(head: bytes, size: int) -> Iterator[bytes]:
+    """Headers that never end."""
+    yield head
+    yield from _repeating(b"X-More: more and more\r\n")
+
+
+def empty_lines(head: bytes, size: int) -> Iterator[bytes]:
+    """Empty lines before a request that never comes."""
+    yield from _repeating(b"\r\n")
+
+
+def chunk_extension(head: bytes, size: int) -> Iterator[bytes]:
+    """An extension of a chunk that never ends."""
+    yield head + b"Transfer-Encoding: chunked\r\n\r\n5;extension="
+    yield from _repeating(b"x")
+
+
+def trailers(head: bytes, size: int) -> Iterator[bytes]:
+    """Trailers that never end."""
+    yield head + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+    yield from _repeating(b"X-More: more and more\r\n")
+
+
+def unread_answers(head: bytes, size: int) -> Iterator[bytes]:
+    """Whole requests in a row whose answers are never read."""
+    requests = (head + b"Content-Length: 0\r\n\r\n") * 10
+    for _ in range(UNREAD_REQUESTS // 10):
+        yield requests
+
+
+FORMS = [
+    Form("whole", whole, completes=True),
+    Form("short", short),
+    Form("short_in_pieces", short_in_pieces),
+    Form("large_chunks", large_chunks),
+    Form("tiny_chunks", tiny_chunks),
+    Form("half_head", half_head),
+    Form("silent", silent),
+    Form("line_without_end", line_without_end),
+    Form("headers_without_end", headers_without_end),
+    Form("empty_lines", empty_lines),
+    Form("chunk_extension", chunk_extension),
+    Form("trailers", trailers),
+    Form("unread_answers", unread_answers, completes=True),
+]
+
+
+def short_frame(head: bytes, size: int) -> Iterator[bytes]:
+    """A frame between instances without its last byte."""
+    yield size.to_bytes(4, "big")
+    yield from _filling(size - 1, PIECE_BYTES)
+
+
+def half_length(head: bytes, size: int) -> Iterator[bytes]:
+    """A frame that stops within its length."""
+    yield b"\x00\x00"
+
+
+def http_head(head: bytes, size: int) -> Iterator[bytes]:
+    """A request to a listener that speaks another protocol."""
+    yield head
+    yield from _repeating(b"X-More: more and more\r\n")
+
+
+FRAME_FORMS = [
+    Form("short_frame", short_frame),
+    Form("half_length", half_length),
+    Form("silent", silent),
+    Form("http_head", http_head),
+    Form("empty_lines", empty_lines),
+]
+
+
+def _filling(size: int, piece_bytes: int) -> Iterator[bytes]:
+    piece = bytes(piece_bytes)
+    for start in range(0, size, piece_bytes):
+        yield piece[: size - start]
+
+
+def _repeating(unit: bytes) -> Iterator[bytes]:
+    piece = unit * (PIECE_BYTES // len(unit))
+    for _ in range(ENDLESS_BYTES // len(piece)):
+        yield piece
