--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -10,7 +10,7 @@
 import aiohttp
 import pytest
 
-from crowds.crowd import MACHINE
+from crowds.crowd import MACHINE, ROOMY_MACHINE
 from gateway.conftest import HOST, SETTINGS, World, free_address, route
 from processes.conftest import Town, running_town
 
@@ -30,8 +30,9 @@
         world: the store and the runners.
     """
 
-    def __init__(self, folder: Path, world: World) -> None:
+    def __init__(self, folder: Path, world: World, machine: str) -> None:
         self.world = world
+        self._machine = machine
         self.addresses_by_listener = {
             name: free_address() for name in ("callers", "ready", "peers", "metrics")
         }
@@ -57,7 +58,7 @@
         )
         port = addresses["metrics"].rpartition(":")[2]
         text = text.replace("metrics_port = 0", f"metrics_port = {port}")
-        self._settings.write_text(text + MACHINE)
+        self._settings.write_text(text + self._machine)
         with self.log.open("w") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -88,6 +89,19 @@
 @pytest.fixture
 async def gateway(tmp_path: Path) -> AsyncIterator[Gateway]:
     """An instance on the users' platform, ready, with two runners."""
+    async with _running_gateway(tmp_path, MACHINE) as made:
+        yield made
+
+
+@pytest.fixture
+async def roomy_gateway(tmp_path: Path) -> AsyncIterator[Gateway]:
+    """The same with descriptors for every connection of a crowd."""
+    async with _running_gateway(tmp_path, ROOMY_MACHINE) as made:
+        yield made
+
+
+@contextlib.asynccontextmanager
+async def _running_gateway(folder: Path, machine: str) -> AsyncIterator[Gateway]:
     world = World()
     await world.start()
     routes = [
@@ -97,7 +111,7 @@
     world.configure(2, routes)
     for _ in range(2):
         await world.add_runner(slots=8)
-    made = Gateway(tmp_path, world)
+    made = Gateway(folder, world, machine)
     await made.start()
     try:
         yield made
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -24,6 +24,8 @@
 _ids = itertools.count(1)
 
 MACHINE = f"[machine]\nmemory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n"
+ROOMY_DESCRIPTORS = 8 * CLIENTS
+ROOMY_MACHINE = MACHINE.replace(str(DESCRIPTORS), str(ROOMY_DESCRIPTORS))
 
 
 class Crowd:
@@ -183,6 +185,7 @@
     size: int,
     ordinary: bytes,
     answers_at: str = "",
+    descriptors: int = DESCRIPTORS,
 ) -> None:
     """Check what must hold beside a crowd and after it.
 
@@ -195,6 +198,7 @@
         ordinary: a whole request that is answered 200 in calm, with the connection
             closed after it.
         answers_at: ``IP:PORT`` that answers it; empty for ``address``.
+        descriptors: that the process may have open.
     """
     asked = answers_at or address
     assert await ask(asked, ordinary) == 200, "before the crowd"
@@ -209,7 +213,7 @@
         assert await ask(asked, ordinary) == 200, "after the crowd"
         assert watch.alive
     held = (round(watch.memory_mb), watch.descriptors)
-    assert held[0] <= MEMORY_MB and held[1] <= DESCRIPTORS, f"MB, descriptors: {held}"
+    assert held[0] <= MEMORY_MB and held[1] <= descriptors, f"MB, descriptors: {held}"
 
 
 def _with_id(request: bytes) -> bytes:
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -8,7 +8,7 @@
 
 from conftest import CALLER, OPERATOR
 from crowds.conftest import Gateway, Town
-from crowds.crowd import meet
+from crowds.crowd import ROOMY_DESCRIPTORS, meet
 from crowds.forms import FORMS, FRAME_FORMS, Form
 from gateway.conftest import HOST
 
@@ -57,6 +57,23 @@
     await meet(form, gateway.pid, address, CALL.encode(), BODY_BYTES, ORDINARY.encode())
 
 
+@pytest.mark.parametrize("form", by_name(FORMS))
+async def test_callers_are_answered_beside_a_crowd_that_is_all_connected(
+    form: Form, roomy_gateway: Gateway
+) -> None:
+    """Guards against leaving all bounds to the number of connections."""
+    address = roomy_gateway.addresses_by_listener["callers"]
+    await meet(
+        form,
+        roomy_gateway.pid,
+        address,
+        CALL.encode(),
+        BODY_BYTES,
+        ORDINARY.encode(),
+        descriptors=ROOMY_DESCRIPTORS,
+    )
+
+
 @pytest.mark.parametrize("form", by_name(FORMS))
 async def test_the_readiness_check_is_answered_beside_a_crowd(
     form: Form, gateway: Gateway
