Take the memory of what clients send from one account of the process

What callers saw: a crowd of bodies of legal size ended a process, as it ran out of memory. 128 connections with bodies of 4 MiB took 608 to 682 MB at the listener of callers, 1128 to 1283 MB with 8 MiB at those of the own interface, whole, without the last byte, in pieces or in chunks.

Cause: each body was read whole before anything had asked whether there is memory for it, and nothing added up what all connections hold; reads of 256 KiB, buffers of 512 KiB a connection in the library, and the kernel's on top.

Change: MemoryBudget, a quarter of the machine's memory, shared by all listeners of both interfaces. Connections, unfinished bodies and whole ones until their request has ended take from it first. Who stood still for a second gives way to others; a large body waits 2 s at most, then 503 with Retry-After, and it has not run. An eighth is kept for small requests, and a large one that is alone is always read. Reads have 16 KiB, the kernel's receive buffers 64 KiB. The limit of a body is the one in force; while a version is new the larger one counts.

The new tests of a body over the limit, with a length and in chunks, failed on the code before; those of a stalled body and of changed limits use what is new here, and can't run there.

Why it works: memory is counted before it is used, by whoever uses it, so a new form needs no cap of its own.

--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
+from caperridge.listening.bodies import connection_of
+
 # Iterations of the event loop from reading a request to its handler: one wakes the task
 # of the connection and one starts the handler; the others are a margin.
 ITERATIONS_TO_HANDLER = 5
@@ -82,6 +84,7 @@
         @web.middleware
         async def track(request: web.Request, handler: Any) -> web.StreamResponse:
             connection = request.protocol
+            guarded = connection_of(request)
             self._busy.add(connection)
             self._unused_since_pause.discard(connection)
             if self._closing:
@@ -90,6 +93,8 @@
                 return await _respond(request, handler)
             finally:
                 self._busy.discard(connection)
+                if guarded is not None:
+                    guarded.request_ended()
                 if self._closing:
                     _pause(connection)
 
--- a/src/caperridge/door.py
+++ b/src/caperridge/door.py
@@ -7,11 +7,15 @@
 """
 
 import asyncio
+import contextlib
+import socket
 import ssl
 from typing import Any
 
 # Iterations of the event loop from accept to the protocol, with a margin.
 ITERATIONS_TO_PROTOCOL = 5
+# What the kernel keeps of a connection that is not read; it doubles the value.
+RECEIVE_BUFFER_BYTES = 32 * 2**10
 
 
 class SocketListener:
@@ -42,10 +46,7 @@
             tls: TLS context of the connections; None for no TLS.
             backlog: maximum number of connections queued for accept.
         """
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            protocols, host, port, ssl=tls, backlog=backlog, reuse_address=True
-        )
+        server = await listen(protocols, host, port, backlog, tls, RECEIVE_BUFFER_BYTES)
         return cls(server)
 
     @property
@@ -62,3 +63,43 @@
         for _ in range(ITERATIONS_TO_PROTOCOL):
             await asyncio.sleep(0)
         self._server.close()
+
+
+async def listen(
+    protocols: Any,
+    host: str,
+    port: int,
+    backlog: int,
+    tls: ssl.SSLContext | None = None,
+    receive_buffer_bytes: int = 0,
+) -> asyncio.Server:
+    """Start listening; the buffers of connections may be bounded.
+
+    Args:
+        protocols: factory that creates the protocol of each connection.
+        host: address to listen on.
+        port: TCP port; 0 for any free one.
+        backlog: maximum number of connections queued for accept.
+        tls: TLS context of the connections; None for no TLS.
+        receive_buffer_bytes: of each connection in the kernel; 0 for its default.
+    """
+    server = await asyncio.get_running_loop().create_server(
+        protocols,
+        host,
+        port,
+        ssl=tls,
+        backlog=backlog,
+        reuse_address=True,
+    )
+    for listening_socket in server.sockets:
+        copy = socket.socket(fileno=listening_socket.dup().detach())
+        with copy:
+            if receive_buffer_bytes:
+                _set_receive_buffer(copy, receive_buffer_bytes)
+    return server
+
+
+def _set_receive_buffer(listening_socket: socket.socket, size: int) -> None:
+    """Bound what the kernel keeps of accepted connections, if it offers that."""
+    with contextlib.suppress(OSError):
+        listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/src/caperridge/gateway/configuration.py
+++ b/src/caperridge/gateway/configuration.py
@@ -7,10 +7,16 @@
 from caperridge.decisions.quota import QuotaLimit
 from caperridge.gateway.routes import RoutingTable
 from caperridge.gateway.targets import Target
+from caperridge.listening.limits import CallerLimits
 from caperridge.log import logger
 
 log = logger(__name__)
 
+# Limits of callers while no configuration is known.
+STARTING_LIMITS = CallerLimits(64 * 2**10, 64 * 2**20, 30.0, 75.0)
+# Callers that have not heard of smaller limits may still use the larger ones.
+LIMIT_OVERLAP_S = 10.0
+
 
 class ConfigurationInForce:
     """Holds the newest version that was received.
@@ -24,6 +30,7 @@
     def __init__(self) -> None:
         self.table: RoutingTable | None = None
         self.since = 0.0
+        self._previous_limits = STARTING_LIMITS
         self._changed: list[Callable[[], None]] = []
         self._next = asyncio.Event()
         self.newer_announced: Callable[[], bool] = lambda: False
@@ -53,6 +60,17 @@
         """Return the limit of a team in the version in force; None if it has none."""
         return self.table.limit_of(team) if self.table is not None else None
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force; each the larger one soon after a change."""
+        if self.table is None:
+            return STARTING_LIMITS
+        limits = self.table.limits
+        if limits == self._previous_limits:
+            return limits
+        if asyncio.get_running_loop().time() - self.since > LIMIT_OVERLAP_S:
+            self._previous_limits = limits
+        return limits.widest(self._previous_limits)
+
     def on_change(self, call: Callable[[], None]) -> None:
         """Call ``call`` when another version is in force."""
         self._changed.append(call)
@@ -62,6 +80,8 @@
         before = self.table.version if self.table is not None else None
         if before is not None and table.version <= before:
             return False
+        if self.table is not None:
+            self._previous_limits = self.table.limits
         self.table = table
         self.since = asyncio.get_running_loop().time()
         log.info(
--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -22,6 +22,7 @@
 from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import BATCH, Route
 from caperridge.gateway.teams import Team
+from caperridge.listening.bodies import BodyRefusedError, read_body
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -32,7 +33,6 @@
 # While draining, no request for this long means that callers use other instances.
 QUIET_PERIOD_S = 0.7
 QUIET_POLL_INTERVAL_S = 0.05
-MAX_BODY_BYTES = 64 * 2**20
 
 
 class RunningRequest(Record):
@@ -152,7 +152,7 @@
 
     def application(self) -> web.Application:
         """Return the application that serves all paths."""
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application = web.Application()
         application.router.add_route("*", "/{path:.*}", self.handle)
         return application
 
@@ -206,24 +206,45 @@
             return await self._job(request, route, arrived, team)
         return await self._within_quota(request, route, arrived, team)
 
-    async def _read_body(self, request: web.Request) -> bytes | None:
-        """Return the body; None if the instance stops before it has come."""
+    async def _read_body(self, request: web.Request) -> bytes:
+        """Return the body.
+
+        Raises:
+            BodyRefusedError: it was not read to its end.
+        """
+        max_bytes = self._configuration.caller_limits().body_bytes
         try:
             async with self._limits.within():
-                return await request.read()
-        except TimeoutError:
-            return None
-
-    def _body_missing(self, request: web.Request) -> web.Response:
+                return await read_body(request, max_bytes)
+        except TimeoutError as error:
+            reason = "its body has not come in time"
+            raise BodyRefusedError(503, reason) from error
+
+    def _refuse_body(
+        self, request: web.Request, route: Route, refused: BodyRefusedError
+    ) -> web.Response:
         # It was not forwarded, so the caller may send it to another instance.
-        return self._responses.refuse(request, 503, "its body has not come in time")
+        self._metrics.requests.labels(route.kind, "refused").inc()
+        log.info(
+            "body refused",
+            request=request.headers.get(self._dialect.headers.request, ""),
+            route=route.name,
+            status=refused.status,
+            reason=refused.reason,
+        )
+        response = self._responses.refuse(
+            request, refused.status, refused.reason, refused.retry_after_s
+        )
+        response.force_close()
+        return response
 
     async def _job(
         self, request: web.Request, route: Route, arrived: float, team: Team | None
     ) -> web.StreamResponse:
-        body = await self._read_body(request)
-        if body is None:
-            return self._body_missing(request)
+        try:
+            body = await self._read_body(request)
+        except BodyRefusedError as refused:
+            return self._refuse_body(request, route, refused)
         return await self._jobs.submit(request, route, body, arrived, team)
 
     async def _within_quota(
@@ -234,10 +255,11 @@
         over_quota = await self._checks.admit(team, route, id)
         if over_quota is not None:
             return self._responses.reject(request, over_quota)
-        body = await self._read_body(request)
-        if body is None:
+        try:
+            body = await self._read_body(request)
+        except BodyRefusedError as refused:
             self._checks.restore(team, route)
-            return self._body_missing(request)
+            return self._refuse_body(request, route, refused)
         return await self._online(request, route, body, arrived, team)
 
     async def _online(
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -9,12 +9,14 @@
 
 from caperridge.connections import Connections
 from caperridge.door import SocketListener
+from caperridge.gateway.settings import Settings
+from caperridge.listening.accepting import http_protocols
+from caperridge.listening.guard import READ_BYTES, ConnectionGuard, Listening
+from caperridge.listening.limits import MAX_HEAD_BYTES
 
 BACKLOG = 1024
 # Callers reuse connections that have been idle for most of the idle limit.
 KEEPALIVE_S = 75.0
-# The library's default is 8 KB a line; deployments allow heads of 16 KB and more.
-MAX_HEAD_BYTES = 64 * 2**10
 
 
 class Listener:
@@ -24,9 +26,20 @@
         application: serves its requests.
         host: address to listen on.
         port: TCP port.
+        guard: of all connections of the process.
+        listening: its name and the limits of its clients.
     """
 
-    def __init__(self, application: web.Application, host: str, port: int) -> None:
+    def __init__(
+        self,
+        application: web.Application,
+        host: str,
+        port: int,
+        guard: ConnectionGuard,
+        listening: Listening,
+    ) -> None:
+        self._guard = guard
+        self._listening = listening
         self._connections = Connections(application)
         self._runner = web.AppRunner(
             application,
@@ -35,6 +48,7 @@
             lingering_time=0.0,  # see Connections
             auto_decompress=False,  # bodies are forwarded unchanged
             keepalive_timeout=KEEPALIVE_S,
+            read_bufsize=READ_BYTES,
             shutdown_timeout=0.1,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
@@ -47,7 +61,10 @@
         """Start listening."""
         await self._runner.setup()
         self._door = await SocketListener.open(
-            self._runner.server, self._host, self._port, backlog=BACKLOG
+            http_protocols(self._runner.server, self._guard, self._listening),
+            self._host,
+            self._port,
+            backlog=BACKLOG,
         )
 
     @property
@@ -78,10 +95,31 @@
         await self._runner.cleanup()
 
 
-def listen_at(application: web.Application, address: str) -> Listener:
+def listen_at(
+    application: web.Application,
+    address: str,
+    guard: ConnectionGuard,
+    listening: Listening,
+) -> Listener:
     """Return the listener of ``application`` at ``IP:PORT``; it has to be started."""
     host, _, port = address.rpartition(":")
-    return Listener(application, host, int(port))
+    return Listener(application, host, int(port), guard, listening)
+
+
+def own_listeners(
+    settings: Settings,
+    guard: ConnectionGuard,
+    ready: web.Application,
+    metrics: web.Application,
+) -> list[Listener]:
+    """Return the listeners of the readiness check and, if they are served, metrics."""
+    limits = settings.connections.limits
+    listeners = [listen_at(ready, settings.ready, guard, Listening("ready", limits))]
+    if settings.metrics_port:
+        address = f"0.0.0.0:{settings.metrics_port}"
+        listening = Listening("metrics", limits)
+        listeners.append(listen_at(metrics, address, guard, listening))
+    return listeners
 
 
 def ready_application(
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -39,6 +39,7 @@
     Listener,
     listen_at,
     metrics_application,
+    own_listeners,
     ready_application,
 )
 from caperridge.gateway.mesh.lives import new_incarnation
@@ -67,6 +68,7 @@
 from caperridge.gateway.upstream import TargetClient
 from caperridge.gateway.watcher import StoreReachability
 from caperridge.gateway.zones import silent_zones
+from caperridge.listening.guard import ConnectionGuard, Listening
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -96,6 +98,9 @@
         incarnation = new_incarnation(settings.instance)
         self.metrics = GatewayMetrics()
         self.configuration = ConfigurationInForce()
+        self.connections = ConnectionGuard(
+            settings.machine, settings.connections, self.metrics.registry
+        )
         self.fleet = Fleet(settings.instance, settings.availability_zone, rng)
         self.clock = StoreClock()
         self.reachability = StoreReachability()
@@ -224,8 +229,13 @@
             store, self.index, self.clock, self.mesh, settings.jobs_kept_s
         )
         self.background = BackgroundTasks(self.metrics)
-        self._caller_listener = listen_at(self.edge.application(), settings.callers)
-        self._listeners = [self._caller_listener]
+        self._caller_listener = listen_at(
+            self.edge.application(),
+            settings.callers,
+            self.connections,
+            Listening("callers", self.configuration.caller_limits),
+        )
+        self._listeners: list[Listener] = []
         self._connect_parts()
 
     def _connect_parts(self) -> None:
@@ -272,12 +282,9 @@
         self.quotas.start()
         await self.mesh.start()
         ready = ready_application(lambda: self.ready, lambda: state_of(self))
-        self._listeners.insert(0, listen_at(ready, settings.ready))
-        if settings.metrics_port:
-            application = metrics_application(self.metrics.registry)
-            self._listeners.append(
-                Listener(application, "0.0.0.0", settings.metrics_port)
-            )
+        metrics = metrics_application(self.metrics.registry)
+        own = own_listeners(settings, self.connections, ready, metrics)
+        self._listeners = [*own, self._caller_listener]
         for listener in self._listeners:
             await listener.start()
         for watcher in self._watchers:
--- a/src/caperridge/gateway/routes.py
+++ b/src/caperridge/gateway/routes.py
@@ -6,6 +6,7 @@
 
 from caperridge.decisions.quota import QuotaLimit
 from caperridge.gateway.teams import TeamDirectory
+from caperridge.listening.limits import CallerLimits
 from caperridge.records import Record
 
 # Kinds of routes.
@@ -153,27 +154,6 @@
         self.slots = slots
 
 
-class CallerLimits(Record):
-    """Limits on size and time for callers.
-
-    Attributes:
-        header_bytes: largest head of a request.
-        body_bytes: largest body of a request.
-        header_s: longest time until the head is received.
-        idle_s: longest time that a kept connection may be idle.
-    """
-
-    __slots__ = ("body_bytes", "header_bytes", "header_s", "idle_s")
-
-    def __init__(
-        self, header_bytes: int, body_bytes: int, header_s: float, idle_s: float
-    ) -> None:
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_s = header_s
-        self.idle_s = idle_s
-
-
 class RoutingTable:
     """One version of the configuration; immutable.
 
--- a/src/caperridge/gateway/settings.py
+++ b/src/caperridge/gateway/settings.py
@@ -9,6 +9,7 @@
 from caperridge.checking import invalid_findings
 from caperridge.decisions.quota import DEFAULT_WINDOW_S
 from caperridge.findings import WHOLE_SOURCE, Finding, FindingsError
+from caperridge.listening.limits import CONNECTIONS_SCHEMA, ConnectionSettings
 from caperridge.machine import MACHINE_SCHEMA, Machine, machine_from
 from caperridge.records import Record
 
@@ -36,6 +37,7 @@
         },
         vol.Required("jobs"): {vol.Required("kept_s"): _POSITIVE},
         "machine": MACHINE_SCHEMA,
+        "connections": CONNECTIONS_SCHEMA,
         "quotas": {"window_s": _POSITIVE},
         vol.Required("stopping"): {vol.Required("grace_s"): _POSITIVE},
     },
@@ -63,11 +65,13 @@
         log_level: lowest level that is logged.
         quota_window_s: length of the window in which the quotas of teams hold.
         machine: limits of the process on its machine.
+        connections: limits on the clients of all listeners.
     """
 
     __slots__ = (
         "availability_zone",
         "callers",
+        "connections",
         "grace_s",
         "instance",
         "jobs_kept_s",
@@ -100,7 +104,9 @@
         log_level: str = "INFO",
         quota_window_s: float = DEFAULT_WINDOW_S,
         machine: Machine | None = None,
+        connections: ConnectionSettings | None = None,
     ) -> None:
+        self.connections = connections or ConnectionSettings()
         self.quota_window_s = quota_window_s
         self.machine = machine or machine_from({})
         self.instance = instance
@@ -162,4 +168,5 @@
         log_level=table["instance"].get("log_level", "INFO"),
         quota_window_s=float(table.get("quotas", {}).get("window_s", DEFAULT_WINDOW_S)),
         machine=machine_from(table.get("machine", {})),
+        connections=ConnectionSettings.from_map(table.get("connections", {})),
     )
--- a/src/caperridge/gateway/state.py
+++ b/src/caperridge/gateway/state.py
@@ -16,6 +16,7 @@
         "configuration": table.version if table is not None else None,
         "store_reached": instance.reachability.reached,
         "running": instance.edge.running,
+        "connections": instance.connections.state(),
         "quarantine": instance.guard.state(),
         "streams_known": instance.origins.known,
         "quotas": instance.quotas.ledger.state(),
--- a/src/caperridge/instance/dump.py
+++ b/src/caperridge/instance/dump.py
@@ -17,6 +17,7 @@
         "release": __version__,
         "not_ready_because": instance.not_ready_because(),
         "configuration_version": instance.configuration.current.version,
+        "connections": instance.connections.state(),
         "session": instance.session.session_id,
         "lease_left_s": max(0.0, instance.session.left_s()),
         "online_in_flight": instance.online.in_flight,
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -10,6 +10,7 @@
 from caperridge import bearer
 from caperridge.commands.accept_file import BadFile
 from caperridge.instance.refusal_log import RefusalLog
+from caperridge.listening.bodies import BodyRefusedError, read_body, reserve
 from caperridge.log import logger
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
 from caperridge.store.interface import NotDone
@@ -19,6 +20,7 @@
 MAX_REASON_CHARS = 600
 OWN_HEADERS = ("Idempotency-Key", "X-Request-Id")
 REFUSAL_LOG = web.AppKey("refusal_log", RefusalLog)
+MAX_BODY_BYTES = web.AppKey("max_body_bytes", int)
 _PLAIN_ID = re.compile(r"[A-Za-z0-9_-]{1,80}")
 
 
@@ -33,6 +35,7 @@
         client_max_size=most_body_bytes, middlewares=[answer_refusals]
     )
     app[REFUSAL_LOG] = RefusalLog()
+    app[MAX_BODY_BYTES] = most_body_bytes
     return app
 
 
@@ -68,6 +71,35 @@
             raise bad_request(f"{name} is longer than {MAX_HEADER_CHARS} characters")
 
 
+async def whole_body(request: web.Request) -> bytes:
+    """Return the whole body of a request, or refuse it."""
+    try:
+        return await read_body(request, request.app[MAX_BODY_BYTES])
+    except BodyRefusedError as error:
+        raise _body_refusal(error) from error
+
+
+async def reserve_memory(request: web.Request, size: int) -> None:
+    """Take memory for a body that is read in parts, or refuse it."""
+    try:
+        await reserve(request, size)
+    except BodyRefusedError as error:
+        raise _body_refusal(error) from error
+
+
+def _body_refusal(error: BodyRefusedError) -> RefusedError:
+    if error.status == 413:
+        return RefusedError(Refusal("too_large", error.reason, 413))
+    if error.status == 408:
+        return RefusedError(Refusal("too_slow", error.reason, 408))
+    if error.status == 503:
+        retry_after_s = error.retry_after_s
+        return RefusedError(
+            Refusal("no_memory", error.reason, 503, NOT_RUN, retry_after_s)
+        )
+    return bad_request(error.reason)
+
+
 def _answer(request: web.Request, refusal: Refusal) -> web.Response:
     # What callers send stands in reasons; it must not come back at any length.
     refusal.reason = refusal.reason[:MAX_REASON_CHARS]
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -25,6 +25,8 @@
     json_of,
     plain_id,
     platform_refusal,
+    reserve_memory,
+    whole_body,
 )
 from caperridge.instance.messages import JobsChanged
 from caperridge.instance.plain_item_calls import PREFIX, service_path
@@ -46,6 +48,8 @@
 ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
 MOST_METADATA = 16
 MOST_METADATA_TEXT = 512
+# A part and a line of a file, and what is on its way to the platform.
+UPLOAD_BYTES = 4 * 2**20
 OUTPUT = "-output"
 ERRORS = "-errors"
 _STATES = {OPEN: "in_progress", COMPLETED: "completed", CANCELLED: "cancelled"}
@@ -71,6 +75,7 @@
         caller = self._instance.caller(request)
         if not request.content_type.startswith("multipart/"):
             raise bad_request("the file must come as multipart/form-data")
+        await reserve_memory(request, UPLOAD_BYTES)
         reader = await request.multipart()
         while (part := await reader.next()) is not None:
             if part.name != "file":
@@ -139,7 +144,7 @@
     async def create_batch(self, request: web.Request) -> web.Response:
         """Accept a job; acknowledged only once it is durable."""
         caller = self._instance.caller(request)
-        raw = await request.read()
+        raw = await whole_body(request)
         body = json_of(raw)
         if not isinstance(body, dict):
             raise bad_request("the body must be an object")
--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -1,11 +1,15 @@
 """The HTTP listeners of one instance."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
 from caperridge.connections import Connections
 from caperridge.door import SocketListener
+from caperridge.listening.accepting import http_protocols
+from caperridge.listening.guard import READ_BYTES, ConnectionGuard, Listening
+from caperridge.listening.limits import CallerLimits
 from caperridge.settings import Address, TlsFiles
 from caperridge.tls import server_context
 
@@ -22,11 +26,28 @@
     Args:
         app: that answers.
         cut_after_s: how long what runs is waited for when it closes.
+        guard: of all connections of the process.
+        listening: its name and the limits of its clients.
     """
 
-    __slots__ = ("_connections", "_cut_after_s", "_door", "_runner")
+    __slots__ = (
+        "_connections",
+        "_cut_after_s",
+        "_door",
+        "_guard",
+        "_listening",
+        "_runner",
+    )
 
-    def __init__(self, app: web.Application, cut_after_s: float) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        cut_after_s: float,
+        guard: ConnectionGuard,
+        listening: Listening,
+    ) -> None:
+        self._guard = guard
+        self._listening = listening
         self._connections = Connections(app)
         self._cut_after_s = cut_after_s
         self._runner = web.AppRunner(
@@ -34,6 +55,7 @@
             access_log=None,
             handler_cancellation=True,
             lingering_time=0.0,  # see Connections
+            read_bufsize=READ_BYTES,
             shutdown_timeout=CANCEL_S,
         )
         self._door: SocketListener | None = None
@@ -43,7 +65,10 @@
         await self._runner.setup()
         context = server_context(files) if files else None
         self._door = await SocketListener.open(
-            self._runner.server, at.host, at.port, context
+            http_protocols(self._runner.server, self._guard, self._listening),
+            at.host,
+            at.port,
+            context,
         )
         return Address(*self._door.address)
 
@@ -59,9 +84,18 @@
 
 
 class Listeners:
-    """Opens listeners and closes them again; knows where each listens."""
+    """Opens listeners and closes them again; knows where each listens.
 
-    def __init__(self) -> None:
+    Args:
+        guard: of all connections of the process.
+        limits: returns the limits of the clients of all listeners.
+    """
+
+    def __init__(
+        self, guard: ConnectionGuard, limits: Callable[[], CallerLimits]
+    ) -> None:
+        self._guard = guard
+        self._limits = limits
         self.addresses_by_name: dict[str, Address] = {}
         self._listeners: list[Listener] = []
 
@@ -82,7 +116,8 @@
             files: for TLS; None for none.
             cut_after_s: how long what runs is waited for when all are closed.
         """
-        listener = Listener(app, cut_after_s)
+        listening = Listening(name, self._limits)
+        listener = Listener(app, cut_after_s, self._guard, listening)
         self._listeners.append(listener)
         self.addresses_by_name[name] = await listener.open(at, files)
 
--- a/src/caperridge/instance/plain_http.py
+++ b/src/caperridge/instance/plain_http.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from caperridge.instance.http_common import bad_request
+from caperridge.instance.http_common import bad_request, whole_body
 from caperridge.instance.plain_headers import towards_caller
 from caperridge.refusals import Refusal, RefusedError
 
@@ -41,7 +41,7 @@
             request.method,
             _path(request),
             request.headers,
-            await request.read(),
+            await whole_body(request),
         )
         if plain.key and not service.repeatable:
             answer = await instance.keyed_calls.call(plain)
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -59,6 +59,7 @@
     members_reader,
     relayed_platform,
 )
+from caperridge.listening.guard import ConnectionGuard
 from caperridge.log import logger
 from caperridge.peers.interface import NoPeers, Peers
 from caperridge.peers.messages import (
@@ -102,7 +103,10 @@
         clock = elapsed_s
         self.metrics = Metrics()
         self.traces = Traces()
-        self._listeners = Listeners()
+        self.connections = ConnectionGuard(
+            settings.machine, settings.connections, self.metrics.registry
+        )
+        self._listeners = Listeners(self.connections, settings.connections.limits)
         self.addresses_by_listener = self._listeners.addresses_by_name
         self.in_flight = InFlight()
         self.drain = Drain(self)
--- /dev/null
+++ b/src/caperridge/listening/connection.py
@@ -0,0 +1,217 @@
+"""One connection of a client: reads it in small pieces and counts what it holds.
+
+Stands between the transport and the protocol of the HTTP library, which bounds a line,
+a body it buffers and a queue of requests, but not what stands around them, and neither
+the time nor the sum over all connections.
+"""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web_protocol
+
+from caperridge.listening.guard import ConnectionGuard, Listening
+from caperridge.listening.memory import CONNECTION_BYTES, Holder, MemoryBudget
+
+# What the library and the kernel may buffer of a body that nobody reads yet.
+RECEIVING_BYTES = 96 * 2**10
+
+
+class BodyCutError(web_protocol.RequestPayloadError):
+    """The rest of a body is not read.
+
+    Attributes:
+        status: of the answer that says why.
+        reason: for the caller and the log.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class PausableTransport:
+    """A transport that is read while nothing holds it.
+
+    Attributes:
+        connection: that it belongs to.
+
+    Args:
+        connection: that it belongs to.
+        transport: of the event loop.
+    """
+
+    def __init__(
+        self, connection: "GuardedConnection", transport: asyncio.Transport
+    ) -> None:
+        self.connection = connection
+        self.write = transport.write
+        self.is_closing = transport.is_closing
+        self._transport = transport
+        self._paused = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    @property
+    def paused(self) -> bool:
+        """Whether the protocol reads no more for now."""
+        return self._paused
+
+    def pause_reading(self) -> None:
+        """Stop reading until the protocol resumes it."""
+        self._paused = True
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._paused = False
+        self._transport.resume_reading()
+
+
+class GuardedConnection(asyncio.BufferedProtocol, Holder):
+    """Passes what arrives to the library and bounds what it costs.
+
+    Attributes:
+        listening: listener that accepted it, and its limits.
+        peer: host of the client, for the log.
+
+    Args:
+        handler: protocol of the library.
+        guard: of all connections.
+        listening: listener that accepted it.
+    """
+
+    def __init__(
+        self,
+        handler: web_protocol.RequestHandler,
+        guard: ConnectionGuard,
+        listening: Listening,
+    ) -> None:
+        Holder.__init__(self)
+        self.listening = listening
+        self.peer = ""
+        self._handler = handler
+        self._guard = guard
+        self._loop = asyncio.get_running_loop()
+        self._transport: PausableTransport | None = None
+        self._body: Any = None
+        # Requests that were parsed, and those whose answer is complete.
+        self._parsed = 0
+        self._answered = 0
+        self._moved_at = self._loop.time()
+        # What arrives is dropped after a refusal.
+        self._dropping = False
+        self._accepted = False
+
+    # The transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        assert isinstance(transport, asyncio.Transport)
+        self.peer = (transport.get_extra_info("peername") or ("",))[0]
+        self._transport = PausableTransport(self, transport)
+        if not self._guard.add(self):
+            transport.abort()
+            return
+        self._accepted = True
+        self._handler.connection_made(self._transport)  # type: ignore[arg-type]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        self._transport = None
+        self._guard.remove(self)
+        if self._accepted:
+            self._handler.connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See :class:`asyncio.BufferedProtocol`."""
+        return self._guard.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        data = bytes(self._guard.read_buffer[:nbytes])
+        self._moved_at = self._loop.time()
+        if self._transport is None or self._dropping:
+            return
+        # The library has no hook between its parser and its handlers.
+        parsed = self._handler._request_count
+        self._handler.data_received(data)
+        if self._handler._request_count > parsed:
+            self._request_parsed(self._handler._request_count - parsed)
+        self.update_revocable()
+
+    def eof_received(self) -> bool | None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        return self._handler.eof_received()
+
+    def pause_writing(self) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        self._handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        self._handler.resume_writing()
+
+    @property
+    def memory(self) -> MemoryBudget:
+        """The memory of all connections."""
+        return self._guard.memory
+
+    # What is received.
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request was parsed whose answer is not complete."""
+        return self._parsed > self._answered
+
+    @property
+    def receives_body(self) -> bool:
+        """Whether a part of a body is missing."""
+        return self._body is not None and not self._dropping and not self._body.is_eof()
+
+    def stalled_s(self, now: float) -> float:
+        """See :meth:`Holder.stalled_s`; a client that is not read cannot move."""
+        waits = self._transport is not None and self._transport.paused
+        if waits:
+            return 0.0
+        return now - self._moved_at
+
+    def update_revocable(self) -> None:
+        """Record whether the connection holds something that can be given up."""
+        revocable = self.receives_body
+        if revocable is not self.revocable and self._transport is not None:
+            self._guard.memory.set_revocable(self, revocable)
+
+    def _request_parsed(self, count: int) -> None:
+        self._parsed += count
+        # The handler that takes the request from this queue has not run yet.
+        messages = self._handler._messages
+        self._body = messages[-1][1] if messages else None
+        if not self.receives_body:
+            return
+        if not self._guard.memory.take(self, RECEIVING_BYTES, False, self._moved_at):
+            self._cut_body(503, "no memory is left for it")
+
+    def _cut_body(self, status: int, reason: str) -> None:
+        """End a body; its handler answers if it has not yet."""
+        self._guard.count_closed(self, reason)
+        self._dropping = True
+        self._body.set_exception(BodyCutError(status, reason))
+
+    # What is answered.
+
+    def request_ended(self) -> None:
+        """Give back what a request held, when its handler has ended."""
+        self._answered += 1
+        self._moved_at = self._loop.time()
+        if self._transport is None:
+            return
+        self.memory.release(self, CONNECTION_BYTES)
+        self.update_revocable()
+
+    def revoke(self) -> None:
+        """See :meth:`Holder.revoke`."""
+        if self.receives_body:
+            self._cut_body(503, "others need the memory of its unfinished body")
--- /dev/null
+++ b/src/caperridge/listening/guard.py
@@ -0,0 +1,145 @@
+"""All connections of a process: their number, their memory and the parser's time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from caperridge.listening.limits import CallerLimits, ConnectionSettings
+from caperridge.listening.memory import CONNECTION_BYTES, MemoryBudget
+from caperridge.log import logger
+from caperridge.machine import Machine
+
+log = logger(__name__)
+
+READ_BYTES = 16 * 2**10
+# Lines of the log about closed connections, for each reason in each interval.
+LOG_INTERVAL_S = 10.0
+MAX_LINES_PER_INTERVAL = 3
+
+
+class Listening:
+    """One listener and the limits of its clients.
+
+    Attributes:
+        name: in logs and metrics.
+        limits: returns the limits in force.
+    """
+
+    __slots__ = ("limits", "name")
+
+    def __init__(self, name: str, limits: Callable[[], CallerLimits]) -> None:
+        self.name = name
+        self.limits = limits
+
+
+class ConnectionGuard:
+    """Knows all connections of a process and closes those that cost too much.
+
+    Attributes:
+        memory: that all of them may hold.
+        read_buffer: into which the connections are read, one after the other.
+        settings: of all listeners.
+
+    Args:
+        machine: of the process.
+        settings: of all listeners.
+        registry: of the metrics.
+    """
+
+    def __init__(
+        self,
+        machine: Machine,
+        settings: ConnectionSettings,
+        registry: CollectorRegistry,
+    ) -> None:
+        self.settings = settings
+        self.memory = MemoryBudget(int(machine.memory_bytes * settings.memory_ratio))
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self._connections: set[Any] = set()
+        self._closed_log = ClosedLog()
+        self._closed = Counter(
+            "caperridge_connections_closed",
+            "Connections that were closed for what their clients did, by reason.",
+            ["listener", "reason"],
+            registry=registry,
+        )
+        held = Gauge(
+            "caperridge_connections_held_bytes",
+            "Memory that the clients of all listeners hold.",
+            registry=registry,
+        )
+        held.set_function(lambda: self.memory.held_bytes)
+        open_connections = Gauge(
+            "caperridge_connections_open",
+            "Open connections of all listeners.",
+            registry=registry,
+        )
+        open_connections.set_function(lambda: len(self._connections))
+
+    def state(self) -> dict[str, int]:
+        """Return what all clients hold, for the state dump."""
+        return {
+            "open": len(self._connections),
+            "held_bytes": self.memory.held_bytes,
+            "max_held_bytes": self.memory.capacity_bytes,
+            "revoked": self.memory.revoked,
+        }
+
+    def add(self, connection: Any) -> bool:
+        """Count a new connection; return False if there is no room for it."""
+        now = asyncio.get_running_loop().time()
+        room = self.memory.take(connection, CONNECTION_BYTES, False, now)
+        if not room:
+            self.count_closed(connection, "no memory is left for it")
+            return False
+        self._connections.add(connection)
+        return True
+
+    def remove(self, connection: Any) -> None:
+        """Forget a connection that was closed."""
+        self._connections.discard(connection)
+        self.memory.release(connection)
+
+    def count_closed(self, connection: Any, reason: str) -> None:
+        """Count and log a connection that is closed."""
+        name = connection.listening.name
+        self._closed.labels(name, reason).inc()
+        now = asyncio.get_running_loop().time()
+        if self._closed_log.admits(name, reason, now):
+            log.warning(
+                "connection closed",
+                listener=name,
+                reason=reason,
+                client=connection.peer,
+                held_bytes=self.memory.held_bytes,
+                connections=len(self._connections),
+                not_logged=self._closed_log.take_skipped(name, reason),
+            )
+
+
+class ClosedLog:
+    """Bounds the lines about closed connections."""
+
+    __slots__ = ("_lines_by_key", "_skipped_by_key")
+
+    def __init__(self) -> None:
+        self._lines_by_key: dict[tuple[str, str], tuple[float, int]] = {}
+        self._skipped_by_key: dict[tuple[str, str], int] = {}
+
+    def admits(self, listener: str, reason: str, now: float) -> bool:
+        """Return whether a line is written now; count it if not."""
+        key = (listener, reason)
+        since, lines = self._lines_by_key.get(key, (now, 0))
+        if now - since >= LOG_INTERVAL_S:
+            since, lines = now, 0
+        if lines < MAX_LINES_PER_INTERVAL:
+            self._lines_by_key[key] = (since, lines + 1)
+            return True
+        self._skipped_by_key[key] = self._skipped_by_key.get(key, 0) + 1
+        return False
+
+    def take_skipped(self, listener: str, reason: str) -> int:
+        """Return how many lines were not written since the last one."""
+        return self._skipped_by_key.pop((listener, reason), 0)
--- a/src/caperridge/platform/dialect.py
+++ b/src/caperridge/platform/dialect.py
@@ -21,7 +21,6 @@
     STREAMING,
     UNSAFE,
     BatchTerms,
-    CallerLimits,
     Route,
     RoutingTable,
     Service,
@@ -29,6 +28,7 @@
 )
 from caperridge.gateway.targets import Target, TargetLoad, incarnation_id
 from caperridge.gateway.teams import TeamDirectory
+from caperridge.listening.limits import CallerLimits
 from caperridge.platform.teams import decode_teams
 
 _KINDS_BY_NAME = {
--- a/src/caperridge/settings.py
+++ b/src/caperridge/settings.py
@@ -9,6 +9,7 @@
 
 from caperridge.checking import invalid_findings
 from caperridge.findings import Finding, FindingsError
+from caperridge.listening.limits import CONNECTIONS_SCHEMA, ConnectionSettings
 from caperridge.machine import MACHINE_SCHEMA, Machine, machine_from
 from caperridge.records import Record
 from caperridge.tls import TlsFiles, client_context, server_context
@@ -72,12 +73,14 @@
             until the configuration declares an operator.
         tls_by_listener: TLS files by ``callers``, ``operators`` and ``peers``.
         machine: limits of the process on its machine.
+        connections: limits on the clients of all listeners.
     """
 
     __slots__ = (
         "availability_zone",
         "balancer_s",
         "callers",
+        "connections",
         "drain_s",
         "first_operator_sha256",
         "instance_id",
@@ -119,7 +122,9 @@
         peer_seeds: list[Address] | None = None,
         platform_authority: str = "",
         machine: Machine | None = None,
+        connections: ConnectionSettings | None = None,
     ) -> None:
+        self.connections = connections or ConnectionSettings()
         self.machine = machine or machine_from({})
         self.instance_id = instance_id
         self.availability_zone = availability_zone
@@ -182,6 +187,7 @@
         "stop": {"drain_s": _SECONDS, "balancer_s": _SECONDS},
         "jobs": {"retention_s": _SECONDS},
         "machine": MACHINE_SCHEMA,
+        "connections": CONNECTIONS_SCHEMA,
         "log": {"level": vol.In(["DEBUG", "INFO", "WARNING", "ERROR"])},
         "tls": {"callers": _TLS, "operators": _TLS, "peers": _TLS},
     }
@@ -315,6 +321,7 @@
         "first_operator_sha256": table.get("operators", {}).get("first_token_sha256"),
         "peer_seeds": table.get("peers", {}).get("seeds"),
         "machine": machine_from(table.get("machine", {})),
+        "connections": ConnectionSettings.from_map(table.get("connections", {})),
     }
     return Settings(
         instance_id=table["instance"]["id"],
--- /dev/null
+++ b/tests/gateway/test_caller_limits.py
@@ -0,0 +1,126 @@
+"""The limits in force for callers: what is refused, with which promise, and when."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from caperridge.gateway.configuration import LIMIT_OVERLAP_S
+from caperridge.gateway.process import GatewayInstance
+from gateway.conftest import HOST, ROUTES, World, configuration, until
+
+HEAD = f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n".encode()
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Limits of the configuration of the tests.
+BODY_BYTES = 4 * 2**20
+HEAD_BYTES = 16 * 2**10
+HEAD_S = 3.0
+IDLE_S = 15.0
+TIMEOUT_S = 5.0
+
+
+class Caller:
+    """A raw connection to a listener."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data: bytes) -> None:
+        self.writer.write(data)
+        with contextlib.suppress(ConnectionError):
+            await self.writer.drain()
+
+    async def status(self) -> int:
+        """Return the status of the next answer; 0 if the connection was closed."""
+        try:
+            async with asyncio.timeout(10.0):
+                line = await self.reader.readline()
+        except ConnectionError:
+            return 0
+        return int(line.split()[1]) if line else 0
+
+    async def answer(self) -> tuple[int, dict[str, str]]:
+        """Return status and headers of the next answer."""
+        status = await self.status()
+        headers: dict[str, str] = {}
+        while line := (await self.reader.readline()).strip().decode():
+            name, _, value = line.partition(": ")
+            headers[name] = value
+        return status, headers
+
+    @property
+    def closed(self) -> bool:
+        return self.reader.at_eof() or self.reader.exception() is not None
+
+
+async def connect(address: str) -> Caller:
+    host, _, port = address.rpartition(":")
+    return Caller(*await asyncio.open_connection(host, int(port)))
+
+
+@pytest.fixture
+async def instance(world: World) -> AsyncIterator[GatewayInstance]:
+    await world.add_runner()
+    one = await world.add_instance()
+    await world.ready()
+    # Afterwards the limits in force are not widened by those before the first ones.
+    one.configuration.since -= 2 * LIMIT_OVERLAP_S
+    one.configuration.caller_limits()
+    yield one
+
+
+@pytest.fixture
+async def caller(instance: GatewayInstance) -> AsyncIterator[Caller]:
+    made = await connect(instance.settings.callers)
+    yield made
+    made.writer.close()
+
+
+async def test_a_body_over_the_limit_is_refused_before_it_is_sent(
+    caller: Caller,
+) -> None:
+    await caller.send(HEAD + b"Content-Length: %d\r\n\r\n" % (BODY_BYTES + 1))
+    assert await caller.status() == 413
+
+
+async def test_a_chunked_body_over_the_limit_is_refused(caller: Caller) -> None:
+    chunk = b"%x\r\n%s\r\n" % (2**16, bytes(2**16))
+    sending = asyncio.create_task(
+        caller.send(CHUNKED + chunk * (BODY_BYTES // 2**16 + 1))
+    )
+    assert await caller.status() == 413
+    sending.cancel()
+
+
+async def test_a_stalled_body_gives_way_to_an_ordinary_request(
+    caller: Caller, instance: GatewayInstance, world: World
+) -> None:
+    """Guards against ordinary callers without an answer while others stand still."""
+    memory = instance.connections.memory
+    await caller.send(HEAD + b"Content-Length: 100000\r\n\r\nhalf")
+    await until(lambda: memory.held_bytes > 200_000)
+    await asyncio.sleep(1.2)
+    memory.capacity_bytes = memory.held_bytes
+    answer = await world.ask(instance, "/ask/2", "r2")
+    assert answer.status == 200
+    status, headers = await caller.answer()
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert [run.id for run in world.runners[0].runs] == ["r2"]
+
+
+async def test_larger_limits_count_at_once_and_smaller_ones_later(
+    instance: GatewayInstance, world: World
+) -> None:
+    """Guards against refusing callers that use the limits of either configuration."""
+    for version, size in ((2, 2 * BODY_BYTES), (3, BODY_BYTES // 2)):
+        changed = configuration(version, ROUTES)
+        changed["limits"]["maxBodyBytes"] = size
+        world.store.put("op", "config", changed)
+        await until(lambda new=version: instance.configuration.table.version == new)
+        assert instance.configuration.caller_limits().body_bytes == 2 * BODY_BYTES
+    instance.configuration.since -= 2 * LIMIT_OVERLAP_S
+    instance.configuration.caller_limits()
+    assert instance.configuration.caller_limits().body_bytes == BODY_BYTES // 2
--- /dev/null
+++ b/tests/listening/__init__.py
@@ -0,0 +1,1 @@
+"""What clients may make a process hold."""
--- a/tests/product/test_listeners.py
+++ b/tests/product/test_listeners.py
@@ -5,8 +5,12 @@
 
 import pytest
 from aiohttp import web
+from prometheus_client import CollectorRegistry
 
 from caperridge.instance.listeners import Listeners
+from caperridge.listening.guard import ConnectionGuard
+from caperridge.listening.limits import ConnectionSettings
+from caperridge.machine import machine_from
 from caperridge.settings import Address
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -37,7 +41,9 @@
 
     application = web.Application()
     application.router.add_get("/", answer)
-    listeners = Listeners()
+    settings = ConnectionSettings()
+    guard = ConnectionGuard(machine_from({}), settings, CollectorRegistry())
+    listeners = Listeners(guard, settings.limits)
     await listeners.open("operators", application, Address("127.0.0.1", 0), None)
     at = listeners.addresses_by_name["operators"]
     running, writing = await asyncio.open_connection(at.host, at.port)
