Bound the number of connections below the descriptors

What callers saw: 128 connections that send nothing or half a head had 146 descriptors of 120; on a machine the next caller, target or peer has none left, and asyncio stops accepting for a second.

Cause: nothing counted connections. asyncio accepts up to a backlog of them, 1,024 here, before one of them has its protocol.

Change: ConnectionGuard counts them over all listeners, up to 0.45 of the descriptors but 48 (each request may need another one, to a target). At the limit those without a whole request are closed, the longest idle first, then stalled bodies, then the largest ones. Connections are accepted 16 at a time; the kernel's queue stays as long as it was.

--- a/src/caperridge/door.py
+++ b/src/caperridge/door.py
@@ -14,6 +14,8 @@
 
 # Iterations of the event loop from accept to the protocol, with a margin.
 ITERATIONS_TO_PROTOCOL = 5
+# asyncio accepts up to a backlog of connections before one of them has its protocol.
+ACCEPTED_AT_ONCE = 16
 # What the kernel keeps of a connection that is not read; it doubles the value.
 RECEIVE_BUFFER_BYTES = 32 * 2**10
 
@@ -73,7 +75,7 @@
     tls: ssl.SSLContext | None = None,
     receive_buffer_bytes: int = 0,
 ) -> asyncio.Server:
-    """Start listening; the buffers of connections may be bounded.
+    """Start listening; connections are accepted a few at a time.
 
     Args:
         protocols: factory that creates the protocol of each connection.
@@ -88,7 +90,7 @@
         host,
         port,
         ssl=tls,
-        backlog=backlog,
+        backlog=min(backlog, ACCEPTED_AT_ONCE),
         reuse_address=True,
     )
     for listening_socket in server.sockets:
@@ -96,6 +98,7 @@
         with copy:
             if receive_buffer_bytes:
                 _set_receive_buffer(copy, receive_buffer_bytes)
+            copy.listen(backlog)
     return server
 
 
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -215,3 +215,23 @@
         """See :meth:`Holder.revoke`."""
         if self.receives_body:
             self._cut_body(503, "others need the memory of its unfinished body")
+
+    def abort(self, reason: str) -> None:
+        """Close the connection at once."""
+        self._guard.count_closed(self, reason)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def make_room(self) -> None:
+        """Close the connection, as another one needs its place."""
+        reason = "others need its connection"
+        if self.busy:
+            self.abort(reason)
+        else:
+            self._close(reason)
+
+    def _close(self, reason: str) -> None:
+        """Close the connection after what was written to it."""
+        self._guard.count_closed(self, reason)
+        if self._transport is not None:
+            self._transport.close()
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -7,13 +7,17 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from caperridge.listening.limits import CallerLimits, ConnectionSettings
-from caperridge.listening.memory import CONNECTION_BYTES, MemoryBudget
+from caperridge.listening.memory import CONNECTION_BYTES, STALL_S, MemoryBudget
 from caperridge.log import logger
 from caperridge.machine import Machine
 
 log = logger(__name__)
 
 READ_BYTES = 16 * 2**10
+# Descriptors for peers, the store and files, also on a small machine.
+MIN_OTHER_DESCRIPTORS = 48
+# At the limit, so many connections are closed at once to make room.
+ROOM_RATIO = 1 / 32
 # Lines of the log about closed connections, for each reason in each interval.
 LOG_INTERVAL_S = 10.0
 MAX_LINES_PER_INTERVAL = 3
@@ -39,6 +43,7 @@
 
     Attributes:
         memory: that all of them may hold.
+        max_connections: that may be open.
         read_buffer: into which the connections are read, one after the other.
         settings: of all listeners.
 
@@ -56,6 +61,8 @@
     ) -> None:
         self.settings = settings
         self.memory = MemoryBudget(int(machine.memory_bytes * settings.memory_ratio))
+        descriptors = machine.descriptors - MIN_OTHER_DESCRIPTORS
+        self.max_connections = max(1, int(descriptors * settings.descriptor_ratio))
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._connections: set[Any] = set()
         self._closed_log = ClosedLog()
@@ -82,6 +89,7 @@
         """Return what all clients hold, for the state dump."""
         return {
             "open": len(self._connections),
+            "max_open": self.max_connections,
             "held_bytes": self.memory.held_bytes,
             "max_held_bytes": self.memory.capacity_bytes,
             "revoked": self.memory.revoked,
@@ -90,9 +98,14 @@
     def add(self, connection: Any) -> bool:
         """Count a new connection; return False if there is no room for it."""
         now = asyncio.get_running_loop().time()
-        room = self.memory.take(connection, CONNECTION_BYTES, False, now)
+        if len(self._connections) >= self.max_connections:
+            self._make_room(now, max(1, int(self.max_connections * ROOM_RATIO)))
+        room = len(self._connections) < self.max_connections
+        if room and not self.memory.take(connection, CONNECTION_BYTES, False, now):
+            self._make_room(now, 1)
+            room = self.memory.take(connection, CONNECTION_BYTES, False, now)
         if not room:
-            self.count_closed(connection, "no memory is left for it")
+            self.count_closed(connection, "too many connections")
             return False
         self._connections.add(connection)
         return True
@@ -118,6 +131,25 @@
                 not_logged=self._closed_log.take_skipped(name, reason),
             )
 
+    def _make_room(self, now: float, count: int) -> None:
+        """Close connections without a whole request.
+
+        Those without any request go first, the longest idle of them at the front; then
+        stalled ones, and only then those that hold most of a body or an answer.
+        """
+        candidates = [one for one in self._connections if not one.busy or one.revocable]
+        candidates.sort(
+            key=lambda one: (
+                one.busy,
+                one.busy and one.stalled_s(now) < STALL_S,
+                -one.held_bytes if one.busy else 0,
+                -one.stalled_s(now),
+            )
+        )
+        for one in candidates[:count]:
+            one.make_room()
+            self.remove(one)
+
 
 class ClosedLog:
     """Bounds the lines about closed connections."""
--- a/src/caperridge/listening/limits.py
+++ b/src/caperridge/listening/limits.py
@@ -6,6 +6,8 @@
 
 MAX_HEAD_BYTES = 64 * 2**10
 DEFAULT_MEMORY_RATIO = 0.25
+# Each request may need one more connection, to a target.
+DEFAULT_DESCRIPTOR_RATIO = 0.45
 DEFAULT_HEAD_S = 60.0
 DEFAULT_IDLE_S = 3600.0
 DEFAULT_STALLED_S = 600.0
@@ -15,6 +17,7 @@
 
 CONNECTIONS_SCHEMA = {
     "memory_ratio": _RATIO,
+    "descriptor_ratio": _RATIO,
     "head_s": _SECONDS,
     "idle_s": _SECONDS,
     "stalled_s": _SECONDS,
@@ -56,6 +59,7 @@
 
     Attributes:
         memory_ratio: part of the machine's memory for what clients send and don't read.
+        descriptor_ratio: part of the descriptors for connections of clients.
         head_s: longest time until the head of a request is received, in seconds, where
             no configuration sets it.
         idle_s: longest time without a request, in seconds, where no configuration sets
@@ -64,16 +68,18 @@
             seconds.
     """
 
-    __slots__ = ("head_s", "idle_s", "memory_ratio", "stalled_s")
+    __slots__ = ("descriptor_ratio", "head_s", "idle_s", "memory_ratio", "stalled_s")
 
     def __init__(
         self,
         memory_ratio: float = DEFAULT_MEMORY_RATIO,
+        descriptor_ratio: float = DEFAULT_DESCRIPTOR_RATIO,
         head_s: float = DEFAULT_HEAD_S,
         idle_s: float = DEFAULT_IDLE_S,
         stalled_s: float = DEFAULT_STALLED_S,
     ) -> None:
         self.memory_ratio = memory_ratio
+        self.descriptor_ratio = descriptor_ratio
         self.head_s = head_s
         self.idle_s = idle_s
         self.stalled_s = stalled_s
