Bound what stands around requests: heads, empty lines, extensions, trailers

What callers saw: heads, empty lines and chunk extensions without end were read for as long as a client sent them, and grew a process to 114 to 299 MB with 128 clients; heads of 64 KiB a line were served though 16 KiB are allowed.

Cause: the limit of a head was decoded and never used. The HTTP library bounds a line, and counts neither empty lines, nor extensions, nor what it parses without a result.

Change: the connection counts what arrives and neither ends a head nor is content of a body, with 16 bytes for each byte of content; beyond the limit of a head it answers 431, or ends the body (400), and closes. A whole head over the limit in force is answered 431.

Evidence: the new tests of endless lines, headers, empty lines and extensions and of a large head failed on the code before (5 of 6; the library bounds trailers), and pass.

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -170,6 +170,10 @@
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         arrived = asyncio.get_running_loop().time()
+        if _head_bytes(request) > self._configuration.caller_limits().header_bytes:
+            response = self._responses.refuse(request, 431, "its head is too large")
+            response.force_close()
+            return response
         table = self._configuration.table
         if table is None:
             log.info(
@@ -361,6 +365,15 @@
         return self._responses.refuse(request, status, failure.reason)
 
 
+def _head_bytes(request: web.Request) -> int:
+    """Return the size of the head of a request; separators count as they are usual."""
+    first = len(request.method) + len(request.raw_path) + len("  HTTP/1.1\r\n")
+    size = first + len("\r\n")
+    for name, value in request.raw_headers:
+        size += len(name) + len(value) + len(": \r\n")
+    return size
+
+
 def _outcome(failure: Failure) -> str:
     if failure.timed_out:
         return "timed_out"
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -15,6 +15,12 @@
 
 # What the library and the kernel may buffer of a body that nobody reads yet.
 RECEIVING_BYTES = 96 * 2**10
+# Bytes of framing that are allowed for each byte of a body that comes in chunks.
+FRAMING_BYTES_PER_BYTE = 16
+
+_PHRASES_BY_STATUS = {
+    431: "Request Header Fields Too Large",
+}
 
 
 class BodyCutError(web_protocol.RequestPayloadError):
@@ -100,9 +106,14 @@
         # Requests that were parsed, and those whose answer is complete.
         self._parsed = 0
         self._answered = 0
+        # Content of the present body that was counted, and framing beyond it.
+        self._content_bytes = 0
+        self._framing_bytes = 0
         self._moved_at = self._loop.time()
-        # What arrives is dropped after a refusal.
+        self._head_since: float | None = None
+        # What arrives is dropped after a refusal; that of a head has its status here.
         self._dropping = False
+        self._head_refusal = 0
         self._accepted = False
 
     # The transport.
@@ -140,6 +151,8 @@
         self._handler.data_received(data)
         if self._handler._request_count > parsed:
             self._request_parsed(self._handler._request_count - parsed)
+        else:
+            self._count_framing(data)
         self.update_revocable()
 
     def eof_received(self) -> bool | None:
@@ -186,20 +199,63 @@
 
     def _request_parsed(self, count: int) -> None:
         self._parsed += count
+        self._head_since = None
+        self._framing_bytes = 0
         # The handler that takes the request from this queue has not run yet.
         messages = self._handler._messages
         self._body = messages[-1][1] if messages else None
+        self._content_bytes = 0 if self._body is None else self._body.total_bytes
         if not self.receives_body:
             return
         if not self._guard.memory.take(self, RECEIVING_BYTES, False, self._moved_at):
             self._cut_body(503, "no memory is left for it")
 
+    def _count_framing(self, data: bytes) -> None:
+        """Count what is neither content of a body nor ends the head of a request."""
+        content = 0
+        if self._body is not None:
+            content = self._body.total_bytes - self._content_bytes
+            self._content_bytes += content
+        framing = len(data) - content * (1 + FRAMING_BYTES_PER_BYTE)
+        self._framing_bytes = max(0, self._framing_bytes + framing)
+        assert self._transport is not None
+        in_body = self.receives_body
+        if not in_body and self._head_since is None and data.strip(b"\r\n"):
+            self._head_since = self._moved_at
+        # The parser keeps back what it has read while it is paused.
+        if self._transport.paused:
+            return
+        if self._framing_bytes <= self.listening.limits().header_bytes:
+            return
+        if in_body:
+            self._cut_body(400, "its framing is larger than a head may be")
+        else:
+            self._refuse_head(431, "its head is too large")
+
     def _cut_body(self, status: int, reason: str) -> None:
         """End a body; its handler answers if it has not yet."""
         self._guard.count_closed(self, reason)
         self._dropping = True
         self._body.set_exception(BodyCutError(status, reason))
 
+    def _refuse_head(self, status: int, reason: str) -> None:
+        """Refuse an unfinished head, after the answers to the requests before it."""
+        self._guard.count_closed(self, reason)
+        self._dropping = True
+        self._head_refusal = status
+        if not self.busy:
+            self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        phrase = _PHRASES_BY_STATUS[self._head_refusal]
+        self._transport.write(
+            f"HTTP/1.1 {self._head_refusal} {phrase}\r\n"
+            "Content-Length: 0\r\nConnection: close\r\n\r\n".encode()
+        )
+        self._transport.close()
+
     # What is answered.
 
     def request_ended(self) -> None:
@@ -210,6 +266,8 @@
             return
         self.memory.release(self, CONNECTION_BYTES)
         self.update_revocable()
+        if self._head_refusal and not self.busy:
+            self._send_refusal()
 
     def revoke(self) -> None:
         """See :meth:`Holder.revoke`."""
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -78,6 +78,42 @@
     made.writer.close()
 
 
+async def test_a_head_over_the_limit_is_refused_for_good(caller: Caller) -> None:
+    """Guards against limits that are decoded and never applied."""
+    filling = b"X-Filling: %s\r\n" % (b"x" * 1000) * (HEAD_BYTES // 1000 + 1)
+    await caller.send(HEAD + filling + b"Content-Length: 0\r\n\r\n")
+    assert await caller.status() == 431
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(HEAD + b"X-Long: " + b"x" * 3 * HEAD_BYTES, id="line"),
+        pytest.param(HEAD + b"X-More: x\r\n" * HEAD_BYTES, id="headers"),
+        pytest.param(b"\r\n" * 3 * HEAD_BYTES, id="empty_lines"),
+    ],
+)
+async def test_a_head_without_end_is_cut_off(sent: bytes, caller: Caller) -> None:
+    await caller.send(sent)
+    assert await caller.status() in (0, 400, 431)
+    await until(lambda: caller.closed)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"5;extension=" + b"x" * 3 * HEAD_BYTES, id="extension"),
+        pytest.param(b"1\r\nx\r\n0\r\n" + b"X: x\r\n" * HEAD_BYTES, id="trailers"),
+    ],
+)
+async def test_framing_without_end_is_cut_off(
+    sent: bytes, caller: Caller, world: World
+) -> None:
+    await caller.send(CHUNKED + sent)
+    assert await caller.status() in (0, 400)
+    assert not world.runners[0].runs
+
+
 async def test_a_body_over_the_limit_is_refused_before_it_is_sent(
     caller: Caller,
 ) -> None:
