Bound the time of heads, bodies and idle connections

What callers saw: a head that stops half way, or a body one byte short, stayed open for good, and with it its connection and all that had arrived.

Cause: the limits in force for the time of a head and for idleness were decoded and never used; a body was awaited until the instance stopped. The library's 75 s began after a first answer.

Change: the guard looks at all connections twice a second. A head over its time is answered 408, an idle connection is closed after the limit in force, and not before; a body has until the deadline of its request or the time-out of its route, then 408: it has not run.

Evidence: the new tests of a slow head, an idle connection and a body that stops failed on the code before. They move the loop's clock.

--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -210,16 +210,21 @@
             return await self._job(request, route, arrived, team)
         return await self._within_quota(request, route, arrived, team)
 
-    async def _read_body(self, request: web.Request) -> bytes:
+    async def _read_body(
+        self, request: web.Request, route: Route, arrived: float
+    ) -> bytes:
         """Return the body.
 
         Raises:
             BodyRefusedError: it was not read to its end.
         """
         max_bytes = self._configuration.caller_limits().body_bytes
+        timeout_s = min(
+            route.timeout_s, _deadline_s(request, self._dialect.headers.deadline)
+        )
         try:
             async with self._limits.within():
-                return await read_body(request, max_bytes)
+                return await read_body(request, max_bytes, arrived + timeout_s)
         except TimeoutError as error:
             reason = "its body has not come in time"
             raise BodyRefusedError(503, reason) from error
@@ -246,7 +251,7 @@
         self, request: web.Request, route: Route, arrived: float, team: Team | None
     ) -> web.StreamResponse:
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, route, arrived)
         except BodyRefusedError as refused:
             return self._refuse_body(request, route, refused)
         return await self._jobs.submit(request, route, body, arrived, team)
@@ -260,7 +265,7 @@
         if over_quota is not None:
             return self._responses.reject(request, over_quota)
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, route, arrived)
         except BodyRefusedError as refused:
             self._checks.restore(team, route)
             return self._refuse_body(request, route, refused)
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -10,13 +10,11 @@
 from caperridge.connections import Connections
 from caperridge.door import SocketListener
 from caperridge.gateway.settings import Settings
-from caperridge.listening.accepting import http_protocols
+from caperridge.listening.accepting import UNLIMITED_S, http_protocols
 from caperridge.listening.guard import READ_BYTES, ConnectionGuard, Listening
 from caperridge.listening.limits import MAX_HEAD_BYTES
 
 BACKLOG = 1024
-# Callers reuse connections that have been idle for most of the idle limit.
-KEEPALIVE_S = 75.0
 
 
 class Listener:
@@ -47,7 +45,7 @@
             handler_cancellation=True,
             lingering_time=0.0,  # see Connections
             auto_decompress=False,  # bodies are forwarded unchanged
-            keepalive_timeout=KEEPALIVE_S,
+            keepalive_timeout=UNLIMITED_S,  # the guard closes idle connections
             read_bufsize=READ_BYTES,
             shutdown_timeout=0.1,
             max_line_size=MAX_HEAD_BYTES,
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -345,6 +345,7 @@
     async def _close_listeners(self) -> None:
         for listener in self._listeners:
             await listener.stop()
+        self.connections.close()
 
     async def _tick(self) -> None:
         watch = StallDetector()
--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -7,7 +7,7 @@
 
 from caperridge.connections import Connections
 from caperridge.door import SocketListener
-from caperridge.listening.accepting import http_protocols
+from caperridge.listening.accepting import UNLIMITED_S, http_protocols
 from caperridge.listening.guard import READ_BYTES, ConnectionGuard, Listening
 from caperridge.listening.limits import CallerLimits
 from caperridge.settings import Address, TlsFiles
@@ -55,6 +55,7 @@
             access_log=None,
             handler_cancellation=True,
             lingering_time=0.0,  # see Connections
+            keepalive_timeout=UNLIMITED_S,  # the guard closes idle connections
             read_bufsize=READ_BYTES,
             shutdown_timeout=CANCEL_S,
         )
@@ -124,3 +125,4 @@
     async def close(self) -> None:
         """Close all at once."""
         await asyncio.gather(*(listener.close() for listener in self._listeners))
+        self._guard.close()
--- a/src/caperridge/listening/accepting.py
+++ b/src/caperridge/listening/accepting.py
@@ -8,6 +8,9 @@
 from caperridge.listening.connection import GuardedConnection
 from caperridge.listening.guard import ConnectionGuard, Listening
 
+# For timeouts of the library that the guard replaces.
+UNLIMITED_S = 10.0**8
+
 
 def http_protocols(
     server: web.Server | None, guard: ConnectionGuard, listening: Listening
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -19,6 +19,7 @@
 FRAMING_BYTES_PER_BYTE = 16
 
 _PHRASES_BY_STATUS = {
+    408: "Request Timeout",
     431: "Request Header Fields Too Large",
 }
 
@@ -293,3 +294,27 @@
         self._guard.count_closed(self, reason)
         if self._transport is not None:
             self._transport.close()
+
+    # Time.
+
+    def check(self, now: float) -> None:
+        """Close the connection if its client has taken too long.
+
+        Args:
+            now: on the event loop's clock.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self.revocable:
+            if self.stalled_s(now) > self._guard.settings.stalled_s:
+                self.abort("its body does not move")
+            return
+        if self.busy or self._dropping:
+            return
+        limits = self.listening.limits()
+        if self._head_since is None:
+            if self.stalled_s(now) > limits.idle_s:
+                self._close("it is idle")
+            return
+        if now - self._head_since > limits.header_s:
+            self._refuse_head(408, "its head takes too long")
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -14,6 +14,7 @@
 log = logger(__name__)
 
 READ_BYTES = 16 * 2**10
+SWEEP_INTERVAL_S = 0.5
 # Descriptors for peers, the store and files, also on a small machine.
 MIN_OTHER_DESCRIPTORS = 48
 # At the limit, so many connections are closed at once to make room.
@@ -65,6 +66,7 @@
         self.max_connections = max(1, int(descriptors * settings.descriptor_ratio))
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._connections: set[Any] = set()
+        self._sweep: asyncio.TimerHandle | None = None
         self._closed_log = ClosedLog()
         self._closed = Counter(
             "caperridge_connections_closed",
@@ -97,7 +99,8 @@
 
     def add(self, connection: Any) -> bool:
         """Count a new connection; return False if there is no room for it."""
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         if len(self._connections) >= self.max_connections:
             self._make_room(now, max(1, int(self.max_connections * ROOM_RATIO)))
         room = len(self._connections) < self.max_connections
@@ -108,6 +111,8 @@
             self.count_closed(connection, "too many connections")
             return False
         self._connections.add(connection)
+        if self._sweep is None:
+            self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._check_all)
         return True
 
     def remove(self, connection: Any) -> None:
@@ -115,6 +120,12 @@
         self._connections.discard(connection)
         self.memory.release(connection)
 
+    def close(self) -> None:
+        """Stop checking."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
+
     def count_closed(self, connection: Any, reason: str) -> None:
         """Count and log a connection that is closed."""
         name = connection.listening.name
@@ -150,6 +161,15 @@
             one.make_room()
             self.remove(one)
 
+    def _check_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for connection in list(self._connections):
+            connection.check(now)
+        self._sweep = None
+        if self._connections:
+            self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._check_all)
+
 
 class ClosedLog:
     """Bounds the lines about closed connections."""
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -9,6 +9,7 @@
 from caperridge.gateway.configuration import LIMIT_OVERLAP_S
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import HOST, ROUTES, World, configuration, until
+from loop_clock import LoopClock
 
 HEAD = f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n".encode()
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -130,6 +131,59 @@
     sending.cancel()
 
 
+async def test_a_head_that_takes_too_long_is_refused_with_a_promise(
+    caller: Caller,
+) -> None:
+    """Guards against connections that stay open with a head that never ends."""
+    await caller.send(HEAD)
+    await asyncio.sleep(0.1)
+    clock = LoopClock()
+    await clock.ahead(HEAD_S - 1.0)
+    assert not caller.closed
+    await clock.ahead(2.0)
+    assert await caller.status() == 408
+
+
+async def test_a_connection_is_kept_for_the_idle_limit_and_not_longer(
+    caller: Caller,
+) -> None:
+    """Guards against both: callers reuse connections for four fifths of the limit."""
+    await caller.send(b"GET /readyz HTTP/1.1\r\nHost: here\r\n\r\n")
+    status, headers = await caller.answer()
+    await caller.reader.readexactly(int(headers["Content-Length"]))
+    assert status == 404
+    clock = LoopClock()
+    await clock.ahead(IDLE_S * 0.9)
+    assert not caller.closed
+    await clock.ahead(IDLE_S * 0.2)
+    await until(lambda: caller.closed)
+
+
+async def test_a_stray_line_end_after_a_body_does_not_begin_a_head(
+    caller: Caller,
+) -> None:
+    """Guards against closing a kept connection early for what some clients send."""
+    await caller.send(b"\r\n")
+    await asyncio.sleep(0.1)
+    clock = LoopClock()
+    await clock.ahead(HEAD_S * 2)
+    assert not caller.closed
+
+
+async def test_a_body_that_stops_is_refused_at_the_deadline(
+    caller: Caller, world: World
+) -> None:
+    """Guards against a body without a bound in time; the request has not run."""
+    await caller.send(HEAD + b"X-Deadline-Ms: 5000\r\nContent-Length: 9\r\n\r\nhalf")
+    await asyncio.sleep(0.1)
+    clock = LoopClock()
+    await clock.ahead(TIMEOUT_S - 1.0)
+    assert not caller.closed
+    await clock.ahead(2.0)
+    assert await caller.status() == 408
+    assert not world.runners[0].runs
+
+
 async def test_a_stalled_body_gives_way_to_an_ordinary_request(
     caller: Caller, instance: GatewayInstance, world: World
 ) -> None:
