Read connections that send tiny chunks in turn

What callers saw: beside 128 clients that sent bodies in chunks of one byte no ordinary request was answered, and for a while after they had left.

Cause: a chunk of one byte costs the parser some 2 us, so a read of 256 KiB keeps the event loop for 0.1 s, and each of the connections had one in each iteration.

Change: a connection that sends more framing than content is read 4 KiB at a time, and only one of them in each iteration of the loop, in turn.

A body of 4 MiB in chunks of one byte is served in calm, before and now.

Why it works: between two costly reads every other connection, timer and task has its turn.

--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -17,6 +17,9 @@
 RECEIVING_BYTES = 96 * 2**10
 # Bytes of framing that are allowed for each byte of a body that comes in chunks.
 FRAMING_BYTES_PER_BYTE = 16
+# Longest read while a body has more framing than content, which costs the parser many
+# times what content does.
+COSTLY_READ_BYTES = 4 * 2**10
 
 _PHRASES_BY_STATUS = {
     408: "Request Timeout",
@@ -57,6 +60,7 @@
         self.is_closing = transport.is_closing
         self._transport = transport
         self._paused = False
+        self._awaits_turn = False
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._transport, name)
@@ -66,15 +70,32 @@
         """Whether the protocol reads no more for now."""
         return self._paused
 
+    @property
+    def waits(self) -> bool:
+        """Whether it is not read for now, for any reason."""
+        return self._paused or self._awaits_turn
+
     def pause_reading(self) -> None:
         """Stop reading until the protocol resumes it."""
         self._paused = True
         self._transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Read again."""
+        """Read again, unless the connection waits for its turn."""
         self._paused = False
-        self._transport.resume_reading()
+        if not self._awaits_turn:
+            self._transport.resume_reading()
+
+    def await_turn(self) -> None:
+        """Stop reading until :meth:`take_turn`."""
+        self._awaits_turn = True
+        self._transport.pause_reading()
+
+    def take_turn(self) -> None:
+        """Read again, unless the protocol has paused reading."""
+        self._awaits_turn = False
+        if not self._paused:
+            self._transport.resume_reading()
 
 
 class GuardedConnection(asyncio.BufferedProtocol, Holder):
@@ -112,6 +133,7 @@
         self._framing_bytes = 0
         self._moved_at = self._loop.time()
         self._head_since: float | None = None
+        self._costly = False
         # What arrives is dropped after a refusal; that of a head has its status here.
         self._dropping = False
         self._head_refusal = 0
@@ -139,7 +161,8 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """See :class:`asyncio.BufferedProtocol`."""
-        return self._guard.read_buffer
+        buffer = self._guard.read_buffer
+        return buffer[:COSTLY_READ_BYTES] if self._costly else buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """See :class:`asyncio.BufferedProtocol`."""
@@ -187,7 +210,7 @@
 
     def stalled_s(self, now: float) -> float:
         """See :meth:`Holder.stalled_s`; a client that is not read cannot move."""
-        waits = self._transport is not None and self._transport.paused
+        waits = self._transport is not None and self._transport.waits
         if waits:
             return 0.0
         return now - self._moved_at
@@ -223,6 +246,11 @@
         in_body = self.receives_body
         if not in_body and self._head_since is None and data.strip(b"\r\n"):
             self._head_since = self._moved_at
+        if in_body and content * 2 < len(data):
+            self._costly = True
+            self._guard.queue_turn(self._transport)
+        else:
+            self._costly = False
         # The parser keeps back what it has read while it is paused.
         if self._transport.paused:
             return
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -1,8 +1,9 @@
 """All connections of a process: their number, their memory and the parser's time."""
 
 import asyncio
+import collections
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
@@ -39,6 +40,16 @@
         self.limits = limits
 
 
+class Turn(Protocol):
+    """Something that is read again when its turn comes."""
+
+    def await_turn(self) -> None:
+        """Stop reading."""
+
+    def take_turn(self) -> None:
+        """Read again."""
+
+
 class ConnectionGuard:
     """Knows all connections of a process and closes those that cost too much.
 
@@ -66,6 +77,7 @@
         self.max_connections = max(1, int(descriptors * settings.descriptor_ratio))
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._connections: set[Any] = set()
+        self._turns: collections.deque[Turn] = collections.deque()
         self._sweep: asyncio.TimerHandle | None = None
         self._closed_log = ClosedLog()
         self._closed = Counter(
@@ -142,6 +154,19 @@
                 not_logged=self._closed_log.take_skipped(name, reason),
             )
 
+    def queue_turn(self, turn: Turn) -> None:
+        """Let one connection after the other be read, one in each iteration."""
+        if not self._turns:
+            asyncio.get_running_loop().call_soon(self._next_turn)
+        turn.await_turn()
+        self._turns.append(turn)
+
+    def _next_turn(self) -> None:
+        if self._turns:
+            self._turns.popleft().take_turn()
+        if self._turns:
+            asyncio.get_running_loop().call_soon(self._next_turn)
+
     def _make_room(self, now: float, count: int) -> None:
         """Close connections without a whole request.
 
