Count answers that are not read

What callers saw: nothing yet. Suspected from reading: answers of up to 1 MB of results, asked for on many connections and never read, wait in the process, one for each connection, for as long as the client likes. No crowd of ours got beyond the bounds with unread answers: the library handles the next request of a connection only when most of the answer before was read, which a new test pins (it passes on the code before, too).

Change: the bodies of answers are counted in the account of the process until they were read.

Evidence: none from before, so this is a fault that is suspected, not shown. The test of results that wait for readers uses the account, which the code before does not have.

--- a/src/caperridge/connections.py
+++ b/src/caperridge/connections.py
@@ -131,6 +131,9 @@
     """Write the whole response, which the library would do after the handler."""
     if response.prepared:
         return
+    guarded = connection_of(request)
+    if guarded is not None and isinstance(response, web.Response):
+        guarded.count_answer(response.content_length or 0)
     # A caller that disconnected needs no response; the library detects that as well.
     with contextlib.suppress(ConnectionError):
         await response.prepare(request)
--- a/src/caperridge/gateway/job_calls.py
+++ b/src/caperridge/gateway/job_calls.py
@@ -17,6 +17,7 @@
 from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import Route
 from caperridge.gateway.teams import Team
+from caperridge.listening.bodies import RETRY_AFTER_S, connection_of
 from caperridge.log import logger
 
 log = logger(__name__)
@@ -118,12 +119,8 @@
         answer = await self._jobs.results(id, int(position), wait_s)
         if answer.page is None:
             return self._without_result(request, answer)
-        return self._responses.finish(
-            request,
-            web.Response(
-                body=self._dialect.results(answer.page),
-                content_type="application/json",
-            ),
+        return self._whole(
+            request, self._dialect.results(answer.page), "application/json"
         )
 
     async def _read_body(self, request: web.Request, id: str) -> web.StreamResponse:
@@ -131,7 +128,19 @@
         answer = await self._jobs.body(id, item)
         if answer.body is None:
             return self._without_result(request, answer)
-        return self._responses.finish(request, web.Response(body=answer.body))
+        return self._whole(request, answer.body, "application/octet-stream")
+
+    def _whole(
+        self, request: web.Request, body: bytes, content_type: str
+    ) -> web.Response:
+        """Return an answer with ``body``, unless too many others are not read yet."""
+        connection = connection_of(request)
+        if connection is not None and not connection.take_answer(len(body)):
+            return self._responses.refuse(
+                request, 503, "no memory is left for the answer", RETRY_AFTER_S
+            )
+        response = web.Response(body=body, content_type=content_type)
+        return self._responses.finish(request, response)
 
     async def _cancel(self, request: web.Request, id: str) -> web.StreamResponse:
         return self._without_result(request, await self._jobs.cancel(id))
--- a/src/caperridge/gateway/reply.py
+++ b/src/caperridge/gateway/reply.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from caperridge.gateway.inbound import Reply
+from caperridge.listening.bodies import connection_of
 
 
 class AiohttpReply(Reply):
@@ -41,6 +42,9 @@
         self, status: int, headers: CIMultiDict[str], body: bytes
     ) -> None:
         """See :meth:`Reply.send_whole`."""
+        connection = connection_of(self._request)
+        if connection is not None:
+            connection.count_answer(len(body))
         response = web.Response(status=status, body=body, headers=headers)
         self._prepare_head(response)
         self.response = response
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -20,6 +20,8 @@
 # Longest read while a body has more framing than content, which costs the parser many
 # times what content does.
 COSTLY_READ_BYTES = 4 * 2**10
+# Unsent bytes at which the writer of an answer waits.
+MAX_UNSENT_BYTES = 32 * 2**10
 
 _PHRASES_BY_STATUS = {
     408: "Request Timeout",
@@ -133,11 +135,13 @@
         self._framing_bytes = 0
         self._moved_at = self._loop.time()
         self._head_since: float | None = None
+        self._unsent_bytes = 0
         self._costly = False
         # What arrives is dropped after a refusal; that of a head has its status here.
         self._dropping = False
         self._head_refusal = 0
         self._accepted = False
+        self._unread = False
 
     # The transport.
 
@@ -150,6 +154,7 @@
             transport.abort()
             return
         self._accepted = True
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._handler.connection_made(self._transport)  # type: ignore[arg-type]
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -185,10 +190,16 @@
 
     def pause_writing(self) -> None:
         """See :class:`asyncio.BufferedProtocol`."""
+        self._moved_at = self._loop.time()
+        self._unread = True
+        self.update_revocable()
         self._handler.pause_writing()
 
     def resume_writing(self) -> None:
         """See :class:`asyncio.BufferedProtocol`."""
+        self._moved_at = self._loop.time()
+        self._unread = False
+        self.update_revocable()
         self._handler.resume_writing()
 
     @property
@@ -208,16 +219,21 @@
         """Whether a part of a body is missing."""
         return self._body is not None and not self._dropping and not self._body.is_eof()
 
+    @property
+    def unread(self) -> bool:
+        """Whether the client has not read its answers for now."""
+        return self._unread
+
     def stalled_s(self, now: float) -> float:
         """See :meth:`Holder.stalled_s`; a client that is not read cannot move."""
         waits = self._transport is not None and self._transport.waits
-        if waits:
+        if waits and not self.unread:
             return 0.0
         return now - self._moved_at
 
     def update_revocable(self) -> None:
         """Record whether the connection holds something that can be given up."""
-        revocable = self.receives_body
+        revocable = self.unread or self.receives_body
         if revocable is not self.revocable and self._transport is not None:
             self._guard.memory.set_revocable(self, revocable)
 
@@ -287,6 +303,15 @@
 
     # What is answered.
 
+    def take_answer(self, size: int) -> bool:
+        """Take the memory of an answer; return False if it is to be asked for later."""
+        return self.memory.take(self, size, False, self._loop.time())
+
+    def count_answer(self, size: int) -> None:
+        """Count the body of an answer, which is held until the client reads it."""
+        if self._transport is not None:
+            self.memory.force(self, size, self._loop.time())
+
     def request_ended(self) -> None:
         """Give back what a request held, when its handler has ended."""
         self._answered += 1
@@ -300,7 +325,9 @@
 
     def revoke(self) -> None:
         """See :meth:`Holder.revoke`."""
-        if self.receives_body:
+        if self.unread:
+            self.abort("others need the memory of its unread answer")
+        elif self.receives_body:
             self._cut_body(503, "others need the memory of its unfinished body")
 
     def abort(self, reason: str) -> None:
@@ -333,9 +360,13 @@
         """
         if self._transport is None or self._transport.is_closing():
             return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self._moved_at = now
+        self._unsent_bytes = unsent_bytes
         if self.revocable:
             if self.stalled_s(now) > self._guard.settings.stalled_s:
-                self.abort("its body does not move")
+                self.abort("its body or its answer does not move")
             return
         if self.busy or self._dropping:
             return
--- a/src/caperridge/listening/memory.py
+++ b/src/caperridge/listening/memory.py
@@ -83,6 +83,12 @@
         self._add(holder, size, large)
         return True
 
+    def force(self, holder: Holder, size: int, now: float) -> None:
+        """Count memory that is in use already, such as that of an answer."""
+        if not self._fits(holder, size, large=False):
+            self._revoke_stalled(holder, size, False, now)
+        self._add(holder, size, large=False)
+
     async def take_until(
         self, holder: Holder, size: int, large: bool, deadline: float
     ) -> bool:
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -19,6 +19,9 @@
 HEAD_S = 3.0
 IDLE_S = 15.0
 TIMEOUT_S = 5.0
+# Far more than the kernel buffers at both ends of a connection.
+ANSWERS = 400
+ANSWER_BYTES = 100_000
 
 
 class Caller:
@@ -201,6 +204,47 @@
     assert [run.id for run in world.runners[0].runs] == ["r2"]
 
 
+async def test_results_wait_for_readers_that_do_not_read(
+    caller: Caller, instance: GatewayInstance, world: World
+) -> None:
+    """Guards against large answers that many callers ask for and don't read."""
+    await world.submit(instance, "j1", ["a", "b"])
+    assert (await world.results(instance, "j1")).status == 200
+    memory = instance.connections.memory
+    capacity, memory.capacity_bytes = memory.capacity_bytes, memory.held_bytes
+    request = f"GET /lots/j1?sinceRev=0 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+    await caller.send(request)
+    status, headers = await caller.answer()
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    await caller.reader.readexactly(int(headers["Content-Length"]))
+    memory.capacity_bytes = capacity
+    await caller.send(request)
+    assert await caller.status() == 200
+
+
+async def test_answers_do_not_pile_up_for_a_caller_that_does_not_read(
+    instance: GatewayInstance, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests in a row whose answers are kept, however many."""
+    made = 0
+
+    def large_state(_: GatewayInstance) -> dict[str, str]:
+        nonlocal made
+        made += 1
+        return {"filling": "x" * ANSWER_BYTES}
+
+    monkeypatch.setattr("caperridge.gateway.process.state_of", large_state)
+    caller = await connect(instance.settings.ready)
+    caller.writer.write(b"GET /state HTTP/1.1\r\nHost: here\r\n\r\n" * ANSWERS)
+    before = -1
+    while made != before:
+        before = made
+        await asyncio.sleep(0.5)
+    # What is made and not read waits in the kernel, at both ends, and here.
+    assert made < ANSWERS / 2
+
+
 async def test_larger_limits_count_at_once_and_smaller_ones_later(
     instance: GatewayInstance, world: World
 ) -> None:
--- a/tests/listening/test_memory.py
+++ b/tests/listening/test_memory.py
@@ -119,3 +119,14 @@
     assert memory.take(Client(loop.time()), LARGE, True, loop.time())
     assert not await memory.take_until(Client(), LARGE, True, loop.time())
     assert memory.held_bytes == LARGE
+
+
+async def test_an_answer_in_use_is_counted_beyond_the_capacity(
+    memory: MemoryBudget,
+) -> None:
+    """Guards against a ready answer that is not delivered for want of memory."""
+    client = Client()
+    memory.force(client, 2 * CAPACITY, 0.0)
+    assert memory.held_bytes == 2 * CAPACITY
+    memory.release(client, CONNECTION_BYTES)
+    assert memory.held_bytes == CONNECTION_BYTES
