Let strangers at the listener of peers hold next to nothing

What callers saw: 128 connections to the port between instances that sent a frame of 8 MiB without its last byte took 1400 MB; silent ones stayed open for good, with 146 descriptors of 120.

Cause: whoever connects could send a frame of any size before saying who it is, and had no bound in time; nothing counted these connections.

Change: the first frame has 256 KiB at most (it names all members) and 30 s; unfinished messages are counted in the account of the process, and give way when they stand still; the connections count with all others, and those that have not said who they are give way first.

--- a/src/caperridge/gateway/mesh/inbox.py
+++ b/src/caperridge/gateway/mesh/inbox.py
@@ -13,6 +13,7 @@
 from caperridge.gateway.mesh.paced_reading import PacedReader
 from caperridge.gateway.mesh.relay_messages import Recipient
 from caperridge.gateway.mesh.streams import InStream
+from caperridge.listening.guard import ConnectionGuard
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -22,6 +23,9 @@
 class Inbox:
     """Receives from all peers.
 
+    Attributes:
+        guard: of all connections of the process; None for none.
+
     Args:
         incarnation: of this process.
         members_by_id: all known members.
@@ -45,10 +49,11 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._streams: set[InStream] = set()
+        self.guard: ConnectionGuard | None = None
 
     def accept(self, reader: PacedReader) -> InStream:
         """Return the receiver of a new connection."""
-        return InStream(reader, self._receive, self._closed)
+        return InStream(reader, self._receive, self._closed, self.guard)
 
     def has_stream_of(self, incarnation: str) -> bool:
         """Whether a stream of this process of a peer is open."""
@@ -89,8 +94,7 @@
         if not isinstance(message, Hello):
             stream.close()
             return
-        stream.instance = message.instance
-        stream.incarnation = message.incarnation
+        stream.admit(message.instance, message.incarnation)
         self._streams.add(stream)
         self._on_hello(message)
         for other in list(self._streams):
--- a/src/caperridge/gateway/mesh/mesh.py
+++ b/src/caperridge/gateway/mesh/mesh.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from caperridge.door import listen
 from caperridge.gateway.fields import is_address
 from caperridge.gateway.mesh.dialers import Dialers
 from caperridge.gateway.mesh.inbox import Inbox
@@ -19,6 +20,7 @@
 from caperridge.gateway.mesh.roster import Roster
 from caperridge.gateway.mesh.streams import InStream, OutStream, encode
 from caperridge.gateway.mesh.traffic import FAR, NEAR, PeerTraffic
+from caperridge.listening.guard import ConnectionGuard
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -41,6 +43,7 @@
 EXPIRY_S = 90.0
 # An instance that knows fewer has just started, and gets the whole roster.
 MIN_KNOWN_MEMBERS = 8
+BACKLOG = 256
 
 Handler = Callable[[str, Any], None]
 
@@ -119,15 +122,17 @@
         if self._reader is not None:
             self._reader.read_now()
 
-    async def start(self) -> None:
-        """Listen, and connect to the seeds."""
+    async def start(self, guard: ConnectionGuard | None = None) -> None:
+        """Listen, and connect to the seeds.
+
+        Args:
+            guard: of all connections of the process; None for none.
+        """
+        self._inbox.guard = guard
         host, _, port = self.address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self._reader = reader = PacedReader(self._batch_received)
-        self._server = await loop.create_server(
-            lambda: self._inbox.accept(reader),
-            host,
-            int(port),
+        self._server = await listen(
+            lambda: self._inbox.accept(reader), host, int(port), BACKLOG
         )
         self._dialers.start()
 
--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -13,8 +13,17 @@
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
 from caperridge.gateway.mesh.paced_reading import PacedReader
 from caperridge.gateway.silent_sockets import set_user_timeout
+from caperridge.listening.guard import ConnectionGuard, Listening
+from caperridge.listening.limits import ConnectionSettings
+from caperridge.listening.memory import CONNECTION_BYTES, Holder
 from caperridge.log import logger
-from caperridge.peers.framing import FrameError, FrameSplitter, MessageError, frame
+from caperridge.peers.framing import (
+    MAX_FRAME_BYTES,
+    FrameError,
+    FrameSplitter,
+    MessageError,
+    frame,
+)
 from caperridge.records import Record, pack, unpack
 
 log = logger(__name__)
@@ -28,6 +37,11 @@
 # large as an object of the store. A peer that lags so far gets the whole state with the
 # next heartbeat it reads. Sixty peers of a zone that is cut off then hold 15 MB here.
 MAX_PENDING_BYTES = 256 * 2**10
+# The first message of a stream names all members, some 100 bytes each.
+MAX_HELLO_BYTES = 256 * 2**10
+# Peers send it as soon as they are connected.
+HELLO_TIMEOUT_S = 30.0
+STREAM_LIMITS = ConnectionSettings().limits
 
 
 def encode(message: Record) -> bytes:
@@ -139,11 +153,16 @@
             self._transport.abort()
 
 
-class InStream(asyncio.Protocol):
+class InStream(asyncio.Protocol, Holder):
     """Receives what one peer sends on a connection that it opened.
 
+    Attributes:
+        listening: listener of peers.
+        peer: host of the sender, for the log.
+
     Args:
         reader: reads the connection.
+        guard: of all connections of the process; None for none.
         on_message: called with the stream and each message.
         on_closed: called with the stream and the reason when it is closed.
     """
@@ -153,7 +172,11 @@
         reader: PacedReader,
         on_message: Callable[["InStream", Record | None], None],
         on_closed: Callable[["InStream", str], None],
+        guard: ConnectionGuard | None = None,
     ) -> None:
+        Holder.__init__(self)
+        self.listening = Listening("peers", STREAM_LIMITS)
+        self.peer = ""
         # Sender of this stream, set after the hello.
         self.instance = ""
         self.incarnation = ""
@@ -163,7 +186,9 @@
         self._descriptor = -1
         self._on_message = on_message
         self._on_closed = on_closed
-        self._splitter = FrameSplitter()
+        self._guard = guard
+        self._moved_at = asyncio.get_running_loop().time()
+        self._splitter = FrameSplitter(MAX_HELLO_BYTES)
         self._transport: asyncio.Transport | None = None
         self._reason = "its stream ended"
 
@@ -172,6 +197,10 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.pause_reading()
+        self.peer = (transport.get_extra_info("peername") or ("",))[0]
+        if self._guard is not None and not self._guard.add(self):
+            transport.abort()
+            return
         self._descriptor = transport.get_extra_info("socket").fileno()
         self._reader.add(self._descriptor, self._received)
 
@@ -180,9 +209,11 @@
         if not data:
             self.close()
             return
+        self._moved_at = asyncio.get_running_loop().time()
         try:
             for body in self._splitter.feed(data):
                 self._on_message(self, decode(body))
+            self._count_pending()
         except (FrameError, MessageError) as error:
             self._reason = str(error)
             self.close()
@@ -191,9 +222,67 @@
             log.error("message handler failed", exc_info=(type(error), error, None))
             self.close()
 
+    def _count_pending(self) -> None:
+        """Take the memory of an unfinished message; close the stream if it is short."""
+        if self._guard is None:
+            return
+        memory = self._guard.memory
+        if self._splitter.pending_bytes <= CONNECTION_BYTES:
+            if self.held_bytes > CONNECTION_BYTES:
+                memory.release(self, CONNECTION_BYTES)
+            return
+        needed = CONNECTION_BYTES + self._splitter.pending_bytes - self.held_bytes
+        if not memory.take(self, needed, False, self._moved_at):
+            self.abort("no memory is left for its message")
+            return
+        memory.set_revocable(self, True)
+
+    # What the guard of all connections asks.
+
+    @property
+    def busy(self) -> bool:
+        """Whether the sender has said who it is."""
+        return bool(self.instance)
+
+    def admit(self, instance: str, incarnation: str) -> None:
+        """Note who the sender is; from now on it may send messages of any size."""
+        self.instance = instance
+        self.incarnation = incarnation
+        self._splitter.max_bytes = MAX_FRAME_BYTES
+
+    def stalled_s(self, now: float) -> float:
+        """See :meth:`Holder.stalled_s`."""
+        return now - self._moved_at
+
+    def check(self, now: float) -> None:
+        """Close the connection if its sender has not said in time who it is.
+
+        Args:
+            now: on the event loop's clock.
+        """
+        if not self.busy and self.stalled_s(now) > HELLO_TIMEOUT_S:
+            self.abort("its first message takes too long")
+
+    def revoke(self) -> None:
+        """See :meth:`Holder.revoke`."""
+        self.abort("others need the memory of its unfinished message")
+
+    def make_room(self) -> None:
+        """Close the connection, as another one needs its place."""
+        self.abort("others need its connection")
+
+    def abort(self, reason: str) -> None:
+        """Close the connection for a reason that is counted and logged."""
+        assert self._guard is not None
+        self._guard.count_closed(self, reason)
+        self._reason = reason
+        self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """See :class:`asyncio.Protocol`."""
         self._transport = None
+        if self._guard is not None:
+            self._guard.remove(self)
         self._reader.remove(self._descriptor)
         self._on_closed(self, self._reason)
 
--- a/src/caperridge/gateway/process.py
+++ b/src/caperridge/gateway/process.py
@@ -280,7 +280,7 @@
         """Start listening and all background tasks, without waiting for readiness."""
         settings = self.settings
         self.quotas.start()
-        await self.mesh.start()
+        await self.mesh.start(self.connections)
         ready = ready_application(lambda: self.ready, lambda: state_of(self))
         metrics = metrics_application(self.metrics.registry)
         own = own_listeners(settings, self.connections, ready, metrics)
--- a/src/caperridge/peers/framing.py
+++ b/src/caperridge/peers/framing.py
@@ -34,12 +34,21 @@
     [b'a']
     >>> splitter.feed(b"c")
     [b'bc']
+
+    Attributes:
+        max_bytes: largest body of a frame.
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "max_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
         self._buffer = b""
+        self.max_bytes = max_bytes
+
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the part of a frame that was received."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add ``data``; return the bodies of the frames that it completes.
@@ -50,14 +59,14 @@
         pending = self._buffer + data if self._buffer else data
         if len(pending) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(pending)
-            if length == len(pending) - _LENGTH.size <= MAX_FRAME_BYTES:
+            if length == len(pending) - _LENGTH.size <= self.max_bytes:
                 self._buffer = b""
                 return [pending[_LENGTH.size :]]  # most reads return exactly one frame
         bodies: list[bytes] = []
         start = 0
         while len(pending) - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(pending, start)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_bytes:
                 raise FrameError(f"a frame of {length} bytes")
             end = start + _LENGTH.size + length
             if end > len(pending):
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from caperridge.gateway.configuration import LIMIT_OVERLAP_S
+from caperridge.gateway.mesh.streams import HELLO_TIMEOUT_S, MAX_HELLO_BYTES
 from caperridge.gateway.process import GatewayInstance
 from gateway.conftest import HOST, ROUTES, World, configuration, until
 from loop_clock import LoopClock
@@ -258,3 +259,23 @@
     instance.configuration.since -= 2 * LIMIT_OVERLAP_S
     instance.configuration.caller_limits()
     assert instance.configuration.caller_limits().body_bytes == BODY_BYTES // 2
+
+
+async def test_whoever_does_not_say_who_it_is_is_no_peer(
+    instance: GatewayInstance,
+) -> None:
+    """Guards against connections at the peers' listener that send nothing."""
+    caller = await connect(instance.settings.peers)
+    await asyncio.sleep(0.1)
+    clock = LoopClock()
+    await clock.ahead(HELLO_TIMEOUT_S + 1.0)
+    await until(lambda: caller.closed)
+
+
+async def test_a_large_message_is_read_from_peers_only(
+    instance: GatewayInstance,
+) -> None:
+    """Guards against frames that strangers send and the instance keeps."""
+    caller = await connect(instance.settings.peers)
+    await caller.send((MAX_HELLO_BYTES + 1).to_bytes(4, "big"))
+    await until(lambda: caller.closed)
