Close idle connections when others need their memory

What callers saw: with as many idle connections as the account of the process holds (2,800 on the smallest machine, below the bound of the descriptors), an ordinary request was answered 503. Found by reading the account for its own weak spot; shown by a test with a lowered capacity.

Cause: an idle connection is counted, and could not give way: only unfinished bodies and unread answers could.

Change: a connection without a request gives way as they do, the longest still first. It is closed without having lost anything.

Evidence: the new test had 503 before and has 200 now, with some of the idle connections closed and some kept.

--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -154,6 +154,7 @@
             transport.abort()
             return
         self._accepted = True
+        self.update_revocable()
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._handler.connection_made(self._transport)  # type: ignore[arg-type]
 
@@ -233,7 +234,7 @@
 
     def update_revocable(self) -> None:
         """Record whether the connection holds something that can be given up."""
-        revocable = self.unread or self.receives_body
+        revocable = not self.busy or self.unread or self.receives_body
         if revocable is not self.revocable and self._transport is not None:
             self._guard.memory.set_revocable(self, revocable)
 
@@ -329,6 +330,8 @@
             self.abort("others need the memory of its unread answer")
         elif self.receives_body:
             self._cut_body(503, "others need the memory of its unfinished body")
+        elif not self.busy:
+            self._close("others need its memory")
 
     def abort(self, reason: str) -> None:
         """Close the connection at once."""
@@ -364,7 +367,7 @@
         if unsent_bytes < self._unsent_bytes:
             self._moved_at = now
         self._unsent_bytes = unsent_bytes
-        if self.revocable:
+        if self.unread or self.receives_body:
             if self.stalled_s(now) > self._guard.settings.stalled_s:
                 self.abort("its body or its answer does not move")
             return
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -9,6 +9,7 @@
 from caperridge.gateway.configuration import LIMIT_OVERLAP_S
 from caperridge.gateway.mesh.streams import HELLO_TIMEOUT_S, MAX_HELLO_BYTES
 from caperridge.gateway.process import GatewayInstance
+from caperridge.listening.memory import CONNECTION_BYTES
 from gateway.conftest import HOST, ROUTES, World, configuration, until
 from loop_clock import LoopClock
 
@@ -205,6 +206,23 @@
     assert [run.id for run in world.runners[0].runs] == ["r2"]
 
 
+async def test_idle_connections_give_way_to_an_ordinary_request(
+    instance: GatewayInstance, world: World
+) -> None:
+    """Guards against connections that send nothing and take the memory of bodies."""
+    idle = [await connect(instance.settings.callers) for _ in range(16)]
+    memory = instance.connections.memory
+    await until(lambda: memory.held_bytes >= 16 * CONNECTION_BYTES)
+    await asyncio.sleep(1.2)
+    memory.capacity_bytes = memory.held_bytes
+    answer = await world.ask(instance, "/ask/2", "r2", b"x" * CONNECTION_BYTES)
+    assert answer.status == 200
+    await until(lambda: any(one.closed for one in idle))
+    assert not all(one.closed for one in idle)
+    for one in idle:
+        one.writer.close()
+
+
 async def test_results_wait_for_readers_that_do_not_read(
     caller: Caller, instance: GatewayInstance, world: World
 ) -> None:
