Add a crowd of uploads that stop short of their end

Files come in parts and are stored as they arrive, so no limit of a body applies; each upload holds a line and a part of up to 1 MB. Since the account of the process was introduced an upload takes 4 MiB of it before it is read.

--- a/tests/crowds/forms.py
+++ b/tests/crowds/forms.py
@@ -133,6 +133,18 @@
 ]
 
 
+def upload(head: bytes, size: int) -> Iterator[bytes]:
+    """A file of batch items in a multipart body without its end."""
+    yield head + b"Content-Length: %d\r\n\r\n" % (2 * size)
+    yield b'--edge\r\nContent-Disposition: form-data; name="purpose"\r\n\r\nbatch\r\n'
+    yield b'--edge\r\nContent-Disposition: form-data; name="file"; filename="f"\r\n\r\n'
+    # One line, longer than the part of a file that is stored at once.
+    yield from _filling(size, PIECE_BYTES)
+
+
+UPLOAD = Form("upload", upload)
+
+
 def short_frame(head: bytes, size: int) -> Iterator[bytes]:
     """A frame between instances without its last byte."""
     yield size.to_bytes(4, "big")
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -9,7 +9,7 @@
 from conftest import CALLER, OPERATOR
 from crowds.conftest import Gateway, Town
 from crowds.crowd import ROOMY_DESCRIPTORS, meet
-from crowds.forms import FORMS, FRAME_FORMS, Form
+from crowds.forms import FORMS, FRAME_FORMS, UPLOAD, Form
 from gateway.conftest import HOST
 
 # One at a time, also where tests run beside each other.
@@ -19,6 +19,8 @@
 BODY_BYTES = 4 * 2**20
 OWN_BODY_BYTES = 8 * 2**20
 FRAME_BYTES = 8 * 2**20
+# Below the longest line of a file.
+UPLOAD_BYTES = 950_000
 
 CALL = (
     f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {{id}}\r\n"
@@ -134,6 +136,21 @@
     )
 
 
+async def test_own_callers_are_answered_beside_a_crowd_of_uploads(town: Town) -> None:
+    one = town.running_by_name["one"]
+    head = OWN_CALL.replace("/v1/completions", "/v1/files").replace(
+        "application/json", "multipart/form-data; boundary=edge"
+    )
+    await meet(
+        UPLOAD,
+        one.process.pid,
+        one.addresses_by_listener["callers"],
+        head.encode(),
+        UPLOAD_BYTES,
+        MODELS.encode(),
+    )
+
+
 @pytest.mark.parametrize("form", by_name(FORMS))
 async def test_operators_are_answered_beside_a_crowd(form: Form, town: Town) -> None:
     one = town.running_by_name["one"]
