Name what the guard of connections asks of a client

The guard took anything with the right methods; connections and streams of peers now share a base class. No behaviour changes: the tests of limits, memory, connections, streams and layers pass, and those of the crowds at the listeners of callers and of peers of the platform.

--- a/src/caperridge/gateway/mesh/streams.py
+++ b/src/caperridge/gateway/mesh/streams.py
@@ -13,9 +13,9 @@
 from caperridge.gateway.mesh.messages import KINDS_BY_NAME
 from caperridge.gateway.mesh.paced_reading import PacedReader
 from caperridge.gateway.silent_sockets import set_user_timeout
-from caperridge.listening.guard import ConnectionGuard, Listening
+from caperridge.listening.guard import Client, ConnectionGuard, Listening
 from caperridge.listening.limits import ConnectionSettings
-from caperridge.listening.memory import CONNECTION_BYTES, Holder
+from caperridge.listening.memory import CONNECTION_BYTES
 from caperridge.log import logger
 from caperridge.peers.framing import (
     MAX_FRAME_BYTES,
@@ -153,13 +153,9 @@
             self._transport.abort()
 
 
-class InStream(asyncio.Protocol, Holder):
+class InStream(asyncio.Protocol, Client):
     """Receives what one peer sends on a connection that it opened.
 
-    Attributes:
-        listening: listener of peers.
-        peer: host of the sender, for the log.
-
     Args:
         reader: reads the connection.
         guard: of all connections of the process; None for none.
@@ -174,9 +170,7 @@
         on_closed: Callable[["InStream", str], None],
         guard: ConnectionGuard | None = None,
     ) -> None:
-        Holder.__init__(self)
-        self.listening = Listening("peers", STREAM_LIMITS)
-        self.peer = ""
+        Client.__init__(self, Listening("peers", STREAM_LIMITS))
         # Sender of this stream, set after the hello.
         self.instance = ""
         self.incarnation = ""
@@ -268,7 +262,7 @@
         self.abort("others need the memory of its unfinished message")
 
     def make_room(self) -> None:
-        """Close the connection, as another one needs its place."""
+        """See :meth:`Client.make_room`."""
         self.abort("others need its connection")
 
     def abort(self, reason: str) -> None:
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web_protocol
 
-from caperridge.listening.guard import ConnectionGuard, Listening
-from caperridge.listening.memory import CONNECTION_BYTES, Holder, MemoryBudget
+from caperridge.listening.guard import Client, ConnectionGuard, Listening
+from caperridge.listening.memory import CONNECTION_BYTES, MemoryBudget
 
 # What the library and the kernel may buffer of a body that nobody reads yet.
 RECEIVING_BYTES = 96 * 2**10
@@ -100,13 +100,9 @@
             self._transport.resume_reading()
 
 
-class GuardedConnection(asyncio.BufferedProtocol, Holder):
+class GuardedConnection(asyncio.BufferedProtocol, Client):
     """Passes what arrives to the library and bounds what it costs.
 
-    Attributes:
-        listening: listener that accepted it, and its limits.
-        peer: host of the client, for the log.
-
     Args:
         handler: protocol of the library.
         guard: of all connections.
@@ -119,9 +115,7 @@
         guard: ConnectionGuard,
         listening: Listening,
     ) -> None:
-        Holder.__init__(self)
-        self.listening = listening
-        self.peer = ""
+        Client.__init__(self, listening)
         self._handler = handler
         self._guard = guard
         self._loop = asyncio.get_running_loop()
@@ -156,7 +150,7 @@
         self._accepted = True
         self.update_revocable()
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
-        self._handler.connection_made(self._transport)  # type: ignore[arg-type]
+        self._handler.connection_made(cast("asyncio.Transport", self._transport))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See :class:`asyncio.BufferedProtocol`."""
@@ -340,7 +334,7 @@
             self._transport.abort()
 
     def make_room(self) -> None:
-        """Close the connection, as another one needs its place."""
+        """See :meth:`Client.make_room`."""
         reason = "others need its connection"
         if self.busy:
             self.abort(reason)
@@ -356,11 +350,7 @@
     # Time.
 
     def check(self, now: float) -> None:
-        """Close the connection if its client has taken too long.
-
-        Args:
-            now: on the event loop's clock.
-        """
+        """See :meth:`Client.check`."""
         if self._transport is None or self._transport.is_closing():
             return
         unsent_bytes = self._transport.get_write_buffer_size()
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import collections
+from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from caperridge.listening.limits import CallerLimits, ConnectionSettings
-from caperridge.listening.memory import CONNECTION_BYTES, STALL_S, MemoryBudget
+from caperridge.listening.memory import (
+    CONNECTION_BYTES,
+    STALL_S,
+    Holder,
+    MemoryBudget,
+)
 from caperridge.log import logger
 from caperridge.machine import Machine
 
@@ -40,6 +46,42 @@
         self.limits = limits
 
 
+class Client(Holder, ABC):
+    """A client that the guard may close.
+
+    Attributes:
+        listening: listener that accepted it, and its limits.
+        peer: host of the client, for the log.
+
+    Args:
+        listening: listener that accepted it, and its limits.
+    """
+
+    __slots__ = ("listening", "peer")
+
+    def __init__(self, listening: Listening) -> None:
+        super().__init__()
+        self.listening = listening
+        self.peer = ""
+
+    @property
+    @abstractmethod
+    def busy(self) -> bool:
+        """Whether something would be lost if it were closed."""
+
+    @abstractmethod
+    def check(self, now: float) -> None:
+        """Close the connection if its client has taken too long.
+
+        Args:
+            now: on the event loop's clock.
+        """
+
+    @abstractmethod
+    def make_room(self) -> None:
+        """Close the connection, as another one needs its place."""
+
+
 class Turn(Protocol):
     """Something that is read again when its turn comes."""
 
@@ -76,7 +118,7 @@
         descriptors = machine.descriptors - MIN_OTHER_DESCRIPTORS
         self.max_connections = max(1, int(descriptors * settings.descriptor_ratio))
         self.read_buffer = memoryview(bytearray(READ_BYTES))
-        self._connections: set[Any] = set()
+        self._connections: set[Client] = set()
         self._turns: collections.deque[Turn] = collections.deque()
         self._sweep: asyncio.TimerHandle | None = None
         self._closed_log = ClosedLog()
@@ -109,7 +151,7 @@
             "revoked": self.memory.revoked,
         }
 
-    def add(self, connection: Any) -> bool:
+    def add(self, connection: Client) -> bool:
         """Count a new connection; return False if there is no room for it."""
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -127,7 +169,7 @@
             self._sweep = loop.call_later(SWEEP_INTERVAL_S, self._check_all)
         return True
 
-    def remove(self, connection: Any) -> None:
+    def remove(self, connection: Client) -> None:
         """Forget a connection that was closed."""
         self._connections.discard(connection)
         self.memory.release(connection)
@@ -138,7 +180,7 @@
             self._sweep.cancel()
             self._sweep = None
 
-    def count_closed(self, connection: Any, reason: str) -> None:
+    def count_closed(self, connection: Client, reason: str) -> None:
         """Count and log a connection that is closed."""
         name = connection.listening.name
         self._closed.labels(name, reason).inc()
