Accept a few connections at a time at the own interface's peers, too

Cause: asyncio accepts up to a backlog of connections, 100 there, before the first of them runs the code that turns away all but 64. The other listeners accepted 16 in each iteration of the event loop, and some iterations pass before one is closed.

Change: that listener uses the same function as the others, and all accept 4 in an iteration.

--- a/src/caperridge/door.py
+++ b/src/caperridge/door.py
@@ -15,7 +15,7 @@
 # Iterations of the event loop from accept to the protocol, with a margin.
 ITERATIONS_TO_PROTOCOL = 5
 # asyncio accepts up to a backlog of connections before one of them has its protocol.
-ACCEPTED_AT_ONCE = 16
+ACCEPTED_AT_ONCE = 4
 # What the kernel keeps of a connection that is not read; it doubles the value.
 RECEIVE_BUFFER_BYTES = 32 * 2**10
 
--- a/src/caperridge/peers/connect.py
+++ b/src/caperridge/peers/connect.py
@@ -4,6 +4,7 @@
 import ssl
 from collections.abc import Callable
 
+from caperridge.door import listen
 from caperridge.log import logger
 from caperridge.peers import handshake
 from caperridge.peers.messages import Hello
@@ -16,6 +17,7 @@
 CONNECT_TIMEOUT_S = 3.0
 HANDSHAKE_TIMEOUT_S = 3.0
 MAX_HANDSHAKES = 64
+BACKLOG = 256
 READ_AHEAD_BYTES = 64 * 2**10
 
 MessageHandler = Callable[[PeerStream, Record], None]
@@ -53,12 +55,8 @@
     async def open(self, address: Address) -> Address:
         """Start listening; return the bound address."""
         context = self._context(ssl.Purpose.CLIENT_AUTH)
-        self._server = await asyncio.start_server(
-            self._accept,
-            address.host,
-            address.port,
-            ssl=context,
-            limit=READ_AHEAD_BYTES,
+        self._server = await listen(
+            self._protocol, address.host, address.port, BACKLOG, context
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
@@ -100,6 +98,11 @@
             raise
         return PeerStream(reader, writer, peer, True, self._on_message, own.instance)
 
+    def _protocol(self) -> asyncio.BaseProtocol:
+        """Return the protocol of a new connection."""
+        reader = asyncio.StreamReader(READ_AHEAD_BYTES)
+        return asyncio.StreamReaderProtocol(reader, self._accept)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
