Take the memory of a whole answer before it is received from its target

What callers saw: 128 clients that ask for whole answers of 8 MiB and read only their first byte made an instance take 1327 and 1269 MB where the machine of the test has 112; it would have ended, and everybody's requests with it.

Cause: a whole answer was received first and counted afterwards, beyond the account if need be, and was written at once, so that the transport kept a copy of what the client had not read.

Change: memory is taken by the length that the target states, or as the body grows, before it is read; the target is not read meanwhile, and that time is no silence of its own. The only answer always gets it, so no requests wait for each other. Who reads nothing for a second gives way, as before. An answer whose stated length is over the limit fails at once.

An answer that waits for 1.5 s, with and without a length, is delivered whole from the same target (tests/gateway/test_caller_limits.py).

--- a/src/caperridge/gateway/answer.py
+++ b/src/caperridge/gateway/answer.py
@@ -26,6 +26,10 @@
 TARGET_RESTARTED = "its target started again"
 
 
+async def _no_wait(size: int) -> None:
+    """Wait for no memory."""
+
+
 class BrokenAnswerError(Exception):
     """The answer ended before it was complete."""
 
@@ -99,6 +103,7 @@
         bodies: UnsizedBodies,
         timeout_s: float = math.inf,
         may_end: Callable[[], bool] = always,
+        reserve: Callable[[int], Awaitable[None]] = _no_wait,
     ) -> bytes:
         """Return the complete body.
 
@@ -106,17 +111,25 @@
             bodies: that are read at the same time.
             timeout_s: longest time without progress, in seconds.
             may_end: returns whether a longer time may end it.
+            reserve: waits until there is memory for so many more bytes. The target is
+                not read meanwhile, so the wait is no silence of its own.
 
         Raises:
             BrokenAnswerError: the connection ended before the body did.
             SilentAnswerError: there was no progress for too long.
             OverlongAnswerError: it has too many bytes.
         """
+        length = self._response.content_length
+        if length is not None and length > MAX_BODY_BYTES:
+            raise OverlongAnswerError(f"a body of {length} bytes")
+        reserved = length or 0
+        if reserved:
+            await reserve(reserved)
         watched = self._watch.add(timeout_s, self._on_silence, may_end)
         loop = asyncio.get_running_loop()
         received = bytearray()
         counted = 0
-        unsized = self._response.content_length is None
+        unsized = length is None
         try:
             with bodies.begin() as body:
                 async for chunk in self._chunks():
@@ -125,6 +138,13 @@
                     within = not unsized or bodies.may_hold(body, size)
                     if size > MAX_BODY_BYTES or not within:
                         raise OverlongAnswerError(f"a body of over {size} bytes")
+                    if size > reserved:
+                        began = loop.time()
+                        watched.timeout_s = math.inf
+                        await reserve(size - reserved)
+                        reserved = size
+                        watched.timeout_s = timeout_s
+                        watched.last_received_at += loop.time() - began
                     if self._socket is not None:
                         self._socket.record_payload(len(chunk))
                     if size - counted >= MIN_BODY_PROGRESS_BYTES:
--- a/src/caperridge/gateway/answer_relay.py
+++ b/src/caperridge/gateway/answer_relay.py
@@ -90,7 +90,7 @@
     ) -> AttemptError | None:
         timeout_s = FIRST_EVENT_SILENCE_S if state.movable else math.inf
         try:
-            body = await answer.body(self._bodies, timeout_s, may_end)
+            body = await answer.body(self._bodies, timeout_s, may_end, reply.reserve)
         except BrokenAnswerError as error:
             return _broken(error, state)
         state.wrote = answer.status < 400 and bool(body)
--- a/src/caperridge/gateway/inbound.py
+++ b/src/caperridge/gateway/inbound.py
@@ -112,6 +112,10 @@
     def started(self) -> bool:
         """Whether the head of an answer was sent."""
 
+    @abstractmethod
+    async def reserve(self, size: int) -> None:
+        """Wait until there is memory for so many more bytes of a complete answer."""
+
     @abstractmethod
     async def send_whole(
         self, status: int, headers: CIMultiDict[str], body: bytes
--- a/src/caperridge/gateway/reply.py
+++ b/src/caperridge/gateway/reply.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 
 from caperridge.gateway.inbound import Reply
-from caperridge.listening.bodies import connection_of
+from caperridge.listening.answers import PiecewiseResponse, reserve_answer
 
 
 class AiohttpReply(Reply):
@@ -38,14 +38,15 @@
         """See :attr:`Reply.started`."""
         return self.response is not None
 
+    async def reserve(self, size: int) -> None:
+        """See :meth:`Reply.reserve`."""
+        await reserve_answer(self._request, size)
+
     async def send_whole(
         self, status: int, headers: CIMultiDict[str], body: bytes
     ) -> None:
         """See :meth:`Reply.send_whole`."""
-        connection = connection_of(self._request)
-        if connection is not None:
-            connection.count_answer(len(body))
-        response = web.Response(status=status, body=body, headers=headers)
+        response = PiecewiseResponse(status=status, body=body, headers=headers)
         self._prepare_head(response)
         self.response = response
         await response.prepare(self._request)
--- a/src/caperridge/listening/memory.py
+++ b/src/caperridge/listening/memory.py
@@ -1,7 +1,10 @@
 """The memory that clients make a process hold, and who has to give it back."""
 
 import asyncio
+import functools
+import math
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 # What one connection costs when nothing is being received on it.
 CONNECTION_BYTES = 16 * 2**10
@@ -20,14 +23,16 @@
     Attributes:
         held_bytes: what it holds.
         large_bytes: what it holds beyond the part that is kept for small requests.
+        answer_bytes: what it holds for an answer.
         revocable: whether it can be cut off without breaking a promise.
     """
 
-    __slots__ = ("held_bytes", "large_bytes", "revocable")
+    __slots__ = ("answer_bytes", "held_bytes", "large_bytes", "revocable")
 
     def __init__(self) -> None:
         self.held_bytes = 0
         self.large_bytes = 0
+        self.answer_bytes = 0
         self.revocable = False
 
     @abstractmethod
@@ -64,6 +69,7 @@
         self.held_bytes = 0
         self.revoked = 0
         self._large_bytes = 0
+        self._answer_bytes = 0
         self._revocable: set[Holder] = set()
         self._released = asyncio.Event()
 
@@ -76,17 +82,34 @@
             large: the request is larger than ``SMALL_BYTES``.
             now: on the event loop's clock.
         """
-        if not self._fits(holder, size, large):
-            self._revoke_stalled(holder, size, large, now)
-        if not self._fits(holder, size, large):
+        fits = functools.partial(self._fits, holder, size, large)
+        if not self._make_fit(holder, fits, now):
             return False
         self._add(holder, size, large)
         return True
 
+    def take_answer(self, holder: Holder, size: int, now: float) -> bool:
+        """Take memory for an answer; return whether there was enough.
+
+        An answer that is the only one gets it always: requests whose bodies hold all of
+        the memory wait for their answers.
+
+        Args:
+            holder: whose request is answered.
+            size: in bytes.
+            now: on the event loop's clock.
+        """
+        fits = functools.partial(self._fits_answer, holder, size)
+        if not self._make_fit(holder, fits, now):
+            return False
+        self._add(holder, size, large=False)
+        holder.answer_bytes += size
+        self._answer_bytes += size
+        return True
+
     def force(self, holder: Holder, size: int, now: float) -> None:
         """Count memory that is in use already, such as that of an answer."""
-        if not self._fits(holder, size, large=False):
-            self._revoke_stalled(holder, size, False, now)
+        self._make_fit(holder, functools.partial(self._fits, holder, size, False), now)
         self._add(holder, size, large=False)
 
     async def take_until(
@@ -100,8 +123,16 @@
             large: the request is larger than ``SMALL_BYTES``.
             deadline: of the wait, on the event loop's clock.
         """
+        take = functools.partial(self.take, holder, size, large)
+        return await self._wait(take, deadline)
+
+    async def answer_taken(self, holder: Holder, size: int) -> None:
+        """Take memory for an answer, and wait for it if there is not enough."""
+        await self._wait(functools.partial(self.take_answer, holder, size), math.inf)
+
+    async def _wait(self, take: Callable[[float], bool], deadline: float) -> bool:
         loop = asyncio.get_running_loop()
-        while not self.take(holder, size, large, loop.time()):
+        while not take(loop.time()):
             left_s = deadline - loop.time()
             if left_s <= 0:
                 return False
@@ -140,6 +171,8 @@
         holder.held_bytes = keep_bytes
         self._large_bytes -= holder.large_bytes
         holder.large_bytes = 0
+        self._answer_bytes -= holder.answer_bytes
+        holder.answer_bytes = 0
         if returned > 0:
             self._released.set()
             self._released = asyncio.Event()
@@ -152,6 +185,11 @@
         capacity = self.capacity_bytes * (1 - SMALL_RESERVE_RATIO)
         return self.held_bytes + size <= capacity
 
+    def _fits_answer(self, holder: Holder, size: int) -> bool:
+        if self._answer_bytes == holder.answer_bytes:
+            return True
+        return self.held_bytes + size <= self.capacity_bytes
+
     def _add(self, holder: Holder, size: int, large: bool) -> None:
         self.held_bytes += size
         holder.held_bytes += size
@@ -159,10 +197,12 @@
             self._large_bytes += size
             holder.large_bytes += size
 
-    def _revoke_stalled(
-        self, requester: Holder, size: int, large: bool, now: float
-    ) -> None:
-        """Cut off stalled clients, the longest stalled first, until ``size`` fits."""
+    def _make_fit(
+        self, requester: Holder, fits: Callable[[], bool], now: float
+    ) -> bool:
+        """Cut off stalled clients, the longest stalled first, until ``fits``."""
+        if fits():
+            return True
         stalled = [
             one
             for one in self._revocable
@@ -170,9 +210,10 @@
         ]
         stalled.sort(key=lambda one: one.stalled_s(now), reverse=True)
         for one in stalled:
-            if self._fits(requester, size, large):
-                return
             self._revoke(one)
+            if fits():
+                return True
+        return False
 
     def _revoke(self, holder: Holder) -> None:
         self.revoked += 1
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -208,8 +208,7 @@
         if self.status != 200:
             return await self._fail(request, run, headers)
         if run.path.endswith("/whole"):
-            run.finished = True
-            return web.Response(headers=headers, body=bytes(self.whole_bytes))
+            return await self._whole(request, run, headers)
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         if self.unframed:
@@ -245,6 +244,20 @@
         run.finished = True
         return response if isinstance(response, web.StreamResponse) else web.Response()
 
+    async def _whole(
+        self, request: web.Request, run: Run, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer in one piece, with a length or without a frame."""
+        run.finished = True
+        body = bytes(self.whole_bytes)
+        if not self.unframed:
+            return web.Response(headers=headers, body=body)
+        response = UnframedResponse(200, headers)
+        await response.prepare(request)
+        await response.write(body)
+        await response.write_eof()
+        return web.Response()
+
     async def _fail(
         self, request: web.Request, run: Run, headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -9,7 +9,7 @@
 from caperridge.gateway.configuration import LIMIT_OVERLAP_S
 from caperridge.gateway.mesh.streams import HELLO_TIMEOUT_S, MAX_HELLO_BYTES
 from caperridge.gateway.process import GatewayInstance
-from caperridge.listening.memory import CONNECTION_BYTES
+from caperridge.listening.memory import CONNECTION_BYTES, Holder
 from gateway.conftest import HOST, ROUTES, World, configuration, until
 from loop_clock import LoopClock
 
@@ -24,6 +24,7 @@
 # Far more than the kernel buffers at both ends of a connection.
 ANSWERS = 400
 ANSWER_BYTES = 100_000
+WHOLE_BYTES = 3 * 10**6
 
 
 class Caller:
@@ -242,6 +243,43 @@
     assert await caller.status() == 200
 
 
+class AnswerHolder(Holder):
+    """Another client that holds the memory of an answer, and moves."""
+
+    def stalled_s(self, now: float) -> float:
+        return 0.0
+
+    def revoke(self) -> None:
+        raise AssertionError
+
+
+@pytest.mark.parametrize("unframed", [False, True])
+async def test_a_whole_answer_waits_for_memory_and_is_delivered(
+    unframed: bool, caller: Caller, instance: GatewayInstance, world: World
+) -> None:
+    """Guards against answers that wait and are blamed on their target, or are lost."""
+    (runner,) = world.runners
+    runner.whole_bytes = WHOLE_BYTES
+    runner.unframed = unframed
+    memory = instance.connections.memory
+    holder = AnswerHolder()
+    assert memory.take_answer(holder, 1, asyncio.get_running_loop().time())
+    memory.capacity_bytes = memory.held_bytes + 2 * CONNECTION_BYTES
+    await caller.send(HEAD.replace(b"/ask/1", b"/ask/whole") + b"\r\n")
+    await until(lambda: len(runner.runs) == 1)
+    # Longer than a silent target is waited for.
+    clock = LoopClock()
+    await clock.ahead(1.5)
+    memory.release(holder)
+    status, headers = await caller.answer()
+    assert status == 200
+    body = await caller.reader.readexactly(WHOLE_BYTES)
+    assert body == bytes(WHOLE_BYTES)
+    assert [len(one.runs) for one in world.runners] == [1]
+    if not unframed:
+        assert headers["Content-Length"] == str(WHOLE_BYTES)
+
+
 async def test_answers_do_not_pile_up_for_a_caller_that_does_not_read(
     instance: GatewayInstance, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/listening/test_memory.py
+++ b/tests/listening/test_memory.py
@@ -130,3 +130,26 @@
     assert memory.held_bytes == 2 * CAPACITY
     memory.release(client, CONNECTION_BYTES)
     assert memory.held_bytes == CONNECTION_BYTES
+
+
+async def test_an_answer_that_is_the_only_one_never_waits(
+    memory: MemoryBudget,
+) -> None:
+    """Guards against requests that hold the memory and wait for their answers."""
+    body, one, two = Client(), Client(), Client()
+    assert memory.take(body, CAPACITY, False, 0.0)
+    assert memory.take_answer(one, LARGE, 0.0)
+    assert not memory.take_answer(two, LARGE, 0.0)
+    memory.release(one)
+    assert memory.take_answer(two, LARGE, 0.0)
+
+
+async def test_an_answer_that_is_not_read_gives_way_to_another(
+    memory: MemoryBudget,
+) -> None:
+    unread, next_one = Client(), Client()
+    assert memory.take_answer(unread, CAPACITY, 0.0)
+    memory.set_revocable(unread, True)
+    assert not memory.take_answer(next_one, LARGE, STALL_S / 2)
+    assert memory.take_answer(next_one, LARGE, STALL_S)
+    assert unread.cut and memory.held_bytes == LARGE
