Read the items of jobs for callers two objects at a time

Cause: each call read the whole object of its job from the store and decoded it, all at once; the cache is filled by the first that ends. Up to eight jobs of any size stayed in it. The account was asked after all that.

Change: two objects are read at a time, and whoever waits looks into the cache again; who waits for 2 s is refused with a time to come back. The cache is bounded in bytes as well.

--- a/src/caperridge/gateway/job_calls.py
+++ b/src/caperridge/gateway/job_calls.py
@@ -17,6 +17,7 @@
 from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import Route
 from caperridge.gateway.teams import Team
+from caperridge.listening.answers import PiecewiseResponse
 from caperridge.listening.bodies import RETRY_AFTER_S, connection_of
 from caperridge.log import logger
 
@@ -139,7 +140,7 @@
             return self._responses.refuse(
                 request, 503, "no memory is left for the answer", RETRY_AFTER_S
             )
-        response = web.Response(body=body, content_type=content_type)
+        response = PiecewiseResponse(body=body, content_type=content_type)
         return self._responses.finish(request, response)
 
     async def _cancel(self, request: web.Request, id: str) -> web.StreamResponse:
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -1,7 +1,6 @@
 """The API of jobs for callers, at any instance: submit, read results, cancel."""
 
 import asyncio
-from collections import OrderedDict
 
 from result import Err
 
@@ -15,10 +14,10 @@
 from caperridge.gateway.jobs.codec import (
     UnreadableError,
     from_bytes,
-    job_from_bytes,
     to_bytes,
 )
 from caperridge.gateway.jobs.index import JobIndex
+from caperridge.gateway.jobs.item_reads import ItemReads
 from caperridge.gateway.jobs.keeper import JobKeeper
 from caperridge.gateway.jobs.keys import (
     INDEX,
@@ -57,7 +56,6 @@
 CANCEL_RETRY_DELAY_S = 0.1
 # Bounds the texts that are read for one page; the dialect bounds the answer as sent.
 MAX_PAGE_TEXT_BYTES = 1_000_000
-MAX_CACHED_JOBS = 8
 # A waiting read polls the store at this interval in case no peer reports a result.
 POLL_INTERVAL_S = 1.0
 
@@ -113,7 +111,7 @@
         self._keeper = keeper
         self._metrics = metrics
         self._limits = limits
-        self._jobs_by_object: OrderedDict[str, JobRequest] = OrderedDict()
+        self._items = ItemReads(store)
 
     async def accept(
         self,
@@ -201,7 +199,7 @@
         entry = await self._find_entry(id)
         if isinstance(entry, JobAnswer):
             return entry
-        job = await self._read_items(entry)
+        job = await self._items.read(entry)
         if job is None:
             return STORE_UNAVAILABLE
         for job_item in job.items:
@@ -340,20 +338,3 @@
                 break
             results.append(result)
         return results
-
-    async def _read_items(self, entry: JobEntry) -> JobRequest | None:
-        job = self._jobs_by_object.get(entry.object)
-        if job is not None:
-            return job
-        answer = await self._store.get_object(entry.object)
-        if isinstance(answer, Err) or answer.ok_value is None:
-            return None
-        try:
-            job = job_from_bytes(answer.ok_value)
-        except UnreadableError as error:
-            log.error("items skipped", job=entry.id, reason=str(error))
-            return None
-        self._jobs_by_object[entry.object] = job
-        while len(self._jobs_by_object) > MAX_CACHED_JOBS:
-            self._jobs_by_object.popitem(last=False)
-        return job
