Count the parts of files and results that callers download

What callers saw: 128 callers of the own interface that download a file of 8 MB and read only its first byte made an instance take 241 and 247 MB of the 112 of its machine.

Cause: a part of a file (1 MB), or the results of a chunk, was read from the platform and written at once; the transport copied what the caller did not read. The account counted whole answers only, not those that are streamed.

Change: a download takes 3 MiB from the account before it reads its first part, waits up to 2 s for them and is refused otherwise (503, not run); its parts are written in pieces of 32 KiB as the caller reads them.

--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -30,6 +30,7 @@
 )
 from caperridge.instance.messages import JobsChanged
 from caperridge.instance.plain_item_calls import PREFIX, service_path
+from caperridge.listening.answers import write_pieces
 from caperridge.peers.messages import JobNews
 from caperridge.queries.jobs import (
     Progress,
@@ -50,6 +51,8 @@
 MOST_METADATA_TEXT = 512
 # A part and a line of a file, and what is on its way to the platform.
 UPLOAD_BYTES = 4 * 2**20
+# A part of a file or the results of a chunk, as received and as sent.
+CONTENT_BYTES = 3 * 2**20
 OUTPUT = "-output"
 ERRORS = "-errors"
 _STATES = {OPEN: "in_progress", COMPLETED: "completed", CANCELLED: "cancelled"}
@@ -102,6 +105,7 @@
         response = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
         if not file_id.startswith("batch_"):
             return await self._uploaded(request, response, caller, file_id)
+        await reserve_memory(request, CONTENT_BYTES)
         failed = file_id.endswith(ERRORS)
         job_id = file_id.removesuffix(ERRORS).removesuffix(OUTPUT)
         job = await self._job(caller, job_id)
@@ -115,7 +119,7 @@
                     return response
                 if not response.prepared:
                     await response.prepare(request)
-                await response.write(piece.ok_value)
+                await write_pieces(response, piece.ok_value)
         if not response.prepared:
             await response.prepare(request)
         return response
@@ -128,6 +132,7 @@
         file_id: str,
     ) -> web.StreamResponse:
         file = await self._file(caller, file_id)
+        await reserve_memory(request, CONTENT_BYTES)
         for part in range(len(file.parts)):
             name = keys.file_part(file.id, part)
             data = await self._instance.platform.get_object(name)
@@ -138,7 +143,7 @@
                 return response
             if not response.prepared:
                 await response.prepare(request)
-            await response.write(data.ok_value or b"")
+            await write_pieces(response, data.ok_value or b"")
         return response
 
     async def create_batch(self, request: web.Request) -> web.Response:
--- a/src/caperridge/listening/answers.py
+++ b/src/caperridge/listening/answers.py
@@ -31,7 +31,17 @@
         if self._eof_sent or not isinstance(body, bytes) or len(body) <= PIECE_BYTES:
             await super().write_eof(data)
             return
-        pieces = memoryview(body)
-        for start in range(0, len(body), PIECE_BYTES):
-            await self.write(pieces[start : start + PIECE_BYTES])
+        await write_pieces(self, body)
         await web.StreamResponse.write_eof(self)
+
+
+async def write_pieces(response: web.StreamResponse, data: bytes) -> None:
+    """Write ``data`` as the client reads it.
+
+    Args:
+        response: that was prepared.
+        data: more of its body.
+    """
+    pieces = memoryview(data)
+    for start in range(0, len(data), PIECE_BYTES):
+        await response.write(pieces[start : start + PIECE_BYTES])
