End the body of a request that cannot be parsed

What callers saw: a request whose body turns malformed after its head was read (trailers without end, a chunk without a size) kept its connection and its place until the time-out of its route, then got 408. A crowd of such, with TLS, kept every connection, and ordinary callers were closed at once.

Cause: the HTTP library queues an answer 400 behind the request and tells its body nothing, so the handler waits for bytes that nobody reads any more. Where head and trailers arrive in one read the request is dropped with them, which is why the crowds without TLS did not show it.

Change: the connection ends the body as it sees the library's error, and drops what follows. A connection that was refused this way, or for its framing or its memory, counts as running nothing and is the first to be closed when others need its place.

--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -155,6 +155,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See :class:`asyncio.BufferedProtocol`."""
         self._transport = None
+        self._body = None
         self._guard.remove(self)
         if self._accepted:
             self._handler.connection_lost(exc)
@@ -206,8 +207,14 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request was parsed whose answer is not complete."""
-        return self._parsed > self._answered
+        """Whether a request was parsed whose answer is not complete, and may run."""
+        return self._parsed > self._answered and not self.refused
+
+    @property
+    def refused(self) -> bool:
+        """See :attr:`Client.refused`."""
+        cut = self._body is not None and self._body.exception() is not None
+        return self._dropping and self._parsed - self._answered <= cut
 
     @property
     def receives_body(self) -> bool:
@@ -233,11 +240,18 @@
             self._guard.memory.set_revocable(self, revocable)
 
     def _request_parsed(self, count: int) -> None:
+        messages = self._handler._messages
+        if messages and isinstance(messages[-1][0], web_protocol._ErrInfo):
+            # The library answers what it cannot parse after the requests before it, and
+            # closes the connection. It tells no reader of a body that no more comes.
+            if self.receives_body:
+                self._cut_body(400, "its body cannot be parsed")
+            self._dropping = True
+            return
         self._parsed += count
         self._head_since = None
         self._framing_bytes = 0
         # The handler that takes the request from this queue has not run yet.
-        messages = self._handler._messages
         self._body = messages[-1][1] if messages else None
         self._content_bytes = 0 if self._body is None else self._body.total_bytes
         if not self.receives_body:
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -69,6 +69,11 @@
     def busy(self) -> bool:
         """Whether something would be lost if it were closed."""
 
+    @property
+    def refused(self) -> bool:
+        """Whether what it has sent runs nowhere, and the rest is not read."""
+        return False
+
     @abstractmethod
     def check(self, now: float) -> None:
         """Close the connection if its client has taken too long.
@@ -212,12 +217,14 @@
     def _make_room(self, now: float, count: int) -> None:
         """Close connections without a whole request.
 
-        Those without any request go first, the longest idle of them at the front; then
-        stalled ones, and only then those that hold most of a body or an answer.
+        Refused ones go first, then those without any request, the longest idle of them
+        at the front; then stalled ones, and only then those that hold most of a body or
+        an answer.
         """
         candidates = [one for one in self._connections if not one.busy or one.revocable]
         candidates.sort(
             key=lambda one: (
+                not one.refused,
                 one.busy,
                 one.busy and one.stalled_s(now) < STALL_S,
                 -one.held_bytes if one.busy else 0,
--- a/tests/gateway/test_caller_limits.py
+++ b/tests/gateway/test_caller_limits.py
@@ -121,6 +121,28 @@
     assert not world.runners[0].runs
 
 
+@pytest.mark.parametrize(
+    "rest",
+    [
+        pytest.param(b"X: x\r\n" * HEAD_BYTES, id="trailers"),
+        pytest.param(b"not a size\r\n", id="size"),
+    ],
+)
+async def test_a_body_that_cannot_be_parsed_ends_its_request(
+    rest: bytes, caller: Caller, world: World
+) -> None:
+    """Guards against a request that waits for a body which nobody reads any more."""
+    await caller.send(CHUNKED + b"1\r\nx\r\n")
+    await asyncio.sleep(0.05)
+    await caller.send(b"0\r\n" * rest.startswith(b"X") + rest)
+    assert await caller.status() in (0, 400)
+    async with asyncio.timeout(10.0):
+        with contextlib.suppress(ConnectionError):
+            await caller.reader.read()
+    assert caller.closed
+    assert not world.runners[0].runs
+
+
 async def test_a_body_over_the_limit_is_refused_before_it_is_sent(
     caller: Caller,
 ) -> None:
