Count connections with TLS from their first byte, and what TLS holds

What callers saw: at listeners with TLS (own interface, callers and peers) crowds went beyond the machine of the test in 23 of 32 cases, with up to 168 MB of 112 and 148 descriptors of 120; a crowd that sent nothing, not even a handshake, kept a descriptor for each of its connections for a minute.

Cause: the event loop shows a connection with TLS to its protocol only after the handshake, so the guard did not know of it before. asyncio makes a buffer of 256 KiB for each, which stays in cycles until the garbage collector runs, reads ahead up to 256 KiB of a paused one, and waits for up to 30 s until the client confirms its end.

Change: connections are accepted without TLS, counted with 128 KiB, and begin their handshake then; it may take as long as a head, and gives way like an idle connection. The buffer and what is read ahead are 16 KiB each, the end takes 1 s. Closing one that has nothing to send, or closes already, aborts it. Strangers at the own interface's peers are known to the guard until they have proved who they are, with TLS or without.

--- a/src/caperridge/door.py
+++ b/src/caperridge/door.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import socket
-import ssl
 from typing import Any
 
 # Iterations of the event loop from accept to the protocol, with a margin.
@@ -36,7 +35,6 @@
         protocols: Any,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
         backlog: int = 128,
     ) -> "SocketListener":
         """Start listening.
@@ -45,10 +43,9 @@
             protocols: factory that creates the protocol of each connection.
             host: address to listen on.
             port: TCP port; 0 for any free one.
-            tls: TLS context of the connections; None for no TLS.
             backlog: maximum number of connections queued for accept.
         """
-        server = await listen(protocols, host, port, backlog, tls, RECEIVE_BUFFER_BYTES)
+        server = await listen(protocols, host, port, backlog, RECEIVE_BUFFER_BYTES)
         return cls(server)
 
     @property
@@ -72,7 +69,6 @@
     host: str,
     port: int,
     backlog: int,
-    tls: ssl.SSLContext | None = None,
     receive_buffer_bytes: int = 0,
 ) -> asyncio.Server:
     """Start listening; connections are accepted a few at a time.
@@ -82,14 +78,12 @@
         host: address to listen on.
         port: TCP port; 0 for any free one.
         backlog: maximum number of connections queued for accept.
-        tls: TLS context of the connections; None for no TLS.
         receive_buffer_bytes: of each connection in the kernel; 0 for its default.
     """
     server = await asyncio.get_running_loop().create_server(
         protocols,
         host,
         port,
-        ssl=tls,
         backlog=min(backlog, ACCEPTED_AT_ONCE),
         reuse_address=True,
     )
--- a/src/caperridge/instance/listeners.py
+++ b/src/caperridge/instance/listeners.py
@@ -66,10 +66,9 @@
         await self._runner.setup()
         context = server_context(files) if files else None
         self._door = await SocketListener.open(
-            http_protocols(self._runner.server, self._guard, self._listening),
+            http_protocols(self._runner.server, self._guard, self._listening, context),
             at.host,
             at.port,
-            context,
         )
         return Address(*self._door.address)
 
--- a/src/caperridge/instance/peers.py
+++ b/src/caperridge/instance/peers.py
@@ -17,6 +17,7 @@
 from caperridge.instance.peer_dialer import Dialer
 from caperridge.instance.peer_messages import DialFailed, Ended, Heard, Opened
 from caperridge.instance.peer_metrics import PeerMetrics
+from caperridge.listening.guard import ConnectionGuard
 from caperridge.log import logger
 from caperridge.peers.connect import Connector
 from caperridge.peers.flooding import SeenMessages, is_flooded
@@ -46,6 +47,7 @@
         membership: fed with heartbeats; shared with those who ask for owners.
         metrics: of the streams.
         clock: monotonic seconds.
+        guard: of all connections of the process.
         seed: of the jitter; None for a fresh one.
     """
 
@@ -57,12 +59,12 @@
         membership: Membership,
         metrics: PeerMetrics,
         clock: Callable[[], float],
+        guard: ConnectionGuard,
         seed: int | None = None,
     ) -> None:
         super().__init__()
-        incarnation = time.time_ns() // 1_000_000
-        self._heartbeats = Heartbeats(membership, incarnation, clock())
-        self._said_incarnation = incarnation
+        self._said_incarnation = time.time_ns() // 1_000_000
+        self._heartbeats = Heartbeats(membership, self._said_incarnation, clock())
         self.configuration_version: Callable[[], int] = lambda: 0
         self.versions_by_id: dict[str, int] = {}
         self.version_heard: Callable[[str, int], None] = lambda instance, version: None
@@ -76,11 +78,11 @@
         self._port = 0
         self._own_address = ""
         self._connector = Connector(
-            settings.peers_secret,
-            settings.tls_by_listener.get("peers"),
+            settings,
             self._hello_to,
             lambda stream, message: self.tell(Heard(stream, message)),
             lambda stream: self.tell(Opened(stream)),
+            guard,
         )
         self._streams = Streams(settings.instance_id, settings.availability_zone)
         self._runs: set[asyncio.Task[None]] = set()
--- a/src/caperridge/instance/process.py
+++ b/src/caperridge/instance/process.py
@@ -118,7 +118,9 @@
         self.mesh: PeerMesh | None = None
         if settings.peers_secret:
             metrics = PeerMetrics(self.metrics.registry)
-            self.mesh = PeerMesh(settings, self.membership, metrics, clock)
+            self.mesh = PeerMesh(
+                settings, self.membership, metrics, clock, self.connections
+            )
         self.peers: Peers = self.mesh or NoPeers()
         self.platform = self._direct
         self.relay_server: RelayServer | None = None
--- a/src/caperridge/listening/accepting.py
+++ b/src/caperridge/listening/accepting.py
@@ -1,19 +1,24 @@
 """Puts the guard before the HTTP library's protocols."""
 
 import asyncio
+import ssl
 from collections.abc import Callable
 
 from aiohttp import web
 
 from caperridge.listening.connection import GuardedConnection
-from caperridge.listening.guard import ConnectionGuard, Listening
+from caperridge.listening.guard import Client, ConnectionGuard, Listening
+from caperridge.listening.tls import TlsGreeting
 
 # For timeouts of the library that the guard replaces.
 UNLIMITED_S = 10.0**8
 
 
 def http_protocols(
-    server: web.Server | None, guard: ConnectionGuard, listening: Listening
+    server: web.Server | None,
+    guard: ConnectionGuard,
+    listening: Listening,
+    tls: ssl.SSLContext | None = None,
 ) -> Callable[[], asyncio.BaseProtocol]:
     """Return a factory of the protocols of new connections.
 
@@ -21,10 +26,15 @@
         server: of the library, set up.
         guard: of all connections of the process.
         listening: listener that accepts them.
+        tls: TLS context of the connections; None for no TLS.
     """
     assert server is not None
 
-    def protocol() -> asyncio.BaseProtocol:
-        return GuardedConnection(server(), guard, listening)
+    def protocol(greeting: Client | None = None) -> asyncio.BaseProtocol:
+        return GuardedConnection(server(), guard, listening, greeting)
 
-    return protocol
+    def greeting() -> asyncio.BaseProtocol:
+        assert tls is not None
+        return TlsGreeting(protocol, tls, guard, listening)
+
+    return protocol if tls is None else greeting
--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -10,8 +10,14 @@
 
 from aiohttp import web_protocol
 
-from caperridge.listening.guard import Client, ConnectionGuard, Listening
+from caperridge.listening.guard import (
+    READ_BYTES,
+    Client,
+    ConnectionGuard,
+    Listening,
+)
 from caperridge.listening.memory import CONNECTION_BYTES, MemoryBudget
+from caperridge.listening.transport import PausableTransport
 
 # What the library and the kernel may buffer of a body that nobody reads yet.
 RECEIVING_BYTES = 96 * 2**10
@@ -43,63 +49,6 @@
         self.reason = reason
 
 
-class PausableTransport:
-    """A transport that is read while nothing holds it.
-
-    Attributes:
-        connection: that it belongs to.
-
-    Args:
-        connection: that it belongs to.
-        transport: of the event loop.
-    """
-
-    def __init__(
-        self, connection: "GuardedConnection", transport: asyncio.Transport
-    ) -> None:
-        self.connection = connection
-        self.write = transport.write
-        self.is_closing = transport.is_closing
-        self._transport = transport
-        self._paused = False
-        self._awaits_turn = False
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._transport, name)
-
-    @property
-    def paused(self) -> bool:
-        """Whether the protocol reads no more for now."""
-        return self._paused
-
-    @property
-    def waits(self) -> bool:
-        """Whether it is not read for now, for any reason."""
-        return self._paused or self._awaits_turn
-
-    def pause_reading(self) -> None:
-        """Stop reading until the protocol resumes it."""
-        self._paused = True
-        self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read again, unless the connection waits for its turn."""
-        self._paused = False
-        if not self._awaits_turn:
-            self._transport.resume_reading()
-
-    def await_turn(self) -> None:
-        """Stop reading until :meth:`take_turn`."""
-        self._awaits_turn = True
-        self._transport.pause_reading()
-
-    def take_turn(self) -> None:
-        """Read again, unless the protocol has paused reading."""
-        self._awaits_turn = False
-        if not self._paused:
-            self._transport.resume_reading()
-
-
 class GuardedConnection(asyncio.BufferedProtocol, Client):
     """Passes what arrives to the library and bounds what it costs.
 
@@ -107,6 +56,8 @@
         handler: protocol of the library.
         guard: of all connections.
         listening: listener that accepted it.
+        greeting: that was counted until the TLS handshake was complete; None for a
+            connection without TLS.
     """
 
     def __init__(
@@ -114,8 +65,12 @@
         handler: web_protocol.RequestHandler,
         guard: ConnectionGuard,
         listening: Listening,
+        greeting: Client | None = None,
     ) -> None:
-        Client.__init__(self, listening)
+        idle_bytes = CONNECTION_BYTES if greeting is None else greeting.idle_bytes
+        Client.__init__(self, listening, idle_bytes)
+        self._greeting = greeting
+        self._has_tls = greeting is not None
         self._handler = handler
         self._guard = guard
         self._loop = asyncio.get_running_loop()
@@ -144,6 +99,11 @@
         assert isinstance(transport, asyncio.Transport)
         self.peer = (transport.get_extra_info("peername") or ("",))[0]
         self._transport = PausableTransport(self, transport)
+        if self._greeting is not None:
+            self._guard.remove(self._greeting)
+            self._greeting = None
+            # TLS goes on reading a paused connection up to this limit.
+            transport.set_read_buffer_limits(high=READ_BYTES)  # type: ignore[attr-defined]
         if not self._guard.add(self):
             transport.abort()
             return
@@ -327,7 +287,7 @@
         self._moved_at = self._loop.time()
         if self._transport is None:
             return
-        self.memory.release(self, CONNECTION_BYTES)
+        self.memory.release(self, self.idle_bytes)
         self.update_revocable()
         if self._head_refusal and not self.busy:
             self._send_refusal()
@@ -358,14 +318,25 @@
     def _close(self, reason: str) -> None:
         """Close the connection after what was written to it."""
         self._guard.count_closed(self, reason)
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        # A client need not confirm the end of TLS, nor read what it has left unread
+        # since the connection began to close.
+        unsent = self._transport.get_write_buffer_size() > 0
+        if self._transport.is_closing() or (self._has_tls and not unsent):
+            self._transport.abort()
+        else:
             self._transport.close()
 
     # Time.
 
     def check(self, now: float) -> None:
         """See :meth:`Client.check`."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
+            return
+        if self._transport.is_closing():
+            if self.stalled_s(now) > self._guard.settings.stalled_s:
+                self._transport.abort()
             return
         unsent_bytes = self._transport.get_write_buffer_size()
         if unsent_bytes < self._unsent_bytes:
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -51,17 +51,22 @@
 
     Attributes:
         listening: listener that accepted it, and its limits.
+        idle_bytes: what the connection costs when nothing is being received on it.
         peer: host of the client, for the log.
 
     Args:
         listening: listener that accepted it, and its limits.
+        idle_bytes: what the connection costs when nothing is being received on it.
     """
 
-    __slots__ = ("listening", "peer")
+    __slots__ = ("idle_bytes", "listening", "peer")
 
-    def __init__(self, listening: Listening) -> None:
+    def __init__(
+        self, listening: Listening, idle_bytes: int = CONNECTION_BYTES
+    ) -> None:
         super().__init__()
         self.listening = listening
+        self.idle_bytes = idle_bytes
         self.peer = ""
 
     @property
@@ -163,9 +168,10 @@
         if len(self._connections) >= self.max_connections:
             self._make_room(now, max(1, int(self.max_connections * ROOM_RATIO)))
         room = len(self._connections) < self.max_connections
-        if room and not self.memory.take(connection, CONNECTION_BYTES, False, now):
+        size = connection.idle_bytes
+        if room and not self.memory.take(connection, size, False, now):
             self._make_room(now, 1)
-            room = self.memory.take(connection, CONNECTION_BYTES, False, now)
+            room = self.memory.take(connection, size, False, now)
         if not room:
             self.count_closed(connection, "too many connections")
             return False
--- a/src/caperridge/listening/memory.py
+++ b/src/caperridge/listening/memory.py
@@ -8,6 +8,8 @@
 
 # What one connection costs when nothing is being received on it.
 CONNECTION_BYTES = 16 * 2**10
+# The same with TLS: its buffers, and what the event loop reads at once.
+TLS_CONNECTION_BYTES = 128 * 2**10
 # Up to this size a request may use the part of the memory that is kept for small ones.
 SMALL_BYTES = 64 * 2**10
 SMALL_RESERVE_RATIO = 0.125
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -246,6 +246,7 @@
         assert await ask(asked, ordinary, tls) == 200, "after the crowd"
         assert watch.alive
     held = (round(watch.memory_mb), watch.descriptors)
+    print("MB, descriptors:", form.name, held)
     assert held[0] <= MEMORY_MB and held[1] <= descriptors, f"MB, descriptors: {held}"
 
 
