--- a/tests/crowds/forms.py
+++ b/tests/crowds/forms.py
@@ -194,6 +194,18 @@
 UPLOAD = Form("upload", upload)
 
 
+def upload_of_values(head: bytes, size: int) -> Iterator[bytes]:
+    """A file whose lines decode into as many values as possible, without its end."""
+    line = b"[" + b"{}," * (size // 3) + b"{}]\n"
+    yield head + b"Content-Length: %d\r\n\r\n" % (5 * size)
+    yield b'--edge\r\nContent-Disposition: form-data; name="file"; filename="f"\r\n\r\n'
+    for _ in range(4):
+        yield line
+
+
+UPLOAD_OF_VALUES = Form("upload_of_values", upload_of_values)
+
+
 def short_frame(head: bytes, size: int) -> Iterator[bytes]:
     """A frame between instances without its last byte."""
     yield size.to_bytes(4, "big")
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -9,7 +9,7 @@
 from conftest import CALLER, OPERATOR
 from crowds.conftest import Gateway, Town
 from crowds.crowd import ROOMY_DESCRIPTORS, meet
-from crowds.forms import FORMS, FRAME_FORMS, UPLOAD, Form
+from crowds.forms import FORMS, FRAME_FORMS, UPLOAD, UPLOAD_OF_VALUES, Form
 from gateway.conftest import HOST
 
 # One at a time, also where tests run beside each other.
@@ -136,13 +136,16 @@
     )
 
 
-async def test_own_callers_are_answered_beside_a_crowd_of_uploads(town: Town) -> None:
+@pytest.mark.parametrize("form", by_name([UPLOAD, UPLOAD_OF_VALUES]))
+async def test_own_callers_are_answered_beside_a_crowd_of_uploads(
+    form: Form, town: Town
+) -> None:
     one = town.running_by_name["one"]
     head = OWN_CALL.replace("/v1/completions", "/v1/files").replace(
         "application/json", "multipart/form-data; boundary=edge"
     )
     await meet(
-        UPLOAD,
+        form,
         one.process.pid,
         one.addresses_by_listener["callers"],
         head.encode(),
