Free answers that were written, and read few pages of results at once

What callers saw: 128 clients that ask for a page of results of 1 MB and read only its first byte made an instance take 222 and 230 MB of the 112 of its machine.

The HTTP library keeps the last response of a connection until its next request, so each idle connection kept up to a whole answer that nothing counted any more. And each call read its page from the store before anything asked for memory.

Change: a response drops its body when it was written (pages, bodies of items, whole answers of targets, states, metrics, answers of plain services). Eight pages are read at once as before; beyond them each takes 2 MiB from the account while it is read, waits up to 2 s, and is refused with a time to come back otherwise. A wait for a result that is not there yet takes nothing.

--- a/src/caperridge/gateway/job_calls.py
+++ b/src/caperridge/gateway/job_calls.py
@@ -4,6 +4,7 @@
 no such job, whatever id they name.
 """
 
+import functools
 import re
 
 from aiohttp import web
@@ -17,12 +18,14 @@
 from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import Route
 from caperridge.gateway.teams import Team
-from caperridge.listening.answers import PiecewiseResponse
+from caperridge.listening.answers import AnswerReads, PiecewiseResponse
 from caperridge.listening.bodies import RETRY_AFTER_S, connection_of
 from caperridge.log import logger
 
 log = logger(__name__)
 
+# A page of results, and what is received of the next result.
+PAGE_BYTES = 2 * 2**20
 # Job ids are part of paths, keys and object names, which have at most 200 bytes.
 JOB_ID = re.compile(r"[A-Za-z0-9._~-]{1,100}")
 
@@ -51,6 +54,7 @@
         self._credentials = credentials
         self._dialect = dialect
         self._responses = responses
+        self._reads = AnswerReads(PAGE_BYTES)
 
     def takes(self, path: str) -> bool:
         """Whether a call to ``path`` is about a job."""
@@ -117,7 +121,8 @@
         if not position.isdigit():
             return self._responses.refuse(request, 400, "a position is a number")
         wait_s = float(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
-        answer = await self._jobs.results(id, int(position), wait_s)
+        reading = functools.partial(self._reads.reading, request)
+        answer = await self._jobs.results(id, int(position), wait_s, reading)
         if answer.page is None:
             return self._without_result(request, answer)
         return self._whole(
--- a/src/caperridge/gateway/jobs/edge.py
+++ b/src/caperridge/gateway/jobs/edge.py
@@ -1,6 +1,9 @@
 """The API of jobs for callers, at any instance: submit, read results, cancel."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
 
 from result import Err
 
@@ -82,6 +85,15 @@
 
 NO_SUCH_JOB = JobAnswer(404, "no such job")
 STORE_UNAVAILABLE = JobAnswer(503, "the store does not answer", RETRY_AFTER_S)
+NO_MEMORY = JobAnswer(503, "no memory is left for the answer", RETRY_AFTER_S)
+
+Reading = Callable[[], AbstractAsyncContextManager[bool]]
+
+
+@contextlib.asynccontextmanager
+async def _reading_always() -> AsyncIterator[bool]:
+    """Admit a read."""
+    yield True
 
 
 class JobsEdge:
@@ -154,15 +166,26 @@
         status = 429 if outcome.full else 503
         return JobAnswer(status, outcome.reason, outcome.retry_after_s)
 
-    async def results(self, id: str, first: int, wait_s: float) -> JobAnswer:
-        """Return the results from position ``first`` on, waiting if there are none."""
+    async def results(
+        self, id: str, first: int, wait_s: float, reading: Reading = _reading_always
+    ) -> JobAnswer:
+        """Return the results from position ``first`` on, waiting if there are none.
+
+        Args:
+            id: of the job.
+            first: position of the first result.
+            wait_s: longest wait for a result, in seconds.
+            reading: entered for each read; yields whether there is memory for it.
+        """
         try:
             async with self._limits.within():
-                return await self._results(id, first, wait_s)
+                return await self._results(id, first, wait_s, reading)
         except TimeoutError:
             return STORE_UNAVAILABLE
 
-    async def _results(self, id: str, first: int, wait_s: float) -> JobAnswer:
+    async def _results(
+        self, id: str, first: int, wait_s: float, reading: Reading
+    ) -> JobAnswer:
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_s
         while True:
@@ -170,7 +193,10 @@
             if isinstance(entry, JobAnswer):
                 return entry
             event = self._keeper.next_result_event(id)
-            results = await self._read_results(entry, first)
+            async with reading() as admitted:
+                if not admitted:
+                    return NO_MEMORY
+                results = await self._read_results(entry, first)
             if results is None:
                 return STORE_UNAVAILABLE
             # Before a stop, the wait ends one poll before the last time for the answer.
--- a/src/caperridge/gateway/listeners.py
+++ b/src/caperridge/gateway/listeners.py
@@ -11,6 +11,7 @@
 from caperridge.door import SocketListener
 from caperridge.gateway.settings import Settings
 from caperridge.listening.accepting import UNLIMITED_S, http_protocols
+from caperridge.listening.answers import PiecewiseResponse
 from caperridge.listening.guard import READ_BYTES, ConnectionGuard, Listening
 from caperridge.listening.limits import MAX_HEAD_BYTES
 
@@ -129,7 +130,7 @@
         return web.Response(status=200 if ready() else 503)
 
     async def dump(_: web.Request) -> web.Response:
-        return web.Response(
+        return PiecewiseResponse(
             body=orjson.dumps(state(), default=str), content_type="application/json"
         )
 
@@ -144,7 +145,8 @@
 
     async def metrics(_: web.Request) -> web.Response:
         body = generate_latest(registry)
-        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return PiecewiseResponse(body=body, headers=headers)
 
     application = web.Application()
     application.router.add_get("/metrics", metrics)
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -9,6 +9,7 @@
 from caperridge.instance.http_common import json_body, json_of
 from caperridge.instance.in_flight import count_tokens
 from caperridge.instance.online_request import OnlineRequest, whole_answer
+from caperridge.listening.answers import PiecewiseResponse
 from caperridge.refusals import RefusedError
 from caperridge.targets.events import DONE_EVENT
 
@@ -47,7 +48,7 @@
         async with aclosing(self._instance.online.events(online)) as batches:
             async for batch in batches:
                 events.extend(batch)
-        return web.Response(
+        return PiecewiseResponse(
             body=orjson.dumps(whole_answer(online, events)),
             content_type="application/json",
             headers={"X-Request-Id": online.id},
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -10,6 +10,7 @@
 from caperridge import bearer
 from caperridge.commands.accept_file import BadFile
 from caperridge.instance.refusal_log import RefusalLog
+from caperridge.listening.answers import PiecewiseResponse
 from caperridge.listening.bodies import (
     BodyRefusedError,
     read_body,
@@ -168,7 +169,7 @@
 
 def json_response(value: Any, status: int = 200) -> web.Response:
     """Return ``value`` as a JSON answer."""
-    return web.Response(
+    return PiecewiseResponse(
         body=orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS, default=str),
         status=status,
         content_type="application/json",
--- a/src/caperridge/instance/plain_http.py
+++ b/src/caperridge/instance/plain_http.py
@@ -6,6 +6,7 @@
 
 from caperridge.instance.http_common import bad_request, whole_body
 from caperridge.instance.plain_headers import towards_caller
+from caperridge.listening.answers import PiecewiseResponse
 from caperridge.refusals import Refusal, RefusedError
 
 if TYPE_CHECKING:
@@ -47,7 +48,7 @@
             answer = await instance.keyed_calls.call(plain)
         else:
             answer = await instance.plain.send(plain)
-        return web.Response(
+        return PiecewiseResponse(
             status=answer.status,
             body=answer.body,
             headers=towards_caller(answer.headers, plain.id),
