Keep no memory for clients that left while their answer was read

What a handler takes after its connection was lost is given back at its end, too; and a TLS connection that finds no descriptor for its handshake is forgotten.

--- a/src/caperridge/listening/connection.py
+++ b/src/caperridge/listening/connection.py
@@ -286,6 +286,8 @@
         self._answered += 1
         self._moved_at = self._loop.time()
         if self._transport is None:
+            # What its handler has taken since the connection was lost.
+            self.memory.release(self)
             return
         self.memory.release(self, self.idle_bytes)
         self.update_revocable()
--- a/src/caperridge/listening/memory.py
+++ b/src/caperridge/listening/memory.py
@@ -168,9 +168,11 @@
     def release(self, holder: Holder, keep_bytes: int = 0) -> None:
         """Give back all that a client holds beyond ``keep_bytes``."""
         self.set_revocable(holder, False)
-        returned = holder.held_bytes - keep_bytes
+        # A client that has left holds nothing any more.
+        kept_bytes = min(keep_bytes, holder.held_bytes)
+        returned = holder.held_bytes - kept_bytes
         self.held_bytes -= returned
-        holder.held_bytes = keep_bytes
+        holder.held_bytes = kept_bytes
         self._large_bytes -= holder.large_bytes
         holder.large_bytes = 0
         self._answer_bytes -= holder.answer_bytes
--- a/src/caperridge/listening/tls.py
+++ b/src/caperridge/listening/tls.py
@@ -58,13 +58,21 @@
         self.peer = (transport.get_extra_info("peername") or ("",))[0]
         if self._guard.add(self):
             self._guard.memory.set_revocable(self, True)
-            # A transport with TLS takes the connection over from this one.
-            accepted = transport.get_extra_info("socket").dup()
-            accepted.setblocking(False)
-            loop = asyncio.get_running_loop()
-            self._handshake = loop.create_task(self._shake_hands(accepted))
+            self._begin(transport)
         transport.abort()
 
+    def _begin(self, transport: asyncio.Transport) -> None:
+        """Begin the handshake on a transport of its own, with the same connection."""
+        try:
+            accepted = transport.get_extra_info("socket").dup()
+        except OSError:
+            self._guard.count_closed(self, "no descriptor is left")
+            self._guard.remove(self)
+            return
+        accepted.setblocking(False)
+        loop = asyncio.get_running_loop()
+        self._handshake = loop.create_task(self._shake_hands(accepted))
+
     async def _shake_hands(self, accepted: socket.socket) -> None:
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
--- a/tests/listening/test_answers.py
+++ b/tests/listening/test_answers.py
@@ -143,3 +143,22 @@
         statuses = await asyncio.gather(*(ask() for _ in range(CALLERS)))
     assert set(statuses) == {200, 503}
     assert server.reading == 0
+
+
+async def test_callers_that_leave_while_answers_are_read_leave_nothing(
+    server: Server,
+) -> None:
+    """Guards against an account that fills with clients that are gone."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        asking = [
+            asyncio.ensure_future(session.get(server.url + "/read"))
+            for _ in range(CALLERS)
+        ]
+        await until(lambda: server.reading > MAX_FREE_READS)
+        for one in asking:
+            one.cancel()
+        await asyncio.gather(*asking, return_exceptions=True)
+    await until(lambda: server.guard.state()["open"] == 0)
+    await asyncio.sleep(0.2)
+    assert server.guard.memory.held_bytes == 0
--- a/tests/listening/test_memory.py
+++ b/tests/listening/test_memory.py
@@ -153,3 +153,12 @@
     assert not memory.take_answer(next_one, LARGE, STALL_S / 2)
     assert memory.take_answer(next_one, LARGE, STALL_S)
     assert unread.cut and memory.held_bytes == LARGE
+
+
+async def test_a_client_that_has_left_keeps_nothing(memory: MemoryBudget) -> None:
+    """Guards against memory that nobody holds and nobody gives back."""
+    client = Client()
+    assert memory.take(client, LARGE, False, 0.0)
+    memory.release(client)
+    memory.release(client, CONNECTION_BYTES)
+    assert (client.held_bytes, memory.held_bytes) == (0, 0)
