Close idle connections of the listener that has most of them first

Cause: at the limit the longest idle connection is closed, of whatever listener. While a crowd is being accepted at one listener, the handshake of a caller at another one is soon the oldest.

Change: the listener with the most idle connections gives way, and there the longest idle one. tests/listening/test_guard.py shows the rule; it fails without the change.

--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -223,10 +223,13 @@
     def _make_room(self, now: float, count: int) -> None:
         """Close connections without a whole request.
 
-        Refused ones go first, then those without any request, the longest idle of them
-        at the front; then stalled ones, and only then those that hold most of a body or
-        an answer.
+        Refused ones go first, then those without any request: of the listener that has
+        most of them the longest idle one. Then come stalled ones, and only then those
+        that hold most of a body or an answer.
         """
+        idle_by_listener = collections.Counter(
+            one.listening.name for one in self._connections if not one.busy
+        )
         candidates = [one for one in self._connections if not one.busy or one.revocable]
         candidates.sort(
             key=lambda one: (
@@ -234,6 +237,7 @@
                 one.busy,
                 one.busy and one.stalled_s(now) < STALL_S,
                 -one.held_bytes if one.busy else 0,
+                0 if one.busy else -idle_by_listener[one.listening.name],
                 -one.stalled_s(now),
             )
         )
