--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -70,6 +70,7 @@
         async with aiohttp.ClientSession() as session:
             async with asyncio.timeout(STARTED_WITHIN_S):
                 while not await _is_ready(session, addresses["ready"]):
+                    assert self._process.returncode is None, self.log.read_text()
                     await asyncio.sleep(0.05)
 
     async def end(self) -> None:
