Share what connections have in common before they prove what they are

TlsGreeting and the peers' Stranger repeated three methods of the guard's client, and json_body the refusals of whole_body. Behaviour is unchanged; tests of listening, peers, product, caller limits, layers and crowds with TLS (but those all connected) passed.

--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -87,8 +87,8 @@
 
 async def json_body(request: web.Request) -> bytes:
     """Return the whole body of a request, whose values there is memory for."""
+    body = await whole_body(request)
     try:
-        body = await read_body(request, request.app[MAX_BODY_BYTES])
         await reserve_values(request, body)
     except BodyRefusedError as error:
         raise _body_refusal(error) from error
--- a/src/caperridge/listening/answers.py
+++ b/src/caperridge/listening/answers.py
@@ -25,7 +25,7 @@
     """
     connection = connection_of(request)
     if connection is not None:
-        await connection.memory.answer_taken(connection, COPIES * size)
+        await connection.memory.take_answer_when_free(connection, COPIES * size)
 
 
 class AnswerReads:
--- a/src/caperridge/listening/guard.py
+++ b/src/caperridge/listening/guard.py
@@ -92,6 +92,33 @@
         """Close the connection, as another one needs its place."""
 
 
+class Newcomer(Client):
+    """A connection of which nothing is known yet but that it was accepted.
+
+    Whoever accepted it bounds the time until it has proved what it is.
+    """
+
+    __slots__ = ("_since",)
+
+    def __init__(
+        self, listening: Listening, idle_bytes: int = CONNECTION_BYTES
+    ) -> None:
+        super().__init__(listening, idle_bytes)
+        self._since = asyncio.get_running_loop().time()
+
+    @property
+    def busy(self) -> bool:
+        """See :attr:`Client.busy`."""
+        return False
+
+    def stalled_s(self, now: float) -> float:
+        """See :meth:`Holder.stalled_s`."""
+        return now - self._since
+
+    def check(self, now: float) -> None:
+        """See :meth:`Client.check`."""
+
+
 class Turn(Protocol):
     """Something that is read again when its turn comes."""
 
--- a/src/caperridge/listening/memory.py
+++ b/src/caperridge/listening/memory.py
@@ -128,7 +128,7 @@
         take = functools.partial(self.take, holder, size, large)
         return await self._wait(take, deadline)
 
-    async def answer_taken(self, holder: Holder, size: int) -> None:
+    async def take_answer_when_free(self, holder: Holder, size: int) -> None:
         """Take memory for an answer, and wait for it if there is not enough."""
         await self._wait(functools.partial(self.take_answer, holder, size), math.inf)
 
--- a/src/caperridge/listening/tls.py
+++ b/src/caperridge/listening/tls.py
@@ -16,6 +16,7 @@
     Client,
     ConnectionGuard,
     Listening,
+    Newcomer,
 )
 from caperridge.listening.memory import TLS_CONNECTION_BYTES
 
@@ -27,7 +28,7 @@
 sslproto.SSLProtocol.max_size = READ_BYTES
 
 
-class TlsGreeting(asyncio.Protocol, Client):
+class TlsGreeting(asyncio.Protocol, Newcomer):
     """A new connection that begins its TLS handshake.
 
     Args:
@@ -45,11 +46,10 @@
         guard: ConnectionGuard,
         listening: Listening,
     ) -> None:
-        Client.__init__(self, listening, TLS_CONNECTION_BYTES)
+        Newcomer.__init__(self, listening, TLS_CONNECTION_BYTES)
         self._protocols = protocols
         self._context = context
         self._guard = guard
-        self._since = asyncio.get_running_loop().time()
         self._handshake: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,18 +89,6 @@
 
     # What the guard of all connections asks.
 
-    @property
-    def busy(self) -> bool:
-        """See :attr:`Client.busy`."""
-        return False
-
-    def stalled_s(self, now: float) -> float:
-        """See :meth:`Holder.stalled_s`."""
-        return now - self._since
-
-    def check(self, now: float) -> None:
-        """See :meth:`Client.check`; the event loop bounds the time of a handshake."""
-
     def revoke(self) -> None:
         """See :meth:`Holder.revoke`."""
         self._cancel("others need its memory")
--- a/src/caperridge/peers/connect.py
+++ b/src/caperridge/peers/connect.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 
 from caperridge.door import listen
-from caperridge.listening.guard import Client, ConnectionGuard, Listening
+from caperridge.listening.guard import (
+    Client,
+    ConnectionGuard,
+    Listening,
+    Newcomer,
+)
 from caperridge.listening.limits import ConnectionSettings
 from caperridge.listening.tls import TlsGreeting
 from caperridge.log import logger
@@ -28,32 +33,19 @@
 MessageHandler = Callable[[PeerStream, Record], None]
 
 
-class Stranger(Client):
+class Stranger(Newcomer):
     """A connection whose other end has not proved yet that it is a peer.
 
     Args:
         writer: of the connection.
     """
 
-    __slots__ = ("_since", "_writer")
+    __slots__ = ("_writer",)
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         super().__init__(STRANGERS)
         self.peer = (writer.get_extra_info("peername") or ("",))[0]
         self._writer = writer
-        self._since = asyncio.get_running_loop().time()
-
-    @property
-    def busy(self) -> bool:
-        """See :attr:`Client.busy`."""
-        return False
-
-    def stalled_s(self, now: float) -> float:
-        """See :meth:`Holder.stalled_s`."""
-        return now - self._since
-
-    def check(self, now: float) -> None:
-        """See :meth:`Client.check`; a handshake has a time limit of its own."""
 
     def revoke(self) -> None:
         """See :meth:`Holder.revoke`."""
