--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -107,6 +107,16 @@
     routes = [
         route("ask", timeoutMs=ROUTE_TIMEOUT_MS),
         route("once", timeoutMs=ROUTE_TIMEOUT_MS, resumable=False, maxAttempts=1),
+        route(
+            "work",
+            kind="batch",
+            timeoutMs=ROUTE_TIMEOUT_MS,
+            maxAttempts=3,
+            priority=2,
+            runTargetMs=ROUTE_TIMEOUT_MS,
+            maxQueuedTokens=0,
+            retentionS=60,
+        ),
     ]
     world.configure(2, routes)
     for _ in range(2):
@@ -120,6 +130,13 @@
         await world.stop()
 
 
+@pytest.fixture
+async def roomy_town(tmp_path: Path) -> AsyncIterator[Town]:
+    """The same with descriptors for every connection of a crowd."""
+    async with running_town(tmp_path, peers=True, settings=ROOMY_MACHINE) as town:
+        yield town
+
+
 @pytest.fixture
 async def town(tmp_path: Path) -> AsyncIterator[Town]:
     """Two instances with the own interface, configured and ready."""
--- a/tests/gateway/runner_standin.py
+++ b/tests/gateway/runner_standin.py
@@ -67,6 +67,8 @@
         going: cleared while the runner sends nothing; its runs go on afterwards.
         hold_head: run requests, but send no head of the answer.
         reports_to_all: report the load also when another incarnation is addressed.
+        whole_bytes: size of the body that answers a request to a path that ends with
+            ``/whole``, in one piece.
         fatal: whether a request crashes the runner soon after it has started to run.
         fatal_after: events of a fatal request that are sent before the crash.
         fatal_after_disconnect: a fatal request crashes the runner even if its caller
@@ -102,6 +104,7 @@
         self.orphaned = 0
         self.misdirected = 0
         self.reports_to_all = False
+        self.whole_bytes = 0
         self.going = asyncio.Event()
         self.going.set()
         self.hold_head = False
@@ -204,6 +207,9 @@
         headers["X-Response-Stamp"] = f"stamp-{self.id}-{run.id}"
         if self.status != 200:
             return await self._fail(request, run, headers)
+        if run.path.endswith("/whole"):
+            run.finished = True
+            return web.Response(headers=headers, body=bytes(self.whole_bytes))
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         if self.unframed:
