--- a/src/caperridge/gateway/edge.py
+++ b/src/caperridge/gateway/edge.py
@@ -22,7 +22,11 @@
 from caperridge.gateway.responses import Responses
 from caperridge.gateway.routes import BATCH, Route
 from caperridge.gateway.teams import Team
-from caperridge.listening.bodies import BodyRefusedError, read_body
+from caperridge.listening.bodies import (
+    BodyRefusedError,
+    read_body,
+    reserve_values,
+)
 from caperridge.log import logger
 from caperridge.records import Record
 
@@ -252,6 +256,7 @@
     ) -> web.StreamResponse:
         try:
             body = await self._read_body(request, route, arrived)
+            await reserve_values(request, body)
         except BodyRefusedError as refused:
             return self._refuse_body(request, route, refused)
         return await self._jobs.submit(request, route, body, arrived, team)
--- a/src/caperridge/instance/completions_http.py
+++ b/src/caperridge/instance/completions_http.py
@@ -6,7 +6,7 @@
 import orjson
 from aiohttp import web
 
-from caperridge.instance.http_common import json_of, whole_body
+from caperridge.instance.http_common import json_body, json_of
 from caperridge.instance.in_flight import count_tokens
 from caperridge.instance.online_request import OnlineRequest, whole_answer
 from caperridge.refusals import RefusedError
@@ -33,7 +33,7 @@
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Answer a completion, streamed or whole."""
         caller = self._instance.caller(request)
-        body = json_of(await whole_body(request))
+        body = json_of(await json_body(request))
         online = self._instance.online.admit(
             self._instance.configuration.current,
             caller,
--- a/src/caperridge/instance/http_common.py
+++ b/src/caperridge/instance/http_common.py
@@ -10,7 +10,12 @@
 from caperridge import bearer
 from caperridge.commands.accept_file import BadFile
 from caperridge.instance.refusal_log import RefusalLog
-from caperridge.listening.bodies import BodyRefusedError, read_body, reserve
+from caperridge.listening.bodies import (
+    BodyRefusedError,
+    read_body,
+    reserve,
+    reserve_values,
+)
 from caperridge.log import logger
 from caperridge.refusals import NOT_RUN, UNKNOWN, Refusal, RefusedError
 from caperridge.store.interface import NotDone
@@ -79,6 +84,16 @@
         raise _body_refusal(error) from error
 
 
+async def json_body(request: web.Request) -> bytes:
+    """Return the whole body of a request, whose values there is memory for."""
+    try:
+        body = await read_body(request, request.app[MAX_BODY_BYTES])
+        await reserve_values(request, body)
+    except BodyRefusedError as error:
+        raise _body_refusal(error) from error
+    return body
+
+
 async def reserve_memory(request: web.Request, size: int) -> None:
     """Take memory for a body that is read in parts, or refuse it."""
     try:
--- a/src/caperridge/instance/intents_http.py
+++ b/src/caperridge/instance/intents_http.py
@@ -15,7 +15,7 @@
 from caperridge.decisions.effects import describe_effects
 from caperridge.decisions.plans import Plan, changes_between, make_plan
 from caperridge.findings import FindingsError
-from caperridge.instance.http_common import json_response, whole_body
+from caperridge.instance.http_common import json_body, json_response
 from caperridge.instance.messages import ConfigurationConfirmed
 from caperridge.queries.configuration import read_head, read_history, read_version
 from caperridge.queries.facts import read_plan_context
@@ -189,7 +189,7 @@
 
 async def _body(request: web.Request) -> dict[str, Any]:
     try:
-        body = orjson.loads(await whole_body(request))
+        body = orjson.loads(await json_body(request))
         if isinstance(body, dict) and (
             isinstance(body.get("files"), dict)
             or isinstance(body.get("rollback_to"), int)
--- a/src/caperridge/instance/jobs_http.py
+++ b/src/caperridge/instance/jobs_http.py
@@ -22,11 +22,11 @@
 from caperridge.instance.http_common import (
     abort,
     bad_request,
+    json_body,
     json_of,
     plain_id,
     platform_refusal,
     reserve_memory,
-    whole_body,
 )
 from caperridge.instance.messages import JobsChanged
 from caperridge.instance.plain_item_calls import PREFIX, service_path
@@ -144,7 +144,7 @@
     async def create_batch(self, request: web.Request) -> web.Response:
         """Accept a job; acknowledged only once it is durable."""
         caller = self._instance.caller(request)
-        raw = await whole_body(request)
+        raw = await json_body(request)
         body = json_of(raw)
         if not isinstance(body, dict):
             raise bad_request("the body must be an object")
--- a/src/caperridge/listening/bodies.py
+++ b/src/caperridge/listening/bodies.py
@@ -6,6 +6,7 @@
 from aiohttp import web, web_protocol
 
 from caperridge.listening.connection import BodyCutError, GuardedConnection
+from caperridge.listening.decoding import decoded_bytes
 from caperridge.listening.memory import SMALL_BYTES
 
 # A body is held once for the request, and once on its way to where it goes.
@@ -51,6 +52,25 @@
         await _reserve(connection, size, math.inf)
 
 
+async def reserve_values(request: web.Request, text: bytes) -> None:
+    """Take the memory of the values that a JSON body decodes into.
+
+    Args:
+        request: of a client.
+        text: its body.
+
+    Raises:
+        BodyRefusedError: there is no memory for them.
+    """
+    connection = connection_of(request)
+    if connection is None:
+        return
+    size = decoded_bytes(text)
+    if size > connection.memory.capacity_bytes:
+        raise BodyRefusedError(413, "its values need more memory than there is")
+    await _reserve(connection, size, math.inf)
+
+
 async def read_body(
     request: web.Request, max_bytes: int, deadline: float = math.inf
 ) -> bytes:
--- a/tests/crowds/test_single_requests.py
+++ b/tests/crowds/test_single_requests.py
@@ -4,6 +4,7 @@
 
 from crowds.conftest import Gateway
 from crowds.crowd import ID, ask
+from crowds.forms import JOB_ITEMS, job
 from crowds.test_crowds import BODY_BYTES, CALL, CLOSE
 
 pytestmark = pytest.mark.xdist_group("crowds")
@@ -54,3 +55,31 @@
     assert await ask(address, request_bytes) == 200
     runs = [run for runner in gateway.world.runners for run in runner.runs]
     assert [run.body == body for run in runs] == [True]
+
+
+def job_with_long_headers() -> bytes:
+    """Return a job whose items state as many parts of prompts as fit its size."""
+    parts = ",".join(f"{number:08x}:100" for number in range(1200))
+    headers = f'{{"X-Model":"m","X-Prompt-Prefix":"{parts}"}}'
+    item = '{"id":"i%d","path":"/work/1","headers":%s,"tokens":9,"body":"QUJD"}'
+    items = ",".join(item % (number, headers) for number in range(JOB_ITEMS))
+    body = f'{{"requests":[{items}]}}'.encode()
+    head = HEAD.replace(b"/ask/1", b"/work/1")
+    return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+JOBS = [
+    pytest.param(
+        b"".join(job(HEAD.replace(b"/ask/1", b"/work/1"), BODY_BYTES)), id="large"
+    ),
+    pytest.param(job_with_long_headers(), id="long_headers"),
+]
+
+
+@pytest.mark.parametrize("request_bytes", JOBS)
+async def test_a_job_inside_the_limits_is_accepted(
+    request_bytes: bytes, gateway: Gateway
+) -> None:
+    """Guards against an estimate of its values that refuses it."""
+    address = gateway.addresses_by_listener["callers"]
+    assert await ask(address, request_bytes) == 202
