--- a/tests/crowds/test_unread_answers.py
+++ b/tests/crowds/test_unread_answers.py
@@ -1,5 +1,6 @@
 """Large answers that nobody reads don't exhaust the machine of a process."""
 
+import asyncio
 import base64
 
 import aiohttp
@@ -18,6 +19,11 @@
 # Within the limits of an answer, and beyond what the kernel takes of one.
 ANSWER_BYTES = 8 * 2**20
 FILE_BYTES = 8 * 10**6
+# A page of results has 1 MB.
+EVENT_BYTES = 30_000
+EVENTS = 10
+ITEMS = 4
+PATIENCE_S = 30.0
 
 
 async def test_whole_answers_that_nobody_reads(roomy_gateway: Gateway) -> None:
@@ -65,6 +71,45 @@
     )
 
 
+async def test_results_that_nobody_reads(roomy_gateway: Gateway) -> None:
+    """Guards against pages of results that are read before anything counts them."""
+    address = roomy_gateway.addresses_by_listener["callers"]
+    for runner in roomy_gateway.world.runners:
+        runner.filling = "x" * EVENT_BYTES
+        runner.events = EVENTS
+    items = [
+        {"id": f"i{number}", "path": "/work/1", "headers": {}, "tokens": 10, "body": ""}
+        for number in range(ITEMS)
+    ]
+    headers = {"Host": HOST, "X-Request-Id": "job"}
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{address}/work/job"
+        async with session.post(
+            url, json={"requests": items}, headers=headers
+        ) as response:
+            assert response.status == 202
+        listed = 0
+        async with asyncio.timeout(PATIENCE_S):
+            while listed < ITEMS:
+                url = f"http://{address}/lots/job?sinceRev={ITEMS - 1}"
+                headers = {"Host": HOST, "X-Wait-Ms": "1000"}
+                async with session.get(url, headers=headers) as response:
+                    page = await response.json()
+                listed = page["nextToken"]
+    for runner in roomy_gateway.world.runners:
+        runner.filling = ""
+    head = f"GET /lots/job?sinceRev=0 HTTP/1.1\r\nHost: {HOST}\r\n"
+    await meet(
+        UNREAD_ANSWER,
+        roomy_gateway.pid,
+        address,
+        head.encode(),
+        BODY_BYTES,
+        ORDINARY.encode(),
+        descriptors=ROOMY_DESCRIPTORS,
+    )
+
+
 async def test_files_that_nobody_reads(roomy_town: Town) -> None:
     """Guards against parts of files that are held for each of their readers."""
     one = roomy_town.running_by_name["one"]
